--- /dev/null
+++ b/internal/config/document.go
@@ -0,0 +1,140 @@
+// Package config holds the operators' document: its sections, their parser and checks,
+// and the revision in force.
+package config
+
+import (
+	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/model"
+)
+
+// Section keys in the store: SectionPrefix + team, and SectionPrefix + OperatorsSection.
+const (
+	SectionPrefix    = "config/section/"
+	OperatorsSection = "operators"
+)
+
+// Document is the whole configuration: the operators' section and one for each team.
+type Document struct {
+	// Revision is the highest store revision among the sections.
+	Revision  model.Revision
+	Operators Operators
+	Teams     map[model.Team]TeamSection
+}
+
+// Operators is the section that only operators edit.
+type Operators struct {
+	DataCentres []DataCentre  `yaml:"dataCentres"`
+	Racks       []RackBinding `yaml:"racks"`
+	// Partitions is the number of partitions; it is fixed once accepted.
+	Partitions int     `yaml:"partitions"`
+	Weights    Weights `yaml:"weights"`
+}
+
+// DataCentre is one data centre and whether it is in service.
+type DataCentre struct {
+	Name model.DataCentre `yaml:"name"`
+	// Region groups data centres; regions can lose contact with each other.
+	Region string `yaml:"region,omitempty"`
+	// Out takes the data centre out of service: nothing starts there.
+	Out bool `yaml:"out,omitempty"`
+}
+
+// RackBinding says which data centre holds a rack and which partition owns its workers.
+type RackBinding struct {
+	Name       model.Rack       `yaml:"name"`
+	DataCentre model.DataCentre `yaml:"dataCentre"`
+	Partition  model.Partition  `yaml:"partition"`
+}
+
+// Weights balance the goals of the policy; each is at least 0.
+type Weights struct {
+	TailLatency float64 `yaml:"tailLatency"`
+	Throughput  float64 `yaml:"throughput"`
+	Evictions   float64 `yaml:"evictions"`
+}
+
+// TeamSection is what one team edits.
+type TeamSection struct {
+	Team     model.Team     `yaml:"team"`
+	Quota    Quota          `yaml:"quota"`
+	Services []Service      `yaml:"services,omitempty"`
+	Jobs     []JobTemplate  `yaml:"jobs,omitempty"`
+	Revision model.Revision `yaml:"-"`
+}
+
+// Quota bounds what a team's running tasks may hold together.
+type Quota struct {
+	model.Resources `yaml:",inline"`
+	// Share weighs the team against others when not all work fits; zero means 1.
+	Share float64 `yaml:"share,omitempty"`
+}
+
+// Service is a latency-critical service that answers requests.
+type Service struct {
+	Name        model.Service      `yaml:"name"`
+	DataCentres []model.DataCentre `yaml:"dataCentres,omitempty"`
+	Requests    []RequestType      `yaml:"requests"`
+	// HonoursNotAfter says that its targets refuse a request after its not-after header.
+	HonoursNotAfter bool `yaml:"honoursNotAfter,omitempty"`
+}
+
+// RequestType is one kind of request of a service.
+type RequestType struct {
+	Path     string             `yaml:"path"`
+	Class    model.RequestClass `yaml:"class"`
+	Deadline time.Duration      `yaml:"deadline"`
+	// Hedge allows a second copy of an idempotent request to a slow target.
+	Hedge bool `yaml:"hedge,omitempty"`
+}
+
+// JobTemplate describes a class of batch jobs.
+type JobTemplate struct {
+	Class       model.JobClass     `yaml:"class"`
+	Declared    model.Resources    `yaml:"declared"`
+	DeclaredRun time.Duration      `yaml:"declaredRun"`
+	DataCentres []model.DataCentre `yaml:"dataCentres,omitempty"`
+	Urgent      bool               `yaml:"urgent,omitempty"`
+}
+
+// DataCentreOut reports whether the data centre is out of service or unknown.
+func (d *Document) DataCentreOut(name model.DataCentre) bool {
+	for _, dc := range d.Operators.DataCentres {
+		if dc.Name == name {
+			return dc.Out
+		}
+	}
+	return true
+}
+
+// PartitionOf returns the partition that owns the rack's workers.
+func (d *Document) PartitionOf(rack model.Rack) (model.Partition, bool) {
+	for _, r := range d.Operators.Racks {
+		if r.Name == rack {
+			return r.Partition, true
+		}
+	}
+	return 0, false
+}
+
+// FindService returns the service with the name.
+func (d *Document) FindService(name model.Service) (Service, bool) {
+	for _, section := range d.Teams {
+		for _, s := range section.Services {
+			if s.Name == name {
+				return s, true
+			}
+		}
+	}
+	return Service{}, false
+}
+
+// FindRequest returns the request type with the path.
+func (s *Service) FindRequest(path string) (RequestType, bool) {
+	for _, r := range s.Requests {
+		if r.Path == path {
+			return r, true
+		}
+	}
+	return RequestType{}, false
+}
--- /dev/null
+++ b/internal/platform/clock.go
@@ -0,0 +1,14 @@
+package platform
+
+import "time"
+
+// Clock gives the time; tests replace it.
+type Clock interface {
+	Now() time.Time
+}
+
+// SystemClock is the machine's clock.
+type SystemClock struct{}
+
+// Now returns the current time.
+func (SystemClock) Now() time.Time { return time.Now() }
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,213 @@
+// Package platform holds the interfaces to the systems that the platform provides: the
+// key-value store, the workers and the inventory, and one client for each.
+package platform
+
+import (
+	"context"
+	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/model"
+)
+
+// LeaseID identifies a lease of the store; zero is no lease.
+type LeaseID int64
+
+// KeyValue is one entry of the store.
+type KeyValue struct {
+	Key   string
+	Value []byte
+	// ModRevision is the revision of the last write of the key; zero means the key is absent.
+	ModRevision int64
+	Lease       LeaseID
+}
+
+// SwapResult is the outcome of a compare-and-swap whose answer arrived.
+type SwapResult struct {
+	// Applied says whether the value was written.
+	Applied bool
+	// Revision is the store's revision after the call.
+	Revision int64
+	// Current is the entry that the store holds if Applied is false.
+	Current KeyValue
+}
+
+// WatchEvent is a batch of changes, or the end of a watch.
+type WatchEvent struct {
+	Revision int64
+	// Changed holds the new entries; a deleted key has ModRevision zero.
+	Changed []KeyValue
+	// Err is set on the last event of a watch that ended.
+	Err error
+}
+
+// Store is the platform's key-value service. Every error is a *StoreError.
+type Store interface {
+	// Get reads one key. An absent key yields a KeyValue with ModRevision zero. The second
+	// result is the store's head revision at the time of the read.
+	Get(ctx context.Context, key string) (KeyValue, int64, error)
+	// List reads all keys with the prefix, ordered by key, and the head revision.
+	List(ctx context.Context, prefix string) ([]KeyValue, int64, error)
+	// Swap writes value if the key's ModRevision equals expected; zero expects absence.
+	Swap(ctx context.Context, key string, expected int64, value []byte, lease LeaseID) (SwapResult, error)
+	// Grant creates a lease that ends ttl after its last renewal.
+	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	// Renew extends the lease. A lapsed lease yields a StoreError with Lapsed set.
+	Renew(ctx context.Context, lease LeaseID) error
+	// Revoke ends the lease and deletes its keys.
+	Revoke(ctx context.Context, lease LeaseID) error
+	// Watch delivers changes of keys with the prefix after the revision until ctx ends.
+	Watch(ctx context.Context, prefix string, after int64) (<-chan WatchEvent, error)
+}
+
+// StoreError says what is known about a failed call of the store.
+type StoreError struct {
+	Op string
+	// Unknown says that a write may have taken effect, now or later.
+	Unknown bool
+	// Lapsed says that the lease does not exist any more.
+	Lapsed bool
+	// Compacted says that a watch asked for a revision that the store has dropped.
+	Compacted bool
+	Cause     error
+}
+
+// Error implements error.
+func (e *StoreError) Error() string {
+	if e.Unknown {
+		return "store " + e.Op + ": outcome unknown: " + e.Cause.Error()
+	}
+	return "store " + e.Op + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *StoreError) Unwrap() error { return e.Cause }
+
+// Inventory is the platform's lagging list of workers and targets.
+type Inventory interface {
+	Workers(ctx context.Context) ([]model.Worker, error)
+	Targets(ctx context.Context) ([]model.Target, error)
+}
+
+// LeaseRequest raises the owner's epoch at a worker and renews the worker's lease. The
+// worker refuses an epoch lower than the highest one it has seen. When the lease lapses
+// the worker stops every attempt of that lease and reports it as lost.
+type LeaseRequest struct {
+	Partition model.Partition  `json:"partition"`
+	Owner     model.InstanceID `json:"owner"`
+	Epoch     model.Epoch      `json:"epoch"`
+	TTL       time.Duration    `json:"ttl"`
+	// Acknowledged is the highest report sequence that the owner has made durable; the
+	// worker forgets ended attempts up to it.
+	Acknowledged uint64 `json:"acknowledged"`
+	// All asks for every attempt that the worker knows, not only changes.
+	All bool `json:"all,omitempty"`
+}
+
+// AttemptReport is what a worker says of one attempt.
+type AttemptReport struct {
+	// Sequence orders the worker's reports, from 1; an ended attempt is reported with
+	// every lease answer until its sequence is acknowledged.
+	Sequence   uint64             `json:"sequence"`
+	Attempt    model.AttemptID    `json:"attempt"`
+	State      model.AttemptState `json:"state"`
+	Checkpoint model.CheckpointID `json:"checkpoint,omitempty"`
+	// Progress is the share of the work done, from 0 to 1.
+	Progress float64 `json:"progress,omitempty"`
+	Error    string  `json:"error,omitempty"`
+}
+
+// UsageSample is what one attempt used in a past window.
+type UsageSample struct {
+	Attempt model.AttemptID `json:"attempt"`
+	From    time.Time       `json:"from"`
+	To      time.Time       `json:"to"`
+	Used    model.Resources `json:"used"`
+}
+
+// ServiceSample is the latency of a target on the worker in a past window.
+type ServiceSample struct {
+	Service model.Service `json:"service"`
+	From    time.Time     `json:"from"`
+	To      time.Time     `json:"to"`
+	P99     time.Duration `json:"p99"`
+	// Load is the share of the target's slots that was busy, from 0 to 1.
+	Load  float64 `json:"load"`
+	Count int64   `json:"count"`
+}
+
+// LeaseReply answers a LeaseRequest.
+type LeaseReply struct {
+	// Epoch is the highest epoch that the worker has seen.
+	Epoch    model.Epoch     `json:"epoch"`
+	Reports  []AttemptReport `json:"reports"`
+	Usage    []UsageSample   `json:"usage,omitempty"`
+	Services []ServiceSample `json:"services,omitempty"`
+}
+
+// StartRequest asks a worker to execute attempts.
+type StartRequest struct {
+	Partition model.Partition `json:"partition"`
+	Epoch     model.Epoch     `json:"epoch"`
+	Attempts  []StartAttempt  `json:"attempts"`
+}
+
+// StartAttempt is one attempt to execute. The worker executes an attempt id at most once,
+// refuses it after NotAfter on its own clock, and refuses it without a current lease.
+type StartAttempt struct {
+	Attempt     model.AttemptID    `json:"attempt"`
+	Class       model.JobClass     `json:"class"`
+	Reservation model.Resources    `json:"reservation"`
+	NotAfter    time.Time          `json:"notAfter"`
+	Checkpoint  model.CheckpointID `json:"checkpoint,omitempty"`
+	DeclaredRun time.Duration      `json:"declaredRun,omitempty"`
+	Payload     []byte             `json:"payload,omitempty"`
+}
+
+// StartReply holds one result for each attempt of the request, in its order.
+type StartReply struct {
+	Results []StartResult `json:"results"`
+}
+
+// StartResult says whether the attempt executes. A refused attempt never executes.
+type StartResult struct {
+	Attempt  model.AttemptID `json:"attempt"`
+	Accepted bool            `json:"accepted"`
+	Error    string          `json:"error,omitempty"`
+}
+
+// SignalKind is what a worker is asked to do with an executing attempt.
+type SignalKind string
+
+const (
+	// SignalStop ends the attempt without saving its state.
+	SignalStop SignalKind = "stop"
+	// SignalCheckpoint saves the state of the attempt and ends it.
+	SignalCheckpoint SignalKind = "checkpoint"
+	// SignalThrottle limits the processor time of the attempt to Share of its reservation.
+	SignalThrottle SignalKind = "throttle"
+)
+
+// SignalRequest asks a worker to act on one executing attempt.
+type SignalRequest struct {
+	Partition model.Partition `json:"partition"`
+	Epoch     model.Epoch     `json:"epoch"`
+	Attempt   model.AttemptID `json:"attempt"`
+	Kind      SignalKind      `json:"kind"`
+	// Share is the throttle's share, from 0 to 1; 1 removes the limit.
+	Share float64 `json:"share,omitempty"`
+}
+
+// WorkerClient talks to workers. A *verdict.Error says whether the call may have taken effect.
+type WorkerClient interface {
+	Lease(ctx context.Context, addr string, r LeaseRequest) (LeaseReply, error)
+	Start(ctx context.Context, addr string, r StartRequest) (StartReply, error)
+	Signal(ctx context.Context, addr string, r SignalRequest) error
+}
+
+// StaleEpochError says that the worker has seen a higher epoch: the caller is deposed.
+type StaleEpochError struct {
+	Seen model.Epoch
+}
+
+// Error implements error.
+func (e *StaleEpochError) Error() string { return "worker has a newer owner" }
--- /dev/null
+++ b/internal/verdict/verdict.go
@@ -0,0 +1,119 @@
+// Package verdict says whether a request or a task start may have been executed.
+package verdict
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Verdict says whether an operation may have been executed.
+type Verdict uint8
+
+const (
+	// MayHaveRun is the zero value, because without proof nothing else can be claimed.
+	MayHaveRun Verdict = iota
+	// NotRun says that the operation was not executed and never will be by this attempt.
+	NotRun
+	// Ran says that the operation was executed and its whole outcome is known.
+	Ran
+)
+
+// String returns the wire form of the verdict.
+func (v Verdict) String() string {
+	switch v {
+	case NotRun:
+		return "not-run"
+	case Ran:
+		return "ran"
+	default:
+		return "may-have-run"
+	}
+}
+
+// Parse reads the wire form. Any unknown text yields MayHaveRun and an error.
+func Parse(s string) (Verdict, error) {
+	switch s {
+	case "not-run":
+		return NotRun, nil
+	case "ran":
+		return Ran, nil
+	case "may-have-run":
+		return MayHaveRun, nil
+	}
+	return MayHaveRun, fmt.Errorf("unknown verdict %q", s)
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (v Verdict) MarshalText() ([]byte, error) { return []byte(v.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (v *Verdict) UnmarshalText(b []byte) error {
+	parsed, err := Parse(string(b))
+	*v = parsed
+	return err
+}
+
+// Reason is a machine-readable cause of a refusal or failure.
+type Reason string
+
+// The reasons that callers, logs and metrics share. Quota, store failure and
+// overload are kept apart, because an operator answers each differently.
+const (
+	ReasonQuota           Reason = "quota-exhausted"
+	ReasonOverload        Reason = "overloaded"
+	ReasonStore           Reason = "store-unavailable"
+	ReasonDeadline        Reason = "deadline-exceeded"
+	ReasonNoTarget        Reason = "no-target"
+	ReasonNotOwner        Reason = "not-owner"
+	ReasonDuplicate       Reason = "duplicate-key"
+	ReasonInvalid         Reason = "invalid-request"
+	ReasonUnfeasible      Reason = "unfeasible"
+	ReasonUnknown         Reason = "unknown-id"
+	ReasonTarget          Reason = "target-failed"
+	ReasonTruncated       Reason = "truncated-answer"
+	ReasonShutdown        Reason = "shutting-down"
+	ReasonPeer            Reason = "peer-unreachable"
+	ReasonConfigStale     Reason = "configuration-unconfirmed"
+	ReasonDataCentreOut   Reason = "data-centre-out"
+	ReasonWorker          Reason = "worker-failed"
+	ReasonCancelled       Reason = "cancelled"
+	ReasonClaimsExhausted Reason = "claim-table-full"
+)
+
+// Error carries a verdict and a reason across every hop up to the caller.
+type Error struct {
+	Verdict Verdict `cbor:"1,keyasint" json:"verdict"`
+	Reason  Reason  `cbor:"2,keyasint" json:"reason"`
+	Message string  `cbor:"3,keyasint" json:"message"`
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s (%s): %s", e.Reason, e.Verdict, e.Message)
+}
+
+// New returns an error with the given verdict and reason.
+func New(v Verdict, r Reason, format string, args ...any) *Error {
+	return &Error{Verdict: v, Reason: r, Message: fmt.Sprintf(format, args...)}
+}
+
+// Of returns the verdict that err carries. An error without one may have run.
+func Of(err error) Verdict {
+	if err == nil {
+		return Ran
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Verdict
+	}
+	return MayHaveRun
+}
+
+// From returns the verdict error inside err, or wraps err as MayHaveRun.
+func From(err error, fallback Reason) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &Error{Verdict: MayHaveRun, Reason: fallback, Message: err.Error()}
+}
