--- /dev/null
+++ b/internal/membership/rendezvous.go
@@ -0,0 +1,42 @@
+package membership
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/geraniumwick/geraniumwick/internal/model"
+)
+
+// Assigned returns the member that should own the partition: the one with the highest
+// rendezvous hash among those that do not drain. A change of one member therefore moves
+// only the partitions of that member.
+func (m *Membership) Assigned(p model.Partition) (Member, bool) {
+	return assign(m.Members(), p)
+}
+
+// assign applies rendezvous hashing to the members. Equal hashes are decided by the id.
+func assign(members []Member, p model.Partition) (Member, bool) {
+	var best Member
+	var bestWeight uint64
+	found := false
+	for _, candidate := range members {
+		if candidate.Draining {
+			continue
+		}
+		w := weight(candidate.ID, p)
+		if !found || w > bestWeight || (w == bestWeight && candidate.ID > best.ID) {
+			best, bestWeight, found = candidate, w, true
+		}
+	}
+	return best, found
+}
+
+// weight is the rendezvous hash of a member and a partition. The partition comes first and
+// ends with a separator, so that no two pairs have the same text.
+func weight(id model.InstanceID, p model.Partition) uint64 {
+	text := strconv.AppendInt(make([]byte, 0, 64), int64(p), 10)
+	text = append(text, '/')
+	text = append(text, id...)
+	return xxhash.Sum64(text)
+}
