--- /dev/null
+++ b/internal/route/http.go
@@ -0,0 +1,191 @@
+package route
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/geraniumwick/geraniumwick/internal/config"
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/verdict"
+)
+
+const (
+	// RequestsPattern is the pattern of the callers' route in an http.ServeMux.
+	RequestsPattern = "POST /v1/requests/{service}/{path...}"
+	// MaxKey bounds a request key and a customer, in bytes.
+	MaxKey = 128
+	// maxContentType bounds the content type of a request, in bytes.
+	maxContentType = 256
+)
+
+// Handler returns the handler of RequestsPattern.
+func Handler(d *Dispatcher) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		r, err := decodeRequest(req, d.Document(), d.clock.Now())
+		if err != nil {
+			WriteError(w, err)
+			return
+		}
+		resp, failure := d.Do(req.Context(), r)
+		if failure != nil {
+			WriteError(w, failure)
+			return
+		}
+		writeAnswer(w, resp)
+	})
+}
+
+// decodeRequest reads a caller's request. Its errors are NotRun.
+func decodeRequest(req *http.Request, doc *config.Document, now time.Time) (Request, error) {
+	r := Request{
+		Service:     model.Service(req.PathValue("service")),
+		Path:        req.PathValue("path"),
+		Customer:    model.Customer(req.Header.Get(HeaderCustomer)),
+		ContentType: req.Header.Get("Content-Type"),
+	}
+	if doc == nil {
+		return r, verdict.New(verdict.NotRun, verdict.ReasonConfigStale, "no configuration in force")
+	}
+	kind, err := findType(doc, r.Service, r.Path)
+	if err != nil {
+		return r, err
+	}
+	r.Class = kind.Class
+	if r.Key, err = decodeKey(req.Header.Get(HeaderKey), r.Service, r.Class); err != nil {
+		return r, err
+	}
+	if !isToken(string(r.Customer)) || len(r.ContentType) > maxContentType {
+		return r, invalid("header %s or Content-Type is too long or not printable", HeaderCustomer)
+	}
+	timeout, err := decodeTimeout(req.Header.Get(HeaderTimeout), kind.Deadline)
+	if err != nil {
+		return r, err
+	}
+	r.Deadline = now.Add(timeout)
+	r.Body, err = readBody(req)
+	return r, err
+}
+
+// findType returns the type of the request. Paths match with or without a leading slash.
+func findType(doc *config.Document, name model.Service, path string) (config.RequestType, error) {
+	service, found := doc.FindService(name)
+	if !found {
+		return config.RequestType{}, verdict.New(verdict.NotRun, verdict.ReasonUnknown, "unknown service %q", name)
+	}
+	kind, found := service.FindRequest("/" + path)
+	if !found {
+		kind, found = service.FindRequest(path)
+	}
+	if !found {
+		return config.RequestType{}, verdict.New(verdict.NotRun, verdict.ReasonUnknown, "service %s has no request %q", name, path)
+	}
+	return kind, nil
+}
+
+// decodeKey returns the key of the request. An idempotent request without one gets a random
+// key, so that it can be explained.
+func decodeKey(key string, service model.Service, class model.RequestClass) (model.RequestKey, error) {
+	if key == "" && class == model.Idempotent {
+		key = uuid.NewString()
+	}
+	if key == "" {
+		return "", invalid("class %s needs the header %s", class, HeaderKey)
+	}
+	if !isToken(key) {
+		return "", invalid("header %s is longer than %d bytes or not printable", HeaderKey, MaxKey)
+	}
+	return model.RequestKey(string(service) + "/" + key), nil
+}
+
+// isToken reports whether s is short, printable and without spaces.
+func isToken(s string) bool {
+	if len(s) > MaxKey {
+		return false
+	}
+	return strings.IndexFunc(s, func(r rune) bool { return r <= ' ' || r > '~' }) < 0
+}
+
+// decodeTimeout returns the caller's timeout, at most the longest one of the document.
+func decodeTimeout(text string, longest time.Duration) (time.Duration, error) {
+	if text == "" {
+		return longest, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 32)
+	if err != nil || ms <= 0 {
+		return 0, invalid("header %s is not a positive number of milliseconds", HeaderTimeout)
+	}
+	return min(time.Duration(ms)*time.Millisecond, longest), nil
+}
+
+// errTooLarge is the refusal of a body over MaxBody.
+var errTooLarge = verdict.New(verdict.NotRun, verdict.ReasonInvalid, "body is larger than %d bytes", MaxBody)
+
+// readBody reads the whole body of the request.
+func readBody(req *http.Request) ([]byte, error) {
+	if req.ContentLength > MaxBody {
+		return nil, errTooLarge
+	}
+	body, err := io.ReadAll(io.LimitReader(req.Body, MaxBody+1))
+	if err != nil {
+		return nil, invalid("body not read: %v", err)
+	}
+	if len(body) > MaxBody {
+		return nil, errTooLarge
+	}
+	return body, nil
+}
+
+func invalid(format string, args ...any) error {
+	return verdict.New(verdict.NotRun, verdict.ReasonInvalid, format, args...)
+}
+
+// writeAnswer passes a target's answer on.
+func writeAnswer(w http.ResponseWriter, resp Response) {
+	h := w.Header()
+	setHeader(h, "Content-Type", resp.ContentType)
+	h.Set(HeaderVerdict, verdict.Ran.String())
+	h.Set("Content-Length", strconv.Itoa(len(resp.Body)))
+	w.WriteHeader(resp.Status)
+	_, _ = w.Write(resp.Body) // the caller may have left
+}
+
+// WriteError answers with the verdict of err as header and JSON body. An error without a
+// verdict is answered as MayHaveRun.
+func WriteError(w http.ResponseWriter, err error) {
+	e := verdict.From(err, verdict.ReasonTarget)
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderVerdict, e.Verdict.String())
+	w.WriteHeader(statusOf(e))
+	_ = json.NewEncoder(w).Encode(e) // the caller may have left
+}
+
+// statusOf returns the HTTP status of an error.
+func statusOf(e *verdict.Error) int {
+	if errors.Is(e, errTooLarge) {
+		return http.StatusRequestEntityTooLarge
+	}
+	switch e.Reason {
+	case verdict.ReasonInvalid, verdict.ReasonUnfeasible:
+		return http.StatusBadRequest
+	case verdict.ReasonUnknown:
+		return http.StatusNotFound
+	case verdict.ReasonDuplicate:
+		return http.StatusConflict
+	case verdict.ReasonQuota, verdict.ReasonOverload, verdict.ReasonClaimsExhausted:
+		return http.StatusTooManyRequests
+	case verdict.ReasonTarget, verdict.ReasonTruncated, verdict.ReasonWorker:
+		return http.StatusBadGateway
+	case verdict.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
