--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,10 +48,10 @@
 
 // dial opens a connection and exchanges hellos. Nothing but the hello has been written
 // when it fails.
-func dial(ctx context.Context, addr string, self model.InstanceID) (*conn, error) {
+func dial(ctx context.Context, client *http.Client, addr string, self model.InstanceID) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	ws, _, err := websocket.Dial(ctx, "ws://"+addr+"/peer", nil)
+	ws, _, err := websocket.Dial(ctx, "ws://"+addr+"/peer", &websocket.DialOptions{HTTPClient: client})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -17,7 +19,8 @@
 // Pool keeps one connection to each peer that is called. A connection is opened by the
 // first call and again, after a growing pause, by a call after it failed.
 type Pool struct {
-	self model.InstanceID
+	self   model.InstanceID
+	client *http.Client
 
 	mu     sync.Mutex
 	links  map[string]*link
@@ -40,7 +43,8 @@
 
 // NewPool returns a pool of the instance.
 func NewPool(self model.InstanceID) *Pool {
-	return &Pool{self: self, links: map[string]*link{}}
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
+	return &Pool{self: self, client: &http.Client{Transport: transport}, links: map[string]*link{}}
 }
 
 // Call calls the peer at addr and stores its reply in out, which may be nil. Errors are
@@ -63,7 +67,7 @@
 	if err != nil {
 		return err
 	}
-	c, err := l.connect(ctx, p.self)
+	c, err := l.connect(ctx, p.client, p.self)
 	if err != nil {
 		return verdict.New(verdict.NotRun, verdict.ReasonPeer, "%s: %v", addr, err)
 	}
@@ -131,7 +135,7 @@
 }
 
 // connect returns the open connection or opens one.
-func (l *link) connect(ctx context.Context, self model.InstanceID) (*conn, error) {
+func (l *link) connect(ctx context.Context, client *http.Client, self model.InstanceID) (*conn, error) {
 	if c, err := l.current(time.Now()); c != nil || err != nil {
 		return c, err
 	}
@@ -144,7 +148,7 @@
 	if c, err := l.current(time.Now()); c != nil || err != nil {
 		return c, err
 	}
-	c, err := dial(ctx, l.addr, self)
+	c, err := dial(ctx, client, l.addr, self)
 	if err != nil {
 		l.failed(ctx.Err() != nil)
 		return nil, err
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -194,28 +194,45 @@
 }
 
 // Drain refuses new calls, waits for those being executed or the end of ctx, and closes
-// all connections.
+// all connections. The closing handshake lets the peers read the last answers first.
 func (s *Server) Drain(ctx context.Context) error {
-	s.mu.Lock()
-	s.draining = true
-	s.mu.Unlock()
+	conns := s.refuseNew()
 	done := make(chan struct{})
 	go func() {
 		s.running.Wait()
+		closeAll(conns)
 		close(done)
 	}()
-	var err error
 	select {
 	case <-done:
+		return nil
 	case <-ctx.Done():
-		err = ctx.Err()
 	}
+	for _, ws := range conns {
+		_ = ws.CloseNow()
+	}
+	return ctx.Err()
+}
+
+// refuseNew makes the server refuse calls and connections, and returns its connections.
+func (s *Server) refuseNew() []*websocket.Conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.draining = true
+	conns := make([]*websocket.Conn, 0, len(s.conns))
 	for ws := range s.conns {
-		_ = ws.CloseNow()
+		conns = append(conns, ws)
+	}
+	return conns
+}
+
+// closeAll performs the closing handshake with all peers at once.
+func closeAll(conns []*websocket.Conn) {
+	var closing sync.WaitGroup
+	for _, ws := range conns {
+		closing.Go(func() { _ = ws.Close(websocket.StatusGoingAway, "instance is stopping") })
 	}
-	return err
+	closing.Wait()
 }
 
 // track registers a connection unless the server is stopping.
