--- /dev/null
+++ b/internal/route/fault_test.go
@@ -0,0 +1,253 @@
+package route
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/verdict"
+)
+
+// send writes fixed text as the answer and closes the connection.
+func sendText(text string) func(net.Conn, *http.Request, string) bool {
+	return func(c net.Conn, _ *http.Request, _ string) bool {
+		_, _ = io.WriteString(c, text)
+		return false
+	}
+}
+
+func TestBrokenAnswersAreNeverPassedOn(t *testing.T) {
+	cases := []struct {
+		sentence string
+		reply    func(net.Conn, *http.Request, string) bool
+		reason   verdict.Reason
+	}{
+		{"the connection closes without an answer", sendText(""), verdict.ReasonTarget},
+		{"the status line is cut", sendText("HTTP/1.1 20"), verdict.ReasonTarget},
+		{"the header is cut", sendText("HTTP/1.1 200 OK\r\nContent-Le"), verdict.ReasonTarget},
+		{"the body is shorter than announced", sendText("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort"), verdict.ReasonTruncated},
+		{"the body is absent", sendText("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n"), verdict.ReasonTruncated},
+		{"a chunk is cut", sendText("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwho"), verdict.ReasonTruncated},
+		{"the last chunk is absent", sendText("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n"), verdict.ReasonTruncated},
+		{"only the end of the connection ends the body", sendText("HTTP/1.1 200 OK\r\n\r\nwhole or not"), verdict.ReasonTruncated},
+		{"two lengths contradict each other", sendText("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nwhole"), verdict.ReasonTarget},
+		{"the answer is larger than the limit", sendText(whole("", strings.Repeat("x", MaxAnswer+1))), verdict.ReasonTruncated},
+		{"the answer is that of another attempt", sendText(whole("another", "whole")), verdict.ReasonTarget},
+		{"the answer is not HTTP", sendText("whole\r\n\r\n"), verdict.ReasonTarget},
+	}
+	for _, c := range cases {
+		t.Run(c.sentence, func(t *testing.T) {
+			is := is.New(t)
+			broken, good := newRawTarget(t, c.reply), newRawTarget(t, answerBody)
+			claims := newClaims()
+			d := newDispatcher(t, claims, broken.model("broken"))
+			once := newRequest(model.Once, "k1")
+			_, err := d.Do(context.Background(), once)
+			is.Equal(verdict.Of(err), verdict.MayHaveRun) // it was executed, the answer is not whole
+			is.Equal(verdict.From(err, "").Reason, c.reason)
+			d.SetTargets([]model.Target{broken.model("broken"), good.model("good")})
+			_, err = d.Do(context.Background(), once)
+			is.Equal(verdict.From(err, "").Reason, verdict.ReasonDuplicate)
+			is.Equal(broken.total()+good.total(), 1) // never sent again
+			for i := range 5 {
+				r := newRequest(model.Idempotent, fmt.Sprint("k", i))
+				r.Body = []byte(r.Key)
+				resp, err := d.Do(context.Background(), r)
+				is.NoErr(err) // retried where needed
+				is.Equal(string(resp.Body), string(r.Key))
+			}
+		})
+	}
+}
+
+// TestAnswersOutOfOrderReachTheirOwnRequestOrNone uses targets that answer each request on
+// a connection with the answer to the one before.
+func TestAnswersOutOfOrderReachTheirOwnRequestOrNone(t *testing.T) {
+	for _, echoes := range []bool{true, false} {
+		t.Run(fmt.Sprintf("the target echoes the attempt: %v", echoes), func(t *testing.T) {
+			is := is.New(t)
+			held := map[net.Conn]string{}
+			target := newRawTarget(t, func(c net.Conn, r *http.Request, body string) bool {
+				attempt := ""
+				if echoes {
+					attempt = r.Header.Get(HeaderAttempt)
+				}
+				answer := held[c]
+				held[c] = whole(attempt, body)
+				if answer == "" {
+					answer = held[c]
+				}
+				_, err := io.WriteString(c, answer)
+				return err == nil
+			})
+			d := newDispatcher(t, newClaims(), target.model("runner-1"))
+			answered := 0
+			for i := range 20 {
+				r := newRequest(model.Idempotent, fmt.Sprint("k", i))
+				r.Body = []byte(r.Key)
+				resp, err := d.Do(context.Background(), r)
+				if err == nil {
+					answered++
+					is.Equal(string(resp.Body), string(r.Key)) // its own answer
+				}
+			}
+			is.True(answered > 0)
+		})
+	}
+}
+
+func TestLateAnswerReachesNobody(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	target := newRawTarget(t, func(c net.Conn, r *http.Request, body string) bool {
+		if body == "slow" {
+			<-release
+		}
+		return answerBody(c, r, body)
+	})
+	d := newDispatcher(t, newClaims(), target.model("runner-1"))
+	r := newRequest(model.Idempotent, "k0")
+	r.Body = []byte("quick")
+	_, err := d.Do(context.Background(), r) // the target is known to echo, connections are reused
+	is.NoErr(err)
+	r.Body, r.Deadline = []byte("slow"), time.Now().Add(50*time.Millisecond)
+	_, err = d.Do(context.Background(), r)
+	is.Equal(verdict.Of(err), verdict.MayHaveRun)
+	is.Equal(verdict.From(err, "").Reason, verdict.ReasonDeadline)
+	close(release)
+	for i := range 20 {
+		r := newRequest(model.Idempotent, fmt.Sprint("k", i))
+		r.Body = []byte(r.Key)
+		resp, err := d.Do(context.Background(), r)
+		is.NoErr(err)
+		is.Equal(string(resp.Body), string(r.Key))
+	}
+}
+
+func TestRedirectIsPassedOnAndNotFollowed(t *testing.T) {
+	is := is.New(t)
+	other := newRawTarget(t, answerBody)
+	target := newRawTarget(t, sendText("HTTP/1.1 307 Temporary Redirect\r\nLocation: http://"+other.listener.Addr().String()+"/file\r\nContent-Length: 0\r\n\r\n"))
+	d := newDispatcher(t, newClaims(), target.model("runner-1"))
+	resp, err := d.Do(context.Background(), newRequest(model.Once, "k1"))
+	is.NoErr(err)
+	is.Equal(resp.Status, http.StatusTemporaryRedirect)
+	is.Equal(target.total(), 1)
+	is.Equal(other.total(), 0)
+}
+
+// TestCutAtEveryByteGivesTrueVerdict cuts the connection to the target after each byte in
+// each direction and submits the key again over a whole connection.
+func TestCutAtEveryByteGivesTrueVerdict(t *testing.T) {
+	seen := map[verdict.Verdict]int{}
+	for _, direction := range []string{"up", "down"} {
+		for at := 0; ; at++ {
+			up, down := at, -1
+			if direction == "down" {
+				up, down = -1, at
+			}
+			v := submitWithCut(t, direction, at, cutDialer(up, down))
+			seen[v]++
+			if v == verdict.Ran {
+				break
+			}
+		}
+	}
+	t.Logf("outcomes: %v", seen)
+	is.New(t).True(seen[verdict.MayHaveRun] > 100)
+}
+
+// submitWithCut submits a request over a faulty connection and again over a whole one, and
+// checks what the target executed against what the caller was told.
+func submitWithCut(t *testing.T, direction string, at int, dial func(context.Context, string, string) (net.Conn, error)) verdict.Verdict {
+	t.Helper()
+	target, claims := newRawTarget(t, answerBody), newClaims()
+	faulty := New(Config{Self: "faulty", Claims: claims, Log: zerolog.Nop(), Dial: dial})
+	faulty.SetDocument(testDocument())
+	faulty.SetTargets([]model.Target{target.model("runner-1")})
+	r := newRequest(model.Once, "k1")
+	r.Body = []byte("first")
+	resp, err := faulty.Do(context.Background(), r)
+	faulty.settler.wait()
+	first := verdict.Of(err)
+	r.Body = []byte("second")
+	_, err = newDispatcher(t, claims, target.model("runner-1")).Do(context.Background(), r)
+	second := verdict.Of(err)
+	switch {
+	case first == verdict.NotRun && target.count("first") != 0:
+		t.Errorf("cut %s after %d bytes: told not run, executed", direction, at)
+	case first == verdict.NotRun && second != verdict.Ran:
+		t.Errorf("cut %s after %d bytes: told not run, but the key is refused: %v", direction, at, err)
+	case first == verdict.Ran && (target.count("first") != 1 || string(resp.Body) != "first"):
+		t.Errorf("cut %s after %d bytes: told ran, executed %d times, answer %q", direction, at, target.count("first"), resp.Body)
+	}
+	if target.total() > 1 {
+		t.Errorf("cut %s after %d bytes: executed %d times", direction, at, target.total())
+	}
+	return first
+}
+
+func TestRefusedDialProvesNotRunAndMovesOn(t *testing.T) {
+	for _, class := range []model.RequestClass{model.Idempotent, model.Exclusive, model.Once} {
+		t.Run("class "+string(class), func(t *testing.T) {
+			is := is.New(t)
+			gone, good := newRawTarget(t, answerBody), newRawTarget(t, answerBody)
+			is.NoErr(gone.listener.Close())
+			d := newDispatcher(t, newClaims(), gone.model("gone"))
+			_, err := d.Do(context.Background(), newRequest(class, "k1"))
+			is.Equal(verdict.Of(err), verdict.NotRun)
+			d.settler.wait()
+			d.SetTargets([]model.Target{gone.model("gone"), good.model("good")})
+			for i := range 5 {
+				_, err = d.Do(context.Background(), newRequest(class, fmt.Sprint("k", i)))
+				is.NoErr(err)
+			}
+			is.Equal(good.total(), 5)
+		})
+	}
+}
+
+// TestEarlierAttemptIsNotForgotten checks that the proof of the last attempt is not taken
+// for that of all attempts.
+func TestEarlierAttemptIsNotForgotten(t *testing.T) {
+	is := is.New(t)
+	lossy, gone := newRawTarget(t, sendText("")), newRawTarget(t, answerBody)
+	is.NoErr(gone.listener.Close())
+	for range 20 { // either target may be the first
+		d := newDispatcher(t, newClaims(), lossy.model("lossy"), gone.model("gone"))
+		before := lossy.total()
+		_, err := d.Do(context.Background(), newRequest(model.Idempotent, "k1"))
+		is.True(err != nil)
+		if verdict.Of(err) == verdict.NotRun {
+			is.Equal(lossy.total(), before)
+		}
+	}
+}
+
+func TestRetryBudgetBoundsTheLoadOfAFailingService(t *testing.T) {
+	is := is.New(t)
+	const requests = 1000
+	a, b := newRawTarget(t, sendText("")), newRawTarget(t, sendText(""))
+	d := newDispatcher(t, newClaims(), a.model("a"), b.model("b"))
+	for i := range requests {
+		_, err := d.Do(context.Background(), newRequest(model.Idempotent, fmt.Sprint("k", i)))
+		is.Equal(verdict.Of(err), verdict.MayHaveRun)
+	}
+	sends := a.total() + b.total()
+	t.Logf("%d sends for %d requests", sends, requests)
+	is.True(sends >= requests)
+	is.True(float64(sends) <= requests*(1+budgetShare)+budgetMax)
+}
+
+// errStore is a fault of the claim table whose outcome is unknown.
+var errStore = errors.New("answer of the store lost")
