--- a/internal/route/claim.go
+++ b/internal/route/claim.go
@@ -81,21 +81,22 @@
 // settler settles claims in the background.
 type settler struct {
 	claims  Claims
-	self    model.InstanceID
+	prefix  string
 	log     zerolog.Logger
 	number  atomic.Uint64
 	slots   chan struct{}
 	running sync.WaitGroup
 }
 
-func newSettler(claims Claims, self model.InstanceID, log zerolog.Logger) *settler {
-	return &settler{claims: claims, self: self, log: log, slots: make(chan struct{}, maxSettling)}
+// newSettler returns a settler whose holders begin with the prefix, which is unique to it.
+func newSettler(claims Claims, prefix string, log zerolog.Logger) *settler {
+	return &settler{claims: claims, prefix: prefix, log: log, slots: make(chan struct{}, maxSettling)}
 }
 
 // newHolder returns a holder that no other claim has. A settlement that is delayed on its
 // way can then never release the claim of a later request with the same key.
 func (s *settler) newHolder() model.InstanceID {
-	return s.self + "/" + model.InstanceID(strconv.FormatUint(s.number.Add(1), 10))
+	return model.InstanceID(s.prefix + strconv.FormatUint(s.number.Add(1), 10))
 }
 
 // finish settles the claim in the background. A claim that is not settled stays open at its
--- /dev/null
+++ b/internal/route/claim_test.go
@@ -0,0 +1,186 @@
+package route
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
+
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/verdict"
+)
+
+// errAnswerLost is a fault of the claim table whose outcome is unknown.
+var errAnswerLost = errors.New("answer lost")
+
+func TestClaimFaults(t *testing.T) {
+	cases := []struct {
+		sentence string
+		fault    func(c *fakeClaims)
+		verdict  verdict.Verdict
+		reason   verdict.Reason
+	}{
+		{"the claim is refused with proof", func(c *fakeClaims) {
+			c.claimFault = verdict.New(verdict.NotRun, verdict.ReasonQuota, "full")
+		}, verdict.NotRun, verdict.ReasonQuota},
+		{"the claim fails before it took effect", func(c *fakeClaims) { c.claimFault = errAnswerLost }, verdict.NotRun, verdict.ReasonStore},
+		{"the claim takes effect and its answer is lost", func(c *fakeClaims) { c.lostAnswer = true }, verdict.NotRun, verdict.ReasonStore},
+		{"another request with the key may have run", func(c *fakeClaims) {
+			c.claimFault = verdict.New(verdict.MayHaveRun, verdict.ReasonDuplicate, "open")
+		}, verdict.MayHaveRun, verdict.ReasonDuplicate},
+	}
+	for _, c := range cases {
+		t.Run(c.sentence, func(t *testing.T) {
+			is := is.New(t)
+			target, claims := newRawTarget(t, answerBody), newClaims()
+			d := newDispatcher(t, claims, target.model("runner-1"))
+			c.fault(claims)
+			r := newRequest(model.Once, "k1")
+			_, err := d.Do(context.Background(), r)
+			is.Equal(verdict.Of(err), c.verdict)
+			is.Equal(verdict.From(err, "").Reason, c.reason)
+			is.Equal(target.total(), 0) // nothing is sent without a claim
+			d.settler.wait()
+			claims.claimFault, claims.lostAnswer = nil, false
+			_, err = d.Do(context.Background(), r)
+			is.NoErr(err) // the key is free again
+			is.Equal(target.total(), 1)
+		})
+	}
+}
+
+func TestFailedSettlementKeepsAnswerAndClaim(t *testing.T) {
+	is := is.New(t)
+	target, claims := newRawTarget(t, answerBody), newClaims()
+	claims.settleFault = errAnswerLost
+	d := New(Config{Self: "instance-1", Claims: claims, Log: zerolog.Nop()})
+	d.SetDocument(testDocument())
+	d.SetTargets([]model.Target{target.model("runner-1")})
+	r := newRequest(model.Once, "k1")
+	resp, err := d.Do(context.Background(), r)
+	is.NoErr(err) // the caller's answer does not depend on the settlement
+	is.Equal(string(resp.Body), string(r.Body))
+	_, err = d.Do(context.Background(), r)
+	is.Equal(verdict.Of(err), verdict.MayHaveRun) // the claim is open
+	is.Equal(target.total(), 1)
+	claims.mu.Lock()
+	claims.settleFault = nil
+	claims.mu.Unlock()
+	d.settler.wait()
+	_, err = d.Do(context.Background(), r)
+	is.Equal(verdict.Of(err), verdict.Ran) // it was settled by a later try
+	is.Equal(target.total(), 1)
+}
+
+// TestDelayedSettlementDoesNotReleaseLaterClaim replays the settlement of a request that was
+// not run while a later request with the same key is being executed.
+func TestDelayedSettlementDoesNotReleaseLaterClaim(t *testing.T) {
+	is := is.New(t)
+	started, release := make(chan struct{}, 2), make(chan struct{})
+	target := newRawTarget(t, func(c net.Conn, r *http.Request, body string) bool {
+		started <- struct{}{}
+		<-release
+		return answerBody(c, r, body)
+	})
+	claims := newClaims()
+	d := newDispatcher(t, claims)
+	gone := target.model("gone")
+	gone.Addr = "127.0.0.1:1"
+	d.SetTargets([]model.Target{gone})
+	r := newRequest(model.Once, "k1")
+	_, err := d.Do(context.Background(), r)
+	is.Equal(verdict.Of(err), verdict.NotRun)
+	d.settler.wait()
+	firstHolder := claims.claims[r.Key].Holder
+	d.SetTargets([]model.Target{target.model("runner-1")})
+	second := make(chan error, 1)
+	go func() {
+		_, err := d.Do(context.Background(), r)
+		second <- err
+	}()
+	<-started
+	is.NoErr(claims.Settle(context.Background(), r.Key, firstHolder, verdict.NotRun)) // arrives late
+	third := make(chan error, 1)
+	go func() {
+		_, err := d.Do(context.Background(), r)
+		third <- err
+	}()
+	select {
+	case err := <-third:
+		is.Equal(verdict.Of(err), verdict.MayHaveRun)
+	case <-started:
+		t.Error("the key is executed a second time")
+	}
+	close(release)
+	is.NoErr(<-second)
+	is.Equal(target.total(), 1)
+}
+
+// targetFaults are the ways in which a target fails a request.
+var targetFaults = []func(net.Conn, *http.Request, string) bool{
+	answerBody,
+	sendText(""),
+	sendText("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort"),
+	sendText("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"),
+	sendText(whole("another", "whole")),
+	func(c net.Conn, r *http.Request, body string) bool { // a refusal with proof; the test counts it as not executed
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Late\r\n%s: %s\r\n%s: not-run\r\nContent-Length: 0\r\n\r\n", HeaderAttempt, r.Header.Get(HeaderAttempt), HeaderVerdict)
+		return true
+	},
+}
+
+// refusingFault is the index of the fault that executes nothing.
+const refusingFault = 5
+
+// TestHistoriesOfClaimedRequests submits a few keys through two instances with faults of the
+// claim table and the targets. The check sees only what the targets executed.
+func TestHistoriesOfClaimedRequests(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		fault := 0
+		target := newRawTarget(t, func(c net.Conn, r *http.Request, body string) bool { return targetFaults[fault](c, r, body) })
+		defer target.listener.Close()
+		gone := target.model("gone")
+		gone.Addr = "127.0.0.1:1"
+		claims := newClaims()
+		instances := []*Dispatcher{newDispatcher(t, claims), newDispatcher(t, claims)}
+		executedByKey := map[string]int{}
+		for i := range rapid.IntRange(1, 20).Draw(rt, "submissions") {
+			fault = rapid.IntRange(0, len(targetFaults)-1).Draw(rt, "target fault")
+			claims.claimFault, claims.lostAnswer = nil, false
+			switch rapid.SampledFrom([]string{"none", "none", "before", "after"}).Draw(rt, "claim fault") {
+			case "before":
+				claims.claimFault = errAnswerLost
+			case "after":
+				claims.lostAnswer = true
+			}
+			targets := rapid.SampledFrom([][]model.Target{{gone}, {target.model("runner-1")}, {gone, target.model("runner-1")}}).Draw(rt, "targets")
+			d := rapid.SampledFrom(instances).Draw(rt, "instance")
+			d.SetTargets(targets)
+			key := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "key")
+			r := newRequest(rapid.SampledFrom([]model.RequestClass{model.Once, model.Exclusive}).Draw(rt, "class"), key)
+			r.Body = fmt.Appendf(nil, "%s#%d", key, i)
+			resp, err := d.Do(context.Background(), r)
+			d.settler.wait()
+			executed := target.count(string(r.Body))
+			if fault == refusingFault {
+				executed = 0
+			}
+			executedByKey[key] += executed
+			if verdict.Of(err) == verdict.NotRun && executed != 0 {
+				rt.Fatalf("submission %s: told not run, executed %d times: %v", r.Body, executed, err)
+			}
+			if err == nil && (executed != 1 || resp.Status == http.StatusOK && string(resp.Body) != string(r.Body)) {
+				rt.Fatalf("submission %s: told ran, executed %d times, answer %q", r.Body, executed, resp.Body)
+			}
+			if executedByKey[key] > 1 {
+				rt.Fatalf("key %s executed %d times", key, executedByKey[key])
+			}
+		}
+	})
+}
--- a/internal/route/fault_test.go
+++ b/internal/route/fault_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -248,6 +247,3 @@
 	is.True(sends >= requests)
 	is.True(float64(sends) <= requests*(1+budgetShare)+budgetMax)
 }
-
-// errStore is a fault of the claim table whose outcome is unknown.
-var errStore = errors.New("answer of the store lost")
--- /dev/null
+++ b/internal/route/leave_test.go
@@ -0,0 +1,202 @@
+package route
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/verdict"
+)
+
+// TestTargetThatLeavesDuringDialReceivesNothing makes a target unusable while a request for
+// it is being dialed. The request goes to another target.
+func TestTargetThatLeavesDuringDialReceivesNothing(t *testing.T) {
+	cases := []struct {
+		sentence string
+		leave    func(d *Dispatcher, leaving, other model.Target)
+	}{
+		{"the inventory says that it is leaving", func(d *Dispatcher, leaving, other model.Target) {
+			leaving.Leaving = true
+			d.SetTargets([]model.Target{leaving, other})
+		}},
+		{"the inventory does not list it any more", func(d *Dispatcher, _, other model.Target) {
+			d.SetTargets([]model.Target{other})
+		}},
+		{"its data centre is taken out", func(d *Dispatcher, leaving, other model.Target) {
+			d.SetTargets([]model.Target{leaving, other})
+			doc := testDocument()
+			doc.Operators.DataCentres[0].Out = true
+			d.SetDocument(doc)
+		}},
+	}
+	for _, c := range cases {
+		for _, class := range []model.RequestClass{model.Idempotent, model.Once} {
+			t.Run(c.sentence+", class "+string(class), func(t *testing.T) {
+				is := is.New(t)
+				leaving, other := newRawTarget(t, answerBody), newRawTarget(t, answerBody)
+				dialing, proceed := make(chan struct{}), make(chan struct{})
+				var once sync.Once
+				d := New(Config{Self: "instance-1", Claims: newClaims(), Log: zerolog.Nop(),
+					Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
+						if addr == leaving.listener.Addr().String() {
+							once.Do(func() { close(dialing) })
+							<-proceed
+						}
+						return (&net.Dialer{}).DialContext(ctx, network, addr)
+					}})
+				d.SetDocument(testDocument())
+				d.SetTargets([]model.Target{leaving.model("leaving")})
+				done := make(chan error, 1)
+				go func() {
+					_, err := d.Do(context.Background(), newRequest(class, "k1"))
+					done <- err
+				}()
+				<-dialing
+				remaining := other.model("other")
+				remaining.DataCentre = "cairo-b"
+				c.leave(d, leaving.model("leaving"), remaining)
+				close(proceed)
+				is.NoErr(<-done)
+				is.Equal(leaving.total(), 0)
+				is.Equal(other.total(), 1)
+			})
+		}
+	}
+}
+
+// TestQueuedRequestsMoveFromLeavingTarget fills the slots of a target, lets requests wait,
+// and withdraws the target. Those that wait go to the next one.
+func TestQueuedRequestsMoveFromLeavingTarget(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	leaving := newRawTarget(t, func(c net.Conn, r *http.Request, body string) bool {
+		<-release
+		return answerBody(c, r, body)
+	})
+	other := newRawTarget(t, answerBody)
+	d := newDispatcher(t, newClaims(), leaving.model("leaving"))
+	var running sync.WaitGroup
+	var answered atomic.Int32
+	for i := range 30 {
+		running.Go(func() {
+			if _, err := d.Do(context.Background(), newRequest(model.Once, fmt.Sprint("k", i))); err == nil {
+				answered.Add(1)
+			}
+		})
+	}
+	for leaving.total() < 8 {
+		time.Sleep(time.Millisecond)
+	}
+	gone := leaving.model("leaving")
+	gone.Leaving = true
+	d.SetTargets([]model.Target{gone, other.model("other")})
+	for other.total() < 22 {
+		time.Sleep(time.Millisecond)
+	}
+	close(release)
+	running.Wait()
+	is.Equal(answered.Load(), int32(30)) // those in flight at the leaving target are answered
+	is.Equal(leaving.total(), 8)         // it received nothing new
+}
+
+func TestNoUsableTargetIsRefused(t *testing.T) {
+	out := testDocument()
+	out.Operators.DataCentres[0].Out = true
+	cases := []struct {
+		sentence string
+		prepare  func(d *Dispatcher, target model.Target)
+		reason   verdict.Reason
+	}{
+		{"the only target is leaving", func(d *Dispatcher, t model.Target) {
+			t.Leaving = true
+			d.SetTargets([]model.Target{t})
+		}, verdict.ReasonNoTarget},
+		{"there is no target", func(d *Dispatcher, _ model.Target) { d.SetTargets(nil) }, verdict.ReasonNoTarget},
+		{"its data centre is out", func(d *Dispatcher, t model.Target) {
+			d.SetTargets([]model.Target{t})
+			d.SetDocument(out)
+		}, verdict.ReasonDataCentreOut},
+	}
+	for _, c := range cases {
+		t.Run(c.sentence, func(t *testing.T) {
+			is := is.New(t)
+			target := newRawTarget(t, answerBody)
+			d := newDispatcher(t, newClaims())
+			c.prepare(d, target.model("runner-1"))
+			_, err := d.Do(context.Background(), newRequest(model.Idempotent, "k1"))
+			is.Equal(verdict.Of(err), verdict.NotRun)
+			is.Equal(verdict.From(err, "").Reason, c.reason)
+			is.Equal(target.total(), 0)
+		})
+	}
+}
+
+// TestDrainCutsOffNoRequest drains while requests are being executed and others wait.
+func TestDrainCutsOffNoRequest(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	target := newRawTarget(t, func(c net.Conn, r *http.Request, body string) bool {
+		<-release
+		return answerBody(c, r, body)
+	})
+	claims := newClaims()
+	d := newDispatcher(t, claims, target.model("runner-1"))
+	var running sync.WaitGroup
+	var answered atomic.Int32
+	for i := range 30 {
+		running.Go(func() {
+			if _, err := d.Do(context.Background(), newRequest(model.Once, fmt.Sprint("k", i))); err == nil {
+				answered.Add(1)
+			}
+		})
+	}
+	for target.total() < 8 || d.waiting("levy-desk") < 22 {
+		time.Sleep(time.Millisecond)
+	}
+	drained := make(chan error, 1)
+	go func() { drained <- d.Drain(context.Background()) }()
+	for !d.isDraining() {
+		time.Sleep(time.Millisecond)
+	}
+	_, err := d.Do(context.Background(), newRequest(model.Once, "late"))
+	is.Equal(verdict.Of(err), verdict.NotRun)
+	is.Equal(verdict.From(err, "").Reason, verdict.ReasonShutdown)
+	is.Equal(len(drained), 0) // it waits
+	close(release)
+	is.NoErr(<-drained)
+	is.Equal(claims.settledCount(), 30) // and for the settlements
+	running.Wait()
+	is.Equal(answered.Load(), int32(30))
+	is.Equal(target.total(), 30)
+}
+
+// waiting returns the number of requests of the service that wait for a slot.
+func (d *Dispatcher) waiting(s model.Service) int {
+	d.mu.Lock()
+	p := d.pools[s]
+	d.mu.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.waiting.len()
+}
+
+func (d *Dispatcher) isDraining() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.draining
+}
+
+func (c *fakeClaims) settledCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.settled
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
@@ -104,6 +105,8 @@
 	if c.Recorder == nil {
 		c.Recorder = discard{}
 	}
+	// The random part keeps two lives of an instance apart if both were given the same id.
+	prefix := string(c.Self) + "/" + uuid.NewString()[:8] + "/"
 	return &Dispatcher{
 		self:    c.Self,
 		claims:  c.Claims,
@@ -111,8 +114,8 @@
 		trail:   c.Recorder,
 		log:     c.Log,
 		meters:  newMeters(c.Scope),
-		sender:  newSender(c.Self, c.Clock, c.Dial),
-		settler: newSettler(c.Claims, c.Self, c.Log),
+		sender:  newSender(prefix, c.Clock, c.Dial),
+		settler: newSettler(c.Claims, prefix, c.Log),
 		pools:   map[model.Service]*pool{},
 	}
 }
--- a/internal/route/send.go
+++ b/internal/route/send.go
@@ -54,8 +54,8 @@
 	reusing, fresh *http.Transport
 }
 
-// newSender returns a sender whose attempt ids begin with the instance's id.
-func newSender(self model.InstanceID, clock platform.Clock, dial func(context.Context, string, string) (net.Conn, error)) *sender {
+// newSender returns a sender whose attempt ids begin with the prefix, which is unique to it.
+func newSender(prefix string, clock platform.Clock, dial func(context.Context, string, string) (net.Conn, error)) *sender {
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
@@ -75,7 +75,7 @@
 	}
 	fresh := reusing.Clone()
 	fresh.DisableKeepAlives = true
-	return &sender{clock: clock, prefix: string(self) + "-", reusing: reusing, fresh: fresh}
+	return &sender{clock: clock, prefix: prefix, reusing: reusing, fresh: fresh}
 }
 
 // closeIdle closes the connections that no request uses.
