--- /dev/null
+++ b/internal/route/queue_test.go
@@ -0,0 +1,202 @@
+package route
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/platform"
+	"github.com/geraniumwick/geraniumwick/internal/verdict"
+)
+
+// TestQueueAgainstSortedList compares the queue with a list that is sorted at each step.
+func TestQueueAgainstSortedList(t *testing.T) {
+	epoch := time.Unix(0, 0)
+	rapid.Check(t, func(t *rapid.T) {
+		var q queue
+		var naive []*waiter
+		sequence := uint64(0)
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			switch rapid.SampledFrom([]string{"push", "push", "pop", "remove", "ahead"}).Draw(t, "step") {
+			case "push":
+				w := &waiter{deadline: epoch.Add(time.Duration(rapid.IntRange(0, 9).Draw(t, "deadline"))), sequence: sequence, index: -1}
+				sequence++
+				q.push(w)
+				naive = append(naive, w)
+				slices.SortStableFunc(naive, func(a, b *waiter) int { return a.deadline.Compare(b.deadline) })
+			case "pop":
+				var want *waiter
+				if len(naive) > 0 {
+					want, naive = naive[0], naive[1:]
+				}
+				if got := q.pop(); got != want {
+					t.Fatalf("popped %v, want %v", got, want)
+				}
+			case "remove":
+				if len(naive) == 0 {
+					continue
+				}
+				i := rapid.IntRange(0, len(naive)-1).Draw(t, "removed")
+				if !q.remove(naive[i]) || q.remove(naive[i]) {
+					t.Fatalf("removal reported wrongly")
+				}
+				naive = slices.Delete(naive, i, i+1)
+			case "ahead":
+				deadline := epoch.Add(time.Duration(rapid.IntRange(0, 9).Draw(t, "deadline")))
+				want := 0
+				for _, w := range naive {
+					if !w.deadline.After(deadline) {
+						want++
+					}
+				}
+				if got := q.ahead(deadline); got != want {
+					t.Fatalf("%d ahead, want %d", got, want)
+				}
+			}
+			if q.len() != len(naive) {
+				t.Fatalf("length %d, want %d", q.len(), len(naive))
+			}
+		}
+	})
+}
+
+// newTestPool returns a pool with one target.
+func newTestPool(slots int, latency time.Duration) *pool {
+	p := newPool(platform.SystemClock{})
+	p.set([]targetShare{{target: model.Target{ID: "runner-1"}, slots: slots}})
+	if latency > 0 {
+		p.latency.add(latency)
+	}
+	return p
+}
+
+func TestSlotsGoToTheEarliestDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newTestPool(1, 0)
+		held, err := p.acquire(context.Background(), time.Now().Add(time.Minute), nil)
+		is.True(err == nil)
+		seconds := []int{40, 10, 30, 10, 50, 20}
+		var served []int
+		for _, s := range seconds {
+			go func() {
+				t, err := p.acquire(context.Background(), time.Now().Add(time.Duration(s)*time.Second), nil)
+				if err != nil {
+					return
+				}
+				served = append(served, s)
+				p.release(t, outcome{})
+			}()
+		}
+		synctest.Wait()
+		p.release(held, outcome{})
+		synctest.Wait()
+		slices.Sort(seconds)
+		is.Equal(served, seconds)
+	})
+}
+
+func TestDeadlinesThatCannotBeMetAreRefusedEarly(t *testing.T) {
+	cases := []struct {
+		sentence string
+		waiting  int
+		deadline time.Duration
+		refused  bool
+		after    time.Duration
+	}{
+		{"an empty queue admits what the slot can still do", 0, 3 * time.Second, false, 0},
+		{"a wait that leaves no time to execute is refused at once", 2, 3500 * time.Millisecond, true, 0},
+		{"a request that outlives its chance is refused one execution before its deadline", 1, 10 * time.Second, true, 9 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.sentence, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p := newTestPool(1, time.Second)
+				ctx, cancel := context.WithCancel(context.Background())
+				held, err := p.acquire(ctx, time.Now().Add(time.Hour), nil)
+				is.True(err == nil)
+				for range c.waiting {
+					go func() { _, _ = p.acquire(ctx, time.Now().Add(time.Second*3), nil) }()
+				}
+				synctest.Wait()
+				if !c.refused {
+					time.AfterFunc(time.Second, func() { p.release(held, outcome{}) })
+				}
+				started := time.Now()
+				got, err := p.acquire(ctx, started.Add(c.deadline), nil)
+				is.Equal(err != nil, c.refused)
+				is.Equal(got == nil, c.refused)
+				if c.refused {
+					is.Equal(err.Verdict, verdict.NotRun)
+					is.Equal(err.Reason, verdict.ReasonDeadline)
+					is.Equal(time.Since(started), c.after)
+				}
+				cancel()
+			})
+		})
+	}
+}
+
+// TestWrongEstimateIsCorrected checks that an estimate far above the truth does not refuse
+// all requests for ever.
+func TestWrongEstimateIsCorrected(t *testing.T) {
+	is := is.New(t)
+	p := newTestPool(1, time.Hour)
+	for range 500 {
+		got, err := p.acquire(context.Background(), time.Now().Add(time.Second), nil)
+		is.True(err == nil) // a free slot is always given
+		p.release(got, outcome{answered: true, took: time.Millisecond})
+	}
+	is.True(p.latency.mean < time.Second)
+	is.True(p.latency.median < time.Second)
+}
+
+func TestFullQueueIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newTestPool(1, 0)
+		ctx, cancel := context.WithCancel(context.Background())
+		for range MaxQueue + 1 {
+			go func() { _, _ = p.acquire(ctx, time.Now().Add(time.Minute), nil) }()
+		}
+		synctest.Wait()
+		_, err := p.acquire(ctx, time.Now().Add(time.Minute), nil)
+		is.Equal(err.Verdict, verdict.NotRun)
+		is.Equal(err.Reason, verdict.ReasonOverload)
+		cancel()
+	})
+}
+
+// TestSlotSharesAddUp checks that the instances together use each slot exactly once.
+func TestSlotSharesAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 20).Draw(t, "instances")
+		var instances []model.InstanceID
+		for i := range n {
+			instances = append(instances, model.InstanceID(rune('a'+i)))
+		}
+		target := model.Target{
+			ID:          model.TargetID(rapid.String().Draw(t, "target")),
+			Slots:       rapid.IntRange(0, 64).Draw(t, "slots"),
+			Connections: rapid.IntRange(0, 64).Draw(t, "connections"),
+		}
+		want := target.Slots
+		if target.Connections > 0 {
+			want = min(want, target.Connections)
+		}
+		sum := 0
+		for _, instance := range instances {
+			sum += slotShare(target, instance, instances)
+		}
+		if sum != want {
+			t.Fatalf("shares add up to %d, want %d", sum, want)
+		}
+	})
+}
