Prove verdicts and single execution of requests under target and claim faults

The checks compare what callers were told with what targets over real TCP executed.

Removing the seal of connections was not seen by TestCancelledAttemptToldNotRunIsNeverWritten (500 cancelled attempts passed): the transport closes the connection before it reports a cancellation.

--- a/internal/route/fault_test.go
+++ b/internal/route/fault_test.go
@@ -247,3 +247,29 @@
 	is.True(sends >= requests)
 	is.True(float64(sends) <= requests*(1+budgetShare)+budgetMax)
 }
+
+// TestCancelledAttemptToldNotRunIsNeverWritten cancels attempts at the moment at which they
+// get their connection. The transport may then report the cancellation before it writes.
+func TestCancelledAttemptToldNotRunIsNeverWritten(t *testing.T) {
+	is := is.New(t)
+	target := newRawTarget(t, answerBody)
+	d := newDispatcher(t, newClaims(), target.model("runner-1"))
+	var notRun []string
+	for i := range 500 {
+		ctx, cancel := context.WithCancel(context.Background())
+		r := newRequest(model.Once, "k1")
+		r.Body = fmt.Append(nil, i)
+		_, err := d.sender.send(ctx, d.pools["levy-desk"].targets[0], r, func() bool {
+			cancel()
+			return true
+		})
+		if err != nil && err.Verdict == verdict.NotRun {
+			notRun = append(notRun, string(r.Body))
+		}
+	}
+	time.Sleep(50 * time.Millisecond) // lets a wrong write arrive
+	t.Logf("%d of 500 attempts proved not run", len(notRun))
+	for _, body := range notRun {
+		is.Equal(target.count(body), 0)
+	}
+}
