Keep the member list steady through outages of the store

Cause: when the store comes back after an outage longer than a lease, every entry is gone and the instances write theirs again one by one. The list was partial for that time, so partitions would have been assigned to and fro. Now members that are absent after such an outage are kept for the time of one lease, except those that were draining.

Recognising the own entry after a lost answer made no difference to any test, since the entry is written again under the revision that the refusal shows: removed.

--- a/internal/membership/follow.go
+++ b/internal/membership/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -14,7 +15,7 @@
 // follow keeps the list of members until ctx ends. A watch delivers changes at once; the
 // list that is read at every interval repairs what a watch lost.
 func (m *Membership) follow(ctx context.Context) {
-	f := follower{m: m, entries: map[model.InstanceID]Member{}}
+	f := follower{m: m}
 	for ctx.Err() == nil {
 		if err := f.round(ctx); err != nil && ctx.Err() == nil {
 			m.log.Warn().Err(err).Msg("list of members not read")
@@ -25,8 +26,11 @@
 
 // follower is the state of the goroutine that follows the list.
 type follower struct {
-	m       *Membership
+	m *Membership
+	// entries is what the store holds.
 	entries map[model.InstanceID]Member
+	// published is what Members returns.
+	published map[model.InstanceID]Member
 	// revision is the store's revision that entries shows.
 	revision int64
 }
@@ -83,7 +87,7 @@
 	f.revision = revision
 	changed = !equal(entries, f.entries)
 	f.entries = entries
-	f.publish(changed)
+	f.publish()
 	return changed, nil
 }
 
@@ -94,15 +98,10 @@
 		return
 	}
 	f.revision = e.Revision
-	before := f.entries
-	f.entries = make(map[model.InstanceID]Member, len(before))
-	for id, member := range before {
-		f.entries[id] = member
-	}
 	for _, kv := range e.Changed {
 		f.put(f.entries, kv)
 	}
-	f.publish(!equal(before, f.entries))
+	f.publish()
 }
 
 // put stores or removes one entry.
@@ -121,16 +120,23 @@
 	entries[id] = member
 }
 
-// publish makes the entries visible and gives a hint if they changed.
-func (f *follower) publish(changed bool) {
-	if !changed {
-		return
+// publish makes the entries visible and gives a hint if they changed. After an outage it
+// keeps the members that have not come back yet.
+func (f *follower) publish() {
+	visible := maps.Clone(f.entries)
+	if f.m.isSettling() {
+		for id, member := range f.published {
+			if _, found := visible[id]; !found && !member.Draining {
+				visible[id] = member
+			}
+		}
 	}
-	members := make([]Member, 0, len(f.entries))
-	for _, member := range f.entries {
-		members = append(members, member)
+	if equal(visible, f.published) {
+		return
 	}
-	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	f.published = visible
+	byID := func(a, b Member) int { return strings.Compare(string(a.ID), string(b.ID)) }
+	members := slices.SortedFunc(maps.Values(visible), byID)
 	f.m.mu.Lock()
 	f.m.members = members
 	f.m.mu.Unlock()
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -74,6 +74,8 @@
 	self        Member
 	members     []Member
 	lastContact time.Time
+	// settleUntil is the time until which members that vanished from the list are kept.
+	settleUntil time.Time
 }
 
 // New returns a Membership that knows no members until Run has read the list.
@@ -150,14 +152,26 @@
 	return m.lastContact
 }
 
-// contacted notes an answer of the store.
+// contacted notes an answer of the store. After an outage that is longer than a lease, all
+// members have lost their entries and write them again. Until they had the time of one
+// lease for it, an absent entry does not mean that the member is gone.
 func (m *Membership) contacted() {
 	now := m.clock.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if !m.lastContact.IsZero() && now.Sub(m.lastContact) > m.ttl {
+		m.settleUntil = now.Add(m.ttl)
+	}
 	m.lastContact = now
 }
 
+// isSettling reports whether absent members are kept for the time being.
+func (m *Membership) isSettling() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.clock.Now().Before(m.settleUntil)
+}
+
 // own returns the own entry.
 func (m *Membership) own() Member {
 	m.mu.Lock()
--- a/internal/membership/register.go
+++ b/internal/membership/register.go
@@ -81,8 +81,8 @@
 	})
 }
 
-// write stores the own entry. A refused write shows what the store holds: either the own
-// entry, written by a call whose answer was lost, or an older one that is replaced.
+// write stores the own entry. A refused write shows the revision of what the store holds,
+// such as the entry that a call wrote whose answer was lost; it is replaced.
 func (m *Membership) write(ctx context.Context, r *registration, self Member) error {
 	value, err := json.Marshal(self)
 	if err != nil {
@@ -103,10 +103,6 @@
 			return nil
 		}
 		r.revision = result.Current.ModRevision
-		if result.Current.Lease == r.lease && string(result.Current.Value) == string(value) {
-			r.written = self
-			return nil
-		}
 	}
 	r.written = Member{}
 	return errors.New("another writer changes the entry of this instance")
--- a/internal/membership/store_test.go
+++ b/internal/membership/store_test.go
@@ -195,3 +195,10 @@
 	defer s.mu.Unlock()
 	f()
 }
+
+// count returns the number of calls of one kind.
+func (s *fakeStore) count(op string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[op]
+}
