--- a/internal/route/claim.go
+++ b/internal/route/claim.go
@@ -26,9 +26,13 @@
 )
 
 // executeClaimed claims the key of the request, sends it, and settles the claim in the
-// background. The caller's departure does not end the attempt, because its outcome is
+// background. A request that would not be queued is refused before its claim costs a write
+// to the store. The caller's departure does not end the attempt, because its outcome is
 // needed for the claim.
 func (f *flight) executeClaimed(ctx context.Context) (Response, *verdict.Error) {
+	if err := f.pool.precheck(f.r.Deadline); err != nil {
+		return Response{}, err
+	}
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), f.r.Deadline)
 	defer cancel()
 	holder := f.d.settler.newHolder()
--- a/internal/route/fake_test.go
+++ b/internal/route/fake_test.go
@@ -29,7 +29,7 @@
 }
 
 // newTarget starts a target over TCP. Each request that it has read whole counts as executed.
-func newTarget(t *testing.T, answer http.HandlerFunc) *fakeTarget {
+func newTarget(t testing.TB, answer http.HandlerFunc) *fakeTarget {
 	t.Helper()
 	f := &fakeTarget{answer: answer, executed: map[string]int{}}
 	f.server = httptest.NewServer(f)
--- a/internal/route/fault_test.go
+++ b/internal/route/fault_test.go
@@ -108,8 +108,10 @@
 func TestLateAnswerReachesNobody(t *testing.T) {
 	is := is.New(t)
 	release := make(chan struct{})
+	ctx, leave := context.WithCancel(context.Background())
 	target := newRawTarget(t, func(c net.Conn, r *http.Request, body string) bool {
 		if body == "slow" {
+			leave() // the caller leaves once the target has the request
 			<-release
 		}
 		return answerBody(c, r, body)
@@ -119,10 +121,10 @@
 	r.Body = []byte("quick")
 	_, err := d.Do(context.Background(), r) // the target is known to echo, connections are reused
 	is.NoErr(err)
-	r.Body, r.Deadline = []byte("slow"), time.Now().Add(50*time.Millisecond)
-	_, err = d.Do(context.Background(), r)
+	r.Body = []byte("slow")
+	_, err = d.Do(ctx, r)
 	is.Equal(verdict.Of(err), verdict.MayHaveRun)
-	is.Equal(verdict.From(err, "").Reason, verdict.ReasonDeadline)
+	is.Equal(verdict.From(err, "").Reason, verdict.ReasonCancelled)
 	close(release)
 	for i := range 20 {
 		r := newRequest(model.Idempotent, fmt.Sprint("k", i))
--- a/internal/route/flight.go
+++ b/internal/route/flight.go
@@ -42,7 +42,7 @@
 	if !f.retryable(resp, err) || ctx.Err() != nil {
 		return false
 	}
-	return len(f.tried) < MaxAttempts && f.pool.budget.withdraw()
+	return len(f.tried) < MaxAttempts && f.pool.hasOther(f.tried) && f.pool.budget.withdraw()
 }
 
 // retryable reports whether the outcome of the last attempt allows another one. Only the
@@ -89,7 +89,6 @@
 			f.tried = append(f.tried, t.ID)
 			return resp, err
 		}
-		f.record("request.withdrawn", entryDetail{target: t.ID, worker: t.Worker, attempt: f.sends})
 	}
 }
 
@@ -103,6 +102,9 @@
 	if err == nil || err.Verdict != verdict.NotRun {
 		f.mayHaveRun = true
 	}
+	if err != nil {
+		f.record("request.failed", entryDetail{target: t.ID, worker: t.Worker, attempt: f.sends, reason: err.Message, verdict: err.Verdict.String()})
+	}
 	return resp, err
 }
 
--- a/internal/route/meters.go
+++ b/internal/route/meters.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"strings"
 	"sync"
 	"time"
 
@@ -98,7 +99,7 @@
 // record adds an event to the trail of the request.
 func (f *flight) record(event string, e entryDetail) {
 	if e.target != "" {
-		e.reason = "target " + string(e.target)
+		e.reason = strings.TrimSuffix("target "+string(e.target)+": "+e.reason, ": ")
 	}
 	f.d.trail.Record(audit.Entry{
 		At:       f.d.clock.Now(),
--- a/internal/route/pool.go
+++ b/internal/route/pool.go
@@ -105,6 +105,20 @@
 	return p.await(ctx, w, lastStart)
 }
 
+// hasOther reports whether a target that was not tried takes new requests.
+func (p *pool) hasOther(tried []model.TargetID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.candidates(func(t *target) bool { return !slices.Contains(tried, t.ID) })) > 0
+}
+
+// precheck reports why a request would not be queued, if so.
+func (p *pool) precheck(deadline time.Time) *verdict.Error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.refuse(deadline)
+}
+
 // refuse reports why a request cannot be queued, if so.
 func (p *pool) refuse(deadline time.Time) *verdict.Error {
 	if err := p.unavailable(); err != nil {
