Tell a refused duplicate the verdict of the request that holds the key

Cause: the ledger refuses a claim of a held key as NotRun, which is true of the claim. The dispatcher passed it on, so a caller whose first answer was lost and who submitted the key again was told that it was not run while it may have been. Before: TestClaimFaults, "not-run != may-have-run". After: the verdict of the claim that holds the key if it is returned, else MayHaveRun.

--- a/internal/route/claim.go
+++ b/internal/route/claim.go
@@ -61,11 +61,13 @@
 	if err == nil && c.State == ledger.ClaimOpen && c.Holder == holder {
 		return nil
 	}
-	if err == nil {
-		return duplicate(c)
-	}
 	refusal := verdict.From(err, verdict.ReasonStore)
-	if refusal.Reason == verdict.ReasonDuplicate || refusal.Verdict == verdict.NotRun {
+	switch {
+	case err == nil:
+		return duplicate(c)
+	case refusal.Reason == verdict.ReasonDuplicate:
+		return duplicateOf(c, refusal)
+	case refusal.Verdict == verdict.NotRun:
 		return refusal
 	}
 	// The claim may be recorded. Settling it as not run releases the key.
@@ -82,6 +84,19 @@
 	return verdict.New(v, verdict.ReasonDuplicate, "key %s was claimed at %s", c.Key, c.Taken.Format(time.RFC3339))
 }
 
+// duplicateOf returns the refusal that fits a claim that was refused as a duplicate. That
+// this claim was refused does not prove that the request with the key was not executed, so
+// without the other claim the request may have run.
+func duplicateOf(c ledger.Claim, refusal *verdict.Error) *verdict.Error {
+	if c.State != 0 {
+		return duplicate(c)
+	}
+	if refusal.Verdict == verdict.NotRun {
+		return verdict.New(verdict.MayHaveRun, refusal.Reason, "%s", refusal.Message)
+	}
+	return refusal
+}
+
 // settler settles claims in the background.
 type settler struct {
 	claims  Claims
--- a/internal/route/claim_test.go
+++ b/internal/route/claim_test.go
@@ -34,6 +34,9 @@
 		{"another request with the key may have run", func(c *fakeClaims) {
 			c.claimFault = verdict.New(verdict.MayHaveRun, verdict.ReasonDuplicate, "open")
 		}, verdict.MayHaveRun, verdict.ReasonDuplicate},
+		{"a refusal of the claim as a duplicate proves nothing about the key", func(c *fakeClaims) {
+			c.claimFault = verdict.New(verdict.NotRun, verdict.ReasonDuplicate, "held by another")
+		}, verdict.MayHaveRun, verdict.ReasonDuplicate},
 	}
 	for _, c := range cases {
 		t.Run(c.sentence, func(t *testing.T) {
--- a/internal/route/slots_bench_test.go
+++ b/internal/route/slots_bench_test.go
@@ -27,7 +27,9 @@
 // simRequest is one request; done is called when the runner has executed it.
 type simRequest struct {
 	arrived time.Duration
-	done    func()
+	// work is the execution time on a runner that is not slow.
+	work time.Duration
+	done func()
 }
 
 // simRunner executes up to simSlots requests and queues the rest.
@@ -78,7 +80,7 @@
 }
 
 func (s *sim) execute(runner *simRunner, req *simRequest) {
-	took := time.Duration(s.random.ExpFloat64() * float64(simService))
+	took := req.work
 	if runner.slow {
 		took = time.Duration(float64(took) * simSlowFactor)
 	}
@@ -240,6 +242,39 @@
 	w.s.after(simHop, func() { w.senders[a].submit(req) })
 }
 
+// simHedged sends a second copy of a request that is not answered after a delay, within a
+// budget of a share of the requests. The slower copy is executed to its end.
+type simHedged struct {
+	s      *sim
+	way    simWay
+	delay  time.Duration
+	budget *budget
+}
+
+func (w *simHedged) submit(instance int, req *simRequest) {
+	w.budget.deposit()
+	answered, reply := false, req.done
+	first := func() {
+		if !answered {
+			answered = true
+			reply()
+		}
+	}
+	original := *req
+	original.done = first
+	w.way.submit(instance, &original)
+	w.s.after(w.delay, func() {
+		if !answered && w.budget.withdraw() {
+			w.way.submit(instance, &simRequest{work: req.work, done: first})
+		}
+	})
+}
+
+// newSimHedged hedges the way in use.
+func newSimHedged(s *sim, delay time.Duration) simWay {
+	return &simHedged{s: s, way: newSimLocal(s, shareFactor, choices), delay: delay, budget: newBudget()}
+}
+
 // simRun returns the median and the 99th percentile of one run. The first instance receives
 // skew times the requests of any other.
 func simRun(seed uint64, load, skew float64, way func(*sim) simWay) (p50, p99 time.Duration) {
@@ -258,7 +293,7 @@
 		if instance >= simInstances {
 			instance = 0
 		}
-		req := &simRequest{arrived: s.now}
+		req := &simRequest{arrived: s.now, work: time.Duration(s.random.ExpFloat64() * float64(simService))}
 		req.done = func() { s.answered(req) }
 		w.submit(instance, req)
 		if arrived++; arrived < simRequests {
@@ -289,6 +324,8 @@
 		{"a-split-double", func(s *sim) simWay { return newSimLocal(s, 2, 2) }},
 		{"a-split-double-five-choices", func(s *sim) simWay { return newSimLocal(s, 2, choices) }},
 		{"a-split-triple-five-choices", func(s *sim) simWay { return newSimLocal(s, shareFactor, choices) }},
+		{"a-split-triple-hedged-after-50ms", func(s *sim) simWay { return newSimHedged(s, 50*time.Millisecond) }},
+		{"a-split-triple-hedged-after-100ms", func(s *sim) simWay { return newSimHedged(s, 100*time.Millisecond) }},
 		{"b-owner", newSimOwned},
 		{"c-two-choices", func(s *sim) simWay { return newSimLocal(s, 7, 2) }},
 		{"c-five-choices", func(s *sim) simWay { return newSimLocal(s, 7, choices) }},
