--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -12,27 +12,10 @@
 	"github.com/geraniumwick/geraniumwick/internal/verdict"
 )
 
-// Kind names a message between instances.
+// Kind names a call between instances. The package that serves the calls defines the kinds
+// and their types.
 type Kind uint8
 
-// The kinds of call. The package that serves a call defines its types.
-const (
-	KindSubmit Kind = iota + 1
-	KindCancel
-	KindResume
-	KindJob
-	KindListJobs
-	KindClaim
-	KindSettle
-	KindTransfer
-	KindExplain
-	KindRecent
-	KindStatus
-	KindHandover
-	KindConfirmRevision
-	KindStore
-)
-
 // Handler serves one kind of call. The body is the CBOR form of the caller's argument and
 // the reply is sent as CBOR. An error without a verdict reaches the caller as MayHaveRun.
 // The context ends at the caller's deadline.
