--- a/internal/route/pool.go
+++ b/internal/route/pool.go
@@ -17,7 +17,7 @@
 
 const (
 	usable usability = iota
-	unusableLeaving
+	unusableWithdrawn
 	unusableDataCentreOut
 )
 
@@ -73,7 +73,7 @@
 	defer p.mu.Unlock()
 	known := map[model.TargetID]*target{}
 	for _, t := range p.targets {
-		t.usable = unusableLeaving
+		t.usable = unusableWithdrawn
 		known[t.ID] = t
 	}
 	p.targets = make([]*target, 0, len(shares))
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -177,11 +177,11 @@
 // usable says whether new requests may go to the target.
 func (d *Dispatcher) usable(t model.Target) usability {
 	if t.Leaving {
-		return unusableLeaving
+		return unusableWithdrawn
 	}
 	service, found := d.document.FindService(t.Service)
 	if !found {
-		return unusableLeaving
+		return unusableWithdrawn
 	}
 	if d.document.DataCentreOut(t.DataCentre) {
 		return unusableDataCentreOut
@@ -194,7 +194,7 @@
 			return usable
 		}
 	}
-	return unusableLeaving
+	return unusableWithdrawn
 }
 
 // Do sends the request and returns the whole answer of a target, whatever its status.
--- a/internal/route/route_bench_test.go
+++ b/internal/route/route_bench_test.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/platform"
 )
 
 // BenchmarkRequests compares a dispatcher with direct calls to the same target, over
@@ -85,3 +86,27 @@
 	b.ReportMetric(float64(histogram.ValueAtQuantile(50)), "p50-µs")
 	b.ReportMetric(float64(histogram.ValueAtQuantile(99)), "p99-µs")
 }
+
+// BenchmarkAcquire measures the choice of a target, whose slope over the number of targets
+// bounds the size of a service.
+func BenchmarkAcquire(b *testing.B) {
+	for _, n := range []int{65, 650} {
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			p := newPool(platform.SystemClock{})
+			var shares []targetShare
+			for i := range n {
+				shares = append(shares, targetShare{target: model.Target{ID: model.TargetID(fmt.Sprint(i))}, slots: 3})
+			}
+			p.set(shares)
+			deadline := time.Now().Add(time.Hour)
+			b.ReportAllocs()
+			for b.Loop() {
+				t, err := p.acquire(context.Background(), deadline, nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				p.release(t, outcome{answered: true, took: time.Millisecond})
+			}
+		})
+	}
+}
