--- /dev/null
+++ b/standin/store/watch.go
@@ -0,0 +1,63 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/platform/etcdwire"
+)
+
+// watchStream is one open watch.
+type watchStream struct {
+	server *Server
+	call   *call
+	keys   etcdwire.RangeRequest
+}
+
+// run sends changes after the revision, and a progress message when there is none for a while.
+func (w *watchStream) run(after int64) {
+	head := w.server.state.get(etcdwire.RangeRequest{Key: []byte{0}}).Header
+	if after < 0 {
+		after = head.Revision
+	}
+	w.send(etcdwire.WatchResult{Header: head, Created: true})
+	ctx := w.call.r.Context()
+	stopWaking := context.AfterFunc(ctx, w.server.state.wake)
+	defer stopWaking()
+	for {
+		deadline := time.Now().Add(progressInterval)
+		timer := time.AfterFunc(progressInterval, w.server.state.wake)
+		events, revision, compacted := w.server.state.changesAfter(w.keys, after, func() bool {
+			return ctx.Err() != nil || w.broken() || !time.Now().Before(deadline)
+		})
+		timer.Stop()
+		switch {
+		case ctx.Err() != nil:
+			return
+		case w.server.fault(w.call.number).Down:
+			w.call.drop()
+		case w.server.fault(w.call.number).SilentWatches:
+			<-ctx.Done()
+			return
+		case compacted > 0:
+			w.send(etcdwire.WatchResult{Canceled: true, CompactRevision: compacted, CancelReason: "required revision has been compacted"})
+			return
+		}
+		w.send(etcdwire.WatchResult{Header: etcdwire.Header{Revision: revision}, Events: events})
+		after = revision
+	}
+}
+
+// broken reports whether a fault of the listener ends the watch.
+func (w *watchStream) broken() bool {
+	f := w.server.fault(w.call.number)
+	return f.Down || f.SilentWatches
+}
+
+// send writes one message.
+func (w *watchStream) send(r etcdwire.WatchResult) {
+	_ = json.NewEncoder(w.call.w).Encode(etcdwire.WatchResponse{Result: &r})
+	_ = http.NewResponseController(w.call.w).Flush()
+}
