Add stand-ins of workers, targets and inventory with a record of their own

The record counts what the workers and targets saw: starts by data centre and time, attempts and once requests executed twice, two attempts of a job at once, resumes from a wrong checkpoint and reservations over capacity.

--- /dev/null
+++ b/standin/fleet/api.go
@@ -0,0 +1,183 @@
+package fleet
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/platform"
+)
+
+// maxWorkerCall bounds a call to a worker, in bytes.
+const maxWorkerCall = 8 << 20
+
+// workerHandler serves the workers' protocol.
+func (f *Fleet) workerHandler(w *Worker) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+platform.WorkerLeasePath, func(rw http.ResponseWriter, r *http.Request) {
+		f.record.add(func(c *Counts) { c.LeaseCalls++ })
+		handle(w, rw, r, w.Lease)
+	})
+	mux.HandleFunc("POST "+platform.WorkerStartPath, func(rw http.ResponseWriter, r *http.Request) {
+		f.record.add(func(c *Counts) { c.StartCalls++ })
+		handle(w, rw, r, w.Start)
+	})
+	mux.HandleFunc("POST "+platform.WorkerSignalPath, func(rw http.ResponseWriter, r *http.Request) {
+		f.record.add(func(c *Counts) { c.SignalCalls++ })
+		handle(w, rw, r, func(now time.Time, in platform.SignalRequest) (struct{}, error) {
+			return struct{}{}, w.Signal(now, in)
+		})
+	})
+	return mux
+}
+
+// handle performs one call to a worker, as its mode allows.
+func handle[In, Out any](w *Worker, rw http.ResponseWriter, r *http.Request, do func(time.Time, In) (Out, error)) {
+	var in In
+	if err := json.NewDecoder(http.MaxBytesReader(rw, r.Body, maxWorkerCall)).Decode(&in); err != nil {
+		http.Error(rw, err.Error(), http.StatusBadRequest)
+		return
+	}
+	mode := w.waitThawed()
+	if mode == ModeDead {
+		panic(http.ErrAbortHandler)
+	}
+	out, err := do(time.Now(), in)
+	if _, isStart := any(in).(platform.StartRequest); isStart && mode == ModeLoseAnswers {
+		panic(http.ErrAbortHandler)
+	}
+	var stale *platform.StaleEpochError
+	if errors.As(err, &stale) {
+		reply(rw, http.StatusConflict, platform.StaleEpoch{Seen: stale.Seen})
+		return
+	}
+	reply(rw, http.StatusOK, out)
+}
+
+// reply answers with JSON.
+func reply(rw http.ResponseWriter, status int, out any) {
+	rw.Header().Set("Content-Type", "application/json")
+	rw.WriteHeader(status)
+	_ = json.NewEncoder(rw).Encode(out)
+}
+
+// InventoryHandler serves the inventory.
+func (f *Fleet) InventoryHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.InventoryWorkersPath, func(rw http.ResponseWriter, _ *http.Request) {
+		reply(rw, http.StatusOK, platform.WorkerList{Workers: f.Workers(time.Now())})
+	})
+	mux.HandleFunc("GET "+platform.InventoryTargetsPath, func(rw http.ResponseWriter, _ *http.Request) {
+		reply(rw, http.StatusOK, platform.TargetList{Targets: f.Targets(time.Now())})
+	})
+	return mux
+}
+
+// WorkerFault changes the mode of workers.
+type WorkerFault struct {
+	// Worker is the name; an empty one stands for all of the data centre.
+	Worker     model.WorkerID   `json:"worker,omitempty"`
+	DataCentre model.DataCentre `json:"dataCentre,omitempty"`
+	Mode       Mode             `json:"mode"`
+}
+
+// TargetFault changes the mode of targets.
+type TargetFault struct {
+	// Target is the name; an empty one stands for all of the data centre.
+	Target     model.TargetID   `json:"target,omitempty"`
+	DataCentre model.DataCentre `json:"dataCentre,omitempty"`
+	Mode       TargetMode       `json:"mode"`
+	// Leaving marks the targets as leaving in the inventory.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// Interval asks for what happened in a data centre between two times.
+type Interval struct {
+	DataCentre model.DataCentre `json:"dataCentre"`
+	From       time.Time        `json:"from"`
+	To         time.Time        `json:"to"`
+}
+
+// IntervalReply answers an Interval.
+type IntervalReply struct {
+	Starts   []Start `json:"starts"`
+	Requests int     `json:"requests"`
+}
+
+// ControlHandler serves the tests' calls.
+func (f *Fleet) ControlHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /control/worker", control(func(in WorkerFault) struct{} {
+		f.setWorkers(time.Now(), in)
+		return struct{}{}
+	}))
+	mux.HandleFunc("POST /control/target", control(func(in TargetFault) struct{} {
+		f.setTargets(time.Now(), in)
+		return struct{}{}
+	}))
+	mux.HandleFunc("POST /control/interval", control(func(in Interval) IntervalReply {
+		return IntervalReply{
+			Starts:   f.record.Starts(in.DataCentre, in.From, in.To),
+			Requests: f.record.Requests(in.DataCentre, in.From, in.To),
+		}
+	}))
+	mux.HandleFunc("GET /control/counts", func(rw http.ResponseWriter, _ *http.Request) {
+		out := f.record.Counts()
+		out.BytesIn, out.BytesOut = f.traffic.in.Load(), f.traffic.out.Load()
+		reply(rw, http.StatusOK, out)
+	})
+	mux.HandleFunc("GET /control/violations", func(rw http.ResponseWriter, _ *http.Request) {
+		reply(rw, http.StatusOK, f.record.Violations())
+	})
+	mux.HandleFunc("GET /control/executions", func(rw http.ResponseWriter, _ *http.Request) {
+		reply(rw, http.StatusOK, f.record.Executions())
+	})
+	return mux
+}
+
+// control decodes a call and encodes its answer.
+func control[In, Out any](do func(In) Out) http.HandlerFunc {
+	return func(rw http.ResponseWriter, r *http.Request) {
+		var in In
+		if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+			http.Error(rw, err.Error(), http.StatusBadRequest)
+			return
+		}
+		reply(rw, http.StatusOK, do(in))
+	}
+}
+
+// setWorkers applies a fault to the workers that it names.
+func (f *Fleet) setWorkers(now time.Time, in WorkerFault) {
+	for _, w := range f.workers {
+		if in.Worker != "" && in.Worker != w.Model.ID || in.DataCentre != "" && in.DataCentre != w.Model.DataCentre {
+			continue
+		}
+		w.SetMode(now, in.Mode)
+		d := departure{}
+		if in.Mode == ModeDead {
+			d = departure{since: now, gone: true}
+		}
+		f.leave(string(w.Model.ID), d)
+	}
+}
+
+// setTargets applies a fault to the targets that it names.
+func (f *Fleet) setTargets(now time.Time, in TargetFault) {
+	for _, t := range f.targets {
+		if in.Target != "" && in.Target != t.Model.ID || in.DataCentre != "" && in.DataCentre != t.Model.DataCentre {
+			continue
+		}
+		t.SetMode(in.Mode)
+		d := departure{}
+		if in.Leaving {
+			d.since = now
+		}
+		t.mu.Lock()
+		t.leaving = d.since
+		t.mu.Unlock()
+		f.leave(string(t.Model.ID), d)
+	}
+}
--- /dev/null
+++ b/standin/fleet/fleet.go
@@ -0,0 +1,203 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/standin/workload"
+)
+
+// Spec says what the platform consists of.
+type Spec struct {
+	Deployment     string             `json:"deployment"`
+	DataCentres    []model.DataCentre `json:"dataCentres"`
+	WorkersPerDC   int                `json:"workersPerDataCentre"`
+	WorkersPerRack int                `json:"workersPerRack"`
+	Capacity       model.Resources    `json:"capacity"`
+	// TargetsPerDC is the number of targets; each is on a worker of its own as far as
+	// there are enough.
+	TargetsPerDC int `json:"targetsPerDataCentre"`
+	Slots        int `json:"slots"`
+	Connections  int `json:"connections"`
+	// Lag is how old the inventory is.
+	Lag time.Duration `json:"lag"`
+	// Seed makes the execution times of requests.
+	Seed uint64 `json:"seed"`
+}
+
+// stepInterval is how often workers look at their attempts.
+const stepInterval = 20 * time.Millisecond
+
+// Fleet is the workers, the targets and the inventory.
+type Fleet struct {
+	spec    Spec
+	record  *Record
+	workers []*Worker
+	targets []*Target
+	traffic traffic
+
+	mu sync.Mutex
+	// left holds since when a worker or target is leaving or gone.
+	left map[string]departure
+}
+
+// departure says since when an entry of the inventory is different.
+type departure struct {
+	since time.Time
+	gone  bool
+}
+
+// traffic counts bytes on the workers' connections.
+type traffic struct {
+	in, out atomic.Int64
+}
+
+// RackName returns the name of a rack of a data centre.
+func RackName(dc model.DataCentre, n int) model.Rack {
+	return model.Rack(fmt.Sprintf("%s-r%02d", dc, n+1))
+}
+
+// New returns a fleet whose workers and targets have no addresses yet.
+func New(spec Spec) *Fleet {
+	f := &Fleet{spec: spec, record: newRecord(), left: map[string]departure{}}
+	kinds := workload.Kinds(spec.Deployment)
+	for _, dc := range spec.DataCentres {
+		var local []*Worker
+		for i := range spec.WorkersPerDC {
+			local = append(local, newWorker(model.Worker{
+				ID:         model.WorkerID(fmt.Sprintf("%s-w%03d", dc, i+1)),
+				DataCentre: dc,
+				Rack:       RackName(dc, i/max(spec.WorkersPerRack, 1)),
+				Capacity:   spec.Capacity,
+			}, f.record))
+		}
+		f.workers = append(f.workers, local...)
+		for i := range spec.TargetsPerDC {
+			on := local[i%len(local)]
+			f.targets = append(f.targets, newTarget(model.Target{
+				ID:          model.TargetID(fmt.Sprintf("%s-t%03d", dc, i+1)),
+				Service:     kinds[0].Service,
+				DataCentre:  dc,
+				Worker:      on.Model.ID,
+				Slots:       spec.Slots,
+				Connections: spec.Connections,
+			}, on, f.record, kinds, spec.Seed+uint64(len(f.targets))))
+		}
+	}
+	return f
+}
+
+// Listen gives every worker and target an address on the loopback interface and serves
+// until ctx ends.
+func (f *Fleet) Listen(ctx context.Context) error {
+	for _, w := range f.workers {
+		l, err := listen(ctx)
+		if err != nil {
+			return err
+		}
+		w.Model.Addr = l.Addr().String()
+		serve(&countingListener{Listener: l, traffic: &f.traffic}, f.workerHandler(w))
+	}
+	for _, t := range f.targets {
+		l, err := listen(ctx)
+		if err != nil {
+			return err
+		}
+		t.Model.Addr = l.Addr().String()
+		mux := http.NewServeMux()
+		mux.Handle("POST /{path}", t)
+		serve(newLimitListener(l, t.Model.Connections), mux)
+	}
+	go f.run(ctx)
+	return nil
+}
+
+// listen opens a listener that is closed when ctx ends.
+func listen(ctx context.Context) (net.Listener, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	context.AfterFunc(ctx, func() { l.Close() })
+	return l, nil
+}
+
+// serve answers calls until the listener is closed.
+func serve(l net.Listener, h http.Handler) {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = server.Serve(l) }()
+}
+
+// run lets time pass on all workers.
+func (f *Fleet) run(ctx context.Context) {
+	ticker := time.NewTicker(stepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			for _, w := range f.workers {
+				w.step(now)
+			}
+		}
+	}
+}
+
+// leave marks an entry of the inventory as leaving, gone or, with a zero departure, back.
+func (f *Fleet) leave(id string, d departure) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if d.since.IsZero() {
+		delete(f.left, id)
+		return
+	}
+	f.left[id] = d
+}
+
+// departed returns what the inventory knows of an entry.
+func (f *Fleet) departed(id string, now time.Time) (leaving, gone bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d, ok := f.left[id]
+	if !ok || now.Sub(d.since) < f.spec.Lag {
+		return false, false
+	}
+	return !d.gone, d.gone
+}
+
+// Workers returns the inventory's list of workers.
+func (f *Fleet) Workers(now time.Time) []model.Worker {
+	out := make([]model.Worker, 0, len(f.workers))
+	for _, w := range f.workers {
+		leaving, gone := f.departed(string(w.Model.ID), now)
+		if gone {
+			continue
+		}
+		m := w.Model
+		m.Leaving = leaving
+		out = append(out, m)
+	}
+	return out
+}
+
+// Targets returns the inventory's list of targets.
+func (f *Fleet) Targets(now time.Time) []model.Target {
+	out := make([]model.Target, 0, len(f.targets))
+	for _, t := range f.targets {
+		leaving, gone := f.departed(string(t.Model.ID), now)
+		if gone {
+			continue
+		}
+		m := t.Model
+		m.Leaving = leaving
+		out = append(out, m)
+	}
+	return out
+}
--- /dev/null
+++ b/standin/fleet/listener.go
@@ -0,0 +1,75 @@
+package fleet
+
+import (
+	"net"
+	"sync"
+)
+
+// limitListener accepts a bounded number of connections at once.
+type limitListener struct {
+	net.Listener
+	slots chan struct{}
+}
+
+// newLimitListener bounds the connections of a listener.
+func newLimitListener(l net.Listener, n int) *limitListener {
+	return &limitListener{Listener: l, slots: make(chan struct{}, n)}
+}
+
+// Accept waits for a free place and then for a connection.
+func (l *limitListener) Accept() (net.Conn, error) {
+	l.slots <- struct{}{}
+	c, err := l.Listener.Accept()
+	if err != nil {
+		<-l.slots
+		return nil, err
+	}
+	return &limitedConn{Conn: c, release: sync.OnceFunc(func() { <-l.slots })}, nil
+}
+
+// limitedConn frees its place when it is closed.
+type limitedConn struct {
+	net.Conn
+	release func()
+}
+
+// Close closes the connection.
+func (c *limitedConn) Close() error {
+	defer c.release()
+	return c.Conn.Close()
+}
+
+// countingListener counts the bytes of its connections.
+type countingListener struct {
+	net.Listener
+	traffic *traffic
+}
+
+// Accept waits for a connection.
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: c, traffic: l.traffic}, nil
+}
+
+// countingConn counts the bytes of a connection.
+type countingConn struct {
+	net.Conn
+	traffic *traffic
+}
+
+// Read reads and counts.
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic.in.Add(int64(n))
+	return n, err
+}
+
+// Write writes and counts.
+func (c *countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.traffic.out.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/standin/fleet/target.go
@@ -0,0 +1,185 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/standin/workload"
+)
+
+// Headers of requests to targets.
+const (
+	headerKey      = "Geraniumwick-Key"
+	headerNotAfter = "Geraniumwick-Not-After"
+	headerVerdict  = "Geraniumwick-Verdict"
+)
+
+// TargetMode says how a target misbehaves.
+type TargetMode string
+
+// The modes of a target.
+const (
+	TargetHealthy TargetMode = ""
+	// TargetLate answers lateBy after it has executed.
+	TargetLate TargetMode = "late"
+	// TargetTruncated executes and sends half of the answer.
+	TargetTruncated TargetMode = "truncated"
+	// TargetTwice sends each answer twice on the connection.
+	TargetTwice TargetMode = "twice"
+	// TargetClose executes and closes the connection without an answer.
+	TargetClose TargetMode = "close"
+	// TargetRefuse answers that it is busy and does not execute.
+	TargetRefuse TargetMode = "refuse"
+)
+
+// Times of the targets.
+const (
+	lateBy = 3 * time.Second
+	// leavingGrace is how long a leaving target may still get new requests.
+	leavingGrace = 5 * time.Second
+)
+
+// maxRequestBody bounds a request, in bytes.
+const maxRequestBody = 1 << 20
+
+// Target is a runner with a number of slots. Its methods are safe for concurrent use.
+type Target struct {
+	Model  model.Target
+	worker *Worker
+	record *Record
+	kinds  map[string]workload.Kind
+	slots  chan struct{}
+
+	mu      sync.Mutex
+	mode    TargetMode
+	leaving time.Time
+	random  *rand.Rand
+}
+
+// newTarget returns an idle target on a worker.
+func newTarget(m model.Target, w *Worker, r *Record, kinds []workload.Kind, seed uint64) *Target {
+	t := &Target{
+		Model: m, worker: w, record: r,
+		kinds:  map[string]workload.Kind{},
+		slots:  make(chan struct{}, m.Slots),
+		random: rand.New(rand.NewPCG(seed, 2)),
+	}
+	for _, k := range kinds {
+		t.kinds[k.Path] = k
+	}
+	return t
+}
+
+// SetMode changes how the target misbehaves.
+func (t *Target) SetMode(m TargetMode) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.mode = m
+}
+
+// ServeHTTP executes one request.
+func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	kind, ok := t.kinds[r.PathValue("path")]
+	if !ok {
+		refuse(w, http.StatusNotFound, "no such path")
+		return
+	}
+	var in workload.Request
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBody))
+	if err == nil {
+		err = json.Unmarshal(body, &in)
+	}
+	if err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	arrived := time.Now()
+	t.mu.Lock()
+	mode, leaving := t.mode, t.leaving
+	t.mu.Unlock()
+	if mode == TargetRefuse {
+		refuse(w, http.StatusServiceUnavailable, "busy")
+		return
+	}
+	select {
+	case t.slots <- struct{}{}:
+	case <-r.Context().Done():
+		return
+	}
+	defer func() { <-t.slots }()
+	if tooLate(r) {
+		refuse(w, http.StatusServiceUnavailable, "the not-after time has passed")
+		return
+	}
+	if !leaving.IsZero() && arrived.Sub(leaving) > leavingGrace {
+		t.record.violate(arrived, ViolationLeaving, string(t.Model.ID))
+	}
+	answer := t.execute(kind, reference(r, in), in)
+	t.worker.samples.observe(t.Model.Service, time.Since(arrived), time.Since(arrived), t.Model.Slots)
+	deliver(w, mode, answer)
+}
+
+// execute computes the answer in the time that the worker's other work allows.
+func (t *Target) execute(kind workload.Kind, reference string, in workload.Request) []byte {
+	t.record.requestBegan(time.Now(), t.Model, kind.Class, kind.Path, reference)
+	t.mu.Lock()
+	factor := 0.5 + t.random.ExpFloat64()/2
+	t.mu.Unlock()
+	time.Sleep(time.Duration(factor * t.worker.inflation() * float64(kind.Time)))
+	answer, _ := json.Marshal(workload.Compute(in))
+	t.record.requestEnded(reference, true)
+	return answer
+}
+
+// reference names the request by what the caller put into the body.
+func reference(r *http.Request, in workload.Request) string {
+	if in.Reference != "" {
+		return in.Reference
+	}
+	return r.Header.Get(headerKey)
+}
+
+// tooLate reports whether the request's not-after time has passed.
+func tooLate(r *http.Request) bool {
+	ms, err := strconv.ParseInt(r.Header.Get(headerNotAfter), 10, 64)
+	return err == nil && time.Now().UnixMilli() >= ms
+}
+
+// refuse answers a request that is not executed.
+func refuse(w http.ResponseWriter, status int, message string) {
+	w.Header().Set(headerVerdict, "not-run")
+	http.Error(w, message, status)
+}
+
+// deliver sends the answer as the mode demands.
+func deliver(w http.ResponseWriter, mode TargetMode, answer []byte) {
+	w.Header().Set("Content-Type", "application/json")
+	switch mode {
+	case TargetLate:
+		time.Sleep(lateBy)
+	case TargetClose:
+		panic(http.ErrAbortHandler)
+	case TargetTruncated:
+		w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+		_, _ = w.Write(answer[:len(answer)/2])
+		panic(http.ErrAbortHandler)
+	case TargetTwice:
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		one := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(answer), answer)
+		_, _ = io.WriteString(conn, one+one)
+		time.Sleep(100 * time.Millisecond)
+		return
+	}
+	_, _ = w.Write(answer)
+}
--- /dev/null
+++ b/standin/process/process.go
@@ -0,0 +1,160 @@
+// Package process starts the stand-ins and the entry instances as processes, and talks to
+// their control listeners.
+package process
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+// StoreReady is what the store prints once it listens.
+type StoreReady struct {
+	Listeners []string `json:"listeners"`
+	Control   string   `json:"control"`
+}
+
+// FleetReady is what the fleet prints once it listens.
+type FleetReady struct {
+	Inventory string `json:"inventory"`
+	Control   string `json:"control"`
+}
+
+// Process is one child process.
+type Process struct {
+	Name string
+	// Log is the file with its output.
+	Log  string
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+}
+
+// Build compiles a package of the workspace into dir and returns the binary's path.
+func Build(ctx context.Context, dir, pkg, name string) (string, error) {
+	out := filepath.Join(dir, name)
+	cmd := exec.CommandContext(ctx, "go", "build", "-o", out, pkg)
+	if text, err := cmd.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("building %s: %w\n%s", pkg, err, text)
+	}
+	return out, nil
+}
+
+// Start starts a process whose standard error, and standard output unless it is given, go
+// to a file in dir.
+func Start(dir, name string, stdout io.Writer, env []string, path string, args ...string) (*Process, error) {
+	log := filepath.Join(dir, name+".log")
+	file, err := os.OpenFile(log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	cmd := exec.Command(path, args...)
+	cmd.Env = append(os.Environ(), env...)
+	cmd.Stderr = file
+	cmd.Stdout = file
+	if stdout != nil {
+		cmd.Stdout = stdout
+	}
+	// A child does not outlive the process that started it.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
+	p := &Process{Name: name, Log: log, cmd: cmd, done: make(chan struct{})}
+	go func() {
+		p.err = cmd.Wait()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+// StartReady starts a process and decodes the first line that it prints into ready.
+func StartReady(dir, name string, ready any, path string, args ...string) (*Process, error) {
+	r, w, err := os.Pipe()
+	if err != nil {
+		return nil, err
+	}
+	defer r.Close()
+	p, err := Start(dir, name, w, nil, path, args...)
+	w.Close()
+	if err != nil {
+		return nil, err
+	}
+	line, err := bufio.NewReader(r).ReadBytes('\n')
+	if err != nil {
+		return nil, fmt.Errorf("%s printed no addresses: %w", name, err)
+	}
+	return p, json.Unmarshal(line, ready)
+}
+
+// Signal sends a signal.
+func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
+
+// PID returns the process id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Done is closed when the process has ended.
+func (p *Process) Done() <-chan struct{} { return p.done }
+
+// Wait waits for the end for a while and returns how the process ended.
+func (p *Process) Wait(limit time.Duration) error {
+	select {
+	case <-p.done:
+		return p.err
+	case <-time.After(limit):
+		return fmt.Errorf("%s did not end within %s", p.Name, limit)
+	}
+}
+
+// Kill ends the process at once and waits for its end.
+func (p *Process) Kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// controlTimeout bounds a call to a control listener.
+const controlTimeout = 10 * time.Second
+
+// Call makes a JSON call: a POST if in is given, a GET otherwise. A nil out ignores the answer.
+func Call(ctx context.Context, url string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	method, body := http.MethodGet, io.Reader(nil)
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return err
+		}
+		method, body = http.MethodPost, bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode/100 != 2 {
+		return fmt.Errorf("%s: %s: %s", url, resp.Status, bytes.TrimSpace(data))
+	}
+	if out == nil {
+		return nil
+	}
+	return json.Unmarshal(data, out)
+}
