Worker lease: request expiry, worker clock, incarnation and completeness in the protocol

A delayed renewal must not extend a lease, a restarted worker must be told from one that lost a message, and an owner must know that a list was made after a start message expired. Each needs a field on the wire.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -99,6 +99,9 @@
 	// Acknowledged is the highest report sequence that the owner has made durable; the
 	// worker forgets ended attempts up to it.
 	Acknowledged uint64 `json:"acknowledged"`
+	// NotAfter is the time after which the worker refuses the request, so that a delayed
+	// one cannot extend the lease.
+	NotAfter time.Time `json:"notAfter"`
 	// All asks for every attempt that the worker knows, not only changes.
 	All bool `json:"all,omitempty"`
 }
@@ -138,7 +141,13 @@
 // LeaseReply answers a LeaseRequest.
 type LeaseReply struct {
 	// Epoch is the highest epoch that the worker has seen.
-	Epoch    model.Epoch     `json:"epoch"`
+	Epoch model.Epoch `json:"epoch"`
+	// Incarnation identifies one process life of the worker; a new one has no attempts.
+	Incarnation string `json:"incarnation"`
+	// Now is the worker's clock when it made the answer.
+	Now time.Time `json:"now"`
+	// Complete says that Reports holds every attempt that the worker knows.
+	Complete bool            `json:"complete,omitempty"`
 	Reports  []AttemptReport `json:"reports"`
 	Usage    []UsageSample   `json:"usage,omitempty"`
 	Services []ServiceSample `json:"services,omitempty"`
