--- /dev/null
+++ b/internal/schedule/feasible.go
@@ -0,0 +1,125 @@
+package schedule
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/geraniumwick/geraniumwick/internal/config"
+	"github.com/geraniumwick/geraniumwick/internal/model"
+)
+
+// minimumReservation is the least that a task is given, whatever it declares.
+var minimumReservation = model.Resources{MilliCPU: 100, MemoryMB: 64}
+
+// atLeast returns the larger of both amounts in each dimension.
+func atLeast(r, floor model.Resources) model.Resources {
+	return model.Resources{
+		MilliCPU:     max(r.MilliCPU, floor.MilliCPU),
+		MemoryMB:     max(r.MemoryMB, floor.MemoryMB),
+		Accelerators: max(r.Accelerators, floor.Accelerators),
+	}
+}
+
+// allowsDataCentre reports whether the job may run in the data centre.
+func allowsDataCentre(spec *model.JobSpec, dc model.DataCentre) bool {
+	return len(spec.DataCentres) == 0 || slices.Contains(spec.DataCentres, dc)
+}
+
+// feasible reports whether the node can take the job now.
+func (r *round) feasible(n *node, spec *model.JobSpec, reservation model.Resources) bool {
+	return n.open &&
+		reservation.Fits(n.free) &&
+		allowsDataCentre(spec, n.view.Worker.DataCentre) &&
+		r.spreadAllows(n, spec)
+}
+
+// withinQuota reports whether the team may hold the reservation on top of its use. A
+// quota without any amount is unlimited. A team without a section has no quota to use.
+func (r *round) withinQuota(team model.Team, reservation model.Resources) bool {
+	section, ok := r.snapshot.Document.Teams[team]
+	if !ok {
+		return false
+	}
+	if section.Quota.Resources == (model.Resources{}) {
+		return true
+	}
+	return r.teamUse[team].Add(reservation).Fits(section.Quota.Resources)
+}
+
+// Unfeasible implements Policy. A data centre that is out of service comes back, so it
+// does not make a job unfeasible.
+func (s *Scheduler) Unfeasible(spec model.JobSpec, doc *config.Document, workers []model.Worker) string {
+	d := spec.Declared
+	if d.MilliCPU < 0 || d.MemoryMB < 0 || d.Accelerators < 0 {
+		return "declared size is negative"
+	}
+	section, ok := doc.Teams[spec.Team]
+	if !ok {
+		return fmt.Sprintf("team %q has no section in the configuration", spec.Team)
+	}
+	need := s.reservation(&spec)
+	if reason := quotaConstraint(need, section.Quota.Resources, spec.Team); reason != "" {
+		return reason
+	}
+	if reason := dataCentreConstraint(&spec, doc); reason != "" {
+		return reason
+	}
+	return workerConstraint(&spec, need, workers)
+}
+
+func quotaConstraint(need, quota model.Resources, team model.Team) string {
+	if quota == (model.Resources{}) || need.Fits(quota) {
+		return ""
+	}
+	dimension, want, have := exceeded(need, quota)
+	return fmt.Sprintf("needs %d %s but the quota of team %q is %d", want, dimension, team, have)
+}
+
+func dataCentreConstraint(spec *model.JobSpec, doc *config.Document) string {
+	for _, dc := range doc.Operators.DataCentres {
+		if allowsDataCentre(spec, dc.Name) {
+			return ""
+		}
+	}
+	return fmt.Sprintf("none of its data centres %v is in the configuration", spec.DataCentres)
+}
+
+// workerConstraint names the dimension that rules out the worker which comes closest.
+func workerConstraint(spec *model.JobSpec, need model.Resources, workers []model.Worker) string {
+	if len(workers) == 0 {
+		return ""
+	}
+	allowed := 0
+	var largest model.Resources
+	for i := range workers {
+		if !allowsDataCentre(spec, workers[i].DataCentre) {
+			continue
+		}
+		if need.Fits(workers[i].Capacity) {
+			return ""
+		}
+		allowed++
+		largest = atLeast(largest, workers[i].Capacity)
+	}
+	if allowed == 0 {
+		return fmt.Sprintf("no worker is in its data centres %v", spec.DataCentres)
+	}
+	if need.Fits(largest) {
+		return fmt.Sprintf("no single worker has %d milliCPU, %d MB and %d accelerators together",
+			need.MilliCPU, need.MemoryMB, need.Accelerators)
+	}
+	dimension, want, have := exceeded(need, largest)
+	return fmt.Sprintf("needs %d %s but the largest allowed worker has %d", want, dimension, have)
+}
+
+// exceeded returns the first dimension in which need is above limit.
+func exceeded(need, limit model.Resources) (dimension string, want, have int64) {
+	switch {
+	case need.Accelerators > limit.Accelerators:
+		return "accelerators", need.Accelerators, limit.Accelerators
+	case need.MemoryMB > limit.MemoryMB:
+		return "MB of memory", need.MemoryMB, limit.MemoryMB
+	default:
+		return "milliCPU", need.MilliCPU, limit.MilliCPU
+	}
+}
