Add configuration watcher and editor, settings and the audit trail

An edit is one compare-and-swap of its section, whose stored form holds the text and its trail of changes, so that no accepted edit can lack its entry. A second small key, config/head, is raised before the edit is answered: one read of it proves that a document includes every accepted edit. Ruled out: a list of all sections for each confirmation (160 sections), and reading the operators' section with its trail (tens of kilobytes a batch of starts).

--- /dev/null
+++ b/internal/audit/events.go
@@ -0,0 +1,19 @@
+package audit
+
+// The stable names of the events of the configuration.
+const (
+	// EventConfigAccepted is an accepted edit.
+	EventConfigAccepted = "config.accepted"
+	// EventConfigRefused is an edit that failed a check, lost a race or lacked the right.
+	EventConfigRefused = "config.refused"
+	// EventConfigUnknown is an edit whose outcome is not known.
+	EventConfigUnknown = "config.unknown"
+	// EventConfigInForce is a section that an instance put in force.
+	EventConfigInForce = "config.in-force"
+	// EventConfigInvalid is a stored section that an instance did not put in force.
+	EventConfigInvalid = "config.invalid"
+	// EventConfigOlder is a store answer older than what is in force; it is not used.
+	EventConfigOlder = "config.older"
+	// EventConfigProblem is a conflict between sections that are both in force.
+	EventConfigProblem = "config.problem"
+)
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -8,10 +8,13 @@
 	"github.com/geraniumwick/geraniumwick/internal/model"
 )
 
-// Section keys in the store: SectionPrefix + team, and SectionPrefix + OperatorsSection.
+// Keys in the store: SectionPrefix + team, SectionPrefix + OperatorsSection, and HeadKey.
 const (
 	SectionPrefix    = "config/section/"
 	OperatorsSection = "operators"
+	// HeadKey holds the highest revision of a section whose edit was accepted. It is small, so
+	// that one read of it proves that a document is the newest.
+	HeadKey = "config/head"
 )
 
 // Document is the whole configuration: the operators' section and one for each team.
@@ -29,6 +32,18 @@
 	// Partitions is the number of partitions; it is fixed once accepted.
 	Partitions int     `yaml:"partitions"`
 	Weights    Weights `yaml:"weights"`
+	// Teams lists the teams' credentials and ceilings. A team that is not listed has no
+	// ceiling, and only operators can edit its section.
+	Teams []TeamAccess `yaml:"teams,omitempty"`
+}
+
+// TeamAccess says how a team proves who it is and how large its quota may be.
+type TeamAccess struct {
+	Team model.Team `yaml:"team"`
+	// TokenSHA256 is the SHA-256 of the team's bearer token in hexadecimal; empty means none.
+	TokenSHA256 string `yaml:"tokenSHA256,omitempty"`
+	// MaxQuota bounds the quota that the team may set in its own section; nil is no bound.
+	MaxQuota *model.Resources `yaml:"maxQuota,omitempty"`
 }
 
 // DataCentre is one data centre and whether it is in service.
@@ -129,6 +144,18 @@
 	return Service{}, false
 }
 
+// TeamOf returns the team whose section defines the service.
+func (d *Document) TeamOf(name model.Service) (model.Team, bool) {
+	for team, section := range d.Teams {
+		for _, s := range section.Services {
+			if s.Name == name {
+				return team, true
+			}
+		}
+	}
+	return "", false
+}
+
 // FindRequest returns the request type with the path.
 func (s *Service) FindRequest(path string) (RequestType, bool) {
 	for _, r := range s.Requests {
--- /dev/null
+++ b/internal/config/parse.go
@@ -0,0 +1,195 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/lexer"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
+
+	"github.com/geraniumwick/geraniumwick/internal/model"
+)
+
+const (
+	// MaxSectionBytes bounds the text of one section; with its trail of changes it stays
+	// under the store's limit of 1 MB a value.
+	MaxSectionBytes = 256 << 10
+	// maxNesting bounds the depth of brackets in a section.
+	maxNesting = 16
+)
+
+// Section is one parsed section of the document.
+type Section struct {
+	Name string
+	// Revision is the store revision of the last write; zero if it is not in the store.
+	Revision model.Revision
+	Text     string
+	// Operators is set for the operators' section, Team for every other.
+	Operators *Operators
+	Team      *TeamSection
+
+	file *ast.File
+}
+
+// Parse reads the text of the named section and checks everything that needs no other
+// section. The error is a *CheckError with line and column.
+func Parse(name string, text []byte) (*Section, error) {
+	s := &Section{Name: name, Text: string(text)}
+	if err := s.parse(); err != nil {
+		return nil, err
+	}
+	if problems := s.check(); len(problems) > 0 {
+		return nil, &CheckError{Problems: problems}
+	}
+	return s, nil
+}
+
+// parse fills the section from its text.
+func (s *Section) parse() error {
+	if !validName(s.Name) {
+		return s.problem(nil, fmt.Sprintf("section name %q must have 1 to 63 of a-z, 0-9 and hyphen, and start with a letter", s.Name))
+	}
+	if len(s.Text) > MaxSectionBytes {
+		return s.problem(nil, fmt.Sprintf("the section has %d bytes, at most %d are allowed", len(s.Text), MaxSectionBytes))
+	}
+	if strings.TrimSpace(s.Text) == "" {
+		return s.problem(nil, "the section is empty")
+	}
+	tokens := lexer.Tokenize(s.Text)
+	if tk, message := forbidden(tokens); tk != nil {
+		return s.problem(tk, message)
+	}
+	file, err := parser.Parse(tokens, parser.ParseComments)
+	if err != nil {
+		return s.syntaxProblem(err)
+	}
+	s.file = file
+	if len(file.Docs) != 1 {
+		return s.problem(nil, "the section must be one YAML document")
+	}
+	return s.decode()
+}
+
+// decode fills the typed form of the section.
+func (s *Section) decode() error {
+	var out any
+	if s.Name == OperatorsSection {
+		s.Operators = &Operators{}
+		out = s.Operators
+	} else {
+		s.Team = &TeamSection{}
+		out = s.Team
+	}
+	if err := yaml.NodeToValue(s.file.Docs[0].Body, out, yaml.Strict()); err != nil {
+		return s.syntaxProblem(err)
+	}
+	return nil
+}
+
+// forbidden returns the first token that a section may not hold. Anchors, aliases and tags
+// would let a short text expand into a large document.
+func forbidden(tokens token.Tokens) (*token.Token, string) {
+	depth := 0
+	for _, tk := range tokens {
+		switch tk.Type {
+		case token.AnchorType, token.AliasType, token.MergeKeyType:
+			return tk, "anchors, aliases and merge keys are not supported"
+		case token.TagType, token.DirectiveType:
+			return tk, "tags and directives are not supported"
+		case token.SequenceStartType, token.MappingStartType:
+			depth++
+		case token.SequenceEndType, token.MappingEndType:
+			depth--
+		}
+		if depth > maxNesting {
+			return tk, fmt.Sprintf("brackets are nested deeper than %d", maxNesting)
+		}
+	}
+	return nil, ""
+}
+
+// problem returns a CheckError at the token.
+func (s *Section) problem(tk *token.Token, message string) error {
+	p := Problem{Section: s.Name, Message: message}
+	if tk != nil && tk.Position != nil {
+		p.Line = tk.Position.Line
+		p.Column = tk.Position.Column
+	}
+	return &CheckError{Problems: []Problem{p}}
+}
+
+// syntaxProblem returns a CheckError for an error of the YAML library.
+func (s *Section) syntaxProblem(err error) error {
+	var located yaml.Error
+	if errors.As(err, &located) {
+		return s.problem(located.GetToken(), located.GetMessage())
+	}
+	return s.problem(nil, err.Error())
+}
+
+// locate returns line and column of the YAML path or of its nearest parent.
+func (s *Section) locate(path string) (line, column int) {
+	if s.file == nil {
+		return 0, 0
+	}
+	for path != "" {
+		if tk := s.tokenAt(path); tk != nil && tk.Position != nil {
+			return tk.Position.Line, tk.Position.Column
+		}
+		path = parentPath(path)
+	}
+	return 0, 0
+}
+
+// tokenAt returns the first token of the node at the path, or nil.
+func (s *Section) tokenAt(path string) *token.Token {
+	node := s.nodeAt(path)
+	if node == nil {
+		return nil
+	}
+	if m, ok := node.(*ast.MappingNode); ok && len(m.Values) > 0 {
+		return m.Values[0].Key.GetToken()
+	}
+	return node.GetToken()
+}
+
+// nodeAt returns the node at the path, or nil.
+func (s *Section) nodeAt(path string) ast.Node {
+	p, err := yaml.PathString(path)
+	if err != nil {
+		return nil
+	}
+	node, err := p.FilterFile(s.file)
+	if err != nil {
+		return nil
+	}
+	return node
+}
+
+// parentPath removes the last element of a YAML path; the parent of "$" is "".
+func parentPath(path string) string {
+	cut := strings.LastIndexAny(path, ".[")
+	if cut < 0 {
+		return ""
+	}
+	return path[:cut]
+}
+
+// validName reports whether the text can name a section, team, service or place.
+func validName(s string) bool {
+	if s == "" || len(s) > 63 || s[0] < 'a' || s[0] > 'z' {
+		return false
+	}
+	for _, c := range s {
+		switch {
+		case c >= 'a' && c <= 'z', c >= '0' && c <= '9', c == '-':
+		default:
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/config/watcher.go
@@ -0,0 +1,239 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/audit"
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/platform"
+)
+
+const (
+	// defaultPollInterval is the time between two reads of HeadKey, which find out that a
+	// watch ended silently.
+	defaultPollInterval = time.Second
+	// relistInterval is the time between two complete reads of the sections. They find edits
+	// by other means than an Editor, which do not raise HeadKey, after a watch ended silently.
+	relistInterval = 10 * time.Minute
+	// callTimeout bounds one store call of the watcher.
+	callTimeout = 2 * time.Second
+)
+
+// WatcherOptions are the optional parts of a Watcher.
+type WatcherOptions struct {
+	Instance model.InstanceID
+	// Recorder takes the audit entries; nil drops them.
+	Recorder audit.Recorder
+	// PollInterval is the time between two confirmations; zero means one second.
+	PollInterval time.Duration
+}
+
+// UnconfirmedError says that the document in force could not be proved to be the newest.
+// Nothing may be started on it.
+type UnconfirmedError struct {
+	Cause error
+}
+
+// Error implements error.
+func (e *UnconfirmedError) Error() string {
+	return "configuration not confirmed: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *UnconfirmedError) Unwrap() error { return e.Cause }
+
+var (
+	errNoDocument = errors.New("no document is in force")
+	errOlderStore = errors.New("the store answers with an older document than the one in force")
+	errBehind     = errors.New("the store's newest accepted section was not read")
+)
+
+// Refusal is a stored section that is not in force.
+type Refusal struct {
+	Section  string         `json:"section"`
+	Revision model.Revision `json:"revision"`
+	Problem  string         `json:"problem"`
+}
+
+// Watcher keeps the newest document of the store in force and never goes back to an older
+// revision of a section. Its methods may be called from any goroutine.
+type Watcher struct {
+	store platform.Store
+	clock platform.Clock
+	opts  WatcherOptions
+
+	mu       sync.Mutex
+	sections Set
+	doc      *Document
+	// synced is the store revision up to which every change of a section has been seen.
+	synced int64
+	// seen is the highest store revision of any answer.
+	seen int64
+	// accepted is the highest revision of an accepted edit that was read.
+	accepted    model.Revision
+	confirmed   time.Time
+	refused     map[string]Refusal
+	subscribers []chan struct{}
+	changed     <-chan struct{}
+
+	confirmations coalescer
+}
+
+// NewWatcher returns a Watcher that has no document until Run or Confirm has read one.
+func NewWatcher(store platform.Store, clock platform.Clock, opts WatcherOptions) *Watcher {
+	if opts.PollInterval == 0 {
+		opts.PollInterval = defaultPollInterval
+	}
+	w := &Watcher{
+		store:    store,
+		clock:    clock,
+		opts:     opts,
+		sections: Set{},
+		refused:  map[string]Refusal{},
+	}
+	w.changed = w.Subscribe()
+	w.confirmations.run = w.confirmOnce
+	return w
+}
+
+// Current returns the document in force. It must not be modified.
+func (w *Watcher) Current() (*Document, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.doc, w.doc != nil
+}
+
+// Sections returns the sections in force in the order of their names.
+func (w *Watcher) Sections() []*Section {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var list []*Section
+	for _, name := range w.sections.names() {
+		list = append(list, w.sections[name])
+	}
+	return list
+}
+
+// Refused returns the stored sections that are not in force, in the order of their names.
+func (w *Watcher) Refused() []Refusal {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var list []Refusal
+	for _, name := range slices.Sorted(maps.Keys(w.refused)) {
+		list = append(list, w.refused[name])
+	}
+	return list
+}
+
+// Changed returns a channel of capacity one that receives a hint after each change of the
+// document. All callers share it; a second consumer takes its own by Subscribe.
+func (w *Watcher) Changed() <-chan struct{} { return w.changed }
+
+// Subscribe returns a new channel of capacity one that receives a hint after each change.
+func (w *Watcher) Subscribe() <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c := make(chan struct{}, 1)
+	w.subscribers = append(w.subscribers, c)
+	return c
+}
+
+// Confirmed returns the start of the last store read that proved the document in force to
+// be the newest.
+func (w *Watcher) Confirmed() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.confirmed
+}
+
+// Confirm proves by a store read that begins after the call that the document in force
+// includes every accepted edit, reads the sections if it does not, and returns it. Callers
+// at the same time share one read. The error is an *UnconfirmedError or that of ctx.
+func (w *Watcher) Confirm(ctx context.Context) (*Document, error) {
+	return w.confirmations.do(ctx)
+}
+
+// confirmOnce makes one confirmation.
+func (w *Watcher) confirmOnce() (*Document, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	started := w.clock.Now()
+	seen := w.lastSeen()
+	h, err := readHead(ctx, w.store)
+	if err != nil {
+		return nil, &UnconfirmedError{Cause: err}
+	}
+	if err := w.checkStore(seen, h.Store); err != nil {
+		return nil, &UnconfirmedError{Cause: err}
+	}
+	if !w.includes(h) {
+		if err := w.relist(ctx); err != nil {
+			return nil, &UnconfirmedError{Cause: err}
+		}
+	}
+	return w.confirm(h, started)
+}
+
+// includes reports whether every section up to the head has been seen. Without a head no
+// edit was accepted, and only a complete read proves anything.
+func (w *Watcher) includes(h headRead) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return h.Key != 0 && w.doc != nil && int64(h.Accepted) <= w.synced
+}
+
+// confirm notes the confirmation if the document in force includes the head.
+func (w *Watcher) confirm(h headRead, started time.Time) (*Document, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.doc == nil {
+		return nil, &UnconfirmedError{Cause: errNoDocument}
+	}
+	if int64(h.Accepted) > w.synced {
+		return nil, &UnconfirmedError{Cause: errBehind}
+	}
+	if r, refused := w.refused[OperatorsSection]; refused {
+		return nil, &UnconfirmedError{Cause: fmt.Errorf("the operators' section of revision %d is not in force: %s", r.Revision, r.Problem)}
+	}
+	w.accepted = max(w.accepted, h.Accepted)
+	if started.After(w.confirmed) {
+		w.confirmed = started
+	}
+	return w.doc, nil
+}
+
+// lastSeen returns the highest store revision of any answer so far.
+func (w *Watcher) lastSeen() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.seen
+}
+
+// checkStore refuses an answer at a revision lower than the one that had been seen before
+// the call was made: the store went back to an older state.
+func (w *Watcher) checkStore(before, revision int64) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if revision < before {
+		w.record(audit.Entry{Event: audit.EventConfigOlder, Subject: HeadKey, Reason: fmt.Sprintf("the store is at revision %d, after %d was seen", revision, before)})
+		return errOlderStore
+	}
+	w.seen = max(w.seen, revision)
+	return nil
+}
+
+// record sends an audit entry.
+func (w *Watcher) record(e audit.Entry) {
+	if w.opts.Recorder == nil {
+		return
+	}
+	e.At = w.clock.Now()
+	e.Instance = w.opts.Instance
+	w.opts.Recorder.Record(e)
+}
--- /dev/null
+++ b/internal/config/watcher_apply.go
@@ -0,0 +1,149 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/geraniumwick/geraniumwick/internal/audit"
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/platform"
+)
+
+// relist reads all sections and puts them in force.
+func (w *Watcher) relist(ctx context.Context) error {
+	seen := w.lastSeen()
+	list, revision, err := w.store.List(ctx, SectionPrefix)
+	if err != nil {
+		return err
+	}
+	if err := w.checkStore(seen, revision); err != nil {
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.checkList(list, revision); err != nil {
+		return err
+	}
+	w.apply(list)
+	w.synced = max(w.synced, revision)
+	return nil
+}
+
+// checkList refuses a list, read at the store revision, that lacks a known section or has
+// an older revision of it. A section that became known later than that is not compared.
+func (w *Watcher) checkList(list []platform.KeyValue, revision int64) error {
+	listed := map[string]model.Revision{}
+	for _, kv := range list {
+		listed[sectionName(kv.Key)] = model.Revision(kv.ModRevision)
+	}
+	for _, name := range w.sections.names() {
+		known := w.knownRevision(name)
+		if int64(known) <= revision && listed[name] < known {
+			w.refuseOlder(name, listed[name])
+			return errOlderStore
+		}
+	}
+	return nil
+}
+
+// observe takes a batch of a watch. A batch may repeat what a list has shown already.
+func (w *Watcher) observe(e platform.WatchEvent) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	newest := int64(0)
+	for _, kv := range e.Changed {
+		newest = max(newest, kv.ModRevision)
+		if kv.ModRevision == 0 {
+			w.refuseOlder(sectionName(kv.Key), 0)
+		}
+	}
+	if len(e.Changed) == 0 {
+		// A batch without changes reports progress. In any other, the store's revision may
+		// be ahead of the changes that were delivered.
+		newest = e.Revision
+	}
+	w.apply(e.Changed)
+	w.synced = max(w.synced, newest)
+	w.seen = max(w.seen, newest)
+}
+
+// apply puts the entries in force that are newer than what is known, and valid.
+func (w *Watcher) apply(entries []platform.KeyValue) {
+	changed := false
+	for _, kv := range entries {
+		if model.Revision(kv.ModRevision) > w.knownRevision(sectionName(kv.Key)) {
+			changed = w.put(kv) || changed
+		}
+	}
+	if changed {
+		w.publish()
+	}
+}
+
+// knownRevision returns the highest revision of the section that was read, in force or not.
+func (w *Watcher) knownRevision(name string) model.Revision {
+	known := w.refused[name].Revision
+	if s, ok := w.sections[name]; ok {
+		known = max(known, s.Revision)
+	}
+	return known
+}
+
+// put puts one newer entry in force, or refuses it and keeps the section in force.
+func (w *Watcher) put(kv platform.KeyValue) bool {
+	name := sectionName(kv.Key)
+	next, err := parseStored(kv)
+	if err == nil {
+		if problems := CheckChange(w.sections[name], next); len(problems) > 0 {
+			err = &CheckError{Problems: problems}
+		}
+	}
+	if err != nil {
+		w.refuse(name, model.Revision(kv.ModRevision), err)
+		return false
+	}
+	delete(w.refused, name)
+	w.sections = w.sections.With(next)
+	w.record(audit.Entry{Event: audit.EventConfigInForce, Subject: subject(name), Revision: next.Revision, Durable: true})
+	return true
+}
+
+// refuse notes a stored section that is not valid.
+func (w *Watcher) refuse(name string, revision model.Revision, err error) {
+	problem := err.Error()
+	var check *CheckError
+	if errors.As(err, &check) {
+		problem = strings.ReplaceAll(problem, "\n", "; ")
+	}
+	w.refused[name] = Refusal{Section: name, Revision: revision, Problem: problem}
+	w.record(audit.Entry{Event: audit.EventConfigInvalid, Subject: subject(name), Revision: revision, Reason: problem})
+}
+
+// refuseOlder notes an answer with an older revision of a section than the one in force.
+func (w *Watcher) refuseOlder(name string, revision model.Revision) {
+	reason := fmt.Sprintf("the store has revision %d, revision %d stays in force", revision, w.knownRevision(name))
+	w.record(audit.Entry{Event: audit.EventConfigOlder, Subject: subject(name), Revision: revision, Reason: reason})
+}
+
+// publish builds the document from the sections and hints at the change.
+func (w *Watcher) publish() {
+	doc, ok := w.sections.Document()
+	if !ok {
+		return
+	}
+	w.doc = doc
+	for _, p := range w.sections.Check() {
+		w.record(audit.Entry{Event: audit.EventConfigProblem, Subject: subject(p.Section), Revision: doc.Revision, Reason: p.String()})
+	}
+	for _, c := range w.subscribers {
+		select {
+		case c <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// subject returns the audit subject of a section.
+func subject(section string) string { return "config/" + section }
--- /dev/null
+++ b/internal/settings/definitions.go
@@ -0,0 +1,96 @@
+package settings
+
+import (
+	"strings"
+	"time"
+)
+
+// The names of the settings that are checked together.
+const (
+	tlsCert = "tls-cert"
+	tlsKey  = "tls-key"
+)
+
+// definition describes one setting.
+type definition struct {
+	name string
+	// value is the default; empty means none.
+	value string
+	help  string
+	set   func(string) error
+}
+
+// environment returns the name of the setting's environment variable.
+func (d definition) environment() string {
+	return EnvironmentPrefix + strings.ToUpper(strings.ReplaceAll(d.name, "-", "_"))
+}
+
+// placeholder returns the text that stands for the value in the help.
+func (d definition) placeholder() string {
+	if d.value != "" {
+		return d.value
+	}
+	return "VALUE"
+}
+
+// definitions returns all settings, each bound to its field.
+func definitions(s *Settings) []definition {
+	list := identity(s)
+	list = append(list, timing(s)...)
+	list = append(list, limits(s)...)
+	return append(list, operation(s)...)
+}
+
+// identity returns the settings of names and addresses.
+func identity(s *Settings) []definition {
+	return []definition{
+		{"instance-id", "", "Name of this process life; random by default.", setInstance(&s.InstanceID)},
+		{"data-centre", "", "Data centre that this instance is in. Required.", setName(&s.DataCentre)},
+		{"caller-listen", "127.0.0.1:7400", "Address of the callers' listener.", setAddress(&s.CallerListen)},
+		{"operator-listen", "127.0.0.1:7401", "Address of the operators' listener.", setAddress(&s.OperatorListen)},
+		{"peer-listen", "127.0.0.1:7402", "Address of the listener for other instances.", setAddress(&s.PeerListen)},
+		{"peer-advertise", "", "Address that other instances connect to; the peer listener's by default.", setAdvertised(&s.PeerAdvertise, &s.PeerListen)},
+		{"operator-advertise", "", "Address at which operators reach this instance; the operators' listener's by default.", setAdvertised(&s.OperatorAdvertise, &s.OperatorListen)},
+		{"store", "", "Base URLs of the key-value store, separated by commas. Required.", setURLs(&s.Stores)},
+		{"inventory", "", "Base URL of the inventory of workers and targets. Required.", setURL(&s.Inventory)},
+	}
+}
+
+// timing returns the settings of leases and intervals.
+func timing(s *Settings) []definition {
+	return []definition{
+		{"member-lease-ttl", "5s", "Time after which a silent instance counts as gone.", setDuration(&s.MemberLeaseTTL, time.Second, time.Minute)},
+		{"worker-lease-ttl", "10s", "Time after which a worker without renewal stops its tasks.", setDuration(&s.WorkerLeaseTTL, time.Second, 10*time.Minute)},
+		{"tick-interval", "100ms", "Time between two decisions of a partition.", setDuration(&s.TickInterval, time.Millisecond, 10*time.Second)},
+		{"commit-interval", "20ms", "Shortest time between two appends of a partition.", setDuration(&s.CommitInterval, time.Millisecond, 10*time.Second)},
+		{"config-max-age", "3s", "Age of the last confirmed configuration beyond which nothing new starts.", setDuration(&s.ConfigMaxAge, 100*time.Millisecond, time.Minute)},
+		{"store-writes-per-second", "40", "Store writes that this instance may make a second.", setInt(&s.StoreWritesPerSecond, 1, 10_000)},
+	}
+}
+
+// limits returns the settings that bound callers and operators.
+func limits(s *Settings) []definition {
+	l := &s.Limits
+	return []definition{
+		{"max-body-bytes", "1048576", "Largest body of a request.", setInt(&l.BodyBytes, 1<<10, 1<<30)},
+		{"max-answer-bytes", "8388608", "Largest answer of a target.", setInt(&l.AnswerBytes, 1<<10, 1<<30)},
+		{"max-header-bytes", "16384", "Largest headers of a request.", setInt(&l.HeaderBytes, 1<<10, 1<<20)},
+		{"max-requests", "1024", "Requests in flight; more are refused as not run.", setInt(&l.Requests, 1, 1_000_000)},
+		{"max-connections", "4096", "Connections of a listener; more wait.", setInt(&l.Connections, 1, 1_000_000)},
+		{"read-header-timeout", "5s", "Time within which the headers of a request must arrive.", setDuration(&l.ReadHeaderTimeout, 100*time.Millisecond, time.Minute)},
+		{"idle-timeout", "1m", "Time after which an idle connection is closed.", setDuration(&l.IdleTimeout, time.Second, time.Hour)},
+	}
+}
+
+// operation returns the settings of logs, stops and access.
+func operation(s *Settings) []definition {
+	ignore := func(string) error { return nil }
+	return []definition{
+		{"audit-entries", "50000", "Entries of the audit trail kept in memory.", setInt(&s.AuditEntries, 100, 10_000_000)},
+		{"drain-timeout", "30s", "Longest time of a planned stop.", setDuration(&s.DrainTimeout, time.Second, time.Hour)},
+		{"log-level", "info", "Least severe level that is logged: debug, info, warn or error.", setLevel(&s.LogLevel)},
+		{tlsCert, "", "File with the certificate of the callers' and operators' listeners, in PEM.", ignore},
+		{tlsKey, "", "File with the key of the certificate, in PEM.", ignore},
+		{"operator-token", "", "Bearer token of operators, at least 16 characters; better given by the environment.", setToken(&s.OperatorToken)},
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,122 @@
+// Package settings reads and checks the settings of an entry instance from flags and
+// environment variables.
+package settings
+
+import (
+	"crypto/tls"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/geraniumwick/geraniumwick/internal/model"
+)
+
+// EnvironmentPrefix starts the name of every environment variable.
+const EnvironmentPrefix = "GERANIUMWICK_"
+
+// Settings are the checked settings of one instance.
+type Settings struct {
+	InstanceID model.InstanceID
+	DataCentre model.DataCentre
+
+	// CallerListen, OperatorListen and PeerListen are the addresses of the three listeners.
+	CallerListen   string
+	OperatorListen string
+	PeerListen     string
+	// PeerAdvertise and OperatorAdvertise are the addresses that other instances connect to.
+	PeerAdvertise     string
+	OperatorAdvertise string
+
+	// Stores are the base URLs of the store's endpoints, Inventory that of the inventory.
+	Stores    []string
+	Inventory string
+
+	MemberLeaseTTL time.Duration
+	WorkerLeaseTTL time.Duration
+	TickInterval   time.Duration
+	CommitInterval time.Duration
+	// ConfigMaxAge is the age of the last confirmation beyond which nothing new starts.
+	ConfigMaxAge time.Duration
+	// StoreWritesPerSecond is this instance's share of the store's write rate.
+	StoreWritesPerSecond int
+
+	Limits Limits
+	// AuditEntries is the number of entries that the audit trail keeps in memory.
+	AuditEntries int
+	DrainTimeout time.Duration
+	LogLevel     zerolog.Level
+
+	// TLS holds the certificate of the callers' and operators' listeners; nil is plain HTTP.
+	TLS *tls.Config
+	// OperatorToken is the bearer token of operators. If it is empty, every call on the
+	// operators' listener without a token counts as an operator's.
+	OperatorToken string
+}
+
+// Limits bound what callers and operators can make an instance hold.
+type Limits struct {
+	BodyBytes         int64
+	AnswerBytes       int64
+	HeaderBytes       int
+	Requests          int
+	Connections       int
+	ReadHeaderTimeout time.Duration
+	IdleTimeout       time.Duration
+}
+
+// Error lists every setting that is wrong.
+type Error struct {
+	Problems []string
+}
+
+// Error implements error in one line.
+func (e *Error) Error() string { return strings.Join(e.Problems, "; ") }
+
+// Parse reads the settings from the arguments, without the program's name, and from the
+// environment. Flags win over the environment. The error is an *Error, or one of kingpin
+// for arguments that it cannot read. For --help it prints the flags and ends the process.
+func Parse(args []string) (Settings, error) {
+	return parse(args, os.Stdout, os.Exit)
+}
+
+// parse is Parse with the output and the end of the process as parameters.
+func parse(args []string, out io.Writer, exit func(int)) (Settings, error) {
+	app := kingpin.New("geraniumwickd", "Entry instance of geraniumwick, a scheduler for latency-critical and batch work.")
+	app.UsageWriter(out).ErrorWriter(out).Terminate(exit)
+	var s Settings
+	table := definitions(&s)
+	values := make([]*string, len(table))
+	for i, d := range table {
+		values[i] = app.Flag(d.name, d.help).Envar(d.environment()).PlaceHolder(d.placeholder()).Default(d.value).String()
+	}
+	if _, err := app.Parse(args); err != nil {
+		return Settings{}, err
+	}
+	var problems []string
+	for i, d := range table {
+		if err := d.set(*values[i]); err != nil {
+			problems = append(problems, "--"+d.name+" ("+d.environment()+"): "+err.Error())
+		}
+	}
+	if len(problems) == 0 {
+		problems = s.checkTogether(*values[index(table, tlsCert)], *values[index(table, tlsKey)])
+	}
+	if len(problems) > 0 {
+		return Settings{}, &Error{Problems: problems}
+	}
+	return s, nil
+}
+
+// index returns the place of the definition with the name.
+func index(table []definition, name string) int {
+	for i, d := range table {
+		if d.name == name {
+			return i
+		}
+	}
+	panic("no setting " + name)
+}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -78,6 +78,8 @@
 	ReasonWorker          Reason = "worker-failed"
 	ReasonCancelled       Reason = "cancelled"
 	ReasonClaimsExhausted Reason = "claim-table-full"
+	ReasonConflict        Reason = "edit-conflict"
+	ReasonForbidden       Reason = "forbidden"
 )
 
 // Error carries a verdict and a reason across every hop up to the caller.
