--- a/standin/fleet/api.go
+++ b/standin/fleet/api.go
@@ -53,6 +53,10 @@
 		reply(rw, http.StatusConflict, platform.StaleEpoch{Seen: stale.Seen})
 		return
 	}
+	if err != nil {
+		http.Error(rw, err.Error(), http.StatusBadRequest)
+		return
+	}
 	reply(rw, http.StatusOK, out)
 }
 
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -15,22 +15,28 @@
 
 // Spec says what the platform consists of.
 type Spec struct {
-	Deployment     string             `json:"deployment"`
-	DataCentres    []model.DataCentre `json:"dataCentres"`
-	WorkersPerDC   int                `json:"workersPerDataCentre"`
-	WorkersPerRack int                `json:"workersPerRack"`
-	Capacity       model.Resources    `json:"capacity"`
-	// TargetsPerDC is the number of targets; each is on a worker of its own as far as
-	// there are enough.
-	TargetsPerDC int `json:"targetsPerDataCentre"`
-	Slots        int `json:"slots"`
-	Connections  int `json:"connections"`
+	Deployment string          `json:"deployment"`
+	Racks      []Rack          `json:"racks"`
+	Capacity   model.Resources `json:"capacity"`
+	Slots      int             `json:"slots"`
+	// Connections is the number of connections that a target accepts.
+	Connections int `json:"connections"`
 	// Lag is how old the inventory is.
 	Lag time.Duration `json:"lag"`
+	// SampleWindow is the time that one measurement covers; zero takes the default.
+	SampleWindow time.Duration `json:"sampleWindow,omitempty"`
 	// Seed makes the execution times of requests.
 	Seed uint64 `json:"seed"`
 }
 
+// Rack is a number of workers, and of targets that are spread over them.
+type Rack struct {
+	Name       model.Rack       `json:"name"`
+	DataCentre model.DataCentre `json:"dataCentre"`
+	Workers    int              `json:"workers"`
+	Targets    int              `json:"targets"`
+}
+
 // stepInterval is how often workers look at their attempts.
 const stepInterval = 20 * time.Millisecond
 
@@ -58,32 +64,30 @@
 	in, out atomic.Int64
 }
 
-// RackName returns the name of a rack of a data centre.
-func RackName(dc model.DataCentre, n int) model.Rack {
-	return model.Rack(fmt.Sprintf("%s-r%02d", dc, n+1))
-}
-
 // New returns a fleet whose workers and targets have no addresses yet.
 func New(spec Spec) *Fleet {
 	f := &Fleet{spec: spec, record: newRecord(), left: map[string]departure{}}
 	kinds := workload.Kinds(spec.Deployment)
-	for _, dc := range spec.DataCentres {
-		var local []*Worker
-		for i := range spec.WorkersPerDC {
-			local = append(local, newWorker(model.Worker{
-				ID:         model.WorkerID(fmt.Sprintf("%s-w%03d", dc, i+1)),
-				DataCentre: dc,
-				Rack:       RackName(dc, i/max(spec.WorkersPerRack, 1)),
+	for _, rack := range spec.Racks {
+		first := len(f.workers)
+		for i := range rack.Workers {
+			w := newWorker(model.Worker{
+				ID:         model.WorkerID(fmt.Sprintf("%s-w%02d", rack.Name, i+1)),
+				DataCentre: rack.DataCentre,
+				Rack:       rack.Name,
 				Capacity:   spec.Capacity,
-			}, f.record))
+			}, f.record)
+			if spec.SampleWindow > 0 {
+				w.samples.length = spec.SampleWindow
+			}
+			f.workers = append(f.workers, w)
 		}
-		f.workers = append(f.workers, local...)
-		for i := range spec.TargetsPerDC {
-			on := local[i%len(local)]
+		for i := range rack.Targets {
+			on := f.workers[first+i%rack.Workers]
 			f.targets = append(f.targets, newTarget(model.Target{
-				ID:          model.TargetID(fmt.Sprintf("%s-t%03d", dc, i+1)),
+				ID:          model.TargetID(fmt.Sprintf("%s-t%02d", rack.Name, i+1)),
 				Service:     kinds[0].Service,
-				DataCentre:  dc,
+				DataCentre:  rack.DataCentre,
 				Worker:      on.Model.ID,
 				Slots:       spec.Slots,
 				Connections: spec.Connections,
@@ -111,7 +115,7 @@
 		}
 		t.Model.Addr = l.Addr().String()
 		mux := http.NewServeMux()
-		mux.Handle("POST /{path}", t)
+		mux.Handle("POST /{path...}", t)
 		serve(newLimitListener(l, t.Model.Connections), mux)
 	}
 	go f.run(ctx)
--- a/standin/fleet/samples.go
+++ b/standin/fleet/samples.go
@@ -12,8 +12,8 @@
 
 // Times of the measurements.
 const (
-	sampleWindow = 2 * time.Second
-	sampleLag    = 3 * time.Second
+	defaultSampleWindow = 2 * time.Second
+	sampleLag           = 3 * time.Second
 )
 
 // maxSamples bounds what waits for the next lease call.
@@ -22,6 +22,7 @@
 // sampler measures usage and latency in windows and hands the samples out with a lag.
 type sampler struct {
 	mu       sync.Mutex
+	length   time.Duration
 	from     time.Time
 	usage    []platform.UsageSample
 	services []platform.ServiceSample
@@ -37,7 +38,7 @@
 
 // newSampler returns an empty sampler.
 func newSampler() *sampler {
-	return &sampler{current: map[model.Service]*window{}}
+	return &sampler{length: defaultSampleWindow, current: map[model.Service]*window{}}
 }
 
 // observe adds the latency of one request and how long it held one of the slots.
@@ -61,7 +62,7 @@
 	if s.from.IsZero() {
 		s.from = now
 	}
-	if now.Sub(s.from) < sampleWindow {
+	if now.Sub(s.from) < s.length {
 		return
 	}
 	for _, a := range attempts {
--- a/standin/fleet/target.go
+++ b/standin/fleet/target.go
@@ -16,6 +16,7 @@
 
 // Headers of requests to targets.
 const (
+	headerAttempt  = "Geraniumwick-Attempt"
 	headerKey      = "Geraniumwick-Key"
 	headerNotAfter = "Geraniumwick-Not-After"
 	headerVerdict  = "Geraniumwick-Verdict"
@@ -86,6 +87,8 @@
 
 // ServeHTTP executes one request.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	attempt := r.Header.Get(headerAttempt)
+	w.Header().Set(headerAttempt, attempt)
 	kind, ok := t.kinds[r.PathValue("path")]
 	if !ok {
 		refuse(w, http.StatusNotFound, "no such path")
@@ -123,7 +126,7 @@
 	}
 	answer := t.execute(kind, reference(r, in), in)
 	t.worker.samples.observe(t.Model.Service, time.Since(arrived), time.Since(arrived), t.Model.Slots)
-	deliver(w, mode, answer)
+	deliver(w, mode, attempt, answer)
 }
 
 // execute computes the answer in the time that the worker's other work allows.
@@ -159,7 +162,7 @@
 }
 
 // deliver sends the answer as the mode demands.
-func deliver(w http.ResponseWriter, mode TargetMode, answer []byte) {
+func deliver(w http.ResponseWriter, mode TargetMode, attempt string, answer []byte) {
 	w.Header().Set("Content-Type", "application/json")
 	switch mode {
 	case TargetLate:
@@ -176,7 +179,8 @@
 			return
 		}
 		defer conn.Close()
-		one := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(answer), answer)
+		one := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
+			headerAttempt, attempt, len(answer), answer)
 		_, _ = io.WriteString(conn, one+one)
 		time.Sleep(100 * time.Millisecond)
 		return
--- a/standin/fleet/worker.go
+++ b/standin/fleet/worker.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -47,6 +48,8 @@
 	// start gets the same answer.
 	decided  map[model.AttemptID]decision
 	sequence uint64
+	// life counts the process lives of the worker.
+	life int
 }
 
 // decision is the answer to a start.
@@ -97,6 +100,8 @@
 	w.attempts = map[model.AttemptID]*attempt{}
 	w.decided = map[model.AttemptID]decision{}
 	w.tenures = map[model.Partition]tenure{}
+	w.sequence = 0
+	w.life++
 }
 
 // waitThawed waits while the worker is frozen and returns its mode.
@@ -174,7 +179,11 @@
 	w.record.attemptEnded(a.id, w.Model.ID, state, a.checkpoint, a.progress)
 }
 
-// Lease raises the epoch and renews the lease, or returns a *platform.StaleEpochError.
+// errTooLate refuses a lease request whose not-after time has passed.
+var errTooLate = errors.New("the not-after time has passed")
+
+// Lease raises the epoch and renews the lease, or returns a *platform.StaleEpochError or
+// errTooLate.
 func (w *Worker) Lease(now time.Time, r platform.LeaseRequest) (platform.LeaseReply, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -183,9 +192,18 @@
 	if r.Epoch < t.epoch {
 		return platform.LeaseReply{}, &platform.StaleEpochError{Seen: t.epoch}
 	}
+	if !now.Before(r.NotAfter) {
+		return platform.LeaseReply{}, errTooLate
+	}
 	w.tenures[r.Partition] = tenure{epoch: r.Epoch, expires: now.Add(r.TTL)}
 	w.acknowledgeLocked(r.Partition, r.Acknowledged)
-	reply := platform.LeaseReply{Epoch: r.Epoch, Reports: w.reportsLocked(r, now)}
+	reply := platform.LeaseReply{
+		Epoch:       r.Epoch,
+		Incarnation: fmt.Sprintf("%s/%d", w.Model.ID, w.life),
+		Now:         now,
+		Complete:    r.All,
+		Reports:     w.reportsLocked(r),
+	}
 	reply.Usage, reply.Services = w.samples.take(now)
 	return reply, nil
 }
@@ -200,7 +218,7 @@
 }
 
 // reportsLocked returns the reports that the owner has not acknowledged, or all.
-func (w *Worker) reportsLocked(r platform.LeaseRequest, now time.Time) []platform.AttemptReport {
+func (w *Worker) reportsLocked(r platform.LeaseRequest) []platform.AttemptReport {
 	reports := []platform.AttemptReport{}
 	for _, a := range w.attempts {
 		if a.partition != r.Partition {
--- a/standin/fleet/worker_test.go
+++ b/standin/fleet/worker_test.go
@@ -16,6 +16,9 @@
 // epoch0 is an arbitrary start of time for tests without a real clock.
 var epoch0 = time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC)
 
+// never is later than all other times.
+var never = time.Date(2100, 1, 1, 0, 0, 0, 0, time.UTC)
+
 // at returns a time some seconds after the start.
 func at(seconds float64) time.Time {
 	return epoch0.Add(time.Duration(seconds * float64(time.Second)))
@@ -25,7 +28,7 @@
 func testWorker(t *testing.T) *Worker {
 	t.Helper()
 	w := newWorker(model.Worker{ID: "w1", Capacity: model.Resources{MilliCPU: 2000, MemoryMB: 1000}}, newRecord())
-	_, err := w.Lease(at(0), platform.LeaseRequest{Epoch: 5, TTL: 10 * time.Second})
+	_, err := w.Lease(at(0), platform.LeaseRequest{Epoch: 5, TTL: 10 * time.Second, NotAfter: never})
 	is.New(t).NoErr(err)
 	return w
 }
@@ -86,7 +89,7 @@
 	w := testWorker(t)
 	_, err := w.Start(at(11), start(5, "a", 1, at(20))) // the lease has lapsed
 	is.NoErr(err)
-	_, err = w.Lease(at(12), platform.LeaseRequest{Epoch: 5, TTL: 10 * time.Second})
+	_, err = w.Lease(at(12), platform.LeaseRequest{Epoch: 5, TTL: 10 * time.Second, NotAfter: never})
 	is.NoErr(err)
 	reply, err := w.Start(at(13), start(5, "a", 1, at(20))) // a delayed copy
 	is.NoErr(err)
@@ -100,19 +103,41 @@
 	_, err := w.Start(at(1), start(5, "a", 1, at(3)))
 	is.NoErr(err)
 	w.step(at(10))
-	reply, err := w.Lease(at(11), platform.LeaseRequest{Epoch: 6, TTL: 10 * time.Second, All: true})
+	reply, err := w.Lease(at(11), platform.LeaseRequest{Epoch: 6, TTL: 10 * time.Second, NotAfter: never, All: true})
 	is.NoErr(err)
 	is.Equal(len(reply.Reports), 1)
 	is.Equal(reply.Reports[0].State, model.AttemptLost)
 	// It is reported again until its sequence is acknowledged.
-	reply, err = w.Lease(at(12), platform.LeaseRequest{Epoch: 6, TTL: 10 * time.Second})
+	reply, err = w.Lease(at(12), platform.LeaseRequest{Epoch: 6, TTL: 10 * time.Second, NotAfter: never})
 	is.NoErr(err)
 	is.Equal(len(reply.Reports), 1)
-	reply, err = w.Lease(at(13), platform.LeaseRequest{Epoch: 6, TTL: 10 * time.Second, Acknowledged: reply.Reports[0].Sequence})
+	reply, err = w.Lease(at(13), platform.LeaseRequest{Epoch: 6, TTL: 10 * time.Second, NotAfter: never, Acknowledged: reply.Reports[0].Sequence})
 	is.NoErr(err)
 	is.Equal(len(reply.Reports), 0)
 }
 
+func TestDelayedLeaseRequestDoesNotExtendTheLease(t *testing.T) {
+	is := is.New(t)
+	w := testWorker(t)
+	_, err := w.Lease(at(5), platform.LeaseRequest{Epoch: 5, TTL: 10 * time.Second, NotAfter: at(5)})
+	is.Equal(err, errTooLate)
+	is.True(!w.leasedLocked(0, at(10)))
+}
+
+func TestRestartedWorkerHasANewIncarnation(t *testing.T) {
+	is := is.New(t)
+	w := testWorker(t)
+	lease := platform.LeaseRequest{Epoch: 5, TTL: 10 * time.Second, NotAfter: never, All: true}
+	before, err := w.Lease(at(1), lease)
+	is.NoErr(err)
+	w.SetMode(at(2), ModeDead)
+	w.SetMode(at(3), ModeHealthy)
+	after, err := w.Lease(at(4), lease)
+	is.NoErr(err)
+	is.True(before.Incarnation != after.Incarnation)
+	is.True(after.Complete)
+}
+
 func TestCheckpointCarriesProgressToTheNextAttempt(t *testing.T) {
 	is := is.New(t)
 	w := testWorker(t)
@@ -121,7 +146,7 @@
 	id := model.AttemptID{Job: "a", Number: 1}
 	is.NoErr(w.Signal(at(0), platform.SignalRequest{Epoch: 5, Attempt: id, Kind: platform.SignalThrottle, Share: 0.5}))
 	is.NoErr(w.Signal(at(4), platform.SignalRequest{Epoch: 5, Attempt: id, Kind: platform.SignalCheckpoint}))
-	reply, err := w.Lease(at(5), platform.LeaseRequest{Epoch: 5, TTL: 10 * time.Second})
+	reply, err := w.Lease(at(5), platform.LeaseRequest{Epoch: 5, TTL: 10 * time.Second, NotAfter: never})
 	is.NoErr(err)
 	is.Equal(reply.Reports[0].State, model.AttemptCheckpointed)
 	is.Equal(reply.Reports[0].Progress, 0.2) // 4 s of 10 s at half speed
@@ -129,10 +154,10 @@
 	next.Attempts[0].Checkpoint = reply.Reports[0].Checkpoint
 	_, err = w.Start(at(6), next)
 	is.NoErr(err)
-	reply, err = w.Lease(at(13.9), platform.LeaseRequest{Epoch: 5, TTL: 10 * time.Second, All: true})
+	reply, err = w.Lease(at(13.9), platform.LeaseRequest{Epoch: 5, TTL: 10 * time.Second, NotAfter: never, All: true})
 	is.NoErr(err)
 	is.Equal(reply.Reports[1].State, model.AttemptRunning)
-	reply, err = w.Lease(at(14), platform.LeaseRequest{Epoch: 5, TTL: 10 * time.Second, All: true})
+	reply, err = w.Lease(at(14), platform.LeaseRequest{Epoch: 5, TTL: 10 * time.Second, NotAfter: never, All: true})
 	is.NoErr(err)
 	is.Equal(reply.Reports[1].State, model.AttemptSucceeded)
 	is.Equal(len(w.record.Violations()), 0)
@@ -171,7 +196,7 @@
 	record := newRecord()
 	for _, id := range []model.WorkerID{"w1", "w2"} {
 		w := newWorker(model.Worker{ID: id, Capacity: model.Resources{MilliCPU: 9000, MemoryMB: 9000}}, record)
-		_, err := w.Lease(at(0), platform.LeaseRequest{Epoch: 1, TTL: 10 * time.Second})
+		_, err := w.Lease(at(0), platform.LeaseRequest{Epoch: 1, TTL: 10 * time.Second, NotAfter: never})
 		is.NoErr(err)
 		_, err = w.Start(at(1), start(1, "a", 1, at(3)))
 		is.NoErr(err)
@@ -183,8 +208,12 @@
 func listenFleet(t *testing.T) *Fleet {
 	t.Helper()
 	f := New(Spec{
-		Deployment: "nilewave", DataCentres: []model.DataCentre{"a", "b"}, WorkersPerDC: 2, WorkersPerRack: 1,
-		Capacity: model.Resources{MilliCPU: 4000, MemoryMB: 8000}, TargetsPerDC: 1, Slots: 2, Connections: 8,
+		Deployment: "nilewave",
+		Racks: []Rack{
+			{Name: "a-1", DataCentre: "a", Workers: 2, Targets: 1},
+			{Name: "b-1", DataCentre: "b", Workers: 2, Targets: 1},
+		},
+		Capacity: model.Resources{MilliCPU: 4000, MemoryMB: 8000}, Slots: 2, Connections: 8,
 	})
 	is.New(t).NoErr(f.Listen(t.Context()))
 	return f
@@ -197,9 +226,9 @@
 	ctx := t.Context()
 	w := f.workers[0]
 	addr := w.Model.Addr
-	_, err := c.Lease(ctx, addr, platform.LeaseRequest{Epoch: 3, TTL: 10 * time.Second})
+	_, err := c.Lease(ctx, addr, platform.LeaseRequest{Epoch: 3, TTL: 10 * time.Second, NotAfter: never})
 	is.NoErr(err)
-	_, err = c.Lease(ctx, addr, platform.LeaseRequest{Epoch: 2, TTL: 10 * time.Second})
+	_, err = c.Lease(ctx, addr, platform.LeaseRequest{Epoch: 2, TTL: 10 * time.Second, NotAfter: never})
 	var stale *platform.StaleEpochError
 	is.True(errors.As(err, &stale))
 	is.Equal(stale.Seen, model.Epoch(3))
@@ -221,8 +250,8 @@
 	is := is.New(t)
 	f := listenFleet(t)
 	f.spec.Lag = 2 * time.Second
-	f.setTargets(at(0), TargetFault{Target: "a-t001", Leaving: true})
-	f.setWorkers(at(0), WorkerFault{Worker: "b-w001", Mode: ModeDead})
+	f.setTargets(at(0), TargetFault{Target: "a-1-t01", Leaving: true})
+	f.setWorkers(at(0), WorkerFault{Worker: "b-1-w01", Mode: ModeDead})
 	is.Equal(len(f.Workers(at(1))), 4)
 	is.True(!f.Targets(at(1))[0].Leaving) // the list lags
 	is.Equal(len(f.Workers(at(2))), 3)
--- a/standin/workload/workload.go
+++ b/standin/workload/workload.go
@@ -24,15 +24,15 @@
 func Kinds(deployment string) []Kind {
 	if deployment == Pallikkara {
 		return []Kind{
-			{Service: "filterkeep", Path: "schedule", Class: model.Idempotent, Time: 6 * time.Millisecond},
-			{Service: "filterkeep", Path: "reports", Class: model.Exclusive, Time: 30 * time.Millisecond},
-			{Service: "filterkeep", Path: "bookings", Class: model.Once, Time: 10 * time.Millisecond},
+			{Service: "filterkeep", Path: "visits/list", Class: model.Idempotent, Time: 6 * time.Millisecond},
+			{Service: "filterkeep", Path: "reports/run", Class: model.Exclusive, Time: 30 * time.Millisecond},
+			{Service: "filterkeep", Path: "visits/book", Class: model.Once, Time: 10 * time.Millisecond},
 		}
 	}
 	return []Kind{
-		{Service: "levy-desk", Path: "levies", Class: model.Idempotent, Time: 8 * time.Millisecond},
-		{Service: "levy-desk", Path: "returns", Class: model.Exclusive, Time: 25 * time.Millisecond},
-		{Service: "levy-desk", Path: "filings", Class: model.Once, Time: 10 * time.Millisecond},
+		{Service: "levy-desk", Path: "calculate", Class: model.Idempotent, Time: 8 * time.Millisecond},
+		{Service: "levy-desk", Path: "prepare", Class: model.Exclusive, Time: 25 * time.Millisecond},
+		{Service: "levy-desk", Path: "file", Class: model.Once, Time: 10 * time.Millisecond},
 	}
 }
 
