--- /dev/null
+++ b/standin/cluster/instance.go
@@ -0,0 +1,193 @@
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+
+	"github.com/geraniumwick/geraniumwick/internal/ledger"
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/query"
+	"github.com/geraniumwick/geraniumwick/standin/process"
+)
+
+// Instance is one entry instance, which can be stopped and started again.
+type Instance struct {
+	*process.Process
+	Number   int
+	Caller   string
+	Operator string
+	Peer     string
+
+	cluster *Cluster
+	lives   int
+}
+
+// newInstance chooses the addresses of an instance.
+func (c *Cluster) newInstance(n int) (*Instance, error) {
+	i := &Instance{Number: n, cluster: c}
+	for _, addr := range []*string{&i.Caller, &i.Operator, &i.Peer} {
+		var err error
+		if *addr, err = freeAddress(); err != nil {
+			return nil, err
+		}
+	}
+	return i, nil
+}
+
+// ID returns the name of the present process life.
+func (i *Instance) ID() model.InstanceID {
+	return model.InstanceID(fmt.Sprintf("entry-%d-%d", i.Number+1, i.lives))
+}
+
+// Start starts a new process life.
+func (i *Instance) Start() error {
+	i.lives++
+	c := i.cluster
+	racks := c.options.Fleet.Racks
+	settings := map[string]string{
+		"instance-id":     string(i.ID()),
+		"data-centre":     string(racks[i.Number%len(racks)].DataCentre),
+		"caller-listen":   i.Caller,
+		"operator-listen": i.Operator,
+		"peer-listen":     i.Peer,
+		"store":           "http://" + c.Store.Listeners[i.Number],
+		"inventory":       "http://" + c.Fleet.Inventory,
+	}
+	for name, value := range c.options.Settings {
+		settings[name] = value
+	}
+	var env []string
+	for name, value := range settings {
+		env = append(env, "GERANIUMWICK_"+strings.ToUpper(strings.ReplaceAll(name, "-", "_"))+"="+value)
+	}
+	p, err := process.Start(c.options.Dir, string(i.ID()), nil, env, c.options.Binaries.Daemon)
+	if err != nil {
+		return err
+	}
+	i.Process = p
+	return nil
+}
+
+// Stop ends the instance gracefully.
+func (i *Instance) Stop() error {
+	if i.Process == nil {
+		return nil
+	}
+	select {
+	case <-i.Done():
+		return nil
+	default:
+	}
+	if err := i.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	if err := i.Wait(stopTimeout); err != nil {
+		return fmt.Errorf("planned stop of %s: %w", i.ID(), err)
+	}
+	return nil
+}
+
+// awaitHealthy waits until the instance answers.
+func (i *Instance) awaitHealthy(ctx context.Context) error { return i.await(ctx, "/healthz") }
+
+// AwaitReady waits until the instance takes requests.
+func (i *Instance) AwaitReady(ctx context.Context) error { return i.await(ctx, "/readyz") }
+
+// await polls a path until it answers with success.
+func (i *Instance) await(ctx context.Context, path string) error {
+	return Await(ctx, string(i.ID())+path, readyTimeout, func() (bool, error) {
+		select {
+		case <-i.Done():
+			return false, fmt.Errorf("the process has ended, see %s", i.Log)
+		default:
+		}
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+i.Operator+path, nil)
+		if err != nil {
+			return false, err
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return false, err
+		}
+		defer resp.Body.Close()
+		text, _ := io.ReadAll(resp.Body)
+		if resp.StatusCode != http.StatusOK {
+			return false, fmt.Errorf("%s: %s", resp.Status, text)
+		}
+		return true, nil
+	})
+}
+
+// Operate makes a call on the operators' listener; a nil out ignores the answer.
+func (i *Instance) Operate(ctx context.Context, method, path string, body []byte, out any) error {
+	return do(ctx, method, "http://"+i.Operator+path, body, out)
+}
+
+// PutSection writes a section of the document.
+func (i *Instance) PutSection(ctx context.Context, name string, expected model.Revision, text []byte) error {
+	return i.Operate(ctx, http.MethodPut, fmt.Sprintf("/v1/config/sections/%s?expected=%d", name, expected), text, nil)
+}
+
+// SetDataCentre takes a data centre out of service or back in.
+func (i *Instance) SetDataCentre(ctx context.Context, dc model.DataCentre, out bool) error {
+	verb := "in"
+	if out {
+		verb = "out"
+	}
+	return i.Operate(ctx, http.MethodPost, fmt.Sprintf("/v1/datacentres/%s/%s", dc, verb), nil, nil)
+}
+
+// Status returns the system as the instance sees it.
+func (i *Instance) Status(ctx context.Context) (query.Status, error) {
+	var out query.Status
+	err := i.Operate(ctx, http.MethodGet, "/v1/status", nil, &out)
+	return out, err
+}
+
+// Submit submits a job on the callers' listener.
+func (i *Instance) Submit(ctx context.Context, spec model.JobSpec) error {
+	body, err := json.Marshal(spec)
+	if err != nil {
+		return err
+	}
+	return do(ctx, http.MethodPost, "http://"+i.Caller+"/v1/jobs", body, nil)
+}
+
+// Job returns what the system knows of a job.
+func (i *Instance) Job(ctx context.Context, id model.JobID) (ledger.JobStatus, error) {
+	var out ledger.JobStatus
+	err := do(ctx, http.MethodGet, "http://"+i.Caller+"/v1/jobs/"+string(id), nil, &out)
+	return out, err
+}
+
+// do makes one HTTP call.
+func do(ctx context.Context, method, url string, body []byte, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode/100 != 2 {
+		return fmt.Errorf("%s %s: %s: %s", method, url, resp.Status, bytes.TrimSpace(data))
+	}
+	if out == nil {
+		return nil
+	}
+	return json.Unmarshal(data, out)
+}
--- a/standin/fleet/work.go
+++ b/standin/fleet/attempt.go
@@ -4,64 +4,20 @@
 package fleet
 
 import (
-	"encoding/json"
 	"time"
 
 	"github.com/geraniumwick/geraniumwick/internal/model"
 	"github.com/geraniumwick/geraniumwick/internal/platform"
+	"github.com/geraniumwick/geraniumwick/standin/fleet/work"
 )
 
-// Work is the payload of a job: what its attempts really do, unlike what was declared.
-type Work struct {
-	// Run is the processor time of the whole job without throttling.
-	Run time.Duration `json:"run"`
-	// UsedMilliCPU and UsedMemoryMB are what an attempt really uses; zero means the
-	// reservation.
-	UsedMilliCPU int64 `json:"usedMilliCPU,omitempty"`
-	UsedMemoryMB int64 `json:"usedMemoryMB,omitempty"`
-	// Noise is the inflation of the latency of targets on the same worker that one
-	// processor of this work causes.
-	Noise float64 `json:"noise,omitempty"`
-	// Fails makes every attempt fail at the end.
-	Fails bool `json:"fails,omitempty"`
-}
-
-// Defaults of Work.
-const (
-	defaultRun   = 1 * time.Second
-	defaultNoise = 0.02
-)
-
-// workOf reads the payload of a start and fills in defaults.
-func workOf(s platform.StartAttempt) Work {
-	var w Work
-	// A payload that is not ours leaves the defaults.
-	_ = json.Unmarshal(s.Payload, &w)
-	if w.Run == 0 {
-		w.Run = s.DeclaredRun
-	}
-	if w.Run == 0 {
-		w.Run = defaultRun
-	}
-	if w.UsedMilliCPU == 0 {
-		w.UsedMilliCPU = s.Reservation.MilliCPU
-	}
-	if w.UsedMemoryMB == 0 {
-		w.UsedMemoryMB = s.Reservation.MemoryMB
-	}
-	if w.Noise == 0 {
-		w.Noise = defaultNoise
-	}
-	return w
-}
-
 // attempt is one attempt that the worker knows.
 type attempt struct {
 	id          model.AttemptID
 	partition   model.Partition
 	class       model.JobClass
 	reservation model.Resources
-	work        Work
+	work        work.Work
 	state       model.AttemptState
 	sequence    uint64
 	checkpoint  model.CheckpointID
--- a/standin/fleet/worker.go
+++ b/standin/fleet/worker.go
@@ -9,6 +9,7 @@
 
 	"github.com/geraniumwick/geraniumwick/internal/model"
 	"github.com/geraniumwick/geraniumwick/internal/platform"
+	"github.com/geraniumwick/geraniumwick/standin/fleet/work"
 )
 
 // Mode says how a worker misbehaves.
@@ -282,7 +283,7 @@
 	w.sequence++
 	a := &attempt{
 		id: s.Attempt, partition: p, class: s.Class, reservation: s.Reservation,
-		work: workOf(s), sequence: w.sequence, checkpoint: s.Checkpoint,
+		work: work.Of(s), sequence: w.sequence, checkpoint: s.Checkpoint,
 		progress: progress, throttle: 1, updated: now,
 	}
 	w.attempts[s.Attempt] = a
--- a/standin/process/process.go
+++ b/standin/process/process.go
@@ -40,9 +40,10 @@
 }
 
 // Build compiles a package of the workspace into dir and returns the binary's path.
-func Build(ctx context.Context, dir, pkg, name string) (string, error) {
+func Build(ctx context.Context, dir, pkg, name string, flags ...string) (string, error) {
 	out := filepath.Join(dir, name)
-	cmd := exec.CommandContext(ctx, "go", "build", "-o", out, pkg)
+	args := append([]string{"build", "-o", out}, flags...)
+	cmd := exec.CommandContext(ctx, "go", append(args, pkg)...)
 	if text, err := cmd.CombinedOutput(); err != nil {
 		return "", fmt.Errorf("building %s: %w\n%s", pkg, err, text)
 	}
