--- /dev/null
+++ b/internal/platform/client_test.go
@@ -0,0 +1,219 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/verdict"
+)
+
+// answer is what a fake server sends back.
+type answer struct {
+	status int
+	body   string
+	// cut announces a longer body and closes the connection after this one.
+	cut bool
+	// hang sends nothing until the client leaves.
+	hang bool
+}
+
+// serve returns the URL of a server that gives the answer to every call.
+func serve(t *testing.T, a answer) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // the departure of the client is noticed after the body only
+		if a.hang {
+			<-r.Context().Done()
+			return
+		}
+		if a.cut {
+			w.Header().Set("Content-Length", "100000")
+		}
+		w.WriteHeader(a.status)
+		_, _ = io.WriteString(w, a.body)
+		if a.cut {
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+// testStore returns a store client with short timeouts.
+func testStore(t *testing.T, endpoints ...string) *EtcdStore {
+	t.Helper()
+	s, err := NewStore(endpoints, StoreOptions{CallTimeout: 300 * time.Millisecond, WatchSilence: 300 * time.Millisecond})
+	is.New(t).NoErr(err)
+	return s
+}
+
+func TestSwapSaysWhatTheAnswerProves(t *testing.T) {
+	const lost = `{"header":{"revision":"9"},"responses":[{"response_range":{"header":{"revision":"9"}}}]}`
+	tests := []struct {
+		sentence string
+		answer   answer
+		err      bool
+		unknown  bool
+		lapsed   bool
+	}{
+		{"A success applied the write.", answer{status: 200, body: `{"header":{"revision":"9"},"succeeded":true}`}, false, false, false},
+		{"A failed comparison did not.", answer{status: 200, body: lost}, false, false, false},
+		{"An answer that is neither proves nothing.", answer{status: 200, body: `{}`}, true, true, false},
+		{"An answer that is not JSON proves nothing.", answer{status: 200, body: `<html>`}, true, true, false},
+		{"A truncated answer proves nothing.", answer{status: 200, body: `{"header":`, cut: true}, true, true, false},
+		{"A store that never answers proves nothing.", answer{hang: true}, true, true, false},
+		{"An unavailable store may still have written.", answer{status: 503, body: `{"code":14,"message":"no leader"}`}, true, true, false},
+		{"A server error without a code proves nothing.", answer{status: 500, body: ``}, true, true, false},
+		{"An invalid request is refused.", answer{status: 400, body: `{"code":3,"message":"bad"}`}, true, false, false},
+		{"A lapsed lease refuses the write.", answer{status: 404, body: `{"code":5,"message":"lease not found"}`}, true, false, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.sentence, func(t *testing.T) {
+			is := is.New(t)
+			_, err := testStore(t, serve(t, tt.answer)).Swap(t.Context(), "k", 1, nil, 0)
+			is.Equal(err != nil, tt.err)
+			var storeErr *StoreError
+			if tt.err {
+				is.True(errors.As(err, &storeErr))
+				is.Equal(storeErr.Unknown, tt.unknown)
+				is.Equal(storeErr.Lapsed, tt.lapsed)
+			}
+		})
+	}
+}
+
+func TestFailedReadIsNeverUnknown(t *testing.T) {
+	is := is.New(t)
+	_, _, err := testStore(t, serve(t, answer{hang: true})).Get(t.Context(), "k")
+	var storeErr *StoreError
+	is.True(errors.As(err, &storeErr))
+	is.True(!storeErr.Unknown)
+}
+
+func TestStoreGoesToTheNextEndpointAfterAFailure(t *testing.T) {
+	is := is.New(t)
+	good := serve(t, answer{status: 200, body: `{"header":{"revision":"4"}}`})
+	s := testStore(t, "http://127.0.0.1:1", good)
+	_, _, err := s.Get(t.Context(), "k")
+	is.True(err != nil) // a call is never repeated
+	_, revision, err := s.Get(t.Context(), "k")
+	is.NoErr(err)
+	is.Equal(revision, int64(4))
+}
+
+func TestRenewOfAnAbsentLeaseLapses(t *testing.T) {
+	is := is.New(t)
+	err := testStore(t, serve(t, answer{status: 200, body: `{"result":{"ID":"7"}}`})).Renew(t.Context(), 7)
+	var storeErr *StoreError
+	is.True(errors.As(err, &storeErr))
+	is.True(storeErr.Lapsed)
+}
+
+func TestWatchEndsWithItsReason(t *testing.T) {
+	tests := []struct {
+		sentence  string
+		answer    answer
+		compacted bool
+	}{
+		{"The stream ends.", answer{status: 200, body: `{"result":{"header":{"revision":"3"},"created":true}}`}, false},
+		{"The revision is compacted.", answer{status: 200, body: `{"result":{"canceled":true,"compact_revision":"8"}}`}, true},
+		{"The store reports an error.", answer{status: 200, body: `{"error":{"code":14,"message":"x"}}`}, false},
+		{"A message has no content.", answer{status: 200, body: `{}`}, false},
+		{"A message is cut.", answer{status: 200, body: `{"result":{"header"`, cut: true}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.sentence, func(t *testing.T) {
+			is := is.New(t)
+			events, err := testStore(t, serve(t, tt.answer)).Watch(t.Context(), "p/", 2)
+			is.NoErr(err)
+			var last WatchEvent
+			count := 0
+			for e := range events {
+				last = e
+				count++
+			}
+			is.Equal(count, 1) // the message of the creation is no event
+			var storeErr *StoreError
+			is.True(errors.As(last.Err, &storeErr))
+			is.Equal(storeErr.Compacted, tt.compacted)
+		})
+	}
+}
+
+func TestWatchOfASilentStoreFails(t *testing.T) {
+	is := is.New(t)
+	_, err := testStore(t, serve(t, answer{hang: true})).Watch(t.Context(), "p/", 2)
+	is.True(err != nil)
+}
+
+func TestWorkerClientSaysWhatTheAnswerProves(t *testing.T) {
+	tests := []struct {
+		sentence string
+		answer   answer
+		stale    model.Epoch
+		verdict  verdict.Verdict
+	}{
+		{"A stale epoch refuses the whole call.", answer{status: 409, body: `{"seen":7}`}, 7, verdict.NotRun},
+		{"An invalid call is refused.", answer{status: 400}, 0, verdict.NotRun},
+		{"A conflict without an epoch proves nothing.", answer{status: 409, body: `x`}, 0, verdict.MayHaveRun},
+		{"A server error proves nothing.", answer{status: 500}, 0, verdict.MayHaveRun},
+		{"A truncated answer proves nothing.", answer{status: 200, body: `{"res`, cut: true}, 0, verdict.MayHaveRun},
+		{"A result too few proves nothing.", answer{status: 200, body: `{"results":[]}`}, 0, verdict.MayHaveRun},
+		{"No answer proves nothing.", answer{hang: true}, 0, verdict.MayHaveRun},
+	}
+	for _, tt := range tests {
+		t.Run(tt.sentence, func(t *testing.T) {
+			is := is.New(t)
+			addr := serve(t, tt.answer)[len("http://"):]
+			_, err := NewWorkerClient(300*time.Millisecond).Start(t.Context(), addr, StartRequest{Attempts: make([]StartAttempt, 1)})
+			is.Equal(verdict.Of(err), tt.verdict)
+			var stale *StaleEpochError
+			if errors.As(err, &stale) {
+				is.Equal(stale.Seen, tt.stale)
+			} else {
+				is.Equal(tt.stale, model.Epoch(0))
+			}
+		})
+	}
+}
+
+func TestCancelledCallBeforeAConnectionDidNotRun(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := NewWorkerClient(0).Start(ctx, "127.0.0.1:1", StartRequest{})
+	is.Equal(verdict.Of(err), verdict.NotRun)
+}
+
+func TestBadAddressesAreRefused(t *testing.T) {
+	is := is.New(t)
+	for _, address := range []string{"", "127.0.0.1:2379", "ftp://a", "http://", "http://%zz"} {
+		_, err := NewStore([]string{address}, StoreOptions{})
+		is.True(err != nil)
+		_, err = NewInventory(address)
+		is.True(err != nil)
+	}
+	_, err := NewStore(nil, StoreOptions{})
+	is.True(err != nil)
+}
+
+func TestInventoryListsWhatTheServerKnows(t *testing.T) {
+	is := is.New(t)
+	i, err := NewInventory(serve(t, answer{status: 200, body: `{"workers":[{"id":"w","leaving":true}],"targets":[{"id":"t","slots":8}]}`}))
+	is.NoErr(err)
+	workers, err := i.Workers(t.Context())
+	is.NoErr(err)
+	is.Equal(workers, []model.Worker{{ID: "w", Leaving: true}})
+	targets, err := i.Targets(t.Context())
+	is.NoErr(err)
+	is.Equal(targets, []model.Target{{ID: "t", Slots: 8}})
+}
