--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -251,7 +251,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return fmt.Errorf("%s: %w", what, context.Cause(ctx))
 		case <-time.After(pollInterval):
 		}
 	}
--- a/standin/cluster/instance.go
+++ b/standin/cluster/instance.go
@@ -99,31 +99,28 @@
 // AwaitReady waits until the instance takes requests.
 func (i *Instance) AwaitReady(ctx context.Context) error { return i.await(ctx, "/readyz") }
 
-// await polls a path until it answers with success.
+// await polls a path until it answers with success or the process ends.
 func (i *Instance) await(ctx context.Context, path string) error {
-	return Await(ctx, string(i.ID())+path, readyTimeout, func() (bool, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
 		select {
 		case <-i.Done():
-			return false, fmt.Errorf("the process has ended, see %s", i.Log)
-		default:
-		}
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+i.Operator+path, nil)
-		if err != nil {
-			return false, err
-		}
-		resp, err := http.DefaultClient.Do(req)
-		if err != nil {
-			return false, err
-		}
-		defer resp.Body.Close()
-		text, _ := io.ReadAll(resp.Body)
-		if resp.StatusCode != http.StatusOK {
-			return false, fmt.Errorf("%s: %s", resp.Status, text)
+			cancel(fmt.Errorf("the process has ended, see %s", i.Log))
+		case <-ctx.Done():
 		}
-		return true, nil
+	}()
+	return Await(ctx, string(i.ID())+path, readyTimeout, func() (bool, error) {
+		err := do(ctx, http.MethodGet, "http://"+i.Operator+path, nil, nil)
+		return err == nil, err
 	})
 }
 
+// Ready reports whether the instance wants callers' requests, as the balancer asks it.
+func (i *Instance) Ready(ctx context.Context) bool {
+	return do(ctx, http.MethodGet, "http://"+i.Caller+"/readyz", nil, nil) == nil
+}
+
 // Operate makes a call on the operators' listener; a nil out ignores the answer.
 func (i *Instance) Operate(ctx context.Context, method, path string, body []byte, out any) error {
 	return do(ctx, method, "http://"+i.Operator+path, body, out)
--- a/standin/cluster/traffic.go
+++ b/standin/cluster/traffic.go
@@ -76,8 +76,8 @@
 }
 
 // call sends one request and judges its answer.
-func (t *Traffic) call(addr string, kind workload.Kind, in workload.Request) Result {
-	r := Result{Reference: in.Reference, Class: kind.Class, Began: time.Now()}
+func (t *Traffic) call(addr string, kind workload.Kind, in workload.Request) (r Result) {
+	r = Result{Reference: in.Reference, Class: kind.Class, Began: time.Now()}
 	defer func() { r.Latency = time.Since(r.Began) }()
 	status, header, body, err := t.post(addr, kind, in)
 	if err != nil {
--- a/standin/cmd/quickstart/main.go
+++ b/standin/cmd/quickstart/main.go
@@ -28,7 +28,9 @@
 	slots          = 8
 	connections    = 60
 	requestRate    = 150
-	jobs           = 240
+	firstJobs      = 180
+	meanwhileJobs  = 60
+	lastJobs       = 30
 	shortestJob    = 2 * time.Second
 	longestJob     = 6 * time.Second
 	inventoryLag   = 1 * time.Second
@@ -40,7 +42,7 @@
 const (
 	outAt    = 3 * time.Second
 	inAt     = 12 * time.Second
-	finishBy = 24 * time.Second
+	finishBy = 25 * time.Second
 )
 
 func main() {
--- a/standin/cmd/quickstart/session.go
+++ b/standin/cmd/quickstart/session.go
@@ -12,6 +12,9 @@
 	"github.com/geraniumwick/geraniumwick/standin/workload"
 )
 
+// submitters is the number of jobs that are submitted at once.
+const submitters = 24
+
 // session is the work that goes through the instances.
 type session struct {
 	deployment string
@@ -26,7 +29,7 @@
 // perform sends requests and jobs while the data centre leaves and returns, and stops the
 // instances gracefully.
 func (s *session) perform(ctx context.Context) error {
-	progress("sending %d requests a second and %d jobs through all instances", requestRate, jobs)
+	progress("sending %d requests a second and %d jobs through all instances", requestRate, firstJobs+meanwhileJobs+lastJobs)
 	s.traffic = &cluster.Traffic{
 		Deployment: s.deployment,
 		Run:        "q",
@@ -39,7 +42,7 @@
 	var duties sync.WaitGroup
 	duties.Go(func() { s.traffic.Send(sending) })
 	began := time.Now()
-	if err := s.submit(ctx); err != nil {
+	if err := s.submit(ctx, "first", firstJobs); err != nil {
 		return err
 	}
 	if err := s.outAndIn(ctx, began); err != nil {
@@ -64,19 +67,30 @@
 	return s.cluster.Instances[n%len(s.cluster.Instances)]
 }
 
-// submit submits the jobs. A submission is idempotent, so it is repeated until accepted.
-func (s *session) submit(ctx context.Context) error {
-	for n, spec := range workload.Jobs(s.deployment, "q", jobs, shortestJob, longestJob, 1) {
-		err := cluster.Await(ctx, "submission of "+string(spec.ID), finishBy, func() (bool, error) {
-			err := s.instance(n).Submit(ctx, spec)
-			return err == nil, err
+// submit submits n jobs. A submission is idempotent, so it is repeated until accepted.
+func (s *session) submit(ctx context.Context, run string, n int) error {
+	specs := workload.Jobs(s.deployment, run, n, shortestJob, longestJob, 1)
+	errs := make([]error, submitters)
+	var duties sync.WaitGroup
+	for k := range submitters {
+		duties.Go(func() {
+			for n := k; n < len(specs) && errs[k] == nil; n += submitters {
+				errs[k] = s.submitOne(ctx, n, specs[n])
+			}
 		})
-		if err != nil {
-			return err
-		}
-		s.submitted++
 	}
-	return nil
+	duties.Wait()
+	s.submitted += len(specs)
+	return errors.Join(errs...)
+}
+
+// submitOne submits a job through the n-th instance and the ones after it.
+func (s *session) submitOne(ctx context.Context, n int, spec model.JobSpec) error {
+	return cluster.Await(ctx, "submission of "+string(spec.ID), finishBy, func() (bool, error) {
+		err := s.instance(n).Submit(ctx, spec)
+		n++
+		return err == nil, err
+	})
 }
 
 // outAndIn takes a data centre out of service and brings it back.
@@ -101,6 +115,12 @@
 	}
 	s.outFrom = time.Now()
 	progress("data centre %s is out of service", s.dataCentre)
+	if err := wait(ctx, s.outFrom.Add(grace)); err != nil {
+		return err
+	}
+	if err := s.submit(ctx, "meanwhile", meanwhileJobs); err != nil {
+		return err
+	}
 	if err := wait(ctx, began.Add(inAt)); err != nil {
 		return err
 	}
@@ -109,7 +129,7 @@
 		return err
 	}
 	progress("data centre %s is back in service", s.dataCentre)
-	return nil
+	return s.submit(ctx, "last", lastJobs)
 }
 
 // awaitJobs waits until the workers have finished all jobs.
