--- a/internal/audit/events.go
+++ b/internal/audit/events.go
@@ -1,6 +1,6 @@
 package audit
 
-// The stable names of the events of the configuration.
+// The stable names of the events that are not about one job or request.
 const (
 	// EventConfigAccepted is an accepted edit.
 	EventConfigAccepted = "config.accepted"
@@ -14,6 +14,10 @@
 	EventConfigInvalid = "config.invalid"
 	// EventConfigOlder is a store answer older than what is in force; it is not used.
 	EventConfigOlder = "config.older"
+	// EventCallRefused is a call that was refused before anything was done.
+	EventCallRefused = "call.refused"
+	// EventDropped says that older entries of an instance are no longer kept.
+	EventDropped = "audit.dropped"
 	// EventConfigProblem is a conflict between sections that are both in force.
 	EventConfigProblem = "config.problem"
 )
--- a/internal/audit/trail.go
+++ b/internal/audit/trail.go
@@ -1,6 +1,7 @@
 package audit
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 
@@ -77,17 +78,32 @@
 	t.places[subject] = rest
 }
 
-// Subject returns the entries about the subject, the oldest first.
+// Subject returns the entries about the subject, the oldest first. If older entries of any
+// subject are no longer kept, the first one returned says so.
 func (t *Trail) Subject(subject string) []Entry {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []Entry
+	if t.dropped > 0 {
+		list = append(list, t.droppedEntry(subject))
+	}
 	for _, place := range t.places[subject] {
 		list = append(list, t.entries[place])
 	}
 	return list
 }
 
+// droppedEntry says that the absence of an entry before the oldest kept one proves nothing.
+func (t *Trail) droppedEntry(subject string) Entry {
+	return Entry{
+		At:       t.entries[t.next].At,
+		Instance: t.instance,
+		Subject:  subject,
+		Event:    EventDropped,
+		Reason:   fmt.Sprintf("%d entries of this instance before this time are no longer kept", t.dropped),
+	}
+}
+
 // Recent returns the newest entries, at most limit, the oldest first.
 func (t *Trail) Recent(limit int) []Entry {
 	t.mu.Lock()
--- /dev/null
+++ b/internal/query/explain.go
@@ -0,0 +1,144 @@
+package query
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/geraniumwick/geraniumwick/internal/audit"
+	"github.com/geraniumwick/geraniumwick/internal/ledger"
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/reply"
+	"github.com/geraniumwick/geraniumwick/internal/verdict"
+)
+
+// AuditAnswer lists entries of all instances that answered, the oldest first.
+type AuditAnswer struct {
+	Entries []audit.Entry `json:"entries"`
+	// Unreachable names the instances whose part is missing.
+	Unreachable []model.InstanceID `json:"unreachable,omitempty"`
+}
+
+// Explanation is the life of a request, a job or a section of the configuration.
+type Explanation struct {
+	Subject string `json:"subject"`
+	// Found says that something is known of the subject.
+	Found bool `json:"found"`
+	// Complete says that no part of the trail is missing. Only then does the absence of an
+	// entry mean that it did not happen.
+	Complete bool `json:"complete"`
+	// Job is the state of the job, if the subject is one.
+	Job *ledger.JobStatus `json:"job,omitempty"`
+	// Entries is the life in the order of time.
+	Entries []audit.Entry `json:"entries"`
+	// Unreachable names live instances that did not answer.
+	Unreachable []model.InstanceID `json:"unreachable,omitempty"`
+	// Gone names instances that took part and whose trail ended with them; what they wrote
+	// to the store is shown.
+	Gone []model.InstanceID `json:"gone,omitempty"`
+	// Unknown says in words what is not known.
+	Unknown []string `json:"unknown,omitempty"`
+}
+
+// explain answers with the life of the subject.
+func (h *Handlers) explain(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+	defer cancel()
+	if _, err := h.Guard.IdentifyKnown(r); err != nil {
+		reply.Error(w, err)
+		return
+	}
+	e, err := h.Explain(ctx, r.PathValue("id"))
+	answer(w, e, err)
+}
+
+// Explain collects the life of the subject from the store and from all live instances, and
+// says what is missing.
+func (h *Handlers) Explain(ctx context.Context, subject string) (Explanation, error) {
+	if !strings.Contains(strings.Trim(subject, "/"), "/") {
+		return Explanation{}, verdict.New(verdict.NotRun, verdict.ReasonInvalid, "%q must be a job (team/name), a request (service/key) or a section (config/name)", subject)
+	}
+	entries, unreachable, err := h.Trail.Explain(ctx, subject)
+	if err != nil {
+		return Explanation{}, err
+	}
+	e := Explanation{Subject: subject, Entries: entries, Unreachable: unreachable}
+	sortEntries(e.Entries)
+	h.addJob(ctx, &e)
+	h.addGone(ctx, &e)
+	e.addDropped()
+	e.addUnreachable()
+	e.Found = e.Job != nil || slices.ContainsFunc(e.Entries, func(entry audit.Entry) bool { return entry.Event != audit.EventDropped })
+	e.Complete = len(e.Unknown) == 0
+	return e, nil
+}
+
+// addJob adds the state of the job, if the subject is one.
+func (h *Handlers) addJob(ctx context.Context, e *Explanation) {
+	if strings.HasPrefix(e.Subject, "config/") {
+		return
+	}
+	status, err := h.Jobs.Job(ctx, model.JobID(e.Subject))
+	if err == nil {
+		e.Job = &status
+		return
+	}
+	failure := verdict.From(err, verdict.ReasonPeer)
+	if failure.Reason != verdict.ReasonUnknown && failure.Reason != verdict.ReasonInvalid {
+		e.Unknown = append(e.Unknown, "the state of a job of this name could not be read: "+failure.Message)
+	}
+}
+
+// addGone names the instances that took part and are no longer live.
+func (h *Handlers) addGone(ctx context.Context, e *Explanation) {
+	status, err := h.Cluster.Status(ctx)
+	if err != nil {
+		e.Unknown = append(e.Unknown, "the live instances could not be read: "+err.Error())
+		return
+	}
+	for _, entry := range e.Entries {
+		id := entry.Instance
+		if id == "" || contains(status.Instances, id) || slices.Contains(e.Gone, id) {
+			continue
+		}
+		e.Gone = append(e.Gone, id)
+		e.Unknown = append(e.Unknown, fmt.Sprintf("instance %s took part and is gone; only what it wrote to the store is shown", id))
+	}
+}
+
+// addDropped says which instances no longer keep older entries.
+func (e *Explanation) addDropped() {
+	for _, entry := range e.Entries {
+		if entry.Event == audit.EventDropped {
+			e.Unknown = append(e.Unknown, fmt.Sprintf("instance %s: %s", entry.Instance, entry.Reason))
+		}
+	}
+}
+
+// addUnreachable says which live instances did not answer.
+func (e *Explanation) addUnreachable() {
+	for _, id := range e.Unreachable {
+		e.Unknown = append(e.Unknown, fmt.Sprintf("instance %s did not answer; what only it knows is missing", id))
+	}
+}
+
+// sortEntries orders entries by time, durable ones first at the same time.
+func sortEntries(entries []audit.Entry) {
+	slices.SortStableFunc(entries, func(a, b audit.Entry) int {
+		if c := a.At.Compare(b.At); c != 0 {
+			return c
+		}
+		return cmp.Compare(boolRank(b.Durable), boolRank(a.Durable))
+	})
+}
+
+// boolRank orders false before true.
+func boolRank(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -80,6 +80,7 @@
 	ReasonClaimsExhausted Reason = "claim-table-full"
 	ReasonConflict        Reason = "edit-conflict"
 	ReasonForbidden       Reason = "forbidden"
+	ReasonTooLarge        Reason = "too-large"
 )
 
 // Error carries a verdict and a reason across every hop up to the caller.
