--- a/internal/config/editor.go
+++ b/internal/config/editor.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/google/uuid"
 
@@ -21,13 +22,22 @@
 	instance model.InstanceID
 	recorder audit.Recorder
 	newID    func() string
+	// retryPause is the wait between two tries of a write.
+	retryPause time.Duration
+	// inForce is consulted for sections that were stored by other means; may be nil.
+	inForce *Watcher
 }
 
 // NewEditor returns an Editor. A nil recorder drops the audit entries.
 func NewEditor(store platform.Store, clock platform.Clock, instance model.InstanceID, recorder audit.Recorder) *Editor {
-	return &Editor{store: store, clock: clock, instance: instance, recorder: recorder, newID: uuid.NewString}
+	return &Editor{store: store, clock: clock, instance: instance, recorder: recorder, newID: uuid.NewString, retryPause: defaultRetryPause}
 }
 
+// CompareWith makes the editor compare an edit with the section that the watcher has in
+// force if the stored one was written by other means than an Editor. Without it, a stored
+// section that no instance has put in force could not be replaced by a good one.
+func (e *Editor) CompareWith(w *Watcher) { e.inForce = w }
+
 // Accepted is the outcome of an edit.
 type Accepted struct {
 	Section string `json:"section"`
@@ -92,7 +102,7 @@
 	if base.ModRevision != 0 && decodeEnvelope(base.Value).Text == next.Text {
 		return e.accept(ctx, Accepted{Section: name, Revision: expected, Unchanged: true})
 	}
-	if err := checkEdit(entries, next); err != nil {
+	if err := e.checkEdit(entries, next); err != nil {
 		return Accepted{}, err
 	}
 	return e.write(ctx, edit{change: e.newChange(name, actor), section: next, base: base})
@@ -104,7 +114,7 @@
 }
 
 // checkEdit checks the document as it would be, and returns the problems that are new.
-func checkEdit(entries []platform.KeyValue, next *Section) error {
+func (e *Editor) checkEdit(entries []platform.KeyValue, next *Section) error {
 	set := Set{}
 	for _, kv := range entries {
 		// A stored section that is not valid is not in force and takes no part in the check.
@@ -112,7 +122,7 @@
 			set[s.Name] = s
 		}
 	}
-	problems := CheckChange(set[next.Name], next)
+	problems := CheckChange(e.acceptedSection(entries, set, next.Name), next)
 	problems = append(problems, newProblems(set.Check(), set.With(next).Check())...)
 	if len(problems) == 0 {
 		return nil
@@ -121,6 +131,18 @@
 	return &CheckError{Problems: problems}
 }
 
+// acceptedSection returns the section that an edit must be compatible with.
+func (e *Editor) acceptedSection(entries []platform.KeyValue, set Set, name string) *Section {
+	stored := find(entries, SectionPrefix+name)
+	if e.inForce == nil || decodeEnvelope(stored.Value).Format == envelopeFormat {
+		return set[name]
+	}
+	if s, ok := e.inForce.section(name); ok {
+		return s
+	}
+	return set[name]
+}
+
 // write stores the edit and makes it accepted.
 func (e *Editor) write(ctx context.Context, d edit) (Accepted, error) {
 	name := d.section.Name
@@ -156,7 +178,7 @@
 		if !unknown {
 			return 0, notStored(err)
 		}
-		if pause(ctx, retryPause) != nil {
+		if pause(ctx, e.retryPause) != nil {
 			return 0, verdict.New(verdict.MayHaveRun, verdict.ReasonStore, "the outcome of edit %s is not known; the history of section %q will show it: %v", d.change.ID, d.section.Name, err)
 		}
 	}
@@ -177,7 +199,7 @@
 // accept raises the head, so that every instance that confirms its document from now on
 // has the edit.
 func (e *Editor) accept(ctx context.Context, a Accepted) (Accepted, error) {
-	if err := raiseHead(ctx, e.store, a.Revision); err != nil {
+	if err := raiseHead(ctx, e.store, a.Revision, e.retryPause); err != nil {
 		return Accepted{}, verdict.New(verdict.MayHaveRun, verdict.ReasonStore, "revision %d of section %q is stored, but not yet accepted everywhere: %v", a.Revision, a.Section, err)
 	}
 	return a, nil
--- /dev/null
+++ b/internal/config/fake_test.go
@@ -0,0 +1,228 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/audit"
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/platform"
+)
+
+var errDown = errors.New("connection refused")
+
+// fakeStore is a linearizable store in memory with faults set by tests.
+type fakeStore struct {
+	platform.Store
+
+	mu       sync.Mutex
+	revision int64
+	entries  map[string]platform.KeyValue
+	watchers []*fakeWatch
+	calls    map[string]int
+
+	// down makes every call fail without effect.
+	down bool
+	// loseSwaps makes that many swaps take effect and lose their answer.
+	loseSwaps int
+	// delaySwaps makes that many swaps fail at once and take effect by land.
+	delaySwaps int
+	delayed    []func()
+	// silent stops the delivery of watch events.
+	silent bool
+	// beforeSwap is called once before the next swap of a section.
+	beforeSwap func()
+}
+
+type fakeWatch struct {
+	prefix string
+	events chan platform.WatchEvent
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{entries: map[string]platform.KeyValue{}, calls: map[string]int{}, revision: 10}
+}
+
+func (s *fakeStore) failure(op string, unknown bool) error {
+	return &platform.StoreError{Op: op, Unknown: unknown, Cause: errDown}
+}
+
+func (s *fakeStore) Get(_ context.Context, key string) (platform.KeyValue, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls["get"]++
+	if s.down {
+		return platform.KeyValue{}, 0, s.failure("get", false)
+	}
+	kv := s.entries[key]
+	kv.Key = key
+	return kv, s.revision, nil
+}
+
+func (s *fakeStore) List(_ context.Context, prefix string) ([]platform.KeyValue, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls["list"]++
+	if s.down {
+		return nil, 0, s.failure("list", false)
+	}
+	var list []platform.KeyValue
+	for key, kv := range s.entries {
+		if strings.HasPrefix(key, prefix) {
+			list = append(list, kv)
+		}
+	}
+	return list, s.revision, nil
+}
+
+func (s *fakeStore) Swap(_ context.Context, key string, expected int64, value []byte, _ platform.LeaseID) (platform.SwapResult, error) {
+	if hook := s.takeHook(key); hook != nil {
+		hook()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls["swap"]++
+	if s.down {
+		return platform.SwapResult{}, s.failure("swap", false)
+	}
+	if s.delaySwaps > 0 {
+		s.delaySwaps--
+		s.delayed = append(s.delayed, func() { s.swap(key, expected, value) })
+		return platform.SwapResult{}, s.failure("swap", true)
+	}
+	result := s.swap(key, expected, value)
+	if s.loseSwaps > 0 {
+		s.loseSwaps--
+		return platform.SwapResult{}, s.failure("swap", true)
+	}
+	return result, nil
+}
+
+func (s *fakeStore) takeHook(key string) func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !strings.HasPrefix(key, SectionPrefix) {
+		return nil
+	}
+	hook := s.beforeSwap
+	s.beforeSwap = nil
+	return hook
+}
+
+func (s *fakeStore) swap(key string, expected int64, value []byte) platform.SwapResult {
+	current := s.entries[key]
+	if current.ModRevision != expected {
+		return platform.SwapResult{Revision: s.revision, Current: current}
+	}
+	s.write(key, value)
+	return platform.SwapResult{Applied: true, Revision: s.revision}
+}
+
+func (s *fakeStore) write(key string, value []byte) {
+	s.revision++
+	kv := platform.KeyValue{Key: key, Value: value, ModRevision: s.revision}
+	s.entries[key] = kv
+	for _, w := range s.watchers {
+		if strings.HasPrefix(key, w.prefix) && !s.silent {
+			w.events <- platform.WatchEvent{Revision: s.revision, Changed: []platform.KeyValue{kv}}
+		}
+	}
+}
+
+// land makes the delayed swaps take effect.
+func (s *fakeStore) land() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, apply := range s.delayed {
+		apply()
+	}
+	s.delayed = nil
+}
+
+// set runs f while no call is in progress.
+func (s *fakeStore) set(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+func (s *fakeStore) Watch(_ context.Context, prefix string, after int64) (<-chan platform.WatchEvent, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls["watch"]++
+	if s.down {
+		return nil, s.failure("watch", false)
+	}
+	w := &fakeWatch{prefix: prefix, events: make(chan platform.WatchEvent, 1000)}
+	s.watchers = append(s.watchers, w)
+	return w.events, nil
+}
+
+// fakeRecorder keeps the audit entries.
+type fakeRecorder struct {
+	mu      sync.Mutex
+	entries []audit.Entry
+}
+
+func (r *fakeRecorder) Record(e audit.Entry) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.entries = append(r.entries, e)
+}
+
+func (r *fakeRecorder) count(event string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, e := range r.entries {
+		if e.Event == event {
+			n++
+		}
+	}
+	return n
+}
+
+// newTestEditor returns an editor with numbered edit ids.
+func newTestEditor(store platform.Store, name string) *Editor {
+	e := NewEditor(store, platform.SystemClock{}, "i-1", nil)
+	n := 0
+	e.newID = func() string {
+		n++
+		return fmt.Sprintf("%s-%d", name, n)
+	}
+	return e
+}
+
+// example reads a section of the example documents.
+func example(t testing.TB, name string) []byte {
+	t.Helper()
+	text, err := os.ReadFile("../../examples/" + name + ".yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+// accept puts a section with a new editor and fails the test if it is not accepted.
+func accept(t testing.TB, store platform.Store, name string, text []byte) Accepted {
+	t.Helper()
+	kv, _, err := store.Get(t.Context(), SectionPrefix+name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	a, err := NewEditor(store, platform.SystemClock{}, "i-0", nil).Put(ctx, name, text, modRevision(kv), "test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+func modRevision(kv platform.KeyValue) model.Revision { return model.Revision(kv.ModRevision) }
--- a/internal/config/head.go
+++ b/internal/config/head.go
@@ -9,8 +9,8 @@
 	"github.com/geraniumwick/geraniumwick/internal/platform"
 )
 
-// retryPause is the wait between two tries of a store call.
-const retryPause = 100 * time.Millisecond
+// defaultRetryPause is the wait between two tries of a store call.
+const defaultRetryPause = 100 * time.Millisecond
 
 // head is the stored value of HeadKey.
 type head struct {
@@ -42,7 +42,7 @@
 
 // raiseHead makes HeadKey at least revision. The revision never falls, because each write
 // replaces a value that was read and that is lower. It retries until ctx ends.
-func raiseHead(ctx context.Context, store platform.Store, revision model.Revision) error {
+func raiseHead(ctx context.Context, store platform.Store, revision model.Revision, retryPause time.Duration) error {
 	value, err := json.Marshal(head{Revision: revision})
 	if err != nil {
 		return err
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
@@ -39,7 +40,7 @@
 // section. The error is a *CheckError with line and column.
 func Parse(name string, text []byte) (*Section, error) {
 	s := &Section{Name: name, Text: string(text)}
-	if err := s.parse(); err != nil {
+	if err := s.parseSafely(); err != nil {
 		return nil, err
 	}
 	if problems := s.check(); len(problems) > 0 {
@@ -48,6 +49,17 @@
 	return s, nil
 }
 
+// parseSafely is parse with a panic of the YAML library turned into a problem, so that no
+// text can end the process.
+func (s *Section) parseSafely() (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = s.problem(nil, "the section cannot be read as YAML")
+		}
+	}()
+	return s.parse()
+}
+
 // parse fills the section from its text.
 func (s *Section) parse() error {
 	if !validName(s.Name) {
@@ -68,7 +80,7 @@
 		return s.syntaxProblem(err)
 	}
 	s.file = file
-	if len(file.Docs) != 1 {
+	if len(file.Docs) != 1 || file.Docs[0].Body == nil {
 		return s.problem(nil, "the section must be one YAML document")
 	}
 	return s.decode()
@@ -84,12 +96,35 @@
 		s.Team = &TeamSection{}
 		out = s.Team
 	}
+	if tk, message := badDuration(s.file.Docs[0]); tk != nil {
+		return s.problem(tk, message)
+	}
 	if err := yaml.NodeToValue(s.file.Docs[0].Body, out, yaml.Strict()); err != nil {
 		return s.syntaxProblem(err)
 	}
 	return nil
 }
 
+// badDuration returns the first value of a duration field that is none. The YAML library
+// reports such a value without its position.
+func badDuration(doc ast.Node) (tk *token.Token, message string) {
+	for _, node := range ast.Filter(ast.MappingValueType, doc) {
+		field, ok := node.(*ast.MappingValueNode)
+		if !ok || field.Value == nil || field.Value.GetToken() == nil {
+			continue
+		}
+		name := field.Key.GetToken().Value
+		if name != "deadline" && name != "declaredRun" {
+			continue
+		}
+		value := field.Value.GetToken()
+		if _, err := time.ParseDuration(value.Value); err != nil {
+			return value, fmt.Sprintf("%s is %q, it must be a duration with its unit, such as 500ms or 10m", name, value.Value)
+		}
+	}
+	return nil, ""
+}
+
 // forbidden returns the first token that a section may not hold. Anchors, aliases and tags
 // would let a short text expand into a large document.
 func forbidden(tokens token.Tokens) (*token.Token, string) {
--- a/internal/config/watcher.go
+++ b/internal/config/watcher.go
@@ -120,6 +120,14 @@
 	return list
 }
 
+// section returns the section in force.
+func (w *Watcher) section(name string) (*Section, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s, ok := w.sections[name]
+	return s, ok
+}
+
 // Refused returns the stored sections that are not in force, in the order of their names.
 func (w *Watcher) Refused() []Refusal {
 	w.mu.Lock()
--- a/internal/config/watcher_run.go
+++ b/internal/config/watcher_run.go
@@ -25,7 +25,7 @@
 		if err := w.relistWithin(ctx); err == nil {
 			w.follow(ctx)
 		}
-		if pause(ctx, retryPause) != nil {
+		if pause(ctx, defaultRetryPause) != nil {
 			return
 		}
 	}
@@ -95,7 +95,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	// A failed try is repeated after the next poll.
-	_ = raiseHead(ctx, w.store, revision)
+	_ = raiseHead(ctx, w.store, revision, defaultRetryPause)
 	return revision
 }
 
--- a/internal/query/explain.go
+++ b/internal/query/explain.go
@@ -72,6 +72,7 @@
 	e.addDropped()
 	e.addUnreachable()
 	e.Found = e.Job != nil || slices.ContainsFunc(e.Entries, func(entry audit.Entry) bool { return entry.Event != audit.EventDropped })
+	e.addEnded()
 	e.Complete = len(e.Unknown) == 0
 	return e, nil
 }
@@ -118,6 +119,15 @@
 	}
 }
 
+// addEnded says that an ended instance may have known more, unless the store has the life
+// of the subject: a job, a claimed request or an accepted edit.
+func (e *Explanation) addEnded() {
+	if e.Job != nil || slices.ContainsFunc(e.Entries, func(entry audit.Entry) bool { return entry.Durable }) {
+		return
+	}
+	e.Unknown = append(e.Unknown, "the store has no record of it; an instance that has ended may have handled it without one")
+}
+
 // addUnreachable says which live instances did not answer.
 func (e *Explanation) addUnreachable() {
 	for _, id := range e.Unreachable {
