--- /dev/null
+++ b/internal/schedule/episodes_test.go
@@ -0,0 +1,187 @@
+package schedule
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/geraniumwick/geraniumwick/internal/config"
+	"github.com/geraniumwick/geraniumwick/internal/model"
+)
+
+var (
+	reportFlag  = flag.Bool("report", false, "run the report of all episodes")
+	seedsFlag   = flag.String("seeds", "1,2,3", "seeds of the report")
+	episodeFlag = flag.String("episode", "", "only episodes whose name contains this")
+	cellFlag    = flag.String("deployment", "", "only the deployment with this name")
+)
+
+func constant(x float64) func(int) float64 { return func(int) float64 { return x } }
+
+// between returns high in the given seconds and low otherwise.
+func between(low, high float64, from, to int) func(int) float64 {
+	return func(t int) float64 {
+		if t >= from && t < to {
+			return high
+		}
+		return low
+	}
+}
+
+// square returns high for half of each period of 300 s.
+func square(high float64) func(int) float64 {
+	return func(t int) float64 {
+		if t%300 >= 150 {
+			return high
+		}
+		return 1
+	}
+}
+
+func scenarios() []scenario {
+	steady := constant(0.35)
+	shift := between(0.25, 0.5, 500, 1000)
+	return []scenario{
+		{name: "steady load", load: steady},
+		{name: "load shift", load: shift},
+		{name: "noisy waves", load: steady, wave: square(3)},
+		{name: "wrong declarations", load: steady, wrong: true},
+		{name: "dead workers", load: steady, dead: 3},
+		{name: "impossible jobs", load: steady, doomed: 0.06},
+		{name: "cancellation burst", load: steady, cancelAt: 700},
+		{name: "data centre out", load: steady, outAt: 600, backAt: 1050},
+		{name: "all at once", load: shift, wave: square(3), wrong: true, dead: 3, doomed: 0.06, cancelAt: 700, outAt: 600, backAt: 1050},
+	}
+}
+
+func deployments() []deployment {
+	return []deployment{
+		{
+			name: "nilewave", workers: 65, perRack: 10, cores: 30, memoryGB: 125, reservedCore: 8, reservedGB: 12,
+			dataCentres: []model.DataCentre{"cairo-a", "cairo-b", "cairo-c"}, demand: 0.8,
+			weights: config.Weights{TailLatency: 0.6, Throughput: 0.2, Evictions: 0.2},
+			classes: []classTruth{
+				{name: "extract", cpu: 2, memory: 6, run: 240, noise: 0.3},
+				{name: "reconcile", cpu: 4, memory: 16, run: 400, noise: 0.6},
+				{name: "archive", cpu: 1, memory: 3, run: 120, noise: 1.5},
+				{name: "rating", cpu: 6, memory: 10, run: 300, noise: 0.2},
+				{name: "index", cpu: 3, memory: 20, run: 500, noise: 2.5},
+				{name: "mail", cpu: 0.5, memory: 1, run: 60, noise: 0.1},
+			},
+		},
+		{
+			name: "pallikkara", workers: 50, perRack: 8, cores: 60, memoryGB: 250, reservedCore: 8, reservedGB: 20,
+			dataCentres: []model.DataCentre{"kochi", "thrissur", "kollam"}, demand: 1.1,
+			weights: config.Weights{TailLatency: 0.2, Throughput: 0.4, Evictions: 0.4},
+			classes: []classTruth{
+				{name: "report", cpu: 6, memory: 24, run: 700, noise: 0.5},
+				{name: "statement", cpu: 3, memory: 8, run: 300, noise: 0.3},
+				{name: "import", cpu: 2, memory: 6, run: 150, noise: 1.8},
+				{name: "forecast", cpu: 10, memory: 20, run: 400, noise: 1.0},
+				{name: "export", cpu: 4, memory: 40, run: 250, noise: 2.5},
+				{name: "notify", cpu: 1, memory: 2, run: 60, noise: 0.1},
+			},
+		},
+	}
+}
+
+// runPair plays one scenario under the naive version, under the scheduler, and under the
+// scheduler with the naive version's random choice of runners.
+func runPair(d deployment, s scenario, seed uint64) (n, ours, oursRandom result) {
+	n = newCell(d, s, newNaive(), false, seed).run()
+	ours = newCell(d, s, New(seed, d.weights), true, seed).run()
+	oursRandom = newCell(d, s, New(seed, d.weights), false, seed).run()
+	return n, ours, oursRandom
+}
+
+func (r *result) p99() float64 { return float64(r.latency.ValueAtQuantile(99)) }
+
+func (r *result) lost() int { return r.evictions + r.kills }
+
+func (r *result) urgentDelay() float64 {
+	if len(r.urgent) == 0 {
+		return 0
+	}
+	slices.Sort(r.urgent)
+	return r.urgent[len(r.urgent)*99/100]
+}
+
+// score is the weighted sum of the logarithms of the ratios; above 0 is better than naive.
+func score(w config.Weights, n, o *result) float64 {
+	evictions := func(r *result) float64 { return float64(r.evictions+r.forced+r.kills) + 1 }
+	return w.TailLatency*math.Log(n.p99()/o.p99()) +
+		w.Throughput*math.Log(o.work/n.work) +
+		w.Evictions*math.Log(evictions(n)/evictions(o))
+}
+
+func reportSeeds(t *testing.T) []uint64 {
+	var seeds []uint64
+	for _, s := range strings.Split(*seedsFlag, ",") {
+		seed, err := strconv.ParseUint(s, 10, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		seeds = append(seeds, seed)
+	}
+	return seeds
+}
+
+// TestReport prints the ratios of each episode against the naive version. It asserts
+// nothing; run it with -report.
+func TestReport(t *testing.T) {
+	if !*reportFlag {
+		t.Skip("needs -report")
+	}
+	for _, d := range deployments() {
+		if *cellFlag != "" && d.name != *cellFlag {
+			continue
+		}
+		fmt.Printf("%s, seeds %s, ratios to naive\n%-20s %6s %6s | %6s %7s %6s | %6s | %s\n", d.name, *seedsFlag,
+			"episode", "p99", "random", "work", "evicted", "killed", "score", "counts")
+		for _, s := range scenarios() {
+			if strings.Contains(s.name, *episodeFlag) {
+				reportEpisode(d, s, reportSeeds(t))
+			}
+		}
+	}
+}
+
+func reportEpisode(d deployment, s scenario, seeds []uint64) {
+	type row struct{ n, o, r result }
+	rows := make([]row, len(seeds))
+	var wait sync.WaitGroup
+	for i, seed := range seeds {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			rows[i].n, rows[i].o, rows[i].r = runPair(d, s, seed)
+		}()
+	}
+	wait.Wait()
+	var p99, random, work, worst float64
+	var ne, oe, nk, ok int
+	worst = math.Inf(1)
+	detail := ""
+	for i := range rows {
+		n, o := &rows[i].n, &rows[i].o
+		p99 += math.Log(o.p99() / n.p99())
+		random += math.Log(rows[i].r.p99() / n.p99())
+		work += math.Log(o.work / n.work)
+		worst = min(worst, score(d.weights, n, o))
+		ne, oe = ne+n.evictions+n.forced, oe+o.evictions+o.forced
+		nk, ok = nk+n.kills, ok+o.kills
+		if i == 0 {
+			detail = fmt.Sprintf("p99 %.0f/%.0f ms, evicted %d+%d/%d+%d, killed %d/%d, throttles %d (max %d), parked %d, urgent p99 %.0f/%.0f s, bad %d %d %d %d",
+				o.p99(), n.p99(), o.evictions, o.forced, n.evictions, n.forced, o.kills, n.kills, o.throttles, o.maxThrottles,
+				o.parked, o.urgentDelay(), n.urgentDelay(), o.overCommitted, o.startedOut, o.impossibleAccepted, o.doomedLeft)
+		}
+	}
+	k := float64(len(rows))
+	fmt.Printf("%-20s %6.2f %6.2f | %6.2f %7.2f %6.2f | %6.2f | %s\n", s.name, math.Exp(p99/k), math.Exp(random/k),
+		math.Exp(work/k), float64(oe+1)/float64(ne+1), float64(ok+1)/float64(nk+1), worst, detail)
+}
--- /dev/null
+++ b/internal/schedule/heat.go
@@ -0,0 +1,162 @@
+package schedule
+
+import (
+	"math"
+	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/config"
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/platform"
+)
+
+const (
+	// minimumCount is the number of requests below which a measured p99 is ignored.
+	minimumCount = 20
+	// strictLimit and looseLimit bound the growth of a service's latency through batch
+	// tasks, if only the tail latency counts and if it does not count at all.
+	strictLimit = 1.4
+	looseLimit  = 3.0
+	// deadlineShare is the share of the shortest deadline that a p99 may reach.
+	deadlineShare = 0.5
+	// coolShare is the share of the limit, as a logarithm, below which a window is cool.
+	coolShare = 0.6
+	// hotWindows and coolWindows are the consecutive windows after which relief is given and
+	// taken back.
+	hotWindows  = 2
+	coolWindows = 2
+	// minimumHold and maximumHold bound how long a relief lasts before it is taken back.
+	minimumHold = 30 * time.Second
+	maximumHold = 8 * time.Minute
+	// relapse is the time after a release in which new heat doubles the hold.
+	relapse = 3 * time.Minute
+)
+
+// serviceHeat follows the latency of one service on one worker.
+type serviceHeat struct {
+	hot    int
+	cool   int
+	excess float64
+}
+
+// heat decides when a worker's batch tasks are relieved and when the relief ends.
+type heat struct {
+	services map[model.Service]*serviceHeat
+	// actedAt is the time of the last relief or release. Windows that began before it do not
+	// show its effect and are ignored.
+	actedAt    time.Time
+	releasedAt time.Time
+	hold       time.Duration
+}
+
+// latencyLimit says which growth of a service's latency calls for relief.
+type latencyLimit struct {
+	growth float64
+	// absolute is the logarithm of the latency in seconds that is never acceptable.
+	absolute float64
+}
+
+// latencyLimit returns the limit of a service for the weights in force.
+func (r *round) latencyLimit(service model.Service) latencyLimit {
+	limit := latencyLimit{growth: math.Log(looseLimit + r.goals.tail*(strictLimit-looseLimit)), absolute: math.Inf(1)}
+	if s, ok := r.snapshot.Document.FindService(service); ok {
+		for _, q := range s.Requests {
+			if q.Deadline > 0 {
+				limit.absolute = min(limit.absolute, math.Log(deadlineShare*q.Deadline.Seconds()))
+			}
+		}
+	}
+	return limit
+}
+
+// measure records the growth of the logarithm of the latency in one window.
+func (h *heat) measure(m platform.ServiceSample, growth float64, limit latencyLimit) {
+	if m.From.Before(h.actedAt) {
+		return
+	}
+	if h.services == nil {
+		h.services = map[model.Service]*serviceHeat{}
+	}
+	s := h.services[m.Service]
+	if s == nil {
+		s = &serviceHeat{}
+		h.services[m.Service] = s
+	}
+	s.excess = max(growth-limit.growth, math.Log(m.P99.Seconds())-limit.absolute)
+	switch {
+	case s.excess > 0:
+		s.hot++
+		s.cool = 0
+	case growth < coolShare*limit.growth:
+		s.cool++
+		s.hot = 0
+	default:
+		s.hot, s.cool = 0, 0
+	}
+}
+
+// hottest returns the service that has been hot for long enough and exceeds its limit most.
+func (h *heat) hottest() (model.Service, float64, bool) {
+	var worst model.Service
+	excess := 0.0
+	for name, s := range h.services {
+		if s.hot < hotWindows {
+			continue
+		}
+		if s.excess > excess || (s.excess == excess && name < worst) {
+			worst, excess = name, s.excess
+		}
+	}
+	return worst, excess, worst != ""
+}
+
+// cooled reports whether a relief may be taken back.
+func (h *heat) cooled(now time.Time) bool {
+	if now.Sub(h.actedAt) < max(h.hold, minimumHold) {
+		return false
+	}
+	for _, s := range h.services {
+		if s.cool < coolWindows {
+			return false
+		}
+	}
+	return true
+}
+
+// acted records a relief. Heat soon after a release means that the cause comes and goes, so the
+// next relief lasts longer.
+func (h *heat) acted(now time.Time) {
+	switch {
+	case h.releasedAt.IsZero() || now.Sub(h.releasedAt) > max(relapse, h.hold):
+		h.hold = minimumHold
+	case h.releasedAt.After(h.actedAt) || h.releasedAt.Equal(h.actedAt):
+		h.hold = min(2*max(h.hold, minimumHold), maximumHold)
+	}
+	h.actedAt = now
+	h.reset()
+}
+
+// released records that a relief was taken back.
+func (h *heat) released(now time.Time) {
+	h.actedAt = now
+	h.releasedAt = now
+	h.reset()
+}
+
+func (h *heat) reset() {
+	for _, s := range h.services {
+		s.hot, s.cool = 0, 0
+	}
+}
+
+// goals are the weights of a deployment, scaled to a sum of 1.
+type goals struct {
+	tail, throughput, evictions float64
+}
+
+func goalsOf(w config.Weights) goals {
+	sum := w.TailLatency + w.Throughput + w.Evictions
+	if sum <= 0 {
+		return goals{1.0 / 3, 1.0 / 3, 1.0 / 3}
+	}
+	return goals{w.TailLatency / sum, w.Throughput / sum, w.Evictions / sum}
+}
--- a/internal/schedule/relief.go
+++ b/internal/schedule/relief.go
@@ -2,23 +2,47 @@
 
 import (
 	"fmt"
+	"time"
 
+	"github.com/geraniumwick/geraniumwick/internal/model"
 	"github.com/geraniumwick/geraniumwick/internal/platform"
 )
 
+const (
+	// memoryLimit is the share of a worker's memory in use above which a task is moved away.
+	memoryLimit = 0.95
+	// memoryStop is the share above which a task whose checkpoint is late is stopped.
+	memoryStop = 0.99
+	// checkpointPatience is how long a checkpoint may take before the task may be stopped.
+	checkpointPatience = time.Minute
+	// cpuLimit is the share of a worker's processors in use above which tasks that exceed
+	// their reservation are throttled to it.
+	cpuLimit = 1.0
+	// reservationShare is the throttle that holds a task to its reservation; 1 would lift it.
+	reservationShare = 0.95
+	// lowestShare is the strongest throttle.
+	lowestShare = 0.25
+	// throttleStep divides a task's share with each stronger throttle.
+	throttleStep = 2
+	// moveExcess is the growth above the limit, as a logarithm, from which a task is moved when
+	// throttling does not help.
+	moveExcess = 0.2
+	// lateProgress is the progress from which a task is left to finish.
+	lateProgress = 0.85
+	// jobCooldown is the least time between two evictions of a job for relief.
+	jobCooldown = 5 * time.Minute
+)
+
 // evacuate checkpoints every attempt in a data centre that is out of service and on every
 // worker that the platform withdraws, so that the jobs resume elsewhere.
 func (r *round) evacuate(plan *Plan) {
-	if r.snapshot.Document == nil {
-		return
-	}
 	for i := range r.nodes {
 		view := r.nodes[i].view
 		if !view.Reachable || len(view.Attempts) == 0 {
 			continue
 		}
 		if reason := r.evacuationReason(view); reason != "" {
-			checkpointAll(view, reason, plan)
+			r.checkpointAll(&r.nodes[i], reason, plan)
 		}
 	}
 }
@@ -33,17 +57,241 @@
 	return ""
 }
 
-func checkpointAll(view *WorkerView, reason string, plan *Plan) {
-	for i := range view.Attempts {
-		a := &view.Attempts[i]
+func (r *round) checkpointAll(n *node, reason string, plan *Plan) {
+	for i := range n.view.Attempts {
+		a := &n.view.Attempts[i]
 		if a.Evicting {
 			continue
 		}
 		plan.Reliefs = append(plan.Reliefs, Relief{
 			Attempt: a.ID,
-			Worker:  view.Worker.ID,
+			Worker:  n.view.Worker.ID,
 			Kind:    platform.SignalCheckpoint,
 			Reason:  reason,
 		})
 	}
 }
+
+// relieve acts on the workers whose samples were just learned from.
+func (r *round) relieve(digested []int, plan *Plan) {
+	for _, i := range digested {
+		n := &r.nodes[i]
+		if !n.view.Reachable || r.evacuationReason(n.view) != "" {
+			continue
+		}
+		if r.relieveMemory(n, plan) || r.relieveCPU(n, plan) || r.relieveLatency(n, plan) {
+			continue
+		}
+		r.release(n, plan)
+	}
+}
+
+// relieveMemory moves the task with the least lost work per freed megabyte before the
+// worker runs out of memory. Throttling does not free memory.
+func (r *round) relieveMemory(n *node, plan *Plan) bool {
+	w := n.state
+	used := w.memoryInUse()
+	share := used / float64(max(1, w.capacity.MemoryMB))
+	if share <= memoryLimit {
+		return false
+	}
+	if late := w.lateCheckpoint(r.snapshot.Now); late != nil && share > memoryStop {
+		reason := fmt.Sprintf("memory of the worker is %.0f%% in use and its checkpoint is late", 100*share)
+		r.evict(n, late, platform.SignalStop, reason, plan)
+		return true
+	}
+	if w.leavingMemory() >= used-memoryLimit*float64(w.capacity.MemoryMB) {
+		return true
+	}
+	victim := r.victim(w, func(a *resident) float64 { return a.memory })
+	if victim == nil {
+		return false
+	}
+	reason := fmt.Sprintf("memory of the worker is %.0f%% in use; the task uses %.0f MB of %d reserved",
+		100*share, victim.memory, victim.reservation.MemoryMB)
+	r.evict(n, victim, platform.SignalCheckpoint, reason, plan)
+	return true
+}
+
+func (w *workerState) memoryInUse() float64 {
+	sum := 0.0
+	for _, a := range w.residents {
+		if a.alive() {
+			sum += a.memory
+		}
+	}
+	return sum
+}
+
+// leavingMemory is what the evictions under way will free.
+func (w *workerState) leavingMemory() float64 {
+	sum := 0.0
+	for _, a := range w.residents {
+		if a.alive() && a.evicting {
+			sum += a.memory
+		}
+	}
+	return sum
+}
+
+func (w *workerState) lateCheckpoint(now time.Time) *resident {
+	for _, a := range w.residents {
+		if a.alive() && a.evicting && !a.evictedAt.IsZero() && now.Sub(a.evictedAt) > checkpointPatience {
+			return a
+		}
+	}
+	return nil
+}
+
+// relieveCPU holds the task that exceeds its reservation most to it, if the worker's
+// tasks together use more than its processors.
+func (r *round) relieveCPU(n *node, plan *Plan) bool {
+	w := n.state
+	used, excess := 0.0, 0.0
+	var worst *resident
+	for _, a := range w.residents {
+		if !a.alive() {
+			continue
+		}
+		used += a.cpu
+		over := a.cpu - float64(a.reservation.MilliCPU)
+		if a.share == 1 && a.reliable() && over > excess {
+			worst, excess = a, over
+		}
+	}
+	share := used / float64(max(1, w.capacity.MilliCPU))
+	if share <= cpuLimit || worst == nil {
+		return false
+	}
+	reason := fmt.Sprintf("processors of the worker are %.0f%% in use; the task uses %.0f of %d milliCPU",
+		100*share, worst.cpu, worst.reservation.MilliCPU)
+	r.throttle(n, worst, reservationShare, reason, plan)
+	return true
+}
+
+// reliable reports whether relief may act on the attempt.
+func (a *resident) reliable() bool {
+	return a.alive() && !a.evicting && a.samples > 0 && a.spec.Priority == model.PriorityBatch
+}
+
+// relieveLatency gives the mildest relief that is left on a worker whose service has been
+// too slow: a throttle, a stronger throttle, then a move.
+func (r *round) relieveLatency(n *node, plan *Plan) bool {
+	w := n.state
+	service, excess, hot := w.heat.hottest()
+	if !hot {
+		return false
+	}
+	pair := r.scheduler.effects(service, w.load[service])
+	harm := func(a *resident) float64 {
+		return max(0, pair.effectOf(a.spec.Class).Mean) * a.cpu / float64(max(1, w.capacity.MilliCPU))
+	}
+	reason := fmt.Sprintf("latency of %s is %.1f times its limit", service, growthFactor(excess))
+	if a := mostHarmful(w, harm); a != nil {
+		share := max(lowestShare, a.share/throttleStep)
+		r.throttle(n, a, share, reason, plan)
+		return true
+	}
+	if excess < moveExcess*(1+r.goals.evictions) || !r.scheduler.budget.take(r.snapshot.Now) {
+		return false
+	}
+	victim := r.victim(w, harm)
+	if victim == nil {
+		return false
+	}
+	r.evict(n, victim, platform.SignalCheckpoint, reason+" in spite of throttling", plan)
+	return true
+}
+
+// mostHarmful returns the attempt whose throttle reduces the latency most.
+func mostHarmful(w *workerState, harm func(*resident) float64) *resident {
+	var worst *resident
+	most := 0.0
+	for _, a := range w.residents {
+		if !a.reliable() || a.share <= lowestShare {
+			continue
+		}
+		if h := harm(a); h > most {
+			worst, most = a, h
+		}
+	}
+	return worst
+}
+
+// victim returns the attempt with the least lost work per unit of relief.
+func (r *round) victim(w *workerState, relief func(*resident) float64) *resident {
+	var best *resident
+	least := 0.0
+	for _, a := range w.residents {
+		gain := relief(a)
+		if !a.reliable() || gain <= 0 || !r.evictable(a) {
+			continue
+		}
+		if cost := a.lostWork() / gain; best == nil || cost < least {
+			best, least = a, cost
+		}
+	}
+	return best
+}
+
+// evictable spares jobs that are about to finish and jobs that were evicted a short while ago.
+func (r *round) evictable(a *resident) bool {
+	j := r.scheduler.jobs[a.id.Job]
+	recent := j != nil && !j.evictedAt.IsZero() && r.snapshot.Now.Sub(j.evictedAt) < jobCooldown
+	return !recent && a.progress < lateProgress
+}
+
+// lostWork estimates the processor seconds that a checkpoint and a move cost: the time to
+// write and read the memory, in which the task makes no progress.
+func (a *resident) lostWork() float64 {
+	const (
+		restartSeconds     = 5
+		secondsPerGigabyte = 0.5
+		megabytes          = 1024
+	)
+	return (restartSeconds + secondsPerGigabyte*a.memory/megabytes) * max(a.cpu, 1)
+}
+
+func (r *round) throttle(n *node, a *resident, share float64, reason string, plan *Plan) {
+	a.share = share
+	a.throttledUntil = r.snapshot.Now
+	n.state.heat.acted(r.snapshot.Now)
+	plan.Reliefs = append(plan.Reliefs, Relief{
+		Attempt: a.id, Worker: n.view.Worker.ID, Kind: platform.SignalThrottle, Share: share, Reason: reason,
+	})
+}
+
+func (r *round) evict(n *node, a *resident, kind platform.SignalKind, reason string, plan *Plan) {
+	now := r.snapshot.Now
+	a.evicting = true
+	a.evictedAt = now
+	r.scheduler.job(a.id.Job, now).evictedAt = now
+	n.state.heat.acted(now)
+	plan.Reliefs = append(plan.Reliefs, Relief{
+		Attempt: a.id, Worker: n.view.Worker.ID, Kind: kind, Reason: reason,
+	})
+}
+
+// release takes the strongest throttle of a cool worker back by one step.
+func (r *round) release(n *node, plan *Plan) {
+	w := n.state
+	if !w.heat.cooled(r.snapshot.Now) {
+		return
+	}
+	var slowest *resident
+	for _, a := range w.residents {
+		if a.alive() && !a.evicting && a.share < 1 && (slowest == nil || a.share < slowest.share) {
+			slowest = a
+		}
+	}
+	if slowest == nil {
+		return
+	}
+	share := min(1, slowest.share*throttleStep)
+	slowest.share = share
+	w.heat.released(r.snapshot.Now)
+	plan.Reliefs = append(plan.Reliefs, Relief{
+		Attempt: slowest.id, Worker: n.view.Worker.ID, Kind: platform.SignalThrottle, Share: share,
+		Reason: "services of the worker are within their limits again",
+	})
+}
--- a/internal/schedule/round.go
+++ b/internal/schedule/round.go
@@ -1,14 +1,18 @@
 package schedule
 
 import (
+	"math"
+
 	"github.com/geraniumwick/geraniumwick/internal/config"
 	"github.com/geraniumwick/geraniumwick/internal/model"
 )
 
 // node is the working copy of one worker during a decision.
 type node struct {
-	view *WorkerView
-	// free is the capacity that no attempt and no placement of this plan holds.
+	view  *WorkerView
+	state *workerState
+	// free is the capacity that no attempt and no placement of this plan holds, less what
+	// attempts use above their reservations.
 	free model.Resources
 	// open says that the worker may receive starts.
 	open bool
@@ -18,27 +22,36 @@
 type round struct {
 	scheduler *Scheduler
 	snapshot  *Snapshot
-	weights   config.Weights
+	goals     goals
+	// admission is the growth of a latency, as a logarithm, up to which batch work is placed.
+	admission float64
 	out       map[model.DataCentre]bool
 	nodes     []node
 	teamUse   map[model.Team]model.Resources
 	// capacity is the sum of the open workers' capacities.
 	capacity model.Resources
 	spread   *rackSpread
+	parked   map[model.JobID]bool
+	effects  map[model.JobClass][]float64
 }
 
 func newRound(s *Scheduler, snapshot *Snapshot) *round {
 	r := &round{
 		scheduler: s,
 		snapshot:  snapshot,
-		weights:   s.weightsFor(snapshot.Document),
+		goals:     goalsOf(s.weightsFor(snapshot.Document)),
 		out:       outOfService(snapshot.Document),
 		nodes:     make([]node, len(snapshot.Workers)),
 		teamUse:   make(map[model.Team]model.Resources, len(snapshot.TeamUse)),
+		parked:    map[model.JobID]bool{},
+		effects:   map[model.JobClass][]float64{},
 	}
+	r.admission = math.Log(admissionMargin * (looseLimit + r.goals.tail*(strictLimit-looseLimit)))
 	for team, use := range snapshot.TeamUse {
 		r.teamUse[team] = use
 	}
+	s.largest = model.Resources{}
+	s.budget.workers = len(snapshot.Workers)
 	for i := range snapshot.Workers {
 		r.addNode(i)
 	}
@@ -47,10 +60,17 @@
 
 func (r *round) addNode(i int) {
 	view := &r.snapshot.Workers[i]
+	s := r.scheduler
 	n := &r.nodes[i]
 	n.view = view
-	n.free = view.Worker.Capacity.Sub(view.Committed)
-	n.open = view.Reachable && !view.Worker.Leaving && r.inService(view.Worker.DataCentre)
+	n.state = s.worker(view.Worker.ID)
+	n.state.capacity = view.Worker.Capacity
+	n.state.setServices(s, view.Services)
+	n.state.checkProbe(r.snapshot.Now)
+	n.free = view.Worker.Capacity.Sub(view.Committed).Sub(n.state.overrun)
+	s.largest = atLeast(s.largest, view.Worker.Capacity)
+	n.open = view.Reachable && !view.Worker.Leaving && r.inService(view.Worker.DataCentre) &&
+		!n.state.health.quarantined(r.snapshot.Now)
 	if n.open {
 		r.capacity = r.capacity.Add(view.Worker.Capacity)
 	}
@@ -63,9 +83,6 @@
 }
 
 func outOfService(doc *config.Document) map[model.DataCentre]bool {
-	if doc == nil {
-		return nil
-	}
 	out := make(map[model.DataCentre]bool, len(doc.Operators.DataCentres))
 	for _, dc := range doc.Operators.DataCentres {
 		out[dc.Name] = dc.Out
@@ -73,11 +90,25 @@
 	return out
 }
 
-// commit takes the reservation from the node and adds it to the team's use.
-func (r *round) commit(n *node, spec *model.JobSpec, reservation model.Resources) {
+// commit takes the reservation from the node, adds it to the team's use and remembers the
+// attempt.
+func (r *round) commit(n *node, q *QueuedJob, reservation model.Resources) {
 	n.free = n.free.Sub(reservation)
-	r.teamUse[spec.Team] = r.teamUse[spec.Team].Add(reservation)
-	if spec.Priority == model.PriorityService {
-		r.rackSpread().add(spec, n.view.Worker.Rack)
+	r.teamUse[q.Spec.Team] = r.teamUse[q.Spec.Team].Add(reservation)
+	if q.Spec.Priority == model.PriorityService {
+		r.rackSpread().add(&q.Spec, n.view.Worker.Rack)
+	}
+	if n.state.health.probing {
+		n.state.health.probe = q.Spec.ID
 	}
+	spec := q.Spec
+	n.state.residents = append(n.state.residents, &resident{
+		id:          model.AttemptID{Job: q.Spec.ID, Number: q.Attempt},
+		spec:        &spec,
+		reservation: reservation,
+		from:        r.snapshot.Now,
+		share:       1,
+		progress:    q.Progress,
+	})
+	n.state.refresh(r.scheduler)
 }
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"github.com/geraniumwick/geraniumwick/internal/config"
 	"github.com/geraniumwick/geraniumwick/internal/model"
@@ -14,6 +15,20 @@
 type Scheduler struct {
 	random  *rand.Rand
 	weights config.Weights
+
+	classes  map[model.JobClass]*classEstimate
+	services map[model.Service]*serviceEffects
+	// pairs lists the entries of services in order of creation.
+	pairs   []*pairEffects
+	workers map[model.WorkerID]*workerState
+	jobs    map[model.JobID]*jobState
+	budget  evictionBudget
+	// largest is the largest amount of each resource on any worker.
+	largest model.Resources
+
+	pending      map[model.WorkerID]*WorkerSamples
+	pendingOrder []model.WorkerID
+	forgotAt     time.Time
 }
 
 var _ Policy = (*Scheduler)(nil)
@@ -22,35 +37,35 @@
 // a snapshot sets none.
 func New(seed uint64, w config.Weights) *Scheduler {
 	return &Scheduler{
-		random:  rand.New(rand.NewPCG(seed, randomStream)),
-		weights: w,
+		random:   rand.New(rand.NewPCG(seed, randomStream)),
+		weights:  w,
+		classes:  map[model.JobClass]*classEstimate{},
+		services: map[model.Service]*serviceEffects{},
+		workers:  map[model.WorkerID]*workerState{},
+		jobs:     map[model.JobID]*jobState{},
+		pending:  map[model.WorkerID]*WorkerSamples{},
 	}
 }
 
-// Plan implements Policy.
+// Plan implements Policy. Without a document nothing is decided.
 func (s *Scheduler) Plan(snapshot *Snapshot) Plan {
-	r := newRound(s, snapshot)
 	var plan Plan
+	if snapshot.Document == nil {
+		return plan
+	}
+	r := newRound(s, snapshot)
 	r.evacuate(&plan)
+	r.relieve(r.digest(), &plan)
+	r.park(&plan)
 	r.placeQueue(&plan)
+	s.forgetJobs(snapshot.Now)
 	return plan
 }
 
-// Observe implements Policy.
-func (s *Scheduler) Observe(WorkerSamples) {}
-
-// Ended implements Policy.
-func (s *Scheduler) Ended(AttemptEnd) {}
-
 // weightsFor returns the weights of the document, or those given to New if it has none.
 func (s *Scheduler) weightsFor(doc *config.Document) config.Weights {
-	if doc == nil || doc.Operators.Weights == (config.Weights{}) {
+	if doc.Operators.Weights == (config.Weights{}) {
 		return s.weights
 	}
 	return doc.Operators.Weights
 }
-
-// reservation returns what a job is given on a worker.
-func (s *Scheduler) reservation(spec *model.JobSpec) model.Resources {
-	return atLeast(spec.Declared, minimumReservation)
-}
--- a/internal/schedule/score.go
+++ b/internal/schedule/score.go
@@ -2,50 +2,101 @@
 
 import (
 	"fmt"
+	"math"
+	"time"
 
 	"github.com/geraniumwick/geraniumwick/internal/model"
 )
 
+const (
+	// tailScale brings the growth of latencies to the scale of packingCost.
+	tailScale = 1.0
+	// riskScale brings the risk of an eviction to the scale of packingCost.
+	riskScale = 1.0
+	// safeMemory is the share of a worker's memory whose absence is a risk of eviction.
+	safeMemory = 0.08
+	// admissionMargin is the factor over the latency limit up to which batch work is placed.
+	admissionMargin = 1.5
+	// maximumGrowth bounds a predicted growth, so that one bad estimate cannot exceed a float.
+	maximumGrowth = 5
+)
+
 // placeJob starts the job on the feasible worker with the lowest cost, if there is one.
 func (r *round) placeJob(q *QueuedJob, plan *Plan) {
-	reservation := r.scheduler.reservation(&q.Spec)
+	s := r.scheduler
+	j := s.jobs[q.Spec.ID]
+	if r.parked[q.Spec.ID] || (j != nil && r.snapshot.Now.Before(j.notBefore)) {
+		return
+	}
+	reservation := s.reservation(&q.Spec)
 	if !r.withinQuota(q.Spec.Team, reservation) {
 		return
 	}
-	best, cost := r.cheapest(q, reservation)
+	best, cost := r.cheapest(q, j, reservation)
 	if best == nil {
 		return
 	}
-	r.commit(best, &q.Spec, reservation)
+	r.commit(best, q, reservation)
 	plan.Placements = append(plan.Placements, Placement{
 		Job:         q.Spec.ID,
 		Worker:      best.view.Worker.ID,
 		Reservation: reservation,
-		Reason:      fmt.Sprintf("cheapest feasible worker, cost %.3f, attempt %d", cost, q.Attempt),
+		Reason:      placementReason(q, best, cost),
 	})
 }
 
+func placementReason(q *QueuedJob, n *node, cost placementCost) string {
+	probe := ""
+	if n.state.health.probing {
+		probe = ", probe of a quarantined worker"
+	}
+	return fmt.Sprintf("attempt %d: lowest cost %.3f (packing %.3f, latency %.3f, eviction risk %.3f)%s",
+		q.Attempt, cost.total, cost.packing, cost.tail, cost.risk, probe)
+}
+
+// placementCost is the cost of a placement and its parts.
+type placementCost struct {
+	total, packing, tail, risk float64
+}
+
 // cheapest scans the nodes from a random offset, so that equal workers share the starts.
-func (r *round) cheapest(q *QueuedJob, reservation model.Resources) (*node, float64) {
+func (r *round) cheapest(q *QueuedJob, j *jobState, reservation model.Resources) (*node, placementCost) {
 	var best *node
-	var bestCost float64
+	var bestCost placementCost
 	if len(r.nodes) == 0 {
-		return nil, 0
+		return nil, bestCost
 	}
+	effects := r.effectsOf(q.Spec.Class)
 	offset := r.scheduler.random.IntN(len(r.nodes))
 	for i := range r.nodes {
-		n := &r.nodes[(i+offset)%len(r.nodes)]
-		if !r.feasible(n, &q.Spec, reservation) {
+		k := i + offset
+		if k >= len(r.nodes) {
+			k -= len(r.nodes)
+		}
+		n := &r.nodes[k]
+		if !r.feasible(n, &q.Spec, reservation) || !n.state.health.mayProbe(&q.Spec) || j.failedHere(n.view.Worker.ID) {
 			continue
 		}
-		cost := packingCost(n, reservation)
-		if best == nil || cost < bestCost {
+		cost, admitted := r.cost(n, q, reservation, effects)
+		if admitted && (best == nil || cost.total < bestCost.total) {
 			best, bestCost = n, cost
 		}
 	}
 	return best, bestCost
 }
 
+// cost returns the cost of the placement. Batch work is not admitted where it would drive
+// a service far beyond its limit.
+func (r *round) cost(n *node, q *QueuedJob, reservation model.Resources, effects []float64) (placementCost, bool) {
+	c := placementCost{packing: packingCost(n, reservation)}
+	worst := 0.0
+	c.tail, worst = n.tailCost(reservation, effects)
+	c.risk = riskCost(n, reservation)
+	c.total = (1-r.goals.tail)*c.packing + r.goals.tail*tailScale*c.tail + r.goals.evictions*riskScale*c.risk
+	admitted := q.Spec.Priority != model.PriorityBatch || worst <= r.admission
+	return c, admitted
+}
+
 // packingCost is the share of the worker that stays free plus the imbalance between its
 // free processors and memory, both after the placement. A low cost keeps large gaps
 // together and avoids workers whose memory is full while processors idle.
@@ -57,6 +108,47 @@
 	return (cpu+memory)/2 + abs(cpu-memory)
 }
 
+// tailCost is the predicted growth of the latencies on the node through the placement, and the
+// worst predicted growth after it as a logarithm. It is convex: the tail of a service
+// over all workers is made by the worst of them.
+func (n *node) tailCost(reservation model.Resources, effects []float64) (cost, worst float64) {
+	share := ratio(reservation.MilliCPU, n.view.Worker.Capacity.MilliCPU)
+	for _, p := range n.state.pairs {
+		after := min(maximumGrowth, p.growth+effects[p.index]*share)
+		cost += p.load * (math.Exp(2*after) - math.Exp(2*min(maximumGrowth, p.growth)))
+		worst = max(worst, after)
+	}
+	return cost, worst
+}
+
+// riskCost grows as the memory left falls below safeMemory.
+func riskCost(n *node, reservation model.Resources) float64 {
+	left := ratio(n.free.MemoryMB-reservation.MemoryMB, n.view.Worker.Capacity.MemoryMB)
+	return max(0, safeMemory-left) / safeMemory
+}
+
+// effectsOf returns the effects of the class on each pair of service and load band.
+func (r *round) effectsOf(class model.JobClass) []float64 {
+	if e, ok := r.effects[class]; ok {
+		return e
+	}
+	e := make([]float64, len(r.scheduler.pairs))
+	for i, p := range r.scheduler.pairs {
+		e[i] = max(0, p.effectOf(class).Mean)
+	}
+	r.effects[class] = e
+	return e
+}
+
 func abs(x float64) float64 {
 	return max(x, -x)
 }
+
+func logSeconds(d time.Duration) float64 {
+	return math.Log(max(d.Seconds(), 1))
+}
+
+// growthFactor returns how many times larger a value is whose logarithm grew by x.
+func growthFactor(x float64) float64 {
+	return math.Exp(x)
+}
