--- a/internal/schedule/cell_test.go
+++ b/internal/schedule/cell_test.go
@@ -133,10 +133,10 @@
 // result is what one run measured.
 type result struct {
 	latency                   *hdrhistogram.Histogram
-	work, workOut             float64
+	work                      float64
 	evictions, forced, kills  int
 	throttles, maxThrottles   int
-	refused, finished, parked int
+	finished, parked          int
 	overCommitted, startedOut int
 	urgent                    []float64
 	doomedLeft                int
--- a/internal/schedule/episodes_test.go
+++ b/internal/schedule/episodes_test.go
@@ -4,7 +4,6 @@
 	"flag"
 	"fmt"
 	"math"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -101,14 +100,18 @@
 
 func (r *result) p99() float64 { return float64(r.latency.ValueAtQuantile(99)) }
 
-func (r *result) lost() int { return r.evictions + r.kills }
-
-func (r *result) urgentDelay() float64 {
+// urgentLate is the percentage of urgent jobs that waited for more than a second.
+func (r *result) urgentLate() float64 {
 	if len(r.urgent) == 0 {
 		return 0
 	}
-	slices.Sort(r.urgent)
-	return r.urgent[len(r.urgent)*99/100]
+	late := 0
+	for _, delay := range r.urgent {
+		if delay > 1 {
+			late++
+		}
+	}
+	return 100 * float64(late) / float64(len(r.urgent))
 }
 
 // score is the weighted sum of the logarithms of the ratios; above 0 is better than naive.
@@ -176,9 +179,9 @@
 		ne, oe = ne+n.evictions+n.forced, oe+o.evictions+o.forced
 		nk, ok = nk+n.kills, ok+o.kills
 		if i == 0 {
-			detail = fmt.Sprintf("p99 %.0f/%.0f ms, evicted %d+%d/%d+%d, killed %d/%d, throttles %d (max %d), parked %d, urgent p99 %.0f/%.0f s, bad %d %d %d %d",
+			detail = fmt.Sprintf("p99 %.0f/%.0f ms, evicted %d+%d/%d+%d, killed %d/%d, throttles %d (max %d), parked %d, urgent late %.0f/%.0f %%, bad %d %d %d %d",
 				o.p99(), n.p99(), o.evictions, o.forced, n.evictions, n.forced, o.kills, n.kills, o.throttles, o.maxThrottles,
-				o.parked, o.urgentDelay(), n.urgentDelay(), o.overCommitted, o.startedOut, o.impossibleAccepted, o.doomedLeft)
+				o.parked, o.urgentLate(), n.urgentLate(), o.overCommitted, o.startedOut, o.impossibleAccepted, o.doomedLeft)
 		}
 	}
 	k := float64(len(rows))
--- a/internal/schedule/feasible.go
+++ b/internal/schedule/feasible.go
@@ -29,10 +29,26 @@
 func (r *round) feasible(n *node, spec *model.JobSpec, reservation model.Resources) bool {
 	return n.open &&
 		reservation.Fits(n.free) &&
+		!r.keepsHeadroom(n, spec, reservation) &&
+		!r.heldForOther(n, spec) &&
 		allowsDataCentre(spec, n.view.Worker.DataCentre) &&
 		r.spreadAllows(n, spec)
 }
 
+// reservation returns what the job is given now. A quota that admits the declaration also
+// admits the job, so an estimate above the quota is cut to it.
+func (r *round) reservation(spec *model.JobSpec) model.Resources {
+	need := r.scheduler.reservation(spec)
+	quota := r.snapshot.Document.Teams[spec.Team].Quota.Resources
+	declared := atLeast(spec.Declared, minimumReservation)
+	if quota == (model.Resources{}) || !declared.Fits(quota) {
+		return need
+	}
+	need.MilliCPU = min(need.MilliCPU, quota.MilliCPU)
+	need.MemoryMB = min(need.MemoryMB, quota.MemoryMB)
+	return need
+}
+
 // withinQuota reports whether the team may hold the reservation on top of its use. A
 // quota without any amount is unlimited. A team without a section has no quota to use.
 func (r *round) withinQuota(team model.Team, reservation model.Resources) bool {
@@ -46,7 +62,8 @@
 	return r.teamUse[team].Add(reservation).Fits(section.Quota.Resources)
 }
 
-// Unfeasible implements Policy. A data centre that is out of service comes back, so it
+// Unfeasible implements Policy. It goes by the declaration, not by estimates, so that the
+// answer does not depend on what other jobs did. A data centre that is out of service comes back, so it
 // does not make a job unfeasible.
 func (s *Scheduler) Unfeasible(spec model.JobSpec, doc *config.Document, workers []model.Worker) string {
 	d := spec.Declared
@@ -57,7 +74,7 @@
 	if !ok {
 		return fmt.Sprintf("team %q has no section in the configuration", spec.Team)
 	}
-	need := s.reservation(&spec)
+	need := atLeast(d, minimumReservation)
 	if reason := quotaConstraint(need, section.Quota.Resources, spec.Team); reason != "" {
 		return reason
 	}
--- a/internal/schedule/heat.go
+++ b/internal/schedule/heat.go
@@ -15,9 +15,11 @@
 	// strictLimit and looseLimit bound the growth of a service's latency through batch
 	// tasks, if only the tail latency counts and if it does not count at all.
 	strictLimit = 1.4
-	looseLimit  = 3.0
-	// deadlineShare is the share of the shortest deadline that a p99 may reach.
-	deadlineShare = 0.5
+	looseLimit  = 4.0
+	// strictDeadline and looseDeadline are the shares of the shortest deadline that a p99 may
+	// reach, if only the tail latency counts and if it does not count at all.
+	strictDeadline = 0.4
+	looseDeadline  = 0.9
 	// coolShare is the share of the limit, as a logarithm, below which a window is cool.
 	coolShare = 0.6
 	// hotWindows and coolWindows are the consecutive windows after which relief is given and
@@ -58,10 +60,11 @@
 // latencyLimit returns the limit of a service for the weights in force.
 func (r *round) latencyLimit(service model.Service) latencyLimit {
 	limit := latencyLimit{growth: math.Log(looseLimit + r.goals.tail*(strictLimit-looseLimit)), absolute: math.Inf(1)}
+	share := looseDeadline + r.goals.tail*(strictDeadline-looseDeadline)
 	if s, ok := r.snapshot.Document.FindService(service); ok {
 		for _, q := range s.Requests {
 			if q.Deadline > 0 {
-				limit.absolute = min(limit.absolute, math.Log(deadlineShare*q.Deadline.Seconds()))
+				limit.absolute = min(limit.absolute, math.Log(share*q.Deadline.Seconds()))
 			}
 		}
 	}
--- a/internal/schedule/quarantine.go
+++ b/internal/schedule/quarantine.go
@@ -23,6 +23,8 @@
 	maximumQuarantine = 15 * time.Minute
 	// parkAfter is the number of healthy workers on which a job has to fail to be parked.
 	parkAfter = 3
+	// parkTooLarge is the number of attempts that have to run out of a whole worker's memory.
+	parkTooLarge = 2
 	// firstBackoff and maximumBackoff bound the wait before a failed job is tried again.
 	firstBackoff   = 2 * time.Second
 	maximumBackoff = time.Minute
@@ -51,7 +53,10 @@
 	notBefore   time.Time
 	memoryFloor int64
 	evictedAt   time.Time
-	seen        time.Time
+	preemptedAt time.Time
+	// tooLarge counts the attempts that ran out of memory with all that a worker can give.
+	tooLarge int
+	seen     time.Time
 }
 
 // failure is a failure of a job that is held against the job.
@@ -129,6 +134,9 @@
 	if isOutOfMemory(a, e) {
 		peak := max(a.peak, float64(a.reservation.MemoryMB))
 		j.memoryFloor = max(j.memoryFloor, int64(peak*memoryRetryFactor))
+		if s.largest.MemoryMB > 0 && a.reservation.MemoryMB >= s.largest.MemoryMB {
+			j.tooLarge++
+		}
 		s.learnKilled(a)
 		return
 	}
@@ -234,23 +242,34 @@
 	for i := range r.snapshot.Queue {
 		id := r.snapshot.Queue[i].Spec.ID
 		j := r.scheduler.jobs[id]
-		if j == nil || len(j.failedOn) < parkAfter {
+		reason := j.parkingReason()
+		if reason == "" {
 			continue
 		}
 		for _, f := range j.failedOn {
 			h := &r.scheduler.worker(f.worker).health
 			h.suspicion = max(0, h.suspicion-f.weight)
 		}
-		last := j.failedOn[len(j.failedOn)-1]
-		plan.Parked = append(plan.Parked, Parking{
-			Job:    id,
-			Reason: fmt.Sprintf("failed on %d healthy workers, last on %s: %s", len(j.failedOn), last.worker, last.reason),
-		})
+		plan.Parked = append(plan.Parked, Parking{Job: id, Reason: reason})
 		delete(r.scheduler.jobs, id)
 		r.parked[id] = true
 	}
 }
 
+// parkingReason returns why the job is not worth another attempt, and "" if it is.
+func (j *jobState) parkingReason() string {
+	switch {
+	case j == nil:
+		return ""
+	case j.tooLarge >= parkTooLarge:
+		return "ran out of memory with all the memory of the largest worker"
+	case len(j.failedOn) >= parkAfter:
+		last := j.failedOn[len(j.failedOn)-1]
+		return fmt.Sprintf("failed on %d healthy workers, last on %s: %s", len(j.failedOn), last.worker, last.reason)
+	}
+	return ""
+}
+
 func backoff(failures int) time.Duration {
 	wait := firstBackoff
 	for i := 1; i < failures && wait < maximumBackoff; i++ {
--- a/internal/schedule/relief.go
+++ b/internal/schedule/relief.go
@@ -1,7 +1,9 @@
 package schedule
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/geraniumwick/geraniumwick/internal/model"
@@ -24,6 +26,13 @@
 	lowestShare = 0.25
 	// throttleStep divides a task's share with each stronger throttle.
 	throttleStep = 2
+	// reliefMargin is the relief sought beyond the limit, as a logarithm.
+	reliefMargin = 0.1
+	// leastHarm is the predicted growth below which a throttle is not worth it.
+	leastHarm = 0.005
+	// harmlessShare is the harm per processor, relative to the worst attempt, below which
+	// an attempt is not throttled for what others cause.
+	harmlessShare = 0.3
 	// moveExcess is the growth above the limit, as a logarithm, from which a task is moved when
 	// throttling does not help.
 	moveExcess = 0.2
@@ -187,9 +196,7 @@
 		return max(0, pair.effectOf(a.spec.Class).Mean) * a.cpu / float64(max(1, w.capacity.MilliCPU))
 	}
 	reason := fmt.Sprintf("latency of %s is %.1f times its limit", service, growthFactor(excess))
-	if a := mostHarmful(w, harm); a != nil {
-		share := max(lowestShare, a.share/throttleStep)
-		r.throttle(n, a, share, reason, plan)
+	if r.throttleHarmful(n, harm, excess+reliefMargin, reason, plan) {
 		return true
 	}
 	if excess < moveExcess*(1+r.goals.evictions) || !r.scheduler.budget.take(r.snapshot.Now) {
@@ -203,19 +210,27 @@
 	return true
 }
 
-// mostHarmful returns the attempt whose throttle reduces the latency most.
-func mostHarmful(w *workerState, harm func(*resident) float64) *resident {
-	var worst *resident
-	most := 0.0
-	for _, a := range w.residents {
-		if !a.reliable() || a.share <= lowestShare {
-			continue
+// throttleHarmful halves the processor time of the attempts that harm most for what they
+// use, until the predicted relief is enough. It reports whether any was throttled.
+func (r *round) throttleHarmful(n *node, harm func(*resident) float64, wanted float64, reason string, plan *Plan) bool {
+	var candidates []*resident
+	for _, a := range n.state.residents {
+		if a.reliable() && a.share > lowestShare && harm(a) > leastHarm {
+			candidates = append(candidates, a)
 		}
-		if h := harm(a); h > most {
-			worst, most = a, h
+	}
+	density := func(a *resident) float64 { return harm(a) / max(a.cpu, 1) }
+	slices.SortStableFunc(candidates, func(a, b *resident) int { return cmp.Compare(density(b), density(a)) })
+	for i, a := range candidates {
+		if i > 0 && (wanted <= 0 || density(a) < harmlessShare*density(candidates[0])) {
+			break
 		}
+		share := max(lowestShare, a.share/throttleStep)
+		left := min(a.cpu, share*float64(a.reservation.MilliCPU))
+		wanted -= harm(a) * (1 - left/max(a.cpu, 1))
+		r.throttle(n, a, share, reason, plan)
 	}
-	return worst
+	return len(candidates) > 0
 }
 
 // victim returns the attempt with the least lost work per unit of relief.
--- a/internal/schedule/round.go
+++ b/internal/schedule/round.go
@@ -16,6 +16,8 @@
 	free model.Resources
 	// open says that the worker may receive starts.
 	open bool
+	// headroom says that batch work has to leave room for an urgent job.
+	headroom bool
 }
 
 // round is the working state of one call of Plan. Placements of the same plan add up in it.
@@ -52,8 +54,10 @@
 	}
 	s.largest = model.Resources{}
 	s.budget.workers = len(snapshot.Workers)
+	stride := s.urgent.headroomStride(len(snapshot.Workers))
 	for i := range snapshot.Workers {
 		r.addNode(i)
+		r.nodes[i].headroom = stride > 0 && i%stride == 0
 	}
 	return r
 }
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -23,6 +23,8 @@
 	workers map[model.WorkerID]*workerState
 	jobs    map[model.JobID]*jobState
 	budget  evictionBudget
+	urgent  urgentDemand
+	hold    hold
 	// largest is the largest amount of each resource on any worker.
 	largest model.Resources
 
@@ -53,7 +55,9 @@
 	if snapshot.Document == nil {
 		return plan
 	}
+	s.urgent.observe(s, snapshot)
 	r := newRound(s, snapshot)
+	r.refreshHold()
 	r.evacuate(&plan)
 	r.relieve(r.digest(), &plan)
 	r.park(&plan)
--- a/internal/schedule/score.go
+++ b/internal/schedule/score.go
@@ -28,12 +28,13 @@
 	if r.parked[q.Spec.ID] || (j != nil && r.snapshot.Now.Before(j.notBefore)) {
 		return
 	}
-	reservation := s.reservation(&q.Spec)
+	reservation := r.reservation(&q.Spec)
 	if !r.withinQuota(q.Spec.Team, reservation) {
 		return
 	}
 	best, cost := r.cheapest(q, j, reservation)
 	if best == nil {
+		r.makeRoom(q, j, reservation, plan)
 		return
 	}
 	r.commit(best, q, reservation)
@@ -45,6 +46,15 @@
 	})
 }
 
+// makeRoom prepares a later placement of a job that fits nowhere now.
+func (r *round) makeRoom(q *QueuedJob, j *jobState, reservation model.Resources, plan *Plan) {
+	if q.Spec.Priority == model.PriorityBatch {
+		r.holdFor(q, j, reservation)
+		return
+	}
+	r.preempt(q, reservation, plan)
+}
+
 func placementReason(q *QueuedJob, n *node, cost placementCost) string {
 	probe := ""
 	if n.state.health.probing {
--- /dev/null
+++ b/internal/schedule/urgent.go
@@ -0,0 +1,154 @@
+package schedule
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/platform"
+)
+
+const (
+	// refillTime is the time in which ended batch tasks or a checkpoint make room again.
+	refillTime = 45 * time.Second
+	// rateWindow is the time over which the arrival of urgent jobs is averaged.
+	rateWindow = 5 * time.Minute
+	// maximumHeadroom is the largest share of the workers that keep room for urgent jobs.
+	maximumHeadroom = 0.1
+	// sizeRetention is how slowly the largest urgent reservation is forgotten, per urgent job.
+	sizeRetention = 0.98
+	// preemptWait is the least time between two preemptions for the same job.
+	preemptWait = 20 * time.Second
+	// maximumVictims is the most tasks that one urgent job may preempt.
+	maximumVictims = 3
+)
+
+// urgentDemand follows the urgent jobs, to keep room for the next ones.
+type urgentDemand struct {
+	// rate is the number of urgent jobs a second.
+	rate    float64
+	size    model.Resources
+	updated time.Time
+	newest  time.Time
+}
+
+// observe counts the urgent jobs that were submitted since the last call.
+func (u *urgentDemand) observe(s *Scheduler, snapshot *Snapshot) {
+	newest := u.newest
+	for i := range snapshot.Queue {
+		q := &snapshot.Queue[i]
+		if q.Spec.Priority != model.PriorityUrgent || !q.Submitted.After(u.newest) {
+			continue
+		}
+		if q.Submitted.After(newest) {
+			newest = q.Submitted
+		}
+		u.rate += 1 / rateWindow.Seconds()
+		need := s.reservation(&q.Spec)
+		u.size = atLeast(need, scaled(u.size, sizeRetention))
+	}
+	u.newest = newest
+	if !u.updated.IsZero() {
+		u.rate *= math.Exp(-snapshot.Now.Sub(u.updated).Seconds() / rateWindow.Seconds())
+	}
+	u.updated = snapshot.Now
+}
+
+func scaled(r model.Resources, factor float64) model.Resources {
+	return model.Resources{
+		MilliCPU:     int64(float64(r.MilliCPU) * factor),
+		MemoryMB:     int64(float64(r.MemoryMB) * factor),
+		Accelerators: int64(float64(r.Accelerators) * factor),
+	}
+}
+
+// headroomStride returns the distance between the workers that keep room for one urgent
+// job, 0 if none has to. A fixed distance spreads them over racks and data centres.
+func (u *urgentDemand) headroomStride(workers int) int {
+	if u.size == (model.Resources{}) || workers == 0 {
+		return 0
+	}
+	keep := 1 + int(math.Ceil(u.rate*refillTime.Seconds()))
+	keep = min(keep, int(math.Ceil(maximumHeadroom*float64(workers))))
+	return workers / keep
+}
+
+// keepsHeadroom reports whether the placement would take the room kept for urgent jobs.
+func (r *round) keepsHeadroom(n *node, spec *model.JobSpec, reservation model.Resources) bool {
+	return n.headroom && spec.Priority == model.PriorityBatch &&
+		!reservation.Add(r.scheduler.urgent.size).Fits(n.free)
+}
+
+// preemption is a set of batch tasks whose eviction makes room on a node.
+type preemption struct {
+	node    *node
+	victims []*AttemptView
+	cost    int64
+}
+
+// preempt checkpoints the batch tasks that make room for an urgent job at the least cost.
+func (r *round) preempt(q *QueuedJob, reservation model.Resources, plan *Plan) {
+	now := r.snapshot.Now
+	j := r.scheduler.job(q.Spec.ID, now)
+	if now.Sub(j.preemptedAt) < preemptWait {
+		return
+	}
+	best := r.cheapestPreemption(q, j, reservation)
+	if best.node == nil {
+		return
+	}
+	j.preemptedAt = now
+	for _, v := range best.victims {
+		r.scheduler.job(v.ID.Job, now).evictedAt = now
+		plan.Reliefs = append(plan.Reliefs, Relief{
+			Attempt: v.ID, Worker: best.node.view.Worker.ID, Kind: platform.SignalCheckpoint,
+			Reason: fmt.Sprintf("makes room for urgent job %s", q.Spec.ID),
+		})
+	}
+}
+
+func (r *round) cheapestPreemption(q *QueuedJob, j *jobState, reservation model.Resources) preemption {
+	var best preemption
+	for i := range r.nodes {
+		n := &r.nodes[i]
+		if !n.open || n.state.health.probing || !allowsDataCentre(&q.Spec, n.view.Worker.DataCentre) || j.failedHere(n.view.Worker.ID) {
+			continue
+		}
+		victims, cost, ok := r.victims(n, reservation)
+		if ok && (best.node == nil || cost < best.cost) {
+			best = preemption{n, victims, cost}
+		}
+	}
+	return best
+}
+
+// victims returns batch tasks of the node whose eviction makes room for the reservation. The
+// cost is the memory to be checkpointed, which decides how long it takes.
+func (r *round) victims(n *node, reservation model.Resources) ([]*AttemptView, int64, bool) {
+	free := n.free
+	var victims []*AttemptView
+	var cost int64
+	for i := range n.view.Attempts {
+		a := &n.view.Attempts[i]
+		if a.Evicting {
+			free = free.Add(a.Reservation)
+		}
+	}
+	for i := range n.view.Attempts {
+		if reservation.Fits(free) {
+			break
+		}
+		a := &n.view.Attempts[i]
+		if a.Evicting || a.Spec.Priority != model.PriorityBatch || a.Progress >= lateProgress || len(victims) == maximumVictims {
+			continue
+		}
+		if j := r.scheduler.jobs[a.ID.Job]; j != nil && r.snapshot.Now.Sub(j.evictedAt) < jobCooldown {
+			continue
+		}
+		victims = append(victims, a)
+		free = free.Add(a.Reservation)
+		cost += a.Reservation.MemoryMB
+	}
+	return victims, cost, reservation.Fits(free)
+}
