--- a/internal/schedule/cell_test.go
+++ b/internal/schedule/cell_test.go
@@ -133,7 +133,7 @@
 // result is what one run measured.
 type result struct {
 	latency                   *hdrhistogram.Histogram
-	work                      float64
+	work, capacity            float64
 	evictions, forced, kills  int
 	throttles, maxThrottles   int
 	finished, parked          int
@@ -605,6 +605,7 @@
 }
 
 func (c *cell) summary() result {
+	c.result.capacity = float64(len(c.workers)) * float64(c.workers[0].Capacity.MilliCPU) / 1000 * episodeSeconds
 	for _, j := range c.jobs {
 		if j.doomed {
 			if !j.parked && !j.cancelled && c.now-j.submitted > 900 {
--- /dev/null
+++ b/internal/schedule/differential_test.go
@@ -0,0 +1,290 @@
+package schedule
+
+import (
+	"fmt"
+	"sort"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/geraniumwick/geraniumwick/internal/config"
+	"github.com/geraniumwick/geraniumwick/internal/model"
+)
+
+// drawSnapshot draws a small cell in which every rule binds now and then.
+func drawSnapshot(t *rapid.T) *Snapshot {
+	size := func(label string, most int) model.Resources {
+		return model.Resources{
+			MilliCPU:     int64(rapid.IntRange(1, most).Draw(t, label+" cpu")) * 1000,
+			MemoryMB:     int64(rapid.IntRange(1, most).Draw(t, label+" memory")) * 1000,
+			Accelerators: int64(rapid.IntRange(0, 1).Draw(t, label+" accelerators")),
+		}
+	}
+	s := &Snapshot{Now: testStart, Document: &config.Document{Teams: map[model.Team]config.TeamSection{}}, TeamUse: map[model.Team]model.Resources{}}
+	for i := range 2 {
+		dc := config.DataCentre{Name: model.DataCentre(fmt.Sprintf("dc%d", i)), Out: rapid.Bool().Draw(t, "out")}
+		s.Document.Operators.DataCentres = append(s.Document.Operators.DataCentres, dc)
+	}
+	for i := range 3 {
+		team := model.Team(fmt.Sprintf("t%d", i))
+		section := config.TeamSection{Team: team}
+		if rapid.Bool().Draw(t, "quota") {
+			section.Quota.Resources = size("quota", 20)
+		}
+		section.Quota.Share = float64(rapid.IntRange(0, 2).Draw(t, "share"))
+		s.Document.Teams[team] = section
+	}
+	for i := range rapid.IntRange(1, 6).Draw(t, "workers") {
+		w := testWorker(model.WorkerID(fmt.Sprintf("w%d", i)), model.DataCentre(fmt.Sprintf("dc%d", i%3)), model.Rack(fmt.Sprintf("r%d", i/2)))
+		w.Worker.Capacity = size("capacity", 12)
+		w.Committed = model.Resources{MilliCPU: int64(rapid.IntRange(0, 12).Draw(t, "committed")) * 1000}
+		w.Reachable = rapid.IntRange(0, 4).Draw(t, "reachable") > 0
+		w.Worker.Leaving = rapid.IntRange(0, 4).Draw(t, "leaving") == 0
+		s.Workers = append(s.Workers, w)
+	}
+	for i := range rapid.IntRange(0, 12).Draw(t, "queue") {
+		q := testJob(model.JobID(fmt.Sprintf("j%02d", i)), model.Team(fmt.Sprintf("t%d", rapid.IntRange(0, 3).Draw(t, "team"))), 0)
+		q.Spec.Declared = size("declared", 8)
+		q.Spec.Priority = model.Priority(rapid.IntRange(0, 2).Draw(t, "priority"))
+		if rapid.Bool().Draw(t, "bound") {
+			q.Spec.DataCentres = []model.DataCentre{"dc1"}
+		}
+		s.Queue = append(s.Queue, q)
+	}
+	return s
+}
+
+// obvious is the slow version: it recounts everything from the plan so far.
+type obvious struct {
+	s    *Snapshot
+	done []Placement
+}
+
+func (o *obvious) job(id model.JobID) *QueuedJob {
+	for i := range o.s.Queue {
+		if o.s.Queue[i].Spec.ID == id {
+			return &o.s.Queue[i]
+		}
+	}
+	return nil
+}
+
+func (o *obvious) teamUse(team model.Team) model.Resources {
+	use := o.s.TeamUse[team]
+	for _, p := range o.done {
+		if o.job(p.Job).Spec.Team == team {
+			use = use.Add(p.Reservation)
+		}
+	}
+	return use
+}
+
+func (o *obvious) open(w *WorkerView) bool {
+	return w.Reachable && !w.Worker.Leaving && !o.s.Document.DataCentreOut(w.Worker.DataCentre)
+}
+
+// fits says whether the job can start on the worker after the placements so far.
+func (o *obvious) fits(q *QueuedJob, w *WorkerView) bool {
+	committed := w.Committed.Add(q.Spec.Declared)
+	for _, p := range o.done {
+		if p.Worker == w.Worker.ID {
+			committed = committed.Add(p.Reservation)
+		}
+	}
+	return o.open(w) && committed.Fits(w.Worker.Capacity) && o.inPlace(q, w) && o.inQuota(q) && o.spread(q, w)
+}
+
+func (o *obvious) inPlace(q *QueuedJob, w *WorkerView) bool {
+	for _, dc := range q.Spec.DataCentres {
+		if dc == w.Worker.DataCentre {
+			return true
+		}
+	}
+	return len(q.Spec.DataCentres) == 0
+}
+
+func (o *obvious) inQuota(q *QueuedJob) bool {
+	section, ok := o.s.Document.Teams[q.Spec.Team]
+	quota := section.Quota.Resources
+	return ok && (quota == model.Resources{} || o.teamUse(q.Spec.Team).Add(q.Spec.Declared).Fits(quota))
+}
+
+// spread says whether a rack keeps at most half of a team's latency-critical class.
+func (o *obvious) spread(q *QueuedJob, w *WorkerView) bool {
+	if q.Spec.Priority != model.PriorityService {
+		return true
+	}
+	racks := map[model.Rack]bool{}
+	rackOf := map[model.WorkerID]model.Rack{}
+	for i := range o.s.Workers {
+		v := &o.s.Workers[i]
+		rackOf[v.Worker.ID] = v.Worker.Rack
+		if o.open(v) {
+			racks[v.Worker.Rack] = true
+		}
+	}
+	total, here := 1, 1
+	for _, p := range o.done {
+		other := o.job(p.Job)
+		if other.Spec.Priority == model.PriorityService && other.Spec.Team == q.Spec.Team && other.Spec.Class == q.Spec.Class {
+			total++
+			if rackOf[p.Worker] == w.Worker.Rack {
+				here++
+			}
+		}
+	}
+	return len(racks) < 2 || here <= max(1, (total+1)/2)
+}
+
+// order returns the waiting jobs that the rules of order allow next: the highest priority,
+// then the team with the lowest share, then the first submitted.
+func (o *obvious) order(left []*QueuedJob) *QueuedJob {
+	var capacity model.Resources
+	for i := range o.s.Workers {
+		if o.open(&o.s.Workers[i]) {
+			capacity = capacity.Add(o.s.Workers[i].Worker.Capacity)
+		}
+	}
+	share := func(q *QueuedJob) float64 {
+		use := o.teamUse(q.Spec.Team)
+		weight := o.s.Document.Teams[q.Spec.Team].Quota.Share
+		if weight == 0 {
+			weight = 1
+		}
+		largest := 0.0
+		for _, d := range [][2]int64{{use.MilliCPU, capacity.MilliCPU}, {use.MemoryMB, capacity.MemoryMB}, {use.Accelerators, capacity.Accelerators}} {
+			if d[1] > 0 {
+				largest = max(largest, float64(d[0])/float64(d[1]))
+			}
+		}
+		return largest / weight
+	}
+	first := func(team model.Team, p model.Priority) int {
+		for i := range o.s.Queue {
+			if o.s.Queue[i].Spec.Team == team && o.s.Queue[i].Spec.Priority == p {
+				return i
+			}
+		}
+		return -1
+	}
+	sort.SliceStable(left, func(i, j int) bool {
+		a, b := left[i], left[j]
+		if a.Spec.Priority != b.Spec.Priority {
+			return a.Spec.Priority > b.Spec.Priority
+		}
+		if share(a) != share(b) {
+			return share(a) < share(b)
+		}
+		if a.Spec.Team != b.Spec.Team {
+			return first(a.Spec.Team, a.Spec.Priority) < first(b.Spec.Team, b.Spec.Priority)
+		}
+		return a.Spec.ID < b.Spec.ID
+	})
+	return left[0]
+}
+
+// TestPlanAgreesWithObviousVersion takes the plan apart job by job: the slow version says
+// whose turn it is and whether the job fits, and the plan has to agree. Urgent work is only
+// batch and service here, so that no room is kept for it.
+func TestPlanAgreesWithObviousVersion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawSnapshot(t)
+		for i := range s.Queue {
+			if s.Queue[i].Spec.Priority == model.PriorityUrgent {
+				s.Queue[i].Spec.Priority = model.PriorityService
+			}
+		}
+		plan := New(rapid.Uint64().Draw(t, "seed"), config.Weights{}).Plan(s)
+		checkPlan(t, s, plan.Placements)
+	})
+}
+
+func checkPlan(t *rapid.T, s *Snapshot, placements []Placement) {
+	o := &obvious{s: s}
+	var left []*QueuedJob
+	for i := range s.Queue {
+		left = append(left, &s.Queue[i])
+	}
+	for len(left) > 0 {
+		q := o.order(left)
+		left = left[1:]
+		fits := map[model.WorkerID]bool{}
+		for i := range s.Workers {
+			if o.fits(q, &s.Workers[i]) {
+				fits[s.Workers[i].Worker.ID] = true
+			}
+		}
+		next := len(o.done) < len(placements) && placements[len(o.done)].Job == q.Spec.ID
+		if next != (len(fits) > 0) {
+			t.Fatalf("job %s: placed %v, fits on %v", q.Spec.ID, next, fits)
+		}
+		if !next {
+			continue
+		}
+		p := placements[len(o.done)]
+		if !fits[p.Worker] {
+			t.Fatalf("job %s was placed on %s, fits on %v", p.Job, p.Worker, fits)
+		}
+		if p.Reservation != q.Spec.Declared {
+			t.Fatalf("job %s: reservation %v without measurements, declared %v", p.Job, p.Reservation, q.Spec.Declared)
+		}
+		o.done = append(o.done, p)
+	}
+	if len(o.done) != len(placements) {
+		t.Fatalf("%d placements out of turn", len(placements)-len(o.done))
+	}
+}
+
+// TestUrgentPlansStayWithinCapacity draws urgent jobs too, whose headroom the slow version
+// does not know: every placement has to fit and no job is placed twice.
+func TestUrgentPlansStayWithinCapacity(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawSnapshot(t)
+		p := New(1, config.Weights{})
+		p.Plan(s)
+		o := &obvious{s: s}
+		seen := map[model.JobID]bool{}
+		for _, placed := range p.Plan(s).Placements {
+			for i := range s.Workers {
+				if s.Workers[i].Worker.ID == placed.Worker && !o.fits(o.job(placed.Job), &s.Workers[i]) {
+					t.Fatalf("job %s does not fit on %s", placed.Job, placed.Worker)
+				}
+			}
+			if seen[placed.Job] {
+				t.Fatalf("job %s is placed twice", placed.Job)
+			}
+			seen[placed.Job] = true
+			o.done = append(o.done, placed)
+		}
+	})
+}
+
+// TestUnfeasibleAgreesWithObviousVersion: a job is refused if and only if no single worker
+// of an empty cell with every data centre in service could take it.
+func TestUnfeasibleAgreesWithObviousVersion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawSnapshot(t)
+		var workers []model.Worker
+		empty := *s
+		empty.Document = &config.Document{Teams: s.Document.Teams, Operators: config.Operators{
+			DataCentres: []config.DataCentre{{Name: "dc0"}, {Name: "dc1"}, {Name: "dc2"}}}}
+		empty.Workers = nil
+		for _, w := range s.Workers {
+			workers = append(workers, w.Worker)
+			w.Committed, w.Reachable, w.Worker.Leaving = model.Resources{}, true, false
+			empty.Workers = append(empty.Workers, w)
+		}
+		o := &obvious{s: &empty}
+		for i := range s.Queue {
+			q := &s.Queue[i]
+			possible := false
+			for j := range empty.Workers {
+				possible = possible || o.fits(q, &empty.Workers[j])
+			}
+			reason := New(1, config.Weights{}).Unfeasible(q.Spec, empty.Document, workers)
+			if possible != (reason == "") {
+				t.Fatalf("job %s: possible %v, reason %q", q.Spec.ID, possible, reason)
+			}
+		}
+	})
+}
--- a/internal/schedule/episodes_test.go
+++ b/internal/schedule/episodes_test.go
@@ -179,8 +179,8 @@
 		ne, oe = ne+n.evictions+n.forced, oe+o.evictions+o.forced
 		nk, ok = nk+n.kills, ok+o.kills
 		if i == 0 {
-			detail = fmt.Sprintf("p99 %.0f/%.0f ms, evicted %d+%d/%d+%d, killed %d/%d, throttles %d (max %d), parked %d, urgent late %.0f/%.0f %%, bad %d %d %d %d",
-				o.p99(), n.p99(), o.evictions, o.forced, n.evictions, n.forced, o.kills, n.kills, o.throttles, o.maxThrottles,
+			detail = fmt.Sprintf("p99 %.0f/%.0f ms, evicted %d+%d/%d+%d, killed %d/%d, work %.0f/%.0f %%, throttles %d (max %d), parked %d, urgent late %.0f/%.0f %%, bad %d %d %d %d",
+				o.p99(), n.p99(), o.evictions, o.forced, n.evictions, n.forced, o.kills, n.kills, 100*o.work/o.capacity, 100*n.work/n.capacity, o.throttles, o.maxThrottles,
 				o.parked, o.urgentLate(), n.urgentLate(), o.overCommitted, o.startedOut, o.impossibleAccepted, o.doomedLeft)
 		}
 	}
--- a/internal/schedule/heat.go
+++ b/internal/schedule/heat.go
@@ -60,15 +60,32 @@
 // latencyLimit returns the limit of a service for the weights in force.
 func (r *round) latencyLimit(service model.Service) latencyLimit {
 	limit := latencyLimit{growth: math.Log(looseLimit + r.goals.tail*(strictLimit-looseLimit)), absolute: math.Inf(1)}
-	share := looseDeadline + r.goals.tail*(strictDeadline-looseDeadline)
-	if s, ok := r.snapshot.Document.FindService(service); ok {
-		for _, q := range s.Requests {
-			if q.Deadline > 0 {
-				limit.absolute = min(limit.absolute, math.Log(share*q.Deadline.Seconds()))
+	if deadline, ok := r.scheduler.shortestDeadlines(r.snapshot.Document)[service]; ok {
+		share := looseDeadline + r.goals.tail*(strictDeadline-looseDeadline)
+		limit.absolute = math.Log(share * deadline.Seconds())
+	}
+	return limit
+}
+
+// shortestDeadlines returns the shortest deadline of each service. It is derived once for
+// each document.
+func (s *Scheduler) shortestDeadlines(doc *config.Document) map[model.Service]time.Duration {
+	if s.deadlinesOf == doc {
+		return s.deadlines
+	}
+	s.deadlinesOf = doc
+	s.deadlines = map[model.Service]time.Duration{}
+	for _, section := range doc.Teams {
+		for _, service := range section.Services {
+			for _, q := range service.Requests {
+				known, ok := s.deadlines[service.Name]
+				if q.Deadline > 0 && (!ok || q.Deadline < known) {
+					s.deadlines[service.Name] = q.Deadline
+				}
 			}
 		}
 	}
-	return limit
+	return s.deadlines
 }
 
 // measure records the growth of the logarithm of the latency in one window.
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -31,6 +31,10 @@
 	pending      map[model.WorkerID]*WorkerSamples
 	pendingOrder []model.WorkerID
 	forgotAt     time.Time
+
+	// deadlines holds the shortest deadline of each service in the document deadlinesOf.
+	deadlines   map[model.Service]time.Duration
+	deadlinesOf *config.Document
 }
 
 var _ Policy = (*Scheduler)(nil)
--- a/internal/schedule/score.go
+++ b/internal/schedule/score.go
@@ -125,12 +125,17 @@
 	share := ratio(reservation.MilliCPU, n.view.Worker.Capacity.MilliCPU)
 	for _, p := range n.state.pairs {
 		after := min(maximumGrowth, p.growth+effects[p.index]*share)
-		cost += p.load * (math.Exp(2*after) - math.Exp(2*min(maximumGrowth, p.growth)))
+		cost += p.load * (convex(after) - p.convex)
 		worst = max(worst, after)
 	}
 	return cost, worst
 }
 
+// convex weighs the growth of a latency: its square.
+func convex(growth float64) float64 {
+	return math.Exp(2 * growth)
+}
+
 // riskCost grows as the memory left falls below safeMemory.
 func riskCost(n *node, reservation model.Resources) float64 {
 	left := ratio(n.free.MemoryMB-reservation.MemoryMB, n.view.Worker.Capacity.MemoryMB)
--- a/internal/schedule/worker.go
+++ b/internal/schedule/worker.go
@@ -41,8 +41,10 @@
 	// learnedCPU and learnedMemory are the amounts that the class has learned from this attempt.
 	learnedCPU    float64
 	learnedMemory float64
-	cpuSum        float64
-	cpuSamples    int
+	// seen is the number of the last sync whose snapshot held the attempt.
+	seen       int
+	cpuSum     float64
+	cpuSamples int
 }
 
 // alive reports whether the attempt may be executing.
@@ -68,6 +70,8 @@
 	id        model.WorkerID
 	capacity  model.Resources
 	residents []*resident
+	// syncs counts the calls of sync.
+	syncs int
 	// present is the expected use of the executing attempts by class.
 	present []presence
 	// overrun is the expected use above the reservations, not to be given to others.
@@ -89,6 +93,8 @@
 	load  float64
 	// growth is the predicted growth of the logarithm of the latency through the residents.
 	growth float64
+	// convex is the weight of growth in placement costs.
+	convex float64
 }
 
 // worker returns the state of the worker, and creates it if needed.
@@ -122,7 +128,7 @@
 // sync brings the residents in line with the snapshot's attempts.
 func (w *workerState) sync(s *Scheduler, view *WorkerView, now time.Time) {
 	w.capacity = view.Worker.Capacity
-	seen := make(map[*resident]bool, len(view.Attempts))
+	w.syncs++
 	for i := range view.Attempts {
 		a := &view.Attempts[i]
 		r := w.find(a.ID)
@@ -131,10 +137,10 @@
 			r = &resident{id: a.ID, spec: &spec, from: a.Started, share: 1}
 			w.residents = append(w.residents, r)
 		}
-		seen[r] = true
+		r.seen = w.syncs
 		r.update(a, now)
 	}
-	w.expire(seen, now)
+	w.expire(now)
 	w.refresh(s)
 }
 
@@ -152,10 +158,10 @@
 	}
 }
 
-func (w *workerState) expire(seen map[*resident]bool, now time.Time) {
+func (w *workerState) expire(now time.Time) {
 	kept := w.residents[:0]
 	for _, a := range w.residents {
-		if a.alive() && !seen[a] && now.Sub(a.from) > unseenGrace {
+		if a.alive() && a.seen != w.syncs && now.Sub(a.from) > unseenGrace {
 			a.until = now
 		}
 		if a.alive() || now.Sub(a.until) < historyLength {
@@ -199,7 +205,8 @@
 			load = unknownLoad
 		}
 		p := s.effects(service, load)
-		w.pairs = append(w.pairs, workerPair{service, p.index, load, p.growth(w.present)})
+		growth := min(maximumGrowth, p.growth(w.present))
+		w.pairs = append(w.pairs, workerPair{service, p.index, load, growth, convex(growth)})
 	}
 }
 
