--- a/internal/schedule/cell_test.go
+++ b/internal/schedule/cell_test.go
@@ -93,6 +93,10 @@
 	cancelAt int
 	outAt    int
 	backAt   int
+	// length is the length of the episode, episodeSeconds if 0.
+	length int
+	// lastSubmit is when jobs stop to arrive, never if 0.
+	lastSubmit int
 }
 
 // deployment is one of the two users' cells.
@@ -139,7 +143,7 @@
 	finished, parked          int
 	overCommitted, startedOut int
 	urgent                    []float64
-	doomedLeft                int
+	doomedLeft, unfinished    int
 	impossibleAccepted        int
 }
 
@@ -211,7 +215,11 @@
 
 // run plays the whole episode in steps of one second.
 func (c *cell) run() result {
-	for c.now = 0; c.now < episodeSeconds; c.now++ {
+	length := episodeSeconds
+	if c.scenario.length > 0 {
+		length = c.scenario.length
+	}
+	for c.now = 0; c.now < length; c.now++ {
 		c.script()
 		c.submit()
 		c.deliver()
@@ -264,6 +272,9 @@
 
 // submit adds the jobs that arrive in this second.
 func (c *cell) submit() {
+	if c.scenario.lastSubmit > 0 && c.now >= c.scenario.lastSubmit {
+		return
+	}
 	cores, memory := 0.0, 0.0
 	for _, t := range c.classes {
 		cores += t.cpu * t.run / float64(len(c.classes))
@@ -614,6 +625,9 @@
 			continue
 		}
 		if !j.cancelled {
+			if !j.done {
+				c.result.unfinished++
+			}
 			c.result.work += j.progress * j.work
 		}
 	}
