--- /dev/null
+++ b/internal/journal/encode.go
@@ -0,0 +1,99 @@
+package journal
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/geraniumwick/geraniumwick/internal/model"
+)
+
+// entry is the value of one slot of the ring. An entry without payload takes the ownership.
+type entry struct {
+	Sequence uint64           `cbor:"1,keyasint"`
+	Epoch    model.Epoch      `cbor:"2,keyasint"`
+	Owner    model.InstanceID `cbor:"3,keyasint"`
+	Payload  []byte           `cbor:"4,keyasint,omitempty"`
+	// Taken marks an ownership entry.
+	Taken bool `cbor:"5,keyasint,omitempty"`
+}
+
+// savedState is the value of the snapshot key.
+type savedState struct {
+	// Sequence is the last entry whose effect State and Tail include.
+	Sequence uint64           `cbor:"1,keyasint"`
+	Epoch    model.Epoch      `cbor:"2,keyasint"`
+	Owner    model.InstanceID `cbor:"3,keyasint"`
+	State    []byte           `cbor:"4,keyasint,omitempty"`
+	// Tail holds the payloads after State that a take-over moved out of a full ring.
+	Tail [][]byte `cbor:"5,keyasint,omitempty"`
+	// Revisions holds the versions of the slots if the owner released the partition.
+	Revisions []int64 `cbor:"6,keyasint,omitempty"`
+}
+
+// The first byte of a value says how the rest is encoded.
+const (
+	formatPlain byte = iota + 1
+	formatFlate
+)
+
+// compressAbove is the size from which a value is compressed, in bytes.
+const compressAbove = 4 << 10
+
+// encode returns the store value of v.
+func encode(v any) ([]byte, error) {
+	plain, err := cbor.Marshal(v)
+	if err != nil {
+		return nil, err
+	}
+	value := append([]byte{formatPlain}, plain...)
+	if len(plain) > compressAbove {
+		if value, err = compress(plain); err != nil {
+			return nil, err
+		}
+	}
+	if len(value) > MaxValue {
+		return nil, &TooLargeError{Bytes: len(value)}
+	}
+	return value, nil
+}
+
+// compress returns the compressed store value of the plain bytes.
+func compress(plain []byte) ([]byte, error) {
+	buffer := bytes.NewBuffer([]byte{formatFlate})
+	w, err := flate.NewWriter(buffer, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(plain); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return buffer.Bytes(), nil
+}
+
+// decode reads a store value into v.
+func decode(value []byte, v any) error {
+	if len(value) == 0 {
+		return io.ErrUnexpectedEOF
+	}
+	plain := value[1:]
+	if value[0] == formatFlate {
+		var err error
+		if plain, err = io.ReadAll(flate.NewReader(bytes.NewReader(plain))); err != nil {
+			return err
+		}
+	}
+	return cbor.Unmarshal(plain, v)
+}
+
+// decodeEntry reads the value of a slot.
+func decodeEntry(value []byte) (entry, error) {
+	var e entry
+	err := decode(value, &e)
+	return e, err
+}
--- /dev/null
+++ b/internal/journal/errors.go
@@ -0,0 +1,82 @@
+package journal
+
+import (
+	"fmt"
+
+	"github.com/geraniumwick/geraniumwick/internal/model"
+)
+
+// DeposedError says that another owner took the partition.
+type DeposedError struct {
+	Partition model.Partition
+	By        model.InstanceID
+	Epoch     model.Epoch
+	// NotWritten says that the entry of the failed Append is surely not in the journal and
+	// never will be. Otherwise it may be.
+	NotWritten bool
+}
+
+// Error implements error.
+func (e *DeposedError) Error() string {
+	return fmt.Sprintf("partition %d: deposed by %q with epoch %d", e.Partition, e.By, e.Epoch)
+}
+
+// PendingError says that the outcome of a write is not known yet: it may have taken
+// effect, or may do so later.
+type PendingError struct {
+	Partition model.Partition
+	Sequence  uint64
+	Cause     error
+}
+
+// Error implements error.
+func (e *PendingError) Error() string {
+	return fmt.Sprintf("partition %d: outcome of write %d unknown: %v", e.Partition, e.Sequence, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *PendingError) Unwrap() error { return e.Cause }
+
+// RingFullError says that the ring holds too many entries that no snapshot covers.
+type RingFullError struct {
+	Partition model.Partition
+	Head      uint64
+	Snapshot  uint64
+}
+
+// Error implements error.
+func (e *RingFullError) Error() string {
+	return fmt.Sprintf("partition %d: journal is full at entry %d, the snapshot covers %d", e.Partition, e.Head, e.Snapshot)
+}
+
+// TooLargeError says that a value exceeds what the store holds.
+type TooLargeError struct {
+	Bytes int
+}
+
+// Error implements error.
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("value of %d bytes exceeds %d", e.Bytes, MaxValue)
+}
+
+// CorruptError says that the stored journal is not one that owners can have written, for
+// example because the store lost acknowledged writes.
+type CorruptError struct {
+	Partition model.Partition
+	Problem   string
+}
+
+// Error implements error.
+func (e *CorruptError) Error() string {
+	return fmt.Sprintf("partition %d: journal is corrupt: %s", e.Partition, e.Problem)
+}
+
+// ReleasedError says that the owner has released the partition.
+type ReleasedError struct {
+	Partition model.Partition
+}
+
+// Error implements error.
+func (e *ReleasedError) Error() string {
+	return fmt.Sprintf("partition %d: journal was released", e.Partition)
+}
--- /dev/null
+++ b/internal/journal/fake_test.go
@@ -0,0 +1,183 @@
+package journal_test
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/platform"
+)
+
+// fault is what happens to one call of the fake store.
+type fault int
+
+const (
+	noFault       fault = iota
+	notSent             // the call fails before it leaves
+	lostBefore          // the call is lost on its way; its outcome is unknown to the caller
+	lostAfter           // the call takes effect and its answer is lost
+	delayedWrite        // the call is reported lost and takes effect after the next call
+	delayedBeyond       // the call is reported lost and takes effect when released
+	staleRead           // a read returns the version before the last write of the key
+	allFaults
+)
+
+var faultNames = [...]string{"none", "not sent", "lost before effect", "lost after effect", "delayed past the next call", "delayed until released", "stale read"}
+
+func (f fault) String() string { return faultNames[f] }
+
+var errFake = errors.New("injected")
+
+// fakeStore is a compare-and-swap store in memory that injects a fault into each call.
+type fakeStore struct {
+	mu       sync.Mutex
+	revision int64
+	values   map[string]platform.KeyValue
+	previous map[string]platform.KeyValue
+	late     []func()
+	held     []func()
+	calls    int
+	writes   int
+	bytes    int
+	// fault chooses the fault of the call with the given number, from 1.
+	fault func(call int) fault
+	// applied sees every write that takes effect, in order.
+	applied func(key string, value []byte)
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{values: map[string]platform.KeyValue{}, previous: map[string]platform.KeyValue{}}
+}
+
+// next counts a call, lets late writes of former calls take effect and picks the fault.
+func (s *fakeStore) next() fault {
+	s.calls++
+	if s.fault == nil {
+		return noFault
+	}
+	return s.fault(s.calls)
+}
+
+// flush lets the writes delayed past one call take effect.
+func (s *fakeStore) flush(late []func()) {
+	for _, write := range late {
+		write()
+	}
+}
+
+// releaseHeld lets every write that was delayed beyond its retries take effect.
+func (s *fakeStore) releaseHeld() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := s.held
+	s.held = nil
+	s.flush(held)
+}
+
+func failed(op string, unknown bool) error {
+	return &platform.StoreError{Op: op, Unknown: unknown, Cause: errFake}
+}
+
+func (s *fakeStore) Get(ctx context.Context, key string) (platform.KeyValue, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	late := s.late
+	s.late = nil
+	defer s.flush(late)
+	if err := ctx.Err(); err != nil {
+		return platform.KeyValue{}, 0, &platform.StoreError{Op: "get", Cause: err}
+	}
+	switch s.next() {
+	case notSent, lostBefore, lostAfter:
+		return platform.KeyValue{}, 0, failed("get", false)
+	case staleRead:
+		old := s.previous[key]
+		old.Key = key
+		return old, s.revision, nil
+	}
+	value := s.values[key]
+	value.Key = key
+	return value, s.revision, nil
+}
+
+func (s *fakeStore) List(ctx context.Context, prefix string) ([]platform.KeyValue, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	late := s.late
+	s.late = nil
+	defer s.flush(late)
+	if err := ctx.Err(); err != nil {
+		return nil, 0, &platform.StoreError{Op: "list", Cause: err}
+	}
+	switch s.next() {
+	case notSent, lostBefore, lostAfter:
+		return nil, 0, failed("list", false)
+	}
+	var found []platform.KeyValue
+	for key, value := range s.values {
+		if strings.HasPrefix(key, prefix) {
+			found = append(found, value)
+		}
+	}
+	sort.Slice(found, func(a, b int) bool { return found[a].Key < found[b].Key })
+	return found, s.revision, nil
+}
+
+func (s *fakeStore) Swap(ctx context.Context, key string, expected int64, value []byte, _ platform.LeaseID) (platform.SwapResult, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	late := s.late
+	s.late = nil
+	defer s.flush(late)
+	if err := ctx.Err(); err != nil {
+		return platform.SwapResult{}, &platform.StoreError{Op: "swap", Cause: err}
+	}
+	value = append([]byte(nil), value...)
+	write := func() platform.SwapResult { return s.swap(key, expected, value) }
+	switch s.next() {
+	case notSent:
+		return platform.SwapResult{}, failed("swap", false)
+	case lostBefore:
+		return platform.SwapResult{}, failed("swap", true)
+	case lostAfter:
+		write()
+		return platform.SwapResult{}, failed("swap", true)
+	case delayedWrite:
+		s.late = append(s.late, func() { write() })
+		return platform.SwapResult{}, failed("swap", true)
+	case delayedBeyond:
+		s.held = append(s.held, func() { write() })
+		return platform.SwapResult{}, failed("swap", true)
+	}
+	return write(), nil
+}
+
+// swap is the effect of a write that reached the store.
+func (s *fakeStore) swap(key string, expected int64, value []byte) platform.SwapResult {
+	current := s.values[key]
+	if current.ModRevision != expected {
+		current.Key = key
+		return platform.SwapResult{Revision: s.revision, Current: current}
+	}
+	s.revision++
+	s.writes++
+	s.bytes += len(value)
+	s.previous[key] = current
+	s.values[key] = platform.KeyValue{Key: key, Value: value, ModRevision: s.revision}
+	if s.applied != nil {
+		s.applied(key, value)
+	}
+	return platform.SwapResult{Applied: true, Revision: s.revision}
+}
+
+func (s *fakeStore) Grant(context.Context, time.Duration) (platform.LeaseID, error) {
+	return 0, errFake
+}
+func (s *fakeStore) Renew(context.Context, platform.LeaseID) error  { return errFake }
+func (s *fakeStore) Revoke(context.Context, platform.LeaseID) error { return errFake }
+func (s *fakeStore) Watch(context.Context, string, int64) (<-chan platform.WatchEvent, error) {
+	return nil, errFake
+}
--- /dev/null
+++ b/internal/journal/fault_test.go
@@ -0,0 +1,84 @@
+package journal_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumwick/geraniumwick/internal/journal"
+)
+
+// walkSession is a fixed session of two owners. It returns the texts that the second owner
+// replays and those whose append was acknowledged.
+func walkSession(store *fakeStore) (replayed, acknowledged []string, err error) {
+	ctx := context.Background()
+	first, _, err := journal.Open(ctx, store, config("a"))
+	if err != nil {
+		return nil, nil, err
+	}
+	for i := range 10 {
+		text := fmt.Sprint("entry-", i)
+		if err := first.Append(ctx, []byte(text)); err != nil {
+			return nil, nil, err
+		}
+		acknowledged = append(acknowledged, text)
+		if first.NeedsSnapshot() {
+			if err := first.WriteSnapshot(ctx, fmt.Append(nil, acknowledged)); err != nil {
+				return nil, nil, err
+			}
+		}
+	}
+	_, replay, err := journal.Open(ctx, store, config("b"))
+	if err != nil {
+		return nil, nil, err
+	}
+	store.releaseHeld()
+	if err := first.Append(ctx, []byte("too late")); !isDeposed(err) {
+		return nil, nil, fmt.Errorf("former owner was not deposed: %v", err)
+	}
+	replayed = append([]string{string(replay.Snapshot)}, texts(replay)...)
+	return replayed, acknowledged, nil
+}
+
+// isDeposed reports whether err ends an ownership.
+func isDeposed(err error) bool {
+	var deposed *journal.DeposedError
+	return errors.As(err, &deposed)
+}
+
+// TestFaultPointWalk injects each fault at each store call of the session in turn.
+func TestFaultPointWalk(t *testing.T) {
+	is := is.New(t)
+	plain := newFakeStore()
+	want, _, err := walkSession(plain)
+	is.NoErr(err)
+	calls := plain.calls
+	for kind := notSent; kind < allFaults; kind++ {
+		for point := 1; point <= calls; point++ {
+			store := newFakeStore()
+			store.fault = func(call int) fault {
+				if call == point {
+					return kind
+				}
+				return noFault
+			}
+			got, _, err := walkSession(store)
+			if readFailed(err) {
+				continue // Open reports a failed read; nothing was acknowledged
+			}
+			if err != nil {
+				t.Errorf("%s at call %d: %v", kind, point, err)
+				continue
+			}
+			if fmt.Sprint(got) != fmt.Sprint(want) {
+				t.Errorf("%s at call %d: replayed %v, want %v", kind, point, got, want)
+			}
+		}
+	}
+}
+
+// readFailed reports whether Open failed because a read failed.
+func readFailed(err error) bool { return errors.Is(err, errFake) }
--- /dev/null
+++ b/internal/journal/journal.go
@@ -0,0 +1,227 @@
+// Package journal keeps the records of one partition in the platform's store. It is a ring
+// of keys plus one snapshot; every write is a compare-and-swap of a single key from the
+// version that the owner knows.
+//
+// A new owner appends an ownership entry to the slot after the head. The next append of
+// the former owner expects the old version of that same slot and therefore fails, whatever
+// its clock says and however late it arrives. The same holds for a delayed write.
+//
+// A write whose outcome is unknown is settled by reading the slot again, and repeated
+// byte by byte while the slot is unchanged, because the first write may still arrive.
+//
+// The snapshot needs no fence of its own. It only ever replaces the version that its
+// writer read, and a writer that meets a snapshot of a higher epoch or sequence is deposed.
+// So its sequence never falls, and a late snapshot of a former owner is a true prefix of
+// the history, which the ring completes.
+package journal
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/geraniumwick/geraniumwick/internal/ledger"
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/platform"
+)
+
+// Limits of a journal.
+const (
+	// DefaultSlots is the number of keys of the ring.
+	DefaultSlots = 64
+	// MinSlots is the smallest ring that leaves room for appends between snapshots.
+	MinSlots = 8
+	// MaxValue is the largest value of the store, in bytes.
+	MaxValue = 1 << 20
+	// DefaultRetryDelay is the pause before a failed store call is repeated.
+	DefaultRetryDelay = 50 * time.Millisecond
+	// maxConflicts bounds how often Open reads the ring again because it changed.
+	maxConflicts = 16
+)
+
+// Config names the partition and its new owner.
+type Config struct {
+	Partition model.Partition
+	// Owner is unique for each process life.
+	Owner model.InstanceID
+	// Slots is the number of keys of the ring, at least MinSlots. It must not change while
+	// the partition exists. Zero means DefaultSlots.
+	Slots int
+	// RetryDelay is the pause before a failed store call is repeated. Zero means
+	// DefaultRetryDelay.
+	RetryDelay time.Duration
+}
+
+// withDefaults fills in the fields that are not set.
+func (c Config) withDefaults() Config {
+	if c.Slots == 0 {
+		c.Slots = DefaultSlots
+	}
+	if c.RetryDelay == 0 {
+		c.RetryDelay = DefaultRetryDelay
+	}
+	return c
+}
+
+// Journal is the journal of a partition in the hands of one owner. Its methods exclude
+// each other.
+type Journal struct {
+	store  platform.Store
+	config Config
+
+	mu sync.Mutex
+	// epoch is the epoch of this ownership.
+	epoch model.Epoch
+	// head is the sequence of the last durable entry.
+	head uint64
+	// revisions holds the version of each slot's key, zero if the key is absent.
+	revisions []int64
+	// pending is the write whose outcome is unknown, or nil.
+	pending *write
+	// saved describes the snapshot in the store.
+	saved savedSnapshot
+	// ended is the error of every further call once the ownership has ended.
+	ended error
+	// uncovered is the number of entries after the snapshot.
+	uncovered atomic.Uint64
+}
+
+// savedSnapshot is what the owner knows of the snapshot key.
+type savedSnapshot struct {
+	revision int64
+	sequence uint64
+}
+
+// write is a compare-and-swap that may be repeated as it is.
+type write struct {
+	key      string
+	expected int64
+	value    []byte
+	// payload is the caller's part of the value, to recognise a retry.
+	payload []byte
+	// sent says that a try may have taken effect, now or later.
+	sent bool
+}
+
+// Epoch returns the epoch of this ownership.
+func (j *Journal) Epoch() model.Epoch { return j.epoch }
+
+// Append makes one entry durable. Errors:
+//
+//   - *DeposedError: another owner took the partition. NotWritten says whether the entry
+//     is surely not in the journal. Every further call fails.
+//   - *PendingError: ctx ended while the outcome was unknown. The entry may be durable, now
+//     or later. The caller calls Append again with the same entry, which settles the first
+//     write without appending the entry twice. An Append of another entry settles the
+//     pending one first, and succeeds only if both are durable.
+//   - *RingFullError, *TooLargeError, or another error: the entry is surely not written.
+func (j *Journal) Append(ctx context.Context, entry []byte) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.ended != nil {
+		return j.ended
+	}
+	if j.pending != nil {
+		retried := bytes.Equal(j.pending.payload, entry)
+		if err := j.settle(ctx); err != nil || retried {
+			return err
+		}
+	}
+	return j.append(ctx, entry)
+}
+
+// append writes an entry into the slot after the head.
+func (j *Journal) append(ctx context.Context, payload []byte) error {
+	sequence := j.head + 1
+	if !j.covered(sequence, j.reserve()) {
+		return &RingFullError{Partition: j.config.Partition, Head: j.head, Snapshot: j.saved.sequence}
+	}
+	value, err := encode(entry{Sequence: sequence, Epoch: j.epoch, Owner: j.config.Owner, Payload: payload})
+	if err != nil {
+		return err
+	}
+	j.pending = &write{key: j.slotKey(sequence), expected: j.revisions[j.slot(sequence)], value: value, payload: bytes.Clone(payload)}
+	return j.settle(ctx)
+}
+
+// settle brings the pending write of an entry to an end.
+func (j *Journal) settle(ctx context.Context) error {
+	sequence := j.head + 1
+	outcome, err := j.perform(ctx, j.pending)
+	if err != nil {
+		if j.pending.sent {
+			return &PendingError{Partition: j.config.Partition, Sequence: sequence, Cause: err}
+		}
+		j.pending = nil
+		return errors.Annotatef(err, "partition %d: entry %d not written", j.config.Partition, sequence)
+	}
+	j.pending = nil
+	if !outcome.done {
+		return j.depose(sequence, outcome.current)
+	}
+	j.advance(sequence, outcome.revision)
+	return nil
+}
+
+// depose ends the ownership because the slot of the sequence holds a foreign entry.
+func (j *Journal) depose(sequence uint64, current platform.KeyValue) error {
+	found, err := decodeEntry(current.Value)
+	if err != nil || found.Sequence < sequence {
+		j.ended = j.corrupt("slot of entry %d went back to entry %d", sequence, found.Sequence)
+		return j.ended
+	}
+	j.ended = &DeposedError{
+		Partition:  j.config.Partition,
+		By:         found.Owner,
+		Epoch:      found.Epoch,
+		NotWritten: found.Sequence == sequence,
+	}
+	return j.ended
+}
+
+// NeedsSnapshot reports whether the ring should be covered by a snapshot soon. It never
+// waits for another call.
+func (j *Journal) NeedsSnapshot() bool {
+	return j.uncovered.Load() >= uint64(j.config.Slots/2)
+}
+
+// advance takes note of a new head.
+func (j *Journal) advance(sequence uint64, revision int64) {
+	j.head = sequence
+	j.revisions[j.slot(sequence)] = revision
+	j.uncovered.Store(j.head - j.saved.sequence)
+}
+
+// covered reports whether the slot of the sequence can be overwritten while spare slots
+// after it stay free: what it holds must be in the snapshot.
+func (j *Journal) covered(sequence uint64, spare int) bool {
+	return sequence+uint64(spare) <= j.saved.sequence+uint64(j.config.Slots)
+}
+
+// reserve is the number of slots that only take-overs may use.
+func (j *Journal) reserve() int { return j.config.Slots / 4 }
+
+// slot returns the index of the sequence in the ring.
+func (j *Journal) slot(sequence uint64) int { return int(sequence % uint64(j.config.Slots)) }
+
+// slotKey returns the store key of the sequence.
+func (j *Journal) slotKey(sequence uint64) string {
+	return fmt.Sprintf("%s%d", prefix(j.config.Partition), j.slot(sequence))
+}
+
+// prefix returns the common prefix of the partition's keys.
+func prefix(p model.Partition) string { return fmt.Sprintf("journal/%d/", p) }
+
+// snapshotKey returns the key of the partition's snapshot.
+func snapshotKey(p model.Partition) string { return prefix(p) + "snapshot" }
+
+// EncodeRecords returns the entry that holds a batch of ledger records.
+func EncodeRecords(records []ledger.Record) ([]byte, error) { return ledger.EncodeRecords(records) }
+
+// DecodeRecords returns the ledger records of an entry.
+func DecodeRecords(data []byte) ([]ledger.Record, error) { return ledger.DecodeRecords(data) }
--- /dev/null
+++ b/internal/journal/journal_test.go
@@ -0,0 +1,173 @@
+package journal_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumwick/geraniumwick/internal/journal"
+	"github.com/geraniumwick/geraniumwick/internal/model"
+)
+
+// config returns a configuration with a small ring and quick retries.
+func config(owner model.InstanceID) journal.Config {
+	return journal.Config{Partition: 3, Owner: owner, Slots: 8, RetryDelay: time.Nanosecond}
+}
+
+// texts returns the entries of a replay as text.
+func texts(r journal.Replay) []string {
+	list := []string{}
+	for _, e := range r.Entries {
+		list = append(list, string(e))
+	}
+	return list
+}
+
+func TestAppendAndReplay(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := newFakeStore()
+	first, replay, err := journal.Open(ctx, store, config("a"))
+	is.NoErr(err)
+	is.Equal(replay.Epoch, model.Epoch(1))
+	is.Equal(len(replay.Entries), 0)
+	is.NoErr(first.Append(ctx, []byte("one")))
+	is.NoErr(first.Append(ctx, []byte("two")))
+
+	_, replay, err = journal.Open(ctx, store, config("b"))
+	is.NoErr(err)
+	is.Equal(replay.Epoch, model.Epoch(2))
+	is.Equal(replay.PreviousOwner, model.InstanceID("a"))
+	is.Equal(texts(replay), []string{"one", "two"})
+
+	err = first.Append(ctx, []byte("three"))
+	var deposed *journal.DeposedError
+	is.True(errors.As(err, &deposed)) // the former owner must notice without a clock
+	is.True(deposed.NotWritten)
+	is.Equal(deposed.By, model.InstanceID("b"))
+}
+
+func TestRingIsReusedBehindSnapshots(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := newFakeStore()
+	j, _, err := journal.Open(ctx, store, config("a"))
+	is.NoErr(err)
+	want := []string{}
+	for i := range 50 {
+		text := fmt.Sprint(i)
+		is.NoErr(j.Append(ctx, []byte(text)))
+		want = append(want, text)
+		if j.NeedsSnapshot() {
+			is.NoErr(j.WriteSnapshot(ctx, fmt.Append(nil, want)))
+			want = []string{}
+		}
+	}
+	_, replay, err := journal.Open(ctx, store, config("b"))
+	is.NoErr(err)
+	is.Equal(texts(replay), want)
+	is.True(len(store.values) <= 9) // eight slots and the snapshot
+}
+
+func TestAppendRefusesToOverwriteUncoveredSlots(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	j, _, err := journal.Open(ctx, newFakeStore(), config("a"))
+	is.NoErr(err)
+	var full *journal.RingFullError
+	appended := 0
+	for range 20 {
+		if err = j.Append(ctx, []byte("x")); err != nil {
+			break
+		}
+		appended++
+	}
+	is.True(errors.As(err, &full))
+	is.Equal(appended, 5) // eight slots, one taken by the ownership entry, two kept for take-overs
+	is.NoErr(j.WriteSnapshot(ctx, []byte("state")))
+	is.NoErr(j.Append(ctx, []byte("y")))
+}
+
+func TestTakeOversNeverExhaustTheRing(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := newFakeStore()
+	j, _, err := journal.Open(ctx, store, config("a"))
+	is.NoErr(err)
+	is.NoErr(j.Append(ctx, []byte("one")))
+	is.NoErr(j.Append(ctx, []byte("two")))
+	for i := range 30 {
+		_, replay, err := journal.Open(ctx, store, config(model.InstanceID(fmt.Sprint(i))))
+		is.NoErr(err)
+		is.Equal(texts(replay), []string{"one", "two"})
+	}
+}
+
+func TestReleaseHandsOverWithOneReadAndOneWrite(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := newFakeStore()
+	j, _, err := journal.Open(ctx, store, config("a"))
+	is.NoErr(err)
+	is.NoErr(j.Append(ctx, []byte("one")))
+	is.NoErr(j.Release(ctx, []byte("state")))
+	var released *journal.ReleasedError
+	is.True(errors.As(j.Append(ctx, []byte("two")), &released))
+
+	before := store.calls
+	next, replay, err := journal.Open(ctx, store, config("b"))
+	is.NoErr(err)
+	is.Equal(store.calls-before, 2)
+	is.True(replay.Released)
+	is.Equal(string(replay.Snapshot), "state")
+	is.Equal(replay.Epoch, model.Epoch(2))
+	is.NoErr(next.Append(ctx, []byte("two")))
+
+	_, replay, err = journal.Open(ctx, store, config("c")) // the mark is outdated now
+	is.NoErr(err)
+	is.Equal(texts(replay), []string{"two"})
+	is.Equal(replay.Epoch, model.Epoch(3))
+}
+
+func TestLateSnapshotOfFormerOwner(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := newFakeStore()
+	former, _, err := journal.Open(ctx, store, config("a"))
+	is.NoErr(err)
+	is.NoErr(former.Append(ctx, []byte("one")))
+	next, _, err := journal.Open(ctx, store, config("b"))
+	is.NoErr(err)
+	is.NoErr(next.Append(ctx, []byte("two")))
+	is.NoErr(next.WriteSnapshot(ctx, []byte("one two")))
+
+	err = former.WriteSnapshot(ctx, []byte("one"))
+	var deposed *journal.DeposedError
+	is.True(errors.As(err, &deposed)) // an old snapshot must not replace a newer one
+	_, replay, err := journal.Open(ctx, store, config("c"))
+	is.NoErr(err)
+	is.Equal(string(replay.Snapshot), "one two")
+}
+
+func TestSnapshotOfFormerOwnerIsReplaced(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := newFakeStore()
+	former, _, err := journal.Open(ctx, store, config("a"))
+	is.NoErr(err)
+	is.NoErr(former.Append(ctx, []byte("one")))
+	next, _, err := journal.Open(ctx, store, config("b"))
+	is.NoErr(err)
+	is.NoErr(next.Append(ctx, []byte("two")))
+	is.NoErr(former.WriteSnapshot(ctx, []byte("one"))) // a true prefix, written late
+	is.NoErr(next.WriteSnapshot(ctx, []byte("one two")))
+
+	_, replay, err := journal.Open(ctx, store, config("c"))
+	is.NoErr(err)
+	is.Equal(string(replay.Snapshot), "one two")
+	is.Equal(len(replay.Entries), 0)
+}
--- /dev/null
+++ b/internal/ledger/action.go
@@ -0,0 +1,73 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/platform"
+)
+
+// Start is an action: the start message of a recorded attempt.
+type Start struct {
+	Worker model.WorkerID
+	// DataCentre is checked against the configuration just before the message goes out.
+	DataCentre model.DataCentre
+	Attempt    platform.StartAttempt
+}
+
+// Signal is an action: a message about an executing attempt.
+type Signal struct {
+	Worker  model.WorkerID
+	Attempt model.AttemptID
+	Kind    platform.SignalKind
+	Share   float64
+}
+
+// Transfer is an action: a job to be offered to another partition until it accepts.
+type Transfer struct {
+	To        model.Partition `cbor:"1,keyasint"`
+	Spec      model.JobSpec   `cbor:"2,keyasint"`
+	Submitted time.Time       `cbor:"3,keyasint"`
+	// Attempt is the last attempt number used.
+	Attempt    uint32             `cbor:"4,keyasint,omitempty"`
+	Checkpoint model.CheckpointID `cbor:"5,keyasint,omitempty"`
+	Progress   float64            `cbor:"6,keyasint,omitempty"`
+	// Hop numbers the transfers of the job, from 1. With Submitted it identifies the offer.
+	Hop uint32 `cbor:"7,keyasint"`
+	// At is when the source recorded the transfer.
+	At        time.Time       `cbor:"8,keyasint"`
+	Home      model.Partition `cbor:"9,keyasint"`
+	Evictions int             `cbor:"10,keyasint,omitempty"`
+	Failures  int             `cbor:"11,keyasint,omitempty"`
+	// Steps is the life of the job so far.
+	Steps []Step `cbor:"12,keyasint,omitempty"`
+}
+
+// normalise brings the times to the precision of the records.
+func (t *Transfer) normalise() {
+	t.Submitted = milliseconds(t.Submitted)
+	t.At = milliseconds(t.At)
+	steps := make([]Step, len(t.Steps))
+	for i, s := range t.Steps {
+		s.At = milliseconds(s.At)
+		steps[i] = s
+	}
+	t.Steps = steps
+}
+
+// Actions are the messages that may go out once the records before them are durable.
+type Actions struct {
+	Starts    []Start
+	Signals   []Signal
+	Transfers []Transfer
+}
+
+// Placement starts the next attempt of a queued job.
+type Placement struct {
+	Job         model.JobID
+	Worker      model.Worker
+	Reservation model.Resources
+	// NotAfter is the time after which the worker refuses the start.
+	NotAfter time.Time
+	Reason   string
+}
--- /dev/null
+++ b/internal/ledger/claim.go
@@ -0,0 +1,170 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/verdict"
+)
+
+// Limits of the claims of one ledger. Every claim is remembered longer than the longest
+// deadline of a request, so that no request outlives the memory of its own claim.
+const (
+	// MaxClaims is the number of claims that a ledger holds.
+	MaxClaims = 8192
+	// MaxClaimDeadline is the longest time from a claim to the deadline of its request.
+	MaxClaimDeadline = time.Hour
+	// ClaimRetention is how long a claim is remembered after its deadline.
+	ClaimRetention = 6 * time.Hour
+	// claimGrace is how long after its deadline an open claim waits for its settlement, and
+	// how long a claim that may be taken again is remembered.
+	claimGrace = 5 * time.Minute
+)
+
+// ClaimState says what is known of a claimed request key.
+type ClaimState uint8
+
+const (
+	// ClaimOpen is held by a request that may be executing.
+	ClaimOpen ClaimState = iota + 1
+	// ClaimSettled ended with a verdict.
+	ClaimSettled
+)
+
+// Claim is the entry of a request key.
+type Claim struct {
+	Key       model.RequestKey `cbor:"1,keyasint"`
+	State     ClaimState       `cbor:"2,keyasint"`
+	Holder    model.InstanceID `cbor:"3,keyasint"`
+	Exclusive bool             `cbor:"4,keyasint,omitempty"`
+	Verdict   verdict.Verdict  `cbor:"5,keyasint,omitempty"`
+	Taken     time.Time        `cbor:"6,keyasint"`
+	Deadline  time.Time        `cbor:"7,keyasint"`
+}
+
+// ClaimRequest asks for a request key.
+//
+// Holder identifies one claim, not only an instance: the claimer appends a number of its
+// own, so that a settlement that arrives late is never taken for that of a later claim.
+// A holder that claims a key again is refused. A claimer that lost the answer to its claim
+// finds its own holder in the returned Claim and thereby knows that it was granted.
+type ClaimRequest struct {
+	Key       model.RequestKey `cbor:"1,keyasint"`
+	Holder    model.InstanceID `cbor:"2,keyasint"`
+	Exclusive bool             `cbor:"3,keyasint,omitempty"`
+	Deadline  time.Time        `cbor:"4,keyasint"`
+}
+
+// Claim grants a request key to one holder. A key that is open, or settled in a way that
+// forbids another execution, yields the existing claim and a verdict error with
+// ReasonDuplicate; its verdict NotRun is about this request, not about the earlier one.
+//
+// A settled key may be claimed again after NotRun; an exclusive key also after Ran. A key
+// settled as MayHaveRun is not granted again: a target that ignores the not-after time may
+// still be executing it.
+func (l *Ledger) Claim(now time.Time, c ClaimRequest) (Claim, error) {
+	if err := checkClaim(now, c); err != nil {
+		return Claim{}, err
+	}
+	known, found := l.claims[c.Key]
+	if found && !known.grantable(c) {
+		return *known, refuse(verdict.ReasonDuplicate, "key %q is held by %q (%s)", c.Key, known.Holder, known.describe())
+	}
+	if !found && len(l.claims) >= MaxClaims {
+		return Claim{}, refuse(verdict.ReasonClaimsExhausted, "partition %d holds %d claims", l.partition, len(l.claims))
+	}
+	if err := l.admit(); err != nil {
+		return Claim{}, err
+	}
+	r := Record{Kind: RecordClaimed, At: now, Key: c.Key, Owner: c.Holder, Exclusive: c.Exclusive, Deadline: c.Deadline}
+	if err := l.commit(r); err != nil {
+		return Claim{}, err
+	}
+	return *l.claims[c.Key], nil
+}
+
+// checkClaim refuses a claim that the ledger could not remember long enough.
+func checkClaim(now time.Time, c ClaimRequest) error {
+	if c.Key == "" || c.Holder == "" {
+		return refuse(verdict.ReasonInvalid, "a claim needs a key and a holder")
+	}
+	if !c.Deadline.After(now) {
+		return refuse(verdict.ReasonDeadline, "the deadline of %q has passed", c.Key)
+	}
+	if c.Deadline.Sub(now) > MaxClaimDeadline {
+		return refuse(verdict.ReasonInvalid, "the deadline of %q is more than %s ahead", c.Key, MaxClaimDeadline)
+	}
+	return nil
+}
+
+// grantable reports whether the key may be granted to another request.
+func (c *Claim) grantable(r ClaimRequest) bool {
+	if c.State != ClaimSettled || c.Holder == r.Holder {
+		return false
+	}
+	return c.repeatable()
+}
+
+// repeatable reports whether the settlement allows another execution.
+func (c *Claim) repeatable() bool {
+	return c.Verdict == verdict.NotRun || c.Exclusive && c.Verdict == verdict.Ran
+}
+
+// describe returns the state of the claim in words.
+func (c *Claim) describe() string {
+	if c.State == ClaimOpen {
+		return "open"
+	}
+	return c.Verdict.String()
+}
+
+func (l *Ledger) applyClaimed(r *Record) error {
+	if known, found := l.claims[r.Key]; found && (known.State != ClaimSettled || !known.repeatable()) {
+		return r.misfit("the key is %s", known.describe())
+	}
+	l.claims[r.Key] = &Claim{Key: r.Key, State: ClaimOpen, Holder: r.Owner, Exclusive: r.Exclusive, Taken: r.At, Deadline: r.Deadline}
+	return nil
+}
+
+// Settle ends a claim with a verdict. Only the holder settles it. MayHaveRun may be
+// replaced by proof later; NotRun and Ran are final, and a settlement that contradicts
+// them changes nothing.
+func (l *Ledger) Settle(now time.Time, key model.RequestKey, holder model.InstanceID, v verdict.Verdict) error {
+	known, found := l.claims[key]
+	if !found || known.Holder != holder {
+		return nil
+	}
+	if known.State == ClaimSettled && (known.Verdict != verdict.MayHaveRun || v == verdict.MayHaveRun) {
+		return nil
+	}
+	return l.commit(Record{Kind: RecordSettled, At: now, Key: key, Owner: holder, Verdict: v})
+}
+
+func (l *Ledger) applySettled(r *Record) error {
+	known, found := l.claims[r.Key]
+	if !found || known.Holder != r.Owner {
+		return r.misfit("not held by %q", r.Owner)
+	}
+	known.State = ClaimSettled
+	known.Verdict = r.Verdict
+	return nil
+}
+
+// expired reports whether the claim need not be remembered any longer. An exclusive claim
+// that may have run is kept until a settlement proves that its execution is over.
+func (c *Claim) expired(now time.Time) bool {
+	switch {
+	case c.State == ClaimOpen:
+		return false
+	case c.repeatable():
+		return now.After(c.Deadline.Add(claimGrace))
+	case c.Exclusive:
+		return false
+	}
+	return now.After(c.Deadline.Add(ClaimRetention))
+}
+
+// abandoned reports whether the claim's holder should have settled it long ago.
+func (c *Claim) abandoned(now time.Time) bool {
+	return c.State == ClaimOpen && now.After(c.Deadline.Add(claimGrace))
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -1,159 +1,118 @@
 // Package ledger is the state machine of one partition: jobs, attempts, commitments of
-// workers and claims of request keys. It is pure: Step decides and Apply replays.
+// workers and claims of request keys. It is pure: it has no I/O, no clock and no goroutine.
+//
+// A command decides, applies its records to the state at once and queues them with their
+// actions. The caller makes the records durable before it sends the actions. Apply replays
+// the same records, so a replay yields the same state.
 package ledger
 
 import (
 	"time"
 
 	"github.com/geraniumwick/geraniumwick/internal/model"
-	"github.com/geraniumwick/geraniumwick/internal/platform"
 	"github.com/geraniumwick/geraniumwick/internal/verdict"
 )
 
-// RecordKind names what a journal record changes.
-type RecordKind uint8
-
-// The kinds of record.
+// Limits of one ledger. They keep a snapshot below the largest value of the store.
 const (
-	RecordOwner       RecordKind = iota + 1 // a new owner took the partition
-	RecordSubmitted                         // a job was accepted
-	RecordStarted                           // an attempt may execute from now on
-	RecordRefused                           // the attempt never executes; the job is queued again
-	RecordEvicting                          // the attempt was asked to checkpoint or stop
-	RecordEnded                             // the attempt ended
-	RecordCancelled                         // a cancellation was asked for
-	RecordParked                            // the job waits for an operator
-	RecordTransferred                       // the job left for another partition
-	RecordAccepted                          // the job arrived from another partition
-	RecordClaimed                           // a request key was claimed
-	RecordSettled                           // a claimed request ended with a verdict
-	RecordForgotten                         // ended jobs and old claims left the ledger
-	RecordTransferEnd                       // the other partition confirmed the transfer
+	// MaxJobs is the number of jobs that a ledger holds, ended ones included.
+	MaxJobs = 6000
+	// MaxPayloadBytes bounds the payloads of all jobs that have not ended.
+	MaxPayloadBytes = 384 << 10
+	// MaxQueuedBytes bounds the estimated size of the records that wait for Take. New work
+	// is refused above it, so that one batch fits into one journal entry.
+	MaxQueuedBytes = 384 << 10
+	// maxText bounds a reason, in bytes.
+	maxText = 256
+	// recordBytes is the estimated size of a record without its payload, in bytes.
+	recordBytes = 128
 )
 
-// Record is one change of the ledger. Only the fields of its kind are set.
-type Record struct {
-	Kind        RecordKind         `cbor:"1,keyasint"`
-	At          time.Time          `cbor:"2,keyasint"`
-	Job         model.JobID        `cbor:"3,keyasint,omitempty"`
-	Attempt     uint32             `cbor:"4,keyasint,omitempty"`
-	Worker      model.WorkerID     `cbor:"5,keyasint,omitempty"`
-	Reservation *model.Resources   `cbor:"6,keyasint,omitempty"`
-	Spec        *model.JobSpec     `cbor:"7,keyasint,omitempty"`
-	State       model.AttemptState `cbor:"8,keyasint,omitempty"`
-	Checkpoint  model.CheckpointID `cbor:"9,keyasint,omitempty"`
-	Progress    float64            `cbor:"10,keyasint,omitempty"`
-	Partition   model.Partition    `cbor:"11,keyasint,omitempty"`
-	Key         model.RequestKey   `cbor:"12,keyasint,omitempty"`
-	Verdict     verdict.Verdict    `cbor:"13,keyasint,omitempty"`
-	Reason      string             `cbor:"14,keyasint,omitempty"`
-	Owner       model.InstanceID   `cbor:"15,keyasint,omitempty"`
-	Epoch       model.Epoch        `cbor:"16,keyasint,omitempty"`
-	Deadline    time.Time          `cbor:"17,keyasint,omitempty"`
-	NotAfter    time.Time          `cbor:"18,keyasint,omitempty"`
-	Jobs        []model.JobID      `cbor:"19,keyasint,omitempty"`
-	Keys        []model.RequestKey `cbor:"20,keyasint,omitempty"`
-	Exclusive   bool               `cbor:"21,keyasint,omitempty"`
-	DataCentre  model.DataCentre   `cbor:"22,keyasint,omitempty"`
-	Submitted   time.Time          `cbor:"23,keyasint,omitempty"`
-}
-
-// Start is an action: the start message of a recorded attempt.
-type Start struct {
-	Worker model.WorkerID
-	// DataCentre is checked against the configuration just before the message goes out.
-	DataCentre model.DataCentre
-	Attempt    platform.StartAttempt
+// MaxClockSkew bounds the difference between the clocks of a worker and an owner.
+const MaxClockSkew = 2 * time.Second
+
+// Ledger is the state of one partition. It is used by one goroutine.
+type Ledger struct {
+	partition model.Partition
+	owner     model.InstanceID
+	epoch     model.Epoch
+
+	jobs         map[model.JobID]*job
+	queue        jobQueue
+	workers      map[model.WorkerID]*commitments
+	claims       map[model.RequestKey]*Claim
+	arrivals     map[model.JobID]arrival
+	payloadBytes int
+
+	records     []Record
+	actions     Actions
+	queuedBytes int
 }
 
-// Signal is an action: a message about an executing attempt.
-type Signal struct {
-	Worker  model.WorkerID
-	Attempt model.AttemptID
-	Kind    platform.SignalKind
-	Share   float64
+// New returns the empty ledger of a partition.
+func New(p model.Partition) *Ledger {
+	return &Ledger{
+		partition: p,
+		jobs:      map[model.JobID]*job{},
+		workers:   map[model.WorkerID]*commitments{},
+		claims:    map[model.RequestKey]*Claim{},
+		arrivals:  map[model.JobID]arrival{},
+	}
 }
 
-// Transfer is an action: a job to be offered to another partition until it accepts.
-type Transfer struct {
-	To        model.Partition
-	Spec      model.JobSpec
-	Submitted time.Time
-	// Attempt is the last attempt number used.
-	Attempt    uint32
-	Checkpoint model.CheckpointID
-	Progress   float64
+// Own records that owner holds the partition from now on with epoch e.
+func (l *Ledger) Own(now time.Time, owner model.InstanceID, e model.Epoch) {
+	if e <= l.epoch {
+		return
+	}
+	_ = l.commit(Record{Kind: RecordOwner, At: now, Owner: owner, Epoch: e})
 }
 
-// Actions are the messages that may go out once the records before them are durable.
-type Actions struct {
-	Starts    []Start
-	Signals   []Signal
-	Transfers []Transfer
+// Take returns the queued records and their actions and clears the queue. The actions may
+// be sent once the records are durable.
+func (l *Ledger) Take() ([]Record, Actions) {
+	records, actions := l.records, l.actions
+	l.records, l.actions, l.queuedBytes = nil, Actions{}, 0
+	return records, actions
 }
 
-// ClaimState says what is known of a claimed request key.
-type ClaimState uint8
-
-const (
-	// ClaimOpen is held by a request that may be executing.
-	ClaimOpen ClaimState = iota + 1
-	// ClaimSettled ended with a verdict.
-	ClaimSettled
-)
-
-// Claim is the entry of a request key.
-type Claim struct {
-	Key       model.RequestKey
-	State     ClaimState
-	Holder    model.InstanceID
-	Exclusive bool
-	Verdict   verdict.Verdict
-	Taken     time.Time
-	Deadline  time.Time
+// commit applies a record of a command and queues it.
+func (l *Ledger) commit(r Record) error {
+	r.normalise()
+	if err := l.apply(&r); err != nil {
+		return verdict.New(verdict.NotRun, verdict.ReasonInvalid, "%v", err)
+	}
+	l.records = append(l.records, r)
+	l.queuedBytes += recordBytes + r.payloadSize()
+	return nil
 }
 
-// JobStatus is what the ledger knows of a job.
-type JobStatus struct {
-	Spec       model.JobSpec      `json:"spec"`
-	State      model.JobState     `json:"state"`
-	Submitted  time.Time          `json:"submitted"`
-	Attempt    uint32             `json:"attempt"`
-	Worker     model.WorkerID     `json:"worker,omitempty"`
-	Checkpoint model.CheckpointID `json:"checkpoint,omitempty"`
-	Progress   float64            `json:"progress"`
-	Evictions  int                `json:"evictions"`
-	Failures   int                `json:"failures"`
-	Reason     string             `json:"reason,omitempty"`
-	MovedTo    model.Partition    `json:"movedTo,omitempty"`
-	Home       model.Partition    `json:"home"`
+// admit refuses new work while the queue of records is full.
+func (l *Ledger) admit() error {
+	if l.queuedBytes < MaxQueuedBytes {
+		return nil
+	}
+	return refuse(verdict.ReasonOverload, "partition %d has %d bytes of records to write", l.partition, l.queuedBytes)
 }
 
-// Placement starts the next attempt of a queued job.
-type Placement struct {
-	Job         model.JobID
-	Worker      model.Worker
-	Reservation model.Resources
-	// NotAfter is the time after which the worker refuses the start.
-	NotAfter time.Time
-	Reason   string
+// refuse returns the error of a command that changed nothing.
+func refuse(reason verdict.Reason, format string, args ...any) error {
+	return verdict.New(verdict.NotRun, reason, format, args...)
 }
 
-// ClaimRequest asks for a request key.
-type ClaimRequest struct {
-	Key       model.RequestKey `cbor:"1,keyasint"`
-	Holder    model.InstanceID `cbor:"2,keyasint"`
-	Exclusive bool             `cbor:"3,keyasint,omitempty"`
-	Deadline  time.Time        `cbor:"4,keyasint"`
+// milliseconds rounds t to the precision of the records, so that a replay from the
+// journal yields equal times.
+func milliseconds(t time.Time) time.Time {
+	if t.IsZero() {
+		return time.Time{}
+	}
+	return t.Round(time.Millisecond).UTC()
 }
 
-// Step is one entry of the durable life of a job.
-type Step struct {
-	At       time.Time        `cbor:"1,keyasint" json:"at"`
-	Kind     RecordKind       `cbor:"2,keyasint" json:"kind"`
-	Instance model.InstanceID `cbor:"3,keyasint,omitempty" json:"instance,omitempty"`
-	Attempt  uint32           `cbor:"4,keyasint,omitempty" json:"attempt,omitempty"`
-	Worker   model.WorkerID   `cbor:"5,keyasint,omitempty" json:"worker,omitempty"`
-	State    string           `cbor:"6,keyasint,omitempty" json:"state,omitempty"`
-	Reason   string           `cbor:"7,keyasint,omitempty" json:"reason,omitempty"`
+// shorten cuts a text to the length that records hold.
+func shorten(s string) string {
+	if len(s) <= maxText {
+		return s
+	}
+	return s[:maxText]
 }
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,262 @@
+package ledger_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumwick/geraniumwick/internal/ledger"
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/platform"
+	"github.com/geraniumwick/geraniumwick/internal/verdict"
+)
+
+// epochStart is the time at which every test session begins.
+var epochStart = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// at returns the time s seconds into a session.
+func at(s int) time.Time { return epochStart.Add(time.Duration(s) * time.Second) }
+
+// worker returns a worker with ten units of processor time and memory.
+func worker(id model.WorkerID) model.Worker {
+	return model.Worker{ID: id, DataCentre: "kochi", Capacity: model.Resources{MilliCPU: 10, MemoryMB: 10, Accelerators: 1}}
+}
+
+// spec returns a small job.
+func spec(id model.JobID) model.JobSpec {
+	return model.JobSpec{ID: id, Team: "reports", Class: "monthly", Declared: model.Resources{MilliCPU: 4, MemoryMB: 4}}
+}
+
+// placement places a job on a worker with a reservation of four units.
+func placement(id model.JobID, w model.WorkerID, now time.Time) ledger.Placement {
+	return ledger.Placement{Job: id, Worker: worker(w), Reservation: model.Resources{MilliCPU: 4, MemoryMB: 4},
+		NotAfter: now.Add(3 * time.Second), Reason: "fits"}
+}
+
+// owned returns a ledger that instance a owns with epoch 1.
+func owned() *ledger.Ledger {
+	l := ledger.New(7)
+	l.Own(at(0), "a", 1)
+	return l
+}
+
+// running returns a ledger with the job j running on worker w1 as attempt 1.
+func running(is *is.I) *ledger.Ledger {
+	l := owned()
+	_, err := l.Submit(at(1), spec("j"))
+	is.NoErr(err)
+	is.NoErr(l.Place(at(2), placement("j", "w1", at(2))))
+	l.Take()
+	return l
+}
+
+// report returns the report of attempt 1 of the job j.
+func report(state model.AttemptState) platform.AttemptReport {
+	return platform.AttemptReport{Sequence: 1, Attempt: model.AttemptID{Job: "j", Number: 1}, State: state}
+}
+
+// state returns the state of the job j.
+func state(l *ledger.Ledger) model.JobState {
+	status, _ := l.Job("j")
+	return status.State
+}
+
+var attempt1 = model.AttemptID{Job: "j", Number: 1}
+
+func TestReportEndsAttempt(t *testing.T) {
+	cases := []struct {
+		sentence string
+		state    model.AttemptState
+		evicting bool
+		cancel   bool
+		want     model.JobState
+	}{
+		{"success finishes the job", model.AttemptSucceeded, false, false, model.JobFinished},
+		{"success of an evicted attempt finishes the job", model.AttemptSucceeded, true, false, model.JobFinished},
+		{"success of a job being cancelled finishes it", model.AttemptSucceeded, false, true, model.JobFinished},
+		{"failure queues the job again", model.AttemptFailed, false, false, model.JobQueued},
+		{"a checkpoint queues the job again", model.AttemptCheckpointed, true, false, model.JobQueued},
+		{"a stop queues an evicted job again", model.AttemptStopped, true, false, model.JobQueued},
+		{"a stop ends a cancelled job", model.AttemptStopped, false, true, model.JobCancelled},
+		{"a loss queues the job again", model.AttemptLost, false, false, model.JobQueued},
+		{"a loss ends a cancelled job", model.AttemptLost, false, true, model.JobCancelled},
+		{"a refusal queues the job again", model.AttemptRefused, false, false, model.JobQueued},
+		{"progress leaves the job running", model.AttemptRunning, false, false, model.JobRunning},
+	}
+	for _, c := range cases {
+		t.Run(c.sentence, func(t *testing.T) {
+			is := is.New(t)
+			l := running(is)
+			if c.evicting {
+				is.NoErr(l.Evict(at(3), attempt1, platform.SignalCheckpoint, "relief"))
+			}
+			if c.cancel {
+				_, err := l.Cancel(at(3), "j", "not needed")
+				is.NoErr(err)
+				is.Equal(state(l), model.JobRunning) // final only when the attempt has ended
+			}
+			r := report(c.state)
+			r.Checkpoint = "cp"
+			r.Progress = 0.5
+			is.NoErr(l.Report(at(4), "w1", r))
+			is.Equal(state(l), c.want)
+			released := l.Committed("w1") == model.Resources{}
+			is.Equal(released, c.state.Ended())
+		})
+	}
+}
+
+func TestCapacityIsHeldUntilProof(t *testing.T) {
+	is := is.New(t)
+	l := owned()
+	for i := range 3 {
+		_, err := l.Submit(at(1), spec(model.JobID(fmt.Sprint("j", i))))
+		is.NoErr(err)
+	}
+	is.NoErr(l.Place(at(2), placement("j0", "w1", at(2))))
+	is.NoErr(l.Place(at(2), placement("j1", "w1", at(2))))
+	err := l.Place(at(2), placement("j2", "w1", at(2))) // 12 of 10 units
+	is.Equal(verdict.Of(err), verdict.NotRun)
+	is.NoErr(l.Evict(at(3), model.AttemptID{Job: "j0", Number: 1}, platform.SignalStop, "relief"))
+	is.True(l.Place(at(3), placement("j2", "w1", at(3))) != nil) // a stop that was sent proves nothing
+	is.NoErr(l.WorkerGone(at(4), "w1"))
+	is.True(l.Place(at(4), placement("j2", "w1", at(4))) != nil) // the start may still be accepted
+	is.NoErr(l.WorkerGone(at(8), "w1"))
+	is.NoErr(l.Place(at(8), placement("j2", "w1", at(8))))
+}
+
+func TestListedResolvesFormerOwnersOnly(t *testing.T) {
+	is := is.New(t)
+	l := running(is)
+	is.NoErr(l.Listed(at(3), "w1", nil))
+	is.Equal(state(l), model.JobRunning) // the start may still be on its way
+	l.Own(at(4), "b", 2)
+	is.NoErr(l.Listed(at(5), "w1", nil))
+	is.Equal(state(l), model.JobQueued)
+	is.NoErr(l.Report(at(6), "w1", report(model.AttemptSucceeded))) // late
+	is.Equal(state(l), model.JobQueued)
+}
+
+func TestSubmitIsIdempotent(t *testing.T) {
+	is := is.New(t)
+	l := running(is)
+	again, err := l.Submit(at(3), spec("j"))
+	is.NoErr(err)
+	is.Equal(again.State, model.JobRunning)
+	other := spec("j")
+	other.Class = "other"
+	_, err = l.Submit(at(3), other)
+	is.Equal(verdict.From(err, "").Reason, verdict.ReasonDuplicate)
+	is.Equal(verdict.Of(err), verdict.NotRun)
+	records, _ := l.Take()
+	is.Equal(len(records), 0)
+}
+
+func TestClaims(t *testing.T) {
+	cases := []struct {
+		sentence  string
+		exclusive bool
+		settled   bool
+		verdict   verdict.Verdict
+		holder    model.InstanceID
+		granted   bool
+	}{
+		{"an open key is not granted again", false, false, 0, "h2", false},
+		{"a key that ran is not granted again", false, true, verdict.Ran, "h2", false},
+		{"a key that may have run is not granted again", false, true, verdict.MayHaveRun, "h2", false},
+		{"a key that did not run is granted again", false, true, verdict.NotRun, "h2", true},
+		{"a holder is not granted a key twice", false, true, verdict.NotRun, "h1", false},
+		{"an exclusive key that ran is granted again", true, true, verdict.Ran, "h2", true},
+		{"an exclusive key that may have run is never granted again", true, true, verdict.MayHaveRun, "h2", false},
+		{"an open exclusive key is not granted again", true, false, 0, "h2", false},
+	}
+	for _, c := range cases {
+		t.Run(c.sentence, func(t *testing.T) {
+			is := is.New(t)
+			l := owned()
+			request := ledger.ClaimRequest{Key: "k", Holder: "h1", Exclusive: c.exclusive, Deadline: at(60)}
+			_, err := l.Claim(at(1), request)
+			is.NoErr(err)
+			if c.settled {
+				is.NoErr(l.Settle(at(2), "k", "h1", c.verdict))
+			}
+			request.Holder = c.holder
+			known, err := l.Claim(at(3), request)
+			is.Equal(err == nil, c.granted)
+			if !c.granted {
+				is.Equal(verdict.From(err, "").Reason, verdict.ReasonDuplicate)
+				is.Equal(known.Holder, model.InstanceID("h1"))
+			}
+		})
+	}
+}
+
+func TestTransferThereAndBack(t *testing.T) {
+	is := is.New(t)
+	home, away := owned(), ledger.New(8)
+	away.Own(at(0), "b", 1)
+	_, err := home.Submit(at(1), spec("j"))
+	is.NoErr(err)
+	is.NoErr(home.TransferOut(at(2), "j", 8, "full"))
+	first := home.PendingTransfers()[0]
+	is.NoErr(away.AcceptTransfer(at(3), 7, first))
+	is.NoErr(away.AcceptTransfer(at(3), 7, first)) // offered again
+	is.NoErr(home.TransferConfirmed(at(4), "j", first.Hop))
+	is.Equal(state(home), model.JobTransferred)
+
+	is.NoErr(away.TransferOut(at(5), "j", 7, "data centre out"))
+	second := away.PendingTransfers()[0]
+	is.NoErr(home.AcceptTransfer(at(6), 8, second))
+	is.NoErr(home.TransferOut(at(7), "j", 8, "full"))
+	is.NoErr(home.TransferConfirmed(at(8), "j", first.Hop)) // late
+	is.Equal(len(home.PendingTransfers()), 1)               // the third transfer is still to be accepted
+	is.NoErr(away.AcceptTransfer(at(8), 7, first))          // late
+	is.Equal(state(away), model.JobTransferred)
+	is.NoErr(away.AcceptTransfer(at(9), 7, home.PendingTransfers()[0]))
+	is.Equal(state(away), model.JobQueued)
+}
+
+func TestReplayEqualsLiveState(t *testing.T) {
+	is := is.New(t)
+	l := owned()
+	replayed := ledger.New(7)
+	_, err := l.Submit(at(1).Add(123456789), spec("j"))
+	is.NoErr(err)
+	is.NoErr(l.Place(at(2).Add(987654), placement("j", "w1", at(2).Add(777777))))
+	is.NoErr(l.Evict(at(3), attempt1, platform.SignalCheckpoint, "relief"))
+	_, err = l.Claim(at(3), ledger.ClaimRequest{Key: "k", Holder: "h", Deadline: at(9).Add(333333)})
+	is.NoErr(err)
+	records, actions := l.Take()
+	data, err := ledger.EncodeRecords(records)
+	is.NoErr(err)
+	decoded, err := ledger.DecodeRecords(data)
+	is.NoErr(err)
+	for _, r := range decoded {
+		is.NoErr(replayed.Apply(r))
+	}
+	is.Equal(decoded[2].NotAfter, actions.Starts[0].Attempt.NotAfter)
+	want, err := l.Marshal()
+	is.NoErr(err)
+	got, err := replayed.Marshal()
+	is.NoErr(err)
+	is.Equal(got, want)
+	loaded, err := ledger.Load(7, got)
+	is.NoErr(err)
+	got, err = loaded.Marshal()
+	is.NoErr(err)
+	is.Equal(got, want)
+	is.Equal(loaded.History("j"), l.History("j"))
+	is.Equal(loaded.PendingSignals(), l.PendingSignals())
+}
+
+func TestMarshalRefusesQueuedRecords(t *testing.T) {
+	is := is.New(t)
+	l := owned()
+	_, err := l.Marshal()
+	is.True(err != nil)
+	l.Take()
+	_, err = l.Marshal()
+	is.NoErr(err)
+}
