Refuse to take an unreached worker for gone, and never let the ring block

WorkerGone: a deposed owner that has not noticed renews worker leases directly, so a new owner that never reached the worker cannot know that the lease lapsed. WorkerRemoved is new for workers that the platform withdrew.

--- a/internal/journal/errors.go
+++ b/internal/journal/errors.go
@@ -37,18 +37,6 @@
 // Unwrap returns the cause.
 func (e *PendingError) Unwrap() error { return e.Cause }
 
-// RingFullError says that the ring holds too many entries that no snapshot covers.
-type RingFullError struct {
-	Partition model.Partition
-	Head      uint64
-	Snapshot  uint64
-}
-
-// Error implements error.
-func (e *RingFullError) Error() string {
-	return fmt.Sprintf("partition %d: journal is full at entry %d, the snapshot covers %d", e.Partition, e.Head, e.Snapshot)
-}
-
 // TooLargeError says that a value exceeds what the store holds.
 type TooLargeError struct {
 	Bytes int
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -9,6 +9,9 @@
 // A write whose outcome is unknown is settled by reading the slot again, and repeated
 // byte by byte while the slot is unchanged, because the first write may still arrive.
 //
+// An owner need not stop appending because a snapshot is late: entries that a full ring
+// has no room for are moved as they are into the tail of the stored snapshot.
+//
 // The snapshot needs no fence of its own. It only ever replaces the version that its
 // writer read, and a writer that meets a snapshot of a higher epoch or sequence is deposed.
 // So its sequence never falls, and a late snapshot of a former owner is a true prefix of
@@ -119,7 +122,7 @@
 //     or later. The caller calls Append again with the same entry, which settles the first
 //     write without appending the entry twice. An Append of another entry settles the
 //     pending one first, and succeeds only if both are durable.
-//   - *RingFullError, *TooLargeError, or another error: the entry is surely not written.
+//   - *TooLargeError or another error: the entry is surely not written.
 func (j *Journal) Append(ctx context.Context, entry []byte) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -137,10 +140,10 @@
 
 // append writes an entry into the slot after the head.
 func (j *Journal) append(ctx context.Context, payload []byte) error {
-	sequence := j.head + 1
-	if !j.covered(sequence, j.reserve()) {
-		return &RingFullError{Partition: j.config.Partition, Head: j.head, Snapshot: j.saved.sequence}
+	if err := j.makeRoom(ctx); err != nil {
+		return errors.Annotatef(err, "partition %d: no slot for entry %d", j.config.Partition, j.head+1)
 	}
+	sequence := j.head + 1
 	value, err := encode(entry{Sequence: sequence, Epoch: j.epoch, Owner: j.config.Owner, Payload: payload})
 	if err != nil {
 		return err
@@ -190,6 +193,28 @@
 	return j.uncovered.Load() >= uint64(j.config.Slots/2)
 }
 
+// Confirm reads the slot after the head. No error means that this owner still held the
+// partition when Confirm was called. *DeposedError ends the ownership.
+func (j *Journal) Confirm(ctx context.Context) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.ended != nil {
+		return j.ended
+	}
+	if j.pending != nil {
+		return j.settle(ctx)
+	}
+	sequence := j.head + 1
+	current, _, err := j.store.Get(ctx, j.slotKey(sequence))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if current.ModRevision <= j.revisions[j.slot(sequence)] {
+		return nil
+	}
+	return j.depose(sequence, current)
+}
+
 // advance takes note of a new head.
 func (j *Journal) advance(sequence uint64, revision int64) {
 	j.head = sequence
@@ -197,15 +222,11 @@
 	j.uncovered.Store(j.head - j.saved.sequence)
 }
 
-// covered reports whether the slot of the sequence can be overwritten while spare slots
-// after it stay free: what it holds must be in the snapshot.
-func (j *Journal) covered(sequence uint64, spare int) bool {
-	return sequence+uint64(spare) <= j.saved.sequence+uint64(j.config.Slots)
+// full reports whether the slot after the head holds an entry that no snapshot covers.
+func (j *Journal) full() bool {
+	return j.head+1 > j.saved.sequence+uint64(j.config.Slots)
 }
 
-// reserve is the number of slots that only take-overs may use.
-func (j *Journal) reserve() int { return j.config.Slots / 4 }
-
 // slot returns the index of the sequence in the ring.
 func (j *Journal) slot(sequence uint64) int { return int(sequence % uint64(j.config.Slots)) }
 
--- a/internal/journal/open.go
+++ b/internal/journal/open.go
@@ -77,7 +77,7 @@
 	}
 	found := image{snapshot: s, snapshotRevision: value.ModRevision, revisions: s.Revisions}
 	found.head = entry{Sequence: s.Sequence, Epoch: s.Epoch, Owner: s.Owner}
-	done, err := j.takeOver(ctx, found)
+	done, err := j.takeOver(ctx, &found)
 	if err != nil || !done.done {
 		return Replay{}, false, err
 	}
@@ -93,10 +93,7 @@
 		if err != nil {
 			return Replay{}, err
 		}
-		if found, err = j.makeRoom(ctx, found); err != nil {
-			return Replay{}, err
-		}
-		done, err := j.takeOver(ctx, found)
+		done, err := j.takeOver(ctx, &found)
 		if err != nil {
 			return Replay{}, err
 		}
@@ -111,15 +108,18 @@
 }
 
 // takeOver appends the ownership entry after the head of the image.
-func (j *Journal) takeOver(ctx context.Context, found image) (outcome, error) {
-	j.epoch = found.head.Epoch + 1
+func (j *Journal) takeOver(ctx context.Context, found *image) (outcome, error) {
+	j.epoch = found.head.Epoch
 	j.head = found.head.Sequence
 	j.revisions = append([]int64(nil), found.revisions...)
 	j.saved = savedSnapshot{revision: found.snapshotRevision, sequence: found.snapshot.Sequence}
-	sequence := j.head + 1
-	if !j.covered(sequence, 0) {
-		return outcome{}, &RingFullError{Partition: j.config.Partition, Head: j.head, Snapshot: j.saved.sequence}
+	if j.full() {
+		if err := j.fold(ctx, found); err != nil {
+			return outcome{}, err
+		}
 	}
+	j.epoch = found.head.Epoch + 1
+	sequence := j.head + 1
 	value, err := encode(entry{Sequence: sequence, Epoch: j.epoch, Owner: j.config.Owner, Taken: true})
 	if err != nil {
 		return outcome{}, err
--- a/internal/journal/snapshot.go
+++ b/internal/journal/snapshot.go
@@ -83,14 +83,27 @@
 	return nil
 }
 
-// makeRoom moves the payloads of a ring that has no slot left for an ownership entry into
-// the snapshot, as they are.
-func (j *Journal) makeRoom(ctx context.Context, found image) (image, error) {
-	j.epoch = found.head.Epoch
-	j.saved = savedSnapshot{revision: found.snapshotRevision, sequence: found.snapshot.Sequence}
-	if j.covered(found.head.Sequence+1, 0) {
-		return found, nil
+// makeRoom sees to it that the slot after the head can be overwritten.
+func (j *Journal) makeRoom(ctx context.Context) error {
+	if !j.full() {
+		return nil
 	}
+	found, err := j.read(ctx)
+	if err != nil {
+		return err
+	}
+	if found.head.Sequence < j.head {
+		return j.corrupt("the store shows entry %d as the last, %d was written", found.head.Sequence, j.head)
+	}
+	if found.head.Sequence > j.head {
+		j.ended = &DeposedError{Partition: j.config.Partition, By: found.head.Owner, Epoch: found.head.Epoch, NotWritten: true}
+		return j.ended
+	}
+	return j.fold(ctx, &found)
+}
+
+// fold moves the entries of the ring into the tail of the stored snapshot, as they are.
+func (j *Journal) fold(ctx context.Context, found *image) error {
 	s := found.snapshot
 	s.Sequence = found.head.Sequence
 	s.Epoch = found.head.Epoch
@@ -98,10 +111,9 @@
 	s.Tail = append(append([][]byte(nil), s.Tail...), found.payloads...)
 	s.Revisions = nil
 	if err := j.save(ctx, s); err != nil {
-		return image{}, err
+		return err
 	}
 	found.snapshot = s
-	found.snapshotRevision = j.saved.revision
 	found.payloads = nil
-	return found, nil
+	return nil
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -31,6 +31,16 @@
 // MaxClockSkew bounds the difference between the clocks of a worker and an owner.
 const MaxClockSkew = 2 * time.Second
 
+// Bounds on the lease renewals of a deposed owner that does not know it yet.
+const (
+	// MaxUnconfirmed is how long an owner goes on renewing the leases of its workers after
+	// it last confirmed its ownership, by an append or by journal.Confirm.
+	MaxUnconfirmed = 10 * time.Minute
+	// unfencedWait is how long a new owner waits before it takes a worker for gone that it
+	// never reached: MaxUnconfirmed and ample time for the last lease to lapse.
+	unfencedWait = MaxUnconfirmed + 5*time.Minute
+)
+
 // Ledger is the state of one partition. It is used by one goroutine.
 type Ledger struct {
 	partition model.Partition
@@ -43,6 +53,10 @@
 	claims       map[model.RequestKey]*Claim
 	arrivals     map[model.JobID]arrival
 	payloadBytes int
+	// owned is when the present owner took the partition.
+	owned time.Time
+	// fenced holds the workers that have seen the present epoch; it is not durable.
+	fenced map[model.WorkerID]bool
 
 	records     []Record
 	actions     Actions
@@ -57,6 +71,7 @@
 		workers:   map[model.WorkerID]*commitments{},
 		claims:    map[model.RequestKey]*Claim{},
 		arrivals:  map[model.JobID]arrival{},
+		fenced:    map[model.WorkerID]bool{},
 	}
 }
 
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -121,6 +121,8 @@
 	is.Equal(verdict.Of(err), verdict.NotRun)
 	is.NoErr(l.Evict(at(3), model.AttemptID{Job: "j0", Number: 1}, platform.SignalStop, "relief"))
 	is.True(l.Place(at(3), placement("j2", "w1", at(3))) != nil) // a stop that was sent proves nothing
+	is.True(l.WorkerGone(at(4), "w1") != nil)                    // a former owner may still renew the lease
+	is.NoErr(l.Listed(at(4), "w1", nil))
 	is.NoErr(l.WorkerGone(at(4), "w1"))
 	is.True(l.Place(at(4), placement("j2", "w1", at(4))) != nil) // the start may still be accepted
 	is.NoErr(l.WorkerGone(at(8), "w1"))
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -194,5 +194,7 @@
 	}
 	l.owner = r.Owner
 	l.epoch = r.Epoch
+	l.owned = r.At
+	clear(l.fenced)
 	return nil
 }
--- a/internal/ledger/report.go
+++ b/internal/ledger/report.go
@@ -7,6 +7,7 @@
 
 	"github.com/geraniumwick/geraniumwick/internal/model"
 	"github.com/geraniumwick/geraniumwick/internal/platform"
+	"github.com/geraniumwick/geraniumwick/internal/verdict"
 )
 
 // Report takes what a worker says of one attempt. Reports of unknown or former attempts,
@@ -77,6 +78,7 @@
 // and that is not in the list never executes. Attempts of this owner are left alone,
 // because their start messages may still be on their way; see Absent.
 func (l *Ledger) Listed(now time.Time, w model.WorkerID, reports []platform.AttemptReport) error {
+	l.fenced[w] = true
 	return l.resolve(now, w, reports, func(a *attempt) bool { return a.epoch < l.epoch })
 }
 
@@ -97,26 +99,37 @@
 			return err
 		}
 	}
-	for _, a := range l.attemptsOf(w) {
-		if present[a.id] || !provable(a) {
-			continue
-		}
-		if err := l.lose(now, a, "not in the complete list of the worker"); err != nil {
-			return err
-		}
-	}
-	return nil
+	over := func(a *attempt) bool { return !present[a.id] && provable(a) }
+	return l.loseAll(now, w, "not in the complete list of the worker", over)
 }
 
 // WorkerGone ends the attempts of a worker whose lease has surely lapsed. An attempt whose
 // start the worker could still accept under a later lease stays; the caller calls again
 // while Attempts is not empty.
+//
+// Only after Listed is the present owner alone in renewing the worker's lease. Before it,
+// a deposed owner that does not know it yet may be renewing the lease, so the call is
+// refused until such an owner must have stopped.
 func (l *Ledger) WorkerGone(now time.Time, w model.WorkerID) error {
+	if !l.fenced[w] && now.Sub(l.owned) < unfencedWait {
+		return refuse(verdict.ReasonWorker, "worker %q has not seen epoch %d; a former owner may still renew its lease", w, l.epoch)
+	}
+	return l.loseAll(now, w, "lease of the worker lapsed", func(a *attempt) bool { return a.expired(now) })
+}
+
+// WorkerRemoved ends the attempts of a worker that the platform has withdrawn for good, so
+// that nothing executes there and it never comes back under this id.
+func (l *Ledger) WorkerRemoved(now time.Time, w model.WorkerID) error {
+	return l.loseAll(now, w, "the platform withdrew the worker", func(*attempt) bool { return true })
+}
+
+// loseAll ends the attempts of a worker that are provably over.
+func (l *Ledger) loseAll(now time.Time, w model.WorkerID, reason string, over func(*attempt) bool) error {
 	for _, a := range l.attemptsOf(w) {
-		if !a.expired(now) {
+		if !over(a) {
 			continue
 		}
-		if err := l.lose(now, a, "lease of the worker lapsed"); err != nil {
+		if err := l.lose(now, a, reason); err != nil {
 			return err
 		}
 	}
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -31,6 +31,7 @@
 	Jobs     []jobSnapshot     `cbor:"3,keyasint,omitempty"`
 	Claims   []Claim           `cbor:"4,keyasint,omitempty"`
 	Arrivals []arrivalSnapshot `cbor:"5,keyasint,omitempty"`
+	Owned    time.Time         `cbor:"6,keyasint,omitzero"`
 }
 
 // jobSnapshot is the durable form of a job.
@@ -85,7 +86,7 @@
 	if len(l.records) > 0 {
 		return nil, errQueued
 	}
-	s := snapshot{Owner: l.owner, Epoch: l.epoch, Claims: l.Claims()}
+	s := snapshot{Owner: l.owner, Epoch: l.epoch, Owned: l.owned, Claims: l.Claims()}
 	for _, j := range l.sortedJobs() {
 		s.Jobs = append(s.Jobs, j.snapshot())
 	}
@@ -136,6 +137,7 @@
 	}
 	l.owner = s.Owner
 	l.epoch = s.Epoch
+	l.owned = milliseconds(s.Owned)
 	for _, j := range s.Jobs {
 		l.restore(j)
 	}
