Run partitions, find their owners and assemble the entry instance

The owner loop holds a partition: commands wait for a group commit, starts go out only after their record is durable and the configuration was confirmed after that, workers are fenced by epoch before their lists are believed, and transfers are offered until the other partition confirms. The manager takes over what rendezvous hashing assigns and asks the former holder for a hand-over first.

Before: no daemon.

--- /dev/null
+++ b/internal/cluster/status.go
@@ -0,0 +1,82 @@
+package cluster
+
+import (
+	"context"
+	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/partition"
+	"github.com/geraniumwick/geraniumwick/internal/query"
+)
+
+// StoreContact says when the store last answered.
+type StoreContact interface {
+	LastContact() time.Time
+}
+
+// StatusReader answers queries about the whole system from what this instance knows.
+type StatusReader struct {
+	Router *Router
+	Store  StoreContact
+	// Workers returns the newest list of the inventory.
+	Workers func() []model.Worker
+}
+
+// Status returns the system at a glance.
+func (s *StatusReader) Status(_ context.Context) (query.Status, error) {
+	r := s.Router
+	status := query.Status{
+		Instance: r.cfg.Self,
+		StoreAge: r.cfg.Clock.Now().Sub(s.Store.LastContact()),
+		Jobs:     map[string]int{},
+	}
+	partitions := 0
+	if doc, ok := r.cfg.Documents.Current(); ok {
+		status.Revision = doc.Revision
+		partitions = doc.Operators.Partitions
+	}
+	for _, m := range r.cfg.Members.Members() {
+		status.Instances = append(status.Instances, query.InstanceStatus{
+			ID:         m.ID,
+			DataCentre: m.DataCentre,
+			Revision:   m.ConfigRevision,
+			Draining:   m.Draining,
+			Started:    m.Started,
+		})
+	}
+	s.addPartitions(&status, partitions)
+	s.addWorkers(&status)
+	return status, nil
+}
+
+// addPartitions lists every partition; one without a fresh summary has no known owner.
+func (s *StatusReader) addPartitions(status *query.Status, count int) {
+	known := map[model.Partition]partition.Summary{}
+	for _, summary := range s.Router.summaries.fresh() {
+		known[summary.Partition] = summary
+	}
+	for p := range model.Partition(count) {
+		summary := known[p]
+		status.Partitions = append(status.Partitions, query.PartitionStatus{
+			Partition: p,
+			Owner:     summary.Owner,
+			Epoch:     summary.Epoch,
+			Queued:    summary.Queued,
+			Running:   summary.Running,
+		})
+		status.Workers.Reachable += summary.Reachable
+		for _, c := range summary.States {
+			status.Jobs[c.State.String()] += c.Count
+		}
+	}
+}
+
+// addWorkers counts the workers of the inventory.
+func (s *StatusReader) addWorkers(status *query.Status) {
+	for _, w := range s.Workers() {
+		status.Workers.Total++
+		if w.Leaving {
+			status.Workers.Leaving++
+		}
+	}
+}
--- /dev/null
+++ b/internal/partition/command.go
@@ -0,0 +1,175 @@
+package partition
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/ledger"
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/verdict"
+)
+
+// The phases of a command. Only one side can leave phasePending.
+const (
+	phasePending int32 = iota
+	phaseExecuted
+	phaseAbandoned
+)
+
+// command is one change asked of the ledger. Its reply waits until every record that the
+// ledger held at that moment is durable.
+type command struct {
+	phase atomic.Int32
+	run   func(l *ledger.Ledger, now time.Time) error
+	err   error
+	done  chan error
+}
+
+// execute runs the command unless its caller has given up.
+func (c *command) execute(l *ledger.Ledger, now time.Time) bool {
+	if !c.phase.CompareAndSwap(phasePending, phaseExecuted) {
+		return false
+	}
+	c.err = c.run(l, now)
+	return true
+}
+
+// do passes a change to the loop and waits until it is durable. The error says by its
+// verdict whether the change may take effect.
+func (o *Owner) do(ctx context.Context, run func(l *ledger.Ledger, now time.Time) error) error {
+	c := &command{run: run, done: make(chan error, 1)}
+	select {
+	case o.commands <- c:
+	case <-o.stopped:
+		return errNotOwner(o.cfg.Partition)
+	default:
+		return verdict.New(verdict.NotRun, verdict.ReasonOverload,
+			"partition %d has %d commands waiting", o.cfg.Partition, commandBound)
+	}
+	select {
+	case err := <-c.done:
+		return err
+	case <-ctx.Done():
+		return o.abandon(c, verdict.New(verdict.NotRun, verdict.ReasonDeadline,
+			"partition %d did not get to the command in time", o.cfg.Partition))
+	case <-o.stopped:
+		return o.abandon(c, errNotOwner(o.cfg.Partition))
+	}
+}
+
+// abandon withdraws the command if the loop has not executed it, which proves notRun.
+func (o *Owner) abandon(c *command, notRun *verdict.Error) error {
+	if c.phase.CompareAndSwap(phasePending, phaseAbandoned) {
+		return notRun
+	}
+	select {
+	case err := <-c.done:
+		return err
+	default:
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonStore,
+			"partition %d could not make the change durable in time", o.cfg.Partition)
+	}
+}
+
+// errNotOwner refuses a call because this instance does not own the partition.
+func errNotOwner(p model.Partition) *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.ReasonNotOwner, "this instance does not own partition %d", p)
+}
+
+// Submit accepts a job. It is idempotent by the job's id.
+func (o *Owner) Submit(ctx context.Context, spec model.JobSpec) (ledger.JobStatus, error) {
+	var status ledger.JobStatus
+	err := o.do(ctx, func(l *ledger.Ledger, now time.Time) (err error) {
+		status, err = l.Submit(now, spec)
+		return err
+	})
+	return status, err
+}
+
+// Cancel withdraws a job.
+func (o *Owner) Cancel(ctx context.Context, id model.JobID, reason string) (ledger.JobStatus, error) {
+	var status ledger.JobStatus
+	err := o.do(ctx, func(l *ledger.Ledger, now time.Time) (err error) {
+		status, err = l.Cancel(now, id, reason)
+		return err
+	})
+	return status, err
+}
+
+// Resume queues a parked job again.
+func (o *Owner) Resume(ctx context.Context, id model.JobID) (ledger.JobStatus, error) {
+	var status ledger.JobStatus
+	err := o.do(ctx, func(l *ledger.Ledger, now time.Time) error {
+		if err := l.Resume(now, id); err != nil {
+			return err
+		}
+		status, _ = l.Job(id)
+		return nil
+	})
+	return status, err
+}
+
+// AcceptTransfer takes a job over from another partition. It is idempotent.
+func (o *Owner) AcceptTransfer(ctx context.Context, from model.Partition, t ledger.Transfer) error {
+	return o.do(ctx, func(l *ledger.Ledger, now time.Time) error {
+		return l.AcceptTransfer(now, from, t)
+	})
+}
+
+// Claim takes a request key.
+func (o *Owner) Claim(ctx context.Context, c ledger.ClaimRequest) (ledger.Claim, error) {
+	var claim ledger.Claim
+	err := o.do(ctx, func(l *ledger.Ledger, now time.Time) (err error) {
+		claim, err = l.Claim(now, c)
+		return err
+	})
+	return claim, err
+}
+
+// Settle ends a claim with a verdict.
+func (o *Owner) Settle(ctx context.Context, key model.RequestKey, holder model.InstanceID, v verdict.Verdict) error {
+	return o.do(ctx, func(l *ledger.Ledger, now time.Time) error {
+		return l.Settle(now, key, holder, v)
+	})
+}
+
+// Job returns what the ledger knows of a job and its durable history.
+func (o *Owner) Job(ctx context.Context, id model.JobID) (ledger.JobStatus, []ledger.Step, error) {
+	var status ledger.JobStatus
+	var history []ledger.Step
+	err := o.do(ctx, func(l *ledger.Ledger, _ time.Time) error {
+		found := false
+		if status, found = l.Job(id); !found {
+			return verdict.New(verdict.NotRun, verdict.ReasonUnknown, "no job %s", id)
+		}
+		history = l.History(id)
+		return nil
+	})
+	return status, history, err
+}
+
+// Jobs returns the jobs of a team, or of all teams if team is empty.
+func (o *Owner) Jobs(ctx context.Context, team model.Team) ([]ledger.JobStatus, error) {
+	var found []ledger.JobStatus
+	err := o.do(ctx, func(l *ledger.Ledger, _ time.Time) error {
+		for _, status := range l.Jobs() {
+			if team == "" || status.Spec.Team == team {
+				found = append(found, status)
+			}
+		}
+		return nil
+	})
+	return found, err
+}
+
+// Claimed returns what the ledger knows of a request key.
+func (o *Owner) Claimed(ctx context.Context, key model.RequestKey) (ledger.Claim, bool, error) {
+	var claim ledger.Claim
+	var found bool
+	err := o.do(ctx, func(l *ledger.Ledger, _ time.Time) error {
+		claim, found = l.Claimed(key)
+		return nil
+	})
+	return claim, found, err
+}
--- /dev/null
+++ b/internal/partition/links.go
@@ -0,0 +1,239 @@
+package partition
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/platform"
+)
+
+// relistPeriod is how often a worker is asked for its complete list of attempts.
+const relistPeriod = 30 * time.Second
+
+// workerSequence is a report sequence of one worker.
+type workerSequence struct {
+	worker   model.WorkerID
+	sequence uint64
+}
+
+// leaseReply is the outcome of one lease call.
+type leaseReply struct {
+	link  *link
+	sent  time.Time
+	reply platform.LeaseReply
+	err   error
+}
+
+// link is what the loop knows of its connection to one worker. The loop owns all fields
+// but the atomic ones, which the link's goroutine reads.
+type link struct {
+	worker model.Worker
+	cancel context.CancelFunc
+
+	acknowledged atomic.Uint64
+	relist       atomic.Bool
+
+	incarnation string
+	// fenced says that the worker has seen this owner's epoch and listed its attempts.
+	fenced bool
+	// renewed is when the last successful renewal was sent.
+	renewed time.Time
+	// expires is when the last renewal that was sent can no longer be accepted.
+	expires  time.Time
+	nextList time.Time
+	gone     bool
+	applied  uint64
+	// unknown holds the attempts whose start was sent without an answer.
+	unknown   map[model.AttemptID]bool
+	throttles map[model.AttemptID]float64
+}
+
+// reachable reports whether the owner holds the worker's lease with time to spare.
+func (k *link) reachable(now time.Time, t Timing) bool {
+	return k.fenced && !k.gone && now.Sub(k.renewed) < t.WorkerLease/2
+}
+
+// lapsed reports whether the worker's lease has surely ended, whatever messages are
+// still on their way. It needs the fence: without it a former owner may still renew.
+func (k *link) lapsed(now time.Time, t Timing) bool {
+	if !k.fenced && !k.gone {
+		return false
+	}
+	return now.After(k.expires.Add(t.WorkerLease + t.ClockSkew))
+}
+
+// throttle returns the share of processor time in force, 1 if not throttled.
+func (k *link) throttle(a model.AttemptID) float64 {
+	if share, ok := k.throttles[a]; ok {
+		return share
+	}
+	return 1
+}
+
+// setThrottle notes the share that was asked for.
+func (k *link) setThrottle(a model.AttemptID, share float64) {
+	if share >= 1 {
+		delete(k.throttles, a)
+		return
+	}
+	k.throttles[a] = share
+}
+
+// links holds the link of each worker of the partition.
+type links struct {
+	o    *Owner
+	byID map[model.WorkerID]*link
+	wg   sync.WaitGroup
+}
+
+// newLinks returns an empty set.
+func newLinks(o *Owner) *links {
+	return &links{o: o, byID: map[model.WorkerID]*link{}}
+}
+
+// get returns the link of a worker.
+func (s *links) get(id model.WorkerID) (*link, bool) {
+	k, ok := s.byID[id]
+	return k, ok
+}
+
+// ordered returns the links ordered by worker id, so that decisions are deterministic.
+func (s *links) ordered() []*link {
+	all := make([]*link, 0, len(s.byID))
+	for _, k := range s.byID {
+		all = append(all, k)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].worker.ID < all[j].worker.ID })
+	return all
+}
+
+// open starts renewing the lease of a worker.
+func (s *links) open(ctx context.Context, w model.Worker, now time.Time) {
+	linkCtx, cancel := context.WithCancel(ctx)
+	k := &link{
+		worker:    w,
+		cancel:    cancel,
+		renewed:   now,
+		expires:   now,
+		unknown:   map[model.AttemptID]bool{},
+		throttles: map[model.AttemptID]float64{},
+	}
+	k.relist.Store(true)
+	s.byID[w.ID] = k
+	s.o.addrs.set(w.ID, w.Addr)
+	s.wg.Go(func() { s.o.renew(linkCtx, k, w.Addr) })
+}
+
+// close stops renewing the lease of a worker and forgets it.
+func (s *links) close(id model.WorkerID) {
+	if k, ok := s.byID[id]; ok {
+		k.cancel()
+		delete(s.byID, id)
+		s.o.addrs.remove(id)
+	}
+}
+
+// stop ends all renewals and waits for their goroutines.
+func (s *links) stop() {
+	for _, k := range s.byID {
+		k.cancel()
+	}
+	s.wg.Wait()
+}
+
+// acknowledge lets the workers forget reports that are durable.
+func (s *links) acknowledge(sequences []workerSequence) {
+	for _, q := range sequences {
+		if k, ok := s.byID[q.worker]; ok {
+			k.acknowledged.Store(max(k.acknowledged.Load(), q.sequence))
+		}
+	}
+}
+
+// expect asks for complete lists until the outcome of an unanswered start is known.
+func (s *links) expect(w model.WorkerID, a model.AttemptID) {
+	if k, ok := s.byID[w]; ok {
+		k.unknown[a] = true
+		k.relist.Store(true)
+	}
+}
+
+// renew is the goroutine that renews the lease of one worker.
+func (o *Owner) renew(ctx context.Context, k *link, addr string) {
+	t := o.cfg.Timing
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		sent := o.cfg.Clock.Now()
+		reply, err := o.lease(ctx, k, addr, sent)
+		if ctx.Err() != nil {
+			return
+		}
+		select {
+		case o.replies <- leaseReply{link: k, sent: sent, reply: reply, err: err}:
+		case <-ctx.Done():
+			return
+		}
+		timer.Reset(t.WorkerRenew)
+	}
+}
+
+// lease makes one lease call.
+func (o *Owner) lease(ctx context.Context, k *link, addr string, sent time.Time) (platform.LeaseReply, error) {
+	t := o.cfg.Timing
+	callCtx, cancel := context.WithTimeout(ctx, t.WorkerCall)
+	defer cancel()
+	return o.cfg.Workers.Lease(callCtx, addr, platform.LeaseRequest{
+		Partition:    o.cfg.Partition,
+		Owner:        o.cfg.Self,
+		Epoch:        o.epoch,
+		TTL:          t.WorkerLease,
+		NotAfter:     sent.Add(t.WorkerCall),
+		Acknowledged: k.acknowledged.Load(),
+		All:          k.relist.Swap(false),
+	})
+}
+
+// isStale reports whether the worker refused the call for a newer owner.
+func isStale(err error) bool {
+	var stale *platform.StaleEpochError
+	return errors.As(err, &stale)
+}
+
+// addresses gives the sender the addresses of the workers.
+type addresses struct {
+	mu       sync.Mutex
+	byWorker map[model.WorkerID]string
+}
+
+// get returns the address of a worker.
+func (a *addresses) get(w model.WorkerID) (string, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	addr, ok := a.byWorker[w]
+	return addr, ok
+}
+
+// set notes the address of a worker.
+func (a *addresses) set(w model.WorkerID, addr string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.byWorker[w] = addr
+}
+
+// remove forgets a worker.
+func (a *addresses) remove(w model.WorkerID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.byWorker, w)
+}
--- /dev/null
+++ b/internal/partition/manager.go
@@ -0,0 +1,254 @@
+package partition
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/geraniumwick/geraniumwick/internal/config"
+	"github.com/geraniumwick/geraniumwick/internal/journal"
+	"github.com/geraniumwick/geraniumwick/internal/membership"
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/platform"
+)
+
+const (
+	// reconcilePeriod is how often the manager compares what it holds with what it should.
+	reconcilePeriod = 250 * time.Millisecond
+	// retakeDelay keeps two instances with different member lists from deposing each
+	// other in turn without a pause.
+	retakeDelay = 2 * time.Second
+	// openTimeout bounds one takeover.
+	openTimeout = 10 * time.Second
+	// handoverTimeout bounds the wait for the former owner's release.
+	handoverTimeout = 3 * time.Second
+)
+
+// Members says which instances live and which of them should own a partition.
+type Members interface {
+	Assigned(p model.Partition) (membership.Member, bool)
+	Changed() <-chan struct{}
+}
+
+// ManagerConfig is what a Manager needs.
+type ManagerConfig struct {
+	Self      model.InstanceID
+	Store     platform.Store
+	Members   Members
+	Documents Documents
+	Clock     platform.Clock
+	Log       zerolog.Logger
+	// Owner returns the configuration of the owner of a partition.
+	Owner func(p model.Partition, doc *config.Document) Config
+	// Journal returns the configuration of the journal of a partition.
+	Journal func(p model.Partition) journal.Config
+	// AskRelease asks the instance that holds the partition, if any, to hand it over.
+	AskRelease func(ctx context.Context, p model.Partition) error
+}
+
+// Manager takes over the partitions that this instance should own and releases the others.
+type Manager struct {
+	cfg ManagerConfig
+
+	mu      sync.Mutex
+	held    map[model.Partition]*Owner
+	opening map[model.Partition]bool
+	retryAt map[model.Partition]time.Time
+	workers []model.Worker
+	drain   bool
+	wg      sync.WaitGroup
+}
+
+// NewManager returns a manager that holds nothing.
+func NewManager(cfg ManagerConfig) *Manager {
+	return &Manager{
+		cfg:     cfg,
+		held:    map[model.Partition]*Owner{},
+		opening: map[model.Partition]bool{},
+		retryAt: map[model.Partition]time.Time{},
+	}
+}
+
+// Run reconciles until ctx ends, then waits for all owners to stop.
+func (m *Manager) Run(ctx context.Context) {
+	ticker := time.NewTicker(reconcilePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			m.wg.Wait()
+			return
+		case <-ticker.C:
+		case <-m.cfg.Members.Changed():
+		}
+		m.reconcile(ctx)
+	}
+}
+
+// Held returns the owner of a partition that this instance holds.
+func (m *Manager) Held(p model.Partition) (*Owner, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o, ok := m.held[p]
+	return o, ok
+}
+
+// Count returns the number of partitions held.
+func (m *Manager) Count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.held)
+}
+
+// Summaries returns the summaries of all partitions held.
+func (m *Manager) Summaries() []Summary {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all := make([]Summary, 0, len(m.held))
+	for _, o := range m.held {
+		all = append(all, o.Summary())
+	}
+	return all
+}
+
+// SetWorkers passes a newer list of the inventory to the owners.
+func (m *Manager) SetWorkers(workers []model.Worker) {
+	doc, ok := m.cfg.Documents.Current()
+	if !ok {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.workers = workers
+	for p, o := range m.held {
+		o.SetWorkers(workersOf(p, doc, workers))
+	}
+}
+
+// Release hands the partition over and waits until its owner has stopped.
+func (m *Manager) Release(ctx context.Context, p model.Partition) {
+	o, ok := m.Held(p)
+	if !ok {
+		return
+	}
+	o.Release()
+	select {
+	case <-o.Stopped():
+	case <-ctx.Done():
+	}
+}
+
+// Drain releases every partition and takes no other; it returns when all have stopped.
+func (m *Manager) Drain(ctx context.Context) {
+	m.mu.Lock()
+	m.drain = true
+	held := make([]model.Partition, 0, len(m.held))
+	for p := range m.held {
+		held = append(held, p)
+	}
+	m.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, p := range held {
+		wg.Go(func() { m.Release(ctx, p) })
+	}
+	wg.Wait()
+}
+
+// reconcile starts the takeovers and releases that are due.
+func (m *Manager) reconcile(ctx context.Context) {
+	doc, ok := m.cfg.Documents.Current()
+	if !ok {
+		return
+	}
+	for p := range model.Partition(doc.Operators.Partitions) {
+		member, ok := m.cfg.Members.Assigned(p)
+		if !ok {
+			continue
+		}
+		if member.ID == m.cfg.Self {
+			m.startOpen(ctx, p, doc)
+			continue
+		}
+		// A partition that belongs elsewhere stays here until its new owner asks for it,
+		// so that it is without an owner only for the hand-over.
+	}
+}
+
+// startOpen begins the takeover of a partition unless it is held or under way.
+func (m *Manager) startOpen(ctx context.Context, p model.Partition, doc *config.Document) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.drain || m.held[p] != nil || m.opening[p] || m.cfg.Clock.Now().Before(m.retryAt[p]) {
+		return
+	}
+	m.opening[p] = true
+	m.wg.Go(func() { m.own(ctx, p, doc) })
+}
+
+// own takes a partition over and runs it until the ownership ends.
+func (m *Manager) own(ctx context.Context, p model.Partition, doc *config.Document) {
+	log := m.cfg.Log.With().Int("partition", int(p)).Logger()
+	handoverCtx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	if err := m.cfg.AskRelease(handoverCtx, p); err != nil {
+		log.Info().Str("event", "partition.release-unanswered").Err(err).Send()
+	}
+	cancel()
+	openCtx, cancel := context.WithTimeout(ctx, openTimeout)
+	o, l, err := Open(openCtx, m.cfg.Owner(p, doc), m.cfg.Store, m.cfg.Journal(p))
+	cancel()
+	if err != nil {
+		log.Warn().Str("event", "partition.open-failed").Err(err).Send()
+		m.closed(p)
+		return
+	}
+	m.opened(p, o, doc)
+	log.Info().Str("event", "partition.owned").Uint64("epoch", uint64(o.Epoch())).Send()
+	err = o.Run(ctx, l)
+	m.closed(p)
+	var deposed *journal.DeposedError
+	switch {
+	case err == nil:
+		log.Info().Str("event", "partition.released").Send()
+	case errors.As(err, &deposed):
+		log.Warn().Str("event", "partition.deposed").Err(err).Send()
+	default:
+		log.Warn().Str("event", "partition.stopped").Err(err).Send()
+	}
+}
+
+// opened publishes the owner.
+func (m *Manager) opened(p model.Partition, o *Owner, doc *config.Document) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.opening, p)
+	m.held[p] = o
+	if m.workers != nil {
+		o.SetWorkers(workersOf(p, doc, m.workers))
+	}
+	if m.drain {
+		o.Release()
+	}
+}
+
+// closed forgets the owner.
+func (m *Manager) closed(p model.Partition) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.opening, p)
+	delete(m.held, p)
+	m.retryAt[p] = m.cfg.Clock.Now().Add(retakeDelay)
+}
+
+// workersOf returns the workers whose rack is bound to the partition.
+func workersOf(p model.Partition, doc *config.Document, workers []model.Worker) []model.Worker {
+	mine := []model.Worker{}
+	for _, w := range workers {
+		if owner, ok := doc.PartitionOf(w.Rack); ok && owner == p {
+			mine = append(mine, w)
+		}
+	}
+	return mine
+}
--- /dev/null
+++ b/internal/partition/reports.go
@@ -0,0 +1,247 @@
+package partition
+
+import (
+	"context"
+	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/journal"
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/platform"
+	"github.com/geraniumwick/geraniumwick/internal/schedule"
+)
+
+// setWorkers follows the inventory: it opens links to new workers and marks those that
+// the platform no longer lists.
+func (p *loop) setWorkers(ctx context.Context, workers []model.Worker) {
+	now := p.cfg.Clock.Now()
+	listed := map[model.WorkerID]bool{}
+	for _, w := range workers {
+		listed[w.ID] = true
+		p.updateWorker(ctx, w, now)
+	}
+	p.workersKnown = true
+	for _, k := range p.links.ordered() {
+		if listed[k.worker.ID] || k.gone {
+			continue
+		}
+		k.gone = true
+		k.expires = now.Add(p.cfg.Timing.WorkerCall)
+	}
+	p.adoptOrphans(ctx, now)
+}
+
+// updateWorker opens the link of a new worker or refreshes what is known of it.
+func (p *loop) updateWorker(ctx context.Context, w model.Worker, now time.Time) {
+	k, ok := p.links.get(w.ID)
+	if ok && k.worker.Addr == w.Addr {
+		k.worker = w
+		k.gone = false
+		return
+	}
+	if ok {
+		p.links.close(w.ID)
+	}
+	p.links.open(ctx, w, now)
+}
+
+// adoptOrphans gives a link to workers that the inventory does not list although they may
+// still execute attempts, so that their lease can be waited out.
+func (p *loop) adoptOrphans(ctx context.Context, now time.Time) {
+	for _, id := range p.ledger.UnresolvedWorkers() {
+		if _, ok := p.links.get(id); ok {
+			continue
+		}
+		p.links.open(ctx, model.Worker{ID: id}, now)
+		k, _ := p.links.get(id)
+		k.gone = true
+		k.expires = now.Add(p.cfg.Timing.WorkerCall)
+	}
+}
+
+// loseUnreachable ends the attempts of workers whose lease has surely lapsed, and drops
+// the links of workers that are gone.
+func (p *loop) loseUnreachable(now time.Time) {
+	if !p.workersKnown {
+		return
+	}
+	for _, k := range p.links.ordered() {
+		if !k.lapsed(now, p.cfg.Timing) {
+			continue
+		}
+		p.endAll(now, k, "the worker's lease lapsed")
+		k.fenced = false
+		k.relist.Store(true)
+		if k.gone {
+			p.links.close(k.worker.ID)
+		}
+	}
+}
+
+// endAll records every attempt of the worker as lost.
+func (p *loop) endAll(now time.Time, k *link, reason string) {
+	attempts := p.ledger.Attempts(k.worker.ID)
+	if len(attempts) == 0 {
+		return
+	}
+	p.logError("worker gone", p.ledger.WorkerGone(now, k.worker.ID))
+	for _, a := range attempts {
+		p.forgetAttempt(k, a.ID)
+		p.learnEnd(now, k.worker.ID, a, model.AttemptLost, reason)
+	}
+}
+
+// leaseReply processes what a worker reported. It returns an error if the worker knows a
+// newer owner.
+func (p *loop) leaseReply(r leaseReply) error {
+	k := r.link
+	k.expires = laterOf(k.expires, r.sent.Add(p.cfg.Timing.WorkerCall))
+	if r.err != nil {
+		if isStale(r.err) {
+			return &journal.DeposedError{Partition: p.cfg.Partition}
+		}
+		// The request may have carried the wish for a complete list, so ask again.
+		k.relist.Store(true)
+		return nil
+	}
+	now := p.cfg.Clock.Now()
+	k.renewed = r.sent
+	p.followIncarnation(now, k, r.reply.Incarnation)
+	if r.reply.Complete {
+		p.completeList(now, k, r.reply)
+	}
+	for _, report := range r.reply.Reports {
+		p.report(now, k, report)
+	}
+	p.cfg.Policy.Observe(schedule.WorkerSamples{
+		Worker:   k.worker.ID,
+		Usage:    r.reply.Usage,
+		Services: r.reply.Services,
+	})
+	if now.After(k.nextList) || len(k.unknown) > 0 {
+		k.nextList = now.Add(relistPeriod)
+		k.relist.Store(true)
+	}
+	return nil
+}
+
+// followIncarnation notices a restart of the worker, after which report sequences start
+// again and a complete list is needed to find the attempts that were lost.
+func (p *loop) followIncarnation(now time.Time, k *link, incarnation string) {
+	if k.incarnation == incarnation {
+		return
+	}
+	restarted := k.incarnation != ""
+	k.incarnation = incarnation
+	if !restarted {
+		return
+	}
+	k.applied = 0
+	k.acknowledged.Store(0)
+	k.relist.Store(true)
+	p.cfg.Log.Warn().Str("event", "worker.restarted").Str("worker", string(k.worker.ID)).Send()
+}
+
+// completeList resolves the attempts that the worker does not know.
+func (p *loop) completeList(now time.Time, k *link, reply platform.LeaseReply) {
+	before := p.ledger.Attempts(k.worker.ID)
+	if !k.fenced {
+		// Starts of former owners carry a lower epoch, which the worker refuses from now on.
+		p.logError("list", p.ledger.Listed(now, k.worker.ID, reply.Reports))
+		k.fenced = true
+	}
+	// The worker refuses expired starts by its own clock, so its clock says what is proved.
+	p.logError("list", p.ledger.Absent(now, reply.Now, k.worker.ID, reply.Reports))
+	listed := map[model.AttemptID]platform.AttemptReport{}
+	for _, r := range reply.Reports {
+		listed[r.Attempt] = r
+	}
+	for _, a := range before {
+		if _, still := p.attempt(k.worker.ID, a.ID); still {
+			continue
+		}
+		p.endAttempt(now, k, a, listed[a.ID])
+	}
+}
+
+// endAttempt cleans up after an attempt that a complete list has ended. An attempt that
+// the list does not hold has a zero report and counts as lost.
+func (p *loop) endAttempt(now time.Time, k *link, a schedule.AttemptView, r platform.AttemptReport) {
+	if !r.State.Ended() {
+		r.State = model.AttemptLost
+	}
+	p.forgetAttempt(k, a.ID)
+	p.learnEnd(now, k.worker.ID, a, r.State, r.Error)
+}
+
+// forgetAttempt drops what the loop keeps about an attempt that has ended.
+func (p *loop) forgetAttempt(k *link, a model.AttemptID) {
+	delete(k.unknown, a)
+	delete(k.throttles, a)
+	delete(p.signals, a)
+}
+
+// report records one report, unless it was processed before.
+func (p *loop) report(now time.Time, k *link, r platform.AttemptReport) {
+	delete(k.unknown, r.Attempt)
+	if r.State.Ended() && r.Sequence <= k.applied {
+		return
+	}
+	view, running := p.attempt(k.worker.ID, r.Attempt)
+	p.logError("report", p.ledger.Report(now, k.worker.ID, r))
+	if !r.State.Ended() {
+		return
+	}
+	k.applied = max(k.applied, r.Sequence)
+	p.acknowledge = append(p.acknowledge, workerSequence{k.worker.ID, r.Sequence})
+	p.forgetAttempt(k, r.Attempt)
+	if running {
+		p.learnEnd(now, k.worker.ID, view, r.State, r.Error)
+	}
+}
+
+// attempt returns an attempt that may be executing on the worker.
+func (p *loop) attempt(w model.WorkerID, id model.AttemptID) (schedule.AttemptView, bool) {
+	for _, a := range p.ledger.Attempts(w) {
+		if a.ID == id {
+			return a, true
+		}
+	}
+	return schedule.AttemptView{}, false
+}
+
+// learnEnd tells the policy how an attempt ended.
+func (p *loop) learnEnd(now time.Time, w model.WorkerID, a schedule.AttemptView, state model.AttemptState, reason string) {
+	p.cfg.Policy.Ended(schedule.AttemptEnd{
+		ID:     a.ID,
+		Spec:   a.Spec,
+		Worker: w,
+		State:  state,
+		At:     now,
+		Ran:    now.Sub(a.Started),
+		Error:  reason,
+	})
+}
+
+// resendSignals sends the signal of an eviction or cancellation again while the attempt
+// has not ended, because a signal can be lost.
+func (p *loop) resendSignals(now time.Time) {
+	for _, s := range p.ledger.PendingSignals() {
+		if now.Sub(p.signals[s.Attempt]) < resendAfter {
+			continue
+		}
+		select {
+		case p.o.actions <- signalOnly(s):
+			p.signals[s.Attempt] = now
+		default:
+			return
+		}
+	}
+}
+
+// laterOf returns the later of two times.
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/partition/sender.go
@@ -0,0 +1,180 @@
+package partition
+
+import (
+	"context"
+	"sync"
+
+	"github.com/geraniumwick/geraniumwick/internal/config"
+	"github.com/geraniumwick/geraniumwick/internal/ledger"
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/platform"
+	"github.com/geraniumwick/geraniumwick/internal/verdict"
+)
+
+// sendConcurrency bounds the calls to workers that one owner makes at once.
+const sendConcurrency = 16
+
+// refusedStart is a start that surely never executes.
+type refusedStart struct {
+	attempt model.AttemptID
+	reason  string
+}
+
+// startResults are the starts of one worker that need the ledger's attention.
+type startResults struct {
+	worker   model.WorkerID
+	refused  []refusedStart
+	accepted []model.AttemptID
+	unknown  []model.AttemptID
+}
+
+// signalOnly wraps one signal.
+func signalOnly(s ledger.Signal) ledger.Actions {
+	return ledger.Actions{Signals: []ledger.Signal{s}}
+}
+
+// sendActions is the goroutine that sends durable actions to the workers.
+func (o *Owner) sendActions(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	slots := make(chan struct{}, sendConcurrency)
+	send := func(f func()) {
+		select {
+		case slots <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			f()
+		})
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case a := <-o.actions:
+			for _, s := range a.Signals {
+				send(func() { o.sendSignal(ctx, s) })
+			}
+			for _, group := range o.allowedStarts(ctx, a.Starts) {
+				send(func() { o.sendStarts(ctx, group) })
+			}
+		}
+	}
+}
+
+// allowedStarts checks the starts against the newest configuration, read after they became
+// durable, and groups the allowed ones by worker. The others are reported as refused.
+func (o *Owner) allowedStarts(ctx context.Context, starts []ledger.Start) [][]ledger.Start {
+	if len(starts) == 0 {
+		return nil
+	}
+	doc, err := o.confirm(ctx)
+	if err != nil {
+		o.refuseAll(ctx, starts, "the configuration could not be confirmed")
+		return nil
+	}
+	byWorker := map[model.WorkerID][]ledger.Start{}
+	var order []model.WorkerID
+	for _, s := range starts {
+		if doc.DataCentreOut(s.DataCentre) {
+			o.refuseAll(ctx, []ledger.Start{s}, "data centre "+string(s.DataCentre)+" is out of service")
+			continue
+		}
+		if byWorker[s.Worker] == nil {
+			order = append(order, s.Worker)
+		}
+		byWorker[s.Worker] = append(byWorker[s.Worker], s)
+	}
+	groups := make([][]ledger.Start, 0, len(order))
+	for _, w := range order {
+		groups = append(groups, byWorker[w])
+	}
+	return groups
+}
+
+// confirm reads the newest configuration within the time that a start may wait.
+func (o *Owner) confirm(ctx context.Context) (*config.Document, error) {
+	ctx, cancel := context.WithTimeout(ctx, o.cfg.Timing.StartWindow)
+	defer cancel()
+	return o.cfg.Documents.Confirm(ctx)
+}
+
+// refuseAll reports starts that were never sent.
+func (o *Owner) refuseAll(ctx context.Context, starts []ledger.Start, reason string) {
+	for _, s := range starts {
+		r := startResults{worker: s.Worker, refused: []refusedStart{{s.Attempt.Attempt, reason}}}
+		o.report(ctx, r)
+	}
+}
+
+// report hands results to the loop.
+func (o *Owner) report(ctx context.Context, r startResults) {
+	select {
+	case o.results <- r:
+	case <-ctx.Done():
+	}
+}
+
+// sendStarts sends the starts of one worker in one call.
+func (o *Owner) sendStarts(ctx context.Context, starts []ledger.Start) {
+	addr, ok := o.addrs.get(starts[0].Worker)
+	if !ok {
+		o.refuseAll(ctx, starts, "the worker left before the start was sent")
+		return
+	}
+	request := platform.StartRequest{Partition: o.cfg.Partition, Epoch: o.epoch}
+	for _, s := range starts {
+		request.Attempts = append(request.Attempts, s.Attempt)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, o.cfg.Timing.WorkerCall)
+	defer cancel()
+	reply, err := o.cfg.Workers.Start(callCtx, addr, request)
+	o.report(ctx, classifyStarts(starts, reply, err))
+}
+
+// classifyStarts sorts the outcome of a start call by what is proved.
+func classifyStarts(starts []ledger.Start, reply platform.StartReply, err error) startResults {
+	r := startResults{worker: starts[0].Worker}
+	answers := map[model.AttemptID]platform.StartResult{}
+	for _, answer := range reply.Results {
+		answers[answer.Attempt] = answer
+	}
+	for _, s := range starts {
+		id := s.Attempt.Attempt
+		answer, answered := answers[id]
+		switch {
+		case err != nil && (isStale(err) || verdict.Of(err) == verdict.NotRun):
+			r.refused = append(r.refused, refusedStart{id, err.Error()})
+		case err != nil || !answered:
+			r.unknown = append(r.unknown, id)
+		case !answer.Accepted:
+			r.refused = append(r.refused, refusedStart{id, answer.Error})
+		default:
+			r.accepted = append(r.accepted, id)
+		}
+	}
+	return r
+}
+
+// sendSignal sends one signal. A failure needs no record, because signals are sent again
+// until the attempt ends.
+func (o *Owner) sendSignal(ctx context.Context, s ledger.Signal) {
+	addr, ok := o.addrs.get(s.Worker)
+	if !ok {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, o.cfg.Timing.WorkerCall)
+	defer cancel()
+	err := o.cfg.Workers.Signal(callCtx, addr, platform.SignalRequest{
+		Partition: o.cfg.Partition,
+		Epoch:     o.epoch,
+		Attempt:   s.Attempt,
+		Kind:      s.Kind,
+		Share:     s.Share,
+	})
+	if err != nil {
+		o.cfg.Log.Debug().Str("event", "signal.failed").Str("worker", string(s.Worker)).Err(err).Send()
+	}
+}
--- /dev/null
+++ b/internal/partition/summary.go
@@ -0,0 +1,119 @@
+package partition
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/model"
+)
+
+// Summary is what an owner tells all other instances about its partition.
+type Summary struct {
+	Partition model.Partition  `cbor:"1,keyasint"`
+	Owner     model.InstanceID `cbor:"2,keyasint"`
+	Epoch     model.Epoch      `cbor:"3,keyasint"`
+	Queued    int              `cbor:"4,keyasint,omitempty"`
+	Running   int              `cbor:"5,keyasint,omitempty"`
+	Workers   int              `cbor:"6,keyasint,omitempty"`
+	Reachable int              `cbor:"7,keyasint,omitempty"`
+	Free      []DataCentreFree `cbor:"8,keyasint,omitempty"`
+	Teams     []TeamHeld       `cbor:"9,keyasint,omitempty"`
+	States    []JobStateCount  `cbor:"10,keyasint,omitempty"`
+}
+
+// DataCentreFree is what the reachable workers of one data centre have left.
+type DataCentreFree struct {
+	DataCentre model.DataCentre `cbor:"1,keyasint"`
+	Total      model.Resources  `cbor:"2,keyasint"`
+	// Largest is the free part of the worker with the most free processor time.
+	Largest model.Resources `cbor:"3,keyasint"`
+}
+
+// TeamHeld is what the running attempts of a team hold.
+type TeamHeld struct {
+	Team model.Team      `cbor:"1,keyasint"`
+	Held model.Resources `cbor:"2,keyasint"`
+}
+
+// JobStateCount counts the jobs in one state.
+type JobStateCount struct {
+	State model.JobState `cbor:"1,keyasint"`
+	Count int            `cbor:"2,keyasint"`
+}
+
+// summaryCell passes the newest summary from the loop to other goroutines.
+type summaryCell struct {
+	mu      sync.Mutex
+	summary Summary
+}
+
+// store replaces the summary.
+func (c *summaryCell) store(s Summary) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.summary = s
+}
+
+// Summary returns the newest summary of the partition.
+func (o *Owner) Summary() Summary {
+	o.summary.mu.Lock()
+	defer o.summary.mu.Unlock()
+	return o.summary.summary
+}
+
+// summarize describes the partition.
+func (p *loop) summarize(now time.Time) Summary {
+	s := Summary{
+		Partition: p.cfg.Partition,
+		Owner:     p.cfg.Self,
+		Epoch:     p.o.epoch,
+		Queued:    len(p.ledger.Queue()),
+		Workers:   len(p.links.byID),
+	}
+	p.summarizeWorkers(now, &s)
+	for team, held := range p.ledger.TeamUse() {
+		s.Teams = append(s.Teams, TeamHeld{Team: team, Held: held})
+	}
+	sort.Slice(s.Teams, func(i, j int) bool { return s.Teams[i].Team < s.Teams[j].Team })
+	p.summarizeJobs(&s)
+	return s
+}
+
+// summarizeWorkers adds the free resources of each data centre.
+func (p *loop) summarizeWorkers(now time.Time, s *Summary) {
+	byName := map[model.DataCentre]*DataCentreFree{}
+	for _, k := range p.links.ordered() {
+		if !k.reachable(now, p.cfg.Timing) || k.worker.Leaving {
+			continue
+		}
+		s.Reachable++
+		free := k.worker.Capacity.Sub(p.ledger.Committed(k.worker.ID))
+		dc := byName[k.worker.DataCentre]
+		if dc == nil {
+			dc = &DataCentreFree{DataCentre: k.worker.DataCentre}
+			byName[k.worker.DataCentre] = dc
+		}
+		dc.Total = dc.Total.Add(free)
+		if free.MilliCPU > dc.Largest.MilliCPU {
+			dc.Largest = free
+		}
+	}
+	for _, dc := range byName {
+		s.Free = append(s.Free, *dc)
+	}
+	sort.Slice(s.Free, func(i, j int) bool { return s.Free[i].DataCentre < s.Free[j].DataCentre })
+}
+
+// summarizeJobs counts the jobs by state.
+func (p *loop) summarizeJobs(s *Summary) {
+	counts := map[model.JobState]int{}
+	for _, job := range p.ledger.Jobs() {
+		counts[job.State]++
+	}
+	s.Running = counts[model.JobRunning] + counts[model.JobEvicting]
+	for state, n := range counts {
+		s.States = append(s.States, JobStateCount{State: state, Count: n})
+	}
+	sort.Slice(s.States, func(i, j int) bool { return s.States[i].State < s.States[j].State })
+}
--- /dev/null
+++ b/internal/server/listen.go
@@ -0,0 +1,134 @@
+package server
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/pprof"
+
+	"github.com/juju/errors"
+
+	"github.com/geraniumwick/geraniumwick/internal/access"
+	"github.com/geraniumwick/geraniumwick/internal/cluster"
+	"github.com/geraniumwick/geraniumwick/internal/command"
+	"github.com/geraniumwick/geraniumwick/internal/query"
+	"github.com/geraniumwick/geraniumwick/internal/route"
+)
+
+// readiness is the answer of /readyz.
+type readiness struct {
+	Ready  bool   `json:"ready"`
+	Reason string `json:"reason,omitempty"`
+}
+
+// listen opens the three listeners.
+func (v *Server) listen() error {
+	l := v.settings.Limits
+	v.listeners = &listeners{log: v.log, limits: listenerLimits{
+		headerBytes:       l.HeaderBytes,
+		connections:       l.Connections,
+		readHeaderTimeout: l.ReadHeaderTimeout,
+		idleTimeout:       l.IdleTimeout,
+	}}
+	all := []listener{
+		{name: "peers", addr: v.settings.PeerListen, handler: v.peerMux()},
+		{name: "operators", addr: v.settings.OperatorListen, handler: v.operatorMux(), tls: v.settings.TLS},
+		{name: "callers", addr: v.settings.CallerListen, handler: v.callerMux(), tls: v.settings.TLS},
+	}
+	for _, each := range all {
+		if err := v.listeners.start(each); err != nil {
+			return errors.Annotatef(err, "listener of %s", each.name)
+		}
+	}
+	return nil
+}
+
+// peerMux serves the calls of other instances.
+func (v *Server) peerMux() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.Handle("/peer", v.peers)
+	return mux
+}
+
+// callerMux serves requests and the calls about jobs.
+func (v *Server) callerMux() *http.ServeMux {
+	mux := http.NewServeMux()
+	guard := v.guard(false)
+	mux.Handle(route.RequestsPattern, route.Handler(v.dispatcher))
+	v.commands(guard).RegisterJobs(mux)
+	v.queries(guard).RegisterJobs(mux)
+	v.registerHealth(mux)
+	return mux
+}
+
+// operatorMux serves everything that operators do.
+func (v *Server) operatorMux() *http.ServeMux {
+	mux := http.NewServeMux()
+	guard := v.guard(true)
+	commands, queries := v.commands(guard), v.queries(guard)
+	commands.RegisterJobs(mux)
+	commands.RegisterOperators(mux)
+	queries.RegisterJobs(mux)
+	queries.RegisterOperators(mux)
+	v.registerHealth(mux)
+	mux.Handle("GET /metrics", v.scrape)
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
+	return mux
+}
+
+// guard identifies the calls of one listener.
+func (v *Server) guard(operators bool) *access.Guard {
+	return &access.Guard{
+		Document:      v.watcher.Current,
+		OperatorToken: v.settings.OperatorToken,
+		Operators:     operators,
+	}
+}
+
+// commands returns the handlers that change state.
+func (v *Server) commands(guard *access.Guard) *command.Handlers {
+	return &command.Handlers{Jobs: v.router, Editor: v.editor, Guard: guard, Recorder: v.trail}
+}
+
+// queries returns the handlers that only read.
+func (v *Server) queries(guard *access.Guard) *query.Handlers {
+	return &query.Handlers{
+		Jobs:  v.router,
+		Trail: v.router,
+		Cluster: &cluster.StatusReader{
+			Router:  v.router,
+			Store:   v.members,
+			Workers: v.inventory.Workers,
+		},
+		Configuration: v.watcher,
+		History:       v.editor,
+		Guard:         guard,
+	}
+}
+
+// registerHealth adds the calls of the balancer and the supervisor.
+func (v *Server) registerHealth(mux *http.ServeMux) {
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		r := v.ready()
+		w.Header().Set("Content-Type", "application/json")
+		if !r.Ready {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		_ = json.NewEncoder(w).Encode(r)
+	})
+}
+
+// ready reports whether the balancer should send callers here.
+func (v *Server) ready() readiness {
+	if v.draining.Load() {
+		return readiness{Reason: "the instance is stopping"}
+	}
+	if _, ok := v.watcher.Current(); !ok {
+		return readiness{Reason: "no configuration has been read yet"}
+	}
+	return readiness{Ready: true}
+}
--- /dev/null
+++ b/internal/server/partitions.go
@@ -0,0 +1,74 @@
+package server
+
+import (
+	"context"
+
+	"github.com/geraniumwick/geraniumwick/internal/config"
+	"github.com/geraniumwick/geraniumwick/internal/journal"
+	"github.com/geraniumwick/geraniumwick/internal/ledger"
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/partition"
+	"github.com/geraniumwick/geraniumwick/internal/platform"
+	"github.com/geraniumwick/geraniumwick/internal/schedule"
+)
+
+// newManager returns the manager of this instance's partitions.
+func (v *Server) newManager() *partition.Manager {
+	budget := writeBudget{
+		writesPerSecond: v.settings.StoreWritesPerSecond,
+		shortest:        v.settings.CommitInterval,
+		held:            func() int { return v.manager.Count() },
+	}
+	workers := platform.NewWorkerClient(workerCallTimeout)
+	return partition.NewManager(partition.ManagerConfig{
+		Self:      v.settings.InstanceID,
+		Store:     v.store,
+		Members:   v.members,
+		Documents: v.watcher,
+		Clock:     v.clock,
+		Log:       v.log,
+		AskRelease: func(ctx context.Context, p model.Partition) error {
+			return v.router.AskRelease(ctx, p)
+		},
+		Journal: func(p model.Partition) journal.Config {
+			return journal.Config{Partition: p, Owner: v.settings.InstanceID}
+		},
+		Owner: func(p model.Partition, doc *config.Document) partition.Config {
+			return v.ownerConfig(p, doc, workers, budget)
+		},
+	})
+}
+
+// ownerConfig returns the configuration of the owner of a partition.
+func (v *Server) ownerConfig(p model.Partition, doc *config.Document, workers platform.WorkerClient, budget writeBudget) partition.Config {
+	timing := partition.DefaultTiming()
+	timing.WorkerLease = v.settings.WorkerLeaseTTL
+	timing.StartWindow = v.settings.ConfigMaxAge
+	return partition.Config{
+		Partition:      p,
+		Self:           v.settings.InstanceID,
+		Workers:        workers,
+		Documents:      v.watcher,
+		Clock:          v.clock,
+		Log:            v.log,
+		Policy:         schedule.New(v.seed()+uint64(p), doc.Operators.Weights),
+		Timing:         timing,
+		AppendInterval: budget.interval,
+		RemoteUse:      func() map[model.Team]model.Resources { return v.router.RemoteUse(p) },
+		Destination: func(spec model.JobSpec, from model.Partition) (model.Partition, bool) {
+			return v.router.Destination(spec, from)
+		},
+		Offer: func(ctx context.Context, from model.Partition, t ledger.Transfer) error {
+			return v.router.Offer(ctx, from, t)
+		},
+		OnDurable: v.countRecords,
+		Services:  func(w model.WorkerID) []model.Service { return v.inventory.ServicesOn(w) },
+	}
+}
+
+// countRecords counts what has become durable.
+func (v *Server) countRecords(_ model.Partition, records []ledger.Record) {
+	for _, r := range records {
+		v.scope.Tagged(map[string]string{"kind": r.Kind.String()}).Counter("records").Inc(1)
+	}
+}
