Play random histories of owners, workers and faults against a naive checker

The histories found one fault at once: PendingTransfers showed a transfer whose record was not durable yet. An owner that offered it and died left the job in both partitions; it was executed twice. The Pending views now leave out jobs with records that are not known to be durable: a Take vouches for the batch that was taken before it. Ruled out on the way: the first violation of all was a fault of the checker, which compared the state that a deposed owner had loaded with records written after its ownership entry.

--- a/internal/journal/fake_test.go
+++ b/internal/journal/fake_test.go
@@ -23,6 +23,12 @@
 	delayedBeyond       // the call is reported lost and takes effect when released
 	staleRead           // a read returns the version before the last write of the key
 	allFaults
+	// The following end or interrupt the caller and are used by histories only.
+	cancelBefore // the caller gives up; the call has no effect
+	cancelAfter  // the caller gives up after the call took effect
+	cancelHeld   // the caller gives up and the call takes effect when released
+	frozenBefore // the caller is frozen before the call takes effect
+	frozenAfter  // the caller is frozen after the call took effect
 )
 
 var faultNames = [...]string{"none", "not sent", "lost before effect", "lost after effect", "delayed past the next call", "delayed until released", "stale read"}
@@ -44,6 +50,12 @@
 	bytes    int
 	// fault chooses the fault of the call with the given number, from 1.
 	fault func(call int) fault
+	// blind makes the store ignore the expected version.
+	blind bool
+	// cancel ends the context of the present call.
+	cancel func()
+	// during is what others do while the caller is frozen.
+	during func()
 	// applied sees every write that takes effect, in order.
 	applied func(key string, value []byte)
 }
@@ -90,9 +102,16 @@
 	if err := ctx.Err(); err != nil {
 		return platform.KeyValue{}, 0, &platform.StoreError{Op: "get", Cause: err}
 	}
-	switch s.next() {
+	f := s.next()
+	if f >= cancelBefore && f <= cancelHeld {
+		s.cancel()
+		f = notSent
+	}
+	switch f {
 	case notSent, lostBefore, lostAfter:
 		return platform.KeyValue{}, 0, failed("get", false)
+	case frozenBefore, frozenAfter:
+		s.freeze()
 	case staleRead:
 		old := s.previous[key]
 		old.Key = key
@@ -112,8 +131,15 @@
 	if err := ctx.Err(); err != nil {
 		return nil, 0, &platform.StoreError{Op: "list", Cause: err}
 	}
-	switch s.next() {
-	case notSent, lostBefore, lostAfter:
+	f := s.next()
+	if f == frozenBefore {
+		s.freeze()
+	}
+	if f == frozenAfter {
+		defer s.freeze()
+	}
+	switch f {
+	case notSent, lostBefore, lostAfter, cancelBefore, cancelAfter, cancelHeld:
 		return nil, 0, failed("list", false)
 	}
 	var found []platform.KeyValue
@@ -137,7 +163,19 @@
 	}
 	value = append([]byte(nil), value...)
 	write := func() platform.SwapResult { return s.swap(key, expected, value) }
-	switch s.next() {
+	f := s.next()
+	if f == cancelBefore || f == cancelAfter || f == cancelHeld {
+		s.cancel()
+		f = map[fault]fault{cancelBefore: lostBefore, cancelAfter: lostAfter, cancelHeld: delayedBeyond}[f]
+	}
+	switch f {
+	case frozenBefore:
+		s.freeze()
+		return write(), nil
+	case frozenAfter:
+		result := write()
+		s.freeze()
+		return result, nil
 	case notSent:
 		return platform.SwapResult{}, failed("swap", false)
 	case lostBefore:
@@ -155,10 +193,17 @@
 	return write(), nil
 }
 
+// freeze lets others act while the caller is frozen within a call.
+func (s *fakeStore) freeze() {
+	s.mu.Unlock()
+	defer s.mu.Lock()
+	s.during()
+}
+
 // swap is the effect of a write that reached the store.
 func (s *fakeStore) swap(key string, expected int64, value []byte) platform.SwapResult {
 	current := s.values[key]
-	if current.ModRevision != expected {
+	if current.ModRevision != expected && !s.blind {
 		current.Key = key
 		return platform.SwapResult{Revision: s.revision, Current: current}
 	}
--- /dev/null
+++ b/internal/journal/history_test.go
@@ -0,0 +1,249 @@
+package journal_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/geraniumwick/geraniumwick/internal/ledger"
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/platform"
+)
+
+// TestMain fixes the seed, so that every run without flags has the same verdict. Longer
+// runs: go test ./internal/journal -run TestHistories -rapid.checks=10000 -rapid.seed=N
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
+		_ = seed.Value.Set("20260102")
+	}
+	os.Exit(m.Run())
+}
+
+// faultMix is what befalls the calls of the store in a history; most calls are sound.
+var faultMix = []fault{noFault, noFault, noFault, noFault, noFault, noFault, noFault, noFault, noFault, noFault,
+	notSent, lostBefore, lostAfter, delayedWrite, delayedBeyond, staleRead,
+	cancelBefore, cancelAfter, cancelHeld, frozenBefore, frozenAfter}
+
+// actions are the steps of a history; those that matter most are listed more than once.
+var actions = []string{"submit", "submit", "place", "place", "place", "place", "flush", "flush", "flush", "flush", "flush",
+	"deliver", "deliver", "deliver", "deliver", "deliver", "repeat", "drop", "visit", "visit", "visit", "visit", "advance", "advance",
+	"give up", "finish", "finish", "evict", "evict", "resignal", "cancel", "transfer", "offer", "claim", "claim", "settle", "settle",
+	"open", "release", "kill", "land", "outage", "park", "forget"}
+
+// history plays a random history of two partitions.
+type history struct {
+	*world
+	t      *rapid.T
+	depth  int
+	outage bool
+	keys   int
+}
+
+// playHistory plays a history and returns the world at its end.
+func playHistory(t *rapid.T, broken breakage) *world {
+	h := &history{world: newWorld(), t: t}
+	h.broken = broken
+	h.store.fault = h.pickFault
+	h.store.during = h.others
+	h.store.blind = broken.blindWrites
+	h.world.lost = func(string) bool { return rapid.IntRange(0, 7).Draw(t, "lost") == 0 }
+	if testing.Verbose() && os.Getenv("TRACE") != "" {
+		h.trace = func(format string, args ...any) { t.Logf(format, args...) }
+	}
+	for _, p := range h.parts {
+		p.open(h.world)
+	}
+	for range rapid.IntRange(20, 120).Draw(t, "steps") {
+		h.step()
+		if len(h.check.violations) > 0 {
+			return h.world
+		}
+	}
+	h.drain()
+	return h.world
+}
+
+// pickFault chooses the fault of a call. A frozen caller is not frozen again.
+func (h *history) pickFault(int) fault {
+	if h.outage {
+		return rapid.SampledFrom([]fault{cancelBefore, cancelAfter, cancelHeld}).Draw(h.t, "outage fault")
+	}
+	f := rapid.SampledFrom(faultMix).Draw(h.t, "fault")
+	if h.depth > 0 && f >= frozenBefore {
+		return noFault
+	}
+	return f
+}
+
+// others is what happens while a caller is frozen within a call of the store.
+func (h *history) others() {
+	h.depth++
+	defer func() { h.depth-- }()
+	for _, p := range h.parts {
+		if rapid.Bool().Draw(h.t, "takes over") {
+			p.open(h.world)
+		}
+	}
+	for range rapid.IntRange(0, 12).Draw(h.t, "steps of others") {
+		h.step()
+	}
+}
+
+// step performs one random action.
+func (h *history) step() {
+	action := rapid.SampledFrom(actions).Draw(h.t, "action")
+	switch action {
+	case "advance":
+		h.advance(time.Duration(rapid.IntRange(1, 4).Draw(h.t, "seconds")) * time.Second)
+	case "outage":
+		h.outage = !h.outage && rapid.Bool().Draw(h.t, "outage")
+	case "land":
+		h.store.releaseHeld()
+	case "deliver", "repeat", "drop":
+		h.transmit(action)
+	case "open":
+		p := rapid.SampledFrom(h.parts).Draw(h.t, "part")
+		p.open(h.world)
+	case "finish":
+		h.finish()
+	case "settle":
+		h.settle()
+	default:
+		h.act(action)
+	}
+}
+
+// transmit delivers, repeats or drops a message.
+func (h *history) transmit(action string) {
+	if len(h.network) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(h.network)-1).Draw(h.t, "message")
+	h.tracef("network %s %s", action, h.network[i].name)
+	if action == "drop" {
+		h.network = append(h.network[:i:i], h.network[i+1:]...)
+		return
+	}
+	h.deliver(i, action == "repeat")
+}
+
+// finish ends an executing attempt at its worker.
+func (h *history) finish() {
+	worker := rapid.SampledFrom(rapid.SampledFrom(h.parts).Draw(h.t, "part").workers).Draw(h.t, "worker")
+	state := rapid.SampledFrom([]model.AttemptState{model.AttemptSucceeded, model.AttemptFailed}).Draw(h.t, "end")
+	if ids := worker.executing(); len(ids) > 0 {
+		worker.end(rapid.SampledFrom(ids).Draw(h.t, "attempt"), state)
+	}
+}
+
+// settle ends a granted request at its caller, which tells the owner, perhaps late.
+func (h *history) settle() {
+	if len(h.held) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(h.held)-1).Draw(h.t, "held")
+	r := h.held[i]
+	h.held = append(h.held[:i:i], h.held[i+1:]...)
+	v := rapid.SampledFrom(verdicts).Draw(h.t, "verdict")
+	h.check.settled(r.Key, v)
+	p := h.parts[0]
+	h.post("settle "+string(r.Key), func() {
+		if o := p.alive(); o != nil {
+			o.settle(r, v)
+		}
+	})
+}
+
+// act lets an owner act that does not know itself deposed, be it frozen long ago or not.
+func (h *history) act(action string) {
+	var awake []*owner
+	for _, p := range h.parts {
+		for _, o := range p.owners {
+			if !o.dead && !o.busy {
+				awake = append(awake, o)
+			}
+		}
+	}
+	if len(awake) == 0 {
+		return
+	}
+	o := rapid.SampledFrom(awake).Draw(h.t, "owner")
+	worker := rapid.SampledFrom(o.part.workers).Draw(h.t, "worker")
+	h.tracef("%s %s", o.id, action)
+	switch action {
+	case "submit":
+		o.submit(model.JobID(fmt.Sprintf("p%d-j%d", o.part.number, rapid.IntRange(0, 4).Draw(h.t, "job"))))
+	case "flush":
+		o.flush()
+	case "visit":
+		o.visit(worker)
+	case "give up":
+		o.giveUp(worker)
+	case "claim":
+		h.claim()
+	case "release":
+		o.release()
+	case "kill":
+		o.die("killed")
+	case "forget":
+		o.ledger.Forget(h.now)
+	case "resignal":
+		o.resend()
+	case "offer":
+		for _, t := range o.ledger.PendingTransfers() {
+			o.offer(t)
+		}
+	default:
+		h.actOnJob(action, o, worker)
+	}
+}
+
+// claim asks partition 0 for a key.
+func (h *history) claim() {
+	o := h.parts[0].alive()
+	if o == nil {
+		return
+	}
+	h.keys++
+	n := rapid.IntRange(0, 3).Draw(h.t, "key")
+	o.claim(ledger.ClaimRequest{Key: model.RequestKey(fmt.Sprintf("k%d", n)), Holder: model.InstanceID(fmt.Sprintf("caller/%d", h.keys)),
+		Exclusive: n%2 == 1, Deadline: h.now.Add(time.Minute)})
+}
+
+// actOnJob applies an action to a random job of an owner.
+func (h *history) actOnJob(action string, o *owner, worker *fakeWorker) {
+	jobs := o.ledger.Jobs()
+	if len(jobs) == 0 {
+		return
+	}
+	job := rapid.SampledFrom(jobs).Draw(h.t, "job")
+	id := job.Spec.ID
+	switch action {
+	case "place":
+		o.place(id, worker, int64(rapid.IntRange(2, 7).Draw(h.t, "size")))
+	case "evict":
+		kind := rapid.SampledFrom([]platform.SignalKind{platform.SignalCheckpoint, platform.SignalStop}).Draw(h.t, "signal")
+		_ = o.ledger.Evict(h.now, model.AttemptID{Job: id, Number: job.Attempt}, kind, "relief")
+	case "cancel":
+		o.cancel(id)
+	case "park":
+		_ = o.ledger.Park(h.now, id, "failed everywhere")
+	case "transfer":
+		_ = o.ledger.TransferOut(h.now, id, 1-o.part.number, "full")
+	}
+}
+
+func TestHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := playHistory(t, breakage{})
+		if len(w.check.violations) > 0 {
+			t.Fatalf("violations:\n%s", strings.Join(w.check.violations, "\n"))
+		}
+	})
+}
--- /dev/null
+++ b/internal/journal/worker_test.go
@@ -0,0 +1,128 @@
+package journal_test
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/platform"
+)
+
+// leaseTTL is the lease of a fake worker.
+const leaseTTL = 6 * time.Second
+
+// fakeWorker obeys the rules in the comments of internal/platform and no others.
+type fakeWorker struct {
+	worker model.Worker
+	// offset is the error of the worker's clock.
+	offset     time.Duration
+	epoch      model.Epoch
+	leaseUntil time.Time
+	running    map[model.AttemptID]platform.StartAttempt
+	// known holds every attempt id that was executed (true) or refused (false).
+	known    map[model.AttemptID]bool
+	reports  []platform.AttemptReport
+	sequence uint64
+	check    *checker
+}
+
+func newFakeWorker(w model.Worker, offset time.Duration, c *checker) *fakeWorker {
+	return &fakeWorker{worker: w, offset: offset, check: c,
+		running: map[model.AttemptID]platform.StartAttempt{}, known: map[model.AttemptID]bool{}}
+}
+
+// lease renews the lease and lists every attempt.
+func (w *fakeWorker) lease(now time.Time, r platform.LeaseRequest) (platform.LeaseReply, error) {
+	w.lapse(now)
+	if r.Epoch < w.epoch {
+		return platform.LeaseReply{}, &platform.StaleEpochError{Seen: w.epoch}
+	}
+	w.epoch = r.Epoch
+	w.leaseUntil = now.Add(r.TTL)
+	var kept []platform.AttemptReport
+	for _, report := range w.reports {
+		if report.Sequence > r.Acknowledged {
+			kept = append(kept, report)
+		}
+	}
+	w.reports = kept
+	reply := platform.LeaseReply{Epoch: w.epoch, Reports: append([]platform.AttemptReport(nil), kept...)}
+	for id := range w.running {
+		reply.Reports = append(reply.Reports, platform.AttemptReport{Attempt: id, State: model.AttemptRunning, Progress: 0.1})
+	}
+	return reply, nil
+}
+
+var errRefused = errors.New("refused")
+
+// start executes an attempt unless a rule forbids it. A refusal with errRefused is proof.
+func (w *fakeWorker) start(now time.Time, e model.Epoch, a platform.StartAttempt) error {
+	w.lapse(now)
+	if e < w.epoch {
+		return &platform.StaleEpochError{Seen: w.epoch}
+	}
+	accepted, known := w.known[a.Attempt]
+	if !known {
+		accepted = !now.Add(w.offset).After(a.NotAfter) && now.Before(w.leaseUntil)
+		w.known[a.Attempt] = accepted
+	}
+	if !accepted {
+		return errRefused
+	}
+	if known {
+		return nil
+	}
+	w.running[a.Attempt] = a
+	w.check.executed(w.worker, a)
+	return nil
+}
+
+// signal checkpoints or stops an executing attempt.
+func (w *fakeWorker) signal(now time.Time, e model.Epoch, s platform.SignalKind, id model.AttemptID) {
+	w.lapse(now)
+	if e < w.epoch {
+		return
+	}
+	if s == platform.SignalCheckpoint {
+		w.end(id, model.AttemptCheckpointed)
+		return
+	}
+	w.end(id, model.AttemptStopped)
+}
+
+// end ends an executing attempt and reports it until it is acknowledged.
+func (w *fakeWorker) end(id model.AttemptID, state model.AttemptState) {
+	if _, found := w.running[id]; !found {
+		return
+	}
+	delete(w.running, id)
+	w.sequence++
+	report := platform.AttemptReport{Sequence: w.sequence, Attempt: id, State: state}
+	if state == model.AttemptCheckpointed {
+		report.Checkpoint = model.CheckpointID(fmt.Sprintf("cp-%s-%d", id.Job, id.Number))
+		report.Progress = 0.5
+	}
+	w.reports = append(w.reports, report)
+	w.check.ended(w.worker, id)
+}
+
+// lapse stops every attempt if the lease has lapsed.
+func (w *fakeWorker) lapse(now time.Time) {
+	if now.Before(w.leaseUntil) {
+		return
+	}
+	for _, id := range w.executing() {
+		w.end(id, model.AttemptLost)
+	}
+}
+
+// executing returns the ids of the executing attempts, in order.
+func (w *fakeWorker) executing() []model.AttemptID {
+	ids := make([]model.AttemptID, 0, len(w.running))
+	for id := range w.running {
+		ids = append(ids, id)
+	}
+	sortIDs(ids)
+	return ids
+}
--- a/internal/ledger/job.go
+++ b/internal/ledger/job.go
@@ -35,6 +35,8 @@
 	steps   []Step
 	// listed says that the queue holds an entry of the job, possibly an outdated one.
 	listed bool
+	// changed is the number of the last record of the job in this process.
+	changed uint64
 }
 
 // digestBytes is the length of the digest that compares specifications.
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -61,6 +61,9 @@
 	records     []Record
 	actions     Actions
 	queuedBytes int
+	// committed, taken and written count the records of this process: queued ever, returned
+	// by Take, and known to be durable.
+	committed, taken, written uint64
 }
 
 // New returns the empty ledger of a partition.
@@ -84,8 +87,10 @@
 }
 
 // Take returns the queued records and their actions and clears the queue. The actions may
-// be sent once the records are durable.
+// be sent once the records are durable. The caller takes again only after the records that
+// it took before are durable.
 func (l *Ledger) Take() ([]Record, Actions) {
+	l.written, l.taken = l.taken, l.committed
 	records, actions := l.records, l.actions
 	l.records, l.actions, l.queuedBytes = nil, Actions{}, 0
 	return records, actions
@@ -98,6 +103,10 @@
 		return verdict.New(verdict.NotRun, verdict.ReasonInvalid, "%v", err)
 	}
 	l.records = append(l.records, r)
+	l.committed++
+	if j, found := l.jobs[r.Job]; found {
+		j.changed = l.committed
+	}
 	l.queuedBytes += recordBytes + r.payloadSize()
 	return nil
 }
@@ -110,6 +119,9 @@
 	return refuse(verdict.ReasonOverload, "partition %d has %d bytes of records to write", l.partition, l.queuedBytes)
 }
 
+// durable reports whether every record of the job is known to be durable.
+func (l *Ledger) durable(j *job) bool { return j.changed <= l.written }
+
 // refuse returns the error of a command that changed nothing.
 func refuse(reason verdict.Reason, format string, args ...any) error {
 	return verdict.New(verdict.NotRun, reason, format, args...)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -195,6 +195,15 @@
 	}
 }
 
+// offered writes what is queued and returns the one transfer that is offered then.
+func offered(is *is.I, l *ledger.Ledger) ledger.Transfer {
+	is.Equal(len(l.PendingTransfers()), 0) // nothing is offered before its record is durable
+	l.Take()
+	l.Take()
+	is.Equal(len(l.PendingTransfers()), 1)
+	return l.PendingTransfers()[0]
+}
+
 func TestTransferThereAndBack(t *testing.T) {
 	is := is.New(t)
 	home, away := owned(), ledger.New(8)
@@ -202,21 +211,21 @@
 	_, err := home.Submit(at(1), spec("j"))
 	is.NoErr(err)
 	is.NoErr(home.TransferOut(at(2), "j", 8, "full"))
-	first := home.PendingTransfers()[0]
+	first := offered(is, home)
 	is.NoErr(away.AcceptTransfer(at(3), 7, first))
 	is.NoErr(away.AcceptTransfer(at(3), 7, first)) // offered again
 	is.NoErr(home.TransferConfirmed(at(4), "j", first.Hop))
 	is.Equal(state(home), model.JobTransferred)
 
 	is.NoErr(away.TransferOut(at(5), "j", 7, "data centre out"))
-	second := away.PendingTransfers()[0]
+	second := offered(is, away)
 	is.NoErr(home.AcceptTransfer(at(6), 8, second))
 	is.NoErr(home.TransferOut(at(7), "j", 8, "full"))
 	is.NoErr(home.TransferConfirmed(at(8), "j", first.Hop)) // late
-	is.Equal(len(home.PendingTransfers()), 1)               // the third transfer is still to be accepted
+	third := offered(is, home)                              // the third transfer is still to be accepted
 	is.NoErr(away.AcceptTransfer(at(8), 7, first))          // late
 	is.Equal(state(away), model.JobTransferred)
-	is.NoErr(away.AcceptTransfer(at(9), 7, home.PendingTransfers()[0]))
+	is.NoErr(away.AcceptTransfer(at(9), 7, third))
 	is.Equal(state(away), model.JobQueued)
 }
 
@@ -246,6 +255,7 @@
 	is.Equal(got, want)
 	loaded, err := ledger.Load(7, got)
 	is.NoErr(err)
+	l.Take() // the former batch is durable
 	got, err = loaded.Marshal()
 	is.NoErr(err)
 	is.Equal(got, want)
--- a/internal/ledger/transfer.go
+++ b/internal/ledger/transfer.go
@@ -164,11 +164,13 @@
 	return nil
 }
 
-// PendingTransfers returns the jobs that the other partition has not confirmed yet.
+// PendingTransfers returns the jobs that the other partition has not confirmed yet. Like
+// every Pending view it leaves out what is not known to be durable, so that its messages
+// may be sent at once.
 func (l *Ledger) PendingTransfers() []Transfer {
 	var pending []Transfer
 	for _, j := range l.sortedJobs() {
-		if j.state == model.JobTransferred && j.offered {
+		if j.state == model.JobTransferred && j.offered && l.durable(j) {
 			pending = append(pending, j.transfer())
 		}
 	}
--- a/internal/ledger/view.go
+++ b/internal/ledger/view.go
@@ -149,7 +149,11 @@
 
 // wanted returns the signal that the attempt should receive, or "".
 func (l *Ledger) wanted(a *attempt) platform.SignalKind {
-	if l.jobs[a.id.Job].cancelling {
+	j := l.jobs[a.id.Job]
+	if !l.durable(j) {
+		return ""
+	}
+	if j.cancelling {
 		return platform.SignalStop
 	}
 	return a.evicting
@@ -159,7 +163,7 @@
 // again after a lost answer. A worker executes an attempt id at most once.
 func (l *Ledger) PendingStart(a model.AttemptID) (Start, bool) {
 	j := l.executing(a)
-	if j == nil {
+	if j == nil || !l.durable(j) {
 		return Start{}, false
 	}
 	return j.start(), true
