--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -194,16 +194,14 @@
 }
 
 // Confirm reads the slot after the head. No error means that this owner still held the
-// partition when Confirm was called. *DeposedError ends the ownership.
+// partition when Confirm was called. *DeposedError ends the ownership. A pending write stays
+// pending: only its retry settles it.
 func (j *Journal) Confirm(ctx context.Context) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.ended != nil {
 		return j.ended
 	}
-	if j.pending != nil {
-		return j.settle(ctx)
-	}
 	sequence := j.head + 1
 	current, _, err := j.store.Get(ctx, j.slotKey(sequence))
 	if err != nil {
@@ -212,6 +210,9 @@
 	if current.ModRevision <= j.revisions[j.slot(sequence)] {
 		return nil
 	}
+	if j.pending != nil && bytes.Equal(current.Value, j.pending.value) {
+		return nil
+	}
 	return j.depose(sequence, current)
 }
 
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -171,3 +171,23 @@
 	is.Equal(string(replay.Snapshot), "one two")
 	is.Equal(len(replay.Entries), 0)
 }
+
+func TestConfirmLeavesPendingWriteToItsRetry(t *testing.T) {
+	is := is.New(t)
+	store := newFakeStore()
+	j, _, err := journal.Open(context.Background(), store, config("a"))
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	store.cancel = cancel
+	store.fault = func(int) fault { return cancelAfter }
+	var pending *journal.PendingError
+	is.True(errors.As(j.Append(ctx, []byte("one")), &pending))
+
+	store.fault = nil
+	ctx = context.Background()
+	is.NoErr(j.Confirm(ctx))
+	is.NoErr(j.Append(ctx, []byte("one"))) // the retry of the first write
+	_, replay, err := journal.Open(ctx, store, config("b"))
+	is.NoErr(err)
+	is.Equal(texts(replay), []string{"one"})
+}
--- a/internal/journal/worker_test.go
+++ b/internal/journal/worker_test.go
@@ -44,7 +44,9 @@
 	for _, report := range w.reports {
 		if report.Sequence > r.Acknowledged {
 			kept = append(kept, report)
+			continue
 		}
+		w.check.acknowledged(report)
 	}
 	w.reports = kept
 	reply := platform.LeaseReply{Epoch: w.epoch, Reports: append([]platform.AttemptReport(nil), kept...)}
--- a/internal/ledger/forget.go
+++ b/internal/ledger/forget.go
@@ -107,15 +107,24 @@
 func (l *Ledger) forgetJob(id model.JobID, at time.Time) {
 	j, found := l.jobs[id]
 	if !found {
-		delete(l.arrivals, id)
+		l.forgetArrival(id)
 		return
 	}
 	l.drop(j)
+	l.floor = max(l.floor, j.attempt)
 	if j.hop > 0 {
-		l.arrivals[id] = arrival{submitted: j.submitted, hop: j.hop, forgotten: at}
+		l.arrivals[id] = arrival{submitted: j.submitted, hop: j.hop, offered: j.arrived, forgotten: at}
 	}
 }
 
+// forgetArrival drops the memory of an accepted job. Later offers must be newer than it.
+func (l *Ledger) forgetArrival(id model.JobID) {
+	if a := l.arrivals[id]; a.offered.After(l.horizon) {
+		l.horizon = a.offered
+	}
+	delete(l.arrivals, id)
+}
+
 // drop removes a job that holds no attempt.
 func (l *Ledger) drop(j *job) {
 	l.dropPayload(j)
--- a/internal/ledger/job.go
+++ b/internal/ledger/job.go
@@ -30,6 +30,8 @@
 	home       model.Partition
 	movedTo    model.Partition
 	hop        uint32
+	// arrived is when the source recorded the transfer that brought the job here.
+	arrived time.Time
 	// offered says that the other partition has not confirmed the transfer yet.
 	offered bool
 	steps   []Step
@@ -97,7 +99,7 @@
 	if _, found := l.jobs[r.Job]; found {
 		return r.misfit("the job exists")
 	}
-	j := &job{spec: *r.Spec, digest: digest(*r.Spec), submitted: r.At, home: l.partition}
+	j := &job{spec: *r.Spec, digest: digest(*r.Spec), submitted: r.At, home: l.partition, attempt: l.floor}
 	l.jobs[r.Job] = j
 	l.payloadBytes += len(j.spec.Payload)
 	l.enqueue(j)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -53,6 +53,12 @@
 	claims       map[model.RequestKey]*Claim
 	arrivals     map[model.JobID]arrival
 	payloadBytes int
+	// floor is the highest attempt number of any job that the ledger has forgotten. A new job
+	// counts from there, since its id may be that of a forgotten job whose attempts a worker
+	// still knows.
+	floor uint32
+	// horizon is the time of the latest transfer whose acceptance was forgotten.
+	horizon time.Time
 	// owned is when the present owner took the partition.
 	owned time.Time
 	// fenced holds the workers that have seen the present epoch; it is not durable.
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -32,6 +32,8 @@
 	Claims   []Claim           `cbor:"4,keyasint,omitempty"`
 	Arrivals []arrivalSnapshot `cbor:"5,keyasint,omitempty"`
 	Owned    time.Time         `cbor:"6,keyasint,omitzero"`
+	Floor    uint32            `cbor:"7,keyasint,omitempty"`
+	Horizon  time.Time         `cbor:"8,keyasint,omitzero"`
 }
 
 // jobSnapshot is the durable form of a job.
@@ -54,6 +56,7 @@
 	Hop        uint32             `cbor:"16,keyasint,omitempty"`
 	Offered    bool               `cbor:"17,keyasint,omitempty"`
 	Steps      []Step             `cbor:"18,keyasint,omitempty"`
+	Arrived    time.Time          `cbor:"19,keyasint,omitzero"`
 }
 
 // attemptSnapshot is the durable form of an attempt that may be executing.
@@ -73,6 +76,7 @@
 	Submitted time.Time   `cbor:"2,keyasint"`
 	Hop       uint32      `cbor:"3,keyasint"`
 	Forgotten time.Time   `cbor:"4,keyasint"`
+	Offered   time.Time   `cbor:"5,keyasint,omitzero"`
 }
 
 // errQueued is returned by Marshal while records wait for Take.
@@ -86,13 +90,13 @@
 	if len(l.records) > 0 {
 		return nil, errQueued
 	}
-	s := snapshot{Owner: l.owner, Epoch: l.epoch, Owned: l.owned, Claims: l.Claims()}
+	s := snapshot{Owner: l.owner, Epoch: l.epoch, Owned: l.owned, Floor: l.floor, Horizon: l.horizon, Claims: l.Claims()}
 	for _, j := range l.sortedJobs() {
 		s.Jobs = append(s.Jobs, j.snapshot())
 	}
 	for _, id := range slices.Sorted(maps.Keys(l.arrivals)) {
 		a := l.arrivals[id]
-		s.Arrivals = append(s.Arrivals, arrivalSnapshot{Job: id, Submitted: a.submitted, Hop: a.hop, Forgotten: a.forgotten})
+		s.Arrivals = append(s.Arrivals, arrivalSnapshot{Job: id, Submitted: a.submitted, Hop: a.hop, Offered: a.offered, Forgotten: a.forgotten})
 	}
 	return encoding.Marshal(s)
 }
@@ -117,6 +121,7 @@
 		Hop:        j.hop,
 		Offered:    j.offered,
 		Steps:      j.steps,
+		Arrived:    j.arrived,
 	}
 	if a := j.current; a != nil {
 		s.Current = &attemptSnapshot{Worker: a.worker, DataCentre: a.dataCentre, Reservation: a.reservation,
@@ -137,6 +142,8 @@
 	}
 	l.owner = s.Owner
 	l.epoch = s.Epoch
+	l.floor = s.Floor
+	l.horizon = milliseconds(s.Horizon)
 	l.owned = milliseconds(s.Owned)
 	for _, j := range s.Jobs {
 		l.restore(j)
@@ -147,7 +154,8 @@
 		l.claims[c.Key] = &c
 	}
 	for _, a := range s.Arrivals {
-		l.arrivals[a.Job] = arrival{submitted: milliseconds(a.Submitted), hop: a.Hop, forgotten: milliseconds(a.Forgotten)}
+		l.arrivals[a.Job] = arrival{submitted: milliseconds(a.Submitted), hop: a.Hop,
+			offered: milliseconds(a.Offered), forgotten: milliseconds(a.Forgotten)}
 	}
 	return l, nil
 }
@@ -171,6 +179,7 @@
 		hop:        s.Hop,
 		offered:    s.Offered,
 		steps:      s.Steps,
+		arrived:    milliseconds(s.Arrived),
 	}
 	copy(j.digest[:], s.Digest)
 	for i := range j.steps {
--- a/internal/ledger/transfer.go
+++ b/internal/ledger/transfer.go
@@ -8,14 +8,17 @@
 	"github.com/geraniumwick/geraniumwick/internal/verdict"
 )
 
-// TransferRetention is how long a ledger remembers that it accepted a job after the job
-// left it. Older offers are refused, because a second acceptance could not be told.
+// TransferRetention is how long a ledger remembers that it accepted a job after it has
+// forgotten the job itself. An offer that is older than one whose memory was dropped is
+// refused, because a second acceptance could not be told.
 const TransferRetention = 7 * 24 * time.Hour
 
 // arrival remembers an accepted job that has left the ledger.
 type arrival struct {
 	submitted time.Time
 	hop       uint32
+	// offered is when the source recorded the transfer.
+	offered   time.Time
 	forgotten time.Time
 }
 
@@ -96,7 +99,7 @@
 	if l.hasSeen(t) {
 		return nil
 	}
-	if now.Sub(t.At) > TransferRetention-time.Hour {
+	if !t.At.After(l.horizon) {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonDeadline, "offer of job %q is too old to be recognised", t.Spec.ID)
 	}
 	if known, found := l.jobs[t.Spec.ID]; found && !known.replaceable() {
@@ -154,6 +157,7 @@
 		failures:   t.Failures,
 		home:       t.Home,
 		hop:        t.Hop,
+		arrived:    t.At,
 		steps:      slices.Clone(t.Steps),
 	}
 	delete(l.arrivals, r.Job)
