Walk pairs of faults through every store call, and show that the tests can fail

A stale read after a lost answer needs two faults in a row; with single faults the tests did not notice when a stale read was taken for a foreign write. The walk now injects every pair in a row at each call.

--- a/internal/journal/fault_test.go
+++ b/internal/journal/fault_test.go
@@ -17,7 +17,7 @@
 	ctx := context.Background()
 	first, _, err := journal.Open(ctx, store, config("a"))
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, fmt.Errorf("%w: %w", errOpen, err)
 	}
 	for i := range 10 {
 		text := fmt.Sprint("entry-", i)
@@ -33,7 +33,7 @@
 	}
 	_, replay, err := journal.Open(ctx, store, config("b"))
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, fmt.Errorf("%w: %w", errOpen, err)
 	}
 	store.releaseHeld()
 	if err := first.Append(ctx, []byte("too late")); !isDeposed(err) {
@@ -49,36 +49,47 @@
 	return errors.As(err, &deposed)
 }
 
-// TestFaultPointWalk injects each fault at each store call of the session in turn.
+// TestFaultPointWalk injects each fault, and each pair of faults in a row, at each store
+// call of the session in turn.
 func TestFaultPointWalk(t *testing.T) {
 	is := is.New(t)
 	plain := newFakeStore()
 	want, _, err := walkSession(plain)
 	is.NoErr(err)
-	calls := plain.calls
-	for kind := notSent; kind < allFaults; kind++ {
-		for point := 1; point <= calls; point++ {
-			store := newFakeStore()
-			store.fault = func(call int) fault {
-				if call == point {
-					return kind
-				}
-				return noFault
-			}
-			got, _, err := walkSession(store)
-			if readFailed(err) {
-				continue // Open reports a failed read; nothing was acknowledged
-			}
-			if err != nil {
-				t.Errorf("%s at call %d: %v", kind, point, err)
-				continue
-			}
-			if fmt.Sprint(got) != fmt.Sprint(want) {
-				t.Errorf("%s at call %d: replayed %v, want %v", kind, point, got, want)
+	for first := noFault; first < allFaults; first++ {
+		for second := notSent; second < allFaults; second++ {
+			for point := 1; point <= plain.calls; point++ {
+				walkPoint(t, point, []fault{first, second}, want)
 			}
 		}
 	}
 }
 
-// readFailed reports whether Open failed because a read failed.
-func readFailed(err error) bool { return errors.Is(err, errFake) }
+// walkPoint plays the session with the faults at the calls from the given number on.
+func walkPoint(t *testing.T, point int, faults []fault, want []string) {
+	t.Helper()
+	store := newFakeStore()
+	store.fault = func(call int) fault {
+		if i := call - point; i >= 0 && i < len(faults) {
+			return faults[i]
+		}
+		return noFault
+	}
+	got, _, err := walkSession(store)
+	if readFailed(err) {
+		return // Open reports a failed read; nothing was acknowledged
+	}
+	if err != nil {
+		t.Errorf("%v at call %d: %v", faults, point, err)
+		return
+	}
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("%v at call %d: replayed %v, want %v", faults, point, got, want)
+	}
+}
+
+// errOpen marks an error of Open in a session.
+var errOpen = errors.New("open")
+
+// readFailed reports whether Open failed because of the injected failure of a read.
+func readFailed(err error) bool { return errors.Is(err, errOpen) && errors.Is(err, errFake) }
