--- a/internal/schedule/estimate.go
+++ b/internal/schedule/estimate.go
@@ -17,8 +17,9 @@
 	// memoryQuantile is the number of standard deviations reserved above the mean. A lack of
 	// memory kills tasks.
 	memoryQuantile = 0.8
-	// cpuQuantile is lower than memoryQuantile, because a lack of processor time only slows tasks.
-	cpuQuantile = 0.3
+	// cpuQuantile is the number of standard deviations reserved above the mean if only the
+	// tail latency counts; it falls with that weight. A lack of processor time only slows tasks.
+	cpuQuantile = 0.6
 	// estimateFloor is the least share of its declaration that a job is given.
 	estimateFloor = 0.2
 	// estimateHysteresis is the change of the logarithm of an estimate that is acted on.
@@ -156,7 +157,7 @@
 	declared := atLeast(spec.Declared, minimumReservation)
 	need := declared
 	if c := s.classes[spec.Class]; c != nil {
-		need.MilliCPU = int64(c.CPU.predict(float64(declared.MilliCPU), cpuQuantile))
+		need.MilliCPU = int64(c.CPU.predict(float64(declared.MilliCPU), cpuQuantile*s.goals.tail))
 		need.MemoryMB = int64(c.Memory.predict(float64(declared.MemoryMB), memoryQuantile))
 	}
 	if j := s.jobs[spec.ID]; j != nil {
--- a/internal/schedule/round.go
+++ b/internal/schedule/round.go
@@ -41,7 +41,7 @@
 	r := &round{
 		scheduler: s,
 		snapshot:  snapshot,
-		goals:     goalsOf(s.weightsFor(snapshot.Document)),
+		goals:     s.goals,
 		out:       outOfService(snapshot.Document),
 		nodes:     make([]node, len(snapshot.Workers)),
 		teamUse:   make(map[model.Team]model.Resources, len(snapshot.TeamUse)),
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -23,6 +23,7 @@
 	workers map[model.WorkerID]*workerState
 	jobs    map[model.JobID]*jobState
 	budget  evictionBudget
+	goals   goals
 	urgent  urgentDemand
 	hold    hold
 	// largest is the largest amount of each resource on any worker.
@@ -45,6 +46,7 @@
 	return &Scheduler{
 		random:   rand.New(rand.NewPCG(seed, randomStream)),
 		weights:  w,
+		goals:    goalsOf(w),
 		classes:  map[model.JobClass]*classEstimate{},
 		services: map[model.Service]*serviceEffects{},
 		workers:  map[model.WorkerID]*workerState{},
@@ -59,6 +61,7 @@
 	if snapshot.Document == nil {
 		return plan
 	}
+	s.goals = goalsOf(s.weightsFor(snapshot.Document))
 	s.urgent.observe(s, snapshot)
 	r := newRound(s, snapshot)
 	r.refreshHold()
