--- a/internal/schedule/relief.go
+++ b/internal/schedule/relief.go
@@ -191,10 +191,7 @@
 	if !hot {
 		return false
 	}
-	pair := r.scheduler.effects(service, w.load[service])
-	harm := func(a *resident) float64 {
-		return max(0, pair.effectOf(a.spec.Class).Mean) * a.cpu / float64(max(1, w.capacity.MilliCPU))
-	}
+	harm := r.harm(w, service)
 	reason := fmt.Sprintf("latency of %s is %.1f times its limit", service, growthFactor(excess))
 	if r.throttleHarmful(n, harm, excess+reliefMargin, reason, plan) {
 		return true
@@ -210,6 +207,14 @@
 	return true
 }
 
+// harm returns how much an attempt is predicted to raise the logarithm of the latency.
+func (r *round) harm(w *workerState, service model.Service) func(*resident) float64 {
+	pair := r.scheduler.effects(service, w.load[service])
+	return func(a *resident) float64 {
+		return max(0, pair.effectOf(a.spec.Class).Mean) * a.cpu / float64(max(1, w.capacity.MilliCPU))
+	}
+}
+
 // throttleHarmful halves the processor time of the attempts that harm most for what they
 // use, until the predicted relief is enough. It reports whether any was throttled.
 func (r *round) throttleHarmful(n *node, harm func(*resident) float64, wanted float64, reason string, plan *Plan) bool {
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -26,6 +26,8 @@
 	goals   goals
 	urgent  urgentDemand
 	hold    hold
+	// out holds the data centres of the last snapshot and whether they are out of service.
+	out map[model.DataCentre]bool
 	// largest is the largest amount of each resource on any worker.
 	largest model.Resources
 
@@ -66,6 +68,7 @@
 	r := newRound(s, snapshot)
 	r.refreshHold()
 	r.evacuate(&plan)
+	r.anticipate(&plan)
 	r.relieve(r.digest(), &plan)
 	r.park(&plan)
 	r.placeQueue(&plan)
--- a/internal/schedule/score.go
+++ b/internal/schedule/score.go
@@ -96,14 +96,14 @@
 }
 
 // cost returns the cost of the placement. Batch work is not admitted where it would drive
-// a service far beyond its limit.
+// a service far beyond its limit or leave its targets too few idle slots.
 func (r *round) cost(n *node, q *QueuedJob, reservation model.Resources, effects []float64) (placementCost, bool) {
 	c := placementCost{packing: packingCost(n, reservation)}
-	worst := 0.0
-	c.tail, worst = n.tailCost(reservation, effects)
+	tail, worst, busiest := n.tailCost(reservation, effects)
+	c.tail = tail
 	c.risk = riskCost(n, reservation)
 	c.total = (1-r.goals.tail)*c.packing + r.goals.tail*tailScale*c.tail + r.goals.evictions*riskScale*c.risk
-	admitted := q.Spec.Priority != model.PriorityBatch || worst <= r.admission
+	admitted := q.Spec.Priority != model.PriorityBatch || (worst <= r.admission && busiest <= busyLimit)
 	return c, admitted
 }
 
@@ -118,17 +118,18 @@
 	return (cpu+memory)/2 + abs(cpu-memory)
 }
 
-// tailCost is the predicted growth of the latencies on the node through the placement, and the
-// worst predicted growth after it as a logarithm. It is convex: the tail of a service
+// tailCost is the predicted growth of the latencies on the node through the placement, the
+// worst predicted growth after it as a logarithm, and the highest share of busy slots. It is convex: the tail of a service
 // over all workers is made by the worst of them.
-func (n *node) tailCost(reservation model.Resources, effects []float64) (cost, worst float64) {
+func (n *node) tailCost(reservation model.Resources, effects []float64) (cost, worst, busiest float64) {
 	share := ratio(reservation.MilliCPU, n.view.Worker.Capacity.MilliCPU)
 	for _, p := range n.state.pairs {
 		after := min(maximumGrowth, p.growth+effects[p.index]*share)
 		cost += p.load * (convex(after) - p.convex)
 		worst = max(worst, after)
+		busiest = max(busiest, p.load*(1+after-p.growth))
 	}
-	return cost, worst
+	return cost, worst, busiest
 }
 
 // convex weighs the growth of a latency: its square.
