Count the busy slots of the fake cell over the whole second

Cause: only the requests that were executing at the start of a second counted, so that targets at 0.45 of their slots reported 0.07, and interference that grows with the load was too weak.

--- a/internal/schedule/cell_test.go
+++ b/internal/schedule/cell_test.go
@@ -73,7 +73,9 @@
 	busy      float64
 	busyTime  float64
 	latencies []float64
-	load      float64
+	// assigned is the work of accepted requests that was not counted as busy yet.
+	assigned float64
+	load     float64
 }
 
 // delayedSamples arrive at the policy at the given second.
@@ -538,10 +540,8 @@
 func (c *cell) serve() {
 	var open []*fakeWorker
 	for _, w := range c.workers {
-		w.busy = 0
-		for _, free := range w.slotFree {
-			w.busy += min(1, max(0, free-float64(c.now)))
-		}
+		w.busy = min(slots, w.assigned)
+		w.assigned -= w.busy
 		w.busyTime += w.busy
 		w.load = 0.9*w.load + 0.1*w.busy/slots
 		if !c.document.DataCentreOut(w.DataCentre) {
@@ -589,6 +589,7 @@
 		return 2 * deadline.Seconds()
 	}
 	w.slotFree[first] = start + base*w.inflation
+	w.assigned += base * w.inflation
 	return w.slotFree[first] - now
 }
 
