--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -23,8 +23,11 @@
 	workers map[model.WorkerID]*workerState
 	jobs    map[model.JobID]*jobState
 	budget  evictionBudget
+	goals   goals
 	urgent  urgentDemand
 	hold    hold
+	// out holds the data centres of the last snapshot and whether they are out of service.
+	out map[model.DataCentre]bool
 	// largest is the largest amount of each resource on any worker.
 	largest model.Resources
 
@@ -45,6 +48,7 @@
 	return &Scheduler{
 		random:   rand.New(rand.NewPCG(seed, randomStream)),
 		weights:  w,
+		goals:    goalsOf(w),
 		classes:  map[model.JobClass]*classEstimate{},
 		services: map[model.Service]*serviceEffects{},
 		workers:  map[model.WorkerID]*workerState{},
@@ -59,10 +63,12 @@
 	if snapshot.Document == nil {
 		return plan
 	}
+	s.goals = goalsOf(s.weightsFor(snapshot.Document))
 	s.urgent.observe(s, snapshot)
 	r := newRound(s, snapshot)
 	r.refreshHold()
 	r.evacuate(&plan)
+	r.anticipate(&plan)
 	r.relieve(r.digest(), &plan)
 	r.park(&plan)
 	r.placeQueue(&plan)
