--- /dev/null
+++ b/cmd/geraniumwick/apply.go
@@ -0,0 +1,202 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/geraniumwick/geraniumwick/internal/config"
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/query"
+	"github.com/geraniumwick/geraniumwick/internal/verdict"
+)
+
+// apply replaces sections by files.
+func (c *cli) apply(ctx context.Context, paths []string, expected model.Revision, replace bool, w waitOptions) error {
+	files, err := readFiles(paths)
+	if err != nil {
+		return err
+	}
+	if expected >= 0 && len(files) != 1 {
+		return usagef("--expected is for one file")
+	}
+	answer, err := c.document(ctx)
+	if err != nil {
+		return err
+	}
+	if problems := checkFiles(files, answer.Sections); len(problems) > 0 {
+		return invalidFiles(problems)
+	}
+	var done []config.Accepted
+	for _, f := range files {
+		base, err := baseRevision(f, section(answer, f.name), expected, replace)
+		if err != nil {
+			return afterOthers(done, err)
+		}
+		accepted, err := c.put(ctx, f, base)
+		if err != nil {
+			return afterOthers(done, err)
+		}
+		done = append(done, accepted)
+	}
+	return c.finishEdit(ctx, done, w)
+}
+
+// baseRevision returns the revision that the file replaces.
+func baseRevision(f file, current query.ConfigSection, expected model.Revision, replace bool) (model.Revision, error) {
+	switch {
+	case expected >= 0:
+		return expected, nil
+	case replace:
+		return current.Revision, nil
+	case f.hasBase:
+		return f.base, nil
+	case current.Revision == 0 || current.Text == f.text:
+		return current.Revision, nil
+	}
+	return 0, refusedf("section %q is at revision %d and differs; look at it by config diff, then say --expected %d or --replace", f.name, current.Revision, current.Revision)
+}
+
+// afterOthers adds to an error which sections were accepted before it.
+func afterOthers(done []config.Accepted, err error) error {
+	var f *failure
+	if len(done) == 0 || !errors.As(err, &f) {
+		return err
+	}
+	for _, a := range done {
+		f.Message += fmt.Sprintf("\nsection %q was accepted before that, as revision %d", a.Section, a.Revision)
+	}
+	f.code, f.Verdict = exitUnknown, verdict.MayHaveRun
+	return f
+}
+
+// put replaces one section.
+func (c *cli) put(ctx context.Context, f file, base model.Revision) (config.Accepted, error) {
+	var accepted config.Accepted
+	path := fmt.Sprintf("/v1/config/sections/%s?expected=%d", url.PathEscape(f.name), base)
+	err := c.client.call(ctx, http.MethodPut, path, []byte(f.text), &accepted)
+	return accepted, err
+}
+
+// finishEdit waits until accepted edits are in force, and prints them.
+func (c *cli) finishEdit(ctx context.Context, done []config.Accepted, w waitOptions) error {
+	highest := model.Revision(0)
+	for _, a := range done {
+		highest = max(highest, a.Revision)
+	}
+	if w.wait {
+		if err := c.waitInForce(ctx, highest, w.limit); err != nil {
+			return err
+		}
+	}
+	return c.show(editResult{Accepted: done, InForce: w.wait}, func() {
+		for _, a := range done {
+			c.printf("%s", describeAccepted(a))
+		}
+		if w.wait {
+			c.printf("%s", c.styles.good("in force on every live instance"))
+		}
+	})
+}
+
+// editResult is the JSON form of a finished edit.
+type editResult struct {
+	Accepted []config.Accepted `json:"accepted"`
+	// InForce says that every live instance had the revision in force.
+	InForce bool `json:"inForce"`
+}
+
+// describeAccepted says what became of one section.
+func describeAccepted(a config.Accepted) string {
+	if a.Unchanged {
+		return fmt.Sprintf("%s: unchanged at revision %d", a.Section, a.Revision)
+	}
+	return fmt.Sprintf("%s: accepted as revision %d", a.Section, a.Revision)
+}
+
+func addEdit(parent *kingpin.CmdClause, all commands) {
+	var w waitOptions
+	cmd := parent.Command("edit", "Write a section to a file, and apply it when you say so.")
+	cmd.HelpLong("The file says which revision it is from. Change it with any editor, then press Enter. A text with faults, and one that another edit came before, can be changed and applied again; nothing is lost. Without a terminal the file is written, and config apply applies it.\n\nExample:\n\n    geraniumwick config edit levy")
+	name := cmd.Arg("section", "Section to edit; a new one if it does not exist.").Required().String()
+	path := cmd.Flag("file", "File to write; the section's name and .yaml by default.").String()
+	addWait(cmd, &w)
+	all["config edit"] = func(ctx context.Context, c *cli) error { return c.edit(ctx, *name, *path, w) }
+}
+
+// edit writes a section to a file and applies it on request.
+func (c *cli) edit(ctx context.Context, name, path string, w waitOptions) error {
+	if path == "" {
+		path = name + ".yaml"
+	}
+	answer, err := c.document(ctx)
+	if err != nil {
+		return err
+	}
+	current := section(answer, name)
+	if err := writeNew(path, withBase(current.Text, current.Revision)); err != nil {
+		return err
+	}
+	if !isTerminal(c.in) {
+		return c.show(current, func() {
+			c.printf("wrote %s at revision %d; change it, then: geraniumwick config apply %s", path, current.Revision, path)
+		})
+	}
+	return c.applyOnEnter(ctx, name, path, w)
+}
+
+// writeNew writes a file that must not exist yet.
+func writeNew(path, text string) error {
+	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o644)
+	if err != nil {
+		return usagef("%v", err)
+	}
+	_, err = f.WriteString(text)
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
+
+// applyOnEnter applies the file each time that Enter is pressed, until it is accepted.
+func (c *cli) applyOnEnter(ctx context.Context, name, path string, w waitOptions) error {
+	input := bufio.NewReader(c.in)
+	for {
+		c.printf("Change %s, then press Enter to apply it; Ctrl-D leaves it as it is.", path)
+		if _, err := input.ReadString('\n'); err != nil {
+			return refusedf("left %s as it is", path)
+		}
+		done, err := c.applyOnce(ctx, name, path)
+		if err == nil {
+			return c.finishEdit(ctx, done, w)
+		}
+		var f *failure
+		if !errors.As(err, &f) || f.code != exitRefused {
+			return err
+		}
+		report(c.streams, c.opts, err)
+		if f.Conflict != nil {
+			c.printf("Take the other edit over into %s and set its first line to: %s%d", path, revisionComment, f.Conflict.Current)
+		}
+	}
+}
+
+// applyOnce reads, checks and applies the file.
+func (c *cli) applyOnce(ctx context.Context, name, path string) ([]config.Accepted, error) {
+	f, err := readFile(path)
+	if err != nil {
+		return nil, err
+	}
+	f.name = name
+	if !f.hasBase {
+		return nil, refusedf("the first line of %s must be: %sN", path, revisionComment)
+	}
+	accepted, err := c.put(ctx, f, f.base)
+	return []config.Accepted{accepted}, err
+}
--- /dev/null
+++ b/cmd/geraniumwick/wait.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/query"
+	"github.com/geraniumwick/geraniumwick/internal/verdict"
+)
+
+// waitPause is the time between two looks at the revisions in force.
+const waitPause = 200 * time.Millisecond
+
+// waitInForce returns when every live instance has the revision or a higher one in force,
+// or an error that names those that have not when the time is over.
+func (c *cli) waitInForce(ctx context.Context, revision model.Revision, limit time.Duration) error {
+	var state atomic.Value
+	state.Store("no status yet")
+	stop := c.progress(func() string {
+		return fmt.Sprintf("waiting until revision %d is in force: %s", revision, state.Load())
+	})
+	defer stop()
+	// The first look is made whatever the limit is.
+	missing, err := c.missing(ctx, revision)
+	if err == nil && len(missing) == 0 {
+		return nil
+	}
+	state.Store(describeMissing(missing, err))
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for {
+		select {
+		case <-ctx.Done():
+			return notInForce(revision, limit, missing, state.Load())
+		case <-time.After(waitPause):
+		}
+		now, err := c.missing(ctx, revision)
+		if err == nil && len(now) == 0 {
+			return nil
+		}
+		if ctx.Err() == nil {
+			missing = now
+			state.Store(describeMissing(missing, err))
+		}
+	}
+}
+
+// missing names the live instances that do not have the revision in force.
+func (c *cli) missing(ctx context.Context, revision model.Revision) ([]string, error) {
+	var status query.Status
+	if err := c.client.call(ctx, http.MethodGet, "/v1/status", nil, &status); err != nil {
+		return nil, err
+	}
+	if len(status.Instances) == 0 {
+		return nil, fmt.Errorf("the status lists no live instance")
+	}
+	var names []string
+	for _, i := range status.Instances {
+		if i.Revision < revision {
+			names = append(names, string(i.ID))
+		}
+	}
+	return names, nil
+}
+
+// describeMissing says what is being waited for.
+func describeMissing(missing []string, err error) string {
+	if err != nil {
+		return "the status could not be read: " + err.Error()
+	}
+	return "not yet on " + strings.Join(missing, ", ")
+}
+
+// notInForce returns the error of a wait that was not met in time.
+func notInForce(revision model.Revision, limit time.Duration, missing []string, state any) error {
+	return &failure{
+		code:    exitNotInForce,
+		Verdict: verdict.Ran,
+		Reason:  verdict.ReasonConfigStale,
+		Message: fmt.Sprintf("revision %d is accepted, but after %v: %v", revision, limit, state),
+		Missing: missing,
+	}
+}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -15,6 +15,7 @@
 	MaxPartitions = 1024
 	// maxResource bounds each dimension, so that sums over all workers cannot overflow.
 	maxResource  = int64(1) << 50
+	maxWeight    = 1_000_000.0
 	minDeadline  = time.Millisecond
 	maxDeadline  = time.Hour
 	maxRun       = 60 * 24 * time.Hour
@@ -223,8 +224,8 @@
 
 // checkShare checks a weight.
 func checkShare(l *problemList, path string, v float64) {
-	if math.IsNaN(v) || math.IsInf(v, 0) || v < 0 || v > 1e6 {
-		l.add(path, "%v must be from 0 to 1000000", v)
+	if math.IsNaN(v) || math.IsInf(v, 0) || v < 0 || v > maxWeight {
+		l.add(path, "%s is %v, it must be from 0 to %v", lastElement(path), v, maxWeight)
 	}
 }
 
@@ -238,10 +239,15 @@
 // checkAmount checks an amount of one resource.
 func checkAmount(l *problemList, path string, v int64) {
 	if v < 0 || v > maxResource {
-		l.add(path, "%d must be from 0 to %d", v, maxResource)
+		l.add(path, "%s is %d, it must be from 0 to %d", lastElement(path), v, maxResource)
 	}
 }
 
+// lastElement returns the name of the field at the YAML path.
+func lastElement(path string) string {
+	return path[strings.LastIndexByte(path, '.')+1:]
+}
+
 // validPath reports whether the text can be a request path below a service.
 func validPath(p string) bool {
 	if p == "" || len(p) > maxPathBytes {
