--- /dev/null
+++ b/internal/audit/events.go
@@ -0,0 +1,23 @@
+package audit
+
+// The stable names of the events that are not about one job or request.
+const (
+	// EventConfigAccepted is an accepted edit.
+	EventConfigAccepted = "config.accepted"
+	// EventConfigRefused is an edit that failed a check, lost a race or lacked the right.
+	EventConfigRefused = "config.refused"
+	// EventConfigUnknown is an edit whose outcome is not known.
+	EventConfigUnknown = "config.unknown"
+	// EventConfigInForce is a section that an instance put in force.
+	EventConfigInForce = "config.in-force"
+	// EventConfigInvalid is a stored section that an instance did not put in force.
+	EventConfigInvalid = "config.invalid"
+	// EventConfigOlder is a store answer older than what is in force; it is not used.
+	EventConfigOlder = "config.older"
+	// EventCallRefused is a call that was refused before anything was done.
+	EventCallRefused = "call.refused"
+	// EventDropped says that older entries of an instance are no longer kept.
+	EventDropped = "audit.dropped"
+	// EventConfigProblem is a conflict between sections that are both in force.
+	EventConfigProblem = "config.problem"
+)
--- /dev/null
+++ b/internal/journal/fault_test.go
@@ -0,0 +1,95 @@
+package journal_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumwick/geraniumwick/internal/journal"
+)
+
+// walkSession is a fixed session of two owners. It returns the texts that the second owner
+// replays and those whose append was acknowledged.
+func walkSession(store *fakeStore) (replayed, acknowledged []string, err error) {
+	ctx := context.Background()
+	first, _, err := journal.Open(ctx, store, config("a"))
+	if err != nil {
+		return nil, nil, fmt.Errorf("%w: %w", errOpen, err)
+	}
+	for i := range 10 {
+		text := fmt.Sprint("entry-", i)
+		if err := first.Append(ctx, []byte(text)); err != nil {
+			return nil, nil, err
+		}
+		acknowledged = append(acknowledged, text)
+		if first.NeedsSnapshot() {
+			if err := first.WriteSnapshot(ctx, fmt.Append(nil, acknowledged)); err != nil {
+				return nil, nil, err
+			}
+		}
+	}
+	_, replay, err := journal.Open(ctx, store, config("b"))
+	if err != nil {
+		return nil, nil, fmt.Errorf("%w: %w", errOpen, err)
+	}
+	store.releaseHeld()
+	if err := first.Append(ctx, []byte("too late")); !isDeposed(err) {
+		return nil, nil, fmt.Errorf("former owner was not deposed: %v", err)
+	}
+	replayed = append([]string{string(replay.Snapshot)}, texts(replay)...)
+	return replayed, acknowledged, nil
+}
+
+// isDeposed reports whether err ends an ownership.
+func isDeposed(err error) bool {
+	var deposed *journal.DeposedError
+	return errors.As(err, &deposed)
+}
+
+// TestFaultPointWalk injects each fault, and each pair of faults in a row, at each store
+// call of the session in turn.
+func TestFaultPointWalk(t *testing.T) {
+	is := is.New(t)
+	plain := newFakeStore()
+	want, _, err := walkSession(plain)
+	is.NoErr(err)
+	for first := noFault; first < allFaults; first++ {
+		for second := notSent; second < allFaults; second++ {
+			for point := 1; point <= plain.calls; point++ {
+				walkPoint(t, point, []fault{first, second}, want)
+			}
+		}
+	}
+}
+
+// walkPoint plays the session with the faults at the calls from the given number on.
+func walkPoint(t *testing.T, point int, faults []fault, want []string) {
+	t.Helper()
+	store := newFakeStore()
+	store.fault = func(call int) fault {
+		if i := call - point; i >= 0 && i < len(faults) {
+			return faults[i]
+		}
+		return noFault
+	}
+	got, _, err := walkSession(store)
+	if readFailed(err) {
+		return // Open reports a failed read; nothing was acknowledged
+	}
+	if err != nil {
+		t.Errorf("%v at call %d: %v", faults, point, err)
+		return
+	}
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("%v at call %d: replayed %v, want %v", faults, point, got, want)
+	}
+}
+
+// errOpen marks an error of Open in a session.
+var errOpen = errors.New("open")
+
+// readFailed reports whether Open failed because of the injected failure of a read.
+func readFailed(err error) bool { return errors.Is(err, errOpen) && errors.Is(err, errFake) }
