Play the histories of claimed requests against the real ledger

Seen to fail: every error of the transport judged NotRun ("told not run, executed 1 times"), unknown outcomes settled as not run, a once request sent again after an unknown outcome or after status 503.

--- /dev/null
+++ b/internal/route/ledger_test.go
@@ -0,0 +1,46 @@
+package route
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/ledger"
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/verdict"
+)
+
+// ledgerClaims takes claims in a real ledger, with the faults of fakeClaims.
+type ledgerClaims struct {
+	fakeClaims
+	owner  sync.Mutex
+	ledger *ledger.Ledger
+}
+
+func newLedgerClaims() *ledgerClaims {
+	l := ledger.New(0)
+	l.Own(time.Now(), "owner", 1)
+	return &ledgerClaims{ledger: l}
+}
+
+func (c *ledgerClaims) Claim(_ context.Context, r ledger.ClaimRequest) (ledger.Claim, error) {
+	c.owner.Lock()
+	defer c.owner.Unlock()
+	if c.claimFault != nil {
+		return ledger.Claim{}, c.claimFault
+	}
+	claim, err := c.ledger.Claim(time.Now(), r)
+	c.ledger.Take()
+	if err == nil && c.lostAnswer {
+		return ledger.Claim{}, errAnswerLost
+	}
+	return claim, err
+}
+
+func (c *ledgerClaims) Settle(_ context.Context, key model.RequestKey, holder model.InstanceID, v verdict.Verdict) error {
+	c.owner.Lock()
+	defer c.owner.Unlock()
+	err := c.ledger.Settle(time.Now(), key, holder, v)
+	c.ledger.Take()
+	return err
+}
