Bound the requests that an instance holds, by number and bytes

Cause: during an outage of the store every claimed request waits for its claim until its deadline, and nothing bounded how many. Now 4,096 requests and 32 MB of bodies; more are refused as not run, overloaded. Before (bounds off): TestOutageHoldsBoundedRequests, "0 != 10 // at once". After: passes.

--- a/internal/route/claim_test.go
+++ b/internal/route/claim_test.go
@@ -6,12 +6,16 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 	"pgregory.net/rapid"
 
+	"github.com/geraniumwick/geraniumwick/internal/ledger"
 	"github.com/geraniumwick/geraniumwick/internal/model"
 	"github.com/geraniumwick/geraniumwick/internal/verdict"
 )
@@ -125,6 +129,60 @@
 	is.Equal(target.total(), 1)
 }
 
+// stuckClaims answers no claim before its deadline, as during an outage of the store.
+type stuckClaims struct{ fakeClaims }
+
+func (c *stuckClaims) Claim(ctx context.Context, _ ledger.ClaimRequest) (ledger.Claim, error) {
+	<-ctx.Done()
+	return ledger.Claim{}, verdict.New(verdict.NotRun, verdict.ReasonStore, "no answer")
+}
+
+// TestOutageHoldsBoundedRequests submits requests while no claim is answered. They are held
+// until their deadline, within bounds on their number and their bytes.
+func TestOutageHoldsBoundedRequests(t *testing.T) {
+	cases := []struct {
+		sentence string
+		body     int
+		held     int
+	}{
+		{"small requests are bounded by their number", 10, MaxRequests},
+		{"large requests are bounded by their bytes", MaxBody, MaxBytes / MaxBody},
+	}
+	for _, c := range cases {
+		t.Run(c.sentence, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				d := New(Config{Self: "instance-1", Claims: &stuckClaims{}, Log: zerolog.Nop()})
+				d.SetDocument(testDocument())
+				d.SetTargets([]model.Target{{ID: "runner-1", Service: "levy-desk", DataCentre: "cairo-a", Slots: 8}})
+				var refused, held atomic.Int32
+				body := make([]byte, c.body)
+				started := time.Now()
+				for i := range c.held + 10 {
+					go func() {
+						r := newRequest(model.Once, fmt.Sprint("k", i))
+						r.Body = body
+						_, err := d.Do(context.Background(), r)
+						is.Equal(verdict.Of(err), verdict.NotRun)
+						switch verdict.From(err, "").Reason {
+						case verdict.ReasonOverload:
+							refused.Add(1)
+						case verdict.ReasonStore:
+							held.Add(1)
+							is.Equal(time.Since(started), 5*time.Second)
+						}
+					}()
+				}
+				synctest.Wait()
+				is.Equal(refused.Load(), int32(10)) // at once
+				time.Sleep(6 * time.Second)
+				is.Equal(held.Load(), int32(c.held))
+				is.Equal(d.requests+d.bytes, 0)
+			})
+		})
+	}
+}
+
 // targetFaults are the ways in which a target fails a request.
 var targetFaults = []func(net.Conn, *http.Request, string) bool{
 	answerBody,
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -30,6 +30,11 @@
 	MaxQueue = 1024
 	// MaxAttempts bounds the sends of one request.
 	MaxAttempts = 3
+	// MaxRequests bounds the requests of all services in the instance, among them those that
+	// wait for a claim while the store does not answer.
+	MaxRequests = 4096
+	// MaxBytes bounds the bodies of these requests together, in bytes.
+	MaxBytes = 32 << 20
 )
 
 // Request is one request of a caller.
@@ -92,6 +97,8 @@
 	pools     map[model.Service]*pool
 	draining  bool
 	running   sync.WaitGroup
+	// requests and bytes count the requests in the instance and their bodies.
+	requests, bytes int
 }
 
 // New returns a Dispatcher without targets.
@@ -220,7 +227,7 @@
 	if err != nil {
 		return Response{}, err
 	}
-	defer d.running.Done()
+	defer d.leave(f.r)
 	f.pool = p
 	if f.r.Class == model.Idempotent {
 		return f.execute(ctx)
@@ -245,10 +252,24 @@
 	if p == nil {
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonNoTarget, "service %s has no target", r.Service)
 	}
+	if d.requests >= MaxRequests || d.bytes+len(r.Body) > MaxBytes {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonOverload, "the instance holds %d requests of %d bytes", d.requests, d.bytes)
+	}
+	d.requests++
+	d.bytes += len(r.Body)
 	d.running.Add(1)
 	return p, nil
 }
 
+// leave takes back what enter counted.
+func (d *Dispatcher) leave(r Request) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.requests--
+	d.bytes -= len(r.Body)
+	d.running.Done()
+}
+
 // check refuses malformed and late requests.
 func (d *Dispatcher) check(r Request) *verdict.Error {
 	switch r.Class {
