Let the test of queued requests fail if a leaving target is used

TestQueuedRequestsMoveFromLeavingTarget freed the places of the leaving target only after the others had taken the queue, so it passed with both checks of the target broken. It now frees them first. Seen to fail with both checks broken: "0 != 6 // its free places are not used"; with one of them broken it passes, since the other holds.

--- a/internal/route/leave_test.go
+++ b/internal/route/leave_test.go
@@ -73,8 +73,9 @@
 	}
 }
 
-// TestQueuedRequestsMoveFromLeavingTarget fills the slots of a target, lets requests wait,
-// and withdraws the target. Those that wait go to the next one.
+// TestQueuedRequestsMoveFromLeavingTarget fills the places of a target, lets requests wait,
+// and withdraws the target. Those that wait go to the next one, although the places become
+// free.
 func TestQueuedRequestsMoveFromLeavingTarget(t *testing.T) {
 	is := is.New(t)
 	release := make(chan struct{})
@@ -93,19 +94,22 @@
 			}
 		})
 	}
-	for leaving.total() < 24 {
+	for leaving.total() < 24 || d.waiting("levy-desk") < 6 {
 		time.Sleep(time.Millisecond)
 	}
 	gone := leaving.model("leaving")
 	gone.Leaving = true
-	d.SetTargets([]model.Target{gone, other.model("other")})
-	for other.total() < 6 {
+	d.SetTargets([]model.Target{gone})
+	close(release)
+	for answered.Load() < 24 { // those in flight at the leaving target are answered
 		time.Sleep(time.Millisecond)
 	}
-	close(release)
+	is.Equal(d.waiting("levy-desk"), 6) // its free places are not used
+	d.SetTargets([]model.Target{gone, other.model("other")})
 	running.Wait()
-	is.Equal(answered.Load(), int32(30)) // those in flight at the leaving target are answered
-	is.Equal(leaving.total(), 24)        // it received nothing new
+	is.Equal(answered.Load(), int32(30))
+	is.Equal(leaving.total(), 24) // it received nothing new
+	is.Equal(other.total(), 6)
 }
 
 func TestNoUsableTargetIsRefused(t *testing.T) {
