Test that the list of targets may change while requests run

Cause: the state of a known target took over the new description of the inventory while requests in flight read it without the lock. Before: TestTargetsChangeDuringRequests under -race, "DATA RACE ... (*pool).set() pool.go:85".

--- a/internal/route/leave_test.go
+++ b/internal/route/leave_test.go
@@ -204,3 +204,41 @@
 	defer c.mu.Unlock()
 	return c.settled
 }
+
+// TestTargetsChangeDuringRequests replaces the list of targets all the time while requests
+// run. Under the race detector it checks that requests in flight read a fixed description.
+func TestTargetsChangeDuringRequests(t *testing.T) {
+	is := is.New(t)
+	a, b := newRawTarget(t, answerBody), newRawTarget(t, answerBody)
+	d := newDispatcher(t, newClaims(), a.model("a"), b.model("b"))
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			first, second := a.model("a"), b.model("b")
+			first.Leaving, second.Leaving = i%2 == 0, i%2 == 1
+			d.SetTargets([]model.Target{first, second})
+		}
+	}()
+	var running sync.WaitGroup
+	var answered atomic.Int32
+	for caller := range 4 {
+		running.Go(func() {
+			for i := range 100 {
+				if _, err := d.Do(context.Background(), newRequest(model.Once, fmt.Sprint(caller, "-", i))); err == nil {
+					answered.Add(1)
+				}
+			}
+		})
+	}
+	running.Wait()
+	close(stop)
+	<-stopped
+	is.Equal(answered.Load(), int32(400))
+	is.Equal(a.total()+b.total(), 400)
+}
