Let a silent worker's lease lapse before its attempts are lost; confirm idle ownerships

Cause: found by reading. Each renewal sent to a worker that does not answer may still be accepted, so the time after which its lease has surely lapsed moved on for ever and its attempts were never resolved. And the ledger refuses to take an unreached worker for gone, relying on a deposed owner that stops renewing after MaxUnconfirmed, which the owner loop did not do.

Renewals to a worker that was silent for a whole lease are paused until the lease has surely lapsed; a withdrawn worker is recorded as removed; an owner confirms its ownership every 5 s (one read a partition) and stops renewing when it could not for MaxUnconfirmed. Tests follow with the owner loop's own.

--- a/internal/partition/journal.go
+++ b/internal/partition/journal.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/geraniumwick/geraniumwick/internal/journal"
 	"github.com/geraniumwick/geraniumwick/internal/ledger"
@@ -21,7 +22,7 @@
 	acknowledge []workerSequence
 }
 
-// batchAck is the outcome of one batch. A batch can be durable although err is set, if
+// batchAck is the outcome of one batch, or without a batch the end of the ownership. A batch can be durable although err is set, if
 // the snapshot after it could not be written.
 type batchAck struct {
 	batch   *batch
@@ -29,29 +30,66 @@
 	err     error
 }
 
-// writeJournal appends one batch after the other and reports each outcome to the loop.
+// confirmPeriod is how often an owner that appends nothing asks the journal whether it is
+// still the owner.
+const confirmPeriod = 5 * time.Second
+
+// writeJournal appends one batch after the other and reports each outcome to the loop. In
+// between it confirms the ownership, so that an idle deposed owner learns of it.
 func (o *Owner) writeJournal(ctx context.Context) {
+	ticker := time.NewTicker(confirmPeriod)
+	defer ticker.Stop()
 	for {
+		var ack batchAck
 		select {
 		case <-ctx.Done():
 			return
 		case b := <-o.batches:
-			ack := o.append(ctx, b)
-			select {
-			case o.acks <- ack:
-			case <-ctx.Done():
-				return
+			ack = o.append(ctx, b)
+		case <-ticker.C:
+			if ack.err = o.confirmOwnership(ctx); ack.err == nil {
+				continue
 			}
 		}
+		select {
+		case o.acks <- ack:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// confirmOwnership returns an error only if the ownership has ended. A store that does not
+// answer proves nothing.
+func (o *Owner) confirmOwnership(ctx context.Context) error {
+	asked := o.cfg.Clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, confirmPeriod)
+	defer cancel()
+	err := o.journal.Confirm(ctx)
+	var deposed *journal.DeposedError
+	if errors.As(err, &deposed) {
+		return err
 	}
+	if err == nil {
+		o.confirmed.Store(asked.UnixNano())
+	}
+	return nil
+}
+
+// mayRenew reports whether the ownership was confirmed recently enough to renew leases. A
+// new owner relies on the former one to stop.
+func (o *Owner) mayRenew(now time.Time) bool {
+	return now.Sub(time.Unix(0, o.confirmed.Load())) < ledger.MaxUnconfirmed
 }
 
 // append makes the batch durable and then writes its snapshot. It retries until the
 // outcome is known or ctx ends.
 func (o *Owner) append(ctx context.Context, b *batch) batchAck {
+	asked := o.cfg.Clock.Now()
 	if err := o.journal.Append(ctx, b.entry); err != nil {
 		return batchAck{batch: b, err: err}
 	}
+	o.confirmed.Store(asked.UnixNano())
 	if b.snapshot == nil {
 		return batchAck{batch: b, durable: true}
 	}
--- a/internal/partition/links.go
+++ b/internal/partition/links.go
@@ -37,6 +37,8 @@
 
 	acknowledged atomic.Uint64
 	relist       atomic.Bool
+	// paused stops the renewals, so that the lease can be known to lapse.
+	paused atomic.Bool
 
 	incarnation string
 	// fenced says that the worker has seen this owner's epoch and listed its attempts.
@@ -46,8 +48,11 @@
 	// expires is when the last renewal that was sent can no longer be accepted.
 	expires  time.Time
 	nextList time.Time
-	gone     bool
-	applied  uint64
+	// nextLoss is when the attempts of a silent worker are given up at the earliest.
+	nextLoss time.Time
+	// gone says that the platform has withdrawn the worker.
+	gone    bool
+	applied uint64
 	// unknown holds the attempts whose start was sent without an answer.
 	unknown   map[model.AttemptID]bool
 	throttles map[model.AttemptID]float64
@@ -58,12 +63,14 @@
 	return k.fenced && !k.gone && now.Sub(k.renewed) < t.WorkerLease/2
 }
 
-// lapsed reports whether the worker's lease has surely ended, whatever messages are
-// still on their way. It needs the fence: without it a former owner may still renew.
+// silent reports whether the worker has answered no renewal for as long as a lease lasts.
+func (k *link) silent(now time.Time, t Timing) bool {
+	return k.gone || now.Sub(k.renewed) > t.WorkerLease
+}
+
+// lapsed reports whether the worker's lease has surely ended: no renewal of this owner that
+// is still on its way can be accepted.
 func (k *link) lapsed(now time.Time, t Timing) bool {
-	if !k.fenced && !k.gone {
-		return false
-	}
 	return now.After(k.expires.Add(t.WorkerLease + t.ClockSkew))
 }
 
@@ -175,6 +182,10 @@
 		case <-timer.C:
 		}
 		sent := o.cfg.Clock.Now()
+		if k.paused.Load() || !o.mayRenew(sent) {
+			timer.Reset(t.WorkerRenew)
+			continue
+		}
 		reply, err := o.lease(ctx, k, addr, sent)
 		if ctx.Err() != nil {
 			return
--- a/internal/partition/loop.go
+++ b/internal/partition/loop.go
@@ -282,7 +282,7 @@
 
 // acked releases the replies and actions of a durable batch.
 func (p *loop) acked(ctx context.Context, a batchAck) error {
-	if !a.durable {
+	if !a.durable || a.batch == nil {
 		return a.err
 	}
 	b := a.batch
--- a/internal/partition/owner.go
+++ b/internal/partition/owner.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -108,10 +109,13 @@
 	releaseOnce sync.Once
 	summary     summaryCell
 	addrs       addresses
+	// confirmed is when the ownership was last known to be true, in Unix nanoseconds.
+	confirmed atomic.Int64
 }
 
 // Open takes the partition over and returns its owner, which Run then runs.
 func Open(ctx context.Context, cfg Config, store platform.Store, jc journal.Config) (*Owner, *ledger.Ledger, error) {
+	asked := cfg.Clock.Now()
 	j, replay, err := journal.Open(ctx, store, jc)
 	if err != nil {
 		return nil, nil, err
@@ -136,6 +140,7 @@
 		release:  make(chan struct{}),
 		stopped:  make(chan struct{}),
 	}
+	o.confirmed.Store(asked.UnixNano())
 	return o, l, nil
 }
 
--- a/internal/partition/reports.go
+++ b/internal/partition/reports.go
@@ -8,6 +8,7 @@
 	"github.com/geraniumwick/geraniumwick/internal/model"
 	"github.com/geraniumwick/geraniumwick/internal/platform"
 	"github.com/geraniumwick/geraniumwick/internal/schedule"
+	"github.com/geraniumwick/geraniumwick/internal/verdict"
 )
 
 // setWorkers follows the inventory: it opens links to new workers and marks those that
@@ -58,35 +59,61 @@
 	}
 }
 
-// loseUnreachable ends the attempts of workers whose lease has surely lapsed, and drops
-// the links of workers that are gone.
+// loseUnreachable ends the attempts of workers whose lease has surely lapsed. Renewals to
+// a silent worker are paused first, because each one sent could still extend its lease.
 func (p *loop) loseUnreachable(now time.Time) {
 	if !p.workersKnown {
 		return
 	}
 	for _, k := range p.links.ordered() {
-		if !k.lapsed(now, p.cfg.Timing) {
+		if !k.silent(now, p.cfg.Timing) {
 			continue
 		}
-		p.endAll(now, k, "the worker's lease lapsed")
-		k.fenced = false
-		k.relist.Store(true)
-		if k.gone {
-			p.links.close(k.worker.ID)
+		k.paused.Store(k.gone || len(p.ledger.Attempts(k.worker.ID)) > 0)
+		if k.lapsed(now, p.cfg.Timing) && now.After(k.nextLoss) {
+			p.lose(now, k)
 		}
 	}
 }
 
-// endAll records every attempt of the worker as lost.
-func (p *loop) endAll(now time.Time, k *link, reason string) {
-	attempts := p.ledger.Attempts(k.worker.ID)
-	if len(attempts) == 0 {
+// lose ends the attempts of one silent worker and probes it again, or drops its link if the
+// platform has withdrawn it.
+func (p *loop) lose(now time.Time, k *link) {
+	k.nextLoss = now.Add(relistPeriod)
+	if k.gone {
+		p.endAll(now, k, p.ledger.WorkerRemoved)
+		p.links.close(k.worker.ID)
+		return
+	}
+	// The ledger refuses while a former owner may still renew the worker's lease.
+	p.endAll(now, k, p.ledger.WorkerGone)
+	k.paused.Store(false)
+	k.relist.Store(true)
+}
+
+// endAll ends the attempts of the worker and tells the policy of those that ended.
+func (p *loop) endAll(now time.Time, k *link, end func(time.Time, model.WorkerID) error) {
+	before := p.ledger.Attempts(k.worker.ID)
+	if len(before) == 0 {
 		return
 	}
-	p.logError("worker gone", p.ledger.WorkerGone(now, k.worker.ID))
-	for _, a := range attempts {
+	p.logError("worker lost", end(now, k.worker.ID))
+	p.cleanUp(now, k, before, nil)
+}
+
+// cleanUp follows up on the attempts that the ledger has just ended. Those without a report
+// of their own count as lost.
+func (p *loop) cleanUp(now time.Time, k *link, before []schedule.AttemptView, reports map[model.AttemptID]platform.AttemptReport) {
+	for _, a := range before {
+		if _, still := p.attempt(k.worker.ID, a.ID); still {
+			continue
+		}
+		r := reports[a.ID]
+		if !r.State.Ended() {
+			r.State = model.AttemptLost
+		}
 		p.forgetAttempt(k, a.ID)
-		p.learnEnd(now, k.worker.ID, a, model.AttemptLost, reason)
+		p.learnEnd(now, k.worker.ID, a, r.State, r.Error)
 	}
 }
 
@@ -94,7 +121,9 @@
 // newer owner.
 func (p *loop) leaseReply(r leaseReply) error {
 	k := r.link
-	k.expires = laterOf(k.expires, r.sent.Add(p.cfg.Timing.WorkerCall))
+	if r.err == nil || verdict.Of(r.err) != verdict.NotRun {
+		k.expires = laterOf(k.expires, r.sent.Add(p.cfg.Timing.WorkerCall))
+	}
 	if r.err != nil {
 		if isStale(r.err) {
 			return &journal.DeposedError{Partition: p.cfg.Partition}
@@ -105,6 +134,7 @@
 	}
 	now := p.cfg.Clock.Now()
 	k.renewed = r.sent
+	k.paused.Store(false)
 	p.followIncarnation(now, k, r.reply.Incarnation)
 	if r.reply.Complete {
 		p.completeList(now, k, r.reply)
@@ -155,22 +185,7 @@
 	for _, r := range reply.Reports {
 		listed[r.Attempt] = r
 	}
-	for _, a := range before {
-		if _, still := p.attempt(k.worker.ID, a.ID); still {
-			continue
-		}
-		p.endAttempt(now, k, a, listed[a.ID])
-	}
-}
-
-// endAttempt cleans up after an attempt that a complete list has ended. An attempt that
-// the list does not hold has a zero report and counts as lost.
-func (p *loop) endAttempt(now time.Time, k *link, a schedule.AttemptView, r platform.AttemptReport) {
-	if !r.State.Ended() {
-		r.State = model.AttemptLost
-	}
-	p.forgetAttempt(k, a.ID)
-	p.learnEnd(now, k.worker.ID, a, r.State, r.Error)
+	p.cleanUp(now, k, before, listed)
 }
 
 // forgetAttempt drops what the loop keeps about an attempt that has ended.
