--- /dev/null
+++ b/internal/partition/owner_test.go
@@ -0,0 +1,415 @@
+package partition_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/geraniumwick/geraniumwick/internal/config"
+	"github.com/geraniumwick/geraniumwick/internal/journal"
+	"github.com/geraniumwick/geraniumwick/internal/ledger"
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/partition"
+	"github.com/geraniumwick/geraniumwick/internal/platform"
+	"github.com/geraniumwick/geraniumwick/internal/schedule"
+	"github.com/geraniumwick/geraniumwick/internal/verdict"
+)
+
+// scene is one partition with one or two workers and the systems around it.
+type scene struct {
+	t       *testing.T
+	store   *fakeStore
+	workers fakeWorkers
+	docs    *fakeDocuments
+	listed  []model.Worker
+}
+
+// document returns a configuration with one data centre, in or out of service.
+func document(out bool) *config.Document {
+	return &config.Document{
+		Operators: config.Operators{
+			DataCentres: []config.DataCentre{{Name: "kochi", Out: out}},
+			Racks:       []config.RackBinding{{Name: "r1", DataCentre: "kochi"}},
+			Partitions:  1,
+			Weights:     config.Weights{TailLatency: 1, Throughput: 1, Evictions: 1},
+		},
+		Teams: map[model.Team]config.TeamSection{
+			"reports": {Team: "reports", Quota: config.Quota{Resources: model.Resources{MilliCPU: 100_000, MemoryMB: 100_000}}},
+		},
+	}
+}
+
+// newScene returns a scene with the workers of the given addresses.
+func newScene(t *testing.T, addrs ...string) *scene {
+	s := &scene{t: t, store: newFakeStore(), workers: fakeWorkers{}, docs: &fakeDocuments{doc: document(false)}}
+	for _, addr := range addrs {
+		s.workers[addr] = newFakeWorker()
+		s.listed = append(s.listed, model.Worker{
+			ID:         model.WorkerID(addr),
+			Addr:       addr,
+			DataCentre: "kochi",
+			Rack:       "r1",
+			Capacity:   model.Resources{MilliCPU: 4000, MemoryMB: 4000},
+		})
+	}
+	return s
+}
+
+// running is an owner that runs until stop is called.
+type running struct {
+	*partition.Owner
+	stop func()
+	done chan error
+}
+
+// own takes the partition over as the instance and runs its owner.
+func (s *scene) own(id model.InstanceID) *running {
+	s.t.Helper()
+	owner, l, err := partition.Open(s.t.Context(), partition.Config{
+		Self:      id,
+		Workers:   s.workers,
+		Documents: s.docs,
+		Clock:     platform.SystemClock{},
+		Log:       zerolog.Nop(),
+		Policy:    schedule.New(1, s.docs.doc.Operators.Weights),
+		Timing:    partition.DefaultTiming(),
+		Budget:    partition.NewWriteBudget(platform.SystemClock{}, 100),
+	}, s.store, journal.Config{Owner: id})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(s.t.Context())
+	r := &running{Owner: owner, stop: stop, done: make(chan error, 1)}
+	go func() { r.done <- owner.Run(ctx, l) }()
+	owner.SetWorkers(s.listed)
+	return r
+}
+
+// job returns a job that takes half of a worker.
+func job(id model.JobID) model.JobSpec {
+	return model.JobSpec{ID: id, Team: "reports", Class: "report", Declared: model.Resources{MilliCPU: 2000, MemoryMB: 1000}}
+}
+
+// first is the first attempt of a job.
+func first(id model.JobID) model.AttemptID { return model.AttemptID{Job: id, Number: 1} }
+
+// submit submits a job within a minute.
+func (r *running) submit(t *testing.T, id model.JobID) error {
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	_, err := r.Submit(ctx, job(id))
+	return err
+}
+
+// state returns the state of a job.
+func (r *running) state(t *testing.T, id model.JobID) ledger.JobStatus {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	status, _, err := r.Job(ctx, id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return status
+}
+
+func TestJobIsStartedAndFinishes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newScene(t, "w1")
+		o := s.own("i1")
+		defer o.stop()
+		is.NoErr(o.submit(t, "reports/a"))
+		time.Sleep(5 * time.Second)
+		is.Equal(s.workers["w1"].started(first("reports/a")), 1)
+		s.workers["w1"].end(first("reports/a"), model.AttemptSucceeded)
+		time.Sleep(5 * time.Second)
+		is.Equal(o.state(t, "reports/a").State, model.JobFinished)
+	})
+}
+
+func TestNothingStartsBeforeItsRecordIsDurable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newScene(t, "w1")
+		o := s.own("i1")
+		defer o.stop()
+		time.Sleep(2 * time.Second)
+		s.store.setDown(true)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		_, err := o.Submit(ctx, job("reports/a"))
+		is.Equal(verdict.Of(err), verdict.MayHaveRun) // the write may have taken effect
+		is.Equal(s.workers["w1"].executing(), 0)
+		s.store.setDown(false)
+		time.Sleep(5 * time.Second)
+		is.Equal(s.workers["w1"].executing(), 1) // the job was accepted after all
+	})
+}
+
+func TestTasksOutliveAStoreOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newScene(t, "w1")
+		o := s.own("i1")
+		defer o.stop()
+		is.NoErr(o.submit(t, "reports/a"))
+		time.Sleep(5 * time.Second)
+		s.store.setDown(true)
+		time.Sleep(5 * time.Minute)
+		is.Equal(s.workers["w1"].executing(), 1) // its lease is renewed without the store
+		s.store.setDown(false)
+	})
+}
+
+func TestNothingStartsInADataCentreTakenOut(t *testing.T) {
+	cases := []struct {
+		sentence string
+		change   func(d *fakeDocuments)
+	}{
+		{"the newest document takes it out", func(d *fakeDocuments) { d.next = document(true) }},
+		{"the configuration cannot be confirmed", func(d *fakeDocuments) { d.err = errors.New("store is down") }},
+	}
+	for _, c := range cases {
+		t.Run(c.sentence, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newScene(t, "w1")
+				o := s.own("i1")
+				defer o.stop()
+				time.Sleep(2 * time.Second)
+				// The owner still decides on the old document; only the read before the start tells.
+				c.change(s.docs)
+				is.NoErr(o.submit(t, "reports/a"))
+				time.Sleep(10 * time.Second)
+				is.Equal(s.workers["w1"].started(first("reports/a")), 0)
+				is.Equal(s.workers["w1"].executing(), 0)
+			})
+		})
+	}
+}
+
+func TestLostStartAnswer(t *testing.T) {
+	cases := []struct {
+		sentence string
+		fault    func(w *fakeWorker)
+		mend     func(w *fakeWorker)
+		attempt  uint32
+	}{
+		{
+			"a start that was accepted is found in the worker's list",
+			func(w *fakeWorker) { w.loseStartAnswer = true },
+			func(w *fakeWorker) { w.loseStartAnswer = false },
+			1,
+		},
+		{
+			"a start that never arrived is proved absent and made again",
+			func(w *fakeWorker) { w.dropStart = true },
+			func(w *fakeWorker) { w.dropStart = false },
+			2,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.sentence, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newScene(t, "w1")
+				o := s.own("i1")
+				defer o.stop()
+				time.Sleep(2 * time.Second)
+				w := s.workers["w1"]
+				w.set(c.fault)
+				is.NoErr(o.submit(t, "reports/a"))
+				time.Sleep(time.Second)
+				w.set(c.mend)
+				time.Sleep(20 * time.Second)
+				is.Equal(w.executing(), 1)
+				is.Equal(o.state(t, "reports/a").Attempt, c.attempt)
+				is.Equal(w.started(model.AttemptID{Job: "reports/a", Number: c.attempt}), 1)
+			})
+		})
+	}
+}
+
+func TestSilentWorkerKeepsItsAttemptsUntilTheLeaseHasLapsed(t *testing.T) {
+	cases := []struct {
+		sentence string
+		fault    func(w *fakeWorker)
+	}{
+		{"renewals do not arrive", func(w *fakeWorker) { w.unreachable = true }},
+		{"renewals arrive and their answers are lost", func(w *fakeWorker) { w.loseLeaseAnswer = true }},
+	}
+	for _, c := range cases {
+		t.Run(c.sentence, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newScene(t, "w1", "w2")
+				o := s.own("i1")
+				defer o.stop()
+				is.NoErr(o.submit(t, "reports/a"))
+				time.Sleep(5 * time.Second)
+				silent, other := s.workers["w1"], s.workers["w2"]
+				if silent.executing() == 0 {
+					silent, other = other, silent
+				}
+				is.Equal(silent.executing(), 1)
+				silent.set(c.fault)
+				for range 120 {
+					time.Sleep(500 * time.Millisecond)
+					is.True(silent.executing()+other.executing() <= 1) // never in two places
+				}
+				is.Equal(other.executing(), 1) // resumed elsewhere
+				is.Equal(o.state(t, "reports/a").Attempt, uint32(2))
+			})
+		})
+	}
+}
+
+func TestRestartedWorkerLosesItsAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newScene(t, "w1")
+		o := s.own("i1")
+		defer o.stop()
+		is.NoErr(o.submit(t, "reports/a"))
+		time.Sleep(5 * time.Second)
+		s.workers["w1"].restart()
+		time.Sleep(20 * time.Second)
+		is.Equal(s.workers["w1"].executing(), 1)
+		is.Equal(o.state(t, "reports/a").Attempt, uint32(2))
+	})
+}
+
+func TestWithdrawnWorkerGivesItsAttemptsUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newScene(t, "w1")
+		o := s.own("i1")
+		defer o.stop()
+		is.NoErr(o.submit(t, "reports/a"))
+		time.Sleep(5 * time.Second)
+		o.SetWorkers([]model.Worker{})
+		time.Sleep(time.Minute)
+		is.Equal(s.workers["w1"].executing(), 0) // its lease was not renewed
+		is.Equal(o.state(t, "reports/a").State, model.JobQueued)
+	})
+}
+
+func TestDeposedOwnerStartsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newScene(t, "w1")
+		former := s.own("i1")
+		defer former.stop()
+		is.NoErr(former.submit(t, "reports/a"))
+		time.Sleep(5 * time.Second)
+		next := s.own("i2")
+		defer next.stop()
+		err := former.submit(t, "reports/b")
+		is.Equal(verdict.Of(err), verdict.NotRun)
+		var deposed *journal.DeposedError
+		is.True(errors.As(<-former.done, &deposed))
+		time.Sleep(20 * time.Second)
+		is.Equal(next.state(t, "reports/a").Attempt, uint32(1)) // the task went on under the new owner
+		is.Equal(s.workers["w1"].executing(), 1)
+		_, _, err = next.Job(t.Context(), "reports/b")
+		is.True(err != nil) // what was said not to have run did not run
+	})
+}
+
+func TestIdleDeposedOwnerNoticesItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newScene(t)
+		former := s.own("i1")
+		defer former.stop()
+		time.Sleep(time.Second)
+		next := s.own("i2")
+		defer next.stop()
+		time.Sleep(10 * time.Second)
+		select {
+		case err := <-former.done:
+			var deposed *journal.DeposedError
+			is.True(errors.As(err, &deposed))
+		default:
+			t.Fatal("the former owner still runs")
+		}
+	})
+}
+
+func TestReleaseHandsEverythingOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newScene(t, "w1")
+		former := s.own("i1")
+		defer former.stop()
+		is.NoErr(former.submit(t, "reports/a"))
+		time.Sleep(5 * time.Second)
+		former.Release()
+		is.NoErr(<-former.done)
+		is.Equal(verdict.Of(former.submit(t, "reports/b")), verdict.NotRun)
+		next := s.own("i2")
+		defer next.stop()
+		time.Sleep(5 * time.Second)
+		is.Equal(next.state(t, "reports/a").Attempt, uint32(1))
+		is.Equal(s.workers["w1"].executing(), 1)
+	})
+}
+
+func TestSignalIsSentAgain(t *testing.T) {
+	cases := []struct {
+		sentence string
+		// newOwner says that another owner takes over before the signal arrives.
+		newOwner bool
+	}{
+		{"by the owner that recorded the cancellation", false},
+		{"by the next owner", true},
+	}
+	for _, c := range cases {
+		t.Run(c.sentence, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newScene(t, "w1")
+				o := s.own("i1")
+				is.NoErr(o.submit(t, "reports/a"))
+				time.Sleep(5 * time.Second)
+				w := s.workers["w1"]
+				w.set(func(w *fakeWorker) { w.dropSignal = true })
+				_, err := o.Cancel(t.Context(), "reports/a", "no longer wanted")
+				is.NoErr(err)
+				time.Sleep(time.Second)
+				is.Equal(w.executing(), 1)
+				if c.newOwner {
+					o.stop()
+					<-o.done
+					o = s.own("i2")
+				}
+				defer func() { o.stop() }()
+				w.set(func(w *fakeWorker) { w.dropSignal = false })
+				time.Sleep(10 * time.Second)
+				is.Equal(o.state(t, "reports/a").State, model.JobCancelled)
+				is.Equal(w.executing(), 0)
+			})
+		})
+	}
+}
+
+func TestWriteBudgetServesInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := partition.NewWriteBudget(platform.SystemClock{}, 10)
+		start := time.Now()
+		var last time.Time
+		for range 20 {
+			at := b.Reserve()
+			is.True(at.After(last)) // each token is spent after the one before it
+			last = at
+		}
+		is.Equal(last.Sub(start), 19*100*time.Millisecond-500*time.Millisecond)
+	})
+}
