--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -10,8 +10,6 @@
 // Limits of the claims of one ledger. Every claim is remembered longer than the longest
 // deadline of a request, so that no request outlives the memory of its own claim.
 const (
-	// MaxClaims is the number of claims that a ledger holds.
-	MaxClaims = 8192
 	// MaxClaimDeadline is the longest time from a claim to the deadline of its request.
 	MaxClaimDeadline = time.Hour
 	// ClaimRetention is how long a claim is remembered after its deadline.
@@ -70,8 +68,8 @@
 	if found && !known.grantable(c) {
 		return *known, refuse(verdict.ReasonDuplicate, "key %q is held by %q (%s)", c.Key, known.Holder, known.describe())
 	}
-	if !found && len(l.claims) >= MaxClaims {
-		return Claim{}, refuse(verdict.ReasonClaimsExhausted, "partition %d holds %d claims", l.partition, len(l.claims))
+	if len(l.claims) >= MaxClaims && !found || l.claimBytes+len(c.Key)+len(c.Holder) > MaxClaimBytes {
+		return Claim{}, refuse(verdict.ReasonClaimsExhausted, "partition %d holds %d claims of %d bytes", l.partition, len(l.claims), l.claimBytes)
 	}
 	if err := l.admit(); err != nil {
 		return Claim{}, err
@@ -122,10 +120,27 @@
 	if known, found := l.claims[r.Key]; found && (known.State != ClaimSettled || !known.repeatable()) {
 		return r.misfit("the key is %s", known.describe())
 	}
-	l.claims[r.Key] = &Claim{Key: r.Key, State: ClaimOpen, Holder: r.Owner, Exclusive: r.Exclusive, Taken: r.At, Deadline: r.Deadline}
+	l.dropClaim(r.Key)
+	l.addClaim(&Claim{Key: r.Key, State: ClaimOpen, Holder: r.Owner, Exclusive: r.Exclusive, Taken: r.At, Deadline: r.Deadline})
 	return nil
 }
 
+// addClaim adds a claim to the table.
+func (l *Ledger) addClaim(c *Claim) {
+	l.claims[c.Key] = c
+	l.claimBytes += len(c.Key) + len(c.Holder)
+}
+
+// dropClaim removes the claim of a key, if there is one.
+func (l *Ledger) dropClaim(key model.RequestKey) {
+	c, found := l.claims[key]
+	if !found {
+		return
+	}
+	l.claimBytes -= len(c.Key) + len(c.Holder)
+	delete(l.claims, key)
+}
+
 // Settle ends a claim with a verdict. Only the holder settles it. MayHaveRun may be
 // replaced by proof later; NotRun and Ran are final, and a settlement that contradicts
 // them changes nothing.
--- a/internal/ledger/forget.go
+++ b/internal/ledger/forget.go
@@ -98,7 +98,7 @@
 		l.forgetJob(id, r.At)
 	}
 	for _, key := range r.Keys {
-		delete(l.claims, key)
+		l.dropClaim(key)
 	}
 	return nil
 }
@@ -127,6 +127,7 @@
 
 // drop removes a job that holds no attempt.
 func (l *Ledger) drop(j *job) {
-	l.dropPayload(j)
+	l.specBytes -= specSize(j.spec)
+	l.stepCount -= len(j.steps)
 	delete(l.jobs, j.spec.ID)
 }
--- a/internal/ledger/history.go
+++ b/internal/ledger/history.go
@@ -7,8 +7,16 @@
 	"github.com/geraniumwick/geraniumwick/internal/model"
 )
 
-// MaxSteps bounds the durable life of a job: the first step and the latest others are kept.
-const MaxSteps = 24
+// Limits of the durable lives of jobs: the first step and the latest others are kept.
+const (
+	// MaxSteps is the number of steps that a job keeps.
+	MaxSteps = 24
+	// MaxAllSteps is the number of steps of all jobs above which a job keeps minSteps.
+	MaxAllSteps = 10000
+	minSteps    = 3
+	// maxStepText bounds the reason of a step, in bytes.
+	maxStepText = 96
+)
 
 // Step is one entry of the durable life of a job.
 type Step struct {
@@ -23,14 +31,24 @@
 
 // note adds a step to the life of the job.
 func (l *Ledger) note(j *job, r *Record, state string) {
-	step := Step{At: r.At, Kind: r.Kind, Instance: l.owner, Attempt: r.Attempt, State: state, Reason: r.Reason}
+	step := Step{At: r.At, Kind: r.Kind, Instance: l.owner, Attempt: r.Attempt, State: state, Reason: shorten(r.Reason, maxStepText)}
 	if r.Attempt != 0 {
 		step.Worker = r.Worker
 	}
-	if len(j.steps) >= MaxSteps {
+	for len(j.steps) >= l.stepLimit() {
 		j.steps = slices.Delete(j.steps, 1, 2)
+		l.stepCount--
 	}
 	j.steps = append(j.steps, step)
+	l.stepCount++
+}
+
+// stepLimit returns the number of steps that a job may keep at present.
+func (l *Ledger) stepLimit() int {
+	if l.stepCount >= MaxAllSteps {
+		return minSteps
+	}
+	return MaxSteps
 }
 
 // History returns the durable life of the job, in order.
--- a/internal/ledger/job.go
+++ b/internal/ledger/job.go
@@ -86,8 +86,8 @@
 	if len(l.jobs) >= MaxJobs {
 		return refuse(verdict.ReasonOverload, "partition %d holds %d jobs", l.partition, len(l.jobs))
 	}
-	if l.payloadBytes+len(spec.Payload) > MaxPayloadBytes {
-		return refuse(verdict.ReasonOverload, "partition %d holds %d bytes of payloads", l.partition, l.payloadBytes)
+	if l.specBytes+specSize(spec) > MaxSpecBytes {
+		return refuse(verdict.ReasonOverload, "partition %d holds %d bytes of specifications", l.partition, l.specBytes)
 	}
 	return l.admit()
 }
@@ -100,8 +100,7 @@
 		return r.misfit("the job exists")
 	}
 	j := &job{spec: *r.Spec, digest: digest(*r.Spec), submitted: r.At, home: l.partition, attempt: l.floor}
-	l.jobs[r.Job] = j
-	l.payloadBytes += len(j.spec.Payload)
+	l.add(j)
 	l.enqueue(j)
 	l.note(j, r, "")
 	return nil
@@ -192,6 +191,22 @@
 	return nil
 }
 
+// specSize returns the bytes of the specification that vary in length.
+func specSize(s model.JobSpec) int {
+	size := len(s.ID) + len(s.Team) + len(s.Customer) + len(s.Class) + len(s.Payload)
+	for _, dc := range s.DataCentres {
+		size += len(dc)
+	}
+	return size
+}
+
+// add puts a job into the ledger.
+func (l *Ledger) add(j *job) {
+	l.jobs[j.spec.ID] = j
+	l.specBytes += specSize(j.spec)
+	l.stepCount += len(j.steps)
+}
+
 // hasEnded reports whether the job reached its final state.
 func (j *job) hasEnded() bool {
 	return j.state == model.JobFinished || j.state == model.JobCancelled
@@ -213,6 +228,6 @@
 
 // dropPayload frees the payload of a job that will not start here again.
 func (l *Ledger) dropPayload(j *job) {
-	l.payloadBytes -= len(j.spec.Payload)
+	l.specBytes -= len(j.spec.Payload)
 	j.spec.Payload = nil
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -7,6 +7,7 @@
 package ledger
 
 import (
+	"strings"
 	"time"
 
 	"github.com/geraniumwick/geraniumwick/internal/model"
@@ -16,9 +17,13 @@
 // Limits of one ledger. They keep a snapshot below the largest value of the store.
 const (
 	// MaxJobs is the number of jobs that a ledger holds, ended ones included.
-	MaxJobs = 6000
-	// MaxPayloadBytes bounds the payloads of all jobs that have not ended.
-	MaxPayloadBytes = 384 << 10
+	MaxJobs = 2500
+	// MaxSpecBytes bounds the texts of all jobs and the payloads of those that have not ended.
+	MaxSpecBytes = 320 << 10
+	// MaxClaims is the number of claims that a ledger holds.
+	MaxClaims = 4096
+	// MaxClaimBytes bounds the keys and holders of all claims.
+	MaxClaimBytes = 192 << 10
 	// MaxQueuedBytes bounds the estimated size of the records that wait for Take. New work
 	// is refused above it, so that one batch fits into one journal entry.
 	MaxQueuedBytes = 384 << 10
@@ -47,12 +52,14 @@
 	owner     model.InstanceID
 	epoch     model.Epoch
 
-	jobs         map[model.JobID]*job
-	queue        jobQueue
-	workers      map[model.WorkerID]*commitments
-	claims       map[model.RequestKey]*Claim
-	arrivals     map[model.JobID]arrival
-	payloadBytes int
+	jobs       map[model.JobID]*job
+	queue      jobQueue
+	workers    map[model.WorkerID]*commitments
+	claims     map[model.RequestKey]*Claim
+	arrivals   map[model.JobID]arrival
+	specBytes  int
+	claimBytes int
+	stepCount  int
 	// floor is the highest attempt number of any job that the ledger has forgotten. A new job
 	// counts from there, since its id may be that of a forgotten job whose attempts a worker
 	// still knows.
@@ -142,10 +149,10 @@
 	return t.Round(time.Millisecond).UTC()
 }
 
-// shorten cuts a text to the length that records hold.
-func shorten(s string) string {
-	if len(s) <= maxText {
+// shorten cuts a text to a number of bytes, without cutting a character.
+func shorten(s string, limit int) string {
+	if len(s) <= limit {
 		return s
 	}
-	return s[:maxText]
+	return strings.ToValidUTF8(s[:limit], "")
 }
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -116,7 +116,7 @@
 	r.Deadline = milliseconds(r.Deadline)
 	r.NotAfter = milliseconds(r.NotAfter)
 	r.Submitted = milliseconds(r.Submitted)
-	r.Reason = shorten(r.Reason)
+	r.Reason = shorten(r.Reason, maxText)
 	if r.Transfer != nil {
 		r.Transfer.normalise()
 	}
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -151,7 +151,7 @@
 	for _, c := range s.Claims {
 		c.Taken = milliseconds(c.Taken)
 		c.Deadline = milliseconds(c.Deadline)
-		l.claims[c.Key] = &c
+		l.addClaim(&c)
 	}
 	for _, a := range s.Arrivals {
 		l.arrivals[a.Job] = arrival{submitted: milliseconds(a.Submitted), hop: a.Hop,
@@ -185,8 +185,7 @@
 	for i := range j.steps {
 		j.steps[i].At = milliseconds(j.steps[i].At)
 	}
-	l.jobs[j.spec.ID] = j
-	l.payloadBytes += len(j.spec.Payload)
+	l.add(j)
 	if s.Current != nil {
 		j.current = s.Current.attempt(j)
 		l.reserve(j.current)
--- a/internal/ledger/transfer.go
+++ b/internal/ledger/transfer.go
@@ -161,8 +161,7 @@
 		steps:      slices.Clone(t.Steps),
 	}
 	delete(l.arrivals, r.Job)
-	l.jobs[r.Job] = j
-	l.payloadBytes += len(j.spec.Payload)
+	l.add(j)
 	l.enqueue(j)
 	l.note(j, r, "")
 	return nil
