Let the owner say that a batch is durable

The Pending views waited for the next Take, which an owner loop with nothing to write does not call, so a lost eviction signal of an idle partition would not have been sent again. Written vouches at once; the owner loop is to call it when an append is acknowledged.

--- a/internal/journal/owner_test.go
+++ b/internal/journal/owner_test.go
@@ -164,6 +164,7 @@
 	switch {
 	case err == nil:
 		o.batch = nil
+		o.ledger.Written()
 		o.deliver()
 		o.saveSnapshot(ctx)
 	case errors.As(err, &deposed):
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -109,6 +109,10 @@
 	return records, actions
 }
 
+// Written vouches that all taken records are durable, so that the Pending views show what
+// follows from them. The next Take implies it.
+func (l *Ledger) Written() { l.written = l.taken }
+
 // commit applies a record of a command and queues it.
 func (l *Ledger) commit(r Record) error {
 	r.normalise()
