--- a/internal/schedule/heat.go
+++ b/internal/schedule/heat.go
@@ -20,15 +20,24 @@
 	// reach, if only the tail latency counts and if it does not count at all.
 	strictDeadline = 0.4
 	looseDeadline  = 0.9
+	// strictBusy and looseBusy are the shares of a target's slots that may be busy, if only the
+	// tail latency counts and if it does not count at all.
+	strictBusy = 0.8
+	looseBusy  = 0.95
 	// coolShare is the share of the limit, as a logarithm, below which a window is cool.
 	coolShare = 0.6
+	// coolLoad is the share of busy slots below which a window is cool.
+	coolLoad = 0.7
 	// hotWindows and coolWindows are the consecutive windows after which relief is given and
 	// taken back.
 	hotWindows  = 2
 	coolWindows = 2
 	// minimumHold and maximumHold bound how long a relief lasts before it is taken back.
 	minimumHold = 30 * time.Second
-	maximumHold = 8 * time.Minute
+	maximumHold = 4 * time.Minute
+	// lukewarmHolds is the number of holds after which a service that is neither hot nor cool
+	// does not keep a relief.
+	lukewarmHolds = 2
 	// relapse is the time after a release in which new heat doubles the hold.
 	relapse = 3 * time.Minute
 )
@@ -55,11 +64,17 @@
 	growth float64
 	// absolute is the logarithm of the latency in seconds that is never acceptable.
 	absolute float64
+	// busy is the share of busy slots that calls for relief.
+	busy float64
 }
 
 // latencyLimit returns the limit of a service for the weights in force.
 func (r *round) latencyLimit(service model.Service) latencyLimit {
-	limit := latencyLimit{growth: math.Log(looseLimit + r.goals.tail*(strictLimit-looseLimit)), absolute: math.Inf(1)}
+	limit := latencyLimit{
+		growth:   math.Log(looseLimit + r.goals.tail*(strictLimit-looseLimit)),
+		absolute: math.Inf(1),
+		busy:     looseBusy + r.goals.tail*(strictBusy-looseBusy),
+	}
 	if deadline, ok := r.scheduler.shortestDeadlines(r.snapshot.Document)[service]; ok {
 		share := looseDeadline + r.goals.tail*(strictDeadline-looseDeadline)
 		limit.absolute = math.Log(share * deadline.Seconds())
@@ -88,7 +103,8 @@
 	return s.deadlines
 }
 
-// measure records the growth of the logarithm of the latency in one window.
+// measure records the growth of the logarithm of the latency in one window. A target
+// without idle slots is hot at once, because its queue grows with each second.
 func (h *heat) measure(m platform.ServiceSample, growth float64, limit latencyLimit) {
 	if m.From.Before(h.actedAt) {
 		return
@@ -101,12 +117,16 @@
 		s = &serviceHeat{}
 		h.services[m.Service] = s
 	}
-	s.excess = max(growth-limit.growth, math.Log(m.P99.Seconds())-limit.absolute)
+	saturation := math.Log(max(m.Load, 0.01) / limit.busy)
+	s.excess = max(growth-limit.growth, math.Log(m.P99.Seconds())-limit.absolute, saturation)
 	switch {
+	case saturation > 0:
+		s.hot += hotWindows
+		s.cool = 0
 	case s.excess > 0:
 		s.hot++
 		s.cool = 0
-	case growth < coolShare*limit.growth:
+	case growth < coolShare*limit.growth && m.Load < coolLoad:
 		s.cool++
 		s.hot = 0
 	default:
@@ -129,13 +149,17 @@
 	return worst, excess, worst != ""
 }
 
-// cooled reports whether a relief may be taken back.
+// cooled reports whether a relief may be taken back: after the hold if all services are
+// cool, and after a multiple of it if none is hot. Otherwise a latency that stays between
+// both limits would hold the tasks back for ever.
 func (h *heat) cooled(now time.Time) bool {
-	if now.Sub(h.actedAt) < max(h.hold, minimumHold) {
+	hold := max(h.hold, minimumHold)
+	held := now.Sub(h.actedAt)
+	if held < hold {
 		return false
 	}
 	for _, s := range h.services {
-		if s.cool < coolWindows {
+		if s.hot > 0 || (s.cool < coolWindows && held < lukewarmHolds*hold) {
 			return false
 		}
 	}
--- a/internal/schedule/learn_test.go
+++ b/internal/schedule/learn_test.go
@@ -199,7 +199,7 @@
 }
 
 // TestWavesDoNotOscillate: a wave of a minute comes every two minutes for an hour. Each
-// relapse doubles the hold up to eight minutes, which bounds the releases.
+// relapse doubles the hold up to maximumHold, which bounds the releases.
 func TestWavesDoNotOscillate(t *testing.T) {
 	is := is.New(t)
 	cpu, memory := []int64{2000}, []int64{1000}
--- a/internal/schedule/relief.go
+++ b/internal/schedule/relief.go
@@ -22,7 +22,7 @@
 	cpuLimit = 1.0
 	// reservationShare is the throttle that holds a task to its reservation; 1 would lift it.
 	reservationShare = 0.95
-	// lowestShare is the strongest throttle.
+	// lowestShare is the strongest throttle if the tail latency does not count.
 	lowestShare = 0.25
 	// throttleStep divides a task's share with each stronger throttle.
 	throttleStep = 2
@@ -215,12 +215,24 @@
 	}
 }
 
-// throttleHarmful halves the processor time of the attempts that harm most for what they
-// use, until the predicted relief is enough. It reports whether any was throttled.
+// reliefAt predicts the relief of throttling the attempt to the share.
+func (a *resident) reliefAt(share float64, harm func(*resident) float64) float64 {
+	left := min(a.cpu, share*float64(a.reservation.MilliCPU))
+	return harm(a) * (1 - left/max(a.cpu, 1))
+}
+
+// lowestThrottle returns the strongest throttle for the weights in force.
+func (r *round) lowestThrottle() float64 {
+	return lowestShare * (1 - r.goals.tail)
+}
+
+// throttleHarmful divides the processor time of the attempts that harm most for what they
+// use by two or four, until the predicted relief is enough. It reports whether any was throttled.
 func (r *round) throttleHarmful(n *node, harm func(*resident) float64, wanted float64, reason string, plan *Plan) bool {
+	lowest := r.lowestThrottle()
 	var candidates []*resident
 	for _, a := range n.state.residents {
-		if a.reliable() && a.share > lowestShare && harm(a) > leastHarm {
+		if a.reliable() && a.share > lowest && harm(a) > leastHarm {
 			candidates = append(candidates, a)
 		}
 	}
@@ -230,9 +242,13 @@
 		if i > 0 && (wanted <= 0 || density(a) < harmlessShare*density(candidates[0])) {
 			break
 		}
-		share := max(lowestShare, a.share/throttleStep)
-		left := min(a.cpu, share*float64(a.reservation.MilliCPU))
-		wanted -= harm(a) * (1 - left/max(a.cpu, 1))
+		share := max(lowest, a.share/throttleStep)
+		relief := a.reliefAt(share, harm)
+		if relief < wanted {
+			share = max(lowest, share/throttleStep)
+			relief = a.reliefAt(share, harm)
+		}
+		wanted -= relief
 		r.throttle(n, a, share, reason, plan)
 	}
 	return len(candidates) > 0
@@ -292,26 +308,31 @@
 	})
 }
 
-// release takes the strongest throttle of a cool worker back by one step.
+// release takes the strongest throttles of a cool worker back by one step. All of them go at
+// once: one after the other, the last tasks would be held back for many holds.
 func (r *round) release(n *node, plan *Plan) {
 	w := n.state
 	if !w.heat.cooled(r.snapshot.Now) {
 		return
 	}
-	var slowest *resident
+	lowest := 1.0
 	for _, a := range w.residents {
-		if a.alive() && !a.evicting && a.share < 1 && (slowest == nil || a.share < slowest.share) {
-			slowest = a
+		if a.alive() && !a.evicting {
+			lowest = min(lowest, a.share)
 		}
 	}
-	if slowest == nil {
+	if lowest == 1 {
 		return
 	}
-	share := min(1, slowest.share*throttleStep)
-	slowest.share = share
 	w.heat.released(r.snapshot.Now)
-	plan.Reliefs = append(plan.Reliefs, Relief{
-		Attempt: slowest.id, Worker: n.view.Worker.ID, Kind: platform.SignalThrottle, Share: share,
-		Reason: "services of the worker are within their limits again",
-	})
+	for _, a := range w.residents {
+		if !a.alive() || a.evicting || a.share > lowest {
+			continue
+		}
+		a.share = min(1, lowest*throttleStep)
+		plan.Reliefs = append(plan.Reliefs, Relief{
+			Attempt: a.id, Worker: n.view.Worker.ID, Kind: platform.SignalThrottle, Share: a.share,
+			Reason: "services of the worker are within their limits again",
+		})
+	}
 }
