Explain sections from the store, and say when a record cannot be read

Tried on the running quickstart: explain of a name that nobody knows ended as an error that claimed 'there is nothing of this name', which no instance can know; a section's life showed only what the instances had in memory; an entry of a section put in force was marked as kept in the store.

--- a/internal/config/watcher_apply.go
+++ b/internal/config/watcher_apply.go
@@ -106,7 +106,7 @@
 	}
 	delete(w.refused, name)
 	w.sections = w.sections.With(next)
-	w.record(audit.Entry{Event: audit.EventConfigInForce, Subject: subject(name), Revision: next.Revision, Durable: true})
+	w.record(audit.Entry{Event: audit.EventConfigInForce, Subject: subject(name), Revision: next.Revision})
 	return true
 }
 
--- a/internal/query/explain.go
+++ b/internal/query/explain.go
@@ -9,12 +9,16 @@
 	"strings"
 
 	"github.com/geraniumwick/geraniumwick/internal/audit"
+	"github.com/geraniumwick/geraniumwick/internal/config"
 	"github.com/geraniumwick/geraniumwick/internal/ledger"
 	"github.com/geraniumwick/geraniumwick/internal/model"
 	"github.com/geraniumwick/geraniumwick/internal/reply"
 	"github.com/geraniumwick/geraniumwick/internal/verdict"
 )
 
+// sectionSubject starts the subject of a section of the configuration.
+const sectionSubject = "config/"
+
 // AuditAnswer lists entries of all instances that answered, the oldest first.
 type AuditAnswer struct {
 	Entries []audit.Entry `json:"entries"`
@@ -62,12 +66,16 @@
 		return Explanation{}, verdict.New(verdict.NotRun, verdict.ReasonInvalid, "%q must be a job (team/name), a request (service/key) or a section (config/name)", subject)
 	}
 	entries, unreachable, err := h.Trail.Explain(ctx, subject)
-	if err != nil {
-		return Explanation{}, err
-	}
 	e := Explanation{Subject: subject, Entries: entries, Unreachable: unreachable}
+	if err != nil && verdict.From(err, verdict.ReasonPeer).Reason != verdict.ReasonUnknown {
+		e.Unknown = append(e.Unknown, "the record in the store could not be read: "+err.Error())
+	}
+	if section, ok := strings.CutPrefix(subject, sectionSubject); ok {
+		h.addEdits(ctx, &e, section)
+	} else {
+		h.addJob(ctx, &e)
+	}
 	sortEntries(e.Entries)
-	h.addJob(ctx, &e)
 	h.addGone(ctx, &e)
 	e.addDropped()
 	e.addUnreachable()
@@ -77,11 +85,43 @@
 	return e, nil
 }
 
-// addJob adds the state of the job, if the subject is one.
-func (h *Handlers) addJob(ctx context.Context, e *Explanation) {
-	if strings.HasPrefix(e.Subject, "config/") {
+// addEdits adds the accepted edits that the store keeps, in place of the entries that the
+// instances have of the same edits.
+func (h *Handlers) addEdits(ctx context.Context, e *Explanation, section string) {
+	changes, dropped, err := h.History.History(ctx, section)
+	if err != nil {
+		e.Unknown = append(e.Unknown, "the edits in the store could not be read: "+err.Error())
 		return
 	}
+	if dropped > 0 {
+		e.Unknown = append(e.Unknown, fmt.Sprintf("%d older edits are no longer kept", dropped))
+	}
+	for _, c := range changes {
+		e.Entries = slices.DeleteFunc(e.Entries, func(entry audit.Entry) bool {
+			return entry.Event == audit.EventConfigAccepted && entry.Revision == c.Revision
+		})
+		e.Entries = append(e.Entries, editEntry(e.Subject, c))
+	}
+}
+
+// editEntry turns an accepted edit into an entry.
+func editEntry(subject string, c config.Change) audit.Entry {
+	return audit.Entry{
+		At:       c.At,
+		Subject:  subject,
+		Event:    audit.EventConfigAccepted,
+		Actor:    c.Actor,
+		Verdict:  verdict.Ran.String(),
+		Revision: c.Revision,
+		Reason:   fmt.Sprintf("changed line %d", c.Line),
+		Before:   c.Before,
+		After:    c.After,
+		Durable:  true,
+	}
+}
+
+// addJob adds the state of the job, if the subject is one.
+func (h *Handlers) addJob(ctx context.Context, e *Explanation) {
 	status, err := h.Jobs.Job(ctx, model.JobID(e.Subject))
 	if err == nil {
 		e.Job = &status
--- a/internal/query/query_test.go
+++ b/internal/query/query_test.go
@@ -51,7 +51,7 @@
 }
 
 func (f *fakeReader) History(context.Context, string) ([]config.Change, int, error) {
-	return []config.Change{{ID: "1"}, {ID: "2"}}, 3, nil
+	return []config.Change{{ID: "2", Revision: 12}, {ID: "1", Revision: 11}}, 3, nil
 }
 
 // newHandlers returns handlers of the operators' listener.
@@ -98,6 +98,8 @@
 		{"a name that nobody knows is not found, and that proves nothing", fakeReader{jobErr: unknownJob, live: live}, false, false, 1, 0},
 		{"a trail that only dropped entries does not know the name", fakeReader{jobErr: unknownJob, live: live, entries: []audit.Entry{{Instance: "i-1", Event: audit.EventDropped}}}, false, false, 2, 0},
 		{"a job that could not be read is not called unknown", fakeReader{jobErr: storeDown, live: live, entries: []audit.Entry{durable}}, true, false, 1, 0},
+		{"a trail that knows nothing is no error", fakeReader{jobErr: unknownJob, trailErr: unknownJob, live: live}, false, false, 1, 0},
+		{"a record that could not be read is said", fakeReader{trailErr: storeDown, live: live}, true, false, 1, 0},
 		{"a list of instances that could not be read is said", fakeReader{statusErr: storeDown, entries: []audit.Entry{durable}}, true, false, 1, 0},
 	}
 	for _, c := range cases {
@@ -113,6 +115,19 @@
 	}
 }
 
+func TestExplainOfASectionShowsTheEditsOfTheStore(t *testing.T) {
+	is := is.New(t)
+	f := &fakeReader{jobErr: unknownJob, live: live, entries: []audit.Entry{
+		{At: at(1), Instance: "i-9", Event: audit.EventConfigAccepted, Revision: 12, Durable: true},
+		{At: at(2), Instance: "i-1", Event: audit.EventConfigInForce},
+	}}
+	e, err := newHandlers(f, "").Explain(t.Context(), "config/t")
+	is.NoErr(err)
+	is.Equal(len(e.Entries), 3) // two edits of the store, and the one of the instance without its doubled one
+	is.Equal(len(e.Gone), 0)
+	is.Equal(e.Unknown, []string{"3 older edits are no longer kept"})
+}
+
 func TestExplainIsInTheOrderOfTime(t *testing.T) {
 	is := is.New(t)
 	f := &fakeReader{live: live, entries: []audit.Entry{
