--- a/cmd/geraniumwick/read.go
+++ b/cmd/geraniumwick/read.go
@@ -13,6 +13,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/geraniumwick/geraniumwick/internal/audit"
+	"github.com/geraniumwick/geraniumwick/internal/model"
 	"github.com/geraniumwick/geraniumwick/internal/query"
 )
 
@@ -64,6 +65,10 @@
 	c.printf("%s", workers)
 	var jobs []string
 	for _, state := range slices.Sorted(maps.Keys(s.Jobs)) {
+		if state == model.JobTransferred.String() {
+			// It is counted in the partition that it was moved to.
+			continue
+		}
 		jobs = append(jobs, fmt.Sprintf("%d %s", s.Jobs[state], state))
 	}
 	c.printf("jobs        %s", strings.Join(jobs, ", "))
--- a/cmd/geraniumwick/session_test.go
+++ b/cmd/geraniumwick/session_test.go
@@ -103,6 +103,7 @@
 	s.run("datacentre", "out", "nowhere")
 	s.run("config", "history", "--limit", "2")
 	s.run("status")
+	s.run("--colour", "always", "status")
 	system.behind = "i-2"
 	s.run("datacentre", "out", "cairo-c", "--wait-limit", "1ms")
 	s.run("datacentre", "status")
@@ -219,6 +220,7 @@
 	s.run("job", "submit", "--file", "DIR/missing.json")
 	s.run("help", "datacentre", "out")
 	s.run("--help")
+	s.run("--completion-bash", "datacentre", "")
 	s.compare("failures")
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,7 +39,8 @@
 	WorkerLeaseTTL time.Duration
 	TickInterval   time.Duration
 	CommitInterval time.Duration
-	// ConfigMaxAge is the age of the last confirmation beyond which nothing new starts.
+	// ConfigMaxAge bounds the time from the decision on a start to its arrival at the worker.
+	// The configuration is confirmed between them, so no start uses an older confirmation.
 	ConfigMaxAge time.Duration
 	// StoreWritesPerSecond is this instance's share of the store's write rate.
 	StoreWritesPerSecond int
