--- a/cmd/geraniumwick/app.go
+++ b/cmd/geraniumwick/app.go
@@ -88,19 +88,12 @@
 		Envar(environmentPrefix + "TIMEOUT").Default("20s").DurationVar(&o.timeout)
 }
 
-// run carries out one command line and returns the exit code.
-func run(ctx context.Context, args []string, s streams) int {
+// run carries out one command line and returns the exit code. After help and completion it
+// calls exit, which must not return.
+func run(ctx context.Context, args []string, s streams, exit func(int)) int {
 	var opts options
-	ended := -1
-	app, all := newApp(s, &opts, func(code int) {
-		if ended < 0 {
-			ended = code
-		}
-	})
+	app, all := newApp(s, &opts, exit)
 	name, err := app.Parse(args)
-	if ended >= 0 {
-		return ended
-	}
 	if err != nil {
 		fmt.Fprintf(s.err, "geraniumwick: %v; see geraniumwick --help\n", err)
 		return exitUsage
--- a/cmd/geraniumwick/main.go
+++ b/cmd/geraniumwick/main.go
@@ -12,7 +12,7 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := run(ctx, os.Args[1:], streams{in: os.Stdin, out: os.Stdout, err: os.Stderr})
+	code := run(ctx, os.Args[1:], streams{in: os.Stdin, out: os.Stdout, err: os.Stderr}, os.Exit)
 	stop()
 	os.Exit(code)
 }
