Keep no syntax trees, and refuse deep lists

A whole document of 160 small sections held 3.49 MB, of which the syntax trees were nearly all: they are parsed again for the position of a problem now. After: 0.19 MB (go test -run '^$' -bench Heap -benchtime 20x ./internal/config; the reading before was without the second collection, with a difference of 0.03 MB then).

A section of 256 KB of '- - - -' took 39 s to parse. A list item after column 64 is refused now (0.04 s at the new limit of 128 KB a section); the slowest of 16 other texts of that size took 0.6 s (130,000 list items, or 13,000 keys).

--- a/internal/config/bench_test.go
+++ b/internal/config/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -82,3 +83,27 @@
 		})
 	}
 }
+
+// BenchmarkHeap reports the heap that a whole document holds.
+func BenchmarkHeap(b *testing.B) {
+	for _, teams := range []int{40, 80, 160} {
+		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
+			store := storeOfSize(b, teams)
+			var before, after runtime.MemStats
+			for b.Loop() {
+				runtime.GC()
+				runtime.GC() // the second one frees what pools held during the first
+				runtime.ReadMemStats(&before)
+				w := NewWatcher(store, platform.SystemClock{}, WatcherOptions{})
+				if err := w.relist(b.Context()); err != nil {
+					b.Fatal(err)
+				}
+				runtime.GC()
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(w)
+			}
+			b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "heap-bytes")
+		})
+	}
+}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/goccy/go-yaml/ast"
+
 	"github.com/geraniumwick/geraniumwick/internal/model"
 )
 
@@ -23,8 +25,8 @@
 )
 
 // check returns the problems that need no other section.
-func (s *Section) check() []Problem {
-	l := &problemList{section: s}
+func (s *Section) check(tree *ast.File) []Problem {
+	l := &problemList{section: s, tree: tree}
 	if s.Operators != nil {
 		checkOperators(l, s.Operators)
 	} else {
--- a/internal/config/datacentre.go
+++ b/internal/config/datacentre.go
@@ -89,9 +89,10 @@
 	path := fmt.Sprintf("$.dataCentres[%d]", index)
 	value := fmt.Sprint(out)
 	text := s.Text
-	if node := s.nodeAt(path + ".out"); node != nil {
+	tree := s.tree()
+	if node := nodeAt(tree, path+".out"); node != nil {
 		text = replaceToken(text, node.GetToken(), value)
-	} else if entry := s.nodeAt(path); entry != nil {
+	} else if entry := nodeAt(tree, path); entry != nil {
 		text = insertField(text, entry, "out: "+value)
 	}
 	edited, err := Parse(s.Name, []byte(text))
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -18,9 +18,12 @@
 const (
 	// MaxSectionBytes bounds the text of one section; with its trail of changes it stays
 	// under the store's limit of 1 MB a value.
-	MaxSectionBytes = 256 << 10
+	MaxSectionBytes = 128 << 10
 	// maxNesting bounds the depth of brackets in a section.
 	maxNesting = 16
+	// maxItemColumn bounds the column of a list item outside brackets, and by that the depth of
+	// lists in lists, which the YAML library reads in more than linear time.
+	maxItemColumn = 64
 )
 
 // Section is one parsed section of the document.
@@ -32,62 +35,61 @@
 	// Operators is set for the operators' section, Team for every other.
 	Operators *Operators
 	Team      *TeamSection
-
-	file *ast.File
 }
 
 // Parse reads the text of the named section and checks everything that needs no other
 // section. The error is a *CheckError with line and column.
 func Parse(name string, text []byte) (*Section, error) {
 	s := &Section{Name: name, Text: string(text)}
-	if err := s.parseSafely(); err != nil {
+	tree, err := s.parse()
+	if err != nil {
 		return nil, err
 	}
-	if problems := s.check(); len(problems) > 0 {
+	if problems := s.check(tree); len(problems) > 0 {
 		return nil, &CheckError{Problems: problems}
 	}
 	return s, nil
 }
 
-// parseSafely is parse with a panic of the YAML library turned into a problem, so that no
-// text can end the process.
-func (s *Section) parseSafely() (err error) {
-	defer func() {
-		if r := recover(); r != nil {
-			err = s.problem(nil, "the section cannot be read as YAML")
-		}
-	}()
-	return s.parse()
-}
-
-// parse fills the section from its text.
-func (s *Section) parse() error {
+// parse fills the section from its text and returns the syntax tree, which is several times
+// as large as the text and therefore not kept.
+func (s *Section) parse() (*ast.File, error) {
 	if !validName(s.Name) {
-		return s.problem(nil, fmt.Sprintf("section name %q must have 1 to 63 of a-z, 0-9 and hyphen, and start with a letter", s.Name))
+		return nil, s.problem(nil, fmt.Sprintf("section name %q must have 1 to 63 of a-z, 0-9 and hyphen, and start with a letter", s.Name))
 	}
 	if len(s.Text) > MaxSectionBytes {
-		return s.problem(nil, fmt.Sprintf("the section has %d bytes, at most %d are allowed", len(s.Text), MaxSectionBytes))
+		return nil, s.problem(nil, fmt.Sprintf("the section has %d bytes, at most %d are allowed", len(s.Text), MaxSectionBytes))
 	}
 	if strings.TrimSpace(s.Text) == "" {
-		return s.problem(nil, "the section is empty")
+		return nil, s.problem(nil, "the section is empty")
 	}
+	return s.parseYAML()
+}
+
+// parseYAML is parse without the checks of name and size. A panic of the YAML library counts
+// as a problem, so that no text can end the process.
+func (s *Section) parseYAML() (tree *ast.File, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = s.problem(nil, "the section cannot be read as YAML")
+		}
+	}()
 	tokens := lexer.Tokenize(s.Text)
 	if tk, message := forbidden(tokens); tk != nil {
-		return s.problem(tk, message)
+		return nil, s.problem(tk, message)
 	}
-	file, err := parser.Parse(tokens, parser.ParseComments)
+	tree, err = parser.Parse(tokens, parser.ParseComments)
 	if err != nil {
-		return s.syntaxProblem(err)
+		return nil, s.syntaxProblem(err)
 	}
-	s.file = file
-	if len(file.Docs) != 1 || file.Docs[0].Body == nil {
-		return s.problem(nil, "the section must be one YAML document")
+	if len(tree.Docs) != 1 || tree.Docs[0].Body == nil {
+		return nil, s.problem(nil, "the section must be one YAML document")
 	}
-	return s.decode()
+	return tree, s.decode(tree)
 }
 
 // decode fills the typed form of the section.
-func (s *Section) decode() error {
+func (s *Section) decode(tree *ast.File) error {
 	var out any
 	if s.Name == OperatorsSection {
 		s.Operators = &Operators{}
@@ -96,15 +98,25 @@
 		s.Team = &TeamSection{}
 		out = s.Team
 	}
-	if tk, message := badDuration(s.file.Docs[0]); tk != nil {
+	if tk, message := badDuration(tree.Docs[0]); tk != nil {
 		return s.problem(tk, message)
 	}
-	if err := yaml.NodeToValue(s.file.Docs[0].Body, out, yaml.Strict()); err != nil {
+	if err := yaml.NodeToValue(tree.Docs[0].Body, out, yaml.Strict()); err != nil {
 		return s.syntaxProblem(err)
 	}
 	return nil
 }
 
+// tree returns the syntax tree of a section that was parsed before, or nil.
+func (s *Section) tree() *ast.File {
+	again := &Section{Name: s.Name, Text: s.Text}
+	tree, err := again.parseYAML()
+	if err != nil {
+		return nil
+	}
+	return tree
+}
+
 // badDuration returns the first value of a duration field that is none. The YAML library
 // reports such a value without its position.
 func badDuration(doc ast.Node) (tk *token.Token, message string) {
@@ -135,6 +147,10 @@
 			return tk, "anchors, aliases and merge keys are not supported"
 		case token.TagType, token.DirectiveType:
 			return tk, "tags and directives are not supported"
+		case token.SequenceEntryType:
+			if tk.Position.Column > maxItemColumn {
+				return tk, fmt.Sprintf("a list item begins after column %d", maxItemColumn)
+			}
 		case token.SequenceStartType, token.MappingStartType:
 			depth++
 		case token.SequenceEndType, token.MappingEndType:
@@ -167,12 +183,9 @@
 }
 
 // locate returns line and column of the YAML path or of its nearest parent.
-func (s *Section) locate(path string) (line, column int) {
-	if s.file == nil {
-		return 0, 0
-	}
-	for path != "" {
-		if tk := s.tokenAt(path); tk != nil && tk.Position != nil {
+func locate(tree *ast.File, path string) (line, column int) {
+	for tree != nil && path != "" {
+		if tk := tokenAt(tree, path); tk != nil && tk.Position != nil {
 			return tk.Position.Line, tk.Position.Column
 		}
 		path = parentPath(path)
@@ -181,8 +194,8 @@
 }
 
 // tokenAt returns the first token of the node at the path, or nil.
-func (s *Section) tokenAt(path string) *token.Token {
-	node := s.nodeAt(path)
+func tokenAt(tree *ast.File, path string) *token.Token {
+	node := nodeAt(tree, path)
 	if node == nil {
 		return nil
 	}
@@ -193,12 +206,12 @@
 }
 
 // nodeAt returns the node at the path, or nil.
-func (s *Section) nodeAt(path string) ast.Node {
+func nodeAt(tree *ast.File, path string) ast.Node {
 	p, err := yaml.PathString(path)
-	if err != nil {
+	if err != nil || tree == nil {
 		return nil
 	}
-	node, err := p.FilterFile(s.file)
+	node, err := p.FilterFile(tree)
 	if err != nil {
 		return nil
 	}
--- a/internal/config/parse_test.go
+++ b/internal/config/parse_test.go
@@ -57,6 +57,7 @@
 		{"a tag is refused", "operators", "partitions: 2", "partitions: !!int 2", "operators:4:13: tags"},
 		{"two documents are refused", "operators", "partitions: 2", "partitions: 2\n---\na: 1", "operators: the section must be one YAML document"},
 		{"deep nesting is refused", "operators", "partitions: 2", "partitions: " + strings.Repeat("[", 100000), "operators:4:29: brackets"},
+		{"deep lists are refused", "operators", "partitions: 2", "partitions:\n  " + strings.Repeat("- ", 10000), "operators:5:65: a list item begins after column 64"},
 		{"an oversized section is refused", "operators", "partitions: 2", "partitions: 2 #" + strings.Repeat("x", MaxSectionBytes), "operators: the section has"},
 		{"an empty section is refused", "operators", goodOperators, " \n", "operators: the section is empty"},
 		{"a section name with a slash is refused", "a/b", "team: t", "team: t", `section name "a/b" must have`},
--- a/internal/config/problem.go
+++ b/internal/config/problem.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"strings"
+
+	"github.com/goccy/go-yaml/ast"
 )
 
 // Problem is one fault of a section and where it is.
@@ -40,12 +42,17 @@
 // problemList collects the problems of one section.
 type problemList struct {
 	section *Section
-	list    []Problem
+	// tree is the section's syntax tree; it is parsed again for the first problem if it is nil.
+	tree *ast.File
+	list []Problem
 }
 
 // add appends a problem at the YAML path.
 func (l *problemList) add(path, format string, args ...any) {
-	line, column := l.section.locate(path)
+	if l.tree == nil {
+		l.tree = l.section.tree()
+	}
+	line, column := locate(l.tree, path)
 	l.list = append(l.list, Problem{
 		Section: l.section.Name,
 		Line:    line,
