--- a/standin/cluster/instance.go
+++ b/standin/cluster/instance.go
@@ -103,10 +103,11 @@
 func (i *Instance) await(ctx context.Context, path string) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	life := i.Process
 	go func() {
 		select {
-		case <-i.Done():
-			cancel(fmt.Errorf("the process has ended, see %s", i.Log))
+		case <-life.Done():
+			cancel(fmt.Errorf("the process has ended, see %s", life.Log))
 		case <-ctx.Done():
 		}
 	}()
