--- a/standin/cluster/traffic.go
+++ b/standin/cluster/traffic.go
@@ -40,6 +40,10 @@
 	Rate int
 	// Timeout is what callers allow for a request; zero leaves it to the document.
 	Timeout time.Duration
+	// Only limits the requests to one kind.
+	Only *workload.Kind
+	// Direct sends the requests to targets instead of instances.
+	Direct bool
 	// Caller returns the address for the n-th request; empty skips it.
 	Caller func(n int) string
 
@@ -70,11 +74,34 @@
 		if addr == "" {
 			continue
 		}
-		kind, request := generator.Pick(), generator.Request()
+		kind, request := t.next(generator)
 		open.Go(func() { t.add(t.call(addr, kind, request)) })
 	}
 }
 
+// next returns the next request.
+func (t *Traffic) next(g *workload.Generator) (workload.Kind, workload.Request) {
+	if t.Only != nil {
+		return *t.Only, g.Request()
+	}
+	return g.Pick(), g.Request()
+}
+
+// Loop sends one request after the other to one address until ctx ends, and returns the
+// number of answers and of those from a target.
+func (t *Traffic) Loop(ctx context.Context, client *http.Client, addr string) (answered, ran int) {
+	t.client = client
+	generator := workload.NewGenerator(t.Deployment, t.Run, t.Seed)
+	for ctx.Err() == nil {
+		kind, request := t.next(generator)
+		answered++
+		if t.call(addr, kind, request).Verdict == verdict.Ran {
+			ran++
+		}
+	}
+	return answered, ran
+}
+
 // call sends one request and judges its answer.
 func (t *Traffic) call(addr string, kind workload.Kind, in workload.Request) (r Result) {
 	r = Result{Reference: in.Reference, Class: kind.Class, Began: time.Now()}
@@ -85,6 +112,9 @@
 		r.Reason = verdict.ReasonPeer
 		return r
 	}
+	if t.Direct {
+		header.Set("Geraniumwick-Verdict", verdict.Ran.String())
+	}
 	v, err := verdict.Parse(header.Get("Geraniumwick-Verdict"))
 	r.Verdict = v
 	if err != nil {
@@ -111,6 +141,9 @@
 		return 0, nil, nil, err
 	}
 	url := "http://" + addr + "/v1/requests/" + string(kind.Service) + "/" + kind.Path
+	if t.Direct {
+		url = "http://" + addr + "/" + kind.Path
+	}
 	req, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, nil, err
