Transfer an inventory list only when it has changed

At 1,200 workers each poll of the whole list costs an instance about 150 bytes a worker; the load driver showed more bytes into the instances a worker than the workers' own connections carry. An entity tag leaves the answer out while nothing changes.

--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -108,15 +108,21 @@
 		return callErr
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+	data, err := readAll(resp.Body)
 	if err != nil {
 		return &callError{Sent: true, Cause: errors.Annotate(err, "reading the answer")}
 	}
-	if len(data) > maxBody {
-		return &callError{Sent: true, Cause: errors.Errorf("answer is larger than %d bytes", maxBody)}
-	}
 	if err := json.Unmarshal(data, out); err != nil {
 		return &callError{Sent: true, Cause: errors.Annotate(err, "decoding the answer")}
 	}
 	return nil
 }
+
+// readAll reads a bounded answer.
+func readAll(body io.Reader) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, maxBody+1))
+	if err == nil && len(data) > maxBody {
+		return nil, errors.Errorf("answer is larger than %d bytes", maxBody)
+	}
+	return data, err
+}
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -217,3 +217,31 @@
 	is.NoErr(err)
 	is.Equal(targets, []model.Target{{ID: "t", Slots: 8}})
 }
+
+func TestUnchangedInventoryIsNotTransferredAgain(t *testing.T) {
+	is := is.New(t)
+	transfers, tag := 0, `"1"`
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("ETag", tag)
+		if r.Header.Get("If-None-Match") == tag {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+		transfers++
+		_, _ = io.WriteString(w, `{"workers":[{"id":"w"}]}`)
+	}))
+	t.Cleanup(server.Close)
+	i, err := NewInventory(server.URL)
+	is.NoErr(err)
+	for range 3 {
+		workers, err := i.Workers(t.Context())
+		is.NoErr(err)
+		is.Equal(workers, []model.Worker{{ID: "w"}})
+		workers[0].ID = "changed by the caller" // must not reach the next one
+	}
+	is.Equal(transfers, 1)
+	tag = `"2"`
+	_, err = i.Workers(t.Context())
+	is.NoErr(err)
+	is.Equal(transfers, 2)
+}
--- a/standin/fleet/api.go
+++ b/standin/fleet/api.go
@@ -1,8 +1,10 @@
 package fleet
 
 import (
+	"crypto/sha256"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -70,15 +72,32 @@
 // InventoryHandler serves the inventory.
 func (f *Fleet) InventoryHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+platform.InventoryWorkersPath, func(rw http.ResponseWriter, _ *http.Request) {
-		reply(rw, http.StatusOK, platform.WorkerList{Workers: f.Workers(time.Now())})
+	mux.HandleFunc("GET "+platform.InventoryWorkersPath, func(rw http.ResponseWriter, r *http.Request) {
+		replyTagged(rw, r, platform.WorkerList{Workers: f.Workers(time.Now())})
 	})
-	mux.HandleFunc("GET "+platform.InventoryTargetsPath, func(rw http.ResponseWriter, _ *http.Request) {
-		reply(rw, http.StatusOK, platform.TargetList{Targets: f.Targets(time.Now())})
+	mux.HandleFunc("GET "+platform.InventoryTargetsPath, func(rw http.ResponseWriter, r *http.Request) {
+		replyTagged(rw, r, platform.TargetList{Targets: f.Targets(time.Now())})
 	})
 	return mux
 }
 
+// replyTagged answers with JSON and its entity tag, or without a body if the caller has it.
+func replyTagged(rw http.ResponseWriter, r *http.Request, out any) {
+	data, err := json.Marshal(out)
+	if err != nil {
+		http.Error(rw, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := fmt.Sprintf(`"%x"`, sha256.Sum256(data))
+	rw.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		rw.WriteHeader(http.StatusNotModified)
+		return
+	}
+	rw.Header().Set("Content-Type", "application/json")
+	_, _ = rw.Write(data)
+}
+
 // WorkerFault changes the mode of workers.
 type WorkerFault struct {
 	// Worker is the name; an empty one stands for all of the data centre.
