--- a/internal/cluster/router.go
+++ b/internal/cluster/router.go
@@ -40,13 +40,18 @@
 	Recent(limit int) []audit.Entry
 }
 
+// Pool calls other instances; *peer.Pool is one.
+type Pool interface {
+	Call(ctx context.Context, addr string, k peer.Kind, in, out any) error
+}
+
 // Config is what a Router needs.
 type Config struct {
 	Self      model.InstanceID
 	Manager   *partition.Manager
 	Members   Members
 	Documents partition.Documents
-	Pool      *peer.Pool
+	Pool      Pool
 	Trail     LocalTrail
 	Clock     platform.Clock
 	Log       zerolog.Logger
--- a/internal/partition/loop.go
+++ b/internal/partition/loop.go
@@ -287,6 +287,7 @@
 	}
 	b := a.batch
 	p.inFlight = nil
+	p.ledger.Written()
 	for _, c := range b.commands {
 		c.done <- c.err
 	}
