Give each step of a job its verdict, and say when steps are missing

Tried on the running quickstart: a claim's holder (instance/number) was named as an instance that is gone; the end of an attempt did not say how it ended; a job keeps 24 steps, and explain called a longer life complete.

--- a/cmd/geraniumwick/read.go
+++ b/cmd/geraniumwick/read.go
@@ -155,9 +155,12 @@
 	return "memory"
 }
 
-// detail returns who did it, at which revision, and why.
+// detail returns the new state of a job, who did it, at which revision, and why.
 func detail(e audit.Entry) string {
 	var parts []string
+	if strings.HasPrefix(e.Event, "job.") && e.After != "" {
+		parts = append(parts, e.After)
+	}
 	if e.Actor != "" {
 		parts = append(parts, "by "+e.Actor)
 	}
--- a/cmd/geraniumwick/session_test.go
+++ b/cmd/geraniumwick/session_test.go
@@ -181,7 +181,10 @@
 		{At: at(0), Instance: "i-dead", Subject: id, Event: "job.submitted", Durable: true},
 		{At: at(1), Instance: "i-dead", Subject: id, Event: "job.started", Attempt: 1, Worker: "w-1", Durable: true},
 		{At: at(20), Instance: "i-dead", Subject: id, Event: "job.evicting", Attempt: 1, Worker: "w-1", Durable: true, Reason: "levy-desk is slow on w-1"},
+		{At: at(24), Instance: "i-dead", Subject: id, Event: "job.ended", Attempt: 1, Worker: "w-1", Durable: true, After: "checkpointed"},
+		{At: at(25), Instance: "i-dead", Subject: id, Event: "job.started", Attempt: 2, Worker: "w-2", Durable: true},
 		{At: at(30), Instance: "i-1", Subject: id, Event: "job.evicting", Attempt: 2, Worker: "w-2", Durable: true, Reason: "data centre cairo-b is out"},
+		{At: at(33), Instance: "i-1", Subject: id, Event: "job.ended", Attempt: 2, Worker: "w-2", Durable: true, After: "lost", Reason: "the worker's lease lapsed"},
 		{At: at(31), Instance: "i-1", Subject: id, Event: audit.EventDropped, Reason: "7 entries of this instance before this time are no longer kept"},
 	}
 	f.silent = []model.InstanceID{"i-2"}
--- a/internal/query/explain.go
+++ b/internal/query/explain.go
@@ -66,7 +66,7 @@
 		return Explanation{}, verdict.New(verdict.NotRun, verdict.ReasonInvalid, "%q must be a job (team/name), a request (service/key) or a section (config/name)", subject)
 	}
 	entries, unreachable, err := h.Trail.Explain(ctx, subject)
-	e := Explanation{Subject: subject, Entries: entries, Unreachable: unreachable}
+	e := Explanation{Subject: subject, Entries: slices.Clone(entries), Unreachable: unreachable}
 	if err != nil && verdict.From(err, verdict.ReasonPeer).Reason != verdict.ReasonUnknown {
 		e.Unknown = append(e.Unknown, "the record in the store could not be read: "+err.Error())
 	}
@@ -76,8 +76,10 @@
 		h.addJob(ctx, &e)
 	}
 	sortEntries(e.Entries)
+	e.complete()
 	h.addGone(ctx, &e)
 	e.addDropped()
+	e.addForgotten()
 	e.addUnreachable()
 	e.Found = e.Job != nil || slices.ContainsFunc(e.Entries, func(entry audit.Entry) bool { return entry.Event != audit.EventDropped })
 	e.addEnded()
@@ -133,6 +135,19 @@
 	}
 }
 
+// addForgotten says that a job with many steps keeps the first and the latest only.
+func (e *Explanation) addForgotten() {
+	steps := 0
+	for _, entry := range e.Entries {
+		if entry.Durable {
+			steps++
+		}
+	}
+	if e.Job != nil && steps >= ledger.MaxSteps {
+		e.Unknown = append(e.Unknown, fmt.Sprintf("the store keeps the first and the latest %d steps of a job; steps between them may be missing", ledger.MaxSteps-1))
+	}
+}
+
 // addGone names the instances that took part and are no longer live.
 func (h *Handlers) addGone(ctx context.Context, e *Explanation) {
 	status, err := h.Cluster.Status(ctx)
--- a/internal/query/query_test.go
+++ b/internal/query/query_test.go
@@ -128,6 +128,43 @@
 	is.Equal(e.Unknown, []string{"3 older edits are no longer kept"})
 }
 
+func TestVerdictOfEachStep(t *testing.T) {
+	cases := []struct{ event, after, want string }{
+		{"job.submitted", "", ""},
+		{"job.started", "", "may-have-run"},
+		{"job.evicting", "", "may-have-run"},
+		{"job.refused", "", "not-run"},
+		{"job.ended", "succeeded", "ran"},
+		{"job.ended", "failed", "ran"},
+		{"job.ended", "checkpointed", "ran"},
+		{"job.ended", "stopped", "ran"},
+		{"job.ended", "lost", "may-have-run"},
+		{"job.ended", "refused", "not-run"},
+		{"job.ended", "some later state", "may-have-run"},
+	}
+	for _, c := range cases {
+		t.Run(c.event+" "+c.after, func(t *testing.T) {
+			is := is.New(t)
+			f := &fakeReader{live: live, entries: []audit.Entry{{Instance: "i-1/7/8", Event: c.event, After: c.after, Durable: true}}}
+			e, err := newHandlers(f, "").Explain(t.Context(), "s/k")
+			is.NoErr(err)
+			is.Equal(e.Entries[0].Verdict, c.want)
+			is.Equal(e.Gone, nil) // the holder of a claim is the instance before the slash
+		})
+	}
+}
+
+func TestLongLifeIsNotCalledComplete(t *testing.T) {
+	is := is.New(t)
+	f := &fakeReader{live: live}
+	for range ledger.MaxSteps {
+		f.entries = append(f.entries, audit.Entry{Instance: "i-1", Event: "job.started", Durable: true})
+	}
+	e, err := newHandlers(f, "").Explain(t.Context(), "s/k")
+	is.NoErr(err)
+	is.True(!e.Complete)
+}
+
 func TestExplainIsInTheOrderOfTime(t *testing.T) {
 	is := is.New(t)
 	f := &fakeReader{live: live, entries: []audit.Entry{
