Drop settings that nothing reads

tick-interval, max-body-bytes, max-answer-bytes and max-requests had no effect: the period and the two sizes are constants of internal/partition and internal/route.

--- a/internal/settings/definitions.go
+++ b/internal/settings/definitions.go
@@ -61,7 +61,6 @@
 	return []definition{
 		{"member-lease-ttl", "5s", "Time after which a silent instance counts as gone.", setDuration(&s.MemberLeaseTTL, time.Second, time.Minute)},
 		{"worker-lease-ttl", "10s", "Time after which a worker without renewal stops its tasks.", setDuration(&s.WorkerLeaseTTL, time.Second, 10*time.Minute)},
-		{"tick-interval", "100ms", "Time between two decisions of a partition.", setDuration(&s.TickInterval, time.Millisecond, 10*time.Second)},
 		{"commit-interval", "20ms", "Shortest time between two appends of a partition.", setDuration(&s.CommitInterval, time.Millisecond, 10*time.Second)},
 		{"config-max-age", "3s", "Longest time from the decision on a start to its arrival at the worker, with the confirmation of the configuration between them; a later start is refused.", setDuration(&s.ConfigMaxAge, 100*time.Millisecond, time.Minute)},
 		{"store-writes-per-second", "40", "Store writes that this instance may make a second.", setInt(&s.StoreWritesPerSecond, 1, 10_000)},
@@ -72,10 +71,7 @@
 func limits(s *Settings) []definition {
 	l := &s.Limits
 	return []definition{
-		{"max-body-bytes", "1048576", "Largest body of a request.", setInt(&l.BodyBytes, 1<<10, 1<<30)},
-		{"max-answer-bytes", "8388608", "Largest answer of a target.", setInt(&l.AnswerBytes, 1<<10, 1<<30)},
 		{"max-header-bytes", "16384", "Largest headers of a request.", setInt(&l.HeaderBytes, 1<<10, 1<<20)},
-		{"max-requests", "1024", "Requests in flight; more are refused as not run.", setInt(&l.Requests, 1, 1_000_000)},
 		{"max-connections", "4096", "Connections of a listener; more wait.", setInt(&l.Connections, 1, 1_000_000)},
 		{"read-header-timeout", "5s", "Time within which the headers of a request must arrive.", setDuration(&l.ReadHeaderTimeout, 100*time.Millisecond, time.Minute)},
 		{"idle-timeout", "1m", "Time after which an idle connection is closed.", setDuration(&l.IdleTimeout, time.Second, time.Hour)},
--- a/internal/settings/setters.go
+++ b/internal/settings/setters.go
@@ -196,9 +196,6 @@
 		}
 		listeners[l.addr] = l.name
 	}
-	if s.TickInterval > s.WorkerLeaseTTL/3 {
-		problems = append(problems, fmt.Sprintf("--tick-interval: is %v, it must be at most a third of --worker-lease-ttl (%v)", s.TickInterval, s.WorkerLeaseTTL))
-	}
 	if (cert == "") != (key == "") {
 		return append(problems, "--tls-cert and --tls-key must be given together")
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -37,7 +37,6 @@
 
 	MemberLeaseTTL time.Duration
 	WorkerLeaseTTL time.Duration
-	TickInterval   time.Duration
 	CommitInterval time.Duration
 	// ConfigMaxAge bounds the time from the decision on a start to its arrival at the worker.
 	// The configuration is confirmed between them, so no start uses an older confirmation.
@@ -60,10 +59,7 @@
 
 // Limits bound what callers and operators can make an instance hold.
 type Limits struct {
-	BodyBytes         int64
-	AnswerBytes       int64
 	HeaderBytes       int
-	Requests          int
 	Connections       int
 	ReadHeaderTimeout time.Duration
 	IdleTimeout       time.Duration
