Make a repeated edit succeed

After an unknown outcome (exit code 3) the operator repeats the command; with the old order the edit lost the race against itself.

--- a/cmd/geraniumwick/apply.go
+++ b/cmd/geraniumwick/apply.go
@@ -53,12 +53,12 @@
 	switch {
 	case expected >= 0:
 		return expected, nil
-	case replace:
+	case replace, current.Text == f.text:
 		return current.Revision, nil
 	case f.hasBase:
 		return f.base, nil
-	case current.Revision == 0 || current.Text == f.text:
-		return current.Revision, nil
+	case current.Revision == 0:
+		return 0, nil
 	}
 	return 0, refusedf("section %q is at revision %d and differs; look at it by config diff, then say --expected %d or --replace", f.name, current.Revision, current.Revision)
 }
--- a/internal/config/editor.go
+++ b/internal/config/editor.go
@@ -77,7 +77,7 @@
 }
 
 // Put replaces the text of a section if the store still has it at the expected revision;
-// zero creates it. The error is a *CheckError or a *ConflictError, after which nothing
+// zero creates it. Putting the text that is there already changes nothing. The error is a *CheckError or a *ConflictError, after which nothing
 // was changed, or a *verdict.Error.
 func (e *Editor) Put(ctx context.Context, name string, text []byte, expected model.Revision, actor string) (Accepted, error) {
 	accepted, err := e.put(ctx, name, text, expected, actor)
@@ -96,11 +96,13 @@
 		return Accepted{}, notStored(err)
 	}
 	base := find(entries, SectionPrefix+name)
-	if model.Revision(base.ModRevision) != expected {
-		return Accepted{}, conflict(name, expected, base)
+	current := model.Revision(base.ModRevision)
+	if current != 0 && decodeEnvelope(base.Value).Text == next.Text {
+		// An edit that is repeated after a lost answer finds its own text.
+		return e.accept(ctx, Accepted{Section: name, Revision: current, Unchanged: true})
 	}
-	if base.ModRevision != 0 && decodeEnvelope(base.Value).Text == next.Text {
-		return e.accept(ctx, Accepted{Section: name, Revision: expected, Unchanged: true})
+	if current != expected {
+		return Accepted{}, conflict(name, expected, base)
 	}
 	if err := e.checkEdit(entries, next); err != nil {
 		return Accepted{}, err
--- a/internal/config/editor_test.go
+++ b/internal/config/editor_test.go
@@ -55,6 +55,18 @@
 	is.Equal(EditFailure(err).Verdict, verdict.NotRun)
 }
 
+func TestRepeatedEditChangesNothing(t *testing.T) {
+	is := is.New(t)
+	store, _, base := storeWithDocument(t)
+	text := []byte(strings.Replace(goodTeam, "milliCPU: 1000", "milliCPU: 2000", 1))
+	first, err := newTestEditor(store, "one").Put(t.Context(), "t", text, base.Revision, "ann")
+	is.NoErr(err)
+	second, err := newTestEditor(store, "two").Put(t.Context(), "t", text, base.Revision, "ann")
+	is.NoErr(err)
+	is.True(second.Unchanged)
+	is.Equal(second.Revision, first.Revision)
+}
+
 func TestEditsOfDifferentSectionsBothSucceed(t *testing.T) {
 	is := is.New(t)
 	store, operators, team := storeWithDocument(t)
