Bound the memory of the audit trail

50,000 entries held 14 MB (288 bytes an entry with four entries a subject; go test -run '^$' -bench Heap -benchtime 5x ./internal/audit), and about twice that until a collection, of the 64 MB that a node may spend. The default is 20,000 now: 5.5 MB. The newest entries are read without a copy of the whole trail.

--- a/internal/audit/trail.go
+++ b/internal/audit/trail.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"sync"
 
 	"github.com/rs/zerolog"
@@ -108,11 +107,16 @@
 func (t *Trail) Recent(limit int) []Entry {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	list := slices.Clone(t.entries[:t.next])
+	kept := t.next
 	if t.full {
-		list = append(slices.Clone(t.entries[t.next:]), list...)
+		kept = len(t.entries)
 	}
-	return list[max(0, len(list)-max(limit, 0)):]
+	list := make([]Entry, 0, min(kept, max(limit, 0)))
+	for age := cap(list); age > 0; age-- {
+		place := (t.next - age + len(t.entries)) % len(t.entries)
+		list = append(list, t.entries[place])
+	}
+	return list
 }
 
 // Dropped returns the number of entries that are no longer kept. While it is above zero,
--- a/internal/audit/trail_test.go
+++ b/internal/audit/trail_test.go
@@ -30,6 +30,8 @@
 		}
 		kept := all[max(0, len(all)-limit):]
 		compare(t, trail.Recent(100), kept)
+		compare(t, trail.Recent(3), kept[max(0, len(kept)-3):])
+		compare(t, trail.Recent(-1), nil)
 		for _, subject := range []string{"a", "b", "c"} {
 			var want []Entry
 			for _, e := range kept {
--- a/internal/settings/definitions.go
+++ b/internal/settings/definitions.go
@@ -82,7 +82,7 @@
 func operation(s *Settings) []definition {
 	ignore := func(string) error { return nil }
 	return []definition{
-		{"audit-entries", "50000", "Entries of the audit trail kept in memory.", setInt(&s.AuditEntries, 100, 10_000_000)},
+		{"audit-entries", "20000", "Entries of the audit trail kept in memory.", setInt(&s.AuditEntries, 100, 10_000_000)},
 		{"drain-timeout", "30s", "Longest time of a planned stop.", setDuration(&s.DrainTimeout, time.Second, time.Hour)},
 		{"log-level", "info", "Least severe level that is logged: debug, info, warn or error.", setLevel(&s.LogLevel)},
 		{tlsCert, "", "File with the certificate of the callers' and operators' listeners, in PEM.", ignore},
