Bound what callers can make the trail and a body hold

A refused call's subject is a part of its path: 16 KB of header for each of the trail's entries. Texts of an entry are shortened to stated lengths. A body that trickles in is given up after 10 s, and one that ends before its stated length is refused as not run even if what came is a valid job.

--- a/internal/audit/trail.go
+++ b/internal/audit/trail.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 
 	"github.com/rs/zerolog"
@@ -10,6 +11,15 @@
 	"github.com/geraniumwick/geraniumwick/internal/platform"
 )
 
+// The longest texts of an entry that the trail keeps, in bytes. Callers choose some of them,
+// and must not be able to fill the memory.
+const (
+	maxSubject = 256
+	maxActor   = 128
+	maxReason  = 512
+	maxChange  = 1024
+)
+
 // Trail keeps the newest entries of one instance in memory and logs each as a JSON line.
 // When it is full the oldest entry is dropped. It is a Recorder.
 type Trail struct {
@@ -46,10 +56,29 @@
 	if e.Instance == "" {
 		e.Instance = t.instance
 	}
+	e.clip()
 	t.keep(e)
 	t.write(e)
 }
 
+// clip shortens the texts of the entry to their limits.
+func (e *Entry) clip() {
+	e.Subject = clip(e.Subject, maxSubject)
+	e.Actor = clip(e.Actor, maxActor)
+	e.Reason = clip(e.Reason, maxReason)
+	e.Before = clip(e.Before, maxChange)
+	e.After = clip(e.After, maxChange)
+}
+
+// clip returns the text, or its beginning if it is longer than limit. The copy lets the rest
+// of a long text be freed.
+func clip(text string, limit int) string {
+	if len(text) <= limit {
+		return text
+	}
+	return strings.ToValidUTF8(strings.Clone(text[:limit]), "") + "..."
+}
+
 // keep stores the entry in place of the oldest.
 func (t *Trail) keep(e Entry) {
 	t.mu.Lock()
--- a/internal/audit/trail_test.go
+++ b/internal/audit/trail_test.go
@@ -81,6 +81,16 @@
 	is.Equal(line["attempt"], 2.0)
 }
 
+func TestLongTextsAreShortened(t *testing.T) {
+	is := is.New(t)
+	trail := NewTrail("i-1", fixedClock{}, zerolog.Nop(), 10)
+	long := strings.Repeat("é", 100_000)
+	trail.Record(Entry{Subject: long, Actor: long, Reason: long, Before: long, After: long})
+	e := trail.Recent(1)[0]
+	is.True(len(e.Subject)+len(e.Actor)+len(e.Reason)+len(e.Before)+len(e.After) < 4_000)
+	is.True(strings.HasSuffix(e.Reason, "é..."))
+}
+
 func TestConcurrentUse(t *testing.T) {
 	trail := NewTrail("i-1", fixedClock{}, zerolog.Nop(), 50)
 	var all sync.WaitGroup
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -1,9 +1,12 @@
 package command
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -178,6 +181,28 @@
 	}
 }
 
+func TestBodyThatEndsEarlyChangesNothing(t *testing.T) {
+	is := is.New(t)
+	backend := &fakeBackend{}
+	h := &Handlers{Jobs: backend, Guard: &access.Guard{Document: testDocument(t)}, Recorder: backend}
+	mux := http.NewServeMux()
+	h.RegisterJobs(mux)
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	is.NoErr(err)
+	defer conn.Close()
+	// The body is a whole job, but shorter than its header says.
+	fmt.Fprintf(conn, "POST /v1/jobs HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", len(goodJob)+1, goodJob)
+	is.NoErr(conn.(*net.TCPConn).CloseWrite())
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	defer answer.Body.Close()
+	is.Equal(answer.StatusCode, http.StatusBadRequest)
+	is.Equal(answer.Header.Get(reply.VerdictHeader), "not-run")
+	is.Equal(backend.changes, 0)
+}
+
 func TestOperatorsCallsAreNotOnTheCallersListener(t *testing.T) {
 	for _, path := range []string{"/v1/config/sections/t?expected=0", "/v1/datacentres/a/out"} {
 		is := is.New(t)
--- a/internal/reply/reply.go
+++ b/internal/reply/reply.go
@@ -7,12 +7,17 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/geraniumwick/geraniumwick/internal/verdict"
 )
 
-// VerdictHeader carries the verdict of an answer.
-const VerdictHeader = "Geraniumwick-Verdict"
+const (
+	// VerdictHeader carries the verdict of an answer.
+	VerdictHeader = "Geraniumwick-Verdict"
+	// bodyTimeout bounds the time in which a body must arrive.
+	bodyTimeout = 10 * time.Second
+)
 
 // JSON writes the value as the answer of a call that was executed.
 func JSON(w http.ResponseWriter, status int, v any) {
@@ -74,8 +79,12 @@
 	}
 }
 
-// Body reads the whole body, at most limit bytes.
+// Body reads the whole body, at most limit bytes, within a fixed time.
 func Body(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	connection := http.NewResponseController(w)
+	// A writer without a connection has no deadline, which is no fault.
+	_ = connection.SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer func() { _ = connection.SetReadDeadline(time.Time{}) }()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	if err == nil {
 		return body, nil
