Refuse a head that fell

A stale read of config/head at a high store revision confirmed a document without the newest accepted edit. The head never falls, so one that is lower than an earlier read is an older store. Seen to fail without the check: TestOlderStoreIsRefused, head older and head missing.

--- a/internal/config/watcher.go
+++ b/internal/config/watcher.go
@@ -180,6 +180,9 @@
 	if err := w.checkStore(seen, h.Store); err != nil {
 		return nil, &UnconfirmedError{Cause: err}
 	}
+	if err := w.checkHead(h); err != nil {
+		return nil, &UnconfirmedError{Cause: err}
+	}
 	if !w.includes(h) {
 		if err := w.relist(ctx); err != nil {
 			return nil, &UnconfirmedError{Cause: err}
@@ -209,7 +212,6 @@
 	if r, refused := w.refused[OperatorsSection]; refused {
 		return nil, &UnconfirmedError{Cause: fmt.Errorf("the operators' section of revision %d is not in force: %s", r.Revision, r.Problem)}
 	}
-	w.accepted = max(w.accepted, h.Accepted)
 	if started.After(w.confirmed) {
 		w.confirmed = started
 	}
@@ -236,6 +238,18 @@
 	return nil
 }
 
+// checkHead refuses a head that is lower than one that was read before: it never falls.
+func (w *Watcher) checkHead(h headRead) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if h.Accepted < w.accepted {
+		w.record(audit.Entry{Event: audit.EventConfigOlder, Subject: HeadKey, Revision: h.Accepted, Reason: fmt.Sprintf("the head is %d, after %d was read", h.Accepted, w.accepted)})
+		return errOlderStore
+	}
+	w.accepted = h.Accepted
+	return nil
+}
+
 // record sends an audit entry.
 func (w *Watcher) record(e audit.Entry) {
 	if w.opts.Recorder == nil {
--- a/internal/config/watcher_test.go
+++ b/internal/config/watcher_test.go
@@ -156,6 +156,12 @@
 			s.revision += 100
 			s.write(HeadKey, []byte(`{"revision":1000}`))
 		}},
+		{"the head is older than one that was read", func(s *fakeStore, _ map[string]platform.KeyValue, _ int64) {
+			s.write(HeadKey, []byte(`{"revision":1}`))
+		}},
+		{"the head is missing", func(s *fakeStore, _ map[string]platform.KeyValue, _ int64) {
+			delete(s.entries, HeadKey)
+		}},
 		{"a section is missing", func(s *fakeStore, _ map[string]platform.KeyValue, _ int64) {
 			delete(s.entries, SectionPrefix+OperatorsSection)
 			s.write(HeadKey, []byte(`{"revision":1000}`))
