Tell the operator what a store outage looks like

Trial with real processes (three instances, store stand-in down): datacentre out ended with exit code 1 after 7 ms, job submit with exit code 3 after 15 s, status said that the store had last answered 20 s ago; datacentre status did not, and explain claimed that the store has no record where none could be read.

--- a/cmd/geraniumwick/datacentre.go
+++ b/cmd/geraniumwick/datacentre.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/url"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -52,6 +54,9 @@
 	DataCentres []dataCentreState `json:"dataCentres"`
 	// Instances lists the live instances by their revision in force.
 	Instances []query.InstanceStatus `json:"instances"`
+	// StoreAge is the time since the store last answered the instance that was asked; what is
+	// shown is as of then.
+	StoreAge time.Duration `json:"storeAge"`
 }
 
 // dataCentreState is one data centre.
@@ -81,7 +86,7 @@
 	if err := c.client.call(ctx, http.MethodGet, "/v1/status", nil, &status); err != nil {
 		return err
 	}
-	result := dataCentres{Revision: operators.Revision, Instances: status.Instances}
+	result := dataCentres{Revision: operators.Revision, Instances: status.Instances, StoreAge: status.StoreAge}
 	for _, dc := range parsed.Operators.DataCentres {
 		result.DataCentres = append(result.DataCentres, dataCentreState{Name: dc.Name, Region: dc.Region, Out: dc.Out})
 	}
@@ -106,6 +111,10 @@
 			c.printf("%s", c.styles.warn("instance "+string(i.ID)+" does not have this in force yet"))
 		}
 	}
+	if d.StoreAge > storeAgeWarning {
+		c.printf("%s", c.styles.warn(fmt.Sprintf("as of %v ago, when the store last answered", d.StoreAge.Round(time.Millisecond))))
+		return
+	}
 	if behind == 0 && len(d.Instances) > 0 {
 		c.printf("in force on all %d live instances", len(d.Instances))
 	}
--- a/cmd/geraniumwick/fake_test.go
+++ b/cmd/geraniumwick/fake_test.go
@@ -87,6 +87,8 @@
 	behind  model.InstanceID
 	entries map[string][]audit.Entry
 	silent  []model.InstanceID
+	// storeAge is the time since the store last answered.
+	storeAge time.Duration
 }
 
 func (f *fakeSystem) Submit(_ context.Context, spec model.JobSpec) (ledger.JobStatus, error) {
@@ -140,7 +142,7 @@
 }
 
 func (f *fakeSystem) Status(context.Context) (query.Status, error) {
-	s := query.Status{Instance: "i-1", StoreAge: 40 * time.Millisecond, Jobs: map[string]int{"queued": len(f.jobs), "transferred": 7}}
+	s := query.Status{Instance: "i-1", StoreAge: f.storeAge, Jobs: map[string]int{"queued": len(f.jobs), "transferred": 7}}
 	s.Workers = query.WorkerCounts{Total: 65, Reachable: 64, Quarantined: 1}
 	if doc, ok := f.watcher.Current(); ok {
 		s.Revision = doc.Revision
@@ -165,7 +167,7 @@
 func startSystem(t *testing.T, token string) (*fakeSystem, string) {
 	t.Helper()
 	store := &memoryStore{entries: map[string]platform.KeyValue{}, revision: 100}
-	f := &fakeSystem{jobs: map[model.JobID]ledger.JobStatus{}, entries: map[string][]audit.Entry{}}
+	f := &fakeSystem{storeAge: 40 * time.Millisecond, jobs: map[model.JobID]ledger.JobStatus{}, entries: map[string][]audit.Entry{}}
 	f.watcher = freshWatcher{config.NewWatcher(store, testClock{}, config.WatcherOptions{})}
 	editor := config.NewEditor(store, testClock{}, "i-1", nil)
 	guard := &access.Guard{Document: f.watcher.Current, OperatorToken: token, Operators: true}
--- a/cmd/geraniumwick/session_test.go
+++ b/cmd/geraniumwick/session_test.go
@@ -123,6 +123,9 @@
 	system.behind = "i-2"
 	s.run("datacentre", "out", "cairo-c", "--wait-limit", "1ms")
 	s.run("datacentre", "status")
+	system.storeAge = 20 * time.Second
+	s.run("datacentre", "status")
+	s.run("status")
 	s.compare("operator")
 }
 
--- a/internal/query/explain.go
+++ b/internal/query/explain.go
@@ -180,7 +180,7 @@
 	if e.Job != nil || slices.ContainsFunc(e.Entries, func(entry audit.Entry) bool { return entry.Durable }) {
 		return
 	}
-	e.Unknown = append(e.Unknown, "the store has no record of it; an instance that has ended may have handled it without one")
+	e.Unknown = append(e.Unknown, "no record of it was read from the store; an instance that has ended may have handled it without one")
 }
 
 // addUnreachable says which live instances did not answer.
