--- a/standin/cluster/instance.go
+++ b/standin/cluster/instance.go
@@ -157,6 +157,11 @@
 	return do(ctx, http.MethodPost, "http://"+i.Caller+"/v1/jobs", body, nil)
 }
 
+// Cancel withdraws a job.
+func (i *Instance) Cancel(ctx context.Context, id model.JobID) error {
+	return do(ctx, http.MethodDelete, "http://"+i.Caller+"/v1/jobs/"+string(id), nil, nil)
+}
+
 // Job returns what the system knows of a job.
 func (i *Instance) Job(ctx context.Context, id model.JobID) (ledger.JobStatus, error) {
 	var out ledger.JobStatus
