--- a/internal/journal/fake_test.go
+++ b/internal/journal/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -21,7 +22,7 @@
 	lostAfter           // the call takes effect and its answer is lost
 	delayedWrite        // the call is reported lost and takes effect after the next call
 	delayedBeyond       // the call is reported lost and takes effect when released
-	staleRead           // a read returns the version before the last write of the key
+	staleRead           // a read returns what the store held before the last write
 	allFaults
 	// The following end or interrupt the caller and are used by histories only.
 	cancelBefore // the caller gives up; the call has no effect
@@ -43,11 +44,13 @@
 	revision int64
 	values   map[string]platform.KeyValue
 	previous map[string]platform.KeyValue
-	late     []func()
-	held     []func()
-	calls    int
-	writes   int
-	bytes    int
+	// former holds all entries as they were before the last write.
+	former map[string]platform.KeyValue
+	late   []func()
+	held   []func()
+	calls  int
+	writes int
+	bytes  int
 	// fault chooses the fault of the call with the given number, from 1.
 	fault func(call int) fault
 	// blind makes the store ignore the expected version.
@@ -142,8 +145,12 @@
 	case notSent, lostBefore, lostAfter, cancelBefore, cancelAfter, cancelHeld:
 		return nil, 0, failed("list", false)
 	}
+	image := s.values
+	if f == staleRead {
+		image = s.former
+	}
 	var found []platform.KeyValue
-	for key, value := range s.values {
+	for key, value := range image {
 		if strings.HasPrefix(key, prefix) {
 			found = append(found, value)
 		}
@@ -211,6 +218,7 @@
 	s.writes++
 	s.bytes += len(value)
 	s.previous[key] = current
+	s.former = maps.Clone(s.values)
 	s.values[key] = platform.KeyValue{Key: key, Value: value, ModRevision: s.revision}
 	if s.applied != nil {
 		s.applied(key, value)
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"github.com/geraniumwick/geraniumwick/internal/journal"
 	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/platform"
 )
 
 // config returns a configuration with a small ring and quick retries.
@@ -191,3 +193,22 @@
 	is.NoErr(err)
 	is.Equal(texts(replay), []string{"one"})
 }
+
+func TestStoreThatWentBackEndsTheOwnership(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := newFakeStore()
+	j, _, err := journal.Open(ctx, store, config("a"))
+	is.NoErr(err)
+	var older map[string]platform.KeyValue
+	for i := range 10 {
+		is.NoErr(j.Append(ctx, fmt.Append(nil, i)))
+		if i == 1 {
+			older = maps.Clone(store.values)
+		}
+	}
+	store.values = older
+	var corrupt *journal.CorruptError
+	is.True(errors.As(j.Append(ctx, []byte("lost")), &corrupt)) // acknowledged entries are gone
+	is.True(errors.As(j.Append(ctx, []byte("lost")), &corrupt)) // and the owner stops for good
+}
