Play slow renewals, back off while the store fails, and test what Place and Forget refuse

Histories now let lease requests and answers arrive late. A renewal that is still on its way must count from the moment it is sent: an owner that counted it once it was answered executed attempts 1 and 2 of a job at the same time (TestCheckerFindsBreakage, session slow-renewal; random histories did not meet it). The pause now doubles up to 1.6 s, with jitter. Compressors are kept for reuse.

--- a/internal/journal/breakage_test.go
+++ b/internal/journal/breakage_test.go
@@ -22,6 +22,7 @@
 		{"a start is sent before its record is durable", breakage{sendEarly: true}, nil},
 		{"workers are listed before they have seen the epoch", breakage{listUnfenced: true}, nil},
 		{"a lease is taken for lapsed right after its renewal", breakage{goneEarly: true}, playRenewedLease},
+		{"a renewal counts only once it is answered", breakage{lateExpiry: true}, playSlowRenewal},
 		{"a report is acknowledged before its record is durable", breakage{ackEarly: true}, nil},
 		{"a deposed owner goes on sending", breakage{noDeposal: true}, nil},
 		{"a claim is granted before its record is durable", breakage{forgetClaim: true}, nil},
--- a/internal/journal/encode.go
+++ b/internal/journal/encode.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/flate"
 	"io"
+	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -60,13 +61,21 @@
 	return value, nil
 }
 
+// compressors holds idle compressors, whose tables are much larger than most values.
+var compressors = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(io.Discard, flate.BestSpeed)
+	if err != nil {
+		panic(err) // the level is constant
+	}
+	return w
+}}
+
 // compress returns the compressed store value of the plain bytes.
 func compress(plain []byte) ([]byte, error) {
 	buffer := bytes.NewBuffer([]byte{formatFlate})
-	w, err := flate.NewWriter(buffer, flate.BestSpeed)
-	if err != nil {
-		return nil, err
-	}
+	w := compressors.Get().(*flate.Writer)
+	defer compressors.Put(w)
+	w.Reset(buffer)
 	if _, err := w.Write(plain); err != nil {
 		return nil, err
 	}
--- a/internal/journal/history_test.go
+++ b/internal/journal/history_test.go
@@ -55,6 +55,7 @@
 	h.store.blind = broken.blindWrites
 	h.calm = rapid.SampledFrom([]int{2, 8, 40}).Draw(t, "calm")
 	h.world.lost = func(string) bool { return rapid.IntRange(1, h.calm).Draw(t, "lost") == 1 }
+	h.world.slow = func(string) bool { return rapid.IntRange(1, h.calm).Draw(t, "slow") == 1 }
 	if testing.Verbose() && os.Getenv("TRACE") != "" {
 		h.trace = func(format string, args ...any) { t.Logf(format, args...) }
 	}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -41,8 +41,10 @@
 	MinSlots = 8
 	// MaxValue is the largest value of the store, in bytes.
 	MaxValue = 1 << 20
-	// DefaultRetryDelay is the pause before a failed store call is repeated.
+	// DefaultRetryDelay is the pause before a failed store call is repeated for the first time.
 	DefaultRetryDelay = 50 * time.Millisecond
+	// maxBackoff is the longest pause between retries, as a multiple of the first one.
+	maxBackoff = 32
 	// maxConflicts bounds how often Open reads the ring again because it changed.
 	maxConflicts = 16
 )
@@ -55,8 +57,8 @@
 	// Slots is the number of keys of the ring, at least MinSlots. It must not change while
 	// the partition exists. Zero means DefaultSlots.
 	Slots int
-	// RetryDelay is the pause before a failed store call is repeated. Zero means
-	// DefaultRetryDelay.
+	// RetryDelay is the pause before a failed store call is repeated; it doubles with each
+	// failure up to a limit. Zero means DefaultRetryDelay.
 	RetryDelay time.Duration
 }
 
--- a/internal/journal/owner_test.go
+++ b/internal/journal/owner_test.go
@@ -14,14 +14,18 @@
 	"github.com/geraniumwick/geraniumwick/internal/verdict"
 )
 
-// startWindow is the time from a placement to its NotAfter.
-const startWindow = 3 * time.Second
+// The time from a message to its NotAfter.
+const (
+	startWindow = 3 * time.Second
+	leaseWindow = 2 * time.Second
+)
 
 // breakage is a mechanism that a test switches off to see the checker fail.
 type breakage struct {
 	sendEarly      bool // messages go out before their records are durable
 	listUnfenced   bool // workers are listed without raising the epoch
 	goneEarly      bool // a lease is taken for lapsed although it was just renewed
+	lateExpiry     bool // a renewal counts only once it is answered
 	ackEarly       bool // reports are acknowledged before their records are durable
 	noDeposal      bool // a deposed owner goes on sending what it could not write
 	forgetClaim    bool // a grant is told before its record is durable
@@ -32,8 +36,9 @@
 
 // contact is what an owner knows of a worker.
 type contact struct {
-	fenced    bool
-	renewed   time.Time
+	fenced bool
+	// expires is when the last renewal can no longer be accepted.
+	expires   time.Time
 	processed uint64
 	durable   uint64
 }
@@ -262,32 +267,55 @@
 	})
 }
 
-// visit renews the lease of a worker and takes its complete list.
+// visit renews the lease of a worker and asks for its complete list. Both the request and
+// the answer may be lost or slow.
 func (o *owner) visit(w *fakeWorker) {
 	c := o.contacts[w.worker.ID]
 	if o.dead || !o.mayRenew() || o.world.lost("lease request") {
 		return
 	}
 	asked := o.world.now
-	c.renewed = asked
-	request := platform.LeaseRequest{Partition: o.part.number, Owner: o.id, Epoch: o.journal.Epoch(), TTL: leaseTTL, Acknowledged: c.durable, All: true}
+	request := platform.LeaseRequest{Partition: o.part.number, Owner: o.id, Epoch: o.journal.Epoch(), TTL: leaseTTL,
+		NotAfter: asked.Add(leaseWindow), Acknowledged: c.durable, All: true}
 	if o.world.broken.listUnfenced {
 		request.Epoch = w.epoch
 	}
 	if o.world.broken.ackEarly {
 		request.Acknowledged = c.processed
 	}
-	reply, err := w.lease(asked, request)
-	if err != nil {
-		o.die("stale epoch")
+	if !o.world.broken.lateExpiry {
+		c.expires = request.NotAfter
+	}
+	o.world.pass("lease request", func() {
+		reply, err := w.lease(o.world.now, request)
+		if o.world.lost("lease answer") {
+			return
+		}
+		o.world.pass("lease answer", func() { o.answered(w, asked, reply, err) })
+	})
+}
+
+// answered takes the answer to a lease request.
+func (o *owner) answered(w *fakeWorker, asked time.Time, reply platform.LeaseReply, err error) {
+	if o.dead || errors.Is(err, errRefused) {
 		return
 	}
-	if o.world.lost("lease answer") {
+	if err != nil {
+		o.die("stale epoch")
 		return
 	}
+	c := o.contacts[w.worker.ID]
+	c.expires = laterOf(c.expires, asked.Add(leaseWindow))
 	o.listed(w, c, asked, reply.Reports)
 }
 
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // mayRenew reports whether the owner may renew leases; it confirms its ownership if needed.
 func (o *owner) mayRenew() bool {
 	if o.world.broken.endlessRenewal || o.world.now.Sub(o.confirmed) < ledger.MaxUnconfirmed {
@@ -348,7 +376,7 @@
 // giveUp takes a worker for gone once its lease has surely lapsed.
 func (o *owner) giveUp(w *fakeWorker) {
 	c := o.contacts[w.worker.ID]
-	lapsed := o.world.now.Sub(c.renewed) > leaseTTL+ledger.MaxClockSkew
+	lapsed := o.world.now.After(c.expires.Add(leaseTTL + ledger.MaxClockSkew))
 	if o.dead || !lapsed && !o.world.broken.goneEarly {
 		return
 	}
--- a/internal/journal/session_test.go
+++ b/internal/journal/session_test.go
@@ -32,6 +32,7 @@
 	{"deposed-owner-wakes", playDeposedOwner},
 	{"renewed-lease", playRenewedLease},
 	{"unreached-worker", playUnreachedWorker},
+	{"slow-renewal", playSlowRenewal},
 }
 
 // round lets an owner visit its workers, write, and have its messages delivered.
@@ -199,6 +200,28 @@
 	w.drain()
 }
 
+// A renewal is on its way while the owner judges from the renewals before it.
+func playSlowRenewal(w *world) {
+	o := begin(w)
+	w.slow = func(what string) bool { return what == "lease request" }
+	w.advance(5 * time.Second)
+	o.visit(o.part.workers[0])
+	w.slow = func(string) bool { return false }
+	w.lost = func(what string) bool { return what == "lease answer" }
+	w.advance(900 * time.Millisecond)
+	w.deliverAll()
+	w.lost = func(string) bool { return false }
+	for range 3 { // the lease lapses at 11.9 s, and the owner may say so after 15 s
+		w.advance(4400 * time.Millisecond)
+		o.visit(o.part.workers[1])
+		o.giveUp(o.part.workers[0])
+		o.place("j", o.part.workers[1], 4)
+		o.flush()
+		w.deliverAll()
+	}
+	w.drain()
+}
+
 func TestSessions(t *testing.T) {
 	for _, s := range sessions {
 		t.Run(s.name, func(t *testing.T) {
--- a/internal/journal/size_test.go
+++ b/internal/journal/size_test.go
@@ -16,8 +16,8 @@
 	"github.com/geraniumwick/geraniumwick/internal/verdict"
 )
 
-// live takes a job through a number of attempts and leaves it running.
-func live(is *is.I, l *ledger.Ledger, random *rand.Rand, spec model.JobSpec, now time.Time, attempts int) {
+// live takes a job through a number of attempts and leaves it running or finished.
+func live(is *is.I, l *ledger.Ledger, random *rand.Rand, spec model.JobSpec, now time.Time, attempts int, finished bool) {
 	_, err := l.Submit(now, spec)
 	is.NoErr(err)
 	for n := 1; n <= attempts; n++ {
@@ -25,8 +25,11 @@
 		w := model.Worker{ID: model.WorkerID(fmt.Sprintf("cairo-a-rack07-w%04d", random.IntN(20))), Capacity: model.Resources{MilliCPU: 1 << 40, MemoryMB: 1 << 40}}
 		reason := fmt.Sprintf("best score %.2f of %d workers", random.Float64(), random.IntN(20))
 		is.NoErr(l.Place(now, ledger.Placement{Job: spec.ID, Worker: w, Reservation: spec.Declared, NotAfter: now.Add(startWindow), Reason: reason}))
-		if n < attempts {
-			r := platform.AttemptReport{Attempt: model.AttemptID{Job: spec.ID, Number: uint32(n)}, State: model.AttemptFailed, Error: "exit status 1"}
+		r := platform.AttemptReport{Attempt: model.AttemptID{Job: spec.ID, Number: uint32(n)}, State: model.AttemptFailed, Error: "exit status 1"}
+		if n == attempts {
+			r = platform.AttemptReport{Attempt: r.Attempt, State: model.AttemptSucceeded}
+		}
+		if n < attempts || finished {
 			is.NoErr(l.Report(now.Add(time.Second), w.ID, r))
 		}
 		l.Take()
@@ -36,13 +39,13 @@
 // TestStateFitsOneValue writes states as snapshots and compares them with the largest value.
 func TestStateFitsOneValue(t *testing.T) {
 	cases := []struct {
-		sentence                         string
-		jobs, attempts, payload, claimed int
-		limit                            int
+		sentence                                   string
+		jobs, finished, attempts, payload, claimed int
+		limit                                      int
 	}{
-		{"the target's partition, with 300 running and 220 ended jobs, needs a quarter", 520, 2, 256, 1000, journal.MaxValue / 4},
-		{"2,000 running tasks need less than half", 2000, 1, 64, 1000, journal.MaxValue / 2},
-		{"a ledger at all its limits fits", ledger.MaxJobs, ledger.MaxSteps / 2, ledger.MaxSpecBytes/ledger.MaxJobs - 60, 3700, journal.MaxValue},
+		{"the target's partition, with 300 running and 220 ended jobs, needs a quarter", 520, 220, 2, 256, 1000, journal.MaxValue / 4},
+		{"2,000 running tasks need less than half", 2000, 0, 1, 64, 1000, journal.MaxValue / 2},
+		{"a ledger at all its limits fits", ledger.MaxJobs, 0, ledger.MaxSteps / 2, ledger.MaxSpecBytes/ledger.MaxJobs - 60, 3700, journal.MaxValue},
 	}
 	for _, c := range cases {
 		t.Run(c.sentence, func(t *testing.T) {
@@ -50,8 +53,8 @@
 			now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 			random := rand.New(rand.NewPCG(4, 4))
 			l := ledger.New(0)
-			for range c.jobs {
-				live(is, l, random, randomSpec(random, c.payload), now, c.attempts)
+			for i := range c.jobs {
+				live(is, l, random, randomSpec(random, c.payload), now, c.attempts, i < c.finished)
 			}
 			for i := range c.claimed {
 				r := ledger.ClaimRequest{Key: model.RequestKey(fmt.Sprintf("levy-desk/%016x", random.Uint64())),
--- a/internal/journal/worker_test.go
+++ b/internal/journal/worker_test.go
@@ -38,6 +38,9 @@
 	if r.Epoch < w.epoch {
 		return platform.LeaseReply{}, &platform.StaleEpochError{Seen: w.epoch}
 	}
+	if now.Add(w.offset).After(r.NotAfter) {
+		return platform.LeaseReply{}, errRefused
+	}
 	w.epoch = r.Epoch
 	w.leaseUntil = now.Add(r.TTL)
 	var kept []platform.AttemptReport
--- a/internal/journal/world_test.go
+++ b/internal/journal/world_test.go
@@ -35,6 +35,8 @@
 	broken    breakage
 	// lost decides whether a message between an owner and a worker is lost.
 	lost func(what string) bool
+	// slow decides whether it arrives later, at its own time.
+	slow func(what string) bool
 	// accepted holds the jobs whose submission was acknowledged, and those whose
 	// cancellation was acknowledged as final.
 	accepted, cancelled map[model.JobID]bool
@@ -48,6 +50,7 @@
 		store:     newFakeStore(),
 		check:     newChecker(),
 		lost:      func(string) bool { return false },
+		slow:      func(string) bool { return false },
 		accepted:  map[model.JobID]bool{},
 		cancelled: map[model.JobID]bool{},
 		trace:     func(string, ...any) {},
@@ -87,6 +90,15 @@
 	w.network = append(w.network, message{name, deliver})
 }
 
+// pass delivers a message at once or puts it on the network.
+func (w *world) pass(name string, deliver func()) {
+	if w.slow(name) {
+		w.post(name, deliver)
+		return
+	}
+	deliver()
+}
+
 // deliver delivers a message, and keeps a copy of it on the way if repeat is set.
 func (w *world) deliver(i int, repeat bool) {
 	m := w.network[i]
@@ -158,6 +170,7 @@
 	w.store.fault = nil
 	w.store.releaseHeld()
 	w.lost = func(string) bool { return false }
+	w.slow = w.lost
 	var last []*owner
 	for _, p := range w.parts {
 		o := p.open(w)
--- a/internal/journal/write.go
+++ b/internal/journal/write.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/geraniumwick/geraniumwick/internal/platform"
@@ -21,6 +22,7 @@
 
 // perform repeats the identical compare-and-swap until its outcome is known or ctx ends.
 func (j *Journal) perform(ctx context.Context, w *write) (outcome, error) {
+	delay := j.config.RetryDelay
 	for {
 		if err := ctx.Err(); err != nil {
 			return outcome{}, err
@@ -29,12 +31,18 @@
 		if known {
 			return result, nil
 		}
-		if pause(ctx, j.config.RetryDelay) != nil {
+		if pause(ctx, jitter(delay)) != nil {
 			return outcome{}, err
 		}
+		delay = min(2*delay, maxBackoff*j.config.RetryDelay)
 	}
 }
 
+// jitter spreads the retries of many partitions over the second half of the delay.
+func jitter(delay time.Duration) time.Duration {
+	return delay/2 + rand.N(delay/2+1)
+}
+
 // try sends the write once. After an unknown outcome it reads the key.
 func (j *Journal) try(ctx context.Context, w *write) (result outcome, known bool, err error) {
 	swapped, err := j.store.Swap(ctx, w.key, w.expected, w.value, 0)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -129,6 +129,69 @@
 	is.NoErr(l.Place(at(8), placement("j2", "w1", at(8))))
 }
 
+func TestPlaceRefuses(t *testing.T) {
+	cases := []struct {
+		sentence string
+		change   func(p *ledger.Placement)
+		reason   verdict.Reason
+	}{
+		{"an unknown job", func(p *ledger.Placement) { p.Job = "unknown" }, verdict.ReasonUnknown},
+		{"a worker that the platform withdraws", func(p *ledger.Placement) { p.Worker.Leaving = true }, verdict.ReasonWorker},
+		{"a start that has expired", func(p *ledger.Placement) { p.NotAfter = at(2) }, verdict.ReasonDeadline},
+		{"a negative reservation", func(p *ledger.Placement) { p.Reservation.MemoryMB = -1 }, verdict.ReasonInvalid},
+		{"too much processor time", func(p *ledger.Placement) { p.Reservation.MilliCPU = 11 }, verdict.ReasonUnfeasible},
+		{"too much memory", func(p *ledger.Placement) { p.Reservation.MemoryMB = 11 }, verdict.ReasonUnfeasible},
+		{"too many accelerators", func(p *ledger.Placement) { p.Reservation.Accelerators = 2 }, verdict.ReasonUnfeasible},
+	}
+	for _, c := range cases {
+		t.Run(c.sentence, func(t *testing.T) {
+			is := is.New(t)
+			l := owned()
+			_, err := l.Submit(at(1), spec("j"))
+			is.NoErr(err)
+			l.Take()
+			p := placement("j", "w1", at(2))
+			c.change(&p)
+			err = l.Place(at(2), p)
+			is.Equal(verdict.Of(err), verdict.NotRun)
+			is.Equal(verdict.From(err, "").Reason, c.reason)
+			records, actions := l.Take()
+			is.Equal(len(records), 0) // a refused placement changes nothing
+			is.Equal(len(actions.Starts), 0)
+			is.Equal(state(l), model.JobQueued)
+		})
+	}
+}
+
+func TestForgetKeepsWhatIsStillNeeded(t *testing.T) {
+	is := is.New(t)
+	l := running(is)
+	claim := func(key model.RequestKey, exclusive bool) {
+		_, err := l.Claim(at(3), ledger.ClaimRequest{Key: key, Holder: "h", Exclusive: exclusive, Deadline: at(60)})
+		is.NoErr(err)
+	}
+	claim("once", false)
+	claim("exclusive", true)
+	claim("settled", true)
+	is.NoErr(l.Settle(at(4), "settled", "h", verdict.Ran))
+
+	l.Forget(at(600)) // the holders did not settle in time
+	is.Equal(len(l.Claims()), 2)
+	for _, c := range l.Claims() {
+		is.Equal(c.Verdict, verdict.MayHaveRun)
+	}
+	l.Forget(at(60).Add(ledger.ClaimRetention + time.Second))
+	is.Equal(len(l.Claims()), 1) // an exclusive key that may have run is kept
+	is.Equal(l.Claims()[0].Key, model.RequestKey("exclusive"))
+	l.Forget(at(60).Add(100 * ledger.JobRetention))
+	is.Equal(state(l), model.JobRunning) // a job that has not ended is never dropped
+
+	is.NoErr(l.Report(at(700), "w1", report(model.AttemptSucceeded)))
+	l.Forget(at(700).Add(ledger.JobRetention + time.Second))
+	_, found := l.Job("j")
+	is.True(!found)
+}
+
 func TestListedResolvesFormerOwnersOnly(t *testing.T) {
 	is := is.New(t)
 	l := running(is)
