--- a/internal/schedule/relief.go
+++ b/internal/schedule/relief.go
@@ -30,6 +30,10 @@
 	reliefMargin = 0.1
 	// leastHarm is the predicted growth below which a throttle is not worth it.
 	leastHarm = 0.005
+	// maximumThrottled is the share of a run of at least longRun from which an attempt is not
+	// throttled again.
+	maximumThrottled = 0.5
+	longRun          = 2 * time.Minute
 	// harmlessShare is the harm per processor, relative to the worst attempt, below which
 	// an attempt is not throttled for what others cause.
 	harmlessShare = 0.3
@@ -215,6 +219,13 @@
 	}
 }
 
+// heldLong reports whether the attempt was throttled for so much of its run that it is
+// spared, so that every task makes progress.
+func (a *resident) heldLong(now time.Time) bool {
+	age := now.Sub(a.from)
+	return age > longRun && a.throttledFor > time.Duration(maximumThrottled*float64(age))
+}
+
 // reliefAt predicts the relief of throttling the attempt to the share.
 func (a *resident) reliefAt(share float64, harm func(*resident) float64) float64 {
 	left := min(a.cpu, share*float64(a.reservation.MilliCPU))
@@ -232,7 +243,7 @@
 	lowest := r.lowestThrottle()
 	var candidates []*resident
 	for _, a := range n.state.residents {
-		if a.reliable() && a.share > lowest && harm(a) > leastHarm {
+		if a.reliable() && a.share > lowest && harm(a) > leastHarm && !a.heldLong(r.snapshot.Now) {
 			candidates = append(candidates, a)
 		}
 	}
--- a/internal/schedule/worker.go
+++ b/internal/schedule/worker.go
@@ -30,8 +30,11 @@
 	share float64
 	// throttledUntil is the last time at which a throttle was in force.
 	throttledUntil time.Time
-	progress       float64
-	evicting       bool
+	// throttledFor is how long throttles were in force up to syncedAt.
+	throttledFor time.Duration
+	syncedAt     time.Time
+	progress     float64
+	evicting     bool
 	// evictedAt is when this scheduler asked for the eviction.
 	evictedAt time.Time
 	samples   int
@@ -155,7 +158,11 @@
 	}
 	if a.share < 1 {
 		a.throttledUntil = now
+		if !a.syncedAt.IsZero() {
+			a.throttledFor += now.Sub(a.syncedAt)
+		}
 	}
+	a.syncedAt = now
 }
 
 func (w *workerState) expire(now time.Time) {
