--- a/internal/schedule/episodes_test.go
+++ b/internal/schedule/episodes_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -17,6 +18,7 @@
 	reportFlag  = flag.Bool("report", false, "run the report of all episodes")
 	seedsFlag   = flag.String("seeds", "1,2,3", "seeds of the report")
 	episodeFlag = flag.String("episode", "", "only episodes whose name contains this")
+	variantFlag = flag.String("variant", "", "no-usage, no-latency or no-relief: the scheduler without it")
 	cellFlag    = flag.String("deployment", "", "only the deployment with this name")
 )
 
@@ -89,12 +91,56 @@
 	}
 }
 
+// without is the scheduler with one kind of input or output taken away.
+type without struct {
+	*Scheduler
+	usage, latency, relief bool
+}
+
+// Observe drops the usage or the latency samples.
+func (w without) Observe(s WorkerSamples) {
+	if w.usage {
+		s.Usage = nil
+	}
+	if w.latency {
+		s.Services = nil
+	}
+	w.Scheduler.Observe(s)
+}
+
+// Plan drops every relief but the evacuation of a data centre.
+func (w without) Plan(s *Snapshot) Plan {
+	plan := w.Scheduler.Plan(s)
+	if w.relief {
+		dataCentre := map[model.WorkerID]model.DataCentre{}
+		for i := range s.Workers {
+			dataCentre[s.Workers[i].Worker.ID] = s.Workers[i].Worker.DataCentre
+		}
+		plan.Reliefs = slices.DeleteFunc(plan.Reliefs, func(r Relief) bool { return !s.Document.DataCentreOut(dataCentre[r.Worker]) })
+	}
+	return plan
+}
+
+// variant returns the scheduler that -variant names.
+func variant(seed uint64, w config.Weights) Policy {
+	s := New(seed, w)
+	switch *variantFlag {
+	case "no-usage":
+		return without{Scheduler: s, usage: true}
+	case "no-latency":
+		return without{Scheduler: s, latency: true}
+	case "no-relief":
+		return without{Scheduler: s, relief: true}
+	}
+	return s
+}
+
 // runPair plays one scenario under the naive version, under the scheduler, and under the
 // scheduler with the naive version's random choice of runners.
 func runPair(d deployment, s scenario, seed uint64) (n, ours, oursRandom result) {
 	n = newCell(d, s, newNaive(), false, seed).run()
-	ours = newCell(d, s, New(seed, d.weights), true, seed).run()
-	oursRandom = newCell(d, s, New(seed, d.weights), false, seed).run()
+	ours = newCell(d, s, variant(seed, d.weights), true, seed).run()
+	oursRandom = newCell(d, s, variant(seed, d.weights), false, seed).run()
 	return n, ours, oursRandom
 }
 
