Admit batch work by the predicted growth of latencies

Cause: the limit of admission (1.5 times the limit of relief) never bound, so workers filled up and were throttled later.

--- a/internal/schedule/round.go
+++ b/internal/schedule/round.go
@@ -48,7 +48,7 @@
 		parked:    map[model.JobID]bool{},
 		effects:   map[model.JobClass][]float64{},
 	}
-	r.admission = math.Log(admissionMargin * (looseLimit + r.goals.tail*(strictLimit-looseLimit)))
+	r.admission = math.Log(admissionLimit) * (1 - r.goals.tail)
 	for team, use := range snapshot.TeamUse {
 		r.teamUse[team] = use
 	}
--- a/internal/schedule/score.go
+++ b/internal/schedule/score.go
@@ -15,8 +15,11 @@
 	riskScale = 1.0
 	// safeMemory is the share of a worker's memory whose absence is a risk of eviction.
 	safeMemory = 0.08
-	// admissionMargin is the factor over the latency limit up to which batch work is placed.
-	admissionMargin = 1.5
+	// admissionLimit is the growth of a latency up to which batch work is placed, if the tail
+	// latency does not count. Its logarithm falls to 0 as the weight of the tail latency rises.
+	admissionLimit = 2.0
+	// harmlessGrowth is the growth, as a logarithm, that batch work may always add.
+	harmlessGrowth = 0.01
 	// maximumGrowth bounds a predicted growth, so that one bad estimate cannot exceed a float.
 	maximumGrowth = 5
 )
@@ -99,11 +102,11 @@
 // a service far beyond its limit or leave its targets too few idle slots.
 func (r *round) cost(n *node, q *QueuedJob, reservation model.Resources, effects []float64) (placementCost, bool) {
 	c := placementCost{packing: packingCost(n, reservation)}
-	tail, worst, busiest := n.tailCost(reservation, effects)
+	tail, worst, added, busiest := n.tailCost(reservation, effects)
 	c.tail = tail
 	c.risk = riskCost(n, reservation)
 	c.total = (1-r.goals.tail)*c.packing + r.goals.tail*tailScale*c.tail + r.goals.evictions*riskScale*c.risk
-	admitted := q.Spec.Priority != model.PriorityBatch || (worst <= r.admission && busiest <= busyLimit)
+	admitted := q.Spec.Priority != model.PriorityBatch || (busiest <= busyLimit && (worst <= r.admission || added <= harmlessGrowth))
 	return c, admitted
 }
 
@@ -119,17 +122,19 @@
 }
 
 // tailCost is the predicted growth of the latencies on the node through the placement, the
-// worst predicted growth after it as a logarithm, and the highest share of busy slots. It is convex: the tail of a service
+// worst predicted growth after it and the most added by it as logarithms, and the highest
+// share of busy slots after it. It is convex: the tail of a service
 // over all workers is made by the worst of them.
-func (n *node) tailCost(reservation model.Resources, effects []float64) (cost, worst, busiest float64) {
+func (n *node) tailCost(reservation model.Resources, effects []float64) (cost, worst, added, busiest float64) {
 	share := ratio(reservation.MilliCPU, n.view.Worker.Capacity.MilliCPU)
 	for _, p := range n.state.pairs {
 		after := min(maximumGrowth, p.growth+effects[p.index]*share)
 		cost += p.load * (convex(after) - p.convex)
 		worst = max(worst, after)
+		added = max(added, after-p.growth)
 		busiest = max(busiest, p.load*(1+after-p.growth))
 	}
-	return cost, worst, busiest
+	return cost, worst, added, busiest
 }
 
 // convex weighs the growth of a latency: its square.
