Let the wait of a job relax its admission

Now the logarithm of the limit doubles with each three minutes of waiting, counted from the end of the last attempt.

--- a/internal/schedule/hold.go
+++ b/internal/schedule/hold.go
@@ -45,7 +45,7 @@
 // is held yet.
 func (r *round) holdFor(q *QueuedJob, j *jobState, reservation model.Resources) {
 	now := r.snapshot.Now
-	if r.scheduler.hold.job != "" || now.Sub(q.Submitted) < holdAfter {
+	if r.scheduler.hold.job != "" || now.Sub(waitingSince(q, j)) < holdAfter {
 		return
 	}
 	var best *node
--- a/internal/schedule/quarantine.go
+++ b/internal/schedule/quarantine.go
@@ -50,7 +50,9 @@
 	failedOn []failure
 	failures int
 	// notBefore is the time before which the job is not tried again.
-	notBefore   time.Time
+	notBefore time.Time
+	// queuedAt is the end of the last attempt.
+	queuedAt    time.Time
 	memoryFloor int64
 	evictedAt   time.Time
 	preemptedAt time.Time
@@ -82,6 +84,7 @@
 func (s *Scheduler) Ended(e AttemptEnd) {
 	w := s.worker(e.Worker)
 	a := w.end(e)
+	s.job(e.ID.Job, e.At).queuedAt = e.At
 	switch e.State {
 	case model.AttemptSucceeded:
 		s.succeeded(w, e)
--- a/internal/schedule/score.go
+++ b/internal/schedule/score.go
@@ -18,6 +18,9 @@
 	// admissionLimit is the growth of a latency up to which batch work is placed, if the tail
 	// latency does not count. Its logarithm falls to 0 as the weight of the tail latency rises.
 	admissionLimit = 2.0
+	// admissionPatience is the wait in which the logarithm of the limit doubles, so that a
+	// job that is too noisy for every worker is not held back for ever.
+	admissionPatience = 3 * time.Minute
 	// harmlessGrowth is the growth, as a logarithm, that batch work may always add.
 	harmlessGrowth = 0.01
 	// maximumGrowth bounds a predicted growth, so that one bad estimate cannot exceed a float.
@@ -80,6 +83,7 @@
 		return nil, bestCost
 	}
 	effects := r.effectsOf(q.Spec.Class)
+	limit := r.admissionFor(q, j)
 	offset := r.scheduler.random.IntN(len(r.nodes))
 	for i := range r.nodes {
 		k := i + offset
@@ -90,7 +94,7 @@
 		if !r.feasible(n, &q.Spec, reservation) || !n.state.health.mayProbe(&q.Spec) || j.failedHere(n.view.Worker.ID) {
 			continue
 		}
-		cost, admitted := r.cost(n, q, reservation, effects)
+		cost, admitted := r.cost(n, q, reservation, effects, limit)
 		if admitted && (best == nil || cost.total < bestCost.total) {
 			best, bestCost = n, cost
 		}
@@ -98,15 +102,29 @@
 	return best, bestCost
 }
 
+// admissionFor returns the growth of a latency, as a logarithm, up to which the job is placed.
+func (r *round) admissionFor(q *QueuedJob, j *jobState) float64 {
+	waited := r.snapshot.Now.Sub(waitingSince(q, j))
+	return r.admission * (1 + max(0, waited.Seconds())/admissionPatience.Seconds())
+}
+
+// waitingSince returns when the job was queued for its next attempt.
+func waitingSince(q *QueuedJob, j *jobState) time.Time {
+	if j != nil && j.queuedAt.After(q.Submitted) {
+		return j.queuedAt
+	}
+	return q.Submitted
+}
+
 // cost returns the cost of the placement. Batch work is not admitted where it would drive
 // a service far beyond its limit or leave its targets too few idle slots.
-func (r *round) cost(n *node, q *QueuedJob, reservation model.Resources, effects []float64) (placementCost, bool) {
+func (r *round) cost(n *node, q *QueuedJob, reservation model.Resources, effects []float64, limit float64) (placementCost, bool) {
 	c := placementCost{packing: packingCost(n, reservation)}
 	tail, worst, added, busiest := n.tailCost(reservation, effects)
 	c.tail = tail
 	c.risk = riskCost(n, reservation)
 	c.total = (1-r.goals.tail)*c.packing + r.goals.tail*tailScale*c.tail + r.goals.evictions*riskScale*c.risk
-	admitted := q.Spec.Priority != model.PriorityBatch || (busiest <= busyLimit && (worst <= r.admission || added <= harmlessGrowth))
+	admitted := q.Spec.Priority != model.PriorityBatch || (busiest <= busyLimit && (worst <= limit || added <= harmlessGrowth))
 	return c, admitted
 }
 
