--- a/internal/route/pool.go
+++ b/internal/route/pool.go
@@ -17,7 +17,7 @@
 
 const (
 	usable usability = iota
-	unusableLeaving
+	unusableWithdrawn
 	unusableDataCentreOut
 )
 
@@ -26,6 +26,8 @@
 	// avoided; it doubles with each failure in a row.
 	minEjection = 500 * time.Millisecond
 	maxEjection = 10 * time.Second
+	// choices is the number of random candidates that are compared for one request.
+	choices = 5
 )
 
 // targetShare is a target with what this instance may use of it.
@@ -71,7 +73,7 @@
 	defer p.mu.Unlock()
 	known := map[model.TargetID]*target{}
 	for _, t := range p.targets {
-		t.usable = unusableLeaving
+		t.usable = unusableWithdrawn
 		known[t.ID] = t
 	}
 	p.targets = make([]*target, 0, len(shares))
@@ -103,6 +105,20 @@
 	return p.await(ctx, w, lastStart)
 }
 
+// hasOther reports whether a target that was not tried takes new requests.
+func (p *pool) hasOther(tried []model.TargetID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.candidates(func(t *target) bool { return !slices.Contains(tried, t.ID) })) > 0
+}
+
+// precheck reports why a request would not be queued, if so.
+func (p *pool) precheck(deadline time.Time) *verdict.Error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.refuse(deadline)
+}
+
 // refuse reports why a request cannot be queued, if so.
 func (p *pool) refuse(deadline time.Time) *verdict.Error {
 	if err := p.unavailable(); err != nil {
@@ -210,8 +226,8 @@
 	}
 }
 
-// choose returns a target with a free slot, or nil. Of two random candidates it takes the
-// one with less load. Targets that failed lately are used only if there is no other.
+// choose returns a target with a free slot, or nil. Of a few random candidates it takes the
+// one with the least load; the random part keeps the instances from choosing the same one. Targets that failed lately are used only if there is no other.
 func (p *pool) choose(tried []model.TargetID) *target {
 	now := p.clock.Now()
 	candidates := p.candidates(func(t *target) bool { return !now.Before(t.ejectedUntil) && !slices.Contains(tried, t.ID) })
@@ -225,11 +241,13 @@
 	if len(free) == 0 {
 		return nil
 	}
-	a, b := free[rand.IntN(len(free))], free[rand.IntN(len(free))]
-	if b.load() < a.load() {
-		return b
+	best := free[rand.IntN(len(free))]
+	for range choices - 1 {
+		if t := free[rand.IntN(len(free))]; t.load() < best.load() {
+			best = t
+		}
 	}
-	return a
+	return best
 }
 
 // candidates returns the usable targets that the filter keeps.
