Answer reads during a store outage, list partitions at once, keep target descriptions fixed

Causes, each seen: (1) the race detector in the end-to-end tests: SetTargets rewrote the description of a target that requests in flight were reading; a changed target is now a new one. (2) explain and job status took 10 s in a store outage, since a read waited for records that could not be written; a read now waits 500 ms and then says that what it shows is not durable (TestTasksOutliveAStoreOutage checks both). (3) job list asked 16 owners one after another. (4) explain dropped the entries it had when the ledger could not be read, and gave a claim holder as the instance. (5) the end-to-end harness gave two instances one port, taken from the range of outgoing connections: 'bind: address already in use'; ports now lie below that range.

--- a/internal/cluster/explain.go
+++ b/internal/cluster/explain.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"sync"
 
 	"github.com/geraniumwick/geraniumwick/internal/audit"
@@ -16,21 +17,19 @@
 )
 
 // Explain returns all that is known of a request key or job, in order of time: the durable
-// steps from the ledgers and the entries of every instance that can be reached.
+// steps from the ledgers and the entries of every instance that can be reached. If the
+// ledgers can't be read it returns the other entries together with the error.
 func (r *Router) Explain(ctx context.Context, subject string) ([]audit.Entry, []model.InstanceID, error) {
 	entries := r.cfg.Trail.Subject(subject)
 	remote, unreachable := r.gather(ctx, KindExplain, trailMessage{Subject: subject})
 	entries = append(entries, remote...)
 	durable, err := r.durable(ctx, subject)
-	if err != nil {
-		return nil, unreachable, err
-	}
 	entries = append(entries, durable...)
-	if len(entries) == 0 {
+	if err == nil && len(entries) == 0 {
 		return nil, unreachable, verdict.New(verdict.NotRun, verdict.ReasonUnknown, "nothing is known of %s", subject)
 	}
 	sortEntries(entries)
-	return entries, unreachable, nil
+	return entries, unreachable, err
 }
 
 // Recent returns the newest entries of all instances that can be reached.
@@ -132,7 +131,7 @@
 			Worker:   step.Worker,
 			Attempt:  step.Attempt,
 			After:    step.State,
-			Durable:  true,
+			Durable:  f.settled,
 		})
 	}
 	return entries
@@ -142,7 +141,7 @@
 func claimEntries(subject string, c ledger.Claim) []audit.Entry {
 	entries := []audit.Entry{{
 		At:       c.Taken,
-		Instance: c.Holder,
+		Instance: instanceOf(c.Holder),
 		Subject:  subject,
 		Event:    "request.claim-taken",
 		Durable:  true,
@@ -155,3 +154,10 @@
 	entries[0].Verdict = c.Verdict.String()
 	return entries
 }
+
+// instanceOf returns the instance in the holder of a claim, which the claimer extends by a
+// number of its own.
+func instanceOf(holder model.InstanceID) model.InstanceID {
+	instance, _, _ := strings.Cut(string(holder), "/")
+	return model.InstanceID(instance)
+}
--- a/internal/cluster/handlers.go
+++ b/internal/cluster/handlers.go
@@ -26,8 +26,7 @@
 		func(ctx context.Context, o *partition.Owner, m jobMessage) (any, error) { return o.Resume(ctx, m.Job) }))
 	s.Handle(KindJob, owned(r, jobMessage.of,
 		func(ctx context.Context, o *partition.Owner, m jobMessage) (any, error) {
-			status, history, err := o.Job(ctx, m.Job)
-			return jobReply{Status: status, History: history}, err
+			return readJob(ctx, o, m.Job)
 		}))
 	s.Handle(KindJobs, owned(r, func(m jobsMessage) model.Partition { return m.Partition },
 		func(ctx context.Context, o *partition.Owner, m jobsMessage) (any, error) { return o.Jobs(ctx, m.Team) }))
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -46,6 +46,8 @@
 type jobReply struct {
 	Status  ledger.JobStatus `cbor:"1,keyasint"`
 	History []ledger.Step    `cbor:"2,keyasint,omitempty"`
+	// Settled says that everything in the reply is durable.
+	Settled bool `cbor:"3,keyasint,omitempty"`
 }
 
 // jobsMessage asks for the jobs of a team in one partition.
--- a/internal/cluster/router.go
+++ b/internal/cluster/router.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/geraniumwick/geraniumwick/internal/audit"
 	"github.com/geraniumwick/geraniumwick/internal/ledger"
@@ -24,6 +25,8 @@
 	retryDelay = 50 * time.Millisecond
 	// callTimeout bounds one call of a peer.
 	callTimeout = 3 * time.Second
+	// listConcurrency bounds the partitions that a list asks at once.
+	listConcurrency = 16
 	// maxHops bounds how many transfers of a job a look-up follows.
 	maxHops = 32
 )
@@ -229,6 +232,8 @@
 	status    ledger.JobStatus
 	// history joins the steps in all partitions that held the job.
 	history []ledger.Step
+	// settled says that all of this is durable.
+	settled bool
 }
 
 // find follows the transfers of a job from its home partition.
@@ -237,7 +242,7 @@
 	if err != nil {
 		return found{}, err
 	}
-	f := found{partition: p}
+	f := found{partition: p, settled: true}
 	for range maxHops {
 		reply, err := r.jobIn(ctx, f.partition, id)
 		if err != nil {
@@ -245,6 +250,7 @@
 		}
 		f.status = reply.Status
 		f.history = append(f.history, reply.History...)
+		f.settled = f.settled && reply.Settled
 		if reply.Status.State != model.JobTransferred {
 			slices.SortStableFunc(f.history, func(a, b ledger.Step) int { return a.At.Compare(b.At) })
 			return f, nil
@@ -262,12 +268,17 @@
 		kind:      KindJob,
 		in:        jobMessage{Partition: p, Job: id},
 		local: func(ctx context.Context, o *partition.Owner) (jobReply, error) {
-			status, history, err := o.Job(ctx, id)
-			return jobReply{Status: status, History: history}, err
+			return readJob(ctx, o, id)
 		},
 	})
 }
 
+// readJob reads a job from the owner of its partition.
+func readJob(ctx context.Context, o *partition.Owner, id model.JobID) (jobReply, error) {
+	view, err := o.Job(ctx, id)
+	return jobReply{Status: view.Status, History: view.History, Settled: view.Settled}, err
+}
+
 // Job returns what is known of a job.
 func (r *Router) Job(ctx context.Context, id model.JobID) (ledger.JobStatus, error) {
 	f, err := r.find(ctx, id)
@@ -281,24 +292,34 @@
 	if !ok {
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonConfigStale, "no configuration has been read yet")
 	}
-	var all []ledger.JobStatus
+	lists := make([][]ledger.JobStatus, doc.Operators.Partitions)
+	var group errgroup.Group
+	group.SetLimit(listConcurrency)
 	for p := range model.Partition(doc.Operators.Partitions) {
-		jobs, err := do(ctx, r, call[[]ledger.JobStatus]{
-			partition: p,
-			kind:      KindJobs,
-			in:        jobsMessage{Partition: p, Team: team},
-			local: func(ctx context.Context, o *partition.Owner) ([]ledger.JobStatus, error) {
-				return o.Jobs(ctx, team)
-			},
+		group.Go(func() (err error) {
+			lists[p], err = r.listIn(ctx, p, team)
+			return err
 		})
-		if err != nil {
-			return nil, err
-		}
-		all = append(all, jobs...)
 	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	all := slices.Concat(lists...)
 	return slices.DeleteFunc(all, func(s ledger.JobStatus) bool { return s.State == model.JobTransferred }), nil
 }
 
+// listIn returns the jobs of a team in one partition.
+func (r *Router) listIn(ctx context.Context, p model.Partition, team model.Team) ([]ledger.JobStatus, error) {
+	return do(ctx, r, call[[]ledger.JobStatus]{
+		partition: p,
+		kind:      KindJobs,
+		in:        jobsMessage{Partition: p, Team: team},
+		local: func(ctx context.Context, o *partition.Owner) ([]ledger.JobStatus, error) {
+			return o.Jobs(ctx, team)
+		},
+	})
+}
+
 // Offer delivers a transfer to the owner of its destination.
 func (r *Router) Offer(ctx context.Context, from model.Partition, t ledger.Transfer) error {
 	_, err := do(ctx, r, call[empty]{
--- a/internal/partition/command.go
+++ b/internal/partition/command.go
@@ -24,9 +24,16 @@
 	// unhurried says that the caller does not wait for the reply, so the records may wait
 	// for others.
 	unhurried bool
-	run       func(l *ledger.Ledger, now time.Time) error
-	err       error
-	done      chan error
+	// read says that the command changes nothing, so it is answered after readPatience even
+	// if what it saw is not durable.
+	read bool
+	// at is when the command was executed.
+	at time.Time
+	// replied says that the reply went out; unsettled that it was given early.
+	replied, unsettled bool
+	run                func(l *ledger.Ledger, now time.Time) error
+	err                error
+	done               chan error
 }
 
 // execute runs the command unless its caller has given up.
@@ -34,17 +41,40 @@
 	if !c.phase.CompareAndSwap(phasePending, phaseExecuted) {
 		return false
 	}
+	c.at = now
 	c.err = c.run(l, now)
 	return true
 }
 
+// reply gives the command its answer, once.
+func (c *command) reply(err error) {
+	if c.replied {
+		return
+	}
+	c.replied = true
+	c.done <- err
+}
+
 // do passes a change to the loop and waits until it is durable. The error says by its
 // verdict whether the change may take effect.
 func (o *Owner) do(ctx context.Context, run func(l *ledger.Ledger, now time.Time) error) error {
 	return o.pass(ctx, &command{run: run, done: make(chan error, 1)})
 }
 
-// doUnhurried is do for a change or a look-up that need not cause an append of its own.
+// readPatience is how long a read waits for what it saw to become durable.
+const readPatience = 500 * time.Millisecond
+
+// read looks something up. It reports whether all that it saw is durable.
+func (o *Owner) read(ctx context.Context, run func(l *ledger.Ledger) error) (settled bool, err error) {
+	c := &command{unhurried: true, read: true, done: make(chan error, 1)}
+	c.run = func(l *ledger.Ledger, _ time.Time) error { return run(l) }
+	if err := o.pass(ctx, c); err != nil {
+		return false, err
+	}
+	return !c.unsettled, nil
+}
+
+// doUnhurried is do for a change that need not cause an append of its own.
 func (o *Owner) doUnhurried(ctx context.Context, run func(l *ledger.Ledger, now time.Time) error) error {
 	return o.pass(ctx, &command{run: run, unhurried: true, done: make(chan error, 1)})
 }
@@ -146,25 +176,35 @@
 	})
 }
 
-// Job returns what the ledger knows of a job and its durable history.
-func (o *Owner) Job(ctx context.Context, id model.JobID) (ledger.JobStatus, []ledger.Step, error) {
-	var status ledger.JobStatus
-	var history []ledger.Step
-	err := o.doUnhurried(ctx, func(l *ledger.Ledger, _ time.Time) error {
-		found := false
-		if status, found = l.Job(id); !found {
+// JobView is a job as the ledger knows it.
+type JobView struct {
+	Status  ledger.JobStatus
+	History []ledger.Step
+	// Settled says that everything in the view is durable. Otherwise a new owner may know
+	// an earlier state.
+	Settled bool
+}
+
+// Job returns what the ledger knows of a job.
+func (o *Owner) Job(ctx context.Context, id model.JobID) (JobView, error) {
+	var view JobView
+	settled, err := o.read(ctx, func(l *ledger.Ledger) error {
+		status, found := l.Job(id)
+		if !found {
 			return verdict.New(verdict.NotRun, verdict.ReasonUnknown, "no job %s", id)
 		}
-		history = l.History(id)
+		view.Status = status
+		view.History = l.History(id)
 		return nil
 	})
-	return status, history, err
+	view.Settled = settled
+	return view, err
 }
 
 // Jobs returns the jobs of a team, or of all teams if team is empty.
 func (o *Owner) Jobs(ctx context.Context, team model.Team) ([]ledger.JobStatus, error) {
 	var found []ledger.JobStatus
-	err := o.doUnhurried(ctx, func(l *ledger.Ledger, _ time.Time) error {
+	_, err := o.read(ctx, func(l *ledger.Ledger) error {
 		for _, status := range l.Jobs() {
 			if team == "" || status.Spec.Team == team {
 				found = append(found, status)
@@ -179,7 +219,7 @@
 func (o *Owner) Claimed(ctx context.Context, key model.RequestKey) (ledger.Claim, bool, error) {
 	var claim ledger.Claim
 	var found bool
-	err := o.doUnhurried(ctx, func(l *ledger.Ledger, _ time.Time) error {
+	_, err := o.read(ctx, func(l *ledger.Ledger) error {
 		claim, found = l.Claimed(key)
 		return nil
 	})
--- a/internal/partition/loop.go
+++ b/internal/partition/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/geraniumwick/geraniumwick/internal/config"
@@ -180,6 +181,7 @@
 	}
 	p.loseUnreachable(now)
 	p.resendSignals(now)
+	p.answerReads(now)
 	p.offerTransfers(ctx, nil)
 	p.o.summary.store(p.summarize(now))
 }
@@ -245,10 +247,24 @@
 	return nil
 }
 
+// answerReads answers the reads that have waited long enough for durability.
+func (p *loop) answerReads(now time.Time) {
+	waiting := p.waiting
+	if p.inFlight != nil {
+		waiting = slices.Concat(p.inFlight.commands, waiting)
+	}
+	for _, c := range waiting {
+		if c.read && !c.replied && now.Sub(c.at) >= readPatience {
+			c.unsettled = true
+			c.reply(c.err)
+		}
+	}
+}
+
 // replyAll answers commands that changed nothing, once all that they saw is durable.
 func (p *loop) replyAll() {
 	for _, c := range p.waiting {
-		c.done <- c.err
+		c.reply(c.err)
 	}
 	p.waiting = nil
 	p.links.acknowledge(p.acknowledge)
@@ -289,7 +305,7 @@
 	p.inFlight = nil
 	p.ledger.Written()
 	for _, c := range b.commands {
-		c.done <- c.err
+		c.reply(c.err)
 	}
 	p.links.acknowledge(b.acknowledge)
 	if p.cfg.OnDurable != nil && len(b.records) > 0 {
@@ -327,12 +343,12 @@
 func (p *loop) fail(err error) {
 	if p.inFlight != nil {
 		for _, c := range p.inFlight.commands {
-			c.done <- p.o.refusal(err)
+			c.reply(p.o.refusal(err))
 		}
 	}
 	for _, c := range p.waiting {
 		// The records of these commands were never sent to the store.
-		c.done <- errNotOwner(p.cfg.Partition)
+		c.reply(errNotOwner(p.cfg.Partition))
 	}
 }
 
--- a/internal/partition/owner_test.go
+++ b/internal/partition/owner_test.go
@@ -111,11 +111,11 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
-	status, _, err := r.Job(ctx, id)
+	view, err := r.Job(ctx, id)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return status
+	return view.Status
 }
 
 func TestJobIsStartedAndFinishes(t *testing.T) {
@@ -163,6 +163,15 @@
 		s.store.setDown(true)
 		time.Sleep(5 * time.Minute)
 		is.Equal(s.workers["w1"].executing(), 1) // its lease is renewed without the store
+		view, err := o.Job(t.Context(), "reports/a")
+		is.NoErr(err)
+		is.True(view.Settled) // nothing has changed since the last append
+		s.workers["w1"].end(first("reports/a"), model.AttemptSucceeded)
+		time.Sleep(5 * time.Second)
+		view, err = o.Job(t.Context(), "reports/a")
+		is.NoErr(err)
+		is.Equal(view.Status.State, model.JobFinished)
+		is.True(!view.Settled) // the end could not be written
 		s.store.setDown(false)
 	})
 }
@@ -317,7 +326,7 @@
 		time.Sleep(20 * time.Second)
 		is.Equal(next.state(t, "reports/a").Attempt, uint32(1)) // the task went on under the new owner
 		is.Equal(s.workers["w1"].executing(), 1)
-		_, _, err = next.Job(t.Context(), "reports/b")
+		_, err = next.Job(t.Context(), "reports/b")
 		is.True(err != nil) // what was said not to have run did not run
 	})
 }
--- a/internal/route/pool.go
+++ b/internal/route/pool.go
@@ -79,15 +79,23 @@
 	p.targets = make([]*target, 0, len(shares))
 	for _, s := range shares {
 		t := known[s.target.ID]
-		if t == nil || t.Addr != s.target.Addr {
-			t = &target{}
+		if t == nil || !samePlace(t.Target, s.target) {
+			t = &target{Target: s.target}
 		}
-		t.Target, t.slots, t.usable = s.target, s.slots, s.usable
+		t.slots, t.usable = s.slots, s.usable
 		p.targets = append(p.targets, t)
 	}
 	p.serve()
 }
 
+// samePlace reports whether two entries of the inventory are the same target in the same
+// place. The description of a known target never changes, because requests in flight read
+// it; whether it is leaving is kept apart.
+func samePlace(a, b model.Target) bool {
+	a.Leaving, b.Leaving = false, false
+	return a == b
+}
+
 // acquire waits for a slot of a target, preferably one that was not tried. Its errors are
 // NotRun, because nothing was sent.
 func (p *pool) acquire(ctx context.Context, deadline time.Time, tried []model.TargetID) (*target, *verdict.Error) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -84,6 +84,7 @@
 	v.trail = audit.NewTrail(s.InstanceID, v.clock, log, s.AuditEntries)
 	v.watcher = config.NewWatcher(store, v.clock, config.WatcherOptions{Recorder: v.trail})
 	v.editor = config.NewEditor(store, v.clock, s.InstanceID, v.trail)
+	v.editor.CompareWith(v.watcher)
 	v.members = v.newMembership()
 	v.pool = peer.NewPool(s.InstanceID)
 	v.peers = peer.NewServer(s.InstanceID, log)
--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/geraniumwick/geraniumwick/internal/config"
@@ -257,14 +258,31 @@
 	}
 }
 
-// freeAddress returns an address on the loopback interface that nothing listens on.
+// Ports for the instances lie below the range from which the system picks ports for
+// outgoing connections, so that none of those takes one before the instance listens.
+const (
+	firstPort = 20_000
+	lastPort  = 31_999
+)
+
+// nextPort is the port that freeAddress tries next; processes that run at the same time
+// start at different places.
+var nextPort atomic.Uint32
+
+// freeAddress returns an address on the loopback interface that nothing listens on, and
+// that it has not returned lately.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	const count = lastPort - firstPort + 1
+	for range count {
+		port := firstPort + (uint32(os.Getpid())*64+nextPort.Add(1))%count
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		return addr, l.Close()
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", fmt.Errorf("no free port from %d to %d", firstPort, lastPort)
 }
 
 // LoadDocument reads the sections of a directory: each file is named after its section.
