--- a/internal/partition/links.go
+++ b/internal/partition/links.go
@@ -8,8 +8,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/geraniumwick/geraniumwick/internal/ledger"
 	"github.com/geraniumwick/geraniumwick/internal/model"
 	"github.com/geraniumwick/geraniumwick/internal/platform"
+	"github.com/geraniumwick/geraniumwick/internal/verdict"
 )
 
 // relistPeriod is how often a worker is asked for its complete list of attempts.
@@ -39,14 +41,15 @@
 	relist       atomic.Bool
 	// paused stops the renewals, so that the lease can be known to lapse.
 	paused atomic.Bool
+	// expires is when the last renewal that may have been sent can no longer be accepted, in
+	// Unix nanoseconds. It is raised before the renewal goes out.
+	expires atomic.Int64
 
 	incarnation string
 	// fenced says that the worker has seen this owner's epoch and listed its attempts.
 	fenced bool
 	// renewed is when the last successful renewal was sent.
-	renewed time.Time
-	// expires is when the last renewal that was sent can no longer be accepted.
-	expires  time.Time
+	renewed  time.Time
 	nextList time.Time
 	// nextLoss is when the attempts of a silent worker are given up at the earliest.
 	nextLoss time.Time
@@ -71,7 +74,14 @@
 // lapsed reports whether the worker's lease has surely ended: no renewal of this owner that
 // is still on its way can be accepted.
 func (k *link) lapsed(now time.Time, t Timing) bool {
-	return now.After(k.expires.Add(t.WorkerLease + t.ClockSkew))
+	return now.After(time.Unix(0, k.expires.Load()).Add(t.WorkerLease + ledger.MaxClockSkew))
+}
+
+// send makes a renewal count from before it is sent, and returns a function that takes that
+// back if the renewal surely did not reach the worker.
+func (k *link) send(until time.Time) (unsent func()) {
+	before := k.expires.Swap(until.UnixNano())
+	return func() { k.expires.Store(before) }
 }
 
 // throttle returns the share of processor time in force, 1 if not throttled.
@@ -126,11 +136,11 @@
 		worker:    w,
 		cancel:    cancel,
 		renewed:   now,
-		expires:   now,
 		unknown:   map[model.AttemptID]bool{},
 		throttles: map[model.AttemptID]float64{},
 	}
 	k.relist.Store(true)
+	k.expires.Store(now.UnixNano())
 	s.byID[w.ID] = k
 	s.o.addrs.set(w.ID, w.Addr)
 	s.wg.Go(func() { s.o.renew(linkCtx, k, w.Addr) })
@@ -204,15 +214,21 @@
 	t := o.cfg.Timing
 	callCtx, cancel := context.WithTimeout(ctx, t.WorkerCall)
 	defer cancel()
-	return o.cfg.Workers.Lease(callCtx, addr, platform.LeaseRequest{
+	notAfter := sent.Add(t.WorkerCall)
+	unsent := k.send(notAfter)
+	reply, err := o.cfg.Workers.Lease(callCtx, addr, platform.LeaseRequest{
 		Partition:    o.cfg.Partition,
 		Owner:        o.cfg.Self,
 		Epoch:        o.epoch,
 		TTL:          t.WorkerLease,
-		NotAfter:     sent.Add(t.WorkerCall),
+		NotAfter:     notAfter,
 		Acknowledged: k.acknowledged.Load(),
 		All:          k.relist.Swap(false),
 	})
+	if verdict.Of(err) == verdict.NotRun {
+		unsent()
+	}
+	return reply, err
 }
 
 // isStale reports whether the worker refused the call for a newer owner.
--- a/internal/partition/owner.go
+++ b/internal/partition/owner.go
@@ -45,8 +45,6 @@
 	WorkerCall time.Duration
 	// StartWindow is how long after its decision a start may reach the worker.
 	StartWindow time.Duration
-	// ClockSkew bounds the difference between two clocks of the platform.
-	ClockSkew time.Duration
 	// TransferAfter is how long a job waits before it is offered to another partition.
 	TransferAfter time.Duration
 }
@@ -58,7 +56,6 @@
 		WorkerRenew:   time.Second,
 		WorkerCall:    2 * time.Second,
 		StartWindow:   3 * time.Second,
-		ClockSkew:     time.Second,
 		TransferAfter: 2 * time.Second,
 	}
 }
--- a/internal/partition/reports.go
+++ b/internal/partition/reports.go
@@ -8,7 +8,6 @@
 	"github.com/geraniumwick/geraniumwick/internal/model"
 	"github.com/geraniumwick/geraniumwick/internal/platform"
 	"github.com/geraniumwick/geraniumwick/internal/schedule"
-	"github.com/geraniumwick/geraniumwick/internal/verdict"
 )
 
 // setWorkers follows the inventory: it opens links to new workers and marks those that
@@ -26,7 +25,6 @@
 			continue
 		}
 		k.gone = true
-		k.expires = now.Add(p.cfg.Timing.WorkerCall)
 	}
 	p.adoptOrphans(ctx, now)
 }
@@ -55,7 +53,7 @@
 		p.links.open(ctx, model.Worker{ID: id}, now)
 		k, _ := p.links.get(id)
 		k.gone = true
-		k.expires = now.Add(p.cfg.Timing.WorkerCall)
+		k.paused.Store(true)
 	}
 }
 
@@ -121,9 +119,6 @@
 // newer owner.
 func (p *loop) leaseReply(r leaseReply) error {
 	k := r.link
-	if r.err == nil || verdict.Of(r.err) != verdict.NotRun {
-		k.expires = laterOf(k.expires, r.sent.Add(p.cfg.Timing.WorkerCall))
-	}
 	if r.err != nil {
 		if isStale(r.err) {
 			return &journal.DeposedError{Partition: p.cfg.Partition}
@@ -252,11 +247,3 @@
 		}
 	}
 }
-
-// laterOf returns the later of two times.
-func laterOf(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/internal/settings/definitions.go
+++ b/internal/settings/definitions.go
@@ -63,7 +63,7 @@
 		{"worker-lease-ttl", "10s", "Time after which a worker without renewal stops its tasks.", setDuration(&s.WorkerLeaseTTL, time.Second, 10*time.Minute)},
 		{"commit-interval", "20ms", "Shortest time between two appends of a partition.", setDuration(&s.CommitInterval, time.Millisecond, 10*time.Second)},
 		{"config-max-age", "3s", "Longest time from the decision on a start to its arrival at the worker, with the confirmation of the configuration between them; a later start is refused.", setDuration(&s.ConfigMaxAge, 100*time.Millisecond, time.Minute)},
-		{"store-writes-per-second", "40", "Store writes that this instance may make a second.", setInt(&s.StoreWritesPerSecond, 1, 10_000)},
+		{"store-writes-per-second", "36", "Store writes that this instance may make a second.", setInt(&s.StoreWritesPerSecond, 1, 10_000)},
 	}
 }
 
