--- a/internal/route/claim_test.go
+++ b/internal/route/claim_test.go
@@ -6,12 +6,16 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 	"pgregory.net/rapid"
 
+	"github.com/geraniumwick/geraniumwick/internal/ledger"
 	"github.com/geraniumwick/geraniumwick/internal/model"
 	"github.com/geraniumwick/geraniumwick/internal/verdict"
 )
@@ -125,6 +129,60 @@
 	is.Equal(target.total(), 1)
 }
 
+// stuckClaims answers no claim before its deadline, as during an outage of the store.
+type stuckClaims struct{ fakeClaims }
+
+func (c *stuckClaims) Claim(ctx context.Context, _ ledger.ClaimRequest) (ledger.Claim, error) {
+	<-ctx.Done()
+	return ledger.Claim{}, verdict.New(verdict.NotRun, verdict.ReasonStore, "no answer")
+}
+
+// TestOutageHoldsBoundedRequests submits requests while no claim is answered. They are held
+// until their deadline, within bounds on their number and their bytes.
+func TestOutageHoldsBoundedRequests(t *testing.T) {
+	cases := []struct {
+		sentence string
+		body     int
+		held     int
+	}{
+		{"small requests are bounded by their number", 10, MaxRequests},
+		{"large requests are bounded by their bytes", MaxBody, MaxBytes / MaxBody},
+	}
+	for _, c := range cases {
+		t.Run(c.sentence, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				d := New(Config{Self: "instance-1", Claims: &stuckClaims{}, Log: zerolog.Nop()})
+				d.SetDocument(testDocument())
+				d.SetTargets([]model.Target{{ID: "runner-1", Service: "levy-desk", DataCentre: "cairo-a", Slots: 8}})
+				var refused, held atomic.Int32
+				body := make([]byte, c.body)
+				started := time.Now()
+				for i := range c.held + 10 {
+					go func() {
+						r := newRequest(model.Once, fmt.Sprint("k", i))
+						r.Body = body
+						_, err := d.Do(context.Background(), r)
+						is.Equal(verdict.Of(err), verdict.NotRun)
+						switch verdict.From(err, "").Reason {
+						case verdict.ReasonOverload:
+							refused.Add(1)
+						case verdict.ReasonStore:
+							held.Add(1)
+							is.Equal(time.Since(started), 5*time.Second)
+						}
+					}()
+				}
+				synctest.Wait()
+				is.Equal(refused.Load(), int32(10)) // at once
+				time.Sleep(6 * time.Second)
+				is.Equal(held.Load(), int32(c.held))
+				is.Equal(d.requests+d.bytes, 0)
+			})
+		})
+	}
+}
+
 // targetFaults are the ways in which a target fails a request.
 var targetFaults = []func(net.Conn, *http.Request, string) bool{
 	answerBody,
@@ -142,17 +200,25 @@
 const refusingFault = 5
 
 // TestHistoriesOfClaimedRequests submits a few keys through two instances with faults of the
-// claim table and the targets. The check sees only what the targets executed.
+// claims in a ledger and of the targets. The check sees only what the targets executed.
 func TestHistoriesOfClaimedRequests(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		fault := 0
-		target := newRawTarget(t, func(c net.Conn, r *http.Request, body string) bool { return targetFaults[fault](c, r, body) })
+		reply := func(c net.Conn, r *http.Request, body string) bool { return targetFaults[fault](c, r, body) }
+		target, other := newRawTarget(t, reply), newRawTarget(t, reply)
 		defer target.listener.Close()
+		defer other.listener.Close()
 		gone := target.model("gone")
 		gone.Addr = "127.0.0.1:1"
-		claims := newClaims()
+		claims := newLedgerClaims()
 		instances := []*Dispatcher{newDispatcher(t, claims), newDispatcher(t, claims)}
 		executedByKey := map[string]int{}
+		unknown := map[string]bool{} // keys with an execution whose end is not known
+		classes := map[string]model.RequestClass{
+			"a": model.Once,
+			"b": model.Once,
+			"c": model.Exclusive,
+		}
 		for i := range rapid.IntRange(1, 20).Draw(rt, "submissions") {
 			fault = rapid.IntRange(0, len(targetFaults)-1).Draw(rt, "target fault")
 			claims.claimFault, claims.lostAnswer = nil, false
@@ -162,15 +228,15 @@
 			case "after":
 				claims.lostAnswer = true
 			}
-			targets := rapid.SampledFrom([][]model.Target{{gone}, {target.model("runner-1")}, {gone, target.model("runner-1")}}).Draw(rt, "targets")
+			targets := rapid.SampledFrom([][]model.Target{{gone}, {target.model("runner-1"), other.model("runner-2")}, {gone, target.model("runner-1")}}).Draw(rt, "targets")
 			d := rapid.SampledFrom(instances).Draw(rt, "instance")
 			d.SetTargets(targets)
 			key := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "key")
-			r := newRequest(rapid.SampledFrom([]model.RequestClass{model.Once, model.Exclusive}).Draw(rt, "class"), key)
+			r := newRequest(classes[key], key)
 			r.Body = fmt.Appendf(nil, "%s#%d", key, i)
 			resp, err := d.Do(context.Background(), r)
 			d.settler.wait()
-			executed := target.count(string(r.Body))
+			executed := target.count(string(r.Body)) + other.count(string(r.Body))
 			if fault == refusingFault {
 				executed = 0
 			}
@@ -181,7 +247,11 @@
 			if err == nil && (executed != 1 || resp.Status == http.StatusOK && string(resp.Body) != string(r.Body)) {
 				rt.Fatalf("submission %s: told ran, executed %d times, answer %q", r.Body, executed, resp.Body)
 			}
-			if executedByKey[key] > 1 {
+			if executed > 0 && unknown[key] {
+				rt.Fatalf("key %s executed although an earlier execution may not be over", key)
+			}
+			unknown[key] = unknown[key] || executed > 0 && err != nil
+			if executedByKey[key] > 1 && classes[key] == model.Once {
 				rt.Fatalf("key %s executed %d times", key, executedByKey[key])
 			}
 		}
