--- a/internal/schedule/samples.go
+++ b/internal/schedule/samples.go
@@ -13,7 +13,7 @@
 	maxPendingSamples = 512
 	// digestsPerPlan bounds the workers whose samples one decision learns from, so that the
 	// time of a decision does not depend on how many reports arrived.
-	digestsPerPlan = 64
+	digestsPerPlan = 16
 	// contended is the share of a worker's processors in use above which the measured
 	// processor time of its attempts says little about what they could use.
 	contended = 0.95
@@ -73,8 +73,8 @@
 
 func (w *workerState) learnUsage(s *Scheduler, usage []platform.UsageSample) {
 	busy := w.busyIn(usage)
-	for _, u := range usage {
-		a := w.find(u.Attempt)
+	for i, u := range usage {
+		a := w.findNear(i, u.Attempt)
 		if a == nil || a.overlap(u.From, u.To) < 1 {
 			continue
 		}
--- a/internal/schedule/worker.go
+++ b/internal/schedule/worker.go
@@ -119,6 +119,14 @@
 	w.refresh(s)
 }
 
+// findNear is find for a list in nearly the same order as the residents.
+func (w *workerState) findNear(i int, id model.AttemptID) *resident {
+	if i < len(w.residents) && w.residents[i].id == id {
+		return w.residents[i]
+	}
+	return w.find(id)
+}
+
 func (w *workerState) find(id model.AttemptID) *resident {
 	for _, a := range w.residents {
 		if a.id.Number == id.Number && a.id.Job == id.Job {
@@ -134,7 +142,7 @@
 	w.syncs++
 	for i := range view.Attempts {
 		a := &view.Attempts[i]
-		r := w.find(a.ID)
+		r := w.findNear(i, a.ID)
 		if r == nil {
 			spec := a.Spec
 			r = &resident{id: a.ID, spec: &spec, from: a.Started, share: 1}
