--- a/internal/schedule/cell_step_test.go
+++ b/internal/schedule/cell_step_test.go
@@ -177,20 +177,27 @@
 	c.delayed = append(c.delayed, delayedSamples{c.now + lagSeconds, samples})
 }
 
+// usefulWork is the work of all jobs that is done and was not lost again.
+func (c *cell) usefulWork() float64 {
+	work := 0.0
+	for _, j := range c.jobs {
+		if !j.doomed && !j.cancelled {
+			work += j.progress * j.work
+		}
+	}
+	return work
+}
+
 func (c *cell) summary() result {
 	c.result.capacity = float64(len(c.workers)) * float64(c.workers[0].Capacity.MilliCPU) / 1000 * episodeSeconds
+	c.result.work = c.usefulWork()
 	for _, j := range c.jobs {
-		if j.doomed {
-			if !j.parked && !j.cancelled && c.now-j.submitted > 900 {
-				c.result.doomedLeft++
-			}
-			continue
-		}
-		if !j.cancelled {
-			if !j.done {
-				c.result.unfinished++
-			}
-			c.result.work += j.progress * j.work
+		switch {
+		case j.cancelled:
+		case j.doomed && !j.parked && c.now-j.submitted > 900:
+			c.result.doomedLeft++
+		case !j.doomed && !j.done:
+			c.result.unfinished++
 		}
 	}
 	return c.result
--- a/internal/schedule/cell_test.go
+++ b/internal/schedule/cell_test.go
@@ -26,6 +26,7 @@
 	episodeSeconds  = 1500
 	powerOffSeconds = 90
 	resumeSeconds   = 5
+	settleSeconds   = 150
 	deadline        = 2 * time.Second
 )
 
@@ -84,8 +85,10 @@
 
 // result is what one run measured.
 type result struct {
-	latency                   *hdrhistogram.Histogram
-	work, capacity            float64
+	latency        *hdrhistogram.Histogram
+	work, capacity float64
+	// workOut is the work done from the moment a data centre left until settleSeconds after its return.
+	workOut                   float64
 	evictions, forced, kills  int
 	throttles, maxThrottles   int
 	finished, parked          int
@@ -125,11 +128,17 @@
 func (c *cell) script() {
 	s := c.scenario
 	if s.outAt > 0 && (c.now == s.outAt || c.now == s.backAt) {
+		if c.now == s.outAt {
+			c.result.workOut = -c.usefulWork()
+		}
 		doc := *c.document
 		doc.Operators.DataCentres = slices.Clone(doc.Operators.DataCentres)
 		doc.Operators.DataCentres[0].Out = c.now == s.outAt
 		c.document = &doc
 	}
+	if s.outAt > 0 && c.now == s.backAt+settleSeconds {
+		c.result.workOut += c.usefulWork()
+	}
 	for _, w := range c.workers {
 		if s.outAt > 0 && w.DataCentre == c.deployment.dataCentres[0] {
 			w.off = c.now >= s.outAt+powerOffSeconds && c.now < s.backAt
--- a/internal/schedule/episodes_test.go
+++ b/internal/schedule/episodes_test.go
@@ -190,8 +190,8 @@
 		if *cellFlag != "" && d.name != *cellFlag {
 			continue
 		}
-		fmt.Printf("%s, seeds %s, ratios to naive\n%-20s %6s %6s | %6s %7s %6s | %6s | %s\n", d.name, *seedsFlag,
-			"episode", "p99", "random", "work", "evicted", "killed", "score", "counts")
+		fmt.Printf("%s, seeds %s, ratios to naive\n%-20s %6s %6s | %6s %5s %7s %6s | %6s | %s\n", d.name, *seedsFlag,
+			"episode", "p99", "random", "work", "out", "evicted", "killed", "score", "counts")
 		for _, s := range scenarios() {
 			if strings.Contains(s.name, *episodeFlag) {
 				reportEpisode(d, s, reportSeeds(t))
@@ -212,7 +212,7 @@
 		}()
 	}
 	wait.Wait()
-	var p99, random, work, worst float64
+	var p99, random, work, out, worst float64
 	var ne, oe, nk, ok int
 	worst = math.Inf(1)
 	detail := ""
@@ -221,6 +221,9 @@
 		p99 += math.Log(o.p99() / n.p99())
 		random += math.Log(rows[i].r.p99() / n.p99())
 		work += math.Log(o.work / n.work)
+		if s.outAt > 0 {
+			out += math.Log(o.workOut / n.workOut)
+		}
 		worst = min(worst, score(d.weights, n, o))
 		ne, oe = ne+n.evictions+n.forced, oe+o.evictions+o.forced
 		nk, ok = nk+n.kills, ok+o.kills
@@ -231,6 +234,6 @@
 		}
 	}
 	k := float64(len(rows))
-	fmt.Printf("%-20s %6.2f %6.2f | %6.2f %7.2f %6.2f | %6.2f | %s\n", s.name, math.Exp(p99/k), math.Exp(random/k),
-		math.Exp(work/k), float64(oe+1)/float64(ne+1), float64(ok+1)/float64(nk+1), worst, detail)
+	fmt.Printf("%-20s %6.2f %6.2f | %6.2f %5.2f %7.2f %6.2f | %6.2f | %s\n", s.name, math.Exp(p99/k), math.Exp(random/k),
+		math.Exp(work/k), math.Exp(out/k), float64(oe+1)/float64(ne+1), float64(ok+1)/float64(nk+1), worst, detail)
 }
