--- a/internal/schedule/bench_test.go
+++ b/internal/schedule/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -107,6 +108,36 @@
 	}
 }
 
+// BenchmarkState reports the memory that a scheduler holds a worker and the size of its
+// marshalled state.
+func BenchmarkState(b *testing.B) {
+	for _, workers := range []int{19, 100, 1200} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			for range b.N {
+				p, s := benchmarkCell(workers, 0)
+				data, err := p.Marshal()
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(len(data)), "marshalled-B")
+				b.ReportMetric(heapOf(func() { p = nil; _ = s })/float64(workers), "B/worker")
+				runtime.KeepAlive(s)
+			}
+		})
+	}
+}
+
+// heapOf returns the bytes that become free with the release.
+func heapOf(release func()) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	release()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	return float64(before.HeapAlloc) - float64(after.HeapAlloc)
+}
+
 // BenchmarkTick measures a peak second's starts in one decision.
 func BenchmarkTick(b *testing.B) {
 	for _, c := range []struct{ workers, queued int }{{19, 10}, {100, 52}, {1200, 620}} {
--- a/internal/schedule/faults_test.go
+++ b/internal/schedule/faults_test.go
@@ -178,6 +178,16 @@
 	is.Equal(plan.Placements[0].Job, model.JobID("large"))
 }
 
+func TestOldJobsAndWorkersAreForgotten(t *testing.T) {
+	is := is.New(t)
+	s := New(1, config.Weights{})
+	planFor(s, testStart, []WorkerView{testWorker("old", "dc-a", "r")})
+	end(s, "j", 1, "old", model.AttemptFailed, testStart, time.Second, "x")
+	planFor(s, testStart.Add(2*time.Hour), []WorkerView{testWorker("new", "dc-a", "r")})
+	is.Equal(len(s.jobs), 0)
+	is.Equal(len(s.workers), 1)
+}
+
 // TestLearnedStateRoundTrip: a new owner that loads the state reserves, predicts and quarantines alike.
 func TestLearnedStateRoundTrip(t *testing.T) {
 	is := is.New(t)
--- a/internal/schedule/quarantine.go
+++ b/internal/schedule/quarantine.go
@@ -32,6 +32,8 @@
 	memoryRetryFactor = 1.5
 	// jobMemory is how long a job is remembered after its last event.
 	jobMemory = time.Hour
+	// workerMemory is how long a worker is remembered after its last snapshot.
+	workerMemory = time.Hour
 )
 
 // workerHealth holds the evidence against a worker.
@@ -281,8 +283,8 @@
 	return min(wait, maximumBackoff)
 }
 
-// forgetJobs drops jobs that were not heard of for long, some with each call.
-func (s *Scheduler) forgetJobs(now time.Time) {
+// forget drops the jobs and workers that were not heard of for long.
+func (s *Scheduler) forget(now time.Time) {
 	if now.Sub(s.forgotAt) < jobMemory/10 {
 		return
 	}
@@ -292,4 +294,9 @@
 			delete(s.jobs, id)
 		}
 	}
+	for id, w := range s.workers {
+		if now.Sub(w.seenAt) > workerMemory {
+			delete(s.workers, id)
+		}
+	}
 }
--- a/internal/schedule/round.go
+++ b/internal/schedule/round.go
@@ -69,6 +69,7 @@
 	n.view = view
 	n.state = s.worker(view.Worker.ID)
 	n.state.capacity = view.Worker.Capacity
+	n.state.seenAt = r.snapshot.Now
 	n.state.setServices(s, view.Services)
 	n.state.checkProbe(r.snapshot.Now)
 	n.free = view.Worker.Capacity.Sub(view.Committed).Sub(n.state.overrun)
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -72,7 +72,7 @@
 	r.relieve(r.digest(), &plan)
 	r.park(&plan)
 	r.placeQueue(&plan)
-	s.forgetJobs(snapshot.Now)
+	s.forget(snapshot.Now)
 	return plan
 }
 
--- a/internal/schedule/worker.go
+++ b/internal/schedule/worker.go
@@ -73,6 +73,8 @@
 	id        model.WorkerID
 	capacity  model.Resources
 	residents []*resident
+	// seenAt is the time of the last snapshot that held the worker.
+	seenAt time.Time
 	// syncs counts the calls of sync.
 	syncs int
 	// present is the expected use of the executing attempts by class.
