--- a/standin/cmd/load/main.go
+++ b/standin/cmd/load/main.go
@@ -61,7 +61,7 @@
 	flags.IntVar(&base.Requests, "requests", 0, "requests a second")
 	flags.DurationVar(&base.Duration, "duration", 10*time.Second, "time of the measurement at each size")
 	sweep := flags.String("sweep", "", "what to vary, for example workers=60,120,240")
-	mode := flags.String("mode", "steady", "steady: spending of each role; direct: latency and rate against a direct call to the targets")
+	mode := flags.String("mode", "steady", "steady: spending of each role; direct: latency and rate against a direct call to the targets; restart: cost of replacing an instance")
 	if err := flags.Parse(args); err != nil {
 		return err
 	}
@@ -83,8 +83,10 @@
 		return steady(ctx, dir, binaries, name, sizes)
 	case "direct":
 		return compare(ctx, dir, binaries, base)
+	case "restart":
+		return restart(ctx, dir, binaries, name, sizes)
 	}
-	return fmt.Errorf("-mode %q is neither steady nor direct", *mode)
+	return fmt.Errorf("-mode %q is not steady, direct or restart", *mode)
 }
 
 // parseSweep returns the sizes to measure and the name of what varies.
