--- a/internal/partition/journal.go
+++ b/internal/partition/journal.go
@@ -66,8 +66,7 @@
 	ctx, cancel := context.WithTimeout(ctx, confirmPeriod)
 	defer cancel()
 	err := o.journal.Confirm(ctx)
-	var deposed *journal.DeposedError
-	if errors.As(err, &deposed) {
+	if isDeposed(err) {
 		return err
 	}
 	if err == nil {
@@ -76,6 +75,12 @@
 	return nil
 }
 
+// isDeposed reports whether the error says that another owner took the partition.
+func isDeposed(err error) bool {
+	var deposed *journal.DeposedError
+	return errors.As(err, &deposed)
+}
+
 // mayRenew reports whether the ownership was confirmed recently enough to renew leases. A
 // new owner relies on the former one to stop.
 func (o *Owner) mayRenew(now time.Time) bool {
--- a/internal/partition/loop.go
+++ b/internal/partition/loop.go
@@ -311,9 +311,13 @@
 	if p.cfg.OnDurable != nil && len(b.records) > 0 {
 		p.cfg.OnDurable(p.cfg.Partition, b.records)
 	}
-	if a.err != nil {
+	if a.err != nil && isDeposed(a.err) {
 		return a.err
 	}
+	if a.err != nil {
+		// The ring still covers what the snapshot lacks; the next batch tries again.
+		p.cfg.Log.Warn().Str("event", "snapshot.failed").Int("partition", int(p.cfg.Partition)).Err(a.err).Send()
+	}
 	p.offerTransfers(ctx, b.actions.Transfers)
 	if len(b.actions.Starts) == 0 && len(b.actions.Signals) == 0 {
 		return nil
