--- a/internal/cluster/router.go
+++ b/internal/cluster/router.go
@@ -396,3 +396,20 @@
 	}
 	return r.summaries.destination(spec, from, doc)
 }
+
+// OwnersKnown reports whether this instance knows an owner of every partition, so that it
+// can take claims and jobs without waiting for a takeover.
+func (r *Router) OwnersKnown() bool {
+	doc, ok := r.cfg.Documents.Current()
+	if !ok {
+		return false
+	}
+	for p := range model.Partition(doc.Operators.Partitions) {
+		_, held := r.cfg.Manager.Held(p)
+		_, known := r.summaries.owner(p)
+		if !held && !known {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/partition/command.go
+++ b/internal/partition/command.go
@@ -66,7 +66,7 @@
 
 // read looks something up. It reports whether all that it saw is durable.
 func (o *Owner) read(ctx context.Context, run func(l *ledger.Ledger) error) (settled bool, err error) {
-	c := &command{unhurried: true, read: true, done: make(chan error, 1)}
+	c := &command{read: true, done: make(chan error, 1)}
 	c.run = func(l *ledger.Ledger, _ time.Time) error { return run(l) }
 	if err := o.pass(ctx, c); err != nil {
 		return false, err
--- a/internal/partition/manager.go
+++ b/internal/partition/manager.go
@@ -18,6 +18,9 @@
 const (
 	// reconcilePeriod is how often the manager compares what it holds with what it should.
 	reconcilePeriod = 250 * time.Millisecond
+	// joinDelay is how long a new instance waits before its first takeover. By then it has
+	// heard from every owner, so that it can ask for a hand-over instead of deposing.
+	joinDelay = 1500 * time.Millisecond
 	// retakeDelay keeps two instances with different member lists from deposing each
 	// other in turn without a pause.
 	retakeDelay = 2 * time.Second
@@ -74,6 +77,9 @@
 
 // Run reconciles until ctx ends, then waits for all owners to stop.
 func (m *Manager) Run(ctx context.Context) {
+	if !sleep(ctx, joinDelay) {
+		return
+	}
 	ticker := time.NewTicker(reconcilePeriod)
 	defer ticker.Stop()
 	for {
@@ -168,12 +174,11 @@
 		if !ok {
 			continue
 		}
+		// A partition that belongs elsewhere stays here until its new owner asks for it, so
+		// that it is without an owner only for the hand-over.
 		if member.ID == m.cfg.Self {
 			m.startOpen(ctx, p, doc)
-			continue
 		}
-		// A partition that belongs elsewhere stays here until its new owner asks for it,
-		// so that it is without an owner only for the hand-over.
 	}
 }
 
@@ -252,3 +257,15 @@
 	}
 	return mine
 }
+
+// sleep waits for d and reports whether ctx is still alive then.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/internal/partition/owner_test.go
+++ b/internal/partition/owner_test.go
@@ -63,6 +63,7 @@
 // running is an owner that runs until stop is called.
 type running struct {
 	*partition.Owner
+	t    *testing.T
 	stop func()
 	done chan error
 }
@@ -84,12 +85,23 @@
 		s.t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(s.t.Context())
-	r := &running{Owner: owner, stop: stop, done: make(chan error, 1)}
+	r := &running{Owner: owner, t: s.t, stop: stop, done: make(chan error, 1)}
 	go func() { r.done <- owner.Run(ctx, l) }()
 	owner.SetWorkers(s.listed)
 	return r
 }
 
+// play runs a session in synthetic time with one owner of a partition with the workers.
+func play(t *testing.T, session func(is *is.I, s *scene, o *running), addrs ...string) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := newScene(t, addrs...)
+		o := s.own("i1")
+		defer o.stop()
+		session(is.New(t), s, o)
+	})
+}
+
 // job returns a job that takes half of a worker.
 func job(id model.JobID) model.JobSpec {
 	return model.JobSpec{ID: id, Team: "reports", Class: "report", Declared: model.Resources{MilliCPU: 2000, MemoryMB: 1000}}
@@ -99,49 +111,41 @@
 func first(id model.JobID) model.AttemptID { return model.AttemptID{Job: id, Number: 1} }
 
 // submit submits a job within a minute.
-func (r *running) submit(t *testing.T, id model.JobID) error {
-	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+func (r *running) submit(id model.JobID) error {
+	ctx, cancel := context.WithTimeout(r.t.Context(), time.Minute)
 	defer cancel()
 	_, err := r.Submit(ctx, job(id))
 	return err
 }
 
 // state returns the state of a job.
-func (r *running) state(t *testing.T, id model.JobID) ledger.JobStatus {
-	t.Helper()
-	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+func (r *running) state(id model.JobID) ledger.JobStatus {
+	r.t.Helper()
+	ctx, cancel := context.WithTimeout(r.t.Context(), time.Minute)
 	defer cancel()
 	view, err := r.Job(ctx, id)
 	if err != nil {
-		t.Fatal(err)
+		r.t.Fatal(err)
 	}
 	return view.Status
 }
 
 func TestJobIsStartedAndFinishes(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		s := newScene(t, "w1")
-		o := s.own("i1")
-		defer o.stop()
-		is.NoErr(o.submit(t, "reports/a"))
+	play(t, func(is *is.I, s *scene, o *running) {
+		is.NoErr(o.submit("reports/a"))
 		time.Sleep(5 * time.Second)
 		is.Equal(s.workers["w1"].started(first("reports/a")), 1)
 		s.workers["w1"].end(first("reports/a"), model.AttemptSucceeded)
 		time.Sleep(5 * time.Second)
-		is.Equal(o.state(t, "reports/a").State, model.JobFinished)
-	})
+		is.Equal(o.state("reports/a").State, model.JobFinished)
+	}, "w1")
 }
 
 func TestNothingStartsBeforeItsRecordIsDurable(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		s := newScene(t, "w1")
-		o := s.own("i1")
-		defer o.stop()
+	play(t, func(is *is.I, s *scene, o *running) {
 		time.Sleep(2 * time.Second)
 		s.store.setDown(true)
-		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		ctx, cancel := context.WithTimeout(s.t.Context(), 10*time.Second)
 		defer cancel()
 		_, err := o.Submit(ctx, job("reports/a"))
 		is.Equal(verdict.Of(err), verdict.MayHaveRun) // the write may have taken effect
@@ -149,31 +153,27 @@
 		s.store.setDown(false)
 		time.Sleep(5 * time.Second)
 		is.Equal(s.workers["w1"].executing(), 1) // the job was accepted after all
-	})
+	}, "w1")
 }
 
 func TestTasksOutliveAStoreOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		s := newScene(t, "w1")
-		o := s.own("i1")
-		defer o.stop()
-		is.NoErr(o.submit(t, "reports/a"))
+	play(t, func(is *is.I, s *scene, o *running) {
+		is.NoErr(o.submit("reports/a"))
 		time.Sleep(5 * time.Second)
 		s.store.setDown(true)
 		time.Sleep(5 * time.Minute)
 		is.Equal(s.workers["w1"].executing(), 1) // its lease is renewed without the store
-		view, err := o.Job(t.Context(), "reports/a")
+		view, err := o.Job(s.t.Context(), "reports/a")
 		is.NoErr(err)
 		is.True(view.Settled) // nothing has changed since the last append
 		s.workers["w1"].end(first("reports/a"), model.AttemptSucceeded)
 		time.Sleep(5 * time.Second)
-		view, err = o.Job(t.Context(), "reports/a")
+		view, err = o.Job(s.t.Context(), "reports/a")
 		is.NoErr(err)
 		is.Equal(view.Status.State, model.JobFinished)
 		is.True(!view.Settled) // the end could not be written
 		s.store.setDown(false)
-	})
+	}, "w1")
 }
 
 func TestNothingStartsInADataCentreTakenOut(t *testing.T) {
@@ -186,19 +186,15 @@
 	}
 	for _, c := range cases {
 		t.Run(c.sentence, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				s := newScene(t, "w1")
-				o := s.own("i1")
-				defer o.stop()
+			play(t, func(is *is.I, s *scene, o *running) {
 				time.Sleep(2 * time.Second)
 				// The owner still decides on the old document; only the read before the start tells.
 				c.change(s.docs)
-				is.NoErr(o.submit(t, "reports/a"))
+				is.NoErr(o.submit("reports/a"))
 				time.Sleep(10 * time.Second)
 				is.Equal(s.workers["w1"].started(first("reports/a")), 0)
 				is.Equal(s.workers["w1"].executing(), 0)
-			})
+			}, "w1")
 		})
 	}
 }
@@ -225,22 +221,18 @@
 	}
 	for _, c := range cases {
 		t.Run(c.sentence, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				s := newScene(t, "w1")
-				o := s.own("i1")
-				defer o.stop()
+			play(t, func(is *is.I, s *scene, o *running) {
 				time.Sleep(2 * time.Second)
 				w := s.workers["w1"]
 				w.set(c.fault)
-				is.NoErr(o.submit(t, "reports/a"))
+				is.NoErr(o.submit("reports/a"))
 				time.Sleep(time.Second)
 				w.set(c.mend)
 				time.Sleep(20 * time.Second)
 				is.Equal(w.executing(), 1)
-				is.Equal(o.state(t, "reports/a").Attempt, c.attempt)
+				is.Equal(o.state("reports/a").Attempt, c.attempt)
 				is.Equal(w.started(model.AttemptID{Job: "reports/a", Number: c.attempt}), 1)
-			})
+			}, "w1")
 		})
 	}
 }
@@ -255,12 +247,8 @@
 	}
 	for _, c := range cases {
 		t.Run(c.sentence, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				s := newScene(t, "w1", "w2")
-				o := s.own("i1")
-				defer o.stop()
-				is.NoErr(o.submit(t, "reports/a"))
+			play(t, func(is *is.I, s *scene, o *running) {
+				is.NoErr(o.submit("reports/a"))
 				time.Sleep(5 * time.Second)
 				silent, other := s.workers["w1"], s.workers["w2"]
 				if silent.executing() == 0 {
@@ -273,70 +261,54 @@
 					is.True(silent.executing()+other.executing() <= 1) // never in two places
 				}
 				is.Equal(other.executing(), 1) // resumed elsewhere
-				is.Equal(o.state(t, "reports/a").Attempt, uint32(2))
-			})
+				is.Equal(o.state("reports/a").Attempt, uint32(2))
+			}, "w1", "w2")
 		})
 	}
 }
 
 func TestRestartedWorkerLosesItsAttempts(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		s := newScene(t, "w1")
-		o := s.own("i1")
-		defer o.stop()
-		is.NoErr(o.submit(t, "reports/a"))
+	play(t, func(is *is.I, s *scene, o *running) {
+		is.NoErr(o.submit("reports/a"))
 		time.Sleep(5 * time.Second)
 		s.workers["w1"].restart()
 		time.Sleep(20 * time.Second)
 		is.Equal(s.workers["w1"].executing(), 1)
-		is.Equal(o.state(t, "reports/a").Attempt, uint32(2))
-	})
+		is.Equal(o.state("reports/a").Attempt, uint32(2))
+	}, "w1")
 }
 
 func TestWithdrawnWorkerGivesItsAttemptsUp(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		s := newScene(t, "w1")
-		o := s.own("i1")
-		defer o.stop()
-		is.NoErr(o.submit(t, "reports/a"))
+	play(t, func(is *is.I, s *scene, o *running) {
+		is.NoErr(o.submit("reports/a"))
 		time.Sleep(5 * time.Second)
 		o.SetWorkers([]model.Worker{})
 		time.Sleep(time.Minute)
 		is.Equal(s.workers["w1"].executing(), 0) // its lease was not renewed
-		is.Equal(o.state(t, "reports/a").State, model.JobQueued)
-	})
+		is.Equal(o.state("reports/a").State, model.JobQueued)
+	}, "w1")
 }
 
 func TestDeposedOwnerStartsNothing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		s := newScene(t, "w1")
-		former := s.own("i1")
-		defer former.stop()
-		is.NoErr(former.submit(t, "reports/a"))
+	play(t, func(is *is.I, s *scene, former *running) {
+		is.NoErr(former.submit("reports/a"))
 		time.Sleep(5 * time.Second)
 		next := s.own("i2")
 		defer next.stop()
-		err := former.submit(t, "reports/b")
+		err := former.submit("reports/b")
 		is.Equal(verdict.Of(err), verdict.NotRun)
 		var deposed *journal.DeposedError
 		is.True(errors.As(<-former.done, &deposed))
 		time.Sleep(20 * time.Second)
-		is.Equal(next.state(t, "reports/a").Attempt, uint32(1)) // the task went on under the new owner
+		is.Equal(next.state("reports/a").Attempt, uint32(1)) // the task went on under the new owner
 		is.Equal(s.workers["w1"].executing(), 1)
-		_, err = next.Job(t.Context(), "reports/b")
+		_, err = next.Job(s.t.Context(), "reports/b")
 		is.True(err != nil) // what was said not to have run did not run
-	})
+	}, "w1")
 }
 
 func TestIdleDeposedOwnerNoticesItself(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		s := newScene(t)
-		former := s.own("i1")
-		defer former.stop()
+	play(t, func(is *is.I, s *scene, former *running) {
 		time.Sleep(time.Second)
 		next := s.own("i2")
 		defer next.stop()
@@ -346,28 +318,24 @@
 			var deposed *journal.DeposedError
 			is.True(errors.As(err, &deposed))
 		default:
-			t.Fatal("the former owner still runs")
+			s.t.Fatal("the former owner still runs")
 		}
 	})
 }
 
 func TestReleaseHandsEverythingOver(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		s := newScene(t, "w1")
-		former := s.own("i1")
-		defer former.stop()
-		is.NoErr(former.submit(t, "reports/a"))
+	play(t, func(is *is.I, s *scene, former *running) {
+		is.NoErr(former.submit("reports/a"))
 		time.Sleep(5 * time.Second)
 		former.Release()
 		is.NoErr(<-former.done)
-		is.Equal(verdict.Of(former.submit(t, "reports/b")), verdict.NotRun)
+		is.Equal(verdict.Of(former.submit("reports/b")), verdict.NotRun)
 		next := s.own("i2")
 		defer next.stop()
 		time.Sleep(5 * time.Second)
-		is.Equal(next.state(t, "reports/a").Attempt, uint32(1))
+		is.Equal(next.state("reports/a").Attempt, uint32(1))
 		is.Equal(s.workers["w1"].executing(), 1)
-	})
+	}, "w1")
 }
 
 func TestSignalIsSentAgain(t *testing.T) {
@@ -381,15 +349,12 @@
 	}
 	for _, c := range cases {
 		t.Run(c.sentence, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				s := newScene(t, "w1")
-				o := s.own("i1")
-				is.NoErr(o.submit(t, "reports/a"))
+			play(t, func(is *is.I, s *scene, o *running) {
+				is.NoErr(o.submit("reports/a"))
 				time.Sleep(5 * time.Second)
 				w := s.workers["w1"]
 				w.set(func(w *fakeWorker) { w.dropSignal = true })
-				_, err := o.Cancel(t.Context(), "reports/a", "no longer wanted")
+				_, err := o.Cancel(s.t.Context(), "reports/a", "no longer wanted")
 				is.NoErr(err)
 				time.Sleep(time.Second)
 				is.Equal(w.executing(), 1)
@@ -401,9 +366,9 @@
 				defer func() { o.stop() }()
 				w.set(func(w *fakeWorker) { w.dropSignal = false })
 				time.Sleep(10 * time.Second)
-				is.Equal(o.state(t, "reports/a").State, model.JobCancelled)
+				is.Equal(o.state("reports/a").State, model.JobCancelled)
 				is.Equal(w.executing(), 0)
-			})
+			}, "w1")
 		})
 	}
 }
--- a/internal/server/listen.go
+++ b/internal/server/listen.go
@@ -130,5 +130,10 @@
 	if _, ok := v.watcher.Current(); !ok {
 		return readiness{Reason: "no configuration has been read yet"}
 	}
+	if !v.joined.Load() && !v.router.OwnersKnown() {
+		return readiness{Reason: "the owners of the partitions are not known yet"}
+	}
+	// A takeover later on makes calls wait, but another instance would not be faster.
+	v.joined.Store(true)
 	return readiness{Ready: true}
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -63,7 +63,9 @@
 
 	// draining says that a planned stop has begun.
 	draining atomic.Bool
-	wg       sync.WaitGroup
+	// joined says that the instance has known an owner of every partition once.
+	joined atomic.Bool
+	wg     sync.WaitGroup
 }
 
 // New connects the parts of an instance. It fails if the store does not answer.
