--- a/cmd/geraniumwick/read.go
+++ b/cmd/geraniumwick/read.go
@@ -13,6 +13,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/geraniumwick/geraniumwick/internal/audit"
+	"github.com/geraniumwick/geraniumwick/internal/model"
 	"github.com/geraniumwick/geraniumwick/internal/query"
 )
 
@@ -64,6 +65,10 @@
 	c.printf("%s", workers)
 	var jobs []string
 	for _, state := range slices.Sorted(maps.Keys(s.Jobs)) {
+		if state == model.JobTransferred.String() {
+			// It is counted in the partition that it was moved to.
+			continue
+		}
 		jobs = append(jobs, fmt.Sprintf("%d %s", s.Jobs[state], state))
 	}
 	c.printf("jobs        %s", strings.Join(jobs, ", "))
@@ -150,9 +155,12 @@
 	return "memory"
 }
 
-// detail returns who did it, at which revision, and why.
+// detail returns the new state of a job, who did it, at which revision, and why.
 func detail(e audit.Entry) string {
 	var parts []string
+	if strings.HasPrefix(e.Event, "job.") && e.After != "" {
+		parts = append(parts, e.After)
+	}
 	if e.Actor != "" {
 		parts = append(parts, "by "+e.Actor)
 	}
--- a/cmd/geraniumwick/session_test.go
+++ b/cmd/geraniumwick/session_test.go
@@ -44,10 +44,26 @@
 	if !slices.Contains(args, "--address") {
 		args = append([]string{"--address", s.address}, args...)
 	}
-	code := run(s.t.Context(), args, streams{in: strings.NewReader(""), out: &out, err: &err})
+	code := runToEnd(s.t, args, streams{in: strings.NewReader(""), out: &out, err: &err})
 	fmt.Fprintf(&s.transcript, "$ geraniumwick %s\n%s%s[exit code %d]\n\n", shown, out.String(), err.String(), code)
 }
 
+// exitCode ends a command line that calls exit.
+type exitCode int
+
+// runToEnd is run with an exit that does not end the test.
+func runToEnd(t *testing.T, args []string, s streams) (code int) {
+	defer func() {
+		r := recover()
+		if ended, ok := r.(exitCode); ok {
+			code = int(ended)
+		} else if r != nil {
+			panic(r)
+		}
+	}()
+	return run(t.Context(), args, s, func(code int) { panic(exitCode(code)) })
+}
+
 // file writes a file of the session.
 func (s *session) file(name, content string) {
 	s.t.Helper()
@@ -103,9 +119,13 @@
 	s.run("datacentre", "out", "nowhere")
 	s.run("config", "history", "--limit", "2")
 	s.run("status")
+	s.run("--colour", "always", "status")
 	system.behind = "i-2"
 	s.run("datacentre", "out", "cairo-c", "--wait-limit", "1ms")
 	s.run("datacentre", "status")
+	system.storeAge = 20 * time.Second
+	s.run("datacentre", "status")
+	s.run("status")
 	s.compare("operator")
 }
 
@@ -164,7 +184,10 @@
 		{At: at(0), Instance: "i-dead", Subject: id, Event: "job.submitted", Durable: true},
 		{At: at(1), Instance: "i-dead", Subject: id, Event: "job.started", Attempt: 1, Worker: "w-1", Durable: true},
 		{At: at(20), Instance: "i-dead", Subject: id, Event: "job.evicting", Attempt: 1, Worker: "w-1", Durable: true, Reason: "levy-desk is slow on w-1"},
+		{At: at(24), Instance: "i-dead", Subject: id, Event: "job.ended", Attempt: 1, Worker: "w-1", Durable: true, After: "checkpointed"},
+		{At: at(25), Instance: "i-dead", Subject: id, Event: "job.started", Attempt: 2, Worker: "w-2", Durable: true},
 		{At: at(30), Instance: "i-1", Subject: id, Event: "job.evicting", Attempt: 2, Worker: "w-2", Durable: true, Reason: "data centre cairo-b is out"},
+		{At: at(33), Instance: "i-1", Subject: id, Event: "job.ended", Attempt: 2, Worker: "w-2", Durable: true, After: "lost", Reason: "the worker's lease lapsed"},
 		{At: at(31), Instance: "i-1", Subject: id, Event: audit.EventDropped, Reason: "7 entries of this instance before this time are no longer kept"},
 	}
 	f.silent = []model.InstanceID{"i-2"}
@@ -225,7 +248,7 @@
 func TestNextAddressIsUsedIfOneCannotBeConnectedTo(t *testing.T) {
 	_, address := startSystem(t, "")
 	var out, err bytes.Buffer
-	code := run(t.Context(), []string{"--address", "http://127.0.0.1:1," + address, "status"}, streams{out: &out, err: &err})
+	code := runToEnd(t, []string{"--address", "http://127.0.0.1:1," + address, "status"}, streams{out: &out, err: &err})
 	if code != exitDone {
 		t.Fatalf("exit code %d: %s", code, err.String())
 	}
--- a/internal/audit/trail.go
+++ b/internal/audit/trail.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"slices"
+	"strings"
 	"sync"
 
 	"github.com/rs/zerolog"
@@ -11,6 +11,15 @@
 	"github.com/geraniumwick/geraniumwick/internal/platform"
 )
 
+// The longest texts of an entry that the trail keeps, in bytes. Callers choose some of them,
+// and must not be able to fill the memory.
+const (
+	maxSubject = 256
+	maxActor   = 128
+	maxReason  = 512
+	maxChange  = 1024
+)
+
 // Trail keeps the newest entries of one instance in memory and logs each as a JSON line.
 // When it is full the oldest entry is dropped. It is a Recorder.
 type Trail struct {
@@ -47,10 +56,29 @@
 	if e.Instance == "" {
 		e.Instance = t.instance
 	}
+	e.clip()
 	t.keep(e)
 	t.write(e)
 }
 
+// clip shortens the texts of the entry to their limits.
+func (e *Entry) clip() {
+	e.Subject = clip(e.Subject, maxSubject)
+	e.Actor = clip(e.Actor, maxActor)
+	e.Reason = clip(e.Reason, maxReason)
+	e.Before = clip(e.Before, maxChange)
+	e.After = clip(e.After, maxChange)
+}
+
+// clip returns the text, or its beginning if it is longer than limit. The copy lets the rest
+// of a long text be freed.
+func clip(text string, limit int) string {
+	if len(text) <= limit {
+		return text
+	}
+	return strings.ToValidUTF8(strings.Clone(text[:limit]), "") + "..."
+}
+
 // keep stores the entry in place of the oldest.
 func (t *Trail) keep(e Entry) {
 	t.mu.Lock()
@@ -108,11 +136,16 @@
 func (t *Trail) Recent(limit int) []Entry {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	list := slices.Clone(t.entries[:t.next])
+	kept := t.next
 	if t.full {
-		list = append(slices.Clone(t.entries[t.next:]), list...)
+		kept = len(t.entries)
 	}
-	return list[max(0, len(list)-max(limit, 0)):]
+	list := make([]Entry, 0, min(kept, max(limit, 0)))
+	for age := cap(list); age > 0; age-- {
+		place := (t.next - age + len(t.entries)) % len(t.entries)
+		list = append(list, t.entries[place])
+	}
+	return list
 }
 
 // Dropped returns the number of entries that are no longer kept. While it is above zero,
--- a/internal/journal/owner_test.go
+++ b/internal/journal/owner_test.go
@@ -10,18 +10,21 @@
 	"github.com/geraniumwick/geraniumwick/internal/journal"
 	"github.com/geraniumwick/geraniumwick/internal/ledger"
 	"github.com/geraniumwick/geraniumwick/internal/model"
-	"github.com/geraniumwick/geraniumwick/internal/platform"
 	"github.com/geraniumwick/geraniumwick/internal/verdict"
 )
 
-// startWindow is the time from a placement to its NotAfter.
-const startWindow = 3 * time.Second
+// The time from a message to its NotAfter.
+const (
+	startWindow = 3 * time.Second
+	leaseWindow = 2 * time.Second
+)
 
 // breakage is a mechanism that a test switches off to see the checker fail.
 type breakage struct {
 	sendEarly      bool // messages go out before their records are durable
 	listUnfenced   bool // workers are listed without raising the epoch
 	goneEarly      bool // a lease is taken for lapsed although it was just renewed
+	lateExpiry     bool // a renewal counts only once it is answered
 	ackEarly       bool // reports are acknowledged before their records are durable
 	noDeposal      bool // a deposed owner goes on sending what it could not write
 	forgetClaim    bool // a grant is told before its record is durable
@@ -30,14 +33,6 @@
 	blindWrites    bool // the store ignores the expected version of a compare-and-swap
 }
 
-// contact is what an owner knows of a worker.
-type contact struct {
-	fenced    bool
-	renewed   time.Time
-	processed uint64
-	durable   uint64
-}
-
 // owner is one ownership of a partition, as the owner loop holds it: a ledger, a journal
 // and the batch that is being written.
 type owner struct {
@@ -164,6 +159,7 @@
 	switch {
 	case err == nil:
 		o.batch = nil
+		o.ledger.Written()
 		o.deliver()
 		o.saveSnapshot(ctx)
 	case errors.As(err, &deposed):
@@ -261,101 +257,6 @@
 	})
 }
 
-// visit renews the lease of a worker and takes its complete list.
-func (o *owner) visit(w *fakeWorker) {
-	c := o.contacts[w.worker.ID]
-	if o.dead || !o.mayRenew() || o.world.lost("lease request") {
-		return
-	}
-	asked := o.world.now
-	c.renewed = asked
-	request := platform.LeaseRequest{Partition: o.part.number, Owner: o.id, Epoch: o.journal.Epoch(), TTL: leaseTTL, Acknowledged: c.durable, All: true}
-	if o.world.broken.listUnfenced {
-		request.Epoch = w.epoch
-	}
-	if o.world.broken.ackEarly {
-		request.Acknowledged = c.processed
-	}
-	reply, err := w.lease(asked, request)
-	if err != nil {
-		o.die("stale epoch")
-		return
-	}
-	if o.world.lost("lease answer") {
-		return
-	}
-	o.listed(w, c, asked, reply.Reports)
-}
-
-// mayRenew reports whether the owner may renew leases; it confirms its ownership if needed.
-func (o *owner) mayRenew() bool {
-	if o.world.broken.endlessRenewal || o.world.now.Sub(o.confirmed) < ledger.MaxUnconfirmed {
-		return true
-	}
-	o.busy = true
-	defer func() { o.busy = false }()
-	ctx, cancel := o.world.context()
-	defer cancel()
-	asked := o.world.now
-	err := o.journal.Confirm(ctx)
-	if isDeposed(err) {
-		o.die("deposed")
-	}
-	if err != nil {
-		return false
-	}
-	o.confirmed = asked
-	return o.world.now.Sub(asked) < ledger.MaxUnconfirmed
-}
-
-// listed takes the complete list of a worker.
-func (o *owner) listed(w *fakeWorker, c *contact, asked time.Time, reports []platform.AttemptReport) {
-	if !c.fenced {
-		o.must(o.ledger.Listed(o.world.now, w.worker.ID, reports))
-		c.fenced = true
-	}
-	o.must(o.ledger.Absent(o.world.now, asked, w.worker.ID, reports))
-	for _, r := range reports {
-		c.processed = max(c.processed, r.Sequence)
-	}
-	processed := c.processed
-	o.queued = append(o.queued, func() { c.durable = max(c.durable, processed) })
-}
-
-// resend repeats the signals that are still wanted.
-func (o *owner) resend() {
-	for _, s := range o.ledger.PendingSignals() {
-		o.signal(s)
-	}
-}
-
-// release hands the partition over, if nothing waits to be written.
-func (o *owner) release() {
-	state, err := o.ledger.Marshal()
-	if o.batch != nil || err != nil {
-		return
-	}
-	o.busy = true
-	defer func() { o.busy = false }()
-	ctx, cancel := o.world.context()
-	defer cancel()
-	if o.journal.Release(ctx, state) == nil {
-		o.die("released")
-	}
-}
-
-// giveUp takes a worker for gone once its lease has surely lapsed.
-func (o *owner) giveUp(w *fakeWorker) {
-	c := o.contacts[w.worker.ID]
-	lapsed := o.world.now.Sub(c.renewed) > leaseTTL+ledger.MaxClockSkew
-	if o.dead || !lapsed && !o.world.broken.goneEarly {
-		return
-	}
-	if err := o.ledger.WorkerGone(o.world.now, w.worker.ID); c.fenced {
-		o.must(err)
-	}
-}
-
 // claim asks for a key on behalf of a caller, which is told once the record is durable.
 func (o *owner) claim(r ledger.ClaimRequest) {
 	if _, err := o.ledger.Claim(o.world.now, r); err != nil {
--- a/internal/partition/owner.go
+++ b/internal/partition/owner.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -44,8 +45,6 @@
 	WorkerCall time.Duration
 	// StartWindow is how long after its decision a start may reach the worker.
 	StartWindow time.Duration
-	// ClockSkew bounds the difference between two clocks of the platform.
-	ClockSkew time.Duration
 	// TransferAfter is how long a job waits before it is offered to another partition.
 	TransferAfter time.Duration
 }
@@ -57,7 +56,6 @@
 		WorkerRenew:   time.Second,
 		WorkerCall:    2 * time.Second,
 		StartWindow:   3 * time.Second,
-		ClockSkew:     time.Second,
 		TransferAfter: 2 * time.Second,
 	}
 }
@@ -108,10 +106,13 @@
 	releaseOnce sync.Once
 	summary     summaryCell
 	addrs       addresses
+	// confirmed is when the ownership was last known to be true, in Unix nanoseconds.
+	confirmed atomic.Int64
 }
 
 // Open takes the partition over and returns its owner, which Run then runs.
 func Open(ctx context.Context, cfg Config, store platform.Store, jc journal.Config) (*Owner, *ledger.Ledger, error) {
+	asked := cfg.Clock.Now()
 	j, replay, err := journal.Open(ctx, store, jc)
 	if err != nil {
 		return nil, nil, err
@@ -136,6 +137,7 @@
 		release:  make(chan struct{}),
 		stopped:  make(chan struct{}),
 	}
+	o.confirmed.Store(asked.UnixNano())
 	return o, l, nil
 }
 
--- a/internal/query/explain.go
+++ b/internal/query/explain.go
@@ -9,12 +9,16 @@
 	"strings"
 
 	"github.com/geraniumwick/geraniumwick/internal/audit"
+	"github.com/geraniumwick/geraniumwick/internal/config"
 	"github.com/geraniumwick/geraniumwick/internal/ledger"
 	"github.com/geraniumwick/geraniumwick/internal/model"
 	"github.com/geraniumwick/geraniumwick/internal/reply"
 	"github.com/geraniumwick/geraniumwick/internal/verdict"
 )
 
+// sectionSubject starts the subject of a section of the configuration.
+const sectionSubject = "config/"
+
 // AuditAnswer lists entries of all instances that answered, the oldest first.
 type AuditAnswer struct {
 	Entries []audit.Entry `json:"entries"`
@@ -62,14 +66,20 @@
 		return Explanation{}, verdict.New(verdict.NotRun, verdict.ReasonInvalid, "%q must be a job (team/name), a request (service/key) or a section (config/name)", subject)
 	}
 	entries, unreachable, err := h.Trail.Explain(ctx, subject)
-	if err != nil {
-		return Explanation{}, err
+	e := Explanation{Subject: subject, Entries: slices.Clone(entries), Unreachable: unreachable}
+	if err != nil && verdict.From(err, verdict.ReasonPeer).Reason != verdict.ReasonUnknown {
+		e.Unknown = append(e.Unknown, "the record in the store could not be read: "+err.Error())
+	}
+	if section, ok := strings.CutPrefix(subject, sectionSubject); ok {
+		h.addEdits(ctx, &e, section)
+	} else {
+		h.addJob(ctx, &e)
 	}
-	e := Explanation{Subject: subject, Entries: entries, Unreachable: unreachable}
 	sortEntries(e.Entries)
-	h.addJob(ctx, &e)
+	e.complete()
 	h.addGone(ctx, &e)
 	e.addDropped()
+	e.addForgotten()
 	e.addUnreachable()
 	e.Found = e.Job != nil || slices.ContainsFunc(e.Entries, func(entry audit.Entry) bool { return entry.Event != audit.EventDropped })
 	e.addEnded()
@@ -77,11 +87,43 @@
 	return e, nil
 }
 
-// addJob adds the state of the job, if the subject is one.
-func (h *Handlers) addJob(ctx context.Context, e *Explanation) {
-	if strings.HasPrefix(e.Subject, "config/") {
+// addEdits adds the accepted edits that the store keeps, in place of the entries that the
+// instances have of the same edits.
+func (h *Handlers) addEdits(ctx context.Context, e *Explanation, section string) {
+	changes, dropped, err := h.History.History(ctx, section)
+	if err != nil {
+		e.Unknown = append(e.Unknown, "the edits in the store could not be read: "+err.Error())
 		return
 	}
+	if dropped > 0 {
+		e.Unknown = append(e.Unknown, fmt.Sprintf("%d older edits are no longer kept", dropped))
+	}
+	for _, c := range changes {
+		e.Entries = slices.DeleteFunc(e.Entries, func(entry audit.Entry) bool {
+			return entry.Event == audit.EventConfigAccepted && entry.Revision == c.Revision
+		})
+		e.Entries = append(e.Entries, editEntry(e.Subject, c))
+	}
+}
+
+// editEntry turns an accepted edit into an entry.
+func editEntry(subject string, c config.Change) audit.Entry {
+	return audit.Entry{
+		At:       c.At,
+		Subject:  subject,
+		Event:    audit.EventConfigAccepted,
+		Actor:    c.Actor,
+		Verdict:  verdict.Ran.String(),
+		Revision: c.Revision,
+		Reason:   fmt.Sprintf("changed line %d", c.Line),
+		Before:   c.Before,
+		After:    c.After,
+		Durable:  true,
+	}
+}
+
+// addJob adds the state of the job, if the subject is one.
+func (h *Handlers) addJob(ctx context.Context, e *Explanation) {
 	status, err := h.Jobs.Job(ctx, model.JobID(e.Subject))
 	if err == nil {
 		e.Job = &status
@@ -93,6 +135,19 @@
 	}
 }
 
+// addForgotten says that a job with many steps keeps the first and the latest only.
+func (e *Explanation) addForgotten() {
+	steps := 0
+	for _, entry := range e.Entries {
+		if entry.Durable {
+			steps++
+		}
+	}
+	if e.Job != nil && steps >= ledger.MaxSteps {
+		e.Unknown = append(e.Unknown, fmt.Sprintf("the store keeps the first and the latest %d steps of a job; steps between them may be missing", ledger.MaxSteps-1))
+	}
+}
+
 // addGone names the instances that took part and are no longer live.
 func (h *Handlers) addGone(ctx context.Context, e *Explanation) {
 	status, err := h.Cluster.Status(ctx)
@@ -125,7 +180,7 @@
 	if e.Job != nil || slices.ContainsFunc(e.Entries, func(entry audit.Entry) bool { return entry.Durable }) {
 		return
 	}
-	e.Unknown = append(e.Unknown, "the store has no record of it; an instance that has ended may have handled it without one")
+	e.Unknown = append(e.Unknown, "no record of it was read from the store; an instance that has ended may have handled it without one")
 }
 
 // addUnreachable says which live instances did not answer.
--- a/internal/schedule/episodes_test.go
+++ b/internal/schedule/episodes_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -17,6 +18,7 @@
 	reportFlag  = flag.Bool("report", false, "run the report of all episodes")
 	seedsFlag   = flag.String("seeds", "1,2,3", "seeds of the report")
 	episodeFlag = flag.String("episode", "", "only episodes whose name contains this")
+	variantFlag = flag.String("variant", "", "no-usage, no-latency or no-relief: the scheduler without it")
 	cellFlag    = flag.String("deployment", "", "only the deployment with this name")
 )
 
@@ -89,12 +91,56 @@
 	}
 }
 
+// without is the scheduler with one kind of input or output taken away.
+type without struct {
+	*Scheduler
+	usage, latency, relief bool
+}
+
+// Observe drops the usage or the latency samples.
+func (w without) Observe(s WorkerSamples) {
+	if w.usage {
+		s.Usage = nil
+	}
+	if w.latency {
+		s.Services = nil
+	}
+	w.Scheduler.Observe(s)
+}
+
+// Plan drops every relief but the evacuation of a data centre.
+func (w without) Plan(s *Snapshot) Plan {
+	plan := w.Scheduler.Plan(s)
+	if w.relief {
+		dataCentre := map[model.WorkerID]model.DataCentre{}
+		for i := range s.Workers {
+			dataCentre[s.Workers[i].Worker.ID] = s.Workers[i].Worker.DataCentre
+		}
+		plan.Reliefs = slices.DeleteFunc(plan.Reliefs, func(r Relief) bool { return !s.Document.DataCentreOut(dataCentre[r.Worker]) })
+	}
+	return plan
+}
+
+// variant returns the scheduler that -variant names.
+func variant(seed uint64, w config.Weights) Policy {
+	s := New(seed, w)
+	switch *variantFlag {
+	case "no-usage":
+		return without{Scheduler: s, usage: true}
+	case "no-latency":
+		return without{Scheduler: s, latency: true}
+	case "no-relief":
+		return without{Scheduler: s, relief: true}
+	}
+	return s
+}
+
 // runPair plays one scenario under the naive version, under the scheduler, and under the
 // scheduler with the naive version's random choice of runners.
 func runPair(d deployment, s scenario, seed uint64) (n, ours, oursRandom result) {
 	n = newCell(d, s, newNaive(), false, seed).run()
-	ours = newCell(d, s, New(seed, d.weights), true, seed).run()
-	oursRandom = newCell(d, s, New(seed, d.weights), false, seed).run()
+	ours = newCell(d, s, variant(seed, d.weights), true, seed).run()
+	oursRandom = newCell(d, s, variant(seed, d.weights), false, seed).run()
 	return n, ours, oursRandom
 }
 
@@ -144,8 +190,8 @@
 		if *cellFlag != "" && d.name != *cellFlag {
 			continue
 		}
-		fmt.Printf("%s, seeds %s, ratios to naive\n%-20s %6s %6s | %6s %7s %6s | %6s | %s\n", d.name, *seedsFlag,
-			"episode", "p99", "random", "work", "evicted", "killed", "score", "counts")
+		fmt.Printf("%s, seeds %s, ratios to naive\n%-20s %6s %6s | %6s %5s %7s %6s | %6s | %s\n", d.name, *seedsFlag,
+			"episode", "p99", "random", "work", "out", "evicted", "killed", "score", "counts")
 		for _, s := range scenarios() {
 			if strings.Contains(s.name, *episodeFlag) {
 				reportEpisode(d, s, reportSeeds(t))
@@ -166,7 +212,7 @@
 		}()
 	}
 	wait.Wait()
-	var p99, random, work, worst float64
+	var p99, random, work, out, worst float64
 	var ne, oe, nk, ok int
 	worst = math.Inf(1)
 	detail := ""
@@ -175,6 +221,9 @@
 		p99 += math.Log(o.p99() / n.p99())
 		random += math.Log(rows[i].r.p99() / n.p99())
 		work += math.Log(o.work / n.work)
+		if s.outAt > 0 {
+			out += math.Log(o.workOut / n.workOut)
+		}
 		worst = min(worst, score(d.weights, n, o))
 		ne, oe = ne+n.evictions+n.forced, oe+o.evictions+o.forced
 		nk, ok = nk+n.kills, ok+o.kills
@@ -185,6 +234,6 @@
 		}
 	}
 	k := float64(len(rows))
-	fmt.Printf("%-20s %6.2f %6.2f | %6.2f %7.2f %6.2f | %6.2f | %s\n", s.name, math.Exp(p99/k), math.Exp(random/k),
-		math.Exp(work/k), float64(oe+1)/float64(ne+1), float64(ok+1)/float64(nk+1), worst, detail)
+	fmt.Printf("%-20s %6.2f %6.2f | %6.2f %5.2f %7.2f %6.2f | %6.2f | %s\n", s.name, math.Exp(p99/k), math.Exp(random/k),
+		math.Exp(work/k), math.Exp(out/k), float64(oe+1)/float64(ne+1), float64(ok+1)/float64(nk+1), worst, detail)
 }
--- a/internal/schedule/quarantine.go
+++ b/internal/schedule/quarantine.go
@@ -32,6 +32,8 @@
 	memoryRetryFactor = 1.5
 	// jobMemory is how long a job is remembered after its last event.
 	jobMemory = time.Hour
+	// workerMemory is how long a worker is remembered after its last snapshot.
+	workerMemory = time.Hour
 )
 
 // workerHealth holds the evidence against a worker.
@@ -50,7 +52,9 @@
 	failedOn []failure
 	failures int
 	// notBefore is the time before which the job is not tried again.
-	notBefore   time.Time
+	notBefore time.Time
+	// queuedAt is the end of the last attempt.
+	queuedAt    time.Time
 	memoryFloor int64
 	evictedAt   time.Time
 	preemptedAt time.Time
@@ -82,6 +86,7 @@
 func (s *Scheduler) Ended(e AttemptEnd) {
 	w := s.worker(e.Worker)
 	a := w.end(e)
+	s.job(e.ID.Job, e.At).queuedAt = e.At
 	switch e.State {
 	case model.AttemptSucceeded:
 		s.succeeded(w, e)
@@ -278,8 +283,8 @@
 	return min(wait, maximumBackoff)
 }
 
-// forgetJobs drops jobs that were not heard of for long, some with each call.
-func (s *Scheduler) forgetJobs(now time.Time) {
+// forget drops the jobs and workers that were not heard of for long.
+func (s *Scheduler) forget(now time.Time) {
 	if now.Sub(s.forgotAt) < jobMemory/10 {
 		return
 	}
@@ -289,4 +294,9 @@
 			delete(s.jobs, id)
 		}
 	}
+	for id, w := range s.workers {
+		if now.Sub(w.seenAt) > workerMemory {
+			delete(s.workers, id)
+		}
+	}
 }
--- a/internal/schedule/round.go
+++ b/internal/schedule/round.go
@@ -48,7 +48,7 @@
 		parked:    map[model.JobID]bool{},
 		effects:   map[model.JobClass][]float64{},
 	}
-	r.admission = math.Log(admissionMargin * (looseLimit + r.goals.tail*(strictLimit-looseLimit)))
+	r.admission = math.Log(admissionLimit) * (1 - r.goals.tail)
 	for team, use := range snapshot.TeamUse {
 		r.teamUse[team] = use
 	}
@@ -69,6 +69,7 @@
 	n.view = view
 	n.state = s.worker(view.Worker.ID)
 	n.state.capacity = view.Worker.Capacity
+	n.state.seenAt = r.snapshot.Now
 	n.state.setServices(s, view.Services)
 	n.state.checkProbe(r.snapshot.Now)
 	n.free = view.Worker.Capacity.Sub(view.Committed).Sub(n.state.overrun)
--- a/internal/schedule/worker.go
+++ b/internal/schedule/worker.go
@@ -30,8 +30,11 @@
 	share float64
 	// throttledUntil is the last time at which a throttle was in force.
 	throttledUntil time.Time
-	progress       float64
-	evicting       bool
+	// throttledFor is how long throttles were in force up to syncedAt.
+	throttledFor time.Duration
+	syncedAt     time.Time
+	progress     float64
+	evicting     bool
 	// evictedAt is when this scheduler asked for the eviction.
 	evictedAt time.Time
 	samples   int
@@ -70,6 +73,8 @@
 	id        model.WorkerID
 	capacity  model.Resources
 	residents []*resident
+	// seenAt is the time of the last snapshot that held the worker.
+	seenAt time.Time
 	// syncs counts the calls of sync.
 	syncs int
 	// present is the expected use of the executing attempts by class.
@@ -116,6 +121,14 @@
 	w.refresh(s)
 }
 
+// findNear is find for a list in nearly the same order as the residents.
+func (w *workerState) findNear(i int, id model.AttemptID) *resident {
+	if i < len(w.residents) && w.residents[i].id == id {
+		return w.residents[i]
+	}
+	return w.find(id)
+}
+
 func (w *workerState) find(id model.AttemptID) *resident {
 	for _, a := range w.residents {
 		if a.id.Number == id.Number && a.id.Job == id.Job {
@@ -131,7 +144,7 @@
 	w.syncs++
 	for i := range view.Attempts {
 		a := &view.Attempts[i]
-		r := w.find(a.ID)
+		r := w.findNear(i, a.ID)
 		if r == nil {
 			spec := a.Spec
 			r = &resident{id: a.ID, spec: &spec, from: a.Started, share: 1}
@@ -155,7 +168,11 @@
 	}
 	if a.share < 1 {
 		a.throttledUntil = now
+		if !a.syncedAt.IsZero() {
+			a.throttledFor += now.Sub(a.syncedAt)
+		}
 	}
+	a.syncedAt = now
 }
 
 func (w *workerState) expire(now time.Time) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -63,7 +63,9 @@
 
 	// draining says that a planned stop has begun.
 	draining atomic.Bool
-	wg       sync.WaitGroup
+	// joined says that the instance has known an owner of every partition once.
+	joined atomic.Bool
+	wg     sync.WaitGroup
 }
 
 // New connects the parts of an instance. It fails if the store does not answer.
@@ -84,6 +86,7 @@
 	v.trail = audit.NewTrail(s.InstanceID, v.clock, log, s.AuditEntries)
 	v.watcher = config.NewWatcher(store, v.clock, config.WatcherOptions{Recorder: v.trail})
 	v.editor = config.NewEditor(store, v.clock, s.InstanceID, v.trail)
+	v.editor.CompareWith(v.watcher)
 	v.members = v.newMembership()
 	v.pool = peer.NewPool(s.InstanceID)
 	v.peers = peer.NewServer(s.InstanceID, log)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -37,9 +37,9 @@
 
 	MemberLeaseTTL time.Duration
 	WorkerLeaseTTL time.Duration
-	TickInterval   time.Duration
 	CommitInterval time.Duration
-	// ConfigMaxAge is the age of the last confirmation beyond which nothing new starts.
+	// ConfigMaxAge bounds the time from the decision on a start to its arrival at the worker.
+	// The configuration is confirmed between them, so no start uses an older confirmation.
 	ConfigMaxAge time.Duration
 	// StoreWritesPerSecond is this instance's share of the store's write rate.
 	StoreWritesPerSecond int
@@ -59,10 +59,7 @@
 
 // Limits bound what callers and operators can make an instance hold.
 type Limits struct {
-	BodyBytes         int64
-	AnswerBytes       int64
 	HeaderBytes       int
-	Requests          int
 	Connections       int
 	ReadHeaderTimeout time.Duration
 	IdleTimeout       time.Duration
--- a/standin/cluster/instance.go
+++ b/standin/cluster/instance.go
@@ -103,10 +103,11 @@
 func (i *Instance) await(ctx context.Context, path string) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	life := i.Process
 	go func() {
 		select {
-		case <-i.Done():
-			cancel(fmt.Errorf("the process has ended, see %s", i.Log))
+		case <-life.Done():
+			cancel(fmt.Errorf("the process has ended, see %s", life.Log))
 		case <-ctx.Done():
 		}
 	}()
@@ -156,6 +157,11 @@
 	return do(ctx, http.MethodPost, "http://"+i.Caller+"/v1/jobs", body, nil)
 }
 
+// Cancel withdraws a job.
+func (i *Instance) Cancel(ctx context.Context, id model.JobID) error {
+	return do(ctx, http.MethodDelete, "http://"+i.Caller+"/v1/jobs/"+string(id), nil, nil)
+}
+
 // Job returns what the system knows of a job.
 func (i *Instance) Job(ctx context.Context, id model.JobID) (ledger.JobStatus, error) {
 	var out ledger.JobStatus
