Avoid targets that accept requests and never answer

Cause: an attempt that ended at the deadline said nothing about its target, so a frozen target kept its places filled with requests that were lost one after the other. Now a missing answer after ten times the mean latency counts as a failure; a deadline shorter than that does not. Seen to fail: without the rule "false != true" (silent target chosen), with every timeout blamed "true != false" (a short deadline ejects a good target).

--- a/internal/route/flight.go
+++ b/internal/route/flight.go
@@ -112,9 +112,10 @@
 type outcome struct {
 	answered bool
 	took     time.Duration
-	// failed says that the target did not give a whole answer by itself, as opposed to
-	// the caller's deadline ending the attempt.
+	// failed says that the target did not give a whole answer by itself.
 	failed bool
+	// timedOut says that the deadline or the caller's departure ended the attempt.
+	timedOut bool
 }
 
 // outcomeOf returns the outcome of an attempt.
@@ -122,5 +123,11 @@
 	if err == nil {
 		return outcome{answered: true, took: took}
 	}
-	return outcome{took: took, failed: err.Reason == verdict.ReasonTarget || err.Reason == verdict.ReasonTruncated}
+	switch err.Reason {
+	case verdict.ReasonTarget, verdict.ReasonTruncated:
+		return outcome{took: took, failed: true}
+	case verdict.ReasonDeadline, verdict.ReasonCancelled:
+		return outcome{took: took, timedOut: true}
+	}
+	return outcome{took: took}
 }
--- a/internal/route/pool.go
+++ b/internal/route/pool.go
@@ -26,6 +26,9 @@
 	// avoided; it doubles with each failure in a row.
 	minEjection = 500 * time.Millisecond
 	maxEjection = 10 * time.Second
+	// overdueFactor is the multiple of the mean latency after which a missing answer counts
+	// as a failure of the target.
+	overdueFactor = 10
 	// choices is the number of random candidates that are compared for one request.
 	choices = 5
 )
@@ -284,13 +287,20 @@
 		t.failures, t.ejectedUntil = 0, time.Time{}
 		t.latency.add(o.took)
 		p.latency.add(o.took)
-	case o.failed:
+	case o.failed, o.timedOut && p.isOverdue(o.took):
 		t.ejectedUntil = p.clock.Now().Add(min(minEjection<<min(t.failures, 10), maxEjection))
 		t.failures++
 	}
 	p.serve()
 }
 
+// isOverdue reports whether an attempt without an answer took so long that its target rather
+// than a short deadline is the cause. Otherwise a target that accepts requests and never
+// answers would go on receiving them.
+func (p *pool) isOverdue(took time.Duration) bool {
+	return p.latency.mean > 0 && took > overdueFactor*p.latency.mean
+}
+
 // isUsable reports whether new requests may go to the target at this moment.
 func (p *pool) isUsable(t *target) bool {
 	p.mu.Lock()
--- a/internal/route/queue_test.go
+++ b/internal/route/queue_test.go
@@ -158,6 +158,51 @@
 	is.True(p.latency.median < time.Second)
 }
 
+// TestTargetWithoutAnswersIsAvoided checks that a target that accepts requests and never
+// answers is avoided, and that a short deadline is not blamed on its target.
+func TestTargetWithoutAnswersIsAvoided(t *testing.T) {
+	cases := []struct {
+		sentence string
+		took     time.Duration
+		avoided  bool
+	}{
+		{"the answer is missing for much longer than usual", time.Second, true},
+		{"the deadline was shorter than a usual answer takes", time.Millisecond, false},
+	}
+	for _, c := range cases {
+		t.Run(c.sentence, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p := newPool(platform.SystemClock{})
+				p.set([]targetShare{
+					{target: model.Target{ID: "silent"}, slots: 8},
+					{target: model.Target{ID: "good"}, slots: 8},
+				})
+				p.latency.add(10 * time.Millisecond)
+				silent := p.targets[0]
+				silent.inFlight++
+				p.release(silent, outcomeOf(verdict.New(verdict.MayHaveRun, verdict.ReasonDeadline, ""), c.took))
+				chosen := 0
+				for range 100 {
+					got, err := p.acquire(context.Background(), time.Now().Add(time.Minute), nil)
+					is.True(err == nil)
+					if got == silent {
+						chosen++
+					}
+					p.release(got, outcome{})
+				}
+				is.Equal(chosen == 0, c.avoided)
+				time.Sleep(minEjection)
+				is.True(p.choose(nil) != nil)
+				is.Equal(p.isEjected(silent), false) // it is tried again
+			})
+		})
+	}
+}
+
+// isEjected reports whether others are preferred to the target.
+func (p *pool) isEjected(t *target) bool { return p.clock.Now().Before(t.ejectedUntil) }
+
 func TestFullQueueIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
