--- a/internal/schedule/heat.go
+++ b/internal/schedule/heat.go
@@ -18,12 +18,12 @@
 	looseLimit  = 4.0
 	// strictDeadline and looseDeadline are the shares of the shortest deadline that a p99 may
 	// reach, if only the tail latency counts and if it does not count at all.
-	strictDeadline = 0.4
-	looseDeadline  = 0.9
+	strictDeadline = 0.2
+	looseDeadline  = 1.2
 	// strictBusy and looseBusy are the shares of a target's slots that may be busy, if only the
 	// tail latency counts and if it does not count at all.
-	strictBusy = 0.8
-	looseBusy  = 0.95
+	strictBusy = 0.7
+	looseBusy  = 1.1
 	// coolShare is the share of the limit, as a logarithm, below which a window is cool.
 	coolShare = 0.6
 	// coolLoad is the share of busy slots below which a window is cool.
