One form of error answers on all listeners; duplicates keep the verdict of the holder across peers

The reply to a claim carries the claim that holds the key, so a duplicate that reaches another instance is told the holder's verdict instead of may-have-run.

--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -69,6 +69,12 @@
 	Claim     ledger.ClaimRequest `cbor:"2,keyasint"`
 }
 
+// claimReply is the claim that was granted, or the one that holds the key and the refusal.
+type claimReply struct {
+	Claim   ledger.Claim   `cbor:"1,keyasint"`
+	Refusal *verdict.Error `cbor:"2,keyasint,omitempty"`
+}
+
 // settleMessage ends a claim.
 type settleMessage struct {
 	Partition model.Partition  `cbor:"1,keyasint"`
--- a/internal/cluster/router.go
+++ b/internal/cluster/router.go
@@ -340,15 +340,33 @@
 	if err != nil {
 		return ledger.Claim{}, err
 	}
-	return do(ctx, r, call[ledger.Claim]{
+	reply, err := do(ctx, r, call[claimReply]{
 		partition: p,
 		kind:      KindClaim,
 		in:        claimMessage{Partition: p, Claim: c},
 		once:      true,
-		local: func(ctx context.Context, o *partition.Owner) (ledger.Claim, error) {
-			return o.Claim(ctx, c)
+		local: func(ctx context.Context, o *partition.Owner) (claimReply, error) {
+			return claimAt(ctx, o, c)
 		},
 	})
+	if err != nil {
+		return ledger.Claim{}, err
+	}
+	if reply.Refusal != nil {
+		return reply.Claim, reply.Refusal
+	}
+	return reply.Claim, nil
+}
+
+// claimAt claims a key at its owner. The claim that holds the key already is part of the
+// reply, because an error could not carry it across the peer connection.
+func claimAt(ctx context.Context, o *partition.Owner, c ledger.ClaimRequest) (claimReply, error) {
+	claim, err := o.Claim(ctx, c)
+	var refusal *verdict.Error
+	if errors.As(err, &refusal) && refusal.Reason == verdict.ReasonDuplicate {
+		return claimReply{Claim: claim, Refusal: refusal}, nil
+	}
+	return claimReply{Claim: claim}, err
 }
 
 // Settle ends a claim with a verdict. It is idempotent.
--- a/internal/reply/reply.go
+++ b/internal/reply/reply.go
@@ -68,7 +68,7 @@
 		return http.StatusConflict
 	case verdict.ReasonUnfeasible:
 		return http.StatusUnprocessableEntity
-	case verdict.ReasonQuota:
+	case verdict.ReasonQuota, verdict.ReasonOverload, verdict.ReasonClaimsExhausted:
 		return http.StatusTooManyRequests
 	case verdict.ReasonDeadline:
 		return http.StatusGatewayTimeout
