Acknowledge running reports, and decide only when something happened

Reports of running attempts are acknowledged; the list is built for ended ones only; the policy decides when something happened (at most every 25 ms) or every 500 ms; summary and stranded jobs are looked at twice a second.

--- a/internal/partition/commit.go
+++ b/internal/partition/commit.go
@@ -20,9 +20,7 @@
 		p.due.Reset(wait)
 		return nil
 	}
-	if !p.stopping {
-		p.plan(now)
-	}
+	p.planIfDue(now)
 	if !p.ledger.HasPending() {
 		p.replyAll()
 		return nil
--- a/internal/partition/loop.go
+++ b/internal/partition/loop.go
@@ -13,6 +13,14 @@
 const (
 	// tickPeriod is how often the loop plans when nothing else wakes it.
 	tickPeriod = 100 * time.Millisecond
+	// planPeriod is how often the policy looks at a partition in which nothing happens.
+	planPeriod = 500 * time.Millisecond
+	// planSpacing is the least time between two decisions of the policy.
+	planSpacing = 25 * time.Millisecond
+	// summaryPeriod is how often the summary of the partition is made.
+	summaryPeriod = 500 * time.Millisecond
+	// strandedPeriod is how often the jobs without room are looked at.
+	strandedPeriod = 500 * time.Millisecond
 	// forgetPeriod is how often ended jobs and old claims leave the ledger.
 	forgetPeriod = 10 * time.Second
 	// drainBound is how many waiting events the loop takes before it commits.
@@ -38,6 +46,13 @@
 	// inFlight is the batch that the journal is writing, nil if none.
 	inFlight   *batch
 	lastAppend time.Time
+	lastPlan   time.Time
+	// planWanted says that something has happened that the policy should act on at once.
+	planWanted bool
+	// nextSummary is when the summary for the other instances is due.
+	nextSummary time.Time
+	// nextStranded is when the jobs without room are looked at again.
+	nextStranded time.Time
 	// due wakes the loop when the next append is allowed.
 	due *time.Timer
 	// reserved is when the loop may spend the write that it holds, zero if it holds none.
@@ -165,6 +180,9 @@
 	if c.execute(p.ledger, p.cfg.Clock.Now()) {
 		p.waiting = append(p.waiting, c)
 		p.urgent = p.urgent || !c.unhurried
+		if !c.read && !c.unhurried {
+			p.planSoon()
+		}
 	}
 }
 
@@ -179,7 +197,10 @@
 	p.resendSignals(now)
 	p.answerReads(now)
 	p.offerTransfers(ctx, nil)
-	p.o.summary.store(p.summarize(now))
+	if now.After(p.nextSummary) {
+		p.nextSummary = now.Add(summaryPeriod)
+		p.o.summary.store(p.summarize(now))
+	}
 }
 
 // fail answers every command that will not become durable.
@@ -200,6 +221,7 @@
 	now := p.cfg.Clock.Now()
 	for _, refused := range r.refused {
 		p.logError("refused", p.ledger.Refused(now, refused.attempt, refused.reason))
+		p.planSoon()
 	}
 	for _, attempt := range r.accepted {
 		running := platform.AttemptReport{Attempt: attempt, State: model.AttemptRunning}
--- a/internal/partition/plan.go
+++ b/internal/partition/plan.go
@@ -10,6 +10,20 @@
 	"github.com/geraniumwick/geraniumwick/internal/schedule"
 )
 
+// planSoon asks for a decision as soon as the spacing allows.
+func (p *loop) planSoon() { p.planWanted = true }
+
+// planIfDue decides if something has happened, or if the last decision is old.
+func (p *loop) planIfDue(now time.Time) {
+	age := now.Sub(p.lastPlan)
+	if p.stopping || age < planSpacing || (!p.planWanted && age < planPeriod) {
+		return
+	}
+	p.lastPlan = now
+	p.planWanted = false
+	p.plan(now)
+}
+
 // plan asks the policy and turns its plan into ledger commands.
 func (p *loop) plan(now time.Time) {
 	doc, ok := p.cfg.Documents.Current()
@@ -30,7 +44,10 @@
 	for _, parking := range plan.Parked {
 		p.logError("park", p.ledger.Park(now, parking.Job, parking.Reason))
 	}
-	p.transferStranded(now, snapshot)
+	if now.After(p.nextStranded) {
+		p.nextStranded = now.Add(strandedPeriod)
+		p.transferStranded(now, snapshot)
+	}
 }
 
 // snapshot is the state that the policy decides on.
--- a/internal/partition/reports.go
+++ b/internal/partition/reports.go
@@ -193,20 +193,28 @@
 // report records one report, unless it was processed before.
 func (p *loop) report(now time.Time, k *link, r platform.AttemptReport) {
 	delete(k.unknown, r.Attempt)
-	if r.State.Ended() && r.Sequence <= k.applied {
+	if r.State.Ended() {
+		p.ended(now, k, r)
+	} else {
+		p.logError("report", p.ledger.Report(now, k.worker.ID, r))
+	}
+	p.acknowledge = append(p.acknowledge, workerSequence{k.worker.ID, r.Sequence})
+}
+
+// ended records the end of an attempt. The worker repeats the report until it is
+// acknowledged, which it is once the record is durable.
+func (p *loop) ended(now time.Time, k *link, r platform.AttemptReport) {
+	if r.Sequence <= k.applied {
 		return
 	}
+	k.applied = r.Sequence
 	view, running := p.attempt(k.worker.ID, r.Attempt)
 	p.logError("report", p.ledger.Report(now, k.worker.ID, r))
-	if !r.State.Ended() {
-		return
-	}
-	k.applied = max(k.applied, r.Sequence)
-	p.acknowledge = append(p.acknowledge, workerSequence{k.worker.ID, r.Sequence})
 	p.forgetAttempt(k, r.Attempt)
 	if running {
 		p.learnEnd(now, k.worker.ID, view, r.State, r.Error)
 	}
+	p.planSoon()
 }
 
 // attempt returns an attempt that may be executing on the worker.
