--- a/internal/schedule/relief.go
+++ b/internal/schedule/relief.go
@@ -168,7 +168,7 @@
 		}
 		used += a.cpu
 		over := a.cpu - float64(a.reservation.MilliCPU)
-		if a.share == 1 && a.reliable() && over > excess {
+		if a.share == 1 && a.relievable() && over > excess {
 			worst, excess = a, over
 		}
 	}
@@ -182,8 +182,8 @@
 	return true
 }
 
-// reliable reports whether relief may act on the attempt.
-func (a *resident) reliable() bool {
+// relievable reports whether relief may act on the attempt.
+func (a *resident) relievable() bool {
 	return a.alive() && !a.evicting && a.samples > 0 && a.spec.Priority == model.PriorityBatch
 }
 
@@ -243,7 +243,7 @@
 	lowest := r.lowestThrottle()
 	var candidates []*resident
 	for _, a := range n.state.residents {
-		if a.reliable() && a.share > lowest && harm(a) > leastHarm && !a.heldLong(r.snapshot.Now) {
+		if a.relievable() && a.share > lowest && harm(a) > leastHarm && !a.heldLong(r.snapshot.Now) {
 			candidates = append(candidates, a)
 		}
 	}
@@ -271,7 +271,7 @@
 	least := 0.0
 	for _, a := range w.residents {
 		gain := relief(a)
-		if !a.reliable() || gain <= 0 || !r.evictable(a) {
+		if !a.relievable() || gain <= 0 || !r.evictable(a) {
 			continue
 		}
 		if cost := a.lostWork() / gain; best == nil || cost < least {
