--- a/internal/schedule/feasible.go
+++ b/internal/schedule/feasible.go
@@ -30,7 +30,7 @@
 	return n.open &&
 		reservation.Fits(n.free) &&
 		!r.keepsHeadroom(n, spec, reservation) &&
-		!r.heldForOther(n, spec) &&
+		!n.heldForOther(spec) &&
 		allowsDataCentre(spec, n.view.Worker.DataCentre) &&
 		r.spreadAllows(n, spec)
 }
--- a/internal/schedule/round.go
+++ b/internal/schedule/round.go
@@ -18,6 +18,8 @@
 	open bool
 	// headroom says that batch work has to leave room for an urgent job.
 	headroom bool
+	// heldFor is the job that the worker is held for, if any.
+	heldFor model.JobID
 }
 
 // round is the working state of one call of Plan. Placements of the same plan add up in it.
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -25,7 +25,7 @@
 	budget  evictionBudget
 	goals   goals
 	urgent  urgentDemand
-	hold    hold
+	holds   []hold
 	// out holds the data centres of the last snapshot and whether they are out of service.
 	out map[model.DataCentre]bool
 	// largest is the largest amount of each resource on any worker.
@@ -66,7 +66,7 @@
 	s.goals = goalsOf(s.weightsFor(snapshot.Document))
 	s.urgent.observe(s, snapshot)
 	r := newRound(s, snapshot)
-	r.refreshHold()
+	r.refreshHolds()
 	r.evacuate(&plan)
 	r.anticipate(&plan)
 	r.relieve(r.digest(), &plan)
