--- a/standin/cmd/quickstart/report.go
+++ b/standin/cmd/quickstart/report.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -46,6 +48,7 @@
 		{"resumes from a wrong checkpoint", counts.Violations[fleet.ViolationCheckpoint]},
 		{"answers that the targets' record disproves", len(contradictions)},
 		{"jobs not finished", s.submitted - counts.Finished},
+		{fmt.Sprintf("requests beyond 1 in %d that no target answered", toleratedShare), unanswered(results)},
 	}
 	kept := printPromises(w, promises)
 	if err := w.Flush(); err != nil {
@@ -60,6 +63,21 @@
 	count int
 }
 
+// toleratedShare is the share of requests, as one in so many, that may stay without an
+// answer while a data centre leaves and returns.
+const toleratedShare = 100
+
+// unanswered counts the requests beyond the tolerated share that did not run.
+func unanswered(results []cluster.Result) int {
+	count := 0
+	for _, r := range results {
+		if r.Verdict != verdict.Ran {
+			count++
+		}
+	}
+	return max(0, count-len(results)/toleratedShare)
+}
+
 // duplicates counts work that was executed twice.
 func duplicates(c fleet.Counts) int {
 	return c.Violations[fleet.ViolationTwice] + c.Violations[fleet.ViolationOverlap] +
@@ -99,6 +117,19 @@
 	}
 }
 
+// printReasons prints why requests were not answered by a target.
+func printReasons(out io.Writer, results []cluster.Result) {
+	counts := map[verdict.Reason]int{}
+	for _, r := range results {
+		if r.Verdict != verdict.Ran {
+			counts[r.Reason]++
+		}
+	}
+	for _, reason := range slices.Sorted(maps.Keys(counts)) {
+		fmt.Fprintf(out, "%d requests were refused or cut: %s\n", counts[reason], reason)
+	}
+}
+
 // explain prints the first broken promises.
 func (s *session) explain(ctx context.Context, out io.Writer, contradictions []cluster.Contradiction) error {
 	const most = 10
@@ -109,6 +140,7 @@
 	for _, v := range violations[:min(most, len(violations))] {
 		fmt.Fprintf(out, "%s: %s: %s\n", v.At.Format(time.TimeOnly), v.Kind, v.Text)
 	}
+	printReasons(out, s.traffic.Results())
 	for _, c := range contradictions[:min(most, len(contradictions))] {
 		fmt.Fprintf(out, "%s: %s\n", c.Result.Reference, c.Text)
 	}
