Serve and call each message of owners through one typed endpoint

The local call of a claim and the handler for peers were written twice, and the change of the reply had reached only one of them; no test called a claim across instances. Each message now has one endpoint with one function, used in both places, so that the types cannot differ.

--- a/internal/cluster/explain.go
+++ b/internal/cluster/explain.go
@@ -11,7 +11,6 @@
 	"github.com/geraniumwick/geraniumwick/internal/ledger"
 	"github.com/geraniumwick/geraniumwick/internal/membership"
 	"github.com/geraniumwick/geraniumwick/internal/model"
-	"github.com/geraniumwick/geraniumwick/internal/partition"
 	"github.com/geraniumwick/geraniumwick/internal/peer"
 	"github.com/geraniumwick/geraniumwick/internal/verdict"
 )
@@ -106,15 +105,7 @@
 	if err != nil {
 		return ledger.Claim{}, false, err
 	}
-	reply, err := do(ctx, r, call[claimedReply]{
-		partition: p,
-		kind:      KindClaimed,
-		in:        claimedMessage{Partition: p, Key: key},
-		local: func(ctx context.Context, o *partition.Owner) (claimedReply, error) {
-			claim, found, err := o.Claimed(ctx, key)
-			return claimedReply{Found: found, Claim: claim}, err
-		},
-	})
+	reply, err := readClaim.invoke(ctx, r, claimedMessage{Partition: p, Key: key})
 	return reply.Claim, reply.Found, err
 }
 
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -35,6 +35,8 @@
 	Spec      model.JobSpec   `cbor:"2,keyasint"`
 }
 
+func (m submitMessage) partition() model.Partition { return m.Partition }
+
 // jobMessage names a job; Actor is who asks for a change of it.
 type jobMessage struct {
 	Partition model.Partition `cbor:"1,keyasint"`
@@ -42,6 +44,8 @@
 	Actor     string          `cbor:"3,keyasint,omitempty"`
 }
 
+func (m jobMessage) partition() model.Partition { return m.Partition }
+
 // jobReply describes a job with its durable history.
 type jobReply struct {
 	Status  ledger.JobStatus `cbor:"1,keyasint"`
@@ -56,6 +60,8 @@
 	Team      model.Team      `cbor:"2,keyasint,omitempty"`
 }
 
+func (m jobsMessage) partition() model.Partition { return m.Partition }
+
 // acceptMessage offers a job to another partition.
 type acceptMessage struct {
 	Partition model.Partition `cbor:"1,keyasint"`
@@ -63,12 +69,16 @@
 	Transfer  ledger.Transfer `cbor:"3,keyasint"`
 }
 
+func (m acceptMessage) partition() model.Partition { return m.Partition }
+
 // claimMessage claims a request key.
 type claimMessage struct {
 	Partition model.Partition     `cbor:"1,keyasint"`
 	Claim     ledger.ClaimRequest `cbor:"2,keyasint"`
 }
 
+func (m claimMessage) partition() model.Partition { return m.Partition }
+
 // claimReply is the claim that was granted, or the one that holds the key and the refusal.
 type claimReply struct {
 	Claim   ledger.Claim   `cbor:"1,keyasint"`
@@ -83,12 +93,16 @@
 	Verdict   verdict.Verdict  `cbor:"4,keyasint"`
 }
 
+func (m settleMessage) partition() model.Partition { return m.Partition }
+
 // claimedMessage asks what is known of a request key.
 type claimedMessage struct {
 	Partition model.Partition  `cbor:"1,keyasint"`
 	Key       model.RequestKey `cbor:"2,keyasint"`
 }
 
+func (m claimedMessage) partition() model.Partition { return m.Partition }
+
 // claimedReply says what is known of a request key.
 type claimedReply struct {
 	Found bool         `cbor:"1,keyasint"`
--- a/internal/cluster/router.go
+++ b/internal/cluster/router.go
@@ -102,76 +102,6 @@
 	return r.cfg.Members.Assigned(p)
 }
 
-// call is one call of the owner of a partition.
-type call[Out any] struct {
-	partition model.Partition
-	kind      peer.Kind
-	in        any
-	local     func(ctx context.Context, o *partition.Owner) (Out, error)
-	// once forbids another try after a failure that may have taken effect.
-	once bool
-}
-
-// do makes the call, again while ownership moves, until it succeeds, fails for good or ctx
-// ends. If any try may have taken effect, so may the whole.
-func do[Out any](ctx context.Context, r *Router, c call[Out]) (Out, error) {
-	mayHaveRun := false
-	for {
-		out, err := try(ctx, r, c)
-		if err == nil {
-			return out, nil
-		}
-		failure := verdict.From(err, verdict.ReasonPeer)
-		mayHaveRun = mayHaveRun || failure.Verdict != verdict.NotRun
-		if !isTransient(failure) || (mayHaveRun && c.once) {
-			return out, withDoubt(failure, mayHaveRun)
-		}
-		select {
-		case <-ctx.Done():
-			return out, withDoubt(failure, mayHaveRun)
-		case <-time.After(retryDelay):
-		}
-	}
-}
-
-// withDoubt returns the failure, weakened to MayHaveRun if an earlier try may have taken effect.
-func withDoubt(failure *verdict.Error, mayHaveRun bool) error {
-	if !mayHaveRun || failure.Verdict != verdict.NotRun {
-		return failure
-	}
-	weak := *failure
-	weak.Verdict = verdict.MayHaveRun
-	return &weak
-}
-
-// isTransient reports whether another try may succeed.
-func isTransient(e *verdict.Error) bool {
-	switch e.Reason {
-	case verdict.ReasonNotOwner, verdict.ReasonPeer, verdict.ReasonStore, verdict.ReasonOverload, verdict.ReasonShutdown:
-		return true
-	}
-	return false
-}
-
-// try makes the call once.
-func try[Out any](ctx context.Context, r *Router, c call[Out]) (Out, error) {
-	var out Out
-	if o, ok := r.cfg.Manager.Held(c.partition); ok {
-		return c.local(ctx, o)
-	}
-	m, ok := r.locate(c.partition)
-	if !ok || m.ID == r.cfg.Self {
-		return out, verdict.New(verdict.NotRun, verdict.ReasonNotOwner, "partition %d has no owner at present", c.partition)
-	}
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	err := r.cfg.Pool.Call(callCtx, m.PeerAddr, c.kind, c.in, &out)
-	if err != nil {
-		r.summaries.forget(c.partition, m.ID)
-	}
-	return out, err
-}
-
 // Submit accepts a job. It is idempotent by the job's id.
 func (r *Router) Submit(ctx context.Context, spec model.JobSpec) (ledger.JobStatus, error) {
 	p, err := r.partitionOf(string(spec.ID))
@@ -181,45 +111,28 @@
 	if why := r.cfg.Unfeasible(spec); why != "" {
 		return ledger.JobStatus{}, verdict.New(verdict.NotRun, verdict.ReasonUnfeasible, "the job can never run: %s", why)
 	}
-	return do(ctx, r, call[ledger.JobStatus]{
-		partition: p,
-		kind:      KindSubmit,
-		in:        submitMessage{Partition: p, Spec: spec},
-		local: func(ctx context.Context, o *partition.Owner) (ledger.JobStatus, error) {
-			return o.Submit(ctx, spec)
-		},
-	})
+	return submit.invoke(ctx, r, submitMessage{Partition: p, Spec: spec})
 }
 
 // Cancel withdraws a job, wherever it has been transferred to.
 func (r *Router) Cancel(ctx context.Context, id model.JobID, actor string) (ledger.JobStatus, error) {
-	return r.changeJob(ctx, id, actor, KindCancel, func(ctx context.Context, o *partition.Owner) (ledger.JobStatus, error) {
-		return o.Cancel(ctx, id, "cancelled by "+actor)
-	})
+	return r.changeJob(ctx, cancel, id, actor)
 }
 
 // Resume queues a parked job again.
 func (r *Router) Resume(ctx context.Context, id model.JobID, actor string) (ledger.JobStatus, error) {
-	return r.changeJob(ctx, id, actor, KindResume, func(ctx context.Context, o *partition.Owner) (ledger.JobStatus, error) {
-		return o.Resume(ctx, id)
-	})
+	return r.changeJob(ctx, resume, id, actor)
 }
 
 // changeJob finds the partition that holds the job and makes the change there. A job that
 // moves meanwhile is followed.
-func (r *Router) changeJob(ctx context.Context, id model.JobID, actor string, kind peer.Kind,
-	local func(context.Context, *partition.Owner) (ledger.JobStatus, error)) (ledger.JobStatus, error) {
+func (r *Router) changeJob(ctx context.Context, change endpoint[jobMessage, ledger.JobStatus], id model.JobID, actor string) (ledger.JobStatus, error) {
 	for {
 		found, err := r.find(ctx, id)
 		if err != nil {
 			return ledger.JobStatus{}, err
 		}
-		status, err := do(ctx, r, call[ledger.JobStatus]{
-			partition: found.partition,
-			kind:      kind,
-			in:        jobMessage{Partition: found.partition, Job: id, Actor: actor},
-			local:     local,
-		})
+		status, err := change.invoke(ctx, r, jobMessage{Partition: found.partition, Job: id, Actor: actor})
 		if err != nil || status.State != model.JobTransferred {
 			return status, err
 		}
@@ -244,7 +157,7 @@
 	}
 	f := found{partition: p, settled: true}
 	for range maxHops {
-		reply, err := r.jobIn(ctx, f.partition, id)
+		reply, err := readJob.invoke(ctx, r, jobMessage{Partition: f.partition, Job: id})
 		if err != nil {
 			return f, err
 		}
@@ -260,25 +173,6 @@
 	return f, verdict.New(verdict.NotRun, verdict.ReasonUnknown, "job %s moved more than %d times", id, maxHops)
 }
 
-// jobIn asks one partition for a job. A job on its way is not known to its destination
-// yet, which counts as transient.
-func (r *Router) jobIn(ctx context.Context, p model.Partition, id model.JobID) (jobReply, error) {
-	return do(ctx, r, call[jobReply]{
-		partition: p,
-		kind:      KindJob,
-		in:        jobMessage{Partition: p, Job: id},
-		local: func(ctx context.Context, o *partition.Owner) (jobReply, error) {
-			return readJob(ctx, o, id)
-		},
-	})
-}
-
-// readJob reads a job from the owner of its partition.
-func readJob(ctx context.Context, o *partition.Owner, id model.JobID) (jobReply, error) {
-	view, err := o.Job(ctx, id)
-	return jobReply{Status: view.Status, History: view.History, Settled: view.Settled}, err
-}
-
 // Job returns what is known of a job.
 func (r *Router) Job(ctx context.Context, id model.JobID) (ledger.JobStatus, error) {
 	f, err := r.find(ctx, id)
@@ -297,7 +191,7 @@
 	group.SetLimit(listConcurrency)
 	for p := range model.Partition(doc.Operators.Partitions) {
 		group.Go(func() (err error) {
-			lists[p], err = r.listIn(ctx, p, team)
+			lists[p], err = listJobs.invoke(ctx, r, jobsMessage{Partition: p, Team: team})
 			return err
 		})
 	}
@@ -308,47 +202,19 @@
 	return slices.DeleteFunc(all, func(s ledger.JobStatus) bool { return s.State == model.JobTransferred }), nil
 }
 
-// listIn returns the jobs of a team in one partition.
-func (r *Router) listIn(ctx context.Context, p model.Partition, team model.Team) ([]ledger.JobStatus, error) {
-	return do(ctx, r, call[[]ledger.JobStatus]{
-		partition: p,
-		kind:      KindJobs,
-		in:        jobsMessage{Partition: p, Team: team},
-		local: func(ctx context.Context, o *partition.Owner) ([]ledger.JobStatus, error) {
-			return o.Jobs(ctx, team)
-		},
-	})
-}
-
 // Offer delivers a transfer to the owner of its destination.
 func (r *Router) Offer(ctx context.Context, from model.Partition, t ledger.Transfer) error {
-	_, err := do(ctx, r, call[empty]{
-		partition: t.To,
-		kind:      KindAccept,
-		in:        acceptMessage{Partition: t.To, From: from, Transfer: t},
-		local: func(ctx context.Context, o *partition.Owner) (empty, error) {
-			return empty{}, o.AcceptTransfer(ctx, from, t)
-		},
-	})
+	_, err := accept.invoke(ctx, r, acceptMessage{Partition: t.To, From: from, Transfer: t})
 	return err
 }
 
-// Claim takes a request key at the owner of its partition. A claim that may have taken
-// effect is not tried again; its request must not be sent.
+// Claim takes a request key at the owner of its partition.
 func (r *Router) Claim(ctx context.Context, c ledger.ClaimRequest) (ledger.Claim, error) {
 	p, err := r.partitionOf(string(c.Key))
 	if err != nil {
 		return ledger.Claim{}, err
 	}
-	reply, err := do(ctx, r, call[claimReply]{
-		partition: p,
-		kind:      KindClaim,
-		in:        claimMessage{Partition: p, Claim: c},
-		once:      true,
-		local: func(ctx context.Context, o *partition.Owner) (claimReply, error) {
-			return claimAt(ctx, o, c)
-		},
-	})
+	reply, err := claim.invoke(ctx, r, claimMessage{Partition: p, Claim: c})
 	if err != nil {
 		return ledger.Claim{}, err
 	}
@@ -358,31 +224,13 @@
 	return reply.Claim, nil
 }
 
-// claimAt claims a key at its owner. The claim that holds the key already is part of the
-// reply, because an error could not carry it across the peer connection.
-func claimAt(ctx context.Context, o *partition.Owner, c ledger.ClaimRequest) (claimReply, error) {
-	claim, err := o.Claim(ctx, c)
-	var refusal *verdict.Error
-	if errors.As(err, &refusal) && refusal.Reason == verdict.ReasonDuplicate {
-		return claimReply{Claim: claim, Refusal: refusal}, nil
-	}
-	return claimReply{Claim: claim}, err
-}
-
 // Settle ends a claim with a verdict. It is idempotent.
 func (r *Router) Settle(ctx context.Context, key model.RequestKey, holder model.InstanceID, v verdict.Verdict) error {
 	p, err := r.partitionOf(string(key))
 	if err != nil {
 		return err
 	}
-	_, err = do(ctx, r, call[empty]{
-		partition: p,
-		kind:      KindSettle,
-		in:        settleMessage{Partition: p, Key: key, Holder: holder, Verdict: v},
-		local: func(ctx context.Context, o *partition.Owner) (empty, error) {
-			return empty{}, o.Settle(ctx, key, holder, v)
-		},
-	})
+	_, err = settle.invoke(ctx, r, settleMessage{Partition: p, Key: key, Holder: holder, Verdict: v})
 	return err
 }
 
--- a/internal/cluster/router_test.go
+++ b/internal/cluster/router_test.go
@@ -84,7 +84,8 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				p := &peers{failures: c.failures}
-				_, err := do(t.Context(), newTestRouter(p), call[empty]{once: c.once})
+				e := endpoint[jobsMessage, empty]{once: c.once}
+				_, err := e.invoke(t.Context(), newTestRouter(p), jobsMessage{})
 				is.Equal(verdict.Of(err), c.want)
 				is.Equal(p.calls, c.calls)
 			})
@@ -101,7 +102,7 @@
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		_, err := do(ctx, newTestRouter(&peers{failures: failures}), call[empty]{})
+		_, err := listJobs.invoke(ctx, newTestRouter(&peers{failures: failures}), jobsMessage{})
 		is.Equal(verdict.Of(err), verdict.NotRun) // every try was refused unexecuted
 	})
 }
--- a/internal/server/partitions.go
+++ b/internal/server/partitions.go
@@ -16,6 +16,10 @@
 // left for leases, snapshots and edits.
 const journalShare = 0.8
 
+// renewalsPerLease is how often a worker's lease is renewed within its length. Ends of
+// attempts are reported with the renewals.
+const renewalsPerLease = 5
+
 // newManager returns the manager of this instance's partitions.
 func (v *Server) newManager() *partition.Manager {
 	budget := partition.NewWriteBudget(v.clock, float64(v.settings.StoreWritesPerSecond)*journalShare)
@@ -43,6 +47,7 @@
 func (v *Server) ownerConfig(p model.Partition, doc *config.Document, workers platform.WorkerClient, budget *partition.WriteBudget) partition.Config {
 	timing := partition.DefaultTiming()
 	timing.WorkerLease = v.settings.WorkerLeaseTTL
+	timing.WorkerRenew = v.settings.WorkerLeaseTTL / renewalsPerLease
 	timing.StartWindow = v.settings.ConfigMaxAge
 	return partition.Config{
 		Partition:      p,
