Never base an edit on a section older than the one in force

Cause: with reads of the configuration answered from an older state, datacentre out was accepted as 'unchanged' although the data centre was in service, or refused with 'there is no operators' section yet'. Found by the end-to-end test of unknown outcomes (Reads of the configuration see an older document); ruled out: the compare-and-swap, which is only reached when the text differs. The editor now reads again until the answer is not older than what is in force on its instance, for 5 s, and then refuses as not-run.

TestEditOnAnOlderAnswerIsBasedOnTheNewest, with the check broken: the data centre stayed in service although the edit was accepted (false != true).

--- a/internal/config/datacentre.go
+++ b/internal/config/datacentre.go
@@ -38,9 +38,12 @@
 
 // trySetDataCentre makes one attempt on the newest text.
 func (e *Editor) trySetDataCentre(ctx context.Context, name model.DataCentre, out bool, change Change) (Accepted, error) {
-	base, _, err := e.store.Get(ctx, SectionPrefix+OperatorsSection)
+	base, err := e.readFresh(ctx, OperatorsSection, func() (platform.KeyValue, error) {
+		kv, _, err := e.store.Get(ctx, SectionPrefix+OperatorsSection)
+		return kv, err
+	})
 	if err != nil {
-		return Accepted{}, notStored(err)
+		return Accepted{}, err
 	}
 	current, err := parseCurrent(base)
 	if err != nil {
--- a/internal/config/editor.go
+++ b/internal/config/editor.go
@@ -91,11 +91,14 @@
 	if err != nil {
 		return Accepted{}, err
 	}
-	entries, _, err := e.store.List(ctx, SectionPrefix)
+	var entries []platform.KeyValue
+	base, err := e.readFresh(ctx, name, func() (kv platform.KeyValue, err error) {
+		entries, _, err = e.store.List(ctx, SectionPrefix)
+		return find(entries, SectionPrefix+name), err
+	})
 	if err != nil {
-		return Accepted{}, notStored(err)
+		return Accepted{}, err
 	}
-	base := find(entries, SectionPrefix+name)
 	current := model.Revision(base.ModRevision)
 	if current != 0 && decodeEnvelope(base.Value).Text == next.Text {
 		// An edit that is repeated after a lost answer finds its own text.
--- a/internal/config/editor_test.go
+++ b/internal/config/editor_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/platform"
 	"github.com/geraniumwick/geraniumwick/internal/verdict"
 )
 
@@ -215,6 +216,68 @@
 	is.Equal([]string{changes[0].Actor, changes[1].Actor, changes[2].Actor}, []string{"cid", "ann", "bob"})
 }
 
+// staleStore answers a number of reads with what it was told to remember.
+type staleStore struct {
+	*fakeStore
+	old   []platform.KeyValue
+	stale int
+}
+
+func (s *staleStore) Get(ctx context.Context, key string) (platform.KeyValue, int64, error) {
+	if s.stale == 0 {
+		return s.fakeStore.Get(ctx, key)
+	}
+	s.stale--
+	kv := find(s.old, key)
+	kv.Key = key
+	return kv, s.revision, nil
+}
+
+func (s *staleStore) List(ctx context.Context, prefix string) ([]platform.KeyValue, int64, error) {
+	if s.stale == 0 {
+		return s.fakeStore.List(ctx, prefix)
+	}
+	s.stale--
+	return s.old, s.revision, nil
+}
+
+func TestEditOnAnOlderAnswerIsBasedOnTheNewest(t *testing.T) {
+	cases := []struct {
+		sentence string
+		stale    int
+		verdict  verdict.Verdict
+	}{
+		{"a few older answers are read again", 3, verdict.Ran},
+		{"a store that stays older is not believed", 1000, verdict.NotRun},
+	}
+	for _, c := range cases {
+		t.Run(c.sentence, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				base, _, _ := storeWithDocument(t)
+				store := &staleStore{fakeStore: base}
+				w, _ := startWatcher(t, base)
+				editor := newTestEditor(store, "one")
+				editor.CompareWith(w)
+				_, err := editor.SetDataCentre(t.Context(), "a", true, "ann")
+				is.NoErr(err)
+				store.old, _, err = base.List(t.Context(), SectionPrefix)
+				is.NoErr(err)
+				_, err = editor.SetDataCentre(t.Context(), "a", false, "ann")
+				is.NoErr(err)
+				synctest.Wait()
+				// By the older answer the data centre is out already, so nothing would change.
+				store.stale = c.stale
+				_, err = editor.SetDataCentre(t.Context(), "a", true, "bob")
+				is.Equal(verdict.Of(err), c.verdict)
+				s, err := Parse(OperatorsSection, []byte(storedText(t, base, OperatorsSection)))
+				is.NoErr(err)
+				is.Equal(s.Operators.DataCentres[0].Out, c.verdict == verdict.Ran)
+			})
+		})
+	}
+}
+
 func TestManyOperatorsAtOnce(t *testing.T) {
 	is := is.New(t)
 	store, _, _ := storeWithDocument(t)
