Show quarantined workers in status, and measure the instance

The status had a field for quarantined workers that nothing filled. The policy now tells them by a read method, and the owner's summary carries the count.

Each instance of the registry is its own, so that tests can run several servers.

A listener that can't be opened names its setting and ends the others. A stop that exceeds its time logs the partitions still held and the calls cut.

--- a/internal/cluster/status.go
+++ b/internal/cluster/status.go
@@ -65,6 +65,7 @@
 			Running:   summary.Running,
 		})
 		status.Workers.Reachable += summary.Reachable
+		status.Workers.Quarantined += summary.Quarantined
 		for _, c := range summary.States {
 			status.Jobs[c.State.String()] += c.Count
 		}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -17,9 +19,15 @@
 )
 
 // New returns the root scope, the handler of the scrape endpoint and a closer that ends
-// the reporting.
+// the reporting. Each call has a registry of its own, which also serves the metrics of the
+// Go runtime (go_) and of the process (process_).
 func New() (tally.Scope, http.Handler, io.Closer) {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	registry := prom.NewRegistry()
+	registry.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 prefix,
 		CachedReporter:         reporter,
--- /dev/null
+++ b/internal/partition/stats.go
@@ -0,0 +1,44 @@
+package partition
+
+import (
+	"slices"
+
+	"github.com/geraniumwick/geraniumwick/internal/schedule"
+)
+
+// Stats is what the metrics show of one partition held.
+type Stats struct {
+	Summary Summary
+	// Uncovered is the number of journal entries after the snapshot.
+	Uncovered int
+}
+
+// Stats returns the numbers of all partitions held, ordered by partition.
+func (m *Manager) Stats() []Stats {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all := make([]Stats, 0, len(m.held))
+	for p, o := range m.held {
+		s := Stats{Summary: o.Summary(), Uncovered: o.journal.Uncovered()}
+		// A new owner has no summary before its first tick.
+		s.Summary.Partition = p
+		all = append(all, s)
+	}
+	slices.SortFunc(all, func(a, b Stats) int { return int(a.Summary.Partition - b.Summary.Partition) })
+	return all
+}
+
+// countQuarantined returns how many workers of the partition the policy keeps work from.
+func (p *loop) countQuarantined() int {
+	policy, ok := p.cfg.Policy.(schedule.QuarantineReader)
+	if !ok {
+		return 0
+	}
+	n := 0
+	for id := range p.links.byID {
+		if policy.Quarantined(id) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/partition/summary.go
+++ b/internal/partition/summary.go
@@ -20,6 +20,8 @@
 	Free      []DataCentreFree `cbor:"8,keyasint,omitempty"`
 	Teams     []TeamHeld       `cbor:"9,keyasint,omitempty"`
 	States    []JobStateCount  `cbor:"10,keyasint,omitempty"`
+	// Quarantined is the number of workers that receive no work but probes.
+	Quarantined int `cbor:"11,keyasint,omitempty"`
 }
 
 // DataCentreFree is what the reachable workers of one data centre have left.
@@ -71,6 +73,7 @@
 		Queued:    len(p.ledger.Queue()),
 		Workers:   len(p.links.byID),
 	}
+	s.Quarantined = p.countQuarantined()
 	p.summarizeWorkers(now, &s)
 	for team, held := range p.ledger.TeamUse() {
 		s.Teams = append(s.Teams, TeamHeld{Team: team, Held: held})
--- a/internal/reply/reply.go
+++ b/internal/reply/reply.go
@@ -35,8 +35,17 @@
 	Failure(w, e, e)
 }
 
+// Observer is a response writer that wants to know of the error that is written to it.
+type Observer interface {
+	// Refused is called before the error is written.
+	Refused(e *verdict.Error)
+}
+
 // Failure writes body, which holds the fields of e and more, with the status of e.
 func Failure(w http.ResponseWriter, e *verdict.Error, body any) {
+	if o, ok := w.(Observer); ok {
+		o.Refused(e)
+	}
 	encoded, err := json.MarshalIndent(body, "", "  ")
 	if err != nil {
 		encoded = []byte(`{}`)
--- a/internal/server/inventory.go
+++ b/internal/server/inventory.go
@@ -87,3 +87,14 @@
 	defer i.mu.Unlock()
 	return i.services[w]
 }
+
+// count returns the number of workers listed and how many of them the platform withdraws.
+func (i *inventory) count() (listed, leaving int) {
+	for _, w := range i.Workers() {
+		listed++
+		if w.Leaving {
+			leaving++
+		}
+	}
+	return listed, leaving
+}
--- a/internal/server/listen.go
+++ b/internal/server/listen.go
@@ -23,20 +23,20 @@
 // listen opens the three listeners.
 func (v *Server) listen() error {
 	l := v.settings.Limits
-	v.listeners = &listeners{log: v.log, limits: listenerLimits{
+	v.listeners = &listeners{log: v.log, open: v.open, limits: listenerLimits{
 		headerBytes:       l.HeaderBytes,
 		connections:       l.Connections,
 		readHeaderTimeout: l.ReadHeaderTimeout,
 		idleTimeout:       l.IdleTimeout,
 	}}
 	all := []listener{
-		{name: "peers", addr: v.settings.PeerListen, handler: v.peerMux()},
-		{name: "operators", addr: v.settings.OperatorListen, handler: v.operatorMux(), tls: v.settings.TLS},
-		{name: "callers", addr: v.settings.CallerListen, handler: v.callerMux(), tls: v.settings.TLS},
+		{name: "peers", setting: "--peer-listen", addr: v.settings.PeerListen, handler: v.peerMux()},
+		{name: "operators", setting: "--operator-listen", addr: v.settings.OperatorListen, handler: v.operatorMux(), tls: v.settings.TLS},
+		{name: "callers", setting: "--caller-listen", addr: v.settings.CallerListen, handler: v.callerMux(), tls: v.settings.TLS},
 	}
 	for _, each := range all {
 		if err := v.listeners.start(each); err != nil {
-			return errors.Annotatef(err, "listener of %s", each.name)
+			return errors.Annotatef(err, "setting %s", each.setting)
 		}
 	}
 	return nil
@@ -51,24 +51,26 @@
 
 // callerMux serves requests and the calls about jobs.
 func (v *Server) callerMux() *http.ServeMux {
-	mux := http.NewServeMux()
+	mux, calls := http.NewServeMux(), http.NewServeMux()
 	guard := v.guard(false)
 	mux.Handle(route.RequestsPattern, route.Handler(v.dispatcher))
-	v.commands(guard).RegisterJobs(mux)
-	v.queries(guard).RegisterJobs(mux)
+	v.commands(guard).RegisterJobs(calls)
+	v.queries(guard).RegisterJobs(calls)
+	mux.Handle("/", v.meters.counted("callers", calls))
 	v.registerHealth(mux)
 	return mux
 }
 
 // operatorMux serves everything that operators do.
 func (v *Server) operatorMux() *http.ServeMux {
-	mux := http.NewServeMux()
+	mux, calls := http.NewServeMux(), http.NewServeMux()
 	guard := v.guard(true)
 	commands, queries := v.commands(guard), v.queries(guard)
-	commands.RegisterJobs(mux)
-	commands.RegisterOperators(mux)
-	queries.RegisterJobs(mux)
-	queries.RegisterOperators(mux)
+	commands.RegisterJobs(calls)
+	commands.RegisterOperators(calls)
+	queries.RegisterJobs(calls)
+	queries.RegisterOperators(calls)
+	mux.Handle("/", v.meters.counted("operators", calls))
 	v.registerHealth(mux)
 	mux.Handle("GET /metrics", v.scrape)
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
--- a/internal/server/listeners.go
+++ b/internal/server/listeners.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -18,7 +19,9 @@
 // listener is one HTTP server with its own address, so that callers cannot reach the calls
 // of operators or peers.
 type listener struct {
-	name    string
+	name string
+	// setting is the setting that holds the address.
+	setting string
 	addr    string
 	handler http.Handler
 	tls     *tls.Config
@@ -27,11 +30,28 @@
 // listeners runs the HTTP servers of an instance.
 type listeners struct {
 	log     zerolog.Logger
+	open    func(addr string) (net.Listener, error)
 	limits  listenerLimits
-	servers []*http.Server
+	servers []*runningServer
 	wg      sync.WaitGroup
 }
 
+// runningServer is a server with the number of its calls in progress.
+type runningServer struct {
+	*http.Server
+	name  string
+	calls atomic.Int64
+}
+
+// counted returns the handler that keeps the number of calls in progress.
+func (s *runningServer) counted(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.calls.Add(1)
+		defer s.calls.Add(-1)
+		h.ServeHTTP(w, r)
+	})
+}
+
 // listenerLimits bound what a connection can hold.
 type listenerLimits struct {
 	headerBytes       int
@@ -42,7 +62,7 @@
 
 // start opens the listener and serves it.
 func (s *listeners) start(l listener) error {
-	open, err := net.Listen("tcp", l.addr)
+	open, err := s.open(l.addr)
 	if err != nil {
 		return err
 	}
@@ -50,8 +70,9 @@
 	if l.tls != nil {
 		open = tls.NewListener(open, l.tls)
 	}
-	server := &http.Server{
-		Handler:           l.handler,
+	server := &runningServer{name: l.name}
+	server.Server = &http.Server{
+		Handler:           server.counted(l.handler),
 		MaxHeaderBytes:    s.limits.headerBytes,
 		ReadHeaderTimeout: s.limits.readHeaderTimeout,
 		IdleTimeout:       s.limits.idleTimeout,
@@ -70,13 +91,22 @@
 func (s *listeners) shutdown(ctx context.Context) {
 	for _, server := range s.servers {
 		if err := server.Shutdown(ctx); err != nil {
-			s.log.Warn().Str("event", "listener.cut").Err(err).Send()
+			s.log.Warn().Str("event", "listener.cut").Str("listener", server.name).
+				Int64("calls", server.calls.Load()).Err(err).Send()
 			_ = server.Close()
 		}
 	}
 	s.wg.Wait()
 }
 
+// close ends all servers at once.
+func (s *listeners) close() {
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+	s.wg.Wait()
+}
+
 // limitedListener accepts no more than a number of connections at once; more wait.
 type limitedListener struct {
 	net.Listener
--- a/internal/server/partitions.go
+++ b/internal/server/partitions.go
@@ -66,10 +66,3 @@
 		Services:  func(w model.WorkerID) []model.Service { return v.inventory.ServicesOn(w) },
 	}
 }
-
-// countRecords counts what has become durable.
-func (v *Server) countRecords(_ model.Partition, records []ledger.Record) {
-	for _, r := range records {
-		v.scope.Tagged(map[string]string{"kind": r.Kind.String()}).Counter("records").Inc(1)
-	}
-}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -6,6 +6,7 @@
 	"context"
 	"hash/fnv"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -39,16 +40,29 @@
 	workerCallTimeout = 2 * time.Second
 )
 
+// ErrStopped says that the instance was asked to stop before it had started.
+var ErrStopped = errors.New("stopped during the start")
+
+// environment holds the systems around an instance.
+type environment struct {
+	store     platform.Store
+	inventory platform.Inventory
+	// listen opens the listener of an address.
+	listen func(addr string) (net.Listener, error)
+}
+
 // Server is one entry instance.
 type Server struct {
 	settings settings.Settings
 	log      zerolog.Logger
 	clock    platform.Clock
+	open     func(addr string) (net.Listener, error)
 
 	store      platform.Store
 	scope      tally.Scope
 	scrape     http.Handler
 	metrics    io.Closer
+	meters     *meters
 	trail      *audit.Trail
 	watcher    *config.Watcher
 	editor     *config.Editor
@@ -66,7 +80,8 @@
 	wg       sync.WaitGroup
 }
 
-// New connects the parts of an instance. It fails if the store does not answer.
+// New connects the parts of an instance. It fails if the store does not answer, and with
+// ErrStopped if ctx ends before that.
 func New(ctx context.Context, s settings.Settings, log zerolog.Logger) (*Server, error) {
 	store, err := platform.NewStore(s.Stores, platform.StoreOptions{})
 	if err != nil {
@@ -76,14 +91,25 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "setting --inventory")
 	}
-	if err := checkStore(ctx, store); err != nil {
+	listen := func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+	return connect(ctx, s, log, environment{store: store, inventory: source, listen: listen})
+}
+
+// connect is New for given surroundings.
+func connect(ctx context.Context, s settings.Settings, log zerolog.Logger, e environment) (*Server, error) {
+	if err := checkStore(ctx, e.store); err != nil {
+		if ctx.Err() != nil {
+			return nil, ErrStopped
+		}
 		return nil, errors.Annotatef(err, "setting --store: no answer from %v", s.Stores)
 	}
-	v := &Server{settings: s, log: log, clock: platform.SystemClock{}, store: store}
+	v := &Server{settings: s, log: log, clock: platform.SystemClock{}, open: e.listen}
 	v.scope, v.scrape, v.metrics = metrics.New()
+	v.meters = newMeters(v.scope)
+	v.store = metrics.Store(e.store, v.clock, v.scope)
 	v.trail = audit.NewTrail(s.InstanceID, v.clock, log, s.AuditEntries)
-	v.watcher = config.NewWatcher(store, v.clock, config.WatcherOptions{Recorder: v.trail})
-	v.editor = config.NewEditor(store, v.clock, s.InstanceID, v.trail)
+	v.watcher = config.NewWatcher(v.store, v.clock, config.WatcherOptions{Recorder: v.trail})
+	v.editor = config.NewEditor(v.store, v.clock, s.InstanceID, v.trail)
 	v.editor.CompareWith(v.watcher)
 	v.members = v.newMembership()
 	v.pool = peer.NewPool(s.InstanceID)
@@ -100,7 +126,7 @@
 		Log:      log,
 	})
 	v.inventory = &inventory{
-		source:    source,
+		source:    e.inventory,
 		log:       log,
 		onWorkers: v.manager.SetWorkers,
 		onTargets: v.dispatcher.SetTargets,
@@ -172,6 +198,8 @@
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	if err := v.listen(); err != nil {
+		v.listeners.close()
+		_ = v.metrics.Close()
 		return err
 	}
 	v.wg.Go(func() { v.logEnd("watcher", v.watcher.Run(running)) })
@@ -180,6 +208,7 @@
 	v.wg.Go(func() { v.manager.Run(running) })
 	v.wg.Go(func() { v.router.Spread(running) })
 	v.wg.Go(func() { v.follow(running) })
+	v.wg.Go(func() { v.measure(running) })
 	v.log.Info().Str("event", "instance.started").Str("instance", string(v.settings.InstanceID)).
 		Str("callers", v.settings.CallerListen).Str("operators", v.settings.OperatorListen).
 		Str("peers", v.settings.PeerListen).Send()
@@ -244,6 +273,9 @@
 	notice := time.NewTimer(balancerNotice)
 	<-notice.C
 	v.manager.Drain(ctx)
+	if held := v.manager.Count(); ctx.Err() != nil && held > 0 {
+		v.log.Warn().Str("event", "drain.incomplete").Str("part", "partitions").Int("held", held).Send()
+	}
 	if err := v.dispatcher.Drain(ctx); err != nil {
 		v.log.Warn().Str("event", "drain.incomplete").Str("part", "requests").Err(err).Send()
 	}
