Test statuses, verdicts and bodies of answers

internal/reply had no tests of its own.

Broken on purpose, each seen to fail: a limit one byte too high, unknown fields and a second value accepted (TestDecode), a verdict other than the error's (TestErrors, TestJSON), a status exchanged (TestStatusOfReasons), an observer not told (TestObserverIsToldOfErrorsOnly).

--- /dev/null
+++ b/internal/reply/reply_test.go
@@ -0,0 +1,170 @@
+package reply
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/geraniumwick/geraniumwick/internal/verdict"
+)
+
+func TestStatusOfReasons(t *testing.T) {
+	cases := []struct {
+		name    string
+		reasons []verdict.Reason
+		want    int
+	}{
+		{"bad input is the caller's fault", []verdict.Reason{verdict.ReasonInvalid}, 400},
+		{"a missing right is forbidden", []verdict.Reason{verdict.ReasonForbidden}, 403},
+		{"what does not exist is not found", []verdict.Reason{verdict.ReasonUnknown}, 404},
+		{"what clashes with another call is a conflict", []verdict.Reason{verdict.ReasonDuplicate, verdict.ReasonConflict, verdict.ReasonCancelled}, 409},
+		{"a body over its limit is too large", []verdict.Reason{verdict.ReasonTooLarge}, 413},
+		{"a job that can never run is unprocessable", []verdict.Reason{verdict.ReasonUnfeasible}, 422},
+		{"an exhausted quota is too many requests", []verdict.Reason{verdict.ReasonQuota}, 429},
+		{"a fault behind the instance is a bad gateway", []verdict.Reason{verdict.ReasonTarget, verdict.ReasonTruncated, verdict.ReasonPeer, verdict.ReasonWorker}, 502},
+		{"what may succeed elsewhere or later is unavailable", []verdict.Reason{verdict.ReasonOverload, verdict.ReasonStore, verdict.ReasonNoTarget, verdict.ReasonNotOwner, verdict.ReasonShutdown, verdict.ReasonConfigStale, verdict.ReasonDataCentreOut, verdict.ReasonClaimsExhausted}, 503},
+		{"a deadline that passed is a gateway timeout", []verdict.Reason{verdict.ReasonDeadline}, 504},
+		{"a reason of a newer instance is unavailable", []verdict.Reason{"no-such-reason"}, 503},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			for _, r := range c.reasons {
+				if got := Status(r); got != c.want {
+					t.Errorf("%s: got %d, want %d", r, got, c.want)
+				}
+			}
+		})
+	}
+}
+
+func TestErrors(t *testing.T) {
+	cases := []struct {
+		name   string
+		err    error
+		status int
+		want   verdict.Error
+	}{
+		{"an error keeps verdict, reason and message", verdict.New(verdict.NotRun, verdict.ReasonQuota, "full"), 429, verdict.Error{Verdict: verdict.NotRun, Reason: verdict.ReasonQuota, Message: "full"}},
+		{"a wrapped one too", fmt.Errorf("outer: %w", verdict.New(verdict.NotRun, verdict.ReasonStore, "down")), 503, verdict.Error{Verdict: verdict.NotRun, Reason: verdict.ReasonStore, Message: "down"}},
+		{"an error without a verdict may have run", errors.New("lost"), 502, verdict.Error{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonPeer, Message: "lost"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			w := httptest.NewRecorder()
+			Error(w, c.err)
+			is.Equal(w.Code, c.status)
+			is.Equal(w.Header().Get("Content-Type"), "application/json")
+			is.Equal(w.Header().Get(VerdictHeader), c.want.Verdict.String())
+			var got verdict.Error
+			is.NoErr(json.Unmarshal(w.Body.Bytes(), &got))
+			is.Equal(got, c.want)
+			is.True(strings.HasSuffix(w.Body.String(), "}\n"))
+		})
+	}
+}
+
+// observer notes the errors that are written to it.
+type observer struct {
+	*httptest.ResponseRecorder
+	seen []verdict.Reason
+}
+
+func (o *observer) Refused(e *verdict.Error) { o.seen = append(o.seen, e.Reason) }
+
+func TestObserverIsToldOfErrorsOnly(t *testing.T) {
+	is := is.New(t)
+	o := &observer{ResponseRecorder: httptest.NewRecorder()}
+	JSON(o, http.StatusOK, 1)
+	is.Equal(len(o.seen), 0)
+	Error(o, verdict.New(verdict.NotRun, verdict.ReasonQuota, "full"))
+	is.Equal(o.seen, []verdict.Reason{verdict.ReasonQuota})
+}
+
+func TestJSON(t *testing.T) {
+	cases := []struct {
+		name    string
+		value   any
+		status  int
+		verdict string
+		body    string
+	}{
+		{"a value is the answer of a call that ran", map[string]int{"a": 1}, 202, "ran", "{\n  \"a\": 1\n}\n"},
+		{"an answer that can't be encoded still says that the call ran", func() {}, 400, "ran", "encode answer"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			w := httptest.NewRecorder()
+			JSON(w, http.StatusAccepted, c.value)
+			is.Equal(w.Code, c.status)
+			is.Equal(w.Header().Get(VerdictHeader), c.verdict)
+			is.True(strings.Contains(w.Body.String(), c.body))
+		})
+	}
+}
+
+// tornBody ends before the length that was announced.
+type tornBody struct{ io.Reader }
+
+func (b tornBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+func TestDecode(t *testing.T) {
+	const limit = 40
+	type job struct {
+		Name string `json:"name"`
+		Size int    `json:"size"`
+	}
+	cases := []struct {
+		name   string
+		body   io.Reader
+		reason verdict.Reason
+		want   string
+	}{
+		{"a whole value is read", strings.NewReader(`{"name":"a","size":3}`), "", ""},
+		{"white space after the value is no data", strings.NewReader("{}\n \n"), "", ""},
+		{"a body at the limit is read", strings.NewReader(`{"name":"` + strings.Repeat("x", limit-len(`{"name":""}`)) + `"}`), "", ""},
+		{"a byte more is too large", strings.NewReader(`{"name":"` + strings.Repeat("x", limit+1-len(`{"name":""}`)) + `"}`), verdict.ReasonTooLarge, "more than 40 bytes"},
+		{"an empty body is named", strings.NewReader(""), verdict.ReasonInvalid, "it is empty"},
+		{"a value that ends too early is named", strings.NewReader(`{"name":"a"`), verdict.ReasonInvalid, "it ends too early"},
+		{"a body that is cut off on its way is refused", tornBody{strings.NewReader(`{"name":"a"}`)}, verdict.ReasonInvalid, "did not arrive whole"},
+		{"an unknown field is named", strings.NewReader(`{"nmae":"a"}`), verdict.ReasonInvalid, `unknown field "nmae"`},
+		{"a wrong type names the field", strings.NewReader(`{"size":"big"}`), verdict.ReasonInvalid, "field size must be a int, not a string"},
+		{"a number out of range names the field", strings.NewReader(`{"size":1e99}`), verdict.ReasonInvalid, "field size"},
+		{"a second value is refused", strings.NewReader(`{} {}`), verdict.ReasonInvalid, "data after its JSON value"},
+		{"text after the value is refused", strings.NewReader(`{} x`), verdict.ReasonInvalid, "data after its JSON value"},
+		{"what is no JSON is refused", strings.NewReader("team: a"), verdict.ReasonInvalid, "the body is not valid"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r := httptest.NewRequest(http.MethodPost, "/", c.body)
+			var got job
+			err := Decode(httptest.NewRecorder(), r, limit, &got)
+			if c.reason == "" {
+				is.NoErr(err)
+				return
+			}
+			var e *verdict.Error
+			is.True(errors.As(err, &e))
+			is.Equal(e.Reason, c.reason)
+			is.Equal(e.Verdict, verdict.NotRun) // nothing was done with the body
+			if !strings.Contains(e.Message, c.want) {
+				t.Errorf("got %q, want %q", e.Message, c.want)
+			}
+		})
+	}
+}
