--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -18,6 +18,18 @@
 	reportPeriod = time.Second
 )
 
+// sanitizer brings names and labels to the Prometheus form. Values of labels stay as they
+// are in logs and answers, such as no-target.
+var sanitizer = tally.SanitizeOptions{
+	NameCharacters: prometheus.DefaultSanitizerOpts.NameCharacters,
+	KeyCharacters:  prometheus.DefaultSanitizerOpts.KeyCharacters,
+	ValueCharacters: tally.ValidCharacters{
+		Ranges:     tally.AlphanumericRange,
+		Characters: tally.UnderscoreDashDotCharacters,
+	},
+	ReplacementCharacter: tally.DefaultReplacementCharacter,
+}
+
 // New returns the root scope, the handler of the scrape endpoint and a closer that ends
 // the reporting. Each call has a registry of its own, which also serves the metrics of the
 // Go runtime (go_) and of the process (process_).
@@ -32,7 +44,7 @@
 		Prefix:                 prefix,
 		CachedReporter:         reporter,
 		Separator:              prometheus.DefaultSeparator,
-		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		SanitizeOptions:        &sanitizer,
 		OmitCardinalityMetrics: true,
 	}, reportPeriod)
 	return scope, reporter.HTTPHandler(), closer
--- /dev/null
+++ b/internal/server/fake_test.go
@@ -0,0 +1,292 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/platform"
+)
+
+// fakeStore is a store in memory whose swaps of a prefix a test can hold back.
+type fakeStore struct {
+	mu       sync.Mutex
+	revision int64
+	entries  map[string]platform.KeyValue
+	leases   map[platform.LeaseID]bool
+	watches  map[chan platform.WatchEvent]string
+	writes   int
+	// held makes swaps of keys with the prefix wait until it is closed.
+	held       chan struct{}
+	heldPrefix string
+	waiting    int
+	// silent makes every call fail without effect.
+	silent bool
+}
+
+// errSilent is the error of a store that does not answer.
+var errSilent = &platform.StoreError{Op: "call", Cause: errors.New("no answer")}
+
+// setSilent makes calls fail, or answers them again.
+func (s *fakeStore) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{
+		entries: map[string]platform.KeyValue{},
+		leases:  map[platform.LeaseID]bool{},
+		watches: map[chan platform.WatchEvent]string{},
+	}
+}
+
+// hold makes swaps of keys with the prefix wait; the result lets them go on.
+func (s *fakeStore) hold(prefix string) (release func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := make(chan struct{})
+	s.held, s.heldPrefix = held, prefix
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.held = nil
+		close(held)
+	}
+}
+
+// keys returns the keys with the prefix.
+func (s *fakeStore) keys(prefix string) []string {
+	list, _, _ := s.List(context.Background(), prefix)
+	var keys []string
+	for _, kv := range list {
+		keys = append(keys, kv.Key)
+	}
+	return keys
+}
+
+// heldCalls returns the number of swaps held back.
+func (s *fakeStore) heldCalls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.waiting
+}
+
+func (s *fakeStore) Get(_ context.Context, key string) (platform.KeyValue, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.silent {
+		return platform.KeyValue{}, 0, errSilent
+	}
+	kv := s.entries[key]
+	kv.Key = key
+	return kv, s.revision, nil
+}
+
+func (s *fakeStore) List(_ context.Context, prefix string) ([]platform.KeyValue, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.silent {
+		return nil, 0, errSilent
+	}
+	var list []platform.KeyValue
+	for key, kv := range s.entries {
+		if strings.HasPrefix(key, prefix) {
+			list = append(list, kv)
+		}
+	}
+	slices.SortFunc(list, func(a, b platform.KeyValue) int { return strings.Compare(a.Key, b.Key) })
+	return list, s.revision, nil
+}
+
+// wait blocks a swap while its key is held back.
+func (s *fakeStore) wait(ctx context.Context, key string) error {
+	s.mu.Lock()
+	held := s.held
+	if held == nil || !strings.HasPrefix(key, s.heldPrefix) {
+		s.mu.Unlock()
+		return nil
+	}
+	s.waiting++
+	s.mu.Unlock()
+	select {
+	case <-held:
+		return nil
+	case <-ctx.Done():
+		return &platform.StoreError{Op: "swap", Unknown: true, Cause: ctx.Err()}
+	}
+}
+
+func (s *fakeStore) Swap(ctx context.Context, key string, expected int64, value []byte, lease platform.LeaseID) (platform.SwapResult, error) {
+	if err := s.wait(ctx, key); err != nil {
+		return platform.SwapResult{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.silent {
+		return platform.SwapResult{}, errSilent
+	}
+	if lease != 0 && !s.leases[lease] {
+		return platform.SwapResult{}, &platform.StoreError{Op: "swap", Lapsed: true, Cause: errors.New("no lease")}
+	}
+	if current := s.entries[key]; current.ModRevision != expected {
+		return platform.SwapResult{Revision: s.revision, Current: current}, nil
+	}
+	s.revision++
+	s.writes++
+	kv := platform.KeyValue{Key: key, Value: bytes.Clone(value), ModRevision: s.revision, Lease: lease}
+	s.entries[key] = kv
+	s.deliver(kv)
+	return platform.SwapResult{Applied: true, Revision: s.revision}, nil
+}
+
+// deliver sends a change to the watches; the lock is held.
+func (s *fakeStore) deliver(kv platform.KeyValue) {
+	event := platform.WatchEvent{Revision: s.revision, Changed: []platform.KeyValue{kv}}
+	for events, prefix := range s.watches {
+		if strings.HasPrefix(kv.Key, prefix) {
+			events <- event
+		}
+	}
+}
+
+func (s *fakeStore) Grant(context.Context, time.Duration) (platform.LeaseID, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	id := platform.LeaseID(s.writes)
+	s.leases[id] = true
+	return id, nil
+}
+
+func (s *fakeStore) Renew(context.Context, platform.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.silent {
+		return errSilent
+	}
+	return nil
+}
+
+func (s *fakeStore) Revoke(_ context.Context, lease platform.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.leases, lease)
+	for key, kv := range s.entries {
+		if kv.Lease == lease {
+			delete(s.entries, key)
+			s.revision++
+			s.deliver(platform.KeyValue{Key: key})
+		}
+	}
+	return nil
+}
+
+func (s *fakeStore) Watch(ctx context.Context, prefix string, _ int64) (<-chan platform.WatchEvent, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	events := make(chan platform.WatchEvent, 1000)
+	s.watches[events] = prefix
+	context.AfterFunc(ctx, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.watches, events)
+	})
+	return events, nil
+}
+
+// fakeInventory lists one worker that is leaving and one that is not.
+type fakeInventory struct{}
+
+func (fakeInventory) Workers(context.Context) ([]model.Worker, error) {
+	return []model.Worker{
+		{ID: "w1", Rack: "r1", DataCentre: "kochi", Capacity: model.Resources{MilliCPU: 4000, MemoryMB: 4000}},
+		{ID: "w2", Rack: "r9", Leaving: true},
+	}, nil
+}
+
+func (fakeInventory) Targets(context.Context) ([]model.Target, error) { return nil, nil }
+
+// network connects clients to the listeners of a server in memory, so that a test's
+// clock can be synthetic.
+type network struct {
+	mu        sync.Mutex
+	listeners map[string]*memoryListener
+}
+
+func newNetwork() *network { return &network{listeners: map[string]*memoryListener{}} }
+
+// listen opens the listener of an address that is not in use.
+func (n *network) listen(addr string) (net.Listener, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.listeners[addr] != nil {
+		return nil, errors.New("listen tcp " + addr + ": bind: address already in use")
+	}
+	l := &memoryListener{n: n, addr: addr, conns: make(chan net.Conn), closed: make(chan struct{})}
+	n.listeners[addr] = l
+	return l, nil
+}
+
+// dial connects to a listener.
+func (n *network) dial(ctx context.Context, _, addr string) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[addr]
+	n.mu.Unlock()
+	if l == nil {
+		return nil, errors.New("connection refused")
+	}
+	client, server := net.Pipe()
+	select {
+	case l.conns <- server:
+		return client, nil
+	case <-l.closed:
+		return nil, errors.New("connection refused")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// open returns the number of listeners that are open.
+func (n *network) open() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.listeners)
+}
+
+// memoryListener is a listener of connections in memory.
+type memoryListener struct {
+	n      *network
+	addr   string
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *memoryListener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.n.mu.Lock()
+		defer l.n.mu.Unlock()
+		delete(l.n.listeners, l.addr)
+	})
+	return nil
+}
+
+func (l *memoryListener) Addr() net.Addr { return &net.TCPAddr{} }
