--- /dev/null
+++ b/cmd/geraniumwickd/main_test.go
@@ -0,0 +1,167 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/geraniumwick/geraniumwick/internal/platform/etcdwire"
+)
+
+// emptyStore is a store without keys that counts the calls which are no reads.
+type emptyStore struct {
+	*httptest.Server
+	changes atomic.Int64
+}
+
+func newEmptyStore(t *testing.T) *emptyStore {
+	s := &emptyStore{}
+	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != etcdwire.RangePath {
+			s.changes.Add(1)
+			http.Error(w, "not expected", http.StatusInternalServerError)
+			return
+		}
+		_, _ = io.WriteString(w, `{"header":{"revision":"1"}}`)
+	}))
+	t.Cleanup(s.Close)
+	return s
+}
+
+// addressInUse returns an address that is being listened on.
+func addressInUse(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l.Addr().String()
+}
+
+// closedAddress returns an address on which nobody listens.
+func closedAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func TestBadInputAtTheStart(t *testing.T) {
+	store := newEmptyStore(t)
+	used := addressInUse(t)
+	cases := []struct {
+		name  string
+		flags []string
+		code  int
+		want  string
+	}{
+		{"an unknown flag is named", []string{"--nosuch"}, exitSettings, "unknown long flag '--nosuch'"},
+		{"an argument that is no flag is named", []string{"extra"}, exitSettings, "unexpected extra"},
+		{"a bad address names its setting", []string{"--caller-listen=nowhere"}, exitSettings, "--caller-listen (GERANIUMWICK_CALLER_LISTEN): "},
+		{"a missing setting is named", []string{"--data-centre="}, exitSettings, "--data-centre (GERANIUMWICK_DATA_CENTRE): is required"},
+		{"two faults are on the same line", []string{"--data-centre=", "--log-level=loud"}, exitSettings, "is required; --log-level"},
+		{"a store that nobody serves names its setting", []string{"--store=http://" + closedAddress(t)}, exitFailed, "setting --store: no answer from "},
+		{"the callers' address in use names its setting", []string{"--caller-listen=" + used}, exitFailed, "setting --caller-listen: "},
+		{"the operators' address in use names its setting", []string{"--operator-listen=" + used}, exitFailed, "setting --operator-listen: "},
+		{"the peers' address in use names its setting", []string{"--peer-listen=" + used}, exitFailed, "setting --peer-listen: "},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			args := withDefaults(c.flags, "--data-centre=a", "--store="+store.URL, "--inventory="+store.URL,
+				"--caller-listen=127.0.0.1:0", "--operator-listen=127.0.0.1:0", "--peer-listen=127.0.0.1:0")
+			var stdout, stderr bytes.Buffer
+			is.Equal(execute(args, nil, &stdout, &stderr), c.code)
+			text := stderr.String()
+			if !strings.HasPrefix(text, "geraniumwickd: ") || !strings.Contains(text, c.want) {
+				t.Errorf("got %q, want %q", text, c.want)
+			}
+			is.Equal(strings.Count(text, "\n"), 1)
+			is.True(strings.HasSuffix(text, "\n"))
+			is.Equal(stdout.String(), "")
+			is.Equal(store.changes.Load(), int64(0)) // nothing was changed
+		})
+	}
+}
+
+// withDefaults adds the defaults of the flags that are not given.
+func withDefaults(given []string, defaults ...string) []string {
+	args := append([]string{}, given...)
+	for _, d := range defaults {
+		name, _, _ := strings.Cut(d, "=")
+		found := false
+		for _, g := range given {
+			found = found || strings.HasPrefix(g, name+"=")
+		}
+		if !found {
+			args = append(args, d)
+		}
+	}
+	return args
+}
+
+func TestRepeatedSignalsBeginOneStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		signals := make(chan os.Signal, signalBound)
+		var log bytes.Buffer
+		stops := 0
+		go stopOnSignal(t.Context(), signals, func() { stops++ }, zerolog.New(&log))
+		synctest.Wait()
+		is.Equal(stops, 0)
+		signals <- syscall.SIGTERM
+		synctest.Wait()
+		is.Equal(stops, 1)
+		signals <- syscall.SIGTERM
+		signals <- syscall.SIGINT
+		synctest.Wait()
+		is.Equal(stops, 1)
+		is.Equal(strings.Count(log.String(), "signal.received"), 1)
+		is.Equal(strings.Count(log.String(), "signal.repeated"), 2)
+		close(signals)
+	})
+}
+
+func TestSignalsEndWithTheInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			stopOnSignal(ctx, nil, func() { t.Error("stopped without a signal") }, zerolog.Nop())
+			close(ended)
+		}()
+		cancel()
+		<-ended
+	})
+}
+
+func TestStopDuringTheStartIsNoFailure(t *testing.T) {
+	is := is.New(t)
+	signals := make(chan os.Signal, signalBound)
+	answer := make(chan struct{})
+	stuck := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		signals <- syscall.SIGTERM // while the instance waits for the store
+		<-answer
+	}))
+	defer stuck.Close()
+	defer close(answer)
+	var stdout, stderr bytes.Buffer
+	args := []string{"--data-centre=a", "--store=" + stuck.URL, "--inventory=" + stuck.URL}
+	is.Equal(execute(args, signals, &stdout, &stderr), exitDone)
+	is.Equal(stderr.String(), "")
+	is.True(strings.Contains(stdout.String(), `"event":"instance.stopped"`))
+}
