--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -16,15 +18,33 @@
 	reportPeriod = time.Second
 )
 
+// sanitizer brings names and labels to the Prometheus form. Values of labels stay as they
+// are in logs and answers, such as no-target.
+var sanitizer = tally.SanitizeOptions{
+	NameCharacters: prometheus.DefaultSanitizerOpts.NameCharacters,
+	KeyCharacters:  prometheus.DefaultSanitizerOpts.KeyCharacters,
+	ValueCharacters: tally.ValidCharacters{
+		Ranges:     tally.AlphanumericRange,
+		Characters: tally.UnderscoreDashDotCharacters,
+	},
+	ReplacementCharacter: tally.DefaultReplacementCharacter,
+}
+
 // New returns the root scope, the handler of the scrape endpoint and a closer that ends
-// the reporting.
+// the reporting. Each call has a registry of its own, which also serves the metrics of the
+// Go runtime (go_) and of the process (process_).
 func New() (tally.Scope, http.Handler, io.Closer) {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	registry := prom.NewRegistry()
+	registry.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 prefix,
 		CachedReporter:         reporter,
 		Separator:              prometheus.DefaultSeparator,
-		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		SanitizeOptions:        &sanitizer,
 		OmitCardinalityMetrics: true,
 	}, reportPeriod)
 	return scope, reporter.HTTPHandler(), closer
