Process a worker's reports in order of their sequences

Cause: an end report with a lower sequence than one before it in the same reply was taken for processed and then acknowledged, so the worker would have forgotten it and the attempt would have waited for the next complete list. Workers that sort their reports never showed it; the fake of the tests, which lists a map, did in TestSummaryCountsQuarantinedWorkers (0 != 1).

--- a/internal/partition/reports.go
+++ b/internal/partition/reports.go
@@ -1,7 +1,9 @@
 package partition
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/geraniumwick/geraniumwick/internal/journal"
@@ -134,6 +136,10 @@
 	if r.reply.Complete {
 		p.completeList(now, k, r.reply)
 	}
+	// An acknowledgement covers all lower sequences, so the order must not rest on the worker.
+	slices.SortFunc(r.reply.Reports, func(a, b platform.AttemptReport) int {
+		return cmp.Compare(a.Sequence, b.Sequence)
+	})
 	for _, report := range r.reply.Reports {
 		p.report(now, k, report)
 	}
--- a/internal/partition/stats_test.go
+++ b/internal/partition/stats_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -11,13 +10,9 @@
 )
 
 func TestSummaryCountsQuarantinedWorkers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		s := newScene(t, "w1")
-		r := s.own("i1")
-		defer r.stop()
+	play(t, func(is *is.I, s *scene, r *running) {
 		for _, id := range []model.JobID{"a", "b"} {
-			is.NoErr(r.submit(t, id))
+			is.NoErr(r.submit(id))
 		}
 		time.Sleep(3 * time.Second)
 		is.Equal(r.Summary().Running, 2)
@@ -31,5 +26,5 @@
 		time.Sleep(3 * time.Second)
 		is.Equal(r.Summary().Quarantined, 1) // two jobs failed on it and nowhere else
 		is.Equal(r.Summary().Workers, 1)
-	})
+	}, "w1")
 }
