--- a/internal/reply/reply.go
+++ b/internal/reply/reply.go
@@ -77,7 +77,7 @@
 		return http.StatusConflict
 	case verdict.ReasonUnfeasible:
 		return http.StatusUnprocessableEntity
-	case verdict.ReasonQuota, verdict.ReasonOverload, verdict.ReasonClaimsExhausted:
+	case verdict.ReasonQuota:
 		return http.StatusTooManyRequests
 	case verdict.ReasonDeadline:
 		return http.StatusGatewayTimeout
