--- a/internal/schedule/episodes_test.go
+++ b/internal/schedule/episodes_test.go
@@ -15,7 +15,6 @@
 )
 
 var (
-	reportFlag  = flag.Bool("report", false, "run the report of all episodes")
 	seedsFlag   = flag.String("seeds", "1,2,3", "seeds of the report")
 	episodeFlag = flag.String("episode", "", "only episodes whose name contains this")
 	variantFlag = flag.String("variant", "", "no-usage, no-latency or no-relief: the scheduler without it")
@@ -168,7 +167,7 @@
 		w.Evictions*math.Log(evictions(n)/evictions(o))
 }
 
-func reportSeeds(t *testing.T) []uint64 {
+func reportSeeds(t testing.TB) []uint64 {
 	var seeds []uint64
 	for _, s := range strings.Split(*seedsFlag, ",") {
 		seed, err := strconv.ParseUint(s, 10, 64)
@@ -180,12 +179,9 @@
 	return seeds
 }
 
-// TestReport prints the ratios of each episode against the naive version. It asserts
-// nothing; run it with -report.
-func TestReport(t *testing.T) {
-	if !*reportFlag {
-		t.Skip("needs -report")
-	}
+// BenchmarkReport prints the ratios of each episode against the naive version. It is a
+// measurement, so it asserts nothing; run it with -benchtime 1x.
+func BenchmarkReport(b *testing.B) {
 	for _, d := range deployments() {
 		if *cellFlag != "" && d.name != *cellFlag {
 			continue
@@ -194,7 +190,7 @@
 			"episode", "p99", "random", "work", "out", "evicted", "killed", "score", "counts")
 		for _, s := range scenarios() {
 			if strings.Contains(s.name, *episodeFlag) {
-				reportEpisode(d, s, reportSeeds(t))
+				reportEpisode(d, s, reportSeeds(b))
 			}
 		}
 	}
