Signal a silent worker again only when it answers

Found by reading: with a rack down, signals of evictions on it were sent again every 2 s and held the sender's 16 slots for 2 s each, so starts on live workers waited behind them. TestSilentWorkerIsNotSignalledAgain fails without the check.

--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -157,8 +157,8 @@
 // MarshalText implements encoding.TextMarshaler.
 func (s JobState) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
 
-// AttemptID identifies one execution of a job. Number starts at 1 and each number of a
-// job is created by exactly one journal record.
+// AttemptID identifies one execution of a job. Numbers start at 1, or above all that a
+// forgotten job of the same id has used; each is created by exactly one journal record.
 type AttemptID struct {
 	Job    JobID  `cbor:"1,keyasint" json:"job"`
 	Number uint32 `cbor:"2,keyasint" json:"number"`
--- a/internal/partition/fake_test.go
+++ b/internal/partition/fake_test.go
@@ -91,6 +91,8 @@
 	attempts    map[model.AttemptID]*platform.AttemptReport
 	starts      map[model.AttemptID]int
 
+	signalCalls int
+
 	// unreachable drops every call before the worker sees it; the caller can't know that.
 	unreachable bool
 	// loseStartAnswer accepts starts and drops the answers.
@@ -243,7 +245,8 @@
 	w := f[addr]
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.dropSignal {
+	w.signalCalls++
+	if w.dropSignal || w.unreachable {
 		return errTimeout
 	}
 	a := w.attempts[r.Attempt]
--- a/internal/partition/owner_test.go
+++ b/internal/partition/owner_test.go
@@ -373,6 +373,22 @@
 	}
 }
 
+func TestSilentWorkerIsNotSignalledAgain(t *testing.T) {
+	play(t, func(is *is.I, s *scene, o *running) {
+		is.NoErr(o.submit("reports/a"))
+		time.Sleep(5 * time.Second)
+		w := s.workers["w1"]
+		w.set(func(w *fakeWorker) { w.unreachable = true })
+		time.Sleep(8 * time.Second)
+		_, err := o.Cancel(s.t.Context(), "reports/a", "no longer wanted")
+		is.NoErr(err)
+		time.Sleep(8 * time.Second)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		is.Equal(w.signalCalls, 1) // the first one only
+	}, "w1")
+}
+
 func TestWriteBudgetServesInOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/partition/reports.go
+++ b/internal/partition/reports.go
@@ -246,11 +246,18 @@
 	})
 }
 
+// canReach reports whether a call of the worker is likely to be answered. Calls of silent
+// workers would hold the sender's slots until they time out.
+func (p *loop) canReach(w model.WorkerID, now time.Time) bool {
+	k, ok := p.links.get(w)
+	return ok && k.reachable(now, p.cfg.Timing)
+}
+
 // resendSignals sends the signal of an eviction or cancellation again while the attempt
 // has not ended, because a signal can be lost.
 func (p *loop) resendSignals(now time.Time) {
 	for _, s := range p.ledger.PendingSignals() {
-		if now.Sub(p.signals[s.Attempt]) < resendAfter {
+		if now.Sub(p.signals[s.Attempt]) < resendAfter || !p.canReach(s.Worker, now) {
 			continue
 		}
 		select {
