Quickstart: count a resume only after an execution, and check that each eviction has one

Cause: the stand-in counted every start with an attempt number above 1, and four first attempts had been refused by the check of the configuration before they were sent; ruled out: lost or failed attempts (0).

--- a/standin/cmd/quickstart/report.go
+++ b/standin/cmd/quickstart/report.go
@@ -39,6 +39,7 @@
 	fmt.Fprintf(w, "tasks finished\t%d\n", counts.Finished)
 	fmt.Fprintf(w, "evictions\t%d\n", counts.Checkpointed+counts.Stopped)
 	fmt.Fprintf(w, "resumes\t%d\n", counts.Resumes)
+	fmt.Fprintf(w, "attempts that failed or were lost\t%d\n", counts.Failed+counts.Lost)
 	fmt.Fprintf(w, "requests begun in %s while out, after %s\t%d\n", s.dataCentre, grace, interval.Requests)
 	fmt.Fprintln(w)
 	promises := []promise{
@@ -48,6 +49,7 @@
 		{"resumes from a wrong checkpoint", counts.Violations[fleet.ViolationCheckpoint]},
 		{"answers that the targets' record disproves", len(contradictions)},
 		{"jobs not finished", s.submitted - counts.Finished},
+		{"evictions without exactly one resume", unresumed(counts)},
 		{fmt.Sprintf("requests beyond 1 in %d that no target answered", toleratedShare), unanswered(results)},
 	}
 	kept := printPromises(w, promises)
@@ -57,6 +59,13 @@
 	return kept, s.explain(ctx, out, contradictions)
 }
 
+// unresumed returns by how much the resumes differ from the attempts that ended before
+// their job was done. Every job of the quickstart finishes, so each of them has one resume.
+func unresumed(c fleet.Counts) int {
+	ended := c.Checkpointed + c.Stopped + c.Failed + c.Lost
+	return max(ended-c.Resumes, c.Resumes-ended)
+}
+
 // promise is a count that must be zero.
 type promise struct {
 	text  string
--- a/standin/fleet/record.go
+++ b/standin/fleet/record.go
@@ -64,6 +64,8 @@
 	starts     []Start
 	violations []Violation
 	started    map[model.AttemptID]model.WorkerID
+	// executed holds the jobs that have been executed before.
+	executed   map[model.JobID]bool
 	executing  map[model.JobID]model.AttemptID
 	saved      map[model.JobID]savedState
 	finished   map[model.JobID]int
@@ -110,6 +112,7 @@
 func newRecord() *Record {
 	return &Record{
 		started:    map[model.AttemptID]model.WorkerID{},
+		executed:   map[model.JobID]bool{},
 		executing:  map[model.JobID]model.AttemptID{},
 		saved:      map[model.JobID]savedState{},
 		finished:   map[model.JobID]int{},
@@ -135,9 +138,11 @@
 		r.violateLocked(s.At, ViolationOverlap, describe(other)+" and "+describe(s.Attempt))
 	}
 	r.executing[s.Attempt.Job] = s.Attempt
-	if s.Attempt.Number > 1 {
+	// A first attempt that was refused counts as no execution, so the number proves nothing.
+	if r.executed[s.Attempt.Job] {
 		r.counts.Resumes++
 	}
+	r.executed[s.Attempt.Job] = true
 	saved := r.saved[s.Attempt.Job]
 	if s.Checkpoint != saved.checkpoint {
 		r.violateLocked(s.At, ViolationCheckpoint, describe(s.Attempt)+" from "+quote(s.Checkpoint)+", saved "+quote(saved.checkpoint))
