End-to-end: jobs of the cancellation test run long enough to be cancelled

On a job of 10 to 20 s was not cancelled within the bound: cancellations one after the other take about half a second each, so some jobs had probably finished before theirs (the state was not printed; it is now). Jobs of one to two minutes leave no doubt.

--- a/standin/e2e/target_test.go
+++ b/standin/e2e/target_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -73,7 +74,7 @@
 
 func TestCancellationsInABurstEndEveryJob(t *testing.T) {
 	s := start(t, nil)
-	specs := s.submit(60, 10*time.Second, 20*time.Second)
+	specs := s.submit(60, time.Minute, 2*time.Minute) // none is done before it is cancelled
 	s.awaitStarted(30)
 	owner := s.busyOwner()
 	s.setAway(owner.Number, true)
@@ -89,7 +90,10 @@
 	for _, spec := range specs {
 		s.is.NoErr(cluster.Await(s.ctx, "end of "+string(spec.ID), finishBound, func() (bool, error) {
 			status, err := s.other(owner).Job(s.ctx, spec.ID)
-			return err == nil && status.State == model.JobCancelled, err
+			if err != nil {
+				return false, err
+			}
+			return status.State == model.JobCancelled, fmt.Errorf("%s: %s", status.State, status.Reason)
 		}))
 	}
 	s.awaitCounts("nothing executes", finishBound, func(c fleet.Counts) bool { return c.Running == 0 })
