--- a/internal/partition/command.go
+++ b/internal/partition/command.go
@@ -21,9 +21,9 @@
 // ledger held at that moment is durable.
 type command struct {
 	phase atomic.Int32
-	// unhurried says that the caller does not wait for the reply, so the records may wait
-	// for others.
-	unhurried bool
+	// deferrable says that the caller does not wait for the reply, so that the records need
+	// not cause an append of their own.
+	deferrable bool
 	// read says that the command changes nothing, so it is answered after readPatience even
 	// if what it saw is not durable.
 	read bool
@@ -74,9 +74,9 @@
 	return !c.unsettled, nil
 }
 
-// doUnhurried is do for a change that need not cause an append of its own.
-func (o *Owner) doUnhurried(ctx context.Context, run func(l *ledger.Ledger, now time.Time) error) error {
-	return o.pass(ctx, &command{run: run, unhurried: true, done: make(chan error, 1)})
+// doDeferrable is do for a change that need not cause an append of its own.
+func (o *Owner) doDeferrable(ctx context.Context, run func(l *ledger.Ledger, now time.Time) error) error {
+	return o.pass(ctx, &command{run: run, deferrable: true, done: make(chan error, 1)})
 }
 
 // pass hands the command to the loop and waits for its reply.
@@ -171,7 +171,7 @@
 
 // Settle ends a claim with a verdict.
 func (o *Owner) Settle(ctx context.Context, key model.RequestKey, holder model.InstanceID, v verdict.Verdict) error {
-	return o.doUnhurried(ctx, func(l *ledger.Ledger, now time.Time) error {
+	return o.doDeferrable(ctx, func(l *ledger.Ledger, now time.Time) error {
 		return l.Settle(now, key, holder, v)
 	})
 }
--- a/internal/partition/commit.go
+++ b/internal/partition/commit.go
@@ -32,14 +32,14 @@
 	return p.startAppend(ctx, now)
 }
 
-// appendDelay returns how long the next append has to wait: for company if nobody is in a
-// hurry, then for the write budget.
+// appendDelay returns how long the next append has to wait: for other records if it can be
+// deferred, then for the write budget.
 func (p *loop) appendDelay(now time.Time) time.Duration {
 	if !p.urgent && !p.stopping {
-		if p.unhurried.IsZero() {
-			p.unhurried = now
+		if p.deferredSince.IsZero() {
+			p.deferredSince = now
 		}
-		if wait := unhurriedDelay - now.Sub(p.unhurried); wait > 0 {
+		if wait := deferDelay - now.Sub(p.deferredSince); wait > 0 {
 			return wait
 		}
 	}
@@ -62,7 +62,7 @@
 	p.inFlight = b
 	p.lastAppend = now
 	p.reserved = time.Time{}
-	p.unhurried = time.Time{}
+	p.deferredSince = time.Time{}
 	p.urgent = false
 	p.o.batches <- b
 	return nil
--- a/internal/partition/loop.go
+++ b/internal/partition/loop.go
@@ -25,9 +25,9 @@
 	forgetPeriod = 10 * time.Second
 	// drainBound is how many waiting events the loop takes before it commits.
 	drainBound = 256
-	// unhurriedDelay is how long records that nobody waits for are kept back, so that one
+	// deferDelay is how long records that nobody waits for are deferred, so that one
 	// append carries more of them.
-	unhurriedDelay = time.Second
+	deferDelay = time.Second
 	// resendAfter is how long an attempt may stay in eviction before its signal is sent again.
 	resendAfter = 2 * time.Second
 )
@@ -59,9 +59,9 @@
 	reserved time.Time
 	// urgent says that somebody waits for the records decided since the last batch.
 	urgent bool
-	// unhurried is since when only records wait that nobody is in a hurry for.
-	unhurried  time.Time
-	nextForget time.Time
+	// deferredSince is since when only records wait that can be deferred.
+	deferredSince time.Time
+	nextForget    time.Time
 	// workersKnown says that the inventory has been read, so that an absent worker is gone.
 	workersKnown bool
 	// signals holds when the signal of an attempt was last sent.
@@ -179,8 +179,8 @@
 	}
 	if c.execute(p.ledger, p.cfg.Clock.Now()) {
 		p.waiting = append(p.waiting, c)
-		p.urgent = p.urgent || !c.unhurried
-		if !c.read && !c.unhurried {
+		p.urgent = p.urgent || !c.deferrable
+		if !c.read && !c.deferrable {
 			p.planSoon()
 		}
 	}
