--- a/internal/query/handlers.go
+++ b/internal/query/handlers.go
@@ -54,10 +54,23 @@
 // RegisterOperators adds the calls that only the operators' listener has.
 func (h *Handlers) RegisterOperators(mux *http.ServeMux) {
 	mux.HandleFunc("GET /v1/config", h.configuration)
-	mux.HandleFunc("GET /v1/config/history", h.history)
-	mux.HandleFunc("GET /v1/status", h.status)
+	mux.HandleFunc("GET /v1/config/history", h.known(h.history))
+	mux.HandleFunc("GET /v1/status", h.known(h.status))
 	mux.HandleFunc("GET /v1/explain/{id...}", h.explain)
-	mux.HandleFunc("GET /v1/audit", h.audit)
+	mux.HandleFunc("GET /v1/audit", h.known(h.audit))
+}
+
+// known serves a call within a time limit, unless the caller is anonymous.
+func (h *Handlers) known(serve http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+		defer cancel()
+		if _, err := h.Guard.IdentifyKnown(r); err != nil {
+			reply.Error(w, err)
+			return
+		}
+		serve(w, r.WithContext(ctx))
+	}
 }
 
 // JobList is the answer to a list of jobs.
@@ -149,47 +162,29 @@
 
 // history answers with the kept edits of one section or of all.
 func (h *Handlers) history(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
-	defer cancel()
-	if _, err := h.Guard.IdentifyKnown(r); err != nil {
-		reply.Error(w, err)
-		return
-	}
 	limit, err := readLimit(r)
 	if err != nil {
 		reply.Error(w, err)
 		return
 	}
-	changes, dropped, err := h.History.History(ctx, r.URL.Query().Get("section"))
+	changes, dropped, err := h.History.History(r.Context(), r.URL.Query().Get("section"))
 	answer(w, HistoryAnswer{Changes: changes[:min(limit, len(changes))], Dropped: dropped}, err)
 }
 
 // status answers with the system at a glance.
 func (h *Handlers) status(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
-	defer cancel()
-	if _, err := h.Guard.IdentifyKnown(r); err != nil {
-		reply.Error(w, err)
-		return
-	}
-	status, err := h.Cluster.Status(ctx)
+	status, err := h.Cluster.Status(r.Context())
 	answer(w, status, err)
 }
 
 // audit answers with the newest entries of all instances.
 func (h *Handlers) audit(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
-	defer cancel()
-	if _, err := h.Guard.IdentifyKnown(r); err != nil {
-		reply.Error(w, err)
-		return
-	}
 	limit, err := readLimit(r)
 	if err != nil {
 		reply.Error(w, err)
 		return
 	}
-	entries, unreachable, err := h.Trail.Recent(ctx, limit)
+	entries, unreachable, err := h.Trail.Recent(r.Context(), limit)
 	sortEntries(entries)
 	answer(w, AuditAnswer{Entries: entries, Unreachable: unreachable}, err)
 }
--- a/standin/cluster/instance.go
+++ b/standin/cluster/instance.go
@@ -1,11 +1,9 @@
 package cluster
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"syscall"
@@ -173,24 +171,5 @@
 func do(ctx context.Context, method, url string, body []byte, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return err
-	}
-	if resp.StatusCode/100 != 2 {
-		return fmt.Errorf("%s %s: %s: %s", method, url, resp.Status, bytes.TrimSpace(data))
-	}
-	if out == nil {
-		return nil
-	}
-	return json.Unmarshal(data, out)
+	return process.Exchange(ctx, method, url, body, out)
 }
--- a/standin/process/process.go
+++ b/standin/process/process.go
@@ -130,15 +130,20 @@
 func Call(ctx context.Context, url string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	method, body := http.MethodGet, io.Reader(nil)
-	if in != nil {
-		data, err := json.Marshal(in)
-		if err != nil {
-			return err
-		}
-		method, body = http.MethodPost, bytes.NewReader(data)
+	if in == nil {
+		return Exchange(ctx, http.MethodGet, url, nil, out)
 	}
-	req, err := http.NewRequestWithContext(ctx, method, url, body)
+	data, err := json.Marshal(in)
+	if err != nil {
+		return err
+	}
+	return Exchange(ctx, http.MethodPost, url, data, out)
+}
+
+// Exchange makes one HTTP call and decodes its JSON answer into out, which may be nil. A
+// status other than 2xx is an error with the body's text.
+func Exchange(ctx context.Context, method, url string, body []byte, out any) error {
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
@@ -152,7 +157,7 @@
 		return err
 	}
 	if resp.StatusCode/100 != 2 {
-		return fmt.Errorf("%s: %s: %s", url, resp.Status, bytes.TrimSpace(data))
+		return fmt.Errorf("%s %s: %s: %s", method, url, resp.Status, bytes.TrimSpace(data))
 	}
 	if out == nil {
 		return nil
