End-to-end: instances cut from each other

Why: the cut from peers was proved at every byte of one call, but not for a whole system. The instances reach each other through links of the test, which cut connections in use and refuse new ones.

go test -count=1 -v -run InstancesCutFromEachOther ./standin/e2e: passes.

--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -170,6 +170,7 @@
 		if i.Process != nil {
 			i.Process.Kill()
 		}
+		i.FromPeers.Close()
 	}
 	for _, p := range []*process.Process{c.fleet, c.store} {
 		if p != nil {
--- a/standin/cluster/instance.go
+++ b/standin/cluster/instance.go
@@ -21,6 +21,8 @@
 	Caller   string
 	Operator string
 	Peer     string
+	// FromPeers is the network through which other instances reach this one.
+	FromPeers *Link
 
 	cluster *Cluster
 	lives   int
@@ -35,7 +37,9 @@
 			return nil, err
 		}
 	}
-	return i, nil
+	var err error
+	i.FromPeers, err = NewLink(i.Peer)
+	return i, err
 }
 
 // ID returns the name of the present process life.
@@ -54,6 +58,7 @@
 		"caller-listen":   i.Caller,
 		"operator-listen": i.Operator,
 		"peer-listen":     i.Peer,
+		"peer-advertise":  i.FromPeers.Addr(),
 		"store":           "http://" + c.Store.Listeners[i.Number],
 		"inventory":       "http://" + c.Fleet.Inventory,
 	}
--- /dev/null
+++ b/standin/e2e/peer_test.go
@@ -0,0 +1,58 @@
+package e2e
+
+import (
+	"testing"
+	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/verdict"
+)
+
+// peerCut is longer than the membership lease and the life of the partitions' summaries.
+const peerCut = 8 * time.Second
+
+func TestInstancesCutFromEachOther(t *testing.T) {
+	tests := []struct {
+		sentence string
+		// cut holds the instances that the others cannot reach.
+		cut []int
+	}{
+		{"No instance reaches another.", []int{0, 1, 2}},
+		{"One instance is reached by no other, but reaches them.", []int{1}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.sentence, func(t *testing.T) {
+			s := start(t, nil)
+			s.startTraffic(60)
+			s.submit(30, 4*time.Second, 8*time.Second)
+			s.awaitStarted(15)
+			began := time.Now()
+			s.setPeersCut(tt.cut, true)
+			s.pause(peerCut)
+			s.setPeersCut(tt.cut, false)
+			ended := time.Now()
+			s.submit(10, time.Second, time.Second)
+			counts := s.finish()
+			s.is.Equal(counts.Lost, 0) // tasks need no peer
+			during := between(s.traffic.Results(), began, ended)
+			logVerdicts(t, during)
+			claimed := 0
+			for _, r := range during {
+				if r.Class == model.Idempotent && r.Verdict != verdict.Ran {
+					t.Errorf("idempotent %s did not run although no peer was needed: %s", r.Reference, r.Reason)
+				}
+				if r.Class != model.Idempotent && r.Verdict == verdict.Ran {
+					claimed++
+				}
+			}
+			s.is.True(claimed > 0) // keys of partitions that the instance itself owns
+		})
+	}
+}
+
+// setPeersCut cuts or mends the ways to the numbered instances.
+func (s *system) setPeersCut(numbers []int, cut bool) {
+	for _, n := range numbers {
+		s.Instances[n].FromPeers.SetCut(cut)
+	}
+}
