Move jobs from partitions without workers at once; tell each step of a moved job once

Found by using the command line against the quickstart. (1) A job whose home partition has no workers waited 2.3 to 3.2 s before it was transferred, urgent ones too (bound 1.4 s). Cause: the policy's Unfeasible says nothing without workers, so such jobs waited as if for room, and the search ran twice a second. They now leave with the next decision, and urgent jobs without room after 250 ms. TestJobWithoutRoomLeavesThePartition fails without either change. (2) explain showed the steps before a transfer two or three times: a transfer carries the life of the job, and the histories of all partitions were joined. Now the last partition's history is shown.

--- a/internal/cluster/router.go
+++ b/internal/cluster/router.go
@@ -143,7 +143,7 @@
 type found struct {
 	partition model.Partition
 	status    ledger.JobStatus
-	// history joins the steps in all partitions that held the job.
+	// history is the life of the job in all partitions that held it.
 	history []ledger.Step
 	// settled says that all of this is durable.
 	settled bool
@@ -162,10 +162,10 @@
 			return f, err
 		}
 		f.status = reply.Status
-		f.history = append(f.history, reply.History...)
+		// A transfer carries the life of the job so far, so the last partition knows it all.
+		f.history = reply.History
 		f.settled = f.settled && reply.Settled
 		if reply.Status.State != model.JobTransferred {
-			slices.SortStableFunc(f.history, func(a, b ledger.Step) int { return a.At.Compare(b.At) })
 			return f, nil
 		}
 		f.partition = reply.Status.MovedTo
--- a/internal/partition/owner.go
+++ b/internal/partition/owner.go
@@ -47,6 +47,8 @@
 	StartWindow time.Duration
 	// TransferAfter is how long a job waits before it is offered to another partition.
 	TransferAfter time.Duration
+	// UrgentTransferAfter is TransferAfter for urgent jobs.
+	UrgentTransferAfter time.Duration
 }
 
 // DefaultTiming returns the periods used when the settings name no others.
@@ -57,6 +59,8 @@
 		WorkerCall:    2 * time.Second,
 		StartWindow:   3 * time.Second,
 		TransferAfter: 2 * time.Second,
+
+		UrgentTransferAfter: 250 * time.Millisecond,
 	}
 }
 
--- a/internal/partition/owner_test.go
+++ b/internal/partition/owner_test.go
@@ -27,6 +27,9 @@
 	workers fakeWorkers
 	docs    *fakeDocuments
 	listed  []model.Worker
+	// transfers says that another partition has room; offers receives the jobs for it.
+	transfers bool
+	offers    chan ledger.Transfer
 }
 
 // document returns a configuration with one data centre, in or out of service.
@@ -46,7 +49,13 @@
 
 // newScene returns a scene with the workers of the given addresses.
 func newScene(t *testing.T, addrs ...string) *scene {
-	s := &scene{t: t, store: newFakeStore(), workers: fakeWorkers{}, docs: &fakeDocuments{doc: document(false)}}
+	s := &scene{
+		t:       t,
+		store:   newFakeStore(),
+		workers: fakeWorkers{},
+		docs:    &fakeDocuments{doc: document(false)},
+		offers:  make(chan ledger.Transfer, 10),
+	}
 	for _, addr := range addrs {
 		s.workers[addr] = newFakeWorker()
 		s.listed = append(s.listed, model.Worker{
@@ -80,6 +89,13 @@
 		Policy:    schedule.New(1, s.docs.doc.Operators.Weights),
 		Timing:    partition.DefaultTiming(),
 		Budget:    partition.NewWriteBudget(platform.SystemClock{}, 100),
+		Destination: func(model.JobSpec, model.Partition) (model.Partition, bool) {
+			return 1, s.transfers
+		},
+		Offer: func(_ context.Context, _ model.Partition, t ledger.Transfer) error {
+			s.offers <- t
+			return nil
+		},
 	}, s.store, journal.Config{Owner: id})
 	if err != nil {
 		s.t.Fatal(err)
@@ -389,6 +405,49 @@
 	}, "w1")
 }
 
+func TestJobWithoutRoomLeavesThePartition(t *testing.T) {
+	cases := []struct {
+		sentence string
+		addrs    []string
+		priority model.Priority
+		// within is the time in which the job is offered, and after the time before it is not.
+		after, within time.Duration
+	}{
+		{"at once if the partition has no worker", nil, model.PriorityBatch, 0, 700 * time.Millisecond},
+		{"soon if the workers are full and the job is urgent", []string{"w1"}, model.PriorityUrgent, 0, 1400 * time.Millisecond},
+		{"after a wait if the workers are full", []string{"w1"}, model.PriorityBatch, 2 * time.Second, 4 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.sentence, func(t *testing.T) {
+			play(t, func(is *is.I, s *scene, o *running) {
+				s.transfers = true
+				if len(s.listed) > 0 {
+					service := job("reports/a")
+					service.Priority = model.PriorityService // it is not evicted for batch work
+					_, err := o.Submit(s.t.Context(), service)
+					is.NoErr(err)
+					time.Sleep(5 * time.Second)
+					is.Equal(s.workers["w1"].executing(), 1)
+				}
+				spec := job("reports/c")
+				spec.Priority = c.priority
+				spec.Declared.MilliCPU = 4000 // a whole worker, of which half is taken
+				submitted := time.Now()
+				_, err := o.Submit(s.t.Context(), spec)
+				is.NoErr(err)
+				select {
+				case offer := <-s.offers:
+					is.Equal(offer.Spec.ID, model.JobID("reports/c"))
+				case <-time.After(time.Minute):
+					s.t.Fatal("the job was not offered")
+				}
+				is.True(time.Since(submitted) >= c.after)
+				is.True(time.Since(submitted) <= c.within)
+			}, c.addrs...)
+		})
+	}
+}
+
 func TestWriteBudgetServesInOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/partition/plan.go
+++ b/internal/partition/plan.go
@@ -44,10 +44,7 @@
 	for _, parking := range plan.Parked {
 		p.logError("park", p.ledger.Park(now, parking.Job, parking.Reason))
 	}
-	if now.After(p.nextStranded) {
-		p.nextStranded = now.Add(strandedPeriod)
-		p.transferStranded(now, snapshot)
-	}
+	p.transferStranded(now, snapshot)
 }
 
 // snapshot is the state that the policy decides on.
--- a/internal/partition/transfer.go
+++ b/internal/partition/transfer.go
@@ -86,6 +86,10 @@
 		return
 	}
 	workers := usableWorkers(s)
+	if len(workers) > 0 && now.Before(p.nextStranded) {
+		return
+	}
+	p.nextStranded = now.Add(strandedPeriod)
 	moved := 0
 	waiting := map[model.JobID]time.Time{}
 	for _, job := range p.ledger.Queue() {
@@ -97,12 +101,9 @@
 			since = now
 		}
 		waiting[job.Spec.ID] = since
-		reason := p.cfg.Policy.Unfeasible(job.Spec, s.Document, workers)
+		reason := p.strandedReason(job.Spec, s, workers, now.Sub(since))
 		if reason == "" {
-			if now.Sub(since) < p.cfg.Timing.TransferAfter {
-				continue
-			}
-			reason = "no room in this partition"
+			continue
 		}
 		to, ok := p.cfg.Destination(job.Spec, p.cfg.Partition)
 		if !ok {
@@ -110,16 +111,36 @@
 		}
 		delete(waiting, job.Spec.ID)
 		p.logError("transfer", p.ledger.TransferOut(now, job.Spec.ID, to, reason))
+		p.urgent = true
 		moved++
 	}
 	p.stranded = waiting
 }
 
-// usableWorkers returns the workers that may receive starts at present.
+// strandedReason returns why a job should leave the partition, or "" if it should wait.
+func (p *loop) strandedReason(spec model.JobSpec, s *schedule.Snapshot, workers []model.Worker, waited time.Duration) string {
+	if len(workers) == 0 {
+		return "this partition has no usable worker"
+	}
+	if reason := p.cfg.Policy.Unfeasible(spec, s.Document, workers); reason != "" {
+		return reason
+	}
+	patience := p.cfg.Timing.TransferAfter
+	if spec.Priority >= model.PriorityUrgent {
+		patience = p.cfg.Timing.UrgentTransferAfter
+	}
+	if waited < patience {
+		return ""
+	}
+	return "no room in this partition"
+}
+
+// usableWorkers returns the workers that may receive starts, those that can't be reached
+// at present included.
 func usableWorkers(s *schedule.Snapshot) []model.Worker {
 	var usable []model.Worker
 	for _, w := range s.Workers {
-		if w.Reachable && !w.Worker.Leaving && !s.Document.DataCentreOut(w.Worker.DataCentre) {
+		if !w.Worker.Leaving && !s.Document.DataCentreOut(w.Worker.DataCentre) {
 			usable = append(usable, w.Worker)
 		}
 	}
