The path on the users' platform, thin: jobs accepted, started, held and shown

Adds the pure state machine of graph jobs (internal/batch), the owner that leads by a claim in the store (internal/owner), the entry between callers and the owner (internal/entry), and platform/ with the names and formats of the platform.

--- a/cmd/geraniumwickd/main.go
+++ b/cmd/geraniumwickd/main.go
@@ -35,12 +35,19 @@
 // execute runs an instance until a signal asks for a planned stop, and returns the exit
 // code of the process.
 func execute(args []string, signals <-chan os.Signal, stdout, stderr io.Writer) int {
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	if len(args) == 1 && args[0] == platformCommand {
+		if err := runPlatform(zerolog.New(stdout).With().Timestamp().Logger()); err != nil {
+			fmt.Fprintln(stderr, "geraniumwickd:", err)
+			return exitSettings
+		}
+		return exitDone
+	}
 	s, err := settings.Parse(args)
 	if err != nil {
 		fmt.Fprintln(stderr, "geraniumwickd:", err)
 		return exitSettings
 	}
-	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	log := zerolog.New(stdout).Level(s.LogLevel).With().Timestamp().Logger()
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
--- /dev/null
+++ b/internal/batch/place.go
@@ -0,0 +1,331 @@
+package batch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// stuckTime is the least time without progress after which a task counts as stuck.
+	stuckTime = 3500 * time.Millisecond
+	// checkInterval is the pause between two searches for stuck tasks and lapsed leases.
+	checkInterval = 250 * time.Millisecond
+)
+
+// Plan returns the orders to send now.
+func (s *State) Plan(now time.Time) []Action {
+	if now.Sub(s.checked) >= checkInterval {
+		s.checked = now
+		s.lapse(now)
+		s.stuck(now)
+	}
+	s.openDue(now)
+	s.place(now)
+	s.sendStops(now)
+	out := s.actions
+	s.actions = nil
+	return out
+}
+
+// openDue opens the occurrences whose time has come.
+func (s *State) openDue(now time.Time) {
+	for o := range s.scheduled {
+		if o.due.After(now) {
+			continue
+		}
+		delete(s.scheduled, o)
+		for _, st := range o.steps {
+			s.openStep(st, now)
+		}
+	}
+}
+
+// stops returns the attempts that are to end.
+func (s *State) stops() map[*attempt]bool {
+	if s.stopSet == nil {
+		s.stopSet = map[*attempt]bool{}
+	}
+	return s.stopSet
+}
+
+// sendStops orders the ends that were decided, and repeats those without an answer.
+func (s *State) sendStops(now time.Time) {
+	for a := range s.stops() {
+		if a.worker.silent || now.Sub(a.stopSent) < s.limits.StopRetry {
+			continue
+		}
+		a.stopSent = now
+		w := a.worker
+		s.actions = append(s.actions, Action{Kind: ActionStop, Worker: w.info.ID, Address: w.info.Address, Born: w.info.Born, Task: a.id(), Run: a.run})
+	}
+}
+
+// objective is when the job should be done.
+func (s *State) objective(j *Job, o *occurrence) time.Time {
+	q := s.queueOf(j)
+	from := j.Accepted
+	if !o.due.IsZero() {
+		from = o.due
+	}
+	return from.Add(time.Duration(q.Stretch*float64(j.Spec.chain())) + q.Slack)
+}
+
+// chain returns the longest sum of estimates along the steps.
+func (s *Spec) chain() time.Duration {
+	ends := make([]time.Duration, len(s.Steps))
+	var longest time.Duration
+	for i := range s.Steps {
+		for _, before := range s.Steps[i].After {
+			ends[i] = max(ends[i], ends[before])
+		}
+		ends[i] += s.Steps[i].Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// candidate is an open step with its place in the order.
+type candidate struct {
+	step      *step
+	priority  int
+	late      bool
+	objective time.Time
+}
+
+// queue returns the open steps, most urgent first. A job that has missed its objective
+// comes after those of its priority that can still meet theirs.
+func (s *State) queue(now time.Time) []candidate {
+	out := make([]candidate, 0, len(s.open))
+	for st := range s.open {
+		objective := s.objective(st.job, st.occ)
+		out = append(out, candidate{
+			step:      st,
+			priority:  s.queueOf(st.job).Priority,
+			late:      now.After(objective) && !st.spec.LongRunning,
+			objective: objective,
+		})
+	}
+	slices.SortFunc(out, func(a, b candidate) int {
+		return cmp.Or(
+			cmp.Compare(a.priority, b.priority),
+			compareBool(a.late, b.late),
+			a.objective.Compare(b.objective),
+			cmp.Compare(a.step.job.ID, b.step.job.ID),
+			cmp.Compare(a.step.occ.number, b.step.occ.number),
+			cmp.Compare(a.step.number, b.step.number),
+		)
+	})
+	return out
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// place starts as many waiting tasks as there is room for.
+func (s *State) place(now time.Time) {
+	if len(s.open) == 0 {
+		return
+	}
+	workers := s.usable(now)
+	if len(workers) == 0 {
+		return
+	}
+	for _, c := range s.queue(now) {
+		if c.step.spec.Gang {
+			s.placeGang(c.step, workers, now)
+		} else {
+			s.placeStep(c.step, workers, now)
+		}
+		if c.step.waiting == 0 {
+			delete(s.open, c.step)
+		}
+	}
+}
+
+// usable returns the workers that may get tasks, in a fixed order.
+func (s *State) usable(now time.Time) []*worker {
+	out := make([]*worker, 0, len(s.workers))
+	for _, w := range s.workers {
+		if w.usable(s, now) {
+			out = append(out, w)
+		}
+	}
+	slices.SortFunc(out, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	return out
+}
+
+// placeStep starts the waiting tasks of a step until one finds no worker.
+func (s *State) placeStep(st *step, workers []*worker, now time.Time) {
+	for i := range st.tasks {
+		t := &st.tasks[i]
+		if t.done || len(t.attempts) > 0 || t.doubtful && len(s.unresolved) > 0 {
+			continue
+		}
+		w := s.choose(st, t, workers)
+		if w == nil {
+			return
+		}
+		s.startTask(st, i, s.nextRun(t.lastRun), w, now)
+	}
+}
+
+// placeGang starts all members at once or none.
+func (s *State) placeGang(st *step, workers []*worker, now time.Time) {
+	run := st.gangRun
+	for i := range st.tasks {
+		t := &st.tasks[i]
+		if t.done || len(t.attempts) > 0 || t.doubtful && len(s.unresolved) > 0 {
+			return
+		}
+		run = max(run, t.lastRun)
+	}
+	st.gangRun = s.nextRun(run)
+	checkpoint := st.tasks[0].checkpoint
+	var placed []*attempt
+	for i := range st.tasks {
+		st.tasks[i].checkpoint = checkpoint
+		w := s.choose(st, &st.tasks[i], workers)
+		if w == nil {
+			s.undo(st, placed)
+			return
+		}
+		placed = append(placed, s.reserve(st, i, st.gangRun, w, now))
+	}
+	for _, a := range placed {
+		s.send(a)
+	}
+}
+
+// undo takes back reservations of which no start has been sent.
+func (s *State) undo(st *step, placed []*attempt) {
+	for _, a := range placed {
+		t := a.task()
+		a.worker.detach(a)
+		st.job.attempts--
+		t.attempts = nil
+		st.waiting++
+	}
+}
+
+// nextRun returns a run number above last and above those of former owners.
+func (s *State) nextRun(last int64) int64 {
+	return max(last+1, (s.epoch-1)*runStride+1)
+}
+
+func (s *State) startTask(st *step, index int, run int64, w *worker, now time.Time) {
+	s.send(s.reserve(st, index, run, w, now))
+}
+
+// reserve registers an attempt whose start is not sent yet. The worker's clock of the
+// order's end is set when it is sent.
+func (s *State) reserve(st *step, index int, run int64, w *worker, now time.Time) *attempt {
+	a := &attempt{step: st, index: index, run: run, worker: w, reserved: st.reserved, ordered: now, progress: now, paced: 100}
+	a.notAfter = noLimit
+	s.begin(a)
+	return a
+}
+
+// noLimit is the end of an order whose end on the worker's clock is not known yet.
+const noLimit = int64(1) << 62
+
+func (s *State) send(a *attempt) {
+	w := a.worker
+	s.actions = append(s.actions, Action{
+		Kind:       ActionStart,
+		Worker:     w.info.ID,
+		Address:    w.info.Address,
+		Born:       w.info.Born,
+		Task:       a.id(),
+		Run:        a.run,
+		Payload:    a.step.job.Spec.Payload,
+		Checkpoint: a.task().checkpoint,
+	})
+	s.event(Event{Name: "task.start", Job: a.step.job.ID, Task: a.id(), Run: a.run, Worker: w.info.ID})
+}
+
+// Sent tells the worker's clock after which a start that was sent is refused.
+func (s *State) Sent(id WorkerID, task TaskID, run int64, notAfter int64) {
+	if w := s.workers[id]; w != nil {
+		if a := w.attempts[attemptKey{task, run}]; a != nil {
+			a.notAfter = notAfter
+		}
+	}
+}
+
+// choose returns the best worker for a task, or nil.
+func (s *State) choose(st *step, t *task, workers []*worker) *worker {
+	service := s.queueOf(st.job).Service
+	var best *worker
+	var bestScore float64
+	for _, w := range workers {
+		if w.info.Service != service || !st.reserved.Fits(w.free()) || !st.allows(w) {
+			continue
+		}
+		if score := st.score(t, w); best == nil || score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	if best != nil && st.spec.RackLocal && st.rack == "" {
+		st.rack = best.rack
+	}
+	return best
+}
+
+// allows checks what the step asks of a worker beside room.
+func (st *step) allows(w *worker) bool {
+	if st.spec.Label != "" && !slices.Contains(w.info.Labels, st.spec.Label) {
+		return false
+	}
+	if st.spec.MaxPerWorker == 0 {
+		return true
+	}
+	n := 0
+	for key := range w.attempts {
+		if key.task.Job == st.job.ID && key.task.Step == st.number && key.task.Occurrence == st.occ.number {
+			n++
+		}
+	}
+	return n < st.spec.MaxPerWorker
+}
+
+// The weights of a choice, in units of a worker's whole free capacity.
+const (
+	weightRack     = 8.0
+	weightFailures = 4.0
+	weightCold     = 2.0
+	weightFillers  = 3.0
+)
+
+// score rates a worker for a task; higher is better.
+func (st *step) score(t *task, w *worker) float64 {
+	free := w.free()
+	score := float64(free.CPU) / float64(max(1, w.info.Capacity.CPU))
+	if st.spec.DataRack != "" && w.rack == st.spec.DataRack || st.rack != "" && w.rack == st.rack {
+		score += weightRack
+	}
+	if len(t.failed) > 0 && t.lastWorker == w.info.ID {
+		score -= weightFailures
+	}
+	score -= weightFailures * float64(w.failures)
+	if w.info.Cold > 0 {
+		score -= weightCold
+	}
+	switch {
+	case st.spec.Filler:
+		score -= weightFillers * float64(w.serving)
+		score -= float64(w.fillCPU) / float64(max(1, w.info.Capacity.CPU))
+	case st.spec.LatencyTarget > 0:
+		score -= weightFillers * float64(w.fillers)
+		score += 0.5 * float64(min(1, w.serving))
+	}
+	return score
+}
--- /dev/null
+++ b/internal/batch/report.go
@@ -0,0 +1,325 @@
+package batch
+
+import (
+	"slices"
+	"time"
+)
+
+// Apply takes in a worker's list. It returns the number up to which the ends may be
+// acknowledged once the records that are dirty now are durable.
+func (s *State) Apply(id WorkerID, r Report, now time.Time) int64 {
+	w := s.workers[id]
+	if w == nil || r.Born < w.info.Born {
+		return 0
+	}
+	if r.Born > w.info.Born {
+		s.newLife(w, r.Born, now)
+	}
+	w.synced, w.silent = true, false
+	delete(s.unresolved, id)
+	var last int64
+	for _, e := range r.Ended {
+		s.ended(w, e, now)
+		last = max(last, e.Number)
+	}
+	s.compare(w, r, now)
+	s.relieve(w, now)
+	return last
+}
+
+// compare matches the attempts that are believed to be on the worker with its list.
+func (s *State) compare(w *worker, r Report, now time.Time) {
+	listed := make(map[attemptKey]bool, len(r.Running))
+	for _, e := range r.Running {
+		key := attemptKey{e.Task, e.Run}
+		listed[key] = true
+		if a := w.attempts[key]; a != nil {
+			a.observe(e, now)
+		} else {
+			s.adopt(w, e, now)
+		}
+	}
+	for key, a := range w.attempts {
+		if !listed[key] && a.isOver(r.Clock) {
+			s.event(Event{Name: "task.absent", Job: a.step.job.ID, Task: key.task, Run: key.run, Worker: w.info.ID, Detail: "not in the worker's list"})
+			s.drop(a, now)
+		}
+	}
+}
+
+// observe takes in a row of the list.
+func (a *attempt) observe(e Running, now time.Time) {
+	if !a.listed || e.Percent > a.percent {
+		a.progress = now
+	}
+	a.listed = true
+	a.percent = e.Percent
+	a.gauge = e.Gauge
+}
+
+// isOver reports whether an attempt that the worker does not list at clock can no longer
+// begin there.
+func (a *attempt) isOver(clock int64) bool {
+	switch {
+	case a.listed:
+		return true
+	case a.answered > 0:
+		return clock > a.answered
+	case a.stopped > 0 && clock > a.stopped:
+		return true
+	default:
+		return clock > a.notAfter
+	}
+}
+
+// adopt takes in an attempt that runs without our knowledge: a former owner started it, or
+// a start was executed after we gave it up.
+func (s *State) adopt(w *worker, e Running, now time.Time) {
+	st := s.step(e.Task)
+	if st == nil {
+		s.order(w, e.Task, e.Run, "unknown job")
+		return
+	}
+	t := &st.tasks[e.Task.Index]
+	t.lastRun = max(t.lastRun, e.Run)
+	t.doubtful = false
+	waits := len(t.attempts) == 0 && !t.done
+	a := &attempt{step: st, index: e.Task.Index, run: e.Run, worker: w, reserved: st.reserved, ordered: now, paced: 100}
+	s.begin(a)
+	a.observe(e, now)
+	if st.spec.Gang {
+		st.gangRun = max(st.gangRun, e.Run)
+	}
+	if !waits && !(st.spec.Speculative && !t.done) || st.job.outcome.Terminal() {
+		s.stop(a, "superseded")
+	}
+}
+
+// order sends a stop for a run of which no attempt is kept.
+func (s *State) order(w *worker, id TaskID, run int64, reason string) {
+	s.event(Event{Name: "task.stop", Job: id.Job, Task: id, Run: run, Worker: w.info.ID, Detail: reason})
+	s.actions = append(s.actions, Action{Kind: ActionStop, Worker: w.info.ID, Address: w.info.Address, Born: w.info.Born, Task: id, Run: run, Reason: reason})
+}
+
+// step returns the step of a task, or nil.
+func (s *State) step(id TaskID) *step {
+	j := s.jobs[id.Job]
+	if j == nil || id.Occurrence < 0 || id.Occurrence >= len(j.occs) {
+		return nil
+	}
+	o := j.occs[id.Occurrence]
+	if id.Step < 0 || id.Step >= len(o.steps) || id.Index < 0 || id.Index >= len(o.steps[id.Step].tasks) {
+		return nil
+	}
+	return o.steps[id.Step]
+}
+
+// ended takes in one end.
+func (s *State) ended(w *worker, e Ended, now time.Time) {
+	key := attemptKey{e.Task, e.Run}
+	a := w.attempts[key]
+	st := s.step(e.Task)
+	if st == nil {
+		return
+	}
+	t := &st.tasks[e.Task.Index]
+	t.lastRun = max(t.lastRun, e.Run)
+	if a == nil && t.doubtful {
+		t.doubtful = false
+	}
+	if e.Checkpoint != "" && !t.done {
+		t.checkpoint = e.Checkpoint
+		s.dirty[st.job] = true
+	}
+	switch e.How {
+	case EndDone:
+		w.failures = 0
+		s.done(st, t, now)
+	case EndFailed:
+		s.failed(w, st, t, e, now)
+	}
+	if a != nil {
+		if e.How != EndDone {
+			s.event(Event{Name: "task.ended", Job: e.Task.Job, Task: e.Task, Run: e.Run, Worker: w.info.ID, Detail: endingNames[e.How]})
+		}
+		s.drop(a, now)
+	}
+}
+
+var endingNames = [...]string{"", "done", "failed", "stopped", "lapsed", "broken", "alone"}
+
+// done closes a task, or all members of a gang.
+func (s *State) done(st *step, t *task, now time.Time) {
+	if st.spec.LongRunning {
+		return
+	}
+	if st.spec.Gang {
+		for i := range st.tasks {
+			s.doneTask(st, &st.tasks[i], now)
+		}
+		return
+	}
+	s.doneTask(st, t, now)
+}
+
+func (s *State) doneTask(st *step, t *task, now time.Time) {
+	if t.done {
+		return
+	}
+	if len(t.attempts) == 0 {
+		st.waiting--
+	}
+	t.done = true
+	st.left--
+	s.start(st.job)
+	s.dirty[st.job] = true
+	if !st.spec.Gang {
+		for _, a := range t.attempts {
+			s.stop(a, "task done")
+		}
+	}
+	if st.left > 0 {
+		return
+	}
+	delete(s.open, st)
+	st.finished()
+	for _, later := range st.occ.steps {
+		s.openStep(later, now)
+	}
+	s.settle(st.job, now)
+}
+
+// failed counts a failed run once, and fails the job when the task has no attempts left.
+func (s *State) failed(w *worker, st *step, t *task, e Ended, now time.Time) {
+	if t.done || slices.Contains(t.failed, e.Run) {
+		return
+	}
+	t.failed = append(t.failed, e.Run)
+	w.failed(t, now)
+	s.dirty[st.job] = true
+	if st.spec.LongRunning {
+		t.failed = nil
+		return
+	}
+	failures := len(t.failed)
+	if st.spec.Gang {
+		failures = st.gangFailures()
+	}
+	if failures >= max(1, s.queueOf(st.job).MaxAttempts) && !st.job.outcome.Terminal() {
+		s.event(Event{Name: "job.failed", Job: st.job.ID, Task: e.Task, Run: e.Run, Worker: w.info.ID, Detail: "no attempts left"})
+		s.end(st.job, Failed, now)
+	}
+}
+
+// gangFailures counts the runs in which any member failed.
+func (st *step) gangFailures() int {
+	runs := map[int64]bool{}
+	for i := range st.tasks {
+		for _, r := range st.tasks[i].failed {
+			runs[r] = true
+		}
+	}
+	return len(runs)
+}
+
+// begin registers an attempt with its task and its worker.
+func (s *State) begin(a *attempt) {
+	t := a.task()
+	if len(t.attempts) == 0 && !t.done {
+		a.step.waiting--
+	}
+	t.attempts = append(t.attempts, a)
+	t.lastRun = max(t.lastRun, a.run)
+	t.lastWorker = a.worker.info.ID
+	a.worker.attach(a)
+	a.step.job.attempts++
+	s.start(a.step.job)
+}
+
+// start notes that a task of the job has been started.
+func (s *State) start(j *Job) {
+	if !j.started {
+		j.started = true
+		s.waiting[j.Queue]--
+		s.dirty[j] = true
+	}
+}
+
+// drop forgets an attempt that is certainly over; its task waits again unless it is done.
+func (s *State) drop(a *attempt, now time.Time) {
+	t := a.task()
+	a.worker.detach(a)
+	a.step.job.attempts--
+	t.attempts = slices.DeleteFunc(t.attempts, func(b *attempt) bool { return b == a })
+	delete(s.stops(), a)
+	if t.done || len(t.attempts) > 0 {
+		return
+	}
+	a.step.waiting++
+	s.openStep(a.step, now)
+	if a.step.spec.Gang && !a.step.job.outcome.Terminal() {
+		s.breakGang(a.step)
+	}
+}
+
+// breakGang stops the members that are left, so that all begin anew.
+func (s *State) breakGang(st *step) {
+	for i := range st.tasks {
+		for _, a := range st.tasks[i].attempts {
+			s.stop(a, "member of the gang ended")
+		}
+	}
+}
+
+// StartAnswered takes in the answer to a start.
+func (s *State) StartAnswered(id WorkerID, task TaskID, run int64, answer Answer, clock int64, now time.Time) {
+	w := s.workers[id]
+	if w == nil {
+		return
+	}
+	a := w.attempts[attemptKey{task, run}]
+	if a == nil {
+		return
+	}
+	switch answer {
+	case AnswerOK:
+		a.answered = max(clock, 1)
+	case AnswerNone:
+		if !a.listed {
+			s.stop(a, "start not answered")
+		}
+	case AnswerRefused:
+		w.shunned = laterOf(w.shunned, now.Add(refusalShunTime))
+		s.refused(a, "refused by the worker", now)
+	case AnswerOld, AnswerLate, AnswerNoRoom, AnswerFenced, AnswerOther:
+		s.refused(a, answerNames[answer], now)
+	}
+}
+
+var answerNames = [...]string{"no answer", "ok", "unwell", "late", "old", "no room", "fenced", "invalid"}
+
+func (s *State) refused(a *attempt, reason string, now time.Time) {
+	if a.listed {
+		return
+	}
+	s.event(Event{Name: "task.refused", Job: a.step.job.ID, Task: a.id(), Run: a.run, Worker: a.worker.info.ID, Detail: reason})
+	s.drop(a, now)
+}
+
+// StopAnswered takes in the answer to a stop.
+func (s *State) StopAnswered(id WorkerID, task TaskID, run int64, answer Answer, clock int64) {
+	w := s.workers[id]
+	if w == nil {
+		return
+	}
+	if a := w.attempts[attemptKey{task, run}]; a != nil && answer == AnswerOK {
+		a.stopped = max(clock, 1)
+	}
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/batch/state.go
@@ -0,0 +1,370 @@
+package batch
+
+import (
+	"time"
+)
+
+// runStride is the distance between the first run numbers of two epochs, so that each owner
+// gives higher numbers than all before it without a record of each start.
+const runStride = 10_000
+
+// Job is an accepted job.
+type Job struct {
+	ID       string
+	Queue    string
+	Service  string
+	Accepted time.Time
+	Spec     Spec
+
+	outcome   Outcome
+	durable   Outcome // the outcome that the store holds
+	started   bool    // a task has been started at any time
+	cancelled bool
+	occs      []*occurrence
+	attempts  int // attempts that are not over
+	changed   time.Time
+}
+
+// Outcome returns the outcome that may be shown: an end only once it is durable.
+func (j *Job) Outcome() Outcome {
+	if j.outcome.Terminal() {
+		if j.outcome == Cancelled || j.durable == j.outcome {
+			return j.outcome
+		}
+	}
+	if j.started {
+		return Active
+	}
+	return Queued
+}
+
+// occurrence is one execution of the steps.
+type occurrence struct {
+	number int
+	due    time.Time
+	steps  []*step
+	left   int // steps that are not done
+}
+
+// step is the state of the tasks of one step of an occurrence.
+type step struct {
+	job      *Job
+	occ      *occurrence
+	number   int
+	spec     *Step
+	reserved Resources
+	tasks    []task
+	left     int // tasks that are not done
+	waiting  int // tasks without an attempt that are not done
+	blocked  int // steps before it that are not done
+	rack     string
+	// gangRun is the run number that the members share.
+	gangRun int64
+	ready   time.Time
+}
+
+// task is the state of one task.
+type task struct {
+	done       bool
+	doubtful   bool // it may be running where no list has been seen yet
+	attempts   []*attempt
+	failed     []int64 // runs that ended failed
+	lastRun    int64
+	checkpoint string
+	lastWorker WorkerID
+	retryAt    time.Time
+}
+
+// attempt is one start of a task that is not known to be over.
+type attempt struct {
+	step     *step
+	index    int
+	run      int64
+	worker   *worker
+	reserved Resources
+	ordered  time.Time
+	// notAfter is the worker's clock after which the order is refused; 0 if the attempt was
+	// found in a list.
+	notAfter int64
+	answered int64 // worker's clock of the answer that accepted the start
+	listed   bool
+	stopping bool
+	stopSent time.Time
+	stopped  int64 // worker's clock of the answer to the stop
+	percent  int
+	progress time.Time // last time that percent rose
+	gauge    int64
+	paced    int // percent that it may work at
+	pacedAt  time.Time
+	overFrom time.Time // since when its latency is over the target
+}
+
+func (a *attempt) id() TaskID {
+	return TaskID{Job: a.step.job.ID, Occurrence: a.step.occ.number, Step: a.step.number, Index: a.index}
+}
+
+func (a *attempt) task() *task { return &a.step.tasks[a.index] }
+
+// attemptKey identifies an attempt on a worker.
+type attemptKey struct {
+	task TaskID
+	run  int64
+}
+
+// State is all that the owner knows of jobs and workers.
+type State struct {
+	epoch  int64
+	limits Limits
+	config Config
+
+	jobs    map[string]*Job
+	workers map[WorkerID]*worker
+	// open holds the steps with waiting tasks.
+	open map[*step]bool
+	// scheduled holds occurrences that are not due yet.
+	scheduled map[*occurrence]*Job
+	// unresolved holds workers that may run tasks of a former owner.
+	unresolved map[WorkerID]bool
+	doubtUntil time.Time
+	doubts     int
+
+	dirty   map[*Job]bool
+	actions []Action
+	waiting map[string]int // jobs without a start, a queue
+	stopSet map[*attempt]bool
+	checked time.Time // last search for lapsed leases and stuck tasks
+	events  []Event
+}
+
+// Limits are the times that the state machine reckons with.
+type Limits struct {
+	// StartWindow is the time after which a worker refuses a start that has not arrived.
+	StartWindow time.Duration
+	// StopRetry is the pause before an unanswered stop is sent again.
+	StopRetry time.Duration
+	// Harm is how long a task may miss its latency target because of fillers.
+	Harm time.Duration
+}
+
+// Event is a line for the log: a decision with what it rested on.
+type Event struct {
+	Name   string
+	Job    string
+	Task   TaskID
+	Run    int64
+	Worker WorkerID
+	Detail string
+}
+
+// New returns an empty state of the owner with the epoch.
+func New(epoch int64, limits Limits) *State {
+	return &State{
+		epoch:      epoch,
+		limits:     limits,
+		jobs:       map[string]*Job{},
+		workers:    map[WorkerID]*worker{},
+		open:       map[*step]bool{},
+		scheduled:  map[*occurrence]*Job{},
+		unresolved: map[WorkerID]bool{},
+		dirty:      map[*Job]bool{},
+		waiting:    map[string]int{},
+	}
+}
+
+// SetConfig puts a configuration in force. An older version is ignored.
+func (s *State) SetConfig(c Config) {
+	if c.Version >= s.config.Version {
+		s.config = c
+	}
+}
+
+// Job returns the job, or nil.
+func (s *State) Job(id string) *Job { return s.jobs[id] }
+
+// Waiting returns the number of accepted jobs of the queue without a start.
+func (s *State) Waiting(queue string) int { return s.waiting[queue] }
+
+// Counts returns the number of jobs that are not over, and of known jobs.
+func (s *State) Counts() (live, known int) {
+	for _, j := range s.jobs {
+		if !j.outcome.Terminal() {
+			live++
+		}
+	}
+	return live, len(s.jobs)
+}
+
+// queueOf returns the queue of the job as it is configured now, or as it was when the job
+// was accepted if it has been removed since.
+func (s *State) queueOf(j *Job) Queue {
+	if q, ok := s.config.Queues[j.Queue]; ok {
+		return q
+	}
+	return Queue{Service: j.Service, MaxAttempts: 1, Stretch: 1, Priority: 1}
+}
+
+// Add takes a job in. A job that is known stays as it is. loaded says that the job was
+// accepted under a former owner, which may have started its tasks.
+func (s *State) Add(j *Job, r *Record, loaded bool, now time.Time) {
+	if s.jobs[j.ID] != nil {
+		return
+	}
+	s.jobs[j.ID] = j
+	j.changed = now
+	if r != nil && r.Outcome.Terminal() {
+		j.outcome, j.durable, j.started = r.Outcome, r.Outcome, true
+		return
+	}
+	for k := range j.Spec.Occurrences() {
+		j.occs = append(j.occs, newOccurrence(j, k))
+	}
+	if r != nil {
+		r.restore(j)
+	}
+	if !j.started {
+		s.waiting[j.Queue]++
+	}
+	for _, o := range j.occs {
+		s.open1(j, o, loaded, now)
+	}
+	s.settle(j, now)
+}
+
+// open1 makes the ready steps of an occurrence available for placement.
+func (s *State) open1(j *Job, o *occurrence, loaded bool, now time.Time) {
+	if loaded {
+		s.markDoubtful(o)
+	}
+	if o.due.After(now) {
+		s.scheduled[o] = j
+		return
+	}
+	for _, st := range o.steps {
+		s.openStep(st, now)
+	}
+}
+
+func (s *State) markDoubtful(o *occurrence) {
+	for _, st := range o.steps {
+		for i := range st.tasks {
+			if !st.tasks[i].done {
+				st.tasks[i].doubtful = true
+			}
+		}
+	}
+}
+
+// openStep lists the step for placement if tasks of it wait and nothing is before it.
+func (s *State) openStep(st *step, now time.Time) {
+	if st.blocked > 0 || st.waiting == 0 || st.job.outcome.Terminal() {
+		return
+	}
+	if !s.open[st] {
+		s.open[st] = true
+		st.ready = now
+	}
+}
+
+func newOccurrence(j *Job, number int) *occurrence {
+	o := &occurrence{number: number, due: j.Spec.Due(number), left: len(j.Spec.Steps)}
+	for i := range j.Spec.Steps {
+		spec := &j.Spec.Steps[i]
+		o.steps = append(o.steps, &step{
+			job:      j,
+			occ:      o,
+			number:   i,
+			spec:     spec,
+			reserved: spec.reserved(),
+			tasks:    make([]task, spec.Count),
+			left:     spec.Count,
+			waiting:  spec.Count,
+			blocked:  len(spec.After),
+		})
+	}
+	return o
+}
+
+// Cancel ends a job on its caller's wish.
+func (s *State) Cancel(id string, now time.Time) {
+	j := s.jobs[id]
+	if j == nil || j.outcome.Terminal() {
+		return
+	}
+	j.cancelled = true
+	s.event(Event{Name: "job.cancelled", Job: id})
+	s.end(j, Cancelled, now)
+}
+
+// end closes a job and stops what still runs.
+func (s *State) end(j *Job, o Outcome, now time.Time) {
+	if !j.started {
+		s.waiting[j.Queue]--
+		j.started = true
+	}
+	j.outcome = o
+	j.changed = now
+	s.dirty[j] = true
+	for _, occ := range j.occs {
+		delete(s.scheduled, occ)
+		for _, st := range occ.steps {
+			delete(s.open, st)
+			for i := range st.tasks {
+				s.endTask(&st.tasks[i])
+			}
+		}
+	}
+}
+
+func (s *State) endTask(t *task) {
+	if t.doubtful {
+		t.doubtful = false
+	}
+	for _, a := range t.attempts {
+		s.stop(a, "job over")
+	}
+}
+
+// settle closes the job if all its steps are done.
+func (s *State) settle(j *Job, now time.Time) {
+	if j.outcome.Terminal() {
+		return
+	}
+	for _, o := range j.occs {
+		if o.left > 0 {
+			return
+		}
+	}
+	s.event(Event{Name: "job.completed", Job: j.ID})
+	s.end(j, Completed, now)
+}
+
+// stop orders the end of an attempt; the next Plan sends it.
+func (s *State) stop(a *attempt, reason string) {
+	if a.stopping {
+		return
+	}
+	a.stopping = true
+	s.stops()[a] = true
+	s.event(Event{Name: "task.stop", Job: a.step.job.ID, Task: a.id(), Run: a.run, Worker: a.worker.info.ID, Detail: reason})
+}
+
+func (s *State) event(e Event) { s.events = append(s.events, e) }
+
+// Events returns what has been decided since the last call.
+func (s *State) Events() []Event {
+	out := s.events
+	s.events = nil
+	return out
+}
+
+// Forget drops jobs that have been over for longer than keep, and returns their ids.
+func (s *State) Forget(now time.Time, keep time.Duration) []string {
+	var ids []string
+	for id, j := range s.jobs {
+		if j.outcome.Terminal() && j.attempts == 0 && !s.dirty[j] && now.Sub(j.changed) > keep {
+			ids = append(ids, id)
+			delete(s.jobs, id)
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/batch/worker.go
@@ -0,0 +1,232 @@
+package batch
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// failuresToShun is the number of failed tasks in a row after which a worker gets no more.
+	failuresToShun = 2
+	// shunTime is how long such a worker gets nothing; then a single failure shuns it again.
+	shunTime = 8 * time.Second
+	// refusalShunTime is the same after a worker refused a start as unwell.
+	refusalShunTime = time.Second
+)
+
+// worker is what the owner knows of one life of a worker.
+type worker struct {
+	info     WorkerInfo
+	rack     string
+	listed   bool // the registry names it
+	recorded bool // the store knows that it may be in use
+	synced   bool // it has listed what runs there under our epoch
+	silent   bool // the last call to it failed
+	leaseEnd time.Time
+	used     Resources
+	fillers  int   // attempts of filler tasks
+	fillCPU  int64 // what they ask for
+	serving  int   // attempts with a latency target
+	attempts map[attemptKey]*attempt
+	failures int // failed attempts since the last one that was done
+	shunned  time.Time
+}
+
+// ObserveWorker takes in what the registry says of a worker.
+func (s *State) ObserveWorker(info WorkerInfo, now time.Time) {
+	w := s.workers[info.ID]
+	if w == nil {
+		w = &worker{attempts: map[attemptKey]*attempt{}}
+		s.workers[info.ID] = w
+		w.info.Born = info.Born
+	}
+	if info.Born < w.info.Born {
+		return
+	}
+	if info.Born > w.info.Born {
+		s.newLife(w, info.Born, now)
+	}
+	drains := info.Draining && !w.info.Draining
+	w.info, w.listed = info, true
+	w.rack = rackOf(info.Labels)
+	if drains {
+		s.event(Event{Name: "worker.draining", Worker: info.ID})
+		s.leave(w)
+	}
+}
+
+// ForgetWorker takes in that the registry no longer names the worker. What runs there is
+// given up only when its lease has ended.
+func (s *State) ForgetWorker(id WorkerID) {
+	if w := s.workers[id]; w != nil && w.listed {
+		w.listed = false
+		s.event(Event{Name: "worker.unlisted", Worker: id})
+	}
+}
+
+// Workers returns the ids of all workers that must be held: those listed, and those that
+// may still run something.
+func (s *State) Workers() []WorkerInfo {
+	var out []WorkerInfo
+	for _, w := range s.workers {
+		if w.listed || len(w.attempts) > 0 || s.unresolved[w.info.ID] {
+			out = append(out, w.info)
+		}
+	}
+	return out
+}
+
+// Suspect names the workers on which a former owner may have started tasks, and when the
+// leases of those that stay out of contact have surely ended.
+func (s *State) Suspect(ids []WorkerID, until time.Time) {
+	for _, id := range ids {
+		s.unresolved[id] = true
+	}
+	s.doubtUntil = until
+}
+
+// Recorded tells that the store knows that the worker may be in use.
+func (s *State) Recorded(id WorkerID) {
+	if w := s.workers[id]; w != nil {
+		w.recorded = true
+	}
+}
+
+// Silent tells that a call to the worker failed or timed out.
+func (s *State) Silent(id WorkerID) {
+	if w := s.workers[id]; w != nil && !w.silent {
+		w.silent = true
+		s.event(Event{Name: "worker.silent", Worker: id})
+	}
+}
+
+// Renewed tells that a lease was sent to the worker, and when it has surely ended.
+func (s *State) Renewed(id WorkerID, leaseEnd time.Time) {
+	if w := s.workers[id]; w != nil && leaseEnd.After(w.leaseEnd) {
+		w.leaseEnd = leaseEnd
+	}
+}
+
+// rackOf returns the label that names the rack: it begins with r and a digit.
+func rackOf(labels []string) string {
+	for _, l := range labels {
+		if len(l) > 1 && l[0] == 'r' && l[1] >= '0' && l[1] <= '9' {
+			return l
+		}
+	}
+	return ""
+}
+
+// newLife drops all that ran in the former life of the worker.
+func (s *State) newLife(w *worker, born int64, now time.Time) {
+	s.event(Event{Name: "worker.reborn", Worker: w.info.ID})
+	s.loseAll(w, "worker restarted", now)
+	w.info.Born = born
+	w.synced, w.failures, w.shunned = false, 0, time.Time{}
+	delete(s.unresolved, w.info.ID)
+}
+
+// loseAll drops the attempts of a worker that certainly run no more.
+func (s *State) loseAll(w *worker, reason string, now time.Time) {
+	for _, a := range w.attempts {
+		s.event(Event{Name: "task.lost", Job: a.step.job.ID, Task: a.id(), Run: a.run, Worker: w.info.ID, Detail: reason})
+		s.drop(a, now)
+	}
+}
+
+// lapse gives up what ran on workers out of contact whose lease has ended.
+func (s *State) lapse(now time.Time) {
+	for id, w := range s.workers {
+		if !w.silent || now.Before(w.leaseEnd) {
+			continue
+		}
+		if len(w.attempts) > 0 {
+			s.loseAll(w, "lease ended out of contact", now)
+		}
+		if !w.listed && !s.unresolved[id] {
+			delete(s.workers, id)
+		}
+	}
+	if len(s.unresolved) > 0 && now.After(s.doubtUntil) {
+		s.event(Event{Name: "takeover.resolved", Detail: "leases of workers out of contact have ended"})
+		clear(s.unresolved)
+	}
+}
+
+// leave moves what should not end with a worker that drains: tasks that last, and tasks
+// that resume from a checkpoint would otherwise lose what they did since.
+func (s *State) leave(w *worker) {
+	for _, a := range w.attempts {
+		if a.step.spec.LongRunning && s.mayDisrupt(a) {
+			s.stop(a, "worker drains")
+		}
+	}
+}
+
+// mayDisrupt reports whether the step allows one more task to be away.
+func (s *State) mayDisrupt(a *attempt) bool {
+	bound := a.step.spec.MaxDisrupted
+	if bound == 0 {
+		return true
+	}
+	return a.step.away() < bound
+}
+
+// away counts the tasks of a long-running step that are not at work.
+func (st *step) away() int {
+	n := 0
+	for i := range st.tasks {
+		if !st.tasks[i].atWork() {
+			n++
+		}
+	}
+	return n
+}
+
+func (t *task) atWork() bool {
+	return slices.ContainsFunc(t.attempts, func(a *attempt) bool {
+		return a.listed && !a.stopping && a.percent >= 100
+	})
+}
+
+// usable reports whether the worker may get new tasks.
+func (w *worker) usable(s *State, now time.Time) bool {
+	return w.listed && w.recorded && w.synced && !w.silent && !w.info.Draining &&
+		!s.config.Evacuated[w.info.DataCentre] && !now.Before(w.shunned)
+}
+
+func (w *worker) free() Resources { return w.info.Capacity.minus(w.used) }
+
+// attach reserves the worker for an attempt.
+func (w *worker) attach(a *attempt) {
+	w.attempts[attemptKey{a.id(), a.run}] = a
+	w.used = w.used.plus(a.reserved)
+	w.count(a, 1)
+}
+
+func (w *worker) detach(a *attempt) {
+	delete(w.attempts, attemptKey{a.id(), a.run})
+	w.used = w.used.minus(a.reserved)
+	w.count(a, -1)
+}
+
+func (w *worker) count(a *attempt, by int) {
+	if a.step.spec.Filler {
+		w.fillers += by
+		w.fillCPU += int64(by) * a.step.spec.Need.CPU
+	}
+	if a.step.spec.LatencyTarget > 0 {
+		w.serving += by
+	}
+}
+
+// failed counts a failure against the worker, unless the task is known to fail elsewhere.
+func (w *worker) failed(t *task, now time.Time) {
+	if len(t.failed) > 1 {
+		return
+	}
+	w.failures++
+	if w.failures >= failuresToShun {
+		w.shunned = now.Add(shunTime)
+	}
+}
--- /dev/null
+++ b/internal/owner/commit.go
@@ -0,0 +1,167 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/batch"
+	"github.com/geraniumwick/geraniumwick/internal/kv"
+)
+
+// committer writes the records of the owner, one transaction at a time.
+type committer struct {
+	rev    int64 // revision of the head
+	number int64
+	flying *batchTxn
+	last   time.Time
+	timer  <-chan time.Time
+	// acks wait for the records that are dirty or in flight.
+	acks []ack
+}
+
+// ack is an acknowledgement that waits until no record older than it is left to write.
+type ack struct {
+	number int64
+	to     chan<- int64
+	// after is the number of the transaction that must be durable.
+	after int64
+}
+
+// due fires when the next transaction may be sent.
+func (c *committer) due() <-chan time.Time { return c.timer }
+
+// whenDurable sends n once all that is dirty or in flight now is durable.
+func (c *committer) whenDurable(n int64, to chan<- int64, dirty bool) {
+	after := c.number
+	if dirty {
+		after++
+	}
+	if after <= c.durable() {
+		to <- n
+		return
+	}
+	c.acks = append(c.acks, ack{number: n, to: to, after: after})
+}
+
+// durable returns the number of the last transaction that is durable.
+func (c *committer) durable() int64 {
+	if c.flying != nil {
+		return c.number - 1
+	}
+	return c.number
+}
+
+// maxRecords is the number of records in one transaction, which also holds the head and
+// the list of workers and names the head as a condition.
+const maxRecords = kv.MaxTxnEntries - 4
+
+// commit sends the next transaction if there is something to write.
+func (l *leader) commit(now time.Time) {
+	c := &l.commits
+	c.timer = nil
+	if c.flying != nil || l.state.Dirty() == 0 && len(l.fresh) == 0 {
+		return
+	}
+	if wait := commitInterval - now.Sub(c.last); wait > 0 {
+		c.timer = time.After(wait)
+		return
+	}
+	t := l.nextTxn()
+	// What does not fit leaves the acknowledgements that wait for it to a later transaction.
+	if l.state.Dirty() > 0 {
+		c.postpone()
+	}
+	c.flying, c.last = t, now
+	l.calls.Go(func() { l.write(t) })
+}
+
+// postpone makes waiting acknowledgements wait for one transaction more.
+func (c *committer) postpone() {
+	for i := range c.acks {
+		if c.acks[i].after == c.number {
+			c.acks[i].after++
+		}
+	}
+}
+
+func (l *leader) nextTxn() *batchTxn {
+	c := &l.commits
+	c.number++
+	t := &batchTxn{number: c.number, records: l.state.TakeDirty(maxRecords)}
+	t.txn.If = []kv.Condition{{Key: headKey, Rev: c.rev}}
+	t.txn.Set = []kv.Write{{Key: headKey, Value: encode(commitHead{Epoch: l.epoch, Number: c.number})}}
+	for id, r := range t.records {
+		t.txn.Set = append(t.txn.Set, kv.Write{Key: RecordKey(id), Value: encode(r)})
+	}
+	if len(l.fresh) > 0 {
+		t.known = slices.Collect(maps.Keys(l.fresh))
+		clear(l.fresh)
+		all := slices.Concat(slices.Collect(maps.Keys(l.known)), t.known)
+		slices.Sort(all)
+		t.txn.Set = append(t.txn.Set, kv.Write{Key: knownKey, Value: encode(all)})
+	}
+	return t
+}
+
+// write sends a transaction until its outcome is known. A retry is the identical
+// transaction: the head admits it once.
+func (l *leader) write(t *batchTxn) {
+	for l.ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(l.ctx, commitTimeout)
+		rev, err := l.owner.store.Commit(ctx, t.txn)
+		if errors.Is(err, kv.ErrConflict) {
+			rev, err = l.resolve(ctx, t)
+		}
+		cancel()
+		if err == nil {
+			l.post(func(l *leader, _ time.Time) { l.committed(t, rev) })
+			return
+		}
+		if errors.Is(err, errDeposed) {
+			l.end("another owner wrote the head")
+			return
+		}
+		pause(l.ctx, storeRetry)
+	}
+}
+
+var errDeposed = errors.New("another owner wrote the head")
+
+// resolve finds out whether a transaction that conflicts is our own earlier try.
+func (l *leader) resolve(ctx context.Context, t *batchTxn) (int64, error) {
+	head, rev, err := l.owner.readHead(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if head.Epoch == l.epoch && head.Number == t.number {
+		return rev, nil
+	}
+	return 0, errDeposed
+}
+
+// committed takes in that a transaction is durable.
+func (l *leader) committed(t *batchTxn, rev int64) {
+	c := &l.commits
+	c.flying, c.rev = nil, rev
+	l.state.Stored(t.records)
+	for _, id := range t.known {
+		l.known[id] = true
+		l.state.Recorded(id)
+	}
+	c.acks = slices.DeleteFunc(c.acks, func(a ack) bool {
+		if a.after > c.durable() {
+			return false
+		}
+		a.to <- a.number
+		return true
+	})
+}
+
+// Outcome is what an owner says of a job.
+type Outcome struct {
+	Known   bool
+	Outcome batch.Outcome
+}
--- /dev/null
+++ b/internal/owner/orders.go
@@ -0,0 +1,61 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/batch"
+)
+
+// send carries out an action in the background; its answer becomes an event.
+func (l *leader) send(a batch.Action, now time.Time) {
+	switch a.Kind {
+	case batch.ActionStart:
+		l.sendStart(a, now)
+	case batch.ActionStop:
+		l.call(a, l.owner.workers.Stop)
+	case batch.ActionPace:
+		l.call(a, l.owner.workers.Pace)
+	}
+}
+
+func (l *leader) sendStart(a batch.Action, now time.Time) {
+	notAfter := l.clocks[a.Worker].now(now) + startWindow.Milliseconds()
+	l.state.Sent(a.Worker, a.Task, a.Run, notAfter)
+	order := StartOrder{
+		Worker: a.Worker, Address: a.Address, Epoch: l.epoch, Task: a.Task, Run: a.Run,
+		Payload: a.Payload, NotAfter: notAfter, Checkpoint: a.Checkpoint,
+	}
+	l.calls.Go(func() {
+		ctx, cancel := context.WithTimeout(l.ctx, orderTimeout)
+		defer cancel()
+		reply := l.owner.workers.Start(ctx, order)
+		l.post(func(l *leader, now time.Time) {
+			l.answered(a, reply, now)
+			l.state.StartAnswered(a.Worker, a.Task, a.Run, reply.Answer, reply.Clock, now)
+		})
+	})
+}
+
+func (l *leader) call(a batch.Action, do func(context.Context, RunOrder) Reply) {
+	order := RunOrder{Worker: a.Worker, Address: a.Address, Epoch: l.epoch, Task: a.Task, Run: a.Run, Percent: a.Percent}
+	l.calls.Go(func() {
+		ctx, cancel := context.WithTimeout(l.ctx, orderTimeout)
+		defer cancel()
+		reply := do(ctx, order)
+		l.post(func(l *leader, now time.Time) {
+			l.answered(a, reply, now)
+			if a.Kind == batch.ActionStop {
+				l.state.StopAnswered(a.Worker, a.Task, a.Run, reply.Answer, reply.Clock)
+			}
+		})
+	})
+}
+
+// answered notes what every answer tells.
+func (l *leader) answered(a batch.Action, r Reply, now time.Time) {
+	if r.Answer == batch.AnswerFenced {
+		l.log.Warn().Str("event", "leader.fenced").Str("worker", string(a.Worker)).Send()
+		l.end("a worker has seen a higher epoch")
+	}
+}
