--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -7,8 +7,6 @@
 )
 
 const (
-	// stuckTime is the least time without progress after which a task counts as stuck.
-	stuckTime = 3500 * time.Millisecond
 	// checkInterval is the pause between two searches for stuck tasks and lapsed leases.
 	checkInterval = 250 * time.Millisecond
 )
@@ -41,17 +39,9 @@
 	}
 }
 
-// stops returns the attempts that are to end.
-func (s *State) stops() map[*attempt]bool {
-	if s.stopSet == nil {
-		s.stopSet = map[*attempt]bool{}
-	}
-	return s.stopSet
-}
-
 // sendStops orders the ends that were decided, and repeats those without an answer.
 func (s *State) sendStops(now time.Time) {
-	for a := range s.stops() {
+	for a := range s.stops {
 		if a.worker.silent || now.Sub(a.stopSent) < s.limits.StopRetry {
 			continue
 		}
@@ -156,6 +146,7 @@
 	out := make([]*worker, 0, len(s.workers))
 	for _, w := range s.workers {
 		if w.usable(s, now) {
+			w.tightest, w.pressed = s.press.tightest(w), s.press.total(w)
 			out = append(out, w)
 		}
 	}
@@ -231,6 +222,12 @@
 	a := &attempt{step: st, index: index, run: run, worker: w, reserved: st.reserved, ordered: now, progress: now, paced: 100}
 	a.notAfter = noLimit
 	s.begin(a)
+	if st.spec.Filler {
+		w.pressed += s.press.of(a)
+	}
+	if st.spec.LatencyTarget > 0 {
+		w.tightest = max(w.tightest, s.press.base(st))
+	}
 	return a
 }
 
@@ -270,7 +267,10 @@
 		if w.info.Service != service || !st.reserved.Fits(w.free()) || !st.allows(w) {
 			continue
 		}
-		if score := st.score(t, w); best == nil || score > bestScore {
+		if st.spec.Filler && !s.admits(st, w) {
+			continue
+		}
+		if score := s.score(st, t, w); best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
 	}
@@ -297,18 +297,23 @@
 	return n < st.spec.MaxPerWorker
 }
 
-// The weights of a choice, in units of a worker's whole free capacity.
+// The weights of a choice, in units of a worker's whole processors.
 const (
 	weightRack     = 8.0
 	weightFailures = 4.0
 	weightCold     = 2.0
-	weightFillers  = 3.0
+	weightServing  = 6.0
+	weightFillers  = 1.0
+	// servingUse is the part of their reserved processors that tasks with a latency target use.
+	servingUse = 0.6
+	// fillerOvercommit is the part of a worker's processors by which fillers may ask for more
+	// than others leave.
+	fillerOvercommit = 0.1
 )
 
 // score rates a worker for a task; higher is better.
-func (st *step) score(t *task, w *worker) float64 {
-	free := w.free()
-	score := float64(free.CPU) / float64(max(1, w.info.Capacity.CPU))
+func (s *State) score(st *step, t *task, w *worker) float64 {
+	score := 0.0
 	if st.spec.DataRack != "" && w.rack == st.spec.DataRack || st.rack != "" && w.rack == st.rack {
 		score += weightRack
 	}
@@ -319,13 +324,31 @@
 	if w.info.Cold > 0 {
 		score -= weightCold
 	}
-	switch {
-	case st.spec.Filler:
-		score -= weightFillers * float64(w.serving)
-		score -= float64(w.fillCPU) / float64(max(1, w.info.Capacity.CPU))
-	case st.spec.LatencyTarget > 0:
-		score -= weightFillers * float64(w.fillers)
-		score += 0.5 * float64(min(1, w.serving))
+	cpu := float64(max(1, w.info.Capacity.CPU))
+	if st.spec.LatencyTarget > 0 {
+		// Tasks with a latency target share few workers, so that the others are free of them.
+		if w.serving > 0 {
+			score += weightServing
+		}
+		score -= weightFillers * float64(w.fillCPU) / cpu
+		return score - float64(w.free().CPU)/cpu
+	}
+	return score + float64(w.left())/cpu
+}
+
+// left returns the processors that the tasks on a worker leave unused, in thousandths.
+func (w *worker) left() int64 {
+	return w.info.Capacity.CPU - w.used.CPU + int64((1-servingUse)*float64(w.servingCPU)) - w.fillCPU
+}
+
+// admits reports whether a filler may work on a worker: others leave enough, and no latency
+// there is predicted to come near its target.
+func (s *State) admits(st *step, w *worker) bool {
+	if float64(w.left()-st.spec.Need.CPU) < -fillerOvercommit*float64(w.info.Capacity.CPU) {
+		return false
+	}
+	if w.serving == 0 {
+		return true
 	}
-	return score
+	return w.tightest*(1+w.pressed+s.press.would(w, st)) <= admitShare
 }
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -131,6 +131,9 @@
 		t.checkpoint = e.Checkpoint
 		s.dirty[st.job] = true
 	}
+	if a != nil {
+		a.over = true
+	}
 	switch e.How {
 	case EndDone:
 		w.failures = 0
@@ -251,7 +254,7 @@
 	a.worker.detach(a)
 	a.step.job.attempts--
 	t.attempts = slices.DeleteFunc(t.attempts, func(b *attempt) bool { return b == a })
-	delete(s.stops(), a)
+	delete(s.stops, a)
 	if t.done || len(t.attempts) > 0 {
 		return
 	}
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -88,6 +88,7 @@
 	notAfter int64
 	answered int64 // worker's clock of the answer that accepted the start
 	listed   bool
+	over     bool // the worker has listed its end
 	stopping bool
 	stopSent time.Time
 	stopped  int64 // worker's clock of the answer to the stop
@@ -96,7 +97,6 @@
 	gauge    int64
 	paced    int // percent that it may work at
 	pacedAt  time.Time
-	overFrom time.Time // since when its latency is over the target
 }
 
 func (a *attempt) id() TaskID {
@@ -130,9 +130,10 @@
 
 	dirty   map[*Job]bool
 	actions []Action
-	waiting map[string]int // jobs without a start, a queue
-	stopSet map[*attempt]bool
-	checked time.Time // last search for lapsed leases and stuck tasks
+	waiting map[string]int    // jobs without a start, a queue
+	stops   map[*attempt]bool // attempts that are to end
+	checked time.Time         // last search for lapsed leases and stuck tasks
+	press   *pressure
 	events  []Event
 }
 
@@ -168,6 +169,8 @@
 		unresolved: map[WorkerID]bool{},
 		dirty:      map[*Job]bool{},
 		waiting:    map[string]int{},
+		stops:      map[*attempt]bool{},
+		press:      newPressure(),
 	}
 }
 
@@ -340,11 +343,11 @@
 
 // stop orders the end of an attempt; the next Plan sends it.
 func (s *State) stop(a *attempt, reason string) {
-	if a.stopping {
+	if a.stopping || a.over {
 		return
 	}
 	a.stopping = true
-	s.stops()[a] = true
+	s.stops[a] = true
 	s.event(Event{Name: "task.stop", Job: a.step.job.ID, Task: a.id(), Run: a.run, Worker: a.worker.info.ID, Detail: reason})
 }
 
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -16,20 +16,24 @@
 
 // worker is what the owner knows of one life of a worker.
 type worker struct {
-	info     WorkerInfo
-	rack     string
-	listed   bool // the registry names it
-	recorded bool // the store knows that it may be in use
-	synced   bool // it has listed what runs there under our epoch
-	silent   bool // the last call to it failed
-	leaseEnd time.Time
-	used     Resources
-	fillers  int   // attempts of filler tasks
-	fillCPU  int64 // what they ask for
-	serving  int   // attempts with a latency target
-	attempts map[attemptKey]*attempt
-	failures int // failed attempts since the last one that was done
-	shunned  time.Time
+	info       WorkerInfo
+	rack       string
+	listed     bool // the registry names it
+	recorded   bool // the store knows that it may be in use
+	synced     bool // it has listed what runs there under our epoch
+	silent     bool // the last call to it failed
+	leaseEnd   time.Time
+	used       Resources
+	fillers    int       // attempts of filler tasks
+	fillCPU    int64     // what they ask for
+	serving    int       // attempts with a latency target
+	servingCPU int64     // what these reserve
+	harmedFrom time.Time // since when a latency is near its target
+	// tightest and pressed are the prediction for the latencies there, as of the last plan.
+	tightest, pressed float64
+	attempts          map[attemptKey]*attempt
+	failures          int // failed attempts since the last one that was done
+	shunned           time.Time
 }
 
 // ObserveWorker takes in what the registry says of a worker.
@@ -217,6 +221,7 @@
 	}
 	if a.step.spec.LatencyTarget > 0 {
 		w.serving += by
+		w.servingCPU += int64(by) * a.step.spec.Need.CPU
 	}
 }
 
