--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -51,56 +51,69 @@
 	}
 }
 
-// objective is when the job should be done.
-func (s *State) objective(j *Job, o *occurrence) time.Time {
-	q := s.queueOf(j)
-	from := j.Accepted
-	if !o.due.IsZero() {
-		from = o.due
-	}
-	return from.Add(time.Duration(q.Stretch*float64(j.Spec.chain())) + q.Slack)
+// urgency is how an open step stands against the objective of its job.
+type urgency struct {
+	// latest is when its tasks must start for the job to meet its objective.
+	latest time.Time
+	// missed says that the objective cannot be met any more.
+	missed bool
+}
+
+// urgency reckons with the estimates: a job's objective is a multiple of its longest chain.
+func (s *State) urgency(st *step, now time.Time) urgency {
+	q := s.queueOf(st.job)
+	from := st.job.Accepted
+	if !st.occ.due.IsZero() {
+		from = st.occ.due
+	}
+	whole := st.job.Spec.chain()
+	objective := from.Add(time.Duration(q.Stretch*float64(whole)) + q.Slack)
+	latest := objective.Add(-st.job.Spec.chainFrom(st.number))
+	return urgency{latest: latest, missed: now.After(latest) && !st.spec.LongRunning}
 }
 
 // chain returns the longest sum of estimates along the steps.
 func (s *Spec) chain() time.Duration {
-	ends := make([]time.Duration, len(s.Steps))
 	var longest time.Duration
 	for i := range s.Steps {
-		for _, before := range s.Steps[i].After {
-			ends[i] = max(ends[i], ends[before])
+		if len(s.Steps[i].After) == 0 {
+			longest = max(longest, s.chainFrom(i))
 		}
-		ends[i] += s.Steps[i].Estimate
-		longest = max(longest, ends[i])
 	}
 	return longest
 }
 
+// chainFrom returns the longest sum of estimates from a step to the end.
+func (s *Spec) chainFrom(step int) time.Duration {
+	rest := make([]time.Duration, len(s.Steps))
+	for i := len(s.Steps) - 1; i >= step; i-- {
+		rest[i] += s.Steps[i].Estimate
+		for _, before := range s.Steps[i].After {
+			rest[before] = max(rest[before], rest[i])
+		}
+	}
+	return rest[step]
+}
+
 // candidate is an open step with its place in the order.
 type candidate struct {
-	step      *step
-	priority  int
-	late      bool
-	objective time.Time
+	step     *step
+	priority int
+	urgency
 }
 
-// queue returns the open steps, most urgent first. A job that has missed its objective
-// comes after those of its priority that can still meet theirs.
+// queue returns the open steps, most urgent first. A job that will miss its objective comes
+// after those of its priority that can still meet theirs.
 func (s *State) queue(now time.Time) []candidate {
 	out := make([]candidate, 0, len(s.open))
 	for st := range s.open {
-		objective := s.objective(st.job, st.occ)
-		out = append(out, candidate{
-			step:      st,
-			priority:  s.queueOf(st.job).Priority,
-			late:      now.After(objective) && !st.spec.LongRunning,
-			objective: objective,
-		})
+		out = append(out, candidate{step: st, priority: s.queueOf(st.job).Priority, urgency: s.urgency(st, now)})
 	}
 	slices.SortFunc(out, func(a, b candidate) int {
 		return cmp.Or(
 			cmp.Compare(a.priority, b.priority),
-			compareBool(a.late, b.late),
-			a.objective.Compare(b.objective),
+			compareBool(a.missed, b.missed),
+			a.latest.Compare(b.latest),
 			cmp.Compare(a.step.job.ID, b.step.job.ID),
 			cmp.Compare(a.step.occ.number, b.step.occ.number),
 			cmp.Compare(a.step.number, b.step.number),
@@ -146,7 +159,7 @@
 	out := make([]*worker, 0, len(s.workers))
 	for _, w := range s.workers {
 		if w.usable(s, now) {
-			w.tightest, w.pressed = s.press.tightest(w), s.press.total(w)
+			w.tightest, w.pressed = w.tightestNow(), s.press.unseen(w, now)
 			out = append(out, w)
 		}
 	}
@@ -226,7 +239,7 @@
 		w.pressed += s.press.of(a)
 	}
 	if st.spec.LatencyTarget > 0 {
-		w.tightest = max(w.tightest, s.press.base(st))
+		w.tightest = max(w.tightest, unmeasured)
 	}
 	return a
 }
@@ -305,7 +318,7 @@
 	weightServing  = 6.0
 	weightFillers  = 1.0
 	// servingUse is the part of their reserved processors that tasks with a latency target use.
-	servingUse = 0.6
+	servingUse = 0.5
 	// fillerOvercommit is the part of a worker's processors by which fillers may ask for more
 	// than others leave.
 	fillerOvercommit = 0.1
@@ -333,6 +346,9 @@
 		score -= weightFillers * float64(w.fillCPU) / cpu
 		return score - float64(w.free().CPU)/cpu
 	}
+	if st.spec.Filler {
+		score += s.press.preference(w, st)
+	}
 	return score + float64(w.left())/cpu
 }
 
@@ -350,5 +366,5 @@
 	if w.serving == 0 {
 		return true
 	}
-	return w.tightest*(1+w.pressed+s.press.would(w, st)) <= admitShare
+	return w.tightest+w.pressed+s.press.would(w, st) <= admitUtilisation
 }
--- a/internal/batch/relief.go
+++ b/internal/batch/relief.go
@@ -9,63 +9,79 @@
 const (
 	// settleTime is how long after a change on a worker a measured latency still mixes what
 	// was before it.
-	settleTime = 700 * time.Millisecond
-	// harmedShare is the part of its target at which a latency asks for relief.
-	harmedShare = 0.92
-	// admitShare is the part of its target that a predicted latency may reach.
-	admitShare = 0.7
-	// nearlyDone is the percent from which a filler is paced rather than moved.
+	settleTime = 600 * time.Millisecond
+	// reliefUtilisation is the utilisation from which fillers are paced; a latency is at its
+	// target at 1 - idleShare.
+	reliefUtilisation = 0.8
+	// admitUtilisation is the predicted utilisation up to which fillers are admitted.
+	admitUtilisation = 0.78
+	// patience is how long a missed target is borne if relief would cost too much.
+	patience = 1200 * time.Millisecond
+	// fillersPerTarget is the number of fillers that a missed target is worth.
+	fillersPerTarget = 2
+	// moveAfter is how long a filler stays paced before it is moved.
+	moveAfter = 2500 * time.Millisecond
+	// nearlyDone is the percent from which a filler is not moved any more.
 	nearlyDone = 80
 	paceFull   = 100
 )
 
 // relieve keeps the tail latencies on a worker below their targets: the fillers that press
-// most are moved if they resume from a checkpoint, else paced, and get their share back
-// when the prediction allows it.
+// most are paced, and get their share back when the prediction allows it. Those that stay
+// paced move if they resume from a checkpoint.
 func (s *State) relieve(w *worker, now time.Time) {
 	s.press.learn(w, now)
 	if w.fillers == 0 {
 		return
 	}
-	if !w.harmed() {
+	w.tightest = w.tightestNow()
+	if w.tightest <= reliefUtilisation {
 		w.harmedFrom = time.Time{}
 		s.giveBack(w, now)
 		return
 	}
-	again := !w.harmedFrom.IsZero() && now.Sub(w.harmedFrom) > settleTime
 	if w.harmedFrom.IsZero() {
 		w.harmedFrom = now
 	}
-	s.pressLess(w, again, now)
+	s.pressLess(w, now)
+	s.movePaced(w, now)
 }
 
-// harmed reports whether a task on the worker is about to miss its latency target.
-func (w *worker) harmed() bool {
-	for _, a := range w.attempts {
-		target := a.step.spec.LatencyTarget
-		if target > 0 && a.listed && float64(a.gauge) > harmedShare*float64(target.Milliseconds()) {
-			return true
-		}
-	}
-	return false
-}
-
-// pressLess takes fillers away until the prediction allows the rest; all of them if a first
-// try did not help.
-func (s *State) pressLess(w *worker, all bool, now time.Time) {
+// pressLess paces the fillers that press most until the prediction allows the rest. If that
+// would cost more work than the targets are worth, it waits for the latency to fall by
+// itself, for a time.
+func (s *State) pressLess(w *worker, now time.Time) {
+	lasted := now.Sub(w.harmedFrom)
 	fillers := w.activeFillers()
 	slices.SortFunc(fillers, func(a, b *attempt) int {
 		return cmp.Or(cmp.Compare(s.press.of(b), s.press.of(a)), cmp.Compare(a.step.job.ID, b.step.job.ID), cmp.Compare(a.index, b.index))
 	})
-	base := s.press.tightest(w)
-	total := s.press.total(w)
-	for i, a := range fillers {
-		if i > 0 && !all && base*(1+total) <= admitShare {
-			return
+	predicted := w.tightest
+	n := 0
+	for n < len(fillers) && predicted > admitUtilisation {
+		predicted -= s.press.of(fillers[n])
+		n++
+	}
+	if lasted < patience && n > fillersPerTarget*w.missed() {
+		return
+	}
+	if lasted > 2*patience {
+		n = len(fillers)
+	}
+	for _, a := range fillers[:n] {
+		s.pace(a, 0, now)
+	}
+}
+
+// missed counts the tasks on the worker that feel more than the relief utilisation.
+func (w *worker) missed() int {
+	n := 0
+	for _, a := range w.attempts {
+		if a.step.spec.LatencyTarget > 0 && a.listed && a.utilisation() > reliefUtilisation {
+			n++
 		}
-		total -= s.press.of(a)
-		s.takeAway(a, now)
 	}
+	return n
 }
 
 // activeFillers returns the fillers that work.
@@ -79,24 +95,34 @@
 	return out
 }
 
-// takeAway moves a filler that resumes elsewhere, and paces any other one to nothing.
-func (s *State) takeAway(a *attempt, now time.Time) {
-	if a.step.spec.Checkpoints && a.percent < nearlyDone {
-		s.stop(a, "presses a latency target")
+// movePaced stops fillers that have been paced for long and resume elsewhere.
+func (s *State) movePaced(w *worker, now time.Time) {
+	for _, a := range w.attempts {
+		if a.step.spec.Filler && a.step.spec.Checkpoints && a.paced == 0 && a.percent < nearlyDone && now.Sub(a.pacedAt) > moveAfter {
+			s.stop(a, "presses a latency target")
+		}
 	}
-	s.pace(a, 0, now)
 }
 
-// giveBack lets paced fillers work again as far as the prediction allows.
+// giveBack lets paced fillers work again as far as the prediction allows, those closest to
+// their end first.
 func (s *State) giveBack(w *worker, now time.Time) {
-	base := s.press.tightest(w)
+	var paced []*attempt
 	for _, a := range w.attempts {
-		if !a.step.spec.Filler || a.paced == paceFull || a.stopping || now.Sub(a.pacedAt) < settleTime {
-			continue
+		if a.step.spec.Filler && a.paced < paceFull && !a.stopping && now.Sub(a.pacedAt) >= settleTime {
+			paced = append(paced, a)
 		}
-		if base*(1+s.press.total(w)+s.press.would(w, a.step)) <= admitShare {
-			s.pace(a, paceFull, now)
+	}
+	slices.SortFunc(paced, func(a, b *attempt) int {
+		return cmp.Or(cmp.Compare(b.percent, a.percent), cmp.Compare(a.step.job.ID, b.step.job.ID), cmp.Compare(a.index, b.index))
+	})
+	predicted := w.tightest
+	for _, a := range paced {
+		predicted += s.press.would(w, a.step)
+		if w.serving > 0 && predicted > admitUtilisation {
+			return
 		}
+		s.pace(a, paceFull, now)
 	}
 }
 
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -124,9 +124,6 @@
 	}
 	t := &st.tasks[e.Task.Index]
 	t.lastRun = max(t.lastRun, e.Run)
-	if a == nil && t.doubtful {
-		t.doubtful = false
-	}
 	if e.Checkpoint != "" && !t.done {
 		t.checkpoint = e.Checkpoint
 		s.dirty[st.job] = true
@@ -255,6 +252,7 @@
 	a.step.job.attempts--
 	t.attempts = slices.DeleteFunc(t.attempts, func(b *attempt) bool { return b == a })
 	delete(s.stops, a)
+	s.press.forget(a)
 	if t.done || len(t.attempts) > 0 {
 		return
 	}
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -123,10 +123,8 @@
 	open map[*step]bool
 	// scheduled holds occurrences that are not due yet.
 	scheduled map[*occurrence]*Job
-	// unresolved holds workers that may run tasks of a former owner.
-	unresolved map[WorkerID]bool
-	doubtUntil time.Time
-	doubts     int
+	// unresolved holds the workers that may run tasks of a former owner, and until when.
+	unresolved map[WorkerID]time.Time
 
 	dirty   map[*Job]bool
 	actions []Action
@@ -166,7 +164,7 @@
 		workers:    map[WorkerID]*worker{},
 		open:       map[*step]bool{},
 		scheduled:  map[*occurrence]*Job{},
-		unresolved: map[WorkerID]bool{},
+		unresolved: map[WorkerID]time.Time{},
 		dirty:      map[*Job]bool{},
 		waiting:    map[string]int{},
 		stops:      map[*attempt]bool{},
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -29,7 +29,8 @@
 	serving    int       // attempts with a latency target
 	servingCPU int64     // what these reserve
 	harmedFrom time.Time // since when a latency is near its target
-	// tightest and pressed are the prediction for the latencies there, as of the last plan.
+	// tightest is the largest utilisation that a task with a latency target felt last, and
+	// pressed what the fillers started since add to it.
 	tightest, pressed float64
 	attempts          map[attemptKey]*attempt
 	failures          int // failed attempts since the last one that was done
@@ -73,20 +74,31 @@
 func (s *State) Workers() []WorkerInfo {
 	var out []WorkerInfo
 	for _, w := range s.workers {
-		if w.listed || len(w.attempts) > 0 || s.unresolved[w.info.ID] {
+		if w.listed || len(w.attempts) > 0 {
 			out = append(out, w.info)
 		}
 	}
 	return out
 }
 
-// Suspect names the workers on which a former owner may have started tasks, and when the
-// leases of those that stay out of contact have surely ended.
-func (s *State) Suspect(ids []WorkerID, until time.Time) {
-	for _, id := range ids {
-		s.unresolved[id] = true
+// InUse returns the ids of all workers that run tasks, may run some, or may get some.
+func (s *State) InUse() map[WorkerID]bool {
+	out := map[WorkerID]bool{}
+	for _, info := range s.Workers() {
+		out[info.ID] = true
+	}
+	for id := range s.unresolved {
+		out[id] = true
+	}
+	return out
+}
+
+// Suspect names the workers on which a former owner may have started tasks, and until when
+// these may run if the worker stays out of contact.
+func (s *State) Suspect(until map[WorkerID]time.Time) {
+	for id, t := range until {
+		s.unresolved[id] = t
 	}
-	s.doubtUntil = until
 }
 
 // Recorded tells that the store knows that the worker may be in use.
@@ -111,6 +123,12 @@
 	}
 }
 
+// Watched reports whether fillers share the worker with tasks that have a latency target.
+func (s *State) Watched(id WorkerID) bool {
+	w := s.workers[id]
+	return w != nil && w.fillers > 0 && w.serving > 0
+}
+
 // rackOf returns the label that names the rack: it begins with r and a digit.
 func rackOf(labels []string) string {
 	for _, l := range labels {
@@ -147,13 +165,15 @@
 		if len(w.attempts) > 0 {
 			s.loseAll(w, "lease ended out of contact", now)
 		}
-		if !w.listed && !s.unresolved[id] {
+		if !w.listed {
 			delete(s.workers, id)
 		}
 	}
-	if len(s.unresolved) > 0 && now.After(s.doubtUntil) {
-		s.event(Event{Name: "takeover.resolved", Detail: "leases of workers out of contact have ended"})
-		clear(s.unresolved)
+	for id, until := range s.unresolved {
+		if now.After(until) {
+			s.event(Event{Name: "takeover.resolved", Worker: id, Detail: "its lease has ended out of contact"})
+			delete(s.unresolved, id)
+		}
 	}
 }
 
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"slices"
 	"time"
 
@@ -24,8 +23,8 @@
 
 // ack is an acknowledgement that waits until no record older than it is left to write.
 type ack struct {
-	number int64
-	to     chan<- int64
+	next instruction
+	to   chan<- instruction
 	// after is the number of the transaction that must be durable.
 	after int64
 }
@@ -33,17 +32,17 @@
 // due fires when the next transaction may be sent.
 func (c *committer) due() <-chan time.Time { return c.timer }
 
-// whenDurable sends n once all that is dirty or in flight now is durable.
-func (c *committer) whenDurable(n int64, to chan<- int64, dirty bool) {
+// whenDurable sends the instruction once all that is dirty or in flight now is durable.
+func (c *committer) whenDurable(next instruction, to chan<- instruction, dirty bool) {
 	after := c.number
 	if dirty {
 		after++
 	}
 	if after <= c.durable() {
-		to <- n
+		to <- next
 		return
 	}
-	c.acks = append(c.acks, ack{number: n, to: to, after: after})
+	c.acks = append(c.acks, ack{next: next, to: to, after: after})
 }
 
 // durable returns the number of the last transaction that is durable.
@@ -62,7 +61,7 @@
 func (l *leader) commit(now time.Time) {
 	c := &l.commits
 	c.timer = nil
-	if c.flying != nil || l.state.Dirty() == 0 && len(l.fresh) == 0 {
+	if c.flying != nil || l.state.Dirty() == 0 && !l.known.dirty {
 		return
 	}
 	if wait := commitInterval - now.Sub(c.last); wait > 0 {
@@ -96,12 +95,8 @@
 	for id, r := range t.records {
 		t.txn.Set = append(t.txn.Set, kv.Write{Key: RecordKey(id), Value: encode(r)})
 	}
-	if len(l.fresh) > 0 {
-		t.known = slices.Collect(maps.Keys(l.fresh))
-		clear(l.fresh)
-		all := slices.Concat(slices.Collect(maps.Keys(l.known)), t.known)
-		slices.Sort(all)
-		t.txn.Set = append(t.txn.Set, kv.Write{Key: knownKey, Value: encode(all)})
+	if l.known.dirty {
+		l.known.write(t, l.state.InUse())
 	}
 	return t
 }
@@ -148,14 +143,14 @@
 	c.flying, c.rev = nil, rev
 	l.state.Stored(t.records)
 	for _, id := range t.known {
-		l.known[id] = true
+		l.known.stored[id] = true
 		l.state.Recorded(id)
 	}
 	c.acks = slices.DeleteFunc(c.acks, func(a ack) bool {
 		if a.after > c.durable() {
 			return false
 		}
-		a.to <- a.number
+		a.to <- a.next
 		return true
 	})
 }
--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// holdWait is how long a worker may wait for an end before it answers.
-	holdWait = 2 * time.Second
+	// holdWait is how long a worker may wait for an end before it answers, and watchedWait
+	// the same where fillers share a worker with tasks that have a latency target.
+	holdWait    = 2 * time.Second
+	watchedWait = 500 * time.Millisecond
 	// holdTimeout bounds an answer beyond that.
 	holdTimeout = 800 * time.Millisecond
 	// holdRetry is the pause after a failed hold.
@@ -19,16 +21,23 @@
 	ackWait = 400 * time.Millisecond
 )
 
+// instruction is what the loop tells a holder for its next call.
+type instruction struct {
+	ack  int64 // number up to which ends are acknowledged
+	wait time.Duration
+	// renew allows to renew the lease: the store does not say that it has ended.
+	renew bool
+}
+
 // holder renews the lease of one worker and brings its lists.
 type holder struct {
-	leader  *leader
-	info    batch.WorkerInfo
-	cancel  context.CancelFunc
-	ack     int64 // number up to which ends are acknowledged
-	born    int64
-	clock   workerClock
-	lease   time.Time // when the lease has surely ended
-	failing bool
+	leader *leader
+	info   batch.WorkerInfo
+	cancel context.CancelFunc
+	next   instruction
+	born   int64
+	clock  workerClock
+	lease  time.Time // when the lease has surely ended
 }
 
 // observeHolders starts a holder for each worker that must be held, and ends the others.
@@ -82,13 +91,12 @@
 // call renews the lease once. After a failure, and in the first call, nothing is
 // acknowledged: the worker may have another life.
 func (h *holder) call(ctx context.Context) (batch.Report, batch.Answer) {
-	order := HoldOrder{Worker: h.info.ID, Address: h.info.Address, Epoch: h.leader.epoch, LastSeen: h.ack}
+	order := HoldOrder{Worker: h.info.ID, Address: h.info.Address, Epoch: h.leader.epoch, LastSeen: h.next.ack}
 	now := time.Now()
-	if h.born != 0 {
+	// A renewal whose answer is lost may still arrive, so a worker out of contact gets none.
+	if h.next.renew {
 		order.Until = h.clock.now(now) + h.leader.owner.opts.WorkerLease.Milliseconds()
-	}
-	if h.born != 0 && !h.failing {
-		order.Wait = holdWait
+		order.Wait = h.next.wait
 	}
 	ctx, cancel := context.WithTimeout(ctx, order.Wait+holdTimeout)
 	defer cancel()
@@ -102,22 +110,22 @@
 func (h *holder) succeeded(ctx context.Context, r batch.Report) {
 	now := time.Now()
 	if r.Born != h.born {
-		h.ack = 0
+		h.next = instruction{}
 	}
-	h.failing, h.born = false, r.Born
+	h.born = r.Born
 	h.clock = workerClock{clock: r.Clock, at: now}
-	acked := make(chan int64, 1)
+	next := make(chan instruction, 1)
 	lease, clock := h.lease, h.clock
 	h.leader.post(func(l *leader, now time.Time) {
 		if l.holders[h.info.ID] == h {
 			l.clocks[h.info.ID] = clock
-			l.reported(h.info.ID, r, lease, acked, now)
+			l.reported(h.info.ID, r, lease, next, now)
 		}
 	})
 	timer := time.NewTimer(ackWait)
 	defer timer.Stop()
 	select {
-	case h.ack = <-acked:
+	case h.next = <-next:
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -127,21 +135,33 @@
 	if ctx.Err() != nil {
 		return
 	}
-	h.ack = 0
-	h.failing = true
+	h.next = instruction{}
 	lease := h.lease
 	h.leader.post(func(l *leader, _ time.Time) {
 		if l.holders[h.info.ID] == h {
 			l.state.Renewed(h.info.ID, lease)
 			l.state.Silent(h.info.ID)
+			l.lost(h.info.ID, lease)
 		}
 	})
 	pause(ctx, holdRetry)
 }
 
 // reported takes in a list; the ends are acknowledged once what follows from them is durable.
-func (l *leader) reported(id batch.WorkerID, r batch.Report, lease time.Time, acked chan<- int64, now time.Time) {
+func (l *leader) reported(id batch.WorkerID, r batch.Report, lease time.Time, next chan<- instruction, now time.Time) {
 	l.state.Renewed(id, lease)
 	last := l.state.Apply(id, r, now)
-	l.commits.whenDurable(last, acked, l.state.Dirty() > 0)
+	l.known.set(id, 0)
+	i := instruction{ack: last, wait: holdWait, renew: true}
+	if l.state.Watched(id) {
+		i.wait = watchedWait
+	}
+	l.commits.whenDurable(i, next, l.state.Dirty() > 0 || l.known.dirty)
+}
+
+// lost records when the lease of a worker out of contact has ended.
+func (l *leader) lost(id batch.WorkerID, lease time.Time) {
+	if l.known.has(id) && !lease.IsZero() {
+		l.known.set(id, lease.UnixMilli())
+	}
 }
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
@@ -59,8 +58,7 @@
 	state   *batch.State
 	clocks  map[batch.WorkerID]workerClock
 	holders map[batch.WorkerID]*holder
-	known   map[batch.WorkerID]bool // workers that the store knows to be in use
-	fresh   map[batch.WorkerID]bool // workers to be recorded before their first start
+	known   knownWorkers
 	ctx     context.Context
 	commits committer
 	calls   sync.WaitGroup
@@ -90,8 +88,7 @@
 		state:   batch.New(v.claim.Epoch, limits),
 		clocks:  map[batch.WorkerID]workerClock{},
 		holders: map[batch.WorkerID]*holder{},
-		known:   map[batch.WorkerID]bool{},
-		fresh:   map[batch.WorkerID]bool{},
+		known:   newKnownWorkers(),
 		commits: committer{rev: v.commitRev},
 	}
 }
@@ -222,10 +219,12 @@
 // restore rebuilds the state from the store's content.
 func (l *leader) restore(out, in []kv.Item, now time.Time) {
 	records := map[string]*batch.Record{}
-	var suspects []batch.WorkerID
+	latest := now.Add(l.leaseSpan() + deposedWindow)
 	for _, item := range out {
 		if item.Key == knownKey {
-			suspects = l.decodeKnown(item.Value)
+			until, err := l.known.read(item.Value, latest)
+			l.readable(item.Key, err)
+			l.state.Suspect(until)
 			continue
 		}
 		if _, id := split(item.Key); id != "" {
@@ -234,20 +233,9 @@
 			}
 		}
 	}
-	for _, id := range suspects {
-		l.known[id] = true
-	}
-	l.state.Suspect(suspects, now.Add(l.leaseSpan()+deposedWindow))
 	l.takeIn(in, records, true, now)
 }
 
-func (l *leader) decodeKnown(b []byte) []batch.WorkerID {
-	var ids []batch.WorkerID
-	err := cbor.Unmarshal(b, &ids)
-	l.readable(knownKey, err)
-	return ids
-}
-
 func (l *leader) readable(key string, err error) bool {
 	if err != nil {
 		l.log.Error().Str("event", "store.unreadable").Str("key", key).Err(err).Send()
@@ -350,10 +338,10 @@
 		return "", false
 	}
 	l.state.ObserveWorker(info, time.Now())
-	if l.known[info.ID] {
+	if l.known.stored[info.ID] {
 		l.state.Recorded(info.ID)
-	} else {
-		l.fresh[info.ID] = true
+	} else if !l.known.has(info.ID) {
+		l.known.set(info.ID, 0)
 	}
 	l.members = true
 	return info.ID, true
