--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -159,7 +159,7 @@
 	out := make([]*worker, 0, len(s.workers))
 	for _, w := range s.workers {
 		if w.usable(s, now) {
-			w.tightest, w.pressed = w.tightestNow(), s.press.unseen(w, now)
+			w.felts = s.press.feel(w, now)
 			out = append(out, w)
 		}
 	}
@@ -235,12 +235,7 @@
 	a := &attempt{step: st, index: index, run: run, worker: w, reserved: st.reserved, ordered: now, progress: now, paced: 100}
 	a.notAfter = noLimit
 	s.begin(a)
-	if st.spec.Filler {
-		w.pressed += s.press.of(a)
-	}
-	if st.spec.LatencyTarget > 0 {
-		w.tightest = max(w.tightest, unmeasured)
-	}
+	w.felts = s.press.feel(w, now)
 	return a
 }
 
@@ -317,8 +312,11 @@
 	weightCold     = 2.0
 	weightServing  = 6.0
 	weightFillers  = 1.0
+	weightImage    = 3.0
+	weightShared   = 0.2
+	weightPress    = 2.0
 	// servingUse is the part of their reserved processors that tasks with a latency target use.
-	servingUse = 0.5
+	servingUse = 0.45
 	// fillerOvercommit is the part of a worker's processors by which fillers may ask for more
 	// than others leave.
 	fillerOvercommit = 0.1
@@ -343,11 +341,17 @@
 		if w.serving > 0 {
 			score += weightServing
 		}
+		if slices.ContainsFunc(w.felts, func(f felt) bool { return f.image == st.spec.Image }) {
+			score += weightImage
+		}
 		score -= weightFillers * float64(w.fillCPU) / cpu
 		return score - float64(w.free().CPU)/cpu
 	}
 	if st.spec.Filler {
-		score += s.press.preference(w, st)
+		// Where tasks have latency targets, fillers come only if others are full, the lightest first.
+		if w.serving > 0 {
+			score -= weightShared + weightPress*s.press.most(w, st, w.felts)
+		}
 	}
 	return score + float64(w.left())/cpu
 }
@@ -366,5 +370,5 @@
 	if w.serving == 0 {
 		return true
 	}
-	return w.tightest+w.pressed+s.press.would(w, st) <= admitUtilisation
+	return s.press.worst(w, st, w.felts) <= admitUtilisation
 }
--- a/internal/batch/relief.go
+++ b/internal/batch/relief.go
@@ -12,30 +12,27 @@
 	settleTime = 600 * time.Millisecond
 	// reliefUtilisation is the utilisation from which fillers are paced; a latency is at its
 	// target at 1 - idleShare.
-	reliefUtilisation = 0.8
+	reliefUtilisation = 0.77
 	// admitUtilisation is the predicted utilisation up to which fillers are admitted.
-	admitUtilisation = 0.78
-	// patience is how long a missed target is borne if relief would cost too much.
-	patience = 1200 * time.Millisecond
-	// fillersPerTarget is the number of fillers that a missed target is worth.
-	fillersPerTarget = 2
-	// moveAfter is how long a filler stays paced before it is moved.
-	moveAfter = 2500 * time.Millisecond
+	admitUtilisation = 0.72
+	// culprit is what a filler must add to the factor on the loads to be paced at first.
+	culprit = 0.03
+	// patience is how long a missed target is borne for which no filler seems the cause.
+	patience = 1500 * time.Millisecond
 	// nearlyDone is the percent from which a filler is not moved any more.
-	nearlyDone = 80
+	nearlyDone = 85
 	paceFull   = 100
 )
 
-// relieve keeps the tail latencies on a worker below their targets: the fillers that press
-// most are paced, and get their share back when the prediction allows it. Those that stay
-// paced move if they resume from a checkpoint.
+// relieve keeps the tail latencies on a worker below their targets: fillers that press are
+// paced, and moved if they resume from a checkpoint and could not work there soon.
 func (s *State) relieve(w *worker, now time.Time) {
 	s.press.learn(w, now)
 	if w.fillers == 0 {
 		return
 	}
-	w.tightest = w.tightestNow()
-	if w.tightest <= reliefUtilisation {
+	missed := slices.DeleteFunc(s.press.feel(w, now), func(f felt) bool { return f.utilisation <= reliefUtilisation })
+	if len(missed) == 0 {
 		w.harmedFrom = time.Time{}
 		s.giveBack(w, now)
 		return
@@ -43,86 +40,72 @@
 	if w.harmedFrom.IsZero() {
 		w.harmedFrom = now
 	}
-	s.pressLess(w, now)
-	s.movePaced(w, now)
+	s.pressLess(w, missed, now)
 }
 
-// pressLess paces the fillers that press most until the prediction allows the rest. If that
-// would cost more work than the targets are worth, it waits for the latency to fall by
-// itself, for a time.
-func (s *State) pressLess(w *worker, now time.Time) {
+// pressLess takes away the fillers that press most on missed targets until the prediction
+// allows the rest; after a time, all fillers.
+func (s *State) pressLess(w *worker, missed []felt, now time.Time) {
 	lasted := now.Sub(w.harmedFrom)
 	fillers := w.activeFillers()
-	slices.SortFunc(fillers, func(a, b *attempt) int {
-		return cmp.Or(cmp.Compare(s.press.of(b), s.press.of(a)), cmp.Compare(a.step.job.ID, b.step.job.ID), cmp.Compare(a.index, b.index))
+	slices.SortStableFunc(fillers, func(a, b *attempt) int {
+		return cmp.Compare(s.press.most(w, b.step, missed), s.press.most(w, a.step, missed))
 	})
-	predicted := w.tightest
-	n := 0
-	for n < len(fillers) && predicted > admitUtilisation {
-		predicted -= s.press.of(fillers[n])
-		n++
-	}
-	if lasted < patience && n > fillersPerTarget*w.missed() {
-		return
-	}
-	if lasted > 2*patience {
-		n = len(fillers)
-	}
-	for _, a := range fillers[:n] {
-		s.pace(a, 0, now)
+	for _, a := range fillers {
+		adds := s.press.most(w, a.step, missed)
+		if lasted < patience && (adds < culprit || s.press.eased(missed)) {
+			return
+		}
+		for i := range missed {
+			missed[i].now -= s.press.adds(w, a.step, missed[i].image)
+		}
+		s.takeAway(a, adds, now)
 	}
 }
 
-// missed counts the tasks on the worker that feel more than the relief utilisation.
-func (w *worker) missed() int {
-	n := 0
-	for _, a := range w.attempts {
-		if a.step.spec.LatencyTarget > 0 && a.listed && a.utilisation() > reliefUtilisation {
-			n++
-		}
+// eased reports whether the prediction for all missed targets is good without what was
+// taken away.
+func (p *pressure) eased(missed []felt) bool {
+	return !slices.ContainsFunc(missed, func(f felt) bool {
+		return f.utilisation/f.seen*f.now > admitUtilisation
+	})
+}
+
+// takeAway paces a filler to nothing, or moves it if it could not work there later either.
+func (s *State) takeAway(a *attempt, adds float64, now time.Time) {
+	s.pace(a, 0, now)
+	if a.step.spec.Checkpoints && a.percent < nearlyDone && usualLoad*(1+adds) > admitUtilisation {
+		s.stop(a, "presses a latency target")
 	}
-	return n
 }
 
-// activeFillers returns the fillers that work.
+// activeFillers returns the fillers that work, in a fixed order.
 func (w *worker) activeFillers() []*attempt {
+	return w.fillersWhere(func(a *attempt) bool { return a.paced > 0 })
+}
+
+func (w *worker) fillersWhere(ok func(*attempt) bool) []*attempt {
 	var out []*attempt
 	for _, a := range w.attempts {
-		if a.step.spec.Filler && !a.stopping && a.paced > 0 {
+		if a.step.spec.Filler && !a.stopping && ok(a) {
 			out = append(out, a)
 		}
 	}
+	slices.SortFunc(out, func(a, b *attempt) int {
+		return cmp.Or(cmp.Compare(b.percent, a.percent), cmp.Compare(a.step.job.ID, b.step.job.ID),
+			cmp.Compare(a.step.number, b.step.number), cmp.Compare(a.index, b.index))
+	})
 	return out
 }
 
-// movePaced stops fillers that have been paced for long and resume elsewhere.
-func (s *State) movePaced(w *worker, now time.Time) {
-	for _, a := range w.attempts {
-		if a.step.spec.Filler && a.step.spec.Checkpoints && a.paced == 0 && a.percent < nearlyDone && now.Sub(a.pacedAt) > moveAfter {
-			s.stop(a, "presses a latency target")
-		}
-	}
-}
-
 // giveBack lets paced fillers work again as far as the prediction allows, those closest to
-// their end first.
+// their end first. A paced filler that presses too much for a usual load moves.
 func (s *State) giveBack(w *worker, now time.Time) {
-	var paced []*attempt
-	for _, a := range w.attempts {
-		if a.step.spec.Filler && a.paced < paceFull && !a.stopping && now.Sub(a.pacedAt) >= settleTime {
-			paced = append(paced, a)
-		}
-	}
-	slices.SortFunc(paced, func(a, b *attempt) int {
-		return cmp.Or(cmp.Compare(b.percent, a.percent), cmp.Compare(a.step.job.ID, b.step.job.ID), cmp.Compare(a.index, b.index))
-	})
-	predicted := w.tightest
+	paced := w.fillersWhere(func(a *attempt) bool { return a.paced < paceFull && now.Sub(a.pacedAt) >= settleTime })
 	for _, a := range paced {
-		predicted += s.press.would(w, a.step)
-		if w.serving > 0 && predicted > admitUtilisation {
-			return
+		if s.press.worst(w, a.step, s.press.feel(w, now)) <= admitUtilisation {
+			s.pace(a, paceFull, now)
 		}
-		s.pace(a, paceFull, now)
 	}
 }
 
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -29,12 +29,11 @@
 	serving    int       // attempts with a latency target
 	servingCPU int64     // what these reserve
 	harmedFrom time.Time // since when a latency is near its target
-	// tightest is the largest utilisation that a task with a latency target felt last, and
-	// pressed what the fillers started since add to it.
-	tightest, pressed float64
-	attempts          map[attemptKey]*attempt
-	failures          int // failed attempts since the last one that was done
-	shunned           time.Time
+	// felts is what tasks with a latency target feel there, as of the last plan.
+	felts    []felt
+	attempts map[attemptKey]*attempt
+	failures int // failed attempts since the last one that was done
+	shunned  time.Time
 }
 
 // ObserveWorker takes in what the registry says of a worker.
