--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -232,7 +232,7 @@
 // reserve registers an attempt whose start is not sent yet. The worker's clock of the
 // order's end is set when it is sent.
 func (s *State) reserve(st *step, index int, run int64, w *worker, now time.Time) *attempt {
-	a := &attempt{step: st, index: index, run: run, worker: w, reserved: st.reserved, ordered: now, progress: now, paced: 100}
+	a := &attempt{step: st, index: index, run: run, worker: w, reserved: st.reserved, ordered: now, progress: now, paced: paceFull}
 	a.notAfter = noLimit
 	s.begin(a)
 	w.felts = s.press.feel(w, now)
--- a/internal/batch/relief.go
+++ b/internal/batch/relief.go
@@ -110,8 +110,10 @@
 }
 
 func (s *State) pace(a *attempt, percent int, now time.Time) {
-	a.paced, a.pacedAt = percent, now
 	w := a.worker
+	w.fillCPU -= a.workCPU()
+	a.paced, a.pacedAt, a.progress = percent, now, now
+	w.fillCPU += a.workCPU()
 	s.event(Event{Name: "task.pace", Job: a.step.job.ID, Task: a.id(), Run: a.run, Worker: w.info.ID, Detail: paceNames[percent > 0]})
 	s.actions = append(s.actions, Action{
 		Kind: ActionPace, Worker: w.info.ID, Address: w.info.Address, Born: w.info.Born,
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -84,7 +84,11 @@
 	t.lastRun = max(t.lastRun, e.Run)
 	t.doubtful = false
 	waits := len(t.attempts) == 0 && !t.done
-	a := &attempt{step: st, index: e.Task.Index, run: e.Run, worker: w, reserved: st.reserved, ordered: now, paced: 100}
+	a := &attempt{step: st, index: e.Task.Index, run: e.Run, worker: w, reserved: st.reserved, ordered: now, paced: paceFull}
+	if st.spec.Filler {
+		// The former owner may have paced it; it gets its share when the prediction allows.
+		a.paced = 0
+	}
 	s.begin(a)
 	a.observe(e, now)
 	if st.spec.Gang {
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -25,7 +25,7 @@
 	leaseEnd   time.Time
 	used       Resources
 	fillers    int       // attempts of filler tasks
-	fillCPU    int64     // what they ask for
+	fillCPU    int64     // what they ask for at their pace
 	serving    int       // attempts with a latency target
 	servingCPU int64     // what these reserve
 	harmedFrom time.Time // since when a latency is near its target
@@ -236,7 +236,7 @@
 func (w *worker) count(a *attempt, by int) {
 	if a.step.spec.Filler {
 		w.fillers += by
-		w.fillCPU += int64(by) * a.step.spec.Need.CPU
+		w.fillCPU += int64(by) * a.workCPU()
 	}
 	if a.step.spec.LatencyTarget > 0 {
 		w.serving += by
@@ -244,6 +244,11 @@
 	}
 }
 
+// workCPU returns the processors that a filler asks for at its pace, in thousandths.
+func (a *attempt) workCPU() int64 {
+	return a.step.spec.Need.CPU * int64(a.paced) / paceFull
+}
+
 // failed counts a failure against the worker, unless the task is known to fail elsewhere.
 func (w *worker) failed(t *task, now time.Time) {
 	if len(t.failed) > 1 {
