--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -17,6 +17,7 @@
 		s.checked = now
 		s.lapse(now)
 		s.stuck(now)
+		s.movePaced(now)
 	}
 	s.openDue(now)
 	s.place(now)
@@ -313,8 +314,8 @@
 	weightServing  = 6.0
 	weightFillers  = 1.0
 	weightImage    = 3.0
-	weightShared   = 0.2
-	weightPress    = 2.0
+	weightShared   = 0.0
+	weightPress    = 1.0
 	// servingUse is the part of their reserved processors that tasks with a latency target use.
 	servingUse = 0.45
 	// fillerOvercommit is the part of a worker's processors by which fillers may ask for more
@@ -350,7 +351,7 @@
 	if st.spec.Filler {
 		// Where tasks have latency targets, fillers come only if others are full, the lightest first.
 		if w.serving > 0 {
-			score -= weightShared + weightPress*s.press.most(w, st, w.felts)
+			score -= weightShared + weightPress*s.press.worst(w, st, w.felts)
 		}
 	}
 	return score + float64(w.left())/cpu
--- a/internal/batch/relief.go
+++ b/internal/batch/relief.go
@@ -19,9 +19,13 @@
 	culprit = 0.03
 	// patience is how long a missed target is borne for which no filler seems the cause.
 	patience = 1500 * time.Millisecond
-	// nearlyDone is the percent from which a filler is not moved any more.
-	nearlyDone = 85
-	paceFull   = 100
+	// moveAfter is how long a filler stays paced before it moves.
+	moveAfter = 900 * time.Millisecond
+	// nearlyDone is the percent from which a filler with checkpoints is not moved any more,
+	// and hardlyBegun that for one that begins anew.
+	nearlyDone  = 85
+	hardlyBegun = 30
+	paceFull    = 100
 )
 
 // relieve keeps the tail latencies on a worker below their targets: fillers that press are
@@ -59,7 +63,7 @@
 		for i := range missed {
 			missed[i].now -= s.press.adds(w, a.step, missed[i].image)
 		}
-		s.takeAway(a, adds, now)
+		s.pace(a, 0, now)
 	}
 }
 
@@ -71,12 +75,30 @@
 	})
 }
 
-// takeAway paces a filler to nothing, or moves it if it could not work there later either.
-func (s *State) takeAway(a *attempt, adds float64, now time.Time) {
-	s.pace(a, 0, now)
-	if a.step.spec.Checkpoints && a.percent < nearlyDone && usualLoad*(1+adds) > admitUtilisation {
-		s.stop(a, "presses a latency target")
+// movePaced stops fillers that stay paced where they are and can work elsewhere now.
+func (s *State) movePaced(now time.Time) {
+	workers := s.usable(now)
+	for _, w := range workers {
+		for _, a := range w.fillersWhere(func(a *attempt) bool { return a.paced == 0 && now.Sub(a.pacedAt) > moveAfter }) {
+			if a.percent >= a.keepFrom() {
+				continue
+			}
+			if to := s.choose(a.step, a.task(), workers); to != nil && to != w {
+				s.stop(a, "can work elsewhere")
+				// The room that it will take is counted until the next search.
+				to.used.MemoryMB += a.reserved.MemoryMB
+				defer func() { to.used.MemoryMB -= a.reserved.MemoryMB }()
+			}
+		}
+	}
+}
+
+// keepFrom returns the percent from which a paced filler is better kept than moved.
+func (a *attempt) keepFrom() int {
+	if a.step.spec.Checkpoints {
+		return nearlyDone
 	}
+	return hardlyBegun
 }
 
 // activeFillers returns the fillers that work, in a fixed order.
