--- a/internal/batch/pressure.go
+++ b/internal/batch/pressure.go
@@ -22,8 +22,8 @@
 
 // ImagePair is a filler's image beside the image of a task with a latency target.
 type ImagePair struct {
-	Filler string
-	Target string
+	Filler string `cbor:"1,keyasint"`
+	Target string `cbor:"2,keyasint"`
 }
 
 // estimate is a weight with its variance.
@@ -32,6 +32,29 @@
 	variance float64
 }
 
+// Learned is a weight of a pair as it is passed on to a later owner.
+type Learned struct {
+	Pair     ImagePair `cbor:"1,keyasint"`
+	Mean     float64   `cbor:"2,keyasint"`
+	Variance float64   `cbor:"3,keyasint"`
+}
+
+// Learned returns the weights of all pairs that were measured.
+func (s *State) Learned() []Learned {
+	out := make([]Learned, 0, len(s.press.weights))
+	for pair, e := range s.press.weights {
+		out = append(out, Learned{Pair: pair, Mean: e.mean, Variance: e.variance})
+	}
+	return out
+}
+
+// Learn takes in what a former owner has learned.
+func (s *State) Learn(all []Learned) {
+	for _, l := range all {
+		s.press.weights[l.Pair] = estimate{mean: l.Mean, variance: l.Variance}
+	}
+}
+
 // sample is a measurement of one task.
 type sample struct {
 	at          time.Time
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -16,7 +16,9 @@
 	number int64
 	flying *batchTxn
 	last   time.Time
-	timer  <-chan time.Time
+	// learned is when what the policy has learned was written last.
+	learned time.Time
+	timer   <-chan time.Time
 	// acks wait for the records that are dirty or in flight.
 	acks []ack
 }
@@ -55,7 +57,10 @@
 
 // maxRecords is the number of records in one transaction, which also holds the head and
 // the list of workers and names the head as a condition.
-const maxRecords = kv.MaxTxnEntries - 4
+const maxRecords = kv.MaxTxnEntries - 5
+
+// learnedInterval is the pause between two writes of what the policy has learned.
+const learnedInterval = 2 * time.Second
 
 // commit sends the next transaction if there is something to write.
 func (l *leader) commit(now time.Time) {
@@ -68,7 +73,7 @@
 		c.timer = time.After(wait)
 		return
 	}
-	t := l.nextTxn()
+	t := l.nextTxn(now)
 	// What does not fit leaves the acknowledgements that wait for it to a later transaction.
 	if l.state.Dirty() > 0 {
 		c.postpone()
@@ -86,7 +91,7 @@
 	}
 }
 
-func (l *leader) nextTxn() *batchTxn {
+func (l *leader) nextTxn(now time.Time) *batchTxn {
 	c := &l.commits
 	c.number++
 	t := &batchTxn{number: c.number, records: l.state.TakeDirty(maxRecords)}
@@ -98,6 +103,10 @@
 	if l.known.dirty {
 		l.known.write(t, l.state.InUse())
 	}
+	if now.Sub(c.learned) > learnedInterval {
+		c.learned = now
+		t.txn.Set = append(t.txn.Set, kv.Write{Key: learnedKey, Value: encode(l.state.Learned())})
+	}
 	return t
 }
 
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
@@ -227,6 +228,12 @@
 			l.state.Suspect(until)
 			continue
 		}
+		if item.Key == learnedKey {
+			var learned []batch.Learned
+			l.readable(item.Key, cbor.Unmarshal(item.Value, &learned))
+			l.state.Learn(learned)
+			continue
+		}
 		if _, id := split(item.Key); id != "" {
 			if r, err := DecodeRecord(item.Value); l.readable(item.Key, err) {
 				records[id] = &r
--- a/internal/owner/records.go
+++ b/internal/owner/records.go
@@ -23,6 +23,7 @@
 	outPrefix    = "gw/out/"
 	recordPrefix = outPrefix + "job/"
 	knownKey     = outPrefix + "workers"
+	learnedKey   = outPrefix + "learned"
 )
 
 // commitHead is the value of headKey. Each transaction of an owner requires the head that
