Write ahead which steps may have been started

A step is now announced in the owner's record before its first start; only tasks of announced steps are in doubt. Weighed: a record a start (larger records), a record after the start (says nothing of tasks that wait).

--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -15,6 +15,7 @@
 func (s *State) Plan(now time.Time) []Action {
 	if now.Sub(s.checked) >= checkInterval {
 		s.checked = now
+		s.shortUsual += shortRate * (float64(s.shortCPU) - s.shortUsual)
 		s.lapse(now)
 		s.stuck(now)
 		s.movePaced(now)
@@ -170,21 +171,58 @@
 
 // placeStep starts the waiting tasks of a step until one finds no worker.
 func (s *State) placeStep(st *step, workers []*worker, now time.Time) {
+	if st.announced && !st.durable {
+		return
+	}
 	for i := range st.tasks {
 		t := &st.tasks[i]
 		if t.done || len(t.attempts) > 0 || t.doubtful && len(s.unresolved) > 0 {
 			continue
 		}
+		if st.spec.LongRunning && t.lastRun == 0 && !s.spares(st, workers) {
+			return
+		}
 		w := s.choose(st, t, workers)
 		if w == nil {
 			return
 		}
+		if !st.durable {
+			s.announce(st)
+			return
+		}
 		s.startTask(st, i, s.nextRun(t.lastRun), w, now)
 	}
 }
 
+const (
+	// shortRate is the part by which the mean of what short tasks reserve follows at each check.
+	shortRate = 0.02
+	// shortReserve is how many times that mean stays free of new tasks that last.
+	shortReserve = 2.0
+)
+
+// spares reports whether a new task that lasts leaves enough room to short tasks, which
+// would otherwise wait for as long as it lasts.
+func (s *State) spares(st *step, workers []*worker) bool {
+	var free int64
+	for _, w := range workers {
+		free += w.free().CPU
+	}
+	return float64(free-st.reserved.CPU+s.shortCPU) >= shortReserve*s.shortUsual
+}
+
+// countShort keeps account of what short tasks reserve.
+func (s *State) countShort(a *attempt, by int64) {
+	if !a.step.spec.LongRunning {
+		s.shortCPU += by * a.reserved.CPU
+	}
+}
+
 // placeGang starts all members at once or none.
 func (s *State) placeGang(st *step, workers []*worker, now time.Time) {
+	if st.announced && !st.durable {
+		return
+	}
 	run := st.gangRun
 	for i := range st.tasks {
 		t := &st.tasks[i]
@@ -193,6 +231,10 @@
 		}
 		run = max(run, t.lastRun)
 	}
+	if !st.durable {
+		s.announce(st)
+		return
+	}
 	st.gangRun = s.nextRun(run)
 	checkpoint := st.tasks[0].checkpoint
 	var placed []*attempt
@@ -215,6 +257,7 @@
 	for _, a := range placed {
 		t := a.task()
 		a.worker.detach(a)
+		s.countShort(a, -1)
 		st.job.attempts--
 		t.attempts = nil
 		st.waiting++
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -13,6 +13,8 @@
 	Step       int            `cbor:"2,keyasint,omitempty"`
 	Done       []byte         `cbor:"3,keyasint,omitempty"` // a bit a task
 	Tasks      []TaskProgress `cbor:"4,keyasint,omitempty"`
+	// Announced says that tasks of the step may have been started.
+	Announced bool `cbor:"5,keyasint,omitempty"`
 }
 
 // TaskProgress is what is known of a task that is not done.
@@ -25,24 +27,53 @@
 // Dirty returns the jobs whose records have changed since they were last taken.
 func (s *State) Dirty() int { return len(s.dirty) }
 
+// Urgent reports whether a step waits for its record.
+func (s *State) Urgent() bool { return len(s.urgent) > 0 }
+
 // TakeDirty returns at most n changed jobs with their records, and counts them as written.
+// Jobs with steps that wait for their record come first.
 func (s *State) TakeDirty(n int) map[string]Record {
 	out := make(map[string]Record, min(n, len(s.dirty)))
+	for j := range s.urgent {
+		s.take(j, n, out)
+	}
 	for j := range s.dirty {
-		if len(out) == n {
-			break
-		}
-		out[j.ID] = j.record()
-		delete(s.dirty, j)
+		s.take(j, n, out)
 	}
 	return out
 }
 
+func (s *State) take(j *Job, n int, out map[string]Record) {
+	if len(out) == n {
+		return
+	}
+	out[j.ID] = j.record()
+	delete(s.dirty, j)
+	delete(s.urgent, j)
+}
+
+// announce asks for the record without which no task of the step is started.
+func (s *State) announce(st *step) {
+	st.announced = true
+	s.dirty[st.job] = true
+	s.urgent[st.job] = true
+}
+
 // Stored tells that the records are durable.
 func (s *State) Stored(records map[string]Record) {
 	for id, r := range records {
 		if j := s.jobs[id]; j != nil {
 			j.durable = r.Outcome
+			r.stored(j)
+		}
+	}
+}
+
+// stored notes which steps may be started.
+func (r *Record) stored(j *Job) {
+	for _, p := range r.Steps {
+		if p.Announced && p.Occurrence < len(j.occs) {
+			j.occs[p.Occurrence].steps[p.Step].durable = true
 		}
 	}
 }
@@ -63,7 +94,7 @@
 }
 
 func (st *step) progress() (StepProgress, bool) {
-	p := StepProgress{Occurrence: st.occ.number, Step: st.number}
+	p := StepProgress{Occurrence: st.occ.number, Step: st.number, Announced: st.announced}
 	if st.left < len(st.tasks) {
 		p.Done = make([]byte, (len(st.tasks)+7)/8)
 	}
@@ -76,7 +107,7 @@
 			p.Tasks = append(p.Tasks, TaskProgress{Index: i, Failed: t.failed, Checkpoint: t.checkpoint})
 		}
 	}
-	return p, p.Done != nil || p.Tasks != nil
+	return p, p.Announced || p.Done != nil || p.Tasks != nil
 }
 
 // restore puts the progress into a fresh job.
@@ -92,6 +123,7 @@
 		return
 	}
 	st := j.occs[p.Occurrence].steps[p.Step]
+	st.announced, st.durable = p.Announced, p.Announced
 	for i := range st.tasks {
 		if i/8 < len(p.Done) && p.Done[i/8]&(1<<(i%8)) != 0 {
 			st.tasks[i].done = true
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -236,6 +236,7 @@
 	t.lastRun = max(t.lastRun, a.run)
 	t.lastWorker = a.worker.info.ID
 	a.worker.attach(a)
+	s.countShort(a, 1)
 	a.step.job.attempts++
 	s.start(a.step.job)
 }
@@ -253,6 +254,7 @@
 func (s *State) drop(a *attempt, now time.Time) {
 	t := a.task()
 	a.worker.detach(a)
+	s.countShort(a, -1)
 	a.step.job.attempts--
 	t.attempts = slices.DeleteFunc(t.attempts, func(b *attempt) bool { return b == a })
 	delete(s.stops, a)
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -58,6 +58,10 @@
 	waiting  int // tasks without an attempt that are not done
 	blocked  int // steps before it that are not done
 	rack     string
+	// announced says that the next record tells that tasks of the step may have been started,
+	// and durable that the store has such a record. No task is started before.
+	announced bool
+	durable   bool
 	// gangRun is the run number that the members share.
 	gangRun int64
 	ready   time.Time
@@ -126,13 +130,18 @@
 	// unresolved holds the workers that may run tasks of a former owner, and until when.
 	unresolved map[WorkerID]time.Time
 
-	dirty   map[*Job]bool
+	dirty map[*Job]bool
+	// urgent holds the jobs with steps that wait for their record.
+	urgent  map[*Job]bool
 	actions []Action
 	waiting map[string]int    // jobs without a start, a queue
 	stops   map[*attempt]bool // attempts that are to end
 	checked time.Time         // last search for lapsed leases and stuck tasks
 	press   *pressure
-	events  []Event
+	// shortCPU is what tasks that end by themselves reserve, and shortUsual its running mean.
+	shortCPU   int64
+	shortUsual float64
+	events     []Event
 }
 
 // Limits are the times that the state machine reckons with.
@@ -166,6 +175,7 @@
 		scheduled:  map[*occurrence]*Job{},
 		unresolved: map[WorkerID]time.Time{},
 		dirty:      map[*Job]bool{},
+		urgent:     map[*Job]bool{},
 		waiting:    map[string]int{},
 		stops:      map[*attempt]bool{},
 		press:      newPressure(),
@@ -247,6 +257,9 @@
 
 func (s *State) markDoubtful(o *occurrence) {
 	for _, st := range o.steps {
+		if !st.announced {
+			continue
+		}
 		for i := range st.tasks {
 			if !st.tasks[i].done {
 				st.tasks[i].doubtful = true
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -26,7 +26,7 @@
 // ack is an acknowledgement that waits until no record older than it is left to write.
 type ack struct {
 	next instruction
-	to   chan<- instruction
+	to   *holder
 	// after is the number of the transaction that must be durable.
 	after int64
 }
@@ -35,13 +35,13 @@
 func (c *committer) due() <-chan time.Time { return c.timer }
 
 // whenDurable sends the instruction once all that is dirty or in flight now is durable.
-func (c *committer) whenDurable(next instruction, to chan<- instruction, dirty bool) {
+func (c *committer) whenDurable(next instruction, to *holder, dirty bool) {
 	after := c.number
 	if dirty {
 		after++
 	}
 	if after <= c.durable() {
-		to <- next
+		to.instruct(next)
 		return
 	}
 	c.acks = append(c.acks, ack{next: next, to: to, after: after})
@@ -69,7 +69,11 @@
 	if c.flying != nil || l.state.Dirty() == 0 && !l.known.dirty {
 		return
 	}
-	if wait := commitInterval - now.Sub(c.last); wait > 0 {
+	interval := commitInterval
+	if l.state.Urgent() {
+		interval = urgentInterval
+	}
+	if wait := interval - now.Sub(c.last); wait > 0 {
 		c.timer = time.After(wait)
 		return
 	}
@@ -159,7 +163,7 @@
 		if a.after > c.durable() {
 			return false
 		}
-		a.to <- a.next
+		a.to.instruct(a.next)
 		return true
 	})
 }
--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -27,6 +27,8 @@
 	wait time.Duration
 	// renew allows to renew the lease: the store does not say that it has ended.
 	renew bool
+	// contact is the contact of the holder that the instruction belongs to.
+	contact int
 }
 
 // holder renews the lease of one worker and brings its lists.
@@ -35,9 +37,14 @@
 	info   batch.WorkerInfo
 	cancel context.CancelFunc
 	next   instruction
-	born   int64
-	clock  workerClock
-	lease  time.Time // when the lease has surely ended
+	// inbox holds the newest instruction that the holder has not taken yet.
+	inbox chan instruction
+	// contact counts the times that contact was lost. An instruction from before does not
+	// hold any more.
+	contact int
+	born    int64
+	clock   workerClock
+	lease   time.Time // when the lease has surely ended
 }
 
 // observeHolders starts a holder for each worker that must be held, and ends the others.
@@ -67,7 +74,7 @@
 
 func (l *leader) hold(info batch.WorkerInfo) {
 	ctx, cancel := context.WithCancel(l.ctx)
-	h := &holder{leader: l, info: info, cancel: cancel}
+	h := &holder{leader: l, info: info, cancel: cancel, inbox: make(chan instruction, 1)}
 	l.holders[info.ID] = h
 	l.calls.Go(func() { h.run(ctx) })
 }
@@ -91,6 +98,11 @@
 // call renews the lease once. After a failure, and in the first call, nothing is
 // acknowledged: the worker may have another life.
 func (h *holder) call(ctx context.Context) (batch.Report, batch.Answer) {
+	select {
+	case i := <-h.inbox:
+		h.take(i)
+	default:
+	}
 	order := HoldOrder{Worker: h.info.ID, Address: h.info.Address, Epoch: h.leader.epoch, LastSeen: h.next.ack}
 	now := time.Now()
 	// A renewal whose answer is lost may still arrive, so a worker out of contact gets none.
@@ -111,31 +123,49 @@
 	now := time.Now()
 	if r.Born != h.born {
 		h.next = instruction{}
+		h.contact++
 	}
 	h.born = r.Born
 	h.clock = workerClock{clock: r.Clock, at: now}
-	next := make(chan instruction, 1)
-	lease, clock := h.lease, h.clock
+	lease, clock, contact := h.lease, h.clock, h.contact
 	h.leader.post(func(l *leader, now time.Time) {
 		if l.holders[h.info.ID] == h {
 			l.clocks[h.info.ID] = clock
-			l.reported(h.info.ID, r, lease, next, now)
+			l.reported(h, r, lease, contact, now)
 		}
 	})
 	timer := time.NewTimer(ackWait)
 	defer timer.Stop()
 	select {
-	case h.next = <-next:
+	case i := <-h.inbox:
+		h.take(i)
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 }
 
+// take follows an instruction, unless contact was lost since.
+func (h *holder) take(i instruction) {
+	if i.contact == h.contact {
+		h.next = i
+	}
+}
+
+// instruct replaces the instruction that the holder has not taken yet.
+func (h *holder) instruct(i instruction) {
+	select {
+	case <-h.inbox:
+	default:
+	}
+	h.inbox <- i
+}
+
 func (h *holder) failed(ctx context.Context) {
 	if ctx.Err() != nil {
 		return
 	}
 	h.next = instruction{}
+	h.contact++
 	lease := h.lease
 	h.leader.post(func(l *leader, _ time.Time) {
 		if l.holders[h.info.ID] == h {
@@ -148,15 +178,15 @@
 }
 
 // reported takes in a list; the ends are acknowledged once what follows from them is durable.
-func (l *leader) reported(id batch.WorkerID, r batch.Report, lease time.Time, next chan<- instruction, now time.Time) {
+func (l *leader) reported(h *holder, r batch.Report, lease time.Time, contact int, now time.Time) {
+	id := h.info.ID
 	l.state.Renewed(id, lease)
-	last := l.state.Apply(id, r, now)
 	l.known.set(id, 0)
-	i := instruction{ack: last, wait: holdWait, renew: true}
+	i := instruction{ack: l.state.Apply(id, r, now), wait: holdWait, renew: true, contact: contact}
 	if l.state.Watched(id) {
 		i.wait = watchedWait
 	}
-	l.commits.whenDurable(i, next, l.state.Dirty() > 0 || l.known.dirty)
+	l.commits.whenDurable(i, h, l.state.Dirty() > 0 || l.known.dirty)
 }
 
 // lost records when the lease of a worker out of contact has ended.
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -24,6 +24,8 @@
 	tickInterval = 100 * time.Millisecond
 	// commitInterval is the least time between two transactions of the owner.
 	commitInterval = 20 * time.Millisecond
+	// urgentInterval is the same while steps wait for their record.
+	urgentInterval = 8 * time.Millisecond
 	// commitTimeout bounds one try of a transaction.
 	commitTimeout = 1500 * time.Millisecond
 	// followPause lets changes in the store arrive together.
