Plan faster: skip steps that ask for no less than one that found no worker; feel a worker once a plan

Cause: under a backlog the owner's plans filled its share of a core, and starts waited 70 to 260 ms.

--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -68,9 +68,8 @@
 	if !st.occ.due.IsZero() {
 		from = st.occ.due
 	}
-	whole := st.job.Spec.chain()
-	objective := from.Add(time.Duration(q.Stretch*float64(whole)) + q.Slack)
-	latest := objective.Add(-st.job.Spec.chainFrom(st.number))
+	objective := from.Add(time.Duration(q.Stretch*float64(st.job.whole)) + q.Slack)
+	latest := objective.Add(-st.rest)
 	return urgency{latest: latest, missed: now.After(latest) && !st.spec.LongRunning}
 }
 
@@ -144,11 +143,18 @@
 	if len(workers) == 0 {
 		return
 	}
+	s.plan++
+	var refused refusals
 	for _, c := range s.queue(now) {
+		if refused.cover(c.step) {
+			continue
+		}
 		if c.step.spec.Gang {
 			s.placeGang(c.step, workers, now)
 		} else {
-			s.placeStep(c.step, workers, now)
+			if !s.placeStep(c.step, workers, now) {
+				refused.add(c.step)
+			}
 		}
 		if c.step.waiting == 0 {
 			delete(s.open, c.step)
@@ -161,7 +167,6 @@
 	out := make([]*worker, 0, len(s.workers))
 	for _, w := range s.workers {
 		if w.usable(s, now) {
-			w.felts = s.press.feel(w, now)
 			out = append(out, w)
 		}
 	}
@@ -169,10 +174,11 @@
 	return out
 }
 
-// placeStep starts the waiting tasks of a step until one finds no worker.
-func (s *State) placeStep(st *step, workers []*worker, now time.Time) {
+// placeStep starts the waiting tasks of a step until one finds no worker, and reports
+// whether all found one.
+func (s *State) placeStep(st *step, workers []*worker, now time.Time) bool {
 	if st.announced && !st.durable {
-		return
+		return true
 	}
 	for i := range st.tasks {
 		t := &st.tasks[i]
@@ -180,18 +186,34 @@
 			continue
 		}
 		if st.spec.LongRunning && t.lastRun == 0 && !s.spares(st, workers) {
-			return
+			return true
 		}
-		w := s.choose(st, t, workers)
+		w := s.choose(st, t, workers, now)
 		if w == nil {
-			return
+			return false
 		}
 		if !st.durable {
 			s.announce(st)
-			return
+			return true
 		}
 		s.startTask(st, i, s.nextRun(t.lastRun), w, now)
 	}
+	return true
+}
+
+// refusals are the steps for which no worker was found in a plan. A step that asks for no
+// less on the same terms finds none either.
+type refusals []*step
+
+func (r *refusals) add(st *step) { *r = append(*r, st) }
+
+func (r refusals) cover(st *step) bool {
+	return slices.ContainsFunc(r, func(o *step) bool {
+		return o.job.Service == st.job.Service && o.spec.Filler == st.spec.Filler &&
+			(!st.spec.Filler || o.spec.Image == st.spec.Image) &&
+			(o.spec.Label == "" || o.spec.Label == st.spec.Label) &&
+			o.spec.MaxPerWorker == 0 && o.spec.Need.Fits(st.spec.Need)
+	})
 }
 
 const (
@@ -240,7 +262,7 @@
 	var placed []*attempt
 	for i := range st.tasks {
 		st.tasks[i].checkpoint = checkpoint
-		w := s.choose(st, &st.tasks[i], workers)
+		w := s.choose(st, &st.tasks[i], workers, now)
 		if w == nil {
 			s.undo(st, placed)
 			return
@@ -279,7 +301,7 @@
 	a := &attempt{step: st, index: index, run: run, worker: w, reserved: st.reserved, ordered: now, progress: now, paced: paceFull}
 	a.notAfter = noLimit
 	s.begin(a)
-	w.felts = s.press.feel(w, now)
+	w.feltIn = 0
 	return a
 }
 
@@ -311,7 +333,7 @@
 }
 
 // choose returns the best worker for a task, or nil.
-func (s *State) choose(st *step, t *task, workers []*worker) *worker {
+func (s *State) choose(st *step, t *task, workers []*worker, now time.Time) *worker {
 	service := s.queueOf(st.job).Service
 	var best *worker
 	var bestScore float64
@@ -319,6 +341,9 @@
 		if w.info.Service != service || !st.reserved.Fits(w.free()) || !st.allows(w) {
 			continue
 		}
+		if (st.spec.Filler || st.spec.LatencyTarget > 0) && w.feltIn != s.plan {
+			w.feltIn, w.felts = s.plan, s.press.feel(w, now)
+		}
 		if st.spec.Filler && !s.admits(st, w) {
 			continue
 		}
--- a/internal/batch/relief.go
+++ b/internal/batch/relief.go
@@ -78,12 +78,13 @@
 // movePaced stops fillers that stay paced where they are and can work elsewhere now.
 func (s *State) movePaced(now time.Time) {
 	workers := s.usable(now)
+	s.plan++
 	for _, w := range workers {
 		for _, a := range w.fillersWhere(func(a *attempt) bool { return a.paced == 0 && now.Sub(a.pacedAt) > moveAfter }) {
 			if a.percent >= a.keepFrom() {
 				continue
 			}
-			if to := s.choose(a.step, a.task(), workers); to != nil && to != w {
+			if to := s.choose(a.step, a.task(), workers, now); to != nil && to != w {
 				s.stop(a, "can work elsewhere")
 				// The room that it will take is counted until the next search.
 				to.used.MemoryMB += a.reserved.MemoryMB
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -23,6 +23,7 @@
 	occs      []*occurrence
 	attempts  int // attempts that are not over
 	changed   time.Time
+	whole     time.Duration // longest sum of estimates along the steps
 }
 
 // Outcome returns the outcome that may be shown: an end only once it is durable.
@@ -54,9 +55,10 @@
 	spec     *Step
 	reserved Resources
 	tasks    []task
-	left     int // tasks that are not done
-	waiting  int // tasks without an attempt that are not done
-	blocked  int // steps before it that are not done
+	left     int           // tasks that are not done
+	waiting  int           // tasks without an attempt that are not done
+	blocked  int           // steps before it that are not done
+	rest     time.Duration // longest sum of estimates from this step to the end
 	rack     string
 	// announced says that the next record tells that tasks of the step may have been started,
 	// and durable that the store has such a record. No task is started before.
@@ -132,7 +134,9 @@
 
 	dirty map[*Job]bool
 	// urgent holds the jobs with steps that wait for their record.
-	urgent  map[*Job]bool
+	urgent map[*Job]bool
+	// plan counts the plans; what is computed for one plan carries its number.
+	plan    int
 	actions []Action
 	waiting map[string]int    // jobs without a start, a queue
 	stops   map[*attempt]bool // attempts that are to end
@@ -280,6 +284,7 @@
 }
 
 func newOccurrence(j *Job, number int) *occurrence {
+	j.whole = j.Spec.chain()
 	o := &occurrence{number: number, due: j.Spec.Due(number), left: len(j.Spec.Steps)}
 	for i := range j.Spec.Steps {
 		spec := &j.Spec.Steps[i]
@@ -293,6 +298,7 @@
 			left:     spec.Count,
 			waiting:  spec.Count,
 			blocked:  len(spec.After),
+			rest:     j.Spec.chainFrom(i),
 		})
 	}
 	return o
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -29,7 +29,8 @@
 	serving    int       // attempts with a latency target
 	servingCPU int64     // what these reserve
 	harmedFrom time.Time // since when a latency is near its target
-	// felts is what tasks with a latency target feel there, as of the last plan.
+	// felts is what tasks with a latency target feel there, as of the plan feltIn.
+	feltIn   int
 	felts    []felt
 	attempts map[attemptKey]*attempt
 	failures int // failed attempts since the last one that was done
