--- /dev/null
+++ b/internal/batch/helpers_test.go
@@ -0,0 +1,42 @@
+package batch
+
+import (
+	"time"
+)
+
+var testLimits = Limits{StartWindow: 1500 * time.Millisecond, StopRetry: 800 * time.Millisecond}
+
+// addWorker registers a worker that may get tasks.
+func addWorker(s *State, id WorkerID, capacity Resources, now time.Time) {
+	s.ObserveWorker(WorkerInfo{ID: id, Born: 1, Service: "svc", Address: string(id), DataCentre: "a", Labels: []string{"x", "r1"}, Capacity: capacity}, now)
+	s.Recorded(id)
+	s.Apply(id, Report{Born: 1, Clock: 1}, now)
+}
+
+// add accepts a job with the steps.
+func add(s *State, id, queue string, now time.Time, steps ...Step) *Job {
+	j := &Job{ID: id, Queue: queue, Service: "svc", Accepted: now, Spec: Spec{Payload: "p", Steps: steps}}
+	s.Add(j, nil, false, now)
+	return j
+}
+
+// settle plans and stores records until no more orders follow, accepts all starts, and
+// returns the orders.
+func settle(s *State, now time.Time) []Action {
+	var all []Action
+	for {
+		actions := s.Plan(now)
+		for _, a := range actions {
+			if a.Kind == ActionStart {
+				s.Sent(a.Worker, a.Task, a.Run, 1000)
+				s.StartAnswered(a.Worker, a.Task, a.Run, AnswerOK, 10, now)
+			}
+		}
+		all = append(all, actions...)
+		dirty := s.Dirty()
+		s.Stored(s.TakeDirty(1 << 20))
+		if len(actions) == 0 && dirty == 0 {
+			return all
+		}
+	}
+}
