Count what a worker still runs of jobs that were over when they were loaded

Now steps are made when a worker names one, and a worker that runs tasks of unknown jobs gets nothing. Ruled out: late starts, fences.

--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -30,6 +30,7 @@
 // compare matches the attempts that are believed to be on the worker with its list.
 func (s *State) compare(w *worker, r Report, now time.Time) {
 	listed := make(map[attemptKey]bool, len(r.Running))
+	w.foreign = false
 	for _, e := range r.Running {
 		key := attemptKey{e.Task, e.Run}
 		listed[key] = true
@@ -77,6 +78,7 @@
 func (s *State) adopt(w *worker, e Running, now time.Time) {
 	st := s.step(e.Task)
 	if st == nil {
+		w.foreign = true
 		s.order(w, e.Task, e.Run, "unknown job")
 		return
 	}
@@ -108,7 +110,14 @@
 // step returns the step of a task, or nil.
 func (s *State) step(id TaskID) *step {
 	j := s.jobs[id.Job]
-	if j == nil || id.Occurrence < 0 || id.Occurrence >= len(j.occs) {
+	if j == nil {
+		return nil
+	}
+	if len(j.occs) == 0 {
+		// The job was over when it was loaded, yet a worker still names its tasks.
+		j.expand()
+	}
+	if id.Occurrence < 0 || id.Occurrence >= len(j.occs) {
 		return nil
 	}
 	o := j.occs[id.Occurrence]
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -230,9 +230,7 @@
 		j.outcome, j.durable, j.started = r.Outcome, r.Outcome, true
 		return
 	}
-	for k := range j.Spec.Occurrences() {
-		j.occs = append(j.occs, newOccurrence(j, k))
-	}
+	j.expand()
 	if r != nil {
 		r.restore(j)
 	}
@@ -245,6 +243,13 @@
 	s.settle(j, now)
 }
 
+// expand creates the steps of all occurrences.
+func (j *Job) expand() {
+	for k := range j.Spec.Occurrences() {
+		j.occs = append(j.occs, newOccurrence(j, k))
+	}
+}
+
 // open1 makes the ready steps of an occurrence available for placement.
 func (s *State) open1(j *Job, o *occurrence, loaded bool, now time.Time) {
 	if loaded {
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -22,6 +22,7 @@
 	recorded   bool // the store knows that it may be in use
 	synced     bool // it has listed what runs there under our epoch
 	silent     bool // the last call to it failed
+	foreign    bool // it runs tasks of unknown jobs, whose size nobody knows
 	leaseEnd   time.Time
 	used       Resources
 	fillers    int       // attempts of filler tasks
@@ -215,7 +216,7 @@
 
 // usable reports whether the worker may get new tasks.
 func (w *worker) usable(s *State, now time.Time) bool {
-	return w.listed && w.recorded && w.synced && !w.silent && !w.info.Draining &&
+	return w.listed && w.recorded && w.synced && !w.silent && !w.foreign && !w.info.Draining &&
 		!s.config.Evacuated[w.info.DataCentre] && !now.Before(w.shunned)
 }
 
--- /dev/null
+++ b/internal/batch/world_run_test.go
@@ -0,0 +1,87 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestWorld plays random histories of owners, workers and the store: late and lost orders,
+// crashes, cuts and take-overs. The workers check each start.
+func TestWorld(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"submit":  w.submit,
+			"cancel":  w.cancel,
+			"plan":    w.plan,
+			"plan2":   w.plan,
+			"deliver": w.deliver, "deliver2": w.deliver, "deliver3": w.deliver,
+			"lose":   w.lose,
+			"end":    w.end,
+			"report": w.report, "report2": w.report, "report3": w.report,
+			"commit": w.commit, "commit2": w.commit,
+			"cut":   w.cut,
+			"crash": w.crash,
+			"pass":  w.pass,
+			"take over": func(t *rapid.T) {
+				if rapid.IntRange(0, 3).Draw(t, "seldom") == 0 {
+					w.replace(t)
+				}
+			},
+		})
+		w.drain(t)
+	})
+}
+
+// drain lets the world calm down; then every job must end.
+func (w *world) drain(t *rapid.T) {
+	for _, n := range w.workers {
+		n.cut = false
+	}
+	// Tasks that last may fill the workers for good.
+	for id, j := range w.jobs {
+		if j.Spec.LongRunning() {
+			w.cancels[id] = true
+			w.owner.Cancel(id, w.now)
+		}
+	}
+	for range 400 {
+		w.now = w.now.Add(200 * time.Millisecond)
+		for _, id := range w.ids() {
+			w.reportOf(w.workers[id])
+		}
+		w.commit(t)
+		w.plan(t)
+		for len(w.orders) > 0 {
+			w.deliver(t)
+		}
+		for _, id := range w.ids() {
+			w.endAll(w.workers[id])
+		}
+	}
+	for id, j := range w.jobs {
+		known := w.owner.Job(id)
+		if known == nil {
+			t.Fatalf("job %s is not known", id)
+		}
+		if !known.Outcome().Terminal() {
+			t.Fatalf("job %s is %s long after the last trouble", id, known.Outcome())
+		}
+		if known.Outcome() == Completed {
+			w.checkCompleted(t, j)
+		}
+	}
+}
+
+// checkCompleted checks that all tasks of a job shown as completed have ended done.
+func (w *world) checkCompleted(t *rapid.T, j *Job) {
+	for s, step := range j.Spec.Steps {
+		for i := range step.Count {
+			if !w.everDone(TaskID{Job: j.ID, Step: s, Index: i}) {
+				t.Fatalf("job %s is shown as completed, but task %d of step %d is not done", j.ID, i, s)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/batch/world_test.go
@@ -0,0 +1,428 @@
+package batch
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	worldLease  = 6 * time.Second
+	worldWindow = 1500 * time.Millisecond
+)
+
+// world simulates workers, the store and one owner at a time. It judges by what the workers
+// do, not by what the owner believes.
+type world struct {
+	t       *rapid.T
+	now     time.Time
+	epoch   int64
+	owner   *State
+	jobs    map[string]*Job    // as the store holds them
+	records map[string]Record  // as the store holds them
+	cancels map[string]bool    // as the store holds them
+	known   map[WorkerID]bool  // workers in use, as the store holds them
+	workers map[WorkerID]*node //
+	orders  []order
+	pending map[string]Record // taken from the owner, not yet durable
+	acks    []pendingAck      // wait for pending to be durable
+	noted   map[TaskID]bool   // done, and the end was acknowledged
+	failed  map[TaskID]int    // acknowledged failures
+}
+
+// node is a simulated worker.
+type node struct {
+	info    WorkerInfo
+	fence   int64
+	lease   time.Time
+	cut     bool
+	running map[attemptKey]bool
+	ended   []Ended
+	next    int64
+	barred  map[TaskID]int64 // highest run that was stopped or ended
+}
+
+// order is an action under way to a worker.
+type order struct {
+	action   Action
+	epoch    int64
+	notAfter time.Time
+	silent   bool // its answer is lost
+}
+
+type pendingAck struct {
+	worker WorkerID
+	born   int64
+	number int64
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{
+		t: t, now: time.Unix(1_000_000, 0), epoch: 1,
+		jobs: map[string]*Job{}, records: map[string]Record{}, cancels: map[string]bool{},
+		known: map[WorkerID]bool{}, workers: map[WorkerID]*node{},
+		noted: map[TaskID]bool{}, failed: map[TaskID]int{},
+	}
+	for i := range 4 {
+		id := WorkerID(fmt.Sprintf("w%d", i))
+		w.workers[id] = &node{
+			info:    WorkerInfo{ID: id, Born: 1, Service: "svc", Address: string(id), DataCentre: "a", Capacity: Resources{CPU: 4000, MemoryMB: 4000}},
+			running: map[attemptKey]bool{}, barred: map[TaskID]int64{}, next: 1,
+		}
+	}
+	w.replace(t)
+	return w
+}
+
+// clock is the workers' clock.
+func (w *world) clock() int64 { return w.now.UnixMilli() }
+
+// replace lets a new owner take over from what the store holds.
+func (w *world) replace(*rapid.T) {
+	w.epoch++
+	w.pending, w.acks = nil, nil
+	s := New(w.epoch, testLimits)
+	s.SetConfig(Config{Version: 1, Queues: map[string]Queue{"q": {Service: "svc", MaxAttempts: 3, Stretch: 2}}})
+	until := map[WorkerID]time.Time{}
+	for id := range w.known {
+		until[id] = w.now.Add(worldLease + 500*time.Millisecond)
+	}
+	s.Suspect(until)
+	for _, id := range slices.Sorted(maps.Keys(w.jobs)) {
+		j := w.jobs[id]
+		var r *Record
+		if stored, ok := w.records[id]; ok {
+			r = &stored
+		}
+		s.Add(&Job{ID: j.ID, Queue: j.Queue, Service: j.Service, Accepted: j.Accepted, Spec: j.Spec}, r, true, w.now)
+	}
+	for id := range w.cancels {
+		s.Cancel(id, w.now)
+	}
+	w.owner = s
+	for _, id := range w.ids() {
+		n := w.workers[id]
+		s.ObserveWorker(n.info, w.now)
+		w.known[id] = true
+		s.Recorded(id)
+	}
+}
+
+func (w *world) ids() []WorkerID { return slices.Sorted(maps.Keys(w.workers)) }
+
+func (w *world) pick(t *rapid.T) *node {
+	return w.workers[rapid.SampledFrom(w.ids()).Draw(t, "worker")]
+}
+
+func (w *world) submit(t *rapid.T) {
+	if len(w.jobs) > 8 {
+		return
+	}
+	spec := Spec{Payload: "p"}
+	for i := range rapid.IntRange(1, 3).Draw(t, "steps") {
+		step := Step{
+			Count:       rapid.IntRange(1, 4).Draw(t, "count"),
+			Need:        Resources{CPU: int64(rapid.IntRange(1, 3).Draw(t, "cpu")) * 1000, MemoryMB: 500},
+			Checkpoints: rapid.Bool().Draw(t, "checkpoints"),
+			LongRunning: rapid.IntRange(0, 9).Draw(t, "lasts") == 0,
+			Estimate:    time.Second,
+		}
+		if i > 0 && rapid.Bool().Draw(t, "after") {
+			step.After = []int{i - 1}
+		}
+		spec.Steps = append(spec.Steps, step)
+	}
+	id := fmt.Sprintf("j%d", len(w.jobs))
+	j := &Job{ID: id, Queue: "q", Service: "svc", Accepted: w.now, Spec: spec}
+	w.jobs[id] = j
+	w.owner.Add(&Job{ID: id, Queue: "q", Service: "svc", Accepted: w.now, Spec: spec}, nil, false, w.now)
+}
+
+func (w *world) cancel(t *rapid.T) {
+	if len(w.jobs) == 0 || rapid.IntRange(0, 5).Draw(t, "seldom") > 0 {
+		return
+	}
+	id := rapid.SampledFrom(slices.Sorted(maps.Keys(w.jobs))).Draw(t, "job")
+	w.cancels[id] = true
+	w.owner.Cancel(id, w.now)
+}
+
+// plan lets the owner decide; its orders are under way.
+func (w *world) plan(*rapid.T) {
+	for _, a := range w.owner.Plan(w.now) {
+		if a.Kind == ActionStart {
+			w.owner.Sent(a.Worker, a.Task, a.Run, w.clock()+worldWindow.Milliseconds())
+		}
+		w.orders = append(w.orders, order{action: a, epoch: w.epoch, notAfter: w.now.Add(worldWindow)})
+	}
+}
+
+// lose makes an order's answer be lost: it may still be executed at any later time.
+func (w *world) lose(t *rapid.T) {
+	if len(w.orders) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(w.orders)-1).Draw(t, "order")
+	o := &w.orders[i]
+	if o.silent {
+		return
+	}
+	o.silent = true
+	if o.action.Kind == ActionStart && o.epoch == w.epoch {
+		w.owner.StartAnswered(o.action.Worker, o.action.Task, o.action.Run, AnswerNone, 0, w.now)
+	}
+}
+
+// deliver executes any order under way.
+func (w *world) deliver(t *rapid.T) {
+	if len(w.orders) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(w.orders)-1).Draw(t, "order")
+	o := w.orders[i]
+	n := w.workers[o.action.Worker]
+	if n.cut {
+		return
+	}
+	w.orders = slices.Delete(w.orders, i, i+1)
+	answer := w.execute(n, o)
+	if o.silent || o.epoch != w.epoch {
+		return
+	}
+	switch o.action.Kind {
+	case ActionStart:
+		w.owner.StartAnswered(o.action.Worker, o.action.Task, o.action.Run, answer, w.clock(), w.now)
+	case ActionStop:
+		w.owner.StopAnswered(o.action.Worker, o.action.Task, o.action.Run, answer, w.clock())
+	}
+}
+
+// execute is what a worker does with an order.
+func (w *world) execute(n *node, o order) Answer {
+	w.lapse(n)
+	if o.epoch < n.fence {
+		return AnswerFenced
+	}
+	n.fence = o.epoch
+	a := o.action
+	key := attemptKey{a.Task, a.Run}
+	switch a.Kind {
+	case ActionStart:
+		if n.running[key] {
+			return AnswerOK
+		}
+		if w.now.After(o.notAfter) {
+			return AnswerLate
+		}
+		if a.Run <= n.barred[a.Task] {
+			return AnswerOld
+		}
+		w.started(n, a)
+	case ActionStop:
+		if n.running[key] {
+			w.finish(n, key, EndStopped)
+		}
+		n.barred[a.Task] = max(n.barred[a.Task], a.Run)
+	}
+	return AnswerOK
+}
+
+// started checks what must hold whenever a worker starts a task.
+func (w *world) started(n *node, a Action) {
+	j := w.jobs[a.Task.Job]
+	if j == nil {
+		w.t.Fatalf("start of %v, which nobody submitted", a.Task)
+	}
+	for _, other := range w.workers {
+		w.lapse(other)
+		for key := range other.running {
+			if key.task == a.Task {
+				w.t.Fatalf("%v run %d starts on %s while run %d is on %s", a.Task, a.Run, n.info.ID, key.run, other.info.ID)
+			}
+		}
+	}
+	step := &j.Spec.Steps[a.Task.Step]
+	if !step.LongRunning && w.noted[a.Task] {
+		w.t.Fatalf("%v starts again after its end was acknowledged", a.Task)
+	}
+	if !step.LongRunning && w.failed[a.Task] >= 3 {
+		w.t.Fatalf("%v starts after %d failures", a.Task, w.failed[a.Task])
+	}
+	for _, before := range step.After {
+		for i := range j.Spec.Steps[before].Count {
+			if !w.everDone(TaskID{Job: j.ID, Step: before, Index: i}) {
+				w.t.Fatalf("%v starts before step %d is done", a.Task, before)
+			}
+		}
+	}
+	n.running[attemptKey{a.Task, a.Run}] = true
+	var used Resources
+	for key := range n.running {
+		used = used.plus(w.jobs[key.task.Job].Spec.Steps[key.task.Step].reserved())
+	}
+	if !used.Fits(n.info.Capacity) {
+		w.t.Fatalf("%s is over its capacity: %+v", n.info.ID, used)
+	}
+}
+
+// everDone reports whether a task has ended done, acknowledged or listed.
+func (w *world) everDone(id TaskID) bool {
+	if w.noted[id] {
+		return true
+	}
+	for _, n := range w.workers {
+		for _, e := range n.ended {
+			if e.Task == id && e.How == EndDone {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (w *world) finish(n *node, key attemptKey, how Ending) {
+	delete(n.running, key)
+	n.barred[key.task] = max(n.barred[key.task], key.run)
+	n.ended = append(n.ended, Ended{Number: n.next, Task: key.task, Run: key.run, How: how})
+	n.next++
+}
+
+// lapse ends what runs on a worker whose lease has ended.
+func (w *world) lapse(n *node) {
+	if !w.now.After(n.lease) {
+		return
+	}
+	for _, key := range sortedKeys(n.running) {
+		w.finish(n, key, EndLapsed)
+	}
+}
+
+func sortedKeys(m map[attemptKey]bool) []attemptKey {
+	return slices.SortedFunc(maps.Keys(m), func(a, b attemptKey) int {
+		return compareStrings(fmt.Sprint(a), fmt.Sprint(b))
+	})
+}
+
+func compareStrings(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// end lets a running task end by itself.
+func (w *world) end(t *rapid.T) {
+	n := w.pick(t)
+	w.lapse(n)
+	keys := sortedKeys(n.running)
+	if len(keys) == 0 {
+		return
+	}
+	how := EndDone
+	if rapid.IntRange(0, 4).Draw(t, "fails") == 0 {
+		how = EndFailed
+	}
+	w.finish(n, rapid.SampledFrom(keys).Draw(t, "task"), how)
+}
+
+// endAll lets all tasks that end by themselves end well.
+func (w *world) endAll(n *node) {
+	w.lapse(n)
+	for _, key := range sortedKeys(n.running) {
+		if !w.jobs[key.task.Job].Spec.Steps[key.task.Step].LongRunning {
+			w.finish(n, key, EndDone)
+		}
+	}
+}
+
+// report renews a lease and brings the worker's list to the owner.
+func (w *world) report(t *rapid.T) { w.reportOf(w.pick(t)) }
+
+func (w *world) reportOf(n *node) {
+	if n.cut {
+		return
+	}
+	w.lapse(n)
+	if n.fence > w.epoch {
+		return
+	}
+	n.fence = w.epoch
+	n.lease = w.now.Add(worldLease)
+	r := Report{Born: n.info.Born, Clock: w.clock()}
+	for _, key := range sortedKeys(n.running) {
+		r.Running = append(r.Running, Running{Task: key.task, Run: key.run, Percent: 50})
+	}
+	r.Ended = slices.Clone(n.ended)
+	w.owner.Renewed(n.info.ID, w.now.Add(worldLease+100*time.Millisecond))
+	if last := w.owner.Apply(n.info.ID, r, w.now); last > 0 {
+		w.acks = append(w.acks, pendingAck{n.info.ID, n.info.Born, last})
+	}
+}
+
+// commit makes the owner's records durable, then acknowledges ends.
+func (w *world) commit(*rapid.T) {
+	records := w.owner.TakeDirty(100)
+	maps.Copy(w.records, records)
+	w.owner.Stored(records)
+	for _, a := range w.acks {
+		w.acknowledge(a)
+	}
+	w.acks = nil
+}
+
+func (w *world) acknowledge(a pendingAck) {
+	n := w.workers[a.worker]
+	if n.info.Born != a.born || n.cut {
+		return
+	}
+	n.ended = slices.DeleteFunc(n.ended, func(e Ended) bool {
+		if e.Number > a.number {
+			return false
+		}
+		switch e.How {
+		case EndDone:
+			w.noted[e.Task] = true
+		case EndFailed:
+			w.failed[e.Task]++
+		}
+		return true
+	})
+}
+
+// cut parts a worker from the owner, or heals the cut.
+func (w *world) cut(t *rapid.T) {
+	n := w.pick(t)
+	n.cut = !n.cut
+	if n.cut {
+		w.owner.Silent(n.info.ID)
+	}
+}
+
+// crash ends all on a worker, which starts again under its id.
+func (w *world) crash(t *rapid.T) {
+	if rapid.IntRange(0, 5).Draw(t, "seldom") > 0 {
+		return
+	}
+	n := w.pick(t)
+	for _, e := range n.ended {
+		if e.How == EndDone && !w.noted[e.Task] {
+			return // such an end would be lost, and the task may run again
+		}
+	}
+	n.info.Born++
+	n.running, n.barred, n.ended, n.next, n.fence = map[attemptKey]bool{}, map[TaskID]int64{}, nil, 1, 0
+	n.lease = time.Time{}
+	// Orders to the former life are refused.
+	w.orders = slices.DeleteFunc(w.orders, func(o order) bool { return o.action.Worker == n.info.ID })
+	w.owner.ObserveWorker(n.info, w.now)
+}
+
+func (w *world) pass(t *rapid.T) {
+	w.now = w.now.Add(time.Duration(rapid.IntRange(10, 900).Draw(t, "ms")) * time.Millisecond)
+}
