--- /dev/null
+++ b/internal/batch/policy_test.go
@@ -0,0 +1,156 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func serving(image string, count int) Step {
+	return Step{Count: count, Need: Resources{CPU: 1000, MemoryMB: 100}, LongRunning: true, Image: image, LatencyTarget: 50 * time.Millisecond}
+}
+
+func filler(image string, count int) Step {
+	return Step{Count: count, Need: Resources{CPU: 1000, MemoryMB: 100}, Estimate: 2 * time.Second, Filler: true, Checkpoints: true, Image: image}
+}
+
+// Pattern: fillers beside tasks with latency targets, of which some pairs press. The pairs
+// that press are kept apart, the others share workers.
+func TestFillersThatPressAreKeptApart(t *testing.T) {
+	is := is.New(t)
+	s, now := scene("a")
+	s.press.weights[ImagePair{"heavy", "web"}] = estimate{mean: 5, variance: 0.1}
+	s.press.weights[ImagePair{"light", "web"}] = estimate{mean: 0, variance: 0.1}
+	add(s, "web", "q", now, serving("web", 1))
+	settle(s, now)
+	add(s, "heavy", "late", now, filler("heavy", 1))
+	is.Equal(len(starts(settle(s, now))), 0)
+	add(s, "light", "late", now, filler("light", 1))
+	is.Equal(len(starts(settle(s, now))), 1)
+}
+
+// Pattern: a filler raises the tail of a task beside it. Its pair's weight follows what is
+// measured, and that of a pair without effect falls.
+func TestWeightsFollowMeasurements(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		press float64
+		above bool
+	}{{press: 4, above: true}, {press: 0, above: false}} {
+		p := newPressure()
+		now := time.Unix(1_000_000, 0)
+		a := &attempt{step: &step{spec: &Step{Image: "web", LatencyTarget: 50 * time.Millisecond}}}
+		for i := range 40 {
+			x := 0.1 * float64(i%2)
+			u := 0.4 * (1 + c.press*x)
+			p.measure(a, sample{at: now, utilisation: u, shares: map[string]float64{"fill": x}})
+			now = now.Add(500 * time.Millisecond)
+		}
+		got := p.estimate(ImagePair{"fill", "web"}).mean
+		is.True((got > 2) == c.above) // the weight is near its true value
+	}
+}
+
+// Pattern: a task near its latency target beside a filler. The filler is paced, and moves
+// when it can work elsewhere.
+func TestFillerIsPacedThenMoved(t *testing.T) {
+	is := is.New(t)
+	s, now := scene("a")
+	s.press.weights[ImagePair{"fill", "web"}] = estimate{mean: 0.5, variance: 0.1}
+	add(s, "web", "q", now, serving("web", 1))
+	add(s, "fill", "late", now, filler("fill", 1))
+	all := settle(s, now)
+	is.Equal(len(starts(all)), 2)
+	now = now.Add(time.Second)
+	s.press.weights[ImagePair{"fill", "web"}] = estimate{mean: 4, variance: 0.1}
+	list := running(all, "a")
+	for i := range list {
+		if list[i].Task.Job == "web" {
+			list[i].Percent, list[i].Gauge = 100, 90
+		}
+	}
+	s.Apply("a", Report{Born: 1, Clock: 2000, Running: list}, now)
+	orders := s.Plan(now)
+	is.Equal(len(orders), 1)
+	is.Equal(orders[0].Kind, ActionPace)
+	is.Equal(orders[0].Percent, 0)
+	addWorker(s, "b", Resources{CPU: 4000, MemoryMB: 4000}, now)
+	now = now.Add(moveAfter + time.Second)
+	orders = s.Plan(now)
+	is.Equal(len(orders), 1)
+	is.Equal(orders[0].Kind, ActionStop)
+}
+
+// Pattern: a filler stands still because it is paced. It isn't stuck, and its worker is
+// not shunned for it, also under a new owner.
+func TestPacedFillerIsNotStuck(t *testing.T) {
+	is := is.New(t)
+	s, now := scene("a")
+	add(s, "web", "q", now, serving("web", 1))
+	add(s, "fill", "late", now, filler("fill", 1))
+	all := settle(s, now)
+	next := takeOver(s, now, "a")
+	for range 12 {
+		next.Apply("a", Report{Born: 1, Clock: 5000, Running: running(all, "a")}, now)
+		next.Plan(now)
+		now = now.Add(500 * time.Millisecond)
+		a := next.workers["a"]
+		is.True(!now.Before(a.shunned)) // not shunned
+		for _, at := range a.attempts {
+			if at.step.spec.Filler && at.paced == paceFull {
+				next.pace(at, 0, now)
+			}
+		}
+	}
+}
+
+// Pattern: a full cluster and a stream of new tasks that last. Short tasks keep room.
+func TestNewLongRunningTasksLeaveRoomToShortOnes(t *testing.T) {
+	is := is.New(t)
+	s, now := scene("a", "b")
+	s.shortUsual = 2000
+	add(s, "lasts", "q", now, serving("web", 8))
+	is.Equal(len(starts(settle(s, now))), 4) // 4 of 8 cores stay free
+	add(s, "short", "q", now, one(4, 1000))
+	is.Equal(len(starts(settle(s, now))), 4)
+}
+
+// Pattern: a backlog. Jobs that can still meet their objective go before those that can't.
+func TestJobsThatMissTheirObjectiveComeLast(t *testing.T) {
+	is := is.New(t)
+	s, now := scene("a")
+	add(s, "old", "q", now.Add(-10*time.Second), one(1, 4000))
+	add(s, "new", "q", now, one(1, 4000))
+	got := starts(settle(s, now))
+	is.Equal(len(got), 1)
+	is.Equal(got[0].Task.Job, "new")
+}
+
+// Pattern: a worker fails whatever it starts. It gets no more after two failures, and is
+// tried again later.
+func TestWorkerThatFailsTasksIsShunned(t *testing.T) {
+	is := is.New(t)
+	s, now := scene("a")
+	for i := range 2 {
+		add(s, fmt.Sprintf("j%d", i), "q", now, one(1, 1000))
+	}
+	for n, a := range starts(settle(s, now)) {
+		s.Apply("a", Report{Born: 1, Clock: int64(100 + n), Ended: []Ended{{Number: int64(n + 1), Task: a.Task, Run: a.Run, How: EndFailed}}}, now)
+	}
+	is.Equal(len(starts(settle(s, now.Add(time.Second)))), 0)
+	is.True(len(starts(settle(s, now.Add(shunTime+time.Second)))) > 0)
+}
+
+// Pattern: a task makes no progress on a worker that hangs. It runs elsewhere.
+func TestStuckTaskMoves(t *testing.T) {
+	is := is.New(t)
+	s, now := scene("a")
+	add(s, "j", "q", now, one(1, 1000))
+	all := settle(s, now)
+	s.Apply("a", Report{Born: 1, Clock: 100, Running: running(all, "a")}, now)
+	orders := s.Plan(now.Add(stuckTime + time.Second))
+	is.Equal(len(orders), 1)
+	is.Equal(orders[0].Kind, ActionStop)
+}
--- /dev/null
+++ b/internal/batch/state_test.go
@@ -0,0 +1,312 @@
+package batch
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// scene is a state with a few workers of 4 cores.
+func scene(workers ...WorkerID) (*State, time.Time) {
+	now := time.Unix(1_000_000, 0)
+	s := New(1, testLimits)
+	s.SetConfig(Config{Version: 1, Queues: map[string]Queue{
+		"q":    {Service: "svc", MaxAttempts: 3, Stretch: 2, Slack: time.Second},
+		"late": {Service: "svc", MaxAttempts: 3, Stretch: 2, Slack: time.Second, Priority: 2},
+	}})
+	for _, id := range workers {
+		addWorker(s, id, Resources{CPU: 4000, MemoryMB: 4000}, now)
+	}
+	return s, now
+}
+
+func one(count int, cpu int64) Step {
+	return Step{Count: count, Need: Resources{CPU: cpu, MemoryMB: 100}, Estimate: time.Second}
+}
+
+func starts(actions []Action) []Action {
+	return slices.DeleteFunc(slices.Clone(actions), func(a Action) bool { return a.Kind != ActionStart })
+}
+
+// listed reports what the worker runs, by the starts it was sent.
+func running(actions []Action, id WorkerID) []Running {
+	var out []Running
+	for _, a := range starts(actions) {
+		if a.Worker == id {
+			out = append(out, Running{Task: a.Task, Run: a.Run, Percent: 10})
+		}
+	}
+	return out
+}
+
+// takeOver returns a new owner's state of the same jobs and records.
+func takeOver(s *State, now time.Time, known ...WorkerID) *State {
+	next := New(s.epoch+1, testLimits)
+	next.SetConfig(s.config)
+	until := map[WorkerID]time.Time{}
+	for _, id := range known {
+		until[id] = now.Add(9 * time.Second)
+	}
+	next.Suspect(until)
+	for id, j := range s.jobs {
+		r := j.record()
+		next.Add(&Job{ID: id, Queue: j.Queue, Service: j.Service, Accepted: j.Accepted, Spec: j.Spec}, &r, true, now)
+	}
+	for _, w := range s.workers {
+		next.ObserveWorker(w.info, now)
+		next.Recorded(w.info.ID)
+	}
+	return next
+}
+
+func TestNoTaskStartsBeforeItsStepIsRecorded(t *testing.T) {
+	is := is.New(t)
+	s, now := scene("a")
+	add(s, "j", "q", now, one(2, 1000))
+	is.Equal(len(starts(s.Plan(now))), 0) // the step is only announced
+	is.True(s.Urgent())
+	s.Stored(s.TakeDirty(10))
+	is.Equal(len(starts(s.Plan(now))), 2)
+}
+
+func TestStepsThatWereNotRecordedAreNotInDoubt(t *testing.T) {
+	is := is.New(t)
+	s, now := scene("a", "b")
+	add(s, "j", "q", now, one(1, 1000))
+	next := takeOver(s, now, "a", "b")
+	next.Apply("a", Report{Born: 1, Clock: 50}, now)
+	is.Equal(len(starts(settle(next, now))), 1) // although b has not answered
+}
+
+func TestStartedStepWaitsForASilentWorkerAfterATakeOver(t *testing.T) {
+	is := is.New(t)
+	s, now := scene("a", "b")
+	add(s, "j", "q", now, one(1, 1000))
+	is.Equal(len(starts(settle(s, now))), 1)
+	next := takeOver(s, now, "a", "b")
+	on := s.jobs["j"].occs[0].steps[0].tasks[0].attempts[0].worker.info.ID
+	other := WorkerID("a")
+	if on == "a" {
+		other = "b"
+	}
+	next.Apply(other, Report{Born: 1, Clock: 50}, now)
+	is.Equal(len(starts(settle(next, now.Add(8*time.Second)))), 0)
+	is.Equal(len(starts(settle(next, now.Add(10*time.Second)))), 1) // its lease has ended
+}
+
+func TestAnOldEndDoesNotResolveALaterRun(t *testing.T) {
+	is := is.New(t)
+	s, now := scene("a", "b")
+	add(s, "j", "q", now, one(1, 1000))
+	first := starts(settle(s, now))[0]
+	next := takeOver(s, now, "a", "b")
+	next.Apply(first.Worker, Report{Born: 1, Clock: 50, Ended: []Ended{{Number: 1, Task: first.Task, Run: first.Run, How: EndStopped}}}, now)
+	is.Equal(len(starts(settle(next, now))), 0) // the other worker may run a later one
+}
+
+func TestLostAttemptsRestartOnlyWhenTheLeaseHasEnded(t *testing.T) {
+	is := is.New(t)
+	s, now := scene("a", "b")
+	add(s, "j", "q", now, one(1, 1000))
+	first := starts(settle(s, now))[0]
+	s.Renewed(first.Worker, now.Add(6*time.Second))
+	s.Silent(first.Worker)
+	is.Equal(len(starts(settle(s, now.Add(5*time.Second)))), 0)
+	again := starts(settle(s, now.Add(7*time.Second)))
+	is.Equal(len(again), 1)
+	is.True(again[0].Worker != first.Worker)
+	is.True(again[0].Run > first.Run)
+}
+
+func TestRebornWorkerRunsNothing(t *testing.T) {
+	is := is.New(t)
+	s, now := scene("a")
+	add(s, "j", "q", now, one(1, 1000))
+	settle(s, now)
+	s.Apply("a", Report{Born: 2, Clock: 5}, now)
+	is.Equal(len(starts(settle(s, now))), 1)
+}
+
+func TestUnansweredStartIsStoppedBeforeItRestarts(t *testing.T) {
+	is := is.New(t)
+	s, now := scene("a", "b")
+	add(s, "j", "q", now, one(1, 1000))
+	s.Plan(now)
+	s.Stored(s.TakeDirty(10))
+	a := starts(s.Plan(now))[0]
+	s.Sent(a.Worker, a.Task, a.Run, 1500)
+	s.StartAnswered(a.Worker, a.Task, a.Run, AnswerNone, 0, now)
+	orders := s.Plan(now)
+	is.Equal(len(orders), 1)
+	is.Equal(orders[0].Kind, ActionStop)
+	s.Apply(a.Worker, Report{Born: 1, Clock: 900}, now)
+	is.Equal(len(starts(settle(s, now))), 0) // it may still be executed
+	s.StopAnswered(a.Worker, a.Task, a.Run, AnswerOK, 950)
+	s.Apply(a.Worker, Report{Born: 1, Clock: 960}, now)
+	is.Equal(len(starts(settle(s, now))), 1)
+}
+
+func TestStepsFollowTheirOrder(t *testing.T) {
+	is := is.New(t)
+	s, now := scene("a")
+	second := one(1, 1000)
+	second.After = []int{0}
+	add(s, "j", "q", now, one(2, 1000), second)
+	first := settle(s, now)
+	is.Equal(len(starts(first)), 2)
+	s.Apply("a", Report{Born: 1, Clock: 100, Running: running(first, "a")[1:], Ended: []Ended{{Number: 1, Task: first[0].Task, Run: 1, How: EndDone}}}, now)
+	is.Equal(len(starts(settle(s, now))), 0)
+	s.Apply("a", Report{Born: 1, Clock: 200, Ended: []Ended{{Number: 2, Task: first[1].Task, Run: 1, How: EndDone}}}, now)
+	is.Equal(len(starts(settle(s, now))), 1)
+}
+
+func TestCompletedIsShownOnlyWhenItIsStored(t *testing.T) {
+	is := is.New(t)
+	s, now := scene("a")
+	j := add(s, "j", "q", now, one(1, 1000))
+	a := starts(settle(s, now))[0]
+	s.Apply("a", Report{Born: 1, Clock: 100, Ended: []Ended{{Number: 1, Task: a.Task, Run: 1, How: EndDone}}}, now)
+	is.Equal(j.Outcome(), Active)
+	s.Stored(s.TakeDirty(10))
+	is.Equal(j.Outcome(), Completed)
+}
+
+func TestFailedRunsCountOnceAcrossOwners(t *testing.T) {
+	is := is.New(t)
+	s, now := scene("a")
+	add(s, "j", "q", now, one(1, 1000))
+	var ends []Ended
+	for n := range 2 {
+		a := starts(settle(s, now))[0]
+		ends = append(ends, Ended{Number: int64(n + 1), Task: a.Task, Run: a.Run, How: EndFailed})
+		s.Apply("a", Report{Born: 1, Clock: int64(100 + n), Ended: ends}, now)
+		now = now.Add(shunTime + time.Second)
+	}
+	next := takeOver(s, now, "a")
+	next.Apply("a", Report{Born: 1, Clock: 200, Ended: ends}, now) // listed again
+	is.Equal(next.jobs["j"].outcome, Queued)
+	a := starts(settle(next, now))[0]
+	next.Apply("a", Report{Born: 1, Clock: 300, Ended: append(ends, Ended{Number: 3, Task: a.Task, Run: a.Run, How: EndFailed})}, now)
+	is.Equal(next.jobs["j"].outcome, Failed)
+}
+
+func TestGangStartsWholeOrNotAtAll(t *testing.T) {
+	is := is.New(t)
+	s, now := scene("a", "b")
+	gang := one(4, 3000)
+	gang.Gang = true
+	add(s, "wide", "q", now, gang)
+	is.Equal(len(settle(s, now)), 0) // only two members fit
+	gang.Count = 2
+	add(s, "fits", "q", now, gang)
+	members := starts(settle(s, now))
+	is.Equal(len(members), 2)
+	is.Equal(members[0].Run, members[1].Run)
+}
+
+func TestMembersOfABrokenGangBeginAnewTogether(t *testing.T) {
+	is := is.New(t)
+	s, now := scene("a", "b")
+	gang := one(2, 3000)
+	gang.Gang = true
+	add(s, "j", "q", now, gang)
+	m := starts(settle(s, now))
+	s.Apply(m[0].Worker, Report{Born: 1, Clock: 100, Ended: []Ended{{Number: 1, Task: m[0].Task, Run: m[0].Run, How: EndFailed}}}, now)
+	orders := s.Plan(now)
+	is.Equal(len(orders), 1)
+	is.Equal(orders[0].Kind, ActionStop)
+	s.Apply(m[1].Worker, Report{Born: 1, Clock: 100, Ended: []Ended{{Number: 1, Task: m[1].Task, Run: m[1].Run, How: EndBroken}}}, now)
+	again := starts(settle(s, now))
+	is.Equal(len(again), 2)
+	is.Equal(again[0].Run, again[1].Run)
+	is.True(again[0].Run > m[0].Run)
+}
+
+func TestOccurrencesStartWhenTheyAreDue(t *testing.T) {
+	is := is.New(t)
+	s, now := scene("a")
+	spec := Spec{Steps: []Step{one(1, 1000)}, Repeats: 2, First: now.Add(time.Second), Interval: time.Second}
+	s.Add(&Job{ID: "j", Queue: "q", Service: "svc", Accepted: now, Spec: spec}, nil, false, now)
+	is.Equal(len(starts(settle(s, now))), 0)
+	is.Equal(len(starts(settle(s, now.Add(1100*time.Millisecond)))), 1)
+	is.Equal(len(starts(settle(s, now.Add(2100*time.Millisecond)))), 1)
+}
+
+func TestWorkersThatGetNothing(t *testing.T) {
+	for name, change := range map[string]func(s *State, info WorkerInfo, now time.Time){
+		"drains": func(s *State, info WorkerInfo, now time.Time) {
+			info.Draining = true
+			s.ObserveWorker(info, now)
+		},
+		"is in an evacuated data centre": func(s *State, _ WorkerInfo, _ time.Time) {
+			c := s.config
+			c.Evacuated = map[string]bool{"a": true}
+			s.SetConfig(c)
+		},
+		"is unlisted":       func(s *State, info WorkerInfo, _ time.Time) { s.ForgetWorker(info.ID) },
+		"is out of contact": func(s *State, info WorkerInfo, _ time.Time) { s.Silent(info.ID) },
+		"runs unknown tasks": func(s *State, info WorkerInfo, now time.Time) {
+			s.Apply(info.ID, Report{Born: 1, Clock: 50, Running: []Running{{Task: TaskID{Job: "gone"}, Run: 1}}}, now)
+		},
+		"serves another service": func(s *State, info WorkerInfo, now time.Time) {
+			info.Service = "other"
+			s.ObserveWorker(info, now)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, now := scene("w")
+			change(s, s.workers["w"].info, now)
+			add(s, "j", "q", now, one(1, 1000))
+			is.Equal(len(starts(settle(s, now))), 0)
+		})
+	}
+}
+
+func TestRequirementsOfAStep(t *testing.T) {
+	is := is.New(t)
+	s, now := scene("a", "b")
+	labelled := one(1, 1000)
+	labelled.Label = "gpu"
+	add(s, "label", "q", now, labelled)
+	is.Equal(len(starts(settle(s, now))), 0)
+	apart := one(3, 1000)
+	apart.MaxPerWorker = 1
+	add(s, "apart", "q", now, apart)
+	is.Equal(len(starts(settle(s, now))), 2) // one a worker
+}
+
+func TestOlderConfigurationIsIgnored(t *testing.T) {
+	is := is.New(t)
+	s, _ := scene()
+	s.SetConfig(Config{Version: 0})
+	is.Equal(s.config.Version, int64(1))
+}
+
+func TestCancelStopsWhatRuns(t *testing.T) {
+	is := is.New(t)
+	s, now := scene("a")
+	j := add(s, "j", "q", now, one(2, 1000))
+	settle(s, now)
+	s.Cancel("j", now)
+	is.Equal(j.Outcome(), Cancelled)
+	orders := s.Plan(now)
+	is.Equal(len(orders), 2)
+	is.Equal(orders[0].Kind, ActionStop)
+	is.Equal(len(starts(settle(s, now))), 0)
+}
+
+func TestEndedTasksOfAJobThatWasOverTakeRoom(t *testing.T) {
+	is := is.New(t)
+	s, now := scene("a")
+	add(s, "old", "q", now, one(1, 3000))
+	first := settle(s, now)
+	s.Cancel("old", now)
+	s.Stored(s.TakeDirty(10))
+	next := takeOver(s, now, "a")
+	next.Apply("a", Report{Born: 1, Clock: 50, Running: running(first, "a")}, now)
+	add(next, "new", "q", now, one(1, 3000))
+	is.Equal(len(starts(settle(next, now))), 0)
+}
