--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -114,7 +114,7 @@
 	defer cancel()
 	report, answer := h.leader.owner.workers.Hold(ctx, order)
 	if order.Until != 0 {
-		h.lease = time.Now().Add(h.leader.leaseSpan())
+		h.lease = now.Add(h.leader.leaseSpan())
 	}
 	return report, answer
 }
