Metrics, bounded log, settings that change, and removal of old jobs on the platform

The settings file is read again whenever it changes, with a signal or without; a faulty one changes nothing. Ended jobs are forgotten after twice status_s.

--- a/cmd/geraniumwickd/main.go
+++ b/cmd/geraniumwickd/main.go
@@ -37,11 +37,7 @@
 func execute(args []string, signals <-chan os.Signal, stdout, stderr io.Writer) int {
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	if len(args) == 1 && args[0] == platformCommand {
-		if err := runPlatform(zerolog.New(stdout).With().Timestamp().Logger()); err != nil {
-			fmt.Fprintln(stderr, "geraniumwickd:", err)
-			return exitSettings
-		}
-		return exitDone
+		return executePlatform(stdout, stderr)
 	}
 	s, err := settings.Parse(args)
 	if err != nil {
--- a/cmd/geraniumwickd/platform.go
+++ b/cmd/geraniumwickd/platform.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/signal"
@@ -13,6 +15,9 @@
 	"github.com/rs/zerolog"
 
 	"github.com/geraniumwick/geraniumwick/internal/entry"
+	"github.com/geraniumwick/geraniumwick/internal/kv"
+	"github.com/geraniumwick/geraniumwick/internal/logging"
+	"github.com/geraniumwick/geraniumwick/internal/metrics"
 	"github.com/geraniumwick/geraniumwick/internal/model"
 	"github.com/geraniumwick/geraniumwick/internal/owner"
 	"github.com/geraniumwick/geraniumwick/internal/peer"
@@ -30,6 +35,14 @@
 	drainTime = 2500 * time.Millisecond
 	// stopMargin is the part of the grace period that is left unused.
 	stopMargin = 700 * time.Millisecond
+	// maxWorkerLease bounds the leases of tasks: what runs on a lost worker waits for its end.
+	maxWorkerLease = 6 * time.Second
+	// keepFactor is how many times as long as asked for an ended job stays known.
+	keepFactor = 2
+	// logFlush bounds the writing of the last log lines.
+	logFlush = 300 * time.Millisecond
+	// settingsInterval is the pause between two looks at the settings file.
+	settingsInterval = 500 * time.Millisecond
 	// headerTimeout bounds the reading of a call's header.
 	headerTimeout = 5 * time.Second
 	// memoryShare is the part of the memory limit at which the collector works harder.
@@ -38,6 +51,18 @@
 	gcPercent = 50
 )
 
+// executePlatform runs an instance on the users' platform and returns the exit code of the
+// process.
+func executePlatform(stdout, stderr io.Writer) int {
+	lines := logging.NewWriter(stdout)
+	defer lines.Close(logFlush)
+	if err := runPlatform(zerolog.New(lines).With().Timestamp().Logger()); err != nil {
+		fmt.Fprintln(stderr, "geraniumwickd:", err)
+		return exitSettings
+	}
+	return exitDone
+}
+
 // runPlatform serves on the users' platform until SIGTERM.
 func runPlatform(log zerolog.Logger) error {
 	path, err := platform.SettingsPath()
@@ -52,30 +77,43 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.MemoryMB) * (1 << 20)))
 	log = log.With().Str("instance", s.Name).Logger()
 	log.Info().Str("event", "instance.start").Str("data-centre", s.Zone).Send()
-	return servePlatform(s, log)
+	return servePlatform(path, s, log)
 }
 
-func servePlatform(s platform.Settings, log zerolog.Logger) error {
+func servePlatform(path string, s platform.Settings, log zerolog.Logger) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	store := platform.NewStore(s.Platform.Address)
+	scope, scrape, closer := metrics.New()
+	defer func() { _ = closer.Close() }()
 	options := entry.Options{
 		Name:        s.Name,
 		PeerAddress: s.PeerAddress(),
-		Owner:       owner.Options{LeaseTTL: max(claimTTL, s.MinLease()), WorkerLease: s.WorkerLease()},
+		Owner: owner.Options{
+			LeaseTTL:    max(claimTTL, s.MinLease()),
+			WorkerLease: min(maxWorkerLease, s.WorkerLease()),
+			KeepJobs:    keepFactor * s.StatusTime(),
+		},
+		Scope: scope,
 	}
-	instance := entry.New(options, store, platform.Operator{}, platform.NewRunners(log), platform.Registry{}, log)
+	instance := entry.New(options, kv.Metered(store, scope), platform.Operator{}, platform.NewRunners(log), platform.Registry{}, log)
 	peers := peer.NewServer(model.InstanceID(s.Name), log)
 	instance.Serve(peers)
 	mux := http.NewServeMux()
 	mux.Handle("/peer", peers)
 
-	failed := make(chan error, 3)
-	front := listen(s.Listen.Front, platform.NewFront(instance, log), failed)
+	metricsMux := http.NewServeMux()
+	metricsMux.Handle("/metrics", scrape)
+
+	failed := make(chan error, 4)
+	front := listen(s.Listen.Front, platform.NewFront(instance, scope, log), failed)
 	listen(s.Listen.Ready, platform.Ready(instance), failed)
 	listen(s.PeerAddress(), mux, failed)
+	listen(s.MetricsAddress(), metricsMux, failed)
 	go instance.Run(ctx)
 
+	go watchSettings(ctx, path, s, store, log)
+
 	signals := make(chan os.Signal, signalBound)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	for {
@@ -84,6 +122,7 @@
 			return err
 		case sig := <-signals:
 			log.Info().Str("event", "signal.received").Str("signal", sig.String()).Send()
+			// The settings file is read again whenever it has changed, with a signal or without.
 			if sig != syscall.SIGHUP {
 				return stopPlatform(instance, front, s, log)
 			}
@@ -91,6 +130,36 @@
 	}
 }
 
+// watchSettings follows changes of the settings file. The address of the store is the only
+// setting that changes while an instance runs; a faulty file changes nothing.
+func watchSettings(ctx context.Context, path string, s platform.Settings, store *platform.Store, log zerolog.Logger) {
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	var seen os.FileInfo
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		info, err := os.Stat(path)
+		if err != nil || seen != nil && info.ModTime().Equal(seen.ModTime()) && info.Size() == seen.Size() {
+			continue
+		}
+		seen = info
+		next, err := platform.ReadSettings(path)
+		if err != nil {
+			log.Error().Str("event", "settings.refused").Err(err).Send()
+			continue
+		}
+		if next.Platform.Address != s.Platform.Address {
+			store.SetAddress(next.Platform.Address)
+		}
+		s = next
+		log.Info().Str("event", "settings.read").Str("store", s.Platform.Address).Send()
+	}
+}
+
 // listen serves in the background; a failure is sent to failed.
 func listen(address string, h http.Handler, failed chan<- error) *http.Server {
 	s := &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: headerTimeout}
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -193,6 +193,9 @@
 	}
 }
 
+// ConfigVersion returns the version of the configuration in force.
+func (s *State) ConfigVersion() int64 { return s.config.Version }
+
 // Job returns the job, or nil.
 func (s *State) Job(id string) *Job { return s.jobs[id] }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/geraniumwick/geraniumwick/internal/kv"
 	"github.com/geraniumwick/geraniumwick/internal/model"
@@ -34,12 +35,14 @@
 	// PeerAddress is where the instance serves other instances.
 	PeerAddress string
 	Owner       owner.Options
+	// Scope receives the metrics.
+	Scope tally.Scope
 }
 
 // New assembles an instance.
 func New(o Options, store kv.Store, operator Operator, workers owner.Workers, registry owner.Registry, log zerolog.Logger) *Instance {
 	config := &configFollower{operator: operator, log: log}
-	o.Owner.Instance, o.Owner.Address = o.Name, o.PeerAddress
+	o.Owner.Instance, o.Owner.Address, o.Owner.Scope = o.Name, o.PeerAddress, o.Scope
 	return &Instance{
 		store:  store,
 		owner:  owner.New(o.Owner, store, workers, registry, config.current, log),
--- /dev/null
+++ b/internal/kv/metered.go
@@ -0,0 +1,99 @@
+package kv
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// callBuckets reach from 1 ms to about 4 s.
+var callBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 13)
+
+// metered counts the calls of a store.
+type metered struct {
+	store Store
+	scope tally.Scope
+}
+
+// Metered returns a store that passes every call on and counts it by operation and result;
+// the time of all but watches goes into a histogram.
+func Metered(store Store, scope tally.Scope) Store {
+	return &metered{store: store, scope: scope}
+}
+
+// result names the outcome of a call.
+func result(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, ErrConflict):
+		return "conflict"
+	case errors.Is(err, ErrUnavailable):
+		return "unavailable"
+	case errors.Is(err, ErrNotFound):
+		return "not-found"
+	case errors.Is(err, ErrCompacted):
+		return "compacted"
+	default:
+		return "unknown"
+	}
+}
+
+// count notes a call that began at the given time.
+func (m *metered) count(op string, begun time.Time, err error) {
+	m.scope.Tagged(map[string]string{"op": op, "result": result(err)}).Counter("store_calls").Inc(1)
+	if op != "watch" {
+		m.scope.Tagged(map[string]string{"op": op}).Histogram("store_latency", callBuckets).RecordDuration(time.Since(begun))
+	}
+}
+
+func (m *metered) Get(ctx context.Context, key string) (Item, error) {
+	begun := time.Now()
+	i, err := m.store.Get(ctx, key)
+	m.count("get", begun, err)
+	return i, err
+}
+
+func (m *metered) List(ctx context.Context, prefix string) ([]Item, int64, error) {
+	begun := time.Now()
+	items, rev, err := m.store.List(ctx, prefix)
+	m.count("list", begun, err)
+	return items, rev, err
+}
+
+func (m *metered) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Event, int64, error) {
+	begun := time.Now()
+	events, rev, err := m.store.Watch(ctx, prefix, after, wait)
+	m.count("watch", begun, err)
+	return events, rev, err
+}
+
+func (m *metered) Commit(ctx context.Context, t Txn) (int64, error) {
+	begun := time.Now()
+	rev, err := m.store.Commit(ctx, t)
+	m.count("commit", begun, err)
+	return rev, err
+}
+
+func (m *metered) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
+	begun := time.Now()
+	lease, err := m.store.Grant(ctx, ttl)
+	m.count("grant", begun, err)
+	return lease, err
+}
+
+func (m *metered) Renew(ctx context.Context, lease int64) error {
+	begun := time.Now()
+	err := m.store.Renew(ctx, lease)
+	m.count("renew", begun, err)
+	return err
+}
+
+func (m *metered) Revoke(ctx context.Context, lease int64) error {
+	begun := time.Now()
+	err := m.store.Revoke(ctx, lease)
+	m.count("revoke", begun, err)
+	return err
+}
--- /dev/null
+++ b/internal/logging/writer_test.go
@@ -0,0 +1,61 @@
+package logging
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestLinesAreWrittenInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var out bytes.Buffer
+		w := NewWriter(&out)
+		for i := range 3 {
+			fmt.Fprintf(w, "line %d\n", i)
+		}
+		w.Close(time.Second)
+		is.Equal(out.String(), "line 0\nline 1\nline 2\n")
+	})
+}
+
+func TestBlockedReaderBlocksNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r, pipe := io.Pipe()
+		w := NewWriter(pipe)
+		for range 2*lineBound + 10 {
+			_, err := w.Write([]byte("x\n"))
+			is.NoErr(err)
+		}
+		var out bytes.Buffer
+		go func() { _, _ = io.Copy(&out, r) }()
+		w.Close(time.Minute)
+		is.NoErr(pipe.Close())
+		synctest.Wait()
+		is.True(strings.Contains(out.String(), "log.left-out"))
+	})
+}
+
+func TestVolumeIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var out bytes.Buffer
+		w := NewWriter(&out)
+		for range linesPerSecond + 5 {
+			_, _ = w.Write([]byte("x\n"))
+			synctest.Wait()
+		}
+		time.Sleep(time.Second)
+		_, _ = w.Write([]byte("y\n"))
+		w.Close(time.Second)
+		is.Equal(strings.Count(out.String(), "x\n"), linesPerSecond)
+		is.True(strings.Contains(out.String(), `"lines":5`))
+	})
+}
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -66,7 +66,7 @@
 func (l *leader) commit(now time.Time) {
 	c := &l.commits
 	c.timer = nil
-	if c.flying != nil || l.state.Dirty() == 0 && !l.known.dirty {
+	if c.flying != nil || l.state.Dirty() == 0 && !l.known.dirty && len(l.erased) == 0 {
 		return
 	}
 	interval := commitInterval
@@ -111,6 +111,7 @@
 		c.learned = now
 		t.txn.Set = append(t.txn.Set, kv.Write{Key: learnedKey, Value: encode(l.state.Learned())})
 	}
+	l.erase(t, kv.MaxTxnEntries-len(t.txn.If)-len(t.txn.Set))
 	return t
 }
 
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -64,6 +64,8 @@
 	known   knownWorkers
 	ctx     context.Context
 	commits committer
+	tidied  time.Time // last time that old jobs were forgotten
+	erased  []string  // jobs whose keys are to be removed
 	calls   sync.WaitGroup
 	// members says that workers may have come or gone since the holders were compared.
 	members bool
@@ -158,6 +160,7 @@
 		l.send(a, now)
 	}
 	l.logEvents()
+	l.tidy(now)
 	l.commit(now)
 }
 
@@ -356,26 +359,6 @@
 	return info.ID, true
 }
 
-// logEvents writes a line for each decision.
-func (l *leader) logEvents() {
-	for _, e := range l.state.Events() {
-		line := l.log.Info().Str("event", e.Name)
-		if e.Job != "" {
-			line = line.Str("job", e.Job)
-		}
-		if e.Run > 0 {
-			line = line.Int("step", e.Task.Step).Int("index", e.Task.Index).Int64("run", e.Run)
-		}
-		if e.Worker != "" {
-			line = line.Str("worker", string(e.Worker))
-		}
-		if e.Detail != "" {
-			line = line.Str("why", e.Detail)
-		}
-		line.Send()
-	}
-}
-
 // finish waits for the calls under way, whose contexts have ended.
 func (l *leader) finish() {
 	l.calls.Wait()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
 	"github.com/geraniumwick/geraniumwick/internal/kv"
@@ -95,6 +96,8 @@
 	WorkerLease time.Duration
 	// KeepJobs is how long an ended job stays known.
 	KeepJobs time.Duration
+	// Scope receives the metrics.
+	Scope tally.Scope
 }
 
 // Owner campaigns for the claim and leads while it holds it.
@@ -114,6 +117,9 @@
 
 // New returns an owner that does nothing until Run.
 func New(opts Options, store kv.Store, workers Workers, registry Registry, config func() batch.Config, log zerolog.Logger) *Owner {
+	if opts.Scope == nil {
+		opts.Scope = tally.NoopScope
+	}
 	return &Owner{
 		opts:     opts,
 		store:    store,
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -50,7 +50,7 @@
 // instance starts an instance that takes part in campaigns.
 func (s *stage) instance(name string) *Owner {
 	ctx, cancel := context.WithCancel(s.ctx)
-	o := New(Options{Instance: name, Address: name, LeaseTTL: 1200 * time.Millisecond, WorkerLease: 6 * time.Second},
+	o := New(Options{Instance: name, Address: name, LeaseTTL: 1200 * time.Millisecond, WorkerLease: 6 * time.Second, KeepJobs: 20 * time.Second},
 		s.store, s.workers, fakeRegistry{}, testConfig, zerolog.Nop())
 	s.stops[name], s.owners[name] = cancel, o
 	go o.Run(ctx)
@@ -241,6 +241,23 @@
 	}, "w1")
 }
 
+// A job that has been over for long is forgotten, and its keys are removed.
+func TestOldJobsAreRemoved(t *testing.T) {
+	onStage(t, func(s *stage) {
+		s.instance("a")
+		s.submit("j", tasks(1))
+		s.after(10 * time.Second)
+		s.is.Equal(s.stored("j"), batch.Completed)
+		s.after(30 * time.Second)
+		s.store.mu.Lock()
+		defer s.store.mu.Unlock()
+		for _, key := range []string{JobKey("j"), RecordKey("j")} {
+			_, ok := s.store.items[key]
+			s.is.True(!ok) // removed
+		}
+	}, "w1")
+}
+
 func TestCancellationInTheStoreStopsTheJob(t *testing.T) {
 	onStage(t, func(s *stage) {
 		s.instance("a")
