--- a/cmd/geraniumwickd/main.go
+++ b/cmd/geraniumwickd/main.go
@@ -39,6 +39,9 @@
 	if len(args) == 1 && args[0] == platformCommand {
 		return executePlatform(stdout, stderr)
 	}
+	if len(args) == 2 && args[0] == checkCommand {
+		return checkSettings(args[1], stdout, stderr)
+	}
 	s, err := settings.Parse(args)
 	if err != nil {
 		fmt.Fprintln(stderr, "geraniumwickd:", err)
--- a/cmd/geraniumwickd/platform.go
+++ b/cmd/geraniumwickd/platform.go
@@ -27,6 +27,9 @@
 // platformCommand is the argument that selects the users' platform.
 const platformCommand = "platform"
 
+// checkCommand is the argument that checks a settings file of the platform.
+const checkCommand = "check-settings"
+
 const (
 	// claimTTL is how long the store keeps the owner's claim without a renewal.
 	claimTTL = 1200 * time.Millisecond
@@ -63,6 +66,17 @@
 	return exitDone
 }
 
+// checkSettings tells whether a settings file is good and returns the exit code of the process.
+func checkSettings(path string, stdout, stderr io.Writer) int {
+	s, err := platform.ReadSettings(path)
+	if err != nil {
+		fmt.Fprintln(stderr, "geraniumwickd:", err)
+		return exitSettings
+	}
+	fmt.Fprintf(stdout, "%s: the settings of %s are good\n", path, s.Name)
+	return exitDone
+}
+
 // runPlatform serves on the users' platform until SIGTERM.
 func runPlatform(log zerolog.Logger) error {
 	path, err := platform.SettingsPath()
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -78,7 +78,6 @@
 	lastRun    int64
 	checkpoint string
 	lastWorker WorkerID
-	retryAt    time.Time
 }
 
 // attempt is one start of a task that is not known to be over.
@@ -150,12 +149,8 @@
 
 // Limits are the times that the state machine reckons with.
 type Limits struct {
-	// StartWindow is the time after which a worker refuses a start that has not arrived.
-	StartWindow time.Duration
 	// StopRetry is the pause before an unanswered stop is sent again.
 	StopRetry time.Duration
-	// Harm is how long a task may miss its latency target because of fillers.
-	Harm time.Duration
 }
 
 // Event is a line for the log: a decision with what it rested on.
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -81,7 +81,7 @@
 func (c workerClock) now(t time.Time) int64 { return c.clock + t.Sub(c.at).Milliseconds() }
 
 func newLeader(o *Owner, v victory, cancel context.CancelCauseFunc) *leader {
-	limits := batch.Limits{StartWindow: startWindow, StopRetry: stopRetry}
+	limits := batch.Limits{StopRetry: stopRetry}
 	return &leader{
 		owner:   o,
 		log:     o.log.With().Int64("epoch", v.claim.Epoch).Logger(),
--- a/internal/server/meters_test.go
+++ b/internal/server/meters_test.go
@@ -89,7 +89,7 @@
 	is := is.New(t)
 	served, err := os.ReadFile("testdata/metrics.golden")
 	is.NoErr(err)
-	page, err := os.ReadFile("../../docs/OPERATING.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	is.NoErr(err)
 	_, table, found := strings.Cut(string(page), "## Metrics\n")
 	is.True(found)
@@ -100,7 +100,7 @@
 			name = strings.TrimSuffix(name, suffix)
 		}
 		if !strings.Contains(table, "`"+name+"`") && !strings.Contains(table, "`"+name+"{") {
-			t.Errorf("docs/OPERATING.md does not list %s", name)
+			t.Errorf("docs/OPERATIONS.md does not list %s", name)
 		}
 	}
 }
