--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -29,7 +29,7 @@
 	// refuseAfter is how long a call is tried against a store that refuses it.
 	refuseAfter = 300 * time.Millisecond
 	// retryPause is the pause between two tries.
-	retryPause = 40 * time.Millisecond
+	retryPause = 100 * time.Millisecond
 	// storeTimeout bounds one call of the store for a caller.
 	storeTimeout = 1200 * time.Millisecond
 	// ownerTimeout bounds a question to the owner.
--- a/internal/entry/table.go
+++ b/internal/entry/table.go
@@ -68,7 +68,7 @@
 	// configWait bounds a watch of the configuration.
 	configWait = 1500 * time.Millisecond
 	// configRetry is the pause after a failed call.
-	configRetry = 100 * time.Millisecond
+	configRetry = 250 * time.Millisecond
 )
 
 func (f *configFollower) follower(store kv.Store) *kv.Follower {
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -23,13 +23,14 @@
 	// tickInterval is the longest pause between two decisions.
 	tickInterval = 100 * time.Millisecond
 	// commitInterval is the least time between two transactions of the owner.
-	commitInterval = 20 * time.Millisecond
+	commitInterval = 40 * time.Millisecond
 	// urgentInterval is the same while steps wait for their record.
 	urgentInterval = 8 * time.Millisecond
 	// commitTimeout bounds one try of a transaction.
 	commitTimeout = 1500 * time.Millisecond
-	// followPause lets changes in the store arrive together.
-	followPause = 150 * time.Millisecond
+	// followPause lets changes in the store arrive together. New jobs are told by their
+	// instances meanwhile.
+	followPause = 350 * time.Millisecond
 	// followWait bounds a watch.
 	followWait = 2 * time.Second
 	// eventBound is the number of events that may wait for the loop.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -135,7 +135,7 @@
 	// claimWait bounds a watch of the claim.
 	claimWait = 2 * time.Second
 	// storeRetry is the pause after a failed call to the store.
-	storeRetry = 100 * time.Millisecond
+	storeRetry = 200 * time.Millisecond
 	// maxCampaignDelay spreads the campaigns of the instances.
 	maxCampaignDelay = 60 * time.Millisecond
 )
