--- a/internal/batch/relief.go
+++ b/internal/batch/relief.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -12,7 +13,9 @@
 	settleTime = 600 * time.Millisecond
 	// reliefUtilisation is the utilisation from which fillers are paced; a latency is at its
 	// target at 1 - idleShare.
-	reliefUtilisation = 0.77
+	reliefUtilisation = 0.79
+	// easedUtilisation is the prediction at which pacing ends, and work is given back.
+	easedUtilisation = 0.76
 	// admitUtilisation is the predicted utilisation up to which fillers are admitted.
 	admitUtilisation = 0.72
 	// culprit is what a filler must add to the factor on the loads to be paced at first.
@@ -57,7 +60,7 @@
 	})
 	for _, a := range fillers {
 		adds := s.press.most(w, a.step, missed)
-		if lasted < patience && (adds < culprit || s.press.eased(missed)) {
+		if s.press.eased(missed) || adds < culprit && (lasted < patience || s.press.harmless(w, a.step, missed)) {
 			return
 		}
 		for i := range missed {
@@ -67,11 +70,19 @@
 	}
 }
 
+// harmless reports whether a filler is known to add next to nothing to any of the loads.
+func (p *pressure) harmless(w *worker, st *step, felts []felt) bool {
+	return !slices.ContainsFunc(felts, func(f felt) bool {
+		e := p.estimate(ImagePair{st.spec.Image, f.image})
+		return (e.mean+math.Sqrt(e.variance))*share(w, st) > culprit
+	})
+}
+
 // eased reports whether the prediction for all missed targets is good without what was
 // taken away.
 func (p *pressure) eased(missed []felt) bool {
 	return !slices.ContainsFunc(missed, func(f felt) bool {
-		return f.utilisation/f.seen*f.now > admitUtilisation
+		return f.utilisation/f.seen*f.now > easedUtilisation
 	})
 }
 
@@ -126,7 +137,7 @@
 func (s *State) giveBack(w *worker, now time.Time) {
 	paced := w.fillersWhere(func(a *attempt) bool { return a.paced < paceFull && now.Sub(a.pacedAt) >= settleTime })
 	for _, a := range paced {
-		if s.press.worst(w, a.step, s.press.feel(w, now)) <= admitUtilisation {
+		if s.press.worst(w, a.step, s.press.feel(w, now)) <= easedUtilisation {
 			s.pace(a, paceFull, now)
 		}
 	}
