--- a/internal/batch/relief.go
+++ b/internal/batch/relief.go
@@ -10,20 +10,20 @@
 const (
 	// settleTime is how long after a change on a worker a measured latency still mixes what
 	// was before it.
-	settleTime = 600 * time.Millisecond
+	settleTime = 500 * time.Millisecond
 	// reliefUtilisation is the utilisation from which fillers are paced; a latency is at its
 	// target at 1 - idleShare.
-	reliefUtilisation = 0.79
+	reliefUtilisation = 0.80
 	// easedUtilisation is the prediction at which pacing ends, and work is given back.
-	easedUtilisation = 0.76
+	easedUtilisation = 0.78
 	// admitUtilisation is the predicted utilisation up to which fillers are admitted.
-	admitUtilisation = 0.72
+	admitUtilisation = 0.75
 	// culprit is what a filler must add to the factor on the loads to be paced at first.
 	culprit = 0.03
 	// patience is how long a missed target is borne for which no filler seems the cause.
 	patience = 1500 * time.Millisecond
 	// moveAfter is how long a filler stays paced before it moves.
-	moveAfter = 900 * time.Millisecond
+	moveAfter = 450 * time.Millisecond
 	// nearlyDone is the percent from which a filler with checkpoints is not moved any more,
 	// and hardlyBegun that for one that begins anew.
 	nearlyDone  = 85
--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -11,7 +11,7 @@
 	// holdWait is how long a worker may wait for an end before it answers, and watchedWait
 	// the same where fillers share a worker with tasks that have a latency target.
 	holdWait    = 2 * time.Second
-	watchedWait = 500 * time.Millisecond
+	watchedWait = 300 * time.Millisecond
 	// holdTimeout bounds an answer beyond that.
 	holdTimeout = 800 * time.Millisecond
 	// holdRetry is the pause after a failed hold.
