--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -220,7 +220,7 @@
 	// shortRate is the part by which the mean of what short tasks reserve follows at each check.
 	shortRate = 0.02
 	// shortReserve is how many times that mean stays free of new tasks that last.
-	shortReserve = 2.0
+	shortReserve = 3.5
 )
 
 // spares reports whether a new task that lasts leaves enough room to short tasks, which
--- a/internal/batch/policy_test.go
+++ b/internal/batch/policy_test.go
@@ -110,7 +110,7 @@
 func TestNewLongRunningTasksLeaveRoomToShortOnes(t *testing.T) {
 	is := is.New(t)
 	s, now := scene("a", "b")
-	s.shortUsual = 2000
+	s.shortUsual = 4000 / shortReserve
 	add(s, "lasts", "q", now, serving("web", 8))
 	is.Equal(len(starts(settle(s, now))), 4) // 4 of 8 cores stay free
 	add(s, "short", "q", now, one(4, 1000))
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -28,6 +28,7 @@
 	fillers    int       // attempts of filler tasks
 	fillCPU    int64     // what they ask for at their pace
 	serving    int       // attempts with a latency target
+	lasting    int       // attempts of tasks that last
 	servingCPU int64     // what these reserve
 	harmedFrom time.Time // since when a latency is near its target
 	// felts is what tasks with a latency target feel there, as of the plan feltIn.
@@ -130,6 +131,12 @@
 	return w != nil && w.fillers > 0 && w.serving > 0
 }
 
+// Busy reports whether the worker runs tasks that end by themselves.
+func (s *State) Busy(id WorkerID) bool {
+	w := s.workers[id]
+	return w != nil && len(w.attempts) > w.lasting
+}
+
 // rackOf returns the label that names the rack: it begins with r and a digit.
 func rackOf(labels []string) string {
 	for _, l := range labels {
@@ -240,6 +247,9 @@
 		w.fillers += by
 		w.fillCPU += int64(by) * a.workCPU()
 	}
+	if a.step.spec.LongRunning {
+		w.lasting += by
+	}
 	if a.step.spec.LatencyTarget > 0 {
 		w.serving += by
 		w.servingCPU += int64(by) * a.step.spec.Need.CPU
--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -8,12 +8,14 @@
 )
 
 const (
-	// holdWait is how long a worker may wait for an end before it answers, and watchedWait
-	// the same where fillers share a worker with tasks that have a latency target.
-	holdWait    = 2 * time.Second
+	// idleWait is how long an idle worker may wait for an end before it answers, busyWait the
+	// same for one with tasks that end by themselves, and watchedWait where fillers share a
+	// worker with tasks that have a latency target.
+	idleWait    = 2 * time.Second
+	busyWait    = time.Second
 	watchedWait = 300 * time.Millisecond
 	// holdTimeout bounds an answer beyond that.
-	holdTimeout = 800 * time.Millisecond
+	holdTimeout = 500 * time.Millisecond
 	// holdRetry is the pause after a failed hold.
 	holdRetry = 250 * time.Millisecond
 	// ackWait is how long a holder waits for its ends to become durable before it renews
@@ -182,13 +184,22 @@
 	id := h.info.ID
 	l.state.Renewed(id, lease)
 	l.known.set(id, 0)
-	i := instruction{ack: l.state.Apply(id, r, now), wait: holdWait, renew: true, contact: contact}
-	if l.state.Watched(id) {
-		i.wait = watchedWait
-	}
+	i := instruction{ack: l.state.Apply(id, r, now), wait: l.waitFor(id), renew: true, contact: contact}
 	l.commits.whenDurable(i, h, l.state.Dirty() > 0 || l.known.dirty)
 }
 
+// waitFor returns how long a worker may wait for an end.
+func (l *leader) waitFor(id batch.WorkerID) time.Duration {
+	switch {
+	case l.state.Watched(id):
+		return watchedWait
+	case l.state.Busy(id):
+		return busyWait
+	default:
+		return idleWait
+	}
+}
+
 // lost records when the lease of a worker out of contact has ended.
 func (l *leader) lost(id batch.WorkerID, lease time.Time) {
 	if l.known.has(id) && !lease.IsZero() {
