--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -185,7 +185,7 @@
 		if t.done || len(t.attempts) > 0 || t.doubtful && len(s.unresolved) > 0 {
 			continue
 		}
-		if st.spec.LongRunning && t.lastRun == 0 && !s.spares(st, workers) {
+		if st.spec.LongRunning && t.lastRun == 0 && !s.spares(st, workers, now) {
 			return true
 		}
 		w := s.choose(st, t, workers, now)
@@ -218,19 +218,26 @@
 
 const (
 	// shortRate is the part by which the mean of what short tasks reserve follows at each check.
-	shortRate = 0.02
-	// shortReserve is how many times that mean stays free of new tasks that last.
-	shortReserve = 3.5
+	shortRate = 0.05
+	// shortReserve is how many times that mean stays free of new tasks that last, and
+	// maxReserve the most of all processors that does.
+	shortReserve = 6.0
+	maxReserve   = 0.25
+	// reserveWait is the wait after which a task that lasts starts without regard to the reserve.
+	reserveWait = 60 * time.Second
 )
 
 // spares reports whether a new task that lasts leaves enough room to short tasks, which
-// would otherwise wait for as long as it lasts.
-func (s *State) spares(st *step, workers []*worker) bool {
-	var free int64
+// would otherwise wait for as long as it lasts. The longer it has waited, the less is kept.
+func (s *State) spares(st *step, workers []*worker, now time.Time) bool {
+	var free, capacity int64
 	for _, w := range workers {
 		free += w.free().CPU
+		capacity += w.info.Capacity.CPU
 	}
-	return float64(free-st.reserved.CPU+s.shortCPU) >= shortReserve*s.shortUsual
+	reserve := min(shortReserve*s.shortUsual, maxReserve*float64(capacity))
+	reserve *= max(0, 1-now.Sub(st.job.Accepted).Seconds()/reserveWait.Seconds())
+	return float64(free-st.reserved.CPU+s.shortCPU) >= reserve
 }
 
 // countShort keeps account of what short tasks reserve.
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -236,7 +236,7 @@
 		s.waiting[j.Queue]++
 	}
 	for _, o := range j.occs {
-		s.open1(j, o, loaded, now)
+		s.openOccurrence(j, o, loaded, now)
 	}
 	s.settle(j, now)
 }
@@ -248,8 +248,8 @@
 	}
 }
 
-// open1 makes the ready steps of an occurrence available for placement.
-func (s *State) open1(j *Job, o *occurrence, loaded bool, now time.Time) {
+// openOccurrence makes the ready steps of an occurrence available for placement.
+func (s *State) openOccurrence(j *Job, o *occurrence, loaded bool, now time.Time) {
 	if loaded {
 		s.markDoubtful(o)
 	}
@@ -339,9 +339,7 @@
 }
 
 func (s *State) endTask(t *task) {
-	if t.doubtful {
-		t.doubtful = false
-	}
+	t.doubtful = false
 	for _, a := range t.attempts {
 		s.stop(a, "job over")
 	}
