--- /dev/null
+++ b/internal/batch/score.go
@@ -0,0 +1,116 @@
+package batch
+
+import (
+	"slices"
+	"time"
+)
+
+// choose returns the best worker for a task, or nil.
+func (s *State) choose(st *step, t *task, workers []*worker, now time.Time) *worker {
+	service := s.queueOf(st.job).Service
+	var best *worker
+	var bestScore float64
+	for _, w := range workers {
+		if w.info.Service != service || !st.reserved.Fits(w.free()) || !st.allows(w) {
+			continue
+		}
+		if (st.spec.Filler || st.spec.LatencyTarget > 0) && w.feltIn != s.plan {
+			w.feltIn, w.felts = s.plan, s.press.feel(w, now)
+		}
+		if st.spec.Filler && !s.admits(st, w) {
+			continue
+		}
+		if score := s.score(st, t, w); best == nil || score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	if best != nil && st.spec.RackLocal && st.rack == "" {
+		st.rack = best.rack
+	}
+	return best
+}
+
+// allows checks what the step asks of a worker beside room.
+func (st *step) allows(w *worker) bool {
+	if st.spec.Label != "" && !slices.Contains(w.info.Labels, st.spec.Label) {
+		return false
+	}
+	if st.spec.MaxPerWorker == 0 {
+		return true
+	}
+	n := 0
+	for key := range w.attempts {
+		if key.task.Job == st.job.ID && key.task.Step == st.number && key.task.Occurrence == st.occ.number {
+			n++
+		}
+	}
+	return n < st.spec.MaxPerWorker
+}
+
+// The weights of a choice, in units of a worker's whole processors.
+const (
+	weightRack     = 8.0
+	weightFailures = 4.0
+	weightCold     = 2.0
+	weightServing  = 6.0
+	weightFillers  = 1.0
+	weightImage    = 3.0
+	weightShared   = 0.0
+	weightPress    = 1.0
+	// servingUse is the part of their reserved processors that tasks with a latency target use.
+	servingUse = 0.45
+	// fillerOvercommit is the part of a worker's processors by which fillers may ask for more
+	// than others leave.
+	fillerOvercommit = 0.1
+)
+
+// score rates a worker for a task; higher is better.
+func (s *State) score(st *step, t *task, w *worker) float64 {
+	score := 0.0
+	if st.spec.DataRack != "" && w.rack == st.spec.DataRack || st.rack != "" && w.rack == st.rack {
+		score += weightRack
+	}
+	if len(t.failed) > 0 && t.lastWorker == w.info.ID {
+		score -= weightFailures
+	}
+	score -= weightFailures * float64(w.failures)
+	if w.info.Cold > 0 {
+		score -= weightCold
+	}
+	cpu := float64(max(1, w.info.Capacity.CPU))
+	if st.spec.LatencyTarget > 0 {
+		// Tasks with a latency target share few workers, so that the others are free of them.
+		if w.serving > 0 {
+			score += weightServing
+		}
+		if slices.ContainsFunc(w.felts, func(f felt) bool { return f.image == st.spec.Image }) {
+			score += weightImage
+		}
+		score -= weightFillers * float64(w.fillCPU) / cpu
+		return score - float64(w.free().CPU)/cpu
+	}
+	if st.spec.Filler {
+		// Where tasks have latency targets, fillers come only if others are full, the lightest first.
+		if w.serving > 0 {
+			score -= weightShared + weightPress*s.press.worst(w, st, w.felts)
+		}
+	}
+	return score + float64(w.left())/cpu
+}
+
+// left returns the processors that the tasks on a worker leave unused, in thousandths.
+func (w *worker) left() int64 {
+	return w.info.Capacity.CPU - w.used.CPU + int64((1-servingUse)*float64(w.servingCPU)) - w.fillCPU
+}
+
+// admits reports whether a filler may work on a worker: others leave enough, and no latency
+// there is predicted to come near its target.
+func (s *State) admits(st *step, w *worker) bool {
+	if float64(w.left()-st.spec.Need.CPU) < -fillerOvercommit*float64(w.info.Capacity.CPU) {
+		return false
+	}
+	if w.serving == 0 {
+		return true
+	}
+	return s.press.worst(w, st, w.felts) <= admitUtilisation
+}
