Count on a former owner's lease until it has surely ended

The first answer under an epoch now stands for a lease as long as a former owner may have granted, and a start for its own. TestSilenceBeforeTheFirstRenewal and TestWorld (reports without a renewal) failed before.

--- a/internal/batch/helpers_test.go
+++ b/internal/batch/helpers_test.go
@@ -4,7 +4,7 @@
 	"time"
 )
 
-var testLimits = Limits{StopRetry: 800 * time.Millisecond}
+var testLimits = Limits{StopRetry: 800 * time.Millisecond, Lease: 6100 * time.Millisecond, StartLease: 1600 * time.Millisecond}
 
 // addWorker registers a worker that may get tasks.
 func addWorker(s *State, id WorkerID, capacity Resources, now time.Time) {
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -226,6 +226,7 @@
 func (s *State) reserve(st *step, index int, run int64, w *worker, now time.Time) *attempt {
 	a := &attempt{step: st, index: index, run: run, worker: w, reserved: st.reserved, ordered: now, progress: now, paced: paceFull}
 	a.notAfter = noLimit
+	w.leaseEnd = laterOf(w.leaseEnd, now.Add(s.limits.StartLease))
 	s.begin(a)
 	w.feltIn = 0
 	return a
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -15,6 +15,9 @@
 	if r.Born > w.info.Born {
 		s.newLife(w, r.Born, now)
 	}
+	if !w.synced {
+		w.leaseEnd = laterOf(w.leaseEnd, now.Add(s.limits.Lease))
+	}
 	w.synced, w.silent = true, false
 	delete(s.unresolved, id)
 	var last int64
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -151,6 +151,11 @@
 type Limits struct {
 	// StopRetry is the pause before an unanswered stop is sent again.
 	StopRetry time.Duration
+	// Lease is the time after which a lease that was just granted has surely ended. A former
+	// owner may have granted one up to the moment at which a worker first answers.
+	Lease time.Duration
+	// StartLease is the same for the lease that comes with a start.
+	StartLease time.Duration
 }
 
 // Event is a line for the log: a decision with what it rested on.
--- a/internal/batch/state_test.go
+++ b/internal/batch/state_test.go
@@ -120,6 +120,23 @@
 	is.True(again[0].Run > first.Run)
 }
 
+// A worker goes silent after its first answer to a new owner, before any renewal: the lease
+// that the former owner granted still holds.
+func TestSilenceBeforeTheFirstRenewal(t *testing.T) {
+	is := is.New(t)
+	s, now := scene("a", "b")
+	add(s, "j", "q", now, one(1, 1000))
+	all := settle(s, now)
+	on := starts(all)[0].Worker
+	next := takeOver(s, now, "a", "b")
+	for _, id := range []WorkerID{"a", "b"} {
+		next.Apply(id, Report{Born: 1, Clock: 50, Running: running(all, id)}, now)
+	}
+	next.Silent(on)
+	is.Equal(len(starts(settle(next, now.Add(5*time.Second)))), 0)
+	is.Equal(len(starts(settle(next, now.Add(7*time.Second)))), 1)
+}
+
 func TestRebornWorkerRunsNothing(t *testing.T) {
 	is := is.New(t)
 	s, now := scene("a")
--- a/internal/batch/world_run_test.go
+++ b/internal/batch/world_run_test.go
@@ -50,7 +50,7 @@
 	for range 400 {
 		w.now = w.now.Add(200 * time.Millisecond)
 		for _, id := range w.ids() {
-			w.reportOf(w.workers[id])
+			w.reportOf(w.workers[id], true)
 		}
 		w.commit(t)
 		w.plan(t)
--- a/internal/batch/world_test.go
+++ b/internal/batch/world_test.go
@@ -220,7 +220,7 @@
 		if a.Run <= n.barred[a.Task] {
 			return AnswerOld
 		}
-		w.started(n, a)
+		w.started(n, o)
 	case ActionStop:
 		if n.running[key] {
 			w.finish(n, key, EndStopped)
@@ -231,7 +231,8 @@
 }
 
 // started checks what must hold whenever a worker starts a task.
-func (w *world) started(n *node, a Action) {
+func (w *world) started(n *node, o order) {
+	a := o.action
 	j := w.jobs[a.Task.Job]
 	if j == nil {
 		w.t.Fatalf("start of %v, which nobody submitted", a.Task)
@@ -259,6 +260,9 @@
 		}
 	}
 	n.running[attemptKey{a.Task, a.Run}] = true
+	if until := o.notAfter; until.After(n.lease) {
+		n.lease = until // a start brings a lease
+	}
 	var used Resources
 	for key := range n.running {
 		used = used.plus(w.jobs[key.task.Job].Spec.Steps[key.task.Step].reserved())
@@ -342,9 +346,10 @@
 }
 
 // report renews a lease and brings the worker's list to the owner.
-func (w *world) report(t *rapid.T) { w.reportOf(w.pick(t)) }
+func (w *world) report(t *rapid.T) { w.reportOf(w.pick(t), rapid.Bool().Draw(t, "renews")) }
 
-func (w *world) reportOf(n *node) {
+// reportOf brings the list of a worker; the lease is renewed or not.
+func (w *world) reportOf(n *node, renew bool) {
 	if n.cut {
 		return
 	}
@@ -353,13 +358,15 @@
 		return
 	}
 	n.fence = w.epoch
-	n.lease = w.now.Add(worldLease)
+	if renew {
+		n.lease = w.now.Add(worldLease)
+		w.owner.Renewed(n.info.ID, w.now.Add(worldLease+100*time.Millisecond))
+	}
 	r := Report{Born: n.info.Born, Clock: w.clock()}
 	for _, key := range sortedKeys(n.running) {
 		r.Running = append(r.Running, Running{Task: key.task, Run: key.run, Percent: 50})
 	}
 	r.Ended = slices.Clone(n.ended)
-	w.owner.Renewed(n.info.ID, w.now.Add(worldLease+100*time.Millisecond))
 	if last := w.owner.Apply(n.info.ID, r, w.now); last > 0 {
 		w.acks = append(w.acks, pendingAck{n.info.ID, n.info.Born, last})
 	}
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -82,7 +82,11 @@
 func (c workerClock) now(t time.Time) int64 { return c.clock + t.Sub(c.at).Milliseconds() }
 
 func newLeader(o *Owner, v victory, cancel context.CancelCauseFunc) *leader {
-	limits := batch.Limits{StopRetry: stopRetry}
+	limits := batch.Limits{
+		StopRetry:  stopRetry,
+		Lease:      surelyOver(o.opts.WorkerLease),
+		StartLease: surelyOver(startWindow),
+	}
 	return &leader{
 		owner:   o,
 		log:     o.log.With().Int64("epoch", v.claim.Epoch).Logger(),
@@ -275,8 +279,11 @@
 }
 
 // leaseSpan is the time after which a lease that was just sent has surely ended.
-func (l *leader) leaseSpan() time.Duration {
-	return time.Duration(float64(l.owner.opts.WorkerLease)*clockTolerance) + leaseMargin
+func (l *leader) leaseSpan() time.Duration { return surelyOver(l.owner.opts.WorkerLease) }
+
+// surelyOver returns the time after which a lease has ended on any worker's clock.
+func surelyOver(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)*clockTolerance) + leaseMargin
 }
 
 // followJobs takes in what other instances have accepted.
