--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -62,7 +63,6 @@
 	if len(workers) == 0 {
 		return
 	}
-	s.plan++
 	var refused refusals
 	for _, c := range s.queue(now) {
 		if refused.cover(c.step) {
@@ -83,13 +83,16 @@
 
 // usable returns the workers that may get tasks, in a fixed order.
 func (s *State) usable(now time.Time) []*worker {
-	out := make([]*worker, 0, len(s.workers))
-	for _, w := range s.workers {
+	if len(s.sorted) != len(s.workers) {
+		s.sorted = slices.SortedFunc(maps.Values(s.workers), func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	}
+	out := s.candidates[:0]
+	for _, w := range s.sorted {
 		if w.usable(s, now) {
 			out = append(out, w)
 		}
 	}
-	slices.SortFunc(out, func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	s.candidates = out
 	return out
 }
 
@@ -99,6 +102,7 @@
 	if st.announced && !st.durable {
 		return true
 	}
+	ranking := s.newRanking(st, workers, now)
 	for i := range st.tasks {
 		t := &st.tasks[i]
 		if t.done || len(t.attempts) > 0 || t.doubtful && len(s.unresolved) > 0 {
@@ -107,7 +111,7 @@
 		if st.spec.LongRunning && t.lastRun == 0 && !s.spares(st, workers, now) {
 			return true
 		}
-		w := s.choose(st, t, workers, now)
+		w := ranking.best(t)
 		if w == nil {
 			return false
 		}
@@ -185,10 +189,11 @@
 	}
 	st.gangRun = s.nextRun(run)
 	checkpoint := st.tasks[0].checkpoint
+	ranking := s.newRanking(st, workers, now)
 	var placed []*attempt
 	for i := range st.tasks {
 		st.tasks[i].checkpoint = checkpoint
-		w := s.choose(st, &st.tasks[i], workers, now)
+		w := ranking.best(&st.tasks[i])
 		if w == nil {
 			s.undo(st, placed)
 			return
@@ -228,7 +233,6 @@
 	a.notAfter = noLimit
 	w.leaseEnd = laterOf(w.leaseEnd, now.Add(s.limits.StartLease))
 	s.begin(a)
-	w.feltIn = 0
 	return a
 }
 
--- a/internal/batch/relief.go
+++ b/internal/batch/relief.go
@@ -89,13 +89,18 @@
 // movePaced stops fillers that stay paced where they are and can work elsewhere now.
 func (s *State) movePaced(now time.Time) {
 	workers := s.usable(now)
-	s.plan++
+	var refused refusals
 	for _, w := range workers {
 		for _, a := range w.fillersWhere(func(a *attempt) bool { return a.paced == 0 && now.Sub(a.pacedAt) > moveAfter }) {
-			if a.percent >= a.keepFrom() {
+			if a.percent >= a.keepFrom() || refused.cover(a.step) {
 				continue
 			}
-			if to := s.choose(a.step, a.task(), workers, now); to != nil && to != w {
+			to := s.choose(a.step, a.task(), workers, now)
+			if to == nil {
+				refused.add(a.step)
+				continue
+			}
+			if to != w {
 				s.stop(a, "can work elsewhere")
 				// The room that it will take is counted until the next search.
 				to.used.MemoryMB += a.reserved.MemoryMB
@@ -148,6 +153,7 @@
 	w.fillCPU -= a.workCPU()
 	a.paced, a.pacedAt, a.progress = percent, now, now
 	w.fillCPU += a.workCPU()
+	w.feltAt = time.Time{}
 	s.event(Event{Name: "task.pace", Job: a.step.job.ID, Task: a.id(), Run: a.run, Worker: w.info.ID, Detail: paceNames[percent > 0]})
 	s.actions = append(s.actions, Action{
 		Kind: ActionPace, Worker: w.info.ID, Address: w.info.Address, Born: w.info.Born,
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -19,6 +19,7 @@
 		w.leaseEnd = laterOf(w.leaseEnd, now.Add(s.limits.Lease))
 	}
 	w.synced, w.silent = true, false
+	w.feltAt = time.Time{}
 	delete(s.unresolved, id)
 	var last int64
 	for _, e := range r.Ended {
--- a/internal/batch/score.go
+++ b/internal/batch/score.go
@@ -7,29 +7,51 @@
 
 // choose returns the best worker for a task, or nil.
 func (s *State) choose(st *step, t *task, workers []*worker, now time.Time) *worker {
-	service := s.queueOf(st.job).Service
 	var best *worker
 	var bestScore float64
 	for _, w := range workers {
-		if w.info.Service != service || !st.reserved.Fits(w.free()) || !st.allows(w) {
-			continue
-		}
-		if (st.spec.Filler || st.spec.LatencyTarget > 0) && w.feltIn != s.plan {
-			w.feltIn, w.felts = s.plan, s.press.feel(w, now)
-		}
-		if st.spec.Filler && !s.admits(st, w) {
-			continue
-		}
-		if score := s.score(st, t, w); best == nil || score > bestScore {
+		if score, ok := s.rate(st, t, w, now); ok && (best == nil || score > bestScore) {
 			best, bestScore = w, score
 		}
 	}
-	if best != nil && st.spec.RackLocal && st.rack == "" {
-		st.rack = best.rack
+	if best != nil {
+		s.joinRack(st, best)
 	}
 	return best
 }
 
+// rate rates a worker for a task; higher is better. It reports whether the worker may get
+// the task at all.
+func (s *State) rate(st *step, t *task, w *worker, now time.Time) (float64, bool) {
+	if w.info.Service != s.queueOf(st.job).Service || !st.reserved.Fits(w.free()) || !st.allows(w) {
+		return 0, false
+	}
+	if st.spec.Filler || st.spec.LatencyTarget > 0 {
+		s.feel(w, now)
+	}
+	if st.spec.Filler && !s.admits(st, w) {
+		return 0, false
+	}
+	return s.score(st, t, w), true
+}
+
+// feltAge is how long what is felt on a worker holds while nothing changes there.
+const feltAge = 50 * time.Millisecond
+
+// feel brings what is felt on a worker up to date.
+func (s *State) feel(w *worker, now time.Time) {
+	if now.Sub(w.feltAt) > feltAge {
+		w.feltAt, w.felts = now, s.press.feel(w, now)
+	}
+}
+
+// joinRack makes the rack of the first worker that of a step whose tasks should share one.
+func (s *State) joinRack(st *step, w *worker) {
+	if st.spec.RackLocal && st.rack == "" {
+		st.rack = w.rack
+	}
+}
+
 // allows checks what the step asks of a worker beside room.
 func (st *step) allows(w *worker) bool {
 	if st.spec.Label != "" && !slices.Contains(w.info.Labels, st.spec.Label) {
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -124,6 +124,10 @@
 
 	jobs    map[string]*Job
 	workers map[WorkerID]*worker
+	// sorted holds the workers by their ids; it is empty after one has come or gone.
+	sorted []*worker
+	// candidates is the room for the list of usable workers.
+	candidates []*worker
 	// open holds the steps with waiting tasks.
 	open map[*step]bool
 	// scheduled holds occurrences that are not due yet.
@@ -133,9 +137,7 @@
 
 	dirty map[*Job]bool
 	// urgent holds the jobs with steps that wait for their record.
-	urgent map[*Job]bool
-	// plan counts the plans; what is computed for one plan carries its number.
-	plan    int
+	urgent  map[*Job]bool
 	actions []Action
 	waiting map[string]int    // jobs without a start, a queue
 	stops   map[*attempt]bool // attempts that are to end
@@ -370,6 +372,7 @@
 		return
 	}
 	a.stopping = true
+	a.worker.feltAt = time.Time{}
 	s.stops[a] = true
 	s.event(Event{Name: "task.stop", Job: a.step.job.ID, Task: a.id(), Run: a.run, Worker: a.worker.info.ID, Detail: reason})
 }
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -31,8 +31,9 @@
 	lasting    int       // attempts of tasks that last
 	servingCPU int64     // what these reserve
 	harmedFrom time.Time // since when a latency is near its target
-	// felts is what tasks with a latency target feel there, as of the plan feltIn.
-	feltIn   int
+	// felts is what tasks with a latency target feel there as of feltAt, which is zero after
+	// a change on the worker.
+	feltAt   time.Time
 	felts    []felt
 	attempts map[attemptKey]*attempt
 	failures int // failed attempts since the last one that was done
@@ -45,6 +46,7 @@
 	if w == nil {
 		w = &worker{attempts: map[attemptKey]*attempt{}}
 		s.workers[info.ID] = w
+		s.sorted = nil
 		w.info.Born = info.Born
 	}
 	if info.Born < w.info.Born {
@@ -175,6 +177,7 @@
 		}
 		if !w.listed {
 			delete(s.workers, id)
+			s.sorted = nil
 		}
 	}
 	for id, until := range s.unresolved {
@@ -243,6 +246,7 @@
 }
 
 func (w *worker) count(a *attempt, by int) {
+	w.feltAt = time.Time{}
 	if a.step.spec.Filler {
 		w.fillers += by
 		w.fillCPU += int64(by) * a.workCPU()
