Rest after a decision, twice as long as it took; a leader that ends waits for no call

Calls to runners end at their deadlines only, so a planned stop does not wait for them: all are fenced.

--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -83,7 +83,7 @@
 		c.postpone()
 	}
 	c.flying, c.last = t, now
-	l.calls.Go(func() { l.write(t) })
+	go l.write(t)
 }
 
 // postpone makes waiting acknowledgements wait for one transaction more.
--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -78,7 +78,7 @@
 	ctx, cancel := context.WithCancel(l.ctx)
 	h := &holder{leader: l, info: info, cancel: cancel, inbox: make(chan instruction, 1)}
 	l.holders[info.ID] = h
-	l.calls.Go(func() { h.run(ctx) })
+	go h.run(ctx)
 }
 
 func (h *holder) run(ctx context.Context) {
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -67,7 +66,7 @@
 	commits committer
 	tidied  time.Time // last time that old jobs were forgotten
 	erased  []string  // jobs whose keys are to be removed
-	calls   sync.WaitGroup
+	rest    rest
 	// members says that workers may have come or gone since the holders were compared.
 	members bool
 }
@@ -129,7 +128,6 @@
 	for {
 		select {
 		case <-ctx.Done():
-			l.finish()
 			return
 		case e := <-l.events:
 			e(l, time.Now())
@@ -137,8 +135,12 @@
 		case <-ticker.C:
 			l.members = true
 		case <-l.commits.due():
+		case <-l.rest.due():
+		}
+		if now := time.Now(); l.rest.over(now) {
+			l.decide(now)
+			l.rest.begin(now, time.Now())
 		}
-		l.decide(time.Now())
 	}
 }
 
@@ -366,8 +368,3 @@
 	l.members = true
 	return info.ID, true
 }
-
-// finish waits for the calls under way, whose contexts have ended.
-func (l *leader) finish() {
-	l.calls.Wait()
-}
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -26,7 +26,7 @@
 		Worker: a.Worker, Address: a.Address, Epoch: l.epoch, Task: a.Task, Run: a.Run,
 		Payload: a.Payload, NotAfter: notAfter, Checkpoint: a.Checkpoint,
 	}
-	l.calls.Go(func() {
+	go func() {
 		ctx, cancel := context.WithTimeout(l.ctx, orderTimeout)
 		defer cancel()
 		reply := l.owner.workers.Start(ctx, order)
@@ -34,12 +34,12 @@
 			l.answered(a, reply, now)
 			l.state.StartAnswered(a.Worker, a.Task, a.Run, reply.Answer, reply.Clock, now)
 		})
-	})
+	}()
 }
 
 func (l *leader) call(a batch.Action, do func(context.Context, RunOrder) Reply) {
 	order := RunOrder{Worker: a.Worker, Address: a.Address, Epoch: l.epoch, Task: a.Task, Run: a.Run, Percent: a.Percent}
-	l.calls.Go(func() {
+	go func() {
 		ctx, cancel := context.WithTimeout(l.ctx, orderTimeout)
 		defer cancel()
 		reply := do(ctx, order)
@@ -49,7 +49,7 @@
 				l.state.StopAnswered(a.Worker, a.Task, a.Run, reply.Answer, reply.Clock)
 			}
 		})
-	})
+	}()
 }
 
 // answered notes what every answer tells.
