Renewals wait only for what changed before them; nothing starts without a confirmed lease

Traced with whole logs: an acknowledgement waited for a transaction more whenever changed jobs were left over, so under a steady backlog no instruction reached a holder, no lease was renewed for 6 s although the workers were in contact, and starts went on meanwhile. Their runs were given up as lapsed, 1 to 3 s after the start, and their ends were acknowledged later. Change: changed jobs have marks, are written in the order in which they changed, and an instruction waits for the marks before it; a worker gets tasks only when it has confirmed a renewal since contact was lost. Tests: instructions are not held up by later changes, changes are taken in order, no start without a confirmed lease.

--- a/internal/batch/helpers_test.go
+++ b/internal/batch/helpers_test.go
@@ -11,6 +11,7 @@
 	s.ObserveWorker(WorkerInfo{ID: id, Born: 1, Service: "svc", Address: string(id), DataCentre: "a", Labels: []string{"x", "r1"}, Capacity: capacity}, now)
 	s.Recorded(id)
 	s.Apply(id, Report{Born: 1, Clock: 1}, now)
+	s.Renewed(id, now, true)
 }
 
 // add accepts a job with the steps.
@@ -40,3 +41,9 @@
 		}
 	}
 }
+
+// confirm takes in the answer to a renewal of a worker's lease.
+func confirm(s *State, id WorkerID, r Report, now time.Time) int64 {
+	s.Renewed(id, time.Time{}, true)
+	return s.Apply(id, r, now)
+}
--- a/internal/batch/policy_test.go
+++ b/internal/batch/policy_test.go
@@ -71,7 +71,7 @@
 			list[i].Percent, list[i].Gauge = 100, 90
 		}
 	}
-	s.Apply("a", Report{Born: 1, Clock: 2000, Running: list}, now)
+	confirm(s, "a", Report{Born: 1, Clock: 2000, Running: list}, now)
 	orders := s.Plan(now)
 	is.Equal(len(orders), 1)
 	is.Equal(orders[0].Kind, ActionPace)
@@ -93,7 +93,7 @@
 	all := settle(s, now)
 	next := takeOver(s, now, "a")
 	for range 12 {
-		next.Apply("a", Report{Born: 1, Clock: 5000, Running: running(all, "a")}, now)
+		confirm(next, "a", Report{Born: 1, Clock: 5000, Running: running(all, "a")}, now)
 		next.Plan(now)
 		now = now.Add(500 * time.Millisecond)
 		a := next.workers["a"]
@@ -148,7 +148,7 @@
 		add(s, fmt.Sprintf("j%d", i), "q", now, one(1, 1000))
 	}
 	for n, a := range starts(settle(s, now)) {
-		s.Apply("a", Report{Born: 1, Clock: int64(100 + n), Ended: []Ended{{Number: int64(n + 1), Task: a.Task, Run: a.Run, How: EndFailed}}}, now)
+		confirm(s, "a", Report{Born: 1, Clock: int64(100 + n), Ended: []Ended{{Number: int64(n + 1), Task: a.Task, Run: a.Run, How: EndFailed}}}, now)
 	}
 	is.Equal(len(starts(settle(s, now.Add(time.Second)))), 0)
 	is.True(len(starts(settle(s, now.Add(shunTime+time.Second)))) > 0)
@@ -160,7 +160,7 @@
 	s, now := scene("a")
 	add(s, "j", "q", now, one(1, 1000))
 	all := settle(s, now)
-	s.Apply("a", Report{Born: 1, Clock: 100, Running: running(all, "a")}, now)
+	confirm(s, "a", Report{Born: 1, Clock: 100, Running: running(all, "a")}, now)
 	orders := s.Plan(now.Add(stuckTime + time.Second))
 	is.Equal(len(orders), 1)
 	is.Equal(orders[0].Kind, ActionStop)
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -25,19 +25,26 @@
 }
 
 // Dirty returns the jobs whose records have changed since they were last taken.
-func (s *State) Dirty() int { return len(s.dirty) }
+func (s *State) Dirty() int { return s.dirty.len() }
+
+// LastChange returns the mark of the newest change of any job.
+func (s *State) LastChange() uint64 { return s.dirty.last }
+
+// OldestChange returns the mark of the oldest change that was not taken yet. It is above
+// LastChange if there is none.
+func (s *State) OldestChange() uint64 { return s.dirty.oldest() }
 
 // Urgent reports whether a step waits for its record.
 func (s *State) Urgent() bool { return len(s.urgent) > 0 }
 
 // TakeDirty returns at most n changed jobs with their records, and counts them as written.
-// Jobs with steps that wait for their record come first.
+// Jobs with steps that wait for their record come first, then those that changed first.
 func (s *State) TakeDirty(n int) map[string]Record {
-	out := make(map[string]Record, min(n, len(s.dirty)))
+	out := make(map[string]Record, min(n, s.dirty.len()))
 	for j := range s.urgent {
 		s.take(j, n, out)
 	}
-	for j := range s.dirty {
+	for j := s.dirty.first(); j != nil && len(out) < n; j = s.dirty.first() {
 		s.take(j, n, out)
 	}
 	return out
@@ -48,14 +55,14 @@
 		return
 	}
 	out[j.ID] = j.record()
-	delete(s.dirty, j)
+	s.dirty.remove(j)
 	delete(s.urgent, j)
 }
 
 // announce asks for the record without which no task of the step is started.
 func (s *State) announce(st *step) {
 	st.announced = true
-	s.dirty[st.job] = true
+	s.dirty.add(st.job)
 	s.urgent[st.job] = true
 }
 
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -143,7 +143,7 @@
 	t.lastRun = max(t.lastRun, e.Run)
 	if e.Checkpoint != "" && !t.done {
 		t.checkpoint = e.Checkpoint
-		s.dirty[st.job] = true
+		s.dirty.add(st.job)
 	}
 	if a != nil {
 		a.over = true
@@ -189,7 +189,7 @@
 	t.done = true
 	st.left--
 	s.start(st.job)
-	s.dirty[st.job] = true
+	s.dirty.add(st.job)
 	if !st.spec.Gang {
 		for _, a := range t.attempts {
 			s.stop(a, "task done")
@@ -213,7 +213,7 @@
 	}
 	t.failed = append(t.failed, e.Run)
 	w.failed(t, now)
-	s.dirty[st.job] = true
+	s.dirty.add(st.job)
 	if st.spec.LongRunning {
 		t.failed = nil
 		return
@@ -259,7 +259,7 @@
 	if !j.started {
 		j.started = true
 		s.waiting[j.Queue]--
-		s.dirty[j] = true
+		s.dirty.add(j)
 	}
 }
 
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -135,7 +135,7 @@
 	// unresolved holds the workers that may run tasks of a former owner, and until when.
 	unresolved map[WorkerID]time.Time
 
-	dirty map[*Job]bool
+	dirty changedJobs
 	// urgent holds the jobs with steps that wait for their record.
 	urgent  map[*Job]bool
 	actions []Action
@@ -180,7 +180,7 @@
 		open:       map[*step]bool{},
 		scheduled:  map[*occurrence]*Job{},
 		unresolved: map[WorkerID]time.Time{},
-		dirty:      map[*Job]bool{},
+		dirty:      newChangedJobs(),
 		urgent:     map[*Job]bool{},
 		waiting:    map[string]int{},
 		stops:      map[*attempt]bool{},
@@ -333,7 +333,7 @@
 	}
 	j.outcome = o
 	j.changed = now
-	s.dirty[j] = true
+	s.dirty.add(j)
 	for _, occ := range j.occs {
 		delete(s.scheduled, occ)
 		for _, st := range occ.steps {
@@ -390,7 +390,7 @@
 func (s *State) Forget(now time.Time, keep time.Duration) []string {
 	var ids []string
 	for id, j := range s.jobs {
-		if j.outcome.Terminal() && j.attempts == 0 && !s.dirty[j] && now.Sub(j.changed) > keep {
+		if j.outcome.Terminal() && j.attempts == 0 && !s.dirty.has(j) && now.Sub(j.changed) > keep {
 			ids = append(ids, id)
 			delete(s.jobs, id)
 		}
--- a/internal/batch/state_test.go
+++ b/internal/batch/state_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -76,7 +77,7 @@
 	s, now := scene("a", "b")
 	add(s, "j", "q", now, one(1, 1000))
 	next := takeOver(s, now, "a", "b")
-	next.Apply("a", Report{Born: 1, Clock: 50}, now)
+	confirm(next, "a", Report{Born: 1, Clock: 50}, now)
 	is.Equal(len(starts(settle(next, now))), 1) // although b has not answered
 }
 
@@ -91,7 +92,7 @@
 	if on == "a" {
 		other = "b"
 	}
-	next.Apply(other, Report{Born: 1, Clock: 50}, now)
+	confirm(next, other, Report{Born: 1, Clock: 50}, now)
 	is.Equal(len(starts(settle(next, now.Add(8*time.Second)))), 0)
 	is.Equal(len(starts(settle(next, now.Add(10*time.Second)))), 1) // its lease has ended
 }
@@ -102,7 +103,7 @@
 	add(s, "j", "q", now, one(1, 1000))
 	first := starts(settle(s, now))[0]
 	next := takeOver(s, now, "a", "b")
-	next.Apply(first.Worker, Report{Born: 1, Clock: 50, Ended: []Ended{{Number: 1, Task: first.Task, Run: first.Run, How: EndStopped}}}, now)
+	confirm(next, first.Worker, Report{Born: 1, Clock: 50, Ended: []Ended{{Number: 1, Task: first.Task, Run: first.Run, How: EndStopped}}}, now)
 	is.Equal(len(starts(settle(next, now))), 0) // the other worker may run a later one
 }
 
@@ -111,7 +112,7 @@
 	s, now := scene("a", "b")
 	add(s, "j", "q", now, one(1, 1000))
 	first := starts(settle(s, now))[0]
-	s.Renewed(first.Worker, now.Add(6*time.Second))
+	s.Renewed(first.Worker, now.Add(6*time.Second), true)
 	s.Silent(first.Worker)
 	is.Equal(len(starts(settle(s, now.Add(5*time.Second)))), 0)
 	again := starts(settle(s, now.Add(7*time.Second)))
@@ -130,19 +131,56 @@
 	on := starts(all)[0].Worker
 	next := takeOver(s, now, "a", "b")
 	for _, id := range []WorkerID{"a", "b"} {
-		next.Apply(id, Report{Born: 1, Clock: 50, Running: running(all, id)}, now)
+		confirm(next, id, Report{Born: 1, Clock: 50, Running: running(all, id)}, now)
 	}
 	next.Silent(on)
 	is.Equal(len(starts(settle(next, now.Add(5*time.Second)))), 0)
 	is.Equal(len(starts(settle(next, now.Add(7*time.Second)))), 1)
 }
 
+// Pattern: an overloaded owner, whose renewals come late. A worker in contact gets nothing
+// until it has confirmed a lease, since what starts there would lapse.
+func TestNothingStartsWithoutAConfirmedLease(t *testing.T) {
+	is := is.New(t)
+	s, now := scene("a")
+	s.Silent("a")
+	s.Apply("a", Report{Born: 1, Clock: 50}, now)
+	add(s, "j", "q", now, one(1, 1000))
+	is.Equal(len(starts(settle(s, now))), 0)
+	confirm(s, "a", Report{Born: 1, Clock: 60}, now)
+	is.Equal(len(starts(settle(s, now))), 1)
+}
+
+// Pattern: more jobs change than records can be written. Those that changed first are
+// written first, so that what waits for a change is not held up by later ones.
+func TestChangesAreTakenInTheirOrder(t *testing.T) {
+	is := is.New(t)
+	s, now := scene("a")
+	for i := range 20 {
+		add(s, fmt.Sprintf("j%02d", i), "q", now, one(1, 1))
+	}
+	s.Plan(now) // announces all steps
+	s.Stored(s.TakeDirty(100))
+	for i := range 10 {
+		s.Cancel(fmt.Sprintf("j%02d", i), now)
+	}
+	mark := s.LastChange()
+	for i := 10; s.OldestChange() <= mark; i++ {
+		is.True(i < 16) // five takes of two are enough
+		s.TakeDirty(2)
+		s.Cancel(fmt.Sprintf("j%02d", i), now)
+	}
+	is.True(s.Dirty() > 0)
+}
+
 func TestRebornWorkerRunsNothing(t *testing.T) {
 	is := is.New(t)
 	s, now := scene("a")
 	add(s, "j", "q", now, one(1, 1000))
 	settle(s, now)
-	s.Apply("a", Report{Born: 2, Clock: 5}, now)
+	confirm(s, "a", Report{Born: 2, Clock: 5}, now)
+	is.Equal(len(starts(settle(s, now))), 0) // its new life has confirmed no lease yet
+	confirm(s, "a", Report{Born: 2, Clock: 6}, now)
 	is.Equal(len(starts(settle(s, now))), 1)
 }
 
@@ -158,10 +196,10 @@
 	orders := s.Plan(now)
 	is.Equal(len(orders), 1)
 	is.Equal(orders[0].Kind, ActionStop)
-	s.Apply(a.Worker, Report{Born: 1, Clock: 900}, now)
+	confirm(s, a.Worker, Report{Born: 1, Clock: 900}, now)
 	is.Equal(len(starts(settle(s, now))), 0) // it may still be executed
 	s.StopAnswered(a.Worker, a.Task, a.Run, AnswerOK, 950)
-	s.Apply(a.Worker, Report{Born: 1, Clock: 960}, now)
+	confirm(s, a.Worker, Report{Born: 1, Clock: 960}, now)
 	is.Equal(len(starts(settle(s, now))), 1)
 }
 
@@ -173,9 +211,9 @@
 	add(s, "j", "q", now, one(2, 1000), second)
 	first := settle(s, now)
 	is.Equal(len(starts(first)), 2)
-	s.Apply("a", Report{Born: 1, Clock: 100, Running: running(first, "a")[1:], Ended: []Ended{{Number: 1, Task: first[0].Task, Run: 1, How: EndDone}}}, now)
+	confirm(s, "a", Report{Born: 1, Clock: 100, Running: running(first, "a")[1:], Ended: []Ended{{Number: 1, Task: first[0].Task, Run: 1, How: EndDone}}}, now)
 	is.Equal(len(starts(settle(s, now))), 0)
-	s.Apply("a", Report{Born: 1, Clock: 200, Ended: []Ended{{Number: 2, Task: first[1].Task, Run: 1, How: EndDone}}}, now)
+	confirm(s, "a", Report{Born: 1, Clock: 200, Ended: []Ended{{Number: 2, Task: first[1].Task, Run: 1, How: EndDone}}}, now)
 	is.Equal(len(starts(settle(s, now))), 1)
 }
 
@@ -184,7 +222,7 @@
 	s, now := scene("a")
 	j := add(s, "j", "q", now, one(1, 1000))
 	a := starts(settle(s, now))[0]
-	s.Apply("a", Report{Born: 1, Clock: 100, Ended: []Ended{{Number: 1, Task: a.Task, Run: 1, How: EndDone}}}, now)
+	confirm(s, "a", Report{Born: 1, Clock: 100, Ended: []Ended{{Number: 1, Task: a.Task, Run: 1, How: EndDone}}}, now)
 	is.Equal(j.Outcome(), Active)
 	s.Stored(s.TakeDirty(10))
 	is.Equal(j.Outcome(), Completed)
@@ -198,14 +236,14 @@
 	for n := range 2 {
 		a := starts(settle(s, now))[0]
 		ends = append(ends, Ended{Number: int64(n + 1), Task: a.Task, Run: a.Run, How: EndFailed})
-		s.Apply("a", Report{Born: 1, Clock: int64(100 + n), Ended: ends}, now)
+		confirm(s, "a", Report{Born: 1, Clock: int64(100 + n), Ended: ends}, now)
 		now = now.Add(shunTime + time.Second)
 	}
 	next := takeOver(s, now, "a")
-	next.Apply("a", Report{Born: 1, Clock: 200, Ended: ends}, now) // listed again
+	confirm(next, "a", Report{Born: 1, Clock: 200, Ended: ends}, now) // listed again
 	is.Equal(next.jobs["j"].outcome, Queued)
 	a := starts(settle(next, now))[0]
-	next.Apply("a", Report{Born: 1, Clock: 300, Ended: append(ends, Ended{Number: 3, Task: a.Task, Run: a.Run, How: EndFailed})}, now)
+	confirm(next, "a", Report{Born: 1, Clock: 300, Ended: append(ends, Ended{Number: 3, Task: a.Task, Run: a.Run, How: EndFailed})}, now)
 	is.Equal(next.jobs["j"].outcome, Failed)
 }
 
@@ -230,11 +268,11 @@
 	gang.Gang = true
 	add(s, "j", "q", now, gang)
 	m := starts(settle(s, now))
-	s.Apply(m[0].Worker, Report{Born: 1, Clock: 100, Ended: []Ended{{Number: 1, Task: m[0].Task, Run: m[0].Run, How: EndFailed}}}, now)
+	confirm(s, m[0].Worker, Report{Born: 1, Clock: 100, Ended: []Ended{{Number: 1, Task: m[0].Task, Run: m[0].Run, How: EndFailed}}}, now)
 	orders := s.Plan(now)
 	is.Equal(len(orders), 1)
 	is.Equal(orders[0].Kind, ActionStop)
-	s.Apply(m[1].Worker, Report{Born: 1, Clock: 100, Ended: []Ended{{Number: 1, Task: m[1].Task, Run: m[1].Run, How: EndBroken}}}, now)
+	confirm(s, m[1].Worker, Report{Born: 1, Clock: 100, Ended: []Ended{{Number: 1, Task: m[1].Task, Run: m[1].Run, How: EndBroken}}}, now)
 	again := starts(settle(s, now))
 	is.Equal(len(again), 2)
 	is.Equal(again[0].Run, again[1].Run)
@@ -265,7 +303,7 @@
 		"is unlisted":       func(s *State, info WorkerInfo, _ time.Time) { s.ForgetWorker(info.ID) },
 		"is out of contact": func(s *State, info WorkerInfo, _ time.Time) { s.Silent(info.ID) },
 		"runs unknown tasks": func(s *State, info WorkerInfo, now time.Time) {
-			s.Apply(info.ID, Report{Born: 1, Clock: 50, Running: []Running{{Task: TaskID{Job: "gone"}, Run: 1}}}, now)
+			confirm(s, info.ID, Report{Born: 1, Clock: 50, Running: []Running{{Task: TaskID{Job: "gone"}, Run: 1}}}, now)
 		},
 		"serves another service": func(s *State, info WorkerInfo, now time.Time) {
 			info.Service = "other"
@@ -323,7 +361,7 @@
 	s.Cancel("old", now)
 	s.Stored(s.TakeDirty(10))
 	next := takeOver(s, now, "a")
-	next.Apply("a", Report{Born: 1, Clock: 50, Running: running(first, "a")}, now)
+	confirm(next, "a", Report{Born: 1, Clock: 50, Running: running(first, "a")}, now)
 	add(next, "new", "q", now, one(1, 3000))
 	is.Equal(len(starts(settle(next, now))), 0)
 }
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -22,6 +22,7 @@
 	recorded   bool // the store knows that it may be in use
 	synced     bool // it has listed what runs there under our epoch
 	silent     bool // the last call to it failed
+	leased     bool // it has confirmed a renewal of its lease since contact was lost
 	foreign    bool // it runs tasks of unknown jobs, whose size nobody knows
 	leaseEnd   time.Time
 	used       Resources
@@ -115,16 +116,26 @@
 // Silent tells that a call to the worker failed or timed out.
 func (s *State) Silent(id WorkerID) {
 	if w := s.workers[id]; w != nil && !w.silent {
-		w.silent = true
+		w.silent, w.leased = true, false
 		s.event(Event{Name: "worker.silent", Worker: id})
 	}
 }
 
-// Renewed tells that a lease was sent to the worker, and when it has surely ended.
-func (s *State) Renewed(id WorkerID, leaseEnd time.Time) {
-	if w := s.workers[id]; w != nil && leaseEnd.After(w.leaseEnd) {
-		w.leaseEnd = leaseEnd
+// Renewed tells that a lease was sent to the worker, and when it has surely ended. The worker
+// may get tasks once it has confirmed one.
+func (s *State) Renewed(id WorkerID, leaseEnd time.Time, confirmed bool) {
+	w := s.workers[id]
+	if w == nil {
+		return
 	}
+	w.leaseEnd = laterOf(w.leaseEnd, leaseEnd)
+	w.leased = w.leased || confirmed
+}
+
+// Leased reports whether the worker has confirmed a renewal since contact was lost.
+func (s *State) Leased(id WorkerID) bool {
+	w := s.workers[id]
+	return w != nil && w.leased
 }
 
 // Watched reports whether fillers share the worker with tasks that have a latency target.
@@ -154,7 +165,7 @@
 	s.event(Event{Name: "worker.reborn", Worker: w.info.ID})
 	s.loseAll(w, "worker restarted", now)
 	w.info.Born = born
-	w.synced, w.failures, w.shunned = false, 0, time.Time{}
+	w.synced, w.leased, w.failures, w.shunned = false, false, 0, time.Time{}
 	delete(s.unresolved, w.info.ID)
 }
 
@@ -226,7 +237,7 @@
 
 // usable reports whether the worker may get new tasks.
 func (w *worker) usable(s *State, now time.Time) bool {
-	return w.listed && w.recorded && w.synced && !w.silent && !w.foreign && !w.info.Draining &&
+	return w.listed && w.recorded && w.synced && w.leased && !w.silent && !w.foreign && !w.info.Draining &&
 		!s.config.Evacuated[w.info.DataCentre] && !now.Before(w.shunned)
 }
 
--- a/internal/batch/world_test.go
+++ b/internal/batch/world_test.go
@@ -360,7 +360,7 @@
 	n.fence = w.epoch
 	if renew {
 		n.lease = w.now.Add(worldLease)
-		w.owner.Renewed(n.info.ID, w.now.Add(worldLease+100*time.Millisecond))
+		w.owner.Renewed(n.info.ID, w.now.Add(worldLease+100*time.Millisecond), true)
 	}
 	r := Report{Born: n.info.Born, Clock: w.clock()}
 	for _, key := range sortedKeys(n.running) {
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -23,28 +23,37 @@
 	acks []ack
 }
 
-// ack is an acknowledgement that waits until no record older than it is left to write.
+// ack is an acknowledgement that waits until all that changed before it is durable.
 type ack struct {
 	next instruction
 	to   *holder
-	// after is the number of the transaction that must be durable.
+	// after is the number of the transaction with the list of workers, and mark the last
+	// change of a job.
 	after int64
+	mark  uint64
 }
 
 // due fires when the next transaction may be sent.
 func (c *committer) due() <-chan time.Time { return c.timer }
 
-// whenDurable sends the instruction once all that is dirty or in flight now is durable.
-func (c *committer) whenDurable(next instruction, to *holder, dirty bool) {
-	after := c.number
-	if dirty {
-		after++
+// whenDurable sends the instruction once all that is changed or in flight now is durable.
+// What changes later does not hold it up.
+func (l *leader) whenDurable(next instruction, to *holder) {
+	a := ack{next: next, to: to, after: l.commits.number, mark: l.state.LastChange()}
+	if l.known.dirty {
+		a.after++
 	}
-	if after <= c.durable() {
+	if l.isDurable(a) {
 		to.instruct(next)
 		return
 	}
-	c.acks = append(c.acks, ack{next: next, to: to, after: after})
+	l.commits.acks = append(l.commits.acks, a)
+}
+
+// isDurable reports whether all that an acknowledgement waits for is durable.
+func (l *leader) isDurable(a ack) bool {
+	c := &l.commits
+	return a.after <= c.durable() && a.mark < l.state.OldestChange() && (c.flying == nil || a.mark < c.flying.oldest)
 }
 
 // durable returns the number of the last transaction that is durable.
@@ -78,27 +87,14 @@
 		return
 	}
 	t := l.nextTxn(now)
-	// What does not fit leaves the acknowledgements that wait for it to a later transaction.
-	if l.state.Dirty() > 0 {
-		c.postpone()
-	}
 	c.flying, c.last = t, now
 	go l.write(t)
 }
 
-// postpone makes waiting acknowledgements wait for one transaction more.
-func (c *committer) postpone() {
-	for i := range c.acks {
-		if c.acks[i].after == c.number {
-			c.acks[i].after++
-		}
-	}
-}
-
 func (l *leader) nextTxn(now time.Time) *batchTxn {
 	c := &l.commits
 	c.number++
-	t := &batchTxn{number: c.number, records: l.state.TakeDirty(maxRecords)}
+	t := &batchTxn{number: c.number, oldest: l.state.OldestChange(), records: l.state.TakeDirty(maxRecords)}
 	t.txn.If = []kv.Condition{{Key: headKey, Rev: c.rev}}
 	t.txn.Set = []kv.Write{{Key: headKey, Value: encode(commitHead{Epoch: l.epoch, Number: c.number})}}
 	for id, r := range t.records {
@@ -161,7 +157,7 @@
 		l.state.Recorded(id)
 	}
 	c.acks = slices.DeleteFunc(c.acks, func(a ack) bool {
-		if a.after > c.durable() {
+		if !l.isDurable(a) {
 			return false
 		}
 		a.to.instruct(a.next)
--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -47,6 +47,8 @@
 	born    int64
 	clock   workerClock
 	lease   time.Time // when the lease has surely ended
+	// renewed says that the last call renewed the lease.
+	renewed bool
 }
 
 // observeHolders starts a holder for each worker that must be held, and ends the others.
@@ -115,7 +117,8 @@
 	ctx, cancel := context.WithTimeout(ctx, order.Wait+holdTimeout)
 	defer cancel()
 	report, answer := h.leader.owner.workers.Hold(ctx, order)
-	if order.Until != 0 {
+	h.renewed = order.Until != 0
+	if h.renewed {
 		h.lease = now.Add(h.leader.leaseSpan())
 	}
 	return report, answer
@@ -129,11 +132,12 @@
 	}
 	h.born = r.Born
 	h.clock = workerClock{clock: r.Clock, at: now}
-	lease, clock, contact := h.lease, h.clock, h.contact
+	lease, renewed, clock, contact := h.lease, h.renewed, h.clock, h.contact
 	h.leader.post(func(l *leader, now time.Time) {
 		if l.holders[h.info.ID] == h {
 			l.clocks[h.info.ID] = clock
-			l.reported(h, r, lease, contact, now)
+			l.state.Renewed(h.info.ID, lease, renewed)
+			l.reported(h, r, contact, now)
 		}
 	})
 	timer := time.NewTimer(ackWait)
@@ -171,7 +175,7 @@
 	lease := h.lease
 	h.leader.post(func(l *leader, _ time.Time) {
 		if l.holders[h.info.ID] == h {
-			l.state.Renewed(h.info.ID, lease)
+			l.state.Renewed(h.info.ID, lease, false)
 			l.state.Silent(h.info.ID)
 			l.lost(h.info.ID, lease)
 		}
@@ -180,17 +184,18 @@
 }
 
 // reported takes in a list; the ends are acknowledged once what follows from them is durable.
-func (l *leader) reported(h *holder, r batch.Report, lease time.Time, contact int, now time.Time) {
+func (l *leader) reported(h *holder, r batch.Report, contact int, now time.Time) {
 	id := h.info.ID
-	l.state.Renewed(id, lease)
 	l.known.set(id, 0)
 	i := instruction{ack: l.state.Apply(id, r, now), wait: l.waitFor(id), renew: true, contact: contact}
-	l.commits.whenDurable(i, h, l.state.Dirty() > 0 || l.known.dirty)
+	l.whenDurable(i, h)
 }
 
 // waitFor returns how long a worker may wait for an end.
 func (l *leader) waitFor(id batch.WorkerID) time.Duration {
 	switch {
+	case !l.state.Leased(id):
+		return 0 // tasks start there only when it has confirmed its lease
 	case l.state.Watched(id):
 		return watchedWait
 	case l.state.Busy(id):
--- a/internal/owner/records.go
+++ b/internal/owner/records.go
@@ -103,7 +103,9 @@
 
 // batchTxn is a transaction of the owner with what it makes durable.
 type batchTxn struct {
-	number  int64
+	number int64
+	// oldest is the mark of the oldest change in it.
+	oldest  uint64
 	txn     kv.Txn
 	records map[string]batch.Record
 	known   []batch.WorkerID
