Log lines stay whole: a write holds at most what a pipe takes at once

Ruled out: the bound of lines a second (no log.left-out line). Test: each write holds whole lines and at most 4 KB.

--- a/internal/logging/writer.go
+++ b/internal/logging/writer.go
@@ -13,8 +13,9 @@
 const (
 	// lineBound is the number of lines that may wait to be written.
 	lineBound = 8192
-	// batchBytes is the most that is written at once.
-	batchBytes = 32 << 10
+	// batchBytes bounds a write. A pipe takes that much whole, so that lines of several processes
+	// do not mix.
+	batchBytes = 4 << 10
 	// linesPerSecond bounds the lines that are taken in.
 	linesPerSecond = 4000
 )
@@ -106,19 +107,30 @@
 // write writes a line and those that wait behind it.
 func (w *Writer) write(line []byte) {
 	batch := line
-	for len(batch) < batchBytes {
+	for waiting := true; waiting; {
 		select {
 		case next := <-w.lines:
-			batch = append(batch, next...)
-			continue
+			batch = w.join(batch, next)
 		default:
+			waiting = false
 		}
-		break
 	}
 	if n := w.left.Swap(0); n > 0 {
-		batch = append(batch, `{"level":"warn","event":"log.left-out","lines":`...)
-		batch = strconv.AppendInt(batch, n, 10)
-		batch = append(batch, "}\n"...)
+		note := strconv.AppendInt([]byte(`{"level":"warn","event":"log.left-out","lines":`), n, 10)
+		batch = w.join(batch, append(note, "}\n"...))
 	}
+	w.flush(batch)
+}
+
+// join adds a line to a batch, which is written first if it would become too large.
+func (w *Writer) join(batch, line []byte) []byte {
+	if len(batch)+len(line) > batchBytes {
+		w.flush(batch)
+		return line
+	}
+	return append(batch, line...)
+}
+
+func (w *Writer) flush(batch []byte) {
 	_, _ = w.out.Write(batch) // nobody reads the log if this fails
 }
--- a/internal/logging/writer_test.go
+++ b/internal/logging/writer_test.go
@@ -59,3 +59,30 @@
 		is.True(strings.Contains(out.String(), `"lines":5`))
 	})
 }
+
+// sizes notes the writes that it gets.
+type sizes struct{ writes []string }
+
+func (s *sizes) Write(p []byte) (int, error) {
+	s.writes = append(s.writes, string(p))
+	return len(p), nil
+}
+
+// Pattern: many lines at once. Each write holds whole lines, and no more than a pipe takes at once.
+func TestWritesHoldWholeLines(t *testing.T) {
+	is := is.New(t)
+	out := &sizes{}
+	w := &Writer{out: out, lines: make(chan []byte, lineBound)}
+	lines := 0
+	for i := range 500 {
+		w.lines <- []byte(strings.Repeat("x", i%300) + "\n")
+	}
+	w.left.Store(3)
+	w.write([]byte("first\n"))
+	for _, batch := range out.writes {
+		is.True(len(batch) <= batchBytes)
+		is.True(strings.HasSuffix(batch, "\n"))
+		lines += strings.Count(batch, "\n")
+	}
+	is.Equal(lines, 502) // with the one that says how many were left out
+}
