Follow the own load of each job with latency targets; fillers get partial paces

Gauges written out beside the fillers (trial): all tasks of a job share one load that swings slowly (0.24 to 0.70 within 20 s); targets were missed near its peaks, when a filler that had fitted no longer did, and a paced filler gave up all of its work where two fifths would have fitted. Change: a Kalman filter follows a job's load and its slope from all its workers; what it does not explain corrects the pair's weight, so weights are told from levels and not only from changes; weights too faint to measure count as none; each filler gets the pace that the predicted loads allow, in steps of 20 %; a pace that may not have arrived is sent again.

--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -17,6 +17,7 @@
 	if now.Sub(s.checked) >= checkInterval {
 		s.checked = now
 		s.shortUsual += shortRate * (float64(s.shortCPU) - s.shortUsual)
+		s.press.drift(checkInterval)
 		s.lapse(now)
 		s.stuck(now)
 		s.movePaced(now)
--- a/internal/batch/pressure.go
+++ b/internal/batch/pressure.go
@@ -9,15 +9,14 @@
 
 // pressure learns how much the fillers of one image press on the tasks of another image that
 // have a latency target, beside them. A tail latency is taken to be that of a queue: the latency of an idle task
-// over one minus the utilisation. The utilisation is the task's own load times one plus the
-// sum, over the fillers, of the two images' weight times their part of the worker's processors.
+// over one minus the utilisation. The utilisation is the own load of the task's job times one plus
+// the sum, over the fillers, of the two images' weight times their part of the worker's processors.
 //
-// Weights follow the ratio of two measurements of the same task, so that the task's own
-// load, which moves slowly, mostly drops out. Each weight has a variance, as in a Kalman
-// filter that neglects the covariances.
+// A measurement corrects the load and the weights by their shares in the uncertainty, as in a
+// Kalman filter that neglects the covariances between them.
 type pressure struct {
 	weights map[ImagePair]estimate
-	last    map[*attempt]sample
+	loads   map[*Job]*load
 }
 
 // ImagePair is a filler's image beside the image of a task with a latency target.
@@ -55,39 +54,29 @@
 	}
 }
 
-// sample is a measurement of one task.
-type sample struct {
-	at          time.Time
-	utilisation float64
-	shares      map[string]float64 // of the worker's processors, by image of fillers
-}
-
 const (
 	// priorWeight and priorVariance are those of a pair that has not been measured.
 	priorWeight   = 2.0
 	priorVariance = 4.0
 	// driftVariance is added to a variance each second, since weights change.
-	driftVariance = 0.005
-	// loadSlope is how fast the logarithm of a task's own load moves, per second, and
-	// sampleNoise the error of that of a measured utilisation.
-	loadSlope   = 0.15
-	sampleNoise = 0.12
+	driftVariance = 0.02
+	// minVariance keeps a weight from being taken for certain.
+	minVariance = 0.02
+	// faintWeight is the weight below which measurements cannot tell a pair from one that does
+	// not press at all. Many such pairs together would otherwise keep fillers away.
+	faintWeight = 0.5
 	// maxWeight bounds what odd measurements can teach.
 	maxWeight = 12.0
-	// changeFloor is the least change of a share that is learned from.
-	changeFloor = 0.01
-	// sampleAge is the longest time between two measurements that are compared.
-	sampleAge = 2500 * time.Millisecond
 	// idleShare is the part of its target that the latency of an idle task is taken to be.
 	idleShare = 0.2
-	// readable bounds the utilisations that tell a load: below, a latency is too coarse, and
-	// above, it shows a backlog, which outlasts its cause.
-	minReadable = 0.15
-	maxReadable = 0.88
+	// minLoad is the least load that budgets are reckoned with.
+	minLoad = 0.1
+	// maxReadable is the utilisation above which a latency shows a backlog, which outlasts its cause.
+	maxReadable = 0.90
 )
 
 func newPressure() *pressure {
-	return &pressure{weights: map[ImagePair]estimate{}, last: map[*attempt]sample{}}
+	return &pressure{weights: map[ImagePair]estimate{}, loads: map[*Job]*load{}}
 }
 
 func (p *pressure) estimate(pair ImagePair) estimate {
@@ -99,7 +88,20 @@
 
 // adds returns what a filler of the step adds to the factor on the loads of an image.
 func (p *pressure) adds(w *worker, st *step, target string) float64 {
-	return p.estimate(ImagePair{st.spec.Image, target}).mean * share(w, st)
+	return p.presses(w, st, target, false)
+}
+
+// presses is adds, with the error of the weight on top if there are doubts.
+func (p *pressure) presses(w *worker, st *step, target string, doubts bool) float64 {
+	e := p.estimate(ImagePair{st.spec.Image, target})
+	weight := e.mean
+	if doubts {
+		weight += math.Sqrt(e.variance)
+	}
+	if weight < faintWeight {
+		return 0
+	}
+	return weight * share(w, st)
 }
 
 // share returns the part of the worker's processors that a filler asks for.
@@ -116,170 +118,99 @@
 	return 1 - idle/float64(a.gauge)
 }
 
-// felt is what the tasks of one image with a latency target feel on a worker.
-type felt struct {
-	image string
-	// utilisation is the largest that was measured.
-	utilisation float64
-	// seen is the factor on the loads that the measurement shows, and now that of all fillers
-	// that work there.
-	seen float64
-	now  float64
-}
-
-const (
-	// usualLoad is the load that a task comes to by itself now and then.
-	usualLoad = 0.55
-	// unseenTime is how old a filler is before measurements include it.
-	unseenTime = 1000 * time.Millisecond
-)
-
-// feel returns what is felt on a worker, an entry an image.
-func (p *pressure) feel(w *worker, now time.Time) []felt {
-	if w.serving == 0 {
-		return nil
-	}
-	var out []felt
-	for _, a := range w.attempts {
-		if a.step.spec.LatencyTarget == 0 || a.stopping {
-			continue
-		}
-		i := slices.IndexFunc(out, func(f felt) bool { return f.image == a.step.spec.Image })
-		if i < 0 {
-			i = len(out)
-			out = append(out, felt{image: a.step.spec.Image, seen: 1, now: 1})
-		}
-		out[i].utilisation = max(out[i].utilisation, a.utilisation())
+// learn takes in the latencies of a worker, unless a filler has just left.
+func (p *pressure) learn(w *worker, now time.Time) {
+	if w.serving == 0 || now.Sub(w.fillerLeft) < settleTime {
+		return
 	}
+	shares := map[string]float64{}
 	for _, a := range w.attempts {
-		if !a.step.spec.Filler || a.stopping || a.paced == 0 {
+		if !a.step.spec.Filler {
 			continue
 		}
-		seen := now.Sub(laterOf(a.ordered, a.pacedAt)) > unseenTime
-		for i := range out {
-			adds := p.adds(w, a.step, out[i].image) * float64(a.paced) / paceFull
-			out[i].now += adds
-			if seen {
-				out[i].seen += adds
-			}
+		if pace := a.recentPace(now); pace > 0 {
+			shares[a.step.spec.Image] += share(w, a.step) * pace / paceFull
 		}
 	}
-	slices.SortFunc(out, func(a, b felt) int { return cmp.Compare(a.image, b.image) })
-	return out
-}
-
-// with returns the utilisation that is predicted once fillers add more to the factor.
-func (f felt) with(more float64) float64 {
-	load := max(f.utilisation/f.seen, usualLoad)
-	return load * (f.now + more)
-}
-
-// worst returns the largest utilisation predicted with one filler of the step more.
-func (p *pressure) worst(w *worker, st *step, felts []felt) float64 {
-	worst := 0.0
-	for _, f := range felts {
-		worst = max(worst, f.with(p.adds(w, st, f.image)))
+	for _, m := range w.measurements() {
+		p.measure(m, shares, now.Add(-gaugeLag))
 	}
-	return worst
 }
 
-// most returns the most that a filler of the step adds to the factor on any load.
-func (p *pressure) most(w *worker, st *step, felts []felt) float64 {
-	most := 0.0
-	for _, f := range felts {
-		most = max(most, p.adds(w, st, f.image))
-	}
-	return most
+// measurement is what the tasks of one job feel on a worker.
+type measurement struct {
+	job         *Job
+	image       string
+	utilisation float64 // mean over the tasks
+	tasks       int
 }
 
-// learn takes in the latencies of a worker, unless its fillers have just changed.
-func (p *pressure) learn(w *worker, now time.Time) {
-	if w.serving == 0 {
-		return
-	}
-	shares := map[string]float64{}
+// measurements returns what was listed of the tasks with a latency target, an entry a job.
+func (w *worker) measurements() []measurement {
+	var out []measurement
 	for _, a := range w.attempts {
-		if !a.step.spec.Filler {
+		if a.step.spec.LatencyTarget == 0 || !a.listed || a.stopping || a.gauge <= 0 || a.percent < paceFull {
 			continue
 		}
-		if now.Sub(laterOf(a.ordered, a.pacedAt)) < settleTime {
-			return
+		i := slices.IndexFunc(out, func(m measurement) bool { return m.job == a.step.job && m.image == a.step.spec.Image })
+		if i < 0 {
+			i = len(out)
+			out = append(out, measurement{job: a.step.job, image: a.step.spec.Image})
 		}
-		shares[a.step.spec.Image] += share(w, a.step) * float64(a.paced) / paceFull
+		out[i].utilisation += a.utilisation()
+		out[i].tasks++
 	}
-	for _, a := range w.attempts {
-		if a.step.spec.LatencyTarget > 0 && a.listed && a.gauge > 0 && !a.stopping {
-			p.measure(a, sample{at: now, utilisation: a.utilisation(), shares: shares})
-		}
+	for i := range out {
+		out[i].utilisation /= float64(out[i].tasks)
 	}
+	slices.SortFunc(out, func(a, b measurement) int {
+		return cmp.Or(cmp.Compare(a.job.ID, b.job.ID), cmp.Compare(a.image, b.image))
+	})
+	return out
 }
 
-// measure compares a measurement of a task with the one before it.
-func (p *pressure) measure(a *attempt, s sample) {
-	before, ok := p.last[a]
-	p.last[a] = s
-	elapsed := s.at.Sub(before.at)
-	if !ok || elapsed > sampleAge || before.utilisation < minReadable || before.utilisation > maxReadable {
-		return
+// measure corrects the load of a job and the weights of the fillers beside its tasks.
+func (p *pressure) measure(m measurement, shares map[string]float64, at time.Time) {
+	factor, doubt := 1.0, 0.0
+	for image, x := range shares {
+		e := p.estimate(ImagePair{image, m.image})
+		factor += e.mean * x
+		doubt += e.variance * x * x
 	}
-	target := a.step.spec.Image
-	changes := changedShares(before.shares, s.shares)
-	if len(changes) == 0 {
+	l := p.loads[m.job]
+	if l == nil || at.Sub(l.at) > loadAge {
+		if m.utilisation > maxReadable {
+			return
+		}
+		level := m.utilisation / factor
+		p.loads[m.job] = newLoad(level, level*level*doubt/(factor*factor), at)
 		return
 	}
-	factorBefore, factorNow := p.factor(before.shares, target), p.factor(s.shares, target)
-	off := math.Log(max(s.utilisation, minReadable)/before.utilisation) - math.Log(factorNow/factorBefore)
-	if s.utilisation > maxReadable && off < 0 {
+	l.pass(at)
+	off := m.utilisation - l.level*factor
+	if m.utilisation > maxReadable && off < 0 {
 		return
 	}
-	noise := sampleNoise + loadSlope*elapsed.Seconds()
-	spread := noise * noise
-	for i := range changes {
-		c := &changes[i]
-		c.slope = s.shares[c.image]/factorNow - before.shares[c.image]/factorBefore
-		spread += p.estimate(ImagePair{c.image, target}).variance * c.slope * c.slope
-	}
-	for _, c := range changes {
-		pair := ImagePair{c.image, target}
+	level, known := l.level, factor*factor*l.levelVar
+	noise := gaugeNoise*gaugeNoise + level*level*doubt
+	for image, x := range shares {
+		pair := ImagePair{image, m.image}
 		e := p.estimate(pair)
-		gain := e.variance * c.slope / spread
+		gain := e.variance * x * level / (known + noise)
 		e.mean = min(max(e.mean+gain*off, 0), maxWeight)
-		e.variance = min(e.variance*(1-gain*c.slope)+driftVariance*elapsed.Seconds(), priorVariance)
+		e.variance = max(e.variance*(1-gain*x*level), minVariance)
 		p.weights[pair] = e
 	}
+	l.correct(off, factor, noise)
 }
 
-// factor returns the factor on the loads of an image beside the given shares of fillers.
-func (p *pressure) factor(shares map[string]float64, target string) float64 {
-	sum := 1.0
-	for image, x := range shares {
-		sum += p.estimate(ImagePair{image, target}).mean * x
-	}
-	return sum
-}
-
-// change is an image whose fillers' share has changed, and how the logarithm of the
-// utilisation depends on its weight.
-type change struct {
-	image string
-	slope float64
-}
-
-func changedShares(before, now map[string]float64) []change {
-	var out []change
-	for i, x := range now {
-		if by := x - before[i]; by > changeFloor || by < -changeFloor {
-			out = append(out, change{image: i})
-		}
-	}
-	for i, x := range before {
-		if _, ok := now[i]; !ok && x > changeFloor {
-			out = append(out, change{image: i})
-		}
+// drift makes the weights less certain as time passes, since they change.
+func (p *pressure) drift(elapsed time.Duration) {
+	for pair, e := range p.weights {
+		e.variance = min(e.variance+driftVariance*elapsed.Seconds(), priorVariance)
+		p.weights[pair] = e
 	}
-	slices.SortFunc(out, func(a, b change) int { return cmp.Compare(a.image, b.image) })
-	return out
 }
 
-// forget drops what is kept of an attempt.
-func (p *pressure) forget(a *attempt) { delete(p.last, a) }
+// forget drops what is kept of a job.
+func (p *pressure) forget(j *Job) { delete(p.loads, j) }
--- a/internal/batch/relief.go
+++ b/internal/batch/relief.go
@@ -2,7 +2,7 @@
 
 import (
 	"cmp"
-	"math"
+	"fmt"
 	"slices"
 	"time"
 )
@@ -11,19 +11,23 @@
 	// settleTime is how long after a change on a worker a measured latency still mixes what
 	// was before it.
 	settleTime = 500 * time.Millisecond
-	// reliefUtilisation is the utilisation from which fillers are paced; a latency is at its
-	// target at 1 - idleShare.
+	// targetUtilisation is the utilisation at which a latency is at its target.
+	targetUtilisation = 1 - idleShare
+	// reliefUtilisation is the prediction above which fillers are paced down to it, and
+	// easedUtilisation the one up to which they get more.
 	reliefUtilisation = 0.80
-	// easedUtilisation is the prediction at which pacing ends, and work is given back.
-	easedUtilisation = 0.78
+	easedUtilisation  = 0.78
 	// admitUtilisation is the predicted utilisation up to which fillers are admitted.
-	admitUtilisation = 0.75
-	// culprit is what a filler must add to the factor on the loads to be paced at first.
-	culprit = 0.03
+	admitUtilisation = 0.78
+	// paceStep is the percent by which paces differ at least, and leastPace the least pace above 0.
+	paceStep  = 20
+	leastPace = 20
 	// patience is how long a missed target is borne for which no filler seems the cause.
 	patience = 1500 * time.Millisecond
-	// moveAfter is how long a filler stays paced before it moves.
+	// moveAfter is how long a filler stays paced before it moves, and slowPace the pace up to
+	// which it does.
 	moveAfter = 450 * time.Millisecond
+	slowPace  = 40
 	// nearlyDone is the percent from which a filler with checkpoints is not moved any more,
 	// and hardlyBegun that for one that begins anew.
 	nearlyDone  = 85
@@ -31,59 +35,75 @@
 	paceFull    = 100
 )
 
-// relieve keeps the tail latencies on a worker below their targets: fillers that press are
-// paced, and moved if they resume from a checkpoint and could not work there soon.
+// relieve keeps the tail latencies on a worker below their targets: fillers that press get
+// the pace that the prediction allows.
 func (s *State) relieve(w *worker, now time.Time) {
 	s.press.learn(w, now)
 	if w.fillers == 0 {
 		return
 	}
-	missed := slices.DeleteFunc(s.press.feel(w, now), func(f felt) bool { return f.utilisation <= reliefUtilisation })
-	if len(missed) == 0 {
+	felts := s.press.feel(w, now)
+	if !slices.ContainsFunc(felts, func(f felt) bool { return f.utilisation > targetUtilisation }) {
 		w.harmedFrom = time.Time{}
-		s.giveBack(w, now)
-		return
-	}
-	if w.harmedFrom.IsZero() {
+	} else if w.harmedFrom.IsZero() {
 		w.harmedFrom = now
 	}
-	s.pressLess(w, missed, now)
+	s.allot(w, felts, now)
 }
 
-// pressLess takes away the fillers that press most on missed targets until the prediction
-// allows the rest; after a time, all fillers.
-func (s *State) pressLess(w *worker, missed []felt, now time.Time) {
-	lasted := now.Sub(w.harmedFrom)
-	fillers := w.activeFillers()
-	slices.SortStableFunc(fillers, func(a, b *attempt) int {
-		return cmp.Compare(s.press.most(w, b.step, missed), s.press.most(w, a.step, missed))
-	})
-	for _, a := range fillers {
-		adds := s.press.most(w, a.step, missed)
-		if s.press.eased(missed) || adds < culprit && (lasted < patience || s.press.harmless(w, a.step, missed)) {
-			return
+// allot gives each filler on a worker its pace: those closest to their end first, each as
+// much as the latency targets beside it allow.
+func (s *State) allot(w *worker, felts []felt, now time.Time) {
+	doubts := !w.harmedFrom.IsZero() && now.Sub(w.harmedFrom) > patience
+	relief, eased := budgetsOf(felts, reliefUtilisation), budgetsOf(felts, easedUtilisation)
+	for _, a := range w.fillersWhere(func(*attempt) bool { return true }) {
+		adds := make([]float64, len(felts))
+		for i, f := range felts {
+			adds[i] = s.press.presses(w, a.step, f.image, doubts)
+		}
+		pace := a.paced
+		if most := relief.pace(adds); most < pace {
+			pace = most
+		} else if more := eased.pace(adds); more >= pace+paceStep && now.Sub(a.pacedAt) >= settleTime {
+			pace = more
 		}
-		for i := range missed {
-			missed[i].now -= s.press.adds(w, a.step, missed[i].image)
+		relief.spend(adds, pace)
+		eased.spend(adds, pace)
+		if pace != a.paced || a.paceLost {
+			s.pace(a, pace, now)
 		}
-		s.pace(a, 0, now)
 	}
 }
 
-// harmless reports whether a filler is known to add next to nothing to any of the loads.
-func (p *pressure) harmless(w *worker, st *step, felts []felt) bool {
-	return !slices.ContainsFunc(felts, func(f felt) bool {
-		e := p.estimate(ImagePair{st.spec.Image, f.image})
-		return (e.mean+math.Sqrt(e.variance))*share(w, st) > culprit
-	})
+// budgets are what fillers may add to the factor on the load of each job on a worker.
+type budgets []float64
+
+func budgetsOf(felts []felt, utilisation float64) budgets {
+	out := make(budgets, len(felts))
+	for i, f := range felts {
+		out[i] = utilisation/max(f.own, minLoad) - 1
+	}
+	return out
 }
 
-// eased reports whether the prediction for all missed targets is good without what was
-// taken away.
-func (p *pressure) eased(missed []felt) bool {
-	return !slices.ContainsFunc(missed, func(f felt) bool {
-		return f.utilisation/f.seen*f.now > easedUtilisation
-	})
+// pace returns the percent at which a filler stays within the budgets, in whole steps.
+func (b budgets) pace(adds []float64) int {
+	pace := paceFull
+	for i, x := range adds {
+		if x > 0 {
+			pace = min(pace, int(paceFull*max(0, b[i])/x))
+		}
+	}
+	if pace < leastPace {
+		return 0
+	}
+	return pace / paceStep * paceStep
+}
+
+func (b budgets) spend(adds []float64, pace int) {
+	for i, x := range adds {
+		b[i] -= x * float64(pace) / paceFull
+	}
 }
 
 // movePaced stops fillers that stay paced where they are and can work elsewhere now.
@@ -91,7 +111,7 @@
 	workers := s.usable(now)
 	var refused refusals
 	for _, w := range workers {
-		for _, a := range w.fillersWhere(func(a *attempt) bool { return a.paced == 0 && now.Sub(a.pacedAt) > moveAfter }) {
+		for _, a := range w.fillersWhere(func(a *attempt) bool { return a.paced <= slowPace && now.Sub(a.pacedAt) > moveAfter }) {
 			if a.percent >= a.keepFrom() || refused.cover(a.step) {
 				continue
 			}
@@ -118,11 +138,6 @@
 	return hardlyBegun
 }
 
-// activeFillers returns the fillers that work, in a fixed order.
-func (w *worker) activeFillers() []*attempt {
-	return w.fillersWhere(func(a *attempt) bool { return a.paced > 0 })
-}
-
 func (w *worker) fillersWhere(ok func(*attempt) bool) []*attempt {
 	var out []*attempt
 	for _, a := range w.attempts {
@@ -137,28 +152,42 @@
 	return out
 }
 
-// giveBack lets paced fillers work again as far as the prediction allows, those closest to
-// their end first. A paced filler that presses too much for a usual load moves.
-func (s *State) giveBack(w *worker, now time.Time) {
-	paced := w.fillersWhere(func(a *attempt) bool { return a.paced < paceFull && now.Sub(a.pacedAt) >= settleTime })
-	for _, a := range paced {
-		if s.press.worst(w, a.step, s.press.feel(w, now)) <= easedUtilisation {
-			s.pace(a, paceFull, now)
-		}
-	}
-}
-
+// pace orders that a filler works at a percent of its processors.
 func (s *State) pace(a *attempt, percent int, now time.Time) {
 	w := a.worker
 	w.fillCPU -= a.workCPU()
-	a.paced, a.pacedAt, a.progress = percent, now, now
+	if percent != a.paced {
+		a.pacedBefore, a.paced, a.pacedAt = a.paced, percent, now
+	}
+	a.progress, a.paceLost = now, false
 	w.fillCPU += a.workCPU()
 	w.feltAt = time.Time{}
-	s.event(Event{Name: "task.pace", Job: a.step.job.ID, Task: a.id(), Run: a.run, Worker: w.info.ID, Detail: paceNames[percent > 0]})
+	s.event(Event{Name: "task.pace", Job: a.step.job.ID, Task: a.id(), Run: a.run, Worker: w.info.ID, Detail: fmt.Sprintf("%d %% fit the latency targets", percent)})
 	s.actions = append(s.actions, Action{
 		Kind: ActionPace, Worker: w.info.ID, Address: w.info.Address, Born: w.info.Born,
 		Task: a.id(), Run: a.run, Percent: percent,
 	})
 }
 
-var paceNames = map[bool]string{true: "latency targets are met", false: "presses a latency target"}
+// PaceAnswered takes in the answer to a pace; one that may not have arrived is sent again.
+func (s *State) PaceAnswered(id WorkerID, task TaskID, run int64, answer Answer) {
+	w := s.workers[id]
+	if w == nil || answer != AnswerNone && answer != AnswerRefused {
+		return
+	}
+	if a := w.attempts[attemptKey{task, run}]; a != nil {
+		a.paceLost = true
+	}
+}
+
+// recentPace returns the mean percent at which a filler worked while the listed latencies were measured.
+func (a *attempt) recentPace(now time.Time) float64 {
+	if started := now.Sub(a.ordered); started < settleTime {
+		return float64(a.paced) * max(0, started.Seconds()) / settleTime.Seconds()
+	}
+	if paced := now.Sub(a.pacedAt); paced < settleTime {
+		part := max(0, paced.Seconds()) / settleTime.Seconds()
+		return part*float64(a.paced) + (1-part)*float64(a.pacedBefore)
+	}
+	return float64(a.paced)
+}
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -267,11 +267,13 @@
 func (s *State) drop(a *attempt, now time.Time) {
 	t := a.task()
 	a.worker.detach(a)
+	if a.step.spec.Filler && a.paced > 0 {
+		a.worker.fillerLeft = now
+	}
 	s.countShort(a, -1)
 	a.step.job.attempts--
 	t.attempts = slices.DeleteFunc(t.attempts, func(b *attempt) bool { return b == a })
 	delete(s.stops, a)
-	s.press.forget(a)
 	if t.done || len(t.attempts) > 0 {
 		return
 	}
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -102,6 +102,9 @@
 	gauge    int64
 	paced    int // percent that it may work at
 	pacedAt  time.Time
+	// pacedBefore is the percent before that, and paceLost says that the order may not have arrived.
+	pacedBefore int
+	paceLost    bool
 }
 
 func (a *attempt) id() TaskID {
@@ -333,6 +336,7 @@
 	}
 	j.outcome = o
 	j.changed = now
+	s.press.forget(j)
 	s.dirty.add(j)
 	for _, occ := range j.occs {
 		delete(s.scheduled, occ)
--- a/internal/batch/stuck.go
+++ b/internal/batch/stuck.go
@@ -22,7 +22,7 @@
 }
 
 func (a *attempt) isStuck(now time.Time) bool {
-	if a.stopping || !a.listed || a.step.spec.LongRunning || a.paced < paceFull {
+	if a.stopping || !a.listed || a.step.spec.LongRunning || a.paced == 0 {
 		return false
 	}
 	return now.Sub(a.progress) > max(stuckTime, a.step.spec.Estimate)
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -34,11 +34,13 @@
 	harmedFrom time.Time // since when a latency is near its target
 	// felts is what tasks with a latency target feel there as of feltAt, which is zero after
 	// a change on the worker.
-	feltAt   time.Time
-	felts    []felt
-	attempts map[attemptKey]*attempt
-	failures int // failed attempts since the last one that was done
-	shunned  time.Time
+	feltAt time.Time
+	felts  []felt
+	// fillerLeft is when a filler that worked ended there last.
+	fillerLeft time.Time
+	attempts   map[attemptKey]*attempt
+	failures   int // failed attempts since the last one that was done
+	shunned    time.Time
 }
 
 // ObserveWorker takes in what the registry says of a worker.
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -45,8 +45,11 @@
 		reply := do(ctx, order)
 		l.post(func(l *leader, now time.Time) {
 			l.answered(a, reply, now)
-			if a.Kind == batch.ActionStop {
+			switch a.Kind {
+			case batch.ActionStop:
 				l.state.StopAnswered(a.Worker, a.Task, a.Run, reply.Answer, reply.Clock)
+			case batch.ActionPace:
+				l.state.PaceAnswered(a.Worker, a.Task, a.Run, reply.Answer)
 			}
 		})
 	}()
