Reckon the room of fillers with the predicted loads of the tasks beside them

Cause: tasks with a latency target were taken to use 45 % of their processors at all times; fillers came while loads peaked and left room unused in their troughs.

--- a/internal/batch/felt.go
+++ b/internal/batch/felt.go
@@ -10,6 +10,8 @@
 type felt struct {
 	job   *Job
 	image string
+	// cpu is what the tasks reserve, in thousandths of a core.
+	cpu int64
 	// utilisation is the largest that was measured.
 	utilisation float64
 	// seen is the factor on the load that the measurement shows, and now that of all fillers
@@ -45,6 +47,7 @@
 			i = len(out)
 			out = append(out, felt{job: a.step.job, image: a.step.spec.Image, seen: 1, now: 1})
 		}
+		out[i].cpu += a.reserved.CPU
 		out[i].utilisation = max(out[i].utilisation, a.utilisation())
 	}
 	for _, a := range w.attempts {
@@ -79,6 +82,20 @@
 	return max(measured, usualLoad)
 }
 
+// idle returns how much of the processors that tasks with a latency target reserve they are
+// expected to leave to fillers, in thousandths of a core.
+func (p *pressure) idle(felts []felt, now time.Time) int64 {
+	idle := 0.0
+	for _, f := range felts {
+		use := servingUse
+		if p.loads[f.job].known(now) {
+			use = f.own
+		}
+		idle += (1 - use) * float64(f.cpu)
+	}
+	return int64(idle)
+}
+
 // with returns the utilisation that is predicted once fillers add more to the factor.
 func (f felt) with(more float64) float64 { return f.own * (f.now + more) }
 
--- a/internal/batch/score.go
+++ b/internal/batch/score.go
@@ -42,6 +42,7 @@
 func (s *State) feel(w *worker, now time.Time) {
 	if now.Sub(w.feltAt) > feltAge {
 		w.feltAt, w.felts = now, s.press.feel(w, now)
+		w.idle = s.press.idle(w.felts, now)
 	}
 }
 
@@ -79,7 +80,8 @@
 	weightImage    = 3.0
 	weightShared   = 0.0
 	weightPress    = 1.0
-	// servingUse is the part of their reserved processors that tasks with a latency target use.
+	// servingUse is the part of their reserved processors that tasks with a latency target are
+	// taken to use while their load is not known.
 	servingUse = 0.45
 	// fillerOvercommit is the part of a worker's processors by which fillers may ask for more
 	// than others leave.
@@ -122,7 +124,7 @@
 
 // left returns the processors that the tasks on a worker leave unused, in thousandths.
 func (w *worker) left() int64 {
-	return w.info.Capacity.CPU - w.used.CPU + int64((1-servingUse)*float64(w.servingCPU)) - w.fillCPU
+	return w.info.Capacity.CPU - w.used.CPU + w.idle - w.fillCPU
 }
 
 // admits reports whether a filler may work on a worker: others leave enough, and no latency
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -30,12 +30,14 @@
 	fillCPU    int64     // what they ask for at their pace
 	serving    int       // attempts with a latency target
 	lasting    int       // attempts of tasks that last
-	servingCPU int64     // what these reserve
 	harmedFrom time.Time // since when a latency is near its target
 	// felts is what tasks with a latency target feel there as of feltAt, which is zero after
 	// a change on the worker.
 	feltAt time.Time
 	felts  []felt
+	// idle is what tasks with a latency target leave of their processors as of feltAt, in
+	// thousandths of a core.
+	idle int64
 	// fillerLeft is when a filler that worked ended there last.
 	fillerLeft time.Time
 	attempts   map[attemptKey]*attempt
@@ -269,7 +271,6 @@
 	}
 	if a.step.spec.LatencyTarget > 0 {
 		w.serving += by
-		w.servingCPU += int64(by) * a.step.spec.Need.CPU
 	}
 }
 
