--- /dev/null
+++ b/standin/cmd/soak/main.go
@@ -0,0 +1,81 @@
+// Command soak runs real instances before a stand-in of the users' platform under random
+// faults, one seed after the other, and ends with status 1 if a promise was broken.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"time"
+
+	"github.com/geraniumwick/geraniumwick/standin/process"
+	"github.com/geraniumwick/geraniumwick/standin/soak"
+)
+
+func main() {
+	seed := flag.Uint64("seed", uint64(time.Now().UnixNano()%1_000_000), "first seed")
+	seeds := flag.Int("seeds", 1, "number of seeds, counted on from the first")
+	instances := flag.Int("instances", 3, "entry instances")
+	workers := flag.Int("workers", 8, "workers")
+	callers := flag.Int("callers", 4, "callers")
+	duration := flag.Duration("duration", 15*time.Second, "how long faults go on in each run")
+	dir := flag.String("dir", "", "directory for binaries, settings and logs; a temporary one if empty")
+	flag.Parse()
+	if err := run(soak.Options{Seed: *seed, Instances: *instances, Workers: *workers, Callers: *callers, Duration: *duration}, *seeds, *dir); err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(1)
+	}
+}
+
+// run plays the seeds; logs of those with a broken promise are kept.
+func run(o soak.Options, seeds int, dir string) error {
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer cancel()
+	if dir == "" {
+		var err error
+		if dir, err = os.MkdirTemp("", "soak"); err != nil {
+			return err
+		}
+	}
+	var err error
+	if o.Binary, err = process.Build(ctx, dir, "github.com/geraniumwick/geraniumwick/cmd/geraniumwickd", "geraniumwickd"); err != nil {
+		return err
+	}
+	broken := 0
+	for ; seeds > 0 && ctx.Err() == nil; seeds-- {
+		o.Dir = filepath.Join(dir, fmt.Sprintf("seed-%d", o.Seed))
+		if err := os.MkdirAll(o.Dir, 0o700); err != nil {
+			return err
+		}
+		r, err := soak.Run(ctx, o)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("seed %d: %d jobs, %d starts, %d faults, %d promises broken\n", r.Seed, r.Accepted, r.Starts, len(r.Faults), len(r.Violations))
+		if len(r.Violations) > 0 {
+			broken++
+			printRun(r, o.Dir)
+		} else if err := os.RemoveAll(o.Dir); err != nil {
+			return err
+		}
+		o.Seed++
+	}
+	if broken > 0 {
+		return fmt.Errorf("promises broken with %d seeds", broken)
+	}
+	return nil
+}
+
+func printRun(r soak.Report, dir string) {
+	for _, v := range r.Violations {
+		fmt.Println("  ", v)
+	}
+	fmt.Println("   faults:")
+	for _, f := range r.Faults {
+		fmt.Println("     ", f)
+	}
+	fmt.Println("   settings and logs:", dir)
+}
