--- a/standin/soak/instance.go
+++ b/standin/soak/instance.go
@@ -26,9 +26,15 @@
 	dir    string
 	binary string
 	store  *Link // its way to the store
+	*child
+}
+
+// child is one life of an instance's process.
+type child struct {
 	proc   *process.Process
 	frozen bool
-	// ending says that the soak has asked the process to end, and killed that it has not waited for it.
+	// ending says that the soak has asked the process to end, and killed that it has not
+	// waited for it.
 	ending, killed bool
 }
 
@@ -62,7 +68,7 @@
 
 func (i *instance) start() error {
 	p, err := process.Start(i.dir, i.name, nil, []string{"GERANIUMWICK_BOOT=" + i.settings()}, i.binary, "platform")
-	i.proc, i.frozen, i.ending, i.killed = p, false, false, false
+	i.child = &child{proc: p}
 	return err
 }
 
@@ -110,14 +116,14 @@
 // stop asks the process to end. The returned function waits for its end and reports an
 // error if it takes longer than allowed.
 func (i *instance) stop() (wait func() error) {
-	p := i.proc
-	i.ending = true
-	if p.Signal(syscall.SIGTERM) != nil {
+	c := i.child
+	c.ending = true
+	if c.proc.Signal(syscall.SIGTERM) != nil {
 		return func() error { return nil } // it was killed meanwhile
 	}
 	return func() error {
-		if err := p.Wait(graceTime); err != nil && !i.killed && !i.frozen {
-			p.Kill()
+		if err := c.proc.Wait(graceTime); err != nil && !c.killed && !c.frozen {
+			c.proc.Kill()
 			return fmt.Errorf("%s after SIGTERM: %w", i.name, err)
 		}
 		return nil
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -215,7 +215,7 @@
 
 func (w *world) close() {
 	for _, i := range w.instances {
-		if i.proc != nil {
+		if i.child != nil {
 			i.proc.Kill()
 		}
 		i.store.Close()
