Advice: steps of queues with a policy start with tickets

Cause: docs/PLATFORM.md listed advice as not built; on a queue with it each start would be refused (409, ticket) and tried again. No site in hand has such a queue, so this is proved by tests of the state machine and of the calls only. Change: a step that finds no worker asks the adviser about the best ones that fit (two a waiting task and four more, 30 at the most, four questions at a time); refusals are remembered for the step, tickets for the worker's life and their time less 0.4 s.

--- a/cmd/geraniumwickd/platform.go
+++ b/cmd/geraniumwickd/platform.go
@@ -108,6 +108,7 @@
 			WorkerLease: min(maxWorkerLease, s.WorkerLease()),
 			KeepJobs:    keepFactor * s.StatusTime(),
 			Speed:       s.Speed(),
+			Adviser:     platform.NewAdviser(s.Advice),
 		},
 		Scope: scope,
 	}
--- /dev/null
+++ b/internal/batch/advice.go
@@ -0,0 +1,133 @@
+package batch
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// advice is what the adviser has told of the workers that may run a step. Whether a worker
+// may run it does not change; a ticket is valid for a time, in one life of the worker.
+type advice struct {
+	permits map[WorkerID]permit
+	asked   bool
+	// notBefore is when the adviser may be asked again after it gave no answer.
+	notBefore time.Time
+}
+
+// permit is the answer for one worker.
+type permit struct {
+	ticket string // empty if the worker may not run the step
+	born   int64
+	until  time.Time
+}
+
+const (
+	// maxAsked is the number of workers in a question; each costs the adviser time.
+	maxAsked = 30
+	// askedPerTask is how many workers are asked about for each waiting task, and askedMore
+	// how many in any case, since some are refused.
+	askedPerTask = 2
+	askedMore    = 4
+	// maxQuestions bounds the questions without an answer, which the adviser takes in turn.
+	maxQuestions = 4
+	// ticketMargin is the rest of a ticket's time below which it is not used for a start.
+	ticketMargin = 400 * time.Millisecond
+	// askPause is the pause after a question without an answer.
+	askPause = 300 * time.Millisecond
+)
+
+// admits reports whether the step has a ticket for the worker.
+func (a *advice) admits(w *worker, now time.Time) bool {
+	p, ok := a.permits[w.info.ID]
+	return ok && p.ticket != "" && p.born == w.info.Born && now.Add(ticketMargin).Before(p.until)
+}
+
+// ticket returns the ticket for a start; empty if none is needed.
+func (a *advice) ticket(w *worker) string { return a.permits[w.info.ID].ticket }
+
+// open reports whether the adviser may allow the worker if it is asked.
+func (a *advice) open(w *worker, now time.Time) bool {
+	p, ok := a.permits[w.info.ID]
+	return !ok || p.ticket != "" && !a.admits(w, now)
+}
+
+// withdraw forgets a ticket that a worker did not accept.
+func (a *advice) withdraw(id WorkerID) { delete(a.permits, id) }
+
+// ask asks the adviser about the workers that are best for a step that found none. It
+// reports whether the step may find one later without other room.
+func (s *State) ask(st *step, workers []*worker, now time.Time) bool {
+	if !s.queueOf(st.job).Advised {
+		return false
+	}
+	if st.advice.asked || s.asking >= maxQuestions || now.Before(st.advice.notBefore) {
+		return true
+	}
+	var rated ratedWorkers
+	for i, w := range workers {
+		if w.info.Service == s.queueOf(st.job).Service && st.allows(w) && st.advice.open(w, now) && st.reserved.Fits(w.free()) {
+			s.feel(w, now)
+			rated = append(rated, ratedWorker{worker: w, score: s.score(st, &st.tasks[0], w), order: i})
+		}
+	}
+	if len(rated) == 0 {
+		return true
+	}
+	slices.SortFunc(rated, func(a, b ratedWorker) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.order, b.order))
+	})
+	n := min(len(rated), maxAsked, askedPerTask*st.waiting+askedMore)
+	question := Action{Kind: ActionAdvise, Task: TaskID{Job: st.job.ID, Occurrence: st.occ.number, Step: st.number}}
+	for _, r := range rated[:n] {
+		question.Workers = append(question.Workers, r.worker.info.ID)
+	}
+	if !st.announced {
+		s.announce(st) // the record and the answer come at the same time
+	}
+	st.advice.asked = true
+	s.asking++
+	s.actions = append(s.actions, question)
+	return true
+}
+
+// Grant is a ticket for a worker.
+type Grant struct {
+	Worker WorkerID
+	Ticket string
+}
+
+// Advised takes in the adviser's answer to a question of the given time. Without an answer
+// the question is asked again later.
+func (s *State) Advised(question Action, grants []Grant, valid time.Duration, answered bool, asked, now time.Time) {
+	s.asking--
+	st := s.step(question.Task)
+	if st == nil {
+		return
+	}
+	st.advice.asked = false
+	if !answered {
+		st.advice.notBefore = now.Add(askPause)
+		return
+	}
+	if st.advice.permits == nil {
+		st.advice.permits = map[WorkerID]permit{}
+	}
+	for _, id := range question.Workers {
+		w := s.workers[id]
+		if w == nil {
+			continue
+		}
+		p := permit{born: w.info.Born, until: asked.Add(valid)}
+		if i := slices.IndexFunc(grants, func(g Grant) bool { return g.Worker == id }); i >= 0 {
+			p.ticket = grants[i].Ticket
+		}
+		st.advice.permits[id] = p
+	}
+	s.event(Event{Name: "step.advised", Job: st.job.ID, Task: question.Task, Detail: adviceDetail(len(question.Workers), len(grants))})
+}
+
+func adviceDetail(asked, granted int) string {
+	return strconv.Itoa(granted) + " of " + strconv.Itoa(asked) + " workers may run it"
+}
--- /dev/null
+++ b/internal/batch/advice_test.go
@@ -0,0 +1,98 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// advised returns a state whose queue asks an adviser, with the workers.
+func advised(ids ...WorkerID) (*State, time.Time) {
+	s, now := scene(ids...)
+	c := s.config
+	c.Version++
+	c.Queues = map[string]Queue{"q": {Service: "svc", MaxAttempts: 3, Stretch: 2, Advised: true}}
+	s.SetConfig(c)
+	return s, now
+}
+
+// questions returns the questions to the adviser among the orders.
+func questions(actions []Action) []Action {
+	var out []Action
+	for _, a := range actions {
+		if a.Kind == ActionAdvise {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// Pattern: a queue whose policy allows only some workers. Tasks start with a ticket, on those
+// workers only, and what was refused is not asked again.
+func TestTasksStartWithATicketOnly(t *testing.T) {
+	is := is.New(t)
+	s, now := advised("a", "b", "c")
+	add(s, "j", "q", now, one(2, 1000))
+	first := settle(s, now)
+	is.Equal(len(starts(first)), 0)
+	asked := questions(first)
+	is.Equal(len(asked), 1)
+	is.Equal(len(asked[0].Workers), 3)
+	is.Equal(len(questions(settle(s, now))), 0) // one question at a time
+	s.Advised(asked[0], []Grant{{Worker: "b", Ticket: "t1"}}, 3*time.Second, true, now, now)
+	got := starts(settle(s, now))
+	is.Equal(len(got), 2)
+	for _, a := range got {
+		is.Equal(a.Worker, WorkerID("b"))
+		is.Equal(a.Ticket, "t1")
+	}
+	is.Equal(len(questions(settle(s, now.Add(time.Second)))), 0)
+}
+
+// Pattern: tickets run out while tasks wait. A new question is only about those that were allowed.
+func TestTicketsAreRenewed(t *testing.T) {
+	is := is.New(t)
+	s, now := advised("a", "b")
+	add(s, "j", "q", now, one(1, 1000))
+	asked := questions(settle(s, now))[0]
+	s.Advised(asked, []Grant{{Worker: "b", Ticket: "t1"}}, 3*time.Second, true, now.Add(-3*time.Second), now)
+	again := questions(settle(s, now))
+	is.Equal(len(again), 1)
+	is.Equal(again[0].Workers, []WorkerID{"b"})
+	s.Advised(again[0], []Grant{{Worker: "b", Ticket: "t2"}}, 3*time.Second, true, now, now)
+	got := s.Plan(now)
+	is.Equal(got[0].Ticket, "t2")
+	s.Sent("b", got[0].Task, got[0].Run, 1000)
+	s.StartAnswered("b", got[0].Task, got[0].Run, AnswerNoTicket, 10, now) // the worker knows better
+	is.Equal(len(questions(settle(s, now))), 1)
+}
+
+// Pattern: the adviser is away or overloaded. It is asked again after a pause.
+func TestAdviserWithoutAnAnswerIsAskedLater(t *testing.T) {
+	is := is.New(t)
+	s, now := advised("a")
+	add(s, "j", "q", now, one(1, 1000))
+	asked := questions(settle(s, now))[0]
+	s.Advised(asked, nil, 0, false, now, now)
+	is.Equal(len(questions(settle(s, now))), 0)
+	is.Equal(len(questions(settle(s, now.Add(askPause)))), 1)
+}
+
+// Pattern: many wide steps at once. The adviser gets few questions, each of a bounded size.
+func TestQuestionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	var ids []WorkerID
+	for i := range 60 {
+		ids = append(ids, WorkerID(rune('A'+i)))
+	}
+	s, now := advised(ids...)
+	for i := range 10 {
+		add(s, string(rune('a'+i)), "q", now, one(40, 10))
+	}
+	asked := questions(settle(s, now))
+	is.Equal(len(asked), maxQuestions)
+	for _, q := range asked {
+		is.Equal(len(q.Workers), maxAsked)
+	}
+}
--- a/internal/batch/model.go
+++ b/internal/batch/model.go
@@ -22,6 +22,8 @@
 	// Stretch and Slack give the objective of a job: Stretch times its longest chain, and Slack more.
 	Stretch float64
 	Slack   time.Duration
+	// Advised says that a policy allows only some workers to run a step, which an adviser tells.
+	Advised bool
 }
 
 // Config is what the operators want, in one version.
@@ -92,14 +94,15 @@
 
 // The answers.
 const (
-	AnswerNone    Answer = iota // none arrived: the order may be executed, also later
-	AnswerOK                    // executed
-	AnswerRefused               // certainly not executed, the worker is unwell
-	AnswerLate                  // certainly not executed, its time had passed
-	AnswerOld                   // the run or a later one was stopped or has ended there
-	AnswerNoRoom                // certainly not executed, it does not fit
-	AnswerFenced                // another owner has a higher epoch
-	AnswerOther                 // certainly not executed: the worker has another life, or the order is invalid
+	AnswerNone     Answer = iota // none arrived: the order may be executed, also later
+	AnswerOK                     // executed
+	AnswerRefused                // certainly not executed, the worker is unwell
+	AnswerLate                   // certainly not executed, its time had passed
+	AnswerOld                    // the run or a later one was stopped or has ended there
+	AnswerNoRoom                 // certainly not executed, it does not fit
+	AnswerFenced                 // another owner has a higher epoch
+	AnswerOther                  // certainly not executed: the worker has another life, or the order is invalid
+	AnswerNoTicket               // certainly not executed, the ticket is missing or no longer valid
 )
 
 // ActionKind is what is to be ordered.
@@ -110,6 +113,8 @@
 	ActionStart ActionKind = iota + 1
 	ActionStop
 	ActionPace
+	// ActionAdvise asks the adviser which of some workers may run a step.
+	ActionAdvise
 )
 
 // Action is an order to a worker.
@@ -123,6 +128,9 @@
 	// Payload and Checkpoint belong to a start.
 	Payload    string
 	Checkpoint string
+	Ticket     string
+	// Workers are those that the adviser is asked about.
+	Workers []WorkerID
 	// Percent belongs to a pace.
 	Percent int
 	Reason  string
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -114,7 +114,7 @@
 		}
 		w := ranking.best(t)
 		if w == nil {
-			return false
+			return s.ask(st, workers, now)
 		}
 		if !st.durable {
 			s.announce(st)
@@ -197,6 +197,7 @@
 		w := ranking.best(&st.tasks[i])
 		if w == nil {
 			s.undo(st, placed)
+			s.ask(st, workers, now)
 			return
 		}
 		placed = append(placed, s.reserve(st, i, st.gangRun, w, now))
@@ -251,6 +252,7 @@
 		Run:        a.run,
 		Payload:    a.step.job.Spec.Payload,
 		Checkpoint: a.task().checkpoint,
+		Ticket:     a.step.advice.ticket(w),
 	})
 	s.event(Event{Name: "task.start", Job: a.step.job.ID, Task: a.id(), Run: a.run, Worker: w.info.ID})
 }
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -313,12 +313,15 @@
 	case AnswerRefused:
 		w.shunned = laterOf(w.shunned, now.Add(refusalShunTime))
 		s.refused(a, "refused by the worker", now)
+	case AnswerNoTicket:
+		a.step.advice.withdraw(id)
+		s.refused(a, answerNames[answer], now)
 	case AnswerOld, AnswerLate, AnswerNoRoom, AnswerFenced, AnswerOther:
 		s.refused(a, answerNames[answer], now)
 	}
 }
 
-var answerNames = [...]string{"no answer", "ok", "unwell", "late", "old", "no room", "fenced", "invalid"}
+var answerNames = [...]string{"no answer", "ok", "unwell", "late", "old", "no room", "fenced", "invalid", "no ticket"}
 
 func (s *State) refused(a *attempt, reason string, now time.Time) {
 	if a.listed {
--- a/internal/batch/score.go
+++ b/internal/batch/score.go
@@ -23,7 +23,11 @@
 // rate rates a worker for a task; higher is better. It reports whether the worker may get
 // the task at all.
 func (s *State) rate(st *step, t *task, w *worker, now time.Time) (float64, bool) {
-	if w.info.Service != s.queueOf(st.job).Service || !st.reserved.Fits(w.free()) || !st.allows(w) {
+	q := s.queueOf(st.job)
+	if w.info.Service != q.Service || !st.reserved.Fits(w.free()) || !st.allows(w) {
+		return 0, false
+	}
+	if q.Advised && !st.advice.admits(w, now) {
 		return 0, false
 	}
 	if st.spec.Filler || st.spec.LatencyTarget > 0 {
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -67,6 +67,7 @@
 	// gangRun is the run number that the members share.
 	gangRun int64
 	ready   time.Time
+	advice  advice
 }
 
 // task is the state of one task.
@@ -149,6 +150,7 @@
 	// shortCPU is what tasks that end by themselves reserve, and shortUsual its running mean.
 	shortCPU   int64
 	shortUsual float64
+	asking     int // questions to the adviser without an answer
 	events     []Event
 }
 
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
@@ -16,6 +17,8 @@
 		l.call(a, l.owner.workers.Stop)
 	case batch.ActionPace:
 		l.call(a, l.owner.workers.Pace)
+	case batch.ActionAdvise:
+		l.advise(a, now)
 	}
 }
 
@@ -24,7 +27,7 @@
 	l.state.Sent(a.Worker, a.Task, a.Run, notAfter)
 	order := StartOrder{
 		Worker: a.Worker, Address: a.Address, Epoch: l.epoch, Task: a.Task, Run: a.Run,
-		Payload: a.Payload, NotAfter: notAfter, Checkpoint: a.Checkpoint,
+		Payload: a.Payload, NotAfter: notAfter, Checkpoint: a.Checkpoint, Ticket: a.Ticket,
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(l.ctx, orderTimeout)
@@ -55,6 +58,29 @@
 	}()
 }
 
+// adviceTimeout bounds the wait for the adviser, which takes questions in turn.
+const adviceTimeout = 4 * time.Second
+
+// advise asks the adviser about a step.
+func (l *leader) advise(a batch.Action, asked time.Time) {
+	go func() {
+		ctx, cancel := context.WithTimeout(l.ctx, adviceTimeout)
+		defer cancel()
+		var grants []batch.Grant
+		var valid time.Duration
+		err := errNoAdviser
+		if l.owner.opts.Adviser != nil {
+			grants, valid, err = l.owner.opts.Adviser.Advise(ctx, a.Task, a.Workers)
+		}
+		if err != nil {
+			l.log.Warn().Str("event", "advice.failed").Str("job", a.Task.Job).Int("step", a.Task.Step).Err(err).Send()
+		}
+		l.post(func(l *leader, now time.Time) { l.state.Advised(a, grants, valid, err == nil, asked, now) })
+	}()
+}
+
+var errNoAdviser = errors.New("the settings name no adviser")
+
 // answered notes what every answer tells.
 func (l *leader) answered(a batch.Action, r Reply, now time.Time) {
 	if r.Answer == batch.AnswerFenced {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -40,6 +40,8 @@
 	NotAfter int64 // worker's clock, milliseconds
 	// Checkpoint is what the task resumes from; empty is its beginning.
 	Checkpoint string
+	// Ticket allows the start where a policy asks for one.
+	Ticket string
 }
 
 // RunOrder asks a worker to stop or pace a task.
@@ -80,6 +82,13 @@
 	Hold(ctx context.Context, o HoldOrder) (batch.Report, batch.Answer)
 }
 
+// Adviser tells which workers a policy allows to run a step.
+type Adviser interface {
+	// Advise returns tickets for those of the workers that may run the step, and how long
+	// they are valid from the call. An error says that there was no answer.
+	Advise(ctx context.Context, step batch.TaskID, workers []batch.WorkerID) ([]batch.Grant, time.Duration, error)
+}
+
 // Registry decodes the store's entries of workers.
 type Registry interface {
 	// Prefix is the prefix of all entries.
@@ -102,6 +111,8 @@
 	KeepJobs time.Duration
 	// Speed is how much processor time this machine gives, in cores; 0 is not known.
 	Speed float64
+	// Adviser is asked about steps of queues with a policy; nil answers nothing.
+	Adviser Adviser
 	// AskToYield asks the owner of a claim to hand over to a faster machine; nil asks nobody.
 	AskToYield func(ctx context.Context, c Claim) error
 	// Scope receives the metrics.
--- a/standin/soak/judge.go
+++ b/standin/soak/judge.go
@@ -48,7 +48,9 @@
 	spec     jobSpec
 	accepted bool
 	// unknown says that the outcome of a submission was not told, so that it may run.
-	unknown   bool
+	unknown bool
+	// missing says that a caller who did not know was told that there is no such job.
+	missing   bool
 	cancelled time.Time // acknowledged cancellation
 	started   bool
 	shown     string // last state that a caller saw
@@ -129,9 +131,11 @@
 	if status == 410 && s.accepted {
 		j.violated("LOST", "job %s was accepted and is not known", id)
 	}
+	s.missing = status == 410
 	if status != 200 {
 		return
 	}
+	s.accepted = true // also if the answer to the submission was lost
 	s.shown = state
 	switch {
 	case state == "completed" && !j.allDone(s):
@@ -253,13 +257,13 @@
 	}
 }
 
-// Open returns the accepted jobs whose end callers have not seen.
+// Open returns the jobs that were accepted, or may have been, and whose end callers have not seen.
 func (j *Judge) Open() []string {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	var out []string
 	for id, s := range j.jobs {
-		if s.accepted && s.shown != "completed" && s.shown != "failed" && s.shown != "cancelled" {
+		if (s.accepted || s.unknown && !s.missing) && s.shown != "completed" && s.shown != "failed" && s.shown != "cancelled" {
 			out = append(out, id)
 		}
 	}
