Lost tasks resume from the checkpoint that their worker listed; what a leaving worker cuts off moves

Cause: the checkpoints in the lists of running tasks were read and dropped, so tasks of crashed workers began anew unless an end had brought one; a draining worker's remaining time was not used (docs/PLATFORM.md, not built). Ruled out: moving all batch tasks off a draining worker; most end in time. Tests: lost tasks resume from the listed checkpoint; workers that leave soon finish only what they can.

--- a/internal/batch/model.go
+++ b/internal/batch/model.go
@@ -44,6 +44,8 @@
 	Labels     []string
 	Capacity   Resources
 	Draining   bool
+	// Remaining is the least time that a draining worker stays; 0 if it does not say.
+	Remaining time.Duration
 	// Cold says how much longer the worker is slow after its start.
 	Cold time.Duration
 }
--- a/internal/batch/policy_test.go
+++ b/internal/batch/policy_test.go
@@ -182,6 +182,40 @@
 	is.Equal(got[0].Task.Job, "new")
 }
 
+// Pattern: runners are taken away at short notice. What they would cut off moves at once; what
+// they still finish stays.
+func TestWorkersThatLeaveSoonFinishOnlyWhatTheyCan(t *testing.T) {
+	is := is.New(t)
+	s, now := scene("a")
+	add(s, "j", "q", now, Step{Count: 2, Need: Resources{CPU: 1000, MemoryMB: 100}, Estimate: 2 * time.Second, Checkpoints: true})
+	all := settle(s, now)
+	list := running(all, "a")
+	list[0].Percent, list[1].Percent = 80, 20
+	now = now.Add(time.Second)
+	confirm(s, "a", Report{Born: 1, Clock: 1000, Running: list}, now)
+	info := s.workers["a"].info
+	info.Draining, info.Remaining = true, 1500*time.Millisecond
+	s.ObserveWorker(info, now)
+	orders := s.Plan(now)
+	is.Equal(len(orders), 1)
+	is.Equal(orders[0].Kind, ActionStop)
+	is.Equal(orders[0].Task, list[1].Task)
+}
+
+// Pattern: a runner crashes while tasks with checkpoints run there. They resume from the last
+// one that it listed.
+func TestLostTasksResumeFromTheListedCheckpoint(t *testing.T) {
+	is := is.New(t)
+	s, now := scene("a", "b")
+	add(s, "j", "q", now, Step{Count: 1, Need: Resources{CPU: 1000, MemoryMB: 100}, Estimate: 2 * time.Second, Checkpoints: true})
+	first := starts(settle(s, now))[0]
+	confirm(s, first.Worker, Report{Born: 1, Clock: 1000, Running: []Running{{Task: first.Task, Run: first.Run, Checkpoint: "c7", Percent: 60}}}, now)
+	confirm(s, first.Worker, Report{Born: 2, Clock: 5}, now.Add(time.Second))
+	again := starts(settle(s, now.Add(time.Second)))
+	is.Equal(len(again), 1)
+	is.Equal(again[0].Checkpoint, "c7")
+}
+
 // Pattern: a worker fails whatever it starts. It gets no more after two failures, and is
 // tried again later.
 func TestWorkerThatFailsTasksIsShunned(t *testing.T) {
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -58,6 +58,10 @@
 		a.progress = now
 	}
 	a.listed = true
+	if t := a.task(); e.Checkpoint != "" && a.run == t.lastRun {
+		// What is lost with the worker resumes from here.
+		t.checkpoint = e.Checkpoint
+	}
 	a.percent = e.Percent
 	a.gauge = e.Gauge
 }
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -65,7 +65,7 @@
 	w.rack = rackOf(info.Labels)
 	if drains {
 		s.event(Event{Name: "worker.draining", Worker: info.ID})
-		s.leave(w)
+		s.leave(w, now)
 	}
 }
 
@@ -203,16 +203,31 @@
 	}
 }
 
-// leave moves what should not end with a worker that drains: tasks that last, and tasks
-// that resume from a checkpoint would otherwise lose what they did since.
-func (s *State) leave(w *worker) {
+// leave moves what should not end with a worker that drains: tasks that last, and tasks that
+// it would cut off before they are done.
+func (s *State) leave(w *worker, now time.Time) {
 	for _, a := range w.attempts {
-		if a.step.spec.LongRunning && s.mayDisrupt(a) {
+		switch {
+		case a.step.spec.LongRunning && s.mayDisrupt(a):
 			s.stop(a, "worker drains")
+		case !a.step.spec.LongRunning && !a.step.spec.Gang && w.info.Remaining > 0 && a.rest(now) > w.info.Remaining:
+			s.stop(a, "worker leaves before it would be done")
 		}
 	}
 }
 
+// paceKnown is the percent from which a task's own progress tells how long it takes.
+const paceKnown = 10
+
+// rest estimates how long an attempt takes until it is done.
+func (a *attempt) rest(now time.Time) time.Duration {
+	left := time.Duration(paceFull - a.percent)
+	if a.percent >= paceKnown {
+		return now.Sub(a.ordered) * left / time.Duration(a.percent)
+	}
+	return a.step.spec.Estimate * left / paceFull
+}
+
 // mayDisrupt reports whether the step allows one more task to be away.
 func (s *State) mayDisrupt(a *attempt) bool {
 	bound := a.step.spec.MaxDisrupted
