Remove claims of dead processes at once; nobody leads without a configuration

Cause 1: after a kill of the owner's process nobody decides until its claim has lapsed, 1.2 s, although its peers see the connection end and its port refuse at once. Change: an instance that finds nothing listening at the owner's address removes the claim, and a new process that of its former life; the next owner's epoch fences the former in any case. Tests: a claim of a dead process is removed, also by the new process; the end of a peer is noticed; nobody leads without a configuration; jobs of a removed queue keep their terms.

--- a/internal/batch/helpers_test.go
+++ b/internal/batch/helpers_test.go
@@ -16,7 +16,7 @@
 
 // add accepts a job with the steps.
 func add(s *State, id, queue string, now time.Time, steps ...Step) *Job {
-	j := &Job{ID: id, Queue: queue, Service: "svc", Accepted: now, Spec: Spec{Payload: "p", Steps: steps}}
+	j := &Job{ID: id, Queue: queue, Terms: Queue{Service: "svc", MaxAttempts: 3}, Accepted: now, Spec: Spec{Payload: "p", Steps: steps}}
 	s.Add(j, nil, false, now)
 	return j
 }
--- a/internal/batch/model.go
+++ b/internal/batch/model.go
@@ -15,15 +15,15 @@
 
 // Queue is how the configuration treats the jobs of one queue.
 type Queue struct {
-	Service string
+	Service string `cbor:"1,keyasint,omitempty"`
 	// Priority orders queues; 0 comes first.
-	Priority    int
-	MaxAttempts int
+	Priority    int `cbor:"2,keyasint,omitempty"`
+	MaxAttempts int `cbor:"3,keyasint,omitempty"`
 	// Stretch and Slack give the objective of a job: Stretch times its longest chain, and Slack more.
-	Stretch float64
-	Slack   time.Duration
+	Stretch float64       `cbor:"4,keyasint,omitempty"`
+	Slack   time.Duration `cbor:"5,keyasint,omitempty"`
 	// Advised says that a policy allows only some workers to run a step, which an adviser tells.
-	Advised bool
+	Advised bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Config is what the operators want, in one version.
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -133,7 +133,7 @@
 
 func (r refusals) cover(st *step) bool {
 	return slices.ContainsFunc(r, func(o *step) bool {
-		return o.job.Service == st.job.Service && o.spec.Filler == st.spec.Filler &&
+		return o.job.Queue == st.job.Queue && o.spec.Filler == st.spec.Filler &&
 			(!st.spec.Filler || o.spec.Image == st.spec.Image) &&
 			(o.spec.Label == "" || o.spec.Label == st.spec.Label) &&
 			o.spec.MaxPerWorker == 0 && o.spec.Need.Fits(st.spec.Need)
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -12,9 +12,10 @@
 type Job struct {
 	ID       string
 	Queue    string
-	Service  string
 	Accepted time.Time
 	Spec     Spec
+	// Terms is the queue as it was configured when the job was accepted.
+	Terms Queue
 
 	outcome   Outcome
 	durable   Outcome // the outcome that the store holds
@@ -225,7 +226,7 @@
 	if q, ok := s.config.Queues[j.Queue]; ok {
 		return q
 	}
-	return Queue{Service: j.Service, MaxAttempts: 1, Stretch: 1, Priority: 1}
+	return j.Terms
 }
 
 // Add takes a job in. A job that is known stays as it is. loaded says that the job was
--- a/internal/batch/state_test.go
+++ b/internal/batch/state_test.go
@@ -53,7 +53,7 @@
 	next.Suspect(until)
 	for id, j := range s.jobs {
 		r := j.record()
-		next.Add(&Job{ID: id, Queue: j.Queue, Service: j.Service, Accepted: j.Accepted, Spec: j.Spec}, &r, true, now)
+		next.Add(&Job{ID: id, Queue: j.Queue, Terms: j.Terms, Accepted: j.Accepted, Spec: j.Spec}, &r, true, now)
 	}
 	for _, w := range s.workers {
 		next.ObserveWorker(w.info, now)
@@ -173,6 +173,20 @@
 	is.True(s.Dirty() > 0)
 }
 
+// Pattern: the configuration removes the route of accepted jobs. Their attempts, and where
+// they run, stay as they were when the jobs were accepted, also under a new owner.
+func TestJobsOfARemovedQueueKeepTheirTerms(t *testing.T) {
+	is := is.New(t)
+	s, now := scene("a")
+	add(s, "j", "q", now, one(1, 1000))
+	first := starts(settle(s, now))[0]
+	s.SetConfig(Config{Version: s.config.Version + 1})
+	next := takeOver(s, now, "a")
+	confirm(next, "a", Report{Born: 1, Clock: 100, Ended: []Ended{{Number: 1, Task: first.Task, Run: first.Run, How: EndFailed}}}, now)
+	is.Equal(next.Job("j").Outcome(), Active) // two attempts are left
+	is.Equal(len(starts(settle(next, now))), 1)
+}
+
 func TestRebornWorkerRunsNothing(t *testing.T) {
 	is := is.New(t)
 	s, now := scene("a")
@@ -283,7 +297,7 @@
 	is := is.New(t)
 	s, now := scene("a")
 	spec := Spec{Steps: []Step{one(1, 1000)}, Repeats: 2, First: now.Add(time.Second), Interval: time.Second}
-	s.Add(&Job{ID: "j", Queue: "q", Service: "svc", Accepted: now, Spec: spec}, nil, false, now)
+	s.Add(&Job{ID: "j", Queue: "q", Terms: Queue{Service: "svc", MaxAttempts: 3}, Accepted: now, Spec: spec}, nil, false, now)
 	is.Equal(len(starts(settle(s, now))), 0)
 	is.Equal(len(starts(settle(s, now.Add(1100*time.Millisecond)))), 1)
 	is.Equal(len(starts(settle(s, now.Add(2100*time.Millisecond)))), 1)
--- a/internal/batch/world_test.go
+++ b/internal/batch/world_test.go
@@ -97,7 +97,7 @@
 		if stored, ok := w.records[id]; ok {
 			r = &stored
 		}
-		s.Add(&Job{ID: j.ID, Queue: j.Queue, Service: j.Service, Accepted: j.Accepted, Spec: j.Spec}, r, true, w.now)
+		s.Add(&Job{ID: j.ID, Queue: j.Queue, Terms: j.Terms, Accepted: j.Accepted, Spec: j.Spec}, r, true, w.now)
 	}
 	for id := range w.cancels {
 		s.Cancel(id, w.now)
@@ -136,9 +136,9 @@
 		spec.Steps = append(spec.Steps, step)
 	}
 	id := fmt.Sprintf("j%d", len(w.jobs))
-	j := &Job{ID: id, Queue: "q", Service: "svc", Accepted: w.now, Spec: spec}
+	j := &Job{ID: id, Queue: "q", Terms: Queue{Service: "svc", MaxAttempts: 3}, Accepted: w.now, Spec: spec}
 	w.jobs[id] = j
-	w.owner.Add(&Job{ID: id, Queue: "q", Service: "svc", Accepted: w.now, Spec: spec}, nil, false, w.now)
+	w.owner.Add(&Job{ID: id, Queue: "q", Terms: Queue{Service: "svc", MaxAttempts: 3}, Accepted: w.now, Spec: spec}, nil, false, w.now)
 }
 
 func (w *world) cancel(t *rapid.T) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -47,13 +47,15 @@
 	o.Owner.AskToYield = func(ctx context.Context, c owner.Claim) error {
 		return peers.Call(ctx, c.Address, kindYield, yieldMessage{Epoch: c.Epoch, Speed: o.Owner.Speed}, nil)
 	}
-	return &Instance{
+	i := &Instance{
 		store:  store,
 		owner:  owner.New(o.Owner, store, workers, registry, config.current, log),
 		peers:  peers,
 		config: config,
 		log:    log,
 	}
+	peers.Lost = i.peerLost
+	return i
 }
 
 // Run follows the configuration and takes part in campaigns until ctx ends.
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -40,7 +40,7 @@
 
 // Submit stores a job. An id that is stored already is the same job.
 func (i *Instance) Submit(ctx context.Context, t *Table, id, queue string, spec batch.Spec) Result {
-	s := owner.Submission{Queue: queue, Service: t.Batch.Queues[queue].Service, Accepted: time.Now(), Spec: spec}
+	s := owner.Submission{Queue: queue, Accepted: time.Now(), Spec: spec, Terms: t.Batch.Queues[queue]}
 	key := owner.JobKey(id)
 	txn := kv.Txn{
 		If:  []kv.Condition{{Key: key}},
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -119,6 +119,15 @@
 	}()
 }
 
+// peerLost looks whether the owner is gone when the connection to it has ended.
+func (i *Instance) peerLost(addr string) {
+	c := i.owner.Claim()
+	if c == nil || c.Address != addr || !peer.Gone(context.Background(), addr) {
+		return
+	}
+	i.owner.Depose(*c, "its process has ended")
+}
+
 // askOutcome asks the owner for a job.
 func (i *Instance) askOutcome(ctx context.Context, id string) (owner.Outcome, bool) {
 	if o, ok := i.owner.Outcome(id, ownerTimeout); ok {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -27,6 +27,8 @@
 	Speed float64 `cbor:"4,keyasint,omitempty"`
 	// YieldTo is the speed of a machine that the owner is handing over to; 0 while it stays.
 	YieldTo float64 `cbor:"5,keyasint,omitempty"`
+	// Life tells the processes of an instance apart.
+	Life uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // StartOrder asks a worker to start a task.
@@ -136,6 +138,8 @@
 	fastest atomic.Uint64
 	// yielded is when this instance last handed over to a faster machine, in Unix nanoseconds.
 	yielded atomic.Int64
+	// life is drawn by each process anew.
+	life uint64
 }
 
 // New returns an owner that does nothing until Run.
@@ -151,6 +155,7 @@
 		config:   config,
 		log:      log,
 		changed:  make(chan struct{}, 1),
+		life:     rand.Uint64(),
 	}
 }
 
@@ -159,6 +164,8 @@
 	claimWait = 2 * time.Second
 	// storeRetry is the pause after a failed call to the store.
 	storeRetry = 200 * time.Millisecond
+	// configPause is the pause of a campaign until the configuration is known.
+	configPause = 20 * time.Millisecond
 	// maxCampaignDelay spreads the campaigns of the instances.
 	maxCampaignDelay = 60 * time.Millisecond
 )
@@ -224,6 +231,7 @@
 	old := o.claim.Swap(c)
 	if c != nil {
 		o.compareSpeed(*c)
+		o.notice(*c)
 	}
 	if l := o.leading.Load(); l != nil && (c == nil || c.Epoch != l.epoch) {
 		if c == nil || c.Epoch > l.epoch {
@@ -251,6 +259,11 @@
 	if o.claim.Load() != nil || o.resign.Load() {
 		return
 	}
+	if o.config().Version == 0 {
+		// Without a configuration nothing is known of queues, and no job may be judged.
+		pause(ctx, configPause)
+		return
+	}
 	won, err := o.win(ctx)
 	if err != nil {
 		if !errors.Is(err, kv.ErrConflict) {
@@ -281,7 +294,7 @@
 	if err != nil {
 		return victory{}, err
 	}
-	c := Claim{Epoch: head.Epoch + 1, Instance: o.opts.Instance, Address: o.opts.Address, Speed: o.opts.Speed}
+	c := Claim{Epoch: head.Epoch + 1, Instance: o.opts.Instance, Address: o.opts.Address, Speed: o.opts.Speed, Life: o.life}
 	next := commitHead{Epoch: c.Epoch}
 	commitRev, err := o.store.Commit(ctx, kv.Txn{
 		If:  []kv.Condition{{Key: claimKey}, {Key: headKey, Rev: rev}},
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -59,7 +60,7 @@
 
 // submit stores a job as an instance does.
 func (s *stage) submit(id string, steps ...batch.Step) {
-	v := Submission{Queue: "q", Service: "svc", Accepted: time.Now(), Spec: batch.Spec{Payload: "p", Steps: steps}}
+	v := Submission{Queue: "q", Terms: batch.Queue{Service: "svc", MaxAttempts: 3}, Accepted: time.Now(), Spec: batch.Spec{Payload: "p", Steps: steps}}
 	s.store.set(JobKey(id), EncodeSubmission(v))
 }
 
@@ -162,6 +163,75 @@
 	}, "w1", "w2")
 }
 
+// kill ends an instance as SIGKILL does: it gives nothing back.
+func (s *stage) kill(name string) {
+	s.store.mu.Lock()
+	s.store.down = true
+	s.store.mu.Unlock()
+	s.stops[name]()
+	s.after(2 * deposeTimeout / 100)
+	s.store.mu.Lock()
+	s.store.down = false
+	s.store.mu.Unlock()
+}
+
+// Pattern: the owner's process is killed. An instance that knows it for sure removes the claim,
+// and the next owner leads long before the claim would have lapsed.
+func TestAClaimOfADeadProcessIsRemoved(t *testing.T) {
+	onStage(t, func(s *stage) {
+		a := s.instance("a")
+		s.after(500 * time.Millisecond)
+		s.is.Equal(s.leader(), "a")
+		b := s.instance("b")
+		s.after(500 * time.Millisecond)
+		s.kill("a")
+		claim := *b.Claim()
+		begun := time.Now()
+		b.Depose(claim, "test")
+		s.after(300 * time.Millisecond)
+		s.is.True(b.leading.Load() != nil)
+		s.is.Equal(b.Claim().Epoch, claim.Epoch+1)
+		s.is.True(time.Since(begun) < a.opts.LeaseTTL/2)
+		b.Depose(claim, "too late") // the claim is another one now
+		s.after(300 * time.Millisecond)
+		s.is.Equal(b.Claim().Epoch, claim.Epoch+1)
+	}, "w1")
+}
+
+// Pattern: the owner's process is killed and starts again at once. It removes its former claim.
+func TestANewProcessRemovesTheClaimOfItsFormerOne(t *testing.T) {
+	onStage(t, func(s *stage) {
+		s.instance("a")
+		s.after(500 * time.Millisecond)
+		s.kill("a")
+		again := s.instance("a")
+		s.after(300 * time.Millisecond)
+		s.is.True(again.leading.Load() != nil)
+		s.is.Equal(again.Claim().Epoch, int64(2))
+	}, "w1")
+}
+
+// Pattern: all instances start anew and the claim is free before one knows the configuration.
+// Nobody leads until then, since no job may be judged without it.
+func TestNobodyLeadsWithoutAConfiguration(t *testing.T) {
+	onStage(t, func(s *stage) {
+		var known atomic.Bool
+		o := New(Options{Instance: "a", Address: "a", LeaseTTL: 1200 * time.Millisecond, WorkerLease: 6 * time.Second, KeepJobs: 20 * time.Second},
+			s.store, s.workers, fakeRegistry{}, func() batch.Config {
+				if known.Load() {
+					return testConfig()
+				}
+				return batch.Config{}
+			}, zerolog.Nop())
+		go o.Run(s.ctx)
+		s.after(2 * time.Second)
+		s.is.True(o.leading.Load() == nil)
+		known.Store(true)
+		s.after(200 * time.Millisecond)
+		s.is.True(o.leading.Load() != nil)
+	}, "w1")
+}
+
 // Machines of one speed leave the owner where it is.
 func TestEqualMachinesDoNotAskForTheClaim(t *testing.T) {
 	onStage(t, func(s *stage) {
--- a/internal/owner/records.go
+++ b/internal/owner/records.go
@@ -36,9 +36,10 @@
 // Submission is an accepted job in the store.
 type Submission struct {
 	Queue    string     `cbor:"1,keyasint"`
-	Service  string     `cbor:"2,keyasint"`
 	Accepted time.Time  `cbor:"3,keyasint"`
 	Spec     batch.Spec `cbor:"4,keyasint"`
+	// Terms is the queue as it was configured then; they hold if it is removed.
+	Terms batch.Queue `cbor:"5,keyasint"`
 }
 
 var encMode = func() cbor.EncMode {
@@ -88,7 +89,7 @@
 	if err := cbor.Unmarshal(b, &s); err != nil {
 		return nil, errors.Annotatef(err, "job %s", id)
 	}
-	return &batch.Job{ID: id, Queue: s.Queue, Service: s.Service, Accepted: s.Accepted, Spec: s.Spec}, nil
+	return &batch.Job{ID: id, Queue: s.Queue, Accepted: s.Accepted, Spec: s.Spec, Terms: s.Terms}, nil
 }
 
 // split returns the kind of an accepted entry and the job that it names.
--- a/internal/owner/serve.go
+++ b/internal/owner/serve.go
@@ -36,7 +36,7 @@
 	if l == nil {
 		return false
 	}
-	j := &batch.Job{ID: id, Queue: s.Queue, Service: s.Service, Accepted: s.Accepted, Spec: s.Spec}
+	j := &batch.Job{ID: id, Queue: s.Queue, Accepted: s.Accepted, Spec: s.Spec, Terms: s.Terms}
 	return l.post(func(l *leader, now time.Time) { l.state.Add(j, nil, false, now) })
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -83,6 +83,28 @@
 	is.Equal(len(pool.links), 1) // all calls shared one connection
 }
 
+// Pattern: a peer's process ends. Its callers learn of it at once, and that nothing listens there.
+func TestTheEndOfAPeerIsNoticed(t *testing.T) {
+	is := is.New(t)
+	s := NewServer("server", zerolog.Nop())
+	s.Handle(kindEcho, func(_ context.Context, _ model.InstanceID, _ []byte) (any, error) { return echo{}, nil })
+	mux := http.NewServeMux()
+	mux.Handle("/peer", s)
+	h := httptest.NewServer(mux)
+	addr := strings.TrimPrefix(h.URL, "http://")
+	p := newPool(t)
+	lost := make(chan string, 1)
+	p.Lost = func(addr string) { lost <- addr }
+	is.NoErr(p.Call(t.Context(), addr, kindEcho, echo{}, nil))
+	is.True(!Gone(t.Context(), addr))
+	for ws := range s.conns {
+		_ = ws.CloseNow()
+	}
+	h.Close()
+	is.Equal(<-lost, addr)
+	is.True(Gone(t.Context(), addr))
+}
+
 func TestErrorsCrossTheHop(t *testing.T) {
 	cases := []struct {
 		sentence string
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/geraniumwick/geraniumwick/internal/model"
@@ -22,6 +23,10 @@
 	self   model.InstanceID
 	client *http.Client
 
+	// Lost is told the address of a peer whose connection has ended; nil tells nobody. It is
+	// set before the first call.
+	Lost func(addr string)
+
 	mu     sync.Mutex
 	links  map[string]*link
 	closed bool
@@ -67,7 +72,7 @@
 	if err != nil {
 		return err
 	}
-	c, err := l.connect(ctx, p.client, p.self)
+	c, err := l.connect(ctx, p)
 	if err != nil {
 		return verdict.New(verdict.NotRun, verdict.ReasonPeer, "%s: %v", addr, err)
 	}
@@ -135,7 +140,7 @@
 }
 
 // connect returns the open connection or opens one.
-func (l *link) connect(ctx context.Context, client *http.Client, self model.InstanceID) (*conn, error) {
+func (l *link) connect(ctx context.Context, p *Pool) (*conn, error) {
 	if c, err := l.current(time.Now()); c != nil || err != nil {
 		return c, err
 	}
@@ -148,11 +153,17 @@
 	if c, err := l.current(time.Now()); c != nil || err != nil {
 		return c, err
 	}
-	c, err := dial(ctx, client, l.addr, self)
+	c, err := dial(ctx, p.client, l.addr, p.self)
 	if err != nil {
 		l.failed(ctx.Err() != nil)
 		return nil, err
 	}
+	if p.Lost != nil {
+		go func() {
+			<-c.closed
+			p.Lost(l.addr)
+		}()
+	}
 	return c, l.opened(c)
 }
 
@@ -212,3 +223,20 @@
 	}
 	return pause/2 + rand.N(pause/2)
 }
+
+// probeTimeout bounds the search for a listener.
+const probeTimeout = 300 * time.Millisecond
+
+// Gone reports whether nothing listens at the address, although its machine answers: the
+// process has ended. A peer that is only unreachable is not known to be gone.
+func Gone(ctx context.Context, addr string) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	c, err := dialer.DialContext(ctx, "tcp", addr)
+	if err == nil {
+		_ = c.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
