--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -67,6 +67,7 @@
 	var refused refusals
 	for _, c := range s.queue(now) {
 		if refused.cover(c.step) {
+			s.waits(c.step, waitsForRoom)
 			continue
 		}
 		if c.step.spec.Gang {
@@ -106,14 +107,20 @@
 	ranking := s.newRanking(st, workers, now)
 	for i := range st.tasks {
 		t := &st.tasks[i]
-		if t.done || len(t.attempts) > 0 || t.doubtful && len(s.unresolved) > 0 {
+		if t.done || len(t.attempts) > 0 {
+			continue
+		}
+		if t.doubtful && len(s.unresolved) > 0 {
+			s.waits(st, waitsForDoubt)
 			continue
 		}
 		if st.spec.LongRunning && t.lastRun == 0 && !s.spares(st, workers, now) {
+			s.waits(st, waitsForReserve)
 			return true
 		}
 		w := ranking.best(t)
 		if w == nil {
+			s.waits(st, waitsForRoom)
 			return s.ask(st, workers, now)
 		}
 		if !st.durable {
@@ -125,6 +132,22 @@
 	return true
 }
 
+// Why steps wait, as logs say it.
+const (
+	waitsForRoom    = "no worker that may run it has room"
+	waitsForReserve = "room is kept for short tasks"
+	waitsForDoubt   = "a former owner may have started it on a worker that has not answered"
+)
+
+// waits notes why a step waits, once for each reason in turn.
+func (s *State) waits(st *step, reason string) {
+	if st.waitsFor == reason {
+		return
+	}
+	st.waitsFor = reason
+	s.event(Event{Name: "step.waits", Job: st.job.ID, Task: TaskID{Job: st.job.ID, Occurrence: st.occ.number, Step: st.number}, Detail: reason})
+}
+
 // refusals are the steps for which no worker was found in a plan. A step that asks for no
 // less on the same terms finds none either.
 type refusals []*step
--- a/internal/batch/policy_test.go
+++ b/internal/batch/policy_test.go
@@ -157,6 +157,14 @@
 	s.shortUsual = 2000
 	add(s, "lasts", "q", now, serving("web", 8))
 	is.Equal(len(starts(settle(s, now))), 6) // a quarter of 8 cores stays free
+	reasons := 0
+	for _, e := range s.Events() {
+		if e.Name == "step.waits" {
+			is.Equal(e.Detail, waitsForReserve) // an operator can tell why the rest waits
+			reasons++
+		}
+	}
+	is.Equal(reasons, 1) // however often it is looked at
 	add(s, "short", "q", now, one(2, 1000))
 	is.Equal(len(starts(settle(s, now))), 2)
 	s.Cancel("short", now)
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -69,6 +69,8 @@
 	gangRun int64
 	ready   time.Time
 	advice  advice
+	// waitsFor is the last reason for which the step waited.
+	waitsFor string
 }
 
 // task is the state of one task.
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -34,6 +34,8 @@
 	followWait = 2 * time.Second
 	// eventBound is the number of events that may wait for the loop.
 	eventBound = 4096
+	// newsBound is the same for what the store says.
+	newsBound = 64
 	// clockTolerance covers workers' clocks that are up to 2 % slow.
 	clockTolerance = 1.03
 	// leaseMargin is added to each lease that must surely have ended.
@@ -58,7 +60,10 @@
 	cancel   context.CancelCauseFunc
 
 	events chan event
-	done   chan struct{}
+	// news are what the store says of jobs and workers. They go before the events of workers, of
+	// which thousands may wait after a take-over: a worker that leaves gets nothing new.
+	news chan event
+	done chan struct{}
 
 	// The fields below belong to the loop.
 	state   *batch.State
@@ -97,6 +102,7 @@
 		claim: v.claim, claimRev: v.commitRev,
 		cancel:  cancel,
 		events:  make(chan event, eventBound),
+		news:    make(chan event, newsBound),
 		done:    make(chan struct{}),
 		state:   batch.New(v.claim.Epoch, limits),
 		clocks:  map[batch.WorkerID]workerClock{},
@@ -119,6 +125,14 @@
 	}
 }
 
+// postNews hands what the store says to the loop.
+func (l *leader) postNews(e event) {
+	select {
+	case l.news <- e:
+	case <-l.done:
+	}
+}
+
 // run leads until ctx ends.
 func (l *leader) run(ctx context.Context) {
 	l.ctx = ctx
@@ -136,11 +150,14 @@
 		case e := <-l.events:
 			e(l, time.Now())
 			l.drain()
+		case e := <-l.news:
+			e(l, time.Now())
 		case <-ticker.C:
 			l.members = true
 		case <-l.commits.due():
 		case <-l.rest.due():
 		}
+		l.hearNews()
 		if now := time.Now(); l.rest.over(now) {
 			l.decide(now)
 			l.rest.begin(now, time.Now())
@@ -148,9 +165,22 @@
 	}
 }
 
+// hearNews takes in all that the store has said.
+func (l *leader) hearNews() {
+	for {
+		select {
+		case e := <-l.news:
+			e(l, time.Now())
+		default:
+			return
+		}
+	}
+}
+
 // drain executes the events that wait, so that one decision covers them.
 func (l *leader) drain() {
 	for range eventBound {
+		l.hearNews()
 		select {
 		case e := <-l.events:
 			e(l, time.Now())
@@ -297,11 +327,11 @@
 	f := &kv.Follower{
 		Store: l.owner.store, Prefix: inPrefix, Wait: followWait, Pause: followPause, Retry: storeRetry,
 		Reset: func(items []kv.Item, _ int64) {
-			l.post(func(l *leader, now time.Time) { l.takeIn(items, nil, false, now) })
+			l.postNews(func(l *leader, now time.Time) { l.takeIn(items, nil, false, now) })
 		},
 		Changed: func(events []kv.Event, _ int64) {
 			items := present(events)
-			l.post(func(l *leader, now time.Time) { l.takeIn(items, nil, false, now) })
+			l.postNews(func(l *leader, now time.Time) { l.takeIn(items, nil, false, now) })
 		},
 	}
 	f.Run(ctx, rev)
@@ -322,10 +352,10 @@
 	f := &kv.Follower{
 		Store: l.owner.store, Prefix: l.owner.registry.Prefix(), Wait: followWait, Pause: followPause, Retry: storeRetry,
 		Reset: func(items []kv.Item, _ int64) {
-			l.post(func(l *leader, _ time.Time) { l.observeAll(items) })
+			l.postNews(func(l *leader, _ time.Time) { l.observeAll(items) })
 		},
 		Changed: func(events []kv.Event, _ int64) {
-			l.post(func(l *leader, _ time.Time) { l.observeChanges(events) })
+			l.postNews(func(l *leader, _ time.Time) { l.observeChanges(events) })
 		},
 	}
 	f.Run(ctx, rev)
--- a/internal/owner/tidy.go
+++ b/internal/owner/tidy.go
@@ -41,8 +41,11 @@
 		if e.Job != "" {
 			line = line.Str("job", e.Job)
 		}
+		if e.Task.Job != "" {
+			line = line.Int("step", e.Task.Step)
+		}
 		if e.Run > 0 {
-			line = line.Int("step", e.Task.Step).Int("index", e.Task.Index).Int64("run", e.Run)
+			line = line.Int("index", e.Task.Index).Int64("run", e.Run)
 		}
 		if e.Task.Occurrence > 0 {
 			line = line.Int("occurrence", e.Task.Occurrence)
