--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -83,9 +83,13 @@
 	go h.run(ctx)
 }
 
+// firstContacts bounds the first calls to workers that are under way at once. After a take-over
+// of thousands, all at once would keep the processor from everything else for seconds.
+const firstContacts = 64
+
 func (h *holder) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		report, answer := h.call(ctx)
+	for first := true; ctx.Err() == nil; first = false {
+		report, answer := h.callInTurn(ctx, first)
 		switch answer {
 		case batch.AnswerOK:
 			h.succeeded(ctx, report)
@@ -99,6 +103,19 @@
 	}
 }
 
+// callInTurn makes a call; the first one waits for its turn.
+func (h *holder) callInTurn(ctx context.Context, first bool) (batch.Report, batch.Answer) {
+	if first {
+		select {
+		case h.leader.contacts <- struct{}{}:
+			defer func() { <-h.leader.contacts }()
+		case <-ctx.Done():
+			return batch.Report{}, batch.AnswerNone
+		}
+	}
+	return h.call(ctx)
+}
+
 // call renews the lease once. After a failure, and in the first call, nothing is
 // acknowledged: the worker may have another life.
 func (h *holder) call(ctx context.Context) (batch.Report, batch.Answer) {
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -64,6 +64,8 @@
 	// which thousands may wait after a take-over: a worker that leaves gets nothing new.
 	news chan event
 	done chan struct{}
+	// contacts has room for the first calls to workers that may be under way at once.
+	contacts chan struct{}
 
 	// The fields below belong to the loop.
 	state   *batch.State
@@ -100,15 +102,17 @@
 		epoch: v.claim.Epoch,
 		lease: v.lease,
 		claim: v.claim, claimRev: v.commitRev,
-		cancel:  cancel,
-		events:  make(chan event, eventBound),
-		news:    make(chan event, newsBound),
-		done:    make(chan struct{}),
-		state:   batch.New(v.claim.Epoch, limits),
-		clocks:  map[batch.WorkerID]workerClock{},
-		holders: map[batch.WorkerID]*holder{},
-		known:   newKnownWorkers(),
-		commits: committer{rev: v.commitRev},
+		cancel: cancel,
+		events: make(chan event, eventBound),
+		news:   make(chan event, newsBound),
+
+		contacts: make(chan struct{}, firstContacts),
+		done:     make(chan struct{}),
+		state:    batch.New(v.claim.Epoch, limits),
+		clocks:   map[batch.WorkerID]workerClock{},
+		holders:  map[batch.WorkerID]*holder{},
+		known:    newKnownWorkers(),
+		commits:  committer{rev: v.commitRev},
 	}
 }
 
--- a/internal/owner/news_test.go
+++ b/internal/owner/news_test.go
@@ -2,14 +2,61 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
+
+	"github.com/geraniumwick/geraniumwick/internal/batch"
 )
 
+// countingWorkers counts the holds under way.
+type countingWorkers struct {
+	*fakeWorkers
+	mu        sync.Mutex
+	now, most int // first calls under way, now and at the most
+	contacted map[batch.WorkerID]bool
+}
+
+func (c *countingWorkers) Hold(ctx context.Context, o HoldOrder) (batch.Report, batch.Answer) {
+	c.mu.Lock()
+	first := !c.contacted[o.Worker]
+	c.contacted[o.Worker] = true
+	if first {
+		c.now++
+		c.most = max(c.most, c.now)
+	}
+	c.mu.Unlock()
+	r, a := c.fakeWorkers.Hold(ctx, o)
+	if first {
+		c.mu.Lock()
+		c.now--
+		c.mu.Unlock()
+	}
+	return r, a
+}
+
+// Pattern: a take-over of many workers. They are contacted a few at a time, and all of them.
+func TestWorkersAreContactedInTurn(t *testing.T) {
+	var ids []batch.WorkerID
+	for i := range 500 {
+		ids = append(ids, batch.WorkerID(fmt.Sprintf("w%03d", i)))
+	}
+	onStage(t, func(s *stage) {
+		c := &countingWorkers{fakeWorkers: s.workers, contacted: map[batch.WorkerID]bool{}}
+		o := New(Options{Instance: "a", Address: "a", LeaseTTL: 1200 * time.Millisecond, WorkerLease: 6 * time.Second, KeepJobs: 20 * time.Second},
+			s.store, c, fakeRegistry{}, testConfig, zerolog.Nop())
+		go o.Run(s.ctx)
+		s.after(time.Second)
+		s.is.Equal(len(c.contacted), len(ids))
+		s.is.True(c.most <= firstContacts)
+	}, ids...)
+}
+
 // Pattern: a take-over of thousands of workers, whose lists all wait. What the store says of a
 // worker is heard before the lists, and before the next decision.
 func TestNewsGoBeforeWaitingLists(t *testing.T) {
