--- a/internal/batch/load.go
+++ b/internal/batch/load.go
@@ -1,9 +1,6 @@
 package batch
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // load follows the own load of a job's tasks with a latency target: the utilisation that they
 // would feel without fillers beside them. All tasks of a job share one load, which swings
@@ -77,6 +74,3 @@
 func (l *load) known(now time.Time) bool {
 	return l != nil && now.Sub(l.at) < loadAge && l.levelVar < firstLevelVar
 }
-
-// deviation returns the error of the level.
-func (l *load) deviation() float64 { return math.Sqrt(l.levelVar) }
--- a/internal/batch/score.go
+++ b/internal/batch/score.go
@@ -82,7 +82,6 @@
 	weightServing  = 6.0
 	weightFillers  = 1.0
 	weightImage    = 3.0
-	weightShared   = 0.0
 	weightPress    = 1.0
 	// servingUse is the part of their reserved processors that tasks with a latency target are
 	// taken to use while their load is not known.
@@ -120,7 +119,7 @@
 	if st.spec.Filler {
 		// Where tasks have latency targets, fillers come only if others are full, the lightest first.
 		if w.serving > 0 {
-			score -= weightShared + weightPress*s.press.worst(w, st, w.felts)
+			score -= weightPress * s.press.worst(w, st, w.felts)
 		}
 	}
 	return score + float64(w.left())/cpu
