--- a/internal/batch/policy_test.go
+++ b/internal/batch/policy_test.go
@@ -126,6 +126,39 @@
 	is.Equal(orders[0].Kind, ActionStop)
 }
 
+// Pattern: many fillers that each press faintly keep a task over its target. After a time they
+// are paced although none of them seems the cause.
+func TestFaintFillersArePacedWhenATargetStaysMissed(t *testing.T) {
+	is := is.New(t)
+	s, now := scene("a")
+	faint := estimate{mean: 0.3, variance: minVariance}
+	s.press.weights[ImagePair{"faint", "web"}] = faint
+	add(s, "web", "q", now, serving("web", 1))
+	add(s, "faint", "late", now, filler("faint", 2))
+	list := running(settle(s, now), "a")
+	is.Equal(len(list), 3)
+	for i := range list {
+		if list[i].Task.Job == "web" {
+			list[i].Percent, list[i].Gauge = 100, 60 // the target is 50 ms
+		}
+	}
+	paced := 0
+	for range 6 {
+		now = now.Add(500 * time.Millisecond)
+		s.press.weights[ImagePair{"faint", "web"}] = faint // nothing is learned
+		confirm(s, "a", Report{Born: 1, Clock: now.UnixMilli(), Running: list}, now)
+		for _, a := range s.Plan(now) {
+			if a.Kind == ActionPace && a.Percent < paceFull {
+				paced++
+			}
+		}
+	}
+	is.True(paced >= 2)
+	for _, a := range s.workers["a"].fillersWhere(func(*attempt) bool { return true }) {
+		is.True(a.paced < paceFull)
+	}
+}
+
 // Pattern: a filler stands still because it is paced. It isn't stuck, and its worker is
 // not shunned for it, also under a new owner.
 func TestPacedFillerIsNotStuck(t *testing.T) {
--- a/internal/batch/pressure.go
+++ b/internal/batch/pressure.go
@@ -91,17 +91,18 @@
 	return p.presses(w, st, target, false)
 }
 
-// presses is adds, with the error of the weight on top if there are doubts.
+// presses is adds, but if there are doubts, with the error of the weight on top, and faint
+// weights count too.
 func (p *pressure) presses(w *worker, st *step, target string, doubts bool) float64 {
 	e := p.estimate(ImagePair{st.spec.Image, target})
-	weight := e.mean
-	if doubts {
-		weight += math.Sqrt(e.variance)
-	}
-	if weight < faintWeight {
+	switch {
+	case doubts:
+		return (e.mean + math.Sqrt(e.variance)) * share(w, st)
+	case e.mean < faintWeight:
 		return 0
+	default:
+		return e.mean * share(w, st)
 	}
-	return weight * share(w, st)
 }
 
 // share returns the part of the worker's processors that a filler asks for.
