Leases of silent workers end only while the claim holds; tasks that lasted are no new ones for the next owner

Change: an owner gives up runs of workers out of contact only up to the time for which its claim is confirmed by a renewal; a successor may renew their leases after that. Tests: leases of silent workers count only while the claim holds; tasks that lasted under a former owner do not wait. Both failed before.

--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -114,7 +114,7 @@
 			s.waits(st, waitsForDoubt)
 			continue
 		}
-		if st.spec.LongRunning && t.lastRun == 0 && !s.spares(st, workers, now) {
+		if st.spec.LongRunning && t.lastRun == 0 && !st.inherited && !s.spares(st, workers, now) {
 			s.waits(st, waitsForReserve)
 			return true
 		}
--- a/internal/batch/policy_test.go
+++ b/internal/batch/policy_test.go
@@ -212,6 +212,22 @@
 	is.Equal(len(starts(settle(s, now.Add(reserveWait)))), 2)
 }
 
+// Pattern: a zone is lost with the owner and with tasks that last. The next owner starts them
+// again at once; they are not new ones that wait while room is kept for short tasks.
+func TestTasksThatLastedUnderAFormerOwnerDoNotWaitForTheReserve(t *testing.T) {
+	is := is.New(t)
+	s, now := scene("a", "b")
+	add(s, "lasts", "q", now, serving("web", 8))
+	is.Equal(len(starts(settle(s, now))), 8)
+	next := takeOver(s, now)
+	next.shortUsual = 2000
+	for _, id := range []WorkerID{"a", "b"} {
+		confirm(next, id, Report{Born: 2, Clock: 5}, now)
+		confirm(next, id, Report{Born: 2, Clock: 6}, now)
+	}
+	is.Equal(len(starts(settle(next, now))), 8)
+}
+
 // Pattern: a backlog. Jobs that can still meet their objective go before those that can't.
 func TestJobsThatMissTheirObjectiveComeLast(t *testing.T) {
 	is := is.New(t)
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -130,7 +130,7 @@
 		return
 	}
 	st := j.occs[p.Occurrence].steps[p.Step]
-	st.announced, st.durable = p.Announced, p.Announced
+	st.announced, st.durable, st.inherited = p.Announced, p.Announced, p.Announced
 	for i := range st.tasks {
 		if i/8 < len(p.Done) && p.Done[i/8]&(1<<(i%8)) != 0 {
 			st.tasks[i].done = true
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -65,6 +65,8 @@
 	// and durable that the store has such a record. No task is started before.
 	announced bool
 	durable   bool
+	// inherited says that a former owner may have started tasks of the step.
+	inherited bool
 	// gangRun is the run number that the members share.
 	gangRun int64
 	ready   time.Time
@@ -154,7 +156,9 @@
 	shortCPU   int64
 	shortUsual float64
 	asking     int // questions to the adviser without an answer
-	events     []Event
+	// claimed is until when no other owner can have taken over.
+	claimed time.Time
+	events  []Event
 }
 
 // Limits are the times that the state machine reckons with.
--- a/internal/batch/state_test.go
+++ b/internal/batch/state_test.go
@@ -12,7 +12,7 @@
 // scene is a state with a few workers of 4 cores.
 func scene(workers ...WorkerID) (*State, time.Time) {
 	now := time.Unix(1_000_000, 0)
-	s := New(1, testLimits)
+	s := held(New(1, testLimits))
 	s.SetConfig(Config{Version: 1, Queues: map[string]Queue{
 		"q":    {Service: "svc", MaxAttempts: 3, Stretch: 2, Slack: time.Second},
 		"late": {Service: "svc", MaxAttempts: 3, Stretch: 2, Slack: time.Second, Priority: 2},
@@ -44,7 +44,7 @@
 
 // takeOver returns a new owner's state of the same jobs and records.
 func takeOver(s *State, now time.Time, known ...WorkerID) *State {
-	next := New(s.epoch+1, testLimits)
+	next := held(New(s.epoch+1, testLimits))
 	next.SetConfig(s.config)
 	until := map[WorkerID]time.Time{}
 	for _, id := range known {
@@ -121,6 +121,21 @@
 	is.True(again[0].Run > first.Run)
 }
 
+// Pattern: a zone is cut off together with the owner. Its successor renews the leases of the
+// workers that the owner does not reach, so the owner must not conclude that they have ended.
+func TestLeasesOfSilentWorkersCountOnlyWhileTheClaimHolds(t *testing.T) {
+	is := is.New(t)
+	s, now := scene("a", "b")
+	s.claimed = now.Add(time.Second) // the last renewal of the claim that succeeded
+	add(s, "j", "q", now, one(1, 1000))
+	first := starts(settle(s, now))[0]
+	s.Renewed(first.Worker, now.Add(6*time.Second), true)
+	s.Silent(first.Worker)
+	is.Equal(len(starts(settle(s, now.Add(7*time.Second)))), 0)
+	s.Claimed(now.Add(8 * time.Second)) // the store is back, and the claim was held all the time
+	is.Equal(len(starts(settle(s, now.Add(8*time.Second)))), 1)
+}
+
 // A worker goes silent after its first answer to a new owner, before any renewal: the lease
 // that the former owner granted still holds.
 func TestSilenceBeforeTheFirstRenewal(t *testing.T) {
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -181,10 +181,15 @@
 	}
 }
 
-// lapse gives up what ran on workers out of contact whose lease has ended.
+// Claimed tells until when no other owner can have taken over: a successor might renew the
+// leases of workers that this owner does not reach.
+func (s *State) Claimed(until time.Time) { s.claimed = laterOf(s.claimed, until) }
+
+// lapse gives up what ran on workers out of contact whose lease has ended, if nobody else can
+// have renewed it.
 func (s *State) lapse(now time.Time) {
 	for id, w := range s.workers {
-		if !w.silent || now.Before(w.leaseEnd) {
+		if !w.silent || now.Before(w.leaseEnd) || s.claimed.Before(w.leaseEnd) {
 			continue
 		}
 		if len(w.attempts) > 0 {
@@ -196,7 +201,7 @@
 		}
 	}
 	for id, until := range s.unresolved {
-		if now.After(until) {
+		if now.After(until) && s.claimed.After(until) {
 			s.event(Event{Name: "takeover.resolved", Worker: id, Detail: "its lease has ended out of contact"})
 			delete(s.unresolved, id)
 		}
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -216,8 +216,12 @@
 	for ctx.Err() == nil {
 		pause(ctx, interval)
 		call, cancel := context.WithTimeout(ctx, l.owner.opts.LeaseTTL)
+		sent := time.Now()
 		err := l.owner.store.Renew(call, l.lease)
 		cancel()
+		if err == nil {
+			l.post(func(l *leader, _ time.Time) { l.state.Claimed(sent.Add(l.owner.opts.LeaseTTL)) })
+		}
 		if errors.Is(err, kv.ErrNotFound) {
 			l.end("lease of the claim ended")
 			return
