--- a/internal/batch/policy_test.go
+++ b/internal/batch/policy_test.go
@@ -118,7 +118,12 @@
 	orders := s.Plan(now)
 	is.Equal(len(orders), 1)
 	is.Equal(orders[0].Kind, ActionPace)
-	is.True(orders[0].Percent <= slowPace)
+	is.Equal(orders[0].Percent, 40) // the largest step that keeps the target by the prediction
+	w := s.workers["a"]
+	s.feel(w, now)
+	is.True(w.felts[0].with(0) <= reliefUtilisation)
+	more := w.felts[0].with(paceStep * s.press.adds(w, s.jobs["fill"].occs[0].steps[0], "web") / paceFull)
+	is.True(more > reliefUtilisation) // one step more would miss it
 	addWorker(s, "b", Resources{CPU: 4000, MemoryMB: 4000}, now)
 	now = now.Add(moveAfter + time.Second)
 	orders = s.Plan(now)
--- a/internal/batch/state_test.go
+++ b/internal/batch/state_test.go
@@ -146,7 +146,10 @@
 	on := starts(all)[0].Worker
 	next := takeOver(s, now, "a", "b")
 	for _, id := range []WorkerID{"a", "b"} {
-		confirm(next, id, Report{Born: 1, Clock: 50, Running: running(all, id)}, now)
+		next.Apply(id, Report{Born: 1, Clock: 50, Running: running(all, id)}, now)
+		if id != on {
+			next.Renewed(id, now, true) // the other one is renewed, and may get the task
+		}
 	}
 	next.Silent(on)
 	is.Equal(len(starts(settle(next, now.Add(5*time.Second)))), 0)
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -93,6 +93,13 @@
 	s.changed = make(chan struct{})
 }
 
+// setDown makes the store refuse all calls, or serve them again.
+func (s *memoryStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
 // set writes a key as another program would.
 func (s *memoryStore) set(key string, value []byte) {
 	s.mu.Lock()
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -165,16 +165,15 @@
 
 // kill ends an instance as SIGKILL does: it gives nothing back.
 func (s *stage) kill(name string) {
-	s.store.mu.Lock()
-	s.store.down = true
-	s.store.mu.Unlock()
+	s.store.setDown(true)
 	s.stops[name]()
-	s.after(2 * deposeTimeout / 100)
-	s.store.mu.Lock()
-	s.store.down = false
-	s.store.mu.Unlock()
+	s.after(killTime)
+	s.store.setDown(false)
 }
 
+// killTime is how long the calls of a killed instance find no store.
+const killTime = 100 * time.Millisecond
+
 // Pattern: the owner's process is killed. An instance that knows it for sure removes the claim,
 // and the next owner leads long before the claim would have lapsed.
 func TestAClaimOfADeadProcessIsRemoved(t *testing.T) {
@@ -268,14 +267,7 @@
 		s.submit("j", tasks(4))
 		s.after(500 * time.Millisecond)
 		s.instance("b")
-		s.store.mu.Lock()
-		s.store.down = true // a killed process revokes nothing
-		s.store.mu.Unlock()
-		s.stops["a"]()
-		s.after(100 * time.Millisecond)
-		s.store.mu.Lock()
-		s.store.down = false
-		s.store.mu.Unlock()
+		s.kill("a")
 		s.after(4 * time.Second)
 		s.is.Equal(s.owners["b"].Claim().Epoch, int64(2))
 		s.is.Equal(s.stored("j"), batch.Completed)
@@ -323,17 +315,13 @@
 		s.after(time.Second)
 		s.submit("j", tasks(3))
 		s.after(300 * time.Millisecond)
-		s.store.mu.Lock()
-		s.store.down = true
-		s.store.mu.Unlock()
+		s.store.setDown(true)
 		s.after(8 * time.Second)
 		s.workers.mu.Lock()
 		listed := len(s.workers.nodes["w1"].ended)
 		s.workers.mu.Unlock()
 		s.is.Equal(listed, 3) // done, not lapsed and not forgotten
-		s.store.mu.Lock()
-		s.store.down = false
-		s.store.mu.Unlock()
+		s.store.setDown(false)
 		s.after(3 * time.Second)
 		s.is.Equal(s.stored("j"), batch.Completed)
 		s.startedOnce("j", 1, 3)
--- a/internal/partition/owner_test.go
+++ b/internal/partition/owner_test.go
@@ -180,9 +180,15 @@
 		for i := range 300 {
 			ctx, cancel := context.WithCancel(s.t.Context())
 			go cancel()
-			_, err := o.Submit(ctx, job(model.JobID(fmt.Sprintf("reports/%d", i))))
-			is.True(err == nil || verdict.Of(err) != verdict.Ran)
-			_, _, _ = o.Claimed(ctx, "key")
+			id := model.JobID(fmt.Sprintf("reports/%d", i))
+			status, err := o.Submit(ctx, job(id))
+			if err == nil {
+				is.Equal(status.Spec.ID, id) // an answer is whole
+			} else {
+				is.True(verdict.Of(err) == verdict.NotRun || verdict.Of(err) == verdict.MayHaveRun)
+			}
+			_, found, err := o.Claimed(ctx, "key")
+			is.True(err != nil || !found)
 		}
 	}, "w1")
 }
