--- a/internal/batch/advice.go
+++ b/internal/batch/advice.go
@@ -1,9 +1,9 @@
 package batch
 
 import (
-	"cmp"
+	"fmt"
 	"slices"
-	"strconv"
+	"sort"
 	"time"
 )
 
@@ -59,7 +59,8 @@
 // ask asks the adviser about the workers that are best for a step that found none. It
 // reports whether the step may find one later without other room.
 func (s *State) ask(st *step, workers []*worker, now time.Time) bool {
-	if !s.queueOf(st.job).Advised {
+	q := s.queueOf(st.job)
+	if !q.Advised {
 		return false
 	}
 	if st.advice.asked || s.asking >= maxQuestions || now.Before(st.advice.notBefore) {
@@ -67,7 +68,7 @@
 	}
 	var rated ratedWorkers
 	for i, w := range workers {
-		if w.info.Service == s.queueOf(st.job).Service && st.allows(w) && st.advice.open(w, now) && st.reserved.Fits(w.free()) {
+		if st.suits(w, q) && st.advice.open(w, now) {
 			s.feel(w, now)
 			rated = append(rated, ratedWorker{worker: w, score: s.score(st, &st.tasks[0], w), order: i})
 		}
@@ -75,9 +76,7 @@
 	if len(rated) == 0 {
 		return true
 	}
-	slices.SortFunc(rated, func(a, b ratedWorker) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.order, b.order))
-	})
+	sort.Sort(&rated)
 	n := min(len(rated), maxAsked, askedPerTask*st.waiting+askedMore)
 	question := Action{Kind: ActionAdvise, Task: TaskID{Job: st.job.ID, Occurrence: st.occ.number, Step: st.number}}
 	for _, r := range rated[:n] {
@@ -125,9 +124,5 @@
 		}
 		st.advice.permits[id] = p
 	}
-	s.event(Event{Name: "step.advised", Job: st.job.ID, Task: question.Task, Detail: adviceDetail(len(question.Workers), len(grants))})
-}
-
-func adviceDetail(asked, granted int) string {
-	return strconv.Itoa(granted) + " of " + strconv.Itoa(asked) + " workers may run it"
+	s.event(Event{Name: "step.advised", Job: st.job.ID, Task: question.Task, Detail: fmt.Sprintf("%d of %d workers may run it", len(grants), len(question.Workers))})
 }
--- a/internal/batch/score.go
+++ b/internal/batch/score.go
@@ -24,10 +24,7 @@
 // the task at all.
 func (s *State) rate(st *step, t *task, w *worker, now time.Time) (float64, bool) {
 	q := s.queueOf(st.job)
-	if w.info.Service != q.Service || !st.reserved.Fits(w.free()) || !st.allows(w) {
-		return 0, false
-	}
-	if q.Advised && !st.advice.admits(w, now) {
+	if !st.suits(w, q) || q.Advised && !st.advice.admits(w, now) {
 		return 0, false
 	}
 	if st.spec.Filler || st.spec.LatencyTarget > 0 {
@@ -57,6 +54,11 @@
 	}
 }
 
+// suits reports whether a worker of the queue's service has room and what the step asks for.
+func (st *step) suits(w *worker, q Queue) bool {
+	return w.info.Service == q.Service && st.reserved.Fits(w.free()) && st.allows(w)
+}
+
 // allows checks what the step asks of a worker beside room.
 func (st *step) allows(w *worker) bool {
 	if st.spec.Label != "" && !slices.Contains(w.info.Labels, st.spec.Label) {
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -8,6 +8,7 @@
 	"github.com/geraniumwick/geraniumwick/internal/batch"
 	"github.com/geraniumwick/geraniumwick/internal/kv"
 	"github.com/geraniumwick/geraniumwick/internal/owner"
+	"github.com/geraniumwick/geraniumwick/internal/pause"
 )
 
 // Result is what a call came to.
@@ -84,7 +85,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		wait(ctx, retryPause)
+		pause.For(ctx, retryPause)
 	}
 	if unknown {
 		return Unknown, false
@@ -132,7 +133,7 @@
 		if ctx.Err() != nil {
 			return kv.Item{}, err
 		}
-		wait(ctx, retryPause)
+		pause.For(ctx, retryPause)
 	}
 }
 
@@ -186,13 +187,3 @@
 	}
 	return outcome, Done
 }
-
-// wait waits for the time or the end of ctx.
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -5,6 +5,7 @@
 
 	"github.com/geraniumwick/geraniumwick/internal/model"
 	"github.com/geraniumwick/geraniumwick/internal/owner"
+	"github.com/geraniumwick/geraniumwick/internal/pause"
 	"github.com/geraniumwick/geraniumwick/internal/peer"
 	"github.com/geraniumwick/geraniumwick/internal/verdict"
 )
@@ -148,7 +149,7 @@
 		if i.ask(ctx, kindWaiting, queueMessage{queue}, &m) {
 			return m.Count, Done
 		}
-		wait(ctx, retryPause)
+		pause.For(ctx, retryPause)
 	}
 	return 0, NotRun
 }
--- a/internal/kv/follow.go
+++ b/internal/kv/follow.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/pause"
 )
 
 // Follower keeps a callback informed of all keys with a prefix.
@@ -39,7 +41,7 @@
 	items, rev, err := f.Store.List(ctx, f.Prefix)
 	f.contact(ctx, err)
 	if err != nil {
-		sleep(ctx, f.Retry)
+		pause.For(ctx, f.Retry)
 		return 0
 	}
 	f.Reset(items, rev)
@@ -54,12 +56,12 @@
 		return 0
 	}
 	if err != nil {
-		sleep(ctx, f.Retry)
+		pause.For(ctx, f.Retry)
 		return after
 	}
 	if len(events) > 0 {
 		f.Changed(events, rev)
-		sleep(ctx, f.Pause)
+		pause.For(ctx, f.Pause)
 	}
 	return max(after, rev)
 }
@@ -69,16 +71,3 @@
 		f.Contact(err)
 	}
 }
-
-// sleep waits for the time or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/membership/follow.go
+++ b/internal/membership/follow.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/pause"
 	"github.com/geraniumwick/geraniumwick/internal/platform"
 )
 
@@ -19,7 +20,7 @@
 	for ctx.Err() == nil {
 		if err := f.round(ctx); err != nil && ctx.Err() == nil {
 			m.log.Warn().Err(err).Msg("list of members not read")
-			pause(ctx, retryDelay)
+			pause.For(ctx, retryDelay)
 		}
 	}
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -186,13 +186,3 @@
 	default:
 	}
 }
-
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/membership/register.go
+++ b/internal/membership/register.go
@@ -6,6 +6,7 @@
 	"errors"
 	"time"
 
+	"github.com/geraniumwick/geraniumwick/internal/pause"
 	"github.com/geraniumwick/geraniumwick/internal/platform"
 )
 
@@ -33,7 +34,7 @@
 			break
 		}
 		m.log.Warn().Err(err).Msg("membership entry not refreshed")
-		pause(ctx, min(retryDelay, interval))
+		pause.For(ctx, min(retryDelay, interval))
 	}
 	m.leave(ctx, r)
 }
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -8,6 +8,7 @@
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
 	"github.com/geraniumwick/geraniumwick/internal/kv"
+	"github.com/geraniumwick/geraniumwick/internal/pause"
 )
 
 // committer writes the records of the owner, one transaction at a time.
@@ -129,7 +130,7 @@
 			l.end("another owner wrote the head")
 			return
 		}
-		pause(l.ctx, storeRetry)
+		pause.For(l.ctx, storeRetry)
 	}
 }
 
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
 	"github.com/geraniumwick/geraniumwick/internal/kv"
+	"github.com/geraniumwick/geraniumwick/internal/pause"
 )
 
 var errLost = errors.New("answer lost")
@@ -43,7 +44,7 @@
 
 // enter waits as long as a call takes and locks the store.
 func (s *memoryStore) enter(ctx context.Context) error {
-	pause(ctx, storeDelay)
+	pause.For(ctx, storeDelay)
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
@@ -276,12 +277,12 @@
 // reach returns the worker with its state brought up to date, or nil without an answer. The
 // caller unlocks.
 func (w *fakeWorkers) reach(ctx context.Context, id batch.WorkerID, epoch int64) (*fakeNode, batch.Answer) {
-	pause(ctx, orderDelay)
+	pause.For(ctx, orderDelay)
 	w.mu.Lock()
 	n := w.nodes[id]
 	if n == nil || w.dark[id] {
 		w.mu.Unlock()
-		pause(ctx, time.Hour)
+		pause.For(ctx, time.Hour)
 		w.mu.Lock()
 		return nil, batch.AnswerNone
 	}
@@ -378,7 +379,7 @@
 	}
 	if w.dark[o.Worker] {
 		w.mu.Unlock()
-		pause(ctx, time.Hour)
+		pause.For(ctx, time.Hour)
 		return batch.Report{}, batch.AnswerNone
 	}
 	defer w.mu.Unlock()
--- a/internal/owner/hold.go
+++ b/internal/owner/hold.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
+	"github.com/geraniumwick/geraniumwick/internal/pause"
 )
 
 const (
@@ -197,7 +198,7 @@
 			l.lost(h.info.ID, lease)
 		}
 	})
-	pause(ctx, holdRetry)
+	pause.For(ctx, holdRetry)
 }
 
 // reported takes in a list; the ends are acknowledged once what follows from them is durable.
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -10,6 +10,7 @@
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
 	"github.com/geraniumwick/geraniumwick/internal/kv"
+	"github.com/geraniumwick/geraniumwick/internal/pause"
 )
 
 const (
@@ -53,11 +54,9 @@
 	owner *Owner
 	log   zerolog.Logger
 	epoch int64
-	lease int64
-	// claim is the claim that the leader holds, and claimRev the revision of its key.
-	claim    Claim
-	claimRev int64
-	cancel   context.CancelCauseFunc
+	// won is the campaign that made it the leader.
+	won    victory
+	cancel context.CancelCauseFunc
 
 	events chan event
 	// news are what the store says of jobs and workers. They go before the events of workers, of
@@ -97,15 +96,13 @@
 		StartLease: surelyOver(startWindow),
 	}
 	return &leader{
-		owner: o,
-		log:   o.log.With().Int64("epoch", v.claim.Epoch).Logger(),
-		epoch: v.claim.Epoch,
-		lease: v.lease,
-		claim: v.claim, claimRev: v.commitRev,
-		cancel: cancel,
-		events: make(chan event, eventBound),
-		news:   make(chan event, newsBound),
-
+		owner:    o,
+		log:      o.log.With().Int64("epoch", v.claim.Epoch).Logger(),
+		epoch:    v.claim.Epoch,
+		won:      v,
+		cancel:   cancel,
+		events:   make(chan event, eventBound),
+		news:     make(chan event, newsBound),
 		contacts: make(chan struct{}, firstContacts),
 		done:     make(chan struct{}),
 		state:    batch.New(v.claim.Epoch, limits),
@@ -214,10 +211,10 @@
 	interval := l.owner.opts.LeaseTTL / 4
 	lost := false
 	for ctx.Err() == nil {
-		pause(ctx, interval)
+		pause.For(ctx, interval)
 		call, cancel := context.WithTimeout(ctx, l.owner.opts.LeaseTTL)
 		sent := time.Now()
-		err := l.owner.store.Renew(call, l.lease)
+		err := l.owner.store.Renew(call, l.won.lease)
 		cancel()
 		if err == nil {
 			l.post(func(l *leader, _ time.Time) { l.state.Claimed(sent.Add(l.owner.opts.LeaseTTL)) })
@@ -242,7 +239,7 @@
 			return true
 		}
 		l.log.Warn().Str("event", "load.failed").Err(err).Send()
-		pause(ctx, storeRetry)
+		pause.For(ctx, storeRetry)
 	}
 	return false
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -15,6 +15,7 @@
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
 	"github.com/geraniumwick/geraniumwick/internal/kv"
+	"github.com/geraniumwick/geraniumwick/internal/pause"
 )
 
 // Claim is who owns the jobs.
@@ -255,13 +256,13 @@
 
 // campaign tries to become the owner once, and leads if it did.
 func (o *Owner) campaign(ctx context.Context) {
-	pause(ctx, rand.N(maxCampaignDelay)+o.handicap(time.Now()))
+	pause.For(ctx, rand.N(maxCampaignDelay)+o.handicap(time.Now()))
 	if o.claim.Load() != nil || o.resign.Load() {
 		return
 	}
 	if o.config().Version == 0 {
 		// Without a configuration nothing is known of queues, and no job may be judged.
-		pause(ctx, configPause)
+		pause.For(ctx, configPause)
 		return
 	}
 	won, err := o.win(ctx)
@@ -269,7 +270,7 @@
 		if !errors.Is(err, kv.ErrConflict) {
 			o.log.Warn().Str("event", "campaign.failed").Err(err).Send()
 		}
-		pause(ctx, storeRetry)
+		pause.For(ctx, storeRetry)
 		return
 	}
 	o.lead(ctx, won)
@@ -277,8 +278,9 @@
 
 // victory is a campaign that was won.
 type victory struct {
-	claim     Claim
-	lease     int64
+	claim Claim
+	lease int64
+	// commitRev is the revision of the claim and of the head.
 	commitRev int64
 }
 
@@ -355,13 +357,3 @@
 		l.end("planned stop")
 	}
 }
-
-// pause waits for the time or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
+	"github.com/geraniumwick/geraniumwick/internal/pause"
 )
 
 // stage is a store, workers and instances under synthetic time.
@@ -38,7 +39,7 @@
 		}
 		defer func() {
 			cancel()
-			pause(context.Background(), 10*time.Second) // calls under way end
+			pause.For(context.Background(), 10*time.Second) // calls under way end
 		}()
 		test(s)
 	})
@@ -70,7 +71,7 @@
 
 // after lets time pass.
 func (s *stage) after(d time.Duration) {
-	pause(s.ctx, d)
+	pause.For(s.ctx, d)
 	synctest.Wait()
 }
 
--- a/internal/owner/records.go
+++ b/internal/owner/records.go
@@ -89,7 +89,12 @@
 	if err := cbor.Unmarshal(b, &s); err != nil {
 		return nil, errors.Annotatef(err, "job %s", id)
 	}
-	return &batch.Job{ID: id, Queue: s.Queue, Accepted: s.Accepted, Spec: s.Spec, Terms: s.Terms}, nil
+	return s.job(id), nil
+}
+
+// job returns the job that was submitted.
+func (s *Submission) job(id string) *batch.Job {
+	return &batch.Job{ID: id, Queue: s.Queue, Accepted: s.Accepted, Spec: s.Spec, Terms: s.Terms}
 }
 
 // split returns the kind of an accepted entry and the job that it names.
--- a/internal/owner/serve.go
+++ b/internal/owner/serve.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/geraniumwick/geraniumwick/internal/batch"
 )
 
 // ask lets the loop of the leader compute an answer. It fails if this instance does not lead.
@@ -36,8 +34,7 @@
 	if l == nil {
 		return false
 	}
-	j := &batch.Job{ID: id, Queue: s.Queue, Accepted: s.Accepted, Spec: s.Spec, Terms: s.Terms}
-	return l.post(func(l *leader, now time.Time) { l.state.Add(j, nil, false, now) })
+	return l.post(func(l *leader, now time.Time) { l.state.Add(s.job(id), nil, false, now) })
 }
 
 // Cancelled tells the owner of a cancellation that the store has.
--- a/internal/owner/speed.go
+++ b/internal/owner/speed.go
@@ -73,11 +73,11 @@
 	}
 	o.yielded.Store(time.Now().UnixNano())
 	// The claim says so first, so that other slow machines campaign later.
-	c := l.claim
+	c := l.won.claim
 	c.YieldTo = speed
 	_, err := o.store.Commit(ctx, kv.Txn{
-		If:  []kv.Condition{{Key: claimKey, Rev: l.claimRev}},
-		Set: []kv.Write{{Key: claimKey, Value: encode(c), Lease: l.lease}},
+		If:  []kv.Condition{{Key: claimKey, Rev: l.won.commitRev}},
+		Set: []kv.Write{{Key: claimKey, Value: encode(c), Lease: l.won.lease}},
 	})
 	if err != nil {
 		o.log.Warn().Str("event", "owner.yield-not-announced").Int64("epoch", epoch).Err(err).Send()
--- a/standin/soak/callers.go
+++ b/standin/soak/callers.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/pause"
 )
 
 const (
@@ -41,7 +43,7 @@
 		if c.submit(ctx, rng, id, drawJob(rng, id)) {
 			c.follow(ctx, rng, id)
 		}
-		sleep(ctx, time.Duration(40+rng.IntN(250))*time.Millisecond)
+		pause.For(ctx, time.Duration(40+rng.IntN(250))*time.Millisecond)
 	}
 }
 
@@ -82,7 +84,7 @@
 		if accepted {
 			return true
 		}
-		sleep(ctx, time.Duration(100+rng.IntN(300))*time.Millisecond)
+		pause.For(ctx, time.Duration(100+rng.IntN(300))*time.Millisecond)
 	}
 	return false
 }
@@ -90,7 +92,7 @@
 // follow asks for a job now and then, and cancels some.
 func (c *callers) follow(ctx context.Context, rng *rand.Rand, id string) {
 	for range rng.IntN(3) {
-		sleep(ctx, time.Duration(rng.IntN(200))*time.Millisecond)
+		pause.For(ctx, time.Duration(rng.IntN(200))*time.Millisecond)
 		c.ask(ctx, rng, id)
 	}
 	if rng.IntN(8) == 0 {
@@ -139,13 +141,3 @@
 	b, err := io.ReadAll(resp.Body)
 	return resp.StatusCode, b, err
 }
-
-// sleep waits for the time or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/pause"
 )
 
 // fault begins a trouble and returns what it did and how to end it.
@@ -13,12 +15,13 @@
 // injectFaults begins a fault every now and then; several may last at once.
 func (w *world) injectFaults(ctx context.Context, rng *rand.Rand) {
 	all := []fault{
-		killInstance, killInstance, freezeInstance, freezeInstance, stopInstance, cutFromStore, cutFromStore,
+		onInstance(killInstance), onInstance(killInstance), onInstance(freezeInstance), onInstance(freezeInstance),
+		onInstance(stopInstance), cutFromStore, cutFromStore,
 		storeDown, storeLoses, historyDropped, newConfiguration,
 		cutWorker, cutWorker, crashWorker, greyWorker, lateWorker, drainWorker,
 	}
 	for {
-		sleep(ctx, time.Duration(200+rng.IntN(1100))*time.Millisecond)
+		pause.For(ctx, time.Duration(200+rng.IntN(1100))*time.Millisecond)
 		if ctx.Err() != nil {
 			return
 		}
@@ -31,7 +34,7 @@
 		w.faults = append(w.faults, fmt.Sprintf("%.2f s: %s for %s", time.Since(w.begun).Seconds(), what, lasts))
 		w.mu.Unlock()
 		w.healing.Go(func() {
-			sleep(context.Background(), lasts)
+			pause.For(context.Background(), lasts)
 			heal(w)
 		})
 	}
@@ -51,24 +54,25 @@
 	return up[rng.IntN(len(up))]
 }
 
-func killInstance(w *world, rng *rand.Rand) (string, func(*world)) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	i := w.pickInstance(rng)
-	if i == nil {
-		return "", nil
+// onInstance is a fault of an instance that may be taken away.
+func onInstance(act func(i *instance) (what string, heal func(*world))) fault {
+	return func(w *world, rng *rand.Rand) (string, func(*world)) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		i := w.pickInstance(rng)
+		if i == nil {
+			return "", nil
+		}
+		return act(i)
 	}
+}
+
+func killInstance(i *instance) (string, func(*world)) {
 	i.kill()
 	return "kill " + i.name, func(w *world) { w.restart(i) }
 }
 
-func stopInstance(w *world, rng *rand.Rand) (string, func(*world)) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	i := w.pickInstance(rng)
-	if i == nil {
-		return "", nil
-	}
+func stopInstance(i *instance) (string, func(*world)) {
 	wait := i.stop()
 	return "stop " + i.name, func(w *world) {
 		if err := wait(); err != nil {
@@ -78,6 +82,17 @@
 	}
 }
 
+func freezeInstance(i *instance) (string, func(*world)) {
+	if i.freeze(true) != nil {
+		return "", nil // it has ended meanwhile
+	}
+	return "freeze " + i.name, func(w *world) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		_ = i.freeze(false) // it was killed meanwhile if this fails
+	}
+}
+
 // restart starts the process of an instance again if it is gone.
 func (w *world) restart(i *instance) {
 	w.mu.Lock()
@@ -93,20 +108,6 @@
 	}
 }
 
-func freezeInstance(w *world, rng *rand.Rand) (string, func(*world)) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	i := w.pickInstance(rng)
-	if i == nil || i.freeze(true) != nil {
-		return "", nil
-	}
-	return "freeze " + i.name, func(w *world) {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		_ = i.freeze(false) // it was killed meanwhile if this fails
-	}
-}
-
 func cutFromStore(w *world, rng *rand.Rand) (string, func(*world)) {
 	i := w.instances[rng.IntN(len(w.instances))]
 	mode := Silent + Mode(rng.IntN(4))
@@ -174,7 +175,7 @@
 	return "drain " + worker.ID, func(w *world) {
 		worker.Crash()
 		w.store.Delete("servers/" + worker.ID)
-		sleep(context.Background(), time.Second)
+		pause.For(context.Background(), time.Second)
 		worker.Rebirth()
 		w.store.Put("servers/"+worker.ID, worker.Entry("ready"))
 	}
--- a/standin/soak/judge.go
+++ b/standin/soak/judge.go
@@ -36,7 +36,6 @@
 
 // taskInfo is what a worker needs of a task.
 type taskInfo struct {
-	job      string
 	cpu      int64
 	time     time.Duration
 	failures float64
@@ -198,7 +197,7 @@
 		j.live[r.task] = map[int64]string{}
 	}
 	j.live[r.task][r.run] = w.ID
-	return taskInfo{job: job, cpu: reserved(spec), time: spec.time, failures: spec.failures}, true
+	return taskInfo{cpu: reserved(spec), time: spec.time, failures: spec.failures}, true
 }
 
 // reserved is what a task takes of a worker's capacity.
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/pause"
 )
 
 // Options describe a run.
@@ -185,10 +187,10 @@
 			}
 			c.ask(ctx, rng, id)
 		}
-		sleep(ctx, 200*time.Millisecond)
+		pause.For(ctx, 200*time.Millisecond)
 	}
 	for begun := time.Now(); time.Since(begun) < stopBound && w.anyRuns(); {
-		sleep(ctx, 100*time.Millisecond)
+		pause.For(ctx, 100*time.Millisecond)
 	}
 	w.judge.Conclude()
 	for _, i := range w.instances {
--- a/standin/soak/worker.go
+++ b/standin/soak/worker.go
@@ -31,13 +31,11 @@
 
 // running is what a worker knows of a run.
 type running struct {
-	job        string
-	cpu        int64
-	ends       time.Time // when it is done; zero if it lasts
-	fails      bool
-	began      time.Time
-	stopping   time.Time // when it ends because of a stop
-	checkpoint string
+	cpu      int64
+	ends     time.Time // when it is done; zero if it lasts
+	fails    bool
+	began    time.Time
+	stopping time.Time // when it ends because of a stop
 }
 
 // ended is an end that a worker lists until it is acknowledged.
@@ -57,7 +55,7 @@
 	judge    *Judge
 	link     *Link
 	server   *http.Server
-	address  string // behind the link
+	closed   chan struct{}
 
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -83,11 +81,11 @@
 		return nil, err
 	}
 	w := &Worker{
-		ID: id, Zone: zone, capacity: capacity, judge: judge, address: l.Addr().String(),
+		ID: id, Zone: zone, capacity: capacity, judge: judge, closed: make(chan struct{}),
 		rng: rand.New(rand.NewPCG(seed, 2)), changed: make(chan struct{}),
 	}
 	w.reset()
-	if w.link, err = NewLink(net.JoinHostPort(host, "0"), w.address); err != nil {
+	if w.link, err = NewLink(net.JoinHostPort(host, "0"), l.Addr().String()); err != nil {
 		return nil, err
 	}
 	w.server = &http.Server{Handler: w}
@@ -98,6 +96,7 @@
 
 // Close ends the worker.
 func (w *Worker) Close() {
+	close(w.closed)
 	w.Crash()
 	w.link.Close()
 	_ = w.server.Close()
@@ -172,7 +171,14 @@
 const tickTime = 10 * time.Millisecond
 
 func (w *Worker) tick() {
-	for range time.Tick(tickTime) {
+	ticker := time.NewTicker(tickTime)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-w.closed:
+			return
+		}
 		w.mu.Lock()
 		w.advance()
 		w.mu.Unlock()
@@ -305,7 +311,7 @@
 	if !ok {
 		return http.StatusBadRequest, ""
 	}
-	t := &running{job: task.job, cpu: task.cpu, began: time.Now(), fails: w.rng.Float64() < w.grey+task.failures}
+	t := &running{cpu: task.cpu, began: time.Now(), fails: w.rng.Float64() < w.grey+task.failures}
 	if task.time > 0 {
 		t.ends = t.began.Add(task.time)
 	}
@@ -385,7 +391,7 @@
 		if !t.ends.IsZero() {
 			percent = int(100 * time.Since(t.began) / max(1, t.ends.Sub(t.began)))
 		}
-		l.Running = append(l.Running, []any{r.task, r.run, t.checkpoint, percent, 1})
+		l.Running = append(l.Running, []any{r.task, r.run, "", percent, 1})
 	}
 	for _, e := range w.ends {
 		l.Ended = append(l.Ended, []any{e.number, e.run.task, e.run.run, e.how, ""})
