batch: gather tasks with latency targets by image on workers of their own

Change: a task with a target prefers a worker where all such tasks are of its image, then one that has its image among others, an empty one, one that several other images share, and last one of a single other image.

--- a/internal/batch/score.go
+++ b/internal/batch/score.go
@@ -84,10 +84,9 @@
 	weightRack             = 8.0 // bonus for the rack of the data or of the step's other tasks
 	weightFailures         = 4.0 // penalty for each recent failure, and for a retry on the same worker
 	weightWarmUp           = 2.0 // penalty while the worker is slow after its start
-	weightLatencySensitive = 6.0 // bonus if other latency-sensitive tasks run there
-	weightBestEffort       = 1.0 // penalty for the CPU share of best-effort tasks
-	weightSameImage        = 3.0 // bonus if latency-sensitive tasks of the same image run there
-	weightInterference     = 1.0 // penalty for the predicted utilisation of latency-sensitive tasks
+	weightImageMix     = 3.0 // bonus for each level of imageMix
+	weightBestEffort   = 1.0 // penalty for the CPU share of best-effort tasks
+	weightInterference = 1.0 // penalty for the predicted utilisation of latency-sensitive tasks
 	// assumedCPUUse is the part of their reserved CPU that latency-sensitive tasks are expected to
 	// use while no reliable estimate of their load exists.
 	assumedCPUUse = 0.45
@@ -111,14 +110,9 @@
 	}
 	cpu := float64(max(1, w.info.Capacity.CPU))
 	if st.spec.LatencyTarget > 0 {
-		// Latency-sensitive tasks are packed on few workers, so that the others can run best-effort
-		// tasks without limits.
-		if w.latencySensitive > 0 {
-			score += weightLatencySensitive
-		}
-		if slices.ContainsFunc(w.latencyGroups, func(g latencyGroup) bool { return g.image == st.spec.Image }) {
-			score += weightSameImage
-		}
+		// Among equally mixed workers, latency-sensitive tasks are packed on few, so that the others
+		// can run best-effort tasks without limits.
+		score += weightImageMix * float64(w.imageMix(st.spec.Image))
 		score -= weightBestEffort * float64(w.bestEffortCPU) / cpu
 		return score - float64(w.free().CPU)/cpu
 	}
