--- a/internal/batch/colocation.go
+++ b/internal/batch/colocation.go
@@ -8,11 +8,11 @@
 // own way. The fewer images share a worker, the more best-effort images can run there. So tasks of one
 // image are gathered on workers of their own, and images are mixed where they are mixed already.
 const (
-	spoilsWorker imageMix = iota // all tasks there are of one other image
-	joinsMixed                   // the tasks there are of several other images
-	startsWorker                 // no latency-sensitive task runs there
-	extendsMixed                 // tasks of the same image and of others run there
-	extendsWorker                // all tasks there are of the same image
+	spoilsWorker  imageMix = iota // all tasks there are of one other image
+	joinsMixed                    // the tasks there are of several other images
+	startsWorker                  // no latency-sensitive task runs there
+	extendsMixed                  // tasks of the same image and of others run there
+	extendsWorker                 // all tasks there are of the same image
 )
 
 // imageMix returns the rating of the worker for a latency-sensitive task of the image.
--- a/internal/batch/score.go
+++ b/internal/batch/score.go
@@ -81,9 +81,9 @@
 
 // The weights of the terms of a score. A score of 1 stands for all of a worker's CPU being free.
 const (
-	weightRack             = 8.0 // bonus for the rack of the data or of the step's other tasks
-	weightFailures         = 4.0 // penalty for each recent failure, and for a retry on the same worker
-	weightWarmUp           = 2.0 // penalty while the worker is slow after its start
+	weightRack         = 8.0 // bonus for the rack of the data or of the step's other tasks
+	weightFailures     = 4.0 // penalty for each recent failure, and for a retry on the same worker
+	weightWarmUp       = 2.0 // penalty while the worker is slow after its start
 	weightImageMix     = 3.0 // bonus for each level of imageMix
 	weightBestEffort   = 1.0 // penalty for the CPU share of best-effort tasks
 	weightInterference = 1.0 // penalty for the predicted utilisation of latency-sensitive tasks
