Mend the three red tests

TestConcurrentConfirmationsShareReads: the test was wrong, it counted its own set-up. TestGaugesOfThePartitionsHeld: the test was wrong, it asked for the gauge at the instant of the 202, on which a summary falls by chance; gauges follow within a summary period. It now asks after just that, for the same values. Ruled out: load (all three are shown under synthetic time).

--- a/internal/config/fake_test.go
+++ b/internal/config/fake_test.go
@@ -37,6 +37,8 @@
 	delayedSwaps  []func()
 	// dropEvents stops the delivery of watch events without an error.
 	dropEvents bool
+	// gate, if set, delays every get until it is closed.
+	gate chan struct{}
 	// beforeSwap is called once, before the next swap of a section.
 	beforeSwap func()
 }
@@ -58,6 +60,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls["get"]++
+	if gate := s.gate; gate != nil {
+		s.mu.Unlock()
+		<-gate
+		s.mu.Lock()
+	}
 	if s.unavailable {
 		return platform.KeyValue{}, 0, s.failure("get", false)
 	}
--- a/internal/config/watcher_test.go
+++ b/internal/config/watcher_test.go
@@ -102,20 +102,33 @@
 }
 
 func TestConcurrentConfirmationsShareReads(t *testing.T) {
-	is := is.New(t)
-	store, _, _ := storeWithDocument(t)
-	w := NewWatcher(store, platform.SystemClock{}, WatcherOptions{})
-	const callers = 200
-	var wg sync.WaitGroup
-	for range callers {
-		wg.Go(func() {
-			if _, err := w.Confirm(t.Context()); err != nil {
-				t.Error(err)
-			}
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store, _, _ := storeWithDocument(t)
+		w := NewWatcher(store, platform.SystemClock{}, WatcherOptions{})
+		_, err := w.Confirm(t.Context())
+		is.NoErr(err)
+		before := 0
+		gate := make(chan struct{})
+		store.withLock(func() { before, store.gate = store.calls["get"], gate })
+		const callers = 200
+		var wg sync.WaitGroup
+		for range callers {
+			wg.Go(func() {
+				if _, err := w.Confirm(t.Context()); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		synctest.Wait()
+		close(gate)
+		wg.Wait()
+		// Callers that come before the first read begins share it; those that come later share the second.
+		store.withLock(func() {
+			reads := store.calls["get"] - before
+			is.True(reads == 1 || reads == 2)
 		})
-	}
-	wg.Wait()
-	store.withLock(func() { is.True(store.calls["get"] <= callers) })
+	})
 }
 
 func TestConfirmationBeginsAfterTheCall(t *testing.T) {
--- a/internal/partition/loop.go
+++ b/internal/partition/loop.go
@@ -209,6 +209,43 @@
 	}
 }
 
+// settleInFlight waits for the outcome of the batch in flight when the ownership ends, at most one
+// worker call's timeout, and replies to its commands. The end may have been learned from a worker before
+// the journal; without the outcome, the callers could only be told that their changes may take effect.
+func (p *loop) settleInFlight(ctx context.Context) {
+	if p.inFlight == nil {
+		return
+	}
+	timer := time.NewTimer(p.cfg.Timing.WorkerCallTimeout)
+	defer timer.Stop()
+	for {
+		select {
+		case a := <-p.o.acks:
+			if a.batch == nil {
+				continue
+			}
+			p.settle(a)
+			return
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// settle replies to the commands of the batch in flight with its outcome.
+func (p *loop) settle(a batchAck) {
+	for _, c := range a.batch.commands {
+		if a.durable {
+			c.reply(c.err)
+		} else {
+			c.reply(p.o.ownershipEndError(a.err))
+		}
+	}
+	p.inFlight = nil
+}
+
 // failCommands replies to the commands that wait when the ownership ends with err.
 func (p *loop) failCommands(err error) {
 	if p.inFlight != nil {
--- a/internal/partition/owner.go
+++ b/internal/partition/owner.go
@@ -209,6 +209,7 @@
 	wg.Go(func() { o.sendActions(ctx) })
 	loop := newLoop(o, l)
 	err := loop.run(ctx)
+	loop.settleInFlight(ctx)
 	cancel()
 	wg.Wait()
 	loop.sessions.stop()
--- a/internal/server/metrics_test.go
+++ b/internal/server/metrics_test.go
@@ -118,12 +118,17 @@
 	})
 }
 
+// gaugeLag is the longest time after which the gauges of a partition show a change: its owner makes a
+// summary every 500 ms, in a loop that looks every 100 ms.
+const gaugeLag = 600 * time.Millisecond
+
 func TestGaugesOfThePartitionsHeld(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := newHarness(t)
 		s.start()
 		is.Equal(s.call(http.MethodPost, callerAddr, "/v1/jobs", jobText).status, http.StatusAccepted)
+		time.Sleep(gaugeLag)
 		values := s.scrape()
 		is.Equal(values["geraniumwick_partitions_held"], "2")
 		is.Equal(values["geraniumwick_members"], "1")
