--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -212,7 +212,11 @@
 	run := st.gangRun
 	for i := range st.tasks {
 		t := &st.tasks[i]
-		if t.done || len(t.attempts) > 0 || t.unresolved && len(s.unresolvedWorkers) > 0 {
+		if t.done || len(t.attempts) > 0 {
+			return
+		}
+		if t.unresolved && len(s.unresolvedWorkers) > 0 {
+			s.recordWait(st, waitsForFormerOwner)
 			return
 		}
 		run = max(run, t.lastRun)
@@ -221,7 +225,7 @@
 		s.requestStartRecord(st)
 		return
 	}
-	st.gangRun = s.nextRun(run)
+	run = s.nextRun(run)
 	checkpoint := st.tasks[0].checkpoint
 	ranking := s.newRanking(st, workers, now)
 	var placed []*attempt
@@ -230,11 +234,13 @@
 		w := ranking.best(&st.tasks[i])
 		if w == nil {
 			s.releaseReservations(st, placed)
+			s.recordWait(st, waitsForRoom)
 			s.askAdviser(st, workers, now)
 			return
 		}
-		placed = append(placed, s.reserve(st, i, st.gangRun, w, now))
+		placed = append(placed, s.reserve(st, i, run, w, now))
 	}
+	st.gangRun = run
 	for _, a := range placed {
 		s.sendStart(a)
 	}
@@ -261,12 +267,11 @@
 	s.sendStart(s.reserve(st, index, run, w, now))
 }
 
-// reserve registers an attempt whose start is not sent yet. StartSent sets its notAfter when the
-// start is sent.
+// reserve registers an attempt whose start is not sent yet. Until sendStart, releaseReservations undoes
+// it without a trace. StartSent sets its notAfter when the start is sent.
 func (s *State) reserve(st *step, index int, run int64, w *worker, now time.Time) *attempt {
 	a := &attempt{step: st, index: index, run: run, worker: w, reserved: st.reserved, requestedAt: now, progressAt: now, cpuLimit: fullPercent}
 	a.notAfter = notAfterUnset
-	w.leaseEnd = laterOf(w.leaseEnd, now.Add(s.timing.StartLeaseTTL))
 	s.register(a)
 	return a
 }
@@ -277,6 +282,8 @@
 // sendStart requests a worker to start a reserved attempt.
 func (s *State) sendStart(a *attempt) {
 	w := a.worker
+	s.noteRun(a)
+	w.leaseEnd = laterOf(w.leaseEnd, a.requestedAt.Add(s.timing.StartLeaseTTL))
 	s.actions = append(s.actions, Action{
 		Kind:        ActionStart,
 		Worker:      w.info.ID,
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -133,7 +133,7 @@
 
 // restore applies the recorded progress to its step. It ignores indexes that the job does not have.
 func (p *StepProgress) restore(j *Job) {
-	if p.Occurrence >= len(j.occs) || p.Step >= len(j.Spec.Steps) {
+	if p.Occurrence < 0 || p.Occurrence >= len(j.occs) || p.Step < 0 || p.Step >= len(j.Spec.Steps) {
 		return
 	}
 	st := j.occs[p.Occurrence].steps[p.Step]
@@ -146,7 +146,7 @@
 		}
 	}
 	for _, t := range p.Tasks {
-		if t.Index < len(st.tasks) {
+		if t.Index >= 0 && t.Index < len(st.tasks) {
 			st.tasks[t.Index].failed = t.Failed
 			st.tasks[t.Index].checkpoint = t.Checkpoint
 		}
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -103,6 +103,7 @@
 		a.cpuLimit = 0
 	}
 	s.register(a)
+	s.noteRun(a)
 	a.observe(e, now)
 	if st.spec.Gang {
 		st.gangRun = max(st.gangRun, e.Run)
@@ -221,9 +222,10 @@
 // attemptFailed counts a failed run once, and fails the job when the task or gang has used up its
 // attempts. Failures of long-running tasks count against the worker only.
 func (s *State) attemptFailed(w *worker, st *step, t *task, e EndedAttempt, now time.Time) {
-	if t.done || slices.Contains(t.failed, e.Run) {
+	if t.done || e.Run == t.lastFailed || slices.Contains(t.failed, e.Run) {
 		return
 	}
+	t.lastFailed = e.Run
 	t.failed = append(t.failed, e.Run)
 	w.countFailure(t, now)
 	s.dirty.add(st.job)
@@ -259,11 +261,16 @@
 		a.step.waiting--
 	}
 	t.attempts = append(t.attempts, a)
-	t.lastRun = max(t.lastRun, a.run)
-	t.lastWorker = a.worker.info.ID
 	a.worker.attach(a)
 	s.accountShortCPU(a, 1)
 	a.step.job.attempts++
+}
+
+// noteRun notes an attempt in its task once it may run.
+func (s *State) noteRun(a *attempt) {
+	t := a.task()
+	t.lastRun = max(t.lastRun, a.run)
+	t.lastWorker = a.worker.info.ID
 	s.markStarted(a.step.job)
 }
 
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -85,7 +85,8 @@
 	// The task waits until none of these is left, or until a worker reports it.
 	unresolved bool
 	attempts   []*attempt
-	failed     []int64 // runs that ended failed
+	failed     []int64 // runs that ended failed; empty for a long-running task
+	lastFailed int64   // the run that ended failed last; its end may be reported again
 	lastRun    int64
 	checkpoint string
 	lastWorker WorkerID
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -195,10 +195,15 @@
 func (s *State) ExtendOwnership(until time.Time) { s.ownedUntil = laterOf(s.ownedUntil, until) }
 
 // expireLeases removes the attempts on unreachable workers whose leases have ended, if no other owner
-// can have renewed the leases. It also deletes such workers if the registry no longer has them, and
+// can have renewed the leases. It also deletes idle workers that the registry no longer has, and
 // deletes the unresolved workers whose leases from the former owner have ended.
 func (s *State) expireLeases(now time.Time) {
 	for id, w := range s.workers {
+		if !w.listed && len(w.attempts) == 0 && !now.Before(w.quarantinedUntil) {
+			delete(s.workers, id)
+			s.sorted = nil
+			continue
+		}
 		if !w.unreachable || now.Before(w.leaseEnd) || s.ownedUntil.Before(w.leaseEnd) {
 			continue
 		}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -17,10 +17,11 @@
 	MaxPartitions = 1024
 	// maxResource limits the amount of each resource, so that sums over all workers cannot
 	// overflow.
-	maxResource    = int64(1) << 50
-	maxWeight      = 1_000_000.0
-	minDeadline    = time.Millisecond
-	maxDeadline    = time.Hour
+	maxResource = int64(1) << 50
+	maxWeight   = 1_000_000.0
+	minDeadline = time.Millisecond
+	// MaxDeadline is the longest deadline of a class of requests.
+	MaxDeadline    = time.Hour
 	maxDeclaredRun = 60 * 24 * time.Hour
 	maxPathBytes   = 200
 )
@@ -167,8 +168,8 @@
 		default:
 			l.add(path+".class", "class %q must be idempotent, exclusive or once", r.Class)
 		}
-		if r.Deadline < minDeadline || r.Deadline > maxDeadline {
-			l.add(path+".deadline", "deadline is %v, it must be from %v to %v", r.Deadline, minDeadline, maxDeadline)
+		if r.Deadline < minDeadline || r.Deadline > MaxDeadline {
+			l.add(path+".deadline", "deadline is %v, it must be from %v to %v", r.Deadline, minDeadline, MaxDeadline)
 		}
 		if r.Hedge && r.Class != model.Idempotent {
 			l.add(path+".hedge", "hedge is allowed for idempotent requests only")
--- a/internal/owner/workers_record.go
+++ b/internal/owner/workers_record.go
@@ -59,13 +59,18 @@
 	r.dirty = false
 }
 
+// unreadableWorkers stands for the workers of a record that cannot be decoded. No worker has this id, so
+// tasks that the former owner may have started wait until its last lease has ended.
+const unreadableWorkers batch.WorkerID = ""
+
 // restore reads the record of the former owner. It returns, for each worker, the time by which tasks
 // started by the former owner have certainly ended if the worker stays unreachable. latest is the time
 // by which any lease of a former owner has ended; the result is earlier if the record holds the end
 // of the worker's lease.
 func (r *workersRecord) restore(value []byte, latest time.Time) (map[batch.WorkerID]time.Time, error) {
 	if err := cbor.Unmarshal(value, &r.leaseEnds); err != nil {
-		return nil, err
+		r.leaseEnds = map[batch.WorkerID]int64{}
+		return map[batch.WorkerID]time.Time{unreadableWorkers: latest}, err
 	}
 	until := map[batch.WorkerID]time.Time{}
 	for id, end := range r.leaseEnds {
--- a/internal/route/claim.go
+++ b/internal/route/claim.go
@@ -58,13 +58,14 @@
 		Exclusive: a.request.Class == model.Exclusive,
 		Deadline:  a.request.Deadline,
 	})
-	if err == nil && c.State == ledger.ClaimOpen && c.Holder == holder {
-		return nil
+	if err == nil {
+		if c.State == ledger.ClaimOpen && c.Holder == holder {
+			return nil
+		}
+		return claimedKeyError(c)
 	}
 	refusal := verdict.From(err, verdict.ReasonStoreUnavailable)
 	switch {
-	case err == nil:
-		return claimedKeyError(c)
 	case refusal.Reason == verdict.ReasonDuplicate:
 		return duplicateClaimError(c, refusal)
 	case refusal.Verdict == verdict.NotRun:
--- a/internal/route/claim_test.go
+++ b/internal/route/claim_test.go
@@ -20,6 +20,40 @@
 	"github.com/geraniumwick/geraniumwick/internal/verdict"
 )
 
+// heldClaims answers every claim without an error, with a claim of another holder.
+type heldClaims struct {
+	*fakeClaims
+	claim ledger.Claim
+}
+
+func (c *heldClaims) Claim(context.Context, ledger.ClaimRequest) (ledger.Claim, error) {
+	return c.claim, nil
+}
+
+// A claim is answered without an error, but belongs to another request. The caller is told the verdict of
+// that request, and nothing is sent.
+func TestClaimOfAnotherHolder(t *testing.T) {
+	for name, c := range map[string]struct {
+		claim ledger.Claim
+		want  verdict.Verdict
+	}{
+		"open":           {ledger.Claim{State: ledger.ClaimOpen, Holder: "other"}, verdict.MayHaveRun},
+		"settled, ran":   {ledger.Claim{State: ledger.ClaimSettled, Holder: "other", Verdict: verdict.Ran}, verdict.Ran},
+		"settled, not":   {ledger.Claim{State: ledger.ClaimSettled, Holder: "other", Verdict: verdict.NotRun}, verdict.NotRun},
+		"without a word": {ledger.Claim{}, verdict.MayHaveRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			target := newRawTarget(t, echoBody)
+			d := newDispatcher(t, &heldClaims{newClaims(), c.claim}, target.model("runner-1"))
+			_, err := d.Do(context.Background(), newRequest(model.AtMostOnce, "k1"))
+			is.Equal(verdict.Of(err), c.want)
+			is.Equal(verdict.From(err, "").Reason, verdict.ReasonDuplicate)
+			is.Equal(target.total(), 0)
+		})
+	}
+}
+
 // errResponseLost is an injected error of the claim table that does not tell whether the operation
 // took effect.
 var errResponseLost = errors.New("answer lost")
--- a/internal/server/listeners.go
+++ b/internal/server/listeners.go
@@ -11,11 +11,13 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/geraniumwick/geraniumwick/internal/config"
 )
 
 // writeTimeout bounds the time from the headers of a request to the end of its response, for calls
-// that no shorter deadline ends.
-const writeTimeout = 15 * time.Minute
+// that no shorter deadline ends. No deadline of a request is longer.
+const writeTimeout = config.MaxDeadline + time.Minute
 
 // listener describes one HTTP server. Each has an address of its own, so that callers cannot reach
 // the calls of operators or peers.
