batch: best-effort tasks start where they add least at the peak of the load

Hypothesis: the score took a worker's utilisation of now, so a filler that presses was drawn to a worker whose load was low and met its peak seconds later, although a worker that it does not press on was free. Change: the score takes what the filler adds at the highest load seen of each job there, with a weight of 5.

--- a/internal/batch/score.go
+++ b/internal/batch/score.go
@@ -86,7 +86,7 @@
 	weightWarmUp       = 2.0 // penalty while the worker is slow after its start
 	weightImageMix     = 3.0 // bonus for each level of imageMix
 	weightBestEffort   = 1.0 // penalty for the CPU share of best-effort tasks
-	weightInterference = 1.0 // penalty for the predicted utilisation of latency-sensitive tasks
+	weightInterference = 5.0 // penalty for the utilisation added to latency-sensitive tasks
 	// assumedCPUUse is the part of their reserved CPU that latency-sensitive tasks are expected to
 	// use while no reliable estimate of their load exists.
 	assumedCPUUse = 0.45
@@ -117,11 +117,7 @@
 		return score - float64(w.free().CPU)/cpu
 	}
 	if st.spec.BestEffort {
-		// Workers without latency-sensitive tasks are preferred; among the others, those with the
-		// least predicted utilisation.
-		if w.latencySensitive > 0 {
-			score -= weightInterference * s.interferenceModel.worstUtilisation(w, st, w.latencyGroups)
-		}
+		score -= weightInterference * s.interferenceModel.addedUtilisation(w, st)
 	}
 	return score + float64(w.unusedCPU())/cpu
 }
