--- a/internal/batch/policy_test.go
+++ b/internal/batch/policy_test.go
@@ -120,8 +120,9 @@
 	is.Equal(actions[0].Percent, 40) // the highest limit at which the prediction keeps the target
 	w := s.workers["a"]
 	s.updateLatencyGroups(w, now)
-	is.True(w.latencyGroups[0].predict(0) <= throttleUtilisation)
-	more := w.latencyGroups[0].predict(cpuLimitStep * s.interferenceModel.addedFactor(w, s.jobs["fill"].occs[0].steps[0], "web") / fullPercent)
+	group := w.latencyGroups[0]
+	is.True(group.predict(group.predictedBaseLoad, 0) <= throttleUtilisation)
+	more := group.predict(group.predictedBaseLoad, cpuLimitStep*s.interferenceModel.addedFactor(w, s.jobs["fill"].occs[0].steps[0], "web")/fullPercent)
 	is.True(more > throttleUtilisation) // the next higher limit would miss the target
 	addWorker(s, "b", Resources{CPU: 4000, MemoryMB: 4000}, now)
 	now = now.Add(moveDelay + time.Second)
