batch: weights below 0.9 count as free of interference, in place of 0.5

Hypothesis: the weights of pairs that do not interfere (a fit of settled seconds: 0 to 0.3) are estimated as up to 1 because of noise, and keep fillers off the only workers where they harm nothing; those that press are 1.5 and more.

--- a/internal/batch/colocation_test.go
+++ b/internal/batch/colocation_test.go
@@ -149,3 +149,18 @@
 		})
 	}
 }
+
+// A pair of images that does not interfere is measured with noise, so its weight is not quite 0. Many such
+// tasks share a worker with a task whose load is high.
+func TestFaintWeightsDoNotKeepFillersAway(t *testing.T) {
+	is := is.New(t)
+	s, now := newTestState("a")
+	web := addJob(s, "web", "q", now, latencySensitiveStep("web", 1))
+	planUntilIdle(s, now)
+	l := newLoadFilter(0.7, 0, now)
+	l.levelVar = initialLevelVar / 10
+	s.interferenceModel.loads[web] = l
+	s.interferenceModel.weights[ImagePair{"fill", "web"}] = weightEstimate{mean: 0.8, variance: minVariance}
+	addJob(s, "fill", "late", now, bestEffortStep("fill", 3))
+	is.Equal(len(startActions(planUntilIdle(s, now))), 3)
+}
--- a/internal/batch/interference.go
+++ b/internal/batch/interference.go
@@ -76,7 +76,7 @@
 	minVariance = 0.02
 	// negligibleWeight is the weight below which a pair counts as free of interference. Measurements
 	// cannot tell such weights from 0, and many of them together would keep best-effort tasks away.
-	negligibleWeight = 0.5
+	negligibleWeight = 0.9
 	// maxWeight bounds the effect of outlying measurements.
 	maxWeight = 12.0
 	// idleLatencyShare is the assumed latency of an idle task, as a part of its latency target.
