entry: submissions pass through the owner where the store does not answer; refusals are certain and at once

Change: after 250 ms without an answer the owner is asked to create the key as well; the first certain outcome counts. While the store is known not to answer, a read asks first and only the owner may write, so that a refusal is true. A call that never had a connection counts as not sent. Attempts end before the caller's own time does, and are refused after a quarter of it at most. Ruled out: relaying after a 503 (the caller's next try reaches another instance, and a lost relay would turn a certain refusal into an unknown one).

--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -4,6 +4,7 @@
 package entry
 
 import (
+	"errors"
 	"maps"
 	"slices"
 	"strings"
@@ -63,6 +64,8 @@
 	items       map[string]kv.Item
 	inForce     atomic.Pointer[Config]
 	lastContact atomic.Int64 // Unix nanoseconds of the last successful call to the store
+	// disconnected is set while the store does not answer the watch.
+	disconnected atomic.Bool
 }
 
 const (
@@ -81,6 +84,7 @@
 			w.change(events)
 		},
 		OnResult: func(err error) {
+			w.disconnected.Store(!answered(err))
 			if err == nil {
 				w.lastContact.Store(time.Now().UnixNano())
 			}
@@ -88,6 +92,11 @@
 	}
 }
 
+// answered reports whether the store has answered a call that returned err, if only to refuse it.
+func answered(err error) bool {
+	return err == nil || errors.Is(err, kv.ErrUnavailable) || errors.Is(err, kv.ErrCompacted)
+}
+
 // reset replaces all keys by those of a listing.
 func (w *configWatcher) reset(items []kv.Item) {
 	w.mu.Lock()
--- /dev/null
+++ b/internal/entry/create.go
@@ -0,0 +1,181 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/kv"
+	"github.com/geraniumwick/geraniumwick/internal/pause"
+	"github.com/geraniumwick/geraniumwick/internal/verdict"
+)
+
+const (
+	// unavailableTimeout is how long the creation of a key is retried while the store refuses it as
+	// unavailable. The caller is then told that it did not run.
+	unavailableTimeout = 300 * time.Millisecond
+	// relayDelay is how long the store may take to answer before the owner is asked to create the
+	// key as well.
+	relayDelay = 250 * time.Millisecond
+	// probeTimeout bounds the read that shows whether the store answers again.
+	probeTimeout = 200 * time.Millisecond
+	// relayTimeout bounds the call that asks the owner.
+	relayTimeout = time.Second
+)
+
+// creation is the outcome of an attempt to create a key.
+type creation uint8
+
+// The outcomes.
+const (
+	creationUnknown creation = iota // the key may have been created, or may be created later
+	creationDone                    // this attempt created the key
+	creationExisted                 // the key existed
+	creationRefused                 // this attempt created nothing and never will
+)
+
+// stored reports whether the key is known to exist.
+func (c creation) stored() bool { return c == creationDone || c == creationExisted }
+
+// or returns the outcome of two attempts at the same key together.
+func (c creation) or(other creation) creation {
+	switch {
+	case c.stored():
+		return c
+	case other.stored():
+		return other
+	case c == creationRefused && other == creationRefused:
+		return creationRefused
+	default:
+		return creationUnknown
+	}
+}
+
+// create creates a key with a value unless it exists. It retries until the outcome is known or ctx
+// ends, and reports whether the key existed already. Once the outcome of one attempt is unknown, the
+// refusal of a later attempt does not prove that the key was not created, so the result can no longer be
+// NotRun.
+func (i *Instance) create(ctx context.Context, key string, value []byte) (result Result, existed bool) {
+	startTime := time.Now()
+	outcome := creationRefused
+	for ctx.Err() == nil {
+		outcome = outcome.or(i.attemptCreate(ctx, key, value))
+		if outcome.stored() {
+			return Done, outcome == creationExisted
+		}
+		if outcome == creationRefused && time.Since(startTime) > refusalTime(ctx, startTime) {
+			break
+		}
+		pause.For(ctx, retryInterval)
+	}
+	if outcome == creationRefused {
+		return NotRun, false
+	}
+	return Unknown, false
+}
+
+// refusalTime returns how long refused attempts are repeated: unavailableTimeout, or a quarter of the
+// time for which the caller waits if that is less.
+func refusalTime(ctx context.Context, startTime time.Time) time.Duration {
+	if deadline, ok := ctx.Deadline(); ok {
+		return min(unavailableTimeout, deadline.Sub(startTime)/4)
+	}
+	return unavailableTimeout
+}
+
+// attemptCreate makes one attempt. If the store does not answer this instance, the owner is asked too: the
+// store may be cut off from some instances only.
+func (i *Instance) attemptCreate(ctx context.Context, key string, value []byte) creation {
+	own := make(chan creation, 1)
+	go func() { own <- i.createHere(ctx, key, value) }()
+	timer := time.NewTimer(relayDelay)
+	defer timer.Stop()
+	select {
+	case outcome := <-own:
+		if outcome == creationRefused && i.watcher.disconnected.Load() {
+			return i.relayCreate(ctx, key, value)
+		}
+		return outcome
+	case <-timer.C:
+	}
+	relayed := make(chan creation, 1)
+	go func() { relayed <- i.relayCreate(ctx, key, value) }()
+	select {
+	case outcome := <-own:
+		if outcome.stored() {
+			return outcome
+		}
+		return outcome.or(<-relayed)
+	case outcome := <-relayed:
+		if outcome.stored() {
+			return outcome
+		}
+		return outcome.or(<-own)
+	}
+}
+
+// createHere makes one attempt at the store. If the store did not answer before, it is asked by a read
+// first, which has no effect if it is carried out late, so that a refusal stays certain.
+func (i *Instance) createHere(ctx context.Context, key string, value []byte) creation {
+	if i.watcher.disconnected.Load() && !i.storeAnswers(ctx, key) {
+		return creationRefused
+	}
+	return i.createInStore(ctx, key, value)
+}
+
+// storeAnswers reports whether the store answers a read within probeTimeout.
+func (i *Instance) storeAnswers(ctx context.Context, key string) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	_, err := i.store.Get(ctx, key)
+	if !answered(err) && !errors.Is(err, kv.ErrNotFound) {
+		return false
+	}
+	i.watcher.disconnected.Store(false)
+	return true
+}
+
+// createInStore makes one attempt at the store.
+func (i *Instance) createInStore(ctx context.Context, key string, value []byte) creation {
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	_, err := i.store.Commit(ctx, kv.Txn{If: []kv.Condition{{Key: key}}, Set: []kv.Write{{Key: key, Value: value}}})
+	switch {
+	case err == nil:
+		return creationDone
+	case errors.Is(err, kv.ErrConflict):
+		return creationExisted
+	case errors.Is(err, kv.ErrUnavailable):
+		return creationRefused
+	default:
+		return creationUnknown
+	}
+}
+
+// relayCreate asks the owner to create the key. The outcome is creationRefused if another instance is not
+// known to be the owner.
+func (i *Instance) relayCreate(ctx context.Context, key string, value []byte) creation {
+	claim := i.claim()
+	if claim == nil || claim.Instance == i.name {
+		return creationRefused
+	}
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	var reply createReply
+	err := i.peers.Call(ctx, claim.Address, kindCreate, createMessage{Key: key, Value: value}, &reply)
+	outcome := reply.Outcome
+	if err != nil {
+		outcome = creationUnknown
+		if verdict.Of(err) == verdict.NotRun {
+			outcome = creationRefused
+		}
+	}
+	i.log.Info().Str("event", "create.relayed").Str("key", key).Str("owner", claim.Instance).
+		Str("outcome", outcome.String()).AnErr("cause", err).Send()
+	return outcome
+}
+
+// String returns the name used in logs.
+func (c creation) String() string {
+	return [...]string{"unknown", "created", "existed", "refused"}[c]
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,9 +21,12 @@
 // Instance serves the requests of callers: it stores their jobs and answers from the owner or the
 // store. It also campaigns to be the owner itself.
 type Instance struct {
-	store   kv.Store
-	owner   *owner.Owner
-	peers   *peer.Pool
+	name  string
+	store kv.Store
+	owner *owner.Owner
+	// claim returns the current claim as far as this instance knows; nil if nobody owns the jobs.
+	claim   func() *owner.Claim
+	peers   peerCaller
 	watcher *configWatcher
 	log     zerolog.Logger
 
@@ -31,6 +34,11 @@
 	draining atomic.Bool
 }
 
+// peerCaller calls other instances; see peer.Pool.Call.
+type peerCaller interface {
+	Call(ctx context.Context, addr string, k peer.Kind, in, out any) error
+}
+
 // Options describe an instance.
 type Options struct {
 	// Name identifies the instance to the others.
@@ -53,12 +61,14 @@
 		return peers.Call(ctx, c.Address, kindYield, yieldMessage{Epoch: c.Epoch, Speed: opts.Owner.Speed}, nil)
 	}
 	i := &Instance{
+		name:    opts.Name,
 		store:   store,
 		owner:   owner.New(opts.Owner, store, workers, registry, watcher.batchConfig, log),
 		peers:   peers,
 		watcher: watcher,
 		log:     log,
 	}
+	i.claim = i.owner.Claim
 	peers.OnDisconnect = i.peerDisconnected
 	return i
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -27,7 +27,10 @@
 	getErr     error
 }
 
-func (s *fakeStore) Commit(context.Context, kv.Txn) (int64, error) {
+func (s *fakeStore) Commit(ctx context.Context, _ kv.Txn) (int64, error) {
+	if err := ctx.Err(); err != nil {
+		return 0, err
+	}
 	s.calls++
 	if len(s.commitErrs) == 0 {
 		return 7, nil
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -27,9 +27,6 @@
 )
 
 const (
-	// unavailableTimeout is how long a transaction is retried while the store refuses it as
-	// unavailable. The caller is then told that it did not run.
-	unavailableTimeout = 300 * time.Millisecond
 	// retryInterval is the pause between two attempts of a call.
 	retryInterval = 100 * time.Millisecond
 	// storeCallTimeout bounds one attempt of a call to the store.
@@ -45,11 +42,7 @@
 func (i *Instance) Submit(ctx context.Context, config *Config, id, queue string, spec batch.Spec) Result {
 	submission := owner.Submission{Queue: queue, Accepted: time.Now(), Spec: spec, QueueConfig: config.Batch.Queues[queue]}
 	key := owner.JobKey(id)
-	txn := kv.Txn{
-		If:  []kv.Condition{{Key: key}},
-		Set: []kv.Write{{Key: key, Value: owner.EncodeSubmission(submission)}},
-	}
-	result, existed := i.commit(ctx, txn)
+	result, existed := i.create(ctx, key, owner.EncodeSubmission(submission))
 	i.log.Info().Str("event", "job.submitted").Str("job", id).Str("queue", queue).
 		Int64("version", config.Batch.Version).Bool("existed", existed).Str("result", result.String()).Send()
 	if result == Done && !existed {
@@ -63,39 +56,6 @@
 	return [...]string{"done", "missing", "not-run", "unknown"}[r]
 }
 
-// commit retries a transaction until its outcome is known or ctx ends. It reports whether the keys
-// existed already. Once the outcome of one attempt is unknown, the refusal of a later attempt does not
-// prove that the transaction was not executed, so the result can no longer be NotRun.
-func (i *Instance) commit(ctx context.Context, txn kv.Txn) (result Result, existed bool) {
-	startTime := time.Now()
-	unknown := false
-	for {
-		callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
-		_, err := i.store.Commit(callCtx, txn)
-		cancel()
-		switch {
-		case err == nil:
-			return Done, false
-		case errors.Is(err, kv.ErrConflict):
-			return Done, true
-		case errors.Is(err, kv.ErrUnavailable):
-			if !unknown && time.Since(startTime) > unavailableTimeout {
-				return NotRun, false
-			}
-		default:
-			unknown = true
-		}
-		if ctx.Err() != nil {
-			break
-		}
-		pause.For(ctx, retryInterval)
-	}
-	if unknown {
-		return Unknown, false
-	}
-	return NotRun, false
-}
-
 // Cancel stores a request to cancel a job; the owner carries it out.
 func (i *Instance) Cancel(ctx context.Context, id string) Result {
 	found, err := i.exists(ctx, owner.JobKey(id))
@@ -106,8 +66,7 @@
 		return NotFound
 	}
 	key := owner.CancelKey(id)
-	txn := kv.Txn{If: []kv.Condition{{Key: key}}, Set: []kv.Write{{Key: key, Value: []byte{}}}}
-	result, _ := i.commit(ctx, txn)
+	result, _ := i.create(ctx, key, []byte{})
 	i.log.Info().Str("event", "job.cancel").Str("job", id).Str("result", result.String()).Send()
 	if result == Done {
 		i.notifyCancelled(id)
--- a/internal/entry/peer_calls.go
+++ b/internal/entry/peer_calls.go
@@ -17,6 +17,7 @@
 	kindJobStatus
 	kindQueuedJobs
 	kindYield
+	kindCreate
 )
 
 type submittedMessage struct {
@@ -34,6 +35,16 @@
 	Speed float64 `cbor:"2,keyasint"`
 }
 
+// createMessage asks the owner to create a key unless it exists.
+type createMessage struct {
+	Key   string `cbor:"1,keyasint"`
+	Value []byte `cbor:"2,keyasint"`
+}
+
+type createReply struct {
+	Outcome creation `cbor:"1,keyasint"`
+}
+
 type queueMessage struct {
 	Queue string `cbor:"1,keyasint"`
 }
@@ -73,6 +84,16 @@
 		status, ok := i.owner.JobStatus(msg.ID, ownerCallTimeout)
 		return status, notOwnerError(ok)
 	})
+	server.Handle(kindCreate, func(ctx context.Context, _ model.InstanceID, body []byte) (any, error) {
+		var msg createMessage
+		if err := peer.Decode(body, &msg); err != nil {
+			return nil, err
+		}
+		if !owner.IsSubmissionKey(msg.Key) {
+			return nil, verdict.New(verdict.NotRun, verdict.ReasonInvalid, "key %q is not one of a submission or a cancellation", msg.Key)
+		}
+		return createReply{Outcome: i.createHere(ctx, msg.Key, msg.Value)}, nil
+	})
 	server.Handle(kindQueuedJobs, func(_ context.Context, _ model.InstanceID, body []byte) (any, error) {
 		var msg queueMessage
 		if err := peer.Decode(body, &msg); err != nil {
@@ -112,7 +133,7 @@
 
 // notifyOwner sends a message about a job to the owner in the background. A failure is only logged.
 func (i *Instance) notifyOwner(kind peer.Kind, msg any, id string) {
-	claim := i.owner.Claim()
+	claim := i.claim()
 	if claim == nil {
 		return
 	}
@@ -128,7 +149,7 @@
 // peerDisconnected checks, when the connection to the owner has ended, whether its process has ended
 // too. If so, it revokes the owner's claim, so that another instance takes over at once.
 func (i *Instance) peerDisconnected(addr string) {
-	claim := i.owner.Claim()
+	claim := i.claim()
 	if claim == nil || claim.Address != addr || !peer.ConnectionRefused(context.Background(), addr) {
 		return
 	}
@@ -163,7 +184,7 @@
 // queryOwner calls the owner, if another instance is the owner, and decodes its response. It reports
 // whether that succeeded.
 func (i *Instance) queryOwner(ctx context.Context, kind peer.Kind, msg, response any) bool {
-	claim := i.owner.Claim()
+	claim := i.claim()
 	if claim == nil {
 		return false
 	}
--- a/internal/owner/records.go
+++ b/internal/owner/records.go
@@ -77,6 +77,13 @@
 func CancelKey(id string) string { return cancelPrefix + id }
 func RecordKey(id string) string { return recordPrefix + id }
 
+// IsSubmissionKey reports whether a key is that of a submission or of a cancellation, which any instance
+// may create.
+func IsSubmissionKey(key string) bool {
+	prefix, id := parseKey(key)
+	return id != "" && (prefix == jobPrefix || prefix == cancelPrefix)
+}
+
 // EncodeSubmission returns the value to store under a job's key.
 func EncodeSubmission(s Submission) []byte { return encode(s) }
 
