owner: a claim that cannot be confirmed ends permission to act; pauses and silence are no stalls

An owner now starts nothing and renews no lease later than 3.5 s after its claim may have ended, and the successor waits for that. Bound by construction: leases and starts carry times that were fixed before they were sent. - A paused process sent what it had decided before the pause (TestAStartAfterAPauseIsNotSent). - After a pause of 3.5 s the owner took all tasks for stalled, stopped them and shunned their workers (TestPausedOwnerStopsNothing); a worker that was silent for that long lost its tasks with its first report (TestSilentWorkerKeepsItsTasks). TestStuckTaskMoves now plans each 250 ms, as an owner does that is not paused; it demands the same.

--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -17,6 +17,7 @@
 // actions to carry out now.
 func (s *State) Plan(now time.Time) []Action {
 	if now.Sub(s.lastCheck) >= checkInterval {
+		s.excusePause(now)
 		s.lastCheck = now
 		s.meanShortCPU += meanShortCPUGain * (float64(s.shortCPU) - s.meanShortCPU)
 		s.interferenceModel.growVariances(checkInterval)
--- a/internal/batch/policy_test.go
+++ b/internal/batch/policy_test.go
@@ -299,7 +299,48 @@
 	addJob(s, "j", "q", now, taskStep(1, 1000))
 	all := planUntilIdle(s, now)
 	reportWithLease(s, "a", Report{Incarnation: 1, Clock: 100, Running: runningOn(all, "a")}, now)
-	actions := s.Plan(now.Add(stallTimeout + time.Second))
+	actions := planEvery(s, now, stallTimeout+time.Second)
 	is.Equal(len(actions), 1)
 	is.Equal(actions[0].Kind, ActionStop)
 }
+
+// planEvery calls Plan each checkInterval for a while, as an owner does that is not paused, and returns all
+// actions.
+func planEvery(s *State, now time.Time, during time.Duration) []Action {
+	var all []Action
+	for passed := checkInterval; passed <= during; passed += checkInterval {
+		all = append(all, s.Plan(now.Add(passed))...)
+	}
+	return all
+}
+
+// The owner's process is paused for longer than stallTimeout. What it knows of the tasks is as old as the
+// pause, so it stops none, and no worker is shunned; a task that still stands still is found later.
+func TestPausedOwnerStopsNothing(t *testing.T) {
+	is := is.New(t)
+	s, now := newTestState("a")
+	addJob(s, "j", "q", now, taskStep(1, 1000))
+	all := planUntilIdle(s, now)
+	reportWithLease(s, "a", Report{Incarnation: 1, Clock: 100, Running: runningOn(all, "a")}, now)
+	now = now.Add(10 * time.Second)
+	is.Equal(len(s.Plan(now)), 0)
+	is.True(s.workers["a"].usable(s, now))
+	is.Equal(len(planEvery(s, now, stallTimeout-checkInterval)), 0)
+	is.Equal(len(planEvery(s, now.Add(stallTimeout-checkInterval), time.Second)), 1)
+}
+
+// A worker is silent for longer than stallTimeout, within its lease. Its first report shows the progress of
+// before the silence; its tasks go on and it is not shunned.
+func TestSilentWorkerKeepsItsTasks(t *testing.T) {
+	is := is.New(t)
+	s, now := newTestState("a")
+	addJob(s, "j", "q", now, taskStep(1, 1000))
+	list := runningOn(planUntilIdle(s, now), "a")
+	reportWithLease(s, "a", Report{Incarnation: 1, Clock: 100, Running: list}, now)
+	s.MarkUnreachable("a")
+	is.Equal(len(planEvery(s, now, stallTimeout+time.Second)), 0)
+	now = now.Add(stallTimeout + time.Second)
+	reportWithLease(s, "a", Report{Incarnation: 1, Clock: 4600, Running: list}, now)
+	is.Equal(len(planEvery(s, now, time.Second)), 0)
+	is.True(s.workers["a"].usable(s, now.Add(time.Second)))
+}
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -18,6 +18,9 @@
 	if !w.reported {
 		w.leaseEnd = laterOf(w.leaseEnd, now.Add(s.timing.LeaseTTL))
 	}
+	if w.unreachable {
+		w.excuseSilence(now)
+	}
 	w.reported, w.unreachable = true, false
 	w.latencyGroupsAt = time.Time{}
 	delete(s.unresolvedWorkers, id)
--- a/internal/batch/stall.go
+++ b/internal/batch/stall.go
@@ -6,6 +6,28 @@
 // longer estimate uses its estimate instead.
 const stallTimeout = 3500 * time.Millisecond
 
+// pauseThreshold is the time between two checks from which the owner itself counts as paused.
+const pauseThreshold = time.Second
+
+// excusePause restarts the measurement of progress if the owner was paused since the last check: its
+// picture of all tasks is as old as the pause.
+func (s *State) excusePause(now time.Time) {
+	if s.lastCheck.IsZero() || now.Sub(s.lastCheck) < pauseThreshold {
+		return
+	}
+	for _, w := range s.workers {
+		w.excuseSilence(now)
+	}
+}
+
+// excuseSilence restarts the measurement of the progress of all tasks on a worker of which nothing was
+// heard for a while.
+func (w *worker) excuseSilence(now time.Time) {
+	for _, a := range w.attempts {
+		a.progressAt = now
+	}
+}
+
 // stopStalled stops stalled tasks, so that they run elsewhere, and quarantines their workers.
 func (s *State) stopStalled(now time.Time) {
 	for _, w := range s.workers {
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -230,10 +230,11 @@
 	return nil
 }
 
-// fakeWorkers are workers in memory whose tasks take one second.
+// fakeWorkers are workers in memory whose tasks take taskDuration, one second unless a test changes it.
 type fakeWorkers struct {
-	mu      sync.Mutex
-	workers map[batch.WorkerID]*fakeWorker
+	taskDuration time.Duration
+	mu           sync.Mutex
+	workers      map[batch.WorkerID]*fakeWorker
 	// startCounts holds the number of starts of each task, over all workers.
 	startCounts map[batch.TaskID]int
 	// unreachable holds the workers that answer no calls.
@@ -256,7 +257,7 @@
 }
 
 func newFakeWorkers(ids ...batch.WorkerID) *fakeWorkers {
-	w := &fakeWorkers{workers: map[batch.WorkerID]*fakeWorker{}, startCounts: map[batch.TaskID]int{}, unreachable: map[batch.WorkerID]bool{}}
+	w := &fakeWorkers{taskDuration: time.Second, workers: map[batch.WorkerID]*fakeWorker{}, startCounts: map[batch.TaskID]int{}, unreachable: map[batch.WorkerID]bool{}}
 	for _, id := range ids {
 		w.workers[id] = &fakeWorker{incarnation: 1, running: map[runKey]time.Time{}, nextSeq: 1, changed: make(chan struct{})}
 	}
@@ -270,10 +271,23 @@
 	return w.startCounts[id]
 }
 
-const (
-	callLatency  = time.Millisecond
-	taskDuration = time.Second
-)
+const callLatency = time.Millisecond
+
+// runningCopies returns on how many workers a task runs now.
+func (w *fakeWorkers) runningCopies(id batch.TaskID) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	copies := 0
+	for _, n := range w.workers {
+		n.advance()
+		for key := range n.running {
+			if key.task == id {
+				copies++
+			}
+		}
+	}
+	return copies
+}
 
 // lookup returns the worker with its state brought up to date, or nil if it is unreachable or
 // rejects the epoch. It locks w; the caller unlocks it.
@@ -324,7 +338,7 @@
 		return Response{Answer: batch.AnswerExpired, Clock: time.Now().UnixMilli()}
 	}
 	w.startCounts[req.Task]++
-	n.running[runKey{req.Task, req.Run}] = time.Now().Add(taskDuration)
+	n.running[runKey{req.Task, req.Run}] = time.Now().Add(w.taskDuration)
 	close(n.changed)
 	n.changed = make(chan struct{})
 	return Response{Answer: batch.AnswerOK, Clock: time.Now().UnixMilli()}
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -42,9 +43,9 @@
 	clockTolerance = 1.03
 	// leaseMargin is added to the computed end of a lease before the lease counts as ended.
 	leaseMargin = 200 * time.Millisecond
-	// fencingDelay is the longest time for which a superseded owner may still renew leases until a
-	// worker rejects its epoch.
-	fencingDelay = 2500 * time.Millisecond
+	// claimGrace is how long an owner that cannot confirm its claim goes on starting tasks and
+	// renewing leases after the claim may have ended. The next owner allows for it.
+	claimGrace = 3500 * time.Millisecond
 )
 
 // event is a change of the leader's state. The loop executes one at a time.
@@ -70,6 +71,8 @@
 	done chan struct{}
 	// firstRenewals is a semaphore that limits the concurrent first calls to workers.
 	firstRenewals chan struct{}
+	// ownedUntil is the time until which the claim is confirmed, in Unix nanoseconds.
+	ownedUntil atomic.Int64
 
 	// The fields below are used by the loop only.
 	state           *batch.State
@@ -84,6 +87,8 @@
 	// workersChanged is set when workers may have come or gone since the renewers were last
 	// reconciled.
 	workersChanged bool
+	// suspended is set while mayAct is false.
+	suspended bool
 }
 
 // workerClock is a reading of a worker's clock.
@@ -102,7 +107,7 @@
 		LeaseTTL:       maxLeaseDuration(o.opts.MaxWorkerLease),
 		StartLeaseTTL:  maxLeaseDuration(startWindow),
 	}
-	return &leader{
+	l := &leader{
 		owner:         o,
 		log:           o.log.With().Int64("epoch", held.claim.Epoch).Logger(),
 		epoch:         held.claim.Epoch,
@@ -118,6 +123,20 @@
 		workersRecord: newWorkerRecord(),
 		commits:       committer{rev: held.commitRev},
 	}
+	l.extendOwnership(held.until)
+	return l
+}
+
+// extendOwnership notes that the claim is confirmed until a time.
+func (l *leader) extendOwnership(until time.Time) {
+	l.ownedUntil.Store(max(l.ownedUntil.Load(), until.UnixNano()))
+	l.state.ExtendOwnership(until)
+}
+
+// mayAct reports whether the owner may start tasks and renew leases: its claim is confirmed, or ended at
+// most claimGrace ago. A process that was paused asks again after the pause, since a successor may lead.
+func (l *leader) mayAct(now time.Time) bool {
+	return now.UnixNano() < l.ownedUntil.Load()+int64(claimGrace)
 }
 
 // stepDown ends the leadership.
@@ -209,14 +228,27 @@
 		l.workersChanged = false
 		l.reconcileRenewers()
 	}
-	for _, a := range l.state.Plan(now) {
-		l.execute(a, now)
-	}
+	l.plan(now)
 	l.logEvents()
 	l.runMaintenance(now)
 	l.commit(now)
 }
 
+// plan makes the decisions and carries them out, unless the claim is unconfirmed for too long.
+func (l *leader) plan(now time.Time) {
+	if suspended := !l.mayAct(now); suspended != l.suspended {
+		l.suspended = suspended
+		l.log.Info().Str("event", "leader.suspended").Bool("suspended", suspended).
+			Time("owned-until", time.Unix(0, l.ownedUntil.Load())).Send()
+	}
+	if l.suspended {
+		return
+	}
+	for _, a := range l.state.Plan(now) {
+		l.execute(a, now)
+	}
+}
+
 // renewClaim renews the lease of the claim until ctx ends or the lease has ended.
 func (l *leader) renewClaim(ctx context.Context) {
 	interval := l.owner.opts.LeaseTTL / 4
@@ -228,7 +260,7 @@
 		err := l.owner.store.Renew(callCtx, l.held.lease)
 		cancel()
 		if err == nil {
-			l.post(func(l *leader, _ time.Time) { l.state.ExtendOwnership(sent.Add(l.owner.opts.LeaseTTL)) })
+			l.post(func(l *leader, _ time.Time) { l.extendOwnership(sent.Add(l.owner.opts.LeaseTTL)) })
 		}
 		if errors.Is(err, kv.ErrNotFound) {
 			l.stepDown("lease of the claim ended")
@@ -283,7 +315,7 @@
 // restore rebuilds the state from the content of the store.
 func (l *leader) restore(owned, accepted []kv.Item, now time.Time) {
 	records := map[string]*batch.Record{}
-	latest := now.Add(l.workerLeaseExpiry() + fencingDelay)
+	latest := now.Add(l.workerLeaseExpiry() + claimGrace)
 	for _, item := range owned {
 		if item.Key == workersKey {
 			until, err := l.workersRecord.restore(item.Value, latest)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -298,6 +298,8 @@
 	lease int64
 	// commitRev is the revision of the claim and of the head.
 	commitRev int64
+	// until is the time before which the claim cannot have ended.
+	until time.Time
 }
 
 // acquireClaim writes the claim with the next epoch, on condition that there is no claim and that
@@ -309,6 +311,7 @@
 	if err != nil {
 		return heldClaim{}, err
 	}
+	granted := time.Now()
 	lease, err := o.store.Grant(ctx, o.opts.LeaseTTL)
 	if err != nil {
 		return heldClaim{}, err
@@ -325,7 +328,7 @@
 		go o.revokeLease(lease)
 		return heldClaim{}, err
 	}
-	return heldClaim{claim: c, lease: lease, commitRev: commitRev}, nil
+	return heldClaim{claim: c, lease: lease, commitRev: commitRev, until: granted.Add(o.opts.LeaseTTL)}, nil
 }
 
 // campaignTimeout bounds all store calls of one campaign together.
--- /dev/null
+++ b/internal/owner/permission_test.go
@@ -0,0 +1,219 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/geraniumwick/geraniumwick/internal/batch"
+	"github.com/geraniumwick/geraniumwick/internal/kv"
+)
+
+// recordingWorkers notes when an owner last renewed a lease and last sent a start.
+type recordingWorkers struct {
+	WorkerClient
+	mu                   sync.Mutex
+	lastRenewal, lastRun time.Time
+}
+
+func (r *recordingWorkers) RenewLease(ctx context.Context, req RenewRequest) (batch.Report, batch.Answer) {
+	if req.LeaseEnd != 0 {
+		r.mu.Lock()
+		r.lastRenewal = time.Now()
+		r.mu.Unlock()
+	}
+	return r.WorkerClient.RenewLease(ctx, req)
+}
+
+func (r *recordingWorkers) Start(ctx context.Context, req StartRequest) Response {
+	r.mu.Lock()
+	r.lastRun = time.Now()
+	r.mu.Unlock()
+	return r.WorkerClient.Start(ctx, req)
+}
+
+// cutStore is the store as seen by an instance that can be cut off from it.
+type cutStore struct {
+	*memoryStore
+	mu  sync.Mutex
+	cut bool
+}
+
+func (s *cutStore) isCut() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cut
+}
+
+func (s *cutStore) setCut(cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut = cut
+}
+
+func (s *cutStore) Get(ctx context.Context, key string) (kv.Item, error) {
+	if s.isCut() {
+		return kv.Item{}, kv.ErrUnavailable
+	}
+	return s.memoryStore.Get(ctx, key)
+}
+
+func (s *cutStore) List(ctx context.Context, prefix string) ([]kv.Item, int64, error) {
+	if s.isCut() {
+		return nil, 0, kv.ErrUnavailable
+	}
+	return s.memoryStore.List(ctx, prefix)
+}
+
+func (s *cutStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]kv.Event, int64, error) {
+	events, rev, err := s.memoryStore.Watch(ctx, prefix, after, wait)
+	if s.isCut() {
+		return nil, 0, kv.ErrUnavailable
+	}
+	return events, rev, err
+}
+
+func (s *cutStore) Commit(ctx context.Context, t kv.Txn) (int64, error) {
+	if s.isCut() {
+		return 0, kv.ErrUnavailable
+	}
+	return s.memoryStore.Commit(ctx, t)
+}
+
+func (s *cutStore) Renew(ctx context.Context, lease int64) error {
+	if s.isCut() {
+		return kv.ErrUnavailable
+	}
+	return s.memoryStore.Renew(ctx, lease)
+}
+
+// partitionedWorkers are the workers as seen by an instance that cannot reach one of them.
+type partitionedWorkers struct {
+	WorkerClient
+	mu     sync.Mutex
+	hidden batch.WorkerID
+}
+
+func (p *partitionedWorkers) hide(id batch.WorkerID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hidden = id
+}
+
+func (p *partitionedWorkers) isHidden(id batch.WorkerID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return id == p.hidden
+}
+
+func (p *partitionedWorkers) RenewLease(ctx context.Context, req RenewRequest) (batch.Report, batch.Answer) {
+	if p.isHidden(req.Worker) {
+		<-ctx.Done()
+		return batch.Report{}, batch.AnswerNone
+	}
+	return p.WorkerClient.RenewLease(ctx, req)
+}
+
+func (p *partitionedWorkers) Start(ctx context.Context, req StartRequest) Response {
+	if p.isHidden(req.Worker) {
+		<-ctx.Done()
+		return Response{}
+	}
+	return p.WorkerClient.Start(ctx, req)
+}
+
+const testLeaseTTL = 1200 * time.Millisecond
+
+// startInstanceAt starts an instance with its own view of the store and of the workers.
+func (h *harness) startInstanceAt(name string, store kv.Store, workers WorkerClient) {
+	ctx, cancel := context.WithCancel(h.ctx)
+	h.stops[name] = cancel
+	o := New(Options{Instance: name, Address: name, LeaseTTL: testLeaseTTL, MaxWorkerLease: 6 * time.Second, JobRetention: 20 * time.Second},
+		store, workers, fakeRegistry{}, testConfig, zerolog.Nop())
+	go o.Run(ctx)
+}
+
+// An owner that cannot confirm its claim goes on for claimGrace after the claim may have ended, and then
+// starts nothing and renews no lease: the next owner waits for that long before it restarts tasks on workers
+// that it cannot reach.
+func TestAnUnconfirmedOwnerStopsActing(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		store, workers := &cutStore{memoryStore: h.store}, &recordingWorkers{WorkerClient: h.workers}
+		h.startInstanceAt("a", store, workers)
+		h.sleep(time.Second)
+		h.submit("j", tasks(1))
+		h.sleep(time.Second)
+		store.setCut(true)
+		cutAt := time.Now()
+		h.sleep(10 * time.Second)
+		limit := cutAt.Add(testLeaseTTL + claimGrace)
+		workers.mu.Lock()
+		h.is.True(workers.lastRenewal.After(cutAt.Add(testLeaseTTL))) // it does not stop at once
+		h.is.True(!workers.lastRenewal.After(limit))
+		workers.mu.Unlock()
+		store.setCut(false)
+		h.submit("k", tasks(1))
+		h.sleep(5 * time.Second)
+		workers.mu.Lock()
+		defer workers.mu.Unlock()
+		h.is.True(workers.lastRenewal.After(limit)) // it leads again
+		h.is.True(workers.lastRun.After(limit))
+		h.is.Equal(h.storedStatus("k"), batch.Completed)
+	}, "w1")
+}
+
+// An owner decides on a start and is paused before the call is made. Its claim has run out meanwhile, so
+// nothing is sent.
+func TestAStartAfterAPauseIsNotSent(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		workers := &recordingWorkers{WorkerClient: h.workers}
+		o := New(Options{Instance: "a", MaxWorkerLease: 6 * time.Second}, h.store, workers, fakeRegistry{}, testConfig, zerolog.Nop())
+		ctx, cancel := context.WithCancelCause(h.ctx)
+		defer cancel(nil)
+		l := newLeader(o, heldClaim{until: time.Now()}, cancel)
+		l.ctx = ctx
+		decidedAt := time.Now()
+		h.sleep(claimGrace) // the process stands still
+		l.startTask(batch.Action{Kind: batch.ActionStart, Worker: "w1", Task: batch.TaskID{Job: "j"}, Run: 1}, decidedAt)
+		h.sleep(time.Second)
+		h.is.Equal(h.workers.starts(batch.TaskID{Job: "j"}), 0)
+		h.is.True(workers.lastRun.IsZero())
+	}, "w1")
+}
+
+// A zone is cut off: the owner reaches only a worker there, and its successor, with the store, only the
+// others. The task on the cut-off worker runs once at any time.
+func TestTaskOfACutOffOwnerRunsOnce(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		h.workers.taskDuration = time.Hour
+		task := batch.TaskID{Job: "j"}
+		store, reached := &cutStore{memoryStore: h.store}, &partitionedWorkers{WorkerClient: h.workers}
+		former := &recordingWorkers{WorkerClient: reached}
+		h.startInstanceAt("a", store, former)
+		lasting := tasks(1)
+		lasting.LongRunning = true
+		h.submit("j", lasting)
+		h.sleep(2 * time.Second)
+		h.is.Equal(h.workers.starts(task), 1)
+		cutOff, other := batch.WorkerID("w1"), batch.WorkerID("w2")
+		h.workers.mu.Lock()
+		if len(h.workers.workers[other].running) > 0 {
+			cutOff, other = other, cutOff
+		}
+		h.workers.mu.Unlock()
+		store.setCut(true)
+		reached.hide(other)
+		cutAt := time.Now()
+		next := &partitionedWorkers{WorkerClient: h.workers, hidden: cutOff}
+		h.startInstanceAt("b", h.store, next)
+		for time.Since(cutAt) < 30*time.Second {
+			h.sleep(100 * time.Millisecond)
+			h.is.True(h.workers.runningCopies(task) <= 1)
+		}
+		h.is.Equal(h.workers.runningCopies(task), 1) // restarted after the last lease
+		h.is.Equal(h.workers.starts(task), 2)
+	}, "w1", "w2")
+}
--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -29,8 +29,8 @@
 type renewalParams struct {
 	ackSeq  int64 // ended attempts up to this sequence number are acknowledged
 	maxWait time.Duration
-	// renew allows the renewal of the lease. It is set only when the stored workers record holds no
-	// end of the lease.
+	// renew allows the renewal of the lease while the owner may act. It is set only when the stored
+	// workers record holds no end of the lease.
 	renew bool
 	// generation is the renewer's generation at the time of the report that the parameters follow.
 	generation int
@@ -133,7 +133,7 @@
 	now := time.Now()
 	// A renewal may take effect even if its response is lost. An unreachable worker is sent none,
 	// since the recorded end of its lease would become wrong.
-	if rn.params.renew {
+	if rn.params.renew && rn.leader.mayAct(now) {
 		request.LeaseEnd = rn.clock.now(now) + rn.leader.owner.opts.MaxWorkerLease.Milliseconds()
 		request.MaxWait = rn.params.maxWait
 	}
--- a/internal/owner/worker_calls.go
+++ b/internal/owner/worker_calls.go
@@ -33,7 +33,10 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(l.ctx, workerCallTimeout)
 		defer cancel()
-		response := l.owner.workers.Start(ctx, request)
+		response := Response{Answer: batch.AnswerExpired}
+		if l.mayAct(time.Now()) {
+			response = l.owner.workers.Start(ctx, request)
+		}
 		l.post(func(l *leader, now time.Time) {
 			l.checkFenced(a, response, now)
 			l.state.StartAnswered(a.Worker, a.Task, a.Run, response.Answer, response.Clock, now)
@@ -46,7 +49,10 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(l.ctx, workerCallTimeout)
 		defer cancel()
-		response := send(ctx, request)
+		response := Response{Answer: batch.AnswerRefused}
+		if l.mayAct(time.Now()) {
+			response = send(ctx, request)
+		}
 		l.post(func(l *leader, now time.Time) {
 			l.checkFenced(a, response, now)
 			switch a.Kind {
