--- /dev/null
+++ b/internal/batch/answers.go
@@ -0,0 +1,66 @@
+package batch
+
+import (
+	"time"
+)
+
+// StartAnswered processes the answer to a start. clock is the time on the worker's clock in the
+// answer.
+func (s *State) StartAnswered(id WorkerID, task TaskID, run int64, answer Answer, clock int64, now time.Time) {
+	w := s.workers[id]
+	if w == nil {
+		return
+	}
+	a := w.attempts[attemptKey{task, run}]
+	if a == nil {
+		return
+	}
+	switch answer {
+	case AnswerOK:
+		a.startAnsweredAt = max(clock, 1)
+	case AnswerNone:
+		if !a.listed {
+			s.stop(a, "start not answered")
+		}
+	case AnswerRefused:
+		w.quarantinedUntil = laterOf(w.quarantinedUntil, now.Add(refusalQuarantineTime))
+		s.startRefused(a, "refused by the worker", now)
+	case AnswerNoTicket:
+		a.step.advice.withdraw(id)
+		s.startRefused(a, answerNames[answer], now)
+	case AnswerStale, AnswerExpired, AnswerNoCapacity, AnswerFenced, AnswerInvalid:
+		s.startRefused(a, answerNames[answer], now)
+	}
+}
+
+// answerNames are the names of the answers in the log: unwell stands for AnswerRefused, late for
+// AnswerExpired, old for AnswerStale and no room for AnswerNoCapacity.
+var answerNames = [...]string{"no answer", "ok", "unwell", "late", "old", "no room", "fenced", "invalid", "no ticket"}
+
+// startRefused removes an attempt whose start was certainly not executed. A listed attempt stays,
+// since the worker has reported that it runs.
+func (s *State) startRefused(a *attempt, reason string, now time.Time) {
+	if a.listed {
+		return
+	}
+	s.event(Event{Name: "task.refused", Job: a.step.job.ID, Task: a.id(), Run: a.run, Worker: a.worker.info.ID, Detail: reason})
+	s.remove(a, now)
+}
+
+// StopAnswered processes the answer to a stop. clock is the time on the worker's clock in the answer.
+func (s *State) StopAnswered(id WorkerID, task TaskID, run int64, answer Answer, clock int64) {
+	w := s.workers[id]
+	if w == nil {
+		return
+	}
+	if a := w.attempts[attemptKey{task, run}]; a != nil && answer == AnswerOK {
+		a.stopAnsweredAt = max(clock, 1)
+	}
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/batch/attempt.go
@@ -0,0 +1,48 @@
+package batch
+
+import (
+	"time"
+)
+
+// attempt is one start of a task on a worker that is not known to have ended.
+type attempt struct {
+	step        *step
+	index       int
+	run         int64
+	worker      *worker
+	reserved    Resources
+	requestedAt time.Time // when this owner decided the start or adopted the attempt
+	// notAfter is the time on the worker's clock after which the worker refuses the start; 0 if the
+	// attempt was adopted from a report.
+	notAfter        int64
+	startAnsweredAt int64 // time on the worker's clock in the answer that accepted the start
+	listed          bool
+	ended           bool // the worker has reported its end
+	stopping        bool
+	stopSent        time.Time
+	stopAnsweredAt  int64 // time on the worker's clock in the answer to the stop
+	percent         int
+	// progressAt is when percent last rose, the attempt was first listed or its CPU limit was set.
+	progressAt time.Time
+	// lastMeasurement is RunningAttempt.Measurement of the last report.
+	lastMeasurement int64
+	// cpuLimit is the part of its CPU that a best-effort attempt may use, in percent.
+	cpuLimit   int
+	cpuLimitAt time.Time // when cpuLimit last changed
+	// previousCPULimit is the limit before the last change.
+	previousCPULimit int
+	// throttleUnconfirmed is set if the worker may not have applied cpuLimit.
+	throttleUnconfirmed bool
+}
+
+func (a *attempt) id() TaskID {
+	return TaskID{Job: a.step.job.ID, Occurrence: a.step.occ.number, Step: a.step.number, Index: a.index}
+}
+
+func (a *attempt) task() *task { return &a.step.tasks[a.index] }
+
+// attemptKey identifies an attempt on a worker.
+type attemptKey struct {
+	task TaskID
+	run  int64
+}
--- /dev/null
+++ b/internal/batch/ends.go
@@ -0,0 +1,151 @@
+package batch
+
+import (
+	"slices"
+	"time"
+)
+
+// attemptEnded processes a reported end. The same end is reported again until it is acknowledged.
+func (s *State) attemptEnded(w *worker, e EndedAttempt, now time.Time) {
+	key := attemptKey{e.Task, e.Run}
+	a := w.attempts[key]
+	st := s.stepOf(e.Task)
+	if st == nil {
+		return
+	}
+	t := &st.tasks[e.Task.Index]
+	t.lastRun = max(t.lastRun, e.Run)
+	if e.Checkpoint != "" && !t.done {
+		t.checkpoint = e.Checkpoint
+		s.dirty.add(st.job)
+	}
+	if a != nil {
+		a.ended = true
+	}
+	switch e.Reason {
+	case EndDone:
+		w.consecutiveFailures = 0
+		s.attemptDone(st, t, now)
+	case EndFailed:
+		s.attemptFailed(w, st, t, e, now)
+	}
+	if a != nil {
+		if e.Reason != EndDone {
+			s.event(Event{Name: "task.ended", Job: e.Task.Job, Task: e.Task, Run: e.Run, Worker: w.info.ID, Detail: endReasonNames[e.Reason]})
+		}
+		s.remove(a, now)
+	}
+}
+
+// endReasonNames are the names of the end reasons in the log: lapsed stands for EndLeaseExpired, broken
+// for EndGangBroken and alone for EndGangIncomplete.
+var endReasonNames = [...]string{"", "done", "failed", "stopped", "lapsed", "broken", "alone"}
+
+// attemptDone marks a task as done; in a gang, all its tasks. Long-running tasks are never done.
+func (s *State) attemptDone(st *step, t *task, now time.Time) {
+	if st.spec.LongRunning {
+		return
+	}
+	if st.spec.Gang {
+		for i := range st.tasks {
+			s.completeTask(st, &st.tasks[i], now)
+		}
+		return
+	}
+	s.completeTask(st, t, now)
+}
+
+// completeTask marks a task as done, stops its other attempts unless it belongs to a gang, and opens
+// the dependent steps if it was the last task of its step.
+func (s *State) completeTask(st *step, t *task, now time.Time) {
+	if t.done {
+		return
+	}
+	if len(t.attempts) == 0 {
+		st.waiting--
+	}
+	t.done = true
+	st.remainingTasks--
+	s.markStarted(st.job)
+	s.dirty.add(st.job)
+	if !st.spec.Gang {
+		for _, a := range t.attempts {
+			s.stop(a, "task done")
+		}
+	}
+	if st.remainingTasks > 0 {
+		return
+	}
+	delete(s.open, st)
+	st.unblockDependents()
+	for _, later := range st.occ.steps {
+		s.openStep(later, now)
+	}
+	s.completeIfDone(st.job, now)
+}
+
+// attemptFailed counts a failed run once, and fails the job when the task or gang has used up its
+// attempts. Failures of long-running tasks count against the worker only.
+func (s *State) attemptFailed(w *worker, st *step, t *task, e EndedAttempt, now time.Time) {
+	if t.done || e.Run == t.lastFailed || slices.Contains(t.failed, e.Run) {
+		return
+	}
+	t.lastFailed = e.Run
+	t.failed = append(t.failed, e.Run)
+	w.countFailure(t, now)
+	s.dirty.add(st.job)
+	if st.spec.LongRunning {
+		t.failed = nil
+		return
+	}
+	failures := len(t.failed)
+	if st.spec.Gang {
+		failures = st.failedGangRuns()
+	}
+	if failures >= max(1, s.queueOf(st.job).MaxAttempts) && !st.job.outcome.Terminal() {
+		s.event(Event{Name: "job.failed", Job: st.job.ID, Task: e.Task, Run: e.Run, Worker: w.info.ID, Detail: "no attempts left"})
+		s.end(st.job, Failed, now)
+	}
+}
+
+// failedGangRuns counts the runs of a gang in which at least one task failed.
+func (st *step) failedGangRuns() int {
+	runs := map[int64]bool{}
+	for i := range st.tasks {
+		for _, r := range st.tasks[i].failed {
+			runs[r] = true
+		}
+	}
+	return len(runs)
+}
+
+// remove deletes an attempt that certainly does not run any more. Its task waits again unless it is
+// done or has another attempt.
+func (s *State) remove(a *attempt, now time.Time) {
+	t := a.task()
+	a.worker.detach(a)
+	if a.step.spec.BestEffort && a.cpuLimit > 0 {
+		a.worker.bestEffortEndedAt = now
+	}
+	s.accountShortCPU(a, -1)
+	a.step.job.attempts--
+	t.attempts = slices.DeleteFunc(t.attempts, func(b *attempt) bool { return b == a })
+	delete(s.stops, a)
+	if t.done || len(t.attempts) > 0 {
+		return
+	}
+	a.step.waiting++
+	s.openStep(a.step, now)
+	if a.step.spec.Gang && !a.step.job.outcome.Terminal() {
+		s.breakGang(a.step)
+	}
+}
+
+// breakGang stops the remaining attempts of a gang, so that all its tasks restart together.
+func (s *State) breakGang(st *step) {
+	for i := range st.tasks {
+		for _, a := range st.tasks[i].attempts {
+			s.stop(a, "member of the gang ended")
+		}
+	}
+}
--- /dev/null
+++ b/internal/batch/job.go
@@ -0,0 +1,121 @@
+package batch
+
+import (
+	"time"
+)
+
+// runsPerEpoch is the distance between the first run numbers of two successive epochs. It lets each
+// owner give higher run numbers than all former owners without a stored record of each start.
+const runsPerEpoch = 10_000
+
+// Job is an accepted job.
+type Job struct {
+	ID       string
+	Queue    string
+	Accepted time.Time
+	Spec     Spec
+	// QueueConfig is the queue as it was configured when the job was accepted.
+	QueueConfig Queue
+
+	outcome        JobStatus
+	durableOutcome JobStatus // the outcome that the store holds
+	started        bool      // a task has been started, under any owner
+	cancelled      bool
+	occs           []*occurrence
+	attempts       int // attempts that may run
+	changedAt      time.Time
+	criticalPath   time.Duration // longest sum of estimates along dependent steps
+}
+
+// Status returns the status to show to callers. Completed and Failed are shown only once the store
+// holds them.
+func (j *Job) Status() JobStatus {
+	if j.outcome.Terminal() {
+		if j.outcome == Cancelled || j.durableOutcome == j.outcome {
+			return j.outcome
+		}
+	}
+	if j.started {
+		return Active
+	}
+	return Queued
+}
+
+// occurrence is one scheduled execution of the steps of a job.
+type occurrence struct {
+	number         int
+	due            time.Time
+	steps          []*step
+	remainingSteps int // steps that are not done
+}
+
+// step is the state of the tasks of one step of an occurrence.
+type step struct {
+	job                 *Job
+	occ                 *occurrence
+	number              int
+	spec                *Step
+	reserved            Resources
+	tasks               []task
+	remainingTasks      int           // tasks that are not done
+	waiting             int           // tasks without an attempt that are not done
+	pendingDependencies int           // steps that it depends on and that are not done
+	remainingPath       time.Duration // longest sum of estimates from this step to the end
+	// rack is the rack for all tasks of a rack-local step; empty before the first one is placed.
+	rack string
+	// startRecordRequested is set if the job's records from now on say that tasks of the step may
+	// have been started, and startRecordDurable if the store holds such a record. No task is started
+	// before.
+	startRecordRequested bool
+	startRecordDurable   bool
+	// startedByFormerOwner is set if a former owner may have started tasks of the step.
+	startedByFormerOwner bool
+	// gangRun is the run number that all tasks of a gang share.
+	gangRun int64
+	ready   time.Time // when the step was last opened for placement
+	advice  advice
+	// waitReason is the reason for waiting that was last logged.
+	waitReason string
+}
+
+// task is the state of one task.
+type task struct {
+	done bool
+	// unresolved is set if a former owner may have started the task on one of the unresolvedWorkers.
+	// The task waits until none of these is left, or until a worker reports it.
+	unresolved bool
+	attempts   []*attempt
+	failed     []int64 // runs that ended failed; empty for a long-running task
+	lastFailed int64   // the run that ended failed last; its end may be reported again
+	lastRun    int64
+	checkpoint string
+	lastWorker WorkerID
+}
+
+func newOccurrence(j *Job, number int) *occurrence {
+	j.criticalPath = j.Spec.criticalPath()
+	o := &occurrence{number: number, due: j.Spec.Due(number), remainingSteps: len(j.Spec.Steps)}
+	for i := range j.Spec.Steps {
+		spec := &j.Spec.Steps[i]
+		o.steps = append(o.steps, &step{
+			job:                 j,
+			occ:                 o,
+			number:              i,
+			spec:                spec,
+			reserved:            spec.reserved(),
+			tasks:               make([]task, spec.Count),
+			remainingTasks:      spec.Count,
+			waiting:             spec.Count,
+			pendingDependencies: len(spec.After),
+			remainingPath:       j.Spec.criticalPathFrom(i),
+		})
+	}
+	return o
+}
+
+// expand creates the steps of all occurrences.
+func (j *Job) expand() {
+	for k := range j.Spec.Occurrences() {
+		j.occs = append(j.occs, newOccurrence(j, k))
+	}
+}
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -6,12 +6,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
-	"github.com/geraniumwick/geraniumwick/internal/kv"
-	"github.com/geraniumwick/geraniumwick/internal/pause"
 )
 
 const (
@@ -43,9 +40,6 @@
 	clockTolerance = 1.03
 	// leaseMargin is added to the computed end of a lease before the lease counts as ended.
 	leaseMargin = 200 * time.Millisecond
-	// claimGrace is how long an owner that cannot confirm its claim goes on starting tasks and
-	// renewing leases after the claim may have ended. The next owner allows for it.
-	claimGrace = 3500 * time.Millisecond
 )
 
 // event is a change of the leader's state. The loop executes one at a time.
@@ -127,18 +121,6 @@
 	return l
 }
 
-// extendOwnership notes that the claim is confirmed until a time.
-func (l *leader) extendOwnership(until time.Time) {
-	l.ownedUntil.Store(max(l.ownedUntil.Load(), until.UnixNano()))
-	l.state.ExtendOwnership(until)
-}
-
-// mayAct reports whether the owner may start tasks and renew leases: its claim is confirmed, or ended at
-// most claimGrace ago. A process that was paused asks again after the pause, since a successor may lead.
-func (l *leader) mayAct(now time.Time) bool {
-	return now.UnixNano() < l.ownedUntil.Load()+int64(claimGrace)
-}
-
 // stepDown ends the leadership.
 func (l *leader) stepDown(reason string) { l.cancel(errors.New(reason)) }
 
@@ -248,214 +230,3 @@
 		l.execute(a, now)
 	}
 }
-
-// renewClaim renews the lease of the claim until ctx ends or the lease has ended.
-func (l *leader) renewClaim(ctx context.Context) {
-	interval := l.owner.opts.LeaseTTL / 4
-	disconnected := false
-	for ctx.Err() == nil {
-		pause.For(ctx, interval)
-		callCtx, cancel := context.WithTimeout(ctx, l.owner.opts.LeaseTTL)
-		sent := time.Now()
-		err := l.owner.store.Renew(callCtx, l.held.lease)
-		cancel()
-		if err == nil {
-			l.post(func(l *leader, _ time.Time) { l.extendOwnership(sent.Add(l.owner.opts.LeaseTTL)) })
-		}
-		if errors.Is(err, kv.ErrNotFound) {
-			l.stepDown("lease of the claim ended")
-			return
-		}
-		if (err != nil) != disconnected && ctx.Err() == nil {
-			disconnected = err != nil
-			l.log.Info().Str("event", "claim.contact").Bool("lost", disconnected).AnErr("cause", err).Send()
-		}
-	}
-}
-
-// load reads what former owners and other instances have stored, and retries until it succeeds. The
-// claim is renewed meanwhile.
-func (l *leader) load(ctx context.Context) bool {
-	for ctx.Err() == nil {
-		err := l.tryLoad(ctx)
-		if err == nil {
-			return true
-		}
-		l.log.Warn().Str("event", "load.failed").Err(err).Send()
-		pause.For(ctx, storeRetryDelay)
-	}
-	return false
-}
-
-// tryLoad reads the store once and starts the watches from the revisions that it read.
-func (l *leader) tryLoad(ctx context.Context) error {
-	owned, _, err := l.owner.store.List(ctx, ownerPrefix)
-	if err != nil {
-		return err
-	}
-	accepted, acceptedRev, err := l.owner.store.List(ctx, acceptedPrefix)
-	if err != nil {
-		return err
-	}
-	workers, workersRev, err := l.owner.store.List(ctx, l.owner.registry.Prefix())
-	if err != nil {
-		return err
-	}
-	now := time.Now()
-	l.state.SetConfig(l.owner.config())
-	l.restore(owned, accepted, now)
-	l.resetWorkers(workers)
-	go l.watchJobs(ctx, acceptedRev)
-	go l.watchWorkers(ctx, workersRev)
-	live, total := l.state.Counts()
-	l.log.Info().Str("event", "leader.loaded").Int("live", live).Int("jobs", total).Int("workers", len(workers)).Send()
-	return nil
-}
-
-// restore rebuilds the state from the content of the store.
-func (l *leader) restore(owned, accepted []kv.Item, now time.Time) {
-	records := map[string]*batch.Record{}
-	latest := now.Add(l.workerLeaseExpiry() + claimGrace)
-	for _, item := range owned {
-		if item.Key == workersKey {
-			until, err := l.workersRecord.restore(item.Value, latest)
-			l.checkReadable(item.Key, err)
-			l.state.SetUnresolvedWorkers(until)
-			continue
-		}
-		if item.Key == interferenceKey {
-			var weights []batch.InterferenceWeight
-			l.checkReadable(item.Key, cbor.Unmarshal(item.Value, &weights))
-			l.state.RestoreInterference(weights)
-			continue
-		}
-		if _, id := parseKey(item.Key); id != "" {
-			if r, err := DecodeRecord(item.Value); l.checkReadable(item.Key, err) {
-				records[id] = &r
-			}
-		}
-	}
-	l.applySubmissions(accepted, records, true, now)
-}
-
-// checkReadable logs an entry of the store that cannot be decoded, and reports whether there was no
-// error.
-func (l *leader) checkReadable(key string, err error) bool {
-	if err != nil {
-		l.log.Error().Str("event", "store.unreadable").Str("key", key).Err(err).Send()
-	}
-	return err == nil
-}
-
-// applySubmissions adds the submitted jobs, and then applies the cancellations. loaded is set for
-// entries that were accepted under a former owner.
-func (l *leader) applySubmissions(items []kv.Item, records map[string]*batch.Record, loaded bool, now time.Time) {
-	for _, item := range items {
-		prefix, id := parseKey(item.Key)
-		if prefix != jobPrefix || l.state.Job(id) != nil {
-			continue
-		}
-		if j, err := decodeJob(id, item.Value); l.checkReadable(item.Key, err) {
-			l.state.AddJob(j, records[id], loaded, now)
-		}
-	}
-	for _, item := range items {
-		if prefix, id := parseKey(item.Key); prefix == cancelPrefix {
-			l.state.Cancel(id, now)
-		}
-	}
-}
-
-// workerLeaseExpiry returns the time after which a worker lease sent now has ended.
-func (l *leader) workerLeaseExpiry() time.Duration {
-	return maxLeaseDuration(l.owner.opts.MaxWorkerLease)
-}
-
-// maxLeaseDuration returns the time after which a lease has ended even on a worker whose clock is
-// slow.
-func maxLeaseDuration(lease time.Duration) time.Duration {
-	return time.Duration(float64(lease)*clockTolerance) + leaseMargin
-}
-
-// watchJobs watches the submissions and cancellations that instances have accepted.
-func (l *leader) watchJobs(ctx context.Context, rev int64) {
-	w := &kv.Watcher{
-		Store: l.owner.store, Prefix: acceptedPrefix, WatchTimeout: watchTimeout, WatchInterval: watchInterval, RetryDelay: storeRetryDelay,
-		OnReset: func(items []kv.Item, _ int64) {
-			l.postStoreEvent(func(l *leader, now time.Time) { l.applySubmissions(items, nil, false, now) })
-		},
-		OnChange: func(events []kv.Event, _ int64) {
-			items := existingItems(events)
-			l.postStoreEvent(func(l *leader, now time.Time) { l.applySubmissions(items, nil, false, now) })
-		},
-	}
-	w.Run(ctx, rev)
-}
-
-// existingItems returns the items of all events that are not deletions.
-func existingItems(events []kv.Event) []kv.Item {
-	var items []kv.Item
-	for _, e := range events {
-		if !e.Deleted {
-			items = append(items, e.Item)
-		}
-	}
-	return items
-}
-
-// watchWorkers watches the entries of workers in the registry.
-func (l *leader) watchWorkers(ctx context.Context, rev int64) {
-	w := &kv.Watcher{
-		Store: l.owner.store, Prefix: l.owner.registry.Prefix(), WatchTimeout: watchTimeout, WatchInterval: watchInterval, RetryDelay: storeRetryDelay,
-		OnReset: func(items []kv.Item, _ int64) {
-			l.postStoreEvent(func(l *leader, _ time.Time) { l.resetWorkers(items) })
-		},
-		OnChange: func(events []kv.Event, _ int64) {
-			l.postStoreEvent(func(l *leader, _ time.Time) { l.applyWorkerEvents(events) })
-		},
-	}
-	w.Run(ctx, rev)
-}
-
-// resetWorkers applies a complete listing. Workers that are not listed are removed.
-func (l *leader) resetWorkers(items []kv.Item) {
-	listed := map[batch.WorkerID]bool{}
-	for _, item := range items {
-		if id, ok := l.updateWorker(item); ok {
-			listed[id] = true
-		}
-	}
-	for _, w := range l.state.Workers() {
-		if !listed[w.ID] {
-			l.state.RemoveWorker(w.ID)
-		}
-	}
-}
-
-// applyWorkerEvents applies changes of the entries of workers.
-func (l *leader) applyWorkerEvents(events []kv.Event) {
-	for _, e := range events {
-		if e.Deleted {
-			l.state.RemoveWorker(l.owner.registry.ID(e.Key))
-			continue
-		}
-		l.updateWorker(e.Item)
-	}
-}
-
-// updateWorker applies the entry of a worker. It returns false for an entry that cannot be decoded.
-func (l *leader) updateWorker(item kv.Item) (batch.WorkerID, bool) {
-	info, err := l.owner.registry.Decode(item.Key, item.Value)
-	if err != nil {
-		l.log.Warn().Str("event", "worker.unreadable").Str("key", item.Key).Err(err).Send()
-		return "", false
-	}
-	l.state.UpdateWorker(info, time.Now())
-	if l.workersRecord.durable[info.ID] {
-		l.state.MarkRecorded(info.ID)
-	} else if !l.workersRecord.contains(info.ID) {
-		l.workersRecord.set(info.ID, 0)
-	}
-	l.workersChanged = true
-	return info.ID, true
-}
--- /dev/null
+++ b/internal/owner/load.go
@@ -0,0 +1,105 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/geraniumwick/geraniumwick/internal/batch"
+	"github.com/geraniumwick/geraniumwick/internal/kv"
+	"github.com/geraniumwick/geraniumwick/internal/pause"
+)
+
+// load reads what former owners and other instances have stored, and retries until it succeeds. The
+// claim is renewed meanwhile.
+func (l *leader) load(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		err := l.tryLoad(ctx)
+		if err == nil {
+			return true
+		}
+		l.log.Warn().Str("event", "load.failed").Err(err).Send()
+		pause.For(ctx, storeRetryDelay)
+	}
+	return false
+}
+
+// tryLoad reads the store once and starts the watches from the revisions that it read.
+func (l *leader) tryLoad(ctx context.Context) error {
+	owned, _, err := l.owner.store.List(ctx, ownerPrefix)
+	if err != nil {
+		return err
+	}
+	accepted, acceptedRev, err := l.owner.store.List(ctx, acceptedPrefix)
+	if err != nil {
+		return err
+	}
+	workers, workersRev, err := l.owner.store.List(ctx, l.owner.registry.Prefix())
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	l.state.SetConfig(l.owner.config())
+	l.restore(owned, accepted, now)
+	l.resetWorkers(workers)
+	go l.watchJobs(ctx, acceptedRev)
+	go l.watchWorkers(ctx, workersRev)
+	live, total := l.state.Counts()
+	l.log.Info().Str("event", "leader.loaded").Int("live", live).Int("jobs", total).Int("workers", len(workers)).Send()
+	return nil
+}
+
+// restore rebuilds the state from the content of the store.
+func (l *leader) restore(owned, accepted []kv.Item, now time.Time) {
+	records := map[string]*batch.Record{}
+	latest := now.Add(l.workerLeaseExpiry() + claimGrace)
+	for _, item := range owned {
+		if item.Key == workersKey {
+			until, err := l.workersRecord.restore(item.Value, latest)
+			l.checkReadable(item.Key, err)
+			l.state.SetUnresolvedWorkers(until)
+			continue
+		}
+		if item.Key == interferenceKey {
+			var weights []batch.InterferenceWeight
+			l.checkReadable(item.Key, cbor.Unmarshal(item.Value, &weights))
+			l.state.RestoreInterference(weights)
+			continue
+		}
+		if _, id := parseKey(item.Key); id != "" {
+			if r, err := DecodeRecord(item.Value); l.checkReadable(item.Key, err) {
+				records[id] = &r
+			}
+		}
+	}
+	l.applySubmissions(accepted, records, true, now)
+}
+
+// checkReadable logs an entry of the store that cannot be decoded, and reports whether there was no
+// error.
+func (l *leader) checkReadable(key string, err error) bool {
+	if err != nil {
+		l.log.Error().Str("event", "store.unreadable").Str("key", key).Err(err).Send()
+	}
+	return err == nil
+}
+
+// applySubmissions adds the submitted jobs, and then applies the cancellations. loaded is set for
+// entries that were accepted under a former owner.
+func (l *leader) applySubmissions(items []kv.Item, records map[string]*batch.Record, loaded bool, now time.Time) {
+	for _, item := range items {
+		prefix, id := parseKey(item.Key)
+		if prefix != jobPrefix || l.state.Job(id) != nil {
+			continue
+		}
+		if j, err := decodeJob(id, item.Value); l.checkReadable(item.Key, err) {
+			l.state.AddJob(j, records[id], loaded, now)
+		}
+	}
+	for _, item := range items {
+		if prefix, id := parseKey(item.Key); prefix == cancelPrefix {
+			l.state.Cancel(id, now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/owner/permission.go
@@ -0,0 +1,62 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/kv"
+	"github.com/geraniumwick/geraniumwick/internal/pause"
+)
+
+// claimGrace is how long an owner that cannot confirm its claim goes on starting tasks and renewing leases
+// after the claim may have ended. The next owner allows for it before it restarts tasks on workers that it
+// cannot reach.
+const claimGrace = 3500 * time.Millisecond
+
+// extendOwnership notes that the claim is confirmed until a time.
+func (l *leader) extendOwnership(until time.Time) {
+	l.ownedUntil.Store(max(l.ownedUntil.Load(), until.UnixNano()))
+	l.state.ExtendOwnership(until)
+}
+
+// mayAct reports whether the owner may start tasks and renew leases: its claim is confirmed, or ended at
+// most claimGrace ago. A process that was paused asks again after the pause, since a successor may lead.
+func (l *leader) mayAct(now time.Time) bool {
+	return now.UnixNano() < l.ownedUntil.Load()+int64(claimGrace)
+}
+
+// renewClaim renews the lease of the claim until ctx ends or the lease has ended.
+func (l *leader) renewClaim(ctx context.Context) {
+	interval := l.owner.opts.LeaseTTL / 4
+	disconnected := false
+	for ctx.Err() == nil {
+		pause.For(ctx, interval)
+		callCtx, cancel := context.WithTimeout(ctx, l.owner.opts.LeaseTTL)
+		sent := time.Now()
+		err := l.owner.store.Renew(callCtx, l.held.lease)
+		cancel()
+		if err == nil {
+			l.post(func(l *leader, _ time.Time) { l.extendOwnership(sent.Add(l.owner.opts.LeaseTTL)) })
+		}
+		if errors.Is(err, kv.ErrNotFound) {
+			l.stepDown("lease of the claim ended")
+			return
+		}
+		if (err != nil) != disconnected && ctx.Err() == nil {
+			disconnected = err != nil
+			l.log.Info().Str("event", "claim.contact").Bool("lost", disconnected).AnErr("cause", err).Send()
+		}
+	}
+}
+
+// workerLeaseExpiry returns the time after which a worker lease sent now has ended.
+func (l *leader) workerLeaseExpiry() time.Duration {
+	return maxLeaseDuration(l.owner.opts.MaxWorkerLease)
+}
+
+// maxLeaseDuration returns the time after which a lease has ended even on a worker whose clock is
+// slow.
+func maxLeaseDuration(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)*clockTolerance) + leaseMargin
+}
--- /dev/null
+++ b/internal/owner/watch.go
@@ -0,0 +1,92 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/batch"
+	"github.com/geraniumwick/geraniumwick/internal/kv"
+)
+
+// watchJobs watches the submissions and cancellations that instances have accepted.
+func (l *leader) watchJobs(ctx context.Context, rev int64) {
+	w := &kv.Watcher{
+		Store: l.owner.store, Prefix: acceptedPrefix, WatchTimeout: watchTimeout, WatchInterval: watchInterval, RetryDelay: storeRetryDelay,
+		OnReset: func(items []kv.Item, _ int64) {
+			l.postStoreEvent(func(l *leader, now time.Time) { l.applySubmissions(items, nil, false, now) })
+		},
+		OnChange: func(events []kv.Event, _ int64) {
+			items := existingItems(events)
+			l.postStoreEvent(func(l *leader, now time.Time) { l.applySubmissions(items, nil, false, now) })
+		},
+	}
+	w.Run(ctx, rev)
+}
+
+// existingItems returns the items of all events that are not deletions.
+func existingItems(events []kv.Event) []kv.Item {
+	var items []kv.Item
+	for _, e := range events {
+		if !e.Deleted {
+			items = append(items, e.Item)
+		}
+	}
+	return items
+}
+
+// watchWorkers watches the entries of workers in the registry.
+func (l *leader) watchWorkers(ctx context.Context, rev int64) {
+	w := &kv.Watcher{
+		Store: l.owner.store, Prefix: l.owner.registry.Prefix(), WatchTimeout: watchTimeout, WatchInterval: watchInterval, RetryDelay: storeRetryDelay,
+		OnReset: func(items []kv.Item, _ int64) {
+			l.postStoreEvent(func(l *leader, _ time.Time) { l.resetWorkers(items) })
+		},
+		OnChange: func(events []kv.Event, _ int64) {
+			l.postStoreEvent(func(l *leader, _ time.Time) { l.applyWorkerEvents(events) })
+		},
+	}
+	w.Run(ctx, rev)
+}
+
+// resetWorkers applies a complete listing. Workers that are not listed are removed.
+func (l *leader) resetWorkers(items []kv.Item) {
+	listed := map[batch.WorkerID]bool{}
+	for _, item := range items {
+		if id, ok := l.updateWorker(item); ok {
+			listed[id] = true
+		}
+	}
+	for _, w := range l.state.Workers() {
+		if !listed[w.ID] {
+			l.state.RemoveWorker(w.ID)
+		}
+	}
+}
+
+// applyWorkerEvents applies changes of the entries of workers.
+func (l *leader) applyWorkerEvents(events []kv.Event) {
+	for _, e := range events {
+		if e.Deleted {
+			l.state.RemoveWorker(l.owner.registry.ID(e.Key))
+			continue
+		}
+		l.updateWorker(e.Item)
+	}
+}
+
+// updateWorker applies the entry of a worker. It returns false for an entry that cannot be decoded.
+func (l *leader) updateWorker(item kv.Item) (batch.WorkerID, bool) {
+	info, err := l.owner.registry.Decode(item.Key, item.Value)
+	if err != nil {
+		l.log.Warn().Str("event", "worker.unreadable").Str("key", item.Key).Err(err).Send()
+		return "", false
+	}
+	l.state.UpdateWorker(info, time.Now())
+	if l.workersRecord.durable[info.ID] {
+		l.state.MarkRecorded(info.ID)
+	} else if !l.workersRecord.contains(info.ID) {
+		l.workersRecord.set(info.ID, 0)
+	}
+	l.workersChanged = true
+	return info.ID, true
+}
