--- a/internal/owner/permission_test.go
+++ b/internal/owner/permission_test.go
@@ -217,3 +217,27 @@
 		h.is.Equal(h.workers.starts(task), 2)
 	}, "w1", "w2")
 }
+
+// A worker leaves the registry and a job is cancelled. The owner is killed, and the process that takes over
+// uses neither.
+func TestWhatWasWithdrawnStaysWithdrawnAfterARestart(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		h.startInstance("a")
+		h.sleep(time.Second)
+		h.store.mu.Lock()
+		h.store.remove("w/w2")
+		h.store.mu.Unlock()
+		h.submit("cancelled", tasks(2))
+		h.store.set(CancelKey("cancelled"), nil)
+		h.kill("a")
+		h.startInstance("b")
+		h.submit("j", tasks(6))
+		h.sleep(10 * time.Second)
+		h.is.Equal(h.storedStatus("j"), batch.Completed)
+		h.requireStartedOnce("j", 1, 6)
+		h.workers.mu.Lock()
+		defer h.workers.mu.Unlock()
+		h.is.Equal(h.workers.startCounts[batch.TaskID{Job: "cancelled"}], 0)
+		h.is.Equal(h.workers.workers["w2"].fence, int64(1)) // only the first owner has called it
+	}, "w1", "w2")
+}
