--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -84,7 +84,7 @@
 			w.change(events)
 		},
 		OnResult: func(err error) {
-			w.disconnected.Store(!answered(err))
+			w.setDisconnected(!answered(err), err)
 			if err == nil {
 				w.lastContact.Store(time.Now().UnixNano())
 			}
@@ -92,6 +92,13 @@
 	}
 }
 
+// setDisconnected notes whether the store answers, and logs each change with its cause.
+func (w *configWatcher) setDisconnected(disconnected bool, cause error) {
+	if w.disconnected.Swap(disconnected) != disconnected {
+		w.log.Info().Str("event", "store.contact").Bool("lost", disconnected).AnErr("cause", cause).Send()
+	}
+}
+
 // answered reports whether the store has answered a call that returned err, if only to refuse it.
 func answered(err error) bool {
 	return err == nil || errors.Is(err, kv.ErrUnavailable) || errors.Is(err, kv.ErrCompacted)
--- a/internal/entry/create.go
+++ b/internal/entry/create.go
@@ -131,7 +131,7 @@
 	if !answered(err) && !errors.Is(err, kv.ErrNotFound) {
 		return false
 	}
-	i.watcher.disconnected.Store(false)
+	i.watcher.setDisconnected(false, nil)
 	return true
 }
 
