--- a/internal/batch/latency.go
+++ b/internal/batch/latency.go
@@ -23,8 +23,6 @@
 	currentFactor  float64
 	// predictedBaseLoad is the highest base load predicted within predictionHorizon.
 	predictedBaseLoad float64
-	// admissionBaseLoad is the highest base load predicted within admissionHorizon.
-	admissionBaseLoad float64
 }
 
 const (
@@ -35,10 +33,9 @@
 	// long as the latency there is within its target. The measurement then replaces the lower estimate
 	// for the job only if it exceeds the estimate by more than this.
 	baseLoadTolerance = 0.06
-	// predictionHorizon is how far ahead base loads are predicted to throttle best-effort tasks, and
-	// admissionHorizon to admit one, which stays for longer than a CPU limit.
+	// predictionHorizon is how far ahead base loads are predicted to admit and throttle
+	// best-effort tasks.
 	predictionHorizon = 400 * time.Millisecond
-	admissionHorizon  = 1500 * time.Millisecond
 )
 
 // latencyGroups returns the latency groups of a worker. They are ordered by job and image, since the
@@ -72,8 +69,7 @@
 		}
 	}
 	for i := range out {
-		out[i].predictedBaseLoad = im.predictBaseLoad(out[i], now, predictionHorizon)
-		out[i].admissionBaseLoad = im.predictBaseLoad(out[i], now, admissionHorizon)
+		out[i].predictedBaseLoad = im.predictBaseLoad(out[i], now)
 	}
 	slices.SortFunc(out, func(a, b latencyGroup) int {
 		return cmp.Or(cmp.Compare(a.job.ID, b.job.ID), cmp.Compare(a.image, b.image))
@@ -81,15 +77,16 @@
 	return out
 }
 
-// predictBaseLoad returns the highest base load of a group expected within the horizon: the greater of
-// the prediction for the job and of the base load that the measurements on this worker imply.
-func (im *interferenceModel) predictBaseLoad(g latencyGroup, now time.Time, horizon time.Duration) float64 {
+// predictBaseLoad returns the highest base load of a group expected within predictionHorizon: the
+// greater of the prediction for the job and of the base load that the measurements on this worker
+// imply.
+func (im *interferenceModel) predictBaseLoad(g latencyGroup, now time.Time) float64 {
 	measured := g.utilisation / g.measuredFactor
 	if l := im.loads[g.job]; l.reliable(now) {
 		if g.utilisation <= targetUtilisation {
 			measured -= baseLoadTolerance
 		}
-		return max(l.maxUntil(now.Add(horizon)), measured)
+		return max(l.maxUntil(now.Add(predictionHorizon)), measured)
 	}
 	return max(measured, assumedPeakLoad)
 }
@@ -108,10 +105,9 @@
 	return int64(idle)
 }
 
-// predict returns the utilisation that is expected at a base load after the interference factor rises by
-// added.
-func (g latencyGroup) predict(baseLoad, added float64) float64 {
-	return baseLoad * (g.currentFactor + added)
+// predict returns the utilisation that is expected after the interference factor rises by added.
+func (g latencyGroup) predict(added float64) float64 {
+	return g.predictedBaseLoad * (g.currentFactor + added)
 }
 
 // worstUtilisation returns the highest utilisation among the groups that is expected after one
@@ -119,7 +115,7 @@
 func (im *interferenceModel) worstUtilisation(w *worker, st *step, groups []latencyGroup) float64 {
 	worst := 0.0
 	for _, g := range groups {
-		worst = max(worst, g.predict(g.admissionBaseLoad, im.addedFactor(w, st, g.image)))
+		worst = max(worst, g.predict(im.addedFactor(w, st, g.image)))
 	}
 	return worst
 }
