--- a/internal/batch/colocation_test.go
+++ b/internal/batch/colocation_test.go
@@ -105,6 +105,29 @@
 	}
 }
 
+// Two jobs with swinging loads run on a worker each. A best-effort image presses on the one whose load is
+// low now, and not on the other, whose load is at its peak. It joins the other: it would press on the first
+// when that load rises again.
+func TestFillersAvoidALowLoadThatTheyPressOn(t *testing.T) {
+	is := is.New(t)
+	s, now := newTestState("a", "b")
+	low := addJob(s, "low", "q", now, latencySensitiveStep("pressed", 1))
+	high := addJob(s, "high", "q", now, latencySensitiveStep("spared", 1))
+	planUntilIdle(s, now)
+	im := s.interferenceModel
+	im.loads[low], im.loads[high] = newLoadFilter(0.2, 0, now), newLoadFilter(0.65, 0, now)
+	im.loads[low].peak = 0.65
+	for _, l := range im.loads {
+		l.levelVar = initialLevelVar / 10
+	}
+	im.weights[ImagePair{"fill", "pressed"}] = weightEstimate{mean: 1.5, variance: minVariance}
+	im.weights[ImagePair{"fill", "spared"}] = weightEstimate{mean: 0, variance: minVariance}
+	addJob(s, "fill", "late", now, bestEffortStep("fill", 1))
+	starts := startActions(planUntilIdle(s, now))
+	is.Equal(len(starts), 1)
+	is.True(imagesByWorker(s)[starts[0].Worker]["spared"] > 0)
+}
+
 // A pair of images that does not interfere is measured with noise, so its weight is not quite 0. Many such
 // tasks share a worker with a task whose load is high.
 func TestFaintWeightsDoNotKeepFillersAway(t *testing.T) {
--- a/internal/batch/latency.go
+++ b/internal/batch/latency.go
@@ -119,3 +119,18 @@
 	}
 	return worst
 }
+
+// addedUtilisation returns by how much one more best-effort task of the step is expected to raise the
+// utilisation of a group on the worker while the load of the group is at its peak, for the group where
+// this is most. Loads swing within seconds, so a task that starts at a low load also meets the peak.
+func (im *interferenceModel) addedUtilisation(w *worker, st *step) float64 {
+	worst := 0.0
+	for _, g := range w.latencyGroups {
+		peak := assumedPeakLoad
+		if l := im.loads[g.job]; l != nil {
+			peak = l.peak
+		}
+		worst = max(worst, peak*im.addedFactor(w, st, g.image))
+	}
+	return worst
+}
--- a/internal/batch/score.go
+++ b/internal/batch/score.go
@@ -81,11 +81,12 @@
 
 // The weights of the terms of a score. A score of 1 stands for all of a worker's CPU being free.
 const (
-	weightRack       = 8.0 // bonus for the rack of the data or of the step's other tasks
-	weightFailures   = 4.0 // penalty for each recent failure, and for a retry on the same worker
-	weightWarmUp     = 2.0 // penalty while the worker is slow after its start
-	weightImageMix   = 3.0 // bonus for each level of imageMix
-	weightBestEffort = 1.0 // penalty for the CPU share of best-effort tasks
+	weightRack         = 8.0 // bonus for the rack of the data or of the step's other tasks
+	weightFailures     = 4.0 // penalty for each recent failure, and for a retry on the same worker
+	weightWarmUp       = 2.0 // penalty while the worker is slow after its start
+	weightImageMix     = 3.0 // bonus for each level of imageMix
+	weightBestEffort   = 1.0 // penalty for the CPU share of best-effort tasks
+	weightInterference = 5.0 // penalty for the utilisation added to latency-sensitive tasks
 	// assumedCPUUse is the part of their reserved CPU that latency-sensitive tasks are expected to
 	// use while no reliable estimate of their load exists.
 	assumedCPUUse = 0.45
@@ -115,6 +116,9 @@
 		score -= weightBestEffort * float64(w.bestEffortCPU) / cpu
 		return score - float64(w.free().CPU)/cpu
 	}
+	if st.spec.BestEffort {
+		score -= weightInterference * s.interferenceModel.addedUtilisation(w, st)
+	}
 	return score + float64(w.unusedCPU())/cpu
 }
 
