owner: an owner without a confirmed claim asks for reports at the usual pace

Found on reading the diff: without a renewal the call for a report carried no wait either, so a suspended owner asked each worker again at once. TestAnUnconfirmedOwnerStopsActing counts the calls; it failed before.

--- a/internal/owner/permission_test.go
+++ b/internal/owner/permission_test.go
@@ -16,15 +16,17 @@
 type recordingWorkers struct {
 	WorkerClient
 	mu                   sync.Mutex
+	calls                int // for reports, with or without a renewal
 	lastRenewal, lastRun time.Time
 }
 
 func (r *recordingWorkers) RenewLease(ctx context.Context, req RenewRequest) (batch.Report, batch.Answer) {
+	r.mu.Lock()
+	r.calls++
 	if req.LeaseEnd != 0 {
-		r.mu.Lock()
 		r.lastRenewal = time.Now()
-		r.mu.Unlock()
 	}
+	r.mu.Unlock()
 	return r.WorkerClient.RenewLease(ctx, req)
 }
 
@@ -145,12 +147,17 @@
 		h.startInstanceAt("a", store, workers)
 		h.sleep(time.Second)
 		h.submit("j", tasks(1))
-		h.sleep(time.Second)
+		h.sleep(5 * time.Second) // it is done, and its end is acknowledged
 		store.setCut(true)
 		cutAt := time.Now()
-		h.sleep(10 * time.Second)
 		limit := cutAt.Add(testLeaseTTL + claimGrace)
+		h.sleep(time.Until(limit))
+		workers.mu.Lock()
+		before := workers.calls
+		workers.mu.Unlock()
+		h.sleep(5 * time.Second)
 		workers.mu.Lock()
+		h.is.True(workers.calls-before <= 4)                          // it asks for reports at the usual pace of an idle worker
 		h.is.True(workers.lastRenewal.After(cutAt.Add(testLeaseTTL))) // it does not stop at once
 		h.is.True(!workers.lastRenewal.After(limit))
 		workers.mu.Unlock()
--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -133,9 +133,9 @@
 	now := time.Now()
 	// A renewal may take effect even if its response is lost. An unreachable worker is sent none,
 	// since the recorded end of its lease would become wrong.
-	if rn.params.renew && rn.leader.mayAct(now) {
-		request.LeaseEnd = rn.clock.now(now) + rn.leader.owner.opts.MaxWorkerLease.Milliseconds()
+	if rn.params.renew {
 		request.MaxWait = rn.params.maxWait
+		request.LeaseEnd = rn.nextLeaseEnd(now)
 	}
 	ctx, cancel := context.WithTimeout(ctx, request.MaxWait+renewTimeout)
 	defer cancel()
@@ -147,6 +147,15 @@
 	return report, answer
 }
 
+// nextLeaseEnd returns the end of the lease to request, on the worker's clock in milliseconds; 0 while the
+// owner may not act.
+func (rn *renewer) nextLeaseEnd(now time.Time) int64 {
+	if !rn.leader.mayAct(now) {
+		return 0
+	}
+	return rn.clock.now(now) + rn.leader.owner.opts.MaxWorkerLease.Milliseconds()
+}
+
 // succeeded passes a report to the loop, and waits up to ackTimeout for the parameters of the next
 // call.
 func (rn *renewer) succeeded(ctx context.Context, r batch.Report) {
