--- a/internal/entry/create.go
+++ b/internal/entry/create.go
@@ -163,18 +163,25 @@
 	defer cancel()
 	var reply createReply
 	err := i.peers.Call(ctx, claim.Address, kindCreate, createMessage{Key: key, Value: value}, &reply)
-	outcome := reply.Outcome
-	if err != nil {
-		outcome = creationUnknown
-		if verdict.Of(err) == verdict.NotRun {
-			outcome = creationRefused
-		}
-	}
+	outcome := reply.outcome(err)
 	i.log.Info().Str("event", "create.relayed").Str("key", key).Str("owner", claim.Instance).
 		Str("outcome", outcome.String()).AnErr("cause", err).Send()
 	return outcome
 }
 
+// outcome returns the outcome of a call that returned the reply and err. A value that is not defined here,
+// which another version may send, counts as unknown.
+func (r createReply) outcome(err error) creation {
+	switch {
+	case err == nil && r.Outcome <= creationRefused:
+		return r.Outcome
+	case err != nil && verdict.Of(err) == verdict.NotRun:
+		return creationRefused
+	default:
+		return creationUnknown
+	}
+}
+
 // String returns the name used in logs.
 func (c creation) String() string {
 	return [...]string{"unknown", "created", "existed", "refused"}[c]
--- a/internal/entry/create_test.go
+++ b/internal/entry/create_test.go
@@ -192,3 +192,26 @@
 		is.Equal(result, NotRun)
 	})
 }
+
+// An owner of another version replies with an outcome that is not defined here. It counts as unknown.
+func TestRepliesOfTheOwner(t *testing.T) {
+	for name, c := range map[string]struct {
+		reply createReply
+		err   error
+		want  creation
+	}{
+		"created":         {createReply{creationDone}, nil, creationDone},
+		"existed":         {createReply{creationExisted}, nil, creationExisted},
+		"refused":         {createReply{creationRefused}, nil, creationRefused},
+		"another version": {createReply{250}, nil, creationUnknown},
+		"not sent":        {createReply{}, verdict.New(verdict.NotRun, verdict.ReasonPeerUnreachable, "refused"), creationRefused},
+		"answer lost":     {createReply{}, verdict.New(verdict.MayHaveRun, verdict.ReasonDeadline, "no answer"), creationUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			got := c.reply.outcome(c.err)
+			is.Equal(got, c.want)
+			is.True(got.String() != "")
+		})
+	}
+}
