--- a/standin/daylog/summary.go
+++ b/standin/daylog/summary.go
@@ -24,7 +24,9 @@
 	DurationHalf, Duration95 time.Duration
 	Starts, FailedRuns       int
 	Paces                    int
-	// Waited is the time for which steps waited, by reason, and Stopped the number of stops by reason.
+	// Waited is the time for which steps waited, by reason, and Stopped the number of stops by reason. A wait
+	// ends with the next start of the step; if a new owner finds that its tasks run already, no start
+	// follows, and the wait counts up to the end of the job.
 	Waited  map[string]time.Duration
 	Stopped map[string]int
 }
