--- a/cmd/geraniumwick/app.go
+++ b/cmd/geraniumwick/app.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -37,6 +38,8 @@
 	styles styles
 	// now returns the current time.
 	now func() time.Time
+	// progressShown is set while progress shows a message.
+	progressShown atomic.Bool
 }
 
 // action executes a command.
--- a/cmd/geraniumwick/output.go
+++ b/cmd/geraniumwick/output.go
@@ -96,8 +96,12 @@
 }
 
 // progress shows a message on the error stream once a wait is longer than a second. On a terminal it
-// updates the message in place; elsewhere it prints a line every two seconds.
+// updates the message in place; elsewhere it prints a line every two seconds. While one wait is shown, the
+// waits within it show nothing, since two messages would overwrite each other.
 func (c *cli) progress(message func() string) (stop func()) {
+	if !c.progressShown.CompareAndSwap(false, true) {
+		return func() {}
+	}
 	done := make(chan struct{})
 	ended := make(chan struct{})
 	go func() {
@@ -107,6 +111,7 @@
 	return func() {
 		close(done)
 		<-ended
+		c.progressShown.Store(false)
 	}
 }
 
--- a/internal/entry/create_test.go
+++ b/internal/entry/create_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,11 +16,34 @@
 	"github.com/geraniumwick/geraniumwick/internal/verdict"
 )
 
+// storedKeys are the keys of a store that two instances reach.
+type storedKeys struct {
+	mu     sync.Mutex
+	values map[string][]byte
+}
+
+// create sets a key unless it exists, and reports whether it existed.
+func (k *storedKeys) create(key string, value []byte) (existed bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if _, existed = k.values[key]; !existed {
+		k.values[key] = value
+	}
+	return existed
+}
+
+func (k *storedKeys) get(key string) (value []byte, ok bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	value, ok = k.values[key]
+	return value, ok
+}
+
 // silentStore is a store that answers nothing before a time.
 type silentStore struct {
 	kv.Store
 	until time.Time
-	keys  map[string][]byte
+	keys  *storedKeys
 	// late is set if calls that get no answer are executed all the same.
 	late bool
 	txns int
@@ -32,11 +56,7 @@
 		<-ctx.Done()
 		return 0, ctx.Err()
 	}
-	key := t.Set[0].Key
-	_, existed := s.keys[key]
-	if !existed {
-		s.keys[key] = t.Set[0].Value
-	}
+	existed := s.keys.create(t.Set[0].Key, t.Set[0].Value)
 	if silent {
 		<-ctx.Done()
 		return 0, ctx.Err()
@@ -52,7 +72,7 @@
 		<-ctx.Done()
 		return kv.Item{}, ctx.Err()
 	}
-	if v, ok := s.keys[key]; ok {
+	if v, ok := s.keys.get(key); ok {
 		return kv.Item{Key: key, Value: v}, nil
 	}
 	return kv.Item{}, kv.ErrNotFound
@@ -96,7 +116,7 @@
 // run creates a key for a caller that waits for three seconds.
 func (c *createCase) run(t *testing.T) (result Result, took time.Duration, own *silentStore) {
 	synctest.Test(t, func(t *testing.T) {
-		keys := map[string][]byte{}
+		keys := &storedKeys{values: map[string][]byte{}}
 		own = &silentStore{until: time.Now().Add(c.silence), keys: keys, late: c.late}
 		c.ownerStore.keys = keys
 		i := newInstance(own)
@@ -132,7 +152,8 @@
 			result, took, own := c.run(t)
 			is.Equal(result, Done)
 			is.True(took < time.Second)
-			is.Equal(string(own.keys[owner.JobKey("id")]), "job")
+			value, _ := own.keys.get(owner.JobKey("id"))
+			is.Equal(string(value), "job")
 		})
 	}
 }
@@ -151,7 +172,7 @@
 			is.Equal(result, NotRun)
 			is.True(took < time.Second) // it does not hold the caller until the deadline
 			is.Equal(own.txns, 0)
-			is.Equal(len(own.keys), 0)
+			is.Equal(len(own.keys.values), 0)
 		})
 	}
 }
