--- a/review/standins/cases.go
+++ b/review/standins/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"time"
 )
 
@@ -60,7 +61,58 @@
 	return s.checker.Broken(), nil
 }
 
-// reborn: a runner loses power for less than a second and starts again under its id.
+// reborn: two runners of sixteen at a time lose power for a moment and start again under their ids, while jobs come in.
 func reborn(s *System, trouble bool) ([]string, error) {
-	return nil, errCannotRun
+	const (
+		runners = 16
+		atOnce  = 2
+		lasts   = 2500 * time.Millisecond
+		rounds  = 20
+		darkFor = 1200 * time.Millisecond
+	)
+	s.Configure(1, defaultRoute())
+	if err := s.AddRunners(runners, func(string) time.Duration { return lasts }); err != nil {
+		return nil, err
+	}
+	if err := s.AddInstances(3); err != nil {
+		return nil, err
+	}
+	time.Sleep(3 * time.Second)
+	stop := make(chan struct{})
+	var jobs sync.WaitGroup
+	jobs.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(200 * time.Millisecond):
+			}
+			jobs.Go(func() {
+				s.Submit(newID(), Step{Count: 13, CPU: 1000, Mem: 500, Estimate: lasts.Milliseconds(), AntiAffinity: 1})
+			})
+		}
+	})
+	time.Sleep(4 * time.Second)
+	for round := 0; round < rounds && len(s.checker.Broken()) == 0; round++ {
+		if trouble {
+			var victims []*Runner
+			for n := range atOnce {
+				victims = append(victims, s.runners[(round*atOnce+n)%runners])
+			}
+			for _, v := range victims {
+				s.record.Line("power  %s off for %s", v.ID, darkFor)
+				v.PowerOff()
+			}
+			time.Sleep(darkFor)
+			for _, v := range victims {
+				v.PowerOn()
+				s.record.Line("power  %s on again", v.ID)
+			}
+		}
+		time.Sleep(3 * time.Second)
+	}
+	close(stop)
+	jobs.Wait()
+	time.Sleep(5 * time.Second)
+	return s.checker.Broken(), nil
 }
--- a/review/standins/system.go
+++ b/review/standins/system.go
@@ -271,6 +271,18 @@
 	return false
 }
 
+// Cancel cancels a job, with up to four retries.
+func (s *System) Cancel(id string) bool {
+	for range 5 {
+		status, _ := s.Call(s.instances[rand.IntN(len(s.instances))], http.MethodDelete, id, nil)
+		if status >= 200 && status < 300 || status == http.StatusGone {
+			return true
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	return false
+}
+
 // WaitState asks for the state of a job until it is the given one or the time is over.
 func (s *System) WaitState(id, state string, limit time.Duration) bool {
 	for began := time.Now(); time.Since(began) < limit; time.Sleep(300 * time.Millisecond) {
