--- a/review/standins/cases.go
+++ b/review/standins/cases.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -116,3 +118,84 @@
 	time.Sleep(5 * time.Second)
 	return s.checker.Broken(), nil
 }
+
+// waiting: all runners but one are full, and that one refuses what it is told to start. Consumers ask how many jobs wait.
+func waiting(s *System, trouble bool) ([]string, error) {
+	const (
+		runners  = 10
+		perEach  = 8 // tasks of 4 cores on a runner of 32
+		jobs     = 8
+		refusing = 6500 * time.Millisecond
+		known    = 5 * time.Second // visible-ms and 2 s
+	)
+	s.Configure(1, defaultRoute())
+	long := newID()
+	lasts := func(task string) time.Duration {
+		if jobOf(task) == long {
+			return 20 * time.Second
+		}
+		return time.Second
+	}
+	if err := s.AddRunners(runners, lasts); err != nil {
+		return nil, err
+	}
+	if err := s.AddInstances(3); err != nil {
+		return nil, err
+	}
+	time.Sleep(5 * time.Second)
+	s.runners[runners-1].SetUnwell(trouble)
+	began := time.Now()
+	s.record.Line("info   %s refuses all starts: %v", s.runners[runners-1].ID, trouble)
+	task := Step{Count: 1, CPU: 4000, Mem: 8000, Estimate: 1000}
+	full := task
+	full.Count, full.Estimate = (runners-1)*perEach, 20000
+	if !s.Submit(long, full) {
+		return nil, fmt.Errorf("the long job was not accepted: %w", errCannotRun)
+	}
+	time.Sleep(200 * time.Millisecond)
+	accepted := map[string]time.Time{}
+	for range jobs {
+		id := newID()
+		if s.Submit(id, task) {
+			accepted[id] = time.Now()
+		}
+	}
+	var broken []string
+	for time.Since(began) < refusing {
+		for _, in := range s.instances {
+			waits := 0
+			for id, at := range accepted {
+				if time.Since(at) > known && !s.checker.Begun(id) {
+					waits++
+				}
+			}
+			status, body := s.Call(in, http.MethodGet, "", nil)
+			var answer struct {
+				Waiting *int `json:"waiting"`
+			}
+			if status != http.StatusOK || json.Unmarshal([]byte(body), &answer) != nil || answer.Waiting == nil {
+				continue
+			}
+			for id := range accepted { // only jobs that still haven't begun after the answer count
+				if waits > 0 && s.checker.Begun(id) {
+					waits--
+				}
+			}
+			if 2**answer.Waiting < waits {
+				broken = append(broken, fmt.Sprintf("%s says that %d jobs wait; %d have waited for over %s", in.Name, *answer.Waiting, waits, known))
+			}
+		}
+		time.Sleep(250 * time.Millisecond)
+	}
+	for id := range accepted {
+		s.Call(s.instances[0], http.MethodGet, id, nil)
+		break
+	}
+	s.runners[runners-1].SetUnwell(false)
+	for id := range accepted {
+		if !s.WaitState(id, "completed", 40*time.Second) {
+			return nil, fmt.Errorf("a job has not completed: %w", errCannotRun)
+		}
+	}
+	return broken, nil
+}
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -11,7 +11,7 @@
 // caseFunc plays a case. trouble is false for the same without the disruption. It returns the breaches.
 type caseFunc func(s *System, trouble bool) ([]string, error)
 
-var cases = map[string]caseFunc{"many-ends": manyEnds, "reborn": reborn}
+var cases = map[string]caseFunc{"many-ends": manyEnds, "reborn": reborn, "waiting": waiting}
 
 // caseLimit ends a case that hangs.
 const caseLimit = 115 * time.Second
--- a/review/standins/runner.go
+++ b/review/standins/runner.go
@@ -48,7 +48,7 @@
 
 	mu       sync.Mutex
 	up       bool
-	draining bool
+	unwell   bool // it refuses all starts with 503 and has then done nothing
 	born     time.Time
 	boot     int
 	seq      int64
@@ -116,12 +116,8 @@
 			return
 		}
 		r.seq++
-		state := "ready"
-		if r.draining {
-			state = "draining"
-		}
 		entry := map[string]any{
-			"service": serviceName, "address": r.link.Address(), "zone": r.Zone, "version": "1", "slots": 8, "state": state,
+			"service": serviceName, "address": r.link.Address(), "zone": r.Zone, "version": "1", "slots": 8, "state": "ready",
 			"cold-left-ms": 0, "seq": r.seq, "capacity": map[string]int64{"cpu": r.CPU, "mem-mb": r.Mem, "gpu": 0},
 			"labels": r.Labels, "born": r.born.UnixMilli(),
 		}
@@ -218,6 +214,11 @@
 	key := runKey{o.Task, o.Run}
 	switch req.URL.Path {
 	case "/api/run-start":
+		if r.unwell {
+			r.watcher.record.Line("run    %s refuses %s run %d: 503", r.ID, o.Task, o.Run)
+			answer(http.StatusServiceUnavailable, "")
+			return
+		}
 		answer(r.start(key, o))
 	case "/api/run-stop":
 		if a := r.runs[key]; a != nil && a.stopAt.IsZero() {
@@ -296,7 +297,14 @@
 	writeJSON(w, http.StatusOK, map[string]any{"clock-ms": r.clock(), "born": r.born.UnixMilli(), "running": running, "ended": ended})
 }
 
-// Started returns how many runs have begun, and how many ends wait to be taken note of.
+// SetUnwell makes the runner refuse all starts, or take them again.
+func (r *Runner) SetUnwell(unwell bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unwell = unwell
+}
+
+// Counts returns how many runs have begun, and how many ends wait to be taken note of.
 func (r *Runner) Counts() (started, running, ended int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -314,11 +322,19 @@
 	lapsed  map[string]bool            // done ends whose lease lapsed before they were taken note of
 	after   map[string]string          // starts after a done end, by the task
 	broken  []string
+	begun   map[string]bool // jobs of which a task has started
+}
+
+// Begun reports whether a task of the job has started.
+func (c *Checker) Begun(job string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.begun[job]
 }
 
 func newChecker(record *Record) *Checker {
 	return &Checker{record: record, running: map[string]map[string]bool{}, done: map[string]string{}, noted: map[string]bool{},
-		lapsed: map[string]bool{}, after: map[string]string{}}
+		lapsed: map[string]bool{}, after: map[string]string{}, begun: map[string]bool{}}
 }
 
 // Started notes a start.
@@ -326,6 +342,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.record.Line("run    %s start %s run %d (fence %d)", runner, key.task, key.run, o.Fence)
+	c.begun[jobOf(key.task)] = true
 	for other := range c.running[key.task] {
 		c.broken = append(c.broken, fmt.Sprintf("%s run %d starts on %s while it runs as %s", key.task, key.run, runner, other))
 	}
