batch: a start that a restarted worker may have accepted is not repeated elsewhere

Cause: handleRestart took every attempt on a worker as lost with its former incarnation, also one that no report had listed and that the new incarnation had accepted. Ruled out: the report's path (none had arrived), a lapsed lease (6 s), a second owner (epoch 1 throughout).

Now an attempt that no report of the present incarnation has listed stays until such a report, requested after the answer to its start or stop, decides. Absence is no longer judged by readings of the worker's clock, which starts anew. The lease that such a start grants is reckoned with, and a restart resolves no worker of a former owner. worker.reborn says where the restart was seen and how many starts are unconfirmed.

--- a/internal/batch/advice_test.go
+++ b/internal/batch/advice_test.go
@@ -64,7 +64,7 @@
 	got := s.Plan(now)
 	is.Equal(got[0].Ticket, "t2")
 	s.StartSent("b", got[0].Task, got[0].Run, 1000)
-	s.StartAnswered("b", got[0].Task, got[0].Run, AnswerNoTicket, 10, now) // although it seems valid
+	s.StartAnswered("b", got[0].Task, got[0].Run, AnswerNoTicket, now) // although it seems valid
 	is.Equal(len(questions(planUntilIdle(s, now))), 1)
 }
 
--- a/internal/batch/answers.go
+++ b/internal/batch/answers.go
@@ -4,9 +4,8 @@
 	"time"
 )
 
-// StartAnswered processes the answer to a start. clock is the time on the worker's clock in the
-// answer.
-func (s *State) StartAnswered(id WorkerID, task TaskID, run int64, answer Answer, clock int64, now time.Time) {
+// StartAnswered processes the answer to a start.
+func (s *State) StartAnswered(id WorkerID, task TaskID, run int64, answer Answer, now time.Time) {
 	w := s.workers[id]
 	if w == nil {
 		return
@@ -15,9 +14,10 @@
 	if a == nil {
 		return
 	}
+	a.startPending = false
 	switch answer {
 	case AnswerOK:
-		a.startAnsweredAt = max(clock, 1)
+		a.acceptedAt = now
 	case AnswerNone:
 		if !a.listed {
 			s.stop(a, "start not answered")
@@ -47,14 +47,15 @@
 	s.remove(a, now)
 }
 
-// StopAnswered processes the answer to a stop. clock is the time on the worker's clock in the answer.
-func (s *State) StopAnswered(id WorkerID, task TaskID, run int64, answer Answer, clock int64) {
+// StopAnswered processes the answer to a stop that was sent while the worker had the given incarnation. An
+// earlier incarnation does not bind the present one.
+func (s *State) StopAnswered(id WorkerID, incarnation int64, task TaskID, run int64, answer Answer, now time.Time) {
 	w := s.workers[id]
-	if w == nil {
+	if w == nil || incarnation != w.info.Incarnation {
 		return
 	}
 	if a := w.attempts[attemptKey{task, run}]; a != nil && answer == AnswerOK {
-		a.stopAnsweredAt = max(clock, 1)
+		a.stopAnsweredAt = now
 	}
 }
 
--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -14,14 +14,22 @@
 	requestedAt time.Time // when this owner decided the start or adopted the attempt
 	// notAfter is the time on the worker's clock after which the worker refuses the start; 0 if the
 	// attempt was adopted from a report.
-	notAfter        int64
-	startAnsweredAt int64 // time on the worker's clock in the answer that accepted the start
-	listed          bool
-	ended           bool // the worker has reported its end
-	stopping        bool
-	stopSent        time.Time
-	stopAnsweredAt  int64 // time on the worker's clock in the answer to the stop
-	percent         int
+	notAfter int64
+	// startPending is set until the outcome of the call that requests the start is known, or is known to
+	// stay unknown. Such a call may still reach the worker, also one that has been restarted meanwhile.
+	startPending bool
+	acceptedAt   time.Time // when an answer that accepts the start arrived
+	// listed is set once a report of the worker's present incarnation has listed the attempt.
+	listed   bool
+	ended    bool // the worker has reported its end
+	stopping bool
+	stopSent time.Time
+	// stopAnsweredAt is when the worker's present incarnation has answered the stop.
+	stopAnsweredAt time.Time
+	// restartedAt is when the worker was seen to have been restarted after the start was decided. It is not
+	// known which of the two incarnations the start has reached.
+	restartedAt time.Time
+	percent     int
 	// progressAt is when percent last rose, the attempt was first listed or its CPU limit was set.
 	progressAt time.Time
 	// lastMeasurement is RunningAttempt.Measurement of the last report.
--- a/internal/batch/helpers_test.go
+++ b/internal/batch/helpers_test.go
@@ -36,7 +36,7 @@
 		for _, a := range actions {
 			if a.Kind == ActionStart {
 				s.StartSent(a.Worker, a.Task, a.Run, 1000)
-				s.StartAnswered(a.Worker, a.Task, a.Run, AnswerOK, 10, now)
+				s.StartAnswered(a.Worker, a.Task, a.Run, AnswerOK, now)
 			}
 		}
 		all = append(all, actions...)
@@ -48,8 +48,12 @@
 	}
 }
 
-// reportWithLease applies a report that answers the renewal of the worker's lease.
+// reportWithLease applies a report that answers the renewal of the worker's lease. Unless the report says
+// otherwise, it was requested after all answers so far.
 func reportWithLease(s *State, id WorkerID, r Report, now time.Time) int64 {
+	if r.RequestedAt.IsZero() {
+		r.RequestedAt = now.Add(time.Nanosecond)
+	}
 	s.LeaseRenewed(id, time.Time{}, true)
 	return s.ApplyReport(id, r, now)
 }
--- a/internal/batch/model.go
+++ b/internal/batch/model.go
@@ -89,6 +89,8 @@
 // has not acknowledged yet.
 type Report struct {
 	Incarnation int64
+	// RequestedAt is when the owner sent the request for the report, on the owner's clock.
+	RequestedAt time.Time
 	Clock       int64 // time on the worker's clock when the report was made, in milliseconds
 	Running     []RunningAttempt
 	Ended       []EndedAttempt
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -273,6 +273,7 @@
 func (s *State) reserve(st *step, index int, run int64, w *worker, now time.Time) *attempt {
 	a := &attempt{step: st, index: index, run: run, worker: w, reserved: st.reserved, requestedAt: now, progressAt: now, cpuLimit: fullPercent}
 	a.notAfter = notAfterUnset
+	a.startPending = true
 	s.register(a)
 	return a
 }
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -12,7 +12,7 @@
 		return 0
 	}
 	if r.Incarnation > w.info.Incarnation {
-		s.handleRestart(w, r.Incarnation, now)
+		s.handleRestart(w, r.Incarnation, "a report", now)
 	}
 	if !w.reported {
 		w.leaseEnd = laterOf(w.leaseEnd, now.Add(s.timing.LeaseTTL))
@@ -48,7 +48,7 @@
 		}
 	}
 	for key, a := range w.attempts {
-		if !listed[key] && a.isGone(r.Clock) {
+		if !listed[key] && a.isGone(r) {
 			s.event(Event{Name: "task.absent", Job: a.step.job.ID, Task: key.task, Run: key.run, Worker: w.info.ID, Detail: "not in the worker's report"})
 			s.remove(a, now)
 		}
@@ -69,18 +69,21 @@
 	a.lastMeasurement = e.Measurement
 }
 
-// isGone reports whether an attempt that is missing in a report made at clock, on the worker's clock,
-// neither runs nor can start there any more.
-func (a *attempt) isGone(clock int64) bool {
+// isGone reports whether an attempt that is missing in a report neither runs nor can start there any more.
+// An answer does not tell which incarnation of the worker gave it, so it proves something only about the
+// reports that were requested after it.
+func (a *attempt) isGone(r Report) bool {
 	switch {
 	case a.listed:
 		return true
-	case a.startAnsweredAt > 0:
-		return clock > a.startAnsweredAt
-	case a.stopAnsweredAt > 0 && clock > a.stopAnsweredAt:
+	case a.startPending:
+		return false
+	case !a.acceptedAt.IsZero():
+		return r.RequestedAt.After(a.acceptedAt)
+	case !a.stopAnsweredAt.IsZero() && r.RequestedAt.After(a.stopAnsweredAt):
 		return true
 	default:
-		return clock > a.notAfter
+		return r.Clock > a.notAfter
 	}
 }
 
--- a/internal/batch/simulation_run_test.go
+++ b/internal/batch/simulation_run_test.go
@@ -22,9 +22,10 @@
 			"end":    w.endOne,
 			"report": w.report, "report2": w.report, "report3": w.report,
 			"commit": w.commit, "commit2": w.commit,
-			"cut":   w.toggleConnection,
-			"crash": w.crash,
-			"pass":  w.advanceTime,
+			"cut":      w.toggleConnection,
+			"crash":    w.crash,
+			"register": w.register, "list": w.list,
+			"pass": w.advanceTime,
 			"take over": func(t *rapid.T) {
 				if rapid.IntRange(0, 3).Draw(t, "seldom") == 0 {
 					w.replaceOwner(t)
@@ -50,6 +51,7 @@
 	}
 	for range 400 {
 		w.now = w.now.Add(200 * time.Millisecond)
+		w.expireRequests()
 		for _, id := range w.ids() {
 			w.reportOf(w.workers[id], true)
 		}
@@ -80,7 +82,7 @@
 func (w *simulation) checkCompleted(t *rapid.T, j *Job) {
 	for s, step := range j.Spec.Steps {
 		for i := range step.Count {
-			if !w.everDone(TaskID{Job: j.ID, Step: s, Index: i}) {
+			if !w.done[TaskID{Job: j.ID, Step: s, Index: i}] {
 				t.Fatalf("job %s is shown as completed, but task %d of step %d is not done", j.ID, i, s)
 			}
 		}
--- a/internal/batch/simulation_test.go
+++ b/internal/batch/simulation_test.go
@@ -12,6 +12,8 @@
 const (
 	simulatedLeaseTTL    = 6 * time.Second
 	simulatedStartWindow = 1500 * time.Millisecond
+	// simulatedCallTimeout is how long the owner waits for the answer to a request.
+	simulatedCallTimeout = 700 * time.Millisecond
 )
 
 // simulation simulates workers, the store and one owner at a time. Its checks look at what the workers
@@ -27,14 +29,24 @@
 	recordedWorkers      map[WorkerID]bool // workers in use, as the store holds them
 	workers              map[WorkerID]*simulatedWorker
 	requests             []sentRequest
-	pending              map[string]Record // taken from the owner, not yet durable
-	acks                 []pendingAck      // wait until pending is durable
-	acknowledgedDone     map[TaskID]bool   // done, and the end was acknowledged
-	acknowledgedFailures map[TaskID]int    // number of acknowledged failures
+	clocks               map[WorkerID]simulatedClock // the owner's readings
+	pending              map[string]Record           // taken from the owner, not yet durable
+	acks                 []pendingAck                // wait until pending is durable
+	done                 map[TaskID]bool             // done, whether the end has been reported or not
+	acknowledgedDone     map[TaskID]bool             // done, and the end was acknowledged
+	acknowledgedFailures map[TaskID]int              // number of acknowledged failures
+}
+
+// simulatedClock is a reading of a worker's clock.
+type simulatedClock struct {
+	clock int64
+	at    time.Time
 }
 
 type simulatedWorker struct {
 	info         WorkerInfo
+	entry        WorkerInfo    // in the registry, where a restart shows late
+	clockOffset  time.Duration // of its clock, which starts anew with each incarnation
 	maxEpoch     int64
 	lease        time.Time
 	disconnected bool
@@ -48,8 +60,9 @@
 type sentRequest struct {
 	action     Action
 	epoch      int64
-	notAfter   time.Time
-	answerLost bool // its answer is lost
+	sentAt     time.Time
+	notAfter   int64 // on the worker's clock
+	answerLost bool  // its answer is lost
 }
 
 type pendingAck struct {
@@ -63,26 +76,29 @@
 		t: t, now: time.Unix(1_000_000, 0), epoch: 1,
 		jobs: map[string]*Job{}, records: map[string]Record{}, cancels: map[string]bool{},
 		recordedWorkers: map[WorkerID]bool{}, workers: map[WorkerID]*simulatedWorker{},
-		acknowledgedDone: map[TaskID]bool{}, acknowledgedFailures: map[TaskID]int{},
+		done: map[TaskID]bool{}, acknowledgedDone: map[TaskID]bool{}, acknowledgedFailures: map[TaskID]int{},
 	}
 	for i := range 4 {
 		id := WorkerID(fmt.Sprintf("w%d", i))
-		w.workers[id] = &simulatedWorker{
+		n := &simulatedWorker{
 			info:    WorkerInfo{ID: id, Incarnation: 1, Service: "svc", Address: string(id), DataCentre: "a", Capacity: Resources{CPU: 4000, MemoryMB: 4000}},
 			running: map[attemptKey]bool{}, maxEndedRun: map[TaskID]int64{}, nextSeq: 1,
 		}
+		n.entry = n.info
+		w.workers[id] = n
 	}
 	w.replaceOwner(t)
 	return w
 }
 
-// clock is the workers' clock.
-func (w *simulation) clock() int64 { return w.now.UnixMilli() }
+// clock returns the time on a worker's clock.
+func (w *simulation) clock(n *simulatedWorker) int64 { return w.now.Add(n.clockOffset).UnixMilli() }
 
 // replaceOwner replaces the owner by a new one, which starts from the contents of the store.
 func (w *simulation) replaceOwner(*rapid.T) {
 	w.epoch++
 	w.pending, w.acks = nil, nil
+	w.clocks = map[WorkerID]simulatedClock{}
 	s := keepOwnership(New(w.epoch, testLimits))
 	s.SetConfig(Config{Version: 1, Queues: map[string]Queue{"q": {Service: "svc", MaxAttempts: 3, Stretch: 2}}})
 	until := map[WorkerID]time.Time{}
@@ -104,7 +120,7 @@
 	w.owner = s
 	for _, id := range w.ids() {
 		n := w.workers[id]
-		s.UpdateWorker(n.info, w.now)
+		s.UpdateWorker(n.entry, w.now)
 		w.recordedWorkers[id] = true
 		s.MarkRecorded(id)
 	}
@@ -152,10 +168,12 @@
 // plan calls Plan of the owner and sends the requests.
 func (w *simulation) plan(*rapid.T) {
 	for _, a := range w.owner.Plan(w.now) {
+		reading := w.clocks[a.Worker]
+		notAfter := reading.clock + w.now.Sub(reading.at).Milliseconds() + simulatedStartWindow.Milliseconds()
 		if a.Kind == ActionStart {
-			w.owner.StartSent(a.Worker, a.Task, a.Run, w.clock()+simulatedStartWindow.Milliseconds())
+			w.owner.StartSent(a.Worker, a.Task, a.Run, notAfter)
 		}
-		w.requests = append(w.requests, sentRequest{action: a, epoch: w.epoch, notAfter: w.now.Add(simulatedStartWindow)})
+		w.requests = append(w.requests, sentRequest{action: a, epoch: w.epoch, sentAt: w.now, notAfter: notAfter})
 	}
 }
 
@@ -164,14 +182,17 @@
 	if len(w.requests) == 0 {
 		return
 	}
-	i := rapid.IntRange(0, len(w.requests)-1).Draw(t, "order")
-	r := &w.requests[i]
+	w.giveUp(&w.requests[rapid.IntRange(0, len(w.requests)-1).Draw(t, "order")])
+}
+
+// giveUp lets the owner go on without the answer to a request.
+func (w *simulation) giveUp(r *sentRequest) {
 	if r.answerLost {
 		return
 	}
 	r.answerLost = true
 	if r.action.Kind == ActionStart && r.epoch == w.epoch {
-		w.owner.StartAnswered(r.action.Worker, r.action.Task, r.action.Run, AnswerNone, 0, w.now)
+		w.owner.StartAnswered(r.action.Worker, r.action.Task, r.action.Run, AnswerNone, w.now)
 	}
 }
 
@@ -193,9 +214,9 @@
 	}
 	switch r.action.Kind {
 	case ActionStart:
-		w.owner.StartAnswered(r.action.Worker, r.action.Task, r.action.Run, answer, w.clock(), w.now)
+		w.owner.StartAnswered(r.action.Worker, r.action.Task, r.action.Run, answer, w.now)
 	case ActionStop:
-		w.owner.StopAnswered(r.action.Worker, r.action.Task, r.action.Run, answer, w.clock())
+		w.owner.StopAnswered(r.action.Worker, r.action.Incarnation, r.action.Task, r.action.Run, answer, w.now)
 	}
 }
 
@@ -213,7 +234,7 @@
 		if n.running[key] {
 			return AnswerOK
 		}
-		if w.now.After(r.notAfter) {
+		if w.clock(n) > r.notAfter {
 			return AnswerExpired
 		}
 		if a.Run <= n.maxEndedRun[a.Task] {
@@ -253,15 +274,14 @@
 	}
 	for _, before := range step.After {
 		for i := range j.Spec.Steps[before].Count {
-			if !w.everDone(TaskID{Job: j.ID, Step: before, Index: i}) {
+			if !w.done[TaskID{Job: j.ID, Step: before, Index: i}] {
 				w.t.Fatalf("%v starts before step %d is done", a.Task, before)
 			}
 		}
 	}
 	n.running[attemptKey{a.Task, a.Run}] = true
-	if until := r.notAfter; until.After(n.lease) {
-		n.lease = until // a start grants a lease
-	}
+	granted := min(time.Duration(r.notAfter-w.clock(n))*time.Millisecond, simulatedLeaseTTL)
+	n.lease = laterOf(n.lease, w.now.Add(granted))
 	var used Resources
 	for key := range n.running {
 		used = used.plus(w.jobs[key.task.Job].Spec.Steps[key.task.Step].reserved())
@@ -271,23 +291,11 @@
 	}
 }
 
-// everDone reports whether a task has been done, whether the end has been acknowledged or not.
-func (w *simulation) everDone(id TaskID) bool {
-	if w.acknowledgedDone[id] {
-		return true
-	}
-	for _, n := range w.workers {
-		for _, e := range n.ended {
-			if e.Task == id && e.Reason == EndDone {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 func (w *simulation) endAttempt(n *simulatedWorker, key attemptKey, how EndReason) {
 	delete(n.running, key)
+	if how == EndDone {
+		w.done[key.task] = true
+	}
 	n.maxEndedRun[key.task] = max(n.maxEndedRun[key.task], key.run)
 	n.ended = append(n.ended, EndedAttempt{Seq: n.nextSeq, Task: key.task, Run: key.run, Reason: how})
 	n.nextSeq++
@@ -361,7 +369,8 @@
 		n.lease = w.now.Add(simulatedLeaseTTL)
 		w.owner.LeaseRenewed(n.info.ID, w.now.Add(simulatedLeaseTTL+100*time.Millisecond), true)
 	}
-	r := Report{Incarnation: n.info.Incarnation, Clock: w.clock()}
+	w.clocks[n.info.ID] = simulatedClock{clock: w.clock(n), at: w.now}
+	r := Report{Incarnation: n.info.Incarnation, RequestedAt: w.now, Clock: w.clock(n)}
 	for _, key := range sortedKeys(n.running) {
 		r.Running = append(r.Running, RunningAttempt{Task: key.task, Run: key.run, Percent: 50})
 	}
@@ -411,25 +420,48 @@
 	}
 }
 
-// crash restarts a worker under the same id; it loses all its tasks.
+// crash restarts a worker under the same id; it loses all its tasks. The owner learns of it only from a later
+// entry in the registry or a later report. Requests on their way die with the former incarnation or reach the
+// new one.
 func (w *simulation) crash(t *rapid.T) {
 	if rapid.IntRange(0, 5).Draw(t, "seldom") > 0 {
 		return
 	}
 	n := w.drawWorker(t)
-	for _, e := range n.ended {
-		if e.Reason == EndDone && !w.acknowledgedDone[e.Task] {
-			return // the end would be lost, and the task could run again
-		}
-	}
 	n.info.Incarnation++
 	n.running, n.maxEndedRun, n.ended, n.nextSeq, n.maxEpoch = map[attemptKey]bool{}, map[TaskID]int64{}, nil, 1, 0
 	n.lease = time.Time{}
-	// Requests to the former incarnation are refused.
-	w.requests = slices.DeleteFunc(w.requests, func(r sentRequest) bool { return r.action.Worker == n.info.ID })
-	w.owner.UpdateWorker(n.info, w.now)
+	n.clockOffset = time.Duration(rapid.IntRange(-20, 20).Draw(t, "clock")) * time.Second
+	w.requests = slices.DeleteFunc(w.requests, func(r sentRequest) bool {
+		if r.action.Worker != n.info.ID || rapid.Bool().Draw(t, "reaches the new incarnation") {
+			return false
+		}
+		w.giveUp(&r)
+		return true
+	})
+}
+
+// register lets a worker update its entry in the registry.
+func (w *simulation) register(t *rapid.T) {
+	n := w.drawWorker(t)
+	n.entry = n.info
 }
 
+// list passes a worker's entry in the registry to the owner.
+func (w *simulation) list(t *rapid.T) { w.owner.UpdateWorker(w.drawWorker(t).entry, w.now) }
+
+// advanceTime lets time pass. The owner does not wait longer than simulatedCallTimeout for an answer, and no
+// request is executed later than maxCallDelay.
 func (w *simulation) advanceTime(t *rapid.T) {
 	w.now = w.now.Add(time.Duration(rapid.IntRange(10, 900).Draw(t, "ms")) * time.Millisecond)
+	w.expireRequests()
+}
+
+func (w *simulation) expireRequests() {
+	for i := range w.requests {
+		if w.now.Sub(w.requests[i].sentAt) > simulatedCallTimeout {
+			w.giveUp(&w.requests[i])
+		}
+	}
+	w.requests = slices.DeleteFunc(w.requests, func(r sentRequest) bool { return w.now.Sub(r.sentAt) > maxCallDelay })
 }
--- a/internal/batch/state_test.go
+++ b/internal/batch/state_test.go
@@ -229,14 +229,16 @@
 	s.MarkStored(s.TakeDirty(10))
 	a := startActions(s.Plan(now))[0]
 	s.StartSent(a.Worker, a.Task, a.Run, 1500)
-	s.StartAnswered(a.Worker, a.Task, a.Run, AnswerNone, 0, now)
+	s.StartAnswered(a.Worker, a.Task, a.Run, AnswerNone, now)
 	actions := s.Plan(now)
 	is.Equal(len(actions), 1)
 	is.Equal(actions[0].Kind, ActionStop)
 	reportWithLease(s, a.Worker, Report{Incarnation: 1, Clock: 900}, now)
 	is.Equal(len(startActions(planUntilIdle(s, now))), 0) // it may still be executed
-	s.StopAnswered(a.Worker, a.Task, a.Run, AnswerOK, 950)
-	reportWithLease(s, a.Worker, Report{Incarnation: 1, Clock: 960}, now)
+	s.StopAnswered(a.Worker, a.Incarnation, a.Task, a.Run, AnswerOK, now)
+	reportWithLease(s, a.Worker, Report{Incarnation: 1, Clock: 960, RequestedAt: now.Add(-time.Millisecond)}, now)
+	is.Equal(len(startActions(planUntilIdle(s, now))), 0) // the report may have been made before the stop
+	reportWithLease(s, a.Worker, Report{Incarnation: 1, Clock: 970}, now)
 	is.Equal(len(startActions(planUntilIdle(s, now))), 1)
 }
 
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"fmt"
 	"slices"
 	"time"
 )
@@ -60,7 +61,7 @@
 		return
 	}
 	if info.Incarnation > w.info.Incarnation {
-		s.handleRestart(w, info.Incarnation, now)
+		s.handleRestart(w, info.Incarnation, "the registry", now)
 	}
 	startsDraining := info.Draining && !w.info.Draining
 	w.info, w.listed = info, true
@@ -169,23 +170,50 @@
 	return ""
 }
 
-// handleRestart removes the attempts of the worker's former incarnation and resets its state for the
-// new one.
-func (s *State) handleRestart(w *worker, incarnation int64, now time.Time) {
+// handleRestart removes the attempts that the worker's former incarnation has listed, and resets the state
+// of the worker for the new one. An attempt that no report has listed yet stays: the restart is seen late, and
+// the start may have reached the new incarnation. A later report of that incarnation tells.
+func (s *State) handleRestart(w *worker, incarnation int64, source string, now time.Time) {
+	unconfirmed := 0
+	for _, a := range w.attempts {
+		if a.listed {
+			s.lose(a, "worker restarted", now)
+			continue
+		}
+		unconfirmed++
+		a.restartedAt = now
+		a.stopSent, a.stopAnsweredAt = time.Time{}, time.Time{}
+	}
 	// The log calls a restarted worker reborn.
-	s.event(Event{Name: "worker.reborn", Worker: w.info.ID})
-	s.removeAllAttempts(w, "worker restarted", now)
+	s.event(Event{Name: "worker.reborn", Worker: w.info.ID, Detail: fmt.Sprintf("%s shows incarnation %d after %d; unconfirmed starts: %d", source, incarnation, w.info.Incarnation, unconfirmed)})
 	w.info.Incarnation = incarnation
 	w.reported, w.leaseConfirmed, w.consecutiveFailures, w.quarantinedUntil = false, false, 0, time.Time{}
-	delete(s.unresolvedWorkers, w.info.ID)
 }
 
-// removeAllAttempts removes all attempts of a worker. The caller must know that none of them runs any
+// lose removes an attempt whose end will never be reported. The caller must know that it does not run any
 // more.
-func (s *State) removeAllAttempts(w *worker, reason string, now time.Time) {
-	for _, a := range w.attempts {
-		s.event(Event{Name: "task.lost", Job: a.step.job.ID, Task: a.id(), Run: a.run, Worker: w.info.ID, Detail: reason})
-		s.remove(a, now)
+func (s *State) lose(a *attempt, reason string, now time.Time) {
+	s.event(Event{Name: "task.lost", Job: a.step.job.ID, Task: a.id(), Run: a.run, Worker: a.worker.info.ID, Detail: reason})
+	s.remove(a, now)
+}
+
+// maxCallDelay is the longest time after which a worker may still carry out a request that got no answer.
+const maxCallDelay = 12 * time.Second
+
+// leaseEnd returns the time by which an attempt has certainly ended if its worker stays out of contact. An
+// attempt that no report has listed may run in an incarnation that has seen no renewal, only the start: there
+// the start grants up to a whole lease, and the time until which the start is valid means nothing, since it is
+// on the clock of the former incarnation.
+func (s *State) leaseEnd(a *attempt) time.Time {
+	switch {
+	case a.listed:
+		return a.worker.leaseEnd
+	case !a.acceptedAt.IsZero():
+		return laterOf(a.worker.leaseEnd, a.acceptedAt.Add(s.timing.LeaseTTL))
+	case !a.restartedAt.IsZero():
+		return laterOf(a.worker.leaseEnd, a.restartedAt.Add(maxCallDelay+s.timing.LeaseTTL))
+	default:
+		return laterOf(a.worker.leaseEnd, a.requestedAt.Add(s.timing.StartLeaseTTL+s.timing.LeaseTTL))
 	}
 }
 
@@ -204,13 +232,15 @@
 			s.sorted = nil
 			continue
 		}
-		if !w.unreachable || now.Before(w.leaseEnd) || s.ownedUntil.Before(w.leaseEnd) {
+		if !w.unreachable || !s.leaseHasEnded(w.leaseEnd, now) {
 			continue
 		}
-		if len(w.attempts) > 0 {
-			s.removeAllAttempts(w, "lease ended out of contact", now)
+		for _, a := range w.attempts {
+			if s.leaseHasEnded(s.leaseEnd(a), now) {
+				s.lose(a, "lease ended out of contact", now)
+			}
 		}
-		if !w.listed {
+		if !w.listed && len(w.attempts) == 0 {
 			delete(s.workers, id)
 			s.sorted = nil
 		}
@@ -223,6 +253,12 @@
 	}
 }
 
+// leaseHasEnded reports whether a lease with the given end has ended, without another owner that can have
+// renewed it.
+func (s *State) leaseHasEnded(end, now time.Time) bool {
+	return !now.Before(end) && !s.ownedUntil.Before(end)
+}
+
 // stopForDrain stops the tasks on a draining worker that should restart elsewhere at once: long-running
 // tasks, as far as MaxDisrupted allows, and tasks that would not be done before the worker leaves.
 func (s *State) stopForDrain(w *worker, now time.Time) {
--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -140,6 +140,7 @@
 	ctx, cancel := context.WithTimeout(ctx, request.MaxWait+renewTimeout)
 	defer cancel()
 	report, answer := rn.leader.owner.workers.RenewLease(ctx, request)
+	report.RequestedAt = now
 	rn.renewalSent = request.LeaseEnd != 0
 	if rn.renewalSent {
 		rn.leaseEnd = now.Add(rn.leader.workerLeaseExpiry())
--- a/internal/owner/worker_calls.go
+++ b/internal/owner/worker_calls.go
@@ -39,7 +39,7 @@
 		}
 		l.post(func(l *leader, now time.Time) {
 			l.checkFenced(a, response, now)
-			l.state.StartAnswered(a.Worker, a.Task, a.Run, response.Answer, response.Clock, now)
+			l.state.StartAnswered(a.Worker, a.Task, a.Run, response.Answer, now)
 		})
 	}()
 }
@@ -57,7 +57,7 @@
 			l.checkFenced(a, response, now)
 			switch a.Kind {
 			case batch.ActionStop:
-				l.state.StopAnswered(a.Worker, a.Task, a.Run, response.Answer, response.Clock)
+				l.state.StopAnswered(a.Worker, a.Incarnation, a.Task, a.Run, response.Answer, now)
 			case batch.ActionThrottle:
 				l.state.ThrottleAnswered(a.Worker, a.Task, a.Run, response.Answer)
 			}
