batch: nothing is concluded from what is missing in a report that is cut short

Cause: a worker returns its ends 500 at a time, and reconcile took an attempt that is in neither list as gone. Evidence: task.absent 150 times on the first report after the cut, which held 500 ends. Ruled out: a lapsed lease (the cut is shorter), a take-over (epoch 1 throughout).

A report with as many ends as fit is now marked incomplete. Its ends count, but no attempt is taken as gone or stalled, and no worker of a former owner as settled. A worker of a former owner that this one has heard of is settled by a report or by the end of its own lease, not by those that the former owner granted.

--- a/internal/batch/model.go
+++ b/internal/batch/model.go
@@ -85,8 +85,8 @@
 	Checkpoint string
 }
 
-// Report is a worker's complete list of its running attempts and of the ended attempts that the owner
-// has not acknowledged yet.
+// Report is a worker's list of its running attempts and of the ended attempts that the owner has not
+// acknowledged yet.
 type Report struct {
 	Incarnation int64
 	// RequestedAt is when the owner sent the request for the report, on the owner's clock.
@@ -94,6 +94,9 @@
 	Clock       int64 // time on the worker's clock when the report was made, in milliseconds
 	Running     []RunningAttempt
 	Ended       []EndedAttempt
+	// Incomplete is set if attempts that the worker knows of may be missing, so that absence proves
+	// nothing. The next reports bring them.
+	Incomplete bool
 }
 
 // Answer is the outcome of a request to a worker.
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -22,7 +22,9 @@
 	}
 	w.reported, w.unreachable = true, false
 	w.latencyGroupsAt = time.Time{}
-	delete(s.unresolvedWorkers, id)
+	if !r.Incomplete {
+		delete(s.unresolvedWorkers, id)
+	}
 	var last int64
 	for _, e := range r.Ended {
 		s.attemptEnded(w, e, now)
@@ -34,7 +36,8 @@
 }
 
 // reconcile updates the attempts on the worker by the running attempts of its report: it adopts
-// unknown ones and removes those that are gone.
+// unknown ones and removes those that are gone. An incomplete report may hold back the end of an attempt
+// that is missing in it.
 func (s *State) reconcile(w *worker, r Report, now time.Time) {
 	listed := make(map[attemptKey]bool, len(r.Running))
 	w.runsUnknownTasks = false
@@ -48,7 +51,14 @@
 		}
 	}
 	for key, a := range w.attempts {
-		if !listed[key] && a.isGone(r) {
+		if listed[key] {
+			continue
+		}
+		if r.Incomplete {
+			a.progressAt = now
+			continue
+		}
+		if a.isGone(r) {
 			s.event(Event{Name: "task.absent", Job: a.step.job.ID, Task: key.task, Run: key.run, Worker: w.info.ID, Detail: "not in the worker's report"})
 			s.remove(a, now)
 		}
--- a/internal/batch/simulation_test.go
+++ b/internal/batch/simulation_test.go
@@ -14,6 +14,8 @@
 	simulatedStartWindow = 1500 * time.Millisecond
 	// simulatedCallTimeout is how long the owner waits for the answer to a request.
 	simulatedCallTimeout = 700 * time.Millisecond
+	// simulatedMaxEnds is the largest number of ended attempts in a report.
+	simulatedMaxEnds = 2
 )
 
 // simulation simulates workers, the store and one owner at a time. Its checks look at what the workers
@@ -29,12 +31,13 @@
 	recordedWorkers      map[WorkerID]bool // workers in use, as the store holds them
 	workers              map[WorkerID]*simulatedWorker
 	requests             []sentRequest
-	clocks               map[WorkerID]simulatedClock // the owner's readings
-	pending              map[string]Record           // taken from the owner, not yet durable
-	acks                 []pendingAck                // wait until pending is durable
-	done                 map[TaskID]bool             // done, whether the end has been reported or not
-	acknowledgedDone     map[TaskID]bool             // done, and the end was acknowledged
-	acknowledgedFailures map[TaskID]int              // number of acknowledged failures
+	clocks               map[WorkerID]simulatedClock         // the owner's readings
+	pending              map[string]Record                   // taken from the owner, not yet durable
+	acks                 []pendingAck                        // wait until pending is durable
+	done                 map[TaskID]bool                     // done, whether the end has been reported or not
+	startedAfterDone     map[*simulatedWorker]map[int64]bool // ends after which their task was started again
+	acknowledgedDone     map[TaskID]bool                     // done, and the end was acknowledged
+	acknowledgedFailures map[TaskID]int                      // number of acknowledged failures
 }
 
 // simulatedClock is a reading of a worker's clock.
@@ -53,7 +56,10 @@
 	running      map[attemptKey]bool
 	ended        []EndedAttempt
 	nextSeq      int64
-	maxEndedRun  map[TaskID]int64 // highest run that was stopped or ended
+	// lapsedSeq is the number of the last end before the lease last ended. A task may start again after such
+	// an end, as the owner could not know of it in time.
+	lapsedSeq   int64
+	maxEndedRun map[TaskID]int64 // highest run that was stopped or ended
 }
 
 // sentRequest is an action that has been sent to a worker and not executed yet.
@@ -76,7 +82,7 @@
 		t: t, now: time.Unix(1_000_000, 0), epoch: 1,
 		jobs: map[string]*Job{}, records: map[string]Record{}, cancels: map[string]bool{},
 		recordedWorkers: map[WorkerID]bool{}, workers: map[WorkerID]*simulatedWorker{},
-		done: map[TaskID]bool{}, acknowledgedDone: map[TaskID]bool{}, acknowledgedFailures: map[TaskID]int{},
+		done: map[TaskID]bool{}, startedAfterDone: map[*simulatedWorker]map[int64]bool{}, acknowledgedDone: map[TaskID]bool{}, acknowledgedFailures: map[TaskID]int{},
 	}
 	for i := range 4 {
 		id := WorkerID(fmt.Sprintf("w%d", i))
@@ -86,6 +92,7 @@
 		}
 		n.entry = n.info
 		w.workers[id] = n
+		w.startedAfterDone[n] = map[int64]bool{}
 	}
 	w.replaceOwner(t)
 	return w
@@ -272,6 +279,9 @@
 	if !step.LongRunning && w.acknowledgedFailures[a.Task] >= 3 {
 		w.t.Fatalf("%v starts after %d failures", a.Task, w.acknowledgedFailures[a.Task])
 	}
+	if !step.LongRunning { // a long-running task restarts however it ends
+		w.noteRepetition(a.Task)
+	}
 	for _, before := range step.After {
 		for i := range j.Spec.Steps[before].Count {
 			if !w.done[TaskID{Job: j.ID, Step: before, Index: i}] {
@@ -291,6 +301,17 @@
 	}
 }
 
+// noteRepetition notes the ends after which a task is started again. None of them may be acknowledged.
+func (w *simulation) noteRepetition(id TaskID) {
+	for _, n := range w.workers {
+		for _, e := range n.ended {
+			if e.Task == id && e.Reason == EndDone && e.Seq > n.lapsedSeq {
+				w.startedAfterDone[n][e.Seq] = true
+			}
+		}
+	}
+}
+
 func (w *simulation) endAttempt(n *simulatedWorker, key attemptKey, how EndReason) {
 	delete(n.running, key)
 	if how == EndDone {
@@ -309,6 +330,7 @@
 	for _, key := range sortedKeys(n.running) {
 		w.endAttempt(n, key, EndLeaseExpired)
 	}
+	n.lapsedSeq = n.nextSeq - 1
 }
 
 func sortedKeys(m map[attemptKey]bool) []attemptKey {
@@ -374,7 +396,8 @@
 	for _, key := range sortedKeys(n.running) {
 		r.Running = append(r.Running, RunningAttempt{Task: key.task, Run: key.run, Percent: 50})
 	}
-	r.Ended = slices.Clone(n.ended)
+	r.Ended = slices.Clone(n.ended[:min(len(n.ended), simulatedMaxEnds)])
+	r.Incomplete = len(r.Ended) == simulatedMaxEnds
 	if last := w.owner.ApplyReport(n.info.ID, r, w.now); last > 0 {
 		w.acks = append(w.acks, pendingAck{n.info.ID, n.info.Incarnation, last})
 	}
@@ -403,6 +426,9 @@
 		}
 		switch e.Reason {
 		case EndDone:
+			if w.startedAfterDone[n][e.Seq] && e.Seq > n.lapsedSeq {
+				w.t.Fatalf("%v run %d is acknowledged as done on %s, but the task was started again after it", e.Task, e.Run, n.info.ID)
+			}
 			w.acknowledgedDone[e.Task] = true
 		case EndFailed:
 			w.acknowledgedFailures[e.Task]++
@@ -430,7 +456,7 @@
 	n := w.drawWorker(t)
 	n.info.Incarnation++
 	n.running, n.maxEndedRun, n.ended, n.nextSeq, n.maxEpoch = map[attemptKey]bool{}, map[TaskID]int64{}, nil, 1, 0
-	n.lease = time.Time{}
+	n.lease, n.lapsedSeq, w.startedAfterDone[n] = time.Time{}, 0, map[int64]bool{}
 	n.clockOffset = time.Duration(rapid.IntRange(-20, 20).Draw(t, "clock")) * time.Second
 	w.requests = slices.DeleteFunc(w.requests, func(r sentRequest) bool {
 		if r.action.Worker != n.info.ID || rapid.Bool().Draw(t, "reaches the new incarnation") {
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -246,6 +246,13 @@
 		}
 	}
 	for id, until := range s.unresolvedWorkers {
+		if w := s.workers[id]; w != nil && w.reported {
+			// Its reports so far were incomplete, and its lease has been renewed.
+			if !w.unreachable {
+				continue
+			}
+			until = laterOf(until, w.leaseEnd)
+		}
 		if now.After(until) && s.ownedUntil.After(until) {
 			s.event(Event{Name: "takeover.resolved", Worker: id, Detail: "its lease has ended out of contact"})
 			delete(s.unresolvedWorkers, id)
