owner: the permission to act is measured on the boot clock, not by the time of day

Cause: the end of the permission was kept and compared as a time of day, so a clock that is set back by 2 s as the owner is cut off gave it 2 s more than its successor allows for. Evidence: leader.suspended 5.4 s after the end of the claim instead of 3.5 s; the first breach 9.9 s after the successor had loaded, its whole wait.

The permission is now measured on CLOCK_BOOTTIME, which is never set and, unlike Go's monotonic clock, goes on while the machine is suspended.

--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -142,6 +142,20 @@
 	w.leaseConfirmed = w.leaseConfirmed || confirmed
 }
 
+// LeaseEnd returns the time by which everything on a worker has ended if it stays out of contact. It is zero
+// if the worker has no lease.
+func (s *State) LeaseEnd(id WorkerID) time.Time {
+	w := s.workers[id]
+	if w == nil {
+		return time.Time{}
+	}
+	end := w.leaseEnd
+	for _, a := range w.attempts {
+		end = laterOf(end, s.leaseEnd(a))
+	}
+	return end
+}
+
 // HasLease reports whether the worker has confirmed a renewal since it was last unreachable.
 func (s *State) HasLease(id WorkerID) bool {
 	w := s.workers[id]
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -63,7 +63,8 @@
 	mu          sync.Mutex // guards items and updates of inForce
 	items       map[string]kv.Item
 	inForce     atomic.Pointer[Config]
-	lastContact atomic.Int64 // Unix nanoseconds of the last successful call to the store
+	// lastContact is when the last successful call to the store ended; nil if there was none.
+	lastContact atomic.Pointer[time.Time]
 	// disconnected is set while the store does not answer the watch.
 	disconnected atomic.Bool
 }
@@ -86,12 +87,30 @@
 		OnResult: func(err error) {
 			w.setDisconnected(!answered(err), err)
 			if err == nil {
-				w.lastContact.Store(time.Now().UnixNano())
+				w.noteContact()
 			}
 		},
 	}
 }
 
+// noteContact notes that the store has just answered.
+func (w *configWatcher) noteContact() {
+	now := time.Now()
+	w.lastContact.Store(&now)
+}
+
+// neverInContact stands for the time since the last contact if there was none.
+const neverInContact = time.Hour
+
+// sinceContact returns how long ago the store last answered. It does not depend on the time of day.
+func (w *configWatcher) sinceContact() time.Duration {
+	last := w.lastContact.Load()
+	if last == nil {
+		return neverInContact
+	}
+	return time.Since(*last)
+}
+
 // setDisconnected notes whether the store answers, and logs each change with its cause.
 func (w *configWatcher) setDisconnected(disconnected bool, cause error) {
 	if w.disconnected.Swap(disconnected) != disconnected {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -88,7 +88,7 @@
 	if i.draining.Load() || i.Config() == nil {
 		return false
 	}
-	return time.Since(time.Unix(0, i.watcher.lastContact.Load())) < maxContactAge
+	return i.watcher.sinceContact() < maxContactAge
 }
 
 // Drain begins a planned stop: the instance resigns as the owner, so that another takes over, and
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -173,11 +173,11 @@
 		i := newInstance(&fakeStore{})
 		is.True(!i.Ready()) // no configuration yet
 		i.watcher.reset([]kv.Item{{Key: "op/config", Value: []byte{5}}})
-		i.watcher.lastContact.Store(time.Now().UnixNano())
+		i.watcher.noteContact()
 		is.True(i.Ready())
 		time.Sleep(maxContactAge + time.Second)
 		is.True(!i.Ready()) // out of contact with the store
-		i.watcher.lastContact.Store(time.Now().UnixNano())
+		i.watcher.noteContact()
 		i.Drain()
 		is.True(!i.Ready())
 	})
--- a/internal/entry/retry_after.go
+++ b/internal/entry/retry_after.go
@@ -19,8 +19,7 @@
 // RetryAfter returns how long a refused caller should wait before its next try. wait is how much longer the
 // caller waits for its result, 0 if that is not known.
 func (i *Instance) RetryAfter(wait time.Duration) time.Duration {
-	outage := time.Since(time.Unix(0, i.watcher.lastContact.Load()))
-	return retryAfter(outage, wait, 2*rand.Float64()-1)
+	return retryAfter(i.watcher.sinceContact(), wait, 2*rand.Float64()-1)
 }
 
 // retryAfter follows the length of the outage so far: the longer it has lasted, the longer it is likely to
--- a/internal/entry/retry_after_test.go
+++ b/internal/entry/retry_after_test.go
@@ -38,7 +38,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		i := newInstance(&fakeStore{})
-		i.watcher.lastContact.Store(time.Now().UnixNano())
+		i.watcher.noteContact()
 		is.Equal(i.RetryAfter(0), minRetryAfter)
 		time.Sleep(4 * time.Second)
 		after := i.RetryAfter(0)
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -81,6 +81,7 @@
 func (l *leader) commit(now time.Time) {
 	c := &l.commits
 	c.timer = nil
+	l.workersRecord.noteEndedLeases(now)
 	if c.inFlight != nil || l.state.DirtyJobs() == 0 && !l.workersRecord.dirty && len(l.prunedJobs) == 0 {
 		return
 	}
@@ -108,7 +109,7 @@
 		t.txn.Set = append(t.txn.Set, kv.Write{Key: RecordKey(id), Value: encode(r)})
 	}
 	if l.workersRecord.dirty {
-		l.workersRecord.addTo(t, l.state.WorkersInUse())
+		l.workersRecord.addTo(t, l.state.WorkersInUse(), now)
 	}
 	if now.Sub(c.interferenceSaved) > interferenceInterval {
 		c.interferenceSaved = now
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -65,7 +65,7 @@
 	done chan struct{}
 	// firstRenewals is a semaphore that limits the concurrent first calls to workers.
 	firstRenewals chan struct{}
-	// ownedUntil is the time until which the claim is confirmed, in Unix nanoseconds.
+	// ownedUntil is the time until which the claim is confirmed, in nanoseconds on Options.BootClock.
 	ownedUntil atomic.Int64
 
 	// The fields below are used by the loop only.
@@ -117,7 +117,7 @@
 		workersRecord: newWorkerRecord(),
 		commits:       committer{rev: held.commitRev},
 	}
-	l.extendOwnership(held.until)
+	l.extendOwnership(held.granted)
 	return l
 }
 
@@ -218,10 +218,10 @@
 
 // plan makes the decisions and carries them out, unless the claim is unconfirmed for too long.
 func (l *leader) plan(now time.Time) {
-	if suspended := !l.mayAct(now); suspended != l.suspended {
+	if suspended := !l.mayAct(); suspended != l.suspended {
 		l.suspended = suspended
 		l.log.Info().Str("event", "leader.suspended").Bool("suspended", suspended).
-			Time("owned-until", time.Unix(0, l.ownedUntil.Load())).Send()
+			Int64("unconfirmed-ms", l.unconfirmedFor().Milliseconds()).Send()
 	}
 	if l.suspended {
 		return
--- a/internal/owner/leader_test.go
+++ b/internal/owner/leader_test.go
@@ -49,7 +49,7 @@
 	}
 	withHarness(t, func(h *harness) {
 		c := &countingWorkers{fakeWorkers: h.workers, contacted: map[batch.WorkerID]bool{}}
-		o := New(Options{Instance: "a", Address: "a", LeaseTTL: 1200 * time.Millisecond, MaxWorkerLease: 6 * time.Second, JobRetention: 20 * time.Second},
+		o := New(Options{Instance: "a", BootClock: h.bootClock, Address: "a", LeaseTTL: 1200 * time.Millisecond, MaxWorkerLease: 6 * time.Second, JobRetention: 20 * time.Second},
 			h.store, c, fakeRegistry{}, testConfig, zerolog.Nop())
 		go o.Run(h.ctx)
 		h.sleep(time.Second)
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -56,7 +56,7 @@
 	latest := now.Add(l.workerLeaseExpiry() + claimGrace)
 	for _, item := range owned {
 		if item.Key == workersKey {
-			until, err := l.workersRecord.restore(item.Value, latest)
+			until, err := l.workersRecord.restore(item.Value, now, latest)
 			l.checkReadable(item.Key, err)
 			l.state.SetUnresolvedWorkers(until)
 			continue
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -19,6 +19,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
+	"github.com/geraniumwick/geraniumwick/internal/bootclock"
 	"github.com/geraniumwick/geraniumwick/internal/kv"
 	"github.com/geraniumwick/geraniumwick/internal/pause"
 )
@@ -127,6 +128,9 @@
 	// AskToYield asks the owner of a claim to hand over to this faster machine; if it is nil, no
 	// owner is asked.
 	AskToYield func(ctx context.Context, c Claim) error
+	// BootClock returns the time since the machine was booted, including the time for which it was
+	// suspended; if it is nil, the system's clock is read.
+	BootClock func() time.Duration
 	// Scope receives the metrics.
 	Scope tally.Scope
 }
@@ -150,8 +154,8 @@
 	resign atomic.Bool
 	// maxSpeed is the highest speed of any owner seen so far, as the bits of a float64.
 	maxSpeed atomic.Uint64
-	// lastYield is when this instance last handed over to a faster machine, in Unix nanoseconds.
-	lastYield atomic.Int64
+	// lastYield is when this instance last handed over to a faster machine; nil if it never has.
+	lastYield atomic.Pointer[time.Time]
 	// incarnation is a random number that identifies this process.
 	incarnation uint64
 }
@@ -161,6 +165,9 @@
 	if opts.Scope == nil {
 		opts.Scope = tally.NoopScope
 	}
+	if opts.BootClock == nil {
+		opts.BootClock = bootclock.Now
+	}
 	return &Owner{
 		opts:        opts,
 		store:       store,
@@ -298,8 +305,8 @@
 	lease int64
 	// commitRev is the revision of the claim and of the head.
 	commitRev int64
-	// until is the time before which the claim cannot have ended.
-	until time.Time
+	// granted is when its lease was requested.
+	granted moment
 }
 
 // acquireClaim writes the claim with the next epoch, on condition that there is no claim and that
@@ -311,7 +318,7 @@
 	if err != nil {
 		return heldClaim{}, err
 	}
-	granted := time.Now()
+	granted := o.currentMoment()
 	lease, err := o.store.Grant(ctx, o.opts.LeaseTTL)
 	if err != nil {
 		return heldClaim{}, err
@@ -328,7 +335,7 @@
 		go o.revokeLease(lease)
 		return heldClaim{}, err
 	}
-	return heldClaim{claim: c, lease: lease, commitRev: commitRev, until: granted.Add(o.opts.LeaseTTL)}, nil
+	return heldClaim{claim: c, lease: lease, commitRev: commitRev, granted: granted}, nil
 }
 
 // campaignTimeout bounds all store calls of one campaign together.
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -24,6 +24,14 @@
 	workers *fakeWorkers
 	stops   map[string]context.CancelFunc
 	owners  map[string]*Owner
+	// bootClockAhead is how far the boot clock of all instances is ahead of synthetic time, in nanoseconds.
+	bootClockAhead atomic.Int64
+}
+
+// bootClock is Options.BootClock of all instances. It is ahead of synthetic time after a suspension of the
+// machine, and ahead of the time of day after that was set back.
+func (h *harness) bootClock() time.Duration {
+	return time.Since(time.Unix(0, 0)) + time.Duration(h.bootClockAhead.Load())
 }
 
 // withHarness runs a test with the named workers under synthetic time.
@@ -52,7 +60,7 @@
 // startInstance starts an instance that takes part in campaigns.
 func (h *harness) startInstance(name string) *Owner {
 	ctx, cancel := context.WithCancel(h.ctx)
-	o := New(Options{Instance: name, Address: name, LeaseTTL: 1200 * time.Millisecond, MaxWorkerLease: 6 * time.Second, JobRetention: 20 * time.Second},
+	o := New(Options{Instance: name, BootClock: h.bootClock, Address: name, LeaseTTL: 1200 * time.Millisecond, MaxWorkerLease: 6 * time.Second, JobRetention: 20 * time.Second},
 		h.store, h.workers, fakeRegistry{}, testConfig, zerolog.Nop())
 	h.stops[name], h.owners[name] = cancel, o
 	go o.Run(ctx)
@@ -114,7 +122,7 @@
 func (h *harness) startInstanceWithSpeed(name string, speed float64) *Owner {
 	ctx, cancel := context.WithCancel(h.ctx)
 	o := New(Options{
-		Instance: name, Address: name, LeaseTTL: 1200 * time.Millisecond, MaxWorkerLease: 6 * time.Second, JobRetention: 20 * time.Second, Speed: speed,
+		Instance: name, BootClock: h.bootClock, Address: name, LeaseTTL: 1200 * time.Millisecond, MaxWorkerLease: 6 * time.Second, JobRetention: 20 * time.Second, Speed: speed,
 		AskToYield: func(ctx context.Context, c Claim) error {
 			if !h.owners[c.Address].Yield(ctx, c.Epoch, speed) {
 				return errAnswerLost
@@ -218,7 +226,7 @@
 func TestNobodyLeadsWithoutAConfiguration(t *testing.T) {
 	withHarness(t, func(h *harness) {
 		var configured atomic.Bool
-		o := New(Options{Instance: "a", Address: "a", LeaseTTL: 1200 * time.Millisecond, MaxWorkerLease: 6 * time.Second, JobRetention: 20 * time.Second},
+		o := New(Options{Instance: "a", BootClock: h.bootClock, Address: "a", LeaseTTL: 1200 * time.Millisecond, MaxWorkerLease: 6 * time.Second, JobRetention: 20 * time.Second},
 			h.store, h.workers, fakeRegistry{}, func() batch.Config {
 				if configured.Load() {
 					return testConfig()
--- a/internal/owner/permission.go
+++ b/internal/owner/permission.go
@@ -14,16 +14,32 @@
 // cannot reach.
 const claimGrace = 3500 * time.Millisecond
 
-// extendOwnership notes that the claim is confirmed until a time.
-func (l *leader) extendOwnership(until time.Time) {
-	l.ownedUntil.Store(max(l.ownedUntil.Load(), until.UnixNano()))
-	l.state.ExtendOwnership(until)
+// moment is one moment on the two clocks that the owner uses.
+type moment struct {
+	// steady is on Go's monotonic clock, on which everything is measured that only this owner relies on.
+	steady time.Time
+	// boot is on Options.BootClock. The permission to act is measured on it, since others rely on its end.
+	boot time.Duration
+}
+
+// currentMoment reads both clocks.
+func (o *Owner) currentMoment() moment { return moment{steady: time.Now(), boot: o.opts.BootClock()} }
+
+// extendOwnership notes that the claim cannot end before it has lasted for LeaseTTL from a confirmation that
+// was requested at a moment.
+func (l *leader) extendOwnership(requested moment) {
+	ttl := l.owner.opts.LeaseTTL
+	l.ownedUntil.Store(max(l.ownedUntil.Load(), int64(requested.boot+ttl)))
+	l.state.ExtendOwnership(requested.steady.Add(ttl))
 }
 
 // mayAct reports whether the owner may start tasks and renew leases: its claim is confirmed, or ended at
 // most claimGrace ago. A process that was paused asks again after the pause, since a successor may lead.
-func (l *leader) mayAct(now time.Time) bool {
-	return now.UnixNano() < l.ownedUntil.Load()+int64(claimGrace)
+func (l *leader) mayAct() bool { return l.unconfirmedFor() < claimGrace }
+
+// unconfirmedFor returns how long ago the claim may have ended; it is negative while the claim is confirmed.
+func (l *leader) unconfirmedFor() time.Duration {
+	return l.owner.opts.BootClock() - time.Duration(l.ownedUntil.Load())
 }
 
 // renewClaim renews the lease of the claim until ctx ends or the lease has ended.
@@ -33,11 +49,11 @@
 	for ctx.Err() == nil {
 		pause.For(ctx, interval)
 		callCtx, cancel := context.WithTimeout(ctx, l.owner.opts.LeaseTTL)
-		sent := time.Now()
+		sent := l.owner.currentMoment()
 		err := l.owner.store.Renew(callCtx, l.held.lease)
 		cancel()
 		if err == nil {
-			l.post(func(l *leader, _ time.Time) { l.extendOwnership(sent.Add(l.owner.opts.LeaseTTL)) })
+			l.post(func(l *leader, _ time.Time) { l.extendOwnership(sent) })
 		}
 		if errors.Is(err, kv.ErrNotFound) {
 			l.stepDown("lease of the claim ended")
--- a/internal/owner/permission_test.go
+++ b/internal/owner/permission_test.go
@@ -133,7 +133,7 @@
 func (h *harness) startInstanceAt(name string, store kv.Store, workers WorkerClient) {
 	ctx, cancel := context.WithCancel(h.ctx)
 	h.stops[name] = cancel
-	o := New(Options{Instance: name, Address: name, LeaseTTL: testLeaseTTL, MaxWorkerLease: 6 * time.Second, JobRetention: 20 * time.Second},
+	o := New(Options{Instance: name, BootClock: h.bootClock, Address: name, LeaseTTL: testLeaseTTL, MaxWorkerLease: 6 * time.Second, JobRetention: 20 * time.Second},
 		store, workers, fakeRegistry{}, testConfig, zerolog.Nop())
 	go o.Run(ctx)
 }
@@ -172,15 +172,34 @@
 	}, "w1")
 }
 
+// Guards against an owner that acts too long because its time of day is set back as it is cut off, or because
+// its machine was suspended: the permission ends on the boot clock.
+func TestThePermissionDoesNotFollowTheTimeOfDay(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		store, workers := &cutStore{memoryStore: h.store}, &recordingWorkers{WorkerClient: h.workers}
+		h.startInstanceAt("a", store, workers)
+		h.sleep(2 * time.Second)
+		store.setCut(true)
+		const setBack = 2 * time.Second
+		h.bootClockAhead.Store(int64(setBack))
+		limit := time.Now().Add(testLeaseTTL + claimGrace - setBack)
+		h.sleep(10 * time.Second)
+		workers.mu.Lock()
+		defer workers.mu.Unlock()
+		h.is.True(!workers.lastRenewal.After(limit))
+		h.is.True(workers.lastRenewal.After(limit.Add(-idleWait - renewTimeout))) // it went on until then
+	}, "w1")
+}
+
 // An owner decides on a start and is paused before the call is made. Its claim has run out meanwhile, so
 // nothing is sent.
 func TestAStartAfterAPauseIsNotSent(t *testing.T) {
 	withHarness(t, func(h *harness) {
 		workers := &recordingWorkers{WorkerClient: h.workers}
-		o := New(Options{Instance: "a", MaxWorkerLease: 6 * time.Second}, h.store, workers, fakeRegistry{}, testConfig, zerolog.Nop())
+		o := New(Options{Instance: "a", BootClock: h.bootClock, MaxWorkerLease: 6 * time.Second}, h.store, workers, fakeRegistry{}, testConfig, zerolog.Nop())
 		ctx, cancel := context.WithCancelCause(h.ctx)
 		defer cancel(nil)
-		l := newLeader(o, heldClaim{until: time.Now()}, cancel)
+		l := newLeader(o, heldClaim{granted: o.currentMoment()}, cancel)
 		l.ctx = ctx
 		decidedAt := time.Now()
 		h.sleep(claimGrace) // the process stands still
--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -151,7 +151,7 @@
 // nextLeaseEnd returns the end of the lease to request, on the worker's clock in milliseconds; 0 while the
 // owner may not act.
 func (rn *renewer) nextLeaseEnd(now time.Time) int64 {
-	if !rn.leader.mayAct(now) {
+	if !rn.leader.mayAct() {
 		return 0
 	}
 	return rn.clock.now(now) + rn.leader.owner.opts.MaxWorkerLease.Milliseconds()
@@ -215,7 +215,7 @@
 		if l.renewers[rn.info.ID] == rn {
 			l.state.LeaseRenewed(rn.info.ID, leaseEnd, false)
 			l.state.MarkUnreachable(rn.info.ID)
-			l.recordLeaseEnd(rn.info.ID, leaseEnd)
+			l.recordLeaseEnd(rn.info.ID)
 		}
 	})
 	pause.For(ctx, renewRetryDelay)
@@ -225,7 +225,7 @@
 // resulting changes are durable.
 func (l *leader) handleReport(rn *renewer, r batch.Report, generation int, now time.Time) {
 	id := rn.info.ID
-	l.workersRecord.set(id, 0)
+	l.workersRecord.setRenewed(id)
 	i := renewalParams{ackSeq: l.state.ApplyReport(id, r, now), maxWait: l.maxReportWait(id), renew: true, generation: generation}
 	l.setParamsWhenDurable(i, rn)
 }
@@ -245,8 +245,8 @@
 }
 
 // recordLeaseEnd records when the lease of an unreachable worker ends.
-func (l *leader) recordLeaseEnd(id batch.WorkerID, leaseEnd time.Time) {
-	if l.workersRecord.contains(id) && !leaseEnd.IsZero() {
-		l.workersRecord.set(id, leaseEnd.UnixMilli())
+func (l *leader) recordLeaseEnd(id batch.WorkerID) {
+	if end := l.state.LeaseEnd(id); l.workersRecord.contains(id) && !end.IsZero() {
+		l.workersRecord.setLeaseEnd(id, end)
 	}
 }
--- a/internal/owner/speed.go
+++ b/internal/owner/speed.go
@@ -32,8 +32,8 @@
 // extraCampaignDelay returns how long this instance waits with a campaign in addition to the random
 // delay.
 func (o *Owner) extraCampaignDelay(now time.Time) time.Duration {
-	if sinceYield := now.Sub(time.Unix(0, o.lastYield.Load())); sinceYield < yieldBackoff {
-		return yieldBackoff - sinceYield
+	if last := o.lastYield.Load(); last != nil && now.Sub(*last) < yieldBackoff {
+		return yieldBackoff - now.Sub(*last)
 	}
 	if o.opts.Speed < minSpeedRatio*math.Float64frombits(o.maxSpeed.Load()) {
 		return slowCampaignDelay
@@ -74,7 +74,8 @@
 	if l == nil || l.epoch != epoch {
 		return false
 	}
-	o.lastYield.Store(time.Now().UnixNano())
+	now := time.Now()
+	o.lastYield.Store(&now)
 	// The speed is announced in the claim first, so that other slow machines delay their campaigns.
 	c := l.held.claim
 	c.YieldToSpeed = speed
--- a/internal/owner/watch.go
+++ b/internal/owner/watch.go
@@ -85,7 +85,7 @@
 	if l.workersRecord.durable[info.ID] {
 		l.state.MarkRecorded(info.ID)
 	} else if !l.workersRecord.contains(info.ID) {
-		l.workersRecord.set(info.ID, 0)
+		l.workersRecord.setRenewed(info.ID)
 	}
 	l.workersChanged = true
 	return info.ID, true
--- a/internal/owner/worker_calls.go
+++ b/internal/owner/worker_calls.go
@@ -34,7 +34,7 @@
 		ctx, cancel := context.WithTimeout(l.ctx, workerCallTimeout)
 		defer cancel()
 		response := Response{Answer: batch.AnswerExpired}
-		if l.mayAct(time.Now()) {
+		if l.mayAct() {
 			response = l.owner.workers.Start(ctx, request)
 		}
 		l.post(func(l *leader, now time.Time) {
@@ -50,7 +50,7 @@
 		ctx, cancel := context.WithTimeout(l.ctx, workerCallTimeout)
 		defer cancel()
 		response := Response{Answer: batch.AnswerRefused}
-		if l.mayAct(time.Now()) {
+		if l.mayAct() {
 			response = send(ctx, request)
 		}
 		l.post(func(l *leader, now time.Time) {
