batch: a job waits until a worker has started a task of it

Cause: a job was marked as started when the owner sent a start, and nothing took the mark back when the worker refused it. Evidence: waiting falls from 8 to 0 in the answers that follow eight refusals (503), and stays 0 while each start is refused again once a second. Ruled out: a stale count (the owner answers each query), a take-over.

The mark is now set by what workers say: an accepted start, a listed run or a listed end.

--- a/internal/batch/answers.go
+++ b/internal/batch/answers.go
@@ -18,6 +18,7 @@
 	switch answer {
 	case AnswerOK:
 		a.acceptedAt = now
+		s.markStarted(a.step.job)
 	case AnswerNone:
 		if !a.listed {
 			s.stop(a, "start not answered")
--- a/internal/batch/ends.go
+++ b/internal/batch/ends.go
@@ -15,6 +15,7 @@
 	}
 	t := &st.tasks[e.Task.Index]
 	t.lastRun = max(t.lastRun, e.Run)
+	s.markStarted(st.job)
 	if e.Checkpoint != "" && !t.done {
 		t.checkpoint = e.Checkpoint
 		s.dirty.add(st.job)
@@ -66,7 +67,6 @@
 	}
 	t.done = true
 	st.remainingTasks--
-	s.markStarted(st.job)
 	s.dirty.add(st.job)
 	if !st.spec.Gang {
 		for _, a := range t.attempts {
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -19,7 +19,7 @@
 
 	outcome        JobStatus
 	durableOutcome JobStatus // the outcome that the store holds
-	started        bool      // a task has been started, under any owner
+	started        bool      // a worker has started a task, under any owner
 	cancelled      bool
 	occs           []*occurrence
 	attempts       int // attempts that may run
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -46,6 +46,7 @@
 		listed[key] = true
 		if a := w.attempts[key]; a != nil {
 			a.observe(e, now)
+			s.markStarted(a.step.job)
 		} else {
 			s.adopt(w, e, now)
 		}
@@ -119,6 +120,7 @@
 	}
 	s.register(a)
 	s.noteRun(a)
+	s.markStarted(st.job)
 	a.observe(e, now)
 	if st.spec.Gang {
 		st.gangRun = max(st.gangRun, e.Run)
@@ -167,15 +169,15 @@
 	a.step.job.attempts++
 }
 
-// noteRun notes an attempt in its task once it may run.
+// noteRun notes an attempt in its task once its start may be executed.
 func (s *State) noteRun(a *attempt) {
 	t := a.task()
 	t.lastRun = max(t.lastRun, a.run)
 	t.lastWorker = a.worker.info.ID
-	s.markStarted(a.step.job)
 }
 
-// markStarted notes that a task of the job has been started.
+// markStarted notes that a task of the job has been started by a worker. A start that was only sent does not
+// count, as the worker may refuse it.
 func (s *State) markStarted(j *Job) {
 	if !j.started {
 		j.started = true
--- a/internal/batch/simulation_run_test.go
+++ b/internal/batch/simulation_run_test.go
@@ -24,6 +24,8 @@
 			"commit": w.commit, "commit2": w.commit,
 			"cut":      w.toggleConnection,
 			"crash":    w.crash,
+			"refuse":   w.toggleRefusal,
+			"":         w.checkWaiting,
 			"register": w.register, "list": w.list,
 			"pass": w.advanceTime,
 			"take over": func(t *rapid.T) {
@@ -40,7 +42,7 @@
 // ended.
 func (w *simulation) quiesce(t *rapid.T) {
 	for _, n := range w.workers {
-		n.disconnected = false
+		n.disconnected, n.refuses = false, false
 	}
 	// Long-running tasks may occupy the workers forever.
 	for id, j := range w.jobs {
@@ -64,6 +66,9 @@
 			w.endAll(w.workers[id])
 		}
 	}
+	if n := w.owner.QueuedJobs("q"); n != 0 {
+		t.Fatalf("%d jobs are said to wait after all have ended", n)
+	}
 	for id, j := range w.jobs {
 		known := w.owner.Job(id)
 		if known == nil {
--- a/internal/batch/simulation_test.go
+++ b/internal/batch/simulation_test.go
@@ -31,6 +31,7 @@
 	recordedWorkers      map[WorkerID]bool // workers in use, as the store holds them
 	workers              map[WorkerID]*simulatedWorker
 	requests             []sentRequest
+	begun                map[string]bool                     // jobs of which a worker has started a task
 	clocks               map[WorkerID]simulatedClock         // the owner's readings
 	pending              map[string]Record                   // taken from the owner, not yet durable
 	acks                 []pendingAck                        // wait until pending is durable
@@ -53,6 +54,7 @@
 	maxEpoch     int64
 	lease        time.Time
 	disconnected bool
+	refuses      bool // it refuses all starts
 	running      map[attemptKey]bool
 	ended        []EndedAttempt
 	nextSeq      int64
@@ -82,7 +84,7 @@
 		t: t, now: time.Unix(1_000_000, 0), epoch: 1,
 		jobs: map[string]*Job{}, records: map[string]Record{}, cancels: map[string]bool{},
 		recordedWorkers: map[WorkerID]bool{}, workers: map[WorkerID]*simulatedWorker{},
-		done: map[TaskID]bool{}, startedAfterDone: map[*simulatedWorker]map[int64]bool{}, acknowledgedDone: map[TaskID]bool{}, acknowledgedFailures: map[TaskID]int{},
+		begun: map[string]bool{}, done: map[TaskID]bool{}, startedAfterDone: map[*simulatedWorker]map[int64]bool{}, acknowledgedDone: map[TaskID]bool{}, acknowledgedFailures: map[TaskID]int{},
 	}
 	for i := range 4 {
 		id := WorkerID(fmt.Sprintf("w%d", i))
@@ -247,6 +249,9 @@
 		if a.Run <= n.maxEndedRun[a.Task] {
 			return AnswerStale
 		}
+		if n.refuses {
+			return AnswerRefused
+		}
 		w.checkStart(n, r)
 	case ActionStop:
 		if n.running[key] {
@@ -290,6 +295,7 @@
 		}
 	}
 	n.running[attemptKey{a.Task, a.Run}] = true
+	w.begun[a.Task.Job] = true
 	granted := min(time.Duration(r.notAfter-w.clock(n))*time.Millisecond, simulatedLeaseTTL)
 	n.lease = laterOf(n.lease, w.now.Add(granted))
 	var used Resources
@@ -473,6 +479,30 @@
 	n.entry = n.info
 }
 
+// toggleRefusal makes a worker refuse all starts, or accept them again.
+func (w *simulation) toggleRefusal(t *rapid.T) {
+	n := w.drawWorker(t)
+	n.refuses = !n.refuses
+}
+
+// checkWaiting checks that a job of which no worker has started a task is counted and shown as waiting.
+func (w *simulation) checkWaiting(t *rapid.T) {
+	waiting := 0
+	for id := range w.jobs {
+		j := w.owner.Job(id)
+		if w.begun[id] || j.outcome.Terminal() {
+			continue
+		}
+		waiting++
+		if j.Status() != Queued {
+			t.Fatalf("job %s is shown as %s, but no worker has started a task of it", id, j.Status())
+		}
+	}
+	if known := w.owner.QueuedJobs("q"); known < waiting {
+		t.Fatalf("%d jobs are said to wait, but %d do", known, waiting)
+	}
+}
+
 // list passes a worker's entry in the registry to the owner.
 func (w *simulation) list(t *rapid.T) { w.owner.UpdateWorker(w.drawWorker(t).entry, w.now) }
 
