platform: an odd value of another program costs only itself

No process ended by an entry itself.

Now a value that cannot be read or is out of range is left out alone, is logged once with its reason, and the next good one counts again. What a report leaves open is not concluded from.

--- a/cmd/geraniumwickd/platform.go
+++ b/cmd/geraniumwickd/platform.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -72,8 +73,8 @@
 
 // checkSettings reports whether a settings file is valid and returns the exit code of the process.
 func checkSettings(path string, stdout, stderr io.Writer) int {
-	s, err := platform.ReadSettings(path)
-	if err != nil {
+	s, odd, err := platform.ReadSettings(path)
+	if err := cmp.Or(err, odd); err != nil {
 		fmt.Fprintln(stderr, "geraniumwickd:", err)
 		return exitUsage
 	}
@@ -87,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	s, err := platform.ReadSettings(path)
+	s, odd, err := platform.ReadSettings(path)
 	if err != nil {
 		return err
 	}
@@ -95,6 +96,9 @@
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.Limits.MemoryMB) * (1 << 20)))
 	log = log.With().Str("instance", s.Name).Logger()
 	log.Info().Str("event", "instance.start").Str("data-centre", s.Zone).Send()
+	if odd != nil {
+		log.Error().Str("event", "settings.unreadable").Err(odd).Send()
+	}
 	return servePlatform(path, s, log)
 }
 
@@ -103,7 +107,7 @@
 func servePlatform(path string, s platform.Settings, log zerolog.Logger) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	store := platform.NewStore(s.Platform.Address)
+	store := platform.NewStore(s.Platform.Address, log)
 	scope, metricsHandler, closer := metrics.New()
 	defer func() { _ = closer.Close() }()
 	options := entry.Options{
@@ -114,7 +118,7 @@
 			MaxWorkerLease: min(workerLeaseLimit, s.MaxWorkerLease()),
 			JobRetention:   retentionFactor * s.StatusRetention(),
 			Speed:          s.Speed(),
-			Adviser:        platform.NewAdviser(s.Advice),
+			Adviser:        platform.NewAdviser(s.Advice, log),
 		},
 		Scope: scope,
 	}
@@ -134,7 +138,7 @@
 	serveInBackground(s.MetricsAddress(), metricsMux, failed)
 	go instance.Run(ctx)
 
-	go watchSettings(ctx, path, s, store, log)
+	go watchSettings(ctx, path, store, log)
 
 	signals := make(chan os.Signal, signalBuffer)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
@@ -153,8 +157,8 @@
 }
 
 // watchSettings polls the settings file for changes. Only a change of the store's address takes effect
-// while an instance runs. An invalid file is logged and otherwise ignored.
-func watchSettings(ctx context.Context, path string, s platform.Settings, store *platform.Store, log zerolog.Logger) {
+// while an instance runs. What cannot be read or is invalid is logged and otherwise ignored.
+func watchSettings(ctx context.Context, path string, store *platform.Store, log zerolog.Logger) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	var lastInfo os.FileInfo
@@ -169,16 +173,15 @@
 			continue
 		}
 		lastInfo = info
-		updated, err := platform.ReadSettings(path)
-		if err != nil {
-			log.Error().Str("event", "settings.refused").Err(err).Send()
-			continue
+		updated, odd, err := platform.ReadSettings(path)
+		if err := cmp.Or(err, odd); err != nil {
+			log.Error().Str("event", "settings.unreadable").Err(err).Send()
 		}
-		if updated.Platform.Address != s.Platform.Address {
-			store.SetAddress(updated.Platform.Address)
+		if !updated.HasStore() {
+			continue
 		}
-		s = updated
-		log.Info().Str("event", "settings.read").Str("store", s.Platform.Address).Send()
+		store.SetAddress(updated.Platform.Address)
+		log.Info().Str("event", "settings.read").Str("store", updated.Platform.Address).Send()
 	}
 }
 
--- a/internal/batch/ends.go
+++ b/internal/batch/ends.go
@@ -40,7 +40,7 @@
 
 // endReasonNames are the names of the end reasons in the log: lapsed stands for EndLeaseExpired, broken
 // for EndGangBroken and alone for EndGangIncomplete.
-var endReasonNames = [...]string{"", "done", "failed", "stopped", "lapsed", "broken", "alone"}
+var endReasonNames = [...]string{"", "done", "failed", "stopped", "lapsed", "broken", "alone", "unknown"}
 
 // attemptDone marks a task as done; in a gang, all its tasks. Long-running tasks are never done.
 func (s *State) attemptDone(st *step, t *task, now time.Time) {
--- a/internal/batch/model.go
+++ b/internal/batch/model.go
@@ -63,6 +63,7 @@
 	EndLeaseExpired             // the worker's lease ended
 	EndGangBroken               // another task of its gang ended
 	EndGangIncomplete           // the other tasks of its gang did not start
+	EndUnknown                  // the worker's reason cannot be read
 )
 
 // RunningAttempt is an attempt that a worker reports as running.
--- a/internal/batch/spec.go
+++ b/internal/batch/spec.go
@@ -22,6 +22,11 @@
 	MaxTasks   = 20_000
 	MaxPayload = 4_000 // bytes
 	MaxRepeats = 10_000
+	// MaxAmount bounds each resource of a task. It lies beyond any worker, so that a job that can never be
+	// placed is accepted, but sums of such amounts do not overflow.
+	MaxAmount = 1 << 40
+	// MaxTime bounds estimates, latency targets and the time from the first to the last occurrence.
+	MaxTime = 10 * 365 * 24 * time.Hour
 )
 
 // Resources is an amount of each kind of resource.
@@ -134,6 +139,9 @@
 	if s.Repeats < 0 || s.Repeats > MaxRepeats {
 		return fmt.Errorf("%d repeats, 0 to %d are allowed", s.Repeats, MaxRepeats)
 	}
+	if s.Interval < 0 || s.Interval > MaxTime/time.Duration(s.Occurrences()) {
+		return fmt.Errorf("an interval of %s between %d occurrences, from 0 to %s in all are allowed", s.Interval, s.Repeats, MaxTime)
+	}
 	tasks := 0
 	for i := range s.Steps {
 		if err := s.Steps[i].validate(i); err != nil {
@@ -151,8 +159,13 @@
 	if s.Count < 1 || s.Count > MaxTasks {
 		return fmt.Errorf("count is %d, 1 to %d are allowed", s.Count, MaxTasks)
 	}
-	if s.Resources.CPU < 0 || s.Resources.MemoryMB < 0 || s.Resources.GPU < 0 {
-		return errors.New("the amount of a resource is negative")
+	for _, amount := range []int64{s.Resources.CPU, s.Resources.MemoryMB, s.Resources.GPU} {
+		if amount < 0 || amount > MaxAmount {
+			return fmt.Errorf("the amount of a resource is %d, 0 to %d are allowed", amount, int64(MaxAmount))
+		}
+	}
+	if s.Estimate > MaxTime || s.LatencyTarget > MaxTime {
+		return fmt.Errorf("estimate or latency target is above %s", MaxTime)
 	}
 	if s.Estimate < 0 || s.MaxPerWorker < 0 || s.MaxDisrupted < 0 || s.LatencyTarget < 0 {
 		return errors.New("estimate, maximum per worker, maximum disrupted or latency target is negative")
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -4,6 +4,7 @@
 package entry
 
 import (
+	"bytes"
 	"errors"
 	"maps"
 	"slices"
@@ -16,6 +17,7 @@
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
 	"github.com/geraniumwick/geraniumwick/internal/kv"
+	"github.com/geraniumwick/geraniumwick/internal/logging"
 )
 
 // Route assigns requests with a host and a path prefix to a queue.
@@ -51,18 +53,34 @@
 type ConfigDecoder interface {
 	// Prefix returns the prefix of all keys of the configuration.
 	Prefix() string
-	// Decode returns the configuration, or nil if there is none yet.
+	// Decode returns the configuration, or nil if there is none yet. The error is an UnreadableKeyError if
+	// the value of one key cannot be read.
 	Decode(items []kv.Item) (*Config, error)
 }
 
+// UnreadableKeyError says that the value of a key of the configuration cannot be read.
+type UnreadableKeyError struct {
+	Key   string
+	Cause error
+}
+
+// Error implements error.
+func (e *UnreadableKeyError) Error() string { return e.Key + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *UnreadableKeyError) Unwrap() error { return e.Cause }
+
 // configWatcher watches the configuration in the store and keeps the newest version.
 type configWatcher struct {
 	decoder ConfigDecoder
 	log     zerolog.Logger
 
-	mu          sync.Mutex // guards items and updates of inForce
-	items       map[string]kv.Item
-	inForce     atomic.Pointer[Config]
+	mu    sync.Mutex // guards items, readable and updates of inForce
+	items map[string]kv.Item
+	// readable holds the items that the last configuration was decoded from.
+	readable   map[string]kv.Item
+	unreadable logging.Repeats
+	inForce    atomic.Pointer[Config]
 	// lastContact is when the last successful call to the store ended; nil if there was none.
 	lastContact atomic.Pointer[time.Time]
 	// disconnected is set while the store does not answer the watch.
@@ -151,10 +169,40 @@
 	w.apply()
 }
 
+// decode decodes the keys. A value that cannot be read costs only itself: the last readable value of its key
+// stays in its place.
+func (w *configWatcher) decode() (*Config, error) {
+	items := maps.Clone(w.items)
+	for {
+		config, err := w.decoder.Decode(slices.Collect(maps.Values(items)))
+		var unreadable *UnreadableKeyError
+		if !errors.As(err, &unreadable) {
+			if err == nil {
+				w.readable = items
+			}
+			return config, err
+		}
+		w.logUnreadable(unreadable)
+		former, ok := w.readable[unreadable.Key]
+		if ok && !bytes.Equal(former.Value, items[unreadable.Key].Value) {
+			items[unreadable.Key] = former
+		} else {
+			delete(items, unreadable.Key)
+		}
+	}
+}
+
+// logUnreadable logs a value that cannot be read, once for each value.
+func (w *configWatcher) logUnreadable(err *UnreadableKeyError) {
+	if w.unreadable.New(err.Key, string(w.items[err.Key].Value)) {
+		w.log.Error().Str("event", "config.unreadable").Str("key", err.Key).Err(err.Cause).Send()
+	}
+}
+
 // apply decodes the keys and puts the configuration in force. An older version, which a stale listing
 // may hold, never replaces a newer one.
 func (w *configWatcher) apply() {
-	config, err := w.decoder.Decode(slices.Collect(maps.Values(w.items)))
+	config, err := w.decode()
 	if err != nil {
 		w.log.Error().Str("event", "config.unreadable").Err(err).Send()
 		return
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -1,12 +1,16 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"math"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
@@ -58,6 +62,9 @@
 func (fakeDecoder) Decode(items []kv.Item) (*Config, error) {
 	for _, i := range items {
 		if i.Key == "op/config" {
+			if len(i.Value) != 1 {
+				return nil, &UnreadableKeyError{Key: i.Key, Cause: errors.New("not one byte")}
+			}
 			return &Config{Batch: batch.Config{Version: int64(i.Value[0])}}, nil
 		}
 	}
@@ -167,6 +174,61 @@
 	is.Equal(w.batchConfig().Version, int64(6))
 }
 
+// evacuationDecoder is a fakeDecoder that also decodes evacuations.
+type evacuationDecoder struct{ fakeDecoder }
+
+func (d evacuationDecoder) Decode(items []kv.Item) (*Config, error) {
+	config, err := d.fakeDecoder.Decode(items)
+	if config != nil {
+		config.Batch.Evacuated = map[string]bool{}
+		for _, i := range items {
+			if zone, ok := strings.CutPrefix(i.Key, "op/evacuate/"); ok {
+				config.Batch.Evacuated[zone] = true
+			}
+		}
+	}
+	return config, err
+}
+
+// Guards against a configuration that cannot be read and costs the evacuations, or is logged with each change.
+func TestAnUnreadableConfigurationCostsOnlyItself(t *testing.T) {
+	is := is.New(t)
+	var log bytes.Buffer
+	w := &configWatcher{decoder: evacuationDecoder{}, log: zerolog.New(&log)}
+	w.reset([]kv.Item{{Key: "op/config", Value: []byte("odd")}})
+	is.Equal(w.inForce.Load(), nil)
+	w.change([]kv.Event{{Item: kv.Item{Key: "op/config", Value: []byte{5}}}})
+	is.Equal(w.batchConfig().Version, int64(5))
+	w.change([]kv.Event{{Item: kv.Item{Key: "op/config", Value: []byte("odd")}}})
+	w.change([]kv.Event{{Item: kv.Item{Key: "op/evacuate/a"}}})
+	is.Equal(w.batchConfig().Version, int64(5))
+	is.True(w.batchConfig().Evacuated["a"])
+	w.reset([]kv.Item{{Key: "op/config", Value: []byte("odd")}})
+	is.True(!w.batchConfig().Evacuated["a"])
+	is.Equal(strings.Count(log.String(), "config.unreadable"), 1)
+	w.change([]kv.Event{{Item: kv.Item{Key: "op/config", Value: []byte{6}}}})
+	is.Equal(w.batchConfig().Version, int64(6)) // the next good one counts
+}
+
+// Guards against an odd message of another instance that ends this process.
+func TestOddSubmissionsOfPeersAreRefused(t *testing.T) {
+	is := is.New(t)
+	for _, step := range []batch.Step{{Count: -1}, {Count: math.MaxInt}, {Count: 1, After: []int{7}}, {Count: 1, Resources: batch.Resources{MemoryMB: math.MaxInt64}}} {
+		body, err := cbor.Marshal(submittedMessage{ID: "j", Submission: owner.Submission{Queue: "q", Spec: batch.Spec{Steps: []batch.Step{step}}}})
+		is.NoErr(err)
+		_, err = decodeSubmitted(body)
+		is.True(err != nil)
+	}
+	for _, body := range [][]byte{nil, {0xff}, []byte("text"), bytes.Repeat([]byte{0x81}, 100_000), {0xa1, 0x01, 0x1b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff}} {
+		_, err := decodeSubmitted(body)
+		is.True(err != nil)
+	}
+	body, err := cbor.Marshal(submittedMessage{ID: "j", Submission: owner.Submission{Queue: "q", Spec: batch.Spec{Steps: []batch.Step{{Count: 1}}}}})
+	is.NoErr(err)
+	_, err = decodeSubmitted(body)
+	is.NoErr(err)
+}
+
 func TestReadiness(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/entry/peer_calls.go
+++ b/internal/entry/peer_calls.go
@@ -63,8 +63,8 @@
 		return nil, notOwnerError(i.owner.Yield(ctx, msg.Epoch, msg.Speed))
 	})
 	server.Handle(kindSubmitted, func(_ context.Context, _ model.InstanceID, body []byte) (any, error) {
-		var msg submittedMessage
-		if err := peer.Decode(body, &msg); err != nil {
+		msg, err := decodeSubmitted(body)
+		if err != nil {
 			return nil, err
 		}
 		return nil, notOwnerError(i.owner.NotifySubmitted(msg.ID, msg.Submission))
@@ -104,6 +104,18 @@
 	})
 }
 
+// decodeSubmitted decodes the message about a new job and validates the job.
+func decodeSubmitted(body []byte) (submittedMessage, error) {
+	var msg submittedMessage
+	if err := peer.Decode(body, &msg); err != nil {
+		return msg, err
+	}
+	if err := msg.Submission.Spec.Validate(); err != nil {
+		return msg, verdict.New(verdict.NotRun, verdict.ReasonInvalid, "job %s: %v", msg.ID, err)
+	}
+	return msg, nil
+}
+
 // notOwnerError returns nil if this instance is the owner, otherwise the error for the calling
 // instance.
 func notOwnerError(isOwner bool) error {
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -239,6 +239,14 @@
 	startCounts map[batch.TaskID]int
 	// unreachable holds the workers that answer no calls.
 	unreachable map[batch.WorkerID]bool
+	// clockless makes all reports lack a reading of the worker's clock.
+	clockless bool
+}
+
+func (w *fakeWorkers) setClockless(clockless bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.clockless = clockless
 }
 
 type fakeWorker struct {
@@ -398,7 +406,11 @@
 		return batch.Report{}, batch.AnswerNone
 	}
 	defer w.mu.Unlock()
-	return n.report(), batch.AnswerOK
+	report := n.report()
+	if w.clockless {
+		report.Clock = 0
+	}
+	return report, batch.AnswerOK
 }
 
 func (n *fakeWorker) report() batch.Report {
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
+	"github.com/geraniumwick/geraniumwick/internal/logging"
 )
 
 const (
@@ -81,6 +82,8 @@
 	// workersChanged is set when workers may have come or gone since the renewers were last
 	// reconciled.
 	workersChanged bool
+	// unreadableEntries holds the entries of the registry that cannot be decoded.
+	unreadableEntries logging.Repeats
 	// suspended is set while mayAct is false.
 	suspended bool
 }
--- /dev/null
+++ b/internal/owner/odd_values_test.go
@@ -0,0 +1,119 @@
+package owner
+
+import (
+	"bytes"
+	"context"
+	"math"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/geraniumwick/geraniumwick/internal/batch"
+)
+
+// logBuffer collects log lines of several goroutines.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *logBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(line)
+}
+
+// count returns the number of lines that hold both texts.
+func (b *logBuffer) count(event, detail string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for line := range strings.Lines(b.text.String()) {
+		if strings.Contains(line, event) && strings.Contains(line, detail) {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against an odd entry among those of the workers that ends the owner, keeps it from following the others, or
+// floods the log. The entry names no worker to use until it can be read again.
+func TestOddEntriesAmongTheWorkers(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		var log logBuffer
+		h.store.set("w/", []byte("odd"))
+		h.store.set("w/odd", []byte("odd"))
+		o := New(Options{Instance: "a", BootClock: h.bootClock, Address: "a", LeaseTTL: testLeaseTTL, MaxWorkerLease: 6 * time.Second, JobRetention: 20 * time.Second},
+			h.store, h.workers, fakeRegistry{}, testConfig, zerolog.New(&log))
+		ctx, cancel := context.WithCancel(h.ctx)
+		h.stops["a"] = cancel
+		go o.Run(ctx)
+		h.sleep(2 * time.Second)
+		for range 5 { // a listing and five changes
+			h.store.set("w/odd", []byte("odd"))
+			h.sleep(time.Second)
+		}
+		h.is.Equal(log.count("worker.unreadable", `"w/odd"`), 1)
+		h.submit("j", tasks(2))
+		h.sleep(5 * time.Second)
+		h.is.Equal(h.storedStatus("j"), batch.Completed) // on the other worker
+
+		h.store.set("w/w1", []byte("odd"))
+		h.sleep(time.Second)
+		h.submit("k", tasks(1))
+		h.sleep(3 * time.Second)
+		h.is.Equal(h.workers.starts(batch.TaskID{Job: "k"}), 0) // its entry names no worker to use
+		h.store.set("w/w1", []byte("ok"))
+		h.sleep(4 * time.Second)
+		h.is.Equal(h.storedStatus("k"), batch.Completed)
+		h.store.set("w/w1", []byte("odd"))
+		h.sleep(time.Second)
+		h.is.Equal(log.count("worker.unreadable", `"w/w1"`), 2) // once each time
+	}, "w1")
+}
+
+// Guards against a report without a reading of the clock, on which leases and starts have their end.
+func TestReportsWithoutAClock(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		h.workers.clockless = true
+		h.startInstance("a")
+		h.sleep(time.Second)
+		h.submit("j", tasks(1))
+		h.sleep(4 * time.Second)
+		h.is.Equal(h.workers.starts(batch.TaskID{Job: "j"}), 0)
+		h.workers.setClockless(false)
+		h.sleep(time.Second)
+		h.workers.setClockless(true) // the last reading counts
+		h.sleep(4 * time.Second)
+		h.is.Equal(h.storedStatus("j"), batch.Completed)
+	}, "w1")
+}
+
+// Guards against a stored job or record that ends each process that reads it.
+func TestOddRecordsAreRefused(t *testing.T) {
+	is := is.New(t)
+	for _, step := range []batch.Step{
+		{Count: -1}, {Count: 0}, {Count: math.MaxInt}, {Count: 1, After: []int{5}}, {Count: 1, After: []int{-1}},
+		{Count: 1, Resources: batch.Resources{CPU: math.MaxInt64}}, {Count: 1, Estimate: math.MaxInt64},
+	} {
+		_, err := decodeJob("j", EncodeSubmission(Submission{Queue: "q", Spec: batch.Spec{Steps: []batch.Step{step}}}))
+		is.True(err != nil)
+	}
+	deep := bytes.Repeat([]byte{0x81}, 100_000) // lists in lists
+	for _, value := range [][]byte{nil, {0xff}, {0x1b, 0xff}, []byte("text"), deep} {
+		_, err := decodeJob("j", value)
+		is.True(err != nil)
+		_, err = DecodeRecord(value)
+		is.True(err != nil)
+		_, err = decodeClaim(value)
+		is.True(err != nil)
+		_, err = decodeHead(value)
+		is.True(err != nil)
+	}
+	_, err := DecodeRecord(encode(batch.Record{Status: batch.Cancelled + 1}))
+	is.True(err != nil)
+}
--- a/internal/owner/records.go
+++ b/internal/owner/records.go
@@ -90,7 +90,13 @@
 // DecodeRecord decodes the progress record of a job.
 func DecodeRecord(b []byte) (batch.Record, error) {
 	var r batch.Record
-	return r, errors.Annotate(cbor.Unmarshal(b, &r), "record")
+	if err := cbor.Unmarshal(b, &r); err != nil {
+		return r, errors.Annotate(err, "record")
+	}
+	if r.Status > batch.Cancelled {
+		return r, errors.Errorf("record: status %d is not known", r.Status)
+	}
+	return r, nil
 }
 
 func decodeJob(id string, b []byte) (*batch.Job, error) {
@@ -98,6 +104,9 @@
 	if err := cbor.Unmarshal(b, &s); err != nil {
 		return nil, errors.Annotatef(err, "job %s", id)
 	}
+	if err := s.Spec.Validate(); err != nil {
+		return nil, errors.Annotatef(err, "job %s", id)
+	}
 	return s.job(id), nil
 }
 
--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -97,6 +97,10 @@
 		report, answer := rn.renewLimited(ctx, first)
 		switch answer {
 		case batch.AnswerOK:
+			if report.Clock == 0 && rn.clock.at.IsZero() {
+				rn.failed(ctx) // no lease and no start can be given an end on a clock that is not known
+				continue
+			}
 			rn.succeeded(ctx, report)
 		case batch.AnswerFenced:
 			rn.leader.log.Warn().Str("event", "leader.fenced").Str("worker", string(rn.info.ID)).Send()
@@ -166,7 +170,9 @@
 		rn.generation++
 	}
 	rn.incarnation = r.Incarnation
-	rn.clock = workerClock{clock: r.Clock, at: now}
+	if r.Clock > 0 {
+		rn.clock = workerClock{clock: r.Clock, at: now}
+	}
 	// The worker has sent its report in response, so it has confirmed the renewal, if there was one.
 	leaseEnd, confirmed, clock, generation := rn.leaseEnd, rn.renewalSent, rn.clock, rn.generation
 	rn.leader.post(func(l *leader, now time.Time) {
--- a/internal/owner/watch.go
+++ b/internal/owner/watch.go
@@ -74,13 +74,18 @@
 	}
 }
 
-// updateWorker applies the entry of a worker. It returns false for an entry that cannot be decoded.
+// updateWorker applies the entry of a worker. It returns false for an entry that cannot be decoded, which
+// names no worker to use.
 func (l *leader) updateWorker(item kv.Item) (batch.WorkerID, bool) {
 	info, err := l.owner.registry.Decode(item.Key, item.Value)
 	if err != nil {
-		l.log.Warn().Str("event", "worker.unreadable").Str("key", item.Key).Err(err).Send()
+		if l.unreadableEntries.New(item.Key, err.Error()) {
+			l.log.Warn().Str("event", "worker.unreadable").Str("key", item.Key).Err(err).Send()
+		}
+		l.state.RemoveWorker(l.owner.registry.ID(item.Key))
 		return "", false
 	}
+	l.unreadableEntries.Clear(item.Key)
 	l.state.UpdateWorker(info, time.Now())
 	if l.workersRecord.durable[info.ID] {
 		l.state.MarkRecorded(info.ID)
