soak: cut lists, unseen restarts, refused starts, a silent store, odd entries

The workers now list 500 ends at a time, and one wide job fills such lists; workers restart before the registry shows it, and refuse starts; the store falls silent, also while all instances are started; another program writes odd entries, in the place of workers' own too. The checker also refuses an end that is acknowledged after its task was started again, and each instance must serve in the end.

TestJudgeNoticesBrokenPromises breaks the new rule.

--- a/standin/soak/callers.go
+++ b/standin/soak/callers.go
@@ -40,7 +40,11 @@
 func (c *callers) runCaller(ctx context.Context, rng *rand.Rand, index int) {
 	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("%08x%08x", index+1, n)
-		if c.submit(ctx, rng, id, randomJob(rng, id)) {
+		job := randomJob(rng, id)
+		if index == 0 && n == 2 {
+			job = wideJob(id)
+		}
+		if c.submit(ctx, rng, id, job) {
 			c.pollJob(ctx, rng, id)
 		}
 		pause.For(ctx, time.Duration(40+rng.IntN(250))*time.Millisecond)
@@ -70,6 +74,12 @@
 	return job
 }
 
+// wideJob returns a job of so many short tasks that the ends of those on one worker do not fit into one report.
+func wideJob(id string) jobSpec {
+	const count, duration = 4800, 1200 * time.Millisecond
+	return jobSpec{Spec: "payload of " + id, Steps: []stepSpec{{Count: count, CPU: 1, Memory: 1, Estimate: duration.Milliseconds(), duration: duration}}}
+}
+
 // submit submits a job until it is accepted, at most maxSubmitTries times, which is safe as a
 // submission is idempotent. It reports whether the job was accepted.
 func (c *callers) submit(ctx context.Context, rng *rand.Rand, id string, spec jobSpec) bool {
--- a/standin/soak/checker.go
+++ b/standin/soak/checker.go
@@ -65,6 +65,7 @@
 	runningOn            map[string]map[int64]string // worker by task and run number
 	done                 map[string]bool             // tasks with a run that ended as done
 	acknowledgedDone     map[string]bool             // tasks whose done end the owner has acknowledged
+	pendingDone          map[string]map[int64]bool   // runs that ended as done without an acknowledgement; true if the task started again
 	acknowledgedFailures map[string]int              // failed ends that the owner has acknowledged
 	failures             map[string]int              // failed ends, acknowledged or not
 	violations           []string
@@ -75,7 +76,7 @@
 func NewChecker() *Checker {
 	return &Checker{
 		startedAt: time.Now(), jobs: map[string]*jobState{}, runningOn: map[string]map[int64]string{},
-		done: map[string]bool{}, acknowledgedDone: map[string]bool{}, acknowledgedFailures: map[string]int{}, failures: map[string]int{},
+		done: map[string]bool{}, acknowledgedDone: map[string]bool{}, pendingDone: map[string]map[int64]bool{}, acknowledgedFailures: map[string]int{}, failures: map[string]int{},
 	}
 }
 
@@ -95,7 +96,7 @@
 
 // addViolation records a violation under the name of the violated rule:
 //
-//   - TWICE: a task runs twice at once, or again after its end was acknowledged
+//   - TWICE: a task runs twice at once, or again after an end that was acknowledged then or later
 //   - ORDER: a task starts before the steps that it depends on are done
 //   - BUDGET: a task starts after maxAttempts acknowledged failures
 //   - LIMIT: the tasks on a worker reserve more than its capacity
@@ -104,8 +105,8 @@
 //   - REFUSED: a task of a job starts although each submission of the job was refused
 //   - LOST: an accepted job is unknown, has not ended, or has failed without enough failed runs
 //   - MIXED: a job is shown as completed before all of its tasks are done
-//   - START, STOP, EXIT: a process does not start, does not stop cleanly in time, or exits
-//     without a signal from the soak
+//   - START, STOP, EXIT, READY: a process does not start, does not stop cleanly in time, exits
+//     without a signal from the soak, or does not serve once all faults are over
 func (c *Checker) addViolation(rule, format string, args ...any) {
 	c.violations = append(c.violations, fmt.Sprintf("%s at %.2f s: ", rule, time.Since(c.startedAt).Seconds())+fmt.Sprintf(format, args...))
 }
@@ -234,6 +235,9 @@
 	if c.acknowledgedDone[r.task] {
 		c.addViolation("TWICE", "%s run %d starts on %s after its end was acknowledged", r.task, r.number, w.ID)
 	}
+	for number := range c.pendingDone[r.task] {
+		c.pendingDone[r.task][number] = true
+	}
 	for _, dependency := range spec.After {
 		if !c.stepDone(s, dependency) {
 			c.addViolation("ORDER", "%s starts before step %d is done", r.task, dependency)
@@ -258,6 +262,10 @@
 	switch outcome {
 	case "done":
 		c.done[r.task] = true
+		if c.pendingDone[r.task] == nil {
+			c.pendingDone[r.task] = map[int64]bool{}
+		}
+		c.pendingDone[r.task][r.number] = false
 	case "failed":
 		c.failures[r.task]++
 	}
@@ -270,6 +278,10 @@
 	switch outcome {
 	case "done":
 		c.acknowledgedDone[r.task] = true
+		if c.pendingDone[r.task][r.number] {
+			c.addViolation("TWICE", "%s run %d is acknowledged as done, but the task was started again after it", r.task, r.number)
+		}
+		delete(c.pendingDone[r.task], r.number)
 	case "failed":
 		c.acknowledgedFailures[r.task]++
 	}
--- a/standin/soak/checker_test.go
+++ b/standin/soak/checker_test.go
@@ -52,6 +52,14 @@
 			c.RecordAcknowledgement(run{first, 1}, "done")
 			c.RecordStart(w, run{first, 2}, "p")
 		},
+		"TWICE before an acknowledged end": func(c *Checker, w *Worker) {
+			c.RecordStart(w, run{first, 1}, "p")
+			c.RecordEnd("w", run{first, 1}, "done")
+			c.RecordStart(w, run{first, 2}, "p")
+			c.RecordEnd("w", run{first, 2}, "done")
+			c.RecordAcknowledgement(run{first, 2}, "done") // allowed if the first end is never acknowledged
+			c.RecordAcknowledgement(run{first, 1}, "done")
+		},
 		"ORDER": func(c *Checker, w *Worker) { c.RecordStart(w, run{second, 1}, "p") },
 		"BUDGET": func(c *Checker, w *Worker) {
 			for n := range int64(maxAttempts) + 1 {
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/geraniumwick/geraniumwick/internal/pause"
@@ -21,6 +22,7 @@
 		onInstance(stopInstance), degradeStoreConnection, degradeStoreConnection,
 		refuseStoreCalls, loseStoreAnswers, compactStore, changeConfiguration,
 		degradeWorkerConnection, degradeWorkerConnection, crashWorker, failWorkerTasks, delayWorkerRequests, drainWorker,
+		silenceStore, restartAllWhileSilent, refuseStarts, crashWorkerUnseen, writeOddEntry, writeOddEntry,
 	}
 	for {
 		pause.For(ctx, time.Duration(200+rng.IntN(1100))*time.Millisecond)
@@ -123,6 +125,28 @@
 	return "store down", func(tb *testbed) { tb.store.SetDown(false) }
 }
 
+func silenceStore(tb *testbed, _ *rand.Rand) (string, func(*testbed)) {
+	tb.store.SetSilent(true)
+	return "store silent", func(tb *testbed) { tb.store.SetSilent(false) }
+}
+
+// restartAllWhileSilent kills all instances and starts them again while the store gives no answer.
+func restartAllWhileSilent(tb *testbed, _ *rand.Rand) (string, func(*testbed)) {
+	tb.store.SetSilent(true)
+	tb.mu.Lock()
+	for _, i := range tb.instances {
+		if !i.exited() {
+			i.kill()
+			_ = i.proc.Wait(graceTime) // it has been killed
+		}
+	}
+	tb.mu.Unlock()
+	for _, i := range tb.instances {
+		tb.restart(i)
+	}
+	return "all instances restarted, store silent", func(tb *testbed) { tb.store.SetSilent(false) }
+}
+
 func loseStoreAnswers(tb *testbed, _ *rand.Rand) (string, func(*testbed)) {
 	const share = 0.3
 	tb.store.SetLostAnswerShare(share)
@@ -157,6 +181,48 @@
 	}
 }
 
+// crashWorkerUnseen restarts a worker under its id after a short time. The registry shows the restart late.
+func crashWorkerUnseen(tb *testbed, rng *rand.Rand) (string, func(*testbed)) {
+	worker := tb.pickWorker(rng)
+	dark, unseen := time.Duration(rng.IntN(1200))*time.Millisecond, time.Duration(rng.IntN(900))*time.Millisecond
+	worker.Crash()
+	pause.For(context.Background(), dark)
+	worker.Restart()
+	return fmt.Sprintf("crash %s, restarted after %s and shown after %s", worker.ID, dark, unseen), func(tb *testbed) {
+		pause.For(context.Background(), unseen)
+		tb.store.Put("servers/"+worker.ID, worker.Entry("ready"))
+	}
+}
+
+func refuseStarts(tb *testbed, rng *rand.Rand) (string, func(*testbed)) {
+	worker := tb.pickWorker(rng)
+	worker.SetRefusesStarts(true)
+	return "refused starts at " + worker.ID, func(*testbed) { worker.SetRefusesStarts(false) }
+}
+
+// oddEntries are values that another program may leave among the workers' entries.
+var oddEntries = []string{
+	"", "\xff\xfe", strings.Repeat("[", 100_000), `{"a":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + "}",
+	`{"service":"svc","address":"127.0.0.1:99999","zone":"a","state":"ready","capacity":{"cpu":4000,"mem-mb":100000}}`,
+	`{"service":"svc","address":"127.0.0.1:80","zone":"a","state":"ready","capacity":{"cpu":1e400}}`,
+	`{"service":"svc","address":"127.0.0.1:80","zone":"a","state":"ready","capacity":{"cpu":9223372036854775807,"mem-mb":-5}}`,
+	`{"service":"svc","address":"127.0.0.1:80","zone":"a","state":"ready","capacity":{"cpu":4000},"born":9223372036854775807}`,
+}
+
+// writeOddEntry writes an odd entry among those of the workers, in every second case in the place of a worker's own.
+func writeOddEntry(tb *testbed, rng *rand.Rand) (string, func(*testbed)) {
+	worker, n := tb.pickWorker(rng), rng.IntN(len(oddEntries))
+	if rng.IntN(2) == 0 {
+		key := fmt.Sprintf("servers/odd-%d", rng.IntN(4))
+		tb.store.PutText(key, []byte(oddEntries[n]))
+		return fmt.Sprintf("odd entry %d", n), func(tb *testbed) { tb.store.Delete(key) }
+	}
+	tb.store.PutText("servers/"+worker.ID, []byte(oddEntries[n]))
+	return fmt.Sprintf("odd entry %d in the place of %s", n, worker.ID), func(tb *testbed) {
+		tb.store.Put("servers/"+worker.ID, worker.Entry("ready"))
+	}
+}
+
 func failWorkerTasks(tb *testbed, rng *rand.Rand) (string, func(*testbed)) {
 	const share = 0.5
 	worker := tb.pickWorker(rng)
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -123,10 +123,8 @@
 		tb.instances = append(tb.instances, i)
 	}
 	for _, i := range tb.instances {
-		for startedAt := time.Now(); !i.ready(); time.Sleep(50 * time.Millisecond) {
-			if time.Since(startedAt) > readyTimeout {
-				return fmt.Errorf("%s is not ready after %s; see %s", i.name, readyTimeout, i.proc.LogFile)
-			}
+		if !tb.becomesReady(context.Background(), i) {
+			return fmt.Errorf("%s is not ready after %s; see %s", i.name, readyTimeout, i.proc.LogFile)
 		}
 	}
 	return nil
@@ -197,6 +195,11 @@
 		pause.For(ctx, 100*time.Millisecond)
 	}
 	tb.checker.CheckFinalState()
+	for _, i := range tb.instances {
+		if !i.exited() && !tb.becomesReady(ctx, i) {
+			tb.checker.RecordViolation("READY", "%s does not serve after all faults; see %s", i.name, i.proc.LogFile)
+		}
+	}
 	for _, i := range tb.instances {
 		if i.exited() && !i.exitExpected {
 			tb.checker.RecordViolation("EXIT", "%s exited without a signal from the soak; see %s", i.name, i.proc.LogFile)
@@ -207,6 +210,16 @@
 	}
 }
 
+// becomesReady waits until an instance serves, and reports whether it does within readyTimeout.
+func (tb *testbed) becomesReady(ctx context.Context, i *instance) bool {
+	for startedAt := time.Now(); time.Since(startedAt) < readyTimeout; pause.For(ctx, 50*time.Millisecond) {
+		if i.ready() {
+			return true
+		}
+	}
+	return false
+}
+
 // anyRunActive reports whether a worker is executing a run.
 func (tb *testbed) anyRunActive() bool {
 	for _, worker := range tb.workers {
--- a/standin/soak/store.go
+++ b/standin/soak/store.go
@@ -7,6 +7,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"maps"
 	"math/rand/v2"
 	"net/http"
@@ -44,9 +45,9 @@
 	changed   chan struct{}
 	rng       *rand.Rand
 
-	// down makes the store refuse all calls. lostAnswerShare is the share of transactions that
-	// are executed without an answer.
-	down            bool
+	// down makes the store refuse all calls, and silent makes it answer none. lostAnswerShare is the
+	// share of transactions that are executed without an answer.
+	down, silent    bool
 	lostAnswerShare float64
 }
 
@@ -65,6 +66,15 @@
 	s.down = down
 }
 
+// SetSilent makes the store accept calls without any answer, or serve again. Calls that came while it was
+// silent are never answered.
+func (s *Store) SetSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+	s.notifyWatches()
+}
+
 // SetLostAnswerShare sets the share of transactions whose answers are lost.
 func (s *Store) SetLostAnswerShare(share float64) {
 	s.mu.Lock()
@@ -86,10 +96,15 @@
 	if err != nil {
 		panic(err) // the types that the package writes can always be encoded
 	}
+	s.PutText(key, b)
+}
+
+// PutText writes a key with any text as its value, as another program may do.
+func (s *Store) PutText(key string, text []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.rev++
-	s.put(key, b, 0)
+	s.put(key, text, 0)
 	s.notifyWatches()
 }
 
@@ -149,6 +164,10 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.expireLeases(time.Now())
+	if s.silent {
+		s.mu.Unlock()
+		neverAnswer(r)
+	}
 	if s.down {
 		s.mu.Unlock()
 		writeJSON(w, http.StatusServiceUnavailable, struct{}{})
@@ -167,6 +186,13 @@
 	writeJSON(w, status, body)
 }
 
+// neverAnswer waits until the caller gives up, and ends the connection.
+func neverAnswer(r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body) // so that the end of the connection is noticed
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
 // execute executes a call other than a watch. If lost is true, the caller must get no answer.
 func (s *Store) execute(r *http.Request) (status int, body any, lost bool) {
 	path, id := r.URL.Path, r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]
@@ -318,6 +344,10 @@
 	for {
 		s.mu.Lock()
 		s.expireLeases(time.Now())
+		if s.silent {
+			s.mu.Unlock()
+			neverAnswer(r)
+		}
 		if after < s.compacted || s.down {
 			status := http.StatusGone
 			if s.down {
--- a/standin/soak/worker.go
+++ b/standin/soak/worker.go
@@ -65,6 +65,7 @@
 	rng            *rand.Rand
 	born           time.Time // start of this incarnation
 	up             bool
+	refusesStarts  bool
 	fencingToken   int64
 	leaseEnd       int64 // end of the lease on the worker's clock
 	runs           map[run]*activeRun
@@ -145,6 +146,13 @@
 	w.mu.Unlock()
 }
 
+// SetRefusesStarts makes the worker refuse all starts, or accept them again.
+func (w *Worker) SetRefusesStarts(refuses bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.refusesStarts = refuses
+}
+
 // SetDelayedRequestShare sets the share of start and stop requests that get no answer and are
 // executed later.
 func (w *Worker) SetDelayedRequestShare(share float64) {
@@ -331,6 +339,9 @@
 	if b.Run <= w.refusedUpTo[b.Task] {
 		return http.StatusConflict, "old"
 	}
+	if w.refusesStarts {
+		return http.StatusServiceUnavailable, ""
+	}
 	task, ok := w.checker.RecordStart(w, key, b.Spec)
 	if !ok {
 		return http.StatusBadRequest, ""
@@ -357,6 +368,9 @@
 	return sum
 }
 
+// maxListedEnds is the largest number of ends in an answer; the others follow once these are acknowledged.
+const maxListedEnds = 500
+
 type runListsBody struct {
 	Born    int64   `json:"born"`
 	Clock   int64   `json:"clock-ms"`
@@ -419,7 +433,7 @@
 		}
 		l.Running = append(l.Running, []any{r.task, r.number, "", percent, 1})
 	}
-	for _, e := range w.unacknowledged {
+	for _, e := range w.unacknowledged[:min(len(w.unacknowledged), maxListedEnds)] {
 		l.Ended = append(l.Ended, []any{e.seq, e.run.task, e.run.number, e.outcome, ""})
 	}
 	return l
