owner: the answer of a worker is all that its response says

The reading of the worker's clock in the answers to starts and stops has no use any more, since absence is judged on the owner's clock; Response, which held both, goes.

--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -336,38 +336,38 @@
 	n.nextSeq++
 }
 
-func (w *fakeWorkers) Start(ctx context.Context, req StartRequest) Response {
+func (w *fakeWorkers) Start(ctx context.Context, req StartRequest) batch.Answer {
 	n, answer := w.lookup(ctx, req.Worker, req.Epoch)
 	defer w.mu.Unlock()
 	if n == nil {
-		return Response{Answer: answer}
+		return answer
 	}
 	if time.Now().UnixMilli() > req.NotAfter {
-		return Response{Answer: batch.AnswerExpired, Clock: time.Now().UnixMilli()}
+		return batch.AnswerExpired
 	}
 	w.startCounts[req.Task]++
 	n.running[runKey{req.Task, req.Run}] = time.Now().Add(w.taskDuration)
 	close(n.changed)
 	n.changed = make(chan struct{})
-	return Response{Answer: batch.AnswerOK, Clock: time.Now().UnixMilli()}
+	return batch.AnswerOK
 }
 
-func (w *fakeWorkers) Stop(ctx context.Context, req TaskRequest) Response {
+func (w *fakeWorkers) Stop(ctx context.Context, req TaskRequest) batch.Answer {
 	n, answer := w.lookup(ctx, req.Worker, req.Epoch)
 	defer w.mu.Unlock()
 	if n == nil {
-		return Response{Answer: answer}
+		return answer
 	}
 	if _, ok := n.running[runKey{req.Task, req.Run}]; ok {
 		n.end(runKey{req.Task, req.Run}, batch.EndStopped)
 	}
-	return Response{Answer: batch.AnswerOK, Clock: time.Now().UnixMilli()}
+	return batch.AnswerOK
 }
 
-func (w *fakeWorkers) Throttle(ctx context.Context, req TaskRequest) Response {
+func (w *fakeWorkers) Throttle(ctx context.Context, req TaskRequest) batch.Answer {
 	_, answer := w.lookup(ctx, req.Worker, req.Epoch)
 	defer w.mu.Unlock()
-	return Response{Answer: answer}
+	return answer
 }
 
 func (w *fakeWorkers) RenewLease(ctx context.Context, req RenewRequest) (batch.Report, batch.Answer) {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -78,17 +78,11 @@
 	MaxWait time.Duration
 }
 
-// Response is a worker's response to a request, except to a lease renewal, which returns a report.
-type Response struct {
-	Answer batch.Answer
-	Clock  int64 // worker's clock, milliseconds; 0 if the response has none
-}
-
 // WorkerClient sends requests to workers.
 type WorkerClient interface {
-	Start(ctx context.Context, r StartRequest) Response
-	Stop(ctx context.Context, r TaskRequest) Response
-	Throttle(ctx context.Context, r TaskRequest) Response
+	Start(ctx context.Context, r StartRequest) batch.Answer
+	Stop(ctx context.Context, r TaskRequest) batch.Answer
+	Throttle(ctx context.Context, r TaskRequest) batch.Answer
 	// RenewLease returns the worker's report; it is valid only with AnswerOK.
 	RenewLease(ctx context.Context, r RenewRequest) (batch.Report, batch.Answer)
 }
--- a/internal/owner/permission_test.go
+++ b/internal/owner/permission_test.go
@@ -30,7 +30,7 @@
 	return r.WorkerClient.RenewLease(ctx, req)
 }
 
-func (r *recordingWorkers) Start(ctx context.Context, req StartRequest) Response {
+func (r *recordingWorkers) Start(ctx context.Context, req StartRequest) batch.Answer {
 	r.mu.Lock()
 	r.lastRun = time.Now()
 	r.mu.Unlock()
@@ -119,10 +119,10 @@
 	return p.WorkerClient.RenewLease(ctx, req)
 }
 
-func (p *partitionedWorkers) Start(ctx context.Context, req StartRequest) Response {
+func (p *partitionedWorkers) Start(ctx context.Context, req StartRequest) batch.Answer {
 	if p.isHidden(req.Worker) {
 		<-ctx.Done()
-		return Response{}
+		return batch.AnswerNone
 	}
 	return p.WorkerClient.Start(ctx, req)
 }
--- a/internal/owner/worker_calls.go
+++ b/internal/owner/worker_calls.go
@@ -33,33 +33,33 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(l.ctx, workerCallTimeout)
 		defer cancel()
-		response := Response{Answer: batch.AnswerExpired}
+		answer := batch.AnswerExpired
 		if l.mayAct() {
-			response = l.owner.workers.Start(ctx, request)
+			answer = l.owner.workers.Start(ctx, request)
 		}
 		l.post(func(l *leader, now time.Time) {
-			l.checkFenced(a, response, now)
-			l.state.StartAnswered(a.Worker, a.Task, a.Run, response.Answer, now)
+			l.checkFenced(a, answer)
+			l.state.StartAnswered(a.Worker, a.Task, a.Run, answer, now)
 		})
 	}()
 }
 
-func (l *leader) callWorker(a batch.Action, send func(context.Context, TaskRequest) Response) {
+func (l *leader) callWorker(a batch.Action, send func(context.Context, TaskRequest) batch.Answer) {
 	request := TaskRequest{Worker: a.Worker, Address: a.Address, Epoch: l.epoch, Task: a.Task, Run: a.Run, Percent: a.Percent}
 	go func() {
 		ctx, cancel := context.WithTimeout(l.ctx, workerCallTimeout)
 		defer cancel()
-		response := Response{Answer: batch.AnswerRefused}
+		answer := batch.AnswerRefused
 		if l.mayAct() {
-			response = send(ctx, request)
+			answer = send(ctx, request)
 		}
 		l.post(func(l *leader, now time.Time) {
-			l.checkFenced(a, response, now)
+			l.checkFenced(a, answer)
 			switch a.Kind {
 			case batch.ActionStop:
-				l.state.StopAnswered(a.Worker, a.Incarnation, a.Task, a.Run, response.Answer, now)
+				l.state.StopAnswered(a.Worker, a.Incarnation, a.Task, a.Run, answer, now)
 			case batch.ActionThrottle:
-				l.state.ThrottleAnswered(a.Worker, a.Task, a.Run, response.Answer)
+				l.state.ThrottleAnswered(a.Worker, a.Task, a.Run, answer)
 			}
 		})
 	}()
@@ -89,8 +89,8 @@
 var errNoAdviser = errors.New("no adviser is configured")
 
 // checkFenced ends the leadership if a worker rejects its epoch because it has seen a higher one.
-func (l *leader) checkFenced(a batch.Action, r Response, now time.Time) {
-	if r.Answer == batch.AnswerFenced {
+func (l *leader) checkFenced(a batch.Action, answer batch.Answer) {
+	if answer == batch.AnswerFenced {
 		l.log.Warn().Str("event", "leader.fenced").Str("worker", string(a.Worker)).Send()
 		l.stepDown("a worker has seen a higher epoch")
 	}
--- a/internal/owner/workers_record.go
+++ b/internal/owner/workers_record.go
@@ -44,7 +44,10 @@
 
 // setLeaseEnd updates a worker whose lease is not renewed and ends at a time.
 func (r *workersRecord) setLeaseEnd(id batch.WorkerID, end time.Time) {
-	r.set(id, laterOf(end, r.leaseEnds[id]))
+	if recorded := r.leaseEnds[id]; recorded.After(end) {
+		end = recorded
+	}
+	r.set(id, end)
 }
 
 func (r *workersRecord) set(id batch.WorkerID, end time.Time) {
@@ -123,10 +126,3 @@
 	}
 	return until, nil
 }
-
-func laterOf(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
