owner: the log names the workers that a take-over waits for

After a take-over a task that no worker lists waits until every worker that may run tasks of former owners has answered or its lease has ended. The log said that a step waits for "a worker that has not answered" (step.waits) and, ten seconds later, takeover.resolved; it could not tell whether the worker had crashed a moment before, had left idle long before, or had been lost under an owner before the last. The new line takeover.in-doubt names each worker that the registry does not have when the owner loads, with the longest wait for it.

No decision is changed.

--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -41,8 +43,9 @@
 	}
 	now := time.Now()
 	l.state.SetConfig(l.owner.config())
-	l.restore(owned, accepted, now)
+	inDoubt := l.restore(owned, accepted, now)
 	l.resetWorkers(workers)
+	l.logInDoubt(inDoubt, now)
 	go l.watchJobs(ctx, acceptedRev)
 	go l.watchWorkers(ctx, workersRev)
 	live, total := l.state.Counts()
@@ -50,8 +53,9 @@
 	return nil
 }
 
-// restore rebuilds the state from the content of the store.
-func (l *leader) restore(owned, accepted []kv.Item, now time.Time) {
+// restore rebuilds the state from the content of the store. It returns the workers that may run tasks of
+// former owners, and until when they may if this owner does not reach them.
+func (l *leader) restore(owned, accepted []kv.Item, now time.Time) (inDoubt map[batch.WorkerID]time.Time) {
 	records := map[string]*batch.Record{}
 	latest := now.Add(l.workerLeaseExpiry() + claimGrace)
 	for _, item := range owned {
@@ -59,6 +63,7 @@
 			until, err := l.workersRecord.restore(item.Value, now, latest)
 			l.checkReadable(item.Key, err)
 			l.state.SetUnresolvedWorkers(until)
+			inDoubt = until
 			continue
 		}
 		if item.Key == interferenceKey {
@@ -74,6 +79,22 @@
 		}
 	}
 	l.applySubmissions(accepted, records, true, now)
+	return inDoubt
+}
+
+// logInDoubt logs the workers that the registry no longer has although they may run tasks of former owners.
+// Nobody can ask them, so tasks that no worker lists wait for the last of their leases.
+func (l *leader) logInDoubt(until map[batch.WorkerID]time.Time, now time.Time) {
+	listed := map[batch.WorkerID]bool{}
+	for _, w := range l.state.Workers() {
+		listed[w.ID] = true
+	}
+	for _, id := range slices.Sorted(maps.Keys(until)) {
+		if !listed[id] {
+			l.log.Info().Str("event", "takeover.in-doubt").Str("worker", string(id)).Int64("wait-ms", until[id].Sub(now).Milliseconds()).
+				Str("why", "it may run tasks of a former owner, and the registry does not have it").Send()
+		}
+	}
 }
 
 // checkReadable logs an entry of the store that cannot be decoded, and reports whether there was no
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -26,6 +26,7 @@
 	owners  map[string]*Owner
 	// bootClockAhead is how far the boot clock of all instances is ahead of synthetic time, in nanoseconds.
 	bootClockAhead atomic.Int64
+	log            logBuffer // of all instances
 }
 
 // bootClock is Options.BootClock of all instances. It is ahead of synthetic time after a suspension of the
@@ -61,7 +62,7 @@
 func (h *harness) startInstance(name string) *Owner {
 	ctx, cancel := context.WithCancel(h.ctx)
 	o := New(Options{Instance: name, BootClock: h.bootClock, Address: name, LeaseTTL: 1200 * time.Millisecond, MaxWorkerLease: 6 * time.Second, JobRetention: 20 * time.Second},
-		h.store, h.workers, fakeRegistry{}, testConfig, zerolog.Nop())
+		h.store, h.workers, fakeRegistry{}, testConfig, zerolog.New(&h.log))
 	h.stops[name], h.owners[name] = cancel, o
 	go o.Run(ctx)
 	return o
