owner: a worker that can run nothing any more leaves the stored workers record

What callers saw: a task that lasts and whose run had ended between two owners stayed down for ten seconds after the take-over, with room for it (LOST).

Cause: the workers record, by which the next owner knows who may still run tasks of its predecessors, was written again only when a worker was added or a lease had ended. A worker that left while it ran nothing stayed in it as being renewed, for as long as nothing else changed; so did one that was drained, had nothing left to run and left between the owners. The next owner cannot ask a worker that the registry does not have, and waited for the longest lease and the whole permission of its predecessor (6.38 + 3.5 s) before it started any task in doubt. The record believed without saying what it rests on.

Mend: in use is a worker with attempts, one that is listed and not draining, and one in doubt. What is no longer in use is dropped from the record within half a second, and gets no task before it has been recorded again. The owner knows of all that such a worker may run: an attempt is forgotten only when it certainly neither runs nor can start.

--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -94,11 +94,13 @@
 }
 
 // WorkersInUse returns the ids of all workers that may run tasks, started by this or a former owner,
-// or may get some.
+// or may get some. A draining worker gets none.
 func (s *State) WorkersInUse() map[WorkerID]bool {
-	out := map[WorkerID]bool{}
-	for _, info := range s.Workers() {
-		out[info.ID] = true
+	out := make(map[WorkerID]bool, len(s.workers))
+	for id, w := range s.workers {
+		if w.inUse() {
+			out[id] = true
+		}
 	}
 	for id := range s.unresolvedWorkers {
 		out[id] = true
@@ -106,6 +108,20 @@
 	return out
 }
 
+// InUse reports whether a worker may run tasks, started by this or a former owner, or may get some.
+func (s *State) InUse(id WorkerID) bool {
+	if _, unresolved := s.unresolvedWorkers[id]; unresolved {
+		return true
+	}
+	w := s.workers[id]
+	return w != nil && w.inUse()
+}
+
+// inUse reports whether this owner may have tasks on the worker, or may start some there.
+func (w *worker) inUse() bool {
+	return len(w.attempts) > 0 || w.listed && !w.info.Draining
+}
+
 // SetUnresolvedWorkers sets the workers on which a former owner may have started tasks, and for each
 // the time until which these may run if the worker stays unreachable.
 func (s *State) SetUnresolvedWorkers(until map[WorkerID]time.Time) {
@@ -122,6 +138,13 @@
 	}
 }
 
+// MarkUnrecorded notes that the store will not hold such a record any more.
+func (s *State) MarkUnrecorded(id WorkerID) {
+	if w := s.workers[id]; w != nil {
+		w.recorded = false
+	}
+}
+
 // MarkUnreachable notes that a call to the worker failed or timed out.
 func (s *State) MarkUnreachable(id WorkerID) {
 	if w := s.workers[id]; w != nil && !w.unreachable {
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -82,6 +82,7 @@
 	c := &l.commits
 	c.timer = nil
 	l.workersRecord.noteEndedLeases(now)
+	l.workersRecord.noteUnused(l.state.WorkersInUse, now)
 	if c.inFlight != nil || l.state.DirtyJobs() == 0 && !l.workersRecord.dirty && len(l.prunedJobs) == 0 {
 		return
 	}
@@ -109,7 +110,9 @@
 		t.txn.Set = append(t.txn.Set, kv.Write{Key: RecordKey(id), Value: encode(r)})
 	}
 	if l.workersRecord.dirty {
-		l.workersRecord.addTo(t, l.state.WorkersInUse(), now)
+		for _, id := range l.workersRecord.addTo(t, l.state.WorkersInUse(), now) {
+			l.state.MarkUnrecorded(id)
+		}
 	}
 	if now.Sub(c.interferenceSaved) > interferenceInterval {
 		c.interferenceSaved = now
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -422,7 +422,7 @@
 	return r
 }
 
-// fakeRegistry decodes entries of workers with the key prefix w/.
+// fakeRegistry decodes entries of workers with the key prefix w/, whose value is ok or draining.
 type fakeRegistry struct{}
 
 func (fakeRegistry) Prefix() string { return "w/" }
@@ -430,11 +430,11 @@
 	return batch.WorkerID(strings.TrimPrefix(key, "w/"))
 }
 func (r fakeRegistry) Decode(key string, value []byte) (batch.WorkerInfo, error) {
-	if string(value) != "ok" {
+	if string(value) != "ok" && string(value) != "draining" {
 		return batch.WorkerInfo{}, errors.New("unreadable")
 	}
 	return batch.WorkerInfo{
-		ID: r.ID(key), Incarnation: 1, Service: "svc", Address: key, DataCentre: "a",
+		ID: r.ID(key), Incarnation: 1, Service: "svc", Address: key, DataCentre: "a", Draining: string(value) == "draining",
 		Capacity: batch.Resources{CPU: 8000, MemoryMB: 8000},
 	}, nil
 }
--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -231,8 +231,11 @@
 // resulting changes are durable.
 func (l *leader) handleReport(rn *renewer, r batch.Report, generation int, now time.Time) {
 	id := rn.info.ID
-	l.workersRecord.setRenewed(id)
-	i := renewalParams{ackSeq: l.state.ApplyReport(id, r, now), maxWait: l.maxReportWait(id), renew: true, generation: generation}
+	ackSeq := l.state.ApplyReport(id, r, now)
+	if l.workersRecord.contains(id) || l.state.InUse(id) {
+		l.workersRecord.setRenewed(id)
+	}
+	i := renewalParams{ackSeq: ackSeq, maxWait: l.maxReportWait(id), renew: true, generation: generation}
 	l.setParamsWhenDurable(i, rn)
 }
 
--- a/internal/owner/take_over_test.go
+++ b/internal/owner/take_over_test.go
@@ -24,6 +24,19 @@
 	h.store.remove("w/" + string(id))
 }
 
+// fail ends all running attempts of a task as failed.
+func (h *harness) fail(task batch.TaskID) {
+	h.workers.mu.Lock()
+	defer h.workers.mu.Unlock()
+	for _, n := range h.workers.workers {
+		for key := range n.running {
+			if key.task == task {
+				n.end(key, batch.EndFailed)
+			}
+		}
+	}
+}
+
 // workerOf returns the worker that runs a task.
 func (h *harness) workerOf(task batch.TaskID) batch.WorkerID {
 	h.workers.mu.Lock()
@@ -39,6 +52,38 @@
 	return ""
 }
 
+// idleWorker returns a worker that runs nothing.
+func (h *harness) idleWorker() batch.WorkerID {
+	h.workers.mu.Lock()
+	defer h.workers.mu.Unlock()
+	for id, n := range h.workers.workers {
+		if len(n.running) == 0 && !h.workers.unreachable[id] {
+			return id
+		}
+	}
+	h.t.Fatal("no worker is idle")
+	return ""
+}
+
+// timeToStart returns after which time a task has been started n times, at most limit.
+func (h *harness) timeToStart(task batch.TaskID, n int, limit time.Duration) time.Duration {
+	begun := time.Now()
+	for h.workers.starts(task) < n && time.Since(begun) < limit {
+		h.sleep(50 * time.Millisecond)
+	}
+	return time.Since(begun)
+}
+
+// requireRestart checks that a task is started for the nth time within a limit.
+func (h *harness) requireRestart(task batch.TaskID, n int, limit time.Duration) {
+	h.t.Helper()
+	took := h.timeToStart(task, n, time.Minute)
+	h.t.Logf("start %d after %s", n, took)
+	if took > limit {
+		h.t.Errorf("start %d of %v came after %s, at most %s are allowed", n, task, took, limit)
+	}
+}
+
 // Guards against a wait after a take-over that the log does not explain: the worker that left, and the longest
 // wait for it, must be named.
 func TestANewOwnerNamesTheWorkersThatItWaitsFor(t *testing.T) {
@@ -59,3 +104,43 @@
 		h.is.Equal(h.log.count("takeover.resolved", `"worker":"`+string(lost)+`"`), 1)
 	}, "w1", "w2", "w3")
 }
+
+// Guards against a long-running task that stays down after a take-over because of a worker that left long
+// before and ran nothing.
+func TestAnIdleWorkerThatLeftLongAgoHoldsUpNoTask(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		h.workers.taskDuration = time.Hour
+		h.startInstance("a")
+		h.sleep(time.Second)
+		h.submit("j", longRunning(1))
+		h.sleep(time.Second)
+		h.startInstance("b")
+		h.leave(h.idleWorker())
+		h.sleep(20 * time.Second)
+		task := batch.TaskID{Job: "j"}
+		h.kill("a")
+		h.fail(task)
+		h.requireRestart(task, 2, 3*time.Second)
+	}, "w1", "w2", "w3")
+}
+
+// Guards against a long-running task that stays down after a take-over because of a worker that was drained
+// and left between the two owners.
+func TestADrainedWorkerThatLeavesBetweenTwoOwnersHoldsUpNoTask(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		h.workers.taskDuration = time.Hour
+		h.startInstance("a")
+		h.sleep(time.Second)
+		h.submit("j", longRunning(1))
+		h.sleep(time.Second)
+		h.startInstance("b")
+		drained := h.idleWorker()
+		h.store.set("w/"+string(drained), []byte("draining"))
+		h.sleep(3 * time.Second)
+		task := batch.TaskID{Job: "j"}
+		h.kill("a")
+		h.leave(drained)
+		h.fail(task)
+		h.requireRestart(task, 2, 3*time.Second)
+	}, "w1", "w2", "w3")
+}
--- a/internal/owner/watch.go
+++ b/internal/owner/watch.go
@@ -89,7 +89,7 @@
 	l.state.UpdateWorker(info, time.Now())
 	if l.workersRecord.durable[info.ID] {
 		l.state.MarkRecorded(info.ID)
-	} else if !l.workersRecord.contains(info.ID) {
+	} else if !l.workersRecord.contains(info.ID) && l.state.InUse(info.ID) {
 		l.workersRecord.setRenewed(info.ID)
 	}
 	l.workersChanged = true
--- a/internal/owner/workers_record.go
+++ b/internal/owner/workers_record.go
@@ -25,8 +25,13 @@
 	dirty bool
 	// firstEnd is the first end of a lease that the newest transaction says to last; zero if there is none.
 	firstEnd time.Time
+	// checked is when the record was last checked for workers that are no longer in use.
+	checked time.Time
 }
 
+// unusedCheckInterval is the interval between two checks of the record for workers that are no longer in use.
+const unusedCheckInterval = 500 * time.Millisecond
+
 // recordedLease is a worker's lease in the stored record.
 type recordedLease struct {
 	// Ending is set while the lease is not renewed. Remaining is how long it lasted when the record was
@@ -70,15 +75,32 @@
 	}
 }
 
+// noteUnused makes the record be written again if it contains a worker that is no longer in use. A successor
+// would wait for the tasks that it may run. inUse returns the workers in use.
+func (r *workersRecord) noteUnused(inUse func() map[batch.WorkerID]bool, now time.Time) {
+	if r.dirty || now.Sub(r.checked) < unusedCheckInterval {
+		return
+	}
+	r.checked = now
+	used := inUse()
+	for id := range r.leaseEnds {
+		if !used[id] {
+			r.dirty = true
+			return
+		}
+	}
+}
+
 // addTo adds the record to a transaction, after it has dropped the workers that are no longer in
-// use.
-func (r *workersRecord) addTo(t *recordTxn, inUse map[batch.WorkerID]bool, now time.Time) {
+// use. It returns those.
+func (r *workersRecord) addTo(t *recordTxn, inUse map[batch.WorkerID]bool, now time.Time) (dropped []batch.WorkerID) {
 	r.firstEnd = time.Time{}
 	leases := make(map[batch.WorkerID]recordedLease, len(r.leaseEnds))
 	for id, end := range r.leaseEnds {
 		if !inUse[id] {
 			delete(r.leaseEnds, id)
 			delete(r.durable, id)
+			dropped = append(dropped, id)
 			continue
 		}
 		t.workers = append(t.workers, id)
@@ -86,6 +108,7 @@
 	}
 	t.txn.Set = append(t.txn.Set, kv.Write{Key: workersKey, Value: encode(leases)})
 	r.dirty = false
+	return dropped
 }
 
 // lease returns what the record says of a lease with the given end.
