owner: a series of owners waits once for a worker that none of them reaches

What callers saw: a task that lasts stays down for as long as owners are killed one after the other, with room for it (LOST).

Cause: the wait for a worker of a former owner began anew with each take-over. The stored workers record says how long a lease lasts, which the next owner counts from its own take-over, and it was written again only when the lease had ended; a worker that the new owner did not reach went into its record as being renewed, so the owner after it waited again for the longest lease and the whole permission of its predecessor, which had never renewed it. The belief "it may still run" did not say whose lease it rests on.

Mend: the record says of a lease that is not renewed any more which owner was the last that may have renewed it. Each instance remembers when it first saw the claim of each epoch, on its own steady clock, so it knows since when that owner has been replaced, however many came after it. A new owner records the ends of the leases of workers that the registry does not have at once, and of the others when they do not answer; a record with leases that still last is written again every half second, so that the duration in it is as old as that at most. A worker is recorded as being renewed only when this owner has reached it, durable before the first renewal, as before.

--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -165,14 +165,15 @@
 	w.leaseConfirmed = w.leaseConfirmed || confirmed
 }
 
-// LeaseEnd returns the time by which everything on a worker has ended if it stays out of contact. It is zero
-// if the worker has no lease.
+// LeaseEnd returns the time by which everything on a worker has ended if it stays out of contact, also what a
+// former owner may have started there. It is zero if the worker has no lease.
 func (s *State) LeaseEnd(id WorkerID) time.Time {
+	end := s.unresolvedWorkers[id]
 	w := s.workers[id]
 	if w == nil {
-		return time.Time{}
+		return end
 	}
-	end := w.leaseEnd
+	end = laterOf(end, w.leaseEnd)
 	for _, a := range w.attempts {
 		end = laterOf(end, s.leaseEnd(a))
 	}
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -237,12 +237,19 @@
 	workers      map[batch.WorkerID]*fakeWorker
 	// startCounts holds the number of starts of each task, over all workers.
 	startCounts map[batch.TaskID]int
+	lastStarts  map[batch.TaskID]time.Time
 	// unreachable holds the workers that answer no calls.
 	unreachable map[batch.WorkerID]bool
 	// clockless makes all reports lack a reading of the worker's clock.
 	clockless bool
 }
 
+func (w *fakeWorkers) isUnreachable(id batch.WorkerID) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.unreachable[id]
+}
+
 func (w *fakeWorkers) setClockless(clockless bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -265,7 +272,7 @@
 }
 
 func newFakeWorkers(ids ...batch.WorkerID) *fakeWorkers {
-	w := &fakeWorkers{taskDuration: time.Second, workers: map[batch.WorkerID]*fakeWorker{}, startCounts: map[batch.TaskID]int{}, unreachable: map[batch.WorkerID]bool{}}
+	w := &fakeWorkers{taskDuration: time.Second, workers: map[batch.WorkerID]*fakeWorker{}, startCounts: map[batch.TaskID]int{}, lastStarts: map[batch.TaskID]time.Time{}, unreachable: map[batch.WorkerID]bool{}}
 	for _, id := range ids {
 		w.workers[id] = &fakeWorker{incarnation: 1, running: map[runKey]time.Time{}, nextSeq: 1, changed: make(chan struct{})}
 	}
@@ -279,6 +286,13 @@
 	return w.startCounts[id]
 }
 
+// lastStarted returns when a task was last started on any worker.
+func (w *fakeWorkers) lastStarted(id batch.TaskID) time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lastStarts[id]
+}
+
 const callLatency = time.Millisecond
 
 // runningCopies returns on how many workers a task runs now.
@@ -346,6 +360,7 @@
 		return batch.AnswerExpired
 	}
 	w.startCounts[req.Task]++
+	w.lastStarts[req.Task] = time.Now()
 	n.running[runKey{req.Task, req.Run}] = time.Now().Add(w.taskDuration)
 	close(n.changed)
 	n.changed = make(chan struct{})
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -117,7 +117,7 @@
 		state:         batch.New(held.claim.Epoch, timing),
 		clocks:        map[batch.WorkerID]workerClock{},
 		renewers:      map[batch.WorkerID]*renewer{},
-		workersRecord: newWorkerRecord(),
+		workersRecord: newWorkerRecord(held.claim.Epoch),
 		commits:       committer{rev: held.commitRev},
 	}
 	l.extendOwnership(held.granted)
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -45,7 +45,7 @@
 	l.state.SetConfig(l.owner.config())
 	inDoubt := l.restore(owned, accepted, now)
 	l.resetWorkers(workers)
-	l.logInDoubt(inDoubt, now)
+	l.recordInDoubt(inDoubt, now)
 	go l.watchJobs(ctx, acceptedRev)
 	go l.watchWorkers(ctx, workersRev)
 	live, total := l.state.Counts()
@@ -60,7 +60,7 @@
 	latest := now.Add(l.workerLeaseExpiry() + claimGrace)
 	for _, item := range owned {
 		if item.Key == workersKey {
-			until, err := l.workersRecord.restore(item.Value, now, latest)
+			until, err := l.workersRecord.restore(item.Value, now, latest, l.latestLeaseOf)
 			l.checkReadable(item.Key, err)
 			l.state.SetUnresolvedWorkers(until)
 			inDoubt = until
@@ -82,15 +82,28 @@
 	return inDoubt
 }
 
-// logInDoubt logs the workers that the registry no longer has although they may run tasks of former owners.
-// Nobody can ask them, so tasks that no worker lists wait for the last of their leases.
-func (l *leader) logInDoubt(until map[batch.WorkerID]time.Time, now time.Time) {
+// latestLeaseOf returns the time by which any lease that the owner with an epoch has sent to a worker has ended.
+// That owner may have gone on for claimGrace after the end of its claim, and a claim that was removed may have
+// been confirmed until then. The time is zero if this instance has not seen when that owner was replaced.
+func (l *leader) latestLeaseOf(epoch int64) time.Time {
+	replaced := l.owner.replacedAt(epoch)
+	if replaced.IsZero() {
+		return time.Time{}
+	}
+	return replaced.Add(l.owner.opts.LeaseTTL + claimGrace + l.workerLeaseExpiry())
+}
+
+// recordInDoubt logs the workers that the registry no longer has although they may run tasks of former owners,
+// and records the ends of their leases for the next owner. Nobody can ask them, so tasks that no worker lists
+// wait for the last of these ends.
+func (l *leader) recordInDoubt(until map[batch.WorkerID]time.Time, now time.Time) {
 	listed := map[batch.WorkerID]bool{}
 	for _, w := range l.state.Workers() {
 		listed[w.ID] = true
 	}
 	for _, id := range slices.Sorted(maps.Keys(until)) {
 		if !listed[id] {
+			l.recordLeaseEnd(id)
 			l.log.Info().Str("event", "takeover.in-doubt").Str("worker", string(id)).Int64("wait-ms", until[id].Sub(now).Milliseconds()).
 				Str("why", "it may run tasks of a former owner, and the registry does not have it").Send()
 		}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -142,6 +142,8 @@
 	leading atomic.Pointer[leader]
 	// claim is the newest claim that this instance has seen; nil if there is none.
 	claim atomic.Pointer[Claim]
+	// claimsSeen are the claims of the newest epochs that this instance has seen, the oldest first.
+	claimsSeen seenClaims
 	// claimVacant signals that nobody holds the claim.
 	claimVacant chan struct{}
 	// resign stops further campaigns.
@@ -247,6 +249,7 @@
 func (o *Owner) setClaim(c *Claim) {
 	old := o.claim.Swap(c)
 	if c != nil {
+		o.claimsSeen.add(c.Epoch, time.Now())
 		o.compareSpeed(*c)
 		o.revokeFormerClaim(*c)
 	}
--- /dev/null
+++ b/internal/owner/take_over_chain_test.go
@@ -0,0 +1,50 @@
+package owner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/batch"
+)
+
+// ownerlessLeaseLimit is the time within which a task is started again that runs on a worker which only a killed
+// owner has reached: its claim and its permission to act end after 4.7 s, its last lease lasts 6.4 s, and the end
+// may fall into a take-over, each of which takes 1.4 s.
+const ownerlessLeaseLimit = 14 * time.Second
+
+// Guards against a long-running task that stays down as long as owners are replaced: each new owner waited
+// anew for the lease of a worker that no owner had reached since the first one.
+func TestAChainOfOwnersWaitsOnceForALostWorker(t *testing.T) {
+	for _, interval := range []time.Duration{2 * time.Second, 3 * time.Second, 5 * time.Second, 8 * time.Second} {
+		t.Run(interval.String(), func(t *testing.T) {
+			withHarness(t, func(h *harness) {
+				h.workers.taskDuration = time.Hour
+				h.startInstance("i0")
+				h.sleep(time.Second)
+				h.submit("j", longRunning(1))
+				h.sleep(2 * time.Second)
+				for i := range 6 {
+					h.startInstance(fmt.Sprintf("i%d", i+1))
+				}
+				task := batch.TaskID{Job: "j"}
+				h.sleep(time.Second)
+				lost := h.workerOf(task)
+				begun := time.Now()
+				for range 5 {
+					h.kill(h.leader())
+					if !h.workers.isUnreachable(lost) {
+						h.leave(lost)
+					}
+					h.sleep(interval - killDuration)
+				}
+				h.timeToStart(task, 2, time.Minute)
+				took := h.workers.lastStarted(task).Sub(begun)
+				h.t.Logf("started again after %s", took)
+				if took > ownerlessLeaseLimit {
+					h.t.Errorf("%v was started again after %s, at most %s are allowed", task, took, ownerlessLeaseLimit)
+				}
+			}, "w1", "w2", "w3")
+		})
+	}
+}
--- a/internal/owner/workers_record.go
+++ b/internal/owner/workers_record.go
@@ -11,24 +11,35 @@
 
 // workersRecord lists the workers on which an owner may have started tasks, for its successor to
 // read from the store. A worker is recorded before its first start. For an unreachable worker
-// the record holds how long its lease lasted when the record was written. Before that lease is renewed
-// again, a record without this time has become durable.
+// the record holds how long its lease lasted when the record was written, and which owner was the last that
+// may have renewed it. Before that lease is renewed again, a record without these has become durable.
 //
 // The record holds no time of day, since the clocks of two instances may differ by any amount.
 type workersRecord struct {
+	// epoch is that of the owner that writes the record.
+	epoch int64
 	// leaseEnds holds the end of each worker's lease on this instance's monotonic clock; it is zero while
 	// the lease is being renewed.
 	leaseEnds map[batch.WorkerID]time.Time
+	// lastRenewers holds the epoch of the last owner that may have renewed the lease, for the workers that
+	// this owner has not reached yet.
+	lastRenewers map[batch.WorkerID]int64
 	// durable holds the workers that the stored record contains.
 	durable map[batch.WorkerID]bool
 	// dirty is set while the record has changes that are in no transaction yet.
 	dirty bool
 	// firstEnd is the first end of a lease that the newest transaction says to last; zero if there is none.
 	firstEnd time.Time
+	// written is when the newest transaction with the record was built.
+	written time.Time
 	// checked is when the record was last checked for workers that are no longer in use.
 	checked time.Time
 }
 
+// leaseRefreshInterval is the longest time after which a record that says how long a lease lasts is written
+// again. A successor counts that time from its take-over, so it waits at most this much too long for it.
+const leaseRefreshInterval = 500 * time.Millisecond
+
 // unusedCheckInterval is the interval between two checks of the record for workers that are no longer in use.
 const unusedCheckInterval = 500 * time.Millisecond
 
@@ -38,14 +49,20 @@
 	// written; 0 if it had ended.
 	Ending    bool          `cbor:"1,keyasint,omitempty"`
 	Remaining time.Duration `cbor:"2,keyasint,omitempty"`
+	// Epoch is that of the last owner that may have renewed the lease, if it is not renewed any more; 0 if
+	// that is not known.
+	Epoch int64 `cbor:"3,keyasint,omitempty"`
 }
 
-func newWorkerRecord() workersRecord {
-	return workersRecord{leaseEnds: map[batch.WorkerID]time.Time{}, durable: map[batch.WorkerID]bool{}}
+func newWorkerRecord(epoch int64) workersRecord {
+	return workersRecord{epoch: epoch, leaseEnds: map[batch.WorkerID]time.Time{}, lastRenewers: map[batch.WorkerID]int64{}, durable: map[batch.WorkerID]bool{}}
 }
 
-// setRenewed adds or updates a worker whose lease is being renewed.
-func (r *workersRecord) setRenewed(id batch.WorkerID) { r.set(id, time.Time{}) }
+// setRenewed adds or updates a worker whose lease is being renewed by this owner.
+func (r *workersRecord) setRenewed(id batch.WorkerID) {
+	delete(r.lastRenewers, id)
+	r.set(id, time.Time{})
+}
 
 // setLeaseEnd updates a worker whose lease is not renewed and ends at a time.
 func (r *workersRecord) setLeaseEnd(id batch.WorkerID, end time.Time) {
@@ -68,9 +85,10 @@
 	return ok
 }
 
-// noteEndedLeases makes the record be written again once a lease in it has ended.
+// noteEndedLeases makes the record be written again once a lease in it has ended, and every
+// leaseRefreshInterval until then.
 func (r *workersRecord) noteEndedLeases(now time.Time) {
-	if !r.firstEnd.IsZero() && now.After(r.firstEnd) {
+	if !r.firstEnd.IsZero() && (now.After(r.firstEnd) || now.Sub(r.written) >= leaseRefreshInterval) {
 		r.dirty = true
 	}
 }
@@ -94,35 +112,40 @@
 // addTo adds the record to a transaction, after it has dropped the workers that are no longer in
 // use. It returns those.
 func (r *workersRecord) addTo(t *recordTxn, inUse map[batch.WorkerID]bool, now time.Time) (dropped []batch.WorkerID) {
-	r.firstEnd = time.Time{}
+	r.firstEnd, r.written = time.Time{}, now
 	leases := make(map[batch.WorkerID]recordedLease, len(r.leaseEnds))
 	for id, end := range r.leaseEnds {
 		if !inUse[id] {
 			delete(r.leaseEnds, id)
 			delete(r.durable, id)
+			delete(r.lastRenewers, id)
 			dropped = append(dropped, id)
 			continue
 		}
 		t.workers = append(t.workers, id)
-		leases[id] = r.lease(end, now)
+		leases[id] = r.lease(id, end, now)
 	}
 	t.txn.Set = append(t.txn.Set, kv.Write{Key: workersKey, Value: encode(leases)})
 	r.dirty = false
 	return dropped
 }
 
-// lease returns what the record says of a lease with the given end.
-func (r *workersRecord) lease(end, now time.Time) recordedLease {
+// lease returns what the record says of a worker's lease with the given end.
+func (r *workersRecord) lease(id batch.WorkerID, end, now time.Time) recordedLease {
 	if end.IsZero() {
 		return recordedLease{}
 	}
+	epoch, former := r.lastRenewers[id]
+	if !former {
+		epoch = r.epoch
+	}
 	if !end.After(now) {
-		return recordedLease{Ending: true}
+		return recordedLease{Ending: true, Epoch: epoch}
 	}
 	if r.firstEnd.IsZero() || end.Before(r.firstEnd) {
 		r.firstEnd = end
 	}
-	return recordedLease{Ending: true, Remaining: end.Sub(now)}
+	return recordedLease{Ending: true, Remaining: end.Sub(now), Epoch: epoch}
 }
 
 // unreadableWorkers stands for the workers of a record that cannot be decoded. No worker has this id, so
@@ -130,10 +153,12 @@
 const unreadableWorkers batch.WorkerID = ""
 
 // restore reads the record of the former owner. It returns, for each worker, the time by which tasks
-// started by the former owner have certainly ended if the worker stays unreachable. latest is the time
-// by which any lease of a former owner has ended; the result is earlier if the record holds how long the
-// worker's lease still lasted. That time counts from now, since the record was written before.
-func (r *workersRecord) restore(value []byte, now, latest time.Time) (map[batch.WorkerID]time.Time, error) {
+// started by former owners have certainly ended if the worker stays unreachable. latest is the time by which
+// any lease of a former owner has ended. The result is earlier if the record holds how long the worker's lease
+// still lasted, which counts from now, since the record was written before. It is earlier too if the last owner
+// that may have renewed the lease has been replaced longer ago: latestOf returns the time by which any
+// lease of the owner with an epoch has ended; the zero time if that is not known.
+func (r *workersRecord) restore(value []byte, now, latest time.Time, latestOf func(epoch int64) time.Time) (map[batch.WorkerID]time.Time, error) {
 	var leases map[batch.WorkerID]recordedLease
 	if err := cbor.Unmarshal(value, &leases); err != nil {
 		return map[batch.WorkerID]time.Time{unreadableWorkers: latest}, err
@@ -141,11 +166,22 @@
 	until := map[batch.WorkerID]time.Time{}
 	for id, lease := range leases {
 		r.durable[id] = true
-		r.leaseEnds[id] = time.Time{}
-		until[id] = latest
-		if end := now.Add(lease.Remaining); lease.Ending && end.Before(latest) {
-			r.leaseEnds[id], until[id] = end, end
+		r.leaseEnds[id], until[id] = time.Time{}, latest
+		r.lastRenewers[id] = r.epoch - 1
+		if !lease.Ending {
+			continue
+		}
+		end := now.Add(lease.Remaining)
+		if lease.Epoch > 0 {
+			r.lastRenewers[id] = lease.Epoch
+			if t := latestOf(lease.Epoch); !t.IsZero() && t.Before(end) {
+				end = t
+			}
+		}
+		if end.Before(latest) {
+			until[id] = end
 		}
+		r.leaseEnds[id] = until[id]
 	}
 	return until, nil
 }
