--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -25,6 +26,7 @@
 		s.stopStalled(now)
 		s.stopThrottled(now)
 	}
+	s.lastPlan = now
 	s.openDue(now)
 	s.place(now)
 	s.sendStops(now)
@@ -151,9 +153,34 @@
 		return
 	}
 	st.waitReason = reason
+	if reason == waitsForRoom {
+		reason += s.describeWorkers(s.queueOf(st.job).Service)
+	}
 	s.event(Event{Name: "step.waits", Job: st.job.ID, Task: TaskID{Job: st.job.ID, Occurrence: st.occ.number, Step: st.number}, Detail: reason})
 }
 
+// describeWorkers describes for the log how many workers of a service may get new tasks, and why the others
+// may not. The log calls a quarantined worker shunned.
+func (s *State) describeWorkers(service string) string {
+	usable, quarantined, draining, silent, other := 0, 0, 0, 0, 0
+	for _, w := range s.workers {
+		switch {
+		case !w.listed || w.info.Service != service:
+		case w.usable(s, s.lastPlan):
+			usable++
+		case s.lastPlan.Before(w.quarantinedUntil):
+			quarantined++
+		case w.info.Draining:
+			draining++
+		case w.unreachable:
+			silent++
+		default:
+			other++
+		}
+	}
+	return fmt.Sprintf(": %d may get tasks, %d are shunned, %d drain, %d are silent, %d wait for a report, a lease or a record", usable, quarantined, draining, silent, other)
+}
+
 // unplacedSteps holds the steps for which no worker was found in one Plan. The search is skipped for
 // steps with the same constraints that need at least as many resources.
 type unplacedSteps []*step
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -32,6 +32,7 @@
 	unstartedJobs     map[string]int    // number of jobs without a started task, by queue
 	stops             map[*attempt]bool // attempts that are being stopped
 	lastCheck         time.Time         // last check for expired leases and stalled tasks
+	lastPlan          time.Time
 	interferenceModel *interferenceModel
 	// shortCPU is the CPU reserved by the attempts of short tasks, which are those that are not
 	// long-running, and meanShortCPU its moving average, in thousandths of a core.
--- a/internal/owner/permission_test.go
+++ b/internal/owner/permission_test.go
@@ -135,6 +135,7 @@
 	h.stops[name] = cancel
 	o := New(Options{Instance: name, BootClock: h.bootClock, Address: name, LeaseTTL: testLeaseTTL, MaxWorkerLease: 6 * time.Second, JobRetention: 20 * time.Second},
 		store, workers, fakeRegistry{}, testConfig, zerolog.Nop())
+	h.owners[name] = o
 	go o.Run(ctx)
 }
 
@@ -213,6 +214,28 @@
 // A zone is cut off: the owner reaches only a worker there, and its successor, with the store, only the
 // others. The task on the cut-off worker runs once at any time.
 func TestTaskOfACutOffOwnerRunsOnce(t *testing.T) {
+	testCutOffOwner(t, 0, func(*harness) {})
+}
+
+// Guards against a task that runs twice after an owner that is cut off was taken for dead, as its port refused a
+// call: its claim is removed before it has expired, while the owner may still act on its last confirmation.
+func TestTaskOfAnOwnerTakenForDeadRunsOnce(t *testing.T) {
+	for cutAfter := time.Duration(0); cutAfter < idleWait; cutAfter += 100 * time.Millisecond {
+		t.Run(cutAfter.String(), func(t *testing.T) {
+			testCutOffOwner(t, cutAfter, func(h *harness) {
+				b := h.owners["b"]
+				for b.Claim() == nil {
+					h.sleep(time.Millisecond)
+				}
+				b.RevokeClaim(*b.Claim(), "its port refuses a call")
+			})
+		})
+	}
+}
+
+// testCutOffOwner cuts off an owner some time after it has started a task, calls inform with its harness, and
+// checks that the task runs once.
+func testCutOffOwner(t *testing.T, cutAfter time.Duration, inform func(h *harness)) {
 	withHarness(t, func(h *harness) {
 		h.workers.taskDuration = time.Hour
 		task := batch.TaskID{Job: "j"}
@@ -230,11 +253,13 @@
 			cutOff, other = other, cutOff
 		}
 		h.workers.mu.Unlock()
+		h.sleep(cutAfter)
 		store.setCut(true)
 		reached.hide(other)
 		cutAt := time.Now()
 		next := &partitionedWorkers{WorkerClient: h.workers, hidden: cutOff}
 		h.startInstanceAt("b", h.store, next)
+		inform(h)
 		for time.Since(cutAt) < 30*time.Second {
 			h.sleep(100 * time.Millisecond)
 			h.is.True(h.workers.runningCopies(task) <= 1)
