--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -153,10 +153,11 @@
 		return
 	}
 	st.waitReason = reason
+	e := Event{Name: "step.waits", Job: st.job.ID, Task: TaskID{Job: st.job.ID, Occurrence: st.occ.number, Step: st.number}, Detail: reason}
 	if reason == waitsForRoom {
-		reason += s.describeWorkers(s.queueOf(st.job).Service)
+		e.Inputs = s.describeWorkers(s.queueOf(st.job).Service)
 	}
-	s.event(Event{Name: "step.waits", Job: st.job.ID, Task: TaskID{Job: st.job.ID, Occurrence: st.occ.number, Step: st.number}, Detail: reason})
+	s.event(e)
 }
 
 // describeWorkers describes for the log how many workers of a service may get new tasks, and why the others
@@ -178,7 +179,7 @@
 			other++
 		}
 	}
-	return fmt.Sprintf(": %d may get tasks, %d are shunned, %d drain, %d are silent, %d wait for a report, a lease or a record", usable, quarantined, draining, silent, other)
+	return fmt.Sprintf("%d may get tasks, %d are shunned, %d drain, %d are silent, %d wait for a report, a lease or a record", usable, quarantined, draining, silent, other)
 }
 
 // unplacedSteps holds the steps for which no worker was found in one Plan. The search is skipped for
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -64,6 +64,7 @@
 	Run    int64
 	Worker WorkerID
 	Detail string
+	Inputs string // what decided, if Detail does not say it
 }
 
 // New returns an empty state for the owner with the given epoch.
--- a/internal/owner/maintenance.go
+++ b/internal/owner/maintenance.go
@@ -57,6 +57,9 @@
 		if e.Detail != "" {
 			line = line.Str("why", e.Detail)
 		}
+		if e.Inputs != "" {
+			line = line.Str("inputs", e.Inputs)
+		}
 		line.Int64("config", l.state.ConfigVersion()).Send()
 	}
 }
