owner: a late event of its own former claim deposes no owner

What callers saw: after an outage of the store two take-overs in place of one, each with a load and a new doubt about every task that no worker lists.

Cause: the owner of before the outage is told at once that its claim has ended (404), campaigns and leads again with the next epoch. Its watch of the claim, which had hung since the outage began, then delivers what it missed: the end of the former claim. The handler believed every such event, whatever its revision, took the new claim for lost and stepped down.

Mend: the instance keeps the revision at which it last acquired the claim; events and listings of before it are ignored.

Evidence: TestALateEventOfTheFormerClaimDeposesNobody (the store silent for 2, 5 and 9 s, one instance) failed before with epoch 3 each time; now epoch 2, and two starts of a leader.

--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -29,8 +29,10 @@
 	down    bool
 	// lostAnswers is the number of coming transactions that are executed but return an error.
 	lostAnswers int
-	changed     chan struct{}
-	commits     int
+	// silent makes watches answer nothing and keep waiting; they return what they missed when they end.
+	silent  bool
+	changed chan struct{}
+	commits int
 }
 
 func newMemoryStore() *memoryStore {
@@ -101,6 +103,14 @@
 	s.down = down
 }
 
+// setSilent makes the store answer no call and keep watches waiting, or serve again. Watches that wait go on
+// to do so until their time is over.
+func (s *memoryStore) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down, s.silent = silent, silent
+}
+
 // set writes a key on behalf of another program, without latency or faults.
 func (s *memoryStore) set(key string, value []byte) {
 	s.mu.Lock()
@@ -139,6 +149,11 @@
 	for {
 		s.mu.Lock()
 		s.expireLeases()
+		if s.silent && ctx.Err() == nil {
+			s.mu.Unlock()
+			pause.For(ctx, wait)
+			continue
+		}
 		if s.down {
 			s.mu.Unlock()
 			return nil, 0, kv.ErrUnavailable
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -142,6 +142,9 @@
 	leading atomic.Pointer[leader]
 	// claim is the newest claim that this instance has seen; nil if there is none.
 	claim atomic.Pointer[Claim]
+	// heldRev is the revision at which this instance last acquired the claim. Its watch may tell later of what
+	// happened to the claim before.
+	heldRev atomic.Int64
 	// claimsSeen are the claims of the newest epochs that this instance has seen, the oldest first.
 	claimsSeen seenClaims
 	// claimVacant signals that nobody holds the claim.
@@ -211,8 +214,8 @@
 func (o *Owner) watchClaim(ctx context.Context) {
 	w := &kv.Watcher{
 		Store: o.store, Prefix: claimKey, WatchTimeout: claimWatchTimeout, RetryDelay: storeRetryDelay,
-		OnReset: func(items []kv.Item, _ int64) {
-			if len(items) == 0 {
+		OnReset: func(items []kv.Item, rev int64) {
+			if len(items) == 0 && rev >= o.heldRev.Load() {
 				o.setClaim(nil)
 			}
 			for _, i := range items {
@@ -229,7 +232,7 @@
 }
 
 func (o *Owner) applyClaimEvent(e kv.Event) {
-	if e.Key != claimKey {
+	if e.Key != claimKey || e.Rev < o.heldRev.Load() {
 		return
 	}
 	if e.Deleted {
@@ -363,6 +366,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	l := newLeader(o, held, cancel)
+	o.heldRev.Store(held.commitRev)
 	o.claim.Store(&held.claim)
 	o.leading.Store(l)
 	o.log.Info().Str("event", "leader.start").Int64("epoch", held.claim.Epoch).Send()
--- a/internal/owner/take_over_chain_test.go
+++ b/internal/owner/take_over_chain_test.go
@@ -48,3 +48,22 @@
 		})
 	}
 }
+
+// Guards against an owner that steps down on the end of its own former claim, of which its watch tells late: each
+// outage of the store cost two take-overs in place of one.
+func TestALateEventOfTheFormerClaimDeposesNobody(t *testing.T) {
+	for _, outage := range []time.Duration{2 * time.Second, 5 * time.Second, 9 * time.Second} {
+		t.Run(outage.String(), func(t *testing.T) {
+			withHarness(t, func(h *harness) {
+				a := h.startInstance("a")
+				h.sleep(5 * time.Second)
+				h.store.setSilent(true)
+				h.sleep(outage)
+				h.store.setSilent(false)
+				h.sleep(10 * time.Second)
+				h.is.Equal(a.Claim().Epoch, int64(2))
+				h.is.Equal(h.log.count("leader.start", ""), 2)
+			}, "w1")
+		})
+	}
+}
