owner: an owner that was taken for dead keeps its permission in the next owner's sums

What callers would see: a zone is cut off, and its cut refuses calls. The other instances take the refused connection to the owner for the end of its process and remove its claim at once. The owner still reaches the workers of its zone, and renews their leases until 3.5 s after its last confirmed claim would have ended, 4.7 s after the cut. The next owner allowed for 3.5 s after its own load, so a task that lasts was started elsewhere up to 1.2 s before its former run ended.

Cause: "its claim has ended" stood for both a lease that has run out and a claim that was removed on a guess.

The next owner allows for the rest of the lease as well after a removal on a guess, and for nothing after a certain end. It counts from the moment at which it knew its own claim to be held, no longer from the end of its load: the former claim had ended and the record was written by then.

--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -253,6 +253,8 @@
 	// startCounts holds the number of starts of each task, over all workers.
 	startCounts map[batch.TaskID]int
 	lastStarts  map[batch.TaskID]time.Time
+	// overlaps is the number of starts of a task that ran elsewhere.
+	overlaps int
 	// unreachable holds the workers that answer no calls.
 	unreachable map[batch.WorkerID]bool
 	// clockless makes all reports lack a reading of the worker's clock.
@@ -374,6 +376,7 @@
 	if time.Now().UnixMilli() > req.NotAfter {
 		return batch.AnswerExpired
 	}
+	w.noteOverlap(req.Task)
 	w.startCounts[req.Task]++
 	w.lastStarts[req.Task] = time.Now()
 	n.running[runKey{req.Task, req.Run}] = time.Now().Add(w.taskDuration)
@@ -382,6 +385,18 @@
 	return batch.AnswerOK
 }
 
+// noteOverlap counts a start of a task that runs on a worker already.
+func (w *fakeWorkers) noteOverlap(id batch.TaskID) {
+	for _, n := range w.workers {
+		n.advance()
+		for key := range n.running {
+			if key.task == id {
+				w.overlaps++
+			}
+		}
+	}
+}
+
 func (w *fakeWorkers) Stop(ctx context.Context, req TaskRequest) batch.Answer {
 	n, answer := w.lookup(ctx, req.Worker, req.Epoch)
 	defer w.mu.Unlock()
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -57,10 +57,12 @@
 // former owners, and until when they may if this owner does not reach them.
 func (l *leader) restore(owned, accepted []kv.Item, now time.Time) (inDoubt map[batch.WorkerID]time.Time) {
 	records := map[string]*batch.Record{}
-	latest := now.Add(l.workerLeaseExpiry() + claimGrace)
+	// The record was written before this owner had the claim, and the claim of the former one had ended by then.
+	acquired := l.held.acquired
+	latest := acquired.Add(l.formerPermission(owned) + l.workerLeaseExpiry())
 	for _, item := range owned {
 		if item.Key == workersKey {
-			until, err := l.workersRecord.restore(item.Value, now, latest, l.latestLeaseOf)
+			until, err := l.workersRecord.restore(item.Value, acquired, latest, l.latestLeaseOf)
 			l.checkReadable(item.Key, err)
 			l.state.SetUnresolvedWorkers(until)
 			inDoubt = until
@@ -110,6 +112,29 @@
 	}
 }
 
+// formerPermission returns for how long the former owner may go on acting after its claim has ended. A claim that
+// was removed may have been confirmed just before, and lasts for the owner as long as its lease would have.
+func (l *leader) formerPermission(owned []kv.Item) time.Duration {
+	for _, item := range owned {
+		if item.Key != claimRemovedKey {
+			continue
+		}
+		var removal claimRemoval
+		if !l.checkReadable(item.Key, cbor.Unmarshal(item.Value, &removal)) {
+			return l.owner.opts.LeaseTTL + claimGrace
+		}
+		switch {
+		case removal.Epoch != l.epoch-1:
+			return claimGrace
+		case removal.Ended:
+			return 0
+		default:
+			return l.owner.opts.LeaseTTL + claimGrace
+		}
+	}
+	return claimGrace
+}
+
 // checkReadable logs an entry of the store that cannot be decoded, and reports whether there was no
 // error.
 func (l *leader) checkReadable(key string, err error) bool {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -305,8 +305,9 @@
 	lease int64
 	// commitRev is the revision of the claim and of the head.
 	commitRev int64
-	// granted is when its lease was requested.
-	granted moment
+	// granted is when its lease was requested, and acquired when it was known to be held.
+	granted  moment
+	acquired time.Time
 }
 
 // acquireClaim writes the claim with the next epoch, on condition that there is no claim and that
@@ -335,7 +336,7 @@
 		go o.revokeLease(lease)
 		return heldClaim{}, err
 	}
-	return heldClaim{claim: c, lease: lease, commitRev: commitRev, granted: granted}, nil
+	return heldClaim{claim: c, lease: lease, commitRev: commitRev, granted: granted, acquired: time.Now()}, nil
 }
 
 // campaignTimeout bounds all store calls of one campaign together.
--- a/internal/owner/permission_test.go
+++ b/internal/owner/permission_test.go
@@ -264,6 +264,7 @@
 			h.sleep(100 * time.Millisecond)
 			h.is.True(h.workers.runningCopies(task) <= 1)
 		}
+		h.is.Equal(h.workers.overlaps, 0)
 		h.is.Equal(h.workers.runningCopies(task), 1) // restarted after the last lease
 		h.is.Equal(h.workers.starts(task), 2)
 	}, "w1", "w2")
--- a/internal/owner/records.go
+++ b/internal/owner/records.go
@@ -19,11 +19,13 @@
 	acceptedPrefix = "gw/in/"
 	jobPrefix      = acceptedPrefix + "job/"
 	cancelPrefix   = acceptedPrefix + "cancel/"
-	// Only the owner writes below ownerPrefix.
+	// Only the owner writes below ownerPrefix, but for claimRemovedKey.
 	ownerPrefix     = "gw/out/"
 	recordPrefix    = ownerPrefix + "job/"
 	workersKey      = ownerPrefix + "workers"
 	interferenceKey = ownerPrefix + "learned"
+	// claimRemovedKey holds the last claimRemoval: a claim that was removed before its lease had ended.
+	claimRemovedKey = ownerPrefix + "claim-removed"
 )
 
 // commitHead is the value of headKey. Each transaction of an owner requires that the head is still
--- a/internal/owner/workers_record_test.go
+++ b/internal/owner/workers_record_test.go
@@ -117,10 +117,10 @@
 			if former {
 				leaseEnd = laterTime(leaseEnd, replaced.Add(ttl+pass("acts on", claimGrace)+lease))
 			}
-			now = now.Add(pass("load", 2*time.Second) + ttl)
+			now = now.Add(pass("load", 2*time.Second))
 			r := newWorkerRecord(epoch)
-			latest := now.Add(lease + claimGrace)
-			until, err := r.restore(stored, now, latest, func(epoch int64) time.Time {
+			latest := replaced.Add(ttl + claimGrace + lease)
+			until, err := r.restore(stored, replaced, latest, func(epoch int64) time.Time {
 				if at := seen.replaced(epoch); !at.IsZero() {
 					return at.Add(ttl + claimGrace + lease)
 				}
