--- a/internal/batch/restart_test.go
+++ b/internal/batch/restart_test.go
@@ -118,3 +118,24 @@
 	is.Equal(len(startActions(planUntilIdle(next, now))), 0)
 	is.Equal(next.Job("j").attempts, 1)
 }
+
+// Guards against a task that stays down for as long as its worker restarts behind a cut: the wait for a start that
+// may be carried out late began anew with each restart.
+func TestRestartsOfAWorkerDoNotProlongTheWaitForALateStart(t *testing.T) {
+	is := is.New(t)
+	s, now := newTestState("a")
+	addJob(s, "j", "q", now, taskStep(1, 1000))
+	start := startOne(s, now)
+	s.StartAnswered("a", start.Task, start.Run, AnswerNone, now)
+	addWorker(s, "b", Resources{CPU: 4000, MemoryMB: 4000}, now)
+	s.MarkUnreachable("a")
+	limit := now.Add(maxCallDelay + testLimits.LeaseTTL)
+	for incarnation := int64(2); now.Before(limit); incarnation++ {
+		info := restartedWorker(s)
+		info.Incarnation = incarnation
+		s.UpdateWorker(info, now)
+		is.Equal(len(startActions(planUntilIdle(s, now))), 0)
+		now = now.Add(3 * time.Second)
+	}
+	is.Equal(len(startActions(planUntilIdle(s, now))), 1)
+}
