owner: the wait for a start that may be carried out late is not shortened by a successor

What callers would see: a task runs twice, after its worker restarted and went out of contact with a start on its way, and the owner was replaced.

Cause: the record says how long the worker may still start something, which can be 18 s; the successor cut that to the longest lease (9.88 s after its take-over, and since also to what the epoch of the last renewal allows). These bound leases, not starts that are carried out late.

Mend: the record marks ends that allow for a late start. They are not shortened, and are handed on with the mark.

--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -180,6 +180,21 @@
 	return end
 }
 
+// MayStartLate reports whether a worker may still carry out a start that was sent to its former incarnation, so
+// that LeaseEnd lies beyond all leases that were sent to it.
+func (s *State) MayStartLate(id WorkerID) bool {
+	w := s.workers[id]
+	if w == nil {
+		return false
+	}
+	for _, a := range w.attempts {
+		if !a.listed && a.acceptedAt.IsZero() && !a.restartedAt.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
 // HasLease reports whether the worker has confirmed a renewal since it was last unreachable.
 func (s *State) HasLease(id WorkerID) bool {
 	w := s.workers[id]
--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -256,6 +256,6 @@
 // recordLeaseEnd records when the lease of an unreachable worker ends.
 func (l *leader) recordLeaseEnd(id batch.WorkerID) {
 	if end := l.state.LeaseEnd(id); l.workersRecord.contains(id) && !end.IsZero() {
-		l.workersRecord.setLeaseEnd(id, end)
+		l.workersRecord.setLeaseEnd(id, end, l.state.MayStartLate(id))
 	}
 }
--- a/internal/owner/workers_record.go
+++ b/internal/owner/workers_record.go
@@ -24,6 +24,8 @@
 	// lastRenewers holds the epoch of the last owner that may have renewed the lease, for the workers that
 	// this owner has not reached yet.
 	lastRenewers map[batch.WorkerID]int64
+	// lateStarts holds the workers that may carry out a start late, after all leases have ended.
+	lateStarts map[batch.WorkerID]bool
 	// durable holds the workers that the stored record contains.
 	durable map[batch.WorkerID]bool
 	// dirty is set while the record has changes that are in no transaction yet.
@@ -52,20 +54,28 @@
 	// Epoch is that of the last owner that may have renewed the lease, if it is not renewed any more; 0 if
 	// that is not known.
 	Epoch int64 `cbor:"3,keyasint,omitempty"`
+	// LateStart is set if Remaining allows for a start that may be carried out late, so that the end of the
+	// leases proves nothing.
+	LateStart bool `cbor:"4,keyasint,omitempty"`
 }
 
 func newWorkerRecord(epoch int64) workersRecord {
-	return workersRecord{epoch: epoch, leaseEnds: map[batch.WorkerID]time.Time{}, lastRenewers: map[batch.WorkerID]int64{}, durable: map[batch.WorkerID]bool{}}
+	return workersRecord{epoch: epoch, leaseEnds: map[batch.WorkerID]time.Time{}, lastRenewers: map[batch.WorkerID]int64{}, lateStarts: map[batch.WorkerID]bool{}, durable: map[batch.WorkerID]bool{}}
 }
 
 // setRenewed adds or updates a worker whose lease is being renewed by this owner.
 func (r *workersRecord) setRenewed(id batch.WorkerID) {
 	delete(r.lastRenewers, id)
+	delete(r.lateStarts, id)
 	r.set(id, time.Time{})
 }
 
-// setLeaseEnd updates a worker whose lease is not renewed and ends at a time.
-func (r *workersRecord) setLeaseEnd(id batch.WorkerID, end time.Time) {
+// setLeaseEnd updates a worker whose lease is not renewed and ends at a time. lateStart says that the end allows
+// for a start that may be carried out late.
+func (r *workersRecord) setLeaseEnd(id batch.WorkerID, end time.Time, lateStart bool) {
+	if lateStart {
+		r.lateStarts[id] = true
+	}
 	if recorded := r.leaseEnds[id]; recorded.After(end) {
 		end = recorded
 	}
@@ -119,6 +129,7 @@
 			delete(r.leaseEnds, id)
 			delete(r.durable, id)
 			delete(r.lastRenewers, id)
+			delete(r.lateStarts, id)
 			dropped = append(dropped, id)
 			continue
 		}
@@ -145,7 +156,7 @@
 	if r.firstEnd.IsZero() || end.Before(r.firstEnd) {
 		r.firstEnd = end
 	}
-	return recordedLease{Ending: true, Remaining: end.Sub(now), Epoch: epoch}
+	return recordedLease{Ending: true, Remaining: end.Sub(now), Epoch: epoch, LateStart: r.lateStarts[id]}
 }
 
 // unreadableWorkers stands for the workers of a record that cannot be decoded. No worker has this id, so
@@ -157,7 +168,8 @@
 // any lease of a former owner has ended. The result is earlier if the record holds how long the worker's lease
 // still lasted, which counts from now, since the record was written before. It is earlier too if the last owner
 // that may have renewed the lease has been replaced longer ago: latestOf returns the time by which any
-// lease of the owner with an epoch has ended; the zero time if that is not known.
+// lease of the owner with an epoch has ended; the zero time if that is not known. It is later than latest only if a
+// start may be carried out late.
 func (r *workersRecord) restore(value []byte, now, latest time.Time, latestOf func(epoch int64) time.Time) (map[batch.WorkerID]time.Time, error) {
 	var leases map[batch.WorkerID]recordedLease
 	if err := cbor.Unmarshal(value, &leases); err != nil {
@@ -171,17 +183,27 @@
 		if !lease.Ending {
 			continue
 		}
-		end := now.Add(lease.Remaining)
 		if lease.Epoch > 0 {
 			r.lastRenewers[id] = lease.Epoch
-			if t := latestOf(lease.Epoch); !t.IsZero() && t.Before(end) {
-				end = t
-			}
 		}
-		if end.Before(latest) {
-			until[id] = end
+		until[id] = now.Add(lease.Remaining)
+		if lease.LateStart {
+			r.lateStarts[id] = true
+		} else {
+			until[id] = earliest(until[id], latest, latestOf(lease.Epoch))
 		}
 		r.leaseEnds[id] = until[id]
 	}
 	return until, nil
 }
+
+// earliest returns the earliest of the times that are not zero.
+func earliest(times ...time.Time) time.Time {
+	var first time.Time
+	for _, t := range times {
+		if !t.IsZero() && (first.IsZero() || t.Before(first)) {
+			first = t
+		}
+	}
+	return first
+}
--- a/internal/owner/workers_record_test.go
+++ b/internal/owner/workers_record_test.go
@@ -41,8 +41,8 @@
 	former := time.Unix(1_000_000, 0)
 	r := newWorkerRecord(2)
 	r.setRenewed("renewed")
-	r.setLeaseEnd("silent", former.Add(4*time.Second))
-	r.setLeaseEnd("ended", former.Add(-time.Second))
+	r.setLeaseEnd("silent", former.Add(4*time.Second), false)
+	r.setLeaseEnd("ended", former.Add(-time.Second), false)
 	for _, ahead := range []time.Duration{-time.Hour, 0, 5 * time.Second, time.Hour} {
 		now := former.Add(ahead)
 		latest := now.Add(10 * time.Second)
@@ -59,7 +59,7 @@
 	is := is.New(t)
 	now := time.Unix(1_000_000, 0)
 	r := newWorkerRecord(2)
-	r.setLeaseEnd("silent", now.Add(4*time.Second))
+	r.setLeaseEnd("silent", now.Add(4*time.Second), false)
 	r.stored(now)
 	r.noteEndedLeases(now.Add(leaseRefreshInterval - time.Millisecond))
 	is.True(!r.dirty)
@@ -82,7 +82,7 @@
 	is := is.New(t)
 	now := time.Unix(1_000_000, 0)
 	r := newWorkerRecord(2)
-	r.setLeaseEnd("silent", now.Add(leaseRefreshInterval/2))
+	r.setLeaseEnd("silent", now.Add(leaseRefreshInterval/2), false)
 	r.stored(now)
 	r.noteEndedLeases(now.Add(leaseRefreshInterval / 2))
 	is.True(!r.dirty)
@@ -133,7 +133,7 @@
 				t.Fatalf("owner %d expects the lease to end at %s, it ends at %s", epoch, until[id], leaseEnd)
 			}
 			former = rapid.Bool().Draw(t, "reaches the worker")
-			r.setLeaseEnd(id, until[id])
+			r.setLeaseEnd(id, until[id], false)
 			if former {
 				if fenced := now.Add(lease); leaseEnd.After(fenced) {
 					leaseEnd = fenced // the worker refuses what the former owner sends from now on
@@ -144,7 +144,7 @@
 				leaseEnd = laterTime(leaseEnd, now.Add(lease))
 				if rapid.Bool().Draw(t, "loses it") {
 					former = false
-					r.setLeaseEnd(id, now.Add(lease))
+					r.setLeaseEnd(id, now.Add(lease), false)
 				}
 			}
 			if rapid.Bool().Draw(t, "stores") {
@@ -167,3 +167,20 @@
 	}
 	return b
 }
+
+// Guards against a task that runs twice because a successor shortens the wait for a start that may be carried out
+// late to the longest lease, or does so once the owner that sent it has been replaced for long.
+func TestTheWaitForALateStartIsNotShortened(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000_000, 0)
+	r := newWorkerRecord(2)
+	r.setLeaseEnd("silent", now.Add(18*time.Second), true)
+	stored := r.stored(now)
+	for epoch := int64(3); epoch < 6; epoch++ {
+		next := newWorkerRecord(epoch)
+		until, err := next.restore(stored, now, now.Add(10*time.Second), func(int64) time.Time { return now })
+		is.NoErr(err)
+		is.Equal(until["silent"], now.Add(18*time.Second))
+		stored = next.stored(now) // handed on by an owner that does not reach the worker either
+	}
+}
