owner: the instance of a former owner tells its successor since when that one has ended

What callers saw: a task that lasts, whose worker was lost around the end of an owner, stays down although the store, the owner and all others are calm again (LOST).

Cause: the next owner counts the leases of its predecessor from its own take-over and allows for all that the former claim permits, since nobody says when the predecessor has sent the last one. Its instance knows: its process ended before the present one was started, or its leadership has ended.

Mend: the head names the process that writes it, and the claim names the process of the epoch before. An instance that is named there tells the owner since when that leadership has ended, as soon as it has, a duration on its own steady clock. The owner shortens the waits for the workers that it has not reached and that only the former one may have renewed; if the one before that may have acted for longer, or that is not known, they end later or not earlier. A leader whose leadership has ended sends nothing more (mayAct). A machine that stays dark tells nothing; the full wait stands.

--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -130,6 +130,16 @@
 	}
 }
 
+// ShortenDoubt notes that what former owners started on a worker has ended by a time if the worker stays
+// unreachable. It reports whether that is earlier than was known.
+func (s *State) ShortenDoubt(id WorkerID, until time.Time) bool {
+	if known, ok := s.unresolvedWorkers[id]; !ok || !until.Before(known) {
+		return false
+	}
+	s.unresolvedWorkers[id] = until
+	return true
+}
+
 // MarkRecorded notes that the store holds a record that the worker may be in use. A worker gets no
 // tasks before.
 func (s *State) MarkRecorded(id WorkerID) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -60,6 +60,9 @@
 	opts.Owner.AskToYield = func(ctx context.Context, c owner.Claim) error {
 		return peers.Call(ctx, c.Address, kindYield, yieldMessage{Epoch: c.Epoch, Speed: opts.Owner.Speed}, nil)
 	}
+	opts.Owner.ReportEnd = func(ctx context.Context, c owner.Claim, end owner.LeadershipEnd) error {
+		return peers.Call(ctx, c.Address, kindLeadershipEnd, leadershipEndMessage{Epoch: c.Epoch, End: end}, nil)
+	}
 	i := &Instance{
 		name:    opts.Name,
 		store:   store,
--- a/internal/entry/peer_calls.go
+++ b/internal/entry/peer_calls.go
@@ -18,6 +18,7 @@
 	kindQueuedJobs
 	kindYield
 	kindCreate
+	kindLeadershipEnd
 )
 
 type submittedMessage struct {
@@ -35,6 +36,12 @@
 	Speed float64 `cbor:"2,keyasint"`
 }
 
+// leadershipEndMessage tells the owner with an epoch that the owner before it has ended.
+type leadershipEndMessage struct {
+	Epoch int64               `cbor:"1,keyasint"`
+	End   owner.LeadershipEnd `cbor:"2,keyasint"`
+}
+
 // createMessage asks the owner to create a key unless it exists.
 type createMessage struct {
 	Key   string `cbor:"1,keyasint"`
@@ -62,6 +69,13 @@
 		}
 		return nil, notOwnerError(i.owner.Yield(ctx, msg.Epoch, msg.Speed))
 	})
+	server.Handle(kindLeadershipEnd, func(_ context.Context, _ model.InstanceID, body []byte) (any, error) {
+		var msg leadershipEndMessage
+		if err := peer.Decode(body, &msg); err != nil {
+			return nil, err
+		}
+		return nil, notOwnerError(i.owner.FormerOwnerEnded(msg.Epoch, msg.End))
+	})
 	server.Handle(kindSubmitted, func(_ context.Context, _ model.InstanceID, body []byte) (any, error) {
 		msg, err := decodeSubmitted(body)
 		if err != nil {
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -105,7 +105,7 @@
 	c.number++
 	t := &recordTxn{number: c.number, oldestChange: l.state.OldestChange(), records: l.state.TakeDirty(maxRecordsPerTxn)}
 	t.txn.If = []kv.Condition{{Key: headKey, Rev: c.rev}}
-	t.txn.Set = []kv.Write{{Key: headKey, Value: encode(commitHead{Epoch: l.epoch, Number: c.number})}}
+	t.txn.Set = []kv.Write{{Key: headKey, Value: encode(commitHead{Epoch: l.epoch, Number: c.number, Owner: l.owner.process()})}}
 	for id, r := range t.records {
 		t.txn.Set = append(t.txn.Set, kv.Write{Key: RecordKey(id), Value: encode(r)})
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -12,6 +12,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,6 +38,8 @@
 	YieldToSpeed float64 `cbor:"5,keyasint,omitempty"`
 	// Incarnation distinguishes the successive processes of an instance.
 	Incarnation uint64 `cbor:"6,keyasint,omitempty"`
+	// Former is the process that led in the epoch before; nil if it is not known.
+	Former *Process `cbor:"7,keyasint,omitempty"`
 }
 
 // StartRequest asks a worker to start a task.
@@ -122,6 +125,9 @@
 	// AskToYield asks the owner of a claim to hand over to this faster machine; if it is nil, no
 	// owner is asked.
 	AskToYield func(ctx context.Context, c Claim) error
+	// ReportEnd tells the owner of a claim that the former owner has ended, which was this instance; if it is
+	// nil, no owner is told.
+	ReportEnd func(ctx context.Context, c Claim, end LeadershipEnd) error
 	// BootClock returns the time since the machine was booted, including the time for which it was
 	// suspended; if it is nil, the system's clock is read.
 	BootClock func() time.Duration
@@ -147,6 +153,8 @@
 	heldRev atomic.Int64
 	// claimsSeen are the claims of the newest epochs that this instance has seen, the oldest first.
 	claimsSeen seenClaims
+	// ended holds when each leadership of this process ended, by epoch.
+	ended sync.Map
 	// claimVacant signals that nobody holds the claim.
 	claimVacant chan struct{}
 	// resign stops further campaigns.
@@ -157,6 +165,8 @@
 	lastYield atomic.Pointer[time.Time]
 	// incarnation is a random number that identifies this process.
 	incarnation uint64
+	// started is when this process was started at the latest.
+	started time.Time
 }
 
 // New returns an owner that takes no part in campaigns until Run is called.
@@ -176,6 +186,7 @@
 		log:         log,
 		claimVacant: make(chan struct{}, 1),
 		incarnation: rand.Uint64(),
+		started:     time.Now(),
 	}
 }
 
@@ -252,7 +263,7 @@
 func (o *Owner) setClaim(c *Claim) {
 	old := o.claim.Swap(c)
 	if c != nil {
-		o.claimsSeen.add(c.Epoch, time.Now())
+		o.noteClaim(*c)
 		o.compareSpeed(*c)
 		o.revokeFormerClaim(*c)
 	}
@@ -276,6 +287,15 @@
 	}
 }
 
+// noteClaim remembers a claim. The first time that it is seen, its owner is told of the end of the former one, if
+// that was this instance.
+func (o *Owner) noteClaim(c Claim) {
+	if !o.claimsSeen.add(c.Epoch, time.Now()) {
+		return
+	}
+	go o.reportEnd(c)
+}
+
 // campaign tries once to become the owner, and leads if it succeeds.
 func (o *Owner) campaign(ctx context.Context) {
 	pause.For(ctx, rand.N(maxCampaignJitter)+o.extraCampaignDelay(time.Now()))
@@ -324,8 +344,11 @@
 	if err != nil {
 		return heldClaim{}, err
 	}
-	c := Claim{Epoch: head.Epoch + 1, Instance: o.opts.Instance, Address: o.opts.Address, Speed: o.opts.Speed, Incarnation: o.incarnation}
-	newHead := commitHead{Epoch: c.Epoch}
+	c := Claim{
+		Epoch: head.Epoch + 1, Instance: o.opts.Instance, Address: o.opts.Address, Speed: o.opts.Speed, Incarnation: o.incarnation,
+		Former: head.Owner,
+	}
+	newHead := commitHead{Epoch: c.Epoch, Owner: o.process()}
 	commitRev, err := o.store.Commit(ctx, kv.Txn{
 		If:  []kv.Condition{{Key: claimKey}, {Key: headKey, Rev: rev}},
 		Set: []kv.Write{{Key: claimKey, Value: encode(c), Lease: lease}, {Key: headKey, Value: encode(newHead)}},
@@ -333,12 +356,18 @@
 	if err != nil {
 		// The claim may have been written although the call failed. Revoking the lease removes it,
 		// so that no claim remains that nobody leads under.
+		o.ended.Store(c.Epoch, time.Now())
 		go o.revokeLease(lease)
 		return heldClaim{}, err
 	}
 	return heldClaim{claim: c, lease: lease, commitRev: commitRev, granted: granted, acquired: time.Now()}, nil
 }
 
+// process identifies this process.
+func (o *Owner) process() *Process {
+	return &Process{Instance: o.opts.Instance, Address: o.opts.Address, Incarnation: o.incarnation}
+}
+
 // campaignTimeout bounds all store calls of one campaign together.
 const campaignTimeout = 4 * time.Second
 
@@ -370,8 +399,10 @@
 	o.heldRev.Store(held.commitRev)
 	o.claim.Store(&held.claim)
 	o.leading.Store(l)
+	o.noteClaim(held.claim)
 	o.log.Info().Str("event", "leader.start").Int64("epoch", held.claim.Epoch).Send()
 	l.run(ctx)
+	o.ended.Store(l.epoch, time.Now())
 	o.leading.CompareAndSwap(l, nil)
 	o.log.Info().Str("event", "leader.end").Int64("epoch", held.claim.Epoch).AnErr("cause", context.Cause(ctx)).Send()
 	o.revokeLease(held.lease)
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -61,13 +61,21 @@
 // startInstance starts an instance that takes part in campaigns.
 func (h *harness) startInstance(name string) *Owner {
 	ctx, cancel := context.WithCancel(h.ctx)
-	o := New(Options{Instance: name, BootClock: h.bootClock, Address: name, LeaseTTL: 1200 * time.Millisecond, MaxWorkerLease: 6 * time.Second, JobRetention: 20 * time.Second},
+	o := New(Options{Instance: name, BootClock: h.bootClock, Address: name, LeaseTTL: 1200 * time.Millisecond, MaxWorkerLease: 6 * time.Second, JobRetention: 20 * time.Second, ReportEnd: h.reportEnd},
 		h.store, h.workers, fakeRegistry{}, testConfig, zerolog.New(&h.log))
 	h.stops[name], h.owners[name] = cancel, o
 	go o.Run(ctx)
 	return o
 }
 
+// reportEnd passes the end of a leadership to the present process of an instance.
+func (h *harness) reportEnd(_ context.Context, c Claim, end LeadershipEnd) error {
+	if !h.owners[c.Instance].FormerOwnerEnded(c.Epoch, end) {
+		return errAnswerLost
+	}
+	return nil
+}
+
 // submit writes a job to the store as an instance that accepts it does.
 func (h *harness) submit(id string, steps ...batch.Step) {
 	v := Submission{Queue: "q", QueueConfig: batch.Queue{Service: "svc", MaxAttempts: 3}, Accepted: time.Now(), Spec: batch.Spec{Payload: "p", Steps: steps}}
--- a/internal/owner/permission.go
+++ b/internal/owner/permission.go
@@ -33,9 +33,9 @@
 	l.state.ExtendOwnership(requested.steady.Add(ttl))
 }
 
-// mayAct reports whether the owner may start tasks and renew leases: its claim is confirmed, or ended at
-// most claimGrace ago. A process that was paused asks again after the pause, since a successor may lead.
-func (l *leader) mayAct() bool { return l.unconfirmedFor() < claimGrace }
+// mayAct reports whether the owner may start tasks and renew leases: it leads, and its claim is confirmed or ended
+// at most claimGrace ago. A process that was paused asks again after the pause, since a successor may lead.
+func (l *leader) mayAct() bool { return l.ctx.Err() == nil && l.unconfirmedFor() < claimGrace }
 
 // unconfirmedFor returns how long ago the claim may have ended; it is negative while the claim is confirmed.
 func (l *leader) unconfirmedFor() time.Duration {
--- a/internal/owner/records.go
+++ b/internal/owner/records.go
@@ -34,6 +34,15 @@
 type commitHead struct {
 	Epoch  int64 `cbor:"1,keyasint"`
 	Number int64 `cbor:"2,keyasint"`
+	// Owner is the process that wrote the head; nil in heads of earlier versions.
+	Owner *Process `cbor:"3,keyasint,omitempty"`
+}
+
+// Process identifies a process of an instance.
+type Process struct {
+	Instance    string `cbor:"1,keyasint"`
+	Address     string `cbor:"2,keyasint"`
+	Incarnation uint64 `cbor:"3,keyasint"`
 }
 
 // Submission is an accepted job as it is kept in the store.
--- a/internal/owner/seen_claims.go
+++ b/internal/owner/seen_claims.go
@@ -19,17 +19,18 @@
 	at    time.Time
 }
 
-// add notes that the claim of an epoch was seen.
-func (s *seenClaims) add(epoch int64, at time.Time) {
+// add notes that the claim of an epoch was seen. It reports whether it is newer than all claims seen before.
+func (s *seenClaims) add(epoch int64, at time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if n := len(s.claims); n > 0 && s.claims[n-1].epoch >= epoch {
-		return
+		return false
 	}
 	s.claims = append(s.claims, seenClaim{epoch: epoch, at: at})
 	if len(s.claims) > maxSeenClaims {
 		s.claims = s.claims[1:]
 	}
+	return true
 }
 
 // replaced returns when a claim of a later epoch was first seen. It is zero if none was seen.
--- a/internal/owner/take_over_chain_test.go
+++ b/internal/owner/take_over_chain_test.go
@@ -67,3 +67,83 @@
 		})
 	}
 }
+
+// restartLimit is the time from the end of an owner within which a task is started again that runs on a worker which
+// only that owner has reached, if the next owner is told of the end: a lease of 6.4 s, and some calls.
+const restartLimit = 7 * time.Second
+
+// requireRestartAfter checks that a task is started for the second time within restartLimit after a moment.
+func (h *harness) requireRestartAfter(task batch.TaskID, end time.Time) {
+	h.t.Helper()
+	h.timeToStart(task, 2, time.Minute)
+	took := h.workers.lastStarted(task).Sub(end)
+	h.t.Logf("started again after %s", took)
+	if took > restartLimit {
+		h.t.Errorf("%v was started again after %s, at most %s are allowed", task, took, restartLimit)
+	}
+	h.is.Equal(h.workers.overlaps, 0)
+}
+
+// Guards against a long-running task that stays down after a kill of the owner because the next one allows for all
+// that the former claim permits, although the former process has ended.
+func TestAKilledOwnerIsNotWaitedForOnceItsInstanceIsBack(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		h.workers.taskDuration = time.Hour
+		h.startInstance("a")
+		h.sleep(time.Second)
+		h.submit("j", longRunning(1))
+		h.sleep(2 * time.Second)
+		h.startInstance("b")
+		h.sleep(time.Second)
+		task := batch.TaskID{Job: "j"}
+		h.kill("a")
+		h.leave(h.workerOf(task))
+		h.sleep(time.Second)
+		back := time.Now()
+		h.startInstance("a")
+		h.requireRestartAfter(task, back)
+	}, "w1", "w2", "w3")
+}
+
+// Guards against the same after a planned stop, which the former owner reports itself.
+func TestAnOwnerThatHandsOverIsNotWaitedFor(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		h.workers.taskDuration = time.Hour
+		a := h.startInstance("a")
+		h.sleep(time.Second)
+		h.submit("j", longRunning(1))
+		h.sleep(2 * time.Second)
+		h.startInstance("b")
+		h.sleep(time.Second)
+		task := batch.TaskID{Job: "j"}
+		h.leave(h.workerOf(task))
+		stopped := time.Now()
+		a.Resign()
+		h.requireRestartAfter(task, stopped)
+	}, "w1", "w2", "w3")
+}
+
+// Guards against the same when the owner was killed in an outage of the store: the next owner counted the leases from
+// its own take-over, long after the outage began.
+func TestAnOwnerKilledInAnOutageIsNotWaitedFor(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		h.workers.taskDuration = time.Hour
+		h.startInstance("a")
+		h.sleep(time.Second)
+		h.submit("j", longRunning(1))
+		h.sleep(2 * time.Second)
+		h.startInstance("b")
+		h.sleep(time.Second)
+		task := batch.TaskID{Job: "j"}
+		h.leave(h.workerOf(task))
+		h.store.setSilent(true)
+		h.sleep(time.Second)
+		h.stops["a"]()
+		h.sleep(time.Second)
+		back := time.Now()
+		h.startInstance("a")
+		h.sleep(3 * time.Second)
+		h.store.setSilent(false)
+		h.requireRestartAfter(task, back)
+	}, "w1", "w2", "w3")
+}
--- a/internal/owner/workers_record_test.go
+++ b/internal/owner/workers_record_test.go
@@ -100,8 +100,8 @@
 
 // Guards against a task that runs twice because a successor expects a lease to end too early. Owners follow each
 // other at any pace; each may reach the worker or not, and stores what it knows at any time. Its claim lapses, or is
-// removed on a guess or after its certain end, and it acts for as long as that allows. The instances see each claim
-// late, and some have not seen all.
+// removed on a guess or after its certain end, and it acts for as long as that allows; its end may be told to the next
+// owner. The instances see each claim late, and some have not seen all.
 func TestNoSuccessorExpectsALeaseToEndTooEarly(t *testing.T) {
 	const id = batch.WorkerID("silent")
 	opts := Options{LeaseTTL: testLeaseTTL, MaxWorkerLease: 6 * time.Second}
@@ -130,7 +130,12 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				end = until[id]
+				l.state, l.workersRecord = batch.New(epoch, batch.Timing{}), r
+				l.state.SetUnresolvedWorkers(until)
+				if last := former[len(former)-1].actsUntil; !last.After(now) && rapid.Bool().Draw(t, "the former owner tells its end") {
+					l.formerOwnerEnded(epoch-1, last, now)
+				}
+				end = l.state.LeaseEnd(id)
 			}
 			if latest := latestEnd(leaseEnd, former, lease); !reaches && now.Before(latest) && end.Before(latest) {
 				t.Fatalf("owner %d expects the lease to end at %s, it may end at %s", epoch, end, latest)
