owner: a new owner writes the rest of each lease that it takes over

What callers saw: the wait for a worker that was lost well before a series of kills still began anew with each short-lived owner, up to the bound that set.

Cause: a lease that the record says to be ending was restored, but the record was written again only for another reason, so the next owner read the same duration and counted it from its own take-over.

Mend: a take-over with leases that still last writes the record at once.

Evidence: TestAChainOfOwnersWaitsOnceForALostWorker now loses the worker 0, 1 and 3 s before the first of five kills (every 2, 3, 5 and 8 s).

--- a/internal/owner/take_over_chain_test.go
+++ b/internal/owner/take_over_chain_test.go
@@ -17,38 +17,51 @@
 // anew for the lease of a worker that no owner had reached since the first one.
 func TestAChainOfOwnersWaitsOnceForALostWorker(t *testing.T) {
 	for _, interval := range []time.Duration{2 * time.Second, 3 * time.Second, 5 * time.Second, 8 * time.Second} {
-		t.Run(interval.String(), func(t *testing.T) {
-			withHarness(t, func(h *harness) {
-				h.workers.taskDuration = time.Hour
-				h.startInstance("i0")
-				h.sleep(time.Second)
-				h.submit("j", longRunning(1))
-				h.sleep(2 * time.Second)
-				for i := range 6 {
-					h.startInstance(fmt.Sprintf("i%d", i+1))
-				}
-				task := batch.TaskID{Job: "j"}
-				h.sleep(time.Second)
-				lost := h.workerOf(task)
-				begun := time.Now()
-				for range 5 {
-					h.kill(h.leader())
-					if !h.workers.isUnreachable(lost) {
-						h.leave(lost)
-					}
-					h.sleep(interval - killDuration)
-				}
-				h.timeToStart(task, 2, time.Minute)
-				took := h.workers.lastStarted(task).Sub(begun)
-				h.t.Logf("started again after %s", took)
-				if took > ownerlessLeaseLimit {
-					h.t.Errorf("%v was started again after %s, at most %s are allowed", task, took, ownerlessLeaseLimit)
-				}
-			}, "w1", "w2", "w3")
-		})
+		for _, lostBefore := range []time.Duration{0, time.Second, 3 * time.Second} {
+			t.Run(fmt.Sprintf("%s, lost %s before", interval, lostBefore), func(t *testing.T) {
+				testChainOfOwners(t, interval, lostBefore)
+			})
+		}
 	}
 }
 
+// testChainOfOwners loses the worker of a task some time before the first of five owners is killed, one each
+// interval, and checks when the task is started again.
+func testChainOfOwners(t *testing.T, interval, lostBefore time.Duration) {
+	withHarness(t, func(h *harness) {
+		h.workers.taskDuration = time.Hour
+		h.startInstance("i0")
+		h.sleep(time.Second)
+		h.submit("j", longRunning(1))
+		h.sleep(2 * time.Second)
+		for i := range 6 {
+			h.startInstance(fmt.Sprintf("i%d", i+1))
+		}
+		task := batch.TaskID{Job: "j"}
+		h.sleep(time.Second)
+		lost := h.workerOf(task)
+		begun := time.Now()
+		if lostBefore > 0 {
+			h.leave(lost)
+			h.sleep(lostBefore)
+		}
+		for range 5 {
+			h.kill(h.leader())
+			if !h.workers.isUnreachable(lost) {
+				h.leave(lost)
+			}
+			h.sleep(interval - killDuration)
+		}
+		h.timeToStart(task, 2, time.Minute)
+		took := h.workers.lastStarted(task).Sub(begun)
+		h.t.Logf("started again after %s", took)
+		if took > ownerlessLeaseLimit {
+			h.t.Errorf("%v was started again after %s, at most %s are allowed", task, took, ownerlessLeaseLimit)
+		}
+		h.is.Equal(h.workers.overlaps, 0)
+	}, "w1", "w2", "w3")
+}
+
 // Guards against an owner that steps down on the end of its own former claim, of which its watch tells late: each
 // outage of the store cost two take-overs in place of one.
 func TestALateEventOfTheFormerClaimDeposesNobody(t *testing.T) {
--- a/internal/owner/workers_record.go
+++ b/internal/owner/workers_record.go
@@ -193,6 +193,10 @@
 			until[id] = earliest(until[id], latest, latestOf(lease.Epoch))
 		}
 		r.leaseEnds[id] = until[id]
+		if until[id].After(now) {
+			// The next owner must not count the same time again.
+			r.dirty = true
+		}
 	}
 	return until, nil
 }
