batch: draining workers are looked at again in each check

What callers see: a long-running task stays on a worker that drains, goes down with it and waits for the worker's lease (up to 6.4 s, longer with a take-over in that time), with room elsewhere.

Cause: the drain was acted on once, when the entry turned to draining. A new owner reads the entries before it adopts any task, so it moved nothing; what MaxDisrupted held back at the notice was never taken up again; a task that was still starting counted against its own move; finite tasks were judged once, against the whole time left at the notice.

Mend: each check (250 ms) looks at all draining workers in contact. A task that is not available may always be stopped. The time for which a worker certainly stays is kept as a time, which later entries never extend; once it has passed, only tasks whose progress a stop saves are stopped. A stop that was decided is not decided again. A task is also stopped when no other worker has room now, as before: the worker leaves anyway, and MaxDisrupted holds back the rest.

Evidence, synthetic time, before and after: stops of the task on the draining worker after a take-over 0, 1; of a task held back at the notice 0, 1; three tasks on three draining workers, one away at most: moved 1, 3; a starting task 0, 1; a task four times slower than its estimate 0, 1. TestTaskWithoutCheckpointsStaysOnAWorkerThatMayLeaveAnyMoment passes with both. TestWorld, 2,000 histories: passed.

--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// checkInterval is the interval between two checks for stalled tasks, expired leases and
-	// throttled tasks that can run on another worker.
+	// checkInterval is the interval between two checks for stalled tasks, expired leases, tasks on
+	// draining workers and throttled tasks that can run on another worker.
 	checkInterval = 250 * time.Millisecond
 )
 
@@ -24,6 +24,7 @@
 		s.interferenceModel.growVariances(checkInterval)
 		s.expireLeases(now)
 		s.stopStalled(now)
+		s.stopOnDrainingWorkers(now)
 		s.stopThrottled(now)
 	}
 	s.lastPlan = now
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 )
 
@@ -28,6 +27,7 @@
 	leaseConfirmed    bool // it has confirmed a renewal of its lease since it was last unreachable
 	runsUnknownTasks  bool // it runs tasks of unknown jobs, whose resources are not known
 	leaseEnd          time.Time
+	leavesAfter       time.Time // until when a draining worker certainly stays; zero if not known
 	used              Resources
 	bestEffort        int       // best-effort attempts
 	bestEffortCPU     int64     // CPU that they ask for within their CPU limits, in thousandths of a core
@@ -62,10 +62,12 @@
 	}
 	if info.Incarnation > w.info.Incarnation {
 		s.handleRestart(w, info.Incarnation, "the registry", now)
+		w.leavesAfter = time.Time{}
 	}
 	startsDraining := info.Draining && !w.info.Draining
 	w.info, w.listed = info, true
 	w.rack = rackOf(info.Labels)
+	w.noteRemaining(now)
 	if startsDraining {
 		s.event(Event{Name: "worker.draining", Worker: info.ID})
 		s.stopForDrain(w, now)
@@ -304,60 +306,6 @@
 	return !now.Before(end) && !s.ownedUntil.Before(end)
 }
 
-// stopForDrain stops the tasks on a draining worker that should restart elsewhere at once: long-running
-// tasks, as far as MaxDisrupted allows, and tasks that would not be done before the worker leaves.
-func (s *State) stopForDrain(w *worker, now time.Time) {
-	for _, a := range w.attempts {
-		switch {
-		case a.step.spec.LongRunning && s.mayDisrupt(a):
-			s.stop(a, "worker drains")
-		case !a.step.spec.LongRunning && !a.step.spec.Gang && w.info.MinRemaining > 0 && a.remainingTime(now) > w.info.MinRemaining:
-			s.stop(a, "worker leaves before the task would be done")
-		}
-	}
-}
-
-// minPercentForPrediction is the progress in percent from which the remaining time is extrapolated
-// from the progress instead of being taken from the estimate.
-const minPercentForPrediction = 10
-
-// remainingTime estimates the time until an attempt is done.
-func (a *attempt) remainingTime(now time.Time) time.Duration {
-	left := time.Duration(fullPercent - a.percent)
-	if a.percent >= minPercentForPrediction {
-		return now.Sub(a.requestedAt) * left / time.Duration(a.percent)
-	}
-	return a.step.spec.Estimate * left / fullPercent
-}
-
-// mayDisrupt reports whether MaxDisrupted of the step allows one more task to be unavailable.
-func (s *State) mayDisrupt(a *attempt) bool {
-	bound := a.step.spec.MaxDisrupted
-	if bound == 0 {
-		return true
-	}
-	return a.step.unavailable() < bound
-}
-
-// unavailable counts the tasks of a long-running step that are not available.
-func (st *step) unavailable() int {
-	n := 0
-	for i := range st.tasks {
-		if !st.tasks[i].available() {
-			n++
-		}
-	}
-	return n
-}
-
-// available reports whether a long-running task has an attempt that is ready, which the worker lists
-// with 100 percent, and is not being stopped.
-func (t *task) available() bool {
-	return slices.ContainsFunc(t.attempts, func(a *attempt) bool {
-		return a.listed && !a.stopping && a.percent >= 100
-	})
-}
-
 // usable reports whether the worker may get new tasks.
 func (w *worker) usable(s *State, now time.Time) bool {
 	return w.listed && w.recorded && w.reported && w.leaseConfirmed && !w.unreachable && !w.runsUnknownTasks && !w.info.Draining &&
