batch: an end that is reported again counts once for or against its worker

What callers see: a long-running task stays down while workers with room are shunned. A worker repeats its ends until they are acknowledged, which takes a durable record: not in an outage of the store. With two failed runs of one long-running task unacknowledged, each report counted both anew, so their workers were shunned until 8 s after the last repetition.

Cause: a failure of a long-running task was recognised by the task's last failed run alone, so two alternated. A repeated end of a done task had the opposite effect: it cleared the failures since. And a repeated end of an old run brought back its checkpoint over that of a later run.

Mend: a worker's ends carry numbers that rise within its incarnation; an end counts for or against the worker once, by the highest number counted. Failed runs of finite tasks count against their attempts by run, as before; that list covers what the removed field lastFailed was for. A failure of a long-running task changes nothing in the record, so it does not make the job's record be written again. A checkpoint is replaced only by that of the same or a later run. A new owner still counts the ends that it is told of once each, however old they are.

TestWorld, 2,000 histories: passed.

--- a/internal/batch/ends.go
+++ b/internal/batch/ends.go
@@ -16,8 +16,7 @@
 	t := &st.tasks[e.Task.Index]
 	t.lastRun = max(t.lastRun, e.Run)
 	s.markStarted(st.job)
-	if e.Checkpoint != "" && !t.done {
-		t.checkpoint = e.Checkpoint
+	if e.Checkpoint != "" && !t.done && t.noteCheckpoint(e.Checkpoint, e.Run) {
 		s.dirty.add(st.job)
 	}
 	if a != nil {
@@ -25,7 +24,7 @@
 	}
 	switch e.Reason {
 	case EndDone:
-		w.consecutiveFailures = 0
+		w.countDone(e.Seq)
 		s.attemptDone(st, t, now)
 	case EndFailed:
 		s.attemptFailed(w, st, t, e, now)
@@ -87,17 +86,16 @@
 // attemptFailed counts a failed run once, and fails the job when the task or gang has used up its
 // attempts. Failures of long-running tasks count against the worker only.
 func (s *State) attemptFailed(w *worker, st *step, t *task, e EndedAttempt, now time.Time) {
-	if t.done || e.Run == t.lastFailed || slices.Contains(t.failed, e.Run) {
+	if t.done || slices.Contains(t.failed, e.Run) {
 		return
 	}
-	t.lastFailed = e.Run
 	t.failed = append(t.failed, e.Run)
-	w.countFailure(t, now)
-	s.dirty.add(st.job)
+	w.countFailure(t, e.Seq, now)
 	if st.spec.LongRunning {
 		t.failed = nil
 		return
 	}
+	s.dirty.add(st.job)
 	failures := len(t.failed)
 	if st.spec.Gang {
 		failures = st.failedGangRuns()
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -86,10 +86,21 @@
 	unresolved bool
 	attempts   []*attempt
 	failed     []int64 // runs that ended failed; empty for a long-running task
-	lastFailed int64   // the run that ended failed last; its end may be reported again
 	lastRun    int64
 	checkpoint string
-	lastWorker WorkerID
+	// checkpointRun is the run that saved the checkpoint; 0 if a former owner knew it.
+	checkpointRun int64
+	lastWorker    WorkerID
+}
+
+// noteCheckpoint notes the checkpoint that a run has saved, unless that of a later run is known. It reports
+// whether the checkpoint was noted.
+func (t *task) noteCheckpoint(checkpoint string, run int64) bool {
+	if run < t.checkpointRun {
+		return false
+	}
+	t.checkpoint, t.checkpointRun = checkpoint, run
+	return true
 }
 
 func newOccurrence(j *Job, number int) *occurrence {
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -74,7 +74,7 @@
 	a.listed = true
 	if t := a.task(); e.Checkpoint != "" && a.run == t.lastRun {
 		// If the worker is lost, the task resumes from this checkpoint.
-		t.checkpoint = e.Checkpoint
+		t.noteCheckpoint(e.Checkpoint, a.run)
 	}
 	a.percent = e.Percent
 	a.lastMeasurement = e.Measurement
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -44,7 +44,8 @@
 	// bestEffortEndedAt is when a best-effort attempt with a CPU limit above 0 last ended there.
 	bestEffortEndedAt   time.Time
 	attempts            map[attemptKey]*attempt
-	consecutiveFailures int // failed attempts since a task was last done there
+	consecutiveFailures int   // failed attempts since a task was last done there
+	countedSeq          int64 // highest Seq of the ends that were counted for or against the worker
 	quarantinedUntil    time.Time
 }
 
@@ -228,6 +229,7 @@
 	s.event(Event{Name: "worker.reborn", Worker: w.info.ID, Detail: fmt.Sprintf("%s shows incarnation %d after %d; unconfirmed starts: %d", source, incarnation, w.info.Incarnation, unconfirmed)})
 	w.info.Incarnation = incarnation
 	w.reported, w.leaseConfirmed, w.consecutiveFailures, w.quarantinedUntil = false, false, 0, time.Time{}
+	w.countedSeq = 0
 }
 
 // lose removes an attempt whose end will never be reported. The caller must know that it does not run any
@@ -351,10 +353,27 @@
 	return a.step.spec.Resources.CPU * int64(a.cpuLimit) / fullPercent
 }
 
+// countsAnew reports whether the end with the given Seq has not been counted yet, and notes that it is.
+// An end is reported again until it is acknowledged.
+func (w *worker) countsAnew(seq int64) bool {
+	if seq <= w.countedSeq {
+		return false
+	}
+	w.countedSeq = seq
+	return true
+}
+
+// countDone counts a task that was done on the worker.
+func (w *worker) countDone(seq int64) {
+	if w.countsAnew(seq) {
+		w.consecutiveFailures = 0
+	}
+}
+
 // countFailure counts a failed attempt of t against the worker, unless earlier runs of the task failed
 // too, which points to the task as the cause.
-func (w *worker) countFailure(t *task, now time.Time) {
-	if len(t.failed) > 1 {
+func (w *worker) countFailure(t *task, seq int64, now time.Time) {
+	if !w.countsAnew(seq) || len(t.failed) > 1 {
 		return
 	}
 	w.consecutiveFailures++
