batch: rare failures and failures of hopeless jobs shun no worker

What callers see: a long-running task stays down for up to 8 s and more though there is room.

Cause: only a done task ended a row of failures, and long-running tasks are never done. On a worker that runs only such tasks, failures hours apart were in a row: from the second on each shunned it for 8 s. First failures of tasks that fail everywhere shunned any healthy worker. And a shunned worker was used for nothing, also when no other had room.

Mend: a row ends 30 s after the last failure of a finite task, 10 s after that of a long-running one; the quarantine does not count, so that one failure soon after it is enough again. A step that has failed on several workers, with no task done and none that runs without a failure (long-running: at 100 percent), is suspect: its failures count against no worker, and quarantines that rest on them end. When one of its tasks is done after all, they count. They are removed when the job ends. A long-running task for which no other worker has room gets a worker that is shunned for failures, 2 s after the last; never one that refuses starts or stalls its tasks.

The code moves from worker.go to quarantine.go. TestRepeatedEndOfALongRunningTaskCountsOnce reads the number of failures from the list that replaces the counter; it asks the same.

--- a/internal/batch/answers.go
+++ b/internal/batch/answers.go
@@ -24,7 +24,7 @@
 			s.stop(a, "start not answered")
 		}
 	case AnswerRefused:
-		w.quarantinedUntil = laterOf(w.quarantinedUntil, now.Add(refusalQuarantineTime))
+		w.quarantine(now, refusalQuarantineTime, refusalQuarantineTime)
 		s.startRefused(a, "refused by the worker", now)
 	case AnswerNoTicket:
 		a.step.advice.withdraw(id)
--- a/internal/batch/ends.go
+++ b/internal/batch/ends.go
@@ -24,7 +24,7 @@
 	}
 	switch e.Reason {
 	case EndDone:
-		w.countDone(e.Seq)
+		s.countDone(w, st, e.Seq, now)
 		s.attemptDone(st, t, now)
 	case EndFailed:
 		s.attemptFailed(w, st, t, e, now)
@@ -90,7 +90,7 @@
 		return
 	}
 	t.failed = append(t.failed, e.Run)
-	w.countFailure(t, e.Seq, now)
+	s.countFailure(w, st, t, e.Seq, now)
 	if st.spec.LongRunning {
 		t.failed = nil
 		return
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -74,6 +74,10 @@
 	gangRun int64
 	ready   time.Time // when the step was last opened for placement
 	advice  advice
+	// lastFailedOn is the worker on which a task of the step failed last, as far as this owner knows.
+	lastFailedOn WorkerID
+	// suspect is set if tasks of the step have failed on several workers and nothing shows that it works.
+	suspect bool
 	// waitReason is the reason for waiting that was last logged.
 	waitReason string
 }
--- a/internal/batch/lifecycle.go
+++ b/internal/batch/lifecycle.go
@@ -95,6 +95,7 @@
 		delete(s.scheduled, occ)
 		for _, st := range occ.steps {
 			delete(s.open, st)
+			s.forgetFailuresOf(st)
 			for i := range st.tasks {
 				s.endTask(&st.tasks[i])
 			}
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -24,6 +24,7 @@
 		s.interferenceModel.growVariances(checkInterval)
 		s.expireLeases(now)
 		s.stopStalled(now)
+		s.forgetOldFailures(now)
 		s.stopOnDrainingWorkers(now)
 		s.stopThrottled(now)
 	}
@@ -68,19 +69,21 @@
 		return
 	}
 	workers := s.usable(now)
-	if len(workers) == 0 {
+	lastResorts := s.lastResorts(now)
+	if len(workers) == 0 && len(lastResorts) == 0 {
 		return
 	}
 	var unplaced unplacedSteps
 	for _, entry := range s.openStepsInOrder(now) {
-		if unplaced.covers(entry.step) {
+		hasLastResort := entry.step.spec.LongRunning && len(lastResorts) > 0
+		if unplaced.covers(entry.step) && !hasLastResort {
 			s.recordWait(entry.step, waitsForRoom)
 			continue
 		}
 		if entry.step.spec.Gang {
 			s.placeGang(entry.step, workers, now)
 		} else {
-			if !s.placeStep(entry.step, workers, now) {
+			if !s.placeStep(entry.step, workers, lastResorts, now) {
 				unplaced.add(entry.step)
 			}
 		}
@@ -106,14 +109,19 @@
 	return out
 }
 
-// placeStep starts the waiting tasks of a step until one finds no worker. It returns false if no
+// placeStep starts the waiting tasks of a step until one finds no worker. Long-running tasks that find none
+// among the workers get one of the last resorts. It returns false if no
 // worker has capacity, so that the search can be skipped for steps with the same or larger demands. It
 // returns true if the tasks wait for another reason.
-func (s *State) placeStep(st *step, workers []*worker, now time.Time) bool {
+func (s *State) placeStep(st *step, workers, lastResorts []*worker, now time.Time) bool {
 	if st.startRecordRequested && !st.startRecordDurable {
 		return true
 	}
 	ranking := s.newRanking(st, workers, now)
+	allWorkers := workers
+	if st.spec.LongRunning && len(lastResorts) > 0 {
+		allWorkers = slices.Concat(workers, lastResorts)
+	}
 	for i := range st.tasks {
 		t := &st.tasks[i]
 		if t.done || len(t.attempts) > 0 {
@@ -123,14 +131,17 @@
 			s.recordWait(st, waitsForFormerOwner)
 			continue
 		}
-		if st.spec.LongRunning && t.lastRun == 0 && !st.startedByFormerOwner && !s.keepsShortTaskReserve(st, workers, now) {
+		if st.spec.LongRunning && t.lastRun == 0 && !st.startedByFormerOwner && !s.keepsShortTaskReserve(st, allWorkers, now) {
 			s.recordWait(st, waitsForReserve)
 			return true
 		}
 		w := ranking.best(t)
+		if w == nil && st.spec.LongRunning {
+			w = s.choose(st, t, lastResorts, now)
+		}
 		if w == nil {
 			s.recordWait(st, waitsForRoom)
-			return s.askAdviser(st, workers, now)
+			return s.askAdviser(st, allWorkers, now)
 		}
 		if !st.startRecordDurable {
 			s.requestStartRecord(st)
--- /dev/null
+++ b/internal/batch/quarantine.go
@@ -0,0 +1,152 @@
+package batch
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// failuresToQuarantine is the number of failed tasks in a row after which a worker gets no new tasks.
+	failuresToQuarantine = 2
+	// quarantineTime is how long such a worker gets no new tasks. A failure within the maximum age of the
+	// failures after that quarantines it again, unless a task has been done there meanwhile.
+	quarantineTime = 8 * time.Second
+	// refusalQuarantineTime is the quarantine of a worker that refused a start as unhealthy.
+	refusalQuarantineTime = time.Second
+	// lastResortDelay is the pause after a failure from which a quarantined worker gets long-running tasks
+	// for which no other worker has room.
+	lastResortDelay = 2 * time.Second
+	// maxFailureAge and maxLongRunningFailureAge are the times after the last failure of a finite or of a
+	// long-running task, not counting the quarantine, after which a worker's failures are not in a row any
+	// more. Only finite tasks can be done, which ends a row too.
+	maxFailureAge            = 30 * time.Second
+	maxLongRunningFailureAge = 10 * time.Second
+)
+
+// quarantine keeps new tasks away from a worker for a while. During rest, this includes the long-running
+// tasks that find no other worker.
+func (w *worker) quarantine(now time.Time, during, rest time.Duration) {
+	w.quarantinedUntil = laterOf(w.quarantinedUntil, now.Add(during))
+	w.restsUntil = laterOf(w.restsUntil, now.Add(rest))
+}
+
+// countsAnew reports whether the end with the given Seq has not been counted yet, and notes that it is.
+// An end is reported again until it is acknowledged.
+func (w *worker) countsAnew(seq int64) bool {
+	if seq <= w.countedSeq {
+		return false
+	}
+	w.countedSeq = seq
+	return true
+}
+
+// countDone counts a task of the step that was done on the worker. It shows that both work.
+func (s *State) countDone(w *worker, st *step, seq int64, now time.Time) {
+	if !w.countsAnew(seq) {
+		return
+	}
+	w.failures = nil
+	if st.suspect {
+		st.suspect = false
+		s.judgeFailuresOf(st, now)
+	}
+}
+
+// countFailure counts a failed attempt of t against the worker. It does not if earlier runs of the task failed
+// too, which points to the task as the cause, unless the whole step is suspect: then it is not known yet whom the
+// failure counts against.
+func (s *State) countFailure(w *worker, st *step, t *task, seq int64, now time.Time) {
+	if !w.countsAnew(seq) {
+		return
+	}
+	failedElsewhere := st.lastFailedOn != "" && st.lastFailedOn != w.info.ID
+	st.lastFailedOn = w.info.ID
+	wasSuspect := st.suspect
+	st.suspect = (wasSuspect || failedElsewhere) && !st.works()
+	if len(t.failed) > 1 && !st.suspect {
+		return
+	}
+	w.failures = append(w.failures, st)
+	switch {
+	case st.suspect || wasSuspect:
+		s.judgeFailuresOf(st, now)
+	case w.countedFailures() >= failuresToQuarantine:
+		w.quarantine(now, quarantineTime, lastResortDelay)
+	}
+	age := maxFailureAge
+	if st.spec.LongRunning {
+		age = maxLongRunningFailureAge
+	}
+	w.failuresEnd = laterOf(w.failuresEnd, laterOf(now, w.quarantinedUntil).Add(age))
+}
+
+// judgeFailuresOf begins or ends the quarantines of the workers on which a step has failed that is suspect or was
+// so until now. Failures of a suspect step do not count.
+func (s *State) judgeFailuresOf(st *step, now time.Time) {
+	for _, w := range s.workers {
+		if !slices.Contains(w.failures, st) {
+			continue
+		}
+		if w.countedFailures() < failuresToQuarantine {
+			w.quarantinedUntil = w.restsUntil
+		} else if !st.suspect {
+			w.quarantine(now, quarantineTime, lastResortDelay)
+		}
+	}
+}
+
+// countedFailures returns the number of the worker's failures in a row, without those of suspect steps.
+func (w *worker) countedFailures() int {
+	n := 0
+	for _, st := range w.failures {
+		if !st.suspect {
+			n++
+		}
+	}
+	return n
+}
+
+// forgetFailuresOf removes the failures of a suspect step whose job has ended.
+func (s *State) forgetFailuresOf(st *step) {
+	if !st.suspect {
+		return
+	}
+	for _, w := range s.workers {
+		w.failures = slices.DeleteFunc(w.failures, func(o *step) bool { return o == st })
+	}
+}
+
+// works reports whether a task of the step is done, or another one seems able to run. The members of a gang
+// start together, so that some of them run says nothing about the one that fails.
+func (st *step) works() bool {
+	if st.remainingTasks < len(st.tasks) {
+		return true
+	}
+	return slices.ContainsFunc(st.tasks, func(t task) bool {
+		if st.spec.LongRunning {
+			return t.available()
+		}
+		return !st.spec.Gang && len(t.failed) == 0 && len(t.attempts) > 0
+	})
+}
+
+// forgetOldFailures ends the rows of failures that are too old.
+func (s *State) forgetOldFailures(now time.Time) {
+	for _, w := range s.workers {
+		if len(w.failures) > 0 && !now.Before(w.failuresEnd) {
+			w.failures = nil
+		}
+	}
+}
+
+// lastResorts returns the workers, ordered by id, that may get long-running tasks for which no other worker has
+// room: those in quarantine for failures, after a pause.
+func (s *State) lastResorts(now time.Time) []*worker {
+	var out []*worker
+	for _, w := range s.sorted {
+		if now.Before(w.quarantinedUntil) && !now.Before(w.restsUntil) && w.usableButForQuarantine(s) {
+			out = append(out, w)
+		}
+	}
+	return out
+}
--- a/internal/batch/repeats_test.go
+++ b/internal/batch/repeats_test.go
@@ -46,7 +46,7 @@
 	for clock := range int64(3) {
 		reportWithLease(s, "a", Report{Incarnation: 1, Clock: 100 + clock, Ended: ended}, now)
 	}
-	is.Equal(s.workers["a"].consecutiveFailures, 1)
+	is.Equal(len(s.workers["a"].failures), 1)
 	again := startActions(planUntilIdle(s, now))
 	is.Equal(len(again), 1)
 	is.True(again[0].Run > first.Run)
--- a/internal/batch/score.go
+++ b/internal/batch/score.go
@@ -104,7 +104,7 @@
 	if len(t.failed) > 0 && t.lastWorker == w.info.ID {
 		score -= weightFailures
 	}
-	score -= weightFailures * float64(w.consecutiveFailures)
+	score -= weightFailures * float64(len(w.failures))
 	if w.info.WarmUp > 0 {
 		score -= weightWarmUp
 	}
--- a/internal/batch/stall.go
+++ b/internal/batch/stall.go
@@ -38,7 +38,7 @@
 			if !a.isStalled(now) {
 				continue
 			}
-			w.quarantinedUntil = laterOf(w.quarantinedUntil, now.Add(quarantineTime))
+			w.quarantine(now, quarantineTime, quarantineTime)
 			s.stop(a, "no progress")
 		}
 	}
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -5,17 +5,6 @@
 	"time"
 )
 
-const (
-	// failuresToQuarantine is the number of consecutive failed tasks after which a worker gets no new
-	// tasks.
-	failuresToQuarantine = 2
-	// quarantineTime is how long such a worker gets no new tasks. After that, a single failure
-	// quarantines it again, unless a task has been done there meanwhile.
-	quarantineTime = 8 * time.Second
-	// refusalQuarantineTime is the quarantine of a worker that refused a start as unhealthy.
-	refusalQuarantineTime = time.Second
-)
-
 // worker is what the owner knows of one incarnation of a worker.
 type worker struct {
 	info              WorkerInfo
@@ -42,11 +31,13 @@
 	// thousandths of a core, as of latencyGroupsAt.
 	idleCPU int64
 	// bestEffortEndedAt is when a best-effort attempt with a CPU limit above 0 last ended there.
-	bestEffortEndedAt   time.Time
-	attempts            map[attemptKey]*attempt
-	consecutiveFailures int   // failed attempts since a task was last done there
-	countedSeq          int64 // highest Seq of the ends that were counted for or against the worker
-	quarantinedUntil    time.Time
+	bestEffortEndedAt time.Time
+	attempts          map[attemptKey]*attempt
+	failures          []*step   // the steps of its failures in a row
+	failuresEnd       time.Time // when these are too old to be in a row
+	countedSeq        int64     // highest Seq of the ends that were counted for or against the worker
+	quarantinedUntil  time.Time
+	restsUntil        time.Time // until when it does not get long-running tasks without another worker either
 }
 
 // UpdateWorker adds a worker from the registry, or updates it.
@@ -228,8 +219,8 @@
 	// The log calls a restarted worker reborn.
 	s.event(Event{Name: "worker.reborn", Worker: w.info.ID, Detail: fmt.Sprintf("%s shows incarnation %d after %d; unconfirmed starts: %d", source, incarnation, w.info.Incarnation, unconfirmed)})
 	w.info.Incarnation = incarnation
-	w.reported, w.leaseConfirmed, w.consecutiveFailures, w.quarantinedUntil = false, false, 0, time.Time{}
-	w.countedSeq = 0
+	w.reported, w.leaseConfirmed, w.failures, w.quarantinedUntil = false, false, nil, time.Time{}
+	w.countedSeq, w.restsUntil = 0, time.Time{}
 }
 
 // lose removes an attempt whose end will never be reported. The caller must know that it does not run any
@@ -310,8 +301,13 @@
 
 // usable reports whether the worker may get new tasks.
 func (w *worker) usable(s *State, now time.Time) bool {
+	return w.usableButForQuarantine(s) && !now.Before(w.quarantinedUntil)
+}
+
+// usableButForQuarantine reports whether the worker may get new tasks once its quarantine has ended.
+func (w *worker) usableButForQuarantine(s *State) bool {
 	return w.listed && w.recorded && w.reported && w.leaseConfirmed && !w.unreachable && !w.runsUnknownTasks && !w.info.Draining &&
-		!s.config.Evacuated[w.info.DataCentre] && !now.Before(w.quarantinedUntil)
+		!s.config.Evacuated[w.info.DataCentre]
 }
 
 // free returns the resources that no attempt reserves.
@@ -352,32 +348,3 @@
 func (a *attempt) limitedCPU() int64 {
 	return a.step.spec.Resources.CPU * int64(a.cpuLimit) / fullPercent
 }
-
-// countsAnew reports whether the end with the given Seq has not been counted yet, and notes that it is.
-// An end is reported again until it is acknowledged.
-func (w *worker) countsAnew(seq int64) bool {
-	if seq <= w.countedSeq {
-		return false
-	}
-	w.countedSeq = seq
-	return true
-}
-
-// countDone counts a task that was done on the worker.
-func (w *worker) countDone(seq int64) {
-	if w.countsAnew(seq) {
-		w.consecutiveFailures = 0
-	}
-}
-
-// countFailure counts a failed attempt of t against the worker, unless earlier runs of the task failed
-// too, which points to the task as the cause.
-func (w *worker) countFailure(t *task, seq int64, now time.Time) {
-	if !w.countsAnew(seq) || len(t.failed) > 1 {
-		return
-	}
-	w.consecutiveFailures++
-	if w.consecutiveFailures >= failuresToQuarantine {
-		w.quarantinedUntil = now.Add(quarantineTime)
-	}
-}
