batch: the reserve for short tasks counts the workers of the step's service only

Cause: the free CPU, the capacity and the short tasks' CPU were summed over the workers of all services, so a full service kept a long-running job from an empty one; and a worker whose capacity had shrunk below what it runs counted as negative room, which took away the room of others.

Mend: only workers of the step's service count, a worker's room for short tasks (what is free and what short tasks use) is 0 at least, and the moving average is kept for each service. The CPU of short tasks is counted at the worker, where the reservation is made and released anyway, instead of in one sum. The two policy tests set the average of their service.

--- a/internal/batch/ends.go
+++ b/internal/batch/ends.go
@@ -125,7 +125,6 @@
 	if a.step.spec.BestEffort && a.cpuLimit > 0 {
 		a.worker.bestEffortEndedAt = now
 	}
-	s.accountShortCPU(a, -1)
 	a.step.job.attempts--
 	t.attempts = slices.DeleteFunc(t.attempts, func(b *attempt) bool { return b == a })
 	delete(s.stops, a)
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -20,7 +20,7 @@
 	if now.Sub(s.lastCheck) >= checkInterval {
 		s.excusePause(now)
 		s.lastCheck = now
-		s.meanShortCPU += meanShortCPUGain * (float64(s.shortCPU) - s.meanShortCPU)
+		s.updateMeanShortCPU()
 		s.interferenceModel.growVariances(checkInterval)
 		s.expireLeases(now)
 		s.stopStalled(now)
@@ -212,10 +212,10 @@
 
 const (
 	// meanShortCPUGain is the weight of a new value in the moving average of the CPU that short tasks
-	// reserve, which is updated every checkInterval. A short task is one that is not long-running.
+	// of a service reserve, which is updated every checkInterval. A short task is one that is not long-running.
 	meanShortCPUGain = 0.05
 	// shortReserveFactor times that average is kept free of new long-running tasks, but at most
-	// maxReserve of the CPU of all workers.
+	// maxReserve of the CPU of the service's workers.
 	shortReserveFactor = 6.0
 	maxReserve         = 0.25
 	// reserveWait is the age of a job from which its long-running tasks start regardless of the
@@ -223,25 +223,38 @@
 	reserveWait = 60 * time.Second
 )
 
-// keepsShortTaskReserve reports whether a new long-running task leaves enough CPU to short tasks, which
-// could otherwise wait until a long-running job is cancelled. The CPU that short tasks use counts as
-// available to them. The reserve shrinks linearly to 0 as the job's age reaches reserveWait.
+// keepsShortTaskReserve reports whether a new long-running task leaves enough CPU to short tasks on the workers of
+// its service, which could otherwise wait until a long-running job is cancelled. The CPU that short tasks use counts
+// as available to them. The reserve shrinks linearly to 0 as the job's age reaches reserveWait.
 func (s *State) keepsShortTaskReserve(st *step, workers []*worker, now time.Time) bool {
-	var free, capacity int64
+	service := s.queueOf(st.job).Service
+	var available, capacity int64
 	for _, w := range workers {
-		free += w.free().CPU
+		if w.info.Service != service {
+			continue
+		}
+		// A worker whose capacity has shrunk may run more than it has room for.
+		available += max(0, w.free().CPU+w.shortCPU)
 		capacity += w.info.Capacity.CPU
 	}
-	reserve := min(shortReserveFactor*s.meanShortCPU, maxReserve*float64(capacity))
+	reserve := min(shortReserveFactor*s.meanShortCPU[service], maxReserve*float64(capacity))
 	reserve *= max(0, 1-now.Sub(st.job.Accepted).Seconds()/reserveWait.Seconds())
-	return float64(free-st.reserved.CPU+s.shortCPU) >= reserve
+	return float64(available-st.reserved.CPU) >= reserve
 }
 
-// accountShortCPU adds the CPU of an attempt of a short task to shortCPU if sign is 1, and subtracts
-// it if sign is -1.
-func (s *State) accountShortCPU(a *attempt, sign int64) {
-	if !a.step.spec.LongRunning {
-		s.shortCPU += sign * a.reserved.CPU
+// updateMeanShortCPU updates the moving averages of the CPU that short tasks reserve.
+func (s *State) updateMeanShortCPU() {
+	reserved := map[string]int64{}
+	for _, w := range s.workers {
+		reserved[w.info.Service] += w.shortCPU
+	}
+	for service := range s.meanShortCPU {
+		if _, known := reserved[service]; !known {
+			delete(s.meanShortCPU, service)
+		}
+	}
+	for service, cpu := range reserved {
+		s.meanShortCPU[service] += meanShortCPUGain * (float64(cpu) - s.meanShortCPU[service])
 	}
 }
 
@@ -292,7 +305,6 @@
 	for _, a := range placed {
 		t := a.task()
 		a.worker.detach(a)
-		s.accountShortCPU(a, -1)
 		st.job.attempts--
 		t.attempts = nil
 		st.waiting++
--- a/internal/batch/policy_test.go
+++ b/internal/batch/policy_test.go
@@ -192,7 +192,7 @@
 func TestNewLongRunningTasksLeaveRoomToShortOnes(t *testing.T) {
 	is := is.New(t)
 	s, now := newTestState("a", "b")
-	s.meanShortCPU = 2000
+	s.meanShortCPU["svc"] = 2000
 	addJob(s, "lasts", "q", now, latencySensitiveStep("web", 8))
 	is.Equal(len(startActions(planUntilIdle(s, now))), 6) // a quarter of 8 cores stays free
 	reasons := 0
@@ -225,7 +225,7 @@
 	addJob(s, "lasts", "q", now, latencySensitiveStep("web", 8))
 	is.Equal(len(startActions(planUntilIdle(s, now))), 8)
 	next := takeOver(s, now)
-	next.meanShortCPU = 2000
+	next.meanShortCPU["svc"] = 2000
 	for _, id := range []WorkerID{"a", "b"} {
 		reportWithLease(next, id, Report{Incarnation: 2, Clock: 5}, now)
 		reportWithLease(next, id, Report{Incarnation: 2, Clock: 6}, now)
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -165,7 +165,6 @@
 	}
 	t.attempts = append(t.attempts, a)
 	a.worker.attach(a)
-	s.accountShortCPU(a, 1)
 	a.step.job.attempts++
 }
 
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -34,10 +34,9 @@
 	lastCheck         time.Time         // last check for expired leases and stalled tasks
 	lastPlan          time.Time
 	interferenceModel *interferenceModel
-	// shortCPU is the CPU reserved by the attempts of short tasks, which are those that are not
-	// long-running, and meanShortCPU its moving average, in thousandths of a core.
-	shortCPU      int64
-	meanShortCPU  float64
+	// meanShortCPU is the moving average of the CPU reserved by the attempts of short tasks, by service,
+	// in thousandths of a core.
+	meanShortCPU  map[string]float64
 	openQuestions int // questions to the adviser without an answer
 	// ownedUntil is the time until which no other owner can have taken over.
 	ownedUntil time.Time
@@ -82,6 +81,7 @@
 		unstartedJobs:     map[string]int{},
 		stops:             map[*attempt]bool{},
 		interferenceModel: newInterferenceModel(),
+		meanShortCPU:      map[string]float64{},
 	}
 }
 
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -20,6 +20,7 @@
 	used              Resources
 	bestEffort        int       // best-effort attempts
 	bestEffortCPU     int64     // CPU that they ask for within their CPU limits, in thousandths of a core
+	shortCPU          int64     // CPU reserved by short tasks, which are not long-running, in thousandths of a core
 	latencySensitive  int       // attempts with a latency target
 	longRunning       int       // attempts of long-running tasks
 	targetMissedSince time.Time // since when a latency has been above its target
@@ -337,6 +338,8 @@
 	}
 	if a.step.spec.LongRunning {
 		w.longRunning += by
+	} else {
+		w.shortCPU += int64(by) * a.reserved.CPU
 	}
 	if a.step.spec.LatencyTarget > 0 {
 		w.latencySensitive += by
