--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -74,6 +74,10 @@
 	gangRun int64
 	ready   time.Time // when the step was last opened for placement
 	advice  advice
+	// lastFailedOn is the worker on which a task of the step failed last, as far as this owner knows.
+	lastFailedOn WorkerID
+	// suspect is set if tasks of the step have failed on several workers and nothing shows that it works.
+	suspect bool
 	// waitReason is the reason for waiting that was last logged.
 	waitReason string
 }
@@ -86,10 +90,21 @@
 	unresolved bool
 	attempts   []*attempt
 	failed     []int64 // runs that ended failed; empty for a long-running task
-	lastFailed int64   // the run that ended failed last; its end may be reported again
 	lastRun    int64
 	checkpoint string
-	lastWorker WorkerID
+	// checkpointRun is the run that saved the checkpoint; 0 if a former owner knew it.
+	checkpointRun int64
+	lastWorker    WorkerID
+}
+
+// noteCheckpoint notes the checkpoint that a run has saved, unless that of a later run is known. It reports
+// whether the checkpoint was noted.
+func (t *task) noteCheckpoint(checkpoint string, run int64) bool {
+	if run < t.checkpointRun {
+		return false
+	}
+	t.checkpoint, t.checkpointRun = checkpoint, run
+	return true
 }
 
 func newOccurrence(j *Job, number int) *occurrence {
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -2,21 +2,9 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 )
 
-const (
-	// failuresToQuarantine is the number of consecutive failed tasks after which a worker gets no new
-	// tasks.
-	failuresToQuarantine = 2
-	// quarantineTime is how long such a worker gets no new tasks. After that, a single failure
-	// quarantines it again, unless a task has been done there meanwhile.
-	quarantineTime = 8 * time.Second
-	// refusalQuarantineTime is the quarantine of a worker that refused a start as unhealthy.
-	refusalQuarantineTime = time.Second
-)
-
 // worker is what the owner knows of one incarnation of a worker.
 type worker struct {
 	info              WorkerInfo
@@ -28,9 +16,11 @@
 	leaseConfirmed    bool // it has confirmed a renewal of its lease since it was last unreachable
 	runsUnknownTasks  bool // it runs tasks of unknown jobs, whose resources are not known
 	leaseEnd          time.Time
+	leavesAfter       time.Time // until when a draining worker certainly stays; zero if not known
 	used              Resources
 	bestEffort        int       // best-effort attempts
 	bestEffortCPU     int64     // CPU that they ask for within their CPU limits, in thousandths of a core
+	shortCPU          int64     // CPU reserved by short tasks, which are not long-running, in thousandths of a core
 	latencySensitive  int       // attempts with a latency target
 	longRunning       int       // attempts of long-running tasks
 	targetMissedSince time.Time // since when a latency has been above its target
@@ -42,10 +32,13 @@
 	// thousandths of a core, as of latencyGroupsAt.
 	idleCPU int64
 	// bestEffortEndedAt is when a best-effort attempt with a CPU limit above 0 last ended there.
-	bestEffortEndedAt   time.Time
-	attempts            map[attemptKey]*attempt
-	consecutiveFailures int // failed attempts since a task was last done there
-	quarantinedUntil    time.Time
+	bestEffortEndedAt time.Time
+	attempts          map[attemptKey]*attempt
+	failures          []*step   // the steps of its failures in a row
+	failuresEnd       time.Time // when these are too old to be in a row
+	countedSeq        int64     // highest Seq of the ends that were counted for or against the worker
+	quarantinedUntil  time.Time
+	restsUntil        time.Time // until when it does not get long-running tasks without another worker either
 }
 
 // UpdateWorker adds a worker from the registry, or updates it.
@@ -62,10 +55,12 @@
 	}
 	if info.Incarnation > w.info.Incarnation {
 		s.handleRestart(w, info.Incarnation, "the registry", now)
+		w.leavesAfter = time.Time{}
 	}
 	startsDraining := info.Draining && !w.info.Draining
 	w.info, w.listed = info, true
 	w.rack = rackOf(info.Labels)
+	w.noteRemaining(now)
 	if startsDraining {
 		s.event(Event{Name: "worker.draining", Worker: info.ID})
 		s.stopForDrain(w, now)
@@ -250,7 +245,8 @@
 	// The log calls a restarted worker reborn.
 	s.event(Event{Name: "worker.reborn", Worker: w.info.ID, Detail: fmt.Sprintf("%s shows incarnation %d after %d; unconfirmed starts: %d", source, incarnation, w.info.Incarnation, unconfirmed)})
 	w.info.Incarnation = incarnation
-	w.reported, w.leaseConfirmed, w.consecutiveFailures, w.quarantinedUntil = false, false, 0, time.Time{}
+	w.reported, w.leaseConfirmed, w.failures, w.quarantinedUntil = false, false, nil, time.Time{}
+	w.countedSeq, w.restsUntil = 0, time.Time{}
 }
 
 // lose removes an attempt whose end will never be reported. The caller must know that it does not run any
@@ -329,64 +325,15 @@
 	return !now.Before(end) && !s.ownedUntil.Before(end)
 }
 
-// stopForDrain stops the tasks on a draining worker that should restart elsewhere at once: long-running
-// tasks, as far as MaxDisrupted allows, and tasks that would not be done before the worker leaves.
-func (s *State) stopForDrain(w *worker, now time.Time) {
-	for _, a := range w.attempts {
-		switch {
-		case a.step.spec.LongRunning && s.mayDisrupt(a):
-			s.stop(a, "worker drains")
-		case !a.step.spec.LongRunning && !a.step.spec.Gang && w.info.MinRemaining > 0 && a.remainingTime(now) > w.info.MinRemaining:
-			s.stop(a, "worker leaves before the task would be done")
-		}
-	}
-}
-
-// minPercentForPrediction is the progress in percent from which the remaining time is extrapolated
-// from the progress instead of being taken from the estimate.
-const minPercentForPrediction = 10
-
-// remainingTime estimates the time until an attempt is done.
-func (a *attempt) remainingTime(now time.Time) time.Duration {
-	left := time.Duration(fullPercent - a.percent)
-	if a.percent >= minPercentForPrediction {
-		return now.Sub(a.requestedAt) * left / time.Duration(a.percent)
-	}
-	return a.step.spec.Estimate * left / fullPercent
-}
-
-// mayDisrupt reports whether MaxDisrupted of the step allows one more task to be unavailable.
-func (s *State) mayDisrupt(a *attempt) bool {
-	bound := a.step.spec.MaxDisrupted
-	if bound == 0 {
-		return true
-	}
-	return a.step.unavailable() < bound
-}
-
-// unavailable counts the tasks of a long-running step that are not available.
-func (st *step) unavailable() int {
-	n := 0
-	for i := range st.tasks {
-		if !st.tasks[i].available() {
-			n++
-		}
-	}
-	return n
-}
-
-// available reports whether a long-running task has an attempt that is ready, which the worker lists
-// with 100 percent, and is not being stopped.
-func (t *task) available() bool {
-	return slices.ContainsFunc(t.attempts, func(a *attempt) bool {
-		return a.listed && !a.stopping && a.percent >= 100
-	})
-}
-
 // usable reports whether the worker may get new tasks.
 func (w *worker) usable(s *State, now time.Time) bool {
+	return w.usableButForQuarantine(s) && !now.Before(w.quarantinedUntil)
+}
+
+// usableButForQuarantine reports whether the worker may get new tasks once its quarantine has ended.
+func (w *worker) usableButForQuarantine(s *State) bool {
 	return w.listed && w.recorded && w.reported && w.leaseConfirmed && !w.unreachable && !w.runsUnknownTasks && !w.info.Draining &&
-		!s.config.Evacuated[w.info.DataCentre] && !now.Before(w.quarantinedUntil)
+		!s.config.Evacuated[w.info.DataCentre]
 }
 
 // free returns the resources that no attempt reserves.
@@ -416,6 +363,8 @@
 	}
 	if a.step.spec.LongRunning {
 		w.longRunning += by
+	} else {
+		w.shortCPU += int64(by) * a.reserved.CPU
 	}
 	if a.step.spec.LatencyTarget > 0 {
 		w.latencySensitive += by
@@ -427,15 +376,3 @@
 func (a *attempt) limitedCPU() int64 {
 	return a.step.spec.Resources.CPU * int64(a.cpuLimit) / fullPercent
 }
-
-// countFailure counts a failed attempt of t against the worker, unless earlier runs of the task failed
-// too, which points to the task as the cause.
-func (w *worker) countFailure(t *task, now time.Time) {
-	if len(t.failed) > 1 {
-		return
-	}
-	w.consecutiveFailures++
-	if w.consecutiveFailures >= failuresToQuarantine {
-		w.quarantinedUntil = now.Add(quarantineTime)
-	}
-}
