--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -396,6 +396,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	l := newLeader(o, held, cancel)
+	o.ended.Delete(l.epoch) // a campaign that seemed to fail may have had the same epoch
 	o.heldRev.Store(held.commitRev)
 	o.claim.Store(&held.claim)
 	o.leading.Store(l)
--- a/internal/owner/workers_record.go
+++ b/internal/owner/workers_record.go
@@ -183,14 +183,17 @@
 		if !lease.Ending {
 			continue
 		}
-		if lease.Epoch > 0 {
-			r.lastRenewers[id] = lease.Epoch
-		}
 		until[id] = now.Add(lease.Remaining)
 		if lease.LateStart {
 			r.lateStarts[id] = true
 		} else {
-			until[id] = earliest(until[id], latest, latestOf(lease.Epoch))
+			until[id] = earliest(until[id], latest)
+		}
+		if lease.Epoch > 0 {
+			r.lastRenewers[id] = lease.Epoch
+			if !lease.LateStart {
+				until[id] = earliest(until[id], latestOf(lease.Epoch))
+			}
 		}
 		r.leaseEnds[id] = until[id]
 		if until[id].After(now) {
