batch: the interference model learns nothing on a worker that has shrunk

What callers would see: latency targets missed on all workers (rule HARM) after one worker's capacity shrank.

Cause: the share of a best-effort task is its CPU by the worker's capacity. With a capacity of 0 the shares become 2,000 times too large, so each measured latency proves that the pair of images does not interfere. The weights are those of all workers and are handed to successors.

Mend: a worker whose CPU is below the highest of its present incarnation, or below what its tasks reserve, teaches nothing. What is decided there still uses the smaller capacity, which errs towards lower CPU limits.

Not mended: a new owner that first sees the worker after it has shrunk to what its tasks reserve or more takes that for its full capacity.

--- a/internal/batch/interference.go
+++ b/internal/batch/interference.go
@@ -135,10 +135,16 @@
 	return 1 - idle/float64(a.lastMeasurement)
 }
 
-// learn updates the model with the latencies of a worker, unless a best-effort task has ended there
-// within stabilisationTime.
+// hasShrunk reports whether the worker says that it has less CPU than before, or than its tasks reserve. What its
+// tasks use is then not known as a part of what they share.
+func (w *worker) hasShrunk() bool {
+	return w.info.Capacity.CPU < max(1, w.highestCPU, w.used.CPU)
+}
+
+// learn updates the model with the latencies of a worker, unless its capacity has shrunk or a best-effort task
+// has ended there within stabilisationTime.
 func (im *interferenceModel) learn(w *worker, now time.Time) {
-	if w.latencySensitive == 0 || now.Sub(w.bestEffortEndedAt) < stabilisationTime {
+	if w.latencySensitive == 0 || w.hasShrunk() || now.Sub(w.bestEffortEndedAt) < stabilisationTime {
 		return
 	}
 	shares := map[string]float64{}
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -18,6 +18,7 @@
 	leaseEnd          time.Time
 	leavesAfter       time.Time // until when a draining worker certainly stays; zero if not known
 	used              Resources
+	highestCPU        int64     // highest CPU of the entries of its present incarnation, in thousandths of a core
 	bestEffort        int       // best-effort attempts
 	bestEffortCPU     int64     // CPU that they ask for within their CPU limits, in thousandths of a core
 	shortCPU          int64     // CPU reserved by short tasks, which are not long-running, in thousandths of a core
@@ -59,6 +60,7 @@
 	}
 	startsDraining := info.Draining && !w.info.Draining
 	w.info, w.listed = info, true
+	w.highestCPU = max(w.highestCPU, info.Capacity.CPU)
 	w.rack = rackOf(info.Labels)
 	w.noteRemaining(now)
 	if startsDraining {
@@ -222,6 +224,7 @@
 	w.info.Incarnation = incarnation
 	w.reported, w.leaseConfirmed, w.failures, w.quarantinedUntil = false, false, nil, time.Time{}
 	w.countedSeq, w.restsUntil = 0, time.Time{}
+	w.highestCPU = 0
 }
 
 // lose removes an attempt whose end will never be reported. The caller must know that it does not run any
