batch: a start refused for want of room is tried elsewhere

Cause: the owner believed the capacity in the worker's entry also after the worker itself had refused a start for want of room, as happens while its capacity shrinks and the entry is late. The refusal left no trace, so the next plan sent the same start to the same worker.

Mend: a refusal is newer than the entry. Smaller tasks still go there.

Not mended: late, old and invalid answers still leave no trace.

--- a/internal/batch/advice.go
+++ b/internal/batch/advice.go
@@ -71,7 +71,7 @@
 	}
 	var rated scoredWorkers
 	for i, w := range workers {
-		if st.suits(w, q) && st.advice.mayGetTicket(w, now) {
+		if st.suits(w, q, now) && st.advice.mayGetTicket(w, now) {
 			s.updateLatencyGroups(w, now)
 			rated = append(rated, scoredWorker{worker: w, score: s.score(st, &st.tasks[0], w), order: i})
 		}
--- a/internal/batch/answers.go
+++ b/internal/batch/answers.go
@@ -18,6 +18,7 @@
 	switch answer {
 	case AnswerOK:
 		a.acceptedAt = now
+		w.noteRoom(a.reserved)
 		s.markStarted(a.step.job)
 	case AnswerNone:
 		if !a.listed {
@@ -29,7 +30,12 @@
 	case AnswerNoTicket:
 		a.step.advice.withdraw(id)
 		s.startRefused(a, answerNames[answer], now)
-	case AnswerStale, AnswerExpired, AnswerNoCapacity, AnswerFenced, AnswerInvalid:
+	case AnswerNoCapacity:
+		if !a.listed {
+			w.noteRoomRefusal(a.reserved, now)
+		}
+		s.startRefused(a, answerNames[answer], now)
+	case AnswerStale, AnswerExpired, AnswerFenced, AnswerInvalid:
 		s.startRefused(a, answerNames[answer], now)
 	}
 }
--- a/internal/batch/score.go
+++ b/internal/batch/score.go
@@ -23,7 +23,7 @@
 // evaluate returns the score of a worker for a task and whether the worker may get the task at all.
 func (s *State) evaluate(st *step, t *task, w *worker, now time.Time) (float64, bool) {
 	q := s.queueOf(st.job)
-	if !st.suits(w, q) || q.RequiresTicket && !st.advice.hasTicket(w, now) {
+	if !st.suits(w, q, now) || q.RequiresTicket && !st.advice.hasTicket(w, now) {
 		return 0, false
 	}
 	if st.spec.BestEffort || st.spec.LatencyTarget > 0 {
@@ -56,9 +56,9 @@
 }
 
 // suits reports whether a worker belongs to the queue's service, has enough free resources for a
-// task of the step and meets its constraints.
-func (st *step) suits(w *worker, q Queue) bool {
-	return w.info.Service == q.Service && st.reserved.Fits(w.free()) && st.meetsConstraints(w)
+// task of the step, as far as its entry and its refusals tell, and meets its constraints.
+func (st *step) suits(w *worker, q Queue, now time.Time) bool {
+	return w.info.Service == q.Service && st.reserved.Fits(w.free()) && w.mayHaveRoom(st.reserved, now) && st.meetsConstraints(w)
 }
 
 // meetsConstraints reports whether a worker has the label that the step requires and runs fewer than
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -18,13 +18,14 @@
 	leaseEnd          time.Time
 	leavesAfter       time.Time // until when a draining worker certainly stays; zero if not known
 	used              Resources
-	highestCPU        int64     // highest CPU of the entries of its present incarnation, in thousandths of a core
-	bestEffort        int       // best-effort attempts
-	bestEffortCPU     int64     // CPU that they ask for within their CPU limits, in thousandths of a core
-	shortCPU          int64     // CPU reserved by short tasks, which are not long-running, in thousandths of a core
-	latencySensitive  int       // attempts with a latency target
-	longRunning       int       // attempts of long-running tasks
-	targetMissedSince time.Time // since when a latency has been above its target
+	roomRefusals      []roomRefusal // starts that it refused for want of room, unless its capacity has changed since
+	highestCPU        int64         // highest CPU of the entries of its present incarnation, in thousandths of a core
+	bestEffort        int           // best-effort attempts
+	bestEffortCPU     int64         // CPU that they ask for within their CPU limits, in thousandths of a core
+	shortCPU          int64         // CPU reserved by short tasks, which are not long-running, in thousandths of a core
+	latencySensitive  int           // attempts with a latency target
+	longRunning       int           // attempts of long-running tasks
+	targetMissedSince time.Time     // since when a latency has been above its target
 	// latencyGroups were computed at latencyGroupsAt, which is zero if an attempt, a CPU limit or a
 	// measurement on the worker has changed since.
 	latencyGroupsAt time.Time
@@ -58,6 +59,9 @@
 		s.handleRestart(w, info.Incarnation, "the registry", now)
 		w.leavesAfter = time.Time{}
 	}
+	if info.Capacity != w.info.Capacity {
+		w.roomRefusals = nil
+	}
 	startsDraining := info.Draining && !w.info.Draining
 	w.info, w.listed = info, true
 	w.highestCPU = max(w.highestCPU, info.Capacity.CPU)
@@ -224,7 +228,7 @@
 	w.info.Incarnation = incarnation
 	w.reported, w.leaseConfirmed, w.failures, w.quarantinedUntil = false, false, nil, time.Time{}
 	w.countedSeq, w.restsUntil = 0, time.Time{}
-	w.highestCPU = 0
+	w.highestCPU, w.roomRefusals = 0, nil
 }
 
 // lose removes an attempt whose end will never be reported. The caller must know that it does not run any
