owner: the end of a failed campaign is no end of a leadership

Cause: a campaign that fails stores "ended" under its epoch. The successor started the task while its former run was alive.

--- a/internal/owner/permission_test.go
+++ b/internal/owner/permission_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -133,7 +134,7 @@
 func (h *harness) startInstanceAt(name string, store kv.Store, workers WorkerClient) {
 	ctx, cancel := context.WithCancel(h.ctx)
 	h.stops[name] = cancel
-	o := New(Options{Instance: name, BootClock: h.bootClock, Address: name, LeaseTTL: testLeaseTTL, MaxWorkerLease: 6 * time.Second, JobRetention: 20 * time.Second},
+	o := New(Options{Instance: name, BootClock: h.bootClock, Address: name, LeaseTTL: testLeaseTTL, MaxWorkerLease: 6 * time.Second, JobRetention: 20 * time.Second, ReportEnd: h.reportEnd},
 		store, workers, fakeRegistry{}, testConfig, zerolog.Nop())
 	h.owners[name] = o
 	go o.Run(ctx)
@@ -233,6 +234,50 @@
 	}
 }
 
+// refusingStore refuses the first claim that is written.
+type refusingStore struct {
+	*cutStore
+	refused atomic.Bool
+}
+
+func (s *refusingStore) Commit(ctx context.Context, t kv.Txn) (int64, error) {
+	for _, w := range t.Set {
+		if w.Key == claimKey && s.refused.CompareAndSwap(false, true) {
+			return 0, kv.ErrUnavailable
+		}
+	}
+	return s.cutStore.Commit(ctx, t)
+}
+
+// Guards against a task that runs twice because an instance reports the end of a campaign that had failed for the
+// end of its leadership with the same epoch. The owner is cut off from the store, which returns while it may still
+// act; only it reaches the worker of the task.
+func TestTheEndOfAFailedCampaignIsNoEndOfALeadership(t *testing.T) {
+	for back := 1500 * time.Millisecond; back < 5*time.Second; back += 100 * time.Millisecond {
+		t.Run(back.String(), func(t *testing.T) {
+			withHarness(t, func(h *harness) {
+				h.workers.taskDuration = time.Hour
+				task := batch.TaskID{Job: "j"}
+				store := &refusingStore{cutStore: &cutStore{memoryStore: h.store}}
+				reached := &partitionedWorkers{WorkerClient: h.workers}
+				h.startInstanceAt("a", store, reached)
+				h.sleep(time.Second)
+				h.submit("j", longRunning(1))
+				h.sleep(20 * time.Second)
+				worker, other := h.workerOf(task), h.idleWorker()
+				store.setCut(true)
+				reached.hide(other)
+				h.startInstanceAt("b", h.store, &partitionedWorkers{WorkerClient: h.workers, hidden: worker})
+				h.sleep(back)
+				store.setCut(false)
+				h.timeToStart(task, 2, 30*time.Second)
+				h.is.Equal(h.workers.starts(task), 2)
+				h.is.Equal(h.workers.overlaps, 0)
+			}, "w1", "w2")
+		})
+	}
+}
+
 // testCutOffOwner cuts off an owner some time after it has started a task, calls inform with its harness, and
 // checks that the task runs once.
 func testCutOffOwner(t *testing.T, cutAfter time.Duration, inform func(h *harness)) {
