owner: a record without epochs is not shortened by the first claim ever seen

Evidence: TestARecordWithoutEpochsIsNotShortened fails without the guard: the end was a minute in the past.

--- a/internal/owner/workers_record_test.go
+++ b/internal/owner/workers_record_test.go
@@ -223,3 +223,15 @@
 		stored = next.stored(now) // handed on by an owner that does not reach the worker either
 	}
 }
+
+// Guards against a task that runs twice: a record of an earlier version says how long a lease lasts, but not which
+// owner was the last that may have renewed it. Nothing else may shorten it.
+func TestARecordWithoutEpochsIsNotShortened(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000_000, 0)
+	stored := encode(map[batch.WorkerID]recordedLease{"silent": {Ending: true, Remaining: 4 * time.Second}})
+	r := newWorkerRecord(2)
+	until, err := r.restore(stored, now, now.Add(10*time.Second), func(int64) time.Time { return now.Add(-time.Minute) })
+	is.NoErr(err)
+	is.Equal(until["silent"], now.Add(4*time.Second))
+}
