owner: a worker that no owner has reached holds up no task

What callers would see: a worker registers itself and answers nobody; after the next take-over a task that lasts stays down for the longest lease and permission.

Cause: a new worker went into the workers record as being renewed, before any owner had reached it.

Mend: it is recorded with a lease that has ended, and as renewed when it has answered, durable before its first renewal, as for a worker that was out of contact.

--- a/internal/owner/take_over_test.go
+++ b/internal/owner/take_over_test.go
@@ -144,3 +144,26 @@
 		h.requireRestart(task, 2, 3*time.Second)
 	}, "w1", "w2", "w3")
 }
+
+// Guards against a long-running task that stays down after a take-over because of a worker that has registered
+// itself and that no owner has ever reached.
+func TestAWorkerThatNoOwnerHasReachedHoldsUpNoTask(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		h.workers.taskDuration = time.Hour
+		h.startInstance("a")
+		h.sleep(time.Second)
+		h.submit("j", longRunning(1))
+		h.sleep(time.Second)
+		h.startInstance("b")
+		h.workers.mu.Lock()
+		h.workers.unreachable["w9"] = true
+		h.workers.mu.Unlock()
+		h.store.set("w/w9", []byte("ok"))
+		h.sleep(20 * time.Second)
+		task := batch.TaskID{Job: "j"}
+		h.kill("a")
+		h.leave("w9")
+		h.fail(task)
+		h.requireRestart(task, 2, 3*time.Second)
+	}, "w1", "w2", "w3")
+}
--- a/internal/owner/watch.go
+++ b/internal/owner/watch.go
@@ -90,7 +90,8 @@
 	if l.workersRecord.durable[info.ID] {
 		l.state.MarkRecorded(info.ID)
 	} else if !l.workersRecord.contains(info.ID) && l.state.InUse(info.ID) {
-		l.workersRecord.setRenewed(info.ID)
+		// It has no lease before it is reached.
+		l.workersRecord.setLeaseEnd(info.ID, time.Now(), false)
 	}
 	l.workersChanged = true
 	return info.ID, true
