owner: a claim that was taken away may have been confirmed just before

Mend: how a claim came to its end is not known, unless its owner's process has certainly ended. The next owner always allows for the rest of its lease, and only a certain end is stored.

--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -129,27 +129,19 @@
 	return ofLast
 }
 
-// formerPermission returns for how long the former owner may go on acting after its claim has ended. A claim that
-// was removed may have been confirmed just before, and lasts for the owner as long as its lease would have.
+// formerPermission returns for how long the former owner may go on acting after its claim has ended. The claim may
+// have been removed just after it was confirmed, and lasts for the owner as long as its lease would have.
 func (l *leader) formerPermission(owned []kv.Item) time.Duration {
 	for _, item := range owned {
-		if item.Key != claimRemovedKey {
+		if item.Key != endedClaimKey {
 			continue
 		}
-		var removal claimRemoval
-		if !l.checkReadable(item.Key, cbor.Unmarshal(item.Value, &removal)) {
-			return l.owner.opts.LeaseTTL + claimGrace
-		}
-		switch {
-		case removal.Epoch != l.epoch-1:
-			return claimGrace
-		case removal.Ended:
+		var epoch int64
+		if l.checkReadable(item.Key, cbor.Unmarshal(item.Value, &epoch)) && epoch == l.epoch-1 {
 			return 0
-		default:
-			return l.owner.opts.LeaseTTL + claimGrace
 		}
 	}
-	return claimGrace
+	return l.owner.opts.LeaseTTL + claimGrace
 }
 
 // checkReadable logs an entry of the store that cannot be decoded, and reports whether there was no
--- a/internal/owner/permission_test.go
+++ b/internal/owner/permission_test.go
@@ -234,6 +234,20 @@
 	}
 }
 
+// Guards against a task that runs twice because the store takes the claim away as the owner is cut off, just after
+// it was confirmed.
+func TestTaskOfAnOwnerWhoseClaimIsTakenAwayRunsOnce(t *testing.T) {
+	for cutAfter := time.Duration(0); cutAfter < idleWait; cutAfter += 25 * time.Millisecond {
+		t.Run(cutAfter.String(), func(t *testing.T) {
+			testCutOffOwner(t, cutAfter, func(h *harness) {
+				h.store.mu.Lock()
+				defer h.store.mu.Unlock()
+				h.store.remove(claimKey)
+			})
+		})
+	}
+}
+
 // refusingStore refuses the first claim that is written.
 type refusingStore struct {
 	*cutStore
--- a/internal/owner/records.go
+++ b/internal/owner/records.go
@@ -19,13 +19,14 @@
 	acceptedPrefix = "gw/in/"
 	jobPrefix      = acceptedPrefix + "job/"
 	cancelPrefix   = acceptedPrefix + "cancel/"
-	// Only the owner writes below ownerPrefix, but for claimRemovedKey.
+	// Only the owner writes below ownerPrefix, but for endedClaimKey.
 	ownerPrefix     = "gw/out/"
 	recordPrefix    = ownerPrefix + "job/"
 	workersKey      = ownerPrefix + "workers"
 	interferenceKey = ownerPrefix + "learned"
-	// claimRemovedKey holds the last claimRemoval: a claim that was removed before its lease had ended.
-	claimRemovedKey = ownerPrefix + "claim-removed"
+	// endedClaimKey holds the epoch of the last claim that was removed because its owner's process had certainly
+	// ended.
+	endedClaimKey = ownerPrefix + "ended-claim"
 )
 
 // commitHead is the value of headKey. Each transaction of an owner requires that the head is still
--- a/internal/owner/revoke.go
+++ b/internal/owner/revoke.go
@@ -19,33 +19,26 @@
 // revokeFormerClaim removes the claim if it belongs to an earlier process of this instance.
 func (o *Owner) revokeFormerClaim(c Claim) {
 	if c.Instance == o.opts.Instance && c.Incarnation != o.incarnation {
-		go o.revokeClaim(c, claimRemoval{Epoch: c.Epoch, Ended: true}, "its process has been replaced by this one")
+		go o.revokeClaim(c, true, "its process has been replaced by this one")
 	}
 }
 
-// claimRemoval is the value of claimRemovedKey.
-type claimRemoval struct {
-	Epoch int64 `cbor:"1,keyasint"`
-	// Ended is set if the owner's process has certainly ended. A port that refuses calls does not prove it.
-	Ended bool `cbor:"2,keyasint,omitempty"`
-}
-
 // RevokeClaim removes a claim whose owner seems to have ended, so that another instance can campaign at once.
-func (o *Owner) RevokeClaim(c Claim, reason string) {
-	o.revokeClaim(c, claimRemoval{Epoch: c.Epoch}, reason)
-}
+func (o *Owner) RevokeClaim(c Claim, reason string) { o.revokeClaim(c, false, reason) }
 
-func (o *Owner) revokeClaim(c Claim, removal claimRemoval, reason string) {
+// revokeClaim removes a claim. ended says that the owner's process has certainly ended, which a port that refuses
+// calls does not prove.
+func (o *Owner) revokeClaim(c Claim, ended bool, reason string) {
 	ctx, cancel := context.WithTimeout(context.Background(), revokeClaimTimeout)
 	defer cancel()
-	err := o.removeClaim(ctx, removal)
+	err := o.removeClaim(ctx, c.Epoch, ended)
 	o.log.Info().Str("event", "owner.deposed").Str("owner", c.Instance).Int64("epoch", c.Epoch).Str("why", reason).AnErr("failed", err).Send()
 }
 
 var errClaimChanged = errors.New("the claim has changed")
 
-// removeClaim removes the claim if it still has the epoch of the removal, and stores the removal.
-func (o *Owner) removeClaim(ctx context.Context, removal claimRemoval) error {
+// removeClaim removes the claim if it still has the epoch, and stores that its owner has ended if that is certain.
+func (o *Owner) removeClaim(ctx context.Context, epoch int64, ended bool) error {
 	item, err := o.store.Get(ctx, claimKey)
 	if err != nil {
 		return err
@@ -54,13 +47,13 @@
 	if err != nil {
 		return err
 	}
-	if current.Epoch != removal.Epoch {
+	if current.Epoch != epoch {
 		return errClaimChanged
 	}
-	_, err = o.store.Commit(ctx, kv.Txn{
-		If:     []kv.Condition{{Key: claimKey, Rev: item.Rev}},
-		Set:    []kv.Write{{Key: claimRemovedKey, Value: encode(removal)}},
-		Remove: []string{claimKey},
-	})
+	txn := kv.Txn{If: []kv.Condition{{Key: claimKey, Rev: item.Rev}}, Remove: []string{claimKey}}
+	if ended {
+		txn.Set = []kv.Write{{Key: endedClaimKey, Value: encode(epoch)}}
+	}
+	_, err = o.store.Commit(ctx, txn)
 	return err
 }
