owner: random histories of owners, workers and cuts

Three instances and three workers now go through 40 random events a history: kills, hand-overs, cuts of the store, of workers and of zones, claims that are removed or taken away, campaigns that are refused or whose answers are lost; no task may start while it runs elsewhere.

--- /dev/null
+++ b/internal/owner/random_owners_test.go
@@ -0,0 +1,328 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/geraniumwick/geraniumwick/internal/batch"
+	"github.com/geraniumwick/geraniumwick/internal/kv"
+	"github.com/geraniumwick/geraniumwick/internal/pause"
+)
+
+// view is what one process sees of the store and of the workers.
+type view struct {
+	mu      sync.Mutex
+	cut     bool // from the store
+	refused int  // number of coming transactions that are refused
+	lost    int  // number of transactions after these that are executed but return an error
+	dead    bool // the process has ended: it reaches nothing
+	hidden  map[batch.WorkerID]bool
+}
+
+func (v *view) reachesStore() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return !v.cut && !v.dead
+}
+
+func (v *view) reaches(id batch.WorkerID) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return !v.hidden[id] && !v.dead
+}
+
+func (v *view) change(f func(v *view)) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	f(v)
+}
+
+// takeFaults returns whether the next transaction is refused or loses its answer.
+func (v *view) takeFaults() (refused, lost bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	switch {
+	case v.refused > 0:
+		v.refused--
+		return true, false
+	case v.lost > 0:
+		v.lost--
+		return false, true
+	}
+	return false, false
+}
+
+// viewedStore is the store as one process sees it.
+type viewedStore struct {
+	*memoryStore
+	view *view
+}
+
+func (s viewedStore) unavailable(ctx context.Context) bool {
+	if s.view.reachesStore() {
+		return false
+	}
+	pause.For(ctx, 50*time.Millisecond)
+	return true
+}
+
+func (s viewedStore) Get(ctx context.Context, key string) (kv.Item, error) {
+	if s.unavailable(ctx) {
+		return kv.Item{}, kv.ErrUnavailable
+	}
+	return s.memoryStore.Get(ctx, key)
+}
+
+func (s viewedStore) List(ctx context.Context, prefix string) ([]kv.Item, int64, error) {
+	if s.unavailable(ctx) {
+		return nil, 0, kv.ErrUnavailable
+	}
+	return s.memoryStore.List(ctx, prefix)
+}
+
+func (s viewedStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]kv.Event, int64, error) {
+	events, rev, err := s.memoryStore.Watch(ctx, prefix, after, wait)
+	if !s.view.reachesStore() {
+		return nil, 0, kv.ErrUnavailable
+	}
+	return events, rev, err
+}
+
+func (s viewedStore) Commit(ctx context.Context, t kv.Txn) (int64, error) {
+	if s.unavailable(ctx) {
+		return 0, kv.ErrUnavailable
+	}
+	refused, lost := s.view.takeFaults()
+	if refused {
+		return 0, kv.ErrUnavailable
+	}
+	rev, err := s.memoryStore.Commit(ctx, t)
+	if lost && err == nil {
+		return 0, errAnswerLost
+	}
+	return rev, err
+}
+
+func (s viewedStore) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
+	if s.unavailable(ctx) {
+		return 0, kv.ErrUnavailable
+	}
+	return s.memoryStore.Grant(ctx, ttl)
+}
+
+func (s viewedStore) Renew(ctx context.Context, lease int64) error {
+	if s.unavailable(ctx) {
+		return kv.ErrUnavailable
+	}
+	return s.memoryStore.Renew(ctx, lease)
+}
+
+func (s viewedStore) Revoke(ctx context.Context, lease int64) error {
+	if s.unavailable(ctx) {
+		return kv.ErrUnavailable
+	}
+	return s.memoryStore.Revoke(ctx, lease)
+}
+
+// viewedWorkers are the workers as one process sees them.
+type viewedWorkers struct {
+	*fakeWorkers
+	view *view
+}
+
+func (w viewedWorkers) RenewLease(ctx context.Context, r RenewRequest) (batch.Report, batch.Answer) {
+	if !w.view.reaches(r.Worker) {
+		<-ctx.Done()
+		return batch.Report{}, batch.AnswerNone
+	}
+	return w.fakeWorkers.RenewLease(ctx, r)
+}
+
+func (w viewedWorkers) Start(ctx context.Context, r StartRequest) batch.Answer {
+	if !w.view.reaches(r.Worker) {
+		<-ctx.Done()
+		return batch.AnswerNone
+	}
+	return w.fakeWorkers.Start(ctx, r)
+}
+
+func (w viewedWorkers) Stop(ctx context.Context, r TaskRequest) batch.Answer {
+	if !w.view.reaches(r.Worker) {
+		<-ctx.Done()
+		return batch.AnswerNone
+	}
+	return w.fakeWorkers.Stop(ctx, r)
+}
+
+// ownersWorld is a random history of three instances and three workers.
+type ownersWorld struct {
+	*harness
+	random    *rand.Rand
+	instances []string
+	ids       []batch.WorkerID
+	views     map[string]*view
+	history   string
+}
+
+// start starts a process of an instance. Its first campaigns may be refused.
+func (w *ownersWorld) start(name string) {
+	v := &view{refused: w.random.IntN(3), hidden: map[batch.WorkerID]bool{}}
+	ctx, cancel := context.WithCancel(w.ctx)
+	o := New(Options{Instance: name, BootClock: w.bootClock, Address: name, LeaseTTL: testLeaseTTL, MaxWorkerLease: 6 * time.Second, JobRetention: 20 * time.Second, ReportEnd: w.reportEnd},
+		viewedStore{w.store, v}, viewedWorkers{w.workers, v}, fakeRegistry{}, testConfig, zerolog.New(&w.log))
+	w.stops[name], w.owners[name], w.views[name] = cancel, o, v
+	go o.Run(ctx)
+}
+
+// drawInstance returns an instance, most often the owner's.
+func (w *ownersWorld) drawInstance() string {
+	if l := w.leader(); l != "" && w.random.IntN(3) > 0 {
+		return l
+	}
+	return w.instances[w.random.IntN(len(w.instances))]
+}
+
+func (w *ownersWorld) kill(name string) {
+	w.views[name].change(func(v *view) { v.dead = true })
+	w.stops[name]()
+	w.sleep(w.upTo(2 * time.Second))
+	w.start(name)
+}
+
+func (w *ownersWorld) resign(name string) {
+	w.owners[name].Resign()
+	w.sleep(w.upTo(1500 * time.Millisecond))
+	w.stops[name]()
+	w.sleep(100 * time.Millisecond)
+	w.start(name)
+}
+
+// cutZone cuts off an instance with one worker: it reaches only that one, and the others reach only the others.
+func (w *ownersWorld) cutZone(name string) {
+	inside := w.ids[w.random.IntN(len(w.ids))]
+	for other, v := range w.views {
+		v.change(func(v *view) {
+			v.cut = v.cut || other == name
+			for _, id := range w.ids {
+				v.hidden[id] = (id == inside) != (other == name)
+			}
+		})
+	}
+}
+
+// removeClaim removes the claim without word of its owner.
+func (w *ownersWorld) removeClaim(name string) {
+	if c := w.owners[name].Claim(); c != nil {
+		go w.owners[name].RevokeClaim(*c, "test")
+	}
+}
+
+func (w *ownersWorld) takeClaimAway(string) {
+	w.store.mu.Lock()
+	defer w.store.mu.Unlock()
+	if _, held := w.store.items[claimKey]; held {
+		w.store.remove(claimKey)
+	}
+}
+
+func (w *ownersWorld) restoreStore(string) {
+	for _, v := range w.views {
+		v.change(func(v *view) { v.cut = false })
+	}
+}
+
+func (w *ownersWorld) restoreAll(string) {
+	for _, v := range w.views {
+		v.change(func(v *view) { v.cut, v.hidden = false, map[batch.WorkerID]bool{} })
+	}
+}
+
+func (w *ownersWorld) toggleStore(name string) {
+	w.views[name].change(func(v *view) { v.cut = !v.cut })
+}
+
+func (w *ownersWorld) toggleWorker(name string) {
+	id := w.ids[w.random.IntN(len(w.ids))]
+	w.views[name].change(func(v *view) { v.hidden[id] = !v.hidden[id] })
+}
+
+func (w *ownersWorld) loseTransactions(name string) {
+	w.views[name].change(func(v *view) { v.refused, v.lost = w.random.IntN(2), w.random.IntN(2) })
+}
+
+func (w *ownersWorld) upTo(limit time.Duration) time.Duration {
+	return time.Duration(w.random.Int64N(int64(limit)))
+}
+
+// worldEvent is a kind of event of a history.
+type worldEvent struct {
+	name   string
+	weight int
+	act    func(w *ownersWorld, instance string)
+}
+
+var worldEvents = []worldEvent{
+	{"kill", 1, (*ownersWorld).kill},
+	{"resign", 1, (*ownersWorld).resign},
+	{"store cut or restored", 3, (*ownersWorld).toggleStore},
+	{"worker cut or restored", 3, (*ownersWorld).toggleWorker},
+	{"zone cut", 3, (*ownersWorld).cutZone},
+	{"transactions lost", 1, (*ownersWorld).loseTransactions},
+	{"claim removed", 1, (*ownersWorld).removeClaim},
+	{"claim taken away", 1, (*ownersWorld).takeClaimAway},
+	{"stores restored", 1, (*ownersWorld).restoreStore},
+	{"all restored", 2, (*ownersWorld).restoreAll},
+}
+
+func (w *ownersWorld) drawEvent() worldEvent {
+	total := 0
+	for _, e := range worldEvents {
+		total += e.weight
+	}
+	n := w.random.IntN(total)
+	for _, e := range worldEvents {
+		if n -= e.weight; n < 0 {
+			return e
+		}
+	}
+	panic("no event")
+}
+
+// Guards against a task that runs twice after any series of kills, hand-overs, cuts and claims that are removed,
+// while campaigns are refused or their answers are lost.
+func TestRandomHistoriesOfOwnersStartNothingTwice(t *testing.T) {
+	const histories, events = 200, 40
+	for seed := range uint64(histories) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			withHarness(t, func(h *harness) {
+				w := &ownersWorld{
+					harness: h, random: rand.New(rand.NewPCG(seed, 1)), views: map[string]*view{},
+					instances: []string{"a", "b", "c"}, ids: []batch.WorkerID{"w1", "w2", "w3"},
+				}
+				h.workers.taskDuration = time.Hour
+				for _, name := range w.instances {
+					w.start(name)
+				}
+				h.sleep(time.Second)
+				h.submit("j", longRunning(3))
+				h.sleep(2 * time.Second)
+				for range events {
+					e, name := w.drawEvent(), w.drawInstance()
+					w.history += fmt.Sprintf("%s %s of %s\n", time.Now().UTC().Format("15:04:05.000"), e.name, name)
+					e.act(w, name)
+					h.sleep(w.upTo(2500 * time.Millisecond))
+				}
+				if h.workers.overlaps > 0 {
+					t.Errorf("%d starts of a task that ran:\n%s", h.workers.overlaps, w.history)
+				}
+				pause.For(context.Background(), reportEndPeriod) // reports of ends do not stop with the instances
+			}, "w1", "w2", "w3")
+		})
+	}
+}
