owner: after a restart of all instances only the last owner is waited for

What callers would see: all instances lose power; a task that lasts, whose worker is lost as well, stays down for 11.1 s after they are back, with room for it.

Cause: since the owner before the last counts too, and when it was replaced is known only to instances that saw the claim of its successor. After a restart of all nobody has, so it counted as replaced just now.

Mend: the head says once its owner has led for so long that no lease of an earlier one lasts (a transaction is sent for it if no other is). A successor of such an owner leaves the others out.

--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -20,6 +20,8 @@
 	inFlight *recordTxn
 	// lastSent is when the newest transaction was sent.
 	lastSent time.Time
+	// settled is set once a transaction has said that no lease of an earlier owner lasts any more.
+	settled bool
 	// interferenceSaved is when the interference weights were last written.
 	interferenceSaved time.Time
 	timer             <-chan time.Time
@@ -83,6 +85,9 @@
 	c.timer = nil
 	l.workersRecord.noteEndedLeases(now)
 	l.workersRecord.noteUnused(l.state.WorkersInUse, now)
+	if !c.settled && l.isSettled(now) {
+		c.settled, l.workersRecord.dirty = true, true
+	}
 	if c.inFlight != nil || l.state.DirtyJobs() == 0 && !l.workersRecord.dirty && len(l.prunedJobs) == 0 {
 		return
 	}
@@ -105,7 +110,7 @@
 	c.number++
 	t := &recordTxn{number: c.number, oldestChange: l.state.OldestChange(), records: l.state.TakeDirty(maxRecordsPerTxn)}
 	t.txn.If = []kv.Condition{{Key: headKey, Rev: c.rev}}
-	t.txn.Set = []kv.Write{{Key: headKey, Value: encode(commitHead{Epoch: l.epoch, Number: c.number, Owner: l.owner.process()})}}
+	t.txn.Set = []kv.Write{{Key: headKey, Value: encode(commitHead{Epoch: l.epoch, Number: c.number, Owner: l.owner.process(), Settled: l.isSettled(now)})}}
 	for id, r := range t.records {
 		t.txn.Set = append(t.txn.Set, kv.Write{Key: RecordKey(id), Value: encode(r)})
 	}
--- a/internal/owner/former_owner.go
+++ b/internal/owner/former_owner.go
@@ -94,7 +94,7 @@
 // one before it may have gone on for a while, so the waits are not shortened if it is not known for how long.
 func (l *leader) formerOwnerEnded(epoch int64, ended, now time.Time) {
 	latest := ended.Add(l.workerLeaseExpiry())
-	if epoch > 1 {
+	if !l.held.formerSettled {
 		ofOthers := l.latestLeaseOf(epoch - 1)
 		if ofOthers.IsZero() {
 			return
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -116,7 +116,7 @@
 // briefly that the one before it acts longer.
 func (l *leader) latestFormerLease(owned []kv.Item) time.Time {
 	ofLast := l.held.acquired.Add(l.formerPermission(owned) + l.workerLeaseExpiry())
-	if l.epoch <= 2 {
+	if l.held.formerSettled {
 		return ofLast
 	}
 	ofOthers := l.latestLeaseOf(l.epoch - 2)
@@ -129,6 +129,12 @@
 	return ofLast
 }
 
+// isSettled reports whether all leases of earlier owners have ended, also those that were sent by an owner before
+// the former one.
+func (l *leader) isSettled(now time.Time) bool {
+	return now.Sub(l.held.acquired) > l.owner.opts.LeaseTTL+claimGrace+l.workerLeaseExpiry()
+}
+
 // formerPermission returns for how long the former owner may go on acting after its claim has ended. The claim may
 // have been removed just after it was confirmed, and lasts for the owner as long as its lease would have.
 func (l *leader) formerPermission(owned []kv.Item) time.Duration {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -328,6 +328,8 @@
 	// granted is when its lease was requested, and acquired when it was known to be held.
 	granted  moment
 	acquired time.Time
+	// formerSettled is set if no lease of an owner before the former one lasts any more.
+	formerSettled bool
 }
 
 // acquireClaim writes the claim with the next epoch, on condition that there is no claim and that
@@ -360,7 +362,7 @@
 		go o.revokeLease(lease)
 		return heldClaim{}, err
 	}
-	return heldClaim{claim: c, lease: lease, commitRev: commitRev, granted: granted, acquired: time.Now()}, nil
+	return heldClaim{claim: c, lease: lease, commitRev: commitRev, granted: granted, acquired: time.Now(), formerSettled: head.Settled || head.Epoch <= 1}, nil
 }
 
 // process identifies this process.
--- a/internal/owner/records.go
+++ b/internal/owner/records.go
@@ -37,6 +37,8 @@
 	Number int64 `cbor:"2,keyasint"`
 	// Owner is the process that wrote the head; nil in heads of earlier versions.
 	Owner *Process `cbor:"3,keyasint,omitempty"`
+	// Settled is set once no lease of an earlier owner lasts any more.
+	Settled bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Process identifies a process of an instance.
--- a/internal/owner/take_over_chain_test.go
+++ b/internal/owner/take_over_chain_test.go
@@ -160,3 +160,37 @@
 		h.requireRestartAfter(task, back)
 	}, "w1", "w2", "w3")
 }
+
+// Guards against the same after all instances were restarted: none remembers when the owner before the former one was
+// replaced, and the next owner allowed for it as if that had just happened.
+func TestAfterARestartOfAllOnlyTheLastOwnerIsWaitedFor(t *testing.T) {
+	for handovers := range 3 {
+		t.Run(fmt.Sprintf("%d former take-overs", handovers), func(t *testing.T) {
+			withHarness(t, func(h *harness) {
+				h.workers.taskDuration = time.Hour
+				h.startInstance("a")
+				h.sleep(time.Second)
+				h.submit("j", longRunning(1))
+				h.startInstance("b")
+				h.sleep(2 * time.Second)
+				for range handovers {
+					leader := h.leader()
+					h.kill(leader)
+					h.sleep(3 * time.Second)
+					h.startInstance(leader)
+					h.sleep(3 * time.Second)
+				}
+				h.sleep(time.Minute)
+				task := batch.TaskID{Job: "j"}
+				h.leave(h.workerOf(task))
+				h.stops["b"]()
+				h.kill("a")
+				h.sleep(time.Second)
+				back := time.Now()
+				h.startInstance("a")
+				h.startInstance("b")
+				h.requireRestartAfter(task, back)
+			}, "w1", "w2", "w3")
+		})
+	}
+}
--- a/internal/owner/workers_record_test.go
+++ b/internal/owner/workers_record_test.go
@@ -116,11 +116,12 @@
 		var stored []byte
 		var ended []byte // the value of endedClaimKey
 		o := &Owner{opts: opts, claimsSeen: seenClaims{}}
+		settled := true
 		for epoch := int64(1); epoch < 8; epoch++ {
 			if rapid.IntRange(0, 5).Draw(t, "has seen this claim") > 0 {
 				o.claimsSeen.add(epoch, now.Add(pass("seen late", time.Second)))
 			}
-			l := &leader{owner: o, log: zerolog.Nop(), epoch: epoch, held: heldClaim{acquired: now}}
+			l := &leader{owner: o, log: zerolog.Nop(), epoch: epoch, held: heldClaim{acquired: now, formerSettled: settled}}
 			r := newWorkerRecord(epoch)
 			reaches := rapid.Bool().Draw(t, "reaches the worker")
 			end := now
@@ -161,7 +162,8 @@
 				now = now.Add(pass("until stored", time.Second))
 				stored = r.stored(now)
 			}
-			now = now.Add(pass("leads on", 8*time.Second))
+			now = now.Add(pass("leads on", 15*time.Second))
+			settled = l.isSettled(now) && rapid.Bool().Draw(t, "says that it is settled")
 			permission := pass("acts on", testLeaseTTL+claimGrace)
 			if rapid.Bool().Draw(t, "has certainly ended") {
 				permission = 0
