owner: only a process at the same address has replaced the former one for certain

While a machine is replaced, the new one first, both are up for a while. reportEnd compared the addresses already. The claim of an owner at another address lapses or is removed on a guess, as before.

--- a/internal/owner/revoke.go
+++ b/internal/owner/revoke.go
@@ -18,7 +18,7 @@
 
 // revokeFormerClaim removes the claim if it belongs to an earlier process of this instance.
 func (o *Owner) revokeFormerClaim(c Claim) {
-	if c.Instance == o.opts.Instance && c.Incarnation != o.incarnation {
+	if c.Instance == o.opts.Instance && c.Address == o.opts.Address && c.Incarnation != o.incarnation {
 		go o.revokeClaim(c, true, "its process has been replaced by this one")
 	}
 }
