--- a/internal/owner/take_over_test.go
+++ b/internal/owner/take_over_test.go
@@ -167,3 +167,29 @@
 		h.requireRestart(task, 2, 3*time.Second)
 	}, "w1", "w2", "w3")
 }
+
+// Guards against a task that runs twice: a worker was drained, has left the workers record and is ready again. It gets
+// no task before it is recorded again, or the next owner would not wait for it.
+func TestAWorkerThatIsReadyAgainGetsNoTaskBeforeItIsRecorded(t *testing.T) {
+	for after := 5 * time.Millisecond; after < 2*time.Second; after += after/4 + time.Millisecond {
+		t.Run(after.String(), func(t *testing.T) {
+			withHarness(t, func(h *harness) {
+				h.workers.taskDuration = time.Hour
+				h.startInstance("a")
+				h.sleep(3 * time.Second)
+				h.store.set("w/w1", []byte("draining"))
+				h.sleep(2900 * time.Millisecond)
+				h.store.set("w/w1", []byte("ok"))
+				step := longRunning(2)
+				step.Resources.CPU = 8000 // only one fits on each worker
+				h.submit("j", step)
+				h.startInstanceAt("b", h.store, &partitionedWorkers{WorkerClient: h.workers, hidden: "w1"})
+				h.sleep(after)
+				h.kill("a")
+				h.store.set("w/w3", []byte("ok")) // room for the task that w1 may run
+				h.sleep(30 * time.Second)
+				h.is.Equal(h.workers.overlaps, 0)
+			}, "w1", "w2", "w3")
+		})
+	}
+}
--- a/internal/owner/watch.go
+++ b/internal/owner/watch.go
@@ -90,9 +90,18 @@
 	if l.workersRecord.durable[info.ID] {
 		l.state.MarkRecorded(info.ID)
 	} else if !l.workersRecord.contains(info.ID) && l.state.InUse(info.ID) {
-		// It has no lease before it is reached.
-		l.workersRecord.setLeaseEnd(info.ID, time.Now(), false)
+		l.recordNewWorker(info.ID)
 	}
 	l.workersChanged = true
 	return info.ID, true
 }
+
+// recordNewWorker records a worker that is not in the workers record. It may be reached already, if it was not in use
+// before.
+func (l *leader) recordNewWorker(id batch.WorkerID) {
+	if l.state.LeaseEnd(id).IsZero() {
+		l.workersRecord.setLeaseEnd(id, time.Now(), false)
+		return
+	}
+	l.workersRecord.setRenewed(id)
+}
