--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -127,10 +127,29 @@
 	if w := s.workers[id]; w != nil && !w.unreachable {
 		w.unreachable, w.leaseConfirmed = true, false
 		// The log calls an unreachable worker silent.
-		s.event(Event{Name: "worker.silent", Worker: id})
+		s.event(Event{Name: "worker.silent", Worker: id, Detail: w.contents()})
 	}
 }
 
+// contents describes what the worker may run, for the log: the attempt that was started last is the first to
+// look at if the worker has crashed.
+func (w *worker) contents() string {
+	var last *attempt
+	unlisted := 0
+	for _, a := range w.attempts {
+		if !a.listed {
+			unlisted++
+		}
+		if last == nil || a.requestedAt.After(last.requestedAt) {
+			last = a
+		}
+	}
+	if last == nil {
+		return "no attempts there"
+	}
+	return fmt.Sprintf("attempts there: %d, of which no report has listed %d; started last: %+v run %d", len(w.attempts), unlisted, last.id(), last.run)
+}
+
 // LeaseRenewed notes that a lease was sent to the worker, which has certainly ended at leaseEnd.
 // confirmed says that the worker has responded to the renewal; it may get tasks from then on.
 func (s *State) LeaseRenewed(id WorkerID, leaseEnd time.Time, confirmed bool) {
