--- a/internal/batch/ends.go
+++ b/internal/batch/ends.go
@@ -25,7 +25,7 @@
 	switch e.Reason {
 	case EndDone:
 		s.countDone(w, st, e.Seq, now)
-		s.attemptDone(st, t, now)
+		s.attemptDone(st, e.Task.Index, now)
 	case EndFailed:
 		s.attemptFailed(w, st, t, e, now)
 	}
@@ -42,22 +42,24 @@
 var endReasonNames = [...]string{"", "done", "failed", "stopped", "lapsed", "broken", "alone", "unknown"}
 
 // attemptDone marks a task as done; in a gang, all its tasks. Long-running tasks are never done.
-func (s *State) attemptDone(st *step, t *task, now time.Time) {
+func (s *State) attemptDone(st *step, index int, now time.Time) {
 	if st.spec.LongRunning {
+		s.clearTask(taskRef{st, index})
 		return
 	}
 	if st.spec.Gang {
 		for i := range st.tasks {
-			s.completeTask(st, &st.tasks[i], now)
+			s.completeTask(taskRef{st, i}, now)
 		}
 		return
 	}
-	s.completeTask(st, t, now)
+	s.completeTask(taskRef{st, index}, now)
 }
 
 // completeTask marks a task as done, stops its other attempts unless it belongs to a gang, and opens
 // the dependent steps if it was the last task of its step.
-func (s *State) completeTask(st *step, t *task, now time.Time) {
+func (s *State) completeTask(r taskRef, now time.Time) {
+	st, t := r.step, r.task()
 	if t.done {
 		return
 	}
@@ -65,6 +67,7 @@
 		st.waiting--
 	}
 	t.done = true
+	s.clearTask(r)
 	st.remainingTasks--
 	s.dirty.add(st.job)
 	if !st.spec.Gang {
@@ -89,6 +92,9 @@
 	if t.done || slices.Contains(t.failed, e.Run) {
 		return
 	}
+	if e.Run == t.lastRun {
+		s.clearTask(taskRef{st, e.Task.Index}) // it has ended without a crash of its worker
+	}
 	t.failed = append(t.failed, e.Run)
 	s.countFailure(w, st, t, e.Seq, now)
 	if st.spec.LongRunning {
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -95,6 +95,8 @@
 	// checkpointRun is the run that saved the checkpoint; 0 if a former owner knew it.
 	checkpointRun int64
 	lastWorker    WorkerID
+	// suspicions are the starts since the task last proved itself after which the worker was or may be lost.
+	suspicions []Suspicion
 }
 
 // noteCheckpoint notes the checkpoint that a run has saved, unless that of a later run is known. It reports
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -30,7 +30,9 @@
 	}
 	s.lastPlan = now
 	s.openDue(now)
+	s.failHopeless(now)
 	s.place(now)
+	s.sendRecordedStarts(now)
 	s.sendStops(now)
 	out := s.actions
 	s.actions = nil
@@ -139,6 +141,10 @@
 		if w == nil && st.spec.LongRunning {
 			w = s.choose(st, t, lastResorts, now)
 		}
+		if w == nil && t.suspected() {
+			s.recordWait(st, waitsForIsolation)
+			continue
+		}
 		if w == nil {
 			s.recordWait(st, waitsForRoom)
 			return s.askAdviser(st, allWorkers, now)
@@ -155,6 +161,7 @@
 // The reasons for which a step waits, as they appear in the log. Room is free capacity.
 const (
 	waitsForRoom        = "no worker that may run it has room"
+	waitsForIsolation   = "no worker without other suspected tasks has room"
 	waitsForReserve     = "room is kept for short tasks"
 	waitsForFormerOwner = "a former owner may have started it on a worker that has not answered"
 )
@@ -295,9 +302,7 @@
 		placed = append(placed, s.reserve(st, i, run, w, now))
 	}
 	st.gangRun = run
-	for _, a := range placed {
-		s.sendStart(a)
-	}
+	s.startAll(placed)
 }
 
 // releaseReservations undoes reservations for which no start has been sent.
@@ -317,7 +322,7 @@
 }
 
 func (s *State) startTask(st *step, index int, run int64, w *worker, now time.Time) {
-	s.sendStart(s.reserve(st, index, run, w, now))
+	s.startAll([]*attempt{s.reserve(st, index, run, w, now)})
 }
 
 // reserve registers an attempt whose start is not sent yet. Until sendStart, releaseReservations undoes
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -36,6 +36,9 @@
 	// bestEffortEndedAt is when a best-effort attempt with a CPU limit above 0 last ended there.
 	bestEffortEndedAt time.Time
 	attempts          map[attemptKey]*attempt
+	suspected         int       // attempts of suspected tasks
+	repeatSuspected   int       // those of tasks with at least suspicionsToIsolate suspicions
+	lastContact       time.Time // when it last reported or accepted a start
 	failures          []*step   // the steps of its failures in a row
 	failuresEnd       time.Time // when these are too old to be in a row
 	countedSeq        int64     // highest Seq of the ends that were counted for or against the worker
@@ -160,8 +163,9 @@
 func (s *State) MarkUnreachable(id WorkerID) {
 	if w := s.workers[id]; w != nil && !w.unreachable {
 		w.unreachable, w.leaseConfirmed = true, false
+		s.suspectAttempts(w)
 		// The log calls an unreachable worker silent.
-		s.event(Event{Name: "worker.silent", Worker: id})
+		s.event(Event{Name: "worker.silent", Worker: id, Detail: w.contents()})
 	}
 }
 
@@ -238,6 +242,9 @@
 // of the worker for the new one. An attempt that no report has listed yet stays: the restart is seen late, and
 // the start may have reached the new incarnation. A later report of that incarnation tells.
 func (s *State) handleRestart(w *worker, incarnation int64, source string, now time.Time) {
+	if !w.unreachable {
+		s.suspectAttempts(w)
+	}
 	unconfirmed := 0
 	for _, a := range w.attempts {
 		if a.listed {
@@ -259,6 +266,9 @@
 // lose removes an attempt whose end will never be reported. The caller must know that it does not run any
 // more.
 func (s *State) lose(a *attempt, reason string, now time.Time) {
+	if a.worker.info.Draining {
+		s.withdrawSuspicion(a.ref(), a.run)
+	}
 	s.event(Event{Name: "task.lost", Job: a.step.job.ID, Task: a.id(), Run: a.run, Worker: a.worker.info.ID, Detail: reason})
 	s.remove(a, now)
 }
@@ -351,6 +361,7 @@
 	w.attempts[attemptKey{a.id(), a.run}] = a
 	w.used = w.used.plus(a.reserved)
 	w.count(a, 1)
+	a.countSuspected()
 }
 
 // detach removes an attempt from the worker and frees its resources.
@@ -358,6 +369,7 @@
 	delete(w.attempts, attemptKey{a.id(), a.run})
 	w.used = w.used.minus(a.reserved)
 	w.count(a, -1)
+	a.uncountSuspected()
 }
 
 // count adds by, which is 1 or -1, to the worker's counter of each kind of task that the attempt
