--- a/internal/batch/crash.go
+++ b/internal/batch/crash.go
@@ -328,7 +328,7 @@
 		if len(t.attempts) > 0 || t.unresolved && len(s.unresolvedWorkers) > 0 || !s.isHopeless(t) {
 			continue
 		}
-		s.event(Event{Name: "job.failed", Job: job.ID, Task: ref.id(), Run: t.lastRun,
+		s.event(Event{Name: "job.failed", Job: job.ID, Task: ref.id(), Run: t.suspicions[len(t.suspicions)-1].Run,
 			Detail: fmt.Sprintf("%d workers in succession were lost after they had started the task", len(t.suspicions))})
 		s.end(job, Failed, now)
 	}
--- a/internal/batch/room_test.go
+++ b/internal/batch/room_test.go
@@ -86,6 +86,7 @@
 		"a restarted worker has room": {step: taskStep(1, 2000), starts: 1, change: func(s *State, now time.Time) {
 			reportWithLease(s, "a", Report{Incarnation: 2, Clock: 5}, now)
 			reportWithLease(s, "a", Report{Incarnation: 2, Clock: 6}, now)
+			s.UpdateWorker(restartedAs(s, "a", 2), now)
 		}},
 		"a larger start was accepted meanwhile": {step: taskStep(1, 2000), starts: 1, change: func(s *State, _ time.Time) {
 			s.workers["a"].noteRoom(Resources{CPU: 3000, MemoryMB: 100})
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -10,6 +10,7 @@
 	info              WorkerInfo
 	rack              string
 	listed            bool // it is in the registry
+	described         bool // the registry has shown the entry of its present incarnation, and so its capacity
 	recorded          bool // the store holds a record that it may be in use
 	reported          bool // it has reported to this owner in its present incarnation
 	unreachable       bool // the last call to it failed
@@ -66,7 +67,7 @@
 		w.roomRefusals = nil
 	}
 	startsDraining := info.Draining && !w.info.Draining
-	w.info, w.listed = info, true
+	w.info, w.listed, w.described = info, true, true
 	w.highestCPU = max(w.highestCPU, info.Capacity.CPU)
 	w.rack = rackOf(info.Labels)
 	w.noteRemaining(now)
@@ -258,7 +259,7 @@
 	// The log calls a restarted worker reborn.
 	s.event(Event{Name: "worker.reborn", Worker: w.info.ID, Detail: fmt.Sprintf("%s shows incarnation %d after %d; unconfirmed starts: %d", source, incarnation, w.info.Incarnation, unconfirmed)})
 	w.info.Incarnation = incarnation
-	w.reported, w.leaseConfirmed, w.failures, w.quarantinedUntil = false, false, nil, time.Time{}
+	w.reported, w.described, w.leaseConfirmed, w.failures, w.quarantinedUntil = false, false, false, nil, time.Time{}
 	w.countedSeq, w.restsUntil = 0, time.Time{}
 	w.highestCPU, w.roomRefusals = 0, nil
 }
@@ -349,7 +350,7 @@
 
 // usableButForQuarantine reports whether the worker may get new tasks once its quarantine has ended.
 func (w *worker) usableButForQuarantine(s *State) bool {
-	return w.listed && w.recorded && w.reported && w.leaseConfirmed && !w.unreachable && !w.runsUnknownTasks && !w.info.Draining &&
+	return w.listed && w.described && w.recorded && w.reported && w.leaseConfirmed && !w.unreachable && !w.runsUnknownTasks && !w.info.Draining &&
 		!s.config.Evacuated[w.info.DataCentre]
 }
 
