batch: suspected tasks don't wait where they need not, and no task joins one that is suspected twice

Full isolation, with no unproven attempt beside, starves a suspect on a busy cluster and is not done. - A step with many suspected tasks searched for a worker for each of them in each plan. Not done: counting crashes of one address once, for a machine that flaps and is the only one with room.

--- a/internal/batch/crash.go
+++ b/internal/batch/crash.go
@@ -214,8 +214,14 @@
 
 // withdrawSuspicion deletes the suspicion of a run that has not crashed its worker.
 func (s *State) withdrawSuspicion(r taskRef, run int64) {
-	if s.dropSuspicion(r, run) {
-		s.dirty.add(r.step.job)
+	if !s.dropSuspicion(r, run) {
+		return
+	}
+	s.dirty.add(r.step.job)
+	if t := r.task(); !t.suspected() {
+		for _, a := range t.attempts {
+			a.uncountSuspected()
+		}
 	}
 }
 
--- a/internal/batch/isolation.go
+++ b/internal/batch/isolation.go
@@ -14,9 +14,10 @@
 )
 
 // mustAvoid reports whether the task must not share the worker with a suspected one: tasks that were lost together
-// again and again could not be told apart. The tasks of a gang are exempt, since they start at the same time.
+// again and again could not be told apart. No task joins one that is suspected repeatedly, since it may crash the
+// worker as well. The tasks of a gang are exempt, since they start at the same time.
 func (t *task) mustAvoid(st *step, w *worker) bool {
-	if !t.suspected() || w.suspected == 0 || st.spec.Gang {
+	if w.suspected == 0 || st.spec.Gang {
 		return false
 	}
 	return len(t.suspicions) >= suspicionsToIsolate || w.repeatSuspected > 0
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -124,9 +124,10 @@
 	if st.spec.LongRunning && len(lastResorts) > 0 {
 		allWorkers = slices.Concat(workers, lastResorts)
 	}
+	suspectsWait := false
 	for i := range st.tasks {
 		t := &st.tasks[i]
-		if t.done || len(t.attempts) > 0 {
+		if t.done || len(t.attempts) > 0 || suspectsWait && t.suspected() {
 			continue
 		}
 		if t.unresolved && len(s.unresolvedWorkers) > 0 {
@@ -143,6 +144,7 @@
 		}
 		if w == nil && t.suspected() {
 			s.recordWait(st, waitsForIsolation)
+			suspectsWait = true
 			continue
 		}
 		if w == nil {
@@ -155,6 +157,9 @@
 		}
 		s.startTask(st, i, s.nextRun(t.lastRun), w, now)
 	}
+	if suspectsWait {
+		s.askAdviser(st, allWorkers, now)
+	}
 	return true
 }
 
--- a/internal/batch/quarantine.go
+++ b/internal/batch/quarantine.go
@@ -144,9 +144,14 @@
 func (s *State) lastResorts(now time.Time) []*worker {
 	var out []*worker
 	for _, w := range s.sorted {
-		if now.Before(w.quarantinedUntil) && !now.Before(w.restsUntil) && w.usableButForQuarantine(s) {
+		if w.isLastResort(s, now) {
 			out = append(out, w)
 		}
 	}
 	return out
 }
+
+// isLastResort reports whether the worker may get long-running tasks for which no other worker has room.
+func (w *worker) isLastResort(s *State, now time.Time) bool {
+	return now.Before(w.quarantinedUntil) && !now.Before(w.restsUntil) && w.usableButForQuarantine(s)
+}
--- a/internal/batch/recorded_start.go
+++ b/internal/batch/recorded_start.go
@@ -76,7 +76,8 @@
 	if !slices.Contains(a.task().suspicions, a.recorded) {
 		return false // the task has proven itself meanwhile
 	}
-	return a.restartedAt.IsZero() && w.usable(s, now) && w.used.Fits(w.info.Capacity)
+	isUsable := w.usable(s, now) || a.step.spec.LongRunning && w.isLastResort(s, now)
+	return a.restartedAt.IsZero() && isUsable && w.used.Fits(w.info.Capacity)
 }
 
 // giveUpRecordedStart undoes the reservations of a start that has not been sent.
