soak: lasting tasks must come back after owners were killed in series

What the soak couldn't meet: no worker ever left for good, lasting tasks never failed, owners were killed only by chance, and nothing looked whether a lasting task runs. At the end of the faults all long-running jobs were cancelled.

A worker that crashes drops its connections: a call that waited for an end used to be answered by the dead worker.

--- a/standin/soak/callers.go
+++ b/standin/soak/callers.go
@@ -74,6 +74,11 @@
 	return job
 }
 
+// lastingJob returns a long-running job of small tasks.
+func lastingJob(id string) jobSpec {
+	return jobSpec{Spec: "payload of " + id, Steps: []stepSpec{{Count: 8, CPU: 400, Memory: 10, LongRunning: true}}}
+}
+
 // wideJob returns a job of so many tasks that end together that the ends on one worker do not fit into one report.
 func wideJob(id string) jobSpec {
 	const count, duration = 4800, 4 * time.Second
@@ -130,6 +135,7 @@
 }
 
 func (c *callers) cancel(ctx context.Context, rng *rand.Rand, id string) {
+	c.checker.RecordCancelRequest(id)
 	status, _, err := c.call(ctx, rng, http.MethodDelete, id, nil)
 	if err == nil && status/100 == 2 {
 		c.checker.RecordCancellation(id)
--- a/standin/soak/proxy.go
+++ b/standin/soak/proxy.go
@@ -67,6 +67,15 @@
 	}
 }
 
+// Reset resets all open connections.
+func (p *Proxy) Reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		reset(c)
+	}
+}
+
 // Close stops the proxy and resets its connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
--- a/standin/soak/store.go
+++ b/standin/soak/store.go
@@ -108,6 +108,14 @@
 	s.notifyWatches()
 }
 
+// Value returns the value of a key, or nil if there is no such key.
+func (s *Store) Value(key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLeases(time.Now())
+	return s.items[key].Value
+}
+
 // Delete removes a key as the operator or a worker does.
 func (s *Store) Delete(key string) {
 	s.mu.Lock()
