soak: tasks that crash their workers, and capacities that shrink and grow

What the soak couldn't meet: no task harmed its worker, and the capacity of a worker never changed.

Now one job in 40 has a task that crashes each worker that starts it, at once and without an answer or up to 0.4 s later; the worker is back after 1 to 4 s under its id, empty, with a newer born. BUDGET: after three crashes under such a task it may start twice more, the third start is a violation. Its job may be shown as failed after two crashes; any other job, also one whose tasks ran on workers that crashed, only after enough failed runs. After the faults such jobs go on for 15 s, then they are cancelled. LIMIT: a capacity that has shrunk counts 3 s (contact-ms) and one heartbeat later, for a start that is carried out late from when it was sent; a filler reserves nothing, so it brings no worker over.

Mutants of each new condition of the checker were caught by its tests. Before the filler was left out, a start of it could count as LIMIT.

--- a/standin/soak/callers.go
+++ b/standin/soak/callers.go
@@ -23,6 +23,8 @@
 	callTimeout = 3 * time.Second
 	// maxSubmitTries bounds how often a caller submits one job.
 	maxSubmitTries = 6
+	// jobsPerCrash is the number of jobs of which one on average has a task that crashes workers.
+	jobsPerCrash = 40
 )
 
 // callers simulates callers that submit jobs, query their states and cancel some of them.
@@ -36,14 +38,18 @@
 	return &callers{checker: checker, addresses: addresses, client: &http.Client{Timeout: callTimeout + time.Second}}
 }
 
-// runCaller acts as one caller until ctx ends: it submits one job after the other and queries each.
-func (c *callers) runCaller(ctx context.Context, rng *rand.Rand, index int) {
+// runCaller acts as one caller until ctx ends: it submits one job after the other and queries each. faultRNG
+// decides which of the jobs crash workers.
+func (c *callers) runCaller(ctx context.Context, rng, faultRNG *rand.Rand, index int) {
 	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("%08x%08x", index+1, n)
 		job := randomJob(rng, id)
 		if index == 0 && n == 2 {
 			job = wideJob(id)
 		}
+		if faultRNG.IntN(jobsPerCrash) == 0 {
+			makeCrash(faultRNG, &job)
+		}
 		if c.submit(ctx, rng, id, job) {
 			c.pollJob(ctx, rng, id)
 		}
@@ -74,6 +80,16 @@
 	return job
 }
 
+// makeCrash makes the first task of a random step crash each worker that starts it, unless the job is a
+// long-running one.
+func makeCrash(rng *rand.Rand, job *jobSpec) {
+	const maxCrashDelay = 400 * time.Millisecond
+	s := &job.Steps[rng.IntN(len(job.Steps))]
+	if s.crashes = !s.LongRunning; s.crashes && rng.IntN(3) > 0 {
+		s.crashDelay = time.Duration(rng.Int64N(int64(maxCrashDelay)))
+	}
+}
+
 // lastingJob returns a long-running job of small tasks.
 func lastingJob(id string) jobSpec {
 	return jobSpec{Spec: "payload of " + id, Steps: []stepSpec{{Count: 8, CPU: 400, Memory: 10, LongRunning: true}}}
--- a/standin/soak/checker.go
+++ b/standin/soak/checker.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -13,6 +14,14 @@
 	// maxCancelDelay is the time after an acknowledged cancellation in which tasks may still start:
 	// the guaranteed 3 s, plus the time for another owner to take over meanwhile.
 	maxCancelDelay = 8 * time.Second
+	// contactTime is the time after an impairment within which the instances are in touch again.
+	contactTime = 3 * time.Second
+	// maxCapacityDelay is the time after a worker's capacity has shrunk in which the former one still counts.
+	maxCapacityDelay = contactTime + heartbeat
+	// A job with a task that crashes workers may be shown as failed after crashesToFail such crashes. After
+	// crashesToStop of them the task may start less than startsAfterCrashes times. All starts count, also those
+	// by instances that are not in touch.
+	crashesToFail, crashesToStop, startsAfterCrashes = 2, 3, 3
 )
 
 // stepSpec is a step of a job as a caller submits it.
@@ -28,8 +37,14 @@
 	duration     time.Duration // run time of a task; 0 if it runs until it is stopped
 	failureShare float64       // share of runs that fail, whichever worker executes them
 	endTogether  bool          // all runs end at the same time, duration after the first start of the job
+	// crashes is set if each run of the step's first task crashes its worker, crashDelay after the start.
+	crashes    bool
+	crashDelay time.Duration
 }
 
+// crashesWorkers reports whether a task of the step crashes the workers that start it.
+func (s stepSpec) crashesWorkers(task string) bool { return s.crashes && strings.HasSuffix(task, ".0") }
+
 // jobSpec is the body of a submission.
 type jobSpec struct {
 	Spec  string     `json:"spec"`
@@ -41,6 +56,8 @@
 	cpu          int64
 	duration     time.Duration
 	failureShare float64
+	crashes      bool
+	crashDelay   time.Duration
 }
 
 // jobState is what the checker knows of a job.
@@ -72,6 +89,8 @@
 	pendingDone          map[string]map[int64]bool   // runs that ended as done without an acknowledgement; true if the task started again
 	acknowledgedFailures map[string]int              // failed ends that the owner has acknowledged
 	failures             map[string]int              // failed ends, acknowledged or not
+	crashes              map[string]int              // crashes of workers by task that ran there
+	startsAfterCrashes   map[string]int              // starts of a task after crashesToStop crashes
 	lastEnd              map[string]time.Time        // by task: end of the last run
 	missingSince         map[string]time.Time        // lasting tasks that ought to run, see CheckLastingTasks
 	activeFaults         int
@@ -85,7 +104,7 @@
 	return &Checker{
 		startedAt: time.Now(), jobs: map[string]*jobState{}, runningOn: map[string]map[int64]string{},
 		done: map[string]bool{}, acknowledgedDone: map[string]bool{}, pendingDone: map[string]map[int64]bool{}, acknowledgedFailures: map[string]int{}, failures: map[string]int{},
-		lastEnd: map[string]time.Time{}, missingSince: map[string]time.Time{},
+		crashes: map[string]int{}, startsAfterCrashes: map[string]int{}, lastEnd: map[string]time.Time{}, missingSince: map[string]time.Time{},
 	}
 }
 
@@ -107,12 +126,14 @@
 //
 //   - TWICE: a task runs twice at once, or again after an end that was acknowledged then or later
 //   - ORDER: a task starts before the steps that it depends on are done
-//   - BUDGET: a task starts after maxAttempts acknowledged failures
-//   - LIMIT: the tasks on a worker reserve more than its capacity
+//   - BUDGET: a task starts after maxAttempts acknowledged failures, or startsAfterCrashes times after
+//     crashesToStop workers have crashed under it
+//   - LIMIT: the tasks on a worker reserve more than its capacity, where a capacity that has shrunk counts
+//     maxCapacityDelay later
 //   - UNASKED: a run was not submitted by any caller, starts more than maxCancelDelay after the
 //     cancellation of its job, or is still running at the end
 //   - REFUSED: a task of a job starts although each submission of the job was refused
-//   - LOST: an accepted job is unknown, has not ended, or has failed without enough failed runs,
+//   - LOST: an accepted job is unknown, has not ended, or has failed without enough failed runs or crashes,
 //     or a lasting task does not run, see CheckLastingTasks
 //   - MIXED: a job is shown as completed before all of its tasks are done
 //   - START, STOP, EXIT, READY: a process does not start, does not stop cleanly in time, exits
@@ -199,10 +220,13 @@
 	return true
 }
 
-// mayFail reports whether a task of the job has failed often enough to fail the job. Lasting
-// tasks restart however often they fail.
+// mayFail reports whether a task of the job has failed often enough to fail the job, or has crashed enough
+// workers. Lasting tasks restart however often they fail, and other tasks on a worker that crashes are not the cause.
 func (c *Checker) mayFail(s *jobState) bool {
 	for step, spec := range s.spec.Steps {
+		if spec.crashes && c.crashes[taskName(s.id, step, 0)] >= crashesToFail {
+			return true
+		}
 		for i := range spec.Count {
 			if !spec.LongRunning && c.failures[taskName(s.id, step, i)] >= maxAttempts {
 				return true
@@ -214,10 +238,10 @@
 
 func taskName(job string, step, index int) string { return fmt.Sprintf("%s.0.%d.%d", job, step, index) }
 
-// RecordStart checks and records that a worker starts a run. It returns what the worker needs to
-// execute the task, and false if no such task was submitted, in which case nothing may start. The
-// caller must hold w.mu.
-func (c *Checker) RecordStart(w *Worker, r run, payload string) (taskInfo, bool) {
+// RecordStart checks and records that a worker starts a run, which was requested at sentAt. It returns
+// what the worker needs to execute the task, and false if no such task was submitted, in which case
+// nothing may start. The caller must hold w.mu.
+func (c *Checker) RecordStart(w *Worker, r run, payload string, sentAt time.Time) (taskInfo, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.starts++
@@ -232,11 +256,18 @@
 	}
 	spec := s.spec.Steps[step]
 	c.checkStart(w, r, s, spec)
+	reserved := reservedCPU(spec)
+	if used, counted := w.totalReservedCPU()+reserved, w.countedCapacity(sentAt); reserved > 0 && used > counted {
+		c.addViolation("LIMIT", "%s has reserved %d of %d milliCPU after the start of %s", w.ID, used, counted, r.task)
+	}
 	if c.runningOn[r.task] == nil {
 		c.runningOn[r.task] = map[int64]string{}
 	}
 	c.runningOn[r.task][r.number] = w.ID
-	info := taskInfo{cpu: reservedCPU(spec), duration: spec.duration, failureShare: spec.failureShare}
+	info := taskInfo{
+		cpu: reservedCPU(spec), duration: spec.duration, failureShare: spec.failureShare,
+		crashes: spec.crashesWorkers(r.task), crashDelay: spec.crashDelay,
+	}
 	if spec.endTogether {
 		info.duration = max(spec.duration-time.Since(s.firstStart), time.Millisecond)
 	}
@@ -270,8 +301,11 @@
 	if !spec.LongRunning && c.acknowledgedFailures[r.task] >= maxAttempts {
 		c.addViolation("BUDGET", "%s starts after %d failures", r.task, c.acknowledgedFailures[r.task])
 	}
-	if used := w.totalReservedCPU() + reservedCPU(spec); used > w.CPU {
-		c.addViolation("LIMIT", "%s has reserved %d of %d milliCPU after the start of %s", w.ID, used, w.CPU, r.task)
+	if spec.crashesWorkers(r.task) && c.crashes[r.task] >= crashesToStop {
+		c.startsAfterCrashes[r.task]++
+		if n := c.startsAfterCrashes[r.task]; n >= startsAfterCrashes {
+			c.addViolation("BUDGET", "%s starts after %d crashes of workers under it, %d times after the first %d", r.task, c.crashes[r.task], n, crashesToStop)
+		}
 	}
 	if !s.cancelledAt.IsZero() && time.Since(s.cancelledAt) > maxCancelDelay {
 		c.addViolation("UNASKED", "%s starts %.1f s after its cancellation", r.task, time.Since(s.cancelledAt).Seconds())
@@ -285,6 +319,8 @@
 	delete(c.runningOn[r.task], r.number)
 	c.lastEnd[r.task] = time.Now()
 	switch outcome {
+	case "lost":
+		c.crashes[r.task]++
 	case "done":
 		c.done[r.task] = true
 		if c.pendingDone[r.task] == nil {
@@ -333,6 +369,13 @@
 	return slices.ContainsFunc(c.jobs[id].spec.Steps, func(s stepSpec) bool { return s.LongRunning })
 }
 
+// Crashes reports whether a job has a task that crashes the workers that start it.
+func (c *Checker) Crashes(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.ContainsFunc(c.jobs[id].spec.Steps, func(s stepSpec) bool { return s.crashes })
+}
+
 // CheckFinalState checks what must hold once all jobs have had time to end: callers were told the
 // end of each accepted job, no job started that was always refused, and no task is still running.
 func (c *Checker) CheckFinalState() {
--- a/standin/soak/checker_test.go
+++ b/standin/soak/checker_test.go
@@ -9,8 +9,8 @@
 	"github.com/matryer/is"
 )
 
-// lastingTask is the task of a long-running job.
-var lastingTask = taskName("lasting", 0, 0)
+// Tasks of the jobs that crash workers and that last.
+var crashTask, lastingTask = taskName("crash", 0, 0), taskName("lasting", 0, 0)
 
 // newTestChecker returns a checker with one accepted job of two steps, and a worker without a server.
 func newTestChecker() (*Checker, *Worker) {
@@ -21,22 +21,42 @@
 	}}
 	c.RecordSubmission("a", spec)
 	c.RecordSubmissionAnswer("a", true, false)
-	w := &Worker{WorkerConfig: WorkerConfig{ID: "w", CPU: 1500, Checker: c}, changed: make(chan struct{}), rng: rand.New(rand.NewPCG(1, 1))}
+	w := &Worker{WorkerConfig: WorkerConfig{ID: "w", Checker: c}, capacity: 1500, changed: make(chan struct{}), rng: rand.New(rand.NewPCG(1, 1))}
 	w.reset()
 	return c, w
 }
 
-// submitLasting submits the job of lastingTask.
-func submitLasting(c *Checker) {
-	c.RecordSubmission("lasting", jobSpec{Spec: "p", Steps: []stepSpec{{Count: 1, CPU: 1000, LongRunning: true}}})
-	c.RecordSubmissionAnswer("lasting", true, false)
+// shrinkBefore sets the worker's capacity to less than a task takes, some time ago.
+func shrinkBefore(w *Worker, ago time.Duration) {
+	w.formerCapacities = []formerCapacity{{w.capacity, time.Now().Add(-ago)}}
+	w.capacity = 500
+}
+
+// submitJobs submits the jobs of crashTask and lastingTask.
+func submitJobs(c *Checker) {
+	for id, step := range map[string]stepSpec{
+		"crash":   {Count: 2, CPU: 100, crashes: true},
+		"lasting": {Count: 1, CPU: 1000, LongRunning: true},
+	} {
+		c.RecordSubmission(id, jobSpec{Spec: "p", Steps: []stepSpec{step}})
+		c.RecordSubmissionAnswer(id, true, false)
+	}
+}
+
+// crashUnder starts a task as often as given on a worker that crashes each time.
+func crashUnder(c *Checker, w *Worker, task string, times int64) {
+	submitJobs(c)
+	for n := range times {
+		c.RecordStart(w, run{task, n + 1}, "p", time.Now())
+		c.RecordEnd("w", run{task, n + 1}, "lost")
+	}
 }
 
 // failLastingTask runs lastingTask as often as given; each run fails and is acknowledged.
 func failLastingTask(c *Checker, w *Worker, times int64) {
-	submitLasting(c)
+	submitJobs(c)
 	for n := range times {
-		c.RecordStart(w, run{lastingTask, n + 1}, "p")
+		c.RecordStart(w, run{lastingTask, n + 1}, "p", time.Now())
 		c.RecordEnd("w", run{lastingTask, n + 1}, "failed")
 		c.RecordAcknowledgement(run{lastingTask, n + 1}, "failed")
 	}
@@ -56,11 +76,11 @@
 	is := is.New(t)
 	c, w := newTestChecker()
 	r := run{taskName("a", 0, 0), 1}
-	c.RecordStart(w, r, "p")
+	c.RecordStart(w, r, "p", time.Now())
 	w.runs[r] = &activeRun{cpu: 1000}
 	w.Restart()
 	is.Equal(len(w.runs), 0)
-	c.RecordStart(w, run{taskName("a", 0, 0), 2}, "p")
+	c.RecordStart(w, run{taskName("a", 0, 0), 2}, "p", time.Now())
 	is.Equal(len(c.Violations()), 0)
 }
 
@@ -70,44 +90,59 @@
 	first, second := taskName("a", 0, 0), taskName("a", 1, 0)
 	for rule, breakRule := range map[string]func(c *Checker, w *Worker){
 		"TWICE at once": func(c *Checker, w *Worker) {
-			c.RecordStart(w, run{first, 1}, "p")
-			c.RecordStart(w, run{first, 2}, "p")
+			c.RecordStart(w, run{first, 1}, "p", time.Now())
+			c.RecordStart(w, run{first, 2}, "p", time.Now())
 		},
 		"TWICE after an acknowledged end": func(c *Checker, w *Worker) {
-			c.RecordStart(w, run{first, 1}, "p")
+			c.RecordStart(w, run{first, 1}, "p", time.Now())
 			c.RecordEnd("w", run{first, 1}, "done")
 			c.RecordAcknowledgement(run{first, 1}, "done")
-			c.RecordStart(w, run{first, 2}, "p")
+			c.RecordStart(w, run{first, 2}, "p", time.Now())
 		},
 		"TWICE before an acknowledged end": func(c *Checker, w *Worker) {
-			c.RecordStart(w, run{first, 1}, "p")
+			c.RecordStart(w, run{first, 1}, "p", time.Now())
 			c.RecordEnd("w", run{first, 1}, "done")
-			c.RecordStart(w, run{first, 2}, "p")
+			c.RecordStart(w, run{first, 2}, "p", time.Now())
 			c.RecordEnd("w", run{first, 2}, "done")
 			c.RecordAcknowledgement(run{first, 2}, "done") // allowed if the first end is never acknowledged
 			c.RecordAcknowledgement(run{first, 1}, "done")
 		},
-		"ORDER": func(c *Checker, w *Worker) { c.RecordStart(w, run{second, 1}, "p") },
+		"ORDER": func(c *Checker, w *Worker) { c.RecordStart(w, run{second, 1}, "p", time.Now()) },
 		"BUDGET": func(c *Checker, w *Worker) {
 			for n := range int64(maxAttempts) + 1 {
-				c.RecordStart(w, run{first, n + 1}, "p")
+				c.RecordStart(w, run{first, n + 1}, "p", time.Now())
 				c.RecordEnd("w", run{first, n + 1}, "failed")
 				c.RecordAcknowledgement(run{first, n + 1}, "failed")
 			}
 		},
 		"LIMIT": func(c *Checker, w *Worker) {
 			w.runs[run{"other.0.0.0", 1}] = &activeRun{cpu: 1000}
-			c.RecordStart(w, run{first, 1}, "p")
+			c.RecordStart(w, run{first, 1}, "p", time.Now())
+		},
+		"LIMIT of a capacity that has shrunk": func(c *Checker, w *Worker) {
+			shrinkBefore(w, maxCapacityDelay+time.Second)
+			c.RecordStart(w, run{first, 1}, "p", time.Now())
 		},
-		"UNASKED job":     func(c *Checker, w *Worker) { c.RecordStart(w, run{taskName("b", 0, 0), 1}, "p") },
-		"UNASKED payload": func(c *Checker, w *Worker) { c.RecordStart(w, run{first, 1}, "other") },
+		"BUDGET of crashes": func(c *Checker, w *Worker) {
+			crashUnder(c, w, crashTask, crashesToStop+startsAfterCrashes)
+		},
+		"UNASKED job":     func(c *Checker, w *Worker) { c.RecordStart(w, run{taskName("b", 0, 0), 1}, "p", time.Now()) },
+		"UNASKED payload": func(c *Checker, w *Worker) { c.RecordStart(w, run{first, 1}, "other", time.Now()) },
 		"UNASKED at the end": func(c *Checker, w *Worker) {
-			c.RecordStart(w, run{first, 1}, "p")
+			c.RecordStart(w, run{first, 1}, "p", time.Now())
 			c.RecordState("a", 200, "cancelled")
 			c.CheckFinalState()
 		},
 		"LOST job": func(c *Checker, w *Worker) { c.RecordState("a", 410, "") },
 		"LOST end": func(c *Checker, w *Worker) { c.CheckFinalState() },
+		"LOST after a crash": func(c *Checker, w *Worker) {
+			crashUnder(c, w, crashTask, crashesToFail-1)
+			c.RecordState("crash", 200, "failed")
+		},
+		"LOST neighbour of a crash": func(c *Checker, w *Worker) {
+			crashUnder(c, w, first, crashesToFail)
+			c.RecordState("a", 200, "failed")
+		},
 		"LOST lasting job fails": func(c *Checker, w *Worker) {
 			failLastingTask(c, w, maxAttempts)
 			c.RecordState("lasting", 200, "failed")
@@ -127,7 +162,7 @@
 		"REFUSED": func(c *Checker, w *Worker) {
 			c.RecordSubmission("r", jobSpec{Spec: "p", Steps: []stepSpec{{Count: 1}}})
 			c.RecordSubmissionAnswer("r", false, true)
-			c.RecordStart(w, run{taskName("r", 0, 0), 1}, "p")
+			c.RecordStart(w, run{taskName("r", 0, 0), 1}, "p", time.Now())
 			c.RecordEnd("w", run{taskName("r", 0, 0), 1}, "done")
 			c.RecordState("a", 200, "cancelled")
 			c.CheckFinalState()
@@ -148,6 +183,30 @@
 func TestCheckerAcceptsWhatIsAllowed(t *testing.T) {
 	const notYet = restartTime + maxMissingTime - time.Second
 	for name, act := range map[string]func(c *Checker, w *Worker){
+		"two starts after three crashes": func(c *Checker, w *Worker) {
+			crashUnder(c, w, crashTask, crashesToStop+startsAfterCrashes-1)
+		},
+		"a task that happens to run on workers that crash": func(c *Checker, w *Worker) {
+			crashUnder(c, w, taskName("crash", 0, 1), crashesToStop+startsAfterCrashes)
+		},
+		"a job fails after two crashes": func(c *Checker, w *Worker) {
+			crashUnder(c, w, crashTask, crashesToFail)
+			c.RecordState("crash", 200, "failed")
+		},
+		"a capacity that has just shrunk": func(c *Checker, w *Worker) {
+			shrinkBefore(w, maxCapacityDelay-time.Second)
+			c.RecordStart(w, run{taskName("a", 0, 0), 1}, "p", time.Now())
+		},
+		"a filler on a worker that is over its capacity": func(c *Checker, w *Worker) {
+			shrinkBefore(w, maxCapacityDelay+time.Second)
+			w.runs[run{"other.0.0.0", 1}] = &activeRun{cpu: 1000}
+			c.RecordSubmission("filler", jobSpec{Spec: "p", Steps: []stepSpec{{Count: 1, CPU: 1000, Fills: true}}})
+			c.RecordStart(w, run{taskName("filler", 0, 0), 1}, "p", time.Now())
+		},
+		"a start that was sent before a capacity had shrunk for long": func(c *Checker, w *Worker) {
+			shrinkBefore(w, maxCapacityDelay+time.Second)
+			c.RecordStart(w, run{taskName("a", 0, 0), 1}, "p", time.Now().Add(-2*time.Second))
+		},
 		"a lasting task restarts however often it fails": func(c *Checker, w *Worker) {
 			failLastingTask(c, w, maxAttempts+1)
 		},
@@ -166,7 +225,7 @@
 		},
 		"a lasting task that runs": func(c *Checker, w *Worker) {
 			failLastingTask(c, w, 1)
-			c.RecordStart(w, run{lastingTask, 2}, "p")
+			c.RecordStart(w, run{lastingTask, 2}, "p", time.Now())
 			checkFor(c, time.Minute, 2000)
 		},
 		"a lasting task that is to be cancelled": func(c *Checker, w *Worker) {
@@ -184,12 +243,34 @@
 	}
 }
 
+// A worker that a task crashes loses its runs, drops its connections and is back empty as another incarnation.
+func TestTaskCrashesItsWorker(t *testing.T) {
+	is := is.New(t)
+	c, store := NewChecker(), NewStore(1)
+	w, err := NewWorker(WorkerConfig{ID: "w", Host: "127.0.0.1", CPU: 1000, MaxLease: time.Minute, Seed: 1, Store: store, Checker: c})
+	is.NoErr(err)
+	defer w.Leave(0)
+	submitJobs(c)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	born := w.born
+	w.execute("/api/run-start", requestBody{Task: crashTask, Run: 1, Spec: "p", Until: 1 << 40})
+	w.advance()
+	is.True(!w.up)
+	is.Equal(len(w.runs), 0)
+	is.Equal(c.crashes[crashTask], 1)
+	w.mu.Unlock()
+	w.Restart()
+	w.mu.Lock()
+	is.True(w.up && w.born.After(born))
+}
+
 func TestCheckerAcceptsAJobDoneOnce(t *testing.T) {
 	is := is.New(t)
 	c, w := newTestChecker()
 	for step := range 2 {
 		task := taskName("a", step, 0)
-		_, ok := c.RecordStart(w, run{task, 1}, "p")
+		_, ok := c.RecordStart(w, run{task, 1}, "p", time.Now())
 		is.True(ok)
 		c.RecordEnd("w", run{task, 1}, "done")
 		c.RecordAcknowledgement(run{task, 1}, "done")
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -26,7 +26,7 @@
 		silenceStore, restartAllWhileSilent, refuseStarts, crashWorkerUnseen, writeOddEntry, writeOddEntry,
 	}
 	// workerChanges are injected besides, with random numbers of their own.
-	workerChanges = []fault{failLastingTasks, leaveForGood}
+	workerChanges = []fault{changeCapacity, changeCapacity, changeCapacity, failLastingTasks, leaveForGood}
 	// workerLosses end lasting tasks.
 	workerLosses = []fault{crashWorker, failLastingTasks, leaveForGood}
 )
@@ -272,6 +272,17 @@
 	}
 }
 
+// changeCapacity sets a worker's capacity to a small part of the full one, until it has counted for a while.
+func changeCapacity(tb *testbed, rng *rand.Rand) (string, func(*testbed)) {
+	worker, cpu := tb.pickWorker(rng), int64(workerCapacity*(1+rng.IntN(4))/10)
+	longer := maxCapacityDelay + time.Duration(rng.Int64N(int64(maxCapacityDelay)))
+	worker.SetCapacity(cpu)
+	return fmt.Sprintf("capacity of %s is %d, %s longer,", worker.ID, cpu, longer), func(*testbed) {
+		pause.For(context.Background(), longer)
+		worker.SetCapacity(workerCapacity)
+	}
+}
+
 func failLastingTasks(tb *testbed, rng *rand.Rand) (string, func(*testbed)) {
 	worker := tb.pickWorker(rng)
 	worker.FailLastingRuns()
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -43,6 +43,8 @@
 	readyTimeout  = 15 * time.Second
 	finishTimeout = 40 * time.Second
 	endTimeout    = 10 * time.Second
+	// crashTime is how long after the faults tasks that crash workers go on; then their jobs are cancelled.
+	crashTime = 15 * time.Second
 	// lastingCheckInterval is the time between two checks of the lasting tasks.
 	lastingCheckInterval = 100 * time.Millisecond
 	// workerCapacity is in milliCPU.
@@ -193,7 +195,7 @@
 	c := newCallers(tb.checker, tb.runningAddresses)
 	var group sync.WaitGroup
 	for n := range tb.opts.Callers {
-		group.Go(func() { c.runCaller(ctx, tb.newRand(100+uint64(n)), n) })
+		group.Go(func() { c.runCaller(ctx, tb.newRand(100+uint64(n)), tb.newRand(200+uint64(n)), n) })
 	}
 	group.Go(func() { tb.injectFaults(ctx, tb.newRand(7), faultKinds) })
 	group.Go(func() { tb.injectFaults(ctx, tb.newRand(9), workerChanges) })
@@ -206,7 +208,8 @@
 	return rand.New(rand.NewPCG(tb.opts.Seed, stream))
 }
 
-// finishJobs waits until all jobs have ended. It cancels the long-running ones.
+// finishJobs waits until all jobs have ended. It cancels the long-running ones at once, and after crashTime
+// those with tasks that crash workers.
 func (tb *testbed) finishJobs(ctx context.Context, c *callers, rng *rand.Rand) {
 	for startedAt := time.Now(); time.Since(startedAt) < finishTimeout && ctx.Err() == nil; pause.For(ctx, 200*time.Millisecond) {
 		unfinished := tb.checker.UnfinishedJobs()
@@ -214,7 +217,7 @@
 			return
 		}
 		for _, id := range unfinished {
-			if tb.checker.LongRunning(id) {
+			if tb.checker.LongRunning(id) || tb.checker.Crashes(id) && time.Since(startedAt) > crashTime {
 				c.cancel(ctx, rng, id)
 			}
 			c.queryState(ctx, rng, id)
--- a/standin/soak/worker.go
+++ b/standin/soak/worker.go
@@ -15,10 +15,12 @@
 )
 
 const (
-	// heartbeat is the interval at which a worker writes its entry in the store, and missedHeartbeats the
-	// number of them after which the entry of a silent worker is removed.
+	// heartbeat is the longest time from a change of a worker until its entry in the store shows it, and
+	// missedHeartbeats the number of them after which the entry of a silent worker is removed.
 	heartbeat        = 1100 * time.Millisecond
 	missedHeartbeats = 3
+	// minCrashTime and maxCrashTime bound how long a worker is away that a task has crashed.
+	minCrashTime, maxCrashTime = time.Second, 4 * time.Second
 	// stopDelay is the time from a stop request to the end of the run.
 	stopDelay = 80 * time.Millisecond
 	// clockRate is the rate of the workers' clocks relative to real time: they are 2 % slow.
@@ -39,10 +41,11 @@
 	fails     bool
 	startedAt time.Time
 	stopsAt   time.Time // when it ends after a stop request; zero without one
+	crashesAt time.Time // when it crashes the worker; zero if it does not
 }
 
 // lasts reports whether the run goes on until it is stopped.
-func (t *activeRun) lasts() bool { return t.endsAt.IsZero() }
+func (t *activeRun) lasts() bool { return t.endsAt.IsZero() && t.crashesAt.IsZero() }
 
 // runEnd is the end of a run, which the worker lists until the owner acknowledges it.
 type runEnd struct {
@@ -63,20 +66,22 @@
 	closed chan struct{}
 
 	// mu is held by the callers of all unexported methods but tick, hold, executeDelayed, key and writeEntry.
-	mu             sync.Mutex
-	rng            *rand.Rand
-	state          string    // as in the entry: ready or draining
-	born           time.Time // start of this incarnation
-	up             bool
-	left           bool // it never starts again
-	refusesStarts  bool
-	fencingToken   int64
-	leaseEnd       int64 // end of the lease on the worker's clock
-	runs           map[run]*activeRun
-	refusedUpTo    map[string]int64 // by task: highest run number that may not start any more
-	unacknowledged []*runEnd        // ends that the owner has not acknowledged
-	nextSeq        int64
-	changed        chan struct{} // closed and replaced when a run ends
+	mu               sync.Mutex
+	rng              *rand.Rand
+	capacity         int64 // milliCPU
+	formerCapacities []formerCapacity
+	state            string    // as in the entry: ready or draining
+	born             time.Time // start of this incarnation
+	up               bool
+	left             bool // it never starts again
+	refusesStarts    bool
+	fencingToken     int64
+	leaseEnd         int64 // end of the lease on the worker's clock
+	runs             map[run]*activeRun
+	refusedUpTo      map[string]int64 // by task: highest run number that may not start any more
+	unacknowledged   []*runEnd        // ends that the owner has not acknowledged
+	nextSeq          int64
+	changed          chan struct{} // closed and replaced when a run ends
 	// taskFailureShare is the share of runs that fail because of the worker.
 	taskFailureShare float64
 	// delayedRequestShare is the share of start and stop requests that are executed later,
@@ -87,13 +92,19 @@
 // WorkerConfig describes a worker.
 type WorkerConfig struct {
 	ID, Zone, Host string
-	CPU            int64         // capacity in milliCPU
+	CPU            int64         // capacity in milliCPU, unless SetCapacity changes it
 	MaxLease       time.Duration // the longest lease that it grants
 	Seed           uint64
 	Store          *Store // where it writes its entry
 	Checker        *Checker
 }
 
+// formerCapacity is a capacity that a worker had until a time.
+type formerCapacity struct {
+	cpu   int64
+	until time.Time
+}
+
 // NewWorker starts a worker that is reached through a proxy of its own.
 func NewWorker(c WorkerConfig) (*Worker, error) {
 	l, err := net.Listen("tcp", net.JoinHostPort(c.Host, "0"))
@@ -101,7 +112,7 @@
 		return nil, err
 	}
 	w := &Worker{
-		WorkerConfig: c, closed: make(chan struct{}),
+		WorkerConfig: c, capacity: c.CPU, closed: make(chan struct{}),
 		rng: rand.New(rand.NewPCG(c.Seed, 2)), changed: make(chan struct{}),
 	}
 	w.reset()
@@ -133,6 +144,18 @@
 	w.proxy.Reset()
 }
 
+// crashForAWhile crashes the worker and restarts it after a random time.
+func (w *Worker) crashForAWhile() {
+	w.crash()
+	w.Checker.RecordFaultBegin()
+	away := minCrashTime + time.Duration(w.rng.Int64N(int64(maxCrashTime-minCrashTime)))
+	time.AfterFunc(away, func() {
+		w.Restart()
+		w.Announce("ready")
+		w.Checker.RecordFaultEnd()
+	})
+}
+
 // Restart starts the worker again with the same id, but without runs, lease and fencing token. A worker
 // that is up, since an earlier restart overlapped with another fault, loses its runs.
 func (w *Worker) Restart() {
@@ -168,12 +191,33 @@
 	}
 }
 
+// SetCapacity changes the capacity to cpu milliCPU. The worker's entry shows it within a heartbeat.
+func (w *Worker) SetCapacity(cpu int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.formerCapacities = append(w.formerCapacities, formerCapacity{w.capacity, time.Now()})
+	w.capacity = cpu
+	time.AfterFunc(time.Duration(w.rng.Int64N(int64(heartbeat))), w.writeEntry)
+}
+
+// countedCapacity returns the capacity in milliCPU that counts for a start at the given time: the largest of
+// those that the worker has had in the last maxCapacityDelay before it.
+func (w *Worker) countedCapacity(at time.Time) int64 {
+	counted := w.capacity
+	for _, former := range w.formerCapacities {
+		if at.Sub(former.until) <= maxCapacityDelay {
+			counted = max(counted, former.cpu)
+		}
+	}
+	return counted
+}
+
 // freeCPU returns the milliCPU that new tasks may reserve: none if the worker takes no tasks.
 func (w *Worker) freeCPU() int64 {
 	if !w.up || w.state != "ready" || w.refusesStarts {
 		return 0
 	}
-	return w.CPU - w.totalReservedCPU()
+	return w.capacity - w.totalReservedCPU()
 }
 
 // loseRuns ends all runs, and forgets the ends that were not acknowledged.
@@ -246,7 +290,7 @@
 	}
 	w.Store.Put(w.key(), entry{
 		Service: service, Address: w.proxy.Address(), Zone: w.Zone, Version: "1", Slots: 8, State: w.state,
-		Capacity: capacity{CPU: w.CPU, Memory: 1 << 20}, Labels: []string{"a", "r1"}, Born: w.born.UnixMilli(),
+		Capacity: capacity{CPU: w.capacity, Memory: 1 << 20}, Labels: []string{"a", "r1"}, Born: w.born.UnixMilli(),
 	})
 }
 
@@ -273,12 +317,16 @@
 	}
 }
 
-// advance ends the runs that are done or have been stopped, and all runs if the lease has lapsed.
+// advance ends the runs that are done or have been stopped, and all runs if the lease has lapsed or a run
+// crashes the worker.
 func (w *Worker) advance() {
 	now := time.Now()
 	for _, r := range slices.Collect(maps.Keys(w.runs)) {
 		t := w.runs[r]
 		switch {
+		case !t.crashesAt.IsZero() && !now.Before(t.crashesAt):
+			w.crashForAWhile()
+			return
 		case !t.endsAt.IsZero() && now.After(t.endsAt) && t.fails:
 			w.finishRun(r, "failed")
 		case !t.endsAt.IsZero() && now.After(t.endsAt):
@@ -318,6 +366,8 @@
 	Checkpoint string `json:"last-checkpoint"`
 	LastSeen   int64  `json:"last-seen"`
 	Wait       int64  `json:"wait-ms"`
+
+	sentAt time.Time
 }
 
 type clockBody struct {
@@ -332,6 +382,7 @@
 		writeJSON(rw, http.StatusBadRequest, struct{}{})
 		return
 	}
+	b.sentAt = time.Now()
 	w.mu.Lock()
 	up, delayed := w.up, r.URL.Path != "/api/hold" && w.rng.Float64() < w.delayedRequestShare
 	w.mu.Unlock()
@@ -351,8 +402,12 @@
 	default:
 		w.mu.Lock()
 		status, reason := w.execute(r.URL.Path, b)
-		clock := w.clock()
+		w.advance() // a run that has just started may crash the worker at once
+		up, clock := w.up, w.clock()
 		w.mu.Unlock()
+		if !up {
+			panic(http.ErrAbortHandler)
+		}
 		writeJSON(rw, status, clockBody{Clock: clock, Reason: reason})
 	}
 }
@@ -369,6 +424,9 @@
 // execute executes a start or stop request. Requests with an older fencing token are refused.
 func (w *Worker) execute(path string, b requestBody) (status int, reason string) {
 	w.advance()
+	if !w.up {
+		return http.StatusServiceUnavailable, ""
+	}
 	if b.Fence < w.fencingToken {
 		return http.StatusConflict, "fence"
 	}
@@ -400,7 +458,7 @@
 	if w.refusesStarts {
 		return http.StatusServiceUnavailable, ""
 	}
-	task, ok := w.Checker.RecordStart(w, key, b.Spec)
+	task, ok := w.Checker.RecordStart(w, key, b.Spec, b.sentAt)
 	if !ok {
 		return http.StatusBadRequest, ""
 	}
@@ -408,6 +466,9 @@
 	if task.duration > 0 {
 		t.endsAt = t.startedAt.Add(task.duration)
 	}
+	if task.crashes {
+		t.endsAt, t.crashesAt = time.Time{}, t.startedAt.Add(task.crashDelay)
+	}
 	w.runs[key] = t
 	return http.StatusOK, ""
 }
@@ -441,6 +502,10 @@
 func (w *Worker) hold(rw http.ResponseWriter, r *http.Request, b requestBody) {
 	w.mu.Lock()
 	w.advance()
+	if !w.up {
+		w.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
 	if b.Fence < w.fencingToken {
 		clock := w.clock()
 		w.mu.Unlock()
