--- a/standin/soak/worker.go
+++ b/standin/soak/worker.go
@@ -15,8 +15,12 @@
 )
 
 const (
-	// maxWorkerLease is the longest lease that a worker grants.
-	maxWorkerLease = 3 * time.Second
+	// heartbeat is the longest time from a change of a worker until its entry in the store shows it, and
+	// missedHeartbeats the number of them after which the entry of a silent worker is removed.
+	heartbeat        = 1100 * time.Millisecond
+	missedHeartbeats = 3
+	// minCrashTime and maxCrashTime bound how long a worker is away that a task has crashed.
+	minCrashTime, maxCrashTime = time.Second, 4 * time.Second
 	// stopDelay is the time from a stop request to the end of the run.
 	stopDelay = 80 * time.Millisecond
 	// clockRate is the rate of the workers' clocks relative to real time: they are 2 % slow.
@@ -37,8 +41,12 @@
 	fails     bool
 	startedAt time.Time
 	stopsAt   time.Time // when it ends after a stop request; zero without one
+	crashesAt time.Time // when it crashes the worker; zero if it does not
 }
 
+// lasts reports whether the run goes on until it is stopped.
+func (t *activeRun) lasts() bool { return t.endsAt.IsZero() && t.crashesAt.IsZero() }
+
 // runEnd is the end of a run, which the worker lists until the owner acknowledges it.
 type runEnd struct {
 	seq     int64
@@ -52,27 +60,28 @@
 // Worker is a stand-in for a worker of the platform. It follows the platform's protocol, simulates
 // the execution of tasks, and reports starts, ends and acknowledgements to the checker.
 type Worker struct {
-	ID       string
-	Zone     string
-	capacity int64
-	checker  *Checker
-	proxy    *Proxy
-	server   *http.Server
-	closed   chan struct{}
-
-	// mu is held by the callers of all unexported methods but tick, hold and executeDelayed.
-	mu             sync.Mutex
-	rng            *rand.Rand
-	born           time.Time // start of this incarnation
-	up             bool
-	refusesStarts  bool
-	fencingToken   int64
-	leaseEnd       int64 // end of the lease on the worker's clock
-	runs           map[run]*activeRun
-	refusedUpTo    map[string]int64 // by task: highest run number that may not start any more
-	unacknowledged []*runEnd        // ends that the owner has not acknowledged
-	nextSeq        int64
-	changed        chan struct{} // closed and replaced when a run ends
+	WorkerConfig
+	proxy  *Proxy
+	server *http.Server
+	closed chan struct{}
+
+	// mu is held by the callers of all unexported methods but tick, hold, executeDelayed, key and writeEntry.
+	mu               sync.Mutex
+	rng              *rand.Rand
+	capacity         int64 // milliCPU
+	formerCapacities []formerCapacity
+	state            string    // as in the entry: ready or draining
+	born             time.Time // start of this incarnation
+	up               bool
+	left             bool // it never starts again
+	refusesStarts    bool
+	fencingToken     int64
+	leaseEnd         int64 // end of the lease on the worker's clock
+	runs             map[run]*activeRun
+	refusedUpTo      map[string]int64 // by task: highest run number that may not start any more
+	unacknowledged   []*runEnd        // ends that the owner has not acknowledged
+	nextSeq          int64
+	changed          chan struct{} // closed and replaced when a run ends
 	// taskFailureShare is the share of runs that fail because of the worker.
 	taskFailureShare float64
 	// delayedRequestShare is the share of start and stop requests that are executed later,
@@ -80,18 +89,34 @@
 	delayedRequestShare float64
 }
 
+// WorkerConfig describes a worker.
+type WorkerConfig struct {
+	ID, Zone, Host string
+	CPU            int64         // capacity in milliCPU, unless SetCapacity changes it
+	MaxLease       time.Duration // the longest lease that it grants
+	Seed           uint64
+	Store          *Store // where it writes its entry
+	Checker        *Checker
+}
+
+// formerCapacity is a capacity that a worker had until a time.
+type formerCapacity struct {
+	cpu   int64
+	until time.Time
+}
+
 // NewWorker starts a worker that is reached through a proxy of its own.
-func NewWorker(id, zone, host string, capacity int64, seed uint64, checker *Checker) (*Worker, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+func NewWorker(c WorkerConfig) (*Worker, error) {
+	l, err := net.Listen("tcp", net.JoinHostPort(c.Host, "0"))
 	if err != nil {
 		return nil, err
 	}
 	w := &Worker{
-		ID: id, Zone: zone, capacity: capacity, checker: checker, closed: make(chan struct{}),
-		rng: rand.New(rand.NewPCG(seed, 2)), changed: make(chan struct{}),
+		WorkerConfig: c, capacity: c.CPU, closed: make(chan struct{}),
+		rng: rand.New(rand.NewPCG(c.Seed, 2)), changed: make(chan struct{}),
 	}
 	w.reset()
-	if w.proxy, err = NewProxy(net.JoinHostPort(host, "0"), l.Addr().String()); err != nil {
+	if w.proxy, err = NewProxy(net.JoinHostPort(c.Host, "0"), l.Addr().String()); err != nil {
 		return nil, err
 	}
 	w.server = &http.Server{Handler: w}
@@ -100,26 +125,35 @@
 	return w, nil
 }
 
-// Close stops the worker, its proxy and its server.
-func (w *Worker) Close() {
-	close(w.closed)
-	w.Crash()
-	w.proxy.Close()
-	_ = w.server.Close()
-}
-
 func (w *Worker) reset() {
-	w.born, w.up, w.fencingToken, w.leaseEnd, w.nextSeq = time.Now(), true, 0, 0, 1
+	w.born, w.up, w.state, w.fencingToken, w.leaseEnd, w.nextSeq = time.Now(), true, "ready", 0, 0, 1
 	w.runs, w.refusedUpTo, w.unacknowledged = map[run]*activeRun{}, map[string]int64{}, nil
 }
 
-// Crash stops the worker, which loses all of its runs and unacknowledged ends. It closes connections
-// without an answer until it is restarted.
+// Crash stops the worker, which loses all of its runs and unacknowledged ends and drops its connections.
+// It closes connections without an answer until it is restarted.
 func (w *Worker) Crash() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.crash()
+}
+
+func (w *Worker) crash() {
 	w.up = false
 	w.loseRuns()
+	w.proxy.Reset()
+}
+
+// crashForAWhile crashes the worker and restarts it after a random time.
+func (w *Worker) crashForAWhile() {
+	w.crash()
+	w.Checker.RecordFaultBegin()
+	away := minCrashTime + time.Duration(w.rng.Int64N(int64(maxCrashTime-minCrashTime)))
+	time.AfterFunc(away, func() {
+		w.Restart()
+		w.Announce("ready")
+		w.Checker.RecordFaultEnd()
+	})
 }
 
 // Restart starts the worker again with the same id, but without runs, lease and fencing token. A worker
@@ -127,14 +161,69 @@
 func (w *Worker) Restart() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.left {
+		return
+	}
 	w.loseRuns()
 	w.reset()
 }
 
+// Leave stops the worker for good, with its proxy and its server. Its entry is removed after the given time.
+func (w *Worker) Leave(entryRemovedAfter time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	close(w.closed)
+	w.left = true
+	w.crash()
+	w.proxy.Close()
+	_ = w.server.Close()
+	time.AfterFunc(entryRemovedAfter, func() { w.Store.Delete(w.key()) })
+}
+
+// FailLastingRuns ends the runs that go on until they are stopped as failed.
+func (w *Worker) FailLastingRuns() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for r, t := range w.runs {
+		if t.lasts() {
+			w.finishRun(r, "failed")
+		}
+	}
+}
+
+// SetCapacity changes the capacity to cpu milliCPU. The worker's entry shows it within a heartbeat.
+func (w *Worker) SetCapacity(cpu int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.formerCapacities = append(w.formerCapacities, formerCapacity{w.capacity, time.Now()})
+	w.capacity = cpu
+	time.AfterFunc(time.Duration(w.rng.Int64N(int64(heartbeat))), w.writeEntry)
+}
+
+// countedCapacity returns the capacity in milliCPU that counts for a start at the given time: the largest of
+// those that the worker has had in the last maxCapacityDelay before it.
+func (w *Worker) countedCapacity(at time.Time) int64 {
+	counted := w.capacity
+	for _, former := range w.formerCapacities {
+		if at.Sub(former.until) <= maxCapacityDelay {
+			counted = max(counted, former.cpu)
+		}
+	}
+	return counted
+}
+
+// freeCPU returns the milliCPU that new tasks may reserve: none if the worker takes no tasks.
+func (w *Worker) freeCPU() int64 {
+	if !w.up || w.state != "ready" || w.refusesStarts {
+		return 0
+	}
+	return w.capacity - w.totalReservedCPU()
+}
+
 // loseRuns ends all runs, and forgets the ends that were not acknowledged.
 func (w *Worker) loseRuns() {
 	for r := range w.runs {
-		w.checker.RecordEnd(w.ID, r, "lost")
+		w.Checker.RecordEnd(w.ID, r, "lost")
 	}
 	w.runs, w.unacknowledged = map[run]*activeRun{}, nil
 }
@@ -182,14 +271,27 @@
 	GPU    int64 `json:"gpu"`
 }
 
-// Entry returns the worker's entry in the given state.
-func (w *Worker) Entry(state string) entry {
+func (w *Worker) key() string { return "servers/" + w.ID }
+
+// Announce sets the worker's state and writes its entry.
+func (w *Worker) Announce(state string) {
+	w.mu.Lock()
+	w.state = state
+	w.mu.Unlock()
+	w.writeEntry()
+}
+
+// writeEntry writes the worker's entry to the store unless the worker is down.
+func (w *Worker) writeEntry() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return entry{
-		Service: service, Address: w.proxy.Address(), Zone: w.Zone, Version: "1", Slots: 8, State: state,
-		Capacity: capacity{CPU: w.capacity, Memory: 1 << 20}, Labels: []string{"a", "r1"}, Born: w.born.UnixMilli(),
+	if !w.up {
+		return
 	}
+	w.Store.Put(w.key(), entry{
+		Service: service, Address: w.proxy.Address(), Zone: w.Zone, Version: "1", Slots: 8, State: w.state,
+		Capacity: capacity{CPU: w.capacity, Memory: 1 << 20}, Labels: []string{"a", "r1"}, Born: w.born.UnixMilli(),
+	})
 }
 
 // clock returns the time on the worker's clock in milliseconds since its start.
@@ -215,12 +317,16 @@
 	}
 }
 
-// advance ends the runs that are done or have been stopped, and all runs if the lease has lapsed.
+// advance ends the runs that are done or have been stopped, and all runs if the lease has lapsed or a run
+// crashes the worker.
 func (w *Worker) advance() {
 	now := time.Now()
 	for _, r := range slices.Collect(maps.Keys(w.runs)) {
 		t := w.runs[r]
 		switch {
+		case !t.crashesAt.IsZero() && !now.Before(t.crashesAt):
+			w.crashForAWhile()
+			return
 		case !t.endsAt.IsZero() && now.After(t.endsAt) && t.fails:
 			w.finishRun(r, "failed")
 		case !t.endsAt.IsZero() && now.After(t.endsAt):
@@ -246,7 +352,7 @@
 	w.refusedUpTo[r.task] = max(w.refusedUpTo[r.task], r.number)
 	w.unacknowledged = append(w.unacknowledged, &runEnd{seq: w.nextSeq, run: r, outcome: outcome, lapsed: outcome == "lapsed"})
 	w.nextSeq++
-	w.checker.RecordEnd(w.ID, r, outcome)
+	w.Checker.RecordEnd(w.ID, r, outcome)
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
@@ -260,6 +366,8 @@
 	Checkpoint string `json:"last-checkpoint"`
 	LastSeen   int64  `json:"last-seen"`
 	Wait       int64  `json:"wait-ms"`
+
+	sentAt time.Time
 }
 
 type clockBody struct {
@@ -274,6 +382,7 @@
 		writeJSON(rw, http.StatusBadRequest, struct{}{})
 		return
 	}
+	b.sentAt = time.Now()
 	w.mu.Lock()
 	up, delayed := w.up, r.URL.Path != "/api/hold" && w.rng.Float64() < w.delayedRequestShare
 	w.mu.Unlock()
@@ -293,8 +402,12 @@
 	default:
 		w.mu.Lock()
 		status, reason := w.execute(r.URL.Path, b)
-		clock := w.clock()
+		w.advance() // a run that has just started may crash the worker at once
+		up, clock := w.up, w.clock()
 		w.mu.Unlock()
+		if !up {
+			panic(http.ErrAbortHandler)
+		}
 		writeJSON(rw, status, clockBody{Clock: clock, Reason: reason})
 	}
 }
@@ -311,6 +424,9 @@
 // execute executes a start or stop request. Requests with an older fencing token are refused.
 func (w *Worker) execute(path string, b requestBody) (status int, reason string) {
 	w.advance()
+	if !w.up {
+		return http.StatusServiceUnavailable, ""
+	}
 	if b.Fence < w.fencingToken {
 		return http.StatusConflict, "fence"
 	}
@@ -342,7 +458,7 @@
 	if w.refusesStarts {
 		return http.StatusServiceUnavailable, ""
 	}
-	task, ok := w.checker.RecordStart(w, key, b.Spec)
+	task, ok := w.Checker.RecordStart(w, key, b.Spec, b.sentAt)
 	if !ok {
 		return http.StatusBadRequest, ""
 	}
@@ -350,13 +466,16 @@
 	if task.duration > 0 {
 		t.endsAt = t.startedAt.Add(task.duration)
 	}
+	if task.crashes {
+		t.endsAt, t.crashesAt = time.Time{}, t.startedAt.Add(task.crashDelay)
+	}
 	w.runs[key] = t
 	return http.StatusOK, ""
 }
 
 // renew extends the lease; it never shortens it.
 func (w *Worker) renew(until int64) {
-	w.leaseEnd = max(w.leaseEnd, min(until, w.clock()+maxWorkerLease.Milliseconds()))
+	w.leaseEnd = max(w.leaseEnd, min(until, w.clock()+w.MaxLease.Milliseconds()))
 }
 
 // totalReservedCPU returns the CPU that all runs on the worker reserve, in milliCPU.
@@ -383,6 +502,10 @@
 func (w *Worker) hold(rw http.ResponseWriter, r *http.Request, b requestBody) {
 	w.mu.Lock()
 	w.advance()
+	if !w.up {
+		w.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
 	if b.Fence < w.fencingToken {
 		clock := w.clock()
 		w.mu.Unlock()
@@ -418,7 +541,7 @@
 			return false
 		}
 		if !e.lapsed {
-			w.checker.RecordAcknowledgement(e.run, e.outcome)
+			w.Checker.RecordAcknowledgement(e.run, e.outcome)
 		}
 		return true
 	})
