--- a/internal/batch/answers.go
+++ b/internal/batch/answers.go
@@ -17,7 +17,7 @@
 	a.startPending = false
 	switch answer {
 	case AnswerOK:
-		a.acceptedAt = now
+		a.acceptedAt, w.lastContact = now, now
 		s.markStarted(a.step.job)
 	case AnswerNone:
 		if !a.listed {
@@ -44,6 +44,7 @@
 	if a.listed {
 		return
 	}
+	s.withdrawSuspicion(a.ref(), a.run)
 	s.event(Event{Name: "task.refused", Job: a.step.job.ID, Task: a.id(), Run: a.run, Worker: a.worker.info.ID, Detail: reason})
 	s.remove(a, now)
 }
--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -19,6 +19,14 @@
 	// stay unknown. Such a call may still reach the worker, also one that has been restarted meanwhile.
 	startPending bool
 	acceptedAt   time.Time // when an answer that accepts the start arrived
+	listedSince  time.Time // when a report first listed the attempt
+	// suspected and repeatSuspected say in which counters of the worker the attempt counts.
+	suspected, repeatSuspected bool
+	// unsent is set while the start waits for a record of the suspicion recorded, and startRecorded once the
+	// store holds that.
+	unsent        bool
+	startRecorded bool
+	recorded      Suspicion
 	// listed is set once a report of the worker's present incarnation has listed the attempt.
 	listed   bool
 	ended    bool // the worker has reported its end
@@ -47,6 +55,8 @@
 	return TaskID{Job: a.step.job.ID, Occurrence: a.step.occ.number, Step: a.step.number, Index: a.index}
 }
 
+func (a *attempt) ref() taskRef { return taskRef{a.step, a.index} }
+
 func (a *attempt) task() *task { return &a.step.tasks[a.index] }
 
 // attemptKey identifies an attempt on a worker.
--- /dev/null
+++ b/internal/batch/crash.go
@@ -0,0 +1,335 @@
+package batch
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+)
+
+const (
+	// provingTime is how long an attempt must have been listed until its task is no longer suspected of
+	// crashing workers.
+	provingTime = 500 * time.Millisecond
+	// maxSuspectRuntime bounds the time for which an attempt may have run when its worker crashed to be
+	// suspected, if no attempt there was started within provingTime.
+	maxSuspectRuntime = 5 * time.Second
+	// survivalFactor times the longest runtime after which a worker has crashed under a task replaces
+	// provingTime for that task.
+	survivalFactor = 2
+
+	// isolatedCrashesToFail is the number of crashes, with the task as the only suspect, after which the
+	// task is given up, if crashesToFail workers have been lost under it in all.
+	isolatedCrashesToFail = 2
+	crashesToFail         = 3
+	// sharedCrashesToFail is the same number of workers if too few of them had no other suspect.
+	sharedCrashesToFail = 4
+	// confirmedCrashesToFail is how many of these losses must be known to be crashes: a later incarnation
+	// runs at the worker's address.
+	confirmedCrashesToFail = 2
+	// lossesToFail is the number of lost workers after which a task is given up without any such evidence.
+	lossesToFail = 5
+)
+
+// Suspicion is a start of a task after which its worker was lost, or may be lost: the task may have crashed
+// it. It is deleted when the worker reports in the same incarnation that the attempt is gone. That of a
+// recorded start is noted before the start is sent; see recordedStart.
+type Suspicion struct {
+	Run         int64         `cbor:"1,keyasint"`
+	Worker      WorkerID      `cbor:"2,keyasint"`
+	Address     string        `cbor:"3,keyasint,omitempty"`
+	Incarnation int64         `cbor:"4,keyasint,omitempty"`
+	Runtime     time.Duration `cbor:"5,keyasint,omitempty"` // how long the attempt was seen to run
+	// Isolated is set if no other attempt on the worker was suspected. Until the worker is lost, it says whether
+	// that was so when the start was recorded.
+	Isolated bool `cbor:"6,keyasint,omitempty"`
+}
+
+// suspected reports whether workers may have crashed under the task.
+func (t *task) suspected() bool { return len(t.suspicions) > 0 }
+
+// provingTime returns how long an attempt of the task must have run to clear the task.
+func (t *task) provingTime() time.Duration {
+	longest := provingTime
+	for _, e := range t.suspicions {
+		longest = max(longest, survivalFactor*e.Runtime)
+	}
+	return longest
+}
+
+// runtime returns for how long the attempt is known to have run.
+func (a *attempt) runtime() time.Duration {
+	since := a.listedSince
+	if !a.acceptedAt.IsZero() && a.restartedAt.IsZero() {
+		since = a.acceptedAt
+	}
+	if since.IsZero() {
+		return 0
+	}
+	return max(0, a.worker.lastContact.Sub(since))
+}
+
+// isProven reports whether the attempt has run for so long that it will not crash its worker. The tasks of
+// a gang begin to work only when all are present.
+func (a *attempt) isProven() bool {
+	return a.listed && a.runtime() >= a.task().provingTime() && (!a.step.spec.Gang || a.percent > 0)
+}
+
+// isIsolated reports whether all other attempts on the worker have proven themselves.
+func (a *attempt) isIsolated() bool {
+	for _, b := range a.worker.attempts {
+		if b != a && !b.isProven() {
+			return false
+		}
+	}
+	return true
+}
+
+// unproven returns the attempts on the worker that have not proven themselves.
+func (w *worker) unproven() []*attempt {
+	var out []*attempt
+	for _, a := range w.attempts {
+		if !a.unsent && !a.isProven() {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// contents describes what the worker may run, for the log: the attempt that was started last is the first to
+// look at if the worker has crashed.
+func (w *worker) contents() string {
+	var last *attempt
+	unlisted := 0
+	for _, a := range w.attempts {
+		if !a.listed {
+			unlisted++
+		}
+		if last == nil || a.requestedAt.After(last.requestedAt) {
+			last = a
+		}
+	}
+	if last == nil {
+		return "no attempts there"
+	}
+	return fmt.Sprintf("attempts there: %d, of which no report has listed %d; started last: %+v run %d", len(w.attempts), unlisted, last.id(), last.run)
+}
+
+// suspectAttempts notes that the worker may have crashed. The attempts that have not proven themselves are
+// suspected; if there are none, those that have run for at most maxSuspectRuntime.
+func (s *State) suspectAttempts(w *worker) {
+	if w.info.Draining {
+		return // it may just have left
+	}
+	suspects := w.unproven()
+	if len(suspects) == 0 {
+		for _, a := range w.attempts {
+			if !a.unsent && a.runtime() <= maxSuspectRuntime {
+				suspects = append(suspects, a)
+			}
+		}
+	}
+	slices.SortFunc(suspects, func(a, b *attempt) int {
+		return cmp.Or(cmp.Compare(a.step.job.ID, b.step.job.ID), cmp.Compare(a.step.occ.number, b.step.occ.number),
+			cmp.Compare(a.step.number, b.step.number), cmp.Compare(a.index, b.index), cmp.Compare(a.run, b.run))
+	})
+	for _, a := range suspects {
+		if a.step.job.outcome.Terminal() || a.task().done {
+			continue
+		}
+		s.suspect(a, len(suspects) == 1)
+	}
+}
+
+// suspect notes a suspicion for an attempt, or completes the one that was noted before its start.
+func (s *State) suspect(a *attempt, isolated bool) {
+	e := newSuspicion(a)
+	t := a.task()
+	e.Runtime, e.Isolated = a.runtime(), isolated
+	s.dropSuspicion(a.ref(), a.run)
+	s.addSuspicion(a.ref(), e)
+	s.dirty.add(a.step.job)
+	s.event(Event{Name: "task.suspected", Job: a.step.job.ID, Task: a.id(), Run: a.run, Worker: a.worker.info.ID,
+		Detail: fmt.Sprintf("the worker may have crashed after %s; only suspect: %t; suspicions: %d", e.Runtime, isolated, len(t.suspicions))})
+}
+
+func newSuspicion(a *attempt) Suspicion {
+	info := a.worker.info
+	return Suspicion{Run: a.run, Worker: info.ID, Address: info.Address, Incarnation: info.Incarnation}
+}
+
+// suspicionOf returns the index of the suspicion of a run, or -1.
+func (t *task) suspicionOf(run int64) int {
+	return slices.IndexFunc(t.suspicions, func(e Suspicion) bool { return e.Run == run })
+}
+
+// taskRef is the place of a task in its step.
+type taskRef struct {
+	step  *step
+	index int
+}
+
+func (r taskRef) id() TaskID {
+	return TaskID{Job: r.step.job.ID, Occurrence: r.step.occ.number, Step: r.step.number, Index: r.index}
+}
+
+func (r taskRef) task() *task { return &r.step.tasks[r.index] }
+
+func (s *State) addSuspicion(r taskRef, e Suspicion) {
+	t := r.task()
+	t.suspicions = append(t.suspicions, e)
+	s.indexSuspicion(r, e)
+}
+
+// indexSuspicion adds a suspicion to the indexes of suspected tasks.
+func (s *State) indexSuspicion(r taskRef, e Suspicion) {
+	if s.suspects[e.Worker] == nil {
+		s.suspects[e.Worker] = map[taskRef]bool{}
+	}
+	s.suspects[e.Worker][r] = true
+	if len(r.task().suspicions) >= crashesToFail {
+		s.repeatSuspects[r] = true
+	}
+}
+
+// dropSuspicion deletes the suspicion of a run and reports whether there was one.
+func (s *State) dropSuspicion(r taskRef, run int64) bool {
+	t := r.task()
+	i := t.suspicionOf(run)
+	if i < 0 {
+		return false
+	}
+	id := t.suspicions[i].Worker
+	t.suspicions = slices.Delete(t.suspicions, i, i+1)
+	if !slices.ContainsFunc(t.suspicions, func(e Suspicion) bool { return e.Worker == id }) {
+		if delete(s.suspects[id], r); len(s.suspects[id]) == 0 {
+			delete(s.suspects, id)
+		}
+	}
+	if len(t.suspicions) < crashesToFail {
+		delete(s.repeatSuspects, r)
+	}
+	return true
+}
+
+// withdrawSuspicion deletes the suspicion of a run that has not crashed its worker.
+func (s *State) withdrawSuspicion(r taskRef, run int64) {
+	if s.dropSuspicion(r, run) {
+		s.dirty.add(r.step.job)
+	}
+}
+
+// clearTask deletes all suspicions of a task that has proven itself.
+func (s *State) clearTask(r taskRef) {
+	t := r.task()
+	if !t.suspected() {
+		return
+	}
+	if slices.ContainsFunc(t.suspicions, func(e Suspicion) bool { return e.Run != t.lastRun }) {
+		s.event(Event{Name: "task.cleared", Job: r.step.job.ID, Task: r.id(), Run: t.lastRun, Detail: "it did not crash its worker"})
+	}
+	s.endSuspicions(r)
+	s.dirty.add(r.step.job)
+}
+
+// endSuspicions forgets all suspicions of a task.
+func (s *State) endSuspicions(r taskRef) {
+	t := r.task()
+	for len(t.suspicions) > 0 {
+		s.dropSuspicion(r, t.suspicions[0].Run)
+	}
+	for _, a := range t.attempts {
+		a.uncountSuspected()
+	}
+}
+
+// registerSuspicions indexes the suspicions in the record of a job that was loaded.
+func (s *State) registerSuspicions(j *Job) {
+	for _, o := range j.occs {
+		for _, st := range o.steps {
+			for i := range st.tasks {
+				for _, e := range st.tasks[i].suspicions {
+					s.indexSuspicion(taskRef{st, i}, e)
+				}
+			}
+		}
+	}
+}
+
+// followAttempt notes that an attempt is listed by a later incarnation of its worker than the one to which
+// the start was sent.
+func (s *State) followAttempt(a *attempt) {
+	t := a.task()
+	if i := t.suspicionOf(a.run); i >= 0 {
+		e := &t.suspicions[i]
+		e.Incarnation, e.Runtime, e.Isolated = a.worker.info.Incarnation, 0, false
+		s.dirty.add(a.step.job)
+	}
+}
+
+// reviewSuspicions deletes the suspicions that a complete report of the worker refutes, and clears tasks
+// that have proven themselves there.
+func (s *State) reviewSuspicions(w *worker, r Report) {
+	for ref := range s.suspects[w.info.ID] {
+		t := ref.task()
+		for _, e := range slices.Clone(t.suspicions) {
+			a := w.attempts[attemptKey{ref.id(), e.Run}]
+			switch {
+			case e.Worker != w.info.ID:
+			case a == nil && !r.Incomplete && e.Incarnation == w.info.Incarnation:
+				s.withdrawSuspicion(ref, e.Run)
+			case a != nil && a.isProven():
+				s.clearTask(ref)
+			}
+		}
+	}
+}
+
+// isHopeless reports whether a task without attempts is given up, since workers have crashed under it.
+func (s *State) isHopeless(t *task) bool {
+	losses := len(t.suspicions)
+	if losses < crashesToFail {
+		return false
+	}
+	isolated, confirmed := 0, 0
+	for _, e := range t.suspicions {
+		if e.Isolated {
+			isolated++
+		}
+		if s.isConfirmed(e) {
+			confirmed++
+		}
+	}
+	switch {
+	case losses >= lossesToFail:
+		return true
+	case confirmed < confirmedCrashesToFail:
+		return false
+	default:
+		return isolated >= isolatedCrashesToFail || losses >= sharedCrashesToFail
+	}
+}
+
+// isConfirmed reports whether a later incarnation runs at the address of the lost worker, so that this
+// has ended and was not just out of contact.
+func (s *State) isConfirmed(e Suspicion) bool {
+	for id, w := range s.workers {
+		if (id == e.Worker || w.info.Address == e.Address) && w.info.Incarnation > e.Incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+// failHopeless fails the jobs of which a waiting task is hopeless.
+func (s *State) failHopeless(now time.Time) {
+	for ref := range s.repeatSuspects {
+		t, job := ref.task(), ref.step.job
+		if len(t.attempts) > 0 || t.unresolved && len(s.unresolvedWorkers) > 0 || !s.isHopeless(t) {
+			continue
+		}
+		s.event(Event{Name: "job.failed", Job: job.ID, Task: ref.id(), Run: t.suspicions[len(t.suspicions)-1].Run,
+			Detail: fmt.Sprintf("%d workers in succession were lost after they had started the task", len(t.suspicions))})
+		s.end(job, Failed, now)
+	}
+}
--- a/internal/batch/ends.go
+++ b/internal/batch/ends.go
@@ -26,7 +26,7 @@
 	switch e.Reason {
 	case EndDone:
 		w.consecutiveFailures = 0
-		s.attemptDone(st, t, now)
+		s.attemptDone(st, e.Task.Index, now)
 	case EndFailed:
 		s.attemptFailed(w, st, t, e, now)
 	}
@@ -43,22 +43,24 @@
 var endReasonNames = [...]string{"", "done", "failed", "stopped", "lapsed", "broken", "alone", "unknown"}
 
 // attemptDone marks a task as done; in a gang, all its tasks. Long-running tasks are never done.
-func (s *State) attemptDone(st *step, t *task, now time.Time) {
+func (s *State) attemptDone(st *step, index int, now time.Time) {
 	if st.spec.LongRunning {
+		s.clearTask(taskRef{st, index})
 		return
 	}
 	if st.spec.Gang {
 		for i := range st.tasks {
-			s.completeTask(st, &st.tasks[i], now)
+			s.completeTask(taskRef{st, i}, now)
 		}
 		return
 	}
-	s.completeTask(st, t, now)
+	s.completeTask(taskRef{st, index}, now)
 }
 
 // completeTask marks a task as done, stops its other attempts unless it belongs to a gang, and opens
 // the dependent steps if it was the last task of its step.
-func (s *State) completeTask(st *step, t *task, now time.Time) {
+func (s *State) completeTask(r taskRef, now time.Time) {
+	st, t := r.step, r.task()
 	if t.done {
 		return
 	}
@@ -66,6 +68,7 @@
 		st.waiting--
 	}
 	t.done = true
+	s.clearTask(r)
 	st.remainingTasks--
 	s.dirty.add(st.job)
 	if !st.spec.Gang {
@@ -90,6 +93,7 @@
 	if t.done || e.Run == t.lastFailed || slices.Contains(t.failed, e.Run) {
 		return
 	}
+	s.clearTask(taskRef{st, e.Task.Index}) // it has ended without a crash of its worker
 	t.lastFailed = e.Run
 	t.failed = append(t.failed, e.Run)
 	w.countFailure(t, now)
@@ -108,6 +112,18 @@
 	}
 }
 
+// countFailure counts a failed attempt of t against the worker, unless earlier runs of the task failed
+// too, which points to the task as the cause.
+func (w *worker) countFailure(t *task, now time.Time) {
+	if len(t.failed) > 1 {
+		return
+	}
+	w.consecutiveFailures++
+	if w.consecutiveFailures >= failuresToQuarantine {
+		w.quarantinedUntil = now.Add(quarantineTime)
+	}
+}
+
 // failedGangRuns counts the runs of a gang in which at least one task failed.
 func (st *step) failedGangRuns() int {
 	runs := map[int64]bool{}
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -90,6 +90,8 @@
 	lastRun    int64
 	checkpoint string
 	lastWorker WorkerID
+	// suspicions are the starts since the task last proved itself after which the worker was or may be lost.
+	suspicions []Suspicion
 }
 
 func newOccurrence(j *Job, number int) *occurrence {
--- a/internal/batch/lifecycle.go
+++ b/internal/batch/lifecycle.go
@@ -19,6 +19,7 @@
 	j.expand()
 	if r != nil {
 		r.restore(j)
+		s.registerSuspicions(j)
 	}
 	if !j.started {
 		s.unstartedJobs[j.Queue]++
@@ -97,6 +98,7 @@
 			delete(s.open, st)
 			for i := range st.tasks {
 				s.endTask(&st.tasks[i])
+				s.endSuspicions(taskRef{st, i})
 			}
 		}
 	}
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -26,7 +26,9 @@
 		s.stopThrottled(now)
 	}
 	s.openDue(now)
+	s.failHopeless(now)
 	s.place(now)
+	s.sendRecordedStarts(now)
 	s.sendStops(now)
 	out := s.actions
 	s.actions = nil
@@ -125,6 +127,10 @@
 			return true
 		}
 		w := ranking.best(t)
+		if w == nil && t.suspected() {
+			s.recordWait(st, waitsForIsolation)
+			continue
+		}
 		if w == nil {
 			s.recordWait(st, waitsForRoom)
 			return s.askAdviser(st, workers, now)
@@ -141,6 +147,7 @@
 // The reasons for which a step waits, as they appear in the log. Room is free capacity.
 const (
 	waitsForRoom        = "no worker that may run it has room"
+	waitsForIsolation   = "no worker without other suspected tasks has room"
 	waitsForReserve     = "room is kept for short tasks"
 	waitsForFormerOwner = "a former owner may have started it on a worker that has not answered"
 )
@@ -242,9 +249,7 @@
 		placed = append(placed, s.reserve(st, i, run, w, now))
 	}
 	st.gangRun = run
-	for _, a := range placed {
-		s.sendStart(a)
-	}
+	s.startAll(placed)
 }
 
 // releaseReservations undoes reservations for which no start has been sent.
@@ -265,7 +270,7 @@
 }
 
 func (s *State) startTask(st *step, index int, run int64, w *worker, now time.Time) {
-	s.sendStart(s.reserve(st, index, run, w, now))
+	s.startAll([]*attempt{s.reserve(st, index, run, w, now)})
 }
 
 // reserve registers an attempt whose start is not sent yet. Until sendStart, releaseReservations undoes
--- a/internal/batch/ranking.go
+++ b/internal/batch/ranking.go
@@ -27,8 +27,9 @@
 // best returns the best worker for a task, or nil. Before the next call, the caller must reserve the
 // worker that was returned. It must not use the ranking any more after undoing a reservation.
 func (r *ranking) best(t *task) *worker {
-	if len(t.failed) > 0 {
-		// The task's last worker has a lower score for it, so the common order does not apply.
+	if len(t.failed) > 0 || t.suspected() {
+		// The task's last worker, or those with other tasks, have a lower score for it, so the common order
+		// does not apply.
 		r.built = false
 		return r.state.choose(r.step, t, r.workers, r.now)
 	}
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -1,5 +1,7 @@
 package batch
 
+import "slices"
+
 // Record is the progress of a job as it is kept in the store.
 type Record struct {
 	Status  JobStatus      `cbor:"1,keyasint,omitempty"`
@@ -22,6 +24,8 @@
 	Index      int     `cbor:"1,keyasint"`
 	Failed     []int64 `cbor:"2,keyasint,omitempty"` // runs that ended failed
 	Checkpoint string  `cbor:"3,keyasint,omitempty"`
+	// Suspicions are the starts after which the worker was or may be lost, also one that is about to be sent.
+	Suspicions []Suspicion `cbor:"4,keyasint,omitempty"`
 }
 
 // DirtyJobs returns the number of jobs whose records have changed since they were last taken.
@@ -86,6 +90,11 @@
 		if p.MayHaveStarted && p.Occurrence < len(j.occs) {
 			j.occs[p.Occurrence].steps[p.Step].startRecordDurable = true
 		}
+		for _, t := range p.Tasks {
+			if p.Occurrence < len(j.occs) {
+				j.occs[p.Occurrence].steps[p.Step].tasks[t.Index].markStartsRecorded(t.Suspicions)
+			}
+		}
 	}
 }
 
@@ -116,8 +125,8 @@
 		switch {
 		case t.done:
 			p.Done[i/8] |= 1 << (i % 8)
-		case len(t.failed) > 0 || t.checkpoint != "":
-			p.Tasks = append(p.Tasks, TaskProgress{Index: i, Failed: t.failed, Checkpoint: t.checkpoint})
+		case len(t.failed) > 0 || t.checkpoint != "" || t.suspected():
+			p.Tasks = append(p.Tasks, TaskProgress{Index: i, Failed: t.failed, Checkpoint: t.checkpoint, Suspicions: slices.Clone(t.suspicions)})
 		}
 	}
 	return p, p.MayHaveStarted || p.Done != nil || p.Tasks != nil
@@ -149,6 +158,7 @@
 		if t.Index >= 0 && t.Index < len(st.tasks) {
 			st.tasks[t.Index].failed = t.Failed
 			st.tasks[t.Index].checkpoint = t.Checkpoint
+			st.tasks[t.Index].suspicions = t.Suspicions
 		}
 	}
 	if st.remainingTasks == 0 {
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -20,7 +20,7 @@
 	if w.unreachable {
 		w.excuseSilence(now)
 	}
-	w.reported, w.unreachable = true, false
+	w.reported, w.unreachable, w.lastContact = true, false, now
 	w.latencyGroupsAt = time.Time{}
 	if !r.Incomplete {
 		delete(s.unresolvedWorkers, id)
@@ -31,6 +31,7 @@
 		last = max(last, e.Seq)
 	}
 	s.reconcile(w, r, now)
+	s.reviewSuspicions(w, r)
 	s.enforceLatencyTargets(w, now)
 	return last
 }
@@ -45,6 +46,9 @@
 		key := attemptKey{e.Task, e.Run}
 		listed[key] = true
 		if a := w.attempts[key]; a != nil {
+			if !a.listed && !a.restartedAt.IsZero() {
+				s.followAttempt(a)
+			}
 			a.observe(e, now)
 			s.markStarted(a.step.job)
 		} else {
@@ -71,7 +75,9 @@
 	if !a.listed || e.Percent > a.percent {
 		a.progressAt = now
 	}
-	a.listed = true
+	if !a.listed {
+		a.listed, a.listedSince = true, now
+	}
 	if t := a.task(); e.Checkpoint != "" && a.run == t.lastRun {
 		// If the worker is lost, the task resumes from this checkpoint.
 		t.checkpoint = e.Checkpoint
--- a/internal/batch/score.go
+++ b/internal/batch/score.go
@@ -22,6 +22,9 @@
 
 // evaluate returns the score of a worker for a task and whether the worker may get the task at all.
 func (s *State) evaluate(st *step, t *task, w *worker, now time.Time) (float64, bool) {
+	if t.mustAvoid(st, w) {
+		return 0, false
+	}
 	q := s.queueOf(st.job)
 	if !st.suits(w, q) || q.RequiresTicket && !st.advice.hasTicket(w, now) {
 		return 0, false
@@ -97,7 +100,7 @@
 
 // score returns how well a worker suits a task; higher is better.
 func (s *State) score(st *step, t *task, w *worker) float64 {
-	score := 0.0
+	score := -t.isolationPenalty(w)
 	if st.spec.DataRack != "" && w.rack == st.spec.DataRack || st.rack != "" && w.rack == st.rack {
 		score += weightRack
 	}
--- a/internal/batch/simulation_faults_test.go
+++ b/internal/batch/simulation_faults_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -24,6 +25,80 @@
 		return
 	}
 	n := w.drawWorker(t)
+	for id := range w.tasksUnder(n) {
+		w.unrelatedCrashes[id]++
+	}
+	w.restart(t, n)
+}
+
+// tasksUnder returns the tasks that a worker runs or whose starts are on their way to it.
+func (w *simulation) tasksUnder(n *simulatedWorker) map[TaskID]bool {
+	out := map[TaskID]bool{}
+	for key := range n.running {
+		out[key.task] = true
+	}
+	for _, r := range w.requests {
+		if r.action.Kind == ActionStart && r.action.Worker == n.info.ID {
+			out[r.action.Task] = true
+		}
+	}
+	return out
+}
+
+// crashUnder lets a deadly task crash the worker that has started it, and checks that its starts are few. The
+// owner may be killed at the same moment, so that only the records tell of the start.
+func (w *simulation) crashUnder(n *simulatedWorker, r sentRequest) {
+	id := r.action.Task
+	if w.crashes[id] >= budgetCrashes && r.epoch == w.epoch {
+		w.startsAfterCrashes[id]++
+		if w.startsAfterCrashes[id] == budgetStarts {
+			w.t.Fatalf("%v is started after %d workers have crashed under it", id, w.crashes[id])
+		}
+	}
+	w.crashes[id]++
+	w.restart(w.t, n)
+	if w.ownersKilled < maxOwnersKilled && rapid.IntRange(0, 3).Draw(w.t, "the owner is killed too") == 0 {
+		w.ownersKilled++
+		w.replaceOwner(w.t)
+	}
+}
+
+// checkFailures checks that a job is shown as failed only for a task that has failed as often as its queue
+// allows, or under which workers have crashed: through the task itself, or more than maxUnrelatedCrashes times for
+// another reason. A start of a deadly task that got no answer looks like a crash.
+func (w *simulation) checkFailures(t *rapid.T) {
+	for id := range w.jobs {
+		if known := w.owner.Job(id); known != nil && known.outcome == Failed && !w.mayFail(id) {
+			t.Fatalf("job %s is given up without a cause", id)
+		}
+	}
+}
+
+func (w *simulation) mayFail(job string) bool {
+	failures := map[TaskID]int{}
+	for key := range w.failedRuns {
+		failures[key.task]++
+	}
+	for id, n := range failures {
+		if id.Job == job && n >= 3 {
+			return true
+		}
+	}
+	for id, n := range w.crashes {
+		if id.Job == job && n+w.unrelatedCrashes[id]+w.lostAnswers[id] >= crashesToGiveUp {
+			return true
+		}
+	}
+	for id, n := range w.unrelatedCrashes {
+		if id.Job == job && n > maxUnrelatedCrashes {
+			return true
+		}
+	}
+	return false
+}
+
+// restart starts a worker under the same id or, at the same address, under a new one. It knows nothing of before.
+func (w *simulation) restart(t *rapid.T, n *simulatedWorker) {
 	n.info.Incarnation++
 	n.running, n.maxEndedRun, n.ended, n.nextSeq, n.maxEpoch = map[attemptKey]bool{}, map[TaskID]int64{}, nil, 1, 0
 	n.lease, n.lapsedSeq, w.startedAfterDone[n] = time.Time{}, 0, map[int64]bool{}
@@ -35,6 +110,29 @@
 		w.giveUp(&r)
 		return true
 	})
+	if rapid.Bool().Draw(t, "new id") {
+		w.rename(n)
+	}
+}
+
+// rename gives a worker that has just been restarted a new id. The owner and the registry see that the former
+// one is gone.
+func (w *simulation) rename(n *simulatedWorker) {
+	former := n.info.ID
+	w.requests = slices.DeleteFunc(w.requests, func(r sentRequest) bool {
+		if r.action.Worker != former {
+			return false
+		}
+		w.giveUp(&r)
+		return true
+	})
+	w.owner.MarkUnreachable(former)
+	w.owner.RemoveWorker(former)
+	delete(w.workers, former)
+	n.info.ID = WorkerID(fmt.Sprintf("w%d", len(w.recordedWorkers)))
+	n.entry = n.info
+	w.workers[n.info.ID] = n
+	w.enlist(n)
 }
 
 // register lets a worker update its entry in the registry.
--- a/internal/batch/simulation_run_test.go
+++ b/internal/batch/simulation_run_test.go
@@ -22,10 +22,13 @@
 			"end":    w.endOne,
 			"report": w.report, "report2": w.report, "report3": w.report,
 			"commit": w.commit, "commit2": w.commit,
-			"cut":      w.toggleConnection,
-			"crash":    w.crash,
-			"refuse":   w.toggleRefusal,
-			"":         w.checkWaiting,
+			"cut":    w.toggleConnection,
+			"crash":  w.crash,
+			"refuse": w.toggleRefusal,
+			"": func(t *rapid.T) {
+				w.checkWaiting(t)
+				w.checkFailures(t)
+			},
 			"register": w.register, "list": w.list,
 			"pass": w.advanceTime,
 			"take over": func(t *rapid.T) {
@@ -66,6 +69,7 @@
 			w.endAll(w.workers[id])
 		}
 	}
+	w.checkFailures(t)
 	if n := w.owner.QueuedJobs("q"); n != 0 {
 		t.Fatalf("%d jobs are said to wait after all have ended", n)
 	}
--- a/internal/batch/simulation_test.go
+++ b/internal/batch/simulation_test.go
@@ -14,6 +14,17 @@
 	simulatedStartWindow = 1500 * time.Millisecond
 	// simulatedCallTimeout is how long the owner waits for the answer to a request.
 	simulatedCallTimeout = 700 * time.Millisecond
+	// budgetCrashes is the number of crashes after which a deadly task may be started budgetStarts - 1 times more.
+	budgetCrashes = 3
+	budgetStarts  = 3
+	// crashesToGiveUp is the number of crashes after which a deadly task may be given up.
+	crashesToGiveUp = 2
+	// maxUnrelatedCrashes is the number of crashes for other reasons that a task outlasts in any case. No
+	// evidence tells a task that meets one on each of its starts from a deadly one.
+	maxUnrelatedCrashes = 2
+	// maxOwnersKilled bounds the owners that are killed just as a worker crashes. Each may leave a start of which
+	// no record tells, or the record of a start that was not carried out.
+	maxOwnersKilled = 2
 	// simulatedMaxEnds is the largest number of ended attempts in a report.
 	simulatedMaxEnds = 2
 )
@@ -39,6 +50,13 @@
 	startedAfterDone     map[*simulatedWorker]map[int64]bool // ends after which their task was started again
 	acknowledgedDone     map[TaskID]bool                     // done, and the end was acknowledged
 	acknowledgedFailures map[TaskID]int                      // number of acknowledged failures
+	failedRuns           map[attemptKey]bool                 // runs that ended failed, whether reported or not
+	deadly               map[TaskID]bool                     // tasks that crash each worker that starts them
+	crashes              map[TaskID]int                      // workers that have crashed under a deadly task
+	startsAfterCrashes   map[TaskID]int                      // its starts by the present owner after budgetCrashes
+	lostAnswers          map[TaskID]int                      // starts without an answer, but for those that crashed the worker
+	ownersKilled         int                                 // owners killed just as a worker crashed under a task
+	unrelatedCrashes     map[TaskID]int                      // crashes for other reasons of workers that had or were to start it
 }
 
 // simulatedClock is a reading of a worker's clock.
@@ -85,6 +103,7 @@
 		jobs: map[string]*Job{}, records: map[string]Record{}, cancels: map[string]bool{},
 		recordedWorkers: map[WorkerID]bool{}, workers: map[WorkerID]*simulatedWorker{},
 		begun: map[string]bool{}, done: map[TaskID]bool{}, startedAfterDone: map[*simulatedWorker]map[int64]bool{}, acknowledgedDone: map[TaskID]bool{}, acknowledgedFailures: map[TaskID]int{},
+		failedRuns: map[attemptKey]bool{}, deadly: map[TaskID]bool{}, crashes: map[TaskID]int{}, startsAfterCrashes: map[TaskID]int{}, lostAnswers: map[TaskID]int{}, unrelatedCrashes: map[TaskID]int{},
 	}
 	for i := range 4 {
 		id := WorkerID(fmt.Sprintf("w%d", i))
@@ -128,13 +147,17 @@
 	}
 	w.owner = s
 	for _, id := range w.ids() {
-		n := w.workers[id]
-		s.UpdateWorker(n.entry, w.now)
-		w.recordedWorkers[id] = true
-		s.MarkRecorded(id)
+		w.enlist(w.workers[id])
 	}
 }
 
+// enlist shows the owner a worker's entry in the registry and records that the worker may be in use.
+func (w *simulation) enlist(n *simulatedWorker) {
+	w.owner.UpdateWorker(n.entry, w.now)
+	w.recordedWorkers[n.info.ID] = true
+	w.owner.MarkRecorded(n.info.ID)
+}
+
 func (w *simulation) ids() []WorkerID { return slices.Sorted(maps.Keys(w.workers)) }
 
 func (w *simulation) drawWorker(t *rapid.T) *simulatedWorker {
@@ -162,6 +185,10 @@
 	id := fmt.Sprintf("j%d", len(w.jobs))
 	j := &Job{ID: id, Queue: "q", QueueConfig: Queue{Service: "svc", MaxAttempts: 3}, Accepted: w.now, Spec: spec}
 	w.jobs[id] = j
+	if rapid.IntRange(0, 4).Draw(t, "deadly") == 0 {
+		step := rapid.IntRange(0, len(spec.Steps)-1).Draw(t, "deadly step")
+		w.deadly[TaskID{Job: id, Step: step, Index: rapid.IntRange(0, spec.Steps[step].Count-1).Draw(t, "deadly task")}] = true
+	}
 	w.owner.AddJob(&Job{ID: id, Queue: "q", QueueConfig: Queue{Service: "svc", MaxAttempts: 3}, Accepted: w.now, Spec: spec}, nil, false, w.now)
 }
 
@@ -200,6 +227,9 @@
 		return
 	}
 	r.answerLost = true
+	if r.action.Kind == ActionStart {
+		w.lostAnswers[r.action.Task]++
+	}
 	if r.action.Kind == ActionStart && r.epoch == w.epoch {
 		w.owner.StartAnswered(r.action.Worker, r.action.Task, r.action.Run, AnswerNone, w.now)
 	}
@@ -218,6 +248,10 @@
 	}
 	w.requests = slices.Delete(w.requests, i, i+1)
 	answer := w.execute(n, r)
+	if r.action.Kind == ActionStart && w.deadly[r.action.Task] && answer == AnswerNone {
+		w.giveUp(&r) // the worker has crashed before it answered
+		w.lostAnswers[r.action.Task]--
+	}
 	if r.answerLost || r.epoch != w.epoch {
 		return
 	}
@@ -253,6 +287,10 @@
 			return AnswerRefused
 		}
 		w.checkStart(n, r)
+		if w.deadly[a.Task] {
+			w.crashUnder(n, r)
+			return AnswerNone
+		}
 	case ActionStop:
 		if n.running[key] {
 			w.endAttempt(n, key, EndStopped)
@@ -320,8 +358,11 @@
 
 func (w *simulation) endAttempt(n *simulatedWorker, key attemptKey, how EndReason) {
 	delete(n.running, key)
-	if how == EndDone {
+	switch how {
+	case EndDone:
 		w.done[key.task] = true
+	case EndFailed:
+		w.failedRuns[key] = true
 	}
 	n.maxEndedRun[key.task] = max(n.maxEndedRun[key.task], key.run)
 	n.ended = append(n.ended, EndedAttempt{Seq: n.nextSeq, Task: key.task, Run: key.run, Reason: how})
@@ -423,7 +464,7 @@
 // acknowledge deletes the acknowledged ends on a worker.
 func (w *simulation) acknowledge(a pendingAck) {
 	n := w.workers[a.worker]
-	if n.info.Incarnation != a.incarnation || n.disconnected {
+	if n == nil || n.info.Incarnation != a.incarnation || n.disconnected {
 		return
 	}
 	n.ended = slices.DeleteFunc(n.ended, func(e EndedAttempt) bool {
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -27,11 +27,16 @@
 
 	dirty changedJobs
 	// urgentJobs holds the jobs with steps whose start waits for a durable record.
-	urgentJobs        map[*Job]bool
-	actions           []Action
-	unstartedJobs     map[string]int    // number of jobs without a started task, by queue
-	stops             map[*attempt]bool // attempts that are being stopped
-	lastCheck         time.Time         // last check for expired leases and stalled tasks
+	urgentJobs    map[*Job]bool
+	actions       []Action
+	unstartedJobs map[string]int    // number of jobs without a started task, by queue
+	stops         map[*attempt]bool // attempts that are being stopped
+	// suspects holds the tasks with suspicions by the worker that a suspicion names, and repeatSuspects those with
+	// at least crashesToFail suspicions.
+	suspects          map[WorkerID]map[taskRef]bool
+	repeatSuspects    map[taskRef]bool
+	recordedStarts    []recordedStart // starts that wait for a record
+	lastCheck         time.Time       // last check for expired leases and stalled tasks
 	interferenceModel *interferenceModel
 	// shortCPU is the CPU reserved by the attempts of short tasks, which are those that are not
 	// long-running, and meanShortCPU its moving average, in thousandths of a core.
@@ -79,6 +84,8 @@
 		urgentJobs:        map[*Job]bool{},
 		unstartedJobs:     map[string]int{},
 		stops:             map[*attempt]bool{},
+		suspects:          map[WorkerID]map[taskRef]bool{},
+		repeatSuspects:    map[taskRef]bool{},
 		interferenceModel: newInterferenceModel(),
 	}
 }
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -44,7 +44,10 @@
 	// bestEffortEndedAt is when a best-effort attempt with a CPU limit above 0 last ended there.
 	bestEffortEndedAt   time.Time
 	attempts            map[attemptKey]*attempt
-	consecutiveFailures int // failed attempts since a task was last done there
+	suspected           int       // attempts of suspected tasks
+	repeatSuspected     int       // those of tasks with at least suspicionsToIsolate suspicions
+	lastContact         time.Time // when it last reported or accepted a start
+	consecutiveFailures int       // failed attempts since a task was last done there
 	quarantinedUntil    time.Time
 }
 
@@ -126,30 +129,12 @@
 func (s *State) MarkUnreachable(id WorkerID) {
 	if w := s.workers[id]; w != nil && !w.unreachable {
 		w.unreachable, w.leaseConfirmed = true, false
+		s.suspectAttempts(w)
 		// The log calls an unreachable worker silent.
 		s.event(Event{Name: "worker.silent", Worker: id, Detail: w.contents()})
 	}
 }
 
-// contents describes what the worker may run, for the log: the attempt that was started last is the first to
-// look at if the worker has crashed.
-func (w *worker) contents() string {
-	var last *attempt
-	unlisted := 0
-	for _, a := range w.attempts {
-		if !a.listed {
-			unlisted++
-		}
-		if last == nil || a.requestedAt.After(last.requestedAt) {
-			last = a
-		}
-	}
-	if last == nil {
-		return "no attempts there"
-	}
-	return fmt.Sprintf("attempts there: %d, of which no report has listed %d; started last: %+v run %d", len(w.attempts), unlisted, last.id(), last.run)
-}
-
 // LeaseRenewed notes that a lease was sent to the worker, which has certainly ended at leaseEnd.
 // confirmed says that the worker has responded to the renewal; it may get tasks from then on.
 func (s *State) LeaseRenewed(id WorkerID, leaseEnd time.Time, confirmed bool) {
@@ -207,6 +192,9 @@
 // of the worker for the new one. An attempt that no report has listed yet stays: the restart is seen late, and
 // the start may have reached the new incarnation. A later report of that incarnation tells.
 func (s *State) handleRestart(w *worker, incarnation int64, source string, now time.Time) {
+	if !w.unreachable {
+		s.suspectAttempts(w)
+	}
 	unconfirmed := 0
 	for _, a := range w.attempts {
 		if a.listed {
@@ -226,6 +214,9 @@
 // lose removes an attempt whose end will never be reported. The caller must know that it does not run any
 // more.
 func (s *State) lose(a *attempt, reason string, now time.Time) {
+	if a.worker.info.Draining {
+		s.withdrawSuspicion(a.ref(), a.run)
+	}
 	s.event(Event{Name: "task.lost", Job: a.step.job.ID, Task: a.id(), Run: a.run, Worker: a.worker.info.ID, Detail: reason})
 	s.remove(a, now)
 }
@@ -367,6 +358,7 @@
 	w.attempts[attemptKey{a.id(), a.run}] = a
 	w.used = w.used.plus(a.reserved)
 	w.count(a, 1)
+	a.countSuspected()
 }
 
 // detach removes an attempt from the worker and frees its resources.
@@ -374,6 +366,7 @@
 	delete(w.attempts, attemptKey{a.id(), a.run})
 	w.used = w.used.minus(a.reserved)
 	w.count(a, -1)
+	a.uncountSuspected()
 }
 
 // count adds by, which is 1 or -1, to the worker's counter of each kind of task that the attempt
@@ -397,15 +390,3 @@
 func (a *attempt) limitedCPU() int64 {
 	return a.step.spec.Resources.CPU * int64(a.cpuLimit) / fullPercent
 }
-
-// countFailure counts a failed attempt of t against the worker, unless earlier runs of the task failed
-// too, which points to the task as the cause.
-func (w *worker) countFailure(t *task, now time.Time) {
-	if len(t.failed) > 1 {
-		return
-	}
-	w.consecutiveFailures++
-	if w.consecutiveFailures >= failuresToQuarantine {
-		w.quarantinedUntil = now.Add(quarantineTime)
-	}
-}
