--- a/internal/batch/policy_test.go
+++ b/internal/batch/policy_test.go
@@ -228,6 +228,7 @@
 	next.meanShortCPU = 2000
 	for _, id := range []WorkerID{"a", "b"} {
 		reportWithLease(next, id, Report{Incarnation: 2, Clock: 5}, now)
+		next.UpdateWorker(restartedAs(next, id, 2), now)
 		reportWithLease(next, id, Report{Incarnation: 2, Clock: 6}, now)
 	}
 	is.Equal(len(startActions(planUntilIdle(next, now))), 8)
--- a/internal/batch/restart_test.go
+++ b/internal/batch/restart_test.go
@@ -9,8 +9,13 @@
 
 // restartedWorker returns the entry of worker a, as addWorker registers it, with a new incarnation.
 func restartedWorker(s *State) WorkerInfo {
-	info := s.workers["a"].info
-	info.Incarnation++
+	return restartedAs(s, "a", s.workers["a"].info.Incarnation+1)
+}
+
+// restartedAs returns the entry of a worker with the given incarnation.
+func restartedAs(s *State, id WorkerID, incarnation int64) WorkerInfo {
+	info := s.workers[id].info
+	info.Incarnation = incarnation
 	return info
 }
 
@@ -118,3 +123,21 @@
 	is.Equal(len(startActions(planUntilIdle(next, now))), 0)
 	is.Equal(next.Job("j").attempts, 1)
 }
+
+// Guards against a worker over its capacity: it has restarted as another kind, a report shows the restart, and the
+// registry still shows the capacity of before.
+func TestARestartedWorkerGetsNoStartsBeforeItsCapacityIsKnown(t *testing.T) {
+	is := is.New(t)
+	s, now := newTestState("a")
+	reportWithLease(s, "a", Report{Incarnation: 2, Clock: 5}, now)
+	reportWithLease(s, "a", Report{Incarnation: 2, Clock: 6}, now)
+	addJob(s, "j", "q", now, taskStep(1, 3000))
+	is.Equal(len(startActions(planUntilIdle(s, now))), 0)
+	info := restartedAs(s, "a", 2)
+	info.Capacity = Resources{CPU: 2000, MemoryMB: 4000}
+	s.UpdateWorker(info, now)
+	is.Equal(len(startActions(planUntilIdle(s, now))), 0)
+	info.Capacity.CPU = 3000
+	s.UpdateWorker(info, now)
+	is.Equal(len(startActions(planUntilIdle(s, now))), 1)
+}
--- a/internal/batch/simulation_faults_test.go
+++ b/internal/batch/simulation_faults_test.go
@@ -97,9 +97,33 @@
 	return false
 }
 
-// restart starts a worker under the same id or, at the same address, under a new one. It knows nothing of before.
+// resize changes the capacity of a worker, also to less than its attempts reserve. The registry shows it at
+// once.
+func (w *simulation) resize(t *rapid.T) {
+	n := w.drawWorker(t)
+	w.setCapacity(n, drawCapacity(t))
+}
+
+func drawCapacity(t *rapid.T) Resources {
+	cpu := int64(rapid.IntRange(0, 4).Draw(t, "cores")) * 1000
+	return Resources{CPU: cpu, MemoryMB: min(4000, cpu+500)}
+}
+
+func (w *simulation) setCapacity(n *simulatedWorker, capacity Resources) {
+	// A start that was sent in the same instant was sent before.
+	n.formerCapacities = append(n.formerCapacities, formerCapacity{n.info.Capacity, w.now.Add(time.Nanosecond)})
+	n.info.Capacity = capacity
+	n.entry = n.info
+	w.owner.UpdateWorker(n.entry, w.now)
+}
+
+// restart starts a worker under the same id or, at the same address, under a new one. It knows nothing of before and
+// may be of another kind.
 func (w *simulation) restart(t *rapid.T, n *simulatedWorker) {
 	n.info.Incarnation++
+	if rapid.IntRange(0, 3).Draw(t, "another kind") == 0 {
+		n.info.Capacity, n.formerCapacities = drawCapacity(t), nil
+	}
 	n.running, n.maxEndedRun, n.ended, n.nextSeq, n.maxEpoch = map[attemptKey]bool{}, map[TaskID]int64{}, nil, 1, 0
 	n.lease, n.lapsedSeq, w.startedAfterDone[n] = time.Time{}, 0, map[int64]bool{}
 	n.clockOffset = time.Duration(rapid.IntRange(-20, 20).Draw(t, "clock")) * time.Second
--- a/internal/batch/simulation_run_test.go
+++ b/internal/batch/simulation_run_test.go
@@ -23,6 +23,7 @@
 			"report": w.report, "report2": w.report, "report3": w.report,
 			"commit": w.commit, "commit2": w.commit,
 			"cut":    w.toggleConnection,
+			"resize": w.resize,
 			"crash":  w.crash,
 			"refuse": w.toggleRefusal,
 			"": func(t *rapid.T) {
@@ -41,7 +42,7 @@
 	})
 }
 
-// quiesce restores all connections and runs without faults for 80 s. After that, every job must have
+// quiesce restores all connections and capacities and runs without faults for 80 s. After that, every job must have
 // ended.
 func (w *simulation) quiesce(t *rapid.T) {
 	for _, n := range w.workers {
@@ -58,7 +59,9 @@
 		w.now = w.now.Add(200 * time.Millisecond)
 		w.expireRequests()
 		for _, id := range w.ids() {
-			w.reportOf(w.workers[id], true)
+			n := w.workers[id]
+			w.setCapacity(n, fullCapacity)
+			w.reportOf(n, true)
 		}
 		w.commit(t)
 		w.plan(t)
--- a/internal/batch/simulation_test.go
+++ b/internal/batch/simulation_test.go
@@ -59,6 +59,9 @@
 	unrelatedCrashes     map[TaskID]int                      // crashes for other reasons of workers that had or were to start it
 }
 
+// fullCapacity is the largest capacity of a worker.
+var fullCapacity = Resources{CPU: 4000, MemoryMB: 4000}
+
 // simulatedClock is a reading of a worker's clock.
 type simulatedClock struct {
 	clock int64
@@ -66,22 +69,30 @@
 }
 
 type simulatedWorker struct {
-	info         WorkerInfo
-	entry        WorkerInfo    // in the registry, where a restart shows late
-	clockOffset  time.Duration // of its clock, which starts anew with each incarnation
-	maxEpoch     int64
-	lease        time.Time
-	disconnected bool
-	refuses      bool // it refuses all starts
-	running      map[attemptKey]bool
-	ended        []EndedAttempt
-	nextSeq      int64
+	info  WorkerInfo
+	entry WorkerInfo // in the registry, where a restart shows late
+	// formerCapacities were in force. Starts that were sent before their ends count against the largest.
+	formerCapacities []formerCapacity
+	clockOffset      time.Duration // of its clock, which starts anew with each incarnation
+	maxEpoch         int64
+	lease            time.Time
+	disconnected     bool
+	refuses          bool // it refuses all starts
+	running          map[attemptKey]bool
+	ended            []EndedAttempt
+	nextSeq          int64
 	// lapsedSeq is the number of the last end before the lease last ended. A task may start again after such
 	// an end, as the owner could not know of it in time.
 	lapsedSeq   int64
 	maxEndedRun map[TaskID]int64 // highest run that was stopped or ended
 }
 
+// formerCapacity is a capacity that a worker had until it was resized.
+type formerCapacity struct {
+	capacity Resources
+	until    time.Time
+}
+
 // sentRequest is an action that has been sent to a worker and not executed yet.
 type sentRequest struct {
 	action     Action
@@ -108,7 +119,7 @@
 	for i := range 4 {
 		id := WorkerID(fmt.Sprintf("w%d", i))
 		n := &simulatedWorker{
-			info:    WorkerInfo{ID: id, Incarnation: 1, Service: "svc", Address: string(id), DataCentre: "a", Capacity: Resources{CPU: 4000, MemoryMB: 4000}},
+			info:    WorkerInfo{ID: id, Incarnation: 1, Service: "svc", Address: string(id), DataCentre: "a", Capacity: fullCapacity},
 			running: map[attemptKey]bool{}, maxEndedRun: map[TaskID]int64{}, nextSeq: 1,
 		}
 		n.entry = n.info
@@ -340,8 +351,17 @@
 	for key := range n.running {
 		used = used.plus(w.jobs[key.task.Job].Spec.Steps[key.task.Step].reserved())
 	}
-	if !used.Fits(n.info.Capacity) {
-		w.t.Fatalf("%s is over its capacity: %+v", n.info.ID, used)
+	capacity := n.info.Capacity
+	if a.Incarnation < n.info.Incarnation {
+		capacity = fullCapacity // the start was meant for the former incarnation
+	}
+	for _, f := range n.formerCapacities {
+		if r.sentAt.Before(f.until) {
+			capacity = capacity.max(f.capacity)
+		}
+	}
+	if !used.Fits(capacity) {
+		w.t.Fatalf("%s is over its capacity of %+v: %+v", n.info.ID, capacity, used)
 	}
 }
 
@@ -386,6 +406,11 @@
 	})
 }
 
+// max returns the larger amount of each kind of resource.
+func (r Resources) max(o Resources) Resources {
+	return Resources{max(r.CPU, o.CPU), max(r.MemoryMB, o.MemoryMB), max(r.GPU, o.GPU)}
+}
+
 func compareStrings(a, b string) int {
 	switch {
 	case a < b:
--- a/internal/batch/state_test.go
+++ b/internal/batch/state_test.go
@@ -216,6 +216,7 @@
 	addJob(s, "j", "q", now, taskStep(1, 1000))
 	planUntilIdle(s, now)
 	reportWithLease(s, "a", Report{Incarnation: 2, Clock: 5}, now)
+	s.UpdateWorker(restartedAs(s, "a", 2), now)
 	is.Equal(len(startActions(planUntilIdle(s, now))), 0) // its new incarnation has not confirmed a lease yet
 	reportWithLease(s, "a", Report{Incarnation: 2, Clock: 6}, now)
 	is.Equal(len(startActions(planUntilIdle(s, now))), 1)
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -22,6 +22,7 @@
 	info              WorkerInfo
 	rack              string
 	listed            bool // it is in the registry
+	described         bool // the registry has shown the entry of its present incarnation, and so its capacity
 	recorded          bool // the store holds a record that it may be in use
 	reported          bool // it has reported to this owner in its present incarnation
 	unreachable       bool // the last call to it failed
@@ -67,7 +68,7 @@
 		s.handleRestart(w, info.Incarnation, "the registry", now)
 	}
 	startsDraining := info.Draining && !w.info.Draining
-	w.info, w.listed = info, true
+	w.info, w.listed, w.described = info, true, true
 	w.rack = rackOf(info.Labels)
 	if startsDraining {
 		s.event(Event{Name: "worker.draining", Worker: info.ID})
@@ -208,6 +209,7 @@
 	// The log calls a restarted worker reborn.
 	s.event(Event{Name: "worker.reborn", Worker: w.info.ID, Detail: fmt.Sprintf("%s shows incarnation %d after %d; unconfirmed starts: %d", source, incarnation, w.info.Incarnation, unconfirmed)})
 	w.info.Incarnation = incarnation
+	w.described = false
 	w.reported, w.leaseConfirmed, w.consecutiveFailures, w.quarantinedUntil = false, false, 0, time.Time{}
 }
 
@@ -346,7 +348,7 @@
 
 // usable reports whether the worker may get new tasks.
 func (w *worker) usable(s *State, now time.Time) bool {
-	return w.listed && w.recorded && w.reported && w.leaseConfirmed && !w.unreachable && !w.runsUnknownTasks && !w.info.Draining &&
+	return w.listed && w.described && w.recorded && w.reported && w.leaseConfirmed && !w.unreachable && !w.runsUnknownTasks && !w.info.Draining &&
 		!s.config.Evacuated[w.info.DataCentre] && !now.Before(w.quarantinedUntil)
 }
 
