--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -196,7 +196,7 @@
 func (s *State) keepsShortTaskReserve(st *step, workers []*worker, now time.Time) bool {
 	var free, capacity int64
 	for _, w := range workers {
-		free += w.free().CPU
+		free += max(0, w.free().CPU)
 		capacity += w.info.Capacity.CPU
 	}
 	reserve := min(shortReserveFactor*s.meanShortCPU, maxReserve*float64(capacity))
--- a/internal/batch/policy_test.go
+++ b/internal/batch/policy_test.go
@@ -234,6 +234,23 @@
 	is.Equal(len(startActions(planUntilIdle(next, now))), 8)
 }
 
+// Guards against a long-running job that never starts although a worker has room for it: another worker's capacity
+// has shrunk below what runs there.
+func TestAShrunkWorkerTakesNoRoomFromOthers(t *testing.T) {
+	is := is.New(t)
+	s, now := newTestState("a")
+	addJob(s, "old", "q", now, lasting(4000))
+	is.Equal(len(startActions(planUntilIdle(s, now))), 1)
+	info := s.workers["a"].info
+	info.Capacity = Resources{}
+	s.UpdateWorker(info, now)
+	addWorker(s, "b", Resources{CPU: 4000, MemoryMB: 4000}, now)
+	addJob(s, "new", "q", now, lasting(1000))
+	starts := startActions(planUntilIdle(s, now))
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Worker, WorkerID("b"))
+}
+
 // Jobs that can still meet their objectives start before those that cannot.
 func TestJobsThatMissTheirObjectiveComeLast(t *testing.T) {
 	is := is.New(t)
