owner: two tests catch their fault again, and one set-up serves six

Six tests of take-overs began with the same eight lines: harness.startWithTask.

No check or limit is changed, and no product code.

--- a/internal/owner/take_over_chain_test.go
+++ b/internal/owner/take_over_chain_test.go
@@ -101,17 +101,10 @@
 // that the former claim permits, although the former process has ended.
 func TestAKilledOwnerIsNotWaitedForOnceItsInstanceIsBack(t *testing.T) {
 	withHarness(t, func(h *harness) {
-		h.workers.taskDuration = time.Hour
-		h.startInstance("a")
-		h.sleep(time.Second)
-		h.submit("j", longRunning(1))
-		h.sleep(2 * time.Second)
-		h.startInstance("b")
-		h.sleep(time.Second)
-		task := batch.TaskID{Job: "j"}
+		task := h.startWithTask()
 		h.kill("a")
 		h.leave(h.workerOf(task))
-		h.sleep(time.Second)
+		h.sleep(2 * time.Second) // its claim has lapsed, and b leads
 		back := time.Now()
 		h.startInstance("a")
 		h.requireRestartAfter(task, back)
@@ -121,17 +114,10 @@
 // Guards against the same after a planned stop, which the former owner reports itself.
 func TestAnOwnerThatHandsOverIsNotWaitedFor(t *testing.T) {
 	withHarness(t, func(h *harness) {
-		h.workers.taskDuration = time.Hour
-		a := h.startInstance("a")
-		h.sleep(time.Second)
-		h.submit("j", longRunning(1))
-		h.sleep(2 * time.Second)
-		h.startInstance("b")
-		h.sleep(time.Second)
-		task := batch.TaskID{Job: "j"}
+		task := h.startWithTask()
 		h.leave(h.workerOf(task))
 		stopped := time.Now()
-		a.Resign()
+		h.owners["a"].Resign()
 		h.requireRestartAfter(task, stopped)
 	}, "w1", "w2", "w3")
 }
@@ -140,14 +126,7 @@
 // its own take-over, long after the outage began.
 func TestAnOwnerKilledInAnOutageIsNotWaitedFor(t *testing.T) {
 	withHarness(t, func(h *harness) {
-		h.workers.taskDuration = time.Hour
-		h.startInstance("a")
-		h.sleep(time.Second)
-		h.submit("j", longRunning(1))
-		h.sleep(2 * time.Second)
-		h.startInstance("b")
-		h.sleep(time.Second)
-		task := batch.TaskID{Job: "j"}
+		task := h.startWithTask()
 		h.leave(h.workerOf(task))
 		h.store.setSilent(true)
 		h.sleep(time.Second)
--- a/internal/owner/take_over_test.go
+++ b/internal/owner/take_over_test.go
@@ -14,6 +14,18 @@
 	return step
 }
 
+// startWithTask starts instance a, which leads, a long-running task of job j, and then instance b.
+func (h *harness) startWithTask() (task batch.TaskID) {
+	h.workers.taskDuration = time.Hour
+	h.startInstance("a")
+	h.sleep(time.Second)
+	h.submit("j", longRunning(1))
+	h.sleep(2 * time.Second)
+	h.startInstance("b")
+	h.sleep(time.Second)
+	return batch.TaskID{Job: "j"}
+}
+
 // leave removes a worker for good: it answers no calls, and the registry no longer has it.
 func (h *harness) leave(id batch.WorkerID) {
 	h.workers.mu.Lock()
@@ -109,15 +121,10 @@
 // before and ran nothing.
 func TestAnIdleWorkerThatLeftLongAgoHoldsUpNoTask(t *testing.T) {
 	withHarness(t, func(h *harness) {
-		h.workers.taskDuration = time.Hour
-		h.startInstance("a")
-		h.sleep(time.Second)
-		h.submit("j", longRunning(1))
-		h.sleep(time.Second)
-		h.startInstance("b")
+		task := h.startWithTask()
+		h.sleep(15 * time.Second) // the owner has no other reason to write the record any more
 		h.leave(h.idleWorker())
 		h.sleep(20 * time.Second)
-		task := batch.TaskID{Job: "j"}
 		h.kill("a")
 		h.fail(task)
 		h.requireRestart(task, 2, 3*time.Second)
@@ -128,16 +135,10 @@
 // and left between the two owners.
 func TestADrainedWorkerThatLeavesBetweenTwoOwnersHoldsUpNoTask(t *testing.T) {
 	withHarness(t, func(h *harness) {
-		h.workers.taskDuration = time.Hour
-		h.startInstance("a")
-		h.sleep(time.Second)
-		h.submit("j", longRunning(1))
-		h.sleep(time.Second)
-		h.startInstance("b")
+		task := h.startWithTask()
 		drained := h.idleWorker()
 		h.store.set("w/"+string(drained), []byte("draining"))
 		h.sleep(3 * time.Second)
-		task := batch.TaskID{Job: "j"}
 		h.kill("a")
 		h.leave(drained)
 		h.fail(task)
@@ -149,18 +150,12 @@
 // itself and that no owner has ever reached.
 func TestAWorkerThatNoOwnerHasReachedHoldsUpNoTask(t *testing.T) {
 	withHarness(t, func(h *harness) {
-		h.workers.taskDuration = time.Hour
-		h.startInstance("a")
-		h.sleep(time.Second)
-		h.submit("j", longRunning(1))
-		h.sleep(time.Second)
-		h.startInstance("b")
+		task := h.startWithTask()
 		h.workers.mu.Lock()
 		h.workers.unreachable["w9"] = true
 		h.workers.mu.Unlock()
 		h.store.set("w/w9", []byte("ok"))
 		h.sleep(20 * time.Second)
-		task := batch.TaskID{Job: "j"}
 		h.kill("a")
 		h.leave("w9")
 		h.fail(task)
