--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -54,7 +54,7 @@
 
 // New returns an instance that does nothing until Run.
 func New(opts Options, store kv.Store, decoder ConfigDecoder, workers owner.WorkerClient, registry owner.Registry, log zerolog.Logger) *Instance {
-	watcher := &configWatcher{decoder: decoder, log: log}
+	watcher := newConfigWatcher(decoder, opts.Scope, log)
 	opts.Owner.Instance, opts.Owner.Address, opts.Owner.Scope = opts.Name, opts.PeerAddress, opts.Scope
 	peers := peer.NewPool(model.InstanceID(opts.Name))
 	opts.Owner.AskToYield = func(ctx context.Context, c owner.Claim) error {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -162,15 +162,15 @@
 
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	is := is.New(t)
-	w := &configWatcher{decoder: fakeDecoder{}, log: zerolog.Nop()}
+	w := newConfigWatcher(fakeDecoder{}, nil, zerolog.Nop())
 	is.Equal(w.inForce.Load(), nil)
-	w.reset([]kv.Item{{Key: "op/config", Value: []byte{5}}})
+	w.reset([]kv.Item{{Key: "op/config", Value: []byte{5}}}, 1)
 	is.Equal(w.batchConfig().Version, int64(5))
-	w.reset([]kv.Item{{Key: "op/config", Value: []byte{4}}}) // a stale listing
+	w.reset([]kv.Item{{Key: "op/config", Value: []byte{4}}}, 2) // a stale listing
 	is.Equal(w.batchConfig().Version, int64(5))
-	w.change([]kv.Event{{Item: kv.Item{Key: "op/config", Value: []byte{6}}}})
+	w.change([]kv.Event{{Item: kv.Item{Key: "op/config", Value: []byte{6}}}}, 3)
 	is.Equal(w.batchConfig().Version, int64(6))
-	w.change([]kv.Event{{Item: kv.Item{Key: "op/config"}, Deleted: true}})
+	w.change([]kv.Event{{Item: kv.Item{Key: "op/config"}, Deleted: true}}, 4)
 	is.Equal(w.batchConfig().Version, int64(6))
 }
 
@@ -194,19 +194,19 @@
 func TestAnUnreadableConfigurationCostsOnlyItself(t *testing.T) {
 	is := is.New(t)
 	var log bytes.Buffer
-	w := &configWatcher{decoder: evacuationDecoder{}, log: zerolog.New(&log)}
-	w.reset([]kv.Item{{Key: "op/config", Value: []byte("odd")}})
+	w := newConfigWatcher(evacuationDecoder{}, nil, zerolog.New(&log))
+	w.reset([]kv.Item{{Key: "op/config", Value: []byte("odd")}}, 5)
 	is.Equal(w.inForce.Load(), nil)
-	w.change([]kv.Event{{Item: kv.Item{Key: "op/config", Value: []byte{5}}}})
+	w.change([]kv.Event{{Item: kv.Item{Key: "op/config", Value: []byte{5}}}}, 6)
 	is.Equal(w.batchConfig().Version, int64(5))
-	w.change([]kv.Event{{Item: kv.Item{Key: "op/config", Value: []byte("odd")}}})
-	w.change([]kv.Event{{Item: kv.Item{Key: "op/evacuate/a"}}})
+	w.change([]kv.Event{{Item: kv.Item{Key: "op/config", Value: []byte("odd")}}}, 7)
+	w.change([]kv.Event{{Item: kv.Item{Key: "op/evacuate/a"}}}, 8)
 	is.Equal(w.batchConfig().Version, int64(5))
 	is.True(w.batchConfig().Evacuated["a"])
-	w.reset([]kv.Item{{Key: "op/config", Value: []byte("odd")}})
+	w.reset([]kv.Item{{Key: "op/config", Value: []byte("odd")}}, 9)
 	is.True(!w.batchConfig().Evacuated["a"])
 	is.Equal(strings.Count(log.String(), "config.unreadable"), 1)
-	w.change([]kv.Event{{Item: kv.Item{Key: "op/config", Value: []byte{6}}}})
+	w.change([]kv.Event{{Item: kv.Item{Key: "op/config", Value: []byte{6}}}}, 10)
 	is.Equal(w.batchConfig().Version, int64(6)) // the next good one counts
 }
 
@@ -234,7 +234,7 @@
 		is := is.New(t)
 		i := newInstance(&fakeStore{})
 		is.True(!i.Ready()) // no configuration yet
-		i.watcher.reset([]kv.Item{{Key: "op/config", Value: []byte{5}}})
+		i.watcher.reset([]kv.Item{{Key: "op/config", Value: []byte{5}}}, 11)
 		i.watcher.noteContact()
 		is.True(i.Ready())
 		time.Sleep(maxContactAge + time.Second)
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// Errors with a known outcome. A call that returns any other error has an unknown outcome: a
-// transaction may have been executed, or may still be executed later.
+// Errors of calls. All but ErrSilent have a known outcome. A call that returns ErrSilent or any other error has
+// an unknown outcome: a transaction may have been executed, or may still be executed later.
 var (
 	// ErrConflict means that a condition of the transaction does not hold; nothing was changed.
 	ErrConflict = errors.New("condition does not hold")
@@ -17,6 +17,9 @@
 	ErrUnavailable = errors.New("store unavailable")
 	// ErrNotFound means that there is no such key or lease.
 	ErrNotFound = errors.New("not found")
+	// ErrSilent means that nothing came in answer to the call for so long that it was given up. Its outcome
+	// is unknown.
+	ErrSilent = errors.New("no answer from the store")
 	// ErrCompacted means that the store no longer keeps the changes after the given revision.
 	ErrCompacted = errors.New("revision has been compacted")
 )
--- a/internal/kv/metered.go
+++ b/internal/kv/metered.go
@@ -36,6 +36,8 @@
 		return "not-found"
 	case errors.Is(err, ErrCompacted):
 		return "compacted"
+	case errors.Is(err, ErrSilent):
+		return "silent"
 	default:
 		return "unknown"
 	}
--- a/internal/kv/watcher.go
+++ b/internal/kv/watcher.go
@@ -22,8 +22,16 @@
 	// OnReset receives the whole content after each listing, OnChange the changes since then.
 	OnReset  func(items []Item, rev int64)
 	OnChange func(events []Event, rev int64)
-	// OnResult, if set, receives the outcome of each call; a nil error is success.
-	OnResult func(err error)
+	// OnResult, if set, receives the outcome of each call, before OnReset or OnChange receives its content.
+	OnResult func(WatcherResult)
+}
+
+// WatcherResult is the outcome of a call of a Watcher.
+type WatcherResult struct {
+	// Listing is set for a listing, otherwise it is a watch for changes after a revision.
+	Listing bool
+	After   int64
+	Err     error // nil is success
 }
 
 // Run watches until ctx ends. It starts after the revision of a listing that the caller already
@@ -40,7 +48,7 @@
 
 func (w *Watcher) list(ctx context.Context) int64 {
 	items, rev, err := w.Store.List(ctx, w.Prefix)
-	w.reportResult(ctx, err)
+	w.reportResult(ctx, WatcherResult{Listing: true, Err: err})
 	if err != nil {
 		pause.For(ctx, w.RetryDelay)
 		return 0
@@ -52,7 +60,7 @@
 // watch returns the revision to continue from; 0 requires a new listing.
 func (w *Watcher) watch(ctx context.Context, after int64) int64 {
 	events, rev, err := w.Store.Watch(ctx, w.Prefix, after, w.WatchTimeout)
-	w.reportResult(ctx, err)
+	w.reportResult(ctx, WatcherResult{After: after, Err: err})
 	if errors.Is(err, ErrCompacted) {
 		return 0
 	}
@@ -67,8 +75,8 @@
 	return max(after, rev)
 }
 
-func (w *Watcher) reportResult(ctx context.Context, err error) {
+func (w *Watcher) reportResult(ctx context.Context, r WatcherResult) {
 	if w.OnResult != nil && ctx.Err() == nil {
-		w.OnResult(err)
+		w.OnResult(r)
 	}
 }
