--- a/standin/soak/store.go
+++ b/standin/soak/store.go
@@ -45,10 +45,10 @@
 	changed   chan struct{}
 	rng       *rand.Rand
 
-	// down makes the store refuse all calls, and silent makes it answer none. lostAnswerShare is the
-	// share of transactions that are executed without an answer.
-	down, silent    bool
-	lostAnswerShare float64
+	// down makes the store refuse all calls, silent makes it answer none, and muted makes it answer no
+	// watch. lostAnswerShare is the share of transactions that are executed without an answer.
+	down, silent, muted bool
+	lostAnswerShare     float64
 }
 
 // NewStore returns an empty store. The seed decides which answers are lost.
@@ -75,6 +75,14 @@
 	s.notifyWatches()
 }
 
+// SetMuted makes the store answer no watch while it serves all other calls, or answer watches again. A watch
+// whose waiting time ended while the store was muted is never answered.
+func (s *Store) SetMuted(muted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.muted = muted
+}
+
 // SetLostAnswerShare sets the share of transactions whose answers are lost.
 func (s *Store) SetLostAnswerShare(share float64) {
 	s.mu.Lock()
@@ -345,7 +353,8 @@
 const leaseCheckInterval = 50 * time.Millisecond
 
 // watch answers as soon as there is an event after the given revision, or without events when its
-// wait time is over. It answers with 410 if the history after the revision was compacted.
+// wait time is over. If the history after the revision was compacted, it answers with 410 instead, which is no
+// sooner than that.
 func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
 	prefix, after := r.URL.Query().Get("prefix"), parseInt(r.URL.Query().Get("after"))
 	deadline := time.Now().Add(time.Duration(parseInt(r.URL.Query().Get("wait-ms"))) * time.Millisecond)
@@ -356,24 +365,23 @@
 			s.mu.Unlock()
 			neverAnswer(r)
 		}
-		if after < s.compacted || s.down {
-			status := http.StatusGone
-			if s.down {
-				status = http.StatusServiceUnavailable
-			}
+		if s.down {
 			s.mu.Unlock()
-			writeJSON(w, status, struct{}{})
+			writeJSON(w, http.StatusServiceUnavailable, struct{}{})
 			return
 		}
-		events := eventsBody{Events: []item{}, Rev: s.rev}
-		for _, i := range s.history {
-			if i.Rev > after && strings.HasPrefix(i.Key, prefix) {
-				events.Events = append(events.Events, i)
-			}
-		}
-		changed := s.changed
+		events := s.eventsAfter(after, prefix)
+		changed, compacted, muted := s.changed, after < s.compacted, s.muted
 		s.mu.Unlock()
-		if len(events.Events) > 0 || !time.Now().Before(deadline) {
+		ended := !time.Now().Before(deadline)
+		switch {
+		case muted && ended:
+			neverAnswer(r)
+		case muted || !ended && len(events.Events) == 0:
+		case compacted:
+			writeJSON(w, http.StatusGone, struct{}{})
+			return
+		default:
 			writeJSON(w, http.StatusOK, events)
 			return
 		}
@@ -389,6 +397,17 @@
 	}
 }
 
+// eventsAfter returns the changes of keys with a prefix after a revision.
+func (s *Store) eventsAfter(rev int64, prefix string) eventsBody {
+	events := eventsBody{Events: []item{}, Rev: s.rev}
+	for _, i := range s.history {
+		if i.Rev > rev && strings.HasPrefix(i.Key, prefix) {
+			events.Events = append(events.Events, i)
+		}
+	}
+	return events
+}
+
 // writeJSON writes an answer with a JSON body.
 func writeJSON(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
--- a/standin/soak/worker.go
+++ b/standin/soak/worker.go
@@ -250,8 +250,8 @@
 	w.mu.Unlock()
 }
 
-// entry is the worker's entry in the store.
-type entry struct {
+// workerEntry is the worker's entry in the store.
+type workerEntry struct {
 	Service  string   `json:"service"`
 	Address  string   `json:"address"`
 	Zone     string   `json:"zone"`
@@ -288,7 +288,7 @@
 	if !w.up {
 		return
 	}
-	w.Store.Put(w.key(), entry{
+	w.Store.Put(w.key(), workerEntry{
 		Service: service, Address: w.proxy.Address(), Zone: w.Zone, Version: "1", Slots: 8, State: w.state,
 		Capacity: capacity{CPU: w.capacity, Memory: 1 << 20}, Labels: []string{"a", "r1"}, Born: w.born.UnixMilli(),
 	})
