--- a/standin/soak/config_world_test.go
+++ b/standin/soak/config_world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -373,11 +374,12 @@
 	}
 }
 
+var configHistories = flag.Uint64("config-histories", 60, "number of histories of TestChangesAreInForceInTime")
+
 // Guards against a change that is not in force in time, or that is taken back, when connections go silent for good,
 // the history is dropped, or the store is slow, refuses, or can't be reached, also together and one after the other.
 func TestChangesAreInForceInTime(t *testing.T) {
-	const histories = 60
-	for seed := range uint64(histories) {
+	for seed := range *configHistories {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				w := newConfigWorld(t, seed, 1+int(seed%3))
