--- a/internal/kv/watcher.go
+++ b/internal/kv/watcher.go
@@ -17,7 +17,7 @@
 	// WatchInterval is the pause after a watch that returned changes, so that several changes
 	// are delivered in one batch.
 	WatchInterval time.Duration
-	// RetryDelay is the pause after a failed call to the store.
+	// RetryDelay is the pause after a call that the store refused or that broke off.
 	RetryDelay time.Duration
 	// OnReset receives the whole content after each listing, OnChange the changes since then.
 	OnReset  func(items []Item, rev int64)
@@ -50,23 +50,21 @@
 	items, rev, err := w.Store.List(ctx, w.Prefix)
 	w.reportResult(ctx, WatcherResult{Listing: true, Err: err})
 	if err != nil {
-		pause.For(ctx, w.RetryDelay)
+		w.pauseAfter(ctx, err)
 		return 0
 	}
 	w.OnReset(items, rev)
 	return rev
 }
 
-// watch returns the revision to continue from; 0 requires a new listing.
+// watch returns the revision to continue from; 0 requires a new listing. A failed watch is not repeated: a store that
+// answers reads may leave watches without an answer, or refuse the revision only when the next one ends.
 func (w *Watcher) watch(ctx context.Context, after int64) int64 {
 	events, rev, err := w.Store.Watch(ctx, w.Prefix, after, w.WatchTimeout)
 	w.reportResult(ctx, WatcherResult{After: after, Err: err})
-	if errors.Is(err, ErrCompacted) {
-		return 0
-	}
 	if err != nil {
-		pause.For(ctx, w.RetryDelay)
-		return after
+		w.pauseAfter(ctx, err)
+		return 0
 	}
 	if len(events) > 0 {
 		w.OnChange(events, rev)
@@ -75,6 +73,14 @@
 	return max(after, rev)
 }
 
+// pauseAfter pauses after a failed call, unless its answer allows the next one at once, or it has waited for long.
+func (w *Watcher) pauseAfter(ctx context.Context, err error) {
+	if errors.Is(err, ErrCompacted) || errors.Is(err, ErrSilent) {
+		return
+	}
+	pause.For(ctx, w.RetryDelay)
+}
+
 func (w *Watcher) reportResult(ctx context.Context, r WatcherResult) {
 	if w.OnResult != nil && ctx.Err() == nil {
 		w.OnResult(r)
--- a/internal/kv/watcher_test.go
+++ b/internal/kv/watcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,28 +43,44 @@
 	return w.events, w.rev, w.err
 }
 
-func TestWatcherListsAgainAfterCompaction(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		store := &scriptedStore{watches: []watchResult{
-			{events: []Event{{Item: Item{Key: "p/b", Rev: 12}}}, rev: 12},
-			{err: errors.New("cut")},
-			{rev: 15},
-			{err: ErrCompacted},
-		}}
-		resets, changes := 0, 0
-		w := &Watcher{
-			Store: store, Prefix: "p/", WatchTimeout: time.Second, RetryDelay: 100 * time.Millisecond,
-			OnReset:  func([]Item, int64) { resets++ },
-			OnChange: func(e []Event, _ int64) { changes += len(e) },
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-		defer cancel()
-		w.Run(ctx, 0)
-		is.Equal(resets, 2)
-		is.Equal(changes, 1)
-		is.Equal(store.after, []int64{10, 12, 12, 15, 20}) // a failed watch is repeated from the same revision
-	})
+// Guards against a change that is told only by a later watch, although the store answers reads: after a watch without
+// a usable answer, whatever the reason, the keys are listed. Only a call that failed quickly is followed by a pause.
+func TestWatcherListsAgainAfterEachFailedWatch(t *testing.T) {
+	const retryDelay = 100 * time.Millisecond
+	for name, c := range map[string]struct {
+		err   error
+		pause time.Duration
+	}{
+		"cut":       {errors.New("cut"), retryDelay},
+		"refused":   {ErrUnavailable, retryDelay},
+		"silent":    {fmt.Errorf("watch: %w", ErrSilent), 0},
+		"compacted": {ErrCompacted, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := &scriptedStore{watches: []watchResult{
+					{events: []Event{{Item: Item{Key: "p/b", Rev: 12}}}, rev: 12},
+					{rev: 15},
+					{err: c.err},
+					{rev: 25},
+				}}
+				changes, startTime := 0, time.Now()
+				var resets []time.Duration
+				w := &Watcher{
+					Store: store, Prefix: "p/", WatchTimeout: time.Second, RetryDelay: retryDelay,
+					OnReset:  func([]Item, int64) { resets = append(resets, time.Since(startTime)) },
+					OnChange: func(e []Event, _ int64) { changes += len(e) },
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+				defer cancel()
+				w.Run(ctx, 0)
+				is.Equal(resets, []time.Duration{0, c.pause})
+				is.Equal(changes, 1)
+				is.Equal(store.after, []int64{10, 12, 15, 20, 25})
+			})
+		})
+	}
 }
 
 func TestMeteredCountsByResult(t *testing.T) {
