--- a/standin/soak/checker.go
+++ b/standin/soak/checker.go
@@ -136,6 +136,8 @@
 //   - LOST: an accepted job is unknown, has not ended, or has failed without enough failed runs or crashes,
 //     or a lasting task does not run, see CheckLastingTasks
 //   - MIXED: a job is shown as completed before all of its tasks are done
+//   - CONFIG: a change of the routes is not in force in time, or an instance goes back to an older one, see
+//     checkConfigSeries
 //   - START, STOP, EXIT, READY: a process does not start, does not stop cleanly in time, exits
 //     without a signal from the soak, or does not serve once all faults are over
 func (c *Checker) addViolation(rule, format string, args ...any) {
--- a/standin/soak/config_world_test.go
+++ b/standin/soak/config_world_test.go
@@ -24,8 +24,6 @@
 )
 
 const (
-	// maxConfigDelay is how long after its acknowledgement a change of the configuration must be in force.
-	maxConfigDelay = 2 * time.Second
 	// configCheckInterval is the time between two looks at the configurations in force.
 	configCheckInterval = 20 * time.Millisecond
 	// claimTTL is how long the store keeps a claim that is not renewed.
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -27,6 +27,8 @@
 	}
 	// workerChanges are injected besides, with random numbers of their own.
 	workerChanges = []fault{changeCapacity, changeCapacity, changeCapacity, failLastingTasks, leaveForGood}
+	// connectionFaults are injected besides, with random numbers of their own, at most at every third opportunity.
+	connectionFaults = []fault{silenceConnections, noFault, noFault}
 	// workerLosses end lasting tasks.
 	workerLosses = []fault{crashWorker, failLastingTasks, leaveForGood}
 )
@@ -176,10 +178,26 @@
 }
 
 func changeConfiguration(tb *testbed, _ *rand.Rand) (string, func(*testbed)) {
-	tb.store.Put("op/config", config(time.Now().UnixMilli()))
+	tb.operators.changeVersion()
 	return "configuration", func(*testbed) {}
 }
 
+// noFault leaves out an opportunity.
+func noFault(*testbed, *rand.Rand) (string, func(*testbed)) { return "", nil }
+
+// silenceConnections makes all open connections to the store and to workers silent for good. New ones work.
+func silenceConnections(tb *testbed, _ *rand.Rand) (string, func(*testbed)) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	for _, i := range tb.instances {
+		i.storeProxy.SilenceOpen()
+	}
+	for _, w := range tb.workers {
+		w.proxy.SilenceOpen()
+	}
+	return "open connections silent", func(*testbed) {}
+}
+
 func (tb *testbed) pickWorker(rng *rand.Rand) *Worker {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
--- a/standin/soak/proxy.go
+++ b/standin/soak/proxy.go
@@ -36,7 +36,23 @@
 	mu      sync.Mutex
 	mode    Mode
 	changed chan struct{}
-	conns   map[net.Conn]bool
+	conns   map[net.Conn]*link
+}
+
+// link is a pair of connections, to a client and to the server, between which data is forwarded.
+type link struct {
+	// silenced is closed when nothing is forwarded any more, though both connections stay open.
+	silenced chan struct{}
+}
+
+// isSilenced reports whether nothing is forwarded any more.
+func (l *link) isSilenced() bool {
+	select {
+	case <-l.silenced:
+		return true
+	default:
+		return false
+	}
 }
 
 // NewProxy listens on the address and connects to the target.
@@ -45,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: l, target: target, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
+	p := &Proxy{listener: l, target: target, changed: make(chan struct{}), conns: map[net.Conn]*link{}}
 	go p.accept()
 	return p, nil
 }
@@ -76,6 +92,17 @@
 	}
 }
 
+// SilenceOpen makes all open connections silent for good, without a reset. New ones work.
+func (p *Proxy) SilenceOpen() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.conns {
+		if !l.isSilenced() {
+			close(l.silenced)
+		}
+	}
+}
+
 // Close stops the proxy and resets its connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
@@ -110,10 +137,10 @@
 		reset(c)
 		return
 	}
-	p.track(c, server)
+	l := p.track(c, server)
 	var directions sync.WaitGroup
-	directions.Go(func() { p.forward(server, c, false) })
-	directions.Go(func() { p.forward(c, server, true) })
+	directions.Go(func() { p.forward(l, server, c, false) })
+	directions.Go(func() { p.forward(l, c, server, true) })
 	directions.Wait()
 	p.mu.Lock()
 	delete(p.conns, c)
@@ -121,12 +148,13 @@
 	p.mu.Unlock()
 }
 
-func (p *Proxy) track(conns ...net.Conn) {
+// track notes the connections of a new link.
+func (p *Proxy) track(client, server net.Conn) *link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, c := range conns {
-		p.conns[c] = true
-	}
+	l := &link{silenced: make(chan struct{})}
+	p.conns[client], p.conns[server] = l, l
+	return l
 }
 
 func (p *Proxy) currentMode() Mode {
@@ -156,22 +184,24 @@
 	}
 }
 
-// forward copies the data of one direction, and closes both connections when it ends.
-func (p *Proxy) forward(to, from net.Conn, fromServer bool) {
-	defer func() {
-		_ = to.Close()
-		_ = from.Close()
-	}()
+// forward copies the data of one direction, and closes both connections when it ends. The client of a silenced link does
+// not hear that the server has closed its connection.
+func (p *Proxy) forward(l *link, to, from net.Conn, fromServer bool) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
-		if n > 0 && (!p.waitToForward(fromServer) || !writeAll(to, buffer[:n])) {
-			return
+		if n > 0 && !l.isSilenced() && (!p.waitToForward(fromServer) || !writeAll(to, buffer[:n])) {
+			break
 		}
 		if err != nil {
-			return
+			break
 		}
 	}
+	if fromServer && l.isSilenced() {
+		return // the other direction ends when the client closes its connection
+	}
+	_ = to.Close()
+	_ = from.Close()
 }
 
 func writeAll(w io.Writer, b []byte) bool {
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -24,7 +24,8 @@
 	// Duration is how long callers submit jobs and faults are injected.
 	Duration time.Duration
 	// Series is how many times owners are killed in series afterwards, each followed by a calm stretch in
-	// which the lasting tasks must come back.
+	// which the lasting tasks must come back, and how many times the configuration changes again and again afterwards
+	// while the paths to the store are disturbed.
 	Series int
 }
 
@@ -69,11 +70,13 @@
 	workersAdded   int
 	faults         []string
 	pendingReverts sync.WaitGroup
+	operators      operators
 }
 
 // Run executes one soak and returns its report. An error means that the soak could not be set up.
 func Run(ctx context.Context, o Options) (Report, error) {
 	tb := &testbed{opts: o, checker: NewChecker(), store: NewStore(o.Seed), startedAt: time.Now(), address: loopbackAddresses(o.Seed)}
+	tb.operators.store = tb.store
 	tb.maxLease = []time.Duration{shortMaxLease, longMaxLease}[o.Seed%2]
 	defer tb.close()
 	if err := tb.setUp(); err != nil {
@@ -88,28 +91,6 @@
 	return Report{Seed: o.Seed, Accepted: accepted, Starts: starts, Faults: tb.faults, Violations: tb.checker.Violations()}, nil
 }
 
-type routeBody struct {
-	Name        string  `json:"name"`
-	Host        string  `json:"host"`
-	Prefix      string  `json:"prefix"`
-	Service     string  `json:"service"`
-	TargetMS    int     `json:"target-duration-ms"`
-	Priority    int     `json:"priority"`
-	MaxAttempts int     `json:"max-attempts"`
-	Stretch     float64 `json:"stretch"`
-}
-
-type configBody struct {
-	Version int64       `json:"version"`
-	Routes  []routeBody `json:"routes"`
-}
-
-func config(version int64) configBody {
-	return configBody{Version: version, Routes: []routeBody{{
-		Name: "q", Host: routeHost, Prefix: routePrefix, Service: service, TargetMS: 1000, MaxAttempts: maxAttempts, Stretch: 2,
-	}}}
-}
-
 // loopbackAddresses returns a function that gives the n-th loopback address of this soak. The range
 // is random, so that concurrent soaks do not collide on the fixed ports.
 func loopbackAddresses(seed uint64) func(n int) string {
@@ -125,7 +106,7 @@
 	}
 	tb.server = &http.Server{Handler: tb.store}
 	go func() { _ = tb.server.Serve(l) }()
-	tb.store.Put("op/config", config(1))
+	tb.operators.changeVersion()
 	for range tb.opts.Workers {
 		if err := tb.addWorker(); err != nil {
 			return err
@@ -199,6 +180,7 @@
 	}
 	group.Go(func() { tb.injectFaults(ctx, tb.newRand(7), faultKinds) })
 	group.Go(func() { tb.injectFaults(ctx, tb.newRand(9), workerChanges) })
+	group.Go(func() { tb.injectFaults(ctx, tb.newRand(10), connectionFaults) })
 	group.Wait()
 	tb.pendingReverts.Wait()
 }
@@ -268,6 +250,9 @@
 	for n := range tb.opts.Series {
 		tb.checkOwnerSeries(ctx, c, rng, n)
 	}
+	for n := range tb.opts.Series {
+		tb.checkConfigSeries(ctx, tb.newRand(11+uint64(n)))
+	}
 	tb.finishJobs(ctx, c, rng)
 	for startedAt := time.Now(); time.Since(startedAt) < endTimeout && tb.anyRunActive(); {
 		pause.For(ctx, 100*time.Millisecond)
