--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -152,11 +152,19 @@
 		return nil
 	}
 	if callErr.Status == 0 {
-		s.current.CompareAndSwap(index, index+1)
+		s.failed(index)
 	}
 	return storeError(op, callErr, write)
 }
 
+// failed notes that a connection to the endpoint with the index n brought no usable response. The next call goes to the
+// next endpoint, and on a new connection: unused ones may have gone silent at the same time, and each would cost a
+// call its whole timeout.
+func (s *EtcdStore) failed(n uint32) {
+	s.current.CompareAndSwap(n, n+1)
+	s.client.CloseIdleConnections()
+}
+
 // endpoint returns the endpoint with the index n modulo the number of endpoints.
 func (s *EtcdStore) endpoint(n uint32) string {
 	return s.endpoints[int(n)%len(s.endpoints)]
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -34,7 +34,7 @@
 	if callErr != nil {
 		idleTimer.Stop()
 		cancel()
-		s.current.CompareAndSwap(index, index+1)
+		s.failed(index)
 		return nil, storeError("watch", callErr, false)
 	}
 	w := &watch{
@@ -46,7 +46,7 @@
 	go func() {
 		defer cancel()
 		w.run(ctx)
-		s.current.CompareAndSwap(index, index+1)
+		s.failed(index)
 	}()
 	return w.events, nil
 }
