--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -23,7 +24,9 @@
 	store   *memoryStore
 	workers *fakeWorkers
 	stops   map[string]context.CancelFunc
-	owners  map[string]*Owner
+	// owners are written by the test only, with ownersMu held, and read by calls between instances.
+	owners   map[string]*Owner
+	ownersMu sync.Mutex
 	// bootClockAhead is how far the boot clock of all instances is ahead of synthetic time, in nanoseconds.
 	bootClockAhead atomic.Int64
 	log            logBuffer // of all instances
@@ -63,14 +66,29 @@
 	ctx, cancel := context.WithCancel(h.ctx)
 	o := New(Options{Instance: name, BootClock: h.bootClock, Address: name, LeaseTTL: 1200 * time.Millisecond, MaxWorkerLease: 6 * time.Second, JobRetention: 20 * time.Second, ReportEnd: h.reportEnd},
 		h.store, h.workers, fakeRegistry{}, testConfig, zerolog.New(&h.log))
-	h.stops[name], h.owners[name] = cancel, o
+	h.stops[name] = cancel
+	h.setOwner(name, o)
 	go o.Run(ctx)
 	return o
 }
 
+// setOwner sets the present process of an instance.
+func (h *harness) setOwner(name string, o *Owner) {
+	h.ownersMu.Lock()
+	defer h.ownersMu.Unlock()
+	h.owners[name] = o
+}
+
+// owner returns the present process of an instance.
+func (h *harness) owner(name string) *Owner {
+	h.ownersMu.Lock()
+	defer h.ownersMu.Unlock()
+	return h.owners[name]
+}
+
 // reportEnd passes the end of a leadership to the present process of an instance.
 func (h *harness) reportEnd(_ context.Context, c Claim, end LeadershipEnd) error {
-	if !h.owners[c.Instance].FormerOwnerEnded(c.Epoch, end) {
+	if !h.owner(c.Instance).FormerOwnerEnded(c.Epoch, end) {
 		return errAnswerLost
 	}
 	return nil
@@ -133,13 +151,14 @@
 	o := New(Options{
 		Instance: name, BootClock: h.bootClock, Address: name, LeaseTTL: 1200 * time.Millisecond, MaxWorkerLease: 6 * time.Second, JobRetention: 20 * time.Second, Speed: speed,
 		AskToYield: func(ctx context.Context, c Claim) error {
-			if !h.owners[c.Address].Yield(ctx, c.Epoch, speed) {
+			if !h.owner(c.Address).Yield(ctx, c.Epoch, speed) {
 				return errAnswerLost
 			}
 			return nil
 		},
 	}, h.store, h.workers, fakeRegistry{}, testConfig, zerolog.Nop())
-	h.stops[name], h.owners[name] = cancel, o
+	h.stops[name] = cancel
+	h.setOwner(name, o)
 	go o.Run(ctx)
 	return o
 }
--- a/internal/owner/permission_test.go
+++ b/internal/owner/permission_test.go
@@ -136,7 +136,7 @@
 	h.stops[name] = cancel
 	o := New(Options{Instance: name, BootClock: h.bootClock, Address: name, LeaseTTL: testLeaseTTL, MaxWorkerLease: 6 * time.Second, JobRetention: 20 * time.Second, ReportEnd: h.reportEnd},
 		store, workers, fakeRegistry{}, testConfig, zerolog.Nop())
-	h.owners[name] = o
+	h.setOwner(name, o)
 	go o.Run(ctx)
 }
 
