--- a/internal/batch/ends.go
+++ b/internal/batch/ends.go
@@ -137,6 +137,10 @@
 	if t.done || len(t.attempts) > 0 {
 		return
 	}
+	t.downSince = now
+	if a.worker.unreachable {
+		t.downSince = a.worker.lastContact
+	}
 	a.step.waiting++
 	s.openStep(a.step, now)
 	if a.step.spec.Gang && !a.step.job.outcome.Terminal() {
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -91,6 +91,8 @@
 	attempts   []*attempt
 	failed     []int64 // runs that ended failed; empty for a long-running task
 	lastRun    int64
+	// downSince is when a long-running task was last known to run; zero if this owner has not seen it run.
+	downSince  time.Time
 	checkpoint string
 	// checkpointRun is the run that saved the checkpoint; 0 if a former owner knew it.
 	checkpointRun int64
--- a/internal/batch/urgency.go
+++ b/internal/batch/urgency.go
@@ -13,6 +13,10 @@
 	latestStart time.Time
 	// missed says that the objective cannot be met any more.
 	missed bool
+	// restart is set for a long-running step with tasks that have run before. The first of them is down since
+	// downSince.
+	restart   bool
+	downSince time.Time
 }
 
 // urgency returns the urgency of a step by the estimates of the job's steps. The objective is Stretch
@@ -25,7 +29,42 @@
 	}
 	objective := from.Add(time.Duration(q.Stretch*float64(st.job.criticalPath)) + q.Slack)
 	latestStart := objective.Add(-st.remainingPath)
-	return urgency{latestStart: latestStart, missed: now.After(latestStart) && !st.spec.LongRunning}
+	u := urgency{latestStart: latestStart, missed: now.After(latestStart) && !st.spec.LongRunning}
+	if st.spec.LongRunning {
+		u.downSince, u.restart = st.downSince()
+	}
+	return u
+}
+
+// downSince returns since when the first of the waiting tasks that have run before is down, and whether there is
+// one. What ran under a former owner counts as down since the job was accepted.
+func (st *step) downSince() (first time.Time, ok bool) {
+	for i := range st.tasks {
+		t := &st.tasks[i]
+		if len(t.attempts) > 0 || t.lastRun == 0 && !st.startedByFormerOwner {
+			continue
+		}
+		since := t.downSince
+		if since.IsZero() {
+			since = st.job.Accepted
+		}
+		if !ok || since.Before(first) {
+			first, ok = since, true
+		}
+	}
+	return first, ok
+}
+
+// compare orders the more urgent one first. Objectives that can be met come before those that cannot, and restarts
+// before all others: of them, the task that is down for longest.
+func (u urgency) compare(other urgency) int {
+	if c := cmp.Or(compareBool(u.missed, other.missed), compareBool(!u.restart, !other.restart)); c != 0 {
+		return c
+	}
+	if u.restart {
+		return u.downSince.Compare(other.downSince)
+	}
+	return u.latestStart.Compare(other.latestStart)
 }
 
 // criticalPath returns the longest sum of estimates along a path of dependent steps.
@@ -58,8 +97,7 @@
 	urgency
 }
 
-// openStepsInOrder returns the open steps, most urgent first. Within a priority, jobs that cannot
-// meet their objectives any more come after those that can.
+// openStepsInOrder returns the open steps by priority, and within a priority most urgent first.
 func (s *State) openStepsInOrder(now time.Time) []openStepEntry {
 	out := make([]openStepEntry, 0, len(s.open))
 	for st := range s.open {
@@ -68,8 +106,7 @@
 	slices.SortFunc(out, func(a, b openStepEntry) int {
 		return cmp.Or(
 			cmp.Compare(a.priority, b.priority),
-			compareBool(a.missed, b.missed),
-			a.latestStart.Compare(b.latestStart),
+			a.urgency.compare(b.urgency),
 			cmp.Compare(a.step.job.ID, b.step.job.ID),
 			cmp.Compare(a.step.occ.number, b.step.occ.number),
 			cmp.Compare(a.step.number, b.step.number),
