--- a/internal/batch/drain.go
+++ b/internal/batch/drain.go
@@ -21,30 +21,43 @@
 	}
 }
 
+// moveTime is how long before a draining worker leaves its long-running tasks are stopped there in any case, so that their
+// ends are known: a stop may have to be repeated, and the entry that tells the time may be old when it is read.
+const moveTime = 2 * time.Second
+
 // stopOnDrainingWorkers looks at all draining workers again: since their notices, this owner may have
 // adopted tasks there, other tasks may have become available, and tasks may be slower than expected.
 func (s *State) stopOnDrainingWorkers(now time.Time) {
+	room := s.newVacancies(now)
 	for _, w := range s.workers {
 		if w.info.Draining && !w.unreachable {
-			s.stopForDrain(w, now)
+			s.stopForDrain(w, room, now)
 		}
 	}
 }
 
 // stopForDrain stops the tasks on a draining worker that should restart elsewhere at once: long-running
-// tasks, as far as MaxDisrupted allows, and tasks that would not be done before the worker leaves.
-func (s *State) stopForDrain(w *worker, now time.Time) {
+// tasks that find room there or whose worker leaves soon, as far as MaxDisrupted allows, and tasks that would not be done
+// before the worker leaves.
+func (s *State) stopForDrain(w *worker, room *vacancies, now time.Time) {
 	for _, a := range w.attempts {
 		switch {
 		case a.stopping:
 		case a.step.spec.LongRunning && a.mayBeDisrupted():
-			s.stop(a, "worker drains")
+			if w.leavesWithin(moveTime, now) || room.take(a.step) {
+				s.stop(a, "worker drains")
+			}
 		case !a.step.spec.LongRunning && !a.step.spec.Gang && a.outlastsWorker(now):
 			s.stop(a, "worker leaves before the task would be done")
 		}
 	}
 }
 
+// leavesWithin reports whether a draining worker may have left after a time, as far as is known.
+func (w *worker) leavesWithin(d time.Duration, now time.Time) bool {
+	return w.leavesAfter.Sub(now) <= d
+}
+
 // outlastsWorker reports whether an attempt on a draining worker would not be done before the worker may
 // leave. A worker may stay longer than it must: from then on, a task is stopped only if a stop saves its
 // progress.
--- a/internal/batch/drain_test.go
+++ b/internal/batch/drain_test.go
@@ -161,3 +161,72 @@
 	}
 	is.Equal(len(stopActions(planEvery(s, now.Add(left), time.Second))), 0)
 }
+
+// Guards against lasting tasks that are stopped as soon as their worker drains, though no other has room for them: they were
+// down for many seconds while the worker would have served them on.
+func TestLongRunningTasksLeaveADrainingWorkerWhenAnotherHasRoom(t *testing.T) {
+	const left = 6 * time.Second
+	for name, c := range map[string]struct {
+		roomAfter time.Duration // when another worker comes
+		left      time.Duration // at the notice; 0 if it is not known
+		stopAfter time.Duration
+	}{
+		"room at once":          {0, left, 0},
+		"room soon":             {2 * time.Second, left, 2 * time.Second},
+		"no room in time":       {left, left, left - moveTime},
+		"it leaves soon":        {left, moveTime, 0},
+		"not known how long":    {left, 0, 0},
+		"room at the last time": {left - moveTime, left, left - moveTime},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, now := newTestState("a")
+			full := s.workers["a"].info.Capacity
+			addJob(s, "j", "q", now, longRunningStep(1, full.CPU, 0))
+			all := planUntilIdle(s, now)
+			reportWithLease(s, "a", Report{Incarnation: 1, Clock: 50, Running: withPercent(runningOn(all, "a"), fullPercent)}, now)
+			if c.roomAfter == 0 {
+				addWorker(s, "b", full, now)
+			}
+			drain(s, "a", c.left, now)
+			stopped := time.Duration(-1)
+			for at := time.Duration(0); at < left && stopped < 0; at += checkInterval {
+				if at == c.roomAfter && at > 0 {
+					addWorker(s, "b", full, now.Add(at))
+				}
+				if len(stopActions(s.Plan(now.Add(at)))) > 0 {
+					stopped = at
+				}
+			}
+			is.Equal(stopped, c.stopAfter)
+		})
+	}
+}
+
+// Guards against more tasks that leave a draining worker at once than find room, and against tasks that leave while others
+// already wait for the room.
+func TestOnlyAsManyTasksLeaveADrainingWorkerAsFindRoom(t *testing.T) {
+	is := is.New(t)
+	s, now := newTestState("a")
+	half := s.workers["a"].info.Capacity.CPU / 2
+	addJob(s, "j", "q", now, longRunningStep(2, half, 0))
+	all := planUntilIdle(s, now)
+	reportWithLease(s, "a", Report{Incarnation: 1, Clock: 50, Running: withPercent(runningOn(all, "a"), fullPercent)}, now)
+	addWorker(s, "b", Resources{CPU: half, MemoryMB: 4000}, now)
+	drain(s, "a", 6*time.Second, now)
+	stops := stopActions(s.Plan(now))
+	is.Equal(len(stops), 1)
+	is.Equal(len(stopActions(s.Plan(now.Add(checkInterval)))), 0) // the room is meant for the first one
+	now = now.Add(time.Second)
+	running := withPercent(runningOn(all, "a"), fullPercent)
+	for i := range running {
+		if running[i].Task == stops[0].Task {
+			running = append(running[:i], running[i+1:]...)
+			break
+		}
+	}
+	reportWithLease(s, "a", Report{Incarnation: 1, Clock: 1050, Running: running, Ended: []EndedAttempt{{Seq: 1, Task: stops[0].Task, Run: stops[0].Run, Reason: EndStopped}}}, now)
+	actions := planUntilIdle(s, now)
+	is.Equal(len(startActions(actions)), 1)
+	is.Equal(len(stopActions(actions)), 0) // the room is taken
+}
--- /dev/null
+++ b/internal/batch/vacancies.go
@@ -0,0 +1,51 @@
+package batch
+
+import "time"
+
+// vacancies is the room on the workers that may get new tasks, less what long-running tasks will take that wait for
+// room or are being moved there.
+type vacancies struct {
+	state *State
+	now   time.Time
+	// workers and their free resources are set once they are needed.
+	workers []*worker
+	free    []Resources
+}
+
+func (s *State) newVacancies(now time.Time) *vacancies { return &vacancies{state: s, now: now} }
+
+// take reports whether there is room for another task of a long-running step, and takes it.
+func (v *vacancies) take(st *step) bool {
+	if v.workers == nil {
+		v.count()
+	}
+	return v.takeRoom(st)
+}
+
+// count finds the room, and takes what is needed for the tasks that wait or are being moved.
+func (v *vacancies) count() {
+	v.workers = append([]*worker{}, v.state.usable(v.now)...)
+	for _, w := range v.workers {
+		v.free = append(v.free, w.free())
+	}
+	for st := range v.state.open {
+		for n := st.waiting; st.spec.LongRunning && n > 0 && v.takeRoom(st); n-- {
+		}
+	}
+	for a := range v.state.stops {
+		if a.step.spec.LongRunning && a.worker.info.Draining {
+			v.takeRoom(a.step)
+		}
+	}
+}
+
+func (v *vacancies) takeRoom(st *step) bool {
+	q := v.state.queueOf(st.job)
+	for i, w := range v.workers {
+		if w.info.Service == q.Service && st.reserved.Fits(v.free[i]) && w.mayHaveRoom(st.reserved, v.now) && st.meetsConstraints(w) {
+			v.free[i] = v.free[i].minus(st.reserved)
+			return true
+		}
+	}
+	return false
+}
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -73,7 +73,7 @@
 	w.noteRemaining(now)
 	if startsDraining {
 		s.event(Event{Name: "worker.draining", Worker: info.ID})
-		s.stopForDrain(w, now)
+		s.stopForDrain(w, s.newVacancies(now), now)
 	}
 }
 
