--- a/internal/kv/watcher.go
+++ b/internal/kv/watcher.go
@@ -12,12 +12,16 @@
 // after that time, so it bounds how old the knowledge of a key can become unnoticed.
 const WatchTimeout = 800 * time.Millisecond
 
+// largeBatch is the number of changes in a response from which on more of them are expected to wait.
+const largeBatch = 250
+
 // Watcher calls back with the content of all keys with a prefix, and with each later change.
 type Watcher struct {
 	Store  Store
 	Prefix string
 	// WatchInterval is the pause after a watch that returned changes, so that several changes
-	// are delivered in one batch.
+	// are delivered in one batch. There is none after a large batch: a store returns some hundred changes at
+	// once, and of more than that the next ones already wait.
 	WatchInterval time.Duration
 	// RetryDelay is the pause after a call that the store refused or that broke off.
 	RetryDelay time.Duration
@@ -68,8 +72,11 @@
 		w.pauseAfter(ctx, err)
 		return 0
 	}
-	if len(events) > 0 {
-		w.OnChange(events, rev)
+	if len(events) == 0 {
+		return max(after, rev)
+	}
+	w.OnChange(events, rev)
+	if len(events) < largeBatch {
 		pause.For(ctx, w.WatchInterval)
 	}
 	return max(after, rev)
--- a/internal/kv/watcher_test.go
+++ b/internal/kv/watcher_test.go
@@ -83,6 +83,29 @@
 	}
 }
 
+// Guards against a copy that falls further and further behind: of many changes a response brings only some, and the next
+// was not asked for before a pause.
+func TestWatcherDoesNotPauseWhileManyChangesWait(t *testing.T) {
+	const interval = 350 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &scriptedStore{}
+		for n, size := range []int{1, 500, 500, 140, 1} {
+			store.watches = append(store.watches, watchResult{events: make([]Event, size), rev: int64(20 + n)})
+		}
+		startTime := time.Now()
+		var changes []time.Duration
+		w := &Watcher{
+			Store: store, Prefix: "p/", WatchInterval: interval, OnReset: func([]Item, int64) {},
+			OnChange: func([]Event, int64) { changes = append(changes, time.Since(startTime)) },
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		w.Run(ctx, 0)
+		is.Equal(changes, []time.Duration{0, interval, interval, interval, 2 * interval})
+	})
+}
+
 func TestMeteredCountsByResult(t *testing.T) {
 	is := is.New(t)
 	scope := tally.NewTestScope("", nil)
