--- a/internal/entry/config_watcher.go
+++ b/internal/entry/config_watcher.go
@@ -23,10 +23,9 @@
 	log     zerolog.Logger
 	scope   tally.Scope
 
-	mu sync.Mutex // guards items, rev, readable, unconfirmed and updates of inForce
-	// items are all keys as of the revision rev of the store.
-	items map[string]kv.Item
-	rev   int64
+	mu sync.Mutex // guards known, readable, unconfirmed and updates of inForce
+	// known are all keys as of the newest revision that was read.
+	known content
 	// readable holds the items that the last configuration was decoded from.
 	readable   map[string]kv.Item
 	unreadable logging.Repeats
@@ -145,7 +144,7 @@
 func (w *configWatcher) change(events []kv.Event, rev int64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	items := maps.Clone(w.items)
+	items := maps.Clone(w.known.items)
 	if items == nil {
 		items = map[string]kv.Item{}
 	}
@@ -167,31 +166,31 @@
 }
 
 // apply decodes the keys and puts the configuration in force. A document of an older version never replaces a newer
-// one, but the evacuations beside it count. Keys of an older revision count only if their document is newer, which means that the
-// store counts its revisions anew.
+// one, but the evacuations beside it count. Keys of an older revision count only if their document is newer, which
+// means that the store counts its revisions anew.
 func (w *configWatcher) apply(c content) {
-	if w.items != nil && c.rev >= w.rev && sameItems(c.items, w.items) {
-		w.rev = c.rev
+	if w.known.items != nil && c.rev >= w.known.rev && sameItems(c.items, w.known.items) {
+		w.known.rev = c.rev
 		return
 	}
-	config, evacuated, err := w.decode(c.items)
+	d, err := w.decode(c.items)
 	if err != nil {
+		w.known = c
 		w.log.Error().Str("event", "config.unreadable").Err(err).Send()
 		return
 	}
-	inForce := w.inForce.Load()
-	version := w.batchConfig().Version
-	if c.rev < w.rev && (config == nil || config.Batch.Version <= version) {
-		w.logOlder(c, config)
+	inForce, version := w.inForce.Load(), w.batchConfig().Version
+	if c.rev < w.known.rev && (d.config == nil || d.config.Batch.Version <= version) {
+		w.logOlder(c, d.config)
 		return
 	}
-	w.items, w.rev = c.items, c.rev
-	if inForce != nil && (config == nil || config.Batch.Version < version) {
-		w.logOlder(c, config)
-		config = inForce
+	w.known, w.readable = c, d.readable
+	if inForce != nil && (d.config == nil || d.config.Batch.Version < version) {
+		w.logOlder(c, d.config)
+		d.config = inForce
 	}
-	if config != nil {
-		w.putInForce(c, *config, evacuated)
+	if d.config != nil {
+		w.putInForce(c, *d.config, d.evacuated)
 	}
 }
 
@@ -215,25 +214,30 @@
 // what is in force.
 func (w *configWatcher) logOlder(c content, config *Config) {
 	e := w.log.Warn().Str("event", "config.older").Int64("in-force", w.batchConfig().Version).
-		Int64("revision", c.rev).Int64("revision-known", w.rev).Str("source", string(c.source))
+		Int64("revision", c.rev).Int64("revision-known", w.known.rev).Str("source", string(c.source))
 	if config != nil {
 		e = e.Int64("version", config.Batch.Version)
 	}
 	e.Send()
 }
 
+// decodedContent is what the keys hold.
+type decodedContent struct {
+	config    *Config // nil if there is none
+	evacuated map[string]bool
+	// readable are the keys with the values that were decoded.
+	readable map[string]kv.Item
+}
+
 // decode decodes the keys. A value that cannot be read costs only itself: the last readable value of its key
 // stays in its place.
-func (w *configWatcher) decode(all map[string]kv.Item) (*Config, map[string]bool, error) {
+func (w *configWatcher) decode(all map[string]kv.Item) (decodedContent, error) {
 	items := maps.Clone(all)
 	for {
 		config, evacuated, err := w.decoder.Decode(slices.Collect(maps.Values(items)))
 		var unreadable *UnreadableKeyError
 		if !errors.As(err, &unreadable) {
-			if err == nil {
-				w.readable = items
-			}
-			return config, evacuated, err
+			return decodedContent{config: config, evacuated: evacuated, readable: items}, err
 		}
 		w.logUnreadable(unreadable, all[unreadable.Key])
 		former, ok := w.readable[unreadable.Key]
