--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -1,6 +1,9 @@
 package batch
 
 import (
+	"cmp"
+	"iter"
+	"slices"
 	"time"
 )
 
@@ -59,6 +62,22 @@
 
 func (a *attempt) task() *task { return &a.step.tasks[a.index] }
 
+// sortedAttempts returns attempts in the order of their tasks, so that decisions are reproducible.
+func sortedAttempts(attempts iter.Seq[*attempt]) []*attempt {
+	return slices.SortedFunc(attempts, (*attempt).compare)
+}
+
+// compare orders attempts by their tasks and runs.
+func (a *attempt) compare(b *attempt) int {
+	return cmp.Or(
+		cmp.Compare(a.step.job.ID, b.step.job.ID),
+		cmp.Compare(a.step.occ.number, b.step.occ.number),
+		cmp.Compare(a.step.number, b.step.number),
+		cmp.Compare(a.index, b.index),
+		cmp.Compare(a.run, b.run),
+	)
+}
+
 // attemptKey identifies an attempt on a worker.
 type attemptKey struct {
 	task TaskID
--- a/internal/batch/crash.go
+++ b/internal/batch/crash.go
@@ -1,7 +1,6 @@
 package batch
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -129,10 +128,7 @@
 			}
 		}
 	}
-	slices.SortFunc(suspects, func(a, b *attempt) int {
-		return cmp.Or(cmp.Compare(a.step.job.ID, b.step.job.ID), cmp.Compare(a.step.occ.number, b.step.occ.number),
-			cmp.Compare(a.step.number, b.step.number), cmp.Compare(a.index, b.index), cmp.Compare(a.run, b.run))
-	})
+	slices.SortFunc(suspects, (*attempt).compare)
 	for _, a := range suspects {
 		if a.step.job.outcome.Terminal() || a.task().done {
 			continue
--- a/internal/batch/drain.go
+++ b/internal/batch/drain.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -21,15 +22,15 @@
 	}
 }
 
-// moveTime is how long before a draining worker leaves its long-running tasks are stopped there in any case, so that their
-// ends are known: a stop may have to be repeated, and the entry that tells the time may be old when it is read.
+// moveTime is how long before a draining worker leaves its long-running tasks are stopped there in any case, so that
+// their ends are known: a stop may have to be repeated, and the entry that tells the time may be old when it is read.
 const moveTime = 2 * time.Second
 
 // stopOnDrainingWorkers looks at all draining workers again: since their notices, this owner may have
 // adopted tasks there, other tasks may have become available, and tasks may be slower than expected.
 func (s *State) stopOnDrainingWorkers(now time.Time) {
 	room := s.newVacancies(now)
-	for _, w := range s.workers {
+	for _, w := range s.sortedWorkers() {
 		if w.info.Draining && !w.unreachable {
 			s.stopForDrain(w, room, now)
 		}
@@ -37,10 +38,10 @@
 }
 
 // stopForDrain stops the tasks on a draining worker that should restart elsewhere at once: long-running
-// tasks that find room there or whose worker leaves soon, as far as MaxDisrupted allows, and tasks that would not be done
-// before the worker leaves.
+// tasks that find room there or whose worker leaves soon, as far as MaxDisrupted allows, and tasks that would not be
+// done before the worker leaves.
 func (s *State) stopForDrain(w *worker, room *vacancies, now time.Time) {
-	for _, a := range w.attempts {
+	for _, a := range sortedAttempts(maps.Values(w.attempts)) {
 		switch {
 		case a.stopping:
 		case a.step.spec.LongRunning && a.mayBeDisrupted():
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -95,14 +95,18 @@
 	}
 }
 
-// usable returns the workers that may get new tasks, ordered by id so that decisions are reproducible.
-// The slice is valid until the next call.
-func (s *State) usable(now time.Time) []*worker {
+// sortedWorkers returns all workers, ordered by id so that decisions are reproducible.
+func (s *State) sortedWorkers() []*worker {
 	if len(s.sorted) != len(s.workers) {
 		s.sorted = slices.SortedFunc(maps.Values(s.workers), func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
 	}
+	return s.sorted
+}
+
+// usable returns the workers that may get new tasks, ordered by id. The slice is valid until the next call.
+func (s *State) usable(now time.Time) []*worker {
 	out := s.usableBuffer[:0]
-	for _, w := range s.sorted {
+	for _, w := range s.sortedWorkers() {
 		if w.usable(s, now) {
 			out = append(out, w)
 		}
--- a/internal/batch/throttle.go
+++ b/internal/batch/throttle.go
@@ -162,8 +162,7 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b *attempt) int {
-		return cmp.Or(cmp.Compare(b.percent, a.percent), cmp.Compare(a.step.job.ID, b.step.job.ID),
-			cmp.Compare(a.step.number, b.step.number), cmp.Compare(a.index, b.index))
+		return cmp.Or(cmp.Compare(b.percent, a.percent), a.compare(b))
 	})
 	return out
 }
--- a/internal/batch/vacancies.go
+++ b/internal/batch/vacancies.go
@@ -1,6 +1,9 @@
 package batch
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // vacancies is the room on the workers that may get new tasks, less what long-running tasks will take that wait for
 // room or are being moved there.
@@ -28,17 +31,27 @@
 	for _, w := range v.workers {
 		v.free = append(v.free, w.free())
 	}
-	for st := range v.state.open {
-		for n := st.waiting; st.spec.LongRunning && n > 0 && v.takeRoom(st); n-- {
+	for _, entry := range v.state.openStepsInOrder(v.now) {
+		if entry.step.spec.LongRunning {
+			v.takeForWaiting(entry.step)
 		}
 	}
-	for a := range v.state.stops {
+	for _, a := range sortedAttempts(maps.Keys(v.state.stops)) {
 		if a.step.spec.LongRunning && a.worker.info.Draining {
 			v.takeRoom(a.step)
 		}
 	}
 }
 
+// takeForWaiting takes room for the waiting tasks of a step, as far as there is some.
+func (v *vacancies) takeForWaiting(st *step) {
+	for range st.waiting {
+		if !v.takeRoom(st) {
+			return
+		}
+	}
+}
+
 func (v *vacancies) takeRoom(st *step) bool {
 	q := v.state.queueOf(st.job)
 	for i, w := range v.workers {
--- a/standin/soak/config.go
+++ b/standin/soak/config.go
@@ -99,14 +99,15 @@
 func (tb *testbed) checkConfigSeries(ctx context.Context, rng *rand.Rand) {
 	ctx, cancel := context.WithTimeout(ctx, configSeriesTime)
 	defer cancel()
+	changeRNG := rand.New(rand.NewPCG(rng.Uint64(), 1))
 	var group sync.WaitGroup
 	group.Go(func() {
-		for ; ctx.Err() == nil; pause.For(ctx, time.Duration(100+rng.IntN(400))*time.Millisecond) {
+		for ; ctx.Err() == nil; pause.For(ctx, time.Duration(100+changeRNG.IntN(400))*time.Millisecond) {
 			tb.operators.changeVersion()
 		}
 	})
 	tb.useStore(ctx)
-	tb.disturb(rand.New(rand.NewPCG(rng.Uint64(), 1)))
+	tb.disturb(rng)
 	calmFrom := time.Now().Add(contactTime)
 	for _, i := range tb.instances {
 		group.Go(func() { tb.checkConfigOf(ctx, i, calmFrom) })
@@ -142,6 +143,8 @@
 		tb.store.SetMuted(false)
 		tb.store.Compact()
 	}
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
 	tb.faults = append(tb.faults, fmt.Sprintf("%.2f s: %s, then changes of the configuration", time.Since(tb.startedAt).Seconds(), description))
 }
 
