--- a/standin/soak/run_test.go
+++ b/standin/soak/run_test.go
@@ -15,8 +15,9 @@
 // overlapping crashes of a stand-in worker, see TestRestartLosesRuns.
 //
 // Seed 4: ends that a worker held back were taken as absent, so their tasks ran again (TWICE). Seed 8: instances that
-// were started while the store was silent never served (READY, LOST).
-var seeds = []uint64{3, 4, 8}
+// were started while the store was silent never served (READY, LOST). Seed 50, and 51 to 54 alike: watches waited on
+// one silent connection after the other, so changes of the configuration came into force late (CONFIG).
+var seeds = []uint64{3, 4, 8, 50}
 
 // faultTime is how long faults are injected for each seed.
 const faultTime = 8 * time.Second
