--- /dev/null
+++ b/standin/soak/worker_faults.go
@@ -0,0 +1,123 @@
+package soak
+
+import "time"
+
+// Crash stops the worker, which loses all of its runs and unacknowledged ends and drops its connections.
+// It closes connections without an answer until it is restarted.
+func (w *Worker) Crash() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.crash()
+}
+
+func (w *Worker) crash() {
+	w.up = false
+	w.loseRuns()
+	w.proxy.Reset()
+}
+
+// crashForAWhile crashes the worker and restarts it after a random time.
+func (w *Worker) crashForAWhile() {
+	w.crash()
+	w.Checker.RecordFaultBegin()
+	away := minCrashTime + time.Duration(w.rng.Int64N(int64(maxCrashTime-minCrashTime)))
+	time.AfterFunc(away, func() {
+		w.Restart()
+		w.Announce("ready")
+		w.Checker.RecordFaultEnd()
+	})
+}
+
+// Restart starts the worker again with the same id, but without runs, lease and fencing token. A worker
+// that is up, since an earlier restart overlapped with another fault, loses its runs.
+func (w *Worker) Restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.left {
+		return
+	}
+	w.loseRuns()
+	w.reset()
+}
+
+// Leave stops the worker for good, with its proxy and its server. Its entry is removed after the given time.
+func (w *Worker) Leave(entryRemovedAfter time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	close(w.closed)
+	w.left = true
+	w.crash()
+	w.proxy.Close()
+	_ = w.server.Close()
+	time.AfterFunc(entryRemovedAfter, func() { w.Store.Delete(w.key()) })
+}
+
+// FailLastingRuns ends the runs that go on until they are stopped as failed.
+func (w *Worker) FailLastingRuns() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for r, t := range w.runs {
+		if t.lasts() {
+			w.finishRun(r, "failed")
+		}
+	}
+}
+
+// SetCapacity changes the capacity to cpu milliCPU. The worker's entry shows it within a heartbeat.
+func (w *Worker) SetCapacity(cpu int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.formerCapacities = append(w.formerCapacities, formerCapacity{w.capacity, time.Now()})
+	w.capacity = cpu
+	time.AfterFunc(time.Duration(w.rng.Int64N(int64(heartbeat))), w.writeEntry)
+}
+
+// countedCapacity returns the capacity in milliCPU that counts for a start at the given time: the largest of
+// those that the worker has had in the last maxCapacityDelay before it.
+func (w *Worker) countedCapacity(at time.Time) int64 {
+	counted := w.capacity
+	for _, former := range w.formerCapacities {
+		if at.Sub(former.until) <= maxCapacityDelay {
+			counted = max(counted, former.cpu)
+		}
+	}
+	return counted
+}
+
+// freeCPU returns the milliCPU that new tasks may reserve: none if the worker takes no tasks.
+func (w *Worker) freeCPU() int64 {
+	if !w.up || w.state != "ready" || w.refusesStarts {
+		return 0
+	}
+	return w.capacity - w.totalReservedCPU()
+}
+
+// loseRuns ends all runs, and forgets the ends that were not acknowledged.
+func (w *Worker) loseRuns() {
+	for r := range w.runs {
+		w.Checker.RecordEnd(w.ID, r, "lost")
+	}
+	w.runs, w.unacknowledged = map[run]*activeRun{}, nil
+}
+
+// SetTaskFailureShare sets the share of runs that fail because of the worker.
+func (w *Worker) SetTaskFailureShare(share float64) {
+	w.mu.Lock()
+	w.taskFailureShare = share
+	w.mu.Unlock()
+}
+
+// SetRefusesStarts makes the worker refuse all starts, or accept them again.
+func (w *Worker) SetRefusesStarts(refuses bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.refusesStarts = refuses
+}
+
+// SetDelayedRequestShare sets the share of start and stop requests that get no answer and are
+// executed later.
+func (w *Worker) SetDelayedRequestShare(share float64) {
+	w.mu.Lock()
+	w.delayedRequestShare = share
+	w.mu.Unlock()
+}
