--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -85,10 +85,7 @@
 	c.timer = nil
 	l.workersRecord.noteEndedLeases(now)
 	l.workersRecord.noteUnused(l.state.WorkersInUse, now)
-	if !c.settled && l.isSettled(now) {
-		c.settled, l.workersRecord.dirty = true, true
-	}
-	if c.inFlight != nil || l.state.DirtyJobs() == 0 && !l.workersRecord.dirty && len(l.prunedJobs) == 0 {
+	if c.inFlight != nil || l.state.DirtyJobs() == 0 && !l.workersRecord.dirty && len(l.prunedJobs) == 0 && !l.mustRefreshHead(now) {
 		return
 	}
 	interval := commitInterval
@@ -104,13 +101,24 @@
 	go l.writeTxn(t)
 }
 
+// mustRefreshHead reports whether the head must be written for what it says of the leases of earlier owners: once they
+// have ended, and every leaseRefreshInterval until then.
+func (l *leader) mustRefreshHead(now time.Time) bool {
+	return !l.commits.settled && (l.isSettled(now) || now.Sub(l.commits.lastSent) >= leaseRefreshInterval)
+}
+
 // nextTxn builds the next transaction from the changed records.
 func (l *leader) nextTxn(now time.Time) *recordTxn {
 	c := &l.commits
 	c.number++
 	t := &recordTxn{number: c.number, oldestChange: l.state.OldestChange(), records: l.state.TakeDirty(maxRecordsPerTxn)}
 	t.txn.If = []kv.Condition{{Key: headKey, Rev: c.rev}}
-	t.txn.Set = []kv.Write{{Key: headKey, Value: encode(commitHead{Epoch: l.epoch, Number: c.number, Owner: l.owner.process(), Settled: l.isSettled(now)})}}
+	head := commitHead{
+		Epoch: l.epoch, Number: c.number, Owner: l.owner.process(),
+		Settled: l.isSettled(now), EarlierLeases: max(0, l.earlierLeases(now)),
+	}
+	c.settled = head.Settled
+	t.txn.Set = []kv.Write{{Key: headKey, Value: encode(head)}}
 	for id, r := range t.records {
 		t.txn.Set = append(t.txn.Set, kv.Write{Key: RecordKey(id), Value: encode(r)})
 	}
--- a/internal/owner/former_owner.go
+++ b/internal/owner/former_owner.go
@@ -90,28 +90,20 @@
 	return l.post(func(l *leader, now time.Time) { l.formerOwnerEnded(end.Epoch, ended, now) })
 }
 
-// formerOwnerEnded shortens the waits for workers of which only the former owner may have renewed the leases. The
-// one before it may have gone on for a while, so the waits are not shortened if it is not known for how long.
+// formerOwnerEnded shortens the waits for workers of which only the former owner may have renewed the leases, as far as
+// the one before it cannot have gone on for longer.
 func (l *leader) formerOwnerEnded(epoch int64, ended, now time.Time) {
-	latest := ended.Add(l.workerLeaseExpiry())
-	if !l.held.formerSettled {
-		ofOthers := l.latestLeaseOf(epoch - 1)
-		if ofOthers.IsZero() {
-			return
-		}
-		if ofOthers.After(latest) {
-			latest = ofOthers
-		}
-	}
+	end := latest(ended.Add(l.workerLeaseExpiry()), l.othersLeaseEnd())
+	l.earlierLeasesEnd = earliest(l.earlierLeasesEnd, end)
 	shortened := 0
 	for _, id := range l.workersRecord.unreached(epoch) {
-		if l.state.ShortenDoubt(id, latest) {
-			l.workersRecord.shorten(id, latest)
+		if l.state.ShortenDoubt(id, end) {
+			l.workersRecord.shorten(id, end)
 			shortened++
 		}
 	}
 	l.log.Info().Str("event", "takeover.former-ended").Int64("former-epoch", epoch).Int64("since-ms", now.Sub(ended).Milliseconds()).
-		Int("workers", shortened).Int64("wait-ms", max(0, latest.Sub(now)).Milliseconds()).Send()
+		Int("workers", shortened).Int64("wait-ms", max(0, end.Sub(now)).Milliseconds()).Send()
 }
 
 // unreached returns the workers that this owner has not reached, and of which the owner with an epoch was the last
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -68,15 +68,17 @@
 	ownedUntil atomic.Int64
 
 	// The fields below are used by the loop only.
-	state           *batch.State
-	clocks          map[batch.WorkerID]workerClock
-	renewers        map[batch.WorkerID]*renewer
-	workersRecord   workersRecord
-	ctx             context.Context
-	commits         committer
-	lastMaintenance time.Time // time of the last maintenance run
-	prunedJobs      []string  // pruned jobs whose keys are still in the store
-	cooldown        cooldown
+	state         *batch.State
+	clocks        map[batch.WorkerID]workerClock
+	renewers      map[batch.WorkerID]*renewer
+	workersRecord workersRecord
+	ctx           context.Context
+	commits       committer
+	// earlierLeasesEnd is when any lease of an earlier owner has ended; zero until that is known.
+	earlierLeasesEnd time.Time
+	lastMaintenance  time.Time // time of the last maintenance run
+	prunedJobs       []string  // pruned jobs whose keys are still in the store
+	cooldown         cooldown
 	// workersChanged is set when workers may have come or gone since the renewers were last
 	// reconciled.
 	workersChanged bool
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -60,6 +60,7 @@
 	// The record was written before this owner had the claim.
 	acquired := l.held.acquired
 	latest := l.latestFormerLease(owned)
+	l.earlierLeasesEnd = latest
 	for _, item := range owned {
 		if item.Key == workersKey {
 			until, err := l.workersRecord.restore(item.Value, acquired, latest, l.latestLeaseOf)
@@ -116,23 +117,43 @@
 // briefly that the one before it acts longer.
 func (l *leader) latestFormerLease(owned []kv.Item) time.Time {
 	ofLast := l.held.acquired.Add(l.formerPermission(owned) + l.workerLeaseExpiry())
+	return latest(ofLast, l.othersLeaseEnd())
+}
+
+// othersLeaseEnd returns the time by which any lease of an owner before the former one has ended. The former one has
+// recorded how long they may last, and this instance may have seen when the one before it was replaced.
+func (l *leader) othersLeaseEnd() time.Time {
 	if l.held.formerSettled {
-		return ofLast
-	}
-	ofOthers := l.latestLeaseOf(l.epoch - 2)
-	if ofOthers.IsZero() {
-		ofOthers = l.held.acquired.Add(l.owner.opts.LeaseTTL + claimGrace + l.workerLeaseExpiry())
+		return time.Time{}
 	}
-	if ofOthers.After(ofLast) {
-		return ofOthers
+	var recorded time.Time
+	if l.held.formerEarlierLeases > 0 {
+		recorded = l.held.acquired.Add(l.held.formerEarlierLeases)
 	}
-	return ofLast
+	return earliest(recorded, l.latestLeaseOf(l.epoch-2), l.longestFormerLease())
+}
+
+// longestFormerLease returns the time by which any lease of a former owner has ended if nothing is known of it but
+// that it had been replaced when this owner acquired the claim.
+func (l *leader) longestFormerLease() time.Time {
+	return l.held.acquired.Add(l.owner.opts.LeaseTTL + claimGrace + l.workerLeaseExpiry())
+}
+
+// earlierLeases returns how long leases of earlier owners may last, also those that were sent by an owner before the
+// former one. It is not above 0 once they have ended.
+func (l *leader) earlierLeases(now time.Time) time.Duration {
+	return earliest(l.earlierLeasesEnd, l.longestFormerLease()).Sub(now)
 }
 
-// isSettled reports whether all leases of earlier owners have ended, also those that were sent by an owner before
-// the former one.
-func (l *leader) isSettled(now time.Time) bool {
-	return now.Sub(l.held.acquired) > l.owner.opts.LeaseTTL+claimGrace+l.workerLeaseExpiry()
+// isSettled reports whether the leases of all earlier owners have ended.
+func (l *leader) isSettled(now time.Time) bool { return l.earlierLeases(now) < 0 }
+
+// latest returns the later one of two times.
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
 }
 
 // formerPermission returns for how long the former owner may go on acting after its claim has ended. The claim may
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -326,8 +326,10 @@
 	// granted is when its lease was requested, and acquired when it was known to be held.
 	granted  moment
 	acquired time.Time
-	// formerSettled is set if no lease of an owner before the former one lasts any more.
-	formerSettled bool
+	// formerSettled is set if no lease of an owner before the former one lasts any more, and formerEarlierLeases is
+	// how long they may have lasted when the former one wrote its last transaction; 0 if that is not known.
+	formerSettled       bool
+	formerEarlierLeases time.Duration
 }
 
 // acquireClaim writes the claim with the next epoch, on condition that there is no claim and that
@@ -360,7 +362,10 @@
 		go o.revokeLease(lease)
 		return heldClaim{}, err
 	}
-	return heldClaim{claim: c, lease: lease, commitRev: commitRev, granted: granted, acquired: time.Now(), formerSettled: head.Settled || head.Epoch <= 1}, nil
+	return heldClaim{
+		claim: c, lease: lease, commitRev: commitRev, granted: granted, acquired: time.Now(),
+		formerSettled: head.Settled || head.Epoch <= 1, formerEarlierLeases: head.EarlierLeases,
+	}, nil
 }
 
 // process identifies this process.
--- a/internal/owner/records.go
+++ b/internal/owner/records.go
@@ -39,6 +39,8 @@
 	Owner *Process `cbor:"3,keyasint,omitempty"`
 	// Settled is set once no lease of an earlier owner lasts any more.
 	Settled bool `cbor:"4,keyasint,omitempty"`
+	// EarlierLeases is how long leases of earlier owners may last from the transaction on; 0 if that is not known.
+	EarlierLeases time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // Process identifies a process of an instance.
--- a/internal/owner/take_over_chain_test.go
+++ b/internal/owner/take_over_chain_test.go
@@ -140,6 +140,37 @@
 	}, "w1", "w2", "w3")
 }
 
+// Guards against the same after the last owner had led only briefly and all instances were restarted: nobody remembers
+// when the owner before it was replaced, and the next owner allowed for that one as if it had just happened.
+func TestTheOwnerBeforeABriefOneIsNotWaitedForAnew(t *testing.T) {
+	for _, led := range []time.Duration{2 * time.Second, 4 * time.Second, 6 * time.Second} {
+		t.Run(led.String(), func(t *testing.T) {
+			withHarness(t, func(h *harness) {
+				h.workers.taskDuration = time.Hour
+				h.startInstance("a")
+				h.sleep(time.Second)
+				h.submit("j", longRunning(1))
+				h.startInstance("b")
+				h.sleep(time.Minute)
+				h.kill("a")
+				h.sleep(2 * time.Second) // b leads
+				h.startInstance("a")
+				h.sleep(led)
+				task := batch.TaskID{Job: "j"}
+				h.is.Equal(h.leader(), "b")
+				h.leave(h.workerOf(task))
+				h.stops["a"]()
+				h.kill("b")
+				h.sleep(time.Second)
+				back := time.Now()
+				h.startInstance("a")
+				h.startInstance("b")
+				h.requireRestartAfter(task, back)
+			}, "w1", "w2", "w3")
+		})
+	}
+}
+
 // Guards against the same after all instances were restarted: none remembers when the owner before the former one was
 // replaced, and the next owner allowed for it as if that had just happened.
 func TestAfterARestartOfAllOnlyTheLastOwnerIsWaitedFor(t *testing.T) {
--- a/internal/owner/workers_record_test.go
+++ b/internal/owner/workers_record_test.go
@@ -117,16 +117,19 @@
 		var ended []byte // the value of endedClaimKey
 		o := &Owner{opts: opts, claimsSeen: seenClaims{}}
 		settled := true
+		var earlierLeases time.Duration // as the former owner's head says
 		for epoch := int64(1); epoch < 8; epoch++ {
 			if rapid.IntRange(0, 5).Draw(t, "has seen this claim") > 0 {
 				o.claimsSeen.add(epoch, now.Add(pass("seen late", time.Second)))
 			}
-			l := &leader{owner: o, log: zerolog.Nop(), epoch: epoch, held: heldClaim{acquired: now, formerSettled: settled}}
+			l := &leader{owner: o, log: zerolog.Nop(), epoch: epoch, held: heldClaim{acquired: now, formerSettled: settled, formerEarlierLeases: earlierLeases}}
+			acquired := now
 			r := newWorkerRecord(epoch)
 			reaches := rapid.Bool().Draw(t, "reaches the worker")
 			end := now
 			if stored != nil {
 				latest := l.latestFormerLease([]kv.Item{{Key: endedClaimKey, Value: ended}})
+				l.earlierLeasesEnd = latest
 				until, err := r.restore(stored, now, latest, l.latestLeaseOf)
 				if err != nil {
 					t.Fatal(err)
@@ -163,7 +166,12 @@
 				stored = r.stored(now)
 			}
 			now = now.Add(pass("leads on", 15*time.Second))
-			settled = l.isSettled(now) && rapid.Bool().Draw(t, "says that it is settled")
+			written := laterTime(acquired, now.Add(-pass("last wrote its head", 3*time.Second)))
+			settled = l.isSettled(written) && rapid.Bool().Draw(t, "says that it is settled")
+			earlierLeases = 0
+			if rapid.Bool().Draw(t, "says how long earlier leases last") {
+				earlierLeases = max(0, l.earlierLeases(written))
+			}
 			permission := pass("acts on", testLeaseTTL+claimGrace)
 			if rapid.Bool().Draw(t, "has certainly ended") {
 				permission = 0
