--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -27,6 +26,7 @@
 		s.forgetOldFailures(now)
 		s.stopOnDrainingWorkers(now)
 		s.stopThrottled(now)
+		s.reportTasksDown(now)
 	}
 	s.lastPlan = now
 	s.openDue(now)
@@ -79,7 +79,7 @@
 	for _, entry := range s.openStepsInOrder(now) {
 		hasLastResort := entry.step.spec.LongRunning && len(lastResorts) > 0
 		if unplaced.covers(entry.step) && !hasLastResort {
-			s.recordWait(entry.step, waitsForRoom)
+			s.recordWait(entry.step, waitsForRoom, entry.step.firstWaiting(), now)
 			continue
 		}
 		if entry.step.spec.Gang {
@@ -128,18 +128,19 @@
 	if st.spec.LongRunning && len(lastResorts) > 0 {
 		allWorkers = slices.Concat(workers, lastResorts)
 	}
-	suspectsWait := false
+	var wait string
+	var suspect *task // the first suspected task that found no worker
 	for i := range st.tasks {
 		t := &st.tasks[i]
-		if t.done || len(t.attempts) > 0 || suspectsWait && t.suspected() {
+		if t.done || len(t.attempts) > 0 || suspect != nil && t.suspected() {
 			continue
 		}
 		if t.unresolved && len(s.unresolvedWorkers) > 0 {
-			s.recordWait(st, waitsForFormerOwner)
+			wait = waitsForFormerOwner
 			continue
 		}
 		if st.spec.LongRunning && t.lastRun == 0 && !st.startedByFormerOwner && !s.keepsShortTaskReserve(st, allWorkers, now) {
-			s.recordWait(st, waitsForReserve)
+			s.recordWait(st, waitsForReserve, nil, now)
 			return true
 		}
 		w := ranking.best(t)
@@ -147,12 +148,11 @@
 			w = s.choose(st, t, lastResorts, now)
 		}
 		if w == nil && t.suspected() {
-			s.recordWait(st, waitsForIsolation)
-			suspectsWait = true
+			wait, suspect = waitsForIsolation, t
 			continue
 		}
 		if w == nil {
-			s.recordWait(st, waitsForRoom)
+			s.recordWait(st, waitsForRoom, t, now)
 			return s.askAdviser(st, allWorkers, now)
 		}
 		if !st.startRecordDurable {
@@ -161,55 +161,15 @@
 		}
 		s.startTask(st, i, s.nextRun(t.lastRun), w, now)
 	}
-	if suspectsWait {
+	if wait != "" {
+		s.recordWait(st, wait, suspect, now)
+	}
+	if suspect != nil {
 		s.askAdviser(st, allWorkers, now)
 	}
 	return true
 }
 
-// The reasons for which a step waits, as they appear in the log. Room is free capacity.
-const (
-	waitsForRoom        = "no worker that may run it has room"
-	waitsForIsolation   = "no worker without other suspected tasks has room"
-	waitsForReserve     = "room is kept for short tasks"
-	waitsForFormerOwner = "a former owner may have started it on a worker that has not answered"
-)
-
-// recordWait logs why a step waits, once each time the reason changes.
-func (s *State) recordWait(st *step, reason string) {
-	if st.waitReason == reason {
-		return
-	}
-	st.waitReason = reason
-	e := Event{Name: "step.waits", Job: st.job.ID, Task: TaskID{Job: st.job.ID, Occurrence: st.occ.number, Step: st.number}, Detail: reason}
-	if reason == waitsForRoom {
-		e.Inputs = s.describeWorkers(s.queueOf(st.job).Service)
-	}
-	s.event(e)
-}
-
-// describeWorkers describes for the log how many workers of a service may get new tasks, and why the others
-// may not. The log calls a quarantined worker shunned.
-func (s *State) describeWorkers(service string) string {
-	usable, quarantined, draining, silent, other := 0, 0, 0, 0, 0
-	for _, w := range s.workers {
-		switch {
-		case !w.listed || w.info.Service != service:
-		case w.usable(s, s.lastPlan):
-			usable++
-		case s.lastPlan.Before(w.quarantinedUntil):
-			quarantined++
-		case w.info.Draining:
-			draining++
-		case w.unreachable:
-			silent++
-		default:
-			other++
-		}
-	}
-	return fmt.Sprintf("%d may get tasks, %d are shunned, %d drain, %d are silent, %d wait for a report, a lease or a record", usable, quarantined, draining, silent, other)
-}
-
 // unplacedSteps holds the steps for which no worker was found in one Plan. The search is skipped for
 // steps with the same constraints that need at least as many resources.
 type unplacedSteps []*step
@@ -286,7 +246,7 @@
 			return
 		}
 		if t.unresolved && len(s.unresolvedWorkers) > 0 {
-			s.recordWait(st, waitsForFormerOwner)
+			s.recordWait(st, waitsForFormerOwner, nil, now)
 			return
 		}
 		run = max(run, t.lastRun)
@@ -304,7 +264,7 @@
 		w := ranking.best(&st.tasks[i])
 		if w == nil {
 			s.releaseReservations(st, placed)
-			s.recordWait(st, waitsForRoom)
+			s.recordWait(st, waitsForRoom, &st.tasks[i], now)
 			s.askAdviser(st, workers, now)
 			return
 		}
@@ -351,6 +311,7 @@
 func (s *State) sendStart(a *attempt) {
 	w := a.worker
 	s.noteRun(a)
+	s.startsSinceReport.add(a.step)
 	w.leaseEnd = laterOf(w.leaseEnd, a.requestedAt.Add(s.timing.StartLeaseTTL))
 	s.actions = append(s.actions, Action{
 		Kind:        ActionStart,
--- a/internal/batch/score.go
+++ b/internal/batch/score.go
@@ -1,7 +1,6 @@
 package batch
 
 import (
-	"slices"
 	"time"
 )
 
@@ -22,17 +21,7 @@
 
 // evaluate returns the score of a worker for a task and whether the worker may get the task at all.
 func (s *State) evaluate(st *step, t *task, w *worker, now time.Time) (float64, bool) {
-	if t.mustAvoid(st, w) {
-		return 0, false
-	}
-	q := s.queueOf(st.job)
-	if !st.suits(w, q, now) || q.RequiresTicket && !st.advice.hasTicket(w, now) {
-		return 0, false
-	}
-	if st.spec.BestEffort || st.spec.LatencyTarget > 0 {
-		s.updateLatencyGroups(w, now)
-	}
-	if st.spec.BestEffort && !s.admitsBestEffort(st, w) {
+	if s.rejects(st, t, w, now) != notRejected {
 		return 0, false
 	}
 	return s.score(st, t, w), true
@@ -58,30 +47,6 @@
 	}
 }
 
-// suits reports whether a worker belongs to the queue's service, has enough free resources for a
-// task of the step, as far as its entry and its refusals tell, and meets its constraints.
-func (st *step) suits(w *worker, q Queue, now time.Time) bool {
-	return w.info.Service == q.Service && st.reserved.Fits(w.free()) && w.mayHaveRoom(st.reserved, now) && st.meetsConstraints(w)
-}
-
-// meetsConstraints reports whether a worker has the label that the step requires and runs fewer than
-// MaxPerWorker tasks of the step.
-func (st *step) meetsConstraints(w *worker) bool {
-	if st.spec.Label != "" && !slices.Contains(w.info.Labels, st.spec.Label) {
-		return false
-	}
-	if st.spec.MaxPerWorker == 0 {
-		return true
-	}
-	n := 0
-	for key := range w.attempts {
-		if key.task.Job == st.job.ID && key.task.Step == st.number && key.task.Occurrence == st.occ.number {
-			n++
-		}
-	}
-	return n < st.spec.MaxPerWorker
-}
-
 // The weights of the terms of a score. A score of 1 stands for all of a worker's CPU being free.
 const (
 	weightRack         = 8.0 // bonus for the rack of the data or of the step's other tasks
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -38,6 +38,8 @@
 	recordedStarts    []recordedStart // starts that wait for a record
 	lastCheck         time.Time       // last check for expired leases and stalled tasks
 	lastPlan          time.Time
+	lastDownReport    time.Time // last report on long-running tasks that are down
+	startsSinceReport startCounts
 	interferenceModel *interferenceModel
 	// meanShortCPU is the moving average of the CPU reserved by the attempts of short tasks, by service,
 	// in thousandths of a core.
--- a/internal/batch/urgency.go
+++ b/internal/batch/urgency.go
@@ -40,11 +40,10 @@
 // one. What ran under a former owner counts as down since the job was accepted.
 func (st *step) downSince() (first time.Time, ok bool) {
 	for i := range st.tasks {
-		t := &st.tasks[i]
-		if len(t.attempts) > 0 || t.lastRun == 0 && !st.startedByFormerOwner {
+		if !(taskRef{st, i}).isDown() {
 			continue
 		}
-		since := t.downSince
+		since := st.tasks[i].downSince
 		if since.IsZero() {
 			since = st.job.Accepted
 		}
--- a/internal/batch/vacancies.go
+++ b/internal/batch/vacancies.go
@@ -55,7 +55,7 @@
 func (v *vacancies) takeRoom(st *step) bool {
 	q := v.state.queueOf(st.job)
 	for i, w := range v.workers {
-		if w.info.Service == q.Service && st.reserved.Fits(v.free[i]) && w.mayHaveRoom(st.reserved, v.now) && st.meetsConstraints(w) {
+		if w.info.Service == q.Service && st.reserved.Fits(v.free[i]) && w.mayHaveRoom(st.reserved, v.now) && st.violates(w) == notRejected {
 			v.free[i] = v.free[i].minus(st.reserved)
 			return true
 		}
