--- a/internal/batch/isolation.go
+++ b/internal/batch/isolation.go
@@ -1,9 +1,15 @@
 package batch
 
+import "time"
+
 const (
 	// suspicionsToIsolate is the number of suspicions from which a task shares no worker with a suspected one.
 	suspicionsToIsolate = 2
 
+	// isolationPatience is how long a worker may run suspected tasks, one after the other, until long-running tasks
+	// without another worker join them in any case.
+	isolationPatience = time.Second
+
 	// weightIsolation is the penalty for a suspected task on a worker with unproven attempts, and for any
 	// task on a worker with a suspected one.
 	weightIsolation = 10.0
@@ -13,16 +19,27 @@
 	weightSuspected = 10.0
 )
 
-// mustAvoid reports whether the task must not share the worker with a suspected one: tasks that were lost together
-// again and again could not be told apart. No task joins one that is suspected repeatedly, since it may crash the
-// worker as well. The tasks of a gang are exempt, since they start at the same time.
-func (t *task) mustAvoid(st *step, w *worker) bool {
+// mustAvoid reports whether the task must not share the worker with a suspected one that may crash it any moment: tasks
+// that were lost together again and again could not be told apart. No task joins one that is suspected repeatedly,
+// since it may crash the worker as well. The tasks of a gang are exempt, since they start at the same time.
+func (t *task) mustAvoid(st *step, w *worker, now time.Time) bool {
 	if w.suspected == 0 || st.spec.Gang {
 		return false
 	}
-	return len(t.suspicions) >= suspicionsToIsolate || w.repeatSuspected > 0
+	if st.spec.LongRunning && now.Sub(w.suspectedSince) >= isolationPatience {
+		return false
+	}
+	for _, a := range w.attempts {
+		if a.suspected && (a.repeatSuspected || t.repeatedlySuspected()) && a.runtime() < provingTime {
+			return true
+		}
+	}
+	return false
 }
 
+// repeatedlySuspected reports whether the task shares no worker with a suspected one.
+func (t *task) repeatedlySuspected() bool { return len(t.suspicions) >= suspicionsToIsolate }
+
 // isolationPenalty lowers the score of a worker where a crash would not tell whose fault it is.
 func (t *task) isolationPenalty(w *worker) float64 {
 	if !t.suspected() {
@@ -45,14 +62,15 @@
 
 // countSuspected counts the attempt among the suspected ones on its worker if its task is suspected.
 func (a *attempt) countSuspected() {
-	n := len(a.task().suspicions)
-	a.suspected, a.repeatSuspected = n > 0, n >= suspicionsToIsolate
-	if a.suspected {
-		a.worker.suspected++
+	t := a.task()
+	a.suspected, a.repeatSuspected = t.suspected(), t.repeatedlySuspected()
+	if !a.suspected {
+		return
 	}
-	if a.repeatSuspected {
-		a.worker.repeatSuspected++
+	if a.worker.suspected == 0 {
+		a.worker.suspectedSince = a.requestedAt
 	}
+	a.worker.suspected++
 }
 
 // uncountSuspected undoes countSuspected.
@@ -60,8 +78,5 @@
 	if a.suspected {
 		a.worker.suspected--
 	}
-	if a.repeatSuspected {
-		a.worker.repeatSuspected--
-	}
 	a.suspected, a.repeatSuspected = false, false
 }
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -129,10 +129,10 @@
 		allWorkers = slices.Concat(workers, lastResorts)
 	}
 	var wait string
-	var suspect *task // the first suspected task that found no worker
+	var suspect *task // the first repeatedly suspected task that found no worker
 	for i := range st.tasks {
 		t := &st.tasks[i]
-		if t.done || len(t.attempts) > 0 || suspect != nil && t.suspected() {
+		if t.done || len(t.attempts) > 0 || suspect != nil && t.repeatedlySuspected() {
 			continue
 		}
 		if t.unresolved && len(s.unresolvedWorkers) > 0 {
@@ -147,7 +147,7 @@
 		if w == nil && st.spec.LongRunning {
 			w = s.choose(st, t, lastResorts, now)
 		}
-		if w == nil && t.suspected() {
+		if w == nil && t.repeatedlySuspected() {
 			wait, suspect = waitsForIsolation, t
 			continue
 		}
@@ -180,6 +180,7 @@
 func (u unplacedSteps) covers(st *step) bool {
 	return slices.ContainsFunc(u, func(o *step) bool {
 		return o.job.Queue == st.job.Queue && o.spec.BestEffort == st.spec.BestEffort &&
+			(o.spec.LongRunning || !st.spec.LongRunning) && // long-running tasks join suspects sooner
 			(!st.spec.BestEffort || o.spec.Image == st.spec.Image) &&
 			(o.spec.Label == "" || o.spec.Label == st.spec.Label) &&
 			o.spec.MaxPerWorker == 0 && o.spec.Resources.Fits(st.spec.Resources)
--- a/internal/batch/rejection.go
+++ b/internal/batch/rejection.go
@@ -30,7 +30,7 @@
 
 // rejects returns the reason for which a usable worker does not get a task, or notRejected.
 func (s *State) rejects(st *step, t *task, w *worker, now time.Time) rejection {
-	if t.mustAvoid(st, w) {
+	if t.mustAvoid(st, w, now) {
 		return rejectedIsolation
 	}
 	q := s.queueOf(st.job)
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -38,7 +38,7 @@
 	bestEffortEndedAt time.Time
 	attempts          map[attemptKey]*attempt
 	suspected         int       // attempts of suspected tasks
-	repeatSuspected   int       // those of tasks with at least suspicionsToIsolate suspicions
+	suspectedSince    time.Time // since when it has run such attempts without a pause, if it does
 	lastContact       time.Time // when it last reported or accepted a start
 	failures          []*step   // the steps of its failures in a row
 	failuresEnd       time.Time // when these are too old to be in a row
