--- a/internal/batch/isolation.go
+++ b/internal/batch/isolation.go
@@ -7,8 +7,8 @@
 	suspicionsToIsolate = 2
 
 	// isolationPatience is how long a worker may run suspected tasks, one after the other, until long-running tasks
-	// without another worker join them in any case.
-	isolationPatience = time.Second
+	// without another worker join them in any case: their room must not stand empty for long.
+	isolationPatience = provingTime
 
 	// weightIsolation is the penalty for a suspected task on a worker with unproven attempts, and for any
 	// task on a worker with a suspected one.
