--- a/internal/batch/crash.go
+++ b/internal/batch/crash.go
@@ -28,6 +28,17 @@
 	confirmedCrashesToFail = 2
 	// lossesToFail is the number of lost workers after which a task is given up without any such evidence.
 	lossesToFail = 5
+
+	// crashesToPause is the number of lost workers in succession from which a long-running task is paused, which is
+	// never given up: for firstCrashPause, and twice as long after each further one, for at most maxCrashPause.
+	// The first two pauses are not longer than a lease, for which the task waits anyway, since workers may be lost
+	// in succession for other reasons.
+	crashesToPause  = 3
+	firstCrashPause = 3 * time.Second
+	maxCrashPause   = 60 * time.Second
+	// maxSuspicions is the number of suspicions of a task that are kept, the newest ones. More would not change
+	// the pause.
+	maxSuspicions = 8
 )
 
 // Suspicion is a start of a task after which its worker was lost, or may be lost: the task may have crashed
@@ -144,9 +155,14 @@
 	e.Runtime, e.Isolated = a.runtime(), isolated
 	s.dropSuspicion(a.ref(), a.run)
 	s.addSuspicion(a.ref(), e)
+	t.lostAt = laterOf(a.requestedAt, a.worker.lastContact)
 	s.dirty.add(a.step.job)
 	s.event(Event{Name: "task.suspected", Job: a.step.job.ID, Task: a.id(), Run: a.run, Worker: a.worker.info.ID,
 		Detail: fmt.Sprintf("the worker may have crashed after %s; only suspect: %t; suspicions: %d", e.Runtime, isolated, len(t.suspicions))})
+	if pause := t.crashPause(); a.step.spec.LongRunning && pause > 0 {
+		s.event(Event{Name: "task.paused", Job: a.step.job.ID, Task: a.id(), Run: a.run, Worker: a.worker.info.ID,
+			Detail: fmt.Sprintf("%s; it waits %s", t.lossesInSuccession(), pause)})
+	}
 }
 
 func newSuspicion(a *attempt) Suspicion {
@@ -171,8 +187,12 @@
 
 func (r taskRef) task() *task { return &r.step.tasks[r.index] }
 
+// addSuspicion adds a suspicion of a task. The oldest is dropped if it has maxSuspicions already.
 func (s *State) addSuspicion(r taskRef, e Suspicion) {
 	t := r.task()
+	if len(t.suspicions) >= maxSuspicions {
+		s.dropSuspicion(r, t.suspicions[0].Run)
+	}
 	t.suspicions = append(t.suspicions, e)
 	s.indexSuspicion(r, e)
 }
@@ -245,14 +265,20 @@
 	}
 }
 
-// registerSuspicions indexes the suspicions in the record of a job that was loaded.
-func (s *State) registerSuspicions(j *Job) {
+// registerSuspicions indexes the suspicions in the record of a job that was loaded. The record does not say when
+// the last worker was lost: of a pause, firstCrashPause is left.
+func (s *State) registerSuspicions(j *Job, now time.Time) {
 	for _, o := range j.occs {
 		for _, st := range o.steps {
 			for i := range st.tasks {
-				for _, e := range st.tasks[i].suspicions {
+				t := &st.tasks[i]
+				if !t.suspected() {
+					continue
+				}
+				for _, e := range t.suspicions {
 					s.indexSuspicion(taskRef{st, i}, e)
 				}
+				t.lostAt = now.Add(-max(0, t.crashPause()-firstCrashPause))
 			}
 		}
 	}
@@ -323,15 +349,37 @@
 	return false
 }
 
-// failHopeless fails the jobs of which a waiting task is hopeless.
+// failHopeless fails the jobs of which a waiting task is hopeless. Long-running tasks have no limit of attempts: they
+// are paused instead.
 func (s *State) failHopeless(now time.Time) {
 	for ref := range s.repeatSuspects {
 		t, job := ref.task(), ref.step.job
-		if len(t.attempts) > 0 || t.unresolved && len(s.unresolvedWorkers) > 0 || !s.isHopeless(t) {
+		if ref.step.spec.LongRunning || len(t.attempts) > 0 || t.unresolved && len(s.unresolvedWorkers) > 0 || !s.isHopeless(t) {
 			continue
 		}
-		s.event(Event{Name: "job.failed", Job: job.ID, Task: ref.id(), Run: t.suspicions[len(t.suspicions)-1].Run,
-			Detail: fmt.Sprintf("%d workers in succession were lost after they had started the task", len(t.suspicions))})
+		s.event(Event{Name: "job.failed", Job: job.ID, Task: ref.id(), Run: t.suspicions[len(t.suspicions)-1].Run, Detail: t.lossesInSuccession()})
 		s.end(job, Failed, now)
 	}
 }
+
+// lossesInSuccession describes for the log why the task is given up or paused.
+func (t *task) lossesInSuccession() string {
+	return fmt.Sprintf("%d workers in succession were lost after they had started the task", len(t.suspicions))
+}
+
+// isPaused reports whether a long-running task of the step waits since workers were lost after its last starts.
+func (st *step) isPaused(t *task, now time.Time) bool {
+	return st.spec.LongRunning && now.Before(t.lostAt.Add(t.crashPause()))
+}
+
+// crashPause returns how long a long-running task waits after its last loss.
+func (t *task) crashPause() time.Duration {
+	if len(t.suspicions) < crashesToPause {
+		return 0
+	}
+	pause := firstCrashPause
+	for range len(t.suspicions) - crashesToPause {
+		pause = min(2*pause, maxCrashPause)
+	}
+	return pause
+}
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -99,6 +99,8 @@
 	lastWorker    WorkerID
 	// suspicions are the starts since the task last proved itself after which the worker was or may be lost.
 	suspicions []Suspicion
+	// lostAt is when the worker of the newest suspicion was last in contact with the task.
+	lostAt time.Time
 }
 
 // noteCheckpoint notes the checkpoint that a run has saved, unless that of a later run is known. It reports
--- a/internal/batch/lifecycle.go
+++ b/internal/batch/lifecycle.go
@@ -19,7 +19,7 @@
 	j.expand()
 	if r != nil {
 		r.restore(j)
-		s.registerSuspicions(j)
+		s.registerSuspicions(j, now)
 	}
 	if !j.started {
 		s.unstartedJobs[j.Queue]++
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -131,7 +131,7 @@
 	suspectsWait := false
 	for i := range st.tasks {
 		t := &st.tasks[i]
-		if t.done || len(t.attempts) > 0 || suspectsWait && t.suspected() {
+		if t.done || len(t.attempts) > 0 || suspectsWait && t.suspected() || st.isPaused(t, now) {
 			continue
 		}
 		if t.unresolved && len(s.unresolvedWorkers) > 0 {
@@ -282,7 +282,7 @@
 	run := st.gangRun
 	for i := range st.tasks {
 		t := &st.tasks[i]
-		if t.done || len(t.attempts) > 0 {
+		if t.done || len(t.attempts) > 0 || st.isPaused(t, now) {
 			return
 		}
 		if t.unresolved && len(s.unresolvedWorkers) > 0 {
