soak: a series of kills of owners kills the owner, not the one before

Cause: killOwner looked for an instance whose address occurs anywhere in the claim. The series tested less than it says.

Fix: the claim is decoded, and its address decides.

--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -1,13 +1,16 @@
 package soak
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"strings"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/geraniumwick/geraniumwick/internal/owner"
 	"github.com/geraniumwick/geraniumwick/internal/pause"
 )
 
@@ -317,16 +320,29 @@
 	return fmt.Sprintf("%s leaves, its entry %s later", worker.ID, entryRemovedAfter), func(*testbed) {}
 }
 
-// claimKey is the key of the owner's claim, whose value contains the owner's address.
+// claimKey is the key of the owner's claim.
 const claimKey = "gw/claim"
 
+// ownerIP returns the IP address of the owner that a claim names; empty if there is none.
+func ownerIP(claim []byte) string {
+	var c owner.Claim
+	if cbor.Unmarshal(claim, &c) != nil {
+		return "" // nobody has the claim
+	}
+	ip, _, err := net.SplitHostPort(c.Address)
+	if err != nil {
+		return ""
+	}
+	return ip
+}
+
 // killOwner kills the instance that has the claim and starts it again.
 func killOwner(tb *testbed, _ *rand.Rand) (string, func(*testbed)) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
-	claim := tb.store.Value(claimKey)
+	ip := ownerIP(tb.store.Value(claimKey))
 	for _, i := range tb.instances {
-		if i.up() && bytes.Contains(claim, []byte(i.ip+":")) {
+		if i.up() && i.ip == ip {
 			i.kill()
 			return "kill the owner " + i.name, func(tb *testbed) { tb.restart(i) }
 		}
