--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -132,7 +132,7 @@
 	var suspect *task // the first repeatedly suspected task that found no worker
 	for i := range st.tasks {
 		t := &st.tasks[i]
-		if t.done || len(t.attempts) > 0 || suspect != nil && t.repeatedlySuspected() {
+		if t.done || len(t.attempts) > 0 || suspect != nil && t.repeatedlySuspected() || st.isPaused(t, now) {
 			continue
 		}
 		if t.unresolved && len(s.unresolvedWorkers) > 0 {
@@ -243,7 +243,7 @@
 	run := st.gangRun
 	for i := range st.tasks {
 		t := &st.tasks[i]
-		if t.done || len(t.attempts) > 0 {
+		if t.done || len(t.attempts) > 0 || st.isPaused(t, now) {
 			return
 		}
 		if t.unresolved && len(s.unresolvedWorkers) > 0 {
