--- a/internal/batch/ends.go
+++ b/internal/batch/ends.go
@@ -96,33 +96,21 @@
 		s.clearTask(taskRef{st, e.Task.Index}) // it has ended without a crash of its worker
 	}
 	t.failed = append(t.failed, e.Run)
+	if w.attempts[attemptKey{e.Task, e.Run}] == nil {
+		s.event(Event{Name: "task.ended", Job: e.Task.Job, Task: e.Task, Run: e.Run, Worker: w.info.ID, Detail: endReasonNames[EndFailed], Inputs: "this owner has not seen the run"})
+	}
 	s.countFailure(w, st, t, e.Seq, now)
 	if st.spec.LongRunning {
 		t.failed = nil
 		return
 	}
 	s.dirty.add(st.job)
-	failures := len(t.failed)
-	if st.spec.Gang {
-		failures = st.failedGangRuns()
-	}
-	if failures >= max(1, s.queueOf(st.job).MaxAttempts) && !st.job.outcome.Terminal() {
+	if st.knownFailures(t) >= s.maxAttempts(st.job) && !st.job.outcome.Terminal() {
 		s.event(Event{Name: "job.failed", Job: st.job.ID, Task: e.Task, Run: e.Run, Worker: w.info.ID, Detail: "no attempts left"})
 		s.end(st.job, Failed, now)
 	}
 }
 
-// failedGangRuns counts the runs of a gang in which at least one task failed.
-func (st *step) failedGangRuns() int {
-	runs := map[int64]bool{}
-	for i := range st.tasks {
-		for _, r := range st.tasks[i].failed {
-			runs[r] = true
-		}
-	}
-	return len(runs)
-}
-
 // remove deletes an attempt that certainly does not run any more. Its task waits again unless it is
 // done or has another attempt.
 func (s *State) remove(a *attempt, now time.Time) {
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -90,7 +90,11 @@
 	unresolved bool
 	attempts   []*attempt
 	failed     []int64 // runs that ended failed; empty for a long-running task
-	lastRun    int64
+	// recordedFailures is how many of failed, from the first on, the store holds.
+	recordedFailures int
+	// retryWaitReason is why the task waits since its last failure, as last logged; "" if it does not.
+	retryWaitReason string
+	lastRun         int64
 	// downSince is when a long-running task was last known to run; zero if this owner has not seen it run.
 	downSince  time.Time
 	checkpoint string
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -138,6 +138,9 @@
 			s.recordWait(st, waitsForFormerOwner)
 			continue
 		}
+		if !s.mayRetry(taskRef{st, i}) {
+			continue
+		}
 		if st.spec.LongRunning && t.lastRun == 0 && !st.startedByFormerOwner && !s.keepsShortTaskReserve(st, allWorkers, now) {
 			s.recordWait(st, waitsForReserve)
 			return true
@@ -291,6 +294,9 @@
 		}
 		run = max(run, t.lastRun)
 	}
+	if !s.mayRetry(taskRef{st, 0}) { // the failures of a gang count together
+		return
+	}
 	if !st.startRecordDurable {
 		s.requestStartRecord(st)
 		return
@@ -363,7 +369,7 @@
 		Checkpoint:  a.task().checkpoint,
 		Ticket:      a.step.advice.ticket(w),
 	})
-	s.event(Event{Name: "task.start", Job: a.step.job.ID, Task: a.id(), Run: a.run, Worker: w.info.ID})
+	s.event(Event{Name: "task.start", Job: a.step.job.ID, Task: a.id(), Run: a.run, Worker: w.info.ID, Inputs: s.describeFailures(a.step, a.task())})
 }
 
 // StartSent sets the time on the worker's clock after which the worker refuses a start that was sent.
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -92,7 +92,9 @@
 		}
 		for _, t := range p.Tasks {
 			if p.Occurrence < len(j.occs) {
-				j.occs[p.Occurrence].steps[p.Step].tasks[t.Index].markStartsRecorded(t.Suspicions)
+				known := &j.occs[p.Occurrence].steps[p.Step].tasks[t.Index]
+				known.markStartsRecorded(t.Suspicions)
+				known.recordedFailures = max(known.recordedFailures, len(t.Failed))
 			}
 		}
 	}
@@ -157,6 +159,7 @@
 	for _, t := range p.Tasks {
 		if t.Index >= 0 && t.Index < len(st.tasks) {
 			st.tasks[t.Index].failed = t.Failed
+			st.tasks[t.Index].recordedFailures = len(t.Failed)
 			st.tasks[t.Index].checkpoint = t.Checkpoint
 			st.tasks[t.Index].suspicions = t.Suspicions
 		}
--- a/internal/batch/simulation_faults_test.go
+++ b/internal/batch/simulation_faults_test.go
@@ -21,7 +21,7 @@
 // entry in the registry or a later report. Requests on their way die with the former incarnation or reach the
 // new one.
 func (w *simulation) crash(t *rapid.T) {
-	if rapid.IntRange(0, 5).Draw(t, "seldom") > 0 {
+	if w.failuresOnly || rapid.IntRange(0, 5).Draw(t, "seldom") > 0 {
 		return
 	}
 	n := w.drawWorker(t)
@@ -31,12 +31,16 @@
 	w.restart(t, n)
 }
 
-// tasksUnder returns the tasks that a worker runs or whose starts are on their way to it.
+// tasksUnder returns the tasks that a worker runs, whose starts are on their way to it, or whose ends it holds. Of an
+// end that is not acknowledged, the next owner need not know.
 func (w *simulation) tasksUnder(n *simulatedWorker) map[TaskID]bool {
 	out := map[TaskID]bool{}
 	for key := range n.running {
 		out[key.task] = true
 	}
+	for _, e := range n.ended {
+		out[e.Task] = true
+	}
 	for _, r := range w.requests {
 		if r.action.Kind == ActionStart && r.action.Worker == n.info.ID {
 			out[r.action.Task] = true
@@ -80,7 +84,7 @@
 		failures[key.task]++
 	}
 	for id, n := range failures {
-		if id.Job == job && n >= 3 {
+		if id.Job == job && n >= w.maxAttempts {
 			return true
 		}
 	}
@@ -100,6 +104,9 @@
 // resize changes the capacity of a worker, also to less than its attempts reserve. The registry shows it at
 // once.
 func (w *simulation) resize(t *rapid.T) {
+	if w.failuresOnly {
+		return
+	}
 	n := w.drawWorker(t)
 	w.setCapacity(n, drawCapacity(t))
 }
@@ -153,20 +160,90 @@
 	w.owner.MarkUnreachable(former)
 	w.owner.RemoveWorker(former)
 	delete(w.workers, former)
-	n.info.ID = WorkerID(fmt.Sprintf("w%d", len(w.recordedWorkers)))
+	w.renamed++
+	n.info.ID = WorkerID(fmt.Sprintf("%s-%d", n.info.Address, w.renamed))
 	n.entry = n.info
 	w.workers[n.info.ID] = n
 	w.enlist(n)
 }
 
+// toggleDraining lets a worker drain, or get tasks again. The registry shows it at once.
+func (w *simulation) toggleDraining(t *rapid.T) {
+	n := w.drawWorker(t)
+	w.setDraining(n, !n.info.Draining)
+}
+
+func (w *simulation) setDraining(n *simulatedWorker, draining bool) {
+	n.info.Draining = draining
+	n.entry = n.info
+	w.owner.UpdateWorker(n.entry, w.now)
+}
+
 // register lets a worker update its entry in the registry.
 func (w *simulation) register(t *rapid.T) {
 	n := w.drawWorker(t)
 	n.entry = n.info
 }
 
+// failInSeries lets faulty tasks fail and be started again several times in a row, perhaps under several owners, while
+// one worker does not report and no record becomes durable.
+func (w *simulation) failInSeries(t *rapid.T) {
+	silent := w.drawWorker(t)
+	for range rapid.IntRange(2, 8).Draw(t, "rounds") {
+		switch rapid.IntRange(0, 4).Draw(t, "round") {
+		case 0:
+			w.failFaulty()
+		case 1:
+			w.replaceOwner(t)
+		default:
+		}
+		for _, id := range w.ids() {
+			if n := w.workers[id]; n != silent {
+				w.reportOf(n, true)
+			}
+		}
+		w.retry(t)
+	}
+}
+
+// failFaulty lets all runs of faulty tasks fail.
+func (w *simulation) failFaulty() {
+	for _, id := range w.ids() {
+		n := w.workers[id]
+		w.expireLease(n)
+		for _, key := range sortedKeys(n.running) {
+			if w.faulty[key.task] {
+				w.endAttempt(n, key, EndFailed)
+			}
+		}
+	}
+}
+
+// retry lets the owner plan, and delivers the starts of faulty tasks at once.
+func (w *simulation) retry(t *rapid.T) {
+	w.plan(t)
+	for i := 0; i < len(w.requests); {
+		r := w.requests[i]
+		if r.action.Kind != ActionStart || !w.faulty[r.action.Task] || w.workers[r.action.Worker].disconnected {
+			i++
+			continue
+		}
+		w.deliverAt(i)
+	}
+}
+
+// toggleStore takes the store away, or brings it back.
+func (w *simulation) toggleStore(t *rapid.T) {
+	if w.storeAway || rapid.IntRange(0, 2).Draw(t, "seldom") == 0 {
+		w.storeAway = !w.storeAway
+	}
+}
+
 // toggleRefusal makes a worker refuse all starts, or accept them again.
 func (w *simulation) toggleRefusal(t *rapid.T) {
+	if w.failuresOnly {
+		return
+	}
 	n := w.drawWorker(t)
 	n.refuses = !n.refuses
 }
--- a/internal/batch/simulation_run_test.go
+++ b/internal/batch/simulation_run_test.go
@@ -8,7 +8,7 @@
 )
 
 // TestWorld runs random histories of an owner, workers and the store, with late and lost requests,
-// crashes, cut connections and changes of the owner. The simulation checks each start on a worker.
+// crashes, cut connections, outages of the store and changes of the owner. The simulation checks each start on a worker.
 func TestWorld(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newSimulation(t)
@@ -26,6 +26,10 @@
 			"resize": w.resize,
 			"crash":  w.crash,
 			"refuse": w.toggleRefusal,
+			"store":  w.toggleStore,
+			"drain":  w.toggleDraining,
+			"series": w.failInSeries, "series2": w.failInSeries,
+			"retry": w.retry,
 			"": func(t *rapid.T) {
 				w.checkWaiting(t)
 				w.checkFailures(t)
@@ -33,7 +37,7 @@
 			"register": w.register, "list": w.list,
 			"pass": w.advanceTime,
 			"take over": func(t *rapid.T) {
-				if rapid.IntRange(0, 3).Draw(t, "seldom") == 0 {
+				if w.failuresOnly || rapid.IntRange(0, 3).Draw(t, "seldom") == 0 {
 					w.replaceOwner(t)
 				}
 			},
@@ -45,6 +49,7 @@
 // quiesce restores all connections and capacities and runs without faults for 80 s. After that, every job must have
 // ended.
 func (w *simulation) quiesce(t *rapid.T) {
+	w.storeAway = false
 	for _, n := range w.workers {
 		n.disconnected, n.refuses = false, false
 	}
@@ -61,6 +66,7 @@
 		for _, id := range w.ids() {
 			n := w.workers[id]
 			w.setCapacity(n, fullCapacity)
+			w.setDraining(n, false)
 			w.reportOf(n, true)
 		}
 		w.commit(t)
--- a/internal/batch/simulation_test.go
+++ b/internal/batch/simulation_test.go
@@ -50,6 +50,13 @@
 	startedAfterDone     map[*simulatedWorker]map[int64]bool // ends after which their task was started again
 	acknowledgedDone     map[TaskID]bool                     // done, and the end was acknowledged
 	acknowledgedFailures map[TaskID]int                      // number of acknowledged failures
+	failedEnds           map[TaskID][]simulatedFailure       // all failed ends, the oldest first
+	failedEndsAtStart    map[TaskID]int                      // how many of them there were at the last start of the task
+	maxAttempts          int                                 // of the queue
+	faulty               map[TaskID]bool                     // tasks that fail on each worker
+	renamed              int                                 // workers that have got a new id
+	storeAway            bool                                // no record becomes durable, and nothing is acknowledged
+	failuresOnly         bool                                // all tasks are faulty, and no worker crashes, is resized or refuses starts
 	failedRuns           map[attemptKey]bool                 // runs that ended failed, whether reported or not
 	deadly               map[TaskID]bool                     // tasks that crash each worker that starts them
 	crashes              map[TaskID]int                      // workers that have crashed under a deadly task
@@ -87,6 +94,14 @@
 	maxEndedRun map[TaskID]int64 // highest run that was stopped or ended
 }
 
+// simulatedFailure is a failed end on one incarnation of a worker.
+type simulatedFailure struct {
+	worker       *simulatedWorker
+	incarnation  int64
+	seq          int64
+	acknowledged bool
+}
+
 // formerCapacity is a capacity that a worker had until it was resized.
 type formerCapacity struct {
 	capacity Resources
@@ -115,6 +130,8 @@
 		recordedWorkers: map[WorkerID]bool{}, workers: map[WorkerID]*simulatedWorker{},
 		begun: map[string]bool{}, done: map[TaskID]bool{}, startedAfterDone: map[*simulatedWorker]map[int64]bool{}, acknowledgedDone: map[TaskID]bool{}, acknowledgedFailures: map[TaskID]int{},
 		failedRuns: map[attemptKey]bool{}, deadly: map[TaskID]bool{}, crashes: map[TaskID]int{}, startsAfterCrashes: map[TaskID]int{}, lostAnswers: map[TaskID]int{}, unrelatedCrashes: map[TaskID]int{},
+		failedEnds: map[TaskID][]simulatedFailure{}, failedEndsAtStart: map[TaskID]int{}, faulty: map[TaskID]bool{},
+		maxAttempts: rapid.IntRange(2, 3).Draw(t, "max attempts"), failuresOnly: rapid.IntRange(0, 2).Draw(t, "failures only") == 0,
 	}
 	for i := range 4 {
 		id := WorkerID(fmt.Sprintf("w%d", i))
@@ -139,7 +156,7 @@
 	w.pending, w.acks = nil, nil
 	w.clocks = map[WorkerID]simulatedClock{}
 	s := keepOwnership(New(w.epoch, testLimits))
-	s.SetConfig(Config{Version: 1, Queues: map[string]Queue{"q": {Service: "svc", MaxAttempts: 3, Stretch: 2}}})
+	s.SetConfig(Config{Version: 1, Queues: map[string]Queue{"q": {Service: "svc", MaxAttempts: w.maxAttempts, Stretch: 2}}})
 	until := map[WorkerID]time.Time{}
 	for id := range w.recordedWorkers {
 		until[id] = w.now.Add(simulatedLeaseTTL + 500*time.Millisecond)
@@ -194,13 +211,25 @@
 		spec.Steps = append(spec.Steps, step)
 	}
 	id := fmt.Sprintf("j%d", len(w.jobs))
-	j := &Job{ID: id, Queue: "q", QueueConfig: Queue{Service: "svc", MaxAttempts: 3}, Accepted: w.now, Spec: spec}
+	j := &Job{ID: id, Queue: "q", QueueConfig: Queue{Service: "svc", MaxAttempts: w.maxAttempts}, Accepted: w.now, Spec: spec}
 	w.jobs[id] = j
-	if rapid.IntRange(0, 4).Draw(t, "deadly") == 0 {
-		step := rapid.IntRange(0, len(spec.Steps)-1).Draw(t, "deadly step")
-		w.deadly[TaskID{Job: id, Step: step, Index: rapid.IntRange(0, spec.Steps[step].Count-1).Draw(t, "deadly task")}] = true
+	switch kind := rapid.IntRange(0, 4).Draw(t, "kind"); {
+	case w.failuresOnly:
+		for i := range spec.Steps[0].Count {
+			w.faulty[TaskID{Job: id, Index: i}] = true
+		}
+	case kind == 0:
+		w.deadly[drawTask(t, id, spec, "deadly")] = true
+	case kind == 1:
+		w.faulty[drawTask(t, id, spec, "faulty")] = true
 	}
-	w.owner.AddJob(&Job{ID: id, Queue: "q", QueueConfig: Queue{Service: "svc", MaxAttempts: 3}, Accepted: w.now, Spec: spec}, nil, false, w.now)
+	w.owner.AddJob(&Job{ID: id, Queue: "q", QueueConfig: Queue{Service: "svc", MaxAttempts: w.maxAttempts}, Accepted: w.now, Spec: spec}, nil, false, w.now)
+}
+
+// drawTask draws a task of a job. kind is what it is drawn for.
+func drawTask(t *rapid.T, job string, spec Spec, kind string) TaskID {
+	step := rapid.IntRange(0, len(spec.Steps)-1).Draw(t, kind+" step")
+	return TaskID{Job: job, Step: step, Index: rapid.IntRange(0, spec.Steps[step].Count-1).Draw(t, kind+" task")}
 }
 
 func (w *simulation) cancel(t *rapid.T) {
@@ -252,11 +281,15 @@
 		return
 	}
 	i := rapid.IntRange(0, len(w.requests)-1).Draw(t, "order")
+	if !w.workers[w.requests[i].action.Worker].disconnected {
+		w.deliverAt(i)
+	}
+}
+
+// deliverAt executes the request with an index, whose worker is connected.
+func (w *simulation) deliverAt(i int) {
 	r := w.requests[i]
 	n := w.workers[r.action.Worker]
-	if n.disconnected {
-		return
-	}
 	w.requests = slices.Delete(w.requests, i, i+1)
 	answer := w.execute(n, r)
 	if r.action.Kind == ActionStart && w.deadly[r.action.Task] && answer == AnswerNone {
@@ -330,11 +363,13 @@
 	if !step.LongRunning && w.acknowledgedDone[a.Task] {
 		w.t.Fatalf("%v starts again after its end was acknowledged", a.Task)
 	}
-	if !step.LongRunning && w.acknowledgedFailures[a.Task] >= 3 {
+	if !step.LongRunning && w.acknowledgedFailures[a.Task] >= w.maxAttempts {
 		w.t.Fatalf("%v starts after %d failures", a.Task, w.acknowledgedFailures[a.Task])
 	}
 	if !step.LongRunning { // a long-running task restarts however it ends
 		w.noteRepetition(a.Task)
+		w.failedEndsAtStart[a.Task] = len(w.failedEnds[a.Task])
+		w.checkMaxAttempts(a.Task)
 	}
 	for _, before := range step.After {
 		for i := range j.Spec.Steps[before].Count {
@@ -376,6 +411,31 @@
 	}
 }
 
+// checkMaxAttempts checks that a task has not been started after as many acknowledged failures as its queue allows,
+// whether they were acknowledged before the start or later.
+func (w *simulation) checkMaxAttempts(id TaskID) {
+	failures := 0
+	for _, e := range w.failedEnds[id][:w.failedEndsAtStart[id]] {
+		if e.acknowledged {
+			failures++
+		}
+	}
+	if failures >= w.maxAttempts {
+		w.t.Fatalf("%v was started after %d runs that have failed", id, failures)
+	}
+}
+
+// noteAcknowledgedFailure notes that a failed end was acknowledged before the lease of its worker has ended.
+func (w *simulation) noteAcknowledgedFailure(n *simulatedWorker, e EndedAttempt) {
+	ends := w.failedEnds[e.Task]
+	for i := range ends {
+		if f := &ends[i]; f.worker == n && f.incarnation == n.info.Incarnation && f.seq == e.Seq {
+			f.acknowledged = true
+		}
+	}
+	w.checkMaxAttempts(e.Task)
+}
+
 func (w *simulation) endAttempt(n *simulatedWorker, key attemptKey, how EndReason) {
 	delete(n.running, key)
 	switch how {
@@ -383,6 +443,7 @@
 		w.done[key.task] = true
 	case EndFailed:
 		w.failedRuns[key] = true
+		w.failedEnds[key.task] = append(w.failedEnds[key.task], simulatedFailure{worker: n, incarnation: n.info.Incarnation, seq: n.nextSeq})
 	}
 	n.maxEndedRun[key.task] = max(n.maxEndedRun[key.task], key.run)
 	n.ended = append(n.ended, EndedAttempt{Seq: n.nextSeq, Task: key.task, Run: key.run, Reason: how})
@@ -429,18 +490,23 @@
 	if len(keys) == 0 {
 		return
 	}
+	key := rapid.SampledFrom(keys).Draw(t, "task")
 	how := EndDone
-	if rapid.IntRange(0, 4).Draw(t, "fails") == 0 {
+	if w.faulty[key.task] || rapid.IntRange(0, 4).Draw(t, "fails") == 0 {
 		how = EndFailed
 	}
-	w.endAttempt(n, rapid.SampledFrom(keys).Draw(t, "task"), how)
+	w.endAttempt(n, key, how)
 }
 
-// endAll ends all running tasks on a worker as done, except long-running ones.
+// endAll ends all running tasks on a worker, except long-running ones. Those that are not faulty are done.
 func (w *simulation) endAll(n *simulatedWorker) {
 	w.expireLease(n)
 	for _, key := range sortedKeys(n.running) {
-		if !w.jobs[key.task.Job].Spec.Steps[key.task.Step].LongRunning {
+		switch {
+		case w.jobs[key.task.Job].Spec.Steps[key.task.Step].LongRunning:
+		case w.faulty[key.task]:
+			w.endAttempt(n, key, EndFailed)
+		default:
 			w.endAttempt(n, key, EndDone)
 		}
 	}
@@ -475,10 +541,14 @@
 	}
 }
 
-// commit makes the owner's records durable, then acknowledges the reported ends.
+// commit makes the owner's records and the list of the workers in use durable, then acknowledges the reported ends.
 func (w *simulation) commit(*rapid.T) {
+	if w.storeAway {
+		return
+	}
 	records := w.owner.TakeDirty(100)
 	maps.Copy(w.records, records)
+	w.recordWorkers()
 	w.owner.MarkStored(records)
 	for _, a := range w.acks {
 		w.acknowledge(a)
@@ -486,6 +556,20 @@
 	w.acks = nil
 }
 
+// recordWorkers makes the list of the workers in use durable.
+func (w *simulation) recordWorkers() {
+	inUse := w.owner.WorkersInUse()
+	for id := range w.recordedWorkers {
+		if !inUse[id] {
+			w.owner.MarkUnrecorded(id)
+		}
+	}
+	for id := range inUse {
+		w.owner.MarkRecorded(id)
+	}
+	w.recordedWorkers = inUse
+}
+
 // acknowledge deletes the acknowledged ends on a worker.
 func (w *simulation) acknowledge(a pendingAck) {
 	n := w.workers[a.worker]
@@ -504,6 +588,9 @@
 			w.acknowledgedDone[e.Task] = true
 		case EndFailed:
 			w.acknowledgedFailures[e.Task]++
+			if e.Seq > n.lapsedSeq {
+				w.noteAcknowledgedFailure(n, e)
+			}
 		}
 		return true
 	})
--- a/internal/batch/state_test.go
+++ b/internal/batch/state_test.go
@@ -49,6 +49,15 @@
 // takeOver returns the state of a new owner with the same jobs, records and workers. known are the
 // workers on which the former owner may have started tasks.
 func takeOver(s *State, now time.Time, known ...WorkerID) *State {
+	records := map[string]Record{}
+	for id, j := range s.jobs {
+		records[id] = j.record()
+	}
+	return takeOverFrom(s, records, now, known...)
+}
+
+// takeOverFrom is takeOver with the given records instead of those that the former owner would write now.
+func takeOverFrom(s *State, records map[string]Record, now time.Time, known ...WorkerID) *State {
 	next := keepOwnership(New(s.epoch+1, testLimits))
 	next.SetConfig(s.config)
 	until := map[WorkerID]time.Time{}
@@ -57,7 +66,7 @@
 	}
 	next.SetUnresolvedWorkers(until)
 	for id, j := range s.jobs {
-		r := j.record()
+		r := records[id]
 		next.AddJob(&Job{ID: id, Queue: j.Queue, QueueConfig: j.QueueConfig, Accepted: j.Accepted, Spec: j.Spec}, &r, true, now)
 	}
 	for _, w := range s.workers {
