batch: a worker stays in the workers record until its reported ends are recorded

What callers would see: a task runs again after it was done (TWICE) or after all its attempts have failed (BUDGET).

Cause: a worker that drains, or that the registry does not have, counted as out of use as soon as no attempt was left on it, that is when its ends were reported. The next transaction dropped it from the workers record, but holds at most 27 changed jobs (kv.MaxTxnEntries - 5); the records that follow from these ends could come in a later one. An owner that dies between the two leaves a task that looks unfinished, and a successor that does not wait for the worker that holds the end.

Fix: the worker is in use until the changes that follow from its last report with ends have been taken for a transaction. The transaction that drops it is built after that, so it is the same one or a later one.

Evidence: TestAWorkerIsInUseUntilItsReportedEndsAreRecorded, for both kinds of workers, fails on the code before. TestWorld does not meet it: its transactions hold all records. A trial with small transactions was not reproducible, since the order of changes is not fixed, and was left out.

--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -30,6 +30,9 @@
 		s.attemptEnded(w, e, now)
 		last = max(last, e.Seq)
 	}
+	if len(r.Ended) > 0 {
+		w.endsChange = s.LastChange()
+	}
 	s.reconcile(w, r, now)
 	s.reviewSuspicions(w, r)
 	s.enforceLatencyTargets(w, now)
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -42,6 +42,7 @@
 	lastContact       time.Time // when it last reported or accepted a start
 	failures          []*step   // the steps of its failures in a row
 	failuresEnd       time.Time // when these are too old to be in a row
+	endsChange        uint64    // LastChange after the last report with ends
 	countedSeq        int64     // highest Seq of the ends that were counted for or against the worker
 	quarantinedUntil  time.Time
 	restsUntil        time.Time // until when it does not get long-running tasks without another worker either
@@ -99,11 +100,11 @@
 }
 
 // WorkersInUse returns the ids of all workers that may run tasks, started by this or a former owner,
-// or may get some. A draining worker gets none.
+// or may get some, and of those whose reported ends are not recorded. A draining worker gets none.
 func (s *State) WorkersInUse() map[WorkerID]bool {
 	out := make(map[WorkerID]bool, len(s.workers))
 	for id, w := range s.workers {
-		if w.inUse() {
+		if s.isInUse(w) {
 			out[id] = true
 		}
 	}
@@ -113,18 +114,28 @@
 	return out
 }
 
-// InUse reports whether a worker may run tasks, started by this or a former owner, or may get some.
+// InUse reports whether a worker is among WorkersInUse.
 func (s *State) InUse(id WorkerID) bool {
 	if _, unresolved := s.unresolvedWorkers[id]; unresolved {
 		return true
 	}
 	w := s.workers[id]
-	return w != nil && w.inUse()
+	return w != nil && s.isInUse(w)
 }
 
-// inUse reports whether this owner may have tasks on the worker, or may start some there.
-func (w *worker) inUse() bool {
-	return len(w.attempts) > 0 || w.listed && !w.info.Draining
+// isInUse reports whether this owner may have tasks on the worker, or may start some there, or whether the next owner
+// needs the ends that the worker has reported.
+func (s *State) isInUse(w *worker) bool {
+	return len(w.attempts) > 0 || w.listed && !w.info.Draining || s.hasUnrecordedEnds(w)
+}
+
+// hasUnrecordedEnds reports whether the changes that follow from the worker's reported ends are still to be taken for
+// the store.
+func (s *State) hasUnrecordedEnds(w *worker) bool { return w.endsChange >= s.OldestChange() }
+
+// isForgettable reports whether nothing of a worker that the registry does not have matters any more.
+func (s *State) isForgettable(w *worker) bool {
+	return !w.listed && len(w.attempts) == 0 && !s.hasUnrecordedEnds(w)
 }
 
 // SetUnresolvedWorkers sets the workers on which a former owner may have started tasks, and for each
@@ -304,7 +315,7 @@
 // deletes the unresolved workers whose leases from the former owner have ended.
 func (s *State) expireLeases(now time.Time) {
 	for id, w := range s.workers {
-		if !w.listed && len(w.attempts) == 0 && !now.Before(w.quarantinedUntil) {
+		if s.isForgettable(w) && !now.Before(w.quarantinedUntil) {
 			delete(s.workers, id)
 			s.sorted = nil
 			continue
@@ -317,7 +328,7 @@
 				s.lose(a, "lease ended out of contact", now)
 			}
 		}
-		if !w.listed && len(w.attempts) == 0 {
+		if s.isForgettable(w) {
 			delete(s.workers, id)
 			s.sorted = nil
 		}
