batch: a test of late ends over two take-overs

It guards the part of the rule that binds the second owner: it restarts a task only with all known failures recorded while runners have not answered. Without that part ("case unrecorded > 0" never taken) it fails, and no other test did; it fails on the code before the rule, too.

--- a/internal/batch/late_failures_test.go
+++ b/internal/batch/late_failures_test.go
@@ -144,6 +144,27 @@
 	f.is.Equal(next.Job("j").Status(), Failed)
 }
 
+// The same over two take-overs: neither the first nor the second owner has recorded the failure that it knew alone.
+func TestLateEndsCountAgainstTheMaximumAfterASecondTakeOver(t *testing.T) {
+	f, next, first, second := failTwiceAndTakeOver(t)
+	f.fail(second)
+	f.report(next, second.Worker)
+	f.is.Equal(len(f.plan(next)), 0) // the record would lack two failures
+	f.store(next)
+	third := f.plan(next)
+	f.is.Equal(len(third), 1)
+
+	last := f.takeOver(next, "a", "b", "c", "d")
+	f.report(last, third[0].Worker, asRunning(third[0]))
+	f.is.Equal(len(f.planAndStore(last)), 0)
+	f.fail(third[0])
+	f.report(last, third[0].Worker)
+	f.is.Equal(len(f.planAndStore(last)), 0) // three runs may have failed
+	f.report(last, first.Worker)
+	f.is.Equal(len(f.planAndStore(last)), 0)
+	f.is.Equal(last.Job("j").Status(), Failed)
+}
+
 // The same for a gang, whose failed runs count together.
 func TestLateEndsOfAGangCountAgainstTheMaximum(t *testing.T) {
 	is := is.New(t)
