--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -23,8 +23,8 @@
 	startPending bool
 	acceptedAt   time.Time // when an answer that accepts the start arrived
 	listedSince  time.Time // when a report first listed the attempt
-	// suspected and repeatSuspected say in which counters of the worker the attempt counts.
-	suspected, repeatSuspected bool
+	// suspicions is the number of suspicions that its task had when it was started; 0 if it is not suspected any more.
+	suspicions int
 	// unsent is set while the start waits for a record of the suspicion recorded, and startRecorded once the
 	// store holds that.
 	unsent        bool
--- a/internal/batch/isolation.go
+++ b/internal/batch/isolation.go
@@ -3,11 +3,14 @@
 import "time"
 
 const (
-	// suspicionsToIsolate is the number of suspicions from which a task shares no worker with a suspected one.
+	// suspicionsToIsolate is the number of suspicions from which a task and a new attempt of a suspected one keep apart
+	// for provingTime.
 	suspicionsToIsolate = 2
+	// suspicionsToSeparate is the number from which it and other suspected ones keep apart until they are cleared.
+	suspicionsToSeparate = 3
 
 	// isolationPatience is how long a worker may run suspected tasks, one after the other, until long-running tasks
-	// without another worker join them in any case: their room must not stand empty for long.
+	// without another worker join new ones, too: their room must not stand empty for long.
 	isolationPatience = provingTime
 
 	// weightIsolation is the penalty for a suspected task on a worker with unproven attempts, and for any
@@ -19,26 +22,59 @@
 	weightSuspected = 10.0
 )
 
-// mustAvoid reports whether the task must not share the worker with a suspected one that may crash it any moment: tasks
-// that were lost together again and again could not be told apart. No task joins one that is suspected repeatedly,
-// since it may crash the worker as well. The tasks of a gang are exempt, since they start at the same time.
+// mustAvoid reports whether the task must not share the worker with a suspected one. Tasks that are lost together again
+// and again can't be told apart, and a task that is suspected repeatedly may crash the worker as well. The tasks of a
+// gang are exempt, since they start at the same time.
 func (t *task) mustAvoid(st *step, w *worker, now time.Time) bool {
 	if w.suspected == 0 || st.spec.Gang {
 		return false
 	}
-	if st.spec.LongRunning && now.Sub(w.suspectedSince) >= isolationPatience {
-		return false
-	}
+	joinsNewSuspects := st.spec.LongRunning && w.hasRunSuspectsFor(isolationPatience, now)
 	for _, a := range w.attempts {
-		if a.suspected && (a.repeatSuspected || t.repeatedlySuspected()) && a.runtime() < provingTime {
+		if t.mustBeTold(a) || !joinsNewSuspects && t.mustWaitFor(a) {
 			return true
 		}
 	}
 	return false
 }
 
-// repeatedlySuspected reports whether the task shares no worker with a suspected one.
-func (t *task) repeatedlySuspected() bool { return len(t.suspicions) >= suspicionsToIsolate }
+// mustBeTold reports whether the task and that of an attempt are both suspected, one of them so often that they must
+// be told apart.
+func (t *task) mustBeTold(a *attempt) bool {
+	return t.suspected() && a.suspicions > 0 && max(len(t.suspicions), a.suspicions) >= suspicionsToSeparate
+}
+
+// mustWaitFor reports whether an attempt may crash its worker any moment, and the task must not be there.
+func (t *task) mustWaitFor(a *attempt) bool {
+	return a.suspicions > 0 && max(len(t.suspicions), a.suspicions) >= suspicionsToIsolate && a.runtime() < provingTime
+}
+
+// noteSuspects notes which workers run suspected tasks. It is called in each Plan.
+func (s *State) noteSuspects(now time.Time) {
+	for _, w := range s.workers {
+		if w.suspected > 0 {
+			w.noteSuspects(now)
+		}
+	}
+}
+
+// noteSuspects notes that the worker runs suspected tasks, and since when. Starts that have not been sent do not count.
+func (w *worker) noteSuspects(now time.Time) {
+	var first time.Time
+	for _, a := range w.attempts {
+		if a.suspicions > 0 && !a.unsent && (first.IsZero() || a.requestedAt.Before(first)) {
+			first = a.requestedAt
+		}
+	}
+	if !first.IsZero() {
+		w.suspectsSince, w.suspectsSeen = first, now
+	}
+}
+
+// hasRunSuspectsFor reports whether the worker has run a suspected task for some time, or did so just now.
+func (w *worker) hasRunSuspectsFor(d time.Duration, now time.Time) bool {
+	return now.Sub(w.suspectsSeen) <= isolationPatience && now.Sub(w.suspectsSince) >= d
+}
 
 // isolationPenalty lowers the score of a worker where a crash would not tell whose fault it is.
 func (t *task) isolationPenalty(w *worker) float64 {
@@ -60,23 +96,23 @@
 	return weightIsolation + weightUnproven*float64(unproven) + weightSuspected*float64(w.suspected)
 }
 
-// countSuspected counts the attempt among the suspected ones on its worker if its task is suspected.
+// countSuspected counts the attempt among those of suspected tasks on its worker if its task is suspected. A suspicion
+// that was noted for its own start does not count.
 func (a *attempt) countSuspected() {
-	t := a.task()
-	a.suspected, a.repeatSuspected = t.suspected(), t.repeatedlySuspected()
-	if !a.suspected {
-		return
+	for _, e := range a.task().suspicions {
+		if e.Run != a.run {
+			a.suspicions++
+		}
 	}
-	if a.worker.suspected == 0 {
-		a.worker.suspectedSince = a.requestedAt
+	if a.suspicions > 0 {
+		a.worker.suspected++
 	}
-	a.worker.suspected++
 }
 
 // uncountSuspected undoes countSuspected.
 func (a *attempt) uncountSuspected() {
-	if a.suspected {
+	if a.suspicions > 0 {
 		a.worker.suspected--
 	}
-	a.suspected, a.repeatSuspected = false, false
+	a.suspicions = 0
 }
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -67,6 +67,7 @@
 
 // place starts as many waiting tasks as the workers have capacity for, most urgent steps first.
 func (s *State) place(now time.Time) {
+	s.noteSuspects(now)
 	if len(s.open) == 0 {
 		return
 	}
@@ -129,10 +130,10 @@
 		allWorkers = slices.Concat(workers, lastResorts)
 	}
 	var wait string
-	var suspect *task // the first repeatedly suspected task that found no worker
+	var suspect *task // the least suspected task that found no worker
 	for i := range st.tasks {
 		t := &st.tasks[i]
-		if t.done || len(t.attempts) > 0 || suspect != nil && t.repeatedlySuspected() || st.isPaused(t, now) {
+		if t.done || len(t.attempts) > 0 || st.isPaused(t, now) || suspect != nil && len(t.suspicions) >= len(suspect.suspicions) {
 			continue
 		}
 		if t.unresolved && len(s.unresolvedWorkers) > 0 {
@@ -150,7 +151,7 @@
 		if w == nil && st.spec.LongRunning {
 			w = s.choose(st, t, lastResorts, now)
 		}
-		if w == nil && t.repeatedlySuspected() {
+		if w == nil && t.suspected() {
 			wait, suspect = waitsForIsolation, t
 			continue
 		}
--- a/internal/batch/rejection.go
+++ b/internal/batch/rejection.go
@@ -11,7 +11,6 @@
 // The reasons, in the order in which they are looked at.
 const (
 	notRejected          rejection = iota
-	rejectedIsolation              // it runs suspected tasks, which the task must not join
 	rejectedService                // it belongs to another service
 	rejectedCPU                    // its free CPU is too small
 	rejectedMemory                 // its free memory is too small
@@ -19,24 +18,25 @@
 	rejectedRefusal                // it has just refused as much for want of room
 	rejectedLabel                  // it lacks the label that the step requires
 	rejectedSpread                 // it runs as many tasks of the step as may share a worker
+	rejectedIsolation              // it has room, but runs suspected tasks, which the task must not join
 	rejectedTicket                 // the adviser has granted no ticket for it
 	rejectedInterference           // latency-sensitive tasks there leave no CPU, or would miss their targets
 	rejections
 )
 
 // rejectionNames say in the log what the workers lack that do not get a task.
-var rejectionNames = [rejections]string{"have room", "run suspected tasks", "belong to another service", "lack CPU", "lack memory", "lack GPUs",
-	"have refused as much", "lack the label", "run enough tasks of the step", "have no ticket", "serve tasks that it would disturb"}
+var rejectionNames = [rejections]string{"have room", "belong to another service", "lack CPU", "lack memory", "lack GPUs",
+	"have refused as much", "lack the label", "run enough tasks of the step", "have room but run suspected tasks", "have no ticket", "serve tasks that it would disturb"}
 
 // rejects returns the reason for which a usable worker does not get a task, or notRejected.
 func (s *State) rejects(st *step, t *task, w *worker, now time.Time) rejection {
-	if t.mustAvoid(st, w, now) {
-		return rejectedIsolation
-	}
 	q := s.queueOf(st.job)
 	if r := st.unsuited(w, q, now); r != notRejected {
 		return r
 	}
+	if t.mustAvoid(st, w, now) {
+		return rejectedIsolation
+	}
 	if q.RequiresTicket && !st.advice.hasTicket(w, now) {
 		return rejectedTicket
 	}
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -38,7 +38,8 @@
 	bestEffortEndedAt time.Time
 	attempts          map[attemptKey]*attempt
 	suspected         int       // attempts of suspected tasks
-	suspectedSince    time.Time // since when it has run such attempts without a pause, if it does
+	suspectsSince     time.Time // since when it has run the first of these, as of suspectsSeen
+	suspectsSeen      time.Time // when it last ran such an attempt
 	lastContact       time.Time // when it last reported or accepted a start
 	failures          []*step   // the steps of its failures in a row
 	failuresEnd       time.Time // when these are too old to be in a row
