batch: TestWorld loses many workers at once, and checks that room is not withheld from long-running tasks

What is new: - faults: several workers are lost at the same moment, for good (others come up to 12 s later), by a cut of their connections, or by a crash that is seen late; at random in the history, and, in every second history, one to three times in series with workers filled by long-running tasks. Jobs with deadly tasks are cancelled before the series, as their crashes are faults at any time; the other histories go on as before. - check, by what the workers run: a long-running task that has run is not down for more than 6 s (the longest lease) plus 3 s while a worker in contact has had room for it twice over for these 3 s, and the last fault was 6.95 s before them (lease, tolerance of a take-over, a check, a tick).

Requests in the calm part are still delivered in random order. Nothing that was checked before is left out. A loss in a series counts among the crashes for other reasons that a task needs not outlast more than twice; a loss by a cut connection alike, as the lease ends there.

--- a/internal/batch/simulation_faults_test.go
+++ b/internal/batch/simulation_faults_test.go
@@ -1,7 +1,6 @@
 package batch
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -11,6 +10,7 @@
 // toggleConnection interrupts the connection between a worker and the owner, or restores it.
 func (w *simulation) toggleConnection(t *rapid.T) {
 	n := w.drawWorker(t)
+	w.lastFault = w.now
 	n.disconnected = !n.disconnected
 	if n.disconnected {
 		w.owner.MarkUnreachable(n.info.ID)
@@ -101,6 +101,7 @@
 // once.
 func (w *simulation) resize(t *rapid.T) {
 	n := w.drawWorker(t)
+	w.lastFault = w.now
 	w.setCapacity(n, drawCapacity(t))
 }
 
@@ -120,6 +121,7 @@
 // restart starts a worker under the same id or, at the same address, under a new one. It knows nothing of before and
 // may be of another kind.
 func (w *simulation) restart(t *rapid.T, n *simulatedWorker) {
+	w.lastFault = w.now
 	n.info.Incarnation++
 	if rapid.IntRange(0, 3).Draw(t, "another kind") == 0 {
 		n.info.Capacity, n.formerCapacities = drawCapacity(t), nil
@@ -153,7 +155,7 @@
 	w.owner.MarkUnreachable(former)
 	w.owner.RemoveWorker(former)
 	delete(w.workers, former)
-	n.info.ID = WorkerID(fmt.Sprintf("w%d", len(w.recordedWorkers)))
+	n.info.ID = w.newID()
 	n.entry = n.info
 	w.workers[n.info.ID] = n
 	w.enlist(n)
@@ -168,6 +170,7 @@
 // toggleRefusal makes a worker refuse all starts, or accept them again.
 func (w *simulation) toggleRefusal(t *rapid.T) {
 	n := w.drawWorker(t)
+	w.lastFault = w.now
 	n.refuses = !n.refuses
 }
 
@@ -197,6 +200,7 @@
 func (w *simulation) advanceTime(t *rapid.T) {
 	w.now = w.now.Add(time.Duration(rapid.IntRange(10, 900).Draw(t, "ms")) * time.Millisecond)
 	w.expireRequests()
+	w.runLater()
 }
 
 func (w *simulation) expireRequests() {
--- /dev/null
+++ b/internal/batch/simulation_losses_test.go
@@ -0,0 +1,215 @@
+package batch
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	// simulatedTick is the time between two contacts with each worker while no request is late.
+	simulatedTick = 200 * time.Millisecond
+	// maxLossSeries is the largest number of losses in a series, and maxAbsence the longest time until other workers
+	// come or the lost ones are back.
+	maxLossSeries = 3
+	maxAbsence    = 12 * time.Second
+	// maxEntryAge is the longest time for which the registry shows a worker that is gone for good.
+	maxEntryAge = 5 * time.Second
+	// ticksAfterLosses is how long the workers stay after the last loss and the last arrival.
+	ticksAfterLosses = 100
+)
+
+// laterEvent happens at its time.
+type laterEvent struct {
+	at time.Time
+	do func()
+}
+
+func (w *simulation) after(d time.Duration, do func()) {
+	w.later = append(w.later, laterEvent{w.now.Add(d), do})
+}
+
+// runLater lets happen what is due.
+func (w *simulation) runLater() {
+	var due, left []laterEvent
+	for _, e := range w.later {
+		if e.at.After(w.now) {
+			left = append(left, e)
+		} else {
+			due = append(due, e)
+		}
+	}
+	w.later = left
+	for _, e := range due {
+		e.do()
+	}
+}
+
+// loss is how a worker is lost.
+type loss int
+
+const (
+	leavesForGood loss = iota // another worker comes instead
+	isCut                     // its connection is interrupted for a while
+	crashesUnseen             // it is started again, and in contact a while later
+)
+
+// drawAbsence draws for how long lost workers are missing.
+func drawAbsence(t *rapid.T) time.Duration {
+	return time.Duration(rapid.IntRange(0, int(maxAbsence/time.Second)).Draw(t, "seconds away")) * time.Second
+}
+
+// loseTogether loses some of the workers at the same moment, but for keep of them.
+func (w *simulation) loseTogether(t *rapid.T, keep int) {
+	how := loss(rapid.IntRange(int(leavesForGood), int(crashesUnseen)).Draw(t, "loss"))
+	away := drawAbsence(t)
+	spared := keep
+	if rapid.Bool().Draw(t, "spares more") {
+		spared = rapid.IntRange(keep, max(keep, len(w.workers)-1)).Draw(t, "spared")
+	}
+	for _, id := range w.ids()[min(spared, len(w.workers)):] {
+		w.lose(t, w.workers[id], how, away)
+	}
+}
+
+func (w *simulation) lose(t *rapid.T, n *simulatedWorker, how loss, away time.Duration) {
+	w.lastFault = w.now
+	for id := range w.tasksUnder(n) {
+		w.unrelatedCrashes[id]++ // a connection that is cut for long looks alike
+	}
+	if how == leavesForGood {
+		w.leave(t, n)
+		w.after(away, func() { w.enlist(w.newWorker()) })
+		return
+	}
+	w.owner.MarkUnreachable(n.info.ID)
+	if how == crashesUnseen {
+		w.restart(t, n)
+		w.owner.MarkUnreachable(n.info.ID)
+	}
+	n.disconnected = true
+	w.after(away, func() {
+		w.lastFault = w.now
+		n.disconnected = false
+	})
+}
+
+// leave removes a worker for good. Requests that are on their way to it get no answer.
+func (w *simulation) leave(t *rapid.T, n *simulatedWorker) {
+	id := n.info.ID
+	n.disconnected, n.running = true, nil
+	delete(w.workers, id)
+	w.owner.MarkUnreachable(id)
+	age := time.Duration(rapid.IntRange(0, int(maxEntryAge/time.Second)).Draw(t, "age of the entry")) * time.Second
+	w.after(age, func() { w.owner.RemoveWorker(id) })
+}
+
+// loseSome loses some workers, so that one is left.
+func (w *simulation) loseSome(t *rapid.T) {
+	if len(w.workers) > 1 && rapid.IntRange(0, 5).Draw(t, "seldom") == 0 {
+		w.loseTogether(t, 1)
+	}
+}
+
+// submitLasting submits a job with one step of long-running tasks.
+func (w *simulation) submitLasting(t *rapid.T) {
+	id := fmt.Sprintf("lasting%d", len(w.jobs))
+	step := Step{
+		Count:       rapid.IntRange(1, 8).Draw(t, "count"),
+		Resources:   Resources{CPU: int64(rapid.IntRange(1, 3).Draw(t, "half cores")) * 500, MemoryMB: 250},
+		LongRunning: true, Estimate: time.Second,
+		MaxPerWorker: rapid.SampledFrom([]int{0, 0, 0, 2, 4}).Draw(t, "on a worker"),
+	}
+	w.addJob(&Job{ID: id, Queue: "q", QueueConfig: Queue{Service: "svc", MaxAttempts: 3}, Accepted: w.now, Spec: Spec{Payload: "p", Steps: []Step{step}}})
+}
+
+// loseInSeries fills the workers with long-running tasks, and loses many workers at once, several times in succession
+// and a few seconds apart. After that, long-running tasks must get the room that exists, see checkLasting. Jobs with
+// deadly tasks are cancelled before: their crashes would be faults at any time.
+func (w *simulation) loseInSeries(t *rapid.T) {
+	w.endFaults()
+	for _, id := range slices.Sorted(maps.Keys(w.jobs)) {
+		if w.isDeadly(id) {
+			w.cancelJob(id)
+		}
+	}
+	for range rapid.IntRange(1, 4).Draw(t, "lasting jobs") {
+		w.submitLasting(t)
+	}
+	w.runTicks(t, rapid.IntRange(5, 40).Draw(t, "ticks before the losses"))
+	for range rapid.IntRange(1, maxLossSeries).Draw(t, "losses") {
+		w.loseTogether(t, 0)
+		if rapid.IntRange(0, 5).Draw(t, "the owner is replaced too") == 0 {
+			w.replaceOwner(t)
+		}
+		w.runTicks(t, rapid.IntRange(1, 50).Draw(t, "ticks after the loss"))
+	}
+	for len(w.later) > 0 {
+		w.tick(t)
+	}
+	w.runTicks(t, ticksAfterLosses)
+}
+
+// isDeadly reports whether a task of the job crashes each worker that starts it.
+func (w *simulation) isDeadly(job string) bool {
+	for id := range w.deadly {
+		if id.Job == job {
+			return true
+		}
+	}
+	return false
+}
+
+// endFaults restores connections and lets workers accept starts.
+func (w *simulation) endFaults() {
+	w.lastFault = w.now
+	for _, n := range w.workers {
+		n.disconnected, n.refuses = false, false
+	}
+}
+
+func (w *simulation) runTicks(t *rapid.T, n int) {
+	for range n {
+		w.tick(t)
+	}
+}
+
+// tick lets time pass, in which all workers in contact report and make progress, no request to them is late and finite
+// tasks end.
+func (w *simulation) tick(t *rapid.T) {
+	w.now = w.now.Add(simulatedTick)
+	w.percent = 101 - w.percent
+	w.expireRequests()
+	w.runLater()
+	for _, id := range w.ids() {
+		n := w.workers[id]
+		w.setCapacity(n, fullCapacity)
+		w.reportOf(n, true)
+	}
+	w.commit(t)
+	w.plan(t)
+	w.deliverAll(t)
+	for _, id := range w.ids() {
+		w.endAll(w.workers[id])
+	}
+	w.checkLasting(t)
+}
+
+// deliverAll delivers all requests to workers in contact, in any order.
+func (w *simulation) deliverAll(t *rapid.T) {
+	for {
+		var deliverable []int
+		for i, r := range w.requests {
+			if n := w.workers[r.action.Worker]; n != nil && !n.disconnected {
+				deliverable = append(deliverable, i)
+			}
+		}
+		if len(deliverable) == 0 {
+			return
+		}
+		w.deliverOne(rapid.SampledFrom(deliverable).Draw(t, "order"))
+	}
+}
--- a/internal/batch/simulation_run_test.go
+++ b/internal/batch/simulation_run_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"pgregory.net/rapid"
 )
@@ -25,6 +24,7 @@
 			"cut":    w.toggleConnection,
 			"resize": w.resize,
 			"crash":  w.crash,
+			"losses": w.loseSome,
 			"refuse": w.toggleRefusal,
 			"": func(t *rapid.T) {
 				w.checkWaiting(t)
@@ -38,6 +38,9 @@
 				}
 			},
 		})
+		if rapid.Bool().Draw(t, "losses in series") {
+			w.loseInSeries(t)
+		}
 		w.quiesce(t)
 	})
 }
@@ -45,33 +48,14 @@
 // quiesce restores all connections and capacities and runs without faults for 80 s. After that, every job must have
 // ended.
 func (w *simulation) quiesce(t *rapid.T) {
-	for _, n := range w.workers {
-		n.disconnected, n.refuses = false, false
-	}
+	w.endFaults()
 	// Long-running tasks may occupy the workers forever.
 	for id, j := range w.jobs {
 		if j.Spec.LongRunning() {
-			w.cancels[id] = true
-			w.owner.Cancel(id, w.now)
-		}
-	}
-	for range 400 {
-		w.now = w.now.Add(200 * time.Millisecond)
-		w.expireRequests()
-		for _, id := range w.ids() {
-			n := w.workers[id]
-			w.setCapacity(n, fullCapacity)
-			w.reportOf(n, true)
-		}
-		w.commit(t)
-		w.plan(t)
-		for len(w.requests) > 0 {
-			w.deliver(t)
-		}
-		for _, id := range w.ids() {
-			w.endAll(w.workers[id])
+			w.cancelJob(id)
 		}
 	}
+	w.runTicks(t, 400)
 	w.checkFailures(t)
 	if n := w.owner.QueuedJobs("q"); n != 0 {
 		t.Fatalf("%d jobs are said to wait after all have ended", n)
--- a/internal/batch/simulation_test.go
+++ b/internal/batch/simulation_test.go
@@ -25,6 +25,8 @@
 	// maxOwnersKilled bounds the owners that are killed just as a worker crashes. Each may leave a start of which
 	// no record tells, or the record of a start that was not carried out.
 	maxOwnersKilled = 2
+	// simulatedWorkers is the number of workers at the start.
+	simulatedWorkers = 4
 	// simulatedMaxEnds is the largest number of ended attempts in a report.
 	simulatedMaxEnds = 2
 )
@@ -41,6 +43,7 @@
 	cancels              map[string]bool   // as the store holds them
 	recordedWorkers      map[WorkerID]bool // workers in use, as the store holds them
 	workers              map[WorkerID]*simulatedWorker
+	lastID               int // number of the worker that was named last
 	requests             []sentRequest
 	begun                map[string]bool                     // jobs of which a worker has started a task
 	clocks               map[WorkerID]simulatedClock         // the owner's readings
@@ -57,6 +60,11 @@
 	lostAnswers          map[TaskID]int                      // starts without an answer, but for those that crashed the worker
 	ownersKilled         int                                 // owners killed just as a worker crashed under a task
 	unrelatedCrashes     map[TaskID]int                      // crashes for other reasons of workers that had or were to start it
+	later                []laterEvent
+	percent              int                               // progress in the reports of all running tasks
+	lastFault            time.Time                         // when a fault last began or ended
+	lastActive           map[TaskID]time.Time              // when a long-running task that has run last ran or was being started
+	roomSince            map[TaskID]map[WorkerID]time.Time // since when a worker has had room for such a task that is down
 }
 
 // fullCapacity is the largest capacity of a worker.
@@ -114,28 +122,41 @@
 		jobs: map[string]*Job{}, records: map[string]Record{}, cancels: map[string]bool{},
 		recordedWorkers: map[WorkerID]bool{}, workers: map[WorkerID]*simulatedWorker{},
 		begun: map[string]bool{}, done: map[TaskID]bool{}, startedAfterDone: map[*simulatedWorker]map[int64]bool{}, acknowledgedDone: map[TaskID]bool{}, acknowledgedFailures: map[TaskID]int{},
+		percent: 50, lastActive: map[TaskID]time.Time{}, roomSince: map[TaskID]map[WorkerID]time.Time{},
 		failedRuns: map[attemptKey]bool{}, deadly: map[TaskID]bool{}, crashes: map[TaskID]int{}, startsAfterCrashes: map[TaskID]int{}, lostAnswers: map[TaskID]int{}, unrelatedCrashes: map[TaskID]int{},
 	}
-	for i := range 4 {
-		id := WorkerID(fmt.Sprintf("w%d", i))
-		n := &simulatedWorker{
-			info:    WorkerInfo{ID: id, Incarnation: 1, Service: "svc", Address: string(id), DataCentre: "a", Capacity: fullCapacity},
-			running: map[attemptKey]bool{}, maxEndedRun: map[TaskID]int64{}, nextSeq: 1,
-		}
-		n.entry = n.info
-		w.workers[id] = n
-		w.startedAfterDone[n] = map[int64]bool{}
+	for range simulatedWorkers {
+		w.newWorker()
 	}
 	w.replaceOwner(t)
 	return w
 }
 
+func (w *simulation) newID() WorkerID {
+	w.lastID++
+	return WorkerID(fmt.Sprintf("w%d", w.lastID))
+}
+
+// newWorker starts a worker, of which the owner does not know yet.
+func (w *simulation) newWorker() *simulatedWorker {
+	id := w.newID()
+	n := &simulatedWorker{
+		info:    WorkerInfo{ID: id, Incarnation: 1, Service: "svc", Address: string(id), DataCentre: "a", Capacity: fullCapacity},
+		running: map[attemptKey]bool{}, maxEndedRun: map[TaskID]int64{}, nextSeq: 1,
+	}
+	n.entry = n.info
+	w.workers[id] = n
+	w.startedAfterDone[n] = map[int64]bool{}
+	return n
+}
+
 // clock returns the time on a worker's clock.
 func (w *simulation) clock(n *simulatedWorker) int64 { return w.now.Add(n.clockOffset).UnixMilli() }
 
 // replaceOwner replaces the owner by a new one, which starts from the contents of the store.
 func (w *simulation) replaceOwner(*rapid.T) {
 	w.epoch++
+	w.lastFault = w.now
 	w.pending, w.acks = nil, nil
 	w.clocks = map[WorkerID]simulatedClock{}
 	s := keepOwnership(New(w.epoch, testLimits))
@@ -195,19 +216,28 @@
 	}
 	id := fmt.Sprintf("j%d", len(w.jobs))
 	j := &Job{ID: id, Queue: "q", QueueConfig: Queue{Service: "svc", MaxAttempts: 3}, Accepted: w.now, Spec: spec}
-	w.jobs[id] = j
 	if rapid.IntRange(0, 4).Draw(t, "deadly") == 0 {
 		step := rapid.IntRange(0, len(spec.Steps)-1).Draw(t, "deadly step")
 		w.deadly[TaskID{Job: id, Step: step, Index: rapid.IntRange(0, spec.Steps[step].Count-1).Draw(t, "deadly task")}] = true
 	}
-	w.owner.AddJob(&Job{ID: id, Queue: "q", QueueConfig: Queue{Service: "svc", MaxAttempts: 3}, Accepted: w.now, Spec: spec}, nil, false, w.now)
+	w.addJob(j)
+}
+
+// addJob adds a new job to the store, and passes a copy of it to the owner.
+func (w *simulation) addJob(j *Job) {
+	w.jobs[j.ID] = j
+	known := *j
+	w.owner.AddJob(&known, nil, false, w.now)
 }
 
 func (w *simulation) cancel(t *rapid.T) {
 	if len(w.jobs) == 0 || rapid.IntRange(0, 5).Draw(t, "seldom") > 0 {
 		return
 	}
-	id := rapid.SampledFrom(slices.Sorted(maps.Keys(w.jobs))).Draw(t, "job")
+	w.cancelJob(rapid.SampledFrom(slices.Sorted(maps.Keys(w.jobs))).Draw(t, "job"))
+}
+
+func (w *simulation) cancelJob(id string) {
 	w.cancels[id] = true
 	w.owner.Cancel(id, w.now)
 }
@@ -238,6 +268,8 @@
 		return
 	}
 	r.answerLost = true
+	w.lastFault = w.now
+	w.extendActive(*r, r.sentAt.Add(maxCallDelay))
 	if r.action.Kind == ActionStart {
 		w.lostAnswers[r.action.Task]++
 	}
@@ -251,11 +283,15 @@
 	if len(w.requests) == 0 {
 		return
 	}
-	i := rapid.IntRange(0, len(w.requests)-1).Draw(t, "order")
+	w.deliverOne(rapid.IntRange(0, len(w.requests)-1).Draw(t, "order"))
+}
+
+// deliverOne executes a request, unless its worker is out of contact, and reports whether it did.
+func (w *simulation) deliverOne(i int) bool {
 	r := w.requests[i]
 	n := w.workers[r.action.Worker]
-	if n.disconnected {
-		return
+	if n == nil || n.disconnected {
+		return false
 	}
 	w.requests = slices.Delete(w.requests, i, i+1)
 	answer := w.execute(n, r)
@@ -264,7 +300,7 @@
 		w.lostAnswers[r.action.Task]--
 	}
 	if r.answerLost || r.epoch != w.epoch {
-		return
+		return true
 	}
 	switch r.action.Kind {
 	case ActionStart:
@@ -272,6 +308,7 @@
 	case ActionStop:
 		w.owner.StopAnswered(r.action.Worker, r.action.Incarnation, r.action.Task, r.action.Run, answer, w.now)
 	}
+	return true
 }
 
 // execute executes a request as a worker does, and returns the answer.
@@ -466,7 +503,7 @@
 	w.clocks[n.info.ID] = simulatedClock{clock: w.clock(n), at: w.now}
 	r := Report{Incarnation: n.info.Incarnation, RequestedAt: w.now, Clock: w.clock(n)}
 	for _, key := range sortedKeys(n.running) {
-		r.Running = append(r.Running, RunningAttempt{Task: key.task, Run: key.run, Percent: 50})
+		r.Running = append(r.Running, RunningAttempt{Task: key.task, Run: key.run, Percent: w.percent})
 	}
 	r.Ended = slices.Clone(n.ended[:min(len(n.ended), simulatedMaxEnds)])
 	r.Incomplete = len(r.Ended) == simulatedMaxEnds
