batch: a gang isn't passed over since a smaller task waits for a suspected one

A gang waits though it has room, for 0.5 s and more after each start of a task that is suspected repeatedly, one after the other.

Cause: a gang may join a suspected task. But it was not even looked at if a step of its queue that needs no more had found no worker, also if that step only had to stay away from the suspected task.

Mend: while a usable worker runs a suspected task, the search for a gang isn't skipped.

Evidence: TestATaskThatWaitsForASuspectHoldsUpNoGang: 0 of 2 starts before, 2 now.

--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -78,7 +78,8 @@
 	var unplaced unplacedSteps
 	for _, entry := range s.openStepsInOrder(now) {
 		hasLastResort := entry.step.spec.LongRunning && len(lastResorts) > 0
-		if unplaced.covers(entry.step) && !hasLastResort {
+		maySuitGang := entry.step.spec.Gang && runSuspects(workers)
+		if !hasLastResort && !maySuitGang && unplaced.covers(entry.step) {
 			s.recordWait(entry.step, waitsForRoom, entry.step.firstWaiting(), now)
 			continue
 		}
@@ -95,6 +96,11 @@
 	}
 }
 
+// runSuspects reports whether one of the workers runs a suspected task. A gang may join one that no other task may.
+func runSuspects(workers []*worker) bool {
+	return slices.ContainsFunc(workers, func(w *worker) bool { return w.suspected > 0 })
+}
+
 // sortedWorkers returns all workers, ordered by id so that decisions are reproducible.
 func (s *State) sortedWorkers() []*worker {
 	if len(s.sorted) != len(s.workers) {
