batch: a task that hangs keeps no long-running one from a worker that works

A long-running task that is down gets no start for 8 s after each task that made no progress for 3.5 s on the only worker with room.

Cause: lets such a task use a worker in quarantine for failures 2 s after the last, but none in quarantine for a stall, which may stand still as a whole. That other tasks go on there was not looked at.

Mend: a worker in quarantine on which a task has made progress since the stall is a last resort too, 2 s after that progress. Each new stall begins the pause anew. Nothing changes for short tasks, for workers on which nothing makes progress, and for those that refuse starts: their pause is shorter.

--- a/internal/batch/quarantine.go
+++ b/internal/batch/quarantine.go
@@ -13,8 +13,8 @@
 	quarantineTime = 8 * time.Second
 	// refusalQuarantineTime is the quarantine of a worker that refused a start as unhealthy.
 	refusalQuarantineTime = time.Second
-	// lastResortDelay is the pause after a failure from which a quarantined worker gets long-running tasks
-	// for which no other worker has room.
+	// lastResortDelay is the pause after a failure, or after the first progress that follows a stall, from which a
+	// quarantined worker gets long-running tasks for which no other worker has room.
 	lastResortDelay = 2 * time.Second
 	// maxFailureAge and maxLongRunningFailureAge are the times after the last failure of a finite or of a
 	// long-running task, not counting the quarantine, after which a worker's failures are not in a row any
@@ -24,8 +24,9 @@
 )
 
 // quarantine keeps new tasks away from a worker for a while. During rest, this includes the long-running
-// tasks that find no other worker.
+// tasks that find no other worker; it ends sooner if a task there makes progress.
 func (w *worker) quarantine(now time.Time, during, rest time.Duration) {
+	w.worksSince = time.Time{}
 	w.quarantinedUntil = laterOf(w.quarantinedUntil, now.Add(during))
 	w.restsUntil = laterOf(w.restsUntil, now.Add(rest))
 }
@@ -140,7 +141,7 @@
 }
 
 // lastResorts returns the workers, ordered by id, that may get long-running tasks for which no other worker has
-// room: those in quarantine for failures, after a pause.
+// room: those in quarantine for failures, or for a stall of a task while others make progress, after a pause.
 func (s *State) lastResorts(now time.Time) []*worker {
 	var out []*worker
 	for _, w := range s.sorted {
@@ -153,5 +154,10 @@
 
 // isLastResort reports whether the worker may get long-running tasks for which no other worker has room.
 func (w *worker) isLastResort(s *State, now time.Time) bool {
-	return now.Before(w.quarantinedUntil) && !now.Before(w.restsUntil) && w.usableButForQuarantine(s)
+	return now.Before(w.quarantinedUntil) && (!now.Before(w.restsUntil) || w.works(now)) && w.usableButForQuarantine(s)
+}
+
+// works reports whether a task on a worker in quarantine has made progress since it began, lastResortDelay ago or earlier.
+func (w *worker) works(now time.Time) bool {
+	return !w.worksSince.IsZero() && now.Sub(w.worksSince) >= lastResortDelay
 }
--- a/internal/batch/quarantine_test.go
+++ b/internal/batch/quarantine_test.go
@@ -170,7 +170,7 @@
 	is.Equal(starts[0].Worker, WorkerID("a"))
 }
 
-// A worker refuses starts as unhealthy, or stalls what it runs. It gets no long-running task either until its
+// A worker refuses starts as unhealthy, or stalls all that it runs. It gets no long-running task either until its
 // quarantine ends.
 func TestWorkerThatRefusesOrStallsIsNoLastResort(t *testing.T) {
 	is := is.New(t)
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -75,6 +75,9 @@
 	if !a.listed || e.Percent > a.percent {
 		a.progressAt = now
 	}
+	if a.listed && e.Percent > a.percent && a.worker.worksSince.IsZero() {
+		a.worker.worksSince = now
+	}
 	if !a.listed {
 		a.listed, a.listedSince = true, now
 	}
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -45,6 +45,8 @@
 	countedSeq        int64     // highest Seq of the ends that were counted for or against the worker
 	quarantinedUntil  time.Time
 	restsUntil        time.Time // until when it does not get long-running tasks without another worker either
+	// worksSince is when a task there first made progress after the quarantine had begun; zero if none has.
+	worksSince time.Time
 }
 
 // UpdateWorker adds a worker from the registry, or updates it.
@@ -260,7 +262,7 @@
 	s.event(Event{Name: "worker.reborn", Worker: w.info.ID, Detail: fmt.Sprintf("%s shows incarnation %d after %d; unconfirmed starts: %d", source, incarnation, w.info.Incarnation, unconfirmed)})
 	w.info.Incarnation = incarnation
 	w.reported, w.described, w.leaseConfirmed, w.failures, w.quarantinedUntil = false, false, false, nil, time.Time{}
-	w.countedSeq, w.restsUntil = 0, time.Time{}
+	w.countedSeq, w.restsUntil, w.worksSince = 0, time.Time{}, time.Time{}
 	w.highestCPU, w.roomRefusals = 0, nil
 }
 
