owner: lost workers don't delay the first renewals of others after a take-over

Cause: at most 64 first calls are in flight, so that thousands of answers don't take up the processor at once. A lost worker holds one of these places for the whole 0.5 s of its time limit.

Mend: a call counts among the 64 for 100 ms at most.

--- a/internal/owner/leader_test.go
+++ b/internal/owner/leader_test.go
@@ -58,6 +58,57 @@
 	}, ids...)
 }
 
+// Guards against leases that lapse on workers in reach, since their first renewals wait behind calls to many workers that
+// were lost together with the former owner.
+func TestLostWorkersDoNotDelayTheFirstRenewalsOfOthers(t *testing.T) {
+	const inReach, lost = 100, 800
+	var ids []batch.WorkerID
+	for i := range inReach + lost {
+		ids = append(ids, batch.WorkerID(fmt.Sprintf("w%03d", i)))
+	}
+	withHarness(t, func(h *harness) {
+		h.workers.taskDuration = time.Hour
+		h.startInstance("a")
+		h.sleep(3 * time.Second)
+		step := tasks(2 * inReach)
+		step.LongRunning = true
+		h.submit("j", step)
+		h.sleep(3 * time.Second)
+		h.startInstance("b")
+		h.sleep(time.Second)
+		kept := h.runningOn(ids[:inReach])
+		h.is.True(len(kept) > 0)
+		h.loseWorkers(ids[inReach:])
+		h.kill("a")
+		h.sleep(20 * time.Second)
+		for _, id := range kept {
+			h.is.Equal(h.workers.starts(id), 1)
+		}
+	}, ids...)
+}
+
+// runningOn returns the tasks that run on some of the workers.
+func (h *harness) runningOn(ids []batch.WorkerID) []batch.TaskID {
+	h.workers.mu.Lock()
+	defer h.workers.mu.Unlock()
+	var tasks []batch.TaskID
+	for _, id := range ids {
+		for key := range h.workers.workers[id].running {
+			tasks = append(tasks, key.task)
+		}
+	}
+	return tasks
+}
+
+// loseWorkers lets workers answer no calls any more.
+func (h *harness) loseWorkers(ids []batch.WorkerID) {
+	h.workers.mu.Lock()
+	defer h.workers.mu.Unlock()
+	for _, id := range ids {
+		h.workers.unreachable[id] = true
+	}
+}
+
 // After a take-over of thousands of workers, their reports fill the event queue. A change of a
 // worker in the store must be applied before the queued reports and before the next decision.
 func TestStoreEventsPrecedeOtherEvents(t *testing.T) {
--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
@@ -91,6 +92,10 @@
 // workers, calling all of them at once would use up the processor for seconds.
 const maxFirstRenewals = 64
 
+// firstRenewalPatience is how long such a call counts among them. A worker that has not answered by then may be lost,
+// and takes up no processor time.
+const firstRenewalPatience = 100 * time.Millisecond
+
 // run calls the worker until ctx ends or the worker rejects the epoch.
 func (rn *renewer) run(ctx context.Context) {
 	for first := true; ctx.Err() == nil; first = false {
@@ -112,12 +117,16 @@
 	}
 }
 
-// renewLimited makes a call. The first call of a renewer waits for the firstRenewals semaphore.
+// renewLimited makes a call. The first call of a renewer waits for the firstRenewals semaphore, and holds it for
+// firstRenewalPatience at most, so that many lost workers do not delay the renewals of others.
 func (rn *renewer) renewLimited(ctx context.Context, first bool) (batch.Report, batch.Answer) {
 	if first {
 		select {
 		case rn.leader.firstRenewals <- struct{}{}:
-			defer func() { <-rn.leader.firstRenewals }()
+			release := sync.OnceFunc(func() { <-rn.leader.firstRenewals })
+			defer release()
+			timer := time.AfterFunc(firstRenewalPatience, release)
+			defer timer.Stop()
 		case <-ctx.Done():
 			return batch.Report{}, batch.AnswerNone
 		}
