batch: TestWorld drains workers, evacuates data centres, loses the store and lets tasks fail

Why: the check that room is not withheld from long-running tasks asks for workers that don't drain, in no evacuated data centre and with the right label, but nothing of that happened in its histories, nor a record that waits for the store.

What is new: a worker drains or stops draining at random; beside each loss in a series the owner may be replaced, the store may take no records for up to 12 s, a data centre may be evacuated, some workers may drain, or all tasks on some workers fail. Some long-running steps require a label that every second worker has. While the store takes no records, there is no calm.

Wrong at first, before this commit: a store that was still away counted as calm, 10 s after it was lost; a suspected task waits for its record then.

--- a/internal/batch/simulation_faults_test.go
+++ b/internal/batch/simulation_faults_test.go
@@ -123,6 +123,7 @@
 func (w *simulation) restart(t *rapid.T, n *simulatedWorker) {
 	w.lastFault = w.now
 	n.info.Incarnation++
+	n.info.Draining = false
 	if rapid.IntRange(0, 3).Draw(t, "another kind") == 0 {
 		n.info.Capacity, n.formerCapacities = drawCapacity(t), nil
 	}
@@ -174,6 +175,15 @@
 	n.refuses = !n.refuses
 }
 
+// drainOne lets a worker drain, or end its draining.
+func (w *simulation) drainOne(t *rapid.T) {
+	n := w.drawWorker(t)
+	w.lastFault = w.now
+	n.info.Draining = !n.info.Draining
+	n.entry = n.info
+	w.owner.UpdateWorker(n.entry, w.now)
+}
+
 // checkWaiting checks that a job of which no worker has started a task is counted and shown as waiting.
 func (w *simulation) checkWaiting(t *rapid.T) {
 	waiting := 0
--- a/internal/batch/simulation_lasting_test.go
+++ b/internal/batch/simulation_lasting_test.go
@@ -93,7 +93,7 @@
 
 // hasRoom reports whether a worker that is in order has room for a task lastingRoom times, by what it runs.
 func (w *simulation) hasRoom(n *simulatedWorker, id TaskID, step *Step) bool {
-	if n.disconnected || n.refuses || n.info.Draining || n.info.Service != "svc" || step.Label != "" && !slices.Contains(n.info.Labels, step.Label) {
+	if n.disconnected || n.refuses || n.info.DataCentre == w.evacuated || n.info.Draining || n.info.Service != "svc" || step.Label != "" && !slices.Contains(n.info.Labels, step.Label) {
 		return false
 	}
 	free, same := n.info.Capacity, 0
--- a/internal/batch/simulation_losses_test.go
+++ b/internal/batch/simulation_losses_test.go
@@ -20,8 +20,13 @@
 	maxEntryAge = 5 * time.Second
 	// ticksAfterLosses is how long the workers stay after the last loss and the last arrival.
 	ticksAfterLosses = 100
+	// oddLabel is a label of every second worker.
+	oddLabel = "odd"
 )
 
+// dataCentres are those of the workers, in turn.
+var dataCentres = []string{"a", "b", "c"}
+
 // laterEvent happens at its time.
 type laterEvent struct {
 	at time.Time
@@ -114,6 +119,54 @@
 	}
 }
 
+// loseStore lets the store take no records for a while.
+func (w *simulation) loseStore(away time.Duration) {
+	w.lastFault, w.storeDown = w.now, true
+	w.after(away, func() { w.lastFault, w.storeDown = w.now, false })
+}
+
+// evacuate evacuates one of the data centres, or takes back all evacuations.
+func (w *simulation) evacuate(t *rapid.T) {
+	w.lastFault = w.now
+	w.evacuated = rapid.SampledFrom(append([]string{""}, dataCentres...)).Draw(t, "evacuated")
+	w.configure()
+}
+
+// configure passes the present configuration to the owner.
+func (w *simulation) configure() {
+	w.configVersion++
+	w.owner.SetConfig(Config{
+		Version: w.configVersion, Evacuated: map[string]bool{w.evacuated: true},
+		Queues: map[string]Queue{"q": {Service: "svc", MaxAttempts: 3, Stretch: 2}},
+	})
+}
+
+// drainSome lets some workers drain, or end their draining.
+func (w *simulation) drainSome(t *rapid.T) {
+	w.lastFault = w.now
+	for _, id := range w.ids() {
+		if n := w.workers[id]; rapid.Bool().Draw(t, "changes") {
+			n.info.Draining = !n.info.Draining
+			n.entry = n.info
+			w.owner.UpdateWorker(n.entry, w.now)
+		}
+	}
+}
+
+// failSome lets all tasks on some workers fail.
+func (w *simulation) failSome(t *rapid.T) {
+	w.lastFault = w.now
+	for _, id := range w.ids() {
+		n := w.workers[id]
+		w.expireLease(n)
+		if rapid.Bool().Draw(t, "fails") {
+			for _, key := range sortedKeys(n.running) {
+				w.endAttempt(n, key, EndFailed)
+			}
+		}
+	}
+}
+
 // submitLasting submits a job with one step of long-running tasks.
 func (w *simulation) submitLasting(t *rapid.T) {
 	id := fmt.Sprintf("lasting%d", len(w.jobs))
@@ -122,6 +175,7 @@
 		Resources:   Resources{CPU: int64(rapid.IntRange(1, 3).Draw(t, "half cores")) * 500, MemoryMB: 250},
 		LongRunning: true, Estimate: time.Second,
 		MaxPerWorker: rapid.SampledFrom([]int{0, 0, 0, 2, 4}).Draw(t, "on a worker"),
+		Label:        rapid.SampledFrom([]string{"", "", "", oddLabel}).Draw(t, "label"),
 	}
 	w.addJob(&Job{ID: id, Queue: "q", QueueConfig: Queue{Service: "svc", MaxAttempts: 3}, Accepted: w.now, Spec: Spec{Payload: "p", Steps: []Step{step}}})
 }
@@ -142,8 +196,17 @@
 	w.runTicks(t, rapid.IntRange(5, 40).Draw(t, "ticks before the losses"))
 	for range rapid.IntRange(1, maxLossSeries).Draw(t, "losses") {
 		w.loseTogether(t, 0)
-		if rapid.IntRange(0, 5).Draw(t, "the owner is replaced too") == 0 {
+		switch rapid.IntRange(0, 9).Draw(t, "what else happens") {
+		case 0, 1:
 			w.replaceOwner(t)
+		case 2:
+			w.loseStore(drawAbsence(t))
+		case 3:
+			w.evacuate(t)
+		case 4:
+			w.drainSome(t)
+		case 5:
+			w.failSome(t)
 		}
 		w.runTicks(t, rapid.IntRange(1, 50).Draw(t, "ticks after the loss"))
 	}
@@ -163,11 +226,12 @@
 	return false
 }
 
-// endFaults restores connections and lets workers accept starts.
+// endFaults restores connections and the store, ends evacuations and draining, and lets workers accept starts.
 func (w *simulation) endFaults() {
-	w.lastFault = w.now
+	w.lastFault, w.storeDown, w.evacuated = w.now, false, ""
+	w.configure()
 	for _, n := range w.workers {
-		n.disconnected, n.refuses = false, false
+		n.disconnected, n.refuses, n.info.Draining = false, false, false
 	}
 }
 
@@ -182,6 +246,9 @@
 func (w *simulation) tick(t *rapid.T) {
 	w.now = w.now.Add(simulatedTick)
 	w.percent = 101 - w.percent
+	if w.storeDown {
+		w.lastFault = w.now
+	}
 	w.expireRequests()
 	w.runLater()
 	for _, id := range w.ids() {
--- a/internal/batch/simulation_run_test.go
+++ b/internal/batch/simulation_run_test.go
@@ -25,6 +25,7 @@
 			"resize": w.resize,
 			"crash":  w.crash,
 			"losses": w.loseSome,
+			"drain":  w.drainOne,
 			"refuse": w.toggleRefusal,
 			"": func(t *rapid.T) {
 				w.checkWaiting(t)
--- a/internal/batch/simulation_test.go
+++ b/internal/batch/simulation_test.go
@@ -61,6 +61,9 @@
 	ownersKilled         int                                 // owners killed just as a worker crashed under a task
 	unrelatedCrashes     map[TaskID]int                      // crashes for other reasons of workers that had or were to start it
 	later                []laterEvent
+	storeDown            bool   // the store takes no records
+	evacuated            string // the evacuated data centre; "" for none
+	configVersion        int64
 	percent              int                               // progress in the reports of all running tasks
 	lastFault            time.Time                         // when a fault last began or ended
 	lastActive           map[TaskID]time.Time              // when a long-running task that has run last ran or was being started
@@ -141,9 +144,12 @@
 func (w *simulation) newWorker() *simulatedWorker {
 	id := w.newID()
 	n := &simulatedWorker{
-		info:    WorkerInfo{ID: id, Incarnation: 1, Service: "svc", Address: string(id), DataCentre: "a", Capacity: fullCapacity},
+		info:    WorkerInfo{ID: id, Incarnation: 1, Service: "svc", Address: string(id), DataCentre: dataCentres[w.lastID%len(dataCentres)], Capacity: fullCapacity},
 		running: map[attemptKey]bool{}, maxEndedRun: map[TaskID]int64{}, nextSeq: 1,
 	}
+	if w.lastID%2 == 1 {
+		n.info.Labels = []string{oddLabel}
+	}
 	n.entry = n.info
 	w.workers[id] = n
 	w.startedAfterDone[n] = map[int64]bool{}
@@ -160,7 +166,6 @@
 	w.pending, w.acks = nil, nil
 	w.clocks = map[WorkerID]simulatedClock{}
 	s := keepOwnership(New(w.epoch, testLimits))
-	s.SetConfig(Config{Version: 1, Queues: map[string]Queue{"q": {Service: "svc", MaxAttempts: 3, Stretch: 2}}})
 	until := map[WorkerID]time.Time{}
 	for id := range w.recordedWorkers {
 		until[id] = w.now.Add(simulatedLeaseTTL + 500*time.Millisecond)
@@ -178,6 +183,7 @@
 		s.Cancel(id, w.now)
 	}
 	w.owner = s
+	w.configure()
 	for _, id := range w.ids() {
 		w.enlist(w.workers[id])
 	}
@@ -514,6 +520,9 @@
 
 // commit makes the owner's records durable, then acknowledges the reported ends.
 func (w *simulation) commit(*rapid.T) {
+	if w.storeDown {
+		return
+	}
 	records := w.owner.TakeDirty(100)
 	maps.Copy(w.records, records)
 	w.owner.MarkStored(records)
