owner: renewals don't wait for a transaction that only writes the head

Cause: since the head is written alone each 0.5 s for a while after a take-over. The parameters of a worker's next call waited for any transaction in flight, also one with nothing that they need. With the store away, each call was so delayed by ackTimeout (0.4 s), and a worker that has just come into contact again got no lease until the store was back.

Mend: they wait for the newest transaction with the workers record, and as before for the job records that they need.

--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -16,6 +16,8 @@
 	rev int64 // revision of the head
 	// number is the number of the newest transaction.
 	number int64
+	// workersNumber is the number of the newest transaction with the workers record.
+	workersNumber int64
 	// inFlight is the transaction that has been sent and has no known outcome yet; nil if none.
 	inFlight *recordTxn
 	// lastSent is when the newest transaction was sent.
@@ -46,9 +48,9 @@
 // setParamsWhenDurable passes the parameters to the renewer once all changes made so far are durable.
 // Later changes do not delay them.
 func (l *leader) setParamsWhenDurable(i renewalParams, rn *renewer) {
-	p := pendingParams{params: i, renewer: rn, txnNumber: l.commits.number, change: l.state.LastChange()}
+	p := pendingParams{params: i, renewer: rn, txnNumber: l.commits.workersNumber, change: l.state.LastChange()}
 	if l.workersRecord.dirty {
-		p.txnNumber++
+		p.txnNumber = l.commits.number + 1
 	}
 	if l.isDurable(p) {
 		rn.setParams(i)
@@ -123,6 +125,7 @@
 		t.txn.Set = append(t.txn.Set, kv.Write{Key: RecordKey(id), Value: encode(r)})
 	}
 	if l.workersRecord.dirty {
+		c.workersNumber = c.number
 		for _, id := range l.workersRecord.addTo(t, l.state.WorkersInUse(), now) {
 			l.state.MarkUnrecorded(id)
 		}
--- a/internal/owner/commit_test.go
+++ b/internal/owner/commit_test.go
@@ -39,3 +39,24 @@
 	is.Equal((<-rn.newParams).ackSeq, int64(7))
 	is.True(l.state.DirtyJobs() > maxRecordsPerTxn) // later changes are still unwritten
 }
+
+// Guards against renewals that wait for a transaction with nothing that they need, such as one that only writes the head.
+func TestRenewalsWaitOnlyForTransactionsWithTheirChanges(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		workers bool // the transaction in flight holds the workers record
+	}{{"the head only", false}, {"the workers record", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			o := New(Options{Instance: "a"}, newMemoryStore(), nil, fakeRegistry{}, testConfig, zerolog.Nop())
+			l := newLeader(o, heldClaim{claim: Claim{Epoch: 1}, commitRev: 1}, func(error) {})
+			l.workersRecord.dirty = c.workers
+			l.commits.inFlight = l.nextTxn(time.Now())
+			rn := &renewer{newParams: make(chan renewalParams, 1)}
+			l.setParamsWhenDurable(renewalParams{renew: true}, rn)
+			is.Equal(len(rn.newParams) == 0, c.workers)
+			l.committed(l.commits.inFlight, 2)
+			is.Equal(len(rn.newParams), 1)
+		})
+	}
+}
