--- a/internal/batch/simulation_faults_test.go
+++ b/internal/batch/simulation_faults_test.go
@@ -1,7 +1,6 @@
 package batch
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -11,6 +10,7 @@
 // toggleConnection interrupts the connection between a worker and the owner, or restores it.
 func (w *simulation) toggleConnection(t *rapid.T) {
 	n := w.drawWorker(t)
+	w.lastFault = w.now
 	n.disconnected = !n.disconnected
 	if n.disconnected {
 		w.owner.MarkUnreachable(n.info.ID)
@@ -128,6 +128,7 @@
 		return
 	}
 	n := w.drawWorker(t)
+	w.lastFault = w.now
 	w.setCapacity(n, drawCapacity(t))
 }
 
@@ -147,7 +148,9 @@
 // restart starts a worker under the same id or, at the same address, under a new one. It knows nothing of before and
 // may be of another kind.
 func (w *simulation) restart(t *rapid.T, n *simulatedWorker) {
+	w.lastFault = w.now
 	n.info.Incarnation++
+	n.info.Draining = false
 	if rapid.IntRange(0, 3).Draw(t, "another kind") == 0 {
 		n.info.Capacity, n.formerCapacities = drawCapacity(t), nil
 	}
@@ -180,8 +183,7 @@
 	w.owner.MarkUnreachable(former)
 	w.owner.RemoveWorker(former)
 	delete(w.workers, former)
-	w.renamed++
-	n.info.ID = WorkerID(fmt.Sprintf("%s-%d", n.info.Address, w.renamed))
+	n.info.ID = w.newID()
 	n.entry = n.info
 	w.workers[n.info.ID] = n
 	w.enlist(n)
@@ -190,6 +192,7 @@
 // toggleDraining lets a worker drain, or get tasks again. The registry shows it at once.
 func (w *simulation) toggleDraining(t *rapid.T) {
 	n := w.drawWorker(t)
+	w.lastFault = w.now
 	w.setDraining(n, !n.info.Draining)
 }
 
@@ -244,18 +247,16 @@
 	w.plan(t)
 	for i := 0; i < len(w.requests); {
 		r := w.requests[i]
-		if r.action.Kind != ActionStart || !w.faulty[r.action.Task] || w.workers[r.action.Worker].disconnected {
+		if r.action.Kind != ActionStart || !w.faulty[r.action.Task] || !w.deliverOne(i) {
 			i++
-			continue
 		}
-		w.deliverAt(i)
 	}
 }
 
 // toggleStore takes the store away, or brings it back.
 func (w *simulation) toggleStore(t *rapid.T) {
-	if w.storeAway || rapid.IntRange(0, 2).Draw(t, "seldom") == 0 {
-		w.storeAway = !w.storeAway
+	if w.storeDown || rapid.IntRange(0, 2).Draw(t, "seldom") == 0 {
+		w.lastFault, w.storeDown = w.now, !w.storeDown
 	}
 }
 
@@ -265,6 +266,7 @@
 		return
 	}
 	n := w.drawWorker(t)
+	w.lastFault = w.now
 	n.refuses = !n.refuses
 }
 
@@ -294,6 +296,7 @@
 func (w *simulation) advanceTime(t *rapid.T) {
 	w.now = w.now.Add(time.Duration(rapid.IntRange(10, 900).Draw(t, "ms")) * time.Millisecond)
 	w.expireRequests()
+	w.runLater()
 }
 
 func (w *simulation) expireRequests() {
--- a/internal/batch/simulation_run_test.go
+++ b/internal/batch/simulation_run_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"pgregory.net/rapid"
 )
@@ -25,6 +24,7 @@
 			"cut":    w.toggleConnection,
 			"resize": w.resize,
 			"crash":  w.crash,
+			"losses": w.loseSome,
 			"refuse": w.toggleRefusal,
 			"store":  w.toggleStore,
 			"drain":  w.toggleDraining,
@@ -42,6 +42,9 @@
 				}
 			},
 		})
+		if !w.failuresOnly && rapid.Bool().Draw(t, "losses in series") {
+			w.loseInSeries(t)
+		}
 		w.quiesce(t)
 	})
 }
@@ -49,22 +52,18 @@
 // quiesce restores all connections and capacities and runs without faults for 80 s. After that, every job must have
 // ended. Deadly tasks that are long-running have 60 s before to crash workers.
 func (w *simulation) quiesce(t *rapid.T) {
-	w.storeAway = false
-	for _, n := range w.workers {
-		n.disconnected, n.refuses = false, false
-	}
+	w.endFaults()
 	if w.hasDeadlyLongRunningTask() {
-		w.runCalmly(t, 60*time.Second)
+		w.runTicks(t, 300)
 		w.checkFailures(t)
 	}
 	// Long-running tasks may occupy the workers forever.
 	for id, j := range w.jobs {
 		if j.Spec.LongRunning() {
-			w.cancels[id] = true
-			w.owner.Cancel(id, w.now)
+			w.cancelJob(id)
 		}
 	}
-	w.runCalmly(t, 80*time.Second)
+	w.runTicks(t, 400)
 	w.checkFailures(t)
 	if n := w.owner.QueuedJobs("q"); n != 0 {
 		t.Fatalf("%d jobs are said to wait after all have ended", n)
@@ -93,29 +92,6 @@
 	return false
 }
 
-// runCalmly lets time pass without faults. All workers report every 200 ms and have their full capacity.
-func (w *simulation) runCalmly(t *rapid.T, duration time.Duration) {
-	const interval = 200 * time.Millisecond
-	for end := w.now.Add(duration); w.now.Before(end); {
-		w.now = w.now.Add(interval)
-		w.expireRequests()
-		for _, id := range w.ids() {
-			n := w.workers[id]
-			w.setCapacity(n, fullCapacity)
-			w.setDraining(n, false)
-			w.reportOf(n, true)
-		}
-		w.commit(t)
-		w.plan(t)
-		for len(w.requests) > 0 {
-			w.deliver(t)
-		}
-		for _, id := range w.ids() {
-			w.endAll(w.workers[id])
-		}
-	}
-}
-
 // checkCompleted checks that all tasks of a job with status Completed have been done.
 func (w *simulation) checkCompleted(t *rapid.T, j *Job) {
 	for s, step := range j.Spec.Steps {
--- a/internal/batch/simulation_test.go
+++ b/internal/batch/simulation_test.go
@@ -27,6 +27,8 @@
 	// maxOwnersKilled bounds the owners that are killed just as a worker crashes. Each may leave a start of which
 	// no record tells, or the record of a start that was not carried out.
 	maxOwnersKilled = 2
+	// simulatedWorkers is the number of workers at the start.
+	simulatedWorkers = 4
 	// simulatedMaxEnds is the largest number of ended attempts in a report.
 	simulatedMaxEnds = 2
 )
@@ -43,6 +45,7 @@
 	cancels              map[string]bool   // as the store holds them
 	recordedWorkers      map[WorkerID]bool // workers in use, as the store holds them
 	workers              map[WorkerID]*simulatedWorker
+	lastID               int // number of the worker that was named last
 	requests             []sentRequest
 	begun                map[string]bool                     // jobs of which a worker has started a task
 	clocks               map[WorkerID]simulatedClock         // the owner's readings
@@ -56,8 +59,6 @@
 	failedEndsAtStart    map[TaskID]int                      // how many of them there were at the last start of the task
 	maxAttempts          int                                 // of the queue
 	faulty               map[TaskID]bool                     // tasks that fail on each worker
-	renamed              int                                 // workers that have got a new id
-	storeAway            bool                                // no record becomes durable, and nothing is acknowledged
 	failuresOnly         bool                                // all tasks are faulty, and no worker crashes, is resized or refuses starts
 	failedRuns           map[attemptKey]bool                 // runs that ended failed, whether reported or not
 	deadly               map[TaskID]bool                     // tasks that crash each worker that starts them
@@ -67,6 +68,14 @@
 	lostAnswers          map[TaskID]int                      // starts without an answer, but for those that crashed the worker
 	ownersKilled         int                                 // owners killed just as a worker crashed under a task
 	unrelatedCrashes     map[TaskID]int                      // crashes for other reasons of workers that had or were to start it
+	later                []laterEvent
+	storeDown            bool   // no record becomes durable, and nothing is acknowledged
+	evacuated            string // the evacuated data centre; "" for none
+	configVersion        int64
+	percent              int                               // progress in the reports of all running tasks
+	lastFault            time.Time                         // when a fault last began or ended
+	lastActive           map[TaskID]time.Time              // when a long-running task that has run last ran or was being started
+	roomSince            map[TaskID]map[WorkerID]time.Time // since when a worker has had room for such a task that is down
 }
 
 // fullCapacity is the largest capacity of a worker.
@@ -135,31 +144,46 @@
 		failedRuns: map[attemptKey]bool{}, deadly: map[TaskID]bool{}, crashes: map[TaskID]int{}, startsAfterCrashes: map[TaskID]int{}, lastDeadlyStart: map[TaskID]sentRequest{}, lostAnswers: map[TaskID]int{}, unrelatedCrashes: map[TaskID]int{},
 		failedEnds: map[TaskID][]simulatedFailure{}, failedEndsAtStart: map[TaskID]int{}, faulty: map[TaskID]bool{},
 		maxAttempts: rapid.IntRange(2, 3).Draw(t, "max attempts"), failuresOnly: rapid.IntRange(0, 2).Draw(t, "failures only") == 0,
+		percent: 50, lastActive: map[TaskID]time.Time{}, roomSince: map[TaskID]map[WorkerID]time.Time{},
 	}
-	for i := range 4 {
-		id := WorkerID(fmt.Sprintf("w%d", i))
-		n := &simulatedWorker{
-			info:    WorkerInfo{ID: id, Incarnation: 1, Service: "svc", Address: string(id), DataCentre: "a", Capacity: fullCapacity},
-			running: map[attemptKey]bool{}, maxEndedRun: map[TaskID]int64{}, nextSeq: 1,
-		}
-		n.entry = n.info
-		w.workers[id] = n
-		w.startedAfterDone[n] = map[int64]bool{}
+	for range simulatedWorkers {
+		w.newWorker()
 	}
 	w.replaceOwner(t)
 	return w
 }
 
+func (w *simulation) newID() WorkerID {
+	w.lastID++
+	return WorkerID(fmt.Sprintf("w%d", w.lastID))
+}
+
+// newWorker starts a worker, of which the owner does not know yet.
+func (w *simulation) newWorker() *simulatedWorker {
+	id := w.newID()
+	n := &simulatedWorker{
+		info:    WorkerInfo{ID: id, Incarnation: 1, Service: "svc", Address: string(id), DataCentre: dataCentres[w.lastID%len(dataCentres)], Capacity: fullCapacity},
+		running: map[attemptKey]bool{}, maxEndedRun: map[TaskID]int64{}, nextSeq: 1,
+	}
+	if w.lastID%2 == 1 {
+		n.info.Labels = []string{oddLabel}
+	}
+	n.entry = n.info
+	w.workers[id] = n
+	w.startedAfterDone[n] = map[int64]bool{}
+	return n
+}
+
 // clock returns the time on a worker's clock.
 func (w *simulation) clock(n *simulatedWorker) int64 { return w.now.Add(n.clockOffset).UnixMilli() }
 
 // replaceOwner replaces the owner by a new one, which starts from the contents of the store.
 func (w *simulation) replaceOwner(*rapid.T) {
 	w.epoch++
+	w.lastFault = w.now
 	w.pending, w.acks = nil, nil
 	w.clocks = map[WorkerID]simulatedClock{}
 	s := keepOwnership(New(w.epoch, testLimits))
-	s.SetConfig(Config{Version: 1, Queues: map[string]Queue{"q": {Service: "svc", MaxAttempts: w.maxAttempts, Stretch: 2}}})
 	until := map[WorkerID]time.Time{}
 	for id := range w.recordedWorkers {
 		until[id] = w.now.Add(simulatedLeaseTTL + 500*time.Millisecond)
@@ -177,6 +201,7 @@
 		s.Cancel(id, w.now)
 	}
 	w.owner = s
+	w.configure()
 	for _, id := range w.ids() {
 		w.enlist(w.workers[id])
 	}
@@ -215,7 +240,6 @@
 	}
 	id := fmt.Sprintf("j%d", len(w.jobs))
 	j := &Job{ID: id, Queue: "q", QueueConfig: Queue{Service: "svc", MaxAttempts: w.maxAttempts}, Accepted: w.now, Spec: spec}
-	w.jobs[id] = j
 	switch kind := rapid.IntRange(0, 4).Draw(t, "kind"); {
 	case w.failuresOnly:
 		for i := range spec.Steps[0].Count {
@@ -226,7 +250,7 @@
 	case kind == 1:
 		w.faulty[drawTask(t, id, spec, "faulty")] = true
 	}
-	w.owner.AddJob(&Job{ID: id, Queue: "q", QueueConfig: Queue{Service: "svc", MaxAttempts: w.maxAttempts}, Accepted: w.now, Spec: spec}, nil, false, w.now)
+	w.addJob(j)
 }
 
 // drawTask draws a task of a job. kind is what it is drawn for.
@@ -235,11 +259,21 @@
 	return TaskID{Job: job, Step: step, Index: rapid.IntRange(0, spec.Steps[step].Count-1).Draw(t, kind+" task")}
 }
 
+// addJob adds a new job to the store, and passes a copy of it to the owner.
+func (w *simulation) addJob(j *Job) {
+	w.jobs[j.ID] = j
+	known := *j
+	w.owner.AddJob(&known, nil, false, w.now)
+}
+
 func (w *simulation) cancel(t *rapid.T) {
 	if len(w.jobs) == 0 || rapid.IntRange(0, 5).Draw(t, "seldom") > 0 {
 		return
 	}
-	id := rapid.SampledFrom(slices.Sorted(maps.Keys(w.jobs))).Draw(t, "job")
+	w.cancelJob(rapid.SampledFrom(slices.Sorted(maps.Keys(w.jobs))).Draw(t, "job"))
+}
+
+func (w *simulation) cancelJob(id string) {
 	w.cancels[id] = true
 	w.owner.Cancel(id, w.now)
 }
@@ -270,6 +304,8 @@
 		return
 	}
 	r.answerLost = true
+	w.lastFault = w.now
+	w.extendActive(*r, r.sentAt.Add(maxCallDelay))
 	if r.action.Kind == ActionStart {
 		w.lostAnswers[r.action.Task]++
 	}
@@ -283,16 +319,16 @@
 	if len(w.requests) == 0 {
 		return
 	}
-	i := rapid.IntRange(0, len(w.requests)-1).Draw(t, "order")
-	if !w.workers[w.requests[i].action.Worker].disconnected {
-		w.deliverAt(i)
-	}
+	w.deliverOne(rapid.IntRange(0, len(w.requests)-1).Draw(t, "order"))
 }
 
-// deliverAt executes the request with an index, whose worker is connected.
-func (w *simulation) deliverAt(i int) {
+// deliverOne executes a request, unless its worker is out of contact, and reports whether it did.
+func (w *simulation) deliverOne(i int) bool {
 	r := w.requests[i]
 	n := w.workers[r.action.Worker]
+	if n == nil || n.disconnected {
+		return false
+	}
 	w.requests = slices.Delete(w.requests, i, i+1)
 	answer := w.execute(n, r)
 	if r.action.Kind == ActionStart && w.deadly[r.action.Task] && answer == AnswerNone {
@@ -300,7 +336,7 @@
 		w.lostAnswers[r.action.Task]--
 	}
 	if r.answerLost || r.epoch != w.epoch {
-		return
+		return true
 	}
 	switch r.action.Kind {
 	case ActionStart:
@@ -308,6 +344,7 @@
 	case ActionStop:
 		w.owner.StopAnswered(r.action.Worker, r.action.Incarnation, r.action.Task, r.action.Run, answer, w.now)
 	}
+	return true
 }
 
 // execute executes a request as a worker does, and returns the answer.
@@ -535,7 +572,7 @@
 	w.clocks[n.info.ID] = simulatedClock{clock: w.clock(n), at: w.now}
 	r := Report{Incarnation: n.info.Incarnation, RequestedAt: w.now, Clock: w.clock(n)}
 	for _, key := range sortedKeys(n.running) {
-		r.Running = append(r.Running, RunningAttempt{Task: key.task, Run: key.run, Percent: 50})
+		r.Running = append(r.Running, RunningAttempt{Task: key.task, Run: key.run, Percent: w.percent})
 	}
 	r.Ended = slices.Clone(n.ended[:min(len(n.ended), simulatedMaxEnds)])
 	r.Incomplete = len(r.Ended) == simulatedMaxEnds
@@ -546,7 +583,7 @@
 
 // commit makes the owner's records and the list of the workers in use durable, then acknowledges the reported ends.
 func (w *simulation) commit(*rapid.T) {
-	if w.storeAway {
+	if w.storeDown {
 		return
 	}
 	records := w.owner.TakeDirty(100)
