--- a/internal/batch/isolation.go
+++ b/internal/batch/isolation.go
@@ -9,9 +9,12 @@
 	// suspicionsToSeparate is the number from which it and other suspected ones keep apart until they are cleared.
 	suspicionsToSeparate = 3
 
-	// isolationPatience is how long a worker may run suspected tasks, one after the other, until long-running tasks
-	// without another worker join new ones, too: their room must not stand empty for long.
-	isolationPatience = provingTime
+	// isolationPatience and separationPatience are how long a worker may run suspected tasks, one after the other, until
+	// long-running tasks without another worker do neither any more: their room must not stand empty for long.
+	isolationPatience  = provingTime
+	separationPatience = 2 * time.Second
+	// maxSuspectGap is the longest time between two suspected tasks that follow each other.
+	maxSuspectGap = provingTime
 
 	// weightIsolation is the penalty for a suspected task on a worker with unproven attempts, and for any
 	// task on a worker with a suspected one.
@@ -29,9 +32,13 @@
 	if w.suspected == 0 || st.spec.Gang {
 		return false
 	}
-	joinsNewSuspects := st.spec.LongRunning && w.hasRunSuspectsFor(isolationPatience, now)
+	isolates, separates := true, true
+	if st.spec.LongRunning {
+		isolates = !w.hasRunSuspectsFor(isolationPatience, now)
+		separates = !w.hasRunSuspectsFor(separationPatience, now)
+	}
 	for _, a := range w.attempts {
-		if t.mustBeTold(a) || !joinsNewSuspects && t.mustWaitFor(a) {
+		if isolates && t.mustWaitFor(a) || separates && t.mustBeTold(a) {
 			return true
 		}
 	}
@@ -58,7 +65,8 @@
 	}
 }
 
-// noteSuspects notes that the worker runs suspected tasks, and since when. Starts that have not been sent do not count.
+// noteSuspects notes that the worker runs suspected tasks, and since when, without regard to gaps of up to maxSuspectGap.
+// Starts that have not been sent do not count.
 func (w *worker) noteSuspects(now time.Time) {
 	var first time.Time
 	for _, a := range w.attempts {
@@ -66,14 +74,18 @@
 			first = a.requestedAt
 		}
 	}
-	if !first.IsZero() {
-		w.suspectsSince, w.suspectsSeen = first, now
+	if first.IsZero() {
+		return
+	}
+	if now.Sub(w.suspectsSeen) > maxSuspectGap {
+		w.suspectsSince = first
 	}
+	w.suspectsSeen = now
 }
 
-// hasRunSuspectsFor reports whether the worker has run a suspected task for some time, or did so just now.
+// hasRunSuspectsFor reports whether the worker has run suspected tasks, one after the other, for some time.
 func (w *worker) hasRunSuspectsFor(d time.Duration, now time.Time) bool {
-	return now.Sub(w.suspectsSeen) <= isolationPatience && now.Sub(w.suspectsSince) >= d
+	return now.Sub(w.suspectsSeen) <= maxSuspectGap && now.Sub(w.suspectsSince) >= d
 }
 
 // isolationPenalty lowers the score of a worker where a crash would not tell whose fault it is.
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -38,7 +38,7 @@
 	bestEffortEndedAt time.Time
 	attempts          map[attemptKey]*attempt
 	suspected         int       // attempts of suspected tasks
-	suspectsSince     time.Time // since when it has run the first of these, as of suspectsSeen
+	suspectsSince     time.Time // since when it has run such attempts, one after the other, as of suspectsSeen
 	suspectsSeen      time.Time // when it last ran such an attempt
 	lastContact       time.Time // when it last reported or accepted a start
 	failures          []*step   // the steps of its failures in a row
