--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -141,24 +141,6 @@
 	return !w.listed && len(w.attempts) == 0 && !s.hasUnrecordedEnds(w)
 }
 
-// SetUnresolvedWorkers sets the workers on which a former owner may have started tasks, and for each
-// the time until which these may run if the worker stays unreachable.
-func (s *State) SetUnresolvedWorkers(until map[WorkerID]time.Time) {
-	for id, t := range until {
-		s.unresolvedWorkers[id] = t
-	}
-}
-
-// ShortenDoubt notes that what former owners started on a worker has ended by a time if the worker stays
-// unreachable. It reports whether that is earlier than was known.
-func (s *State) ShortenDoubt(id WorkerID, until time.Time) bool {
-	if known, ok := s.unresolvedWorkers[id]; !ok || !until.Before(known) {
-		return false
-	}
-	s.unresolvedWorkers[id] = until
-	return true
-}
-
 // MarkRecorded notes that the store holds a record that the worker may be in use. A worker gets no
 // tasks before.
 func (s *State) MarkRecorded(id WorkerID) {
@@ -184,53 +166,6 @@
 	}
 }
 
-// LeaseRenewed notes that a lease was sent to the worker, which has certainly ended at leaseEnd.
-// confirmed says that the worker has responded to the renewal; it may get tasks from then on.
-func (s *State) LeaseRenewed(id WorkerID, leaseEnd time.Time, confirmed bool) {
-	w := s.workers[id]
-	if w == nil {
-		return
-	}
-	w.leaseEnd = laterOf(w.leaseEnd, leaseEnd)
-	w.leaseConfirmed = w.leaseConfirmed || confirmed
-}
-
-// LeaseEnd returns the time by which everything on a worker has ended if it stays out of contact, also what a
-// former owner may have started there. It is zero if the worker has no lease.
-func (s *State) LeaseEnd(id WorkerID) time.Time {
-	end := s.unresolvedWorkers[id]
-	w := s.workers[id]
-	if w == nil {
-		return end
-	}
-	end = laterOf(end, w.leaseEnd)
-	for _, a := range w.attempts {
-		end = laterOf(end, s.leaseEnd(a))
-	}
-	return end
-}
-
-// MayStartLate reports whether a worker may still carry out a start that was sent to its former incarnation, so
-// that LeaseEnd lies beyond all leases that were sent to it.
-func (s *State) MayStartLate(id WorkerID) bool {
-	w := s.workers[id]
-	if w == nil {
-		return false
-	}
-	for _, a := range w.attempts {
-		if !a.listed && a.acceptedAt.IsZero() && !a.restartedAt.IsZero() {
-			return true
-		}
-	}
-	return false
-}
-
-// HasLease reports whether the worker has confirmed a renewal since it was last unreachable.
-func (s *State) HasLease(id WorkerID) bool {
-	w := s.workers[id]
-	return w != nil && w.leaseConfirmed
-}
-
 // HasColocatedTasks reports whether the worker runs both best-effort and latency-sensitive tasks.
 func (s *State) HasColocatedTasks(id WorkerID) bool {
 	w := s.workers[id]
@@ -288,75 +223,6 @@
 	s.remove(a, now)
 }
 
-// maxCallDelay is the longest time after which a worker may still carry out a request that got no answer.
-const maxCallDelay = 12 * time.Second
-
-// leaseEnd returns the time by which an attempt has certainly ended if its worker stays out of contact. An
-// attempt that no report has listed may run in an incarnation that has seen no renewal, only the start: there
-// the start grants up to a whole lease, and the time until which the start is valid means nothing, since it is
-// on the clock of the former incarnation.
-func (s *State) leaseEnd(a *attempt) time.Time {
-	switch {
-	case a.listed:
-		return a.worker.leaseEnd
-	case !a.acceptedAt.IsZero():
-		return laterOf(a.worker.leaseEnd, a.acceptedAt.Add(s.timing.LeaseTTL))
-	case !a.restartedAt.IsZero():
-		return laterOf(a.worker.leaseEnd, a.requestedAt.Add(maxCallDelay+s.timing.LeaseTTL))
-	default:
-		return laterOf(a.worker.leaseEnd, a.requestedAt.Add(s.timing.StartLeaseTTL+s.timing.LeaseTTL))
-	}
-}
-
-// ExtendOwnership sets the time until which no other owner can have taken over. After it, a successor
-// may renew the leases of workers that this owner cannot reach, so this owner must not treat them
-// as ended.
-func (s *State) ExtendOwnership(until time.Time) { s.ownedUntil = laterOf(s.ownedUntil, until) }
-
-// expireLeases removes the attempts on unreachable workers whose leases have ended, if no other owner
-// can have renewed the leases. It also deletes idle workers that the registry no longer has, and
-// deletes the unresolved workers whose leases from the former owner have ended.
-func (s *State) expireLeases(now time.Time) {
-	for id, w := range s.workers {
-		if s.isForgettable(w) && !now.Before(w.quarantinedUntil) {
-			delete(s.workers, id)
-			s.sorted = nil
-			continue
-		}
-		if !w.unreachable || !s.leaseHasEnded(w.leaseEnd, now) {
-			continue
-		}
-		for _, a := range w.attempts {
-			if s.leaseHasEnded(s.leaseEnd(a), now) {
-				s.lose(a, "lease ended out of contact", now)
-			}
-		}
-		if s.isForgettable(w) {
-			delete(s.workers, id)
-			s.sorted = nil
-		}
-	}
-	for id, until := range s.unresolvedWorkers {
-		if w := s.workers[id]; w != nil && w.reported {
-			// Its reports so far were incomplete, and its lease has been renewed.
-			if !w.unreachable {
-				continue
-			}
-			until = laterOf(until, w.leaseEnd)
-		}
-		if now.After(until) && s.ownedUntil.After(until) {
-			s.event(Event{Name: "takeover.resolved", Worker: id, Detail: "its lease has ended out of contact"})
-			delete(s.unresolvedWorkers, id)
-		}
-	}
-}
-
-// leaseHasEnded reports whether a lease with the given end has ended, without another owner that can have
-// renewed it.
-func (s *State) leaseHasEnded(end, now time.Time) bool {
-	return !now.Before(end) && !s.ownedUntil.Before(end)
-}
-
 // usable reports whether the worker may get new tasks.
 func (w *worker) usable(s *State, now time.Time) bool {
 	return w.usableButForQuarantine(s) && !now.Before(w.quarantinedUntil)
