--- a/internal/batch/isolation.go
+++ b/internal/batch/isolation.go
@@ -38,16 +38,16 @@
 		separates = !w.hasRunSuspectsFor(separationPatience, now)
 	}
 	for _, a := range w.attempts {
-		if isolates && t.mustWaitFor(a) || separates && t.mustBeTold(a) {
+		if isolates && t.mustWaitFor(a) || separates && t.mustStayApart(a) {
 			return true
 		}
 	}
 	return false
 }
 
-// mustBeTold reports whether the task and that of an attempt are both suspected, one of them so often that they must
-// be told apart.
-func (t *task) mustBeTold(a *attempt) bool {
+// mustStayApart reports whether the task and that of an attempt are both suspected, and one of them so often that a
+// further loss must tell which one crashes its workers.
+func (t *task) mustStayApart(a *attempt) bool {
 	return t.suspected() && a.suspicions > 0 && max(len(t.suspicions), a.suspicions) >= suspicionsToSeparate
 }
 
