--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -118,6 +118,9 @@
 		Epoch: l.epoch, Number: c.number, Owner: l.owner.process(),
 		Settled: l.isSettled(now), EarlierLeases: max(0, l.earlierLeases(now)),
 	}
+	if !head.Settled {
+		head.Earlier = l.held.claim.formerOwners()
+	}
 	c.settled = head.Settled
 	t.txn.Set = []kv.Write{{Key: headKey, Value: encode(head)}}
 	for id, r := range t.records {
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -76,9 +76,11 @@
 	commits       committer
 	// earlierLeasesEnd is when any lease of an earlier owner has ended; zero until that is known.
 	earlierLeasesEnd time.Time
-	lastMaintenance  time.Time // time of the last maintenance run
-	prunedJobs       []string  // pruned jobs whose keys are still in the store
-	cooldown         cooldown
+	// formerEnds holds by when former owners have ended that have certainly ended, by epoch.
+	formerEnds      map[int64]time.Time
+	lastMaintenance time.Time // time of the last maintenance run
+	prunedJobs      []string  // pruned jobs whose keys are still in the store
+	cooldown        cooldown
 	// workersChanged is set when workers may have come or gone since the renewers were last
 	// reconciled.
 	workersChanged bool
@@ -118,6 +120,7 @@
 		clocks:        map[batch.WorkerID]workerClock{},
 		renewers:      map[batch.WorkerID]*renewer{},
 		workersRecord: newWorkerRecord(held.claim.Epoch),
+		formerEnds:    map[int64]time.Time{},
 		commits:       committer{rev: held.commitRev},
 	}
 	l.extendOwnership(held.granted)
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -59,11 +59,12 @@
 	records := map[string]*batch.Record{}
 	// The record was written before this owner had the claim.
 	acquired := l.held.acquired
-	latest := l.latestFormerLease(owned)
+	l.noteEndedClaim(owned)
+	latest := l.latestLeaseUpTo(l.epoch - 1)
 	l.earlierLeasesEnd = latest
 	for _, item := range owned {
 		if item.Key == workersKey {
-			until, err := l.workersRecord.restore(item.Value, acquired, latest, l.latestLeaseOf)
+			until, err := l.workersRecord.restore(item.Value, acquired, latest, l.latestLeaseUpTo)
 			l.checkReadable(item.Key, err)
 			l.state.SetUnresolvedWorkers(until)
 			inDoubt = until
@@ -85,17 +86,6 @@
 	return inDoubt
 }
 
-// latestLeaseOf returns the time by which any lease that the owner with an epoch has sent to a worker has ended.
-// That owner may have gone on for claimGrace after the end of its claim, and a claim that was removed may have
-// been confirmed until then. The time is zero if this instance has not seen when that owner was replaced.
-func (l *leader) latestLeaseOf(epoch int64) time.Time {
-	replaced := l.owner.replacedAt(epoch)
-	if replaced.IsZero() {
-		return time.Time{}
-	}
-	return replaced.Add(l.owner.opts.LeaseTTL + claimGrace + l.workerLeaseExpiry())
-}
-
 // recordInDoubt logs the workers that the registry no longer has although they may run tasks of former owners,
 // and records the ends of their leases for the next owner. Nobody can ask them, so tasks that no worker lists
 // wait for the last of these ends.
@@ -113,24 +103,41 @@
 	}
 }
 
-// latestFormerLease returns the time by which any lease of a former owner has ended. The last one may have led so
-// briefly that the one before it acts longer.
-func (l *leader) latestFormerLease(owned []kv.Item) time.Time {
-	ofLast := l.held.acquired.Add(l.formerPermission(owned) + l.workerLeaseExpiry())
-	return latest(ofLast, l.othersLeaseEnd())
+// latestLeaseUpTo returns the time by which any lease has ended that the former owners up to the one with an epoch have
+// sent to a worker. An owner that has certainly ended sent none afterwards; an earlier one may have gone on for longer.
+func (l *leader) latestLeaseUpTo(epoch int64) time.Time {
+	var end time.Time
+	for e := min(epoch, l.epoch-1); e > 0; e-- {
+		ended, known := l.formerEnds[e]
+		if !known {
+			return latest(end, l.permittedLeaseUpTo(e))
+		}
+		end = latest(end, earliest(ended.Add(l.workerLeaseExpiry()), l.permittedLeaseUpTo(e)))
+	}
+	if end.IsZero() {
+		return l.longestFormerLease()
+	}
+	return end
 }
 
-// othersLeaseEnd returns the time by which any lease of an owner before the former one has ended. The former one has
-// recorded how long they may last, and this instance may have seen when the one before it was replaced.
-func (l *leader) othersLeaseEnd() time.Time {
-	if l.held.formerSettled {
-		return time.Time{}
+// permittedLeaseUpTo returns the same time by what the owners were permitted. They may have gone on for claimGrace after
+// the end of their claim, and a claim that was removed may have been confirmed until then. This instance may have
+// seen when the last of them was replaced, and the former owner has recorded how long the leases of those before it may
+// last.
+func (l *leader) permittedLeaseUpTo(epoch int64) time.Time {
+	end := l.longestFormerLease()
+	if replaced := l.owner.replacedAt(epoch); !replaced.IsZero() {
+		end = earliest(end, replaced.Add(l.owner.opts.LeaseTTL+claimGrace+l.workerLeaseExpiry()))
 	}
-	var recorded time.Time
-	if l.held.formerEarlierLeases > 0 {
-		recorded = l.held.acquired.Add(l.held.formerEarlierLeases)
+	switch {
+	case epoch >= l.epoch-1:
+		return end
+	case l.held.formerSettled:
+		return earliest(end, l.held.acquired)
+	case l.held.formerEarlierLeases > 0:
+		return earliest(end, l.held.acquired.Add(l.held.formerEarlierLeases))
 	}
-	return earliest(recorded, l.latestLeaseOf(l.epoch-2), l.longestFormerLease())
+	return end
 }
 
 // longestFormerLease returns the time by which any lease of a former owner has ended if nothing is known of it but
@@ -156,19 +163,17 @@
 	return a
 }
 
-// formerPermission returns for how long the former owner may go on acting after its claim has ended. The claim may
-// have been removed just after it was confirmed, and lasts for the owner as long as its lease would have.
-func (l *leader) formerPermission(owned []kv.Item) time.Duration {
+// noteEndedClaim notes the former owner whose claim was removed because its process had certainly ended.
+func (l *leader) noteEndedClaim(owned []kv.Item) {
 	for _, item := range owned {
 		if item.Key != endedClaimKey {
 			continue
 		}
 		var epoch int64
-		if l.checkReadable(item.Key, cbor.Unmarshal(item.Value, &epoch)) && epoch == l.epoch-1 {
-			return 0
+		if l.checkReadable(item.Key, cbor.Unmarshal(item.Value, &epoch)) {
+			l.noteFormerEnd(epoch, l.held.acquired)
 		}
 	}
-	return l.owner.opts.LeaseTTL + claimGrace
 }
 
 // checkReadable logs an entry of the store that cannot be decoded, and reports whether there was no
--- a/internal/owner/odd_values_test.go
+++ b/internal/owner/odd_values_test.go
@@ -117,3 +117,68 @@
 	_, err := DecodeRecord(encode(batch.Record{Status: batch.Cancelled + 1}))
 	is.True(err != nil)
 }
+
+// Guards against an odd message, or one of an earlier version, that shortens the wait for a former owner which it does not
+// name, or ends the instance.
+func TestOddEndsOfFormerOwners(t *testing.T) {
+	process := func(incarnation uint64) *Process {
+		return &Process{Instance: "x", Address: "x", Incarnation: incarnation}
+	}
+	claim := Claim{Epoch: 7, Former: process(6), Earlier: []FormerOwner{{Epoch: 5, Process: *process(5)}, {Epoch: 3, Process: *process(3)}}}
+	for _, c := range []struct {
+		name     string
+		end      LeadershipEnd
+		accepted bool
+	}{
+		{"former owner", LeadershipEnd{Epoch: 6, Owner: process(6)}, true},
+		{"earlier owner", LeadershipEnd{Epoch: 3, Owner: process(3)}, true},
+		{"message of an earlier version", LeadershipEnd{Epoch: 6}, true},
+		{"longest time", LeadershipEnd{Epoch: 6, Since: math.MaxInt64, Owner: process(6)}, true},
+		{"message of an earlier version for an earlier owner", LeadershipEnd{Epoch: 5}, false},
+		{"another process with that epoch", LeadershipEnd{Epoch: 5, Owner: process(6)}, false},
+		{"epoch that the claim does not name", LeadershipEnd{Epoch: 4, Owner: process(5)}, false},
+		{"epoch of the owner that is told", LeadershipEnd{Epoch: 7, Owner: process(6)}, false},
+		{"later epoch", LeadershipEnd{Epoch: math.MaxInt64, Owner: process(6)}, false},
+		{"no epoch", LeadershipEnd{Owner: process(6)}, false},
+		{"negative epoch", LeadershipEnd{Epoch: -1, Owner: process(6)}, false},
+		{"negative time", LeadershipEnd{Epoch: 6, Since: -1, Owner: process(6)}, false},
+		{"process without a name", LeadershipEnd{Epoch: 6, Owner: &Process{}}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			o := New(Options{}, nil, nil, nil, nil, zerolog.Nop())
+			l := newLeader(o, heldClaim{claim: claim}, func(error) {})
+			o.leading.Store(l)
+			is.Equal(o.FormerOwnerEnded(claim.Epoch, c.end), c.accepted)
+			is.Equal(len(l.events) > 0, c.accepted)
+			if c.accepted {
+				(<-l.events)(l, time.Now())
+				is.Equal(len(l.formerEnds), 1)
+			}
+			is.Equal(o.FormerOwnerEnded(claim.Epoch+1, c.end), false) // it leads with another epoch
+		})
+	}
+}
+
+// Guards against an odd list of earlier owners in a head or a claim: what follows an odd entry, and more than the largest
+// number of entries, is left out.
+func TestOddListsOfEarlierOwners(t *testing.T) {
+	is := is.New(t)
+	list := func(epochs ...int64) []FormerOwner {
+		var owners []FormerOwner
+		for _, e := range epochs {
+			owners = append(owners, FormerOwner{Epoch: e})
+		}
+		return owners
+	}
+	is.Equal(commitHead{Epoch: 9, Earlier: list(8, 5, 1)}.earlierOwners(), list(8, 5, 1))
+	is.Equal(commitHead{Epoch: 9, Settled: true, Earlier: list(8, 5, 1)}.earlierOwners(), nil)
+	is.Equal(len(commitHead{Epoch: 9, Earlier: list(9, 8)}.earlierOwners()), 0)          // not before it
+	is.Equal(commitHead{Epoch: 9, Earlier: list(8, 8, 7)}.earlierOwners(), list(8))      // twice
+	is.Equal(commitHead{Epoch: 9, Earlier: list(4, 0, -1)}.earlierOwners(), list(4))     // no epochs
+	is.Equal(len(commitHead{Epoch: math.MinInt64, Earlier: list(4)}.earlierOwners()), 0) // no head
+	is.Equal(len(commitHead{Epoch: 100, Earlier: list(99, 98, 97, 96, 95, 94, 93, 92, 91)}.earlierOwners()), maxEarlierOwners)
+	is.Equal(len(Claim{Epoch: 1, Earlier: list(4)}.formerOwners()), 0)
+	is.Equal(Claim{Epoch: 9, Former: &Process{}, Earlier: list(8, 7)}.formerOwners(), list(8))
+	is.Equal(Claim{Epoch: 9, Former: &Process{}, Earlier: list(7)}.formerOwners(), list(8, 7))
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -40,6 +40,8 @@
 	Incarnation uint64 `cbor:"6,keyasint,omitempty"`
 	// Former is the process that led in the epoch before; nil if it is not known.
 	Former *Process `cbor:"7,keyasint,omitempty"`
+	// Earlier are the owners before Former whose leases may last, as far as they are known, the latest first.
+	Earlier []FormerOwner `cbor:"8,keyasint,omitempty"`
 }
 
 // StartRequest asks a worker to start a task.
@@ -125,8 +127,7 @@
 	// AskToYield asks the owner of a claim to hand over to this faster machine; if it is nil, no
 	// owner is asked.
 	AskToYield func(ctx context.Context, c Claim) error
-	// ReportEnd tells the owner of a claim that the former owner has ended, which was this instance; if it is
-	// nil, no owner is told.
+	// ReportEnd tells the owner of a claim that a former owner has ended; if it is nil, no owner is told.
 	ReportEnd func(ctx context.Context, c Claim, end LeadershipEnd) error
 	// BootClock returns the time since the machine was booted, including the time for which it was
 	// suspended; if it is nil, the system's clock is read.
@@ -155,6 +156,8 @@
 	claimsSeen seenClaims
 	// ended holds when each leadership of this process ended, by epoch.
 	ended sync.Map
+	// toldEnds are the ends of other owners that this instance was told of while it led.
+	toldEnds toldEnds
 	// claimVacant signals that nobody holds the claim.
 	claimVacant chan struct{}
 	// resign stops further campaigns.
@@ -285,13 +288,13 @@
 	}
 }
 
-// noteClaim remembers a claim. The first time that it is seen, its owner is told of the end of the former one, if
-// that was this instance.
+// noteClaim remembers a claim. The first time that it is seen, its owner is told which former owners have ended, as far
+// as this instance knows.
 func (o *Owner) noteClaim(c Claim) {
 	if !o.claimsSeen.add(c.Epoch, time.Now()) {
 		return
 	}
-	go o.reportEnd(c)
+	go o.reportEnds(c)
 }
 
 // campaign tries once to become the owner, and leads if it succeeds.
@@ -348,9 +351,9 @@
 	}
 	c := Claim{
 		Epoch: head.Epoch + 1, Instance: o.opts.Instance, Address: o.opts.Address, Speed: o.opts.Speed, Incarnation: o.incarnation,
-		Former: head.Owner,
+		Former: head.Owner, Earlier: head.earlierOwners(),
 	}
-	newHead := commitHead{Epoch: c.Epoch, Owner: o.process()}
+	newHead := commitHead{Epoch: c.Epoch, Owner: o.process(), Earlier: c.formerOwners()}
 	commitRev, err := o.store.Commit(ctx, kv.Txn{
 		If:  []kv.Condition{{Key: claimKey}, {Key: headKey, Rev: rev}},
 		Set: []kv.Write{{Key: claimKey, Value: encode(c), Lease: lease}, {Key: headKey, Value: encode(newHead)}},
--- a/internal/owner/random_owners_test.go
+++ b/internal/owner/random_owners_test.go
@@ -37,6 +37,12 @@
 	return !v.hidden[id] && !v.dead
 }
 
+func (v *view) isDead() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.dead
+}
+
 func (v *view) change(f func(v *view)) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -168,18 +174,35 @@
 	ids       []batch.WorkerID
 	views     map[string]*view
 	history   string
+	// muted holds the instances whose calls of other instances are lost, and calls of which are.
+	muted sync.Map
 }
 
 // start starts a process of an instance. Its first campaigns may be refused.
 func (w *ownersWorld) start(name string) {
 	v := &view{refused: w.random.IntN(3), hidden: map[batch.WorkerID]bool{}}
 	ctx, cancel := context.WithCancel(w.ctx)
-	o := New(Options{Instance: name, BootClock: w.bootClock, Address: name, LeaseTTL: testLeaseTTL, MaxWorkerLease: 6 * time.Second, JobRetention: 20 * time.Second, ReportEnd: w.reportEnd},
+	o := New(Options{Instance: name, BootClock: w.bootClock, Address: name, LeaseTTL: testLeaseTTL, MaxWorkerLease: 6 * time.Second, JobRetention: 20 * time.Second, ReportEnd: w.reportEndOf(name, v)},
 		viewedStore{w.store, v}, viewedWorkers{w.workers, v}, fakeRegistry{}, testConfig, zerolog.New(&w.log))
-	w.stops[name], w.owners[name], w.views[name] = cancel, o, v
+	w.stops[name], w.views[name] = cancel, v
+	w.setOwner(name, o)
 	go o.Run(ctx)
 }
 
+// reportEndOf returns Options.ReportEnd of a process of an instance. What it says is lost if the process has ended, or if
+// either instance is muted.
+func (w *ownersWorld) reportEndOf(name string, v *view) func(context.Context, Claim, LeadershipEnd) error {
+	return func(ctx context.Context, c Claim, end LeadershipEnd) error {
+		_, muted := w.muted.Load(name)
+		_, deaf := w.muted.Load(c.Instance)
+		if muted || deaf || v.isDead() {
+			pause.For(ctx, 50*time.Millisecond)
+			return errAnswerLost
+		}
+		return w.reportEnd(ctx, c, end)
+	}
+}
+
 // drawInstance returns an instance, most often the owner's.
 func (w *ownersWorld) drawInstance() string {
 	if l := w.leader(); l != "" && w.random.IntN(3) > 0 {
@@ -195,6 +218,36 @@
 	w.start(name)
 }
 
+// killInARow ends the processes of up to three owners in a row, each soon after its take-over, as their claims are
+// removed or lapse. They are back in any order.
+func (w *ownersWorld) killInARow(string) {
+	var down []string
+	for range 1 + w.random.IntN(3) {
+		name := w.leader()
+		if name == "" {
+			break
+		}
+		w.views[name].change(func(v *view) { v.dead = true })
+		w.stops[name]()
+		down = append(down, name)
+		if w.random.IntN(2) == 0 {
+			w.removeClaim(w.instances[w.random.IntN(len(w.instances))])
+		}
+		w.sleep(w.upTo(2 * time.Second))
+	}
+	w.random.Shuffle(len(down), func(i, j int) { down[i], down[j] = down[j], down[i] })
+	for _, name := range down {
+		w.start(name)
+		w.sleep(w.upTo(2 * time.Second))
+	}
+}
+
+func (w *ownersWorld) toggleMuted(name string) {
+	if _, muted := w.muted.LoadAndDelete(name); !muted {
+		w.muted.Store(name, true)
+	}
+}
+
 func (w *ownersWorld) resign(name string) {
 	w.owners[name].Resign()
 	w.sleep(w.upTo(1500 * time.Millisecond))
@@ -269,6 +322,8 @@
 
 var worldEvents = []worldEvent{
 	{"kill", 1, (*ownersWorld).kill},
+	{"owners killed in a row", 2, (*ownersWorld).killInARow},
+	{"calls of instances cut or restored", 1, (*ownersWorld).toggleMuted},
 	{"resign", 1, (*ownersWorld).resign},
 	{"store cut or restored", 3, (*ownersWorld).toggleStore},
 	{"worker cut or restored", 3, (*ownersWorld).toggleWorker},
--- a/internal/owner/records.go
+++ b/internal/owner/records.go
@@ -41,6 +41,8 @@
 	Settled bool `cbor:"4,keyasint,omitempty"`
 	// EarlierLeases is how long leases of earlier owners may last from the transaction on; 0 if that is not known.
 	EarlierLeases time.Duration `cbor:"5,keyasint,omitempty"`
+	// Earlier are the owners before Owner, as far as they are known, the latest first. It is empty once Settled is set.
+	Earlier []FormerOwner `cbor:"6,keyasint,omitempty"`
 }
 
 // Process identifies a process of an instance.
@@ -50,6 +52,44 @@
 	Incarnation uint64 `cbor:"3,keyasint"`
 }
 
+// FormerOwner is a process that has led, with the epoch in which it did.
+type FormerOwner struct {
+	Epoch   int64   `cbor:"1,keyasint"`
+	Process Process `cbor:"2,keyasint"`
+}
+
+// maxEarlierOwners is the largest number of earlier owners that a head or a claim names.
+const maxEarlierOwners = 8
+
+// earlierOwners returns the owners before the one that wrote the head whose leases may last.
+func (h commitHead) earlierOwners() []FormerOwner {
+	if h.Settled {
+		return nil
+	}
+	return ownersBefore(h.Epoch, h.Earlier)
+}
+
+// formerOwners returns the owners that a claim names as former ones, the latest first.
+func (c Claim) formerOwners() []FormerOwner {
+	var owners []FormerOwner
+	if c.Former != nil {
+		owners = append(owners, FormerOwner{Epoch: c.Epoch - 1, Process: *c.Former})
+	}
+	return append(owners, ownersBefore(c.Epoch-1, c.Earlier)...)
+}
+
+// ownersBefore returns the first maxEarlierOwners of a list, whose epochs must fall and lie below epoch. What follows
+// an odd entry is left out.
+func ownersBefore(epoch int64, owners []FormerOwner) []FormerOwner {
+	for i, f := range owners {
+		if i == maxEarlierOwners || f.Epoch >= epoch || f.Epoch <= 0 {
+			return owners[:i]
+		}
+		epoch = f.Epoch
+	}
+	return owners
+}
+
 // Submission is an accepted job as it is kept in the store.
 type Submission struct {
 	Queue    string     `cbor:"1,keyasint"`
--- a/internal/owner/third_owner_test.go
+++ b/internal/owner/third_owner_test.go
@@ -85,6 +85,32 @@
 	}, "w1", "w2", "w3")
 }
 
+// Guards against the same when the instance that told the second owner is gone again: the second one, which was told,
+// has ended, too, but its instance still knows.
+func TestTheSecondOwnerTellsTheThirdOfTheEndOfTheFirstOne(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		storeOfB := &readOnlyStore{memoryStore: h.store}
+		task := h.startTaskAndEndOwner(storeOfB)
+		h.sleep(500 * time.Millisecond)
+		h.startInstance("c")
+		storeOfB.readOnly.Store(true)
+		h.startInstance("a")
+		back := time.Now()
+		h.sleep(time.Second)
+		h.is.Equal(h.log.count("owner.end-reported", `"former-epoch":1`), 1)
+		lost := h.workerOf(task)
+		h.kill("a")
+		h.store.mu.Lock()
+		h.store.remove(claimKey)
+		h.store.mu.Unlock()
+		h.leave(lost)
+		h.sleep(time.Second)
+		h.is.Equal(h.leader(), "c")
+		h.is.True(time.Since(back) < 3*time.Second)
+		h.requireRestartAfter(task, time.Now())
+	}, "w1", "w2", "w3")
+}
+
 // startTaskAndEndOwner starts instance a, which leads, a long-running task, and instance b with its store. A minute later
 // it ends a.
 func (h *harness) startTaskAndEndOwner(storeOfB kv.Store) batch.TaskID {
--- a/internal/owner/workers_record_test.go
+++ b/internal/owner/workers_record_test.go
@@ -100,8 +100,8 @@
 
 // Guards against a task that runs twice because a successor expects a lease to end too early. Owners follow each
 // other at any pace; each may reach the worker or not, and stores what it knows at any time. Its claim lapses or
-// is removed, and it acts for as long as that allows unless it has certainly ended; its end may be told to the next
-// owner. The instances see each claim late, and some have not seen all.
+// is removed, and it acts for as long as that allows unless it has certainly ended; its end may be told to any later
+// owner, at once or some time later, and the ends of others before it not. The instances see each claim late, and some have not seen all.
 func TestNoSuccessorExpectsALeaseToEndTooEarly(t *testing.T) {
 	const id = batch.WorkerID("silent")
 	opts := Options{LeaseTTL: testLeaseTTL, MaxWorkerLease: 6 * time.Second}
@@ -122,28 +122,33 @@
 			if rapid.IntRange(0, 5).Draw(t, "has seen this claim") > 0 {
 				o.claimsSeen.add(epoch, now.Add(pass("seen late", time.Second)))
 			}
-			l := &leader{owner: o, log: zerolog.Nop(), epoch: epoch, held: heldClaim{acquired: now, formerSettled: settled, formerEarlierLeases: earlierLeases}}
+			l := &leader{
+				owner: o, log: zerolog.Nop(), epoch: epoch, formerEnds: map[int64]time.Time{},
+				held: heldClaim{acquired: now, formerSettled: settled, formerEarlierLeases: earlierLeases},
+			}
 			acquired := now
 			r := newWorkerRecord(epoch)
 			reaches := rapid.Bool().Draw(t, "reaches the worker")
 			end := now
 			if stored != nil {
-				latest := l.latestFormerLease([]kv.Item{{Key: endedClaimKey, Value: ended}})
+				l.noteEndedClaim([]kv.Item{{Key: endedClaimKey, Value: ended}})
+				latest := l.latestLeaseUpTo(epoch - 1)
 				l.earlierLeasesEnd = latest
-				until, err := r.restore(stored, now, latest, l.latestLeaseOf)
+				until, err := r.restore(stored, now, latest, l.latestLeaseUpTo)
 				if err != nil {
 					t.Fatal(err)
 				}
 				l.state, l.workersRecord = batch.New(epoch, batch.Timing{}), r
 				l.state.SetUnresolvedWorkers(until)
-				if last := former[len(former)-1].actsUntil; !last.After(now) && rapid.Bool().Draw(t, "the former owner tells its end") {
-					l.formerOwnerEnded(epoch-1, last, now)
-				}
+				l.drawToldEnds(t, former, now)
 				end = l.state.LeaseEnd(id)
 			}
-			if latest := latestEnd(leaseEnd, former, lease); !reaches && now.Before(latest) && end.Before(latest) {
-				t.Fatalf("owner %d expects the lease to end at %s, it may end at %s", epoch, end, latest)
+			requireNotTooEarly := func() {
+				if latest := latestEnd(leaseEnd, former, lease); !reaches && now.Before(latest) && end.Before(latest) {
+					t.Fatalf("owner %d expects the lease to end at %s, it may end at %s", epoch, end, latest)
+				}
 			}
+			requireNotTooEarly()
 			loaded := now.Add(pass("load", 2*time.Second))
 			leaseEnd = leaseEndAt(leaseEnd, loaded, former, lease)
 			now = loaded
@@ -165,6 +170,16 @@
 				now = now.Add(pass("until stored", time.Second))
 				stored = r.stored(now)
 			}
+			if !r.leaseEnds[id].IsZero() && epoch > 1 && rapid.Bool().Draw(t, "is told more later") {
+				now = now.Add(pass("until told more", 6*time.Second))
+				leaseEnd = leaseEndAt(leaseEnd, now, former, lease)
+				l.drawToldEnds(t, former, now)
+				end = r.leaseEnds[id]
+				requireNotTooEarly()
+				if rapid.Bool().Draw(t, "stores that") {
+					stored = r.stored(now)
+				}
+			}
 			now = now.Add(pass("leads on", 15*time.Second))
 			written := laterTime(acquired, now.Add(-pass("last wrote its head", 3*time.Second)))
 			settled = l.isSettled(written) && rapid.Bool().Draw(t, "says that it is settled")
@@ -187,6 +202,19 @@
 	})
 }
 
+// drawToldEnds tells the owner the ends of some of the former owners that have ended, in any order, and not always the
+// last moment at which they acted.
+func (l *leader) drawToldEnds(t *rapid.T, former []formerOwner, now time.Time) {
+	for i := range former {
+		if rapid.Bool().Draw(t, "the latest first") {
+			i = len(former) - 1 - i
+		}
+		if late := time.Duration(rapid.Int64Range(0, 2000).Draw(t, "told too late, ms")) * time.Millisecond; !former[i].actsUntil.Add(late).After(now) && rapid.Bool().Draw(t, "a former owner tells its end") {
+			l.formerOwnerEnded(int64(i+1), former[i].actsUntil.Add(late), now)
+		}
+	}
+}
+
 // latestEnd returns when the lease ends if all former owners go on renewing it for as long as they may.
 func latestEnd(leaseEnd time.Time, former []formerOwner, lease time.Duration) time.Time {
 	for _, f := range former {
