owner: a campaign that is answered late is not told as ended before, and does not lead beside a newer claim

Cause: an instance remembers a campaign that failed as an ended leadership of its epoch. If its next campaign, for the same epoch, is written but answered late, another owner may follow meanwhile, and was told that the leadership with that epoch ended with the first campaign, seconds ago. The answer then came, the instance led with the former epoch until a transaction of its own met the newer head, and had forgotten the newer claim: it told nobody of its true end.

Fix: what is known of an epoch is forgotten before its claim is written anew, and an answer that comes after another owner's claim starts no leadership.

Evidence: TestACampaignThatIsAnsweredLateHasNotEnded. Without the first half the next owner is told of an end while the answer is on the way (2 messages, none allowed); without the second it is never told (0 in place of 1).

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -316,6 +316,11 @@
 		pause.For(ctx, storeRetryDelay)
 		return
 	}
+	if c := o.claim.Load(); c != nil && c.Epoch > held.claim.Epoch { // the answer came after another owner's claim
+		o.ended.Store(held.claim.Epoch, time.Now())
+		go o.revokeLease(held.lease)
+		return
+	}
 	o.lead(ctx, held)
 }
 
@@ -353,6 +358,7 @@
 		Epoch: head.Epoch + 1, Instance: o.opts.Instance, Address: o.opts.Address, Speed: o.opts.Speed, Incarnation: o.incarnation,
 		Former: head.Owner, Earlier: head.earlierOwners(),
 	}
+	o.ended.Delete(c.Epoch) // an earlier campaign for the same epoch may have failed
 	newHead := commitHead{Epoch: c.Epoch, Owner: o.process(), Earlier: c.formerOwners()}
 	commitRev, err := o.store.Commit(ctx, kv.Txn{
 		If:  []kv.Condition{{Key: claimKey}, {Key: headKey, Rev: rev}},
@@ -404,7 +410,6 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	l := newLeader(o, held, cancel)
-	o.ended.Delete(l.epoch) // a campaign that seemed to fail may have had the same epoch
 	o.heldRev.Store(held.commitRev)
 	o.claim.Store(&held.claim)
 	o.leading.Store(l)
--- a/internal/owner/permission_test.go
+++ b/internal/owner/permission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -11,6 +12,7 @@
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
 	"github.com/geraniumwick/geraniumwick/internal/kv"
+	"github.com/geraniumwick/geraniumwick/internal/pause"
 )
 
 // recordingWorkers notes when an owner last renewed a lease and last sent a start.
@@ -316,6 +318,47 @@
 	}
 }
 
+// lateStore refuses the first claim that is written, and answers late when the second one is.
+type lateStore struct {
+	*memoryStore
+	claims atomic.Int64
+}
+
+// lateAnswer is the delay of that answer, within which the claim lapses.
+const lateAnswer = 3 * time.Second
+
+func (s *lateStore) Commit(ctx context.Context, t kv.Txn) (int64, error) {
+	if !slices.ContainsFunc(t.Set, func(w kv.Write) bool { return w.Key == claimKey }) {
+		return s.memoryStore.Commit(ctx, t)
+	}
+	switch s.claims.Add(1) {
+	case 1:
+		return 0, kv.ErrUnavailable
+	case 2:
+		rev, err := s.memoryStore.Commit(ctx, t)
+		pause.For(ctx, lateAnswer)
+		return rev, err
+	}
+	return s.memoryStore.Commit(ctx, t)
+}
+
+// Guards against a task that runs twice because an instance reports the end of a campaign that had failed while the
+// answer to its next campaign for the same epoch, with which it may lead for a moment, is on the way.
+func TestACampaignThatIsAnsweredLateHasNotEnded(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		h.startInstanceAt("a", &lateStore{memoryStore: h.store}, h.workers)
+		h.sleep(time.Second)
+		h.is.Equal(h.owners["a"].Claim().Epoch, int64(1)) // on the second campaign, which is not answered yet
+		h.startInstance("b")
+		h.sleep(lateAnswer - time.Second)
+		h.is.Equal(h.leader(), "b")
+		h.is.Equal(h.log.count("takeover.former-ended", ""), 0)
+		h.sleep(5 * time.Second)
+		h.is.Equal(h.leader(), "b")
+		h.is.Equal(h.log.count("takeover.former-ended", `"former-epoch":1`), 1)
+	}, "w1")
+}
+
 // testCutOffOwner cuts off an owner some time after it has started a task, calls inform with its harness, and
 // checks that the task runs once.
 func testCutOffOwner(t *testing.T, cutAfter time.Duration, inform func(h *harness)) {
