batch: one typed reason for each way in which a startable task is not started

The log could not say why. placeStep, placeGang and place went on or returned without a word for a start record on its way, a paused task, one behind a worse suspect, a gang with a member that has not ended, a state without any worker, a question to the adviser, and a decided start that waits for its record. step.waits was written only when the last reason of a step changed, so a second task of the step that waited for something else was not shown; room that is withheld for suspects and room that is taken had the same reason.

Now holdsBack, holdsBackGang and missing decide the reason (18 of them in waits.go, with a text and a name each), hold, holdStep and holdGang store it, and the log and WaitingTasks read the stored value through taskRef.heldBy. A reason that holds for all waiting tasks of a step from an index on is stored once in the step, so a plan with thousands of waiting tasks touches none of them for it. The task does not grow: a byte and two counts of 8 bytes replace a string.

- step.waits: once for each reason of a step, and when the reason of the whole step changes, as before.
Reasons that tasks meet in the normal course are told only once they have held for 1 s, so that the log gets no line for each job.
- tasks.waiting: at most one line each 2 s: for each reason how many wait, the first task and its age, counted from when it became startable; for the first of all since when its present reason holds, and what the workers lack.
- WaitingTasks: the same counts, for the metrics.

No decision changes.

Tests: a case for each reason, in which the decision, the metric's source, tasks.waiting and step.waits agree (the map of cases must be complete, since the test runs over all reasons); and after each plan of TestWorld's histories, every startable task without a sent start must have a reason that holds, and be counted. For that simulation.plan calls checkWaitReasons; nothing else in the simulation changes. Both were seen to fail with one return made silent: without holdAll (no worker), without holdStep for a start record just requested, for a like step, without hold in giveUpRecordedStart, and without holdBack. With the other return for a start record on its way silent, only the case in the table fails: the reason of the plan before stays stored there, and is the same.

--- a/internal/batch/advice.go
+++ b/internal/batch/advice.go
@@ -14,6 +14,8 @@
 	questionOpen bool
 	// notBefore is the earliest time of the next question after one without an answer.
 	notBefore time.Time
+	// wait is why the step had no ticket when askAdviser was last called; notHeld if it lacked room.
+	wait waitReason
 }
 
 // permit is the answer for one worker.
@@ -55,30 +57,50 @@
 	return !ok || p.ticket != "" && !a.hasTicket(w, now)
 }
 
+// noteUnaskable notes that a worker has room about which the adviser is not asked: it was refused, or its ticket is
+// valid and something else keeps the step from it.
+func (a *advice) noteUnaskable(w *worker) {
+	if a.permits[w.info.ID].ticket == "" {
+		a.wait = heldByRefusedTickets
+	}
+}
+
 // withdraw deletes the answer for a worker that did not accept its ticket.
 func (a *advice) withdraw(id WorkerID) { delete(a.permits, id) }
 
 // askAdviser asks the adviser about the best workers for a step for which no worker was found. It
 // returns true if the step's queue requires tickets, so that the step may find a worker later although
-// no resources are freed.
+// no resources are freed. It notes in the step's advice what the step waits for.
 func (s *State) askAdviser(st *step, workers []*worker, now time.Time) bool {
 	q := s.queueOf(st.job)
+	st.advice.wait = notHeld
 	if !q.RequiresTicket {
 		return false
 	}
-	if st.advice.questionOpen || s.openQuestions >= maxQuestions || now.Before(st.advice.notBefore) {
+	if st.advice.questionOpen {
+		st.advice.wait = heldByAdviser
+		return true
+	}
+	if s.openQuestions >= maxQuestions || now.Before(st.advice.notBefore) {
+		st.advice.wait = heldByQuestions
 		return true
 	}
 	var rated scoredWorkers
 	for i, w := range workers {
-		if st.suits(w, q, now) && st.advice.mayGetTicket(w, now) {
-			s.updateLatencyGroups(w, now)
-			rated = append(rated, scoredWorker{worker: w, score: s.score(st, &st.tasks[0], w), order: i})
+		if !st.suits(w, q, now) {
+			continue
+		}
+		if !st.advice.mayGetTicket(w, now) {
+			st.advice.noteUnaskable(w)
+			continue
 		}
+		s.updateLatencyGroups(w, now)
+		rated = append(rated, scoredWorker{worker: w, score: s.score(st, &st.tasks[0], w), order: i})
 	}
 	if len(rated) == 0 {
 		return true
 	}
+	st.advice.wait = heldByAdviser
 	sort.Sort(&rated)
 	n := min(len(rated), maxWorkersAsked, workersAskedPerTask*st.waiting+extraWorkersAsked)
 	question := Action{Kind: ActionAdvise, Task: TaskID{Job: st.job.ID, Occurrence: st.occ.number, Step: st.number}}
@@ -109,7 +131,7 @@
 	if st == nil {
 		return
 	}
-	st.advice.questionOpen = false
+	st.advice.questionOpen, st.advice.wait = false, notHeld
 	if !answered {
 		st.advice.notBefore = now.Add(askRetryDelay)
 		return
--- a/internal/batch/down.go
+++ b/internal/batch/down.go
@@ -47,7 +47,7 @@
 		Job:  st.job.ID,
 		Task: d.first.id(),
 		Detail: fmt.Sprintf("%d long-running tasks are down, %d of them in doubt and %d suspected; the first for %s, since %s",
-			d.all, d.unresolved, d.suspected, now.Sub(d.since).Round(time.Millisecond), st.waitReason),
+			d.all, d.unresolved, d.suspected, now.Sub(d.since).Round(time.Millisecond), d.first.heldBy()),
 		Inputs: fmt.Sprintf("started meanwhile: %d long-running, %d best-effort, %d other tasks; %s",
 			starts.longRunning, starts.bestEffort, starts.other, s.describeRoom(st, d.first.task(), now)),
 	})
--- a/internal/batch/ends.go
+++ b/internal/batch/ends.go
@@ -131,6 +131,9 @@
 	}
 	a.step.waiting++
 	s.openStep(a.step, now)
+	if s.open[a.step] {
+		t.markStartable(s.clock(now))
+	}
 	if a.step.spec.Gang && !a.step.job.outcome.Terminal() {
 		s.breakGang(a.step)
 	}
--- a/internal/batch/failures.go
+++ b/internal/batch/failures.go
@@ -1,6 +1,9 @@
 package batch
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // An owner learns of the failed runs of a task from the record and from the workers, which keep each end until it is
 // acknowledged. The next owner restarts a task that it finds running and that fails then, although workers that it has
@@ -11,35 +14,29 @@
 // next run is started. With 1, a failure is recorded while the next run goes on, so that few starts wait.
 const maxUnrecordedFailures = 1
 
-// The reasons for which a task that has failed waits, as they appear in the log.
-const (
-	waitsForFailureRecord = "its failed runs are not recorded yet"
-	waitsForFormerEnds    = "a worker that has not answered may hold the end of a failed run"
-)
-
-// retryWait returns why a task may not be started again yet; "" if it may be. A task must not be started
+// retryWait returns why a task may not be started again yet; notHeld if it may be. A task must not be started
 // once it has used up its attempts, also if the ends of some runs become known only later.
-func (s *State) retryWait(st *step, t *task) string {
+func (s *State) retryWait(st *step, t *task) waitReason {
 	if st.spec.LongRunning {
-		return ""
+		return notHeld
 	}
 	known := st.knownFailures(t)
 	unrecorded := known - st.recordedFailures(t)
 	if !st.startedByFormerOwner || len(s.unresolvedWorkers) == 0 {
 		if unrecorded > maxUnrecordedFailures {
-			return waitsForFailureRecord
+			return heldByFailureRecord
 		}
-		return ""
+		return notHeld
 	}
 	// The record of the former owner may lack as many.
 	maxAttempts := s.maxAttempts(st.job)
 	switch unknown := min(maxUnrecordedFailures, maxAttempts-1); {
 	case known+unknown >= maxAttempts:
-		return waitsForFormerEnds
+		return heldByFormerEnds
 	case unrecorded > 0:
-		return waitsForFailureRecord
+		return heldByFailureRecord
 	default:
-		return ""
+		return notHeld
 	}
 }
 
@@ -50,19 +47,20 @@
 	}
 }
 
-// mayRetry reports whether a task may be started as far as its failed runs are concerned. If not, it logs
-// why the task waits, once each time the reason changes.
-func (s *State) mayRetry(r taskRef) bool {
-	t := r.task()
-	reason := s.retryWait(r.step, t)
-	if reason == waitsForFailureRecord {
+// holdBack notes that a task is held back, and requests the record that it waits for.
+func (s *State) holdBack(r taskRef, reason waitReason, now time.Time) {
+	if reason == heldByFailureRecord {
 		s.requestFailureRecord(r.step.job)
 	}
-	if reason != "" && reason != t.retryWaitReason {
-		s.event(Event{Name: "task.waits", Job: r.step.job.ID, Task: r.id(), Run: t.lastRun, Detail: reason, Inputs: s.describeFailures(r.step, t)})
+	s.hold(r, reason, now)
+}
+
+// holdBackGang notes that a task holds its gang back, and requests the record that it waits for.
+func (s *State) holdBackGang(st *step, member int, reason waitReason, now time.Time) {
+	if reason == heldByFailureRecord {
+		s.requestFailureRecord(st.job)
 	}
-	t.retryWaitReason = reason
-	return reason == ""
+	s.holdGang(st, member, reason, now)
 }
 
 // describeFailures describes for the log what is known of the failed runs of a task; "" if there are none.
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -78,13 +78,14 @@
 	lastFailedOn WorkerID
 	// suspect is set if tasks of the step have failed on several workers and nothing shows that it works.
 	suspect bool
-	// waitReason is the reason for waiting that was last logged.
-	waitReason string
+	waits   stepWaits
 }
 
 // task is the state of one task.
 type task struct {
 	done bool
+	// heldBy is why the task waits, unless its step does so as a whole; see taskRef.heldBy.
+	heldBy waitReason
 	// unresolved is set if a former owner may have started the task on one of the unresolvedWorkers.
 	// The task waits until none of these is left, or until a worker reports it.
 	unresolved bool
@@ -92,9 +93,10 @@
 	failed     []int64 // runs that ended failed; empty for a long-running task
 	// recordedFailures is how many of failed, from the first on, the store holds.
 	recordedFailures int
-	// retryWaitReason is why the task waits since its last failure, as last logged; "" if it does not.
-	retryWaitReason string
-	lastRun         int64
+	// startableSince is since when the task could run but for the owner's reasons, and heldSince when heldBy last
+	// changed, both as State.clock counts. startableSince is 0 if no start is needed.
+	startableSince, heldSince time.Duration
+	lastRun                   int64
 	// downSince is when a long-running task was last known to run; zero if this owner has not seen it run.
 	downSince  time.Time
 	checkpoint string
--- a/internal/batch/lifecycle.go
+++ b/internal/batch/lifecycle.go
@@ -68,6 +68,7 @@
 	if !s.open[st] {
 		s.open[st] = true
 		st.ready = now
+		s.markStartable(st, now)
 	}
 }
 
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -34,6 +34,7 @@
 	s.place(now)
 	s.sendRecordedStarts(now)
 	s.sendStops(now)
+	s.reportTasksWaiting(now)
 	out := s.actions
 	s.actions = nil
 	return out
@@ -74,6 +75,7 @@
 	workers := s.usable(now)
 	lastResorts := s.lastResorts(now)
 	if len(workers) == 0 && len(lastResorts) == 0 {
+		s.holdAll(heldByNoWorker, now)
 		return
 	}
 	var unplaced unplacedSteps
@@ -81,7 +83,7 @@
 		hasLastResort := entry.step.spec.LongRunning && len(lastResorts) > 0
 		maySuitGang := entry.step.spec.Gang && runSuspects(workers)
 		if !hasLastResort && !maySuitGang && unplaced.covers(entry.step) {
-			s.recordWait(entry.step, waitsForRoom, entry.step.firstWaiting(), now)
+			s.holdStep(entry.step, 0, heldByLikeStep, now)
 			continue
 		}
 		if entry.step.spec.Gang {
@@ -92,6 +94,7 @@
 			}
 		}
 		if entry.step.waiting == 0 {
+			s.endWaits(entry.step, now)
 			delete(s.open, entry.step)
 		}
 	}
@@ -127,7 +130,8 @@
 // worker has capacity, so that the search can be skipped for steps with the same or larger demands. It
 // returns true if the tasks wait for another reason.
 func (s *State) placeStep(st *step, workers, lastResorts []*worker, now time.Time) bool {
-	if st.startRecordRequested && !st.startRecordDurable {
+	if st.awaitsStartRecord() {
+		s.holdStep(st, 0, heldByStartRecord, now)
 		return true
 	}
 	ranking := s.newRanking(st, workers, now)
@@ -135,45 +139,43 @@
 	if st.spec.LongRunning && len(lastResorts) > 0 {
 		allWorkers = slices.Concat(workers, lastResorts)
 	}
-	var wait string
 	var suspect *task // the least suspected task that found no worker
 	for i := range st.tasks {
-		t := &st.tasks[i]
-		if t.done || len(t.attempts) > 0 || st.isPaused(t, now) || suspect != nil && len(t.suspicions) >= len(suspect.suspicions) {
+		t, ref := &st.tasks[i], taskRef{st, i}
+		if t.done || len(t.attempts) > 0 {
 			continue
 		}
-		if t.unresolved && len(s.unresolvedWorkers) > 0 {
-			wait = waitsForFormerOwner
-			continue
-		}
-		if !s.mayRetry(taskRef{st, i}) {
-			continue
-		}
-		if st.spec.LongRunning && t.lastRun == 0 && !st.startedByFormerOwner && !s.keepsShortTaskReserve(st, allWorkers, now) {
-			s.recordWait(st, waitsForReserve, nil, now)
+		switch r := s.holdsBack(st, t, suspect, allWorkers, now); r {
+		case notHeld:
+		case heldByReserve:
+			s.holdStep(st, i, r, now)
 			return true
+		default:
+			s.holdBack(ref, r, now)
+			continue
 		}
 		w := ranking.best(t)
 		if w == nil && st.spec.LongRunning {
 			w = s.choose(st, t, lastResorts, now)
 		}
 		if w == nil && t.suspected() {
-			wait, suspect = waitsForIsolation, t
+			suspect = t
+			s.hold(ref, cmp.Or(st.advice.wait, heldByIsolation), now)
 			continue
 		}
 		if w == nil {
-			s.recordWait(st, waitsForRoom, t, now)
-			return s.askAdviser(st, allWorkers, now)
+			mayFindLater := s.askAdviser(st, allWorkers, now)
+			s.holdStep(st, i, s.missing(st, t, allWorkers, now), now)
+			return mayFindLater
 		}
 		if !st.startRecordDurable {
 			s.requestStartRecord(st)
+			s.holdStep(st, i, heldByStartRecord, now)
 			return true
 		}
 		s.startTask(st, i, s.nextRun(t.lastRun), w, now)
 	}
-	if wait != "" {
-		s.recordWait(st, wait, suspect, now)
-	}
+	st.waits.reason = notHeld
 	if suspect != nil {
 		s.askAdviser(st, allWorkers, now)
 	}
@@ -247,28 +249,23 @@
 
 // placeGang starts either all tasks of a gang, with one run number and one checkpoint, or none.
 func (s *State) placeGang(st *step, workers []*worker, now time.Time) {
-	if st.startRecordRequested && !st.startRecordDurable {
+	if st.awaitsStartRecord() {
+		s.holdStep(st, 0, heldByStartRecord, now)
 		return
 	}
-	run := st.gangRun
-	for i := range st.tasks {
-		t := &st.tasks[i]
-		if t.done || len(t.attempts) > 0 || st.isPaused(t, now) {
-			return
-		}
-		if t.unresolved && len(s.unresolvedWorkers) > 0 {
-			s.recordWait(st, waitsForFormerOwner, nil, now)
-			return
-		}
-		run = max(run, t.lastRun)
-	}
-	if !s.mayRetry(taskRef{st, 0}) { // the failures of a gang count together
+	if member, r := s.holdsBackGang(st, now); r != notHeld {
+		s.holdBackGang(st, member, r, now)
 		return
 	}
 	if !st.startRecordDurable {
 		s.requestStartRecord(st)
+		s.holdStep(st, 0, heldByStartRecord, now)
 		return
 	}
+	run := st.gangRun
+	for i := range st.tasks {
+		run = max(run, st.tasks[i].lastRun)
+	}
 	run = s.nextRun(run)
 	checkpoint := st.tasks[0].checkpoint
 	ranking := s.newRanking(st, workers, now)
@@ -278,14 +275,15 @@
 		w := ranking.best(&st.tasks[i])
 		if w == nil {
 			s.releaseReservations(st, placed)
-			s.recordWait(st, waitsForRoom, &st.tasks[i], now)
 			s.askAdviser(st, workers, now)
+			s.holdGang(st, i, s.missing(st, &st.tasks[i], workers, now), now)
 			return
 		}
 		placed = append(placed, s.reserve(st, i, run, w, now))
 	}
 	st.gangRun = run
-	s.startAll(placed)
+	st.waits.reason = notHeld
+	s.startAll(placed, now)
 }
 
 // releaseReservations undoes reservations for which no start has been sent.
@@ -305,7 +303,7 @@
 }
 
 func (s *State) startTask(st *step, index int, run int64, w *worker, now time.Time) {
-	s.startAll([]*attempt{s.reserve(st, index, run, w, now)})
+	s.startAll([]*attempt{s.reserve(st, index, run, w, now)}, now)
 }
 
 // reserve registers an attempt whose start is not sent yet. Until sendStart, releaseReservations undoes
--- a/internal/batch/recorded_start.go
+++ b/internal/batch/recorded_start.go
@@ -16,7 +16,7 @@
 func (t *task) needsRecordedStart() bool { return t.suspected() || t.unresolved }
 
 // startAll sends the starts of reserved attempts. If one of them has to be recorded, all wait for the record.
-func (s *State) startAll(attempts []*attempt) {
+func (s *State) startAll(attempts []*attempt, now time.Time) {
 	if !slices.ContainsFunc(attempts, func(a *attempt) bool { return a.task().needsRecordedStart() }) {
 		for _, a := range attempts {
 			s.sendStart(a)
@@ -28,6 +28,7 @@
 		e.Isolated = a.isIsolated()
 		a.unsent, a.recorded = true, e
 		s.addSuspicion(a.ref(), e)
+		s.hold(a.ref(), heldByOwnRecord, now)
 	}
 	job := attempts[0].step.job
 	s.dirty.add(job)
@@ -53,6 +54,9 @@
 			return true
 		}
 		if slices.ContainsFunc(r, func(a *attempt) bool { return !a.startRecorded }) {
+			for _, a := range r {
+				s.hold(a.ref(), heldByOwnRecord, now)
+			}
 			return false
 		}
 		for _, a := range r {
@@ -86,6 +90,7 @@
 		s.withdrawSuspicion(a.ref(), a.run)
 		if a.worker.attempts[attemptKey{a.id(), a.run}] == a {
 			s.remove(a, now)
+			s.hold(a.ref(), heldByNewPlan, now)
 		}
 	}
 }
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -185,6 +185,7 @@
 	t := a.task()
 	t.lastRun = max(t.lastRun, a.run)
 	t.lastWorker = a.worker.info.ID
+	t.heldBy, t.startableSince = notHeld, 0
 }
 
 // markStarted notes that a task of the job has been started by a worker. A start that was only sent does not
--- a/internal/batch/simulation_requests_test.go
+++ b/internal/batch/simulation_requests_test.go
@@ -17,8 +17,10 @@
 }
 
 // plan calls Plan of the owner and sends the requests.
-func (w *simulation) plan(*rapid.T) {
-	for _, a := range w.owner.Plan(w.now) {
+func (w *simulation) plan(t *rapid.T) {
+	actions := w.owner.Plan(w.now)
+	w.checkWaitReasons(t)
+	for _, a := range actions {
 		reading := w.clocks[a.Worker]
 		notAfter := reading.clock + w.now.Sub(reading.at).Milliseconds() + simulatedStartWindow.Milliseconds()
 		if a.Kind == ActionStart {
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -39,6 +39,8 @@
 	lastCheck         time.Time       // last check for expired leases and stalled tasks
 	lastPlan          time.Time
 	lastDownReport    time.Time // last report on long-running tasks that are down
+	lastWaitReport    time.Time // last report on tasks that wait
+	began             time.Time // where clock counts from; zero before its first call
 	startsSinceReport startCounts
 	interferenceModel *interferenceModel
 	// meanShortCPU is the moving average of the CPU reserved by the attempts of short tasks, by service,
