--- a/internal/owner/maintenance.go
+++ b/internal/owner/maintenance.go
@@ -22,6 +22,7 @@
 	scope.Gauge("jobs_known").Update(float64(total))
 	scope.Gauge("workers").Update(float64(len(l.renewers)))
 	scope.Gauge("epoch").Update(float64(l.epoch))
+	updateWaitGauges(scope, l.state.WaitingTasks(now))
 }
 
 // removePruned adds the removal of pruned jobs' keys to a transaction, at most maxEntries of
