--- a/internal/batch/wait_reasons_test.go
+++ b/internal/batch/wait_reasons_test.go
@@ -159,6 +159,12 @@
 		planUntilIdle(s, now)
 		return held(s, now, "j", 0)
 	},
+	heldByInterference: func(t *testing.T) heldTask {
+		s, now := pressed(t, "a")
+		addJob(s, "j", "q", now, bestEffortStep("fill", 1))
+		planUntilIdle(s, now)
+		return held(s, now, "j", 0)
+	},
 	heldByQuestions: func(*testing.T) heldTask {
 		s, now := newAdvisedState("a")
 		addJob(s, "j", "q", now, taskStep(1, 1000))
--- a/internal/batch/waits.go
+++ b/internal/batch/waits.go
@@ -27,6 +27,7 @@
 	heldByRoom           // none of the workers that may get tasks has room for it
 	heldByLikeStep       // another step that needs no more than its own has found no worker
 	heldByWithheldRoom   // workers have room, but run suspected tasks that it must not join
+	heldByInterference   // workers have room, but leave a best-effort task no CPU, or it would disturb tasks with targets
 	heldByIsolation      // it is suspected, and no worker has room where it may run
 	heldByAdviser        // the adviser is asked which workers may run its step
 	heldByQuestions      // the adviser cannot be asked yet
@@ -60,6 +61,7 @@
 		heldByRoom:           waitsForRoom,
 		heldByLikeStep:       "a step before it that needs no more found no worker",
 		heldByWithheldRoom:   "workers that may run it have room, but run suspected tasks that it must not join",
+		heldByInterference:   "workers that may run it have room, but no CPU is left there, or it would disturb tasks with targets",
 		heldByIsolation:      waitsForIsolation,
 		heldByAdviser:        "the adviser has not answered yet",
 		heldByQuestions:      "the adviser has too many open questions, or has just failed to answer",
@@ -70,7 +72,7 @@
 		notHeld: "new", heldByStartRecord: "start-record", heldByPause: "pause", heldByFormerOwner: "former-owner",
 		heldByFailureRecord: "failure-record", heldByFormerEnds: "former-ends", heldByOwnRecord: "own-record", heldByNewPlan: "new-plan",
 		heldByWorseSuspect: "worse-suspect", heldByReserve: "reserve", heldByNoWorker: "no-worker", heldByRoom: "room",
-		heldByLikeStep: "like-step", heldByWithheldRoom: "withheld-room", heldByIsolation: "isolation", heldByAdviser: "adviser", heldByQuestions: "questions",
+		heldByLikeStep: "like-step", heldByWithheldRoom: "withheld-room", heldByInterference: "interference", heldByIsolation: "isolation", heldByAdviser: "adviser", heldByQuestions: "questions",
 		heldByRefusedTickets: "refused-tickets", heldByGang: "gang",
 	}
 )
@@ -88,7 +90,7 @@
 // describesRoom reports whether step.waits says for the reason what the workers lack.
 func (r waitReason) describesRoom() bool {
 	switch r {
-	case heldByRoom, heldByLikeStep, heldByWithheldRoom, heldByIsolation, heldByRefusedTickets:
+	case heldByRoom, heldByLikeStep, heldByWithheldRoom, heldByInterference, heldByIsolation, heldByRefusedTickets:
 		return true
 	default:
 		return false
@@ -236,7 +238,11 @@
 		if w.suspected > 0 && st.suits(w, q, now) && t.mustAvoid(st, w, now) {
 			return heldByWithheldRoom
 		}
-		reason = heldByRoom
+		if st.spec.BestEffort && st.suits(w, q, now) {
+			reason = heldByInterference
+		} else if reason != heldByInterference {
+			reason = heldByRoom
+		}
 	}
 	return reason
 }
