--- a/internal/batch/waits.go
+++ b/internal/batch/waits.go
@@ -326,28 +326,6 @@
 	return true
 }
 
-// describeWorkers describes for the log how many workers of a service may get new tasks, and why the others
-// may not. The log calls a quarantined worker shunned.
-func (s *State) describeWorkers(service string) string {
-	usable, quarantined, draining, silent, other := 0, 0, 0, 0, 0
-	for _, w := range s.workers {
-		switch {
-		case !w.listed || w.info.Service != service:
-		case w.usable(s, s.lastPlan):
-			usable++
-		case s.lastPlan.Before(w.quarantinedUntil):
-			quarantined++
-		case w.info.Draining:
-			draining++
-		case w.unreachable:
-			silent++
-		default:
-			other++
-		}
-	}
-	return fmt.Sprintf("%d may get tasks, %d are shunned, %d drain, %d are silent, %d wait for a report, a lease or a record", usable, quarantined, draining, silent, other)
-}
-
 // describeRoom describes for the log what a task of the step needs, and what the workers lack that may get tasks.
 func (s *State) describeRoom(st *step, t *task, now time.Time) string {
 	var counts [rejections]int
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -223,17 +223,6 @@
 	s.remove(a, now)
 }
 
-// usable reports whether the worker may get new tasks.
-func (w *worker) usable(s *State, now time.Time) bool {
-	return w.usableButForQuarantine(s) && !now.Before(w.quarantinedUntil)
-}
-
-// usableButForQuarantine reports whether the worker may get new tasks once its quarantine has ended.
-func (w *worker) usableButForQuarantine(s *State) bool {
-	return w.listed && w.described && w.recorded && w.reported && w.leaseConfirmed && !w.unreachable && !w.runsUnknownTasks && !w.info.Draining &&
-		!s.config.Evacuated[w.info.DataCentre]
-}
-
 // free returns the resources that no attempt reserves.
 func (w *worker) free() Resources { return w.info.Capacity.minus(w.used) }
 
