--- a/internal/batch/ends.go
+++ b/internal/batch/ends.go
@@ -125,9 +125,8 @@
 	if t.done || len(t.attempts) > 0 {
 		return
 	}
-	t.downSince = now
-	if a.worker.unreachable {
-		t.downSince = a.worker.lastContact
+	if !a.unsent {
+		t.downSince = a.lastSeen(now)
 	}
 	a.step.waiting++
 	s.openStep(a.step, now)
@@ -139,6 +138,14 @@
 	}
 }
 
+// lastSeen returns when an attempt that has ended was last known to run.
+func (a *attempt) lastSeen(now time.Time) time.Time {
+	if a.worker.unreachable {
+		return a.worker.lastContact
+	}
+	return now
+}
+
 // breakGang stops the remaining attempts of a gang, so that all its tasks restart together.
 func (s *State) breakGang(st *step) {
 	for i := range st.tasks {
