--- a/internal/batch/answers.go
+++ b/internal/batch/answers.go
@@ -21,6 +21,7 @@
 		w.noteRoom(a.reserved)
 		s.markStarted(a.step.job)
 	case AnswerNone:
+		a.unansweredAt = now
 		if !a.listed {
 			s.stop(a, "start not answered")
 		}
--- /dev/null
+++ b/internal/batch/reborn_start_test.go
@@ -0,0 +1,41 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a task that waits for minutes for a start which was sent to a worker as it was restarted: its last
+// valid time is one on the clock of the former incarnation, and the answers to all stops are lost.
+func TestAnUnansweredStartToARestartedWorkerIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	s, now := newTestState("a")
+	addJob(s, "j", "q", now, taskStep(1, 1000))
+	s.Plan(now)
+	s.MarkStored(s.TakeDirty(1 << 20))
+	start := startActions(s.Plan(now))[0]
+	const formerClock, uptime = 500_000, 2000 // in milliseconds
+	s.StartSent("a", start.Task, start.Run, formerClock)
+	sentAt := now
+	now = now.Add(700 * time.Millisecond)
+	s.StartAnswered("a", start.Task, start.Run, AnswerNone, now)
+	info := s.workers["a"].info
+	info.Incarnation = 2
+	s.UpdateWorker(info, now)
+	for {
+		now = now.Add(250 * time.Millisecond)
+		waited := now.Sub(sentAt)
+		reportWithLease(s, "a", Report{Incarnation: 2, Clock: uptime + waited.Milliseconds()}, now)
+		again := startActions(s.Plan(now))
+		s.MarkStored(s.TakeDirty(1 << 20)) // the second start is recorded before it is sent
+		if len(again) > 0 {
+			is.True(waited > maxCallDelay) // until then the worker may carry out the first start
+			return
+		}
+		if waited > 14*time.Second {
+			t.Fatalf("not started again after %s", waited)
+		}
+	}
+}
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -105,11 +105,19 @@
 		return r.RequestedAt.After(a.acceptedAt)
 	case !a.stopAnsweredAt.IsZero() && r.RequestedAt.After(a.stopAnsweredAt):
 		return true
+	case a.isTooLate(r.RequestedAt):
+		return true
 	default:
 		return r.Clock > a.notAfter
 	}
 }
 
+// isTooLate reports whether a worker that was restarted does not carry out an unanswered start any more at a time. Its
+// clock does not tell, since it began anew.
+func (a *attempt) isTooLate(at time.Time) bool {
+	return !a.restartedAt.IsZero() && !a.unansweredAt.IsZero() && at.After(a.unansweredAt.Add(maxCallDelay))
+}
+
 // adopt registers an attempt that a worker runs but this owner does not track: a former owner started
 // it, or its start was executed after this owner had given it up. The attempt is stopped if its task
 // does not need it.
