--- a/internal/batch/isolation.go
+++ b/internal/batch/isolation.go
@@ -13,6 +13,9 @@
 	// long-running tasks without another worker do neither any more: their room must not stand empty for long.
 	isolationPatience  = provingTime
 	separationPatience = 2 * time.Second
+	// shortIsolationPatience replaces isolationPatience for other tasks, whose jobs may be given up for losses. They
+	// have no separationPatience.
+	shortIsolationPatience = 8 * time.Second
 	// maxSuspectGap is the longest time between two suspected tasks that follow each other.
 	maxSuspectGap = provingTime
 
@@ -32,7 +35,7 @@
 	if w.suspected == 0 || st.spec.Gang {
 		return false
 	}
-	isolates, separates := true, true
+	isolates, separates := !w.hasRunSuspectsFor(shortIsolationPatience, now), true
 	if st.spec.LongRunning {
 		isolates = !w.hasRunSuspectsFor(isolationPatience, now)
 		separates = !w.hasRunSuspectsFor(separationPatience, now)
--- /dev/null
+++ b/internal/batch/short_suspects_test.go
@@ -0,0 +1,29 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// maxWithheld is the longest time for which room beside suspected tasks may stand empty while a short task waits for it.
+const maxWithheld = 12 * time.Second
+
+// Guards against short tasks that wait with room for them for as long as others are suspected twice: each waited for
+// 0.5 s for the one before, however many there were.
+func TestShortSuspectsThatFollowEachOtherDoNotWithholdRoomForLong(t *testing.T) {
+	const tasks, each = 40, 100
+	c := newCrashCluster(t, 1)
+	for i := range tasks {
+		st := taskStep(1, each)
+		st.Estimate = time.Minute // they need not make progress
+		c.addSuspect(fmt.Sprint("job", i), st, make([]time.Duration, suspicionsToIsolate)...)
+	}
+	started := 0
+	for waited := time.Duration(0); waited <= maxWithheld; waited += 250 * time.Millisecond {
+		started += c.startsAfter(250 * time.Millisecond)
+	}
+	is.New(t).Equal(started, tasks)
+}
