--- a/internal/batch/crash.go
+++ b/internal/batch/crash.go
@@ -13,8 +13,8 @@
 	// maxSuspectRuntime bounds the time for which an attempt may have run when its worker crashed to be
 	// suspected, if no attempt there was started within provingTime.
 	maxSuspectRuntime = 5 * time.Second
-	// survivalFactor times the longest runtime after which a worker has crashed under a task replaces
-	// provingTime for that task.
+	// survivalFactor times the longest runtime after which a worker has crashed under a task, up to
+	// maxSuspectRuntime, replaces provingTime for that task.
 	survivalFactor = 2
 
 	// isolatedCrashesToFail is the number of crashes, with the task as the only suspect, after which the
@@ -62,7 +62,7 @@
 func (t *task) provingTime() time.Duration {
 	longest := provingTime
 	for _, e := range t.suspicions {
-		longest = max(longest, survivalFactor*e.Runtime)
+		longest = max(longest, survivalFactor*min(e.Runtime, maxSuspectRuntime))
 	}
 	return longest
 }
--- a/internal/batch/short_suspects_test.go
+++ b/internal/batch/short_suspects_test.go
@@ -27,3 +27,18 @@
 	}
 	is.New(t).Equal(started, tasks)
 }
+
+// Guards against a short task that waits for a suspected one which has lost its workers so late that it is cleared only
+// after a long time.
+func TestAShortTaskIsNotKeptApartForLong(t *testing.T) {
+	c := newCrashCluster(t, 1)
+	c.addSuspect("a", longRunningStep(1, 500, 0), 9*time.Second, 0, 0)
+	c.addSuspect("b", taskStep(1, 500), 0)
+	is := is.New(t)
+	is.Equal(c.startsAfter(time.Minute), 1)
+	started := 0
+	for waited := time.Duration(0); waited <= maxWithheld; waited += 250 * time.Millisecond {
+		started += c.startsAfter(250 * time.Millisecond)
+	}
+	is.Equal(started, 1)
+}
