owner: only renewals that acknowledge ends wait for the records of jobs

Cause: setParamsWhenDurable made all parameters wait for the changes of jobs. Only an acknowledgement depends on them, since the worker may discard the end then. A report without ends acknowledges none. What a renewal depends on is the workers record, for which it still waits.

Tests: TestOnlyAcknowledgementsWaitForTheRecordsOfJobs failed before (no end is acknowledged) and holds that an acknowledgement still waits.

--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -30,13 +30,13 @@
 	pending []pendingParams
 }
 
-// pendingParams are renewal parameters that wait until all changes before them are durable. They
-// acknowledge ended attempts, which the worker may then discard.
+// pendingParams are renewal parameters that wait until the workers record is durable, as they renew a lease that it may
+// say to end, and if they acknowledge ended attempts, which the worker may then discard, until the changes of jobs are.
 type pendingParams struct {
 	params  renewalParams
 	renewer *renewer
 	// txnNumber is the number of the transaction that makes all changes of the workers record up to
-	// then durable, and change the sequence number of the newest change of a job.
+	// then durable, and change the sequence number of the newest change of a job; 0 if no end is acknowledged.
 	txnNumber int64
 	change    uint64
 }
@@ -44,10 +44,13 @@
 // due fires when the next transaction may be sent.
 func (c *committer) due() <-chan time.Time { return c.timer }
 
-// setParamsWhenDurable passes the parameters to the renewer once all changes made so far are durable.
-// Later changes do not delay them.
+// setParamsWhenDurable passes the parameters to the renewer once all changes made so far that they depend on are
+// durable. Later changes do not delay them.
 func (l *leader) setParamsWhenDurable(i renewalParams, rn *renewer) {
-	p := pendingParams{params: i, renewer: rn, txnNumber: l.commits.workersNumber, change: l.state.LastChange()}
+	p := pendingParams{params: i, renewer: rn, txnNumber: l.commits.workersNumber}
+	if i.ackSeq > 0 {
+		p.change = l.state.LastChange()
+	}
 	if l.workersRecord.dirty {
 		p.txnNumber = l.commits.number + 1
 	}
--- a/internal/owner/commit_test.go
+++ b/internal/owner/commit_test.go
@@ -60,3 +60,36 @@
 		})
 	}
 }
+
+// Guards against a worker that gets no task for as long as records of jobs wait for the store: a renewal that
+// acknowledges no end waited for them, and the first one must be confirmed before the first start.
+func TestOnlyAcknowledgementsWaitForTheRecordsOfJobs(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		ackSeq int64
+	}{{"no end is acknowledged", 0}, {"an end is acknowledged", 7}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			o := New(Options{Instance: "a"}, newMemoryStore(), nil, fakeRegistry{}, testConfig, zerolog.Nop())
+			l := newLeader(o, heldClaim{claim: Claim{Epoch: 1}, commitRev: 1}, func(error) {})
+			now := time.Unix(1_000_000, 0)
+			change := func(id string) {
+				l.state.AddJob(&batch.Job{ID: id, Queue: "q", QueueConfig: batch.Queue{Service: "svc"}, Spec: batch.Spec{Steps: []batch.Step{tasks(1)}}}, nil, false, now)
+				l.state.Cancel(id, now)
+			}
+			change("in-flight")
+			l.commits.inFlight = l.nextTxn(now)
+			change("waiting")
+			rn := &renewer{newParams: make(chan renewalParams, 1)}
+			l.setParamsWhenDurable(renewalParams{ackSeq: c.ackSeq, renew: true}, rn)
+			is.Equal(len(rn.newParams) == 0, c.ackSeq > 0)
+			for rev := int64(2); l.commits.inFlight != nil; rev++ {
+				l.committed(l.commits.inFlight, rev)
+				if l.state.DirtyJobs() > 0 {
+					l.commits.inFlight = l.nextTxn(now)
+				}
+			}
+			is.Equal(len(rn.newParams), 1)
+		})
+	}
+}
