--- a/internal/owner/third_owner_test.go
+++ b/internal/owner/third_owner_test.go
@@ -111,6 +111,55 @@
 	}, "w1", "w2", "w3")
 }
 
+// Guards against the same when the first owner lives on: it lost its claim as its store stood still, and the second one ended
+// before the first knew of that and could tell it.
+func TestAnOwnerThatLostItsClaimTellsTheThirdOne(t *testing.T) {
+	for _, led := range []time.Duration{300 * time.Millisecond, 1300 * time.Millisecond} {
+		for _, early := range []bool{false, true} {
+			t.Run(fmt.Sprintf("the second led for %s, worker lost before %t", led, early), func(t *testing.T) {
+				testClaimLostThenOwnerEnded(t, led, early)
+			})
+		}
+	}
+}
+
+// testClaimLostThenOwnerEnded cuts the first owner off from the store until the second one, which leads in between, has
+// ended. The worker of a task is lost as the second owner ends, or early, as the first one is cut off. It checks when the
+// third owner starts the task again.
+func testClaimLostThenOwnerEnded(t *testing.T, led time.Duration, early bool) {
+	withHarness(t, func(h *harness) {
+		h.workers.taskDuration = time.Hour
+		storeOfA := &cutStore{memoryStore: h.store}
+		h.startInstanceAt("a", storeOfA, h.workers)
+		h.sleep(time.Second)
+		h.submit("j", longRunning(1))
+		h.sleep(time.Second)
+		h.startInstance("b")
+		h.sleep(time.Minute)
+		task := batch.TaskID{Job: "j"}
+		lost := h.workerOf(task)
+		storeOfA.setCut(true)
+		if early {
+			h.leave(lost)
+		}
+		for h.owners["b"].leading.Load() == nil {
+			h.sleep(10 * time.Millisecond)
+		}
+		h.startInstance("c")
+		h.sleep(led)
+		h.endOwner("b", "c")
+		if !early {
+			h.leave(lost)
+		}
+		h.sleep(300 * time.Millisecond)
+		h.is.True(h.owners["c"].leading.Load() != nil)
+		back := time.Now()
+		storeOfA.setCut(false)
+		h.startInstance("b")
+		h.requireRestartAfter(task, back)
+	}, "w1", "w2", "w3")
+}
+
 // startTaskAndEndOwner starts instance a, which leads, a long-running task, and instance b with its store. A minute later
 // it ends a.
 func (h *harness) startTaskAndEndOwner(storeOfB kv.Store) batch.TaskID {
