owner: a transaction that is full does not wait for more records

Cause: commitInterval (40 ms) lets records share a transaction.

Tests: TestFullTransactionsDoNotWaitForMoreRecords failed before (40 ms in place of 8 ms), and holds that one record less still waits.

--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -93,7 +93,7 @@
 		return
 	}
 	interval := commitInterval
-	if l.state.HasUrgentRecords() {
+	if l.state.HasUrgentRecords() || l.state.DirtyJobs() >= maxRecordsPerTxn {
 		interval = urgentInterval
 	}
 	if wait := interval - now.Sub(c.lastSent); wait > 0 {
--- a/internal/owner/commit_test.go
+++ b/internal/owner/commit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -93,3 +94,32 @@
 		})
 	}
 }
+
+// Guards against ends that are acknowledged late, since full transactions wait for records to share them with.
+func TestFullTransactionsDoNotWaitForMoreRecords(t *testing.T) {
+	for _, c := range []struct {
+		jobs int
+		due  time.Duration
+	}{{maxRecordsPerTxn - 1, commitInterval}, {maxRecordsPerTxn, urgentInterval}} {
+		t.Run(fmt.Sprintf("%d records", c.jobs), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				o := New(Options{Instance: "a"}, newMemoryStore(), nil, fakeRegistry{}, testConfig, zerolog.Nop())
+				l := newLeader(o, heldClaim{claim: Claim{Epoch: 1}, commitRev: 1}, func(error) {})
+				l.ctx = t.Context()
+				l.commits.settled, l.commits.lastSent = true, time.Now()
+				for i := range c.jobs {
+					id := fmt.Sprintf("j%d", i)
+					l.state.AddJob(&batch.Job{ID: id, Queue: "q", QueueConfig: batch.Queue{Service: "svc"}, Spec: batch.Spec{Steps: []batch.Step{tasks(1)}}}, nil, false, time.Now())
+					l.state.Cancel(id, time.Now())
+				}
+				l.commit(time.Now())
+				is.True(l.commits.inFlight == nil)
+				<-l.commits.due()
+				is.Equal(time.Since(l.commits.lastSent), c.due)
+				l.commit(time.Now())
+				is.True(l.commits.inFlight != nil)
+			})
+		})
+	}
+}
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -23,7 +23,8 @@
 	tickInterval = 100 * time.Millisecond
 	// commitInterval is the shortest time between two transactions of the owner.
 	commitInterval = 40 * time.Millisecond
-	// urgentInterval replaces commitInterval while steps wait for their record to become durable.
+	// urgentInterval replaces commitInterval while steps wait for their record to become durable, or enough records
+	// wait to fill a transaction.
 	urgentInterval = 8 * time.Millisecond
 	// commitTimeout bounds one attempt of a transaction.
 	commitTimeout = 1500 * time.Millisecond
