--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -23,7 +23,8 @@
 	tickInterval = 100 * time.Millisecond
 	// commitInterval is the shortest time between two transactions of the owner.
 	commitInterval = 40 * time.Millisecond
-	// urgentInterval replaces commitInterval while steps wait for their record to become durable.
+	// urgentInterval replaces commitInterval while steps wait for their record to become durable, or enough records
+	// wait to fill a transaction.
 	urgentInterval = 8 * time.Millisecond
 	// commitTimeout bounds one attempt of a transaction.
 	commitTimeout = 1500 * time.Millisecond
@@ -175,11 +176,18 @@
 		case <-l.cooldown.due():
 		}
 		l.drainStoreEvents()
-		if now := time.Now(); l.cooldown.elapsed(now) {
-			l.decide(now)
-			l.cooldown.start(now, time.Now())
-		}
+		l.react(time.Now())
+	}
+}
+
+// react decides after an event, or only writes changed records while the cooldown of the last decision goes on.
+func (l *leader) react(now time.Time) {
+	if !l.cooldown.elapsed(now) {
+		l.commit(now)
+		return
 	}
+	l.decide(now)
+	l.cooldown.start(now, time.Now())
 }
 
 // drainStoreEvents executes all store events that are queued.
