batch: the random test of steps that are passed over draws best-effort steps that have waited for long

covers takes the time since a best-effort task has waited for ten seconds may start where a newer one may not; the test calls it so and draws ages up to 12 s in place of 9 s.

--- a/internal/batch/covers_test.go
+++ b/internal/batch/covers_test.go
@@ -71,7 +71,7 @@
 // drawWaitingJob adds a job whose steps may be started. Some of its tasks have failed or are suspected.
 func drawWaitingJob(t *rapid.T, s *State, id string, now time.Time) {
 	queue := rapid.SampledFrom([]string{"q", "q", "q", "late", "tickets", "other"}).Draw(t, "queue")
-	j := addJob(s, id, queue, now.Add(time.Duration(rapid.IntRange(-9, 0).Draw(t, "age"))*time.Second), drawAnyStep(t))
+	j := addJob(s, id, queue, now.Add(time.Duration(rapid.IntRange(-12, 0).Draw(t, "age"))*time.Second), drawAnyStep(t))
 	st := j.occs[0].steps[0]
 	st.startRecordRequested, st.startRecordDurable = true, true
 	for i := range st.tasks {
@@ -94,7 +94,7 @@
 		for _, entry := range s.openStepsInOrder(now) {
 			st := entry.step
 			exempt := st.spec.LongRunning && len(lastResorts) > 0 || st.spec.Gang && runSuspects(workers)
-			if !exempt && unplaced.covers(st) {
+			if !exempt && unplaced.covers(st, now) {
 				checkNoWorkerFor(t, s, st, workers, now)
 				continue
 			}
