--- a/internal/batch/answers.go
+++ b/internal/batch/answers.go
@@ -16,7 +16,10 @@
 	}
 	a.startPending = false
 	switch answer {
-	case AnswerOK:
+	case AnswerOK, AnswerOKRepeated:
+		if answer == AnswerOKRepeated {
+			a.unansweredAt = now
+		}
 		a.acceptedAt, w.lastContact = now, now
 		w.noteRoom(a.reserved)
 		s.markStarted(a.step.job)
@@ -43,7 +46,7 @@
 
 // answerNames are the names of the answers in the log: unwell stands for AnswerRefused, late for
 // AnswerExpired, old for AnswerStale and no room for AnswerNoCapacity.
-var answerNames = [...]string{"no answer", "ok", "unwell", "late", "old", "no room", "fenced", "invalid", "no ticket"}
+var answerNames = [...]string{"no answer", "ok", "unwell", "late", "old", "no room", "fenced", "invalid", "no ticket", "ok after a repetition"}
 
 // startRefused removes an attempt whose start was certainly not executed. A listed attempt stays,
 // since the worker has reported that it runs.
@@ -63,7 +66,7 @@
 	if w == nil || incarnation != w.info.Incarnation {
 		return
 	}
-	if a := w.attempts[attemptKey{task, run}]; a != nil && answer == AnswerOK {
+	if a := w.attempts[attemptKey{task, run}]; a != nil && (answer == AnswerOK || answer == AnswerOKRepeated) {
 		a.stopAnsweredAt = now
 	}
 }
--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -22,7 +22,7 @@
 	// stay unknown. Such a call may still reach the worker, also one that has been restarted meanwhile.
 	startPending bool
 	acceptedAt   time.Time // when an answer that accepts the start arrived
-	unansweredAt time.Time // when the wait for an answer to the start ended without one
+	unansweredAt time.Time // when the wait for an answer to the start, or to a copy of it, ended without one
 	listedSince  time.Time // when a report first listed the attempt
 	// suspicions is the number of suspicions that its task had when it was started; 0 if it is not suspected any more.
 	suspicions int
--- a/internal/batch/lease.go
+++ b/internal/batch/lease.go
@@ -81,7 +81,7 @@
 	case !a.acceptedAt.IsZero():
 		return laterOf(a.worker.leaseEnd, a.acceptedAt.Add(s.timing.LeaseTTL))
 	case !a.restartedAt.IsZero():
-		return laterOf(a.worker.leaseEnd, a.requestedAt.Add(maxCallDelay+s.timing.LeaseTTL))
+		return laterOf(a.worker.leaseEnd, laterOf(a.requestedAt, a.unansweredAt).Add(maxCallDelay+s.timing.LeaseTTL))
 	default:
 		return laterOf(a.worker.leaseEnd, a.requestedAt.Add(s.timing.StartLeaseTTL+s.timing.LeaseTTL))
 	}
--- a/internal/batch/model.go
+++ b/internal/batch/model.go
@@ -114,6 +114,7 @@
 	AnswerFenced                   // another owner has a higher epoch
 	AnswerInvalid                  // certainly not executed: the worker has another incarnation, or the request is invalid
 	AnswerNoTicket                 // certainly not executed: the ticket is missing or no longer valid
+	AnswerOKRepeated               // executed, but a copy of the request got no answer and may be executed later
 )
 
 // ActionKind is the kind of an action.
--- a/internal/batch/reborn_start_test.go
+++ b/internal/batch/reborn_start_test.go
@@ -39,3 +39,29 @@
 		}
 	}
 }
+
+// Guards against a task that runs twice: its worker restarts, and the new incarnation carries out a copy of the start
+// that got no answer, after another one that was answered.
+func TestACopyOfAStartMayReachARestartedWorker(t *testing.T) {
+	is := is.New(t)
+	s, now := newTestState("a", "b")
+	addJob(s, "j", "q", now, longRunningStep(1, 1000, 0))
+	s.Plan(now)
+	s.MarkStored(s.TakeDirty(1 << 20))
+	start := startActions(s.Plan(now))[0]
+	id := start.Worker
+	s.StartSent(id, start.Task, start.Run, 500_000)
+	s.StartAnswered(id, start.Task, start.Run, AnswerOKRepeated, now)
+	now = now.Add(time.Second)
+	reportWithLease(s, id, Report{Incarnation: 1, Clock: 5, Running: runningOn([]Action{start}, id), RequestedAt: now}, now)
+	now = now.Add(time.Second)
+	reportWithLease(s, id, Report{Incarnation: 2, Clock: 5, RequestedAt: now}, now)
+	stops := planUntilIdle(s, now)
+	is.Equal(len(startActions(stops)), 0) // the copy may run any moment
+	is.Equal(len(stops), 1)
+	is.Equal(stops[0].Kind, ActionStop)
+	s.StopAnswered(id, 2, start.Task, start.Run, AnswerOK, now)
+	now = now.Add(time.Second)
+	reportWithLease(s, id, Report{Incarnation: 2, Clock: 1005, RequestedAt: now}, now)
+	is.Equal(len(startActions(planUntilIdle(s, now))), 1) // the stop bars it
+}
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -115,7 +115,13 @@
 // isTooLate reports whether a worker that was restarted does not carry out an unanswered start any more at a time. Its
 // clock does not tell, since it began anew.
 func (a *attempt) isTooLate(at time.Time) bool {
-	return !a.restartedAt.IsZero() && !a.unansweredAt.IsZero() && at.After(a.unansweredAt.Add(maxCallDelay))
+	return !a.restartedAt.IsZero() && !a.unansweredAt.IsZero() && !a.mayRepeatStart(at)
+}
+
+// mayRepeatStart reports whether a copy of the start that got no answer may still be carried out. That means nothing
+// to the incarnation that runs the attempt, but starts it anew in a later one.
+func (a *attempt) mayRepeatStart(now time.Time) bool {
+	return !a.unansweredAt.IsZero() && !now.After(a.unansweredAt.Add(maxCallDelay))
 }
 
 // adopt registers an attempt that a worker runs but this owner does not track: a former owner started
--- a/internal/batch/simulation_requests_test.go
+++ b/internal/batch/simulation_requests_test.go
@@ -14,6 +14,7 @@
 	sentAt     time.Time
 	notAfter   int64 // on the worker's clock
 	answerLost bool  // its answer is lost
+	repeated   bool  // an identical request was sent before, whose answer is lost
 }
 
 // plan calls Plan of the owner and sends the requests.
@@ -38,6 +39,38 @@
 	w.giveUp(&w.requests[rapid.IntRange(0, len(w.requests)-1).Draw(t, "order")])
 }
 
+// repeat sends a request again whose answer is lost. The owner waits for the answer to the copy; the first one may still
+// be executed at any later time.
+func (w *simulation) repeat(t *rapid.T) {
+	if len(w.requests) == 0 {
+		return
+	}
+	r := &w.requests[rapid.IntRange(0, len(w.requests)-1).Draw(t, "order")]
+	if r.answerLost || r.epoch != w.epoch {
+		return
+	}
+	r.answerLost = true
+	w.lastFault = w.now
+	w.extendActive(*r, r.sentAt.Add(maxCallDelay))
+	again := *r
+	again.answerLost, again.repeated = false, true
+	w.requests = append(w.requests, again)
+}
+
+// answerOf returns what the owner takes the answer to a request for.
+func (r sentRequest) answerOf(answer Answer) Answer {
+	switch {
+	case !r.repeated:
+		return answer
+	case answer == AnswerOK:
+		return AnswerOKRepeated
+	case answer == AnswerFenced:
+		return answer
+	default:
+		return AnswerNone
+	}
+}
+
 // giveUp lets the owner go on without the answer to a request.
 func (w *simulation) giveUp(r *sentRequest) {
 	if r.answerLost {
@@ -70,7 +103,7 @@
 		return false
 	}
 	w.requests = slices.Delete(w.requests, i, i+1)
-	answer := w.execute(n, r)
+	answer := r.answerOf(w.execute(n, r))
 	if r.action.Kind == ActionStart && w.deadly[r.action.Task] && answer == AnswerNone {
 		w.giveUp(&r) // the worker has crashed before it answered
 		w.lostAnswers[r.action.Task]--
--- a/internal/batch/simulation_run_test.go
+++ b/internal/batch/simulation_run_test.go
@@ -18,6 +18,7 @@
 			"plan2":   w.plan,
 			"deliver": w.deliver, "deliver2": w.deliver, "deliver3": w.deliver,
 			"lose":   w.loseAnswer,
+			"repeat": w.repeat,
 			"end":    w.endOne,
 			"report": w.report, "report2": w.report, "report3": w.report,
 			"commit": w.commit, "commit2": w.commit,
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -197,11 +197,15 @@
 	}
 	unconfirmed := 0
 	for _, a := range w.attempts {
-		if a.listed {
+		if a.listed && !a.mayRepeatStart(now) {
 			s.lose(a, "worker restarted", now)
 			continue
 		}
 		unconfirmed++
+		if a.mayRepeatStart(now) {
+			a.listed, a.acceptedAt = false, time.Time{}
+			s.stop(a, "a copy of its start may reach the restarted worker")
+		}
 		a.restartedAt = now
 		a.stopSent, a.stopAnsweredAt = time.Time{}, time.Time{}
 	}
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -376,6 +376,9 @@
 	if time.Now().UnixMilli() > req.NotAfter {
 		return batch.AnswerExpired
 	}
+	if _, there := n.running[runKey{req.Task, req.Run}]; there {
+		return batch.AnswerOK
+	}
 	w.noteOverlap(req.Task)
 	w.startCounts[req.Task]++
 	w.lastStarts[req.Task] = time.Now()
--- /dev/null
+++ b/internal/owner/repeated_calls_test.go
@@ -0,0 +1,106 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/geraniumwick/geraniumwick/internal/batch"
+)
+
+// forgetfulWorkers do not carry out the first copies of each start, and do not answer them either.
+type forgetfulWorkers struct {
+	*fakeWorkers
+	mu      sync.Mutex
+	ignored int // copies of each start that get no answer
+	copies  map[runKey]int
+}
+
+func (f *forgetfulWorkers) Start(ctx context.Context, req StartRequest) batch.Answer {
+	f.mu.Lock()
+	f.copies[runKey{req.Task, req.Run}]++
+	ignored := f.copies[runKey{req.Task, req.Run}] <= f.ignored
+	f.mu.Unlock()
+	if ignored {
+		<-ctx.Done()
+		return batch.AnswerNone
+	}
+	return f.fakeWorkers.Start(ctx, req)
+}
+
+// Guards against a job that stands still for seconds although most room is free, as one start after the other gets no
+// answer (issue 39, LOST): each was given up, and started elsewhere only 1.8 s later.
+func TestAnUnansweredStartIsRepeatedAtOnce(t *testing.T) {
+	const bound = time.Second
+	withHarness(t, func(h *harness) {
+		f := &forgetfulWorkers{fakeWorkers: h.workers, ignored: 2, copies: map[runKey]int{}}
+		h.workers.taskDuration = time.Hour
+		o := New(Options{Instance: "a", BootClock: h.bootClock, Address: "a", LeaseTTL: 1200 * time.Millisecond, MaxWorkerLease: 6 * time.Second, JobRetention: 20 * time.Second},
+			h.store, f, fakeRegistry{}, testConfig, zerolog.Nop())
+		go o.Run(h.ctx)
+		h.sleep(3 * time.Second)
+		h.submit("j", tasks(4))
+		h.sleep(bound)
+		h.is.Equal(len(h.runningOn([]batch.WorkerID{"w0", "w1"})), 4)
+		h.is.Equal(len(f.copies), 4) // one run of each task
+	}, "w0", "w1")
+}
+
+// The outcome of a call that is repeated: a refusal is certain only if no other copy was sent.
+func TestOutcomesOfRepeatedCalls(t *testing.T) {
+	const none, ok, refused, full, fenced = batch.AnswerNone, batch.AnswerOK, batch.AnswerRefused, batch.AnswerNoCapacity, batch.AnswerFenced
+	for _, c := range []struct {
+		name    string
+		answers []batch.Answer // of the copies in turn; the later ones get no answer
+		want    batch.Answer
+		copies  int
+		within  time.Duration
+	}{
+		{"the only copy is carried out", []batch.Answer{ok}, ok, 1, 0},
+		{"the only copy is refused", []batch.Answer{full}, full, 1, 0},
+		{"the second copy is carried out", []batch.Answer{none, ok}, batch.AnswerOKRepeated, 2, callRepeatDelay},
+		{"the second copy is refused, and the first may have been carried out", []batch.Answer{none, full}, none, 2, callRepeatDelay},
+		{"the second copy was not sent", []batch.Answer{none, refused, ok}, batch.AnswerOKRepeated, 3, 2 * callRepeatDelay},
+		{"a copy meets the next owner", []batch.Answer{none, fenced}, fenced, 2, callRepeatDelay},
+		{"no copy is answered", nil, none, 5, workerCallTimeout},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithTimeout(t.Context(), workerCallTimeout)
+				defer cancel()
+				began := time.Now()
+				l := confirmedLeader(t)
+				var mu sync.Mutex
+				copies := 0
+				answer := l.repeatCall(ctx, func(ctx context.Context) batch.Answer {
+					mu.Lock()
+					copies++
+					n := copies
+					mu.Unlock()
+					if n <= len(c.answers) && c.answers[n-1] != none {
+						return c.answers[n-1]
+					}
+					<-ctx.Done()
+					return none
+				})
+				is.Equal(answer, c.want)
+				is.Equal(time.Since(began), c.within)
+				is.Equal(copies, c.copies)
+			})
+		})
+	}
+}
+
+// confirmedLeader returns a leader whose claim is confirmed for long.
+func confirmedLeader(t *testing.T) *leader {
+	o := New(Options{BootClock: func() time.Duration { return 0 }, LeaseTTL: time.Hour}, nil, nil, nil, nil, zerolog.Nop())
+	l := newLeader(o, heldClaim{granted: moment{steady: time.Now()}}, func(error) {})
+	l.ctx = t.Context()
+	return l
+}
--- a/internal/owner/worker_calls.go
+++ b/internal/owner/worker_calls.go
@@ -15,7 +15,7 @@
 	case batch.ActionStart:
 		l.startTask(a, now)
 	case batch.ActionStop:
-		l.callWorker(a, l.owner.workers.Stop)
+		l.callWorker(a, l.stopRepeatedly)
 	case batch.ActionThrottle:
 		l.callWorker(a, l.owner.workers.Throttle)
 	case batch.ActionAdvise:
@@ -35,7 +35,7 @@
 		defer cancel()
 		answer := batch.AnswerExpired
 		if l.mayAct() {
-			answer = l.owner.workers.Start(ctx, request)
+			answer = l.repeatCall(ctx, func(ctx context.Context) batch.Answer { return l.owner.workers.Start(ctx, request) })
 		}
 		l.post(func(l *leader, now time.Time) {
 			l.checkFenced(a, answer)
@@ -44,6 +44,50 @@
 	}()
 }
 
+// stopRepeatedly stops a task.
+func (l *leader) stopRepeatedly(ctx context.Context, r TaskRequest) batch.Answer {
+	return l.repeatCall(ctx, func(ctx context.Context) batch.Answer { return l.owner.workers.Stop(ctx, r) })
+}
+
+// callRepeatDelay is how long a worker may take to answer a start or a stop before the identical request is sent
+// again: its answer may be lost, or it may be carried out late.
+const callRepeatDelay = 150 * time.Millisecond
+
+// repeatCall makes a call that has the same effect however often it is made, and makes it again each callRepeatDelay
+// until one is answered or ctx ends. What one call is answered says nothing about the others unless it took effect: if
+// a repetition is refused, the outcome is unknown.
+func (l *leader) repeatCall(ctx context.Context, call func(context.Context) batch.Answer) batch.Answer {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan batch.Answer, workerCallTimeout/callRepeatDelay+1)
+	send := func() { answers <- call(ctx) }
+	ticker := time.NewTicker(callRepeatDelay)
+	defer ticker.Stop()
+	go send()
+	for sent := 1; ; {
+		select {
+		case answer := <-answers:
+			if answer == batch.AnswerFenced || answer != batch.AnswerNone && sent == 1 {
+				return answer
+			}
+			switch answer {
+			case batch.AnswerOK:
+				return batch.AnswerOKRepeated
+			case batch.AnswerNone, batch.AnswerRefused: // it had no effect, or may still have one
+			default:
+				return batch.AnswerNone
+			}
+		case <-ticker.C:
+			if sent < cap(answers) && l.mayAct() {
+				sent++
+				go send()
+			}
+		case <-ctx.Done():
+			return batch.AnswerNone
+		}
+	}
+}
+
 func (l *leader) callWorker(a batch.Action, send func(context.Context, TaskRequest) batch.Answer) {
 	request := TaskRequest{Worker: a.Worker, Address: a.Address, Epoch: l.epoch, Task: a.Task, Run: a.Run, Percent: a.Percent}
 	go func() {
