--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -42,13 +42,21 @@
 // HasUrgentRecords reports whether the start of a step waits for a durable record.
 func (s *State) HasUrgentRecords() bool { return len(s.urgentJobs) > 0 }
 
+// maxUrgentShare is the largest part of the records of a transaction that jobs get whose starts wait for them while
+// others have waited for longer: the acknowledgement of ends waits for the oldest record.
+const maxUrgentShare = 0.75
+
 // TakeDirty returns the records of at most n changed jobs, by job id, and marks these jobs as
-// unchanged. Jobs with steps whose start waits for a record come first, then the others in the order
-// of their changes.
+// unchanged. Jobs with steps whose start waits for a record come first, up to maxUrgentShare of n if others wait, then
+// all in the order of their changes.
 func (s *State) TakeDirty(n int) map[string]Record {
 	out := make(map[string]Record, min(n, s.dirty.len()))
+	urgent := n
+	if s.dirty.len() > n {
+		urgent = int(maxUrgentShare * float64(n))
+	}
 	for j := range s.urgentJobs {
-		s.take(j, n, out)
+		s.take(j, urgent, out)
 	}
 	for j := s.dirty.oldestJob(); j != nil && len(out) < n; j = s.dirty.oldestJob() {
 		s.take(j, n, out)
@@ -58,7 +66,7 @@
 
 // take adds the record of a job to out, unless out holds n records.
 func (s *State) take(j *Job, n int, out map[string]Record) {
-	if len(out) == n {
+	if len(out) >= n {
 		return
 	}
 	out[j.ID] = j.record()
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -26,15 +26,15 @@
 	// interferenceSaved is when the interference weights were last written.
 	interferenceSaved time.Time
 	timer             <-chan time.Time
-	// pending are the renewal parameters that wait for changed records to become durable.
-	pending []pendingParams
+	// pending are the renewal parameters that wait for changed records to become durable, the oldest first and at most
+	// maxPendingParams of each kind for a renewer.
+	pending map[*renewer][]pendingParams
 }
 
 // pendingParams are renewal parameters that wait until the workers record is durable, as they renew a lease that it may
 // say to end, and if they acknowledge ended attempts, which the worker may then discard, until the changes of jobs are.
 type pendingParams struct {
-	params  renewalParams
-	renewer *renewer
+	params renewalParams
 	// txnNumber is the number of the transaction that makes all changes of the workers record up to
 	// then durable, and change the sequence number of the newest change of a job; 0 if no end is acknowledged.
 	txnNumber int64
@@ -45,9 +45,22 @@
 func (c *committer) due() <-chan time.Time { return c.timer }
 
 // setParamsWhenDurable passes the parameters to the renewer once all changes made so far that they depend on are
-// durable. Later changes do not delay them.
+// durable. Later changes do not delay them. The lease can be renewed before the ends of the report are acknowledged.
 func (l *leader) setParamsWhenDurable(i renewalParams, rn *renewer) {
-	p := pendingParams{params: i, renewer: rn, txnNumber: l.commits.workersNumber}
+	if i.ackSeq > 0 {
+		renewal := i
+		renewal.ackSeq, renewal.awaitsAck = 0, true
+		l.setOnceDurable(renewal, rn)
+	}
+	l.setOnceDurable(i, rn)
+}
+
+// maxPendingParams is how many parameters of one kind may wait for a renewer: the oldest, which become durable first, and
+// the newest. A worker reports again and again while it waits.
+const maxPendingParams = 2
+
+func (l *leader) setOnceDurable(i renewalParams, rn *renewer) {
+	p := pendingParams{params: i, txnNumber: l.commits.workersNumber}
 	if i.ackSeq > 0 {
 		p.change = l.state.LastChange()
 	}
@@ -58,7 +71,45 @@
 		rn.setParams(i)
 		return
 	}
-	l.commits.pending = append(l.commits.pending, p)
+	l.commits.addPending(rn, p)
+}
+
+// addPending adds parameters that wait. They replace those of earlier generations, which the renewer ignores, and the
+// newest of their kind if maxPendingParams wait.
+func (c *committer) addPending(rn *renewer, p pendingParams) {
+	if c.pending == nil {
+		c.pending = map[*renewer][]pendingParams{}
+	}
+	c.pending[rn] = slices.DeleteFunc(c.pending[rn], func(q pendingParams) bool { return q.params.generation < p.params.generation })
+	waiting, newest := 0, 0
+	for i, q := range c.pending[rn] {
+		if q.params.awaitsAck == p.params.awaitsAck {
+			waiting, newest = waiting+1, i
+		}
+	}
+	if waiting >= maxPendingParams {
+		c.pending[rn][newest] = p
+		return
+	}
+	c.pending[rn] = append(c.pending[rn], p)
+}
+
+// passDurable passes the parameters that wait no longer to their renewers.
+func (l *leader) passDurable() {
+	for rn, pending := range l.commits.pending {
+		left := slices.DeleteFunc(pending, func(p pendingParams) bool {
+			if !l.isDurable(p) {
+				return false
+			}
+			rn.setParams(p.params)
+			return true
+		})
+		if len(left) == 0 {
+			delete(l.commits.pending, rn)
+			continue
+		}
+		l.commits.pending[rn] = left
+	}
 }
 
 // isDurable reports whether all changes that the parameters wait for are durable.
@@ -190,13 +241,7 @@
 		l.workersRecord.durable[id] = true
 		l.state.MarkRecorded(id)
 	}
-	c.pending = slices.DeleteFunc(c.pending, func(p pendingParams) bool {
-		if !l.isDurable(p) {
-			return false
-		}
-		p.renewer.setParams(p.params)
-		return true
-	})
+	l.passDurable()
 }
 
 // JobStatus is the owner's view of a job. Known is false if the owner has no such job.
--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -33,6 +33,8 @@
 	// renew allows the renewal of the lease while the owner may act. It is set only when the stored
 	// workers record holds no end of the lease.
 	renew bool
+	// awaitsAck is set if the report has ends that cannot be acknowledged yet. Further parameters follow.
+	awaitsAck bool
 	// generation is the renewer's generation at the time of the report that the parameters follow.
 	generation int
 }
@@ -191,13 +193,24 @@
 			l.handleReport(rn, r, generation, now)
 		}
 	})
+	rn.awaitParams(ctx)
+}
+
+// awaitParams waits for the parameters of the next call, and up to ackTimeout for those that acknowledge the ends of the
+// last report.
+func (rn *renewer) awaitParams(ctx context.Context) {
 	timer := time.NewTimer(ackTimeout)
 	defer timer.Stop()
-	select {
-	case i := <-rn.newParams:
-		rn.applyParams(i)
-	case <-timer.C:
-	case <-ctx.Done():
+	for awaits := true; awaits; {
+		select {
+		case i := <-rn.newParams:
+			rn.applyParams(i)
+			awaits = i.awaitsAck
+		case <-timer.C:
+			awaits = false
+		case <-ctx.Done():
+			awaits = false
+		}
 	}
 }
 
