batch: the simulation checks that every task gets the room that exists, not only tasks that last

TestWorld could not have shown it: after the last fault every job had 80 s to end, and checkLasting looks only at long-running tasks that have run.

checkLiveness looks at the workers, the requests on their way and the store. A task whose turn has come must not stand still for longer than the owner may have to wait (a lease after its last run, or after the last moment at which a start without an answer may be executed) plus 3 s, while a worker has room for it twice over and less than half of the capacity is in use, from 14 s after the last fault on. A job whose tasks are all known to be done must be shown as completed 3 s later. Crashes under a deadly task are no fault for others.

--- a/internal/batch/simulation_ends_test.go
+++ b/internal/batch/simulation_ends_test.go
@@ -143,6 +143,11 @@
 	}
 	r.Ended = slices.Clone(n.ended[:min(len(n.ended), simulatedMaxEnds)])
 	r.Incomplete = len(r.Ended) == simulatedMaxEnds
+	for _, e := range r.Ended {
+		if e.Reason == EndDone {
+			w.listedDone[e.Task] = w.epoch
+		}
+	}
 	if last := w.owner.ApplyReport(n.info.ID, r, w.now); last > 0 {
 		w.acks = append(w.acks, pendingAck{n.info.ID, n.info.Incarnation, last})
 	}
--- a/internal/batch/simulation_faults_test.go
+++ b/internal/batch/simulation_faults_test.go
@@ -10,7 +10,7 @@
 // toggleConnection interrupts the connection between a worker and the owner, or restores it.
 func (w *simulation) toggleConnection(t *rapid.T) {
 	n := w.drawWorker(t)
-	w.lastFault = w.now
+	w.noteFault()
 	n.disconnected = !n.disconnected
 	if n.disconnected {
 		w.owner.MarkUnreachable(n.info.ID)
@@ -61,7 +61,7 @@
 	}
 	w.lastDeadlyStart[id] = r
 	w.crashes[id]++
-	w.restart(w.t, n)
+	w.noteOwnFault(func() { w.restart(w.t, n) })
 	if w.ownersKilled < maxOwnersKilled && rapid.IntRange(0, 3).Draw(w.t, "the owner is killed too") == 0 {
 		w.ownersKilled++
 		w.replaceOwner(w.t)
@@ -128,7 +128,7 @@
 		return
 	}
 	n := w.drawWorker(t)
-	w.lastFault = w.now
+	w.noteFault()
 	w.setCapacity(n, drawCapacity(t))
 }
 
@@ -148,7 +148,7 @@
 // restart starts a worker under the same id or, at the same address, under a new one. It knows nothing of before and
 // may be of another kind.
 func (w *simulation) restart(t *rapid.T, n *simulatedWorker) {
-	w.lastFault = w.now
+	w.noteFault()
 	n.info.Incarnation++
 	n.info.Draining = false
 	if rapid.IntRange(0, 3).Draw(t, "another kind") == 0 {
@@ -192,7 +192,7 @@
 // toggleDraining lets a worker drain, or get tasks again. The registry shows it at once.
 func (w *simulation) toggleDraining(t *rapid.T) {
 	n := w.drawWorker(t)
-	w.lastFault = w.now
+	w.noteFault()
 	w.setDraining(n, !n.info.Draining)
 }
 
@@ -256,7 +256,8 @@
 // toggleStore takes the store away, or brings it back.
 func (w *simulation) toggleStore(t *rapid.T) {
 	if w.storeDown || rapid.IntRange(0, 2).Draw(t, "seldom") == 0 {
-		w.lastFault, w.storeDown = w.now, !w.storeDown
+		w.noteFault()
+		w.storeDown = !w.storeDown
 	}
 }
 
@@ -266,7 +267,7 @@
 		return
 	}
 	n := w.drawWorker(t)
-	w.lastFault = w.now
+	w.noteFault()
 	n.refuses = !n.refuses
 }
 
--- a/internal/batch/simulation_losses_test.go
+++ b/internal/batch/simulation_losses_test.go
@@ -81,7 +81,7 @@
 }
 
 func (w *simulation) lose(t *rapid.T, n *simulatedWorker, how loss, away time.Duration) {
-	w.lastFault = w.now
+	w.noteFault()
 	for id := range w.tasksUnder(n) {
 		w.unrelatedCrashes[id]++ // a connection that is cut for long looks alike
 	}
@@ -97,7 +97,7 @@
 	}
 	n.disconnected = true
 	w.after(away, func() {
-		w.lastFault = w.now
+		w.noteFault()
 		n.disconnected = false
 	})
 }
@@ -121,13 +121,17 @@
 
 // loseStore lets the store take no records for a while.
 func (w *simulation) loseStore(away time.Duration) {
-	w.lastFault, w.storeDown = w.now, true
-	w.after(away, func() { w.lastFault, w.storeDown = w.now, false })
+	w.noteFault()
+	w.storeDown = true
+	w.after(away, func() {
+		w.noteFault()
+		w.storeDown = false
+	})
 }
 
 // evacuate evacuates one of the data centres, or takes back all evacuations.
 func (w *simulation) evacuate(t *rapid.T) {
-	w.lastFault = w.now
+	w.noteFault()
 	w.evacuated = rapid.SampledFrom(append([]string{""}, dataCentres...)).Draw(t, "evacuated")
 	w.configure()
 }
@@ -143,7 +147,7 @@
 
 // drainSome lets some workers drain, or end their draining.
 func (w *simulation) drainSome(t *rapid.T) {
-	w.lastFault = w.now
+	w.noteFault()
 	for _, id := range w.ids() {
 		if n := w.workers[id]; rapid.Bool().Draw(t, "changes") {
 			w.setDraining(n, !n.info.Draining)
@@ -153,7 +157,7 @@
 
 // failSome lets all tasks on some workers fail.
 func (w *simulation) failSome(t *rapid.T) {
-	w.lastFault = w.now
+	w.noteFault()
 	for _, id := range w.ids() {
 		n := w.workers[id]
 		w.expireLease(n)
@@ -226,7 +230,8 @@
 
 // endFaults restores connections and the store, ends evacuations and draining, and lets workers accept starts.
 func (w *simulation) endFaults() {
-	w.lastFault, w.storeDown, w.evacuated = w.now, false, ""
+	w.noteFault()
+	w.storeDown, w.evacuated = false, ""
 	w.configure()
 	for _, n := range w.workers {
 		n.disconnected, n.refuses, n.info.Draining = false, false, false
@@ -245,7 +250,7 @@
 	w.now = w.now.Add(simulatedTick)
 	w.percent = 101 - w.percent
 	if w.storeDown {
-		w.lastFault = w.now
+		w.noteFault()
 	}
 	w.expireRequests()
 	w.runLater()
@@ -261,6 +266,7 @@
 		w.endAll(w.workers[id])
 	}
 	w.checkLasting(t)
+	w.checkLiveness(t)
 }
 
 // deliverAll delivers all requests to workers in contact, in any order.
--- a/internal/batch/simulation_requests_test.go
+++ b/internal/batch/simulation_requests_test.go
@@ -42,10 +42,11 @@
 		return
 	}
 	r.answerLost = true
-	w.lastFault = w.now
+	w.noteFault()
 	w.extendActive(*r, r.sentAt.Add(maxCallDelay))
 	if r.action.Kind == ActionStart {
 		w.lostAnswers[r.action.Task]++
+		w.noteActiveUntil(r.action.Task, r.sentAt.Add(maxCallDelay))
 	}
 	if r.action.Kind == ActionStart && r.epoch == w.epoch {
 		w.owner.StartAnswered(r.action.Worker, r.action.Task, r.action.Run, AnswerNone, w.now)
@@ -70,8 +71,10 @@
 	w.requests = slices.Delete(w.requests, i, i+1)
 	answer := w.execute(n, r)
 	if r.action.Kind == ActionStart && w.deadly[r.action.Task] && answer == AnswerNone {
-		w.giveUp(&r) // the worker has crashed before it answered
+		activeUntil := w.activeUntil[r.action.Task]
+		w.noteOwnFault(func() { w.giveUp(&r) }) // the worker has crashed before it answered
 		w.lostAnswers[r.action.Task]--
+		w.activeUntil[r.action.Task] = activeUntil // it was executed
 	}
 	if r.answerLost || r.epoch != w.epoch {
 		return true
@@ -157,6 +160,7 @@
 		}
 	}
 	n.running[attemptKey{a.Task, a.Run}] = true
+	w.noteActiveUntil(a.Task, w.now)
 	w.begun[a.Task.Job] = true
 	granted := min(time.Duration(r.notAfter-w.clock(n))*time.Millisecond, simulatedLeaseTTL)
 	n.lease = laterOf(n.lease, w.now.Add(granted))
--- a/internal/batch/simulation_test.go
+++ b/internal/batch/simulation_test.go
@@ -74,6 +74,11 @@
 	configVersion        int64
 	percent              int                               // progress in the reports of all running tasks
 	lastFault            time.Time                         // when a fault last began or ended
+	lastOutsideFault     time.Time                         // the same without the crashes under deadly tasks
+	activeUntil          map[TaskID]time.Time              // when a task was last started, or until when a start without an answer may be executed
+	listedDone           map[TaskID]int64                  // the last epoch in which a worker has listed that a task is done
+	standstills          map[TaskID]*standstill            // see checkLiveness
+	allDoneSince         map[string]time.Time              // since when all tasks of a job are known to be done
 	lastActive           map[TaskID]time.Time              // when a long-running task that has run last ran or was being started
 	roomSince            map[TaskID]map[WorkerID]time.Time // since when a worker has had room for such a task that is down
 }
@@ -122,6 +127,7 @@
 		failedEnds: map[TaskID][]simulatedFailure{}, failedEndsAtStart: map[TaskID]int{}, faulty: map[TaskID]bool{},
 		maxAttempts: rapid.IntRange(2, 3).Draw(t, "max attempts"), failuresOnly: rapid.IntRange(0, 2).Draw(t, "failures only") == 0,
 		percent: 50, lastActive: map[TaskID]time.Time{}, roomSince: map[TaskID]map[WorkerID]time.Time{},
+		activeUntil: map[TaskID]time.Time{}, listedDone: map[TaskID]int64{}, standstills: map[TaskID]*standstill{}, allDoneSince: map[string]time.Time{},
 	}
 	for range simulatedWorkers {
 		w.newWorker()
@@ -130,6 +136,16 @@
 	return w
 }
 
+// noteFault notes that a fault begins or ends.
+func (w *simulation) noteFault() { w.lastFault, w.lastOutsideFault = w.now, w.now }
+
+// noteOwnFault does something that is a fault only because of a deadly task.
+func (w *simulation) noteOwnFault(do func()) {
+	before := w.lastOutsideFault
+	do()
+	w.lastOutsideFault = before
+}
+
 func (w *simulation) newID() WorkerID {
 	w.lastID++
 	return WorkerID(fmt.Sprintf("w%d", w.lastID))
@@ -157,7 +173,7 @@
 // replaceOwner replaces the owner by a new one, which starts from the contents of the store.
 func (w *simulation) replaceOwner(*rapid.T) {
 	w.epoch++
-	w.lastFault = w.now
+	w.noteFault()
 	w.pending, w.acks = nil, nil
 	w.clocks = map[WorkerID]simulatedClock{}
 	s := keepOwnership(New(w.epoch, testLimits))
