batch: the simulation draws gangs, best-effort tasks, slow transactions, unreadable reports and clocks that start anew

New in them: steps that are gangs, best-effort, bound to a label or spread; transactions that hold 1, 3 or 100 records and stay on their way while anything happens, so that an owner may be replaced without knowing whether its last one became durable; reports whose ends cannot be read for a while, also beside a take-over; entries in the registry of workers that are gone, which the next owner finds; clocks of reborn workers that begin near 0; and starts without an answer that are carried out up to 12 s late after the faults, too. Unreadable reports count as a fault until they end: how the owner waits for them is an open finding of docs/PLATFORM.md.

Changed on the way: a gang's failed runs count together in mayFail, as in the platform's rules. A task whose end a worker holds back counts as active, since the owner cannot know better.

--- a/internal/batch/simulation_ends_test.go
+++ b/internal/batch/simulation_ends_test.go
@@ -21,6 +21,7 @@
 	worker      WorkerID
 	incarnation int64
 	seq         int64
+	change      uint64 // the newest change that must be durable before
 }
 
 // checkMaxAttempts checks that a task has not been started after as many acknowledged failures as its queue allows,
@@ -48,7 +49,15 @@
 	w.checkMaxAttempts(e.Task)
 }
 
+// endAttempt ends an attempt, and what follows for the other tasks of its gang.
 func (w *simulation) endAttempt(n *simulatedWorker, key attemptKey, how EndReason) {
+	w.endOnly(n, key, how)
+	if w.isGang(key.task) {
+		w.endGang(key, how)
+	}
+}
+
+func (w *simulation) endOnly(n *simulatedWorker, key attemptKey, how EndReason) {
 	delete(n.running, key)
 	switch how {
 	case EndDone:
@@ -68,7 +77,9 @@
 		return
 	}
 	for _, key := range sortedKeys(n.running) {
-		w.endAttempt(n, key, EndLeaseExpired)
+		if n.running[key] {
+			w.endAttempt(n, key, EndLeaseExpired)
+		}
 	}
 	n.lapsedSeq = n.nextSeq - 1
 }
@@ -102,6 +113,9 @@
 	if w.faulty[key.task] || rapid.IntRange(0, 4).Draw(t, "fails") == 0 {
 		how = EndFailed
 	}
+	if how == EndDone && w.isGang(key.task) {
+		how, _ = w.gangOutcome(key)
+	}
 	w.endAttempt(n, key, how)
 }
 
@@ -109,7 +123,14 @@
 func (w *simulation) endAll(n *simulatedWorker) {
 	w.expireLease(n)
 	for _, key := range sortedKeys(n.running) {
+		if !n.running[key] {
+			continue // its gang has ended
+		}
 		switch {
+		case w.isGang(key.task):
+			if how, ends := w.gangOutcome(key); ends {
+				w.endAttempt(n, key, how)
+			}
 		case w.jobs[key.task.Job].Spec.Steps[key.task.Step].LongRunning:
 		case w.faulty[key.task]:
 			w.endAttempt(n, key, EndFailed)
@@ -139,47 +160,37 @@
 	w.clocks[n.info.ID] = simulatedClock{clock: w.clock(n), at: w.now}
 	r := Report{Incarnation: n.info.Incarnation, RequestedAt: w.now, Clock: w.clock(n)}
 	for _, key := range sortedKeys(n.running) {
-		r.Running = append(r.Running, RunningAttempt{Task: key.task, Run: key.run, Percent: w.percent})
+		percent := w.percent
+		if w.isGang(key.task) && !w.isComplete(key) {
+			percent = 0
+		}
+		r.Running = append(r.Running, RunningAttempt{Task: key.task, Run: key.run, Percent: percent})
 	}
 	r.Ended = slices.Clone(n.ended[:min(len(n.ended), simulatedMaxEnds)])
 	r.Incomplete = len(r.Ended) == simulatedMaxEnds
-	for _, e := range r.Ended {
-		if e.Reason == EndDone {
-			w.listedDone[e.Task] = w.epoch
-		}
+	if n.unreadable {
+		r.Ended, r.Incomplete = nil, true
 	}
+	w.noteListedDone(r.Ended)
 	if last := w.owner.ApplyReport(n.info.ID, r, w.now); last > 0 {
-		w.acks = append(w.acks, pendingAck{n.info.ID, n.info.Incarnation, last})
+		w.acks = append(w.acks, pendingAck{n.info.ID, n.info.Incarnation, last, w.owner.LastChange()})
 	}
 }
 
-// commit makes the owner's records and the list of the workers in use durable, then acknowledges the reported ends.
-func (w *simulation) commit(*rapid.T) {
-	if w.storeDown {
-		return
-	}
-	records := w.owner.TakeDirty(100)
-	maps.Copy(w.records, records)
-	w.recordWorkers()
-	w.owner.MarkStored(records)
-	for _, a := range w.acks {
-		w.acknowledge(a)
-	}
-	w.acks = nil
-}
-
-// recordWorkers makes the list of the workers in use durable.
-func (w *simulation) recordWorkers() {
-	inUse := w.owner.WorkersInUse()
-	for id := range w.recordedWorkers {
-		if !inUse[id] {
-			w.owner.MarkUnrecorded(id)
+// noteListedDone notes the tasks of which the owner knows from a list of ends that they are done.
+func (w *simulation) noteListedDone(ended []EndedAttempt) {
+	for _, e := range ended {
+		if e.Reason != EndDone || w.isLongRunning(e.Task) {
+			continue
+		}
+		w.listedDone[e.Task] = w.epoch
+		if !w.isGang(e.Task) {
+			continue
+		}
+		for i := range w.jobs[e.Task.Job].Spec.Steps[e.Task.Step].Count {
+			w.listedDone[TaskID{Job: e.Task.Job, Step: e.Task.Step, Index: i}] = w.epoch
 		}
 	}
-	for id := range inUse {
-		w.owner.MarkRecorded(id)
-	}
-	w.recordedWorkers = inUse
 }
 
 // acknowledge deletes the acknowledged ends on a worker.
--- a/internal/batch/simulation_faults_test.go
+++ b/internal/batch/simulation_faults_test.go
@@ -87,6 +87,18 @@
 	return w.jobs[id.Job].Spec.Steps[id.Step].LongRunning
 }
 
+// failedGangRuns returns the runs of gangs in which a task has failed, each with the first task of the gang.
+func (w *simulation) failedGangRuns() map[attemptKey]bool {
+	out := map[attemptKey]bool{}
+	for key := range w.failedRuns {
+		if w.isGang(key.task) {
+			key.task.Index = 0
+			out[key] = true
+		}
+	}
+	return out
+}
+
 // checkFailures checks that a job is shown as failed only for a task that has failed as often as its queue
 // allows, or under which workers have crashed: through the task itself, or more than maxUnrelatedCrashes times for
 // another reason. A start of a deadly task that got no answer looks like a crash. A long-running task has no limit.
@@ -101,6 +113,12 @@
 func (w *simulation) mayFail(job string) bool {
 	failures := map[TaskID]int{}
 	for key := range w.failedRuns {
+		if w.isGang(key.task) {
+			continue // the failures of a gang count together
+		}
+		failures[key.task]++
+	}
+	for key := range w.failedGangRuns() {
 		failures[key.task]++
 	}
 	for id, n := range failures {
@@ -154,11 +172,19 @@
 	if rapid.IntRange(0, 3).Draw(t, "another kind") == 0 {
 		n.info.Capacity, n.formerCapacities = drawCapacity(t), nil
 	}
-	n.running, n.maxEndedRun, n.ended, n.nextSeq, n.maxEpoch = map[attemptKey]bool{}, map[TaskID]int64{}, nil, 1, 0
+	w.loseRunning(n)
+	n.maxEndedRun, n.ended, n.nextSeq, n.maxEpoch = map[TaskID]int64{}, nil, 1, 0
 	n.lease, n.lapsedSeq, w.startedAfterDone[n] = time.Time{}, 0, map[int64]bool{}
 	n.clockOffset = time.Duration(rapid.IntRange(-20, 20).Draw(t, "clock")) * time.Second
+	clockStartsAnew := rapid.Bool().Draw(t, "clock starts anew")
+	if clockStartsAnew {
+		n.clockOffset = -w.now.Sub(time.Unix(0, 0))
+	}
+	n.unreadable = false
 	w.requests = slices.DeleteFunc(w.requests, func(r sentRequest) bool {
-		if r.action.Worker != n.info.ID || rapid.Bool().Draw(t, "reaches the new incarnation") {
+		// Owners follow each other here at once. On a clock that starts anew, none of the starts of several would be late.
+		isOld := clockStartsAnew && r.epoch < w.epoch
+		if r.action.Worker != n.info.ID || !isOld && rapid.Bool().Draw(t, "reaches the new incarnation") {
 			return false
 		}
 		w.giveUp(&r)
@@ -235,7 +261,7 @@
 		n := w.workers[id]
 		w.expireLease(n)
 		for _, key := range sortedKeys(n.running) {
-			if w.faulty[key.task] {
+			if w.faulty[key.task] && n.running[key] {
 				w.endAttempt(n, key, EndFailed)
 			}
 		}
@@ -271,6 +297,24 @@
 	n.refuses = !n.refuses
 }
 
+// toggleReadable makes the lists of ends in the reports of a worker unreadable, or readable again. Such reports are
+// incomplete.
+func (w *simulation) toggleReadable(t *rapid.T) {
+	n := w.drawWorker(t)
+	w.noteFault()
+	n.unreadable = !n.unreadable
+}
+
+// anyUnreadable reports whether the reports of a worker cannot be read.
+func (w *simulation) anyUnreadable() bool {
+	for _, n := range w.workers {
+		if n.unreadable {
+			return true
+		}
+	}
+	return false
+}
+
 // checkWaiting checks that a job of which no worker has started a task is counted and shown as waiting.
 func (w *simulation) checkWaiting(t *rapid.T) {
 	waiting := 0
--- a/internal/batch/simulation_lasting_test.go
+++ b/internal/batch/simulation_lasting_test.go
@@ -91,21 +91,22 @@
 	return !w.cancels[id.Job] && !w.deadly[id] && !w.owner.Job(id.Job).Status().Terminal()
 }
 
-// hasRoom reports whether a worker that is in order has room for a task lastingRoom times, by what it runs.
+// hasRoom reports whether a worker that is in order has room for a task lastingRoom times, by what it runs. Of a best-effort task,
+// the CPU that it asks for counts, although it is not reserved.
 func (w *simulation) hasRoom(n *simulatedWorker, id TaskID, step *Step) bool {
 	if n.disconnected || n.refuses || n.info.DataCentre == w.evacuated || n.info.Draining || n.info.Service != "svc" || step.Label != "" && !slices.Contains(n.info.Labels, step.Label) {
 		return false
 	}
 	free, same := n.info.Capacity, 0
 	for key := range n.running {
-		free = free.minus(w.jobs[key.task.Job].Spec.Steps[key.task.Step].reserved())
+		free = free.minus(w.jobs[key.task.Job].Spec.Steps[key.task.Step].Resources)
 		if key.task.Job == id.Job && key.task.Step == id.Step {
 			same++
 		}
 	}
 	need := Resources{}
 	for range lastingRoom {
-		need = need.plus(step.reserved())
+		need = need.plus(step.Resources)
 	}
 	return need.Fits(free) && (step.MaxPerWorker == 0 || same+lastingRoom <= step.MaxPerWorker)
 }
--- a/internal/batch/simulation_liveness_test.go
+++ b/internal/batch/simulation_liveness_test.go
@@ -144,6 +144,11 @@
 		for key := range n.running {
 			w.noteActiveUntil(key.task, w.now)
 		}
+		for i, e := range n.ended {
+			if i >= simulatedMaxEnds || n.unreadable {
+				w.noteActiveUntil(e.Task, w.now) // the owner cannot know yet that it has ended
+			}
+		}
 	}
 	for _, r := range w.requests {
 		if r.action.Kind == ActionStart {
@@ -166,7 +171,7 @@
 		}
 	}
 	if step.Gang && len(out) < step.Count {
-		return nil
+		return nil // lastingRoom times the gang would fit on these workers, with a task on each
 	}
 	return out
 }
--- a/internal/batch/simulation_losses_test.go
+++ b/internal/batch/simulation_losses_test.go
@@ -105,11 +105,16 @@
 // leave removes a worker for good. Requests that are on their way to it get no answer.
 func (w *simulation) leave(t *rapid.T, n *simulatedWorker) {
 	id := n.info.ID
-	n.disconnected, n.running = true, nil
+	n.disconnected = true
 	delete(w.workers, id)
+	w.loseRunning(n)
+	w.leftEntries[id] = n.entry
 	w.owner.MarkUnreachable(id)
 	age := time.Duration(rapid.IntRange(0, int(maxEntryAge/time.Second)).Draw(t, "age of the entry")) * time.Second
-	w.after(age, func() { w.owner.RemoveWorker(id) })
+	w.after(age, func() {
+		delete(w.leftEntries, id)
+		w.owner.RemoveWorker(id)
+	})
 }
 
 // loseSome loses some workers, so that one is left.
@@ -161,8 +166,11 @@
 	for _, id := range w.ids() {
 		n := w.workers[id]
 		w.expireLease(n)
-		if rapid.Bool().Draw(t, "fails") {
-			for _, key := range sortedKeys(n.running) {
+		if !rapid.Bool().Draw(t, "fails") {
+			continue
+		}
+		for _, key := range sortedKeys(n.running) {
+			if n.running[key] {
 				w.endAttempt(n, key, EndFailed)
 			}
 		}
@@ -209,12 +217,20 @@
 			w.drainSome(t)
 		case 5:
 			w.failSome(t)
+		case 6:
+			if len(w.workers) > 0 {
+				w.toggleReadable(t)
+			}
+			w.replaceOwner(t)
 		}
 		w.runTicks(t, rapid.IntRange(1, 50).Draw(t, "ticks after the loss"))
 	}
 	for len(w.later) > 0 {
 		w.tick(t)
 	}
+	for _, n := range w.workers {
+		n.unreadable = false
+	}
 	w.runTicks(t, ticksAfterLosses)
 }
 
@@ -234,7 +250,7 @@
 	w.storeDown, w.evacuated = false, ""
 	w.configure()
 	for _, n := range w.workers {
-		n.disconnected, n.refuses, n.info.Draining = false, false, false
+		n.disconnected, n.refuses, n.unreadable, n.info.Draining = false, false, false, false
 	}
 }
 
@@ -249,32 +265,35 @@
 func (w *simulation) tick(t *rapid.T) {
 	w.now = w.now.Add(simulatedTick)
 	w.percent = 101 - w.percent
-	if w.storeDown {
+	if w.storeDown || w.anyUnreadable() {
 		w.noteFault()
 	}
 	w.expireRequests()
 	w.runLater()
+	for id := range w.leftEntries {
+		w.owner.MarkUnreachable(id)
+	}
 	for _, id := range w.ids() {
 		n := w.workers[id]
 		w.setCapacity(n, fullCapacity)
 		w.reportOf(n, true)
 	}
-	w.commit(t)
+	w.commitAtOnce()
 	w.plan(t)
 	w.deliverAll(t)
+	w.checkLiveness(t) // while finite tasks that have been started still take room
 	for _, id := range w.ids() {
 		w.endAll(w.workers[id])
 	}
 	w.checkLasting(t)
-	w.checkLiveness(t)
 }
 
-// deliverAll delivers all requests to workers in contact, in any order.
+// deliverAll delivers all requests to workers in contact, in any order. Those whose answers are lost may come late.
 func (w *simulation) deliverAll(t *rapid.T) {
 	for {
 		var deliverable []int
 		for i, r := range w.requests {
-			if n := w.workers[r.action.Worker]; n != nil && !n.disconnected {
+			if n := w.workers[r.action.Worker]; n != nil && !n.disconnected && (!r.answerLost || r.carriedOutAt.Before(w.now)) {
 				deliverable = append(deliverable, i)
 			}
 		}
--- a/internal/batch/simulation_requests_test.go
+++ b/internal/batch/simulation_requests_test.go
@@ -14,6 +14,8 @@
 	sentAt     time.Time
 	notAfter   int64 // on the worker's clock
 	answerLost bool  // its answer is lost
+	// carriedOutAt is when it is executed at the latest if its answer is lost and its worker is in contact.
+	carriedOutAt time.Time
 }
 
 // plan calls Plan of the owner and sends the requests.
@@ -42,6 +44,7 @@
 		return
 	}
 	r.answerLost = true
+	r.carriedOutAt = r.sentAt.Add(time.Duration(rapid.IntRange(0, int(maxCallDelay/time.Second)).Draw(w.t, "seconds late")) * time.Second)
 	w.noteFault()
 	w.extendActive(*r, r.sentAt.Add(maxCallDelay))
 	if r.action.Kind == ActionStart {
@@ -161,6 +164,7 @@
 	}
 	n.running[attemptKey{a.Task, a.Run}] = true
 	w.noteActiveUntil(a.Task, w.now)
+	w.gangStarts[attemptKey{a.Task, a.Run}] = w.now
 	w.begun[a.Task.Job] = true
 	granted := min(time.Duration(r.notAfter-w.clock(n))*time.Millisecond, simulatedLeaseTTL)
 	n.lease = laterOf(n.lease, w.now.Add(granted))
--- a/internal/batch/simulation_test.go
+++ b/internal/batch/simulation_test.go
@@ -29,6 +29,8 @@
 	maxOwnersKilled = 2
 	// simulatedWorkers is the number of workers at the start.
 	simulatedWorkers = 4
+	// maxGang is the largest number of tasks of a gang.
+	maxGang = 3
 	// simulatedMaxEnds is the largest number of ended attempts in a report.
 	simulatedMaxEnds = 2
 )
@@ -47,10 +49,11 @@
 	workers              map[WorkerID]*simulatedWorker
 	lastID               int // number of the worker that was named last
 	requests             []sentRequest
-	begun                map[string]bool                     // jobs of which a worker has started a task
-	clocks               map[WorkerID]simulatedClock         // the owner's readings
-	pending              map[string]Record                   // taken from the owner, not yet durable
-	acks                 []pendingAck                        // wait until pending is durable
+	begun                map[string]bool             // jobs of which a worker has started a task
+	clocks               map[WorkerID]simulatedClock // the owner's readings
+	inFlight             *simulatedTxn
+	recordsPerTxn        int                                 // the largest number of records in a transaction
+	acks                 []pendingAck                        // wait until their changes are durable
 	done                 map[TaskID]bool                     // done, whether the end has been reported or not
 	startedAfterDone     map[*simulatedWorker]map[int64]bool // ends after which their task was started again
 	acknowledgedDone     map[TaskID]bool                     // done, and the end was acknowledged
@@ -69,8 +72,10 @@
 	ownersKilled         int                                 // owners killed just as a worker crashed under a task
 	unrelatedCrashes     map[TaskID]int                      // crashes for other reasons of workers that had or were to start it
 	later                []laterEvent
-	storeDown            bool   // no record becomes durable, and nothing is acknowledged
-	evacuated            string // the evacuated data centre; "" for none
+	leftEntries          map[WorkerID]WorkerInfo  // entries in the registry of workers that are gone for good
+	gangStarts           map[attemptKey]time.Time // when the tasks of gangs were started
+	storeDown            bool                     // no record becomes durable, and nothing is acknowledged
+	evacuated            string                   // the evacuated data centre; "" for none
 	configVersion        int64
 	percent              int                               // progress in the reports of all running tasks
 	lastFault            time.Time                         // when a fault last began or ended
@@ -102,6 +107,7 @@
 	lease            time.Time
 	disconnected     bool
 	refuses          bool // it refuses all starts
+	unreadable       bool // the ends in its reports cannot be read
 	running          map[attemptKey]bool
 	ended            []EndedAttempt
 	nextSeq          int64
@@ -126,6 +132,7 @@
 		failedRuns: map[attemptKey]bool{}, deadly: map[TaskID]bool{}, crashes: map[TaskID]int{}, startsAfterCrashes: map[TaskID]int{}, lastDeadlyStart: map[TaskID]sentRequest{}, lostAnswers: map[TaskID]int{}, unrelatedCrashes: map[TaskID]int{},
 		failedEnds: map[TaskID][]simulatedFailure{}, failedEndsAtStart: map[TaskID]int{}, faulty: map[TaskID]bool{},
 		maxAttempts: rapid.IntRange(2, 3).Draw(t, "max attempts"), failuresOnly: rapid.IntRange(0, 2).Draw(t, "failures only") == 0,
+		recordsPerTxn: rapid.SampledFrom([]int{1, 3, 100}).Draw(t, "records a transaction"), leftEntries: map[WorkerID]WorkerInfo{}, gangStarts: map[attemptKey]time.Time{},
 		percent: 50, lastActive: map[TaskID]time.Time{}, roomSince: map[TaskID]map[WorkerID]time.Time{},
 		activeUntil: map[TaskID]time.Time{}, listedDone: map[TaskID]int64{}, standstills: map[TaskID]*standstill{}, allDoneSince: map[string]time.Time{},
 	}
@@ -171,10 +178,10 @@
 func (w *simulation) clock(n *simulatedWorker) int64 { return w.now.Add(n.clockOffset).UnixMilli() }
 
 // replaceOwner replaces the owner by a new one, which starts from the contents of the store.
-func (w *simulation) replaceOwner(*rapid.T) {
+func (w *simulation) replaceOwner(t *rapid.T) {
 	w.epoch++
 	w.noteFault()
-	w.pending, w.acks = nil, nil
+	w.dropTxn(t)
 	w.clocks = map[WorkerID]simulatedClock{}
 	s := keepOwnership(New(w.epoch, testLimits))
 	until := map[WorkerID]time.Time{}
@@ -198,12 +205,18 @@
 	for _, id := range w.ids() {
 		w.enlist(w.workers[id])
 	}
+	for _, id := range slices.Sorted(maps.Keys(w.leftEntries)) {
+		w.owner.UpdateWorker(w.leftEntries[id], w.now)
+	}
 }
 
 // enlist shows the owner a worker's entry in the registry and records that the worker may be in use.
 func (w *simulation) enlist(n *simulatedWorker) {
 	w.owner.UpdateWorker(n.entry, w.now)
 	w.recordedWorkers[n.info.ID] = true
+	if w.inFlight != nil {
+		w.inFlight.workers[n.info.ID] = true
+	}
 	w.owner.MarkRecorded(n.info.ID)
 }
 
@@ -226,6 +239,7 @@
 			LongRunning: rapid.IntRange(0, 9).Draw(t, "lasts") == 0,
 			Estimate:    time.Second,
 		}
+		drawKind(t, &step)
 		if i > 0 && rapid.Bool().Draw(t, "after") {
 			step.After = []int{i - 1}
 		}
@@ -246,6 +260,22 @@
 	w.addJob(j)
 }
 
+// drawKind makes a step a gang or best-effort, or binds it to some of the workers; most steps are neither.
+func drawKind(t *rapid.T, step *Step) {
+	switch rapid.IntRange(0, 11).Draw(t, "kind of step") {
+	case 0, 1:
+		step.Gang, step.LongRunning = true, false
+		step.Count = min(step.Count, maxGang)
+		step.Resources.CPU = min(step.Resources.CPU, 2000)
+	case 2:
+		step.BestEffort, step.Image = true, "image"
+	case 3:
+		step.Label = oddLabel
+	case 4:
+		step.MaxPerWorker = 1
+	}
+}
+
 // drawTask draws a task of a job. kind is what it is drawn for.
 func drawTask(t *rapid.T, job string, spec Spec, kind string) TaskID {
 	step := rapid.IntRange(0, len(spec.Steps)-1).Draw(t, kind+" step")
