batch: the simulation gives tasks 3 s, not a lease and 3 s, after a run whose end was listed

The owner has to wait for the end of a lease only where the last run was lost with its worker or lapsed, or a start got no answer; the other ends are listed, and the task can be started again at once. A gang stands still only when all its tasks do. Finite tasks now run for 0, 1 or 3 s without faults, so that chains of steps and retries go on beyond the 14 s after the last fault, where the check begins.

--- a/internal/batch/simulation_ends_test.go
+++ b/internal/batch/simulation_ends_test.go
@@ -67,6 +67,9 @@
 		w.failedEnds[key.task] = append(w.failedEnds[key.task], simulatedFailure{worker: n, incarnation: n.info.Incarnation, seq: n.nextSeq})
 	}
 	n.maxEndedRun[key.task] = max(n.maxEndedRun[key.task], key.run)
+	if how == EndLeaseExpired {
+		w.noteActiveUntil(key.task, w.now.Add(livenessWait))
+	}
 	n.ended = append(n.ended, EndedAttempt{Seq: n.nextSeq, Task: key.task, Run: key.run, Reason: how})
 	n.nextSeq++
 }
@@ -119,13 +122,16 @@
 	w.endAttempt(n, key, how)
 }
 
-// endAll ends all running tasks on a worker, except long-running ones. Those that are not faulty are done.
+// endAll ends the running tasks on a worker that have run for as long as they take, except long-running ones. Those that are not faulty are done.
 func (w *simulation) endAll(n *simulatedWorker) {
 	w.expireLease(n)
 	for _, key := range sortedKeys(n.running) {
 		if !n.running[key] {
 			continue // its gang has ended
 		}
+		if w.now.Sub(w.startTimes[key]) < w.jobs[key.task.Job].Spec.Steps[key.task.Step].Estimate {
+			continue
+		}
 		switch {
 		case w.isGang(key.task):
 			if how, ends := w.gangOutcome(key); ends {
--- a/internal/batch/simulation_gangs_test.go
+++ b/internal/batch/simulation_gangs_test.go
@@ -44,6 +44,9 @@
 // loseRunning loses all attempts on a worker, which breaks the gangs to which they belong.
 func (w *simulation) loseRunning(n *simulatedWorker) {
 	lost := sortedKeys(n.running)
+	for _, key := range lost {
+		w.noteActiveUntil(key.task, w.now.Add(livenessWait))
+	}
 	n.running = map[attemptKey]bool{}
 	for _, key := range lost {
 		if w.isGang(key.task) {
@@ -55,7 +58,7 @@
 // gangOutcome returns how a task of a gang ends that runs on without faults, and whether it does.
 func (w *simulation) gangOutcome(key attemptKey) (EndReason, bool) {
 	if !w.isComplete(key) {
-		return EndGangIncomplete, w.now.Sub(w.gangStarts[key]) > simulatedGangWait
+		return EndGangIncomplete, w.now.Sub(w.startTimes[key]) > simulatedGangWait
 	}
 	for member := range w.gangMembers(key) {
 		if w.faulty[member.task] {
--- a/internal/batch/simulation_liveness_test.go
+++ b/internal/batch/simulation_liveness_test.go
@@ -116,7 +116,12 @@
 		w.standstills[id] = still
 	}
 	still.since = laterOf(still.since, w.activeUntil[id])
-	earliest := laterOf(still.since.Add(livenessWait), w.lastOutsideFault.Add(finishTime))
+	if step.Gang {
+		for i := range step.Count {
+			still.since = laterOf(still.since, w.activeUntil[TaskID{Job: id.Job, Step: id.Step, Index: i}])
+		}
+	}
+	earliest := laterOf(still.since, w.lastOutsideFault.Add(finishTime))
 	var rooms []WorkerID
 	if isLittleUsed {
 		rooms = w.roomsFor(id, step)
--- a/internal/batch/simulation_requests_test.go
+++ b/internal/batch/simulation_requests_test.go
@@ -46,10 +46,10 @@
 	r.answerLost = true
 	r.carriedOutAt = r.sentAt.Add(time.Duration(rapid.IntRange(0, int(maxCallDelay/time.Second)).Draw(w.t, "seconds late")) * time.Second)
 	w.noteFault()
-	w.extendActive(*r, r.sentAt.Add(maxCallDelay))
+	w.extendActive(*r, r.sentAt.Add(maxCallDelay+livenessWait))
 	if r.action.Kind == ActionStart {
 		w.lostAnswers[r.action.Task]++
-		w.noteActiveUntil(r.action.Task, r.sentAt.Add(maxCallDelay))
+		w.noteActiveUntil(r.action.Task, r.sentAt.Add(maxCallDelay+livenessWait))
 	}
 	if r.action.Kind == ActionStart && r.epoch == w.epoch {
 		w.owner.StartAnswered(r.action.Worker, r.action.Task, r.action.Run, AnswerNone, w.now)
@@ -77,7 +77,7 @@
 		activeUntil := w.activeUntil[r.action.Task]
 		w.noteOwnFault(func() { w.giveUp(&r) }) // the worker has crashed before it answered
 		w.lostAnswers[r.action.Task]--
-		w.activeUntil[r.action.Task] = activeUntil // it was executed
+		w.activeUntil[r.action.Task] = laterOf(activeUntil, w.now.Add(livenessWait)) // it was executed
 	}
 	if r.answerLost || r.epoch != w.epoch {
 		return true
@@ -164,7 +164,7 @@
 	}
 	n.running[attemptKey{a.Task, a.Run}] = true
 	w.noteActiveUntil(a.Task, w.now)
-	w.gangStarts[attemptKey{a.Task, a.Run}] = w.now
+	w.startTimes[attemptKey{a.Task, a.Run}] = w.now
 	w.begun[a.Task.Job] = true
 	granted := min(time.Duration(r.notAfter-w.clock(n))*time.Millisecond, simulatedLeaseTTL)
 	n.lease = laterOf(n.lease, w.now.Add(granted))
--- a/internal/batch/simulation_test.go
+++ b/internal/batch/simulation_test.go
@@ -73,7 +73,7 @@
 	unrelatedCrashes     map[TaskID]int                      // crashes for other reasons of workers that had or were to start it
 	later                []laterEvent
 	leftEntries          map[WorkerID]WorkerInfo  // entries in the registry of workers that are gone for good
-	gangStarts           map[attemptKey]time.Time // when the tasks of gangs were started
+	startTimes           map[attemptKey]time.Time // when attempts were started
 	storeDown            bool                     // no record becomes durable, and nothing is acknowledged
 	evacuated            string                   // the evacuated data centre; "" for none
 	configVersion        int64
@@ -88,6 +88,9 @@
 	roomSince            map[TaskID]map[WorkerID]time.Time // since when a worker has had room for such a task that is down
 }
 
+// runtimes are those of finite tasks without faults.
+var runtimes = []time.Duration{0, 0, 0, time.Second, 3 * time.Second}
+
 // fullCapacity is the largest capacity of a worker.
 var fullCapacity = Resources{CPU: 4000, MemoryMB: 4000}
 
@@ -132,7 +135,7 @@
 		failedRuns: map[attemptKey]bool{}, deadly: map[TaskID]bool{}, crashes: map[TaskID]int{}, startsAfterCrashes: map[TaskID]int{}, lastDeadlyStart: map[TaskID]sentRequest{}, lostAnswers: map[TaskID]int{}, unrelatedCrashes: map[TaskID]int{},
 		failedEnds: map[TaskID][]simulatedFailure{}, failedEndsAtStart: map[TaskID]int{}, faulty: map[TaskID]bool{},
 		maxAttempts: rapid.IntRange(2, 3).Draw(t, "max attempts"), failuresOnly: rapid.IntRange(0, 2).Draw(t, "failures only") == 0,
-		recordsPerTxn: rapid.SampledFrom([]int{1, 3, 100}).Draw(t, "records a transaction"), leftEntries: map[WorkerID]WorkerInfo{}, gangStarts: map[attemptKey]time.Time{},
+		recordsPerTxn: rapid.SampledFrom([]int{1, 3, 100}).Draw(t, "records a transaction"), leftEntries: map[WorkerID]WorkerInfo{}, startTimes: map[attemptKey]time.Time{},
 		percent: 50, lastActive: map[TaskID]time.Time{}, roomSince: map[TaskID]map[WorkerID]time.Time{},
 		activeUntil: map[TaskID]time.Time{}, listedDone: map[TaskID]int64{}, standstills: map[TaskID]*standstill{}, allDoneSince: map[string]time.Time{},
 	}
@@ -237,7 +240,7 @@
 			Resources:   Resources{CPU: int64(rapid.IntRange(1, 3).Draw(t, "cpu")) * 1000, MemoryMB: 500},
 			Checkpoints: rapid.Bool().Draw(t, "checkpoints"),
 			LongRunning: rapid.IntRange(0, 9).Draw(t, "lasts") == 0,
-			Estimate:    time.Second,
+			Estimate:    rapid.SampledFrom(runtimes).Draw(t, "runtime"),
 		}
 		drawKind(t, &step)
 		if i > 0 && rapid.Bool().Draw(t, "after") {
