batch: the simulation counts a task as active for a lease after its end was lost with its worker

An end that a worker had not listed is lost when the worker crashes or leaves. The owner has to wait for the end of the lease, as for a task that ran until then: without this, checkLiveness gave a false alarm in a trial with more jobs.

--- a/internal/batch/simulation_gangs_test.go
+++ b/internal/batch/simulation_gangs_test.go
@@ -47,6 +47,9 @@
 	for _, key := range lost {
 		w.noteActiveUntil(key.task, w.now.Add(livenessWait))
 	}
+	for _, e := range n.ended { // of these ends, the owner may not know either
+		w.noteActiveUntil(e.Task, w.now.Add(livenessWait))
+	}
 	n.running = map[attemptKey]bool{}
 	for _, key := range lost {
 		if w.isGang(key.task) {
