--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -76,18 +76,23 @@
 	if len(workers) == 0 && len(lastResorts) == 0 {
 		return
 	}
+	littleUsed := s.littleUsedServices(workers, lastResorts)
 	var unplaced unplacedSteps
 	for _, entry := range s.openStepsInOrder(now) {
-		hasLastResort := entry.step.spec.LongRunning && len(lastResorts) > 0
+		var resorts []*worker
+		if entry.step.spec.LongRunning || littleUsed[s.queueOf(entry.step.job).Service] {
+			resorts = lastResorts
+		}
+		hasLastResort := len(resorts) > 0
 		maySuitGang := entry.step.spec.Gang && runSuspects(workers)
 		if !hasLastResort && !maySuitGang && unplaced.covers(entry.step) {
 			s.recordWait(entry.step, waitsForRoom, entry.step.firstWaiting(), now)
 			continue
 		}
 		if entry.step.spec.Gang {
-			s.placeGang(entry.step, workers, now)
+			s.placeGang(entry.step, workers, resorts, now)
 		} else {
-			if !s.placeStep(entry.step, workers, lastResorts, now) {
+			if !s.placeStep(entry.step, workers, resorts, now) {
 				unplaced.add(entry.step)
 			}
 		}
@@ -122,8 +127,8 @@
 	return out
 }
 
-// placeStep starts the waiting tasks of a step until one finds no worker. Long-running tasks that find none
-// among the workers get one of the last resorts. It returns false if no
+// placeStep starts the waiting tasks of a step until one finds no worker. Tasks that find none among the workers get
+// one of the last resorts, see mayUseLastResort. It returns false if no
 // worker has capacity, so that the search can be skipped for steps with the same or larger demands. It
 // returns true if the tasks wait for another reason.
 func (s *State) placeStep(st *step, workers, lastResorts []*worker, now time.Time) bool {
@@ -132,7 +137,7 @@
 	}
 	ranking := s.newRanking(st, workers, now)
 	allWorkers := workers
-	if st.spec.LongRunning && len(lastResorts) > 0 {
+	if len(lastResorts) > 0 {
 		allWorkers = slices.Concat(workers, lastResorts)
 	}
 	var wait string
@@ -154,7 +159,7 @@
 			return true
 		}
 		w := ranking.best(t)
-		if w == nil && st.spec.LongRunning {
+		if w == nil && s.mayUseLastResort(st, workers, lastResorts) {
 			w = s.choose(st, t, lastResorts, now)
 		}
 		if w == nil && t.suspected() {
@@ -245,8 +250,9 @@
 	}
 }
 
-// placeGang starts either all tasks of a gang, with one run number and one checkpoint, or none.
-func (s *State) placeGang(st *step, workers []*worker, now time.Time) {
+// placeGang starts either all tasks of a gang, with one run number and one checkpoint, or none. A gang that finds no room
+// on the workers may get last resorts besides, see mayUseLastResort.
+func (s *State) placeGang(st *step, workers, lastResorts []*worker, now time.Time) {
 	if st.startRecordRequested && !st.startRecordDurable {
 		return
 	}
@@ -270,22 +276,35 @@
 		return
 	}
 	run = s.nextRun(run)
+	placed, unplaced := s.reserveGang(st, run, workers, now)
+	if unplaced != nil && s.mayUseLastResort(st, workers, lastResorts) {
+		workers = slices.Concat(workers, lastResorts)
+		placed, unplaced = s.reserveGang(st, run, workers, now)
+	}
+	if unplaced != nil {
+		s.recordWait(st, waitsForRoom, unplaced, now)
+		s.askAdviser(st, workers, now)
+		return
+	}
+	st.gangRun = run
+	s.startAll(placed)
+}
+
+// reserveGang reserves workers for all tasks of a gang. If there is none for one of the tasks, it reserves nothing and
+// returns that task.
+func (s *State) reserveGang(st *step, run int64, workers []*worker, now time.Time) (placed []*attempt, unplaced *task) {
 	checkpoint := st.tasks[0].checkpoint
 	ranking := s.newRanking(st, workers, now)
-	var placed []*attempt
 	for i := range st.tasks {
 		st.tasks[i].checkpoint = checkpoint
 		w := ranking.best(&st.tasks[i])
 		if w == nil {
 			s.releaseReservations(st, placed)
-			s.recordWait(st, waitsForRoom, &st.tasks[i], now)
-			s.askAdviser(st, workers, now)
-			return
+			return nil, &st.tasks[i]
 		}
 		placed = append(placed, s.reserve(st, i, run, w, now))
 	}
-	st.gangRun = run
-	s.startAll(placed)
+	return placed, nil
 }
 
 // releaseReservations undoes reservations for which no start has been sent.
--- a/internal/batch/quarantine.go
+++ b/internal/batch/quarantine.go
@@ -140,8 +140,44 @@
 	}
 }
 
-// lastResorts returns the workers, ordered by id, that may get long-running tasks for which no other worker has
-// room: those in quarantine for failures, or for a stall of a task while others make progress, after a pause.
+// mayUseLastResort reports whether tasks of a step for which no worker has room may get a last resort: those of a
+// long-running step, and finite ones while less than half of the CPU of their service is reserved. They wait for the
+// constraints of their step then, not for work ahead of them, and a quarantine is too long to stand still. Otherwise
+// they wait for a healthy worker, as each failure brings a finite task closer to its last attempt.
+func (s *State) mayUseLastResort(st *step, workers, lastResorts []*worker) bool {
+	if st.spec.LongRunning || len(lastResorts) == 0 {
+		return len(lastResorts) > 0
+	}
+	return isLittleUsed(s.queueOf(st.job).Service, workers, lastResorts)
+}
+
+// littleUsedServices returns the services of the last resorts of which less than half of the CPU is reserved.
+func (s *State) littleUsedServices(workers, lastResorts []*worker) map[string]bool {
+	out := map[string]bool{}
+	for _, w := range lastResorts {
+		if _, known := out[w.info.Service]; !known {
+			out[w.info.Service] = isLittleUsed(w.info.Service, workers, lastResorts)
+		}
+	}
+	return out
+}
+
+// isLittleUsed reports whether less than half of the CPU of the workers that belong to a service is reserved.
+func isLittleUsed(service string, workers, lastResorts []*worker) bool {
+	var used, capacity int64
+	for _, list := range [][]*worker{workers, lastResorts} {
+		for _, w := range list {
+			if w.info.Service == service {
+				used += w.used.CPU
+				capacity += w.info.Capacity.CPU
+			}
+		}
+	}
+	return 2*used < capacity
+}
+
+// lastResorts returns the workers, ordered by id, that may get tasks for which no other worker has room, see
+// mayUseLastResort: those in quarantine for failures, or for a stall of a task while others make progress, after a pause.
 func (s *State) lastResorts(now time.Time) []*worker {
 	var out []*worker
 	for _, w := range s.sorted {
--- a/internal/batch/quarantine_test.go
+++ b/internal/batch/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -151,6 +152,46 @@
 	is.True(s.workers["b"].usable(s, now))
 }
 
+// Guards against jobs that stand still though the only workers that may run them are empty: these were shunned for
+// the failures of a step, and only long-running tasks had a last resort. Finite ones waited for 8 s (LOST is after 3 s).
+func TestFiniteTasksUseShunnedWorkersWhenThereIsNoOther(t *testing.T) {
+	gang := taskStep(2, 1000)
+	gang.Gang = true
+	for name, step := range map[string]Step{"a step of its own": taskStep(1, 1000), "a gang": gang} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, now := newTestState("a")
+			ends := newEndTracker(s)
+			addJob(s, "fails", "q", now, taskStep(2, 500))
+			for _, start := range startActions(planUntilIdle(s, now)) {
+				ends.report(start, EndFailed, nil, now)
+			}
+			is.True(!s.workers["a"].usable(s, now))
+			addJob(s, "waits", "q", now, step)
+			is.Equal(len(startActions(planUntilIdle(s, now))), 0) // the worker rests first
+			now = now.Add(lastResortDelay)
+			starts := startActions(planUntilIdle(s, now))
+			is.True(slices.ContainsFunc(starts, func(a Action) bool { return a.Task.Job == "waits" }))
+		})
+	}
+}
+
+// Guards against finite tasks that use up their attempts on a worker that fails everything while the others are busy.
+func TestFiniteTasksWaitForBusyWorkersRatherThanUseAShunnedOne(t *testing.T) {
+	is := is.New(t)
+	s, now := newTestState("a", "b", "c")
+	ends := newEndTracker(s)
+	addJob(s, "works", "q", now, taskStep(6, 2000)) // two on each worker
+	for _, start := range startActions(planUntilIdle(s, now)) {
+		if start.Worker == "c" {
+			ends.report(start, EndFailed, nil, now)
+		}
+	}
+	is.True(!s.workers["c"].usable(s, now))
+	now = now.Add(lastResortDelay)
+	is.Equal(len(startActions(planUntilIdle(s, now))), 0)
+}
+
 // Regression: the only worker with room for a long-running task is shunned for failures. The task waited for the
 // end of the quarantine, and started anew with each failure there; now it starts after a short pause.
 func TestLongRunningTaskUsesAShunnedWorkerWhenThereIsNoOther(t *testing.T) {
--- a/internal/batch/recorded_start.go
+++ b/internal/batch/recorded_start.go
@@ -76,7 +76,7 @@
 	if !slices.Contains(a.task().suspicions, a.recorded) {
 		return false // the task has proven itself meanwhile
 	}
-	isUsable := w.usable(s, now) || a.step.spec.LongRunning && w.isLastResort(s, now)
+	isUsable := w.usable(s, now) || w.isLastResort(s, now)
 	return a.restartedAt.IsZero() && isUsable && w.used.Fits(w.info.Capacity)
 }
 
