--- a/internal/batch/simulation_run_test.go
+++ b/internal/batch/simulation_run_test.go
@@ -6,6 +6,9 @@
 	"pgregory.net/rapid"
 )
 
+// lateJobs is the number of jobs that are submitted after the faults in some histories.
+const lateJobs = 3
+
 // TestWorld runs random histories of an owner, workers and the store, with late and lost requests,
 // crashes, cut connections, outages of the store and changes of the owner. The simulation checks each start on a worker.
 func TestWorld(t *testing.T) {
@@ -58,6 +61,9 @@
 		w.runTicks(t, 300)
 		w.checkFailures(t)
 	}
+	if rapid.IntRange(0, 4).Draw(t, "late jobs") == 0 {
+		w.submitLate(t)
+	}
 	// Long-running tasks may occupy the workers forever.
 	for id, j := range w.jobs {
 		if j.Spec.LongRunning() {
@@ -83,6 +89,16 @@
 	}
 }
 
+// submitLate submits jobs once the 14 s after the last fault are over, so that tasks fail while no fault excuses it when
+// others stand still.
+func (w *simulation) submitLate(t *rapid.T) {
+	w.runTicks(t, int(finishTime/simulatedTick)+1)
+	for range lateJobs {
+		w.submitNext(t, false)
+	}
+	w.runTicks(t, 30)
+}
+
 // hasDeadlyLongRunningTask reports whether a long-running task crashes each worker that starts it.
 func (w *simulation) hasDeadlyLongRunningTask() bool {
 	for id := range w.deadly {
--- a/internal/batch/simulation_test.go
+++ b/internal/batch/simulation_test.go
@@ -230,9 +230,13 @@
 }
 
 func (w *simulation) submit(t *rapid.T) {
-	if len(w.jobs) > 8 {
-		return
+	if len(w.jobs) <= 8 {
+		w.submitNext(t, true)
 	}
+}
+
+// submitNext submits a job. Unless mayBeDeadly is set, none of its tasks crashes workers.
+func (w *simulation) submitNext(t *rapid.T, mayBeDeadly bool) {
 	spec := Spec{Payload: "p"}
 	for i := range rapid.IntRange(1, 3).Draw(t, "steps") {
 		step := Step{
@@ -250,7 +254,11 @@
 	}
 	id := fmt.Sprintf("j%d", len(w.jobs))
 	j := &Job{ID: id, Queue: "q", QueueConfig: Queue{Service: "svc", MaxAttempts: w.maxAttempts}, Accepted: w.now, Spec: spec}
-	switch kind := rapid.IntRange(0, 4).Draw(t, "kind"); {
+	firstKind := 0
+	if !mayBeDeadly {
+		firstKind = 1
+	}
+	switch kind := rapid.IntRange(firstKind, 4).Draw(t, "kind"); {
 	case w.failuresOnly:
 		for i := range spec.Steps[0].Count {
 			w.faulty[TaskID{Job: id, Index: i}] = true
