--- a/internal/batch/best_effort_patience_test.go
+++ b/internal/batch/best_effort_patience_test.go
@@ -62,7 +62,7 @@
 func TestAThrottledTaskOfAStepThatHasWaitedStays(t *testing.T) {
 	is := is.New(t)
 	s, now := pressed(t, "a", "b")
-	s.workers["b"].quarantinedUntil = now.Add(bestEffortPatience + time.Second)
+	s.workers["b"].quarantine(now, bestEffortPatience+time.Second, bestEffortPatience+time.Second)
 	addJob(s, "fill", "q", now, bestEffortStep("fill", 2))
 	planUntilIdle(s, now)
 	now = now.Add(bestEffortPatience)
--- a/internal/batch/covers_test.go
+++ b/internal/batch/covers_test.go
@@ -90,17 +90,19 @@
 		s, now := drawCrowdedState(t)
 		s.noteSuspects(now)
 		workers, lastResorts := append([]*worker{}, s.usable(now)...), s.lastResorts(now)
+		littleUsed := s.littleUsedServices(workers, lastResorts)
 		var unplaced unplacedSteps
 		for _, entry := range s.openStepsInOrder(now) {
 			st := entry.step
-			exempt := st.spec.LongRunning && len(lastResorts) > 0 || st.spec.Gang && runSuspects(workers)
+			resorts := s.resortsFor(st, lastResorts, littleUsed)
+			exempt := len(resorts) > 0 || st.spec.Gang && runSuspects(workers)
 			if !exempt && unplaced.covers(st, now) {
 				checkNoWorkerFor(t, s, st, workers, now)
 				continue
 			}
 			if st.spec.Gang {
-				s.placeGang(st, workers, now)
-			} else if !s.placeStep(st, workers, lastResorts, now) {
+				s.placeGang(st, workers, resorts, now)
+			} else if !s.placeStep(st, workers, resorts, now) {
 				unplaced.add(st)
 			}
 		}
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -78,18 +78,20 @@
 		s.holdAll(heldByNoWorker, now)
 		return
 	}
+	littleUsed := s.littleUsedServices(workers, lastResorts)
 	var unplaced unplacedSteps
 	for _, entry := range s.openStepsInOrder(now) {
-		hasLastResort := entry.step.spec.LongRunning && len(lastResorts) > 0
+		resorts := s.resortsFor(entry.step, lastResorts, littleUsed)
+		hasLastResort := len(resorts) > 0
 		maySuitGang := entry.step.spec.Gang && runSuspects(workers)
 		if !hasLastResort && !maySuitGang && unplaced.covers(entry.step, now) {
 			s.holdStep(entry.step, 0, heldByLikeStep, now)
 			continue
 		}
 		if entry.step.spec.Gang {
-			s.placeGang(entry.step, workers, now)
+			s.placeGang(entry.step, workers, resorts, now)
 		} else {
-			if !s.placeStep(entry.step, workers, lastResorts, now) {
+			if !s.placeStep(entry.step, workers, resorts, now) {
 				unplaced.add(entry.step)
 			}
 		}
@@ -125,8 +127,8 @@
 	return out
 }
 
-// placeStep starts the waiting tasks of a step until one finds no worker. Long-running tasks that find none
-// among the workers get one of the last resorts. It returns false if no
+// placeStep starts the waiting tasks of a step until one finds no worker. Tasks that find none among the workers get
+// one of the last resorts, see mayUseLastResort. It returns false if no
 // worker has capacity, so that the search can be skipped for steps with the same or larger demands. It
 // returns true if the tasks wait for another reason.
 func (s *State) placeStep(st *step, workers, lastResorts []*worker, now time.Time) bool {
@@ -136,7 +138,7 @@
 	}
 	ranking := s.newRanking(st, workers, now)
 	allWorkers := workers
-	if st.spec.LongRunning && len(lastResorts) > 0 {
+	if len(lastResorts) > 0 {
 		allWorkers = slices.Concat(workers, lastResorts)
 	}
 	var suspect *task // the least suspected task that found no worker
@@ -155,7 +157,7 @@
 			continue
 		}
 		w := ranking.best(t)
-		if w == nil && st.spec.LongRunning {
+		if w == nil && s.mayUseLastResort(st, workers, lastResorts) {
 			w = s.choose(st, t, lastResorts, now)
 		}
 		if w == nil && t.suspected() {
@@ -247,8 +249,9 @@
 	}
 }
 
-// placeGang starts either all tasks of a gang, with one run number and one checkpoint, or none.
-func (s *State) placeGang(st *step, workers []*worker, now time.Time) {
+// placeGang starts either all tasks of a gang, with one run number and one checkpoint, or none. A gang that finds no room
+// on the workers may get last resorts besides, see mayUseLastResort.
+func (s *State) placeGang(st *step, workers, lastResorts []*worker, now time.Time) {
 	if st.awaitsStartRecord() {
 		s.holdStep(st, 0, heldByStartRecord, now)
 		return
@@ -267,23 +270,36 @@
 		run = max(run, st.tasks[i].lastRun)
 	}
 	run = s.nextRun(run)
+	placed, unplaced := s.reserveGang(st, run, workers, now)
+	if unplaced >= 0 && s.mayUseLastResort(st, workers, lastResorts) {
+		workers = slices.Concat(workers, lastResorts)
+		placed, unplaced = s.reserveGang(st, run, workers, now)
+	}
+	if unplaced >= 0 {
+		s.askAdviser(st, workers, now)
+		s.holdGang(st, unplaced, s.missing(st, &st.tasks[unplaced], workers, now), now)
+		return
+	}
+	st.gangRun = run
+	st.waits.reason = notHeld
+	s.startAll(placed, now)
+}
+
+// reserveGang reserves workers for all tasks of a gang. If there is none for one of the tasks, it reserves nothing and
+// returns the index of that task, otherwise -1.
+func (s *State) reserveGang(st *step, run int64, workers []*worker, now time.Time) (placed []*attempt, unplaced int) {
 	checkpoint := st.tasks[0].checkpoint
 	ranking := s.newRanking(st, workers, now)
-	var placed []*attempt
 	for i := range st.tasks {
 		st.tasks[i].checkpoint = checkpoint
 		w := ranking.best(&st.tasks[i])
 		if w == nil {
 			s.releaseReservations(st, placed)
-			s.askAdviser(st, workers, now)
-			s.holdGang(st, i, s.missing(st, &st.tasks[i], workers, now), now)
-			return
+			return nil, i
 		}
 		placed = append(placed, s.reserve(st, i, run, w, now))
 	}
-	st.gangRun = run
-	st.waits.reason = notHeld
-	s.startAll(placed, now)
+	return placed, -1
 }
 
 // releaseReservations undoes reservations for which no start has been sent.
--- a/internal/batch/simulation_requests_test.go
+++ b/internal/batch/simulation_requests_test.go
@@ -15,6 +15,8 @@
 	notAfter   int64 // on the worker's clock
 	answerLost bool  // its answer is lost
 	repeated   bool  // an identical request was sent before, whose answer is lost
+	// carriedOutAt is when it is executed at the latest if its answer is lost and its worker is in contact.
+	carriedOutAt time.Time
 }
 
 // plan calls Plan of the owner and sends the requests.
@@ -49,11 +51,9 @@
 	if r.answerLost || r.epoch != w.epoch {
 		return
 	}
-	r.answerLost = true
-	w.lastFault = w.now
-	w.extendActive(*r, r.sentAt.Add(maxCallDelay))
 	again := *r
-	again.answerLost, again.repeated = false, true
+	again.repeated = true
+	w.loseAnswerTo(r)
 	w.requests = append(w.requests, again)
 }
 
@@ -76,9 +76,7 @@
 	if r.answerLost {
 		return
 	}
-	r.answerLost = true
-	w.lastFault = w.now
-	w.extendActive(*r, r.sentAt.Add(maxCallDelay))
+	w.loseAnswerTo(r)
 	if r.action.Kind == ActionStart {
 		w.lostAnswers[r.action.Task]++
 	}
@@ -87,6 +85,17 @@
 	}
 }
 
+// loseAnswerTo loses the answer to a request, which is executed up to maxCallDelay late.
+func (w *simulation) loseAnswerTo(r *sentRequest) {
+	r.answerLost = true
+	r.carriedOutAt = r.sentAt.Add(time.Duration(rapid.IntRange(0, int(maxCallDelay/time.Second)).Draw(w.t, "seconds late")) * time.Second)
+	w.noteFault()
+	w.extendActive(*r, r.sentAt.Add(maxCallDelay+livenessWait))
+	if r.action.Kind == ActionStart {
+		w.noteActiveUntil(r.action.Task, r.sentAt.Add(maxCallDelay+livenessWait))
+	}
+}
+
 // deliver executes one of the requests that were sent.
 func (w *simulation) deliver(t *rapid.T) {
 	if len(w.requests) == 0 {
@@ -105,8 +114,10 @@
 	w.requests = slices.Delete(w.requests, i, i+1)
 	answer := r.answerOf(w.execute(n, r))
 	if r.action.Kind == ActionStart && w.deadly[r.action.Task] && answer == AnswerNone {
-		w.giveUp(&r) // the worker has crashed before it answered
+		activeUntil := w.activeUntil[r.action.Task]
+		w.noteOwnFault(func() { w.giveUp(&r) }) // the worker has crashed before it answered
 		w.lostAnswers[r.action.Task]--
+		w.activeUntil[r.action.Task] = laterOf(activeUntil, w.now.Add(livenessWait)) // it was executed
 	}
 	if r.answerLost || r.epoch != w.epoch {
 		return true
@@ -192,6 +203,8 @@
 		}
 	}
 	n.running[attemptKey{a.Task, a.Run}] = true
+	w.noteActiveUntil(a.Task, w.now)
+	w.startTimes[attemptKey{a.Task, a.Run}] = w.now
 	w.begun[a.Task.Job] = true
 	granted := min(time.Duration(r.notAfter-w.clock(n))*time.Millisecond, simulatedLeaseTTL)
 	n.lease = laterOf(n.lease, w.now.Add(granted))
--- a/internal/batch/simulation_run_test.go
+++ b/internal/batch/simulation_run_test.go
@@ -6,6 +6,9 @@
 	"pgregory.net/rapid"
 )
 
+// lateJobs is the number of jobs that are submitted after the faults in some histories.
+const lateJobs = 3
+
 // TestWorld runs random histories of an owner, workers and the store, with late and lost requests,
 // crashes, cut connections, outages of the store and changes of the owner. The simulation checks each start on a worker.
 func TestWorld(t *testing.T) {
@@ -22,14 +25,15 @@
 			"end":    w.endOne,
 			"report": w.report, "report2": w.report, "report3": w.report,
 			"commit": w.commit, "commit2": w.commit,
-			"cut":    w.toggleConnection,
-			"resize": w.resize,
-			"crash":  w.crash,
-			"losses": w.loseSome,
-			"refuse": w.toggleRefusal,
-			"store":  w.toggleStore,
-			"drain":  w.toggleDraining,
-			"series": w.failInSeries, "series2": w.failInSeries,
+			"cut":        w.toggleConnection,
+			"resize":     w.resize,
+			"crash":      w.crash,
+			"losses":     w.loseSome,
+			"refuse":     w.toggleRefusal,
+			"unreadable": w.toggleReadable,
+			"store":      w.toggleStore,
+			"drain":      w.toggleDraining,
+			"series":     w.failInSeries, "series2": w.failInSeries,
 			"retry": w.retry,
 			"": func(t *rapid.T) {
 				w.checkWaiting(t)
@@ -58,6 +62,9 @@
 		w.runTicks(t, 300)
 		w.checkFailures(t)
 	}
+	if rapid.IntRange(0, 4).Draw(t, "late jobs") == 0 {
+		w.submitLate(t)
+	}
 	// Long-running tasks may occupy the workers forever.
 	for id, j := range w.jobs {
 		if j.Spec.LongRunning() {
@@ -83,6 +90,16 @@
 	}
 }
 
+// submitLate submits jobs once the 14 s after the last fault are over, so that tasks fail while no fault excuses it when
+// others stand still.
+func (w *simulation) submitLate(t *rapid.T) {
+	w.runTicks(t, int(finishTime/simulatedTick)+1)
+	for range lateJobs {
+		w.submitNext(t, false)
+	}
+	w.runTicks(t, 30)
+}
+
 // hasDeadlyLongRunningTask reports whether a long-running task crashes each worker that starts it.
 func (w *simulation) hasDeadlyLongRunningTask() bool {
 	for id := range w.deadly {
