--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -41,7 +41,9 @@
 	// restartedAt is when the worker was seen to have been restarted after the start was decided. It is not
 	// known which of the two incarnations the start has reached.
 	restartedAt time.Time
-	percent     int
+	// missingSince is since when the reports that may lack attempts do not list it; zero if the last one did.
+	missingSince time.Time
+	percent      int
 	// progressAt is when percent last rose, the attempt was first listed or its CPU limit was set.
 	progressAt time.Time
 	// lastMeasurement is RunningAttempt.Measurement of the last report.
--- a/internal/batch/lease.go
+++ b/internal/batch/lease.go
@@ -29,6 +29,7 @@
 	}
 	w.leaseEnd = laterOf(w.leaseEnd, leaseEnd)
 	w.leaseConfirmed = w.leaseConfirmed || confirmed
+	w.renewalsEnded = !confirmed
 }
 
 // LeaseEnd returns the time by which everything on a worker has ended if it stays out of contact, also what a
@@ -102,7 +103,7 @@
 			s.sorted = nil
 			continue
 		}
-		if !w.unreachable || !s.leaseHasEnded(w.leaseEnd, now) {
+		if !w.isLapsing() || !s.leaseHasEnded(w.leaseEnd, now) {
 			continue
 		}
 		for _, a := range w.attempts {
@@ -118,7 +119,7 @@
 	for id, until := range s.unresolvedWorkers {
 		if w := s.workers[id]; w != nil && w.reported {
 			// Its reports so far were incomplete, and its lease has been renewed.
-			if !w.unreachable {
+			if !w.isLapsing() {
 				continue
 			}
 			until = laterOf(until, w.leaseEnd)
--- a/internal/batch/model.go
+++ b/internal/batch/model.go
@@ -96,8 +96,10 @@
 	Running     []RunningAttempt
 	Ended       []EndedAttempt
 	// Incomplete is set if attempts that the worker knows of may be missing, so that absence proves
-	// nothing. The next reports bring them.
+	// nothing. The next reports bring them, unless Unreadable is set: the report names attempts in a form that
+	// cannot be read.
 	Incomplete bool
+	Unreadable bool
 }
 
 // Answer is the outcome of a request to a worker.
--- a/internal/batch/reborn_start_test.go
+++ b/internal/batch/reborn_start_test.go
@@ -39,3 +39,23 @@
 		}
 	}
 }
+
+// Guards against two runs of a task: a start that was sent to a worker as it was restarted may be carried out by the new
+// incarnation for as long as a call may be late, and then has a whole lease. It also guards against a longer wait.
+func TestAStartToARestartedWorkerOutOfContactIsWaitedFor(t *testing.T) {
+	is := is.New(t)
+	s, now := newTestState("a", "b")
+	addJob(s, "j", "q", now, taskStep(1, 1000))
+	s.Plan(now)
+	s.MarkStored(s.TakeDirty(1 << 20))
+	start := startActions(s.Plan(now))[0]
+	s.StartSent(start.Worker, start.Task, start.Run, 500_000)
+	s.StartAnswered(start.Worker, start.Task, start.Run, AnswerNone, now.Add(700*time.Millisecond))
+	info := s.workers[start.Worker].info
+	info.Incarnation = 2
+	s.UpdateWorker(info, now.Add(time.Second))
+	s.MarkUnreachable(start.Worker)
+	bound := maxCallDelay + testLimits.LeaseTTL
+	is.Equal(len(startActions(planUntilIdle(s, now.Add(bound-time.Millisecond)))), 0)
+	is.Equal(len(startActions(planUntilIdle(s, now.Add(bound+checkInterval)))), 1)
+}
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -34,6 +34,7 @@
 		w.endsChange = s.LastChange()
 	}
 	s.reconcile(w, r, now)
+	s.endUnreadable(w, r, now)
 	s.reviewSuspicions(w, r)
 	s.enforceLatencyTargets(w, now)
 	return last
@@ -64,6 +65,7 @@
 		}
 		if r.Incomplete {
 			a.progressAt = now
+			a.noteMissing(now)
 			continue
 		}
 		if a.isGone(r) {
@@ -75,6 +77,7 @@
 
 // observe updates an attempt by its entry in a report.
 func (a *attempt) observe(e RunningAttempt, now time.Time) {
+	a.missingSince = time.Time{}
 	if !a.listed || e.Percent > a.percent {
 		a.progressAt = now
 	}
@@ -92,6 +95,13 @@
 	a.lastMeasurement = e.Measurement
 }
 
+// noteMissing notes that a report that may lack attempts does not list the attempt.
+func (a *attempt) noteMissing(now time.Time) {
+	if a.missingSince.IsZero() {
+		a.missingSince = now
+	}
+}
+
 // isGone reports whether an attempt that is missing in a report neither runs nor can start there any more.
 // An answer does not tell which incarnation of the worker gave it, so it proves something only about the
 // reports that were requested after it.
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -16,6 +16,8 @@
 	unreachable       bool // the last call to it failed
 	leaseConfirmed    bool // it has confirmed a renewal of its lease since it was last unreachable
 	runsUnknownTasks  bool // it runs tasks of unknown jobs, whose resources are not known
+	lapsing           bool // its lease must not be renewed, see endUnreadable
+	renewalsEnded     bool // it has reported without a renewal since it is lapsing
 	leaseEnd          time.Time
 	leavesAfter       time.Time // until when a draining worker certainly stays; zero if not known
 	used              Resources
@@ -41,6 +43,7 @@
 	suspectsSince     time.Time // since when it has run such attempts, one after the other, as of suspectsSeen
 	suspectsSeen      time.Time // when it last ran such an attempt
 	lastContact       time.Time // when it last reported or accepted a start
+	unreadableSince   time.Time // since when its reports cannot be read in full; zero if the last one could
 	failures          []*step   // the steps of its failures in a row
 	failuresEnd       time.Time // when these are too old to be in a row
 	endsChange        uint64    // LastChange after the last report with ends
@@ -230,7 +233,7 @@
 
 // usableButForQuarantine reports whether the worker may get new tasks once its quarantine has ended.
 func (w *worker) usableButForQuarantine(s *State) bool {
-	return w.listed && w.described && w.recorded && w.reported && w.leaseConfirmed && !w.unreachable && !w.runsUnknownTasks && !w.info.Draining &&
+	return w.listed && w.described && w.recorded && w.reported && w.leaseConfirmed && !w.unreachable && !w.lapsing && !w.runsUnknownTasks && !w.info.Draining &&
 		!s.config.Evacuated[w.info.DataCentre]
 }
 
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -257,6 +257,8 @@
 	overlaps int
 	// unreachable holds the workers that answer no calls.
 	unreachable map[batch.WorkerID]bool
+	// unreadable is the worker whose reports name what runs there in a form that cannot be read; empty for none.
+	unreadable batch.WorkerID
 	// clockless makes all reports lack a reading of the worker's clock.
 	clockless bool
 }
@@ -455,6 +457,9 @@
 	if w.clockless {
 		report.Clock = 0
 	}
+	if w.unreadable == req.Worker {
+		report.Running, report.Incomplete, report.Unreadable = nil, true, true
+	}
 	return report, batch.AnswerOK
 }
 
--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -146,8 +146,8 @@
 	now := time.Now()
 	// A renewal may take effect even if its response is lost. An unreachable worker is sent none,
 	// since the recorded end of its lease would become wrong.
+	request.MaxWait = rn.params.maxWait
 	if rn.params.renew {
-		request.MaxWait = rn.params.maxWait
 		request.LeaseEnd = rn.nextLeaseEnd(now)
 	}
 	ctx, cancel := context.WithTimeout(ctx, request.MaxWait+renewTimeout)
@@ -244,13 +244,15 @@
 	if l.workersRecord.contains(id) || l.state.InUse(id) {
 		l.workersRecord.setRenewed(id)
 	}
-	i := renewalParams{ackSeq: ackSeq, maxWait: l.maxReportWait(id), renew: true, generation: generation}
+	i := renewalParams{ackSeq: ackSeq, maxWait: l.maxReportWait(id), renew: !l.state.MustLapse(id), generation: generation}
 	l.setParamsWhenDurable(i, rn)
 }
 
 // maxReportWait returns how long a worker may wait for an attempt to end before it sends its report.
 func (l *leader) maxReportWait(id batch.WorkerID) time.Duration {
 	switch {
+	case l.state.MustLapse(id):
+		return busyWait
 	case !l.state.HasLease(id):
 		return 0 // tasks are started on it only after it has confirmed its lease
 	case l.state.HasColocatedTasks(id):
