--- a/internal/batch/short_suspects_test.go
+++ b/internal/batch/short_suspects_test.go
@@ -42,3 +42,21 @@
 	}
 	is.Equal(started, 1)
 }
+
+// Guards against a job that does not start although nearly all room is free: its task was suspected twice, and each worker
+// ran a task that was suspected once and had to run for 18 s to be cleared.
+func TestATaskThatIsSuspectedTwiceWaitsOnlyForNewSuspects(t *testing.T) {
+	is := is.New(t)
+	c := newCrashCluster(t, 3)
+	for i := range 3 {
+		c.addSuspect(fmt.Sprint("once", i), longRunningStep(1, 500, 0), 9*time.Second)
+	}
+	for range 3 {
+		c.step()
+	}
+	for _, w := range c.s.workers {
+		is.Equal(w.suspected, 1)
+	}
+	c.addSuspect("twice", taskStep(1, 500), 0, 0)
+	is.Equal(len(startActions(planUntilIdle(c.s, c.now))), 1)
+}
