--- a/internal/batch/availability.go
+++ b/internal/batch/availability.go
@@ -20,6 +20,7 @@
 	unavailableUnrecorded                 // the store does not hold yet that it may be in use
 	unavailableUnreported                 // it has not reported to this owner in its present incarnation
 	unavailableUnleased                   // it has confirmed no renewal of its lease since contact was lost
+	unavailableLapsing                    // its reports cannot be read in full, and its lease lapses
 	unavailableUnknown                    // it runs tasks of unknown jobs, whose resources are not known
 	unavailableShunned                    // it is in quarantine
 	unavailabilities
@@ -28,7 +29,7 @@
 // unavailabilityNames say in the log how many workers may not get tasks for a reason. The log calls an unreachable worker
 // silent and a quarantined one shunned.
 var unavailabilityNames = [unavailabilities]string{"may get tasks", "are unlisted", "drain", "are evacuated", "are silent", "wait for an entry",
-	"wait for a record", "wait for a report", "wait for a lease", "run unknown tasks", "are shunned"}
+	"wait for a record", "wait for a report", "wait for a lease", "lapse", "run unknown tasks", "are shunned"}
 
 // unavailability returns why the worker may not get new tasks, or available.
 func (w *worker) unavailability(s *State, now time.Time) unavailability {
@@ -58,6 +59,8 @@
 		return unavailableUnrecorded
 	case !w.reported:
 		return unavailableUnreported
+	case w.lapsing:
+		return unavailableLapsing
 	case !w.leaseConfirmed:
 		return unavailableUnleased
 	case w.runsUnknownTasks:
--- a/internal/batch/availability_test.go
+++ b/internal/batch/availability_test.go
@@ -21,6 +21,7 @@
 	unavailableUnrecorded:  func(s *State, w *worker, _ time.Time) { s.MarkUnrecorded(w.info.ID) },
 	unavailableUnreported:  func(_ *State, w *worker, _ time.Time) { w.reported = false },
 	unavailableUnleased:    func(_ *State, w *worker, _ time.Time) { w.leaseConfirmed = false },
+	unavailableLapsing:     func(_ *State, w *worker, _ time.Time) { w.lapsing = true },
 	unavailableUnknown:     func(_ *State, w *worker, _ time.Time) { w.runsUnknownTasks = true },
 	unavailableShunned:     func(_ *State, w *worker, now time.Time) { w.quarantine(now, quarantineTime, quarantineTime) },
 }
