--- a/internal/owner/worker_calls.go
+++ b/internal/owner/worker_calls.go
@@ -51,7 +51,7 @@
 
 // callRepeatDelay is how long a worker may take to answer a start or a stop before the identical request is sent
 // again: its answer may be lost, or it may be carried out late.
-const callRepeatDelay = 150 * time.Millisecond
+const callRepeatDelay = 100 * time.Millisecond
 
 // repeatCall makes a call that has the same effect however often it is made, and makes it again each callRepeatDelay
 // until one is answered or ctx ends. What one call is answered says nothing about the others unless it took effect: if
@@ -59,7 +59,7 @@
 func (l *leader) repeatCall(ctx context.Context, call func(context.Context) batch.Answer) batch.Answer {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	answers := make(chan batch.Answer, workerCallTimeout/callRepeatDelay+1)
+	answers := make(chan batch.Answer, workerCallTimeout/callRepeatDelay)
 	send := func() { answers <- call(ctx) }
 	ticker := time.NewTicker(callRepeatDelay)
 	defer ticker.Stop()
