--- a/internal/batch/answers.go
+++ b/internal/batch/answers.go
@@ -19,12 +19,14 @@
 	case AnswerOK, AnswerOKRepeated:
 		if answer == AnswerOKRepeated {
 			a.unansweredAt = now
+			w.noteLateCopy(a, now)
 		}
 		a.acceptedAt, w.lastContact = now, now
 		w.noteRoom(a.reserved)
 		s.markStarted(a.step.job)
 	case AnswerNone:
 		a.unansweredAt = now
+		w.noteLateCopy(a, now)
 		if !a.listed {
 			s.stop(a, "start not answered")
 		}
@@ -66,6 +68,9 @@
 	if w == nil || incarnation != w.info.Incarnation {
 		return
 	}
+	if answer == AnswerOK || answer == AnswerOKRepeated {
+		w.barred(attemptKey{task, run})
+	}
 	if a := w.attempts[attemptKey{task, run}]; a != nil && (answer == AnswerOK || answer == AnswerOKRepeated) {
 		a.stopAnsweredAt = now
 	}
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -34,6 +34,7 @@
 	s.place(now)
 	s.sendRecordedStarts(now)
 	s.sendStops(now)
+	s.sendBars(now)
 	s.reportTasksWaiting(now)
 	out := s.actions
 	s.actions = nil
--- a/internal/batch/reborn_start_test.go
+++ b/internal/batch/reborn_start_test.go
@@ -86,3 +86,45 @@
 	is.Equal(len(startActions(planUntilIdle(s, now.Add(bound-time.Millisecond)))), 0)
 	is.Equal(len(startActions(planUntilIdle(s, now.Add(bound+checkInterval)))), 1)
 }
+
+// Guards against the same while copies of the start are still being sent.
+func TestARestartWhileAStartIsSentDoesNotStartItsTaskElsewhere(t *testing.T) {
+	is := is.New(t)
+	s, now := newTestState("a", "b")
+	addJob(s, "j", "q", now, longRunningStep(1, 1000, 0))
+	s.Plan(now)
+	s.MarkStored(s.TakeDirty(1 << 20))
+	start := startActions(s.Plan(now))[0]
+	id := start.Worker
+	s.StartSent(id, start.Task, start.Run, 500_000)
+	now = now.Add(200 * time.Millisecond)
+	reportWithLease(s, id, Report{Incarnation: 1, Clock: 5, Running: runningOn([]Action{start}, id), RequestedAt: now}, now)
+	now = now.Add(100 * time.Millisecond)
+	reportWithLease(s, id, Report{Incarnation: 2, Clock: 5, RequestedAt: now}, now)
+	is.Equal(len(startActions(planUntilIdle(s, now))), 0)
+}
+
+// Guards against the same after the run has ended: the next run may be anywhere, or the task done.
+func TestARunThatHasEndedIsBarredFromARestartedWorker(t *testing.T) {
+	is := is.New(t)
+	s, now := newTestState("a", "b")
+	addJob(s, "j", "q", now, taskStep(1, 1000))
+	s.Plan(now)
+	s.MarkStored(s.TakeDirty(1 << 20))
+	start := startActions(s.Plan(now))[0]
+	id := start.Worker
+	s.StartSent(id, start.Task, start.Run, 500_000)
+	s.StartAnswered(id, start.Task, start.Run, AnswerOKRepeated, now)
+	now = now.Add(time.Second)
+	reportWithLease(s, id, Report{Incarnation: 1, Clock: 5, Ended: []EndedAttempt{{Seq: 1, Task: start.Task, Run: start.Run, Reason: EndDone}}, RequestedAt: now}, now)
+	now = now.Add(time.Second)
+	reportWithLease(s, id, Report{Incarnation: 2, Clock: 5, RequestedAt: now}, now)
+	stops := func() int { return len(s.Plan(now)) }
+	is.Equal(stops(), 1)
+	is.Equal(stops(), 0)
+	now = now.Add(s.timing.StopRetryDelay)
+	is.Equal(stops(), 1) // the first one got no answer
+	s.StopAnswered(id, 2, start.Task, start.Run, AnswerOK, now)
+	now = now.Add(s.timing.StopRetryDelay)
+	is.Equal(stops(), 0)
+}
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -131,7 +131,7 @@
 // mayRepeatStart reports whether a copy of the start that got no answer may still be carried out. That means nothing
 // to the incarnation that runs the attempt, but starts it anew in a later one.
 func (a *attempt) mayRepeatStart(now time.Time) bool {
-	return !a.unansweredAt.IsZero() && !now.After(a.unansweredAt.Add(maxCallDelay))
+	return a.startPending && !a.unsent || !a.unansweredAt.IsZero() && !now.After(a.unansweredAt.Add(maxCallDelay))
 }
 
 // adopt registers an attempt that a worker runs but this owner does not track: a former owner started
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -39,6 +39,7 @@
 	// bestEffortEndedAt is when a best-effort attempt with a CPU limit above 0 last ended there.
 	bestEffortEndedAt time.Time
 	attempts          map[attemptKey]*attempt
+	lateCopies        []lateCopy
 	suspected         int       // attempts of suspected tasks
 	suspectsSince     time.Time // since when it has run such attempts, one after the other, as of suspectsSeen
 	suspectsSeen      time.Time // when it last ran such an attempt
@@ -212,6 +213,7 @@
 		a.restartedAt = now
 		a.stopSent, a.stopAnsweredAt = time.Time{}, time.Time{}
 	}
+	s.barLateCopies(w)
 	// The log calls a restarted worker reborn.
 	s.event(Event{Name: "worker.reborn", Worker: w.info.ID, Detail: fmt.Sprintf("%s shows incarnation %d after %d; unconfirmed starts: %d", source, incarnation, w.info.Incarnation, unconfirmed)})
 	w.info.Incarnation = incarnation
--- a/internal/owner/accepted_jobs_test.go
+++ b/internal/owner/accepted_jobs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -29,9 +30,14 @@
 	var items []kv.Item
 	for _, listed := range keys {
 		pause.For(ctx, 20*time.Millisecond)
-		if item, err := s.Get(ctx, listed.Key); err == nil {
-			items = append(items, item)
+		item, err := s.Get(ctx, listed.Key)
+		if errors.Is(err, kv.ErrNotFound) {
+			continue // it was removed meanwhile
 		}
+		if err != nil {
+			return nil, 0, err
+		}
+		items = append(items, item)
 	}
 	return items, rev, nil
 }
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -101,6 +101,8 @@
 			if !l.isDurable(p) {
 				return false
 			}
+			// The worker may have had to lapse meanwhile.
+			p.params.renew = p.params.renew && !l.state.MustLapse(rn.info.ID)
 			rn.setParams(p.params)
 			return true
 		})
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -65,6 +65,7 @@
 	done chan struct{}
 	// firstRenewals is a semaphore that limits the concurrent first calls to workers.
 	firstRenewals chan struct{}
+	openCalls     openCalls
 	// ownedUntil is the time until which the claim is confirmed, in nanoseconds on Options.BootClock.
 	ownedUntil atomic.Int64
 
--- a/internal/owner/repeated_calls_test.go
+++ b/internal/owner/repeated_calls_test.go
@@ -53,6 +53,7 @@
 
 // The outcome of a call that is repeated: a refusal is certain only if no other copy was sent.
 func TestOutcomesOfRepeatedCalls(t *testing.T) {
+	const lateRefusal, lateRefusalDelay = batch.Answer(255), callRepeatDelay + callRepeatDelay/2
 	const none, ok, refused, full, fenced = batch.AnswerNone, batch.AnswerOK, batch.AnswerRefused, batch.AnswerNoCapacity, batch.AnswerFenced
 	for _, c := range []struct {
 		name    string
@@ -64,10 +65,11 @@
 		{"the only copy is carried out", []batch.Answer{ok}, ok, 1, 0},
 		{"the only copy is refused", []batch.Answer{full}, full, 1, 0},
 		{"the second copy is carried out", []batch.Answer{none, ok}, batch.AnswerOKRepeated, 2, callRepeatDelay},
-		{"the second copy is refused, and the first may have been carried out", []batch.Answer{none, full}, none, 2, callRepeatDelay},
+		{"the second copy is refused, and the first may have been carried out", []batch.Answer{none, full}, none, 2, workerCallTimeout},
 		{"the second copy was not sent", []batch.Answer{none, refused, ok}, batch.AnswerOKRepeated, 3, 2 * callRepeatDelay},
+		{"all copies are refused late", []batch.Answer{lateRefusal, lateRefusal}, full, 2, callRepeatDelay + lateRefusalDelay},
 		{"a copy meets the next owner", []batch.Answer{none, fenced}, fenced, 2, callRepeatDelay},
-		{"no copy is answered", nil, none, int(workerCallTimeout / callRepeatDelay), workerCallTimeout},
+		{"no copy is answered", nil, none, maxOpenCalls, workerCallTimeout},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -78,11 +80,15 @@
 				l := confirmedLeader(t)
 				var mu sync.Mutex
 				copies := 0
-				answer := l.repeatCall(ctx, func(ctx context.Context) batch.Answer {
+				answer := l.repeatCall(ctx, "w", func(ctx context.Context) batch.Answer {
 					mu.Lock()
 					copies++
 					n := copies
 					mu.Unlock()
+					if n <= len(c.answers) && c.answers[n-1] == lateRefusal {
+						time.Sleep(lateRefusalDelay)
+						return full
+					}
 					if n <= len(c.answers) && c.answers[n-1] != none {
 						return c.answers[n-1]
 					}
@@ -104,3 +110,34 @@
 	l.ctx = t.Context()
 	return l
 }
+
+// Guards against copies that take all connections to a worker, so that the renewals of its lease fail.
+func TestCopiesLeaveConnectionsToRenewals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := confirmedLeader(t)
+		var mu sync.Mutex
+		var open, most int
+		silent := func(ctx context.Context) batch.Answer {
+			mu.Lock()
+			open++
+			most = max(most, open)
+			mu.Unlock()
+			<-ctx.Done()
+			mu.Lock()
+			open--
+			mu.Unlock()
+			return batch.AnswerNone
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), workerCallTimeout)
+		defer cancel()
+		var done sync.WaitGroup
+		for range 3 {
+			done.Go(func() { l.repeatCall(ctx, "w", silent) })
+		}
+		done.Wait()
+		synctest.Wait()
+		is.Equal(most, maxOpenCalls)
+		is.Equal(l.openCalls.count("w"), 0)
+	})
+}
--- a/internal/owner/worker_calls.go
+++ b/internal/owner/worker_calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
@@ -35,7 +36,7 @@
 		defer cancel()
 		answer := batch.AnswerExpired
 		if l.mayAct() {
-			answer = l.repeatCall(ctx, func(ctx context.Context) batch.Answer { return l.owner.workers.Start(ctx, request) })
+			answer = l.repeatCall(ctx, request.Worker, func(ctx context.Context) batch.Answer { return l.owner.workers.Start(ctx, request) })
 		}
 		l.post(func(l *leader, now time.Time) {
 			l.checkFenced(a, answer)
@@ -46,39 +47,79 @@
 
 // stopRepeatedly stops a task.
 func (l *leader) stopRepeatedly(ctx context.Context, r TaskRequest) batch.Answer {
-	return l.repeatCall(ctx, func(ctx context.Context) batch.Answer { return l.owner.workers.Stop(ctx, r) })
+	return l.repeatCall(ctx, r.Worker, func(ctx context.Context) batch.Answer { return l.owner.workers.Stop(ctx, r) })
 }
 
 // callRepeatDelay is how long a worker may take to answer a start or a stop before the identical request is sent
 // again: its answer may be lost, or it may be carried out late.
 const callRepeatDelay = 100 * time.Millisecond
 
+// maxOpenCalls is the number of starts and stops without an answer from which on a worker gets no more copies: it must
+// leave connections to the renewals of its lease.
+const maxOpenCalls = 5
+
+// openCalls counts the calls to each worker that have no answer yet.
+type openCalls struct {
+	mu     sync.Mutex
+	counts map[batch.WorkerID]int
+}
+
+func (o *openCalls) add(id batch.WorkerID, n int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.counts == nil {
+		o.counts = map[batch.WorkerID]int{}
+	}
+	o.counts[id] += n
+	if o.counts[id] == 0 {
+		delete(o.counts, id)
+	}
+}
+
+func (o *openCalls) count(id batch.WorkerID) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.counts[id]
+}
+
 // repeatCall makes a call that has the same effect however often it is made, and makes it again each callRepeatDelay
-// until one is answered or ctx ends. What one call is answered says nothing about the others unless it took effect: if
-// a repetition is refused, the outcome is unknown.
-func (l *leader) repeatCall(ctx context.Context, call func(context.Context) batch.Answer) batch.Answer {
+// until one takes effect or ctx ends. A refusal of one copy says nothing about the others: the outcome is a refusal only
+// if all are refused.
+func (l *leader) repeatCall(ctx context.Context, worker batch.WorkerID, call func(context.Context) batch.Answer) batch.Answer {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan batch.Answer, workerCallTimeout/callRepeatDelay)
-	send := func() { answers <- call(ctx) }
+	send := func() {
+		l.openCalls.add(worker, 1)
+		defer l.openCalls.add(worker, -1)
+		answers <- call(ctx)
+	}
 	ticker := time.NewTicker(callRepeatDelay)
 	defer ticker.Stop()
 	go send()
-	for sent := 1; ; {
+	maxCopies := cap(answers)
+	for sent, refused := 1, 0; ; {
 		select {
 		case answer := <-answers:
-			if answer == batch.AnswerFenced || answer != batch.AnswerNone && sent == 1 {
-				return answer
-			}
 			switch answer {
+			case batch.AnswerNone:
+				continue
+			case batch.AnswerFenced:
+				return answer
 			case batch.AnswerOK:
-				return batch.AnswerOKRepeated
-			case batch.AnswerNone, batch.AnswerRefused: // it had no effect, or may still have one
-			default:
-				return batch.AnswerNone
+				if sent > 1 {
+					return batch.AnswerOKRepeated
+				}
+				return answer
+			}
+			if refused++; refused == sent {
+				return answer
+			}
+			if answer != batch.AnswerRefused {
+				maxCopies = sent // another copy would be refused, too
 			}
 		case <-ticker.C:
-			if sent < cap(answers) && l.mayAct() {
+			if sent < maxCopies && l.openCalls.count(worker) < maxOpenCalls && l.mayAct() {
 				sent++
 				go send()
 			}
