--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -1,6 +1,10 @@
 package batch
 
-import "slices"
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
 
 // Record is the progress of a job as it is kept in the store.
 type Record struct {
@@ -55,7 +59,7 @@
 	if s.dirty.len() > n {
 		urgent = int(maxUrgentShare * float64(n))
 	}
-	for j := range s.urgentJobs {
+	for _, j := range s.urgentInOrder(urgent) {
 		s.take(j, urgent, out)
 	}
 	for j := s.dirty.oldestJob(); j != nil && len(out) < n; j = s.dirty.oldestJob() {
@@ -64,6 +68,15 @@
 	return out
 }
 
+// urgentInOrder returns the jobs whose starts wait for a record, in the order of their changes if there are more than n.
+func (s *State) urgentInOrder(n int) []*Job {
+	jobs := slices.Collect(maps.Keys(s.urgentJobs))
+	if len(jobs) > n {
+		slices.SortFunc(jobs, func(a, b *Job) int { return cmp.Compare(s.dirty.seqs[a], s.dirty.seqs[b]) })
+	}
+	return jobs
+}
+
 // take adds the record of a job to out, unless out holds n records.
 func (s *State) take(j *Job, n int, out map[string]Record) {
 	if len(out) >= n {
--- a/internal/batch/urgent_records_test.go
+++ b/internal/batch/urgent_records_test.go
@@ -45,3 +45,25 @@
 	s.TakeDirty(n)
 	is.True(!s.HasUrgentRecords())
 }
+
+// Guards against a job that waits for tens of seconds for the record of its start while those of newer jobs are written,
+// as more wait than find a place.
+func TestUrgentRecordsAreTakenInTheirOrder(t *testing.T) {
+	is := is.New(t)
+	const n, jobs = 8, 40
+	s, now := newTestState("a")
+	for i := range jobs {
+		addJob(s, fmt.Sprintf("j%02d", i), "q", now, taskStep(1, 1))
+		s.Plan(now)
+	}
+	taken := 0
+	for s.HasUrgentRecords() {
+		records := s.TakeDirty(n)
+		for i := range len(records) {
+			_, ok := records[fmt.Sprintf("j%02d", taken+i)]
+			is.True(ok)
+		}
+		taken += len(records)
+	}
+	is.Equal(taken, jobs)
+}
