--- a/internal/batch/covers_test.go
+++ b/internal/batch/covers_test.go
@@ -96,7 +96,7 @@
 			st := entry.step
 			resorts := s.resortsFor(st, lastResorts, littleUsed)
 			exempt := len(resorts) > 0 || st.spec.Gang && runSuspects(workers)
-			if !exempt && unplaced.covers(st, now) {
+			if !exempt && unplaced.covers(st) {
 				checkNoWorkerFor(t, s, st, workers, now)
 				continue
 			}
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -85,7 +85,7 @@
 		resorts := s.resortsFor(entry.step, lastResorts, littleUsed)
 		hasLastResort := len(resorts) > 0
 		maySuitGang := entry.step.spec.Gang && runSuspects(workers)
-		if !hasLastResort && !maySuitGang && unplaced.covers(entry.step, now) {
+		if !hasLastResort && !maySuitGang && unplaced.covers(entry.step) {
 			s.holdStep(entry.step, 0, heldByLikeStep, now)
 			continue
 		}
@@ -192,11 +192,11 @@
 func (u *unplacedSteps) add(st *step) { *u = append(*u, st) }
 
 // covers reports whether the search for one of the unplaced steps shows that no worker can run st.
-func (u unplacedSteps) covers(st *step, now time.Time) bool {
+func (u unplacedSteps) covers(st *step) bool {
 	return slices.ContainsFunc(u, func(o *step) bool {
 		return o.job.Queue == st.job.Queue && o.spec.BestEffort == st.spec.BestEffort &&
 			(o.spec.LongRunning || !st.spec.LongRunning) && // long-running tasks join suspects sooner
-			(!st.spec.BestEffort || o.spec.Image == st.spec.Image && (o.isOverdue(now) || !st.isOverdue(now))) &&
+			(!st.spec.BestEffort || o.spec.Image == st.spec.Image) &&
 			(o.spec.Label == "" || o.spec.Label == st.spec.Label) &&
 			o.spec.MaxPerWorker == 0 && o.spec.Resources.Fits(st.spec.Resources)
 	})
--- a/internal/batch/rejection.go
+++ b/internal/batch/rejection.go
@@ -43,7 +43,7 @@
 	if st.spec.BestEffort || st.spec.LatencyTarget > 0 {
 		s.updateLatencyGroups(w, now)
 	}
-	if st.spec.BestEffort && !s.admitsBestEffort(st, t, w, now) {
+	if st.spec.BestEffort && !s.admitsBestEffort(st, w) {
 		return rejectedInterference
 	}
 	return notRejected
--- a/internal/batch/score.go
+++ b/internal/batch/score.go
@@ -96,28 +96,14 @@
 	return w.info.Capacity.CPU - w.used.CPU + w.idleCPU - w.bestEffortCPU
 }
 
-// bestEffortPatience is how long a best-effort task waits for a worker where it is predicted to disturb nobody. The
-// prediction may be wrong, and is corrected only where such tasks run.
-const bestEffortPatience = 10 * time.Second
-
 // admitsBestEffort reports whether a best-effort task of the step may run on a worker: the other
-// tasks leave enough CPU, and no predicted utilisation there rises above admitUtilisation. A task that has waited for
-// bestEffortPatience may run as the only best-effort task wherever there is CPU: its CPU limit keeps the latencies in
-// bounds.
-func (s *State) admitsBestEffort(st *step, t *task, w *worker, now time.Time) bool {
+// tasks leave enough CPU, and no predicted utilisation there rises above admitUtilisation.
+func (s *State) admitsBestEffort(st *step, w *worker) bool {
 	if float64(w.unusedCPU()-st.spec.Resources.CPU) < -bestEffortOvercommit*float64(w.info.Capacity.CPU) {
 		return false
 	}
 	if w.latencySensitive == 0 {
 		return true
 	}
-	if w.bestEffort == 0 && len(t.attempts) == 0 && st.isOverdue(now) {
-		return true
-	}
 	return s.interferenceModel.worstUtilisation(w, st, w.latencyGroups) <= admitUtilisation
 }
-
-// isOverdue reports whether tasks of a best-effort step have waited for bestEffortPatience.
-func (st *step) isOverdue(now time.Time) bool {
-	return st.spec.BestEffort && now.Sub(st.ready) >= bestEffortPatience
-}
--- a/internal/batch/throttle.go
+++ b/internal/batch/throttle.go
@@ -123,7 +123,7 @@
 	var unplaced unplacedSteps
 	for _, w := range workers {
 		for _, a := range w.bestEffortWhere(func(a *attempt) bool { return a.cpuLimit <= moveCPULimit && now.Sub(a.cpuLimitAt) > moveDelay }) {
-			if a.percent >= a.minPercentToKeep() || unplaced.covers(a.step, now) {
+			if a.percent >= a.minPercentToKeep() || unplaced.covers(a.step) {
 				continue
 			}
 			to := s.choose(a.step, a.task(), workers, now)
--- a/internal/batch/wait_reasons_test.go
+++ b/internal/batch/wait_reasons_test.go
@@ -42,6 +42,29 @@
 	return h
 }
 
+// pressed returns a state in which each of the workers runs a latency-sensitive task with half of its CPU in use, and
+// the model takes best-effort tasks of the image "fill" for ones that press hard on it.
+func pressed(t *testing.T, workers ...WorkerID) (*State, time.Time) {
+	s, now := newTestState(workers...)
+	web := latencySensitiveStep("web", len(workers))
+	web.LatencyTarget, web.MaxPerWorker, web.LongRunning = 100*time.Millisecond, 1, true
+	addJob(s, "web", "q", now, web)
+	starts := planUntilIdle(s, now)
+	if len(startActions(starts)) != len(workers) {
+		t.Fatalf("%d latency-sensitive tasks were started on %d workers", len(startActions(starts)), len(workers))
+	}
+	s.interferenceModel.weights[ImagePair{"fill", "web"}] = weightEstimate{mean: maxWeight, variance: minVariance}
+	for range 10 {
+		now = now.Add(300 * time.Millisecond)
+		for _, id := range workers {
+			list := runningOn(starts, id)
+			list[0].Percent, list[0].Measurement = fullPercent, 40 // a utilisation of 0.5
+			reportWithLease(s, id, Report{Incarnation: 1, Clock: 5000, Running: list}, now)
+		}
+	}
+	return s, now
+}
+
 // waitCases hold, for each reason, a task that waits for it.
 var waitCases = map[waitReason]func(t *testing.T) heldTask{
 	notHeld: func(*testing.T) heldTask {
