--- a/internal/batch/reborn_start_test.go
+++ b/internal/batch/reborn_start_test.go
@@ -7,17 +7,26 @@
 	"github.com/matryer/is"
 )
 
+// formerClock is the time on the clock of a worker's former incarnation until which it accepts a start, in milliseconds.
+const formerClock = 500_000
+
+// newSentStart returns a state in which the start of the only task of a step was sent to one of the workers.
+func newSentStart(step Step, workers ...WorkerID) (*State, time.Time, Action) {
+	s, now := newTestState(workers...)
+	addJob(s, "j", "q", now, step)
+	s.Plan(now)
+	s.MarkStored(s.TakeDirty(1 << 20))
+	start := startActions(s.Plan(now))[0]
+	s.StartSent(start.Worker, start.Task, start.Run, formerClock)
+	return s, now, start
+}
+
 // Guards against a task that waits for minutes for a start which was sent to a worker as it was restarted: its last
 // valid time is one on the clock of the former incarnation, and the answers to all stops are lost.
 func TestAnUnansweredStartToARestartedWorkerIsGivenUp(t *testing.T) {
 	is := is.New(t)
-	s, now := newTestState("a")
-	addJob(s, "j", "q", now, taskStep(1, 1000))
-	s.Plan(now)
-	s.MarkStored(s.TakeDirty(1 << 20))
-	start := startActions(s.Plan(now))[0]
-	const formerClock, uptime = 500_000, 2000 // in milliseconds
-	s.StartSent("a", start.Task, start.Run, formerClock)
+	s, now, start := newSentStart(taskStep(1, 1000), "a")
+	const uptime = 2000 // of the new incarnation, in milliseconds
 	sentAt := now
 	now = now.Add(700 * time.Millisecond)
 	s.StartAnswered("a", start.Task, start.Run, AnswerNone, now)
@@ -44,13 +53,8 @@
 // that got no answer, after another one that was answered.
 func TestACopyOfAStartMayReachARestartedWorker(t *testing.T) {
 	is := is.New(t)
-	s, now := newTestState("a", "b")
-	addJob(s, "j", "q", now, longRunningStep(1, 1000, 0))
-	s.Plan(now)
-	s.MarkStored(s.TakeDirty(1 << 20))
-	start := startActions(s.Plan(now))[0]
+	s, now, start := newSentStart(longRunningStep(1, 1000, 0), "a", "b")
 	id := start.Worker
-	s.StartSent(id, start.Task, start.Run, 500_000)
 	s.StartAnswered(id, start.Task, start.Run, AnswerOKRepeated, now)
 	now = now.Add(time.Second)
 	reportWithLease(s, id, Report{Incarnation: 1, Clock: 5, Running: runningOn([]Action{start}, id), RequestedAt: now}, now)
@@ -70,12 +74,7 @@
 // incarnation for as long as a call may be late, and then has a whole lease. It also guards against a longer wait.
 func TestAStartToARestartedWorkerOutOfContactIsWaitedFor(t *testing.T) {
 	is := is.New(t)
-	s, now := newTestState("a", "b")
-	addJob(s, "j", "q", now, taskStep(1, 1000))
-	s.Plan(now)
-	s.MarkStored(s.TakeDirty(1 << 20))
-	start := startActions(s.Plan(now))[0]
-	s.StartSent(start.Worker, start.Task, start.Run, 500_000)
+	s, now, start := newSentStart(taskStep(1, 1000), "a", "b")
 	const answerWait = 700 * time.Millisecond // copies of the start are sent until then
 	s.StartAnswered(start.Worker, start.Task, start.Run, AnswerNone, now.Add(answerWait))
 	info := s.workers[start.Worker].info
@@ -90,13 +89,8 @@
 // Guards against the same while copies of the start are still being sent.
 func TestARestartWhileAStartIsSentDoesNotStartItsTaskElsewhere(t *testing.T) {
 	is := is.New(t)
-	s, now := newTestState("a", "b")
-	addJob(s, "j", "q", now, longRunningStep(1, 1000, 0))
-	s.Plan(now)
-	s.MarkStored(s.TakeDirty(1 << 20))
-	start := startActions(s.Plan(now))[0]
+	s, now, start := newSentStart(longRunningStep(1, 1000, 0), "a", "b")
 	id := start.Worker
-	s.StartSent(id, start.Task, start.Run, 500_000)
 	now = now.Add(200 * time.Millisecond)
 	reportWithLease(s, id, Report{Incarnation: 1, Clock: 5, Running: runningOn([]Action{start}, id), RequestedAt: now}, now)
 	now = now.Add(100 * time.Millisecond)
@@ -107,13 +101,8 @@
 // Guards against the same after the run has ended: the next run may be anywhere, or the task done.
 func TestARunThatHasEndedIsBarredFromARestartedWorker(t *testing.T) {
 	is := is.New(t)
-	s, now := newTestState("a", "b")
-	addJob(s, "j", "q", now, taskStep(1, 1000))
-	s.Plan(now)
-	s.MarkStored(s.TakeDirty(1 << 20))
-	start := startActions(s.Plan(now))[0]
+	s, now, start := newSentStart(taskStep(1, 1000), "a", "b")
 	id := start.Worker
-	s.StartSent(id, start.Task, start.Run, 500_000)
 	s.StartAnswered(id, start.Task, start.Run, AnswerOKRepeated, now)
 	now = now.Add(time.Second)
 	reportWithLease(s, id, Report{Incarnation: 1, Clock: 5, Ended: []EndedAttempt{{Seq: 1, Task: start.Task, Run: start.Run, Reason: EndDone}}, RequestedAt: now}, now)
