--- a/internal/owner/worker_calls.go
+++ b/internal/owner/worker_calls.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
@@ -45,90 +44,6 @@
 	}()
 }
 
-// stopRepeatedly stops a task.
-func (l *leader) stopRepeatedly(ctx context.Context, r TaskRequest) batch.Answer {
-	return l.repeatCall(ctx, r.Worker, func(ctx context.Context) batch.Answer { return l.owner.workers.Stop(ctx, r) })
-}
-
-// callRepeatDelay is how long a worker may take to answer a start or a stop before the identical request is sent
-// again: its answer may be lost, or it may be carried out late.
-const callRepeatDelay = 100 * time.Millisecond
-
-// maxOpenCalls is the number of starts and stops without an answer from which on a worker gets no more copies: it must
-// leave connections to the renewals of its lease.
-const maxOpenCalls = 5
-
-// openCalls counts the calls to each worker that have no answer yet.
-type openCalls struct {
-	mu     sync.Mutex
-	counts map[batch.WorkerID]int
-}
-
-func (o *openCalls) add(id batch.WorkerID, n int) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.counts == nil {
-		o.counts = map[batch.WorkerID]int{}
-	}
-	o.counts[id] += n
-	if o.counts[id] == 0 {
-		delete(o.counts, id)
-	}
-}
-
-func (o *openCalls) count(id batch.WorkerID) int {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.counts[id]
-}
-
-// repeatCall makes a call that has the same effect however often it is made, and makes it again each callRepeatDelay
-// until one takes effect or ctx ends. A refusal of one copy says nothing about the others: the outcome is a refusal only
-// if all are refused.
-func (l *leader) repeatCall(ctx context.Context, worker batch.WorkerID, call func(context.Context) batch.Answer) batch.Answer {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	answers := make(chan batch.Answer, workerCallTimeout/callRepeatDelay)
-	send := func() {
-		l.openCalls.add(worker, 1)
-		defer l.openCalls.add(worker, -1)
-		answers <- call(ctx)
-	}
-	ticker := time.NewTicker(callRepeatDelay)
-	defer ticker.Stop()
-	go send()
-	maxCopies := cap(answers)
-	for sent, refused := 1, 0; ; {
-		select {
-		case answer := <-answers:
-			switch answer {
-			case batch.AnswerNone:
-				continue
-			case batch.AnswerFenced:
-				return answer
-			case batch.AnswerOK:
-				if sent > 1 {
-					return batch.AnswerOKRepeated
-				}
-				return answer
-			}
-			if refused++; refused == sent {
-				return answer
-			}
-			if answer != batch.AnswerRefused {
-				maxCopies = sent // another copy would be refused, too
-			}
-		case <-ticker.C:
-			if sent < maxCopies && l.openCalls.count(worker) < maxOpenCalls && l.mayAct() {
-				sent++
-				go send()
-			}
-		case <-ctx.Done():
-			return batch.AnswerNone
-		}
-	}
-}
-
 func (l *leader) callWorker(a batch.Action, send func(context.Context, TaskRequest) batch.Answer) {
 	request := TaskRequest{Worker: a.Worker, Address: a.Address, Epoch: l.epoch, Task: a.Task, Run: a.Run, Percent: a.Percent}
 	go func() {
