owner: the limit of open calls to a worker holds for calls that tick together, and two tests read their counts under their lock

The limit was checked and the call counted later, by its goroutine, so two calls that ticked at the same moment could both send; now a copy is counted as it is allowed, and none is sent once the call has ended. The race was in the test, which read its count beside a copy that was still ending.

--- a/internal/owner/repeated_calls.go
+++ b/internal/owner/repeated_calls.go
@@ -39,10 +39,15 @@
 	}
 }
 
-func (o *openCalls) count(id batch.WorkerID) int {
+// addCopy counts a copy unless maxOpenCalls calls to the worker are open, and reports whether it did.
+func (o *openCalls) addCopy(id batch.WorkerID) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.counts[id]
+	if o.counts[id] >= maxOpenCalls {
+		return false
+	}
+	o.counts[id]++
+	return true
 }
 
 // repeatCall makes a call that has the same effect however often it is made, and makes it again each callRepeatDelay
@@ -53,12 +58,12 @@
 	defer cancel()
 	answers := make(chan batch.Answer, workerCallTimeout/callRepeatDelay)
 	send := func() {
-		l.openCalls.add(worker, 1)
 		defer l.openCalls.add(worker, -1)
 		answers <- call(ctx)
 	}
 	ticker := time.NewTicker(callRepeatDelay)
 	defer ticker.Stop()
+	l.openCalls.add(worker, 1)
 	go send()
 	maxCopies := cap(answers)
 	for sent, refused := 1, 0; ; {
@@ -82,7 +87,7 @@
 				maxCopies = sent // another copy would be refused, too
 			}
 		case <-ticker.C:
-			if sent < maxCopies && l.openCalls.count(worker) < maxOpenCalls && l.mayAct() {
+			if sent < maxCopies && ctx.Err() == nil && l.mayAct() && l.openCalls.addCopy(worker) {
 				sent++
 				go send()
 			}
--- a/internal/owner/repeated_calls_test.go
+++ b/internal/owner/repeated_calls_test.go
@@ -97,6 +97,9 @@
 				})
 				is.Equal(answer, c.want)
 				is.Equal(time.Since(began), c.within)
+				synctest.Wait()
+				mu.Lock()
+				defer mu.Unlock()
 				is.Equal(copies, c.copies)
 			})
 		})
@@ -137,7 +140,9 @@
 		}
 		done.Wait()
 		synctest.Wait()
+		mu.Lock()
+		defer mu.Unlock()
 		is.Equal(most, maxOpenCalls)
-		is.Equal(l.openCalls.count("w"), 0)
+		is.Equal(len(l.openCalls.counts), 0)
 	})
 }
