--- a/internal/batch/quarantine.go
+++ b/internal/batch/quarantine.go
@@ -14,7 +14,7 @@
 	// refusalQuarantineTime is the quarantine of a worker that refused a start as unhealthy.
 	refusalQuarantineTime = time.Second
 	// lastResortDelay is the pause after a failure, or after the first progress that follows a stall, from which a
-	// quarantined worker gets long-running tasks for which no other worker has room.
+	// quarantined worker is a last resort, see mayUseLastResort.
 	lastResortDelay = 2 * time.Second
 	// maxFailureAge and maxLongRunningFailureAge are the times after the last failure of a finite or of a
 	// long-running task, not counting the quarantine, after which a worker's failures are not in a row any
@@ -197,7 +197,7 @@
 	return out
 }
 
-// isLastResort reports whether the worker may get long-running tasks for which no other worker has room.
+// isLastResort reports whether the worker may get tasks for which no other worker has room, see mayUseLastResort.
 func (w *worker) isLastResort(s *State, now time.Time) bool {
 	return now.Before(w.quarantinedUntil) && (!now.Before(w.restsUntil) || w.works(now)) && w.usableButForQuarantine(s)
 }
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -59,6 +59,8 @@
 // the newest. A worker reports again and again while it waits.
 const maxPendingParams = 2
 
+// setOnceDurable passes the parameters to the renewer at once if all that they depend on is durable, and otherwise lets
+// them wait.
 func (l *leader) setOnceDurable(i renewalParams, rn *renewer) {
 	p := pendingParams{params: i, txnNumber: l.commits.workersNumber}
 	if i.ackSeq > 0 {
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -65,7 +65,8 @@
 	done chan struct{}
 	// firstRenewals is a semaphore that limits the concurrent first calls to workers.
 	firstRenewals chan struct{}
-	openCalls     openCalls
+	// openCalls counts the starts and stops without an answer, by worker.
+	openCalls openCalls
 	// ownedUntil is the time until which the claim is confirmed, in nanoseconds on Options.BootClock.
 	ownedUntil atomic.Int64
 
