--- a/internal/batch/ends.go
+++ b/internal/batch/ends.go
@@ -31,7 +31,7 @@
 	}
 	if a != nil {
 		if e.Reason != EndDone {
-			s.event(Event{Name: "task.ended", Job: e.Task.Job, Task: e.Task, Run: e.Run, Worker: w.info.ID, Detail: endReasonNames[e.Reason]})
+			s.event(Event{Name: "task.ended", Job: e.Task.Job, Task: e.Task, Run: e.Run, Worker: w.info.ID, Detail: endReasonNames[e.Reason], Inputs: w.describeLease(e.Reason, now)})
 		}
 		s.remove(a, now)
 	}
--- a/internal/batch/lease.go
+++ b/internal/batch/lease.go
@@ -1,6 +1,9 @@
 package batch
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // SetUnresolvedWorkers sets the workers on which a former owner may have started tasks, and for each
 // the time until which these may run if the worker stays unreachable.
@@ -68,6 +71,15 @@
 	return w != nil && w.leaseConfirmed
 }
 
+// describeLease says for the log, of an attempt that has ended with its lease, until when the lease has certainly ended by
+// the renewals that were sent: a time ahead means that the newest of them has not arrived.
+func (w *worker) describeLease(reason EndReason, now time.Time) string {
+	if reason != EndLeaseExpired {
+		return ""
+	}
+	return fmt.Sprintf("the newest lease sent ends in %s at the latest", w.leaseEnd.Sub(now).Round(time.Millisecond))
+}
+
 // maxCallDelay is the longest time after which a worker may still carry out a request that got no answer.
 const maxCallDelay = 12 * time.Second
 
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -36,6 +36,7 @@
 	s.sendStops(now)
 	s.sendBars(now)
 	s.reportTasksWaiting(now)
+	s.reportUnconfirmedTasks(now)
 	out := s.actions
 	s.actions = nil
 	return out
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -34,16 +34,18 @@
 	barring       map[*worker]bool  // restarted workers that must not carry out late copies of starts
 	// suspects holds the tasks with suspicions by the worker that a suspicion names, and repeatSuspects those with
 	// at least crashesToFail suspicions.
-	suspects          map[WorkerID]map[taskRef]bool
-	repeatSuspects    map[taskRef]bool
-	recordedStarts    []recordedStart // starts that wait for a record
-	lastCheck         time.Time       // last check for expired leases and stalled tasks
-	lastPlan          time.Time
-	lastDownReport    time.Time // last report on long-running tasks that are down
-	lastWaitReport    time.Time // last report on tasks that wait
-	began             time.Time // where clock counts from; zero before its first call
-	startsSinceReport startCounts
-	interferenceModel *interferenceModel
+	suspects       map[WorkerID]map[taskRef]bool
+	repeatSuspects map[taskRef]bool
+	recordedStarts []recordedStart // starts that wait for a record
+	lastCheck      time.Time       // last check for expired leases and stalled tasks
+	lastPlan       time.Time
+	lastDownReport time.Time // last report on long-running tasks that are down
+	lastWaitReport time.Time // last report on tasks that wait
+	// lastUnconfirmedReport is the last report on tasks with starts that are not known to run.
+	lastUnconfirmedReport time.Time
+	began                 time.Time // where clock counts from; zero before its first call
+	startsSinceReport     startCounts
+	interferenceModel     *interferenceModel
 	// meanShortCPU is the moving average of the CPU reserved by the attempts of short tasks, by service,
 	// in thousandths of a core.
 	meanShortCPU  map[string]float64
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -67,6 +67,8 @@
 	firstRenewals chan struct{}
 	// openCalls counts the starts and stops without an answer, by worker.
 	openCalls openCalls
+	// calls counts the requests to workers since the last report on them.
+	calls callCounts
 	// ownedUntil is the time until which the claim is confirmed, in nanoseconds on Options.BootClock.
 	ownedUntil atomic.Int64
 
--- a/internal/owner/maintenance.go
+++ b/internal/owner/maintenance.go
@@ -23,6 +23,8 @@
 	scope.Gauge("workers").Update(float64(len(l.renewers)))
 	scope.Gauge("epoch").Update(float64(l.epoch))
 	updateWaitGauges(scope, l.state.WaitingTasks(now))
+	updateUnconfirmedGauges(scope, l.state.UnconfirmedTasks(now))
+	l.reportCalls()
 }
 
 // removePruned adds the removal of pruned jobs' keys to a transaction, at most maxEntries of
--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -157,6 +157,11 @@
 	report, answer := rn.leader.owner.workers.RenewLease(ctx, request)
 	report.RequestedAt = now
 	rn.renewalSent = request.LeaseEnd != 0
+	kind := callLook
+	if rn.renewalSent {
+		kind = callRenewal
+	}
+	rn.leader.calls.add(kind, answer)
 	if rn.renewalSent {
 		rn.leaseEnd = now.Add(rn.leader.workerLeaseExpiry())
 	}
--- a/internal/owner/repeated_calls.go
+++ b/internal/owner/repeated_calls.go
@@ -10,7 +10,7 @@
 
 // stopRepeatedly asks a worker to stop a task, with copies of the request until one is answered.
 func (l *leader) stopRepeatedly(ctx context.Context, r TaskRequest) batch.Answer {
-	return l.repeatCall(ctx, r.Worker, func(ctx context.Context) batch.Answer { return l.owner.workers.Stop(ctx, r) })
+	return l.repeatCall(ctx, callStop, r.Worker, func(ctx context.Context) batch.Answer { return l.owner.workers.Stop(ctx, r) })
 }
 
 // callRepeatDelay is how long a worker may take to answer a start or a stop before the identical request is sent
@@ -53,13 +53,15 @@
 // repeatCall makes a call that has the same effect however often it is made, and makes it again each callRepeatDelay
 // until one takes effect or ctx ends. A refusal of one copy says nothing about the others: the outcome is a refusal only
 // if all are refused.
-func (l *leader) repeatCall(ctx context.Context, worker batch.WorkerID, call func(context.Context) batch.Answer) batch.Answer {
+func (l *leader) repeatCall(ctx context.Context, kind callKind, worker batch.WorkerID, call func(context.Context) batch.Answer) batch.Answer {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan batch.Answer, workerCallTimeout/callRepeatDelay)
 	send := func() {
 		defer l.openCalls.add(worker, -1)
-		answers <- call(ctx)
+		answer := call(ctx)
+		l.calls.add(kind, answer)
+		answers <- answer
 	}
 	ticker := time.NewTicker(callRepeatDelay)
 	defer ticker.Stop()
--- a/internal/owner/repeated_calls_test.go
+++ b/internal/owner/repeated_calls_test.go
@@ -80,7 +80,7 @@
 				l := confirmedLeader(t)
 				var mu sync.Mutex
 				copies := 0
-				answer := l.repeatCall(ctx, "w", func(ctx context.Context) batch.Answer {
+				answer := l.repeatCall(ctx, callStart, "w", func(ctx context.Context) batch.Answer {
 					mu.Lock()
 					copies++
 					n := copies
@@ -136,7 +136,7 @@
 		defer cancel()
 		var done sync.WaitGroup
 		for range 3 {
-			done.Go(func() { l.repeatCall(ctx, "w", silent) })
+			done.Go(func() { l.repeatCall(ctx, callStart, "w", silent) })
 		}
 		done.Wait()
 		synctest.Wait()
--- a/internal/owner/worker_calls.go
+++ b/internal/owner/worker_calls.go
@@ -17,7 +17,11 @@
 	case batch.ActionStop:
 		l.callWorker(a, l.stopRepeatedly)
 	case batch.ActionThrottle:
-		l.callWorker(a, l.owner.workers.Throttle)
+		l.callWorker(a, func(ctx context.Context, r TaskRequest) batch.Answer {
+			answer := l.owner.workers.Throttle(ctx, r)
+			l.calls.add(callThrottle, answer)
+			return answer
+		})
 	case batch.ActionAdvise:
 		l.advise(a, now)
 	}
@@ -35,7 +39,7 @@
 		defer cancel()
 		answer := batch.AnswerExpired
 		if l.mayAct() {
-			answer = l.repeatCall(ctx, request.Worker, func(ctx context.Context) batch.Answer { return l.owner.workers.Start(ctx, request) })
+			answer = l.repeatCall(ctx, callStart, request.Worker, func(ctx context.Context) batch.Answer { return l.owner.workers.Start(ctx, request) })
 		}
 		l.post(func(l *leader, now time.Time) {
 			l.checkFenced(a, answer)
