--- a/internal/owner/lost_answers_test.go
+++ b/internal/owner/lost_answers_test.go
@@ -178,7 +178,9 @@
 // Guards against a renewal whose answer is lost, and whose lease then cannot be renewed until the store has answered,
 // too (issue 42): in an outage of the store the leases of sound workers last for as long as the owner may act.
 func TestLeasesLastThroughAnOutageThoughRenewalsGetNoAnswer(t *testing.T) {
-	const seeds, outage = 10, 4 * time.Second // within the owner's permission to act, and longer than a renewal's delay allows
+	const seeds, lossy = 10, 4 * time.Second // within the owner's permission to act
+	// The last renewal of a worker that waits for idleWait is sent that long before the permission ends.
+	const outage = testLeaseTTL + claimGrace - idleWait + 6*time.Second - renewTimeout
 	ids := []batch.WorkerID{"w0", "w1", "w2", "w3"}
 	for seed := range uint64(seeds) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
@@ -187,9 +189,9 @@
 				h.sleep(2 * time.Second)
 				h.store.setDown(true)
 				l.setShare(0.5)
-				h.sleep(outage)
+				h.sleep(lossy)
 				l.setShare(0)
-				h.sleep(5 * time.Second) // the store still does not answer
+				h.sleep(outage - lossy)
 				h.store.setDown(false)
 				h.is.Equal(h.workers.lapsedEnds(), 0)
 			}, slices.Clone(ids)...)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -88,7 +88,8 @@
 	Start(ctx context.Context, r StartRequest) batch.Answer
 	Stop(ctx context.Context, r TaskRequest) batch.Answer
 	Throttle(ctx context.Context, r TaskRequest) batch.Answer
-	// RenewLease returns the worker's report; it is valid only with AnswerOK.
+	// RenewLease returns the worker's report; it is valid only with AnswerOK. AnswerNone says that the worker may be there:
+	// no answer came, or the connection broke.
 	RenewLease(ctx context.Context, r RenewRequest) (batch.Report, batch.Answer)
 }
 
--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -16,8 +16,22 @@
 	idleWait      = 2 * time.Second
 	busyWait      = time.Second
 	colocatedWait = 300 * time.Millisecond
-	// renewTimeout is added to that wait to bound the whole call.
-	renewTimeout = 500 * time.Millisecond
+	// renewTimeout is how much longer than that wait a worker may be without an answer until it counts as unreachable, and
+	// how long a renewal keeps its connection beyond the wait.
+	renewTimeout = 750 * time.Millisecond
+	// lossyTimeout replaces renewTimeout, the wait included, for a worker that is known to lose answers.
+	lossyTimeout = 1500 * time.Millisecond
+	// lossyMemory is how long a worker is known for that after the last lost answer.
+	lossyMemory = 10 * time.Second
+	// lossyWait is how long a worker that has just lost an answer may wait for an attempt to end. The wait is doubled
+	// with each answer up to the usual one.
+	lossyWait = 250 * time.Millisecond
+	// renewRepeatDelay is how much longer than its wait a renewal may take before it is repeated, and renewRepeatInterval
+	// the time between two repetitions.
+	renewRepeatDelay    = 100 * time.Millisecond
+	renewRepeatInterval = 60 * time.Millisecond
+	// repeatedRenewalTimeout is how long a repetition keeps its connection.
+	repeatedRenewalTimeout = 250 * time.Millisecond
 	// renewRetryDelay is the pause after a failed renewal.
 	renewRetryDelay = 250 * time.Millisecond
 	// ackTimeout is how long a renewer waits for the changes from a report to become durable before
@@ -53,8 +67,17 @@
 	incarnation int64
 	clock       workerClock
 	leaseEnd    time.Time // the lease has ended by then on any worker's clock
-	// renewalSent is set if the last call asked the worker to renew the lease.
-	renewalSent bool
+	// lossyUntil is until when the worker is known to lose answers, and maxWait bounds its waits meanwhile; 0 is no bound.
+	lossyUntil time.Time
+	maxWait    time.Duration
+}
+
+// renewal is the outcome of a renewal.
+type renewal struct {
+	report batch.Report
+	answer batch.Answer
+	// renewed is set if the request has renewed the lease, and repeated if it was a repetition.
+	renewed, repeated bool
 }
 
 // reconcileRenewers starts a renewer for each worker that has an address, and stops the renewers of
@@ -101,14 +124,14 @@
 // run calls the worker until ctx ends or the worker rejects the epoch.
 func (rn *renewer) run(ctx context.Context) {
 	for first := true; ctx.Err() == nil; first = false {
-		report, answer := rn.renewLimited(ctx, first)
-		switch answer {
+		outcome := rn.renewLimited(ctx, first)
+		switch outcome.answer {
 		case batch.AnswerOK:
-			if report.Clock == 0 && rn.clock.at.IsZero() {
+			if outcome.report.Clock == 0 && rn.clock.at.IsZero() {
 				rn.failed(ctx) // no lease and no start can be given an end on a clock that is not known
 				continue
 			}
-			rn.succeeded(ctx, report)
+			rn.succeeded(ctx, outcome)
 		case batch.AnswerFenced:
 			rn.leader.log.Warn().Str("event", "leader.fenced").Str("worker", string(rn.info.ID)).Send()
 			rn.leader.stepDown("a worker has seen a higher epoch")
@@ -121,7 +144,7 @@
 
 // renewLimited makes a call. The first call of a renewer waits for the firstRenewals semaphore, and holds it for
 // firstRenewalPatience at most, so that many lost workers do not delay the renewals of others.
-func (rn *renewer) renewLimited(ctx context.Context, first bool) (batch.Report, batch.Answer) {
+func (rn *renewer) renewLimited(ctx context.Context, first bool) renewal {
 	if first {
 		select {
 		case rn.leader.firstRenewals <- struct{}{}:
@@ -130,42 +153,105 @@
 			timer := time.AfterFunc(firstRenewalPatience, release)
 			defer timer.Stop()
 		case <-ctx.Done():
-			return batch.Report{}, batch.AnswerNone
+			return renewal{answer: batch.AnswerNone}
 		}
 	}
 	return rn.renewLease(ctx)
 }
 
-// renewLease makes one call. The first call, and the first one after a failure, acknowledge nothing
-// and renew no lease, since the worker may have been restarted.
-func (rn *renewer) renewLease(ctx context.Context) (batch.Report, batch.Answer) {
+// renewLease asks the worker to renew its lease and for its report, again and again if the answer may be lost. The first
+// call, and the first one after a failure, renew no lease and acknowledge nothing, since the worker may have been
+// restarted.
+func (rn *renewer) renewLease(ctx context.Context) renewal {
 	select {
 	case i := <-rn.newParams:
 		rn.applyParams(i)
 	default:
 	}
-	request := RenewRequest{Worker: rn.info.ID, Address: rn.info.Address, Epoch: rn.leader.epoch, AckSeq: rn.params.ackSeq}
 	now := time.Now()
-	// A renewal may take effect even if its response is lost. An unreachable worker is sent none,
-	// since the recorded end of its lease would become wrong.
-	request.MaxWait = rn.params.maxWait
+	request, patience := rn.nextRequest(now), renewTimeout
+	if now.Before(rn.lossyUntil) {
+		patience = max(patience, lossyTimeout-request.MaxWait)
+	}
+	ctx, cancel := context.WithTimeout(ctx, request.MaxWait+patience)
+	defer cancel()
+	calls := repetition[renewal]{
+		try: func(ctx context.Context, n int) renewal {
+			if n == 1 {
+				return rn.request(ctx, request, request.MaxWait+renewTimeout)
+			}
+			r := rn.request(ctx, request.repetition(), repeatedRenewalTimeout)
+			r.repeated = true
+			return r
+		},
+		pause: func(n int) time.Duration {
+			if n == 1 {
+				return request.MaxWait + renewRepeatDelay
+			}
+			return renewRepeatInterval
+		},
+		maxPause: renewRepeatInterval,
+		mayTry:   func(int) bool { return true },
+	}
+	outcome := renewal{answer: batch.AnswerNone}
+	calls.run(ctx, func(r renewal, _ int) bool {
+		outcome = r
+		return r.answer != batch.AnswerNone
+	})
+	rn.noteLoss(outcome)
+	return outcome
+}
+
+// nextRequest returns the request of the next call. It renews the lease if the parameters allow that: a renewal may take
+// effect even if its response is lost. An unreachable worker is sent none, since the recorded end of its lease would become
+// wrong.
+func (rn *renewer) nextRequest(now time.Time) RenewRequest {
+	r := RenewRequest{Worker: rn.info.ID, Address: rn.info.Address, Epoch: rn.leader.epoch, AckSeq: rn.params.ackSeq, MaxWait: rn.params.maxWait}
+	if rn.maxWait > 0 {
+		r.MaxWait = min(r.MaxWait, rn.maxWait)
+	}
 	if rn.params.renew {
-		request.LeaseEnd = rn.nextLeaseEnd(now)
+		r.LeaseEnd = rn.nextLeaseEnd(now)
+	}
+	if r.LeaseEnd != 0 {
+		rn.leaseEnd = now.Add(rn.leader.workerLeaseExpiry())
 	}
-	ctx, cancel := context.WithTimeout(ctx, request.MaxWait+renewTimeout)
+	return r
+}
+
+// repetition returns the request that follows one without an answer. It has the same end of the lease, so it does nothing
+// that the first one may not still do. It acknowledges nothing, since the worker may have been restarted meanwhile.
+func (r RenewRequest) repetition() RenewRequest {
+	r.AckSeq, r.MaxWait = 0, 0
+	return r
+}
+
+// request makes one request.
+func (rn *renewer) request(ctx context.Context, r RenewRequest, timeout time.Duration) renewal {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	report, answer := rn.leader.owner.workers.RenewLease(ctx, request)
-	report.RequestedAt = now
-	rn.renewalSent = request.LeaseEnd != 0
-	kind := callLook
-	if rn.renewalSent {
+	now, kind := time.Now(), callLook
+	if r.LeaseEnd != 0 {
 		kind = callRenewal
 	}
+	report, answer := rn.leader.owner.workers.RenewLease(ctx, r)
 	rn.leader.calls.add(kind, answer)
-	if rn.renewalSent {
-		rn.leaseEnd = now.Add(rn.leader.workerLeaseExpiry())
+	report.RequestedAt = now
+	return renewal{report: report, answer: answer, renewed: r.LeaseEnd != 0}
+}
+
+// noteLoss notes what the outcome of a renewal says of the worker: if only a repetition was answered, the worker is there,
+// and answers are lost or late.
+func (rn *renewer) noteLoss(outcome renewal) {
+	switch {
+	case outcome.answer != batch.AnswerOK:
+	case outcome.repeated:
+		rn.lossyUntil, rn.maxWait = time.Now().Add(lossyMemory), lossyWait
+	case rn.maxWait > 0:
+		if rn.maxWait *= 2; rn.maxWait >= idleWait {
+			rn.maxWait = 0
+		}
 	}
-	return report, answer
 }
 
 // nextLeaseEnd returns the end of the lease to request, on the worker's clock in milliseconds; 0 while the
@@ -179,8 +265,8 @@
 
 // succeeded passes a report to the loop, and waits up to ackTimeout for the parameters of the next
 // call.
-func (rn *renewer) succeeded(ctx context.Context, r batch.Report) {
-	now := time.Now()
+func (rn *renewer) succeeded(ctx context.Context, outcome renewal) {
+	now, r := time.Now(), outcome.report
 	if r.Incarnation != rn.incarnation {
 		rn.params = renewalParams{}
 		rn.generation++
@@ -190,7 +276,7 @@
 		rn.clock = workerClock{clock: r.Clock, at: now}
 	}
 	// The worker has sent its report in response, so it has confirmed the renewal, if there was one.
-	leaseEnd, confirmed, clock, generation := rn.leaseEnd, rn.renewalSent, rn.clock, rn.generation
+	leaseEnd, confirmed, clock, generation := rn.leaseEnd, outcome.renewed, rn.clock, rn.generation
 	rn.leader.post(func(l *leader, now time.Time) {
 		if l.renewers[rn.info.ID] == rn {
 			l.clocks[rn.info.ID] = clock
