--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -15,8 +15,11 @@
 const (
 	// startWindow is the time after which a worker refuses a start request that arrives late.
 	startWindow = 1500 * time.Millisecond
-	// workerCallTimeout bounds the wait for the response to a start, stop or throttle request.
-	workerCallTimeout = 700 * time.Millisecond
+	// startCallTimeout bounds the wait for the response to a start and its copies. It leaves the last of them time to arrive
+	// within startWindow.
+	startCallTimeout = 1300 * time.Millisecond
+	// orderCallTimeout bounds the wait for the response to a stop or throttle request and its copies.
+	orderCallTimeout = 700 * time.Millisecond
 	// stopRetryDelay is the pause before a stop request without a response is repeated.
 	stopRetryDelay = 800 * time.Millisecond
 	// tickInterval is the longest pause between two scheduling decisions.
@@ -65,8 +68,10 @@
 	done chan struct{}
 	// firstRenewals is a semaphore that limits the concurrent first calls to workers.
 	firstRenewals chan struct{}
-	// openCalls counts the starts and stops without an answer, by worker.
-	openCalls openCalls
+	// orderSlots bounds the orders to each worker that are open at a time, and openCopies counts the copies of orders to
+	// all of them that are.
+	orderSlots orderSlots
+	openCopies atomic.Int64
 	// calls counts the requests to workers since the last report on them.
 	calls callCounts
 	// ownedUntil is the time until which the claim is confirmed, in nanoseconds on Options.BootClock.
@@ -77,6 +82,7 @@
 	clocks        map[batch.WorkerID]workerClock
 	renewers      map[batch.WorkerID]*renewer
 	workersRecord workersRecord
+	throttles     throttleCalls
 	ctx           context.Context
 	commits       committer
 	// earlierLeasesEnd is when any lease of an earlier owner has ended; zero until that is known.
@@ -125,6 +131,7 @@
 		clocks:        map[batch.WorkerID]workerClock{},
 		renewers:      map[batch.WorkerID]*renewer{},
 		workersRecord: newWorkerRecord(held.claim.Epoch),
+		throttles:     throttleCalls{},
 		formerEnds:    map[int64]time.Time{},
 		commits:       committer{rev: held.commitRev},
 	}
--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -102,6 +102,7 @@
 		if !wanted[id] {
 			rn.cancel()
 			delete(l.renewers, id)
+			l.orderSlots.forget(id)
 		}
 	}
 }
--- a/internal/owner/repeated_calls.go
+++ b/internal/owner/repeated_calls.go
@@ -8,93 +8,122 @@
 	"github.com/geraniumwick/geraniumwick/internal/batch"
 )
 
-// stopRepeatedly asks a worker to stop a task, with copies of the request until one is answered.
-func (l *leader) stopRepeatedly(ctx context.Context, r TaskRequest) batch.Answer {
-	return l.repeatCall(ctx, callStop, r.Worker, func(ctx context.Context) batch.Answer { return l.owner.workers.Stop(ctx, r) })
-}
+const (
+	// callRepeatDelay is how long a worker may take to answer a start, stop or throttle before the identical request is
+	// sent again.
+	callRepeatDelay = 100 * time.Millisecond
+	// firstTryTimeout is how long the first tries of a request keep their connections, and laterTryTimeout the others: the
+	// answers may be slow instead of lost.
+	firstTryTimeout = 300 * time.Millisecond
+	laterTryTimeout = 600 * time.Millisecond
+	// firstTries is the number of tries that end after firstTryTimeout.
+	firstTries = 2
+)
 
-// callRepeatDelay is how long a worker may take to answer a start or a stop before the identical request is sent
-// again: its answer may be lost, or it may be carried out late.
-const callRepeatDelay = 100 * time.Millisecond
+const (
+	// maxOpenOrders is the largest number of starts, stops and throttles to a worker that are open at a time. Others wait
+	// for one of them to end.
+	maxOpenOrders = 6
+	// maxOpenReports is the largest number of renewals to a worker that are open at a time: one without an answer, those
+	// of its repetitions that are open together, and the next one.
+	maxOpenReports = 2 + int(repeatedRenewalTimeout/renewRepeatInterval)
+	// MaxOpenRequests is the largest number of requests to a worker that are open at a time. With as many connections,
+	// renewals never wait for orders.
+	MaxOpenRequests = maxOpenOrders + maxOpenReports
+)
 
-// maxOpenCalls is the number of starts and stops without an answer from which on a worker gets no more copies: it must
-// leave connections to the renewals of its lease.
-const maxOpenCalls = 5
+// maxOpenCopies is the largest number of copies of orders that are open at a time, to all workers together: each takes a
+// file descriptor.
+const maxOpenCopies = 1000
 
-// openCalls counts the calls to each worker that have no answer yet.
-type openCalls struct {
-	mu     sync.Mutex
-	counts map[batch.WorkerID]int
+// orderSlots bounds the orders to each worker that are open at a time.
+type orderSlots struct {
+	mu       sync.Mutex
+	byWorker map[batch.WorkerID]chan struct{}
 }
 
-func (o *openCalls) add(id batch.WorkerID, n int) {
+// of returns the semaphore of a worker.
+func (o *orderSlots) of(id batch.WorkerID) chan struct{} {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.counts == nil {
-		o.counts = map[batch.WorkerID]int{}
+	if o.byWorker == nil {
+		o.byWorker = map[batch.WorkerID]chan struct{}{}
 	}
-	o.counts[id] += n
-	if o.counts[id] == 0 {
-		delete(o.counts, id)
+	slots := o.byWorker[id]
+	if slots == nil {
+		slots = make(chan struct{}, maxOpenOrders)
+		o.byWorker[id] = slots
 	}
+	return slots
 }
 
-// addCopy counts a copy unless maxOpenCalls calls to the worker are open, and reports whether it did.
-func (o *openCalls) addCopy(id batch.WorkerID) bool {
+// forget drops the semaphore of a worker that is gone.
+func (o *orderSlots) forget(id batch.WorkerID) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.counts[id] >= maxOpenCalls {
-		return false
-	}
-	o.counts[id]++
-	return true
+	delete(o.byWorker, id)
 }
 
 // repeatCall makes a call that has the same effect however often it is made, and makes it again each callRepeatDelay
 // until one takes effect or ctx ends. A refusal of one copy says nothing about the others: the outcome is a refusal only
 // if all are refused.
 func (l *leader) repeatCall(ctx context.Context, kind callKind, worker batch.WorkerID, call func(context.Context) batch.Answer) batch.Answer {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	answers := make(chan batch.Answer, workerCallTimeout/callRepeatDelay)
-	send := func() {
-		defer l.openCalls.add(worker, -1)
-		answer := call(ctx)
-		l.calls.add(kind, answer)
-		answers <- answer
+	outcome := batch.AnswerNone
+	refused, refusedForGood := 0, false
+	calls := repetition[batch.Answer]{
+		try:      func(ctx context.Context, n int) batch.Answer { return l.tryCall(ctx, n, kind, call) },
+		pause:    func(int) time.Duration { return callRepeatDelay },
+		maxPause: callRepeatDelay,
+		mayTry: func(n int) bool {
+			return !refusedForGood && (n == 1 || l.openCopies.Load() < maxOpenCopies)
+		},
+		slots: l.orderSlots.of(worker),
 	}
-	ticker := time.NewTicker(callRepeatDelay)
-	defer ticker.Stop()
-	l.openCalls.add(worker, 1)
-	go send()
-	maxCopies := cap(answers)
-	for sent, refused := 1, 0; ; {
-		select {
-		case answer := <-answers:
-			switch answer {
-			case batch.AnswerNone:
-				continue
-			case batch.AnswerFenced:
-				return answer
-			case batch.AnswerOK:
-				if sent > 1 {
-					return batch.AnswerOKRepeated
-				}
-				return answer
-			}
-			if refused++; refused == sent {
-				return answer
-			}
-			if answer != batch.AnswerRefused {
-				maxCopies = sent // another copy would be refused, too
+	sent, decided := calls.run(ctx, func(answer batch.Answer, sent int) bool {
+		switch answer {
+		case batch.AnswerNone:
+			return false
+		case batch.AnswerOK:
+			outcome = answer
+			if sent > 1 {
+				outcome = batch.AnswerOKRepeated
 			}
-		case <-ticker.C:
-			if sent < maxCopies && ctx.Err() == nil && l.mayAct() && l.openCalls.addCopy(worker) {
-				sent++
-				go send()
-			}
-		case <-ctx.Done():
-			return batch.AnswerNone
+			return true
+		case batch.AnswerFenced:
+			outcome = answer
+			return true
 		}
+		outcome = answer
+		refused++
+		refusedForGood = refusedForGood || answer != batch.AnswerRefused // another copy would be refused, too
+		return refused == sent
+	})
+	switch {
+	case sent == 0:
+		return batch.AnswerExpired
+	case !decided:
+		return batch.AnswerNone
+	default:
+		return outcome
+	}
+}
+
+// tryCall makes the n-th try of a call, unless the owner may not act any more.
+func (l *leader) tryCall(ctx context.Context, n int, kind callKind, call func(context.Context) batch.Answer) batch.Answer {
+	if !l.mayAct() {
+		return batch.AnswerExpired
 	}
+	timeout := firstTryTimeout
+	if n > firstTries {
+		timeout = laterTryTimeout
+	}
+	if n > 1 {
+		l.openCopies.Add(1)
+		defer l.openCopies.Add(-1)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	answer := call(ctx)
+	l.calls.add(kind, answer)
+	return answer
 }
--- a/internal/owner/repeated_calls_test.go
+++ b/internal/owner/repeated_calls_test.go
@@ -65,16 +65,16 @@
 		{"the only copy is carried out", []batch.Answer{ok}, ok, 1, 0},
 		{"the only copy is refused", []batch.Answer{full}, full, 1, 0},
 		{"the second copy is carried out", []batch.Answer{none, ok}, batch.AnswerOKRepeated, 2, callRepeatDelay},
-		{"the second copy is refused, and the first may have been carried out", []batch.Answer{none, full}, none, 2, workerCallTimeout},
+		{"the second copy is refused, and the first may have been carried out", []batch.Answer{none, full}, none, 2, orderCallTimeout},
 		{"the second copy was not sent", []batch.Answer{none, refused, ok}, batch.AnswerOKRepeated, 3, 2 * callRepeatDelay},
 		{"all copies are refused late", []batch.Answer{lateRefusal, lateRefusal}, full, 2, callRepeatDelay + lateRefusalDelay},
 		{"a copy meets the next owner", []batch.Answer{none, fenced}, fenced, 2, callRepeatDelay},
-		{"no copy is answered", nil, none, maxOpenCalls, workerCallTimeout},
+		{"no copy is answered", nil, none, int(orderCallTimeout / callRepeatDelay), orderCallTimeout},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				ctx, cancel := context.WithTimeout(t.Context(), workerCallTimeout)
+				ctx, cancel := context.WithTimeout(t.Context(), orderCallTimeout)
 				defer cancel()
 				began := time.Now()
 				l := confirmedLeader(t)
@@ -114,8 +114,8 @@
 	return l
 }
 
-// Guards against copies that take all connections to a worker, so that the renewals of its lease fail.
-func TestCopiesLeaveConnectionsToRenewals(t *testing.T) {
+// Guards against orders that take all connections to a worker, so that the renewals of its lease fail.
+func TestOrdersLeaveConnectionsToRenewals(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		l := confirmedLeader(t)
@@ -132,17 +132,18 @@
 			mu.Unlock()
 			return batch.AnswerNone
 		}
-		ctx, cancel := context.WithTimeout(t.Context(), workerCallTimeout)
+		ctx, cancel := context.WithTimeout(t.Context(), orderCallTimeout)
 		defer cancel()
 		var done sync.WaitGroup
-		for range 3 {
+		for range 3 * maxOpenOrders {
 			done.Go(func() { l.repeatCall(ctx, callStart, "w", silent) })
 		}
 		done.Wait()
 		synctest.Wait()
 		mu.Lock()
 		defer mu.Unlock()
-		is.Equal(most, maxOpenCalls)
-		is.Equal(len(l.openCalls.counts), 0)
+		is.Equal(most, maxOpenOrders)
+		is.Equal(len(l.orderSlots.of("w")), 0)
+		is.Equal(l.openCopies.Load(), int64(0))
 	})
 }
--- a/internal/owner/worker_calls.go
+++ b/internal/owner/worker_calls.go
@@ -15,13 +15,9 @@
 	case batch.ActionStart:
 		l.startTask(a, now)
 	case batch.ActionStop:
-		l.callWorker(a, l.stopRepeatedly)
+		l.stopTask(a)
 	case batch.ActionThrottle:
-		l.callWorker(a, func(ctx context.Context, r TaskRequest) batch.Answer {
-			answer := l.owner.workers.Throttle(ctx, r)
-			l.calls.add(callThrottle, answer)
-			return answer
-		})
+		l.throttleTask(a)
 	case batch.ActionAdvise:
 		l.advise(a, now)
 	}
@@ -35,12 +31,9 @@
 		Payload: a.Payload, NotAfter: notAfter, Checkpoint: a.Checkpoint, Ticket: a.Ticket,
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(l.ctx, workerCallTimeout)
+		ctx, cancel := context.WithTimeout(l.ctx, startCallTimeout)
 		defer cancel()
-		answer := batch.AnswerExpired
-		if l.mayAct() {
-			answer = l.repeatCall(ctx, callStart, request.Worker, func(ctx context.Context) batch.Answer { return l.owner.workers.Start(ctx, request) })
-		}
+		answer := l.repeatCall(ctx, callStart, request.Worker, func(ctx context.Context) batch.Answer { return l.owner.workers.Start(ctx, request) })
 		l.post(func(l *leader, now time.Time) {
 			l.checkFenced(a, answer)
 			l.state.StartAnswered(a.Worker, a.Task, a.Run, answer, now)
@@ -48,23 +41,31 @@
 	}()
 }
 
-func (l *leader) callWorker(a batch.Action, send func(context.Context, TaskRequest) batch.Answer) {
+func (l *leader) stopTask(a batch.Action) {
+	l.callWorker(l.ctx, a, callStop, l.owner.workers.Stop, func(l *leader, answer batch.Answer, now time.Time) {
+		l.state.StopAnswered(a.Worker, a.Incarnation, a.Task, a.Run, answer, now)
+	})
+}
+
+func (l *leader) throttleTask(a batch.Action) {
+	call := l.throttles.begin(l.ctx, a)
+	l.callWorker(call.ctx, a, callThrottle, l.owner.workers.Throttle, func(l *leader, answer batch.Answer, _ time.Time) {
+		if l.throttles.end(call) {
+			l.state.ThrottleAnswered(a.Worker, a.Task, a.Run, answer)
+		}
+	})
+}
+
+// callWorker sends a request of an action, with copies, until ctx ends. The outcome becomes an event of the loop.
+func (l *leader) callWorker(ctx context.Context, a batch.Action, kind callKind, send func(context.Context, TaskRequest) batch.Answer, answered func(*leader, batch.Answer, time.Time)) {
 	request := TaskRequest{Worker: a.Worker, Address: a.Address, Epoch: l.epoch, Task: a.Task, Run: a.Run, Percent: a.Percent}
 	go func() {
-		ctx, cancel := context.WithTimeout(l.ctx, workerCallTimeout)
+		ctx, cancel := context.WithTimeout(ctx, orderCallTimeout)
 		defer cancel()
-		answer := batch.AnswerRefused
-		if l.mayAct() {
-			answer = send(ctx, request)
-		}
+		answer := l.repeatCall(ctx, kind, request.Worker, func(ctx context.Context) batch.Answer { return send(ctx, request) })
 		l.post(func(l *leader, now time.Time) {
 			l.checkFenced(a, answer)
-			switch a.Kind {
-			case batch.ActionStop:
-				l.state.StopAnswered(a.Worker, a.Incarnation, a.Task, a.Run, answer, now)
-			case batch.ActionThrottle:
-				l.state.ThrottleAnswered(a.Worker, a.Task, a.Run, answer)
-			}
+			answered(l, answer, now)
 		})
 	}()
 }
