--- a/internal/batch/answers.go
+++ b/internal/batch/answers.go
@@ -41,14 +41,14 @@
 			w.noteRoomRefusal(a.reserved, now)
 		}
 		s.startRefused(a, answerNames[answer], now)
-	case AnswerStale, AnswerExpired, AnswerFenced, AnswerInvalid:
+	case AnswerStale, AnswerExpired, AnswerFenced, AnswerInvalid, AnswerUnsent:
 		s.startRefused(a, answerNames[answer], now)
 	}
 }
 
 // answerNames are the names of the answers in the log: unwell stands for AnswerRefused, late for
 // AnswerExpired, old for AnswerStale and no room for AnswerNoCapacity.
-var answerNames = [...]string{"no answer", "ok", "unwell", "late", "old", "no room", "fenced", "invalid", "no ticket", "ok after a repetition"}
+var answerNames = [...]string{"no answer", "ok", "unwell", "late", "old", "no room", "fenced", "invalid", "no ticket", "ok after a repetition", "not sent"}
 
 // startRefused removes an attempt whose start was certainly not executed. A listed attempt stays,
 // since the worker has reported that it runs.
--- a/internal/batch/model.go
+++ b/internal/batch/model.go
@@ -117,6 +117,7 @@
 	AnswerInvalid                  // certainly not executed: the worker has another incarnation, or the request is invalid
 	AnswerNoTicket                 // certainly not executed: the ticket is missing or no longer valid
 	AnswerOKRepeated               // executed, but a copy of the request got no answer and may be executed later
+	AnswerUnsent                   // certainly not executed: it was not sent, for a reason that is not the worker's
 )
 
 // ActionKind is the kind of an action.
--- a/internal/batch/throttle.go
+++ b/internal/batch/throttle.go
@@ -186,10 +186,10 @@
 }
 
 // ThrottleAnswered processes the answer to a throttle request. A request that got no answer, was refused or
-// could not be sent in time is sent again after the worker's next report.
+// was not sent is sent again after the worker's next report.
 func (s *State) ThrottleAnswered(id WorkerID, task TaskID, run int64, answer Answer) {
 	w := s.workers[id]
-	if w == nil || answer != AnswerNone && answer != AnswerRefused && answer != AnswerExpired {
+	if w == nil || answer != AnswerNone && answer != AnswerRefused && answer != AnswerUnsent {
 		return
 	}
 	if a := w.attempts[attemptKey{task, run}]; a != nil {
--- a/internal/owner/call_counts.go
+++ b/internal/owner/call_counts.go
@@ -37,6 +37,14 @@
 	}
 }
 
+// countCall counts a request with its answer, which allows retries.
+func (l *leader) countCall(kind callKind, answer batch.Answer) {
+	l.calls.add(kind, answer)
+	if answer != batch.AnswerNone {
+		l.retries.earn()
+	}
+}
+
 // reportCalls adds the requests since the last report to the metrics, and logs them if one got no answer.
 func (l *leader) reportCalls() {
 	var b strings.Builder
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -17,7 +17,7 @@
 	startWindow = 1500 * time.Millisecond
 	// startCallTimeout bounds the wait for the response to a start and its copies. It leaves the last of them time to arrive
 	// within startWindow.
-	startCallTimeout = 1300 * time.Millisecond
+	startCallTimeout = 1100 * time.Millisecond
 	// orderCallTimeout bounds the wait for the response to a stop or throttle request and its copies.
 	orderCallTimeout = 700 * time.Millisecond
 	// stopRetryDelay is the pause before a stop request without a response is repeated.
@@ -68,10 +68,9 @@
 	done chan struct{}
 	// firstRenewals is a semaphore that limits the concurrent first calls to workers.
 	firstRenewals chan struct{}
-	// orderSlots bounds the orders to each worker that are open at a time, and openCopies counts the copies of orders to
-	// all of them that are.
+	// orderSlots bounds the orders to each worker that are open at a time, and retries the retries of all requests.
 	orderSlots orderSlots
-	openCopies atomic.Int64
+	retries    retryBudget
 	// calls counts the requests to workers since the last report on them.
 	calls callCounts
 	// ownedUntil is the time until which the claim is confirmed, in nanoseconds on Options.BootClock.
--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -16,8 +16,7 @@
 	idleWait      = 2 * time.Second
 	busyWait      = time.Second
 	colocatedWait = 300 * time.Millisecond
-	// renewTimeout is how much longer than that wait a worker may be without an answer until it counts as unreachable, and
-	// how long a renewal keeps its connection beyond the wait.
+	// renewTimeout is how much longer than that wait a worker may be without an answer until it counts as unreachable.
 	renewTimeout = 750 * time.Millisecond
 	// lossyTimeout replaces renewTimeout, the wait included, for a worker that is known to lose answers.
 	lossyTimeout = 1500 * time.Millisecond
@@ -25,13 +24,13 @@
 	lossyMemory = 10 * time.Second
 	// lossyWait is how long a worker that has just lost an answer may wait for an attempt to end. The wait is doubled
 	// with each answer up to the usual one.
-	lossyWait = 250 * time.Millisecond
+	lossyWait = 300 * time.Millisecond
 	// renewRepeatDelay is how much longer than its wait a renewal may take before it is repeated, and renewRepeatInterval
 	// the time between two repetitions.
 	renewRepeatDelay    = 100 * time.Millisecond
-	renewRepeatInterval = 60 * time.Millisecond
-	// repeatedRenewalTimeout is how long a repetition keeps its connection.
-	repeatedRenewalTimeout = 250 * time.Millisecond
+	renewRepeatInterval = 100 * time.Millisecond
+	// renewalConnTimeout is how long a renewal keeps its connection beyond its wait.
+	renewalConnTimeout = 300 * time.Millisecond
 	// renewRetryDelay is the pause after a failed renewal.
 	renewRetryDelay = 250 * time.Millisecond
 	// ackTimeout is how long a renewer waits for the changes from a report to become durable before
@@ -179,9 +178,9 @@
 	calls := repetition[renewal]{
 		try: func(ctx context.Context, n int) renewal {
 			if n == 1 {
-				return rn.request(ctx, request, request.MaxWait+renewTimeout)
+				return rn.request(ctx, request)
 			}
-			r := rn.request(ctx, request.repetition(), repeatedRenewalTimeout)
+			r := rn.request(ctx, request.repetition())
 			r.repeated = true
 			return r
 		},
@@ -192,7 +191,7 @@
 			return renewRepeatInterval
 		},
 		maxPause: renewRepeatInterval,
-		mayTry:   func(int) bool { return true },
+		mayTry:   func(int) bool { return rn.leader.retries.take(callRenewal) },
 	}
 	outcome := renewal{answer: batch.AnswerNone}
 	calls.run(ctx, func(r renewal, _ int) bool {
@@ -228,15 +227,15 @@
 }
 
 // request makes one request.
-func (rn *renewer) request(ctx context.Context, r RenewRequest, timeout time.Duration) renewal {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+func (rn *renewer) request(ctx context.Context, r RenewRequest) renewal {
+	ctx, cancel := context.WithTimeout(ctx, r.MaxWait+renewalConnTimeout)
 	defer cancel()
 	now, kind := time.Now(), callLook
 	if r.LeaseEnd != 0 {
 		kind = callRenewal
 	}
 	report, answer := rn.leader.owner.workers.RenewLease(ctx, r)
-	rn.leader.calls.add(kind, answer)
+	rn.leader.countCall(kind, answer)
 	report.RequestedAt = now
 	return renewal{report: report, answer: answer, renewed: r.LeaseEnd != 0}
 }
--- a/internal/owner/repeated_calls.go
+++ b/internal/owner/repeated_calls.go
@@ -24,18 +24,14 @@
 	// maxOpenOrders is the largest number of starts, stops and throttles to a worker that are open at a time. Others wait
 	// for one of them to end.
 	maxOpenOrders = 6
-	// maxOpenReports is the largest number of renewals to a worker that are open at a time: one without an answer, those
-	// of its repetitions that are open together, and the next one.
-	maxOpenReports = 2 + int(repeatedRenewalTimeout/renewRepeatInterval)
+	// maxOpenReports is the largest number of renewals to a worker that are open at a time: two without an answer, those
+	// of their repetitions that are open together, and the next one.
+	maxOpenReports = 3 + int(renewalConnTimeout/renewRepeatInterval)
 	// MaxOpenRequests is the largest number of requests to a worker that are open at a time. With as many connections,
 	// renewals never wait for orders.
 	MaxOpenRequests = maxOpenOrders + maxOpenReports
 )
 
-// maxOpenCopies is the largest number of copies of orders that are open at a time, to all workers together: each takes a
-// file descriptor.
-const maxOpenCopies = 1000
-
 // orderSlots bounds the orders to each worker that are open at a time.
 type orderSlots struct {
 	mu       sync.Mutex
@@ -74,8 +70,8 @@
 		try:      func(ctx context.Context, n int) batch.Answer { return l.tryCall(ctx, n, kind, call) },
 		pause:    func(int) time.Duration { return callRepeatDelay },
 		maxPause: callRepeatDelay,
-		mayTry: func(n int) bool {
-			return !refusedForGood && (n == 1 || l.openCopies.Load() < maxOpenCopies)
+		mayTry: func(int) bool {
+			return !refusedForGood && l.retries.take(kind)
 		},
 		slots: l.orderSlots.of(worker),
 	}
@@ -95,12 +91,13 @@
 		}
 		outcome = answer
 		refused++
-		refusedForGood = refusedForGood || answer != batch.AnswerRefused // another copy would be refused, too
+		// Another copy would be refused, too, unless the worker was unhealthy or the request was not sent.
+		refusedForGood = refusedForGood || answer != batch.AnswerRefused && answer != batch.AnswerUnsent
 		return refused == sent
 	})
 	switch {
 	case sent == 0:
-		return batch.AnswerExpired
+		return batch.AnswerUnsent
 	case !decided:
 		return batch.AnswerNone
 	default:
@@ -111,19 +108,15 @@
 // tryCall makes the n-th try of a call, unless the owner may not act any more.
 func (l *leader) tryCall(ctx context.Context, n int, kind callKind, call func(context.Context) batch.Answer) batch.Answer {
 	if !l.mayAct() {
-		return batch.AnswerExpired
+		return batch.AnswerUnsent
 	}
 	timeout := firstTryTimeout
 	if n > firstTries {
 		timeout = laterTryTimeout
 	}
-	if n > 1 {
-		l.openCopies.Add(1)
-		defer l.openCopies.Add(-1)
-	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	answer := call(ctx)
-	l.calls.add(kind, answer)
+	l.countCall(kind, answer)
 	return answer
 }
--- a/internal/owner/repetition.go
+++ b/internal/owner/repetition.go
@@ -14,7 +14,8 @@
 	pause func(n int) time.Duration
 	// maxPause is how long after a try without an answer the next one is made at the latest.
 	maxPause time.Duration
-	// mayTry reports whether another try may be made now; it is asked again after maxPause.
+	// mayTry reports whether the n-th try, which is not the first, may be made now; if not, it is asked again after
+	// maxPause.
 	mayTry func(n int) bool
 	// slots bounds the tries that are open at a time, with those of other requests; nil for no bound.
 	slots chan struct{}
@@ -26,7 +27,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan T)
-	begin := func(n int) {
+	try := func(n int) {
 		result := r.try(ctx, n)
 		if r.slots != nil {
 			<-r.slots
@@ -44,6 +45,11 @@
 		nextDue = time.Now().Add(d)
 		next.Reset(d)
 	}
+	begin := func() {
+		sent++
+		go try(sent)
+		schedule(r.pause(sent))
+	}
 	for {
 		var free chan<- struct{}
 		if due {
@@ -54,21 +60,17 @@
 			return sent, false
 		case free <- struct{}{}:
 			due = false
-			sent++
-			go begin(sent)
-			schedule(r.pause(sent))
+			begin()
 		case <-next.C:
 			switch {
 			case hasPassed(ctx):
 				return sent, false
-			case !r.mayTry(sent + 1):
+			case sent > 0 && (time.Since(nextDue) > maxTimerLag || !r.mayTry(sent+1)):
 				schedule(r.maxPause)
 			case r.slots != nil:
 				due = true
 			default:
-				sent++
-				go begin(sent)
-				schedule(r.pause(sent))
+				begin()
 			}
 		case result := <-results:
 			if decide(result, sent) {
@@ -81,6 +83,10 @@
 	}
 }
 
+// maxTimerLag is the lag of a timer beyond which this process is short of processor time, so that answers may have
+// arrived that it has not read yet.
+const maxTimerLag = 40 * time.Millisecond
+
 // hasPassed reports whether the deadline of ctx has passed, which ctx itself may tell a moment later.
 func hasPassed(ctx context.Context) bool {
 	deadline, ok := ctx.Deadline()
