--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -25,12 +25,11 @@
 	// lossyWait is how long a worker that has just lost an answer may wait for an attempt to end. The wait is doubled
 	// with each answer up to the usual one.
 	lossyWait = 300 * time.Millisecond
-	// renewRepeatDelay is how much longer than its wait a renewal may take before it is repeated, and renewRepeatInterval
-	// the time between two repetitions.
-	renewRepeatDelay    = 100 * time.Millisecond
-	renewRepeatInterval = 100 * time.Millisecond
-	// renewalConnTimeout is how long a renewal keeps its connection beyond its wait.
-	renewalConnTimeout = 300 * time.Millisecond
+	// renewAnswerTimeout is how much longer than its wait a renewal may take before it is repeated, renewRepeatInterval
+	// the time between two repetitions, and repeatedRenewalTimeout how long each may take.
+	renewAnswerTimeout     = 200 * time.Millisecond
+	renewRepeatInterval    = 100 * time.Millisecond
+	repeatedRenewalTimeout = 300 * time.Millisecond
 	// renewRetryDelay is the pause after a failed renewal.
 	renewRetryDelay = 250 * time.Millisecond
 	// ackTimeout is how long a renewer waits for the changes from a report to become durable before
@@ -178,20 +177,14 @@
 	calls := repetition[renewal]{
 		try: func(ctx context.Context, n int) renewal {
 			if n == 1 {
-				return rn.request(ctx, request)
+				return rn.request(ctx, request, request.MaxWait+renewAnswerTimeout)
 			}
-			r := rn.request(ctx, request.repetition())
+			r := rn.request(ctx, request.repetition(), repeatedRenewalTimeout)
 			r.repeated = true
 			return r
 		},
-		pause: func(n int) time.Duration {
-			if n == 1 {
-				return request.MaxWait + renewRepeatDelay
-			}
-			return renewRepeatInterval
-		},
-		maxPause: renewRepeatInterval,
-		mayTry:   func(int) bool { return rn.leader.retries.take(callRenewal) },
+		interval:  renewRepeatInterval,
+		mayRepeat: func() bool { return rn.leader.retries.take(callRenewal) },
 	}
 	outcome := renewal{answer: batch.AnswerNone}
 	calls.run(ctx, func(r renewal, _ int) bool {
@@ -227,8 +220,8 @@
 }
 
 // request makes one request.
-func (rn *renewer) request(ctx context.Context, r RenewRequest) renewal {
-	ctx, cancel := context.WithTimeout(ctx, r.MaxWait+renewalConnTimeout)
+func (rn *renewer) request(ctx context.Context, r RenewRequest, timeout time.Duration) renewal {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	now, kind := time.Now(), callLook
 	if r.LeaseEnd != 0 {
--- a/internal/owner/repeated_calls.go
+++ b/internal/owner/repeated_calls.go
@@ -9,24 +9,25 @@
 )
 
 const (
-	// callRepeatDelay is how long a worker may take to answer a start, stop or throttle before the identical request is
-	// sent again.
-	callRepeatDelay = 100 * time.Millisecond
-	// firstTryTimeout is how long the first tries of a request keep their connections, and laterTryTimeout the others: the
-	// answers may be slow instead of lost.
-	firstTryTimeout = 300 * time.Millisecond
-	laterTryTimeout = 600 * time.Millisecond
-	// firstTries is the number of tries that end after firstTryTimeout.
-	firstTries = 2
+	// firstTryTimeout is how long a worker may take to answer a start, stop or throttle before the identical request is
+	// sent again, and callRepeatInterval the time between two of these copies.
+	firstTryTimeout    = 150 * time.Millisecond
+	callRepeatInterval = 100 * time.Millisecond
+	// copyTimeout is how long the first copies keep their connections, and lateCopyTimeout the others: the answers may be slow
+	// instead of lost.
+	copyTimeout     = 300 * time.Millisecond
+	lateCopyTimeout = 600 * time.Millisecond
+	// firstCopies is the number of copies that end after copyTimeout.
+	firstCopies = 2
 )
 
 const (
 	// maxOpenOrders is the largest number of starts, stops and throttles to a worker that are open at a time. Others wait
 	// for one of them to end.
 	maxOpenOrders = 6
-	// maxOpenReports is the largest number of renewals to a worker that are open at a time: two without an answer, those
-	// of their repetitions that are open together, and the next one.
-	maxOpenReports = 3 + int(renewalConnTimeout/renewRepeatInterval)
+	// maxOpenReports is the largest number of renewals to a worker that are open at a time: repetitions, and the next
+	// renewal and its first repetition.
+	maxOpenReports = 2 + int(repeatedRenewalTimeout/renewRepeatInterval)
 	// MaxOpenRequests is the largest number of requests to a worker that are open at a time. With as many connections,
 	// renewals never wait for orders.
 	MaxOpenRequests = maxOpenOrders + maxOpenReports
@@ -60,20 +61,17 @@
 	delete(o.byWorker, id)
 }
 
-// repeatCall makes a call that has the same effect however often it is made, and makes it again each callRepeatDelay
+// repeatCall makes a call that has the same effect however often it is made, and makes it again and again
 // until one takes effect or ctx ends. A refusal of one copy says nothing about the others: the outcome is a refusal only
 // if all are refused.
 func (l *leader) repeatCall(ctx context.Context, kind callKind, worker batch.WorkerID, call func(context.Context) batch.Answer) batch.Answer {
 	outcome := batch.AnswerNone
 	refused, refusedForGood := 0, false
 	calls := repetition[batch.Answer]{
-		try:      func(ctx context.Context, n int) batch.Answer { return l.tryCall(ctx, n, kind, call) },
-		pause:    func(int) time.Duration { return callRepeatDelay },
-		maxPause: callRepeatDelay,
-		mayTry: func(int) bool {
-			return !refusedForGood && l.retries.take(kind)
-		},
-		slots: l.orderSlots.of(worker),
+		try:       func(ctx context.Context, n int) batch.Answer { return l.tryCall(ctx, n, kind, call) },
+		interval:  callRepeatInterval,
+		mayRepeat: func() bool { return !refusedForGood && l.retries.take(kind) },
+		slots:     l.orderSlots.of(worker),
 	}
 	sent, decided := calls.run(ctx, func(answer batch.Answer, sent int) bool {
 		switch answer {
@@ -110,13 +108,21 @@
 	if !l.mayAct() {
 		return batch.AnswerUnsent
 	}
-	timeout := firstTryTimeout
-	if n > firstTries {
-		timeout = laterTryTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout(n))
 	defer cancel()
 	answer := call(ctx)
 	l.countCall(kind, answer)
 	return answer
 }
+
+// tryTimeout returns how long the n-th try of a call may take.
+func tryTimeout(n int) time.Duration {
+	switch {
+	case n == 1:
+		return firstTryTimeout
+	case n <= 1+firstCopies:
+		return copyTimeout
+	default:
+		return lateCopyTimeout
+	}
+}
--- a/internal/owner/repetition.go
+++ b/internal/owner/repetition.go
@@ -8,15 +8,13 @@
 // repetition makes a request that has the same effect however often it is made, and makes it again while no answer
 // decides: an answer may be lost, and the request carried out late.
 type repetition[T any] struct {
-	// try makes the n-th try, counted from 1.
+	// try makes the n-th try, counted from 1. The first one is repeated once it returns, so it must return soon after the
+	// time that an answer usually takes.
 	try func(ctx context.Context, n int) T
-	// pause is how long after the n-th try the next one is made.
-	pause func(n int) time.Duration
-	// maxPause is how long after a try without an answer the next one is made at the latest.
-	maxPause time.Duration
-	// mayTry reports whether the n-th try, which is not the first, may be made now; if not, it is asked again after
-	// maxPause.
-	mayTry func(n int) bool
+	// interval is the time between two later tries, which may overlap.
+	interval time.Duration
+	// mayRepeat reports whether a later try may be made now; if not, it is asked again after interval.
+	mayRepeat func() bool
 	// slots bounds the tries that are open at a time, with those of other requests; nil for no bound.
 	slots chan struct{}
 }
@@ -26,66 +24,82 @@
 func (r *repetition[T]) run(ctx context.Context, decide func(result T, sent int) bool) (sent int, decided bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan T)
-	try := func(n int) {
-		result := r.try(ctx, n)
-		if r.slots != nil {
-			<-r.slots
+	if r.slots != nil {
+		select {
+		case r.slots <- struct{}{}:
+		case <-ctx.Done():
+			return 0, false
 		}
+	}
+	if decide(r.tryOnce(ctx, 1), 1) {
+		return 1, true
+	}
+	return r.repeat(ctx, decide)
+}
+
+// tryOnce makes a try that has a slot, and returns the slot.
+func (r *repetition[T]) tryOnce(ctx context.Context, n int) T {
+	if r.slots != nil {
+		defer func() { <-r.slots }()
+	}
+	return r.try(ctx, n)
+}
+
+// repeat makes the tries after the first one.
+func (r *repetition[T]) repeat(ctx context.Context, decide func(result T, sent int) bool) (sent int, decided bool) {
+	results := make(chan T)
+	begin := func(n int) {
+		result := r.tryOnce(ctx, n)
 		select {
 		case results <- result:
 		case <-ctx.Done():
 		}
 	}
-	next := time.NewTimer(0)
+	sent, due := 1, time.Now().Add(firstRepeatDelay)
+	next := time.NewTimer(firstRepeatDelay)
 	defer next.Stop()
-	due := false // a try may be made, and waits for a slot
-	nextDue := time.Now()
-	schedule := func(d time.Duration) {
-		nextDue = time.Now().Add(d)
-		next.Reset(d)
-	}
-	begin := func() {
-		sent++
-		go try(sent)
-		schedule(r.pause(sent))
+	schedule := func() {
+		due = time.Now().Add(r.interval)
+		next.Reset(r.interval)
 	}
+	var slots chan<- struct{} // set while a try is due and waits for a slot
 	for {
-		var free chan<- struct{}
-		if due {
-			free = r.slots
-		}
 		select {
 		case <-ctx.Done():
 			return sent, false
-		case free <- struct{}{}:
-			due = false
-			begin()
+		case slots <- struct{}{}:
+			slots = nil
+			sent++
+			go begin(sent)
+			schedule()
 		case <-next.C:
 			switch {
 			case hasPassed(ctx):
 				return sent, false
-			case sent > 0 && (time.Since(nextDue) > maxTimerLag || !r.mayTry(sent+1)):
-				schedule(r.maxPause)
+			case time.Since(due) > maxTimerLag || !r.mayRepeat():
+				schedule()
 			case r.slots != nil:
-				due = true
+				slots = r.slots
 			default:
-				begin()
+				sent++
+				go begin(sent)
+				schedule()
 			}
 		case result := <-results:
 			if decide(result, sent) {
 				return sent, true
 			}
-			if !due && time.Until(nextDue) > r.maxPause {
-				schedule(r.maxPause)
-			}
 		}
 	}
 }
 
-// maxTimerLag is the lag of a timer beyond which this process is short of processor time, so that answers may have
-// arrived that it has not read yet.
-const maxTimerLag = 40 * time.Millisecond
+const (
+	// firstRepeatDelay is the pause before the first repetition, whose timer tells the lag of this process.
+	firstRepeatDelay = 10 * time.Millisecond
+	// maxTimerLag is the lag of a timer beyond which this process is short of processor time, so that answers may have
+	// arrived that it has not read yet.
+	maxTimerLag = 40 * time.Millisecond
+)
 
 // hasPassed reports whether the deadline of ctx has passed, which ctx itself may tell a moment later.
 func hasPassed(ctx context.Context) bool {
