--- /dev/null
+++ b/internal/owner/renewal_load_test.go
@@ -0,0 +1,101 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/geraniumwick/geraniumwick/internal/batch"
+	"github.com/geraniumwick/geraniumwick/internal/pause"
+)
+
+// slowOwnerWorkers answer at once, but the owner's processor, which does one thing after the other, needs a time to send
+// each renewal, and the same to read its answer. Nothing is done for a request whose time is over.
+type slowOwnerWorkers struct {
+	*fakeWorkers
+	cost      time.Duration
+	processor chan struct{}
+	renewals  atomic.Int64
+}
+
+// work occupies the processor for a time, and reports whether it could before ctx ended.
+func (s *slowOwnerWorkers) work(ctx context.Context, d time.Duration) bool {
+	select {
+	case s.processor <- struct{}{}:
+	case <-ctx.Done():
+		return false
+	}
+	defer func() { <-s.processor }()
+	if ctx.Err() != nil {
+		return false
+	}
+	pause.For(context.Background(), d)
+	return true
+}
+
+func (s *slowOwnerWorkers) RenewLease(ctx context.Context, req RenewRequest) (batch.Report, batch.Answer) {
+	if !s.work(ctx, s.cost) {
+		return batch.Report{}, batch.AnswerNone
+	}
+	s.renewals.Add(1)
+	report, answer := s.fakeWorkers.RenewLease(ctx, req)
+	if !s.work(ctx, s.cost) {
+		return batch.Report{}, batch.AnswerNone
+	}
+	return report, answer
+}
+
+// manyWorkers returns the ids of count workers.
+func manyWorkers(count int) []batch.WorkerID {
+	var ids []batch.WorkerID
+	for i := range count {
+		ids = append(ids, batch.WorkerID(fmt.Sprintf("w%d", i)))
+	}
+	return ids
+}
+
+// withOwnerOf runs a test with an owner that uses a client of the harness's workers.
+func withOwnerOf(t *testing.T, ids []batch.WorkerID, client func(h *harness) WorkerClient, test func(h *harness)) {
+	withHarness(t, func(h *harness) {
+		o := New(Options{Instance: "a", BootClock: h.bootClock, Address: "a", LeaseTTL: testLeaseTTL, MaxWorkerLease: 6 * time.Second, JobRetention: 20 * time.Second},
+			h.store, client(h), fakeRegistry{}, testConfig, zerolog.New(&h.log))
+		go o.Run(h.ctx)
+		h.sleep(10 * time.Second)
+		test(h)
+	}, ids...)
+}
+
+// Guards against repetitions that keep an owner short of processor time for good: once all answers were late for a
+// moment, their repetitions make the next ones late (issue 42).
+func TestRepeatedRenewalsDoNotKeepAnOwnerBusy(t *testing.T) {
+	const (
+		workers = 400
+		cost    = time.Millisecond // two fifths of the processor, as each worker is asked every two seconds
+		stall   = time.Second
+		window  = 10 * time.Second
+	)
+	var s *slowOwnerWorkers
+	withOwnerOf(t, manyWorkers(workers), func(h *harness) WorkerClient {
+		s = &slowOwnerWorkers{fakeWorkers: h.workers, cost: cost, processor: make(chan struct{}, 1)}
+		return s
+	}, func(h *harness) {
+		s.renewals.Store(0)
+		h.sleep(window)
+		before := s.renewals.Swap(0)
+		silentBefore := h.log.count("worker.silent", "")
+		s.work(h.ctx, stall)
+		h.sleep(window - stall)
+		during := s.renewals.Swap(0)
+		h.sleep(window)
+		after := s.renewals.Swap(0)
+		t.Logf("renewals in %s: %d before, %d from a stall of %s, %d after that; workers silent: %d before, %d since", window, before, during, stall, after,
+			silentBefore, h.log.count("worker.silent", "")-silentBefore)
+		h.is.True(before <= workers*int64(window/idleWait)*5/4)
+		h.is.True(during <= 2*before)
+		h.is.True(after <= before*5/4)
+	})
+}
