--- a/internal/owner/renewal_load_test.go
+++ b/internal/owner/renewal_load_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -99,3 +100,66 @@
 		h.is.True(after <= before*5/4)
 	})
 }
+
+// socketWorkers count the open requests. As in package platform, a request whose context is cancelled stays open until its
+// deadline.
+type socketWorkers struct {
+	WorkerClient
+	mu        sync.Mutex
+	open      int
+	openAt    map[batch.WorkerID]int
+	most      int
+	mostAtOne int
+}
+
+func (s *socketWorkers) RenewLease(ctx context.Context, req RenewRequest) (batch.Report, batch.Answer) {
+	s.mu.Lock()
+	s.open++
+	s.openAt[req.Worker]++
+	s.most, s.mostAtOne = max(s.most, s.open), max(s.mostAtOne, s.openAt[req.Worker])
+	s.mu.Unlock()
+	deadline, _ := ctx.Deadline()
+	uncancelled, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	defer cancel()
+	report, answer := s.WorkerClient.RenewLease(uncancelled, req)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open--
+	s.openAt[req.Worker]--
+	return report, answer
+}
+
+// reset forgets the largest numbers so far.
+func (s *socketWorkers) reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.most, s.mostAtOne = 0, 0
+}
+
+func (s *socketWorkers) largest() (all, atOne int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.most, s.mostAtOne
+}
+
+// Guards against an owner that is cut off from its workers and uses up its file descriptors with repeated renewals, so
+// that it reaches neither the store nor other instances (issue 42).
+func TestRepeatedRenewalsLeaveFileDescriptors(t *testing.T) {
+	const (
+		workers     = 1957 // the largest deployment played so far
+		descriptors = 4100 - 200
+	)
+	var s *socketWorkers
+	ids := manyWorkers(workers)
+	withOwnerOf(t, ids, func(h *harness) WorkerClient {
+		s = &socketWorkers{WorkerClient: h.workers, openAt: map[batch.WorkerID]int{}}
+		return s
+	}, func(h *harness) {
+		s.reset()
+		h.loseWorkers(ids)
+		h.sleep(5 * time.Second)
+		all, atOne := s.largest()
+		t.Logf("open renewals: %d to all workers, %d to one", all, atOne)
+		h.is.True(all < descriptors)
+	})
+}
