--- a/internal/owner/renewal_load_test.go
+++ b/internal/owner/renewal_load_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -163,3 +164,28 @@
 		h.is.True(all < descriptors)
 	})
 }
+
+// Guards against renewals that take the connections of orders, whose failure to get one shuns the worker (issue 42): the
+// first request stays open when a repetition is answered.
+func TestOpenRenewalsKeepToTheirConnections(t *testing.T) {
+	const seeds, duration = 10, 20 * time.Second
+	ids := manyWorkers(8)
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			var s *socketWorkers
+			var l *lossyWorkers
+			withOwnerOf(t, ids, func(h *harness) WorkerClient {
+				l = &lossyWorkers{fakeWorkers: h.workers, random: rand.New(rand.NewPCG(seed, 42)), late: h.ctx}
+				s = &socketWorkers{WorkerClient: l, openAt: map[batch.WorkerID]int{}}
+				return s
+			}, func(h *harness) {
+				l.setShare(0.5)
+				h.sleep(duration)
+				_, atOne := s.largest()
+				t.Logf("open renewals to one worker: %d", atOne)
+				h.is.True(atOne <= maxOpenReports)
+				l.setShare(0)
+			})
+		})
+	}
+}
