--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -14,9 +14,8 @@
 // committer writes the records of the owner, one transaction at a time.
 type committer struct {
 	rev int64 // revision of the head
-	// number is the number of the newest transaction, and workersNumber that of the newest one that holds the
-	// workers record.
-	number, workersNumber int64
+	// number is the number of the newest transaction.
+	number int64
 	// inFlight is the transaction that has been sent and has no known outcome yet; nil if none.
 	inFlight *recordTxn
 	// lastSent is when the newest transaction was sent.
@@ -31,12 +30,12 @@
 	pending map[*renewer][]pendingParams
 }
 
-// pendingParams are renewal parameters that wait until the workers record is durable, as they renew a lease that it may
-// say to end, and if they acknowledge ended attempts, which the worker may then discard, until the changes of jobs are.
+// pendingParams are renewal parameters that wait until no stored workers record can say that the lease that they renew
+// ends, and if they acknowledge ended attempts, which the worker may then discard, until the changes of jobs are durable.
 type pendingParams struct {
 	params renewalParams
-	// txnNumber is the number of the transaction that makes all changes of the workers record up to
-	// then durable, and change the sequence number of the newest change of a job; 0 if no end is acknowledged.
+	// txnNumber is the number of the transaction that must be durable for the renewal, and change the sequence number of
+	// the newest change of a job; 0 if no end is acknowledged.
 	txnNumber int64
 	change    uint64
 }
@@ -62,13 +61,10 @@
 // setOnceDurable passes the parameters to the renewer at once if all that they depend on is durable, and otherwise lets
 // them wait.
 func (l *leader) setOnceDurable(i renewalParams, rn *renewer) {
-	p := pendingParams{params: i, txnNumber: l.commits.workersNumber}
+	p := pendingParams{params: i, txnNumber: l.workersRecord.requiredTxn(rn.info.ID, l.commits.number+1)}
 	if i.ackSeq > 0 {
 		p.change = l.state.LastChange()
 	}
-	if l.workersRecord.dirty {
-		p.txnNumber = l.commits.number + 1
-	}
 	if l.isDurable(p) {
 		rn.setParams(i)
 		return
@@ -185,7 +181,6 @@
 		t.txn.Set = append(t.txn.Set, kv.Write{Key: RecordKey(id), Value: encode(r)})
 	}
 	if l.workersRecord.dirty {
-		c.workersNumber = c.number
 		for _, id := range l.workersRecord.addTo(t, l.state.WorkersInUse(), now) {
 			l.state.MarkUnrecorded(id)
 		}
--- a/internal/owner/workers_record.go
+++ b/internal/owner/workers_record.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"math"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -26,6 +27,9 @@
 	lastRenewers map[batch.WorkerID]int64
 	// lateStarts holds the workers that may carry out a start late, after all leases have ended.
 	lateStarts map[batch.WorkerID]bool
+	// renewableAfter holds the number of the transaction that must be durable before a worker's lease may be renewed, for
+	// the workers of which a transaction has said that it ends; notWritten until there is one that says that it is renewed.
+	renewableAfter map[batch.WorkerID]int64
 	// durable holds the workers that the stored record contains.
 	durable map[batch.WorkerID]bool
 	// dirty is set while the record has changes that are in no transaction yet.
@@ -38,6 +42,9 @@
 	checked time.Time
 }
 
+// notWritten stands for a transaction that is not built yet.
+const notWritten int64 = math.MaxInt64
+
 // leaseRefreshInterval is the longest time after which a record that says how long a lease lasts is written
 // again. A successor counts that time from its take-over, so it waits at most this much too long for it.
 const leaseRefreshInterval = 500 * time.Millisecond
@@ -60,7 +67,7 @@
 }
 
 func newWorkerRecord(epoch int64) workersRecord {
-	return workersRecord{epoch: epoch, leaseEnds: map[batch.WorkerID]time.Time{}, lastRenewers: map[batch.WorkerID]int64{}, lateStarts: map[batch.WorkerID]bool{}, durable: map[batch.WorkerID]bool{}}
+	return workersRecord{epoch: epoch, leaseEnds: map[batch.WorkerID]time.Time{}, lastRenewers: map[batch.WorkerID]int64{}, lateStarts: map[batch.WorkerID]bool{}, renewableAfter: map[batch.WorkerID]int64{}, durable: map[batch.WorkerID]bool{}}
 }
 
 // setRenewed adds or updates a worker whose lease is being renewed by this owner.
@@ -130,17 +137,35 @@
 			delete(r.durable, id)
 			delete(r.lastRenewers, id)
 			delete(r.lateStarts, id)
+			delete(r.renewableAfter, id)
 			dropped = append(dropped, id)
 			continue
 		}
 		t.workers = append(t.workers, id)
 		leases[id] = r.lease(id, end, now)
+		r.noteWritten(id, leases[id], t.number)
 	}
 	t.txn.Set = append(t.txn.Set, kv.Write{Key: workersKey, Value: encode(leases)})
 	r.dirty = false
 	return dropped
 }
 
+// noteWritten notes what a transaction says of a worker's lease.
+func (r *workersRecord) noteWritten(id batch.WorkerID, lease recordedLease, number int64) {
+	switch {
+	case lease.Ending:
+		r.renewableAfter[id] = notWritten
+	case r.renewableAfter[id] == notWritten:
+		r.renewableAfter[id] = number
+	}
+}
+
+// requiredTxn returns the number of the transaction that must be durable before the lease of a worker that is recorded as
+// renewed may be renewed: none, 0, if no transaction has said that it ends. next is the number of the next one.
+func (r *workersRecord) requiredTxn(id batch.WorkerID, next int64) int64 {
+	return min(r.renewableAfter[id], next)
+}
+
 // lease returns what the record says of a worker's lease with the given end.
 func (r *workersRecord) lease(id batch.WorkerID, end, now time.Time) recordedLease {
 	if end.IsZero() {
@@ -183,6 +208,7 @@
 		if !lease.Ending {
 			continue
 		}
+		r.renewableAfter[id] = notWritten
 		until[id] = now.Add(lease.Remaining)
 		if lease.LateStart {
 			r.lateStarts[id] = true
