--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -21,13 +21,15 @@
 	// lossyTimeout replaces renewTimeout, the wait included, for a worker that is known to lose answers.
 	lossyTimeout = 1500 * time.Millisecond
 	// lossyMemory is how long a worker is known for that after the last lost answer.
-	lossyMemory = 10 * time.Second
-	// lossyWait is how long a worker that has just lost an answer may wait for an attempt to end. The wait is doubled
-	// with each answer up to the usual one.
+	lossyMemory = 5 * time.Second
+	// lossyWait is how long a worker with tasks that end by themselves may wait for that if it has just lost an answer. The
+	// wait is doubled with each answer up to the usual one.
 	lossyWait = 300 * time.Millisecond
-	// renewAnswerTimeout is how much longer than its wait a renewal may take before it is repeated, renewRepeatInterval
-	// the time between two repetitions, and repeatedRenewalTimeout how long each may take.
-	renewAnswerTimeout     = 200 * time.Millisecond
+	// renewAnswerTimeout is how much longer than its wait a renewal may take before it is repeated, and lossyAnswerTimeout
+	// replaces it for a worker that is known to lose answers. renewRepeatInterval is the time between two repetitions, and
+	// repeatedRenewalTimeout how long each may take.
+	renewAnswerTimeout     = 350 * time.Millisecond
+	lossyAnswerTimeout     = 200 * time.Millisecond
 	renewRepeatInterval    = 100 * time.Millisecond
 	repeatedRenewalTimeout = 300 * time.Millisecond
 	// renewRetryDelay is the pause after a failed renewal.
@@ -168,16 +170,16 @@
 	default:
 	}
 	now := time.Now()
-	request, patience := rn.nextRequest(now), renewTimeout
+	request, answerTimeout, patience := rn.nextRequest(now), renewAnswerTimeout, renewTimeout
 	if now.Before(rn.lossyUntil) {
-		patience = max(patience, lossyTimeout-request.MaxWait)
+		answerTimeout, patience = lossyAnswerTimeout, max(patience, lossyTimeout-request.MaxWait)
 	}
 	ctx, cancel := context.WithTimeout(ctx, request.MaxWait+patience)
 	defer cancel()
 	calls := repetition[renewal]{
 		try: func(ctx context.Context, n int) renewal {
 			if n == 1 {
-				return rn.request(ctx, request, request.MaxWait+renewAnswerTimeout)
+				return rn.request(ctx, request, request.MaxWait+answerTimeout)
 			}
 			r := rn.request(ctx, request.repetition(), repeatedRenewalTimeout)
 			r.repeated = true
@@ -200,8 +202,8 @@
 // wrong.
 func (rn *renewer) nextRequest(now time.Time) RenewRequest {
 	r := RenewRequest{Worker: rn.info.ID, Address: rn.info.Address, Epoch: rn.leader.epoch, AckSeq: rn.params.ackSeq, MaxWait: rn.params.maxWait}
-	if rn.maxWait > 0 {
-		r.MaxWait = min(r.MaxWait, rn.maxWait)
+	if now.Before(rn.lossyUntil) {
+		r.MaxWait = min(r.MaxWait, rn.lossyMaxWait(r.MaxWait))
 	}
 	if rn.params.renew {
 		r.LeaseEnd = rn.nextLeaseEnd(now)
@@ -212,6 +214,15 @@
 	return r
 }
 
+// lossyMaxWait bounds the wait of a worker that is known to lose answers, and would wait for a time otherwise. An idle one
+// has no ends to report, so its waits need only be short enough that several renewals fit into a lease.
+func (rn *renewer) lossyMaxWait(usual time.Duration) time.Duration {
+	if usual > busyWait || rn.maxWait == 0 {
+		return busyWait
+	}
+	return rn.maxWait
+}
+
 // repetition returns the request that follows one without an answer. It has the same end of the lease, so it does nothing
 // that the first one may not still do. It acknowledges nothing, since the worker may have been restarted meanwhile.
 func (r RenewRequest) repetition() RenewRequest {
@@ -241,7 +252,7 @@
 	case outcome.repeated:
 		rn.lossyUntil, rn.maxWait = time.Now().Add(lossyMemory), lossyWait
 	case rn.maxWait > 0:
-		if rn.maxWait *= 2; rn.maxWait >= idleWait {
+		if rn.maxWait *= 2; rn.maxWait >= busyWait {
 			rn.maxWait = 0
 		}
 	}
--- a/internal/owner/retry_budget.go
+++ b/internal/owner/retry_budget.go
@@ -5,11 +5,11 @@
 const (
 	// retriesPerAnswer is how many retries each answer of a worker allows: with half of all requests unanswered, each
 	// answer costs one.
-	retriesPerAnswer = 1.5
+	retriesPerAnswer = 1.2
 	// maxRetries is the largest number of retries that are saved up, and renewalRetries how many of them are kept for
 	// renewals.
-	maxRetries     = 400
-	renewalRetries = 100
+	maxRetries     = 200
+	renewalRetries = 50
 )
 
 // retryBudget bounds the retries of requests to all workers by the answers that come. It keeps an owner that is short of
