--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
@@ -78,6 +79,8 @@
 	answer batch.Answer
 	// renewed is set if the request has renewed the lease, and repeated if it was a repetition.
 	renewed, repeated bool
+	// broken is set if the connection broke before an answer.
+	broken bool
 }
 
 // reconcileRenewers starts a renewer for each worker that has an address, and stops the renewers of
@@ -176,12 +179,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, request.MaxWait+patience)
 	defer cancel()
+	var broken atomic.Bool
 	calls := repetition[renewal]{
 		try: func(ctx context.Context, n int) renewal {
 			if n == 1 {
 				return rn.request(ctx, request, request.MaxWait+answerTimeout)
 			}
-			r := rn.request(ctx, request.repetition(), repeatedRenewalTimeout)
+			r := rn.request(ctx, request.repetition(broken.Load()), repeatedRenewalTimeout)
 			r.repeated = true
 			return r
 		},
@@ -191,6 +195,9 @@
 	outcome := renewal{answer: batch.AnswerNone}
 	calls.run(ctx, func(r renewal, _ int) bool {
 		outcome = r
+		if r.broken {
+			broken.Store(true)
+		}
 		return r.answer != batch.AnswerNone
 	})
 	rn.noteLoss(outcome)
@@ -224,9 +231,13 @@
 }
 
 // repetition returns the request that follows one without an answer. It has the same end of the lease, so it does nothing
-// that the first one may not still do. It acknowledges nothing, since the worker may have been restarted meanwhile.
-func (r RenewRequest) repetition() RenewRequest {
+// that the first one may not still do. It acknowledges nothing, since the worker may have been restarted meanwhile. If a
+// connection broke, that is likely, and it renews nothing either: the clock of the lease's end has begun anew.
+func (r RenewRequest) repetition(broken bool) RenewRequest {
 	r.AckSeq, r.MaxWait = 0, 0
+	if broken {
+		r.LeaseEnd = 0
+	}
 	return r
 }
 
@@ -241,7 +252,7 @@
 	report, answer := rn.leader.owner.workers.RenewLease(ctx, r)
 	rn.leader.countCall(kind, answer)
 	report.RequestedAt = now
-	return renewal{report: report, answer: answer, renewed: r.LeaseEnd != 0}
+	return renewal{report: report, answer: answer, renewed: r.LeaseEnd != 0, broken: answer == batch.AnswerNone && !hasPassed(ctx)}
 }
 
 // noteLoss notes what the outcome of a renewal says of the worker: if only a repetition was answered, the worker is there,
