--- a/internal/owner/permission.go
+++ b/internal/owner/permission.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/geraniumwick/geraniumwick/internal/kv"
@@ -42,27 +43,35 @@
 	return l.owner.opts.BootClock() - time.Duration(l.ownedUntil.Load())
 }
 
-// renewClaim renews the lease of the claim until ctx ends or the lease has ended.
+// claimRenewals is how often the lease of the claim is renewed during its time.
+const claimRenewals = 4
+
+// renewClaim renews the lease of the claim until ctx ends or the lease has ended. It doesn't wait for answers: a
+// lost one would let the lease end before the next renewal is sent.
 func (l *leader) renewClaim(ctx context.Context) {
-	interval := l.owner.opts.LeaseTTL / 4
-	disconnected := false
+	interval := l.owner.opts.LeaseTTL / claimRenewals
+	var disconnected atomic.Bool
 	for ctx.Err() == nil {
 		pause.For(ctx, interval)
-		callCtx, cancel := context.WithTimeout(ctx, l.owner.opts.LeaseTTL)
-		sent := l.owner.currentMoment()
-		err := l.owner.store.Renew(callCtx, l.held.lease)
-		cancel()
-		if err == nil {
-			l.post(func(l *leader, _ time.Time) { l.extendOwnership(sent) })
-		}
-		if errors.Is(err, kv.ErrNotFound) {
-			l.stepDown("lease of the claim ended")
-			return
-		}
-		if (err != nil) != disconnected && ctx.Err() == nil {
-			disconnected = err != nil
-			l.log.Info().Str("event", "claim.contact").Bool("lost", disconnected).AnErr("cause", err).Send()
-		}
+		go l.renewClaimOnce(ctx, &disconnected)
+	}
+}
+
+// renewClaimOnce renews the lease of the claim once. It notes, and logs, whether the store is out of contact.
+func (l *leader) renewClaimOnce(ctx context.Context, disconnected *atomic.Bool) {
+	callCtx, cancel := context.WithTimeout(ctx, l.owner.opts.LeaseTTL)
+	defer cancel()
+	sent := l.owner.currentMoment()
+	err := l.owner.store.Renew(callCtx, l.held.lease)
+	if err == nil {
+		l.post(func(l *leader, _ time.Time) { l.extendOwnership(sent) })
+	}
+	if errors.Is(err, kv.ErrNotFound) {
+		l.stepDown("lease of the claim ended")
+		return
+	}
+	if ctx.Err() == nil && disconnected.Swap(err != nil) != (err != nil) {
+		l.log.Info().Str("event", "claim.contact").Bool("lost", err != nil).AnErr("cause", err).Send()
 	}
 }
 
