--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -8,7 +8,6 @@
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
 	"github.com/geraniumwick/geraniumwick/internal/kv"
-	"github.com/geraniumwick/geraniumwick/internal/pause"
 )
 
 // committer writes the records of the owner, one transaction at a time.
@@ -198,26 +197,44 @@
 	return t
 }
 
-// writeTxn sends a transaction until its outcome is known. A retry sends the identical transaction;
-// its condition on the head prevents a second execution.
+// commitOutcome is the outcome of one attempt of a transaction.
+type commitOutcome struct {
+	rev int64
+	err error
+}
+
+// writeTxn sends a transaction until its outcome is known, again and again if the answer may be lost. All attempts are
+// identical; their condition on the head prevents a second execution.
 func (l *leader) writeTxn(t *recordTxn) {
-	for l.ctx.Err() == nil {
-		ctx, cancel := context.WithTimeout(l.ctx, commitTimeout)
-		rev, err := l.owner.store.Commit(ctx, t.txn)
-		if errors.Is(err, kv.ErrConflict) {
-			rev, err = l.resolveConflict(ctx, t)
-		}
-		cancel()
-		if err == nil {
-			l.post(func(l *leader, _ time.Time) { l.committed(t, rev) })
-			return
-		}
-		if errors.Is(err, errSuperseded) {
-			l.stepDown("another owner has written the head")
-			return
-		}
-		pause.For(l.ctx, storeRetryDelay)
+	attempts := repetition[commitOutcome]{
+		try:      func(ctx context.Context, _ int) commitOutcome { return l.tryTxn(ctx, t) },
+		pause:    func(int) time.Duration { return commitRepeatDelay },
+		maxPause: storeRetryDelay,
+		mayTry:   func(int) bool { return true },
+	}
+	var outcome commitOutcome
+	_, decided := attempts.run(l.ctx, func(o commitOutcome, _ int) bool {
+		outcome = o
+		return o.err == nil || errors.Is(o.err, errSuperseded)
+	})
+	switch {
+	case !decided:
+	case outcome.err != nil:
+		l.stepDown("another owner has written the head")
+	default:
+		l.post(func(l *leader, _ time.Time) { l.committed(t, outcome.rev) })
+	}
+}
+
+// tryTxn makes one attempt of a transaction.
+func (l *leader) tryTxn(ctx context.Context, t *recordTxn) commitOutcome {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	rev, err := l.owner.store.Commit(ctx, t.txn)
+	if errors.Is(err, kv.ErrConflict) {
+		rev, err = l.resolveConflict(ctx, t)
 	}
+	return commitOutcome{rev: rev, err: err}
 }
 
 // errSuperseded means that another owner has taken over.
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -31,6 +31,8 @@
 	urgentInterval = 8 * time.Millisecond
 	// commitTimeout bounds one attempt of a transaction.
 	commitTimeout = 1500 * time.Millisecond
+	// commitRepeatDelay is how long an attempt of a transaction may stay without an answer before the next one.
+	commitRepeatDelay = 300 * time.Millisecond
 	// watchInterval is the pause between two watches, so that changes in the store arrive in
 	// batches. New jobs do not wait for it: the instances that accept them notify the owner
 	// directly.
