--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -29,8 +29,11 @@
 	// urgentInterval replaces commitInterval while steps wait for their record to become durable, or enough records
 	// wait to fill a transaction.
 	urgentInterval = 8 * time.Millisecond
-	// commitTimeout bounds one attempt of a transaction.
-	commitTimeout = 1500 * time.Millisecond
+	// firstCommitTimeout bounds the first attempt of a transaction, and commitTimeout each other one, which may overlap.
+	firstCommitTimeout = 300 * time.Millisecond
+	commitTimeout      = 1500 * time.Millisecond
+	// commitRepeatInterval is the time between two of these.
+	commitRepeatInterval = 300 * time.Millisecond
 	// watchInterval is the pause between two watches, so that changes in the store arrive in
 	// batches. New jobs do not wait for it: the instances that accept them notify the owner
 	// directly.
