--- a/internal/owner/lost_answers_test.go
+++ b/internal/owner/lost_answers_test.go
@@ -1,122 +1,27 @@
 package owner
 
 import (
-	"context"
 	"fmt"
-	"math/rand/v2"
 	"slices"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
-	"github.com/geraniumwick/geraniumwick/internal/pause"
 )
 
-// lossyWorkers answer only some of the requests. Of the others, one in three is not carried out, one is carried out at
-// once, and one two to twelve seconds later.
-type lossyWorkers struct {
-	*fakeWorkers
-	mu     sync.Mutex
-	random *rand.Rand
-	share  float64 // of the requests that get no answer
-	// resets is the share of these whose connection breaks; the others are silent.
-	resets float64
-	late   context.Context // bounds what is carried out late
-}
-
-// fate is what happens to a request.
-type fate uint8
-
-const (
-	answered fate = iota
-	ignored
-	answerLost
-	carriedOutLate
-)
-
-// draw returns the fate of the next request, whether its connection breaks if it gets no answer, and how late it is
-// carried out if it is late.
-func (l *lossyWorkers) draw() (f fate, reset bool, delay time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.random.Float64() >= l.share {
-		return answered, false, 0
-	}
-	f = ignored + fate(l.random.IntN(int(carriedOutLate)))
-	return f, l.random.Float64() < l.resets, 2*time.Second + time.Duration(l.random.Int64N(int64(10*time.Second)))
-}
-
-func (l *lossyWorkers) setShare(share float64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.share = share
-}
-
-// call makes a request with the fate that is drawn for it. It reports whether there is an answer.
-func (l *lossyWorkers) call(ctx context.Context, request func(ctx context.Context)) bool {
-	f, reset, delay := l.draw()
-	switch f {
-	case answered:
-		request(ctx)
-		return true
-	case answerLost:
-		request(ctx)
-	case carriedOutLate:
-		go func() {
-			pause.For(l.late, delay)
-			if l.late.Err() == nil {
-				request(l.late)
-			}
-		}()
-	}
-	if !reset {
-		<-ctx.Done()
-	}
-	return false
-}
-
-func (l *lossyWorkers) Start(ctx context.Context, req StartRequest) (answer batch.Answer) {
-	if !l.call(ctx, func(ctx context.Context) { answer = l.fakeWorkers.Start(ctx, req) }) {
-		return batch.AnswerNone
-	}
-	return answer
-}
-
-func (l *lossyWorkers) Stop(ctx context.Context, req TaskRequest) (answer batch.Answer) {
-	if !l.call(ctx, func(ctx context.Context) { answer = l.fakeWorkers.Stop(ctx, req) }) {
-		return batch.AnswerNone
-	}
-	return answer
-}
-
-func (l *lossyWorkers) Throttle(ctx context.Context, req TaskRequest) (answer batch.Answer) {
-	if !l.call(ctx, func(ctx context.Context) { answer = l.fakeWorkers.Throttle(ctx, req) }) {
-		return batch.AnswerNone
-	}
-	return answer
-}
-
-func (l *lossyWorkers) RenewLease(ctx context.Context, req RenewRequest) (report batch.Report, answer batch.Answer) {
-	if !l.call(ctx, func(ctx context.Context) { report, answer = l.fakeWorkers.RenewLease(ctx, req) }) {
-		return batch.Report{}, batch.AnswerNone
-	}
-	return report, answer
-}
-
 // withLossyWorkers runs a test with an owner and workers that answer all requests until the test says otherwise.
 func withLossyWorkers(t *testing.T, seed uint64, test func(h *harness, l *lossyWorkers), ids ...batch.WorkerID) {
 	withHarness(t, func(h *harness) {
-		l := &lossyWorkers{fakeWorkers: h.workers, random: rand.New(rand.NewPCG(seed, 42)), late: h.ctx}
+		l := &lossyWorkers{workers: h.workers, seed: seed, late: h.ctx}
 		h.workers.taskDuration = time.Hour
 		o := New(Options{Instance: "a", BootClock: h.bootClock, Address: "a", LeaseTTL: testLeaseTTL, MaxWorkerLease: 6 * time.Second, JobRetention: 20 * time.Second},
 			h.store, l, fakeRegistry{}, testConfig, zerolog.New(&h.log))
 		go o.Run(h.ctx)
 		h.sleep(3 * time.Second)
 		test(h, l)
-		l.setShare(0)
+		l.setLoss(0, 0)
 	}, ids...)
 }
 
@@ -142,7 +47,7 @@
 	for seed := range uint64(seeds) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			withLossyWorkers(t, seed, func(h *harness, l *lossyWorkers) {
-				l.setShare(0.5)
+				l.setLoss(0.5, 0)
 				h.submit("j", tasks(count))
 				h.sleep(startableWithin)
 				h.is.Equal(len(h.runningOn([]batch.WorkerID{"w0"})), count)
@@ -163,8 +68,7 @@
 				withLossyWorkers(t, seed, func(h *harness, l *lossyWorkers) {
 					h.submit("j", longRunning(4*len(ids)))
 					h.sleep(2 * time.Second)
-					l.resets = resets
-					l.setShare(0.5)
+					l.setLoss(0.5, resets)
 					h.sleep(duration)
 					h.is.Equal(h.workers.lapsedEnds(), 0)
 					h.is.Equal(len(h.runningOn(ids)), 4*len(ids))
@@ -188,9 +92,9 @@
 				h.submit("j", longRunning(4*len(ids)))
 				h.sleep(2 * time.Second)
 				h.store.setDown(true)
-				l.setShare(0.5)
+				l.setLoss(0.5, 0)
 				h.sleep(lossy)
-				l.setShare(0)
+				l.setLoss(0, 0)
 				h.sleep(outage - lossy)
 				h.store.setDown(false)
 				h.is.Equal(h.workers.lapsedEnds(), 0)
--- a/internal/owner/random_owners_test.go
+++ b/internal/owner/random_owners_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -138,8 +139,8 @@
 
 // viewedWorkers are the workers as one process sees them.
 type viewedWorkers struct {
-	*fakeWorkers
-	view *view
+	workers WorkerClient
+	view    *view
 }
 
 func (w viewedWorkers) RenewLease(ctx context.Context, r RenewRequest) (batch.Report, batch.Answer) {
@@ -147,7 +148,7 @@
 		<-ctx.Done()
 		return batch.Report{}, batch.AnswerNone
 	}
-	return w.fakeWorkers.RenewLease(ctx, r)
+	return w.workers.RenewLease(ctx, r)
 }
 
 func (w viewedWorkers) Start(ctx context.Context, r StartRequest) batch.Answer {
@@ -155,7 +156,7 @@
 		<-ctx.Done()
 		return batch.AnswerNone
 	}
-	return w.fakeWorkers.Start(ctx, r)
+	return w.workers.Start(ctx, r)
 }
 
 func (w viewedWorkers) Stop(ctx context.Context, r TaskRequest) batch.Answer {
@@ -163,7 +164,15 @@
 		<-ctx.Done()
 		return batch.AnswerNone
 	}
-	return w.fakeWorkers.Stop(ctx, r)
+	return w.workers.Stop(ctx, r)
+}
+
+func (w viewedWorkers) Throttle(ctx context.Context, r TaskRequest) batch.Answer {
+	if !w.view.reaches(r.Worker) {
+		<-ctx.Done()
+		return batch.AnswerNone
+	}
+	return w.workers.Throttle(ctx, r)
 }
 
 // ownersWorld is a random history of three instances and three workers.
@@ -173,6 +182,8 @@
 	instances []string
 	ids       []batch.WorkerID
 	views     map[string]*view
+	lossy     *lossyWorkers
+	jobs      []*worldJob
 	history   string
 	// muted holds the instances whose calls of other instances are lost, and calls of which are.
 	muted sync.Map
@@ -183,7 +194,7 @@
 	v := &view{refused: w.random.IntN(3), hidden: map[batch.WorkerID]bool{}}
 	ctx, cancel := context.WithCancel(w.ctx)
 	o := New(Options{Instance: name, BootClock: w.bootClock, Address: name, LeaseTTL: testLeaseTTL, MaxWorkerLease: 6 * time.Second, JobRetention: 20 * time.Second, ReportEnd: w.reportEndOf(name, v)},
-		viewedStore{w.store, v}, viewedWorkers{w.workers, v}, fakeRegistry{}, testConfig, zerolog.New(&w.log))
+		viewedStore{w.store, v}, viewedWorkers{w.lossy, v}, fakeRegistry{}, testConfig, zerolog.New(&w.log))
 	w.stops[name], w.views[name] = cancel, v
 	w.setOwner(name, o)
 	go o.Run(ctx)
@@ -309,6 +320,18 @@
 	w.views[name].change(func(v *view) { v.refused, v.lost = w.random.IntN(2), w.random.IntN(2) })
 }
 
+// toggleLoss loses the answers to up to half of the requests to workers, or to none.
+func (w *ownersWorld) toggleLoss(string) {
+	if share, _ := w.lossy.loss(); share > 0 {
+		w.lossy.setLoss(0, 0)
+		return
+	}
+	w.lossy.setLoss(maxLoss*w.random.Float64(), w.random.Float64())
+}
+
+// maxLoss is the largest share of requests to workers that get no answer.
+const maxLoss = 0.5
+
 func (w *ownersWorld) upTo(limit time.Duration) time.Duration {
 	return time.Duration(w.random.Int64N(int64(limit)))
 }
@@ -333,6 +356,9 @@
 	{"claim taken away", 1, (*ownersWorld).takeClaimAway},
 	{"stores restored", 1, (*ownersWorld).restoreStore},
 	{"all restored", 2, (*ownersWorld).restoreAll},
+	{"answers of workers lost or not", 4, (*ownersWorld).toggleLoss},
+	{"job submitted", 4, (*ownersWorld).submitAny},
+	{"job cancelled", 1, (*ownersWorld).cancelAny},
 }
 
 func (w *ownersWorld) drawEvent() worldEvent {
@@ -349,35 +375,71 @@
 	panic("no event")
 }
 
+// withHistory runs a random history of owners, and then test.
+func withHistory(t *testing.T, seed uint64, events int, test func(w *ownersWorld)) {
+	withHarness(t, func(h *harness) {
+		w := &ownersWorld{
+			harness: h, random: rand.New(rand.NewPCG(seed, 1)), views: map[string]*view{},
+			lossy:     &lossyWorkers{workers: h.workers, seed: seed, late: h.ctx},
+			instances: []string{"a", "b", "c"}, ids: []batch.WorkerID{"w1", "w2", "w3"},
+		}
+		h.workers.taskDuration = time.Hour
+		for _, name := range w.instances {
+			w.start(name)
+		}
+		h.sleep(time.Second)
+		w.submitJob("j", time.Hour, longRunning(3))
+		h.sleep(2 * time.Second)
+		for range events {
+			e, name := w.drawEvent(), w.drawInstance()
+			w.note("%s of %s", e.name, name)
+			e.act(w, name)
+			h.sleep(w.upTo(2500 * time.Millisecond))
+		}
+		test(w)
+		w.checkNothingTwice()
+		w.lossy.setLoss(0, 0)
+		pause.For(context.Background(), reportEndPeriod) // reports of ends do not stop with the instances
+	}, "w1", "w2", "w3")
+}
+
+// note adds a line to the history.
+func (w *ownersWorld) note(format string, args ...any) {
+	w.history += time.Now().UTC().Format("15:04:05.000 ") + fmt.Sprintf(format, args...) + "\n"
+}
+
+// checkNothingTwice checks that no task ran twice at the same time, or was started after an end as done that counts.
+func (w *ownersWorld) checkNothingTwice() {
+	if overlaps := w.workers.overlaps; overlaps > 0 {
+		w.t.Errorf("%d starts of a task that ran:\n%s", overlaps, w.history)
+	}
+	if repeated := w.workers.repeatedEnds; repeated > 0 {
+		w.t.Errorf("%d starts after an end as done that was acknowledged:\n%s", repeated, w.history)
+	}
+}
+
+// The histories that are run, for more by hand.
+var (
+	histories    = flag.Int("histories", 0, "number of random histories of owners; 0 for that of each test")
+	firstHistory = flag.Uint64("first-history", 0, "seed of the first random history of owners")
+)
+
+// forHistories runs a test with the seeds of its histories.
+func forHistories(t *testing.T, count int, test func(t *testing.T, seed uint64)) {
+	if *histories > 0 {
+		count = *histories
+	}
+	for i := range uint64(count) {
+		seed := *firstHistory + i
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { test(t, seed) })
+	}
+}
+
 // Guards against a task that runs twice after any series of kills, hand-overs, cuts and claims that are removed,
-// while campaigns are refused or their answers are lost.
+// while campaigns are refused or their answers are lost, and requests to workers get no answer.
 func TestRandomHistoriesOfOwnersStartNothingTwice(t *testing.T) {
-	const histories, events = 200, 40
-	for seed := range uint64(histories) {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
-			withHarness(t, func(h *harness) {
-				w := &ownersWorld{
-					harness: h, random: rand.New(rand.NewPCG(seed, 1)), views: map[string]*view{},
-					instances: []string{"a", "b", "c"}, ids: []batch.WorkerID{"w1", "w2", "w3"},
-				}
-				h.workers.taskDuration = time.Hour
-				for _, name := range w.instances {
-					w.start(name)
-				}
-				h.sleep(time.Second)
-				h.submit("j", longRunning(3))
-				h.sleep(2 * time.Second)
-				for range events {
-					e, name := w.drawEvent(), w.drawInstance()
-					w.history += fmt.Sprintf("%s %s of %s\n", time.Now().UTC().Format("15:04:05.000"), e.name, name)
-					e.act(w, name)
-					h.sleep(w.upTo(2500 * time.Millisecond))
-				}
-				if h.workers.overlaps > 0 {
-					t.Errorf("%d starts of a task that ran:\n%s", h.workers.overlaps, w.history)
-				}
-				pause.For(context.Background(), reportEndPeriod) // reports of ends do not stop with the instances
-			}, "w1", "w2", "w3")
-		})
-	}
+	const count, events = 200, 40
+	forHistories(t, count, func(t *testing.T, seed uint64) {
+		withHistory(t, seed, events, func(*ownersWorld) {})
+	})
 }
--- a/internal/owner/take_over_test.go
+++ b/internal/owner/take_over_test.go
@@ -43,7 +43,7 @@
 	for _, n := range h.workers.workers {
 		for key := range n.running {
 			if key.task == task {
-				n.end(key, batch.EndFailed)
+				n.end(key, batch.EndFailed, time.Now())
 			}
 		}
 	}
