--- a/cmd/geraniumwickd/platform.go
+++ b/cmd/geraniumwickd/platform.go
@@ -114,11 +114,12 @@
 		Name:        s.Name,
 		PeerAddress: s.PeerAddress(),
 		Owner: owner.Options{
-			LeaseTTL:       max(minClaimTTL, s.MinLease()),
-			MaxWorkerLease: min(workerLeaseLimit, s.MaxWorkerLease()),
-			JobRetention:   retentionFactor * s.StatusRetention(),
-			Speed:          s.Speed(),
-			Adviser:        platform.NewAdviser(s.Advice, log),
+			LeaseTTL:           max(minClaimTTL, s.MinLease()),
+			MaxWorkerLease:     min(workerLeaseLimit, s.MaxWorkerLease()),
+			LongestWorkerLease: s.MaxWorkerLease(),
+			JobRetention:       retentionFactor * s.StatusRetention(),
+			Speed:              s.Speed(),
+			Adviser:            platform.NewAdviser(s.Advice, log),
 		},
 		Scope: scope,
 	}
--- a/internal/batch/lease.go
+++ b/internal/batch/lease.go
@@ -85,7 +85,7 @@
 
 // leaseEnd returns the time by which an attempt has certainly ended if its worker stays out of contact. An
 // attempt that no report has listed may run in an incarnation that has seen no renewal, only the start: there
-// the start grants up to a whole lease, and the time until which the start is valid means nothing, since it is
+// the start grants up to the longest lease, and the time until which the start is valid means nothing, since it is
 // on the clock of the former incarnation.
 func (s *State) leaseEnd(a *attempt) time.Time {
 	switch {
@@ -94,12 +94,26 @@
 	case !a.acceptedAt.IsZero():
 		return laterOf(a.worker.leaseEnd, a.acceptedAt.Add(s.timing.LeaseTTL))
 	case !a.restartedAt.IsZero():
-		return laterOf(a.worker.leaseEnd, laterOf(a.requestedAt, a.unansweredAt).Add(maxCallDelay+s.timing.LeaseTTL))
+		return laterOf(a.worker.leaseEnd, laterOf(a.requestedAt, a.unansweredAt).Add(maxCallDelay+s.restartLeaseTTL()))
 	default:
 		return laterOf(a.worker.leaseEnd, a.requestedAt.Add(s.timing.StartLeaseTTL+s.timing.LeaseTTL))
 	}
 }
 
+// earlierLeaseTTL returns how long a lease may last that a worker had granted when its present incarnation first reports to
+// this owner.
+func (s *State) earlierLeaseTTL(w *worker) time.Duration {
+	if w.restarted {
+		return s.restartLeaseTTL()
+	}
+	return s.timing.LeaseTTL
+}
+
+// restartLeaseTTL returns how long a lease may last that was granted to a request for a former incarnation.
+func (s *State) restartLeaseTTL() time.Duration {
+	return max(s.timing.RestartLeaseTTL, s.timing.LeaseTTL)
+}
+
 // ExtendOwnership sets the time until which no other owner can have taken over. After it, a successor
 // may renew the leases of workers that this owner cannot reach, so this owner must not treat them
 // as ended.
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -15,7 +15,7 @@
 		s.handleRestart(w, r.Incarnation, "a report", now)
 	}
 	if !w.reported {
-		w.leaseEnd = laterOf(w.leaseEnd, now.Add(s.timing.LeaseTTL))
+		w.leaseEnd = laterOf(w.leaseEnd, now.Add(s.earlierLeaseTTL(w)))
 	}
 	if w.unreachable {
 		w.excuseSilence(now)
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -65,6 +65,10 @@
 	LeaseTTL time.Duration
 	// StartLeaseTTL is the same for the lease that a start grants.
 	StartLeaseTTL time.Duration
+	// RestartLeaseTTL is the same for the longest lease that workers grant. A worker that has started again under its id may
+	// have granted that to a request that was meant for its former incarnation, whose clock was ahead. It counts as LeaseTTL
+	// if it is less.
+	RestartLeaseTTL time.Duration
 }
 
 // Event is a decision to be logged, with its reason in Detail.
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -115,9 +115,10 @@
 
 func newLeader(o *Owner, held heldClaim, cancel context.CancelCauseFunc) *leader {
 	timing := batch.Timing{
-		StopRetryDelay: stopRetryDelay,
-		LeaseTTL:       maxLeaseDuration(o.opts.MaxWorkerLease),
-		StartLeaseTTL:  maxLeaseDuration(startWindow),
+		StopRetryDelay:  stopRetryDelay,
+		LeaseTTL:        maxLeaseDuration(o.opts.MaxWorkerLease),
+		StartLeaseTTL:   maxLeaseDuration(startWindow),
+		RestartLeaseTTL: maxLeaseDuration(o.opts.LongestWorkerLease),
 	}
 	l := &leader{
 		owner:         o,
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -116,8 +116,11 @@
 	Address  string
 	// LeaseTTL is how long the store keeps the claim without a renewal.
 	LeaseTTL time.Duration
-	// MaxWorkerLease is the longest lease that workers accept; each renewal requests it.
+	// MaxWorkerLease is the lease that each renewal requests of a worker.
 	MaxWorkerLease time.Duration
+	// LongestWorkerLease is the longest lease that workers grant, if that is more: a worker that has started again may grant it
+	// to a request that was meant for its former incarnation.
+	LongestWorkerLease time.Duration
 	// JobRetention is how long an ended job is kept, in memory and in the store.
 	JobRetention time.Duration
 	// Speed is the processor time that this machine provides, in cores; 0 if unknown.
