--- a/internal/owner/fake_workers_test.go
+++ b/internal/owner/fake_workers_test.go
@@ -75,14 +75,19 @@
 	w := &fakeWorkers{taskDuration: time.Second, workers: map[batch.WorkerID]*fakeWorker{}, startCounts: map[batch.TaskID]int{}, lastStarts: map[batch.TaskID]time.Time{}, unreachable: map[batch.WorkerID]bool{},
 		durations: map[string]time.Duration{}, lastEnds: map[batch.TaskID]time.Time{}, firstDone: map[batch.TaskID]time.Time{}, notedDone: map[batch.TaskID]bool{}}
 	for _, id := range ids {
-		w.workers[id] = &fakeWorker{
-			all: w, incarnation: 1, running: map[runKey]time.Time{}, barred: map[batch.TaskID]int64{}, doneAt: map[int64]time.Time{},
-			nextSeq: 1, changed: make(chan struct{}),
-		}
+		w.workers[id] = newFakeWorker(w, 1)
 	}
 	return w
 }
 
+// newFakeWorker returns an incarnation of a worker that runs nothing and has no lease.
+func newFakeWorker(all *fakeWorkers, incarnation int64) *fakeWorker {
+	return &fakeWorker{
+		all: all, incarnation: incarnation, running: map[runKey]time.Time{}, barred: map[batch.TaskID]int64{}, doneAt: map[int64]time.Time{},
+		nextSeq: 1, changed: make(chan struct{}),
+	}
+}
+
 // starts returns how many times a task was started.
 func (w *fakeWorkers) starts(id batch.TaskID) int {
 	w.mu.Lock()
--- a/internal/owner/reborn_lease_test.go
+++ b/internal/owner/reborn_lease_test.go
@@ -30,8 +30,10 @@
 	close(r.crash)
 	r.fakeWorkers.mu.Lock()
 	defer r.fakeWorkers.mu.Unlock()
-	n := r.workers["w0"]
-	*n = fakeWorker{incarnation: 2, running: map[runKey]time.Time{}, nextSeq: 1, changed: n.changed}
+	former := r.workers["w0"]
+	next := newFakeWorker(r.fakeWorkers, 2)
+	next.changed = former.changed
+	*former = *next
 }
 
 // bornAt returns when the worker started again; zero if it has not, or if it is another one.
--- a/internal/owner/renewal_load_test.go
+++ b/internal/owner/renewal_load_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -175,16 +174,16 @@
 			var s *socketWorkers
 			var l *lossyWorkers
 			withOwnerOf(t, ids, func(h *harness) WorkerClient {
-				l = &lossyWorkers{fakeWorkers: h.workers, random: rand.New(rand.NewPCG(seed, 42)), late: h.ctx}
+				l = &lossyWorkers{workers: h.workers, seed: seed, late: h.ctx}
 				s = &socketWorkers{WorkerClient: l, openAt: map[batch.WorkerID]int{}}
 				return s
 			}, func(h *harness) {
-				l.setShare(0.5)
+				l.setLoss(0.5, 0)
 				h.sleep(duration)
 				_, atOne := s.largest()
 				t.Logf("open renewals to one worker: %d", atOne)
 				h.is.True(atOne <= maxOpenReports)
-				l.setShare(0)
+				l.setLoss(0, 0)
 			})
 		})
 	}
