--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -44,7 +44,10 @@
 func (s *State) OldestChange() uint64 { return s.dirty.oldestSeq() }
 
 // HasUrgentRecords reports whether the start of a step waits for a durable record.
-func (s *State) HasUrgentRecords() bool { return len(s.urgentJobs) > 0 }
+func (s *State) HasUrgentRecords() bool { return s.UrgentRecords() > 0 }
+
+// UrgentRecords returns the number of jobs whose records starts wait for.
+func (s *State) UrgentRecords() int { return len(s.urgentJobs) }
 
 // maxUrgentShare is the largest part of the records of a transaction that jobs get whose starts wait for them while
 // others have waited for longer: the acknowledgement of ends waits for the oldest record.
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -155,7 +155,9 @@
 		c.timer = time.After(wait)
 		return
 	}
+	built := time.Now()
 	t := l.nextTxn(now)
+	l.records.built += time.Since(built)
 	c.inFlight, c.lastSent = t, now
 	go l.writeTxn(t)
 }
@@ -170,7 +172,10 @@
 func (l *leader) nextTxn(now time.Time) *recordTxn {
 	c := &l.commits
 	c.number++
-	t := &recordTxn{number: c.number, oldestChange: l.state.OldestChange(), records: l.state.TakeDirty(maxRecordsPerTxn)}
+	t := &recordTxn{number: c.number, oldestChange: l.state.OldestChange()}
+	urgent := l.state.UrgentRecords()
+	t.records = l.state.TakeDirty(maxRecordsPerTxn)
+	t.urgent = urgent - l.state.UrgentRecords()
 	t.txn.If = []kv.Condition{{Key: headKey, Rev: c.rev}}
 	head := commitHead{
 		Epoch: l.epoch, Number: c.number, Owner: l.owner.process(),
@@ -240,6 +245,7 @@
 func (l *leader) committed(t *recordTxn, rev int64) {
 	c := &l.commits
 	c.inFlight, c.rev = nil, rev
+	l.records.addTxn(t, time.Since(c.lastSent))
 	l.state.MarkStored(t.records)
 	for _, id := range t.workers {
 		l.workersRecord.durable[id] = true
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -85,6 +85,7 @@
 	throttles     throttleCalls
 	ctx           context.Context
 	commits       committer
+	records       recordCounts
 	// earlierLeasesEnd is when any lease of an earlier owner has ended; zero until that is known.
 	earlierLeasesEnd time.Time
 	// formerEnds holds by when former owners have ended that have certainly ended, by epoch.
@@ -177,8 +178,10 @@
 		case <-ctx.Done():
 			return
 		case e := <-l.events:
-			e(l, time.Now())
+			began := time.Now()
+			e(l, began)
 			l.drainEvents()
+			l.records.handled += time.Since(began)
 		case e := <-l.storeEvents:
 			e(l, time.Now())
 		case <-ticker.C:
@@ -237,6 +240,9 @@
 	}
 	l.plan(now)
 	l.logEvents()
+	l.records.decisions++
+	l.records.decided += time.Since(now)
+	l.reportRecords(now)
 	l.runMaintenance(now)
 	l.commit(now)
 }
