--- a/internal/batch/advice.go
+++ b/internal/batch/advice.go
@@ -87,7 +87,7 @@
 	}
 	var rated scoredWorkers
 	for i, w := range workers {
-		if !st.suits(w, q, now) {
+		if !st.suits(w, &q, now) {
 			continue
 		}
 		if !st.advice.mayGetTicket(w, now) {
--- a/internal/batch/covers_test.go
+++ b/internal/batch/covers_test.go
@@ -110,12 +110,13 @@
 }
 
 func checkNoWorkerFor(t *rapid.T, s *State, st *step, workers []*worker, now time.Time) {
+	q := s.queueOf(st.job)
 	for i := range st.tasks {
 		if task := &st.tasks[i]; task.done || len(task.attempts) > 0 {
 			continue
 		}
 		for _, w := range workers {
-			if s.rejects(st, &st.tasks[i], w, now) == notRejected {
+			if s.rejects(st, &q, &st.tasks[i], w, now) == notRejected {
 				t.Fatalf("%s waits although %s may run task %d; %+v", st.job.ID, w.info.ID, i, *st.spec)
 			}
 		}
--- /dev/null
+++ b/internal/batch/crowd_bench_test.go
@@ -0,0 +1,94 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// crowdedState returns a state in which the records of many jobs wait to be written.
+func crowdedState(workers, jobs int) (*State, time.Time) {
+	now := time.Unix(1_000_000, 0)
+	s := New(1, testLimits)
+	s.SetConfig(Config{Version: 1, Queues: map[string]Queue{
+		"calc": {Service: "svc", MaxAttempts: 3, Stretch: 1.5, Slack: 250 * time.Millisecond},
+		"fill": {Service: "svc", MaxAttempts: 4, Stretch: 2, Slack: time.Second, Priority: 2},
+	}})
+	for i := range workers {
+		addWorker(s, WorkerID(fmt.Sprintf("w%04d", i)), Resources{CPU: 32_000, MemoryMB: 128_000}, now)
+	}
+	addCrowd(s, jobs, now)
+	return s, now
+}
+
+// addCrowd adds jobs of two steps with eight tasks each.
+func addCrowd(s *State, jobs int, now time.Time) {
+	for i := range jobs {
+		step := Step{Count: 8, Resources: Resources{CPU: int64(2500 + i%20*100), MemoryMB: 6000}, Estimate: 2 * time.Second, Image: fmt.Sprintf("f%d", i%18)}
+		queue := "calc"
+		if i%3 > 0 {
+			queue, step.BestEffort = "fill", true
+		}
+		after := step
+		after.After = []int{0}
+		addJob(s, fmt.Sprintf("f%d", i), queue, now, step, after)
+	}
+}
+
+// BenchmarkPlanOfNewJobs measures the decision that meets many new jobs at once, as after a take-over.
+func BenchmarkPlanOfNewJobs(b *testing.B) {
+	for _, jobs := range []int{100, 1000} {
+		b.Run(fmt.Sprintf("jobs=%d", jobs), func(b *testing.B) {
+			for range b.N {
+				b.StopTimer()
+				s, now := crowdedState(1957, jobs)
+				b.StartTimer()
+				s.Plan(now)
+			}
+		})
+	}
+}
+
+// BenchmarkPlanOfWaitingJobs measures a decision while all new jobs wait for their records.
+func BenchmarkPlanOfWaitingJobs(b *testing.B) {
+	s, now := crowdedState(1957, 1000)
+	s.Plan(now)
+	b.ResetTimer()
+	for i := range b.N {
+		s.Plan(now.Add(time.Duration(i) * time.Millisecond))
+		s.Events()
+	}
+}
+
+// BenchmarkTakeDirty measures the choice of the records of a transaction among many that wait.
+func BenchmarkTakeDirty(b *testing.B) {
+	s, now := crowdedState(1957, 1000)
+	s.Plan(now)
+	b.ResetTimer()
+	for range b.N {
+		records := s.TakeDirty(27)
+		for id := range records {
+			j := s.jobs[id]
+			s.dirty.add(j)
+			s.urgentJobs[j] = true
+		}
+	}
+}
+
+// BenchmarkPlanAfterRecords measures decisions each of which finds the records of a transaction durable.
+func BenchmarkPlanAfterRecords(b *testing.B) {
+	var s *State
+	var now time.Time
+	for i := range b.N {
+		if i%36 == 0 {
+			b.StopTimer()
+			s, now = crowdedState(1957, 1000)
+			s.Plan(now)
+			b.StartTimer()
+		}
+		s.MarkStored(s.TakeDirty(27))
+		now = now.Add(time.Millisecond)
+		s.Plan(now)
+		s.Events()
+	}
+}
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -158,7 +158,7 @@
 			s.holdBack(ref, r, now)
 			continue
 		}
-		w := ranking.best(t)
+		w := ranking.choose(t)
 		if w == nil && s.mayUseLastResort(st, workers, lastResorts) {
 			w = s.choose(st, t, lastResorts, now)
 		}
--- a/internal/batch/ranking.go
+++ b/internal/batch/ranking.go
@@ -11,6 +11,7 @@
 type ranking struct {
 	state   *State
 	step    *step
+	queue   Queue // that of the step's job
 	workers []*worker
 	now     time.Time
 
@@ -20,8 +21,18 @@
 	rack string
 }
 
+// newRanking returns a ranking. It is valid until the next one is made.
 func (s *State) newRanking(st *step, workers []*worker, now time.Time) *ranking {
-	return &ranking{state: s, step: st, workers: workers, now: now}
+	return &ranking{state: s, step: st, queue: s.queueOf(st.job), workers: workers, now: now, scored: s.scoredBuffer[:0]}
+}
+
+// choose returns the best worker for a task, or any that may get it if no task of the step may be started before a record
+// is durable; nil if there is none.
+func (r *ranking) choose(t *task) *worker {
+	if !r.step.startRecordDurable {
+		return r.any(t)
+	}
+	return r.best(t)
 }
 
 // best returns the best worker for a task, or nil. Before the next call, the caller must reserve the
@@ -51,17 +62,28 @@
 	r.built, r.rack = true, r.step.rack
 	r.scored = r.scored[:0]
 	for i, w := range r.workers {
-		if score, ok := r.state.evaluate(r.step, t, w, r.now); ok {
+		if score, ok := r.state.evaluate(r.step, &r.queue, t, w, r.now); ok {
 			r.scored = append(r.scored, scoredWorker{worker: w, score: score, order: i})
 		}
 	}
 	heap.Init(&r.scored)
+	r.state.scoredBuffer = r.scored
+}
+
+// any returns a worker that may get a task, or nil. It costs less than best, which looks at all workers.
+func (r *ranking) any(t *task) *worker {
+	for _, w := range r.workers {
+		if r.state.rejects(r.step, &r.queue, t, w, r.now) == notRejected {
+			return w
+		}
+	}
+	return nil
 }
 
 // rescoreFirst updates the score of the first worker, whose free resources have changed since it was
 // chosen, or removes the worker if it may not get another task.
 func (r *ranking) rescoreFirst(t *task) {
-	score, ok := r.state.evaluate(r.step, t, r.scored[0].worker, r.now)
+	score, ok := r.state.evaluate(r.step, &r.queue, t, r.scored[0].worker, r.now)
 	if !ok {
 		heap.Pop(&r.scored)
 		return
--- a/internal/batch/rejection.go
+++ b/internal/batch/rejection.go
@@ -28,9 +28,9 @@
 var rejectionNames = [rejections]string{"have room", "belong to another service", "lack CPU", "lack memory", "lack GPUs",
 	"have refused as much", "lack the label", "run enough tasks of the step", "have room but run suspected tasks", "have no ticket", "serve tasks that it would disturb"}
 
-// rejects returns the reason for which a usable worker does not get a task, or notRejected.
-func (s *State) rejects(st *step, t *task, w *worker, now time.Time) rejection {
-	q := s.queueOf(st.job)
+// rejects returns the reason for which a usable worker does not get a task, or notRejected. q is the queue of the step's
+// job.
+func (s *State) rejects(st *step, q *Queue, t *task, w *worker, now time.Time) rejection {
 	if r := st.unsuited(w, q, now); r != notRejected {
 		return r
 	}
@@ -51,12 +51,12 @@
 
 // suits reports whether a worker belongs to the queue's service, has enough free resources for a
 // task of the step, as far as its entry and its refusals tell, and meets its constraints.
-func (st *step) suits(w *worker, q Queue, now time.Time) bool {
+func (st *step) suits(w *worker, q *Queue, now time.Time) bool {
 	return st.unsuited(w, q, now) == notRejected
 }
 
 // unsuited returns the reason for which a worker does not suit a task of the step, or notRejected.
-func (st *step) unsuited(w *worker, q Queue, now time.Time) rejection {
+func (st *step) unsuited(w *worker, q *Queue, now time.Time) rejection {
 	if w.info.Service != q.Service {
 		return rejectedService
 	}
--- a/internal/batch/score.go
+++ b/internal/batch/score.go
@@ -8,8 +8,9 @@
 func (s *State) choose(st *step, t *task, workers []*worker, now time.Time) *worker {
 	var best *worker
 	var bestScore float64
+	q := s.queueOf(st.job)
 	for _, w := range workers {
-		if score, ok := s.evaluate(st, t, w, now); ok && (best == nil || score > bestScore) {
+		if score, ok := s.evaluate(st, &q, t, w, now); ok && (best == nil || score > bestScore) {
 			best, bestScore = w, score
 		}
 	}
@@ -20,8 +21,9 @@
 }
 
 // evaluate returns the score of a worker for a task and whether the worker may get the task at all.
-func (s *State) evaluate(st *step, t *task, w *worker, now time.Time) (float64, bool) {
-	if s.rejects(st, t, w, now) != notRejected {
+// q is the queue of the step's job.
+func (s *State) evaluate(st *step, q *Queue, t *task, w *worker, now time.Time) (float64, bool) {
+	if s.rejects(st, q, t, w, now) != notRejected {
 		return 0, false
 	}
 	return s.score(st, t, w), true
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -17,6 +17,8 @@
 	sorted []*worker
 	// usableBuffer is the reused slice for the result of usable.
 	usableBuffer []*worker
+	// scoredBuffer is the reused slice for the workers of a ranking.
+	scoredBuffer scoredWorkers
 	// open holds the steps with waiting tasks.
 	open map[*step]bool
 	// scheduled holds occurrences that are not due yet.
--- a/internal/batch/waits.go
+++ b/internal/batch/waits.go
@@ -235,10 +235,10 @@
 		if w.info.Service != q.Service {
 			continue
 		}
-		if w.suspected > 0 && st.suits(w, q, now) && t.mustAvoid(st, w, now) {
+		if w.suspected > 0 && st.suits(w, &q, now) && t.mustAvoid(st, w, now) {
 			return heldByWithheldRoom
 		}
-		if st.spec.BestEffort && st.suits(w, q, now) {
+		if st.spec.BestEffort && st.suits(w, &q, now) {
 			reason = heldByInterference
 		} else if reason != heldByInterference {
 			reason = heldByRoom
@@ -330,11 +330,12 @@
 func (s *State) describeRoom(st *step, t *task, now time.Time) string {
 	var counts [rejections]int
 	var roomiest *worker
+	q := s.queueOf(st.job)
 	for _, w := range s.sortedWorkers() {
 		if !w.usable(s, now) {
 			continue
 		}
-		counts[s.rejects(st, t, w, now)]++
+		counts[s.rejects(st, &q, t, w, now)]++
 		if roomiest == nil || w.free().CPU > roomiest.free().CPU {
 			roomiest = w
 		}
