--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -11,15 +11,15 @@
 	"github.com/geraniumwick/geraniumwick/internal/pause"
 )
 
-// committer writes the records of the owner, one transaction at a time.
+// committer writes the records of the owner, one transaction after the other.
 type committer struct {
 	rev int64 // revision of the head
 	// number is the number of the newest transaction, and workersNumber that of the newest one that holds the
 	// workers record.
 	number, workersNumber int64
-	// inFlight is the transaction that has been sent and has no known outcome yet; nil if none.
+	// inFlight is the first of the transactions that are being sent and have no known outcome yet; nil if none.
 	inFlight *recordTxn
-	// lastSent is when the newest transaction was sent.
+	// lastSent is when the newest transactions were built.
 	lastSent time.Time
 	// settled is set once a transaction has said that no lease of an earlier owner lasts any more.
 	settled bool
@@ -125,11 +125,14 @@
 // lastDurable returns the number of the newest durable transaction.
 func (c *committer) lastDurable() int64 {
 	if c.inFlight != nil {
-		return c.number - 1
+		return c.inFlight.number - 1
 	}
 	return c.number
 }
 
+// headConditions is the number of conditions of a transaction, that on the head.
+const headConditions = 1
+
 // maxRecordsPerTxn is the largest number of job records in a transaction. It reserves entries for the
 // condition on the head, the head itself, the workers record and the interference weights.
 const maxRecordsPerTxn = kv.MaxTxnEntries - 5
@@ -137,8 +140,12 @@
 // interferenceInterval is the shortest time between two writes of the interference weights.
 const interferenceInterval = 2 * time.Second
 
-// commit sends the next transaction if there is something to write, none is in flight and the
-// interval since the last one has passed.
+// maxTxnsInFlight is the largest number of full transactions that are sent one after the other without a turn of the loop
+// in between. Under load a turn takes many times as long as a transaction.
+const maxTxnsInFlight = 4
+
+// commit sends the next transactions if there is something to write, none is in flight and the
+// interval since the last ones has passed.
 func (l *leader) commit(now time.Time) {
 	c := &l.commits
 	c.timer = nil
@@ -156,10 +163,37 @@
 		return
 	}
 	built := time.Now()
-	t := l.nextTxn(now)
+	t := l.nextTxns(now)
 	l.records.built += time.Since(built)
 	c.inFlight, c.lastSent = t, now
-	go l.writeTxn(t)
+	go l.writeTxns(t, c.rev)
+}
+
+// nextTxns builds the next transaction and, while enough records wait to fill further ones, those that follow it.
+func (l *leader) nextTxns(now time.Time) *recordTxn {
+	first := l.nextTxn(now)
+	last := first
+	for range maxTxnsInFlight - 1 {
+		if l.state.DirtyJobs() < maxRecordsPerTxn {
+			break
+		}
+		last.next = l.nextTxn(now)
+		last = last.next
+	}
+	return first
+}
+
+// writeTxns sends transactions in their order. rev is the revision of the head before the first one.
+func (l *leader) writeTxns(t *recordTxn, rev int64) {
+	for ; t != nil; t = t.next {
+		t.txn.If = []kv.Condition{{Key: headKey, Rev: rev}}
+		var ok bool
+		if rev, ok = l.writeTxn(t); !ok {
+			return
+		}
+		stored, revision := t, rev
+		l.post(func(l *leader, _ time.Time) { l.committed(stored, revision) })
+	}
 }
 
 // mustRefreshHead reports whether the head must be written for what it says of the leases of earlier owners: once they
@@ -176,7 +210,6 @@
 	urgent := l.state.UrgentRecords()
 	t.records = l.state.TakeDirty(maxRecordsPerTxn)
 	t.urgent = urgent - l.state.UrgentRecords()
-	t.txn.If = []kv.Condition{{Key: headKey, Rev: c.rev}}
 	head := commitHead{
 		Epoch: l.epoch, Number: c.number, Owner: l.owner.process(),
 		Settled: l.isSettled(now), EarlierLeases: max(0, l.earlierLeases(now)),
@@ -199,13 +232,14 @@
 		c.interferenceSaved = now
 		t.txn.Set = append(t.txn.Set, kv.Write{Key: interferenceKey, Value: encode(l.state.Interference())})
 	}
-	l.removePruned(t, kv.MaxTxnEntries-len(t.txn.If)-len(t.txn.Set))
+	l.removePruned(t, kv.MaxTxnEntries-headConditions-len(t.txn.Set))
 	return t
 }
 
-// writeTxn sends a transaction until its outcome is known. A retry sends the identical transaction;
-// its condition on the head prevents a second execution.
-func (l *leader) writeTxn(t *recordTxn) {
+// writeTxn sends a transaction until its outcome is known, and returns the revision of the head. A retry sends the
+// identical transaction; its condition on the head prevents a second execution. It returns false if the leadership ends
+// first.
+func (l *leader) writeTxn(t *recordTxn) (int64, bool) {
 	for l.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(l.ctx, commitTimeout)
 		rev, err := l.owner.store.Commit(ctx, t.txn)
@@ -214,15 +248,15 @@
 		}
 		cancel()
 		if err == nil {
-			l.post(func(l *leader, _ time.Time) { l.committed(t, rev) })
-			return
+			return rev, true
 		}
 		if errors.Is(err, errSuperseded) {
 			l.stepDown("another owner has written the head")
-			return
+			return 0, false
 		}
 		pause.For(l.ctx, storeRetryDelay)
 	}
+	return 0, false
 }
 
 // errSuperseded means that another owner has taken over.
@@ -244,7 +278,7 @@
 // committed updates the state after a transaction has become durable.
 func (l *leader) committed(t *recordTxn, rev int64) {
 	c := &l.commits
-	c.inFlight, c.rev = nil, rev
+	c.inFlight, c.rev = t.next, rev
 	l.records.addTxn(t, time.Since(c.lastSent))
 	l.state.MarkStored(t.records)
 	for _, id := range t.workers {
--- a/internal/owner/commit_test.go
+++ b/internal/owner/commit_test.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
+	"github.com/geraniumwick/geraniumwick/internal/kv"
 )
 
 // Jobs change faster than their records can be written. Renewal parameters must wait only for the
@@ -127,3 +128,69 @@
 		})
 	}
 }
+
+// Guards against records that are written more slowly than jobs need them: each transaction waited for a turn of the
+// loop, which takes hundreds of milliseconds while the owner is short of processor time.
+func TestFullTransactionsDoNotWaitForTheLoop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newMemoryStore()
+		rev, err := store.Commit(t.Context(), kv.Txn{Set: []kv.Write{{Key: headKey, Value: encode(commitHead{Epoch: 1})}}})
+		is.NoErr(err)
+		o := New(Options{Instance: "a"}, store, nil, fakeRegistry{}, testConfig, zerolog.Nop())
+		l := newLeader(o, heldClaim{claim: Claim{Epoch: 1}, commitRev: rev}, func(error) {})
+		l.ctx = t.Context()
+		now := time.Now()
+		jobs := 3 * maxRecordsPerTxn
+		for i := range jobs {
+			id := fmt.Sprintf("j%d", i)
+			l.state.AddJob(&batch.Job{ID: id, Queue: "q", QueueConfig: batch.Queue{Service: "svc"}, Spec: batch.Spec{Steps: []batch.Step{tasks(1)}}}, nil, false, now)
+			l.state.Cancel(id, now)
+		}
+		change := l.state.LastChange()
+		l.commit(now)
+		is.Equal(l.commits.lastDurable(), int64(0))
+		time.Sleep(200 * time.Millisecond) // no turn of the loop meanwhile
+		synctest.Wait()
+		stored, _, err := store.List(t.Context(), recordPrefix)
+		is.NoErr(err)
+		is.Equal(len(stored), jobs)
+
+		// The loop hears of them one after the other, and each says how far all changes are durable.
+		p := pendingParams{txnNumber: 3, change: change}
+		for number := range int64(3) {
+			is.Equal(l.commits.lastDurable(), number)
+			is.True(!l.isDurable(p))
+			(<-l.events)(l, time.Now())
+		}
+		is.True(l.isDurable(p))
+		is.True(l.commits.inFlight == nil)
+	})
+}
+
+// Guards against transactions of a superseded owner that follow one which has met the head of its successor.
+func TestNoTransactionFollowsOneThatMeetsAnotherOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newMemoryStore()
+		_, err := store.Commit(t.Context(), kv.Txn{Set: []kv.Write{{Key: headKey, Value: encode(commitHead{Epoch: 2})}}})
+		is.NoErr(err)
+		o := New(Options{Instance: "a"}, store, nil, fakeRegistry{}, testConfig, zerolog.Nop())
+		ended := false
+		l := newLeader(o, heldClaim{claim: Claim{Epoch: 1}, commitRev: 1}, func(error) { ended = true })
+		l.ctx = t.Context()
+		now := time.Now()
+		for i := range 3 * maxRecordsPerTxn {
+			id := fmt.Sprintf("j%d", i)
+			l.state.AddJob(&batch.Job{ID: id, Queue: "q", QueueConfig: batch.Queue{Service: "svc"}, Spec: batch.Spec{Steps: []batch.Step{tasks(1)}}}, nil, false, now)
+			l.state.Cancel(id, now)
+		}
+		l.commit(now)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		is.True(ended)
+		stored, _, err := store.List(t.Context(), recordPrefix)
+		is.NoErr(err)
+		is.Equal(len(stored), 0)
+	})
+}
--- a/internal/owner/records.go
+++ b/internal/owner/records.go
@@ -189,6 +189,8 @@
 	oldestChange uint64
 	txn          kv.Txn
 	records      map[string]batch.Record
+	// next is the transaction that is sent after this one, or nil.
+	next *recordTxn
 	// urgent is the number of records for which starts wait.
 	urgent int
 	// workers are the workers that the workers record in it contains.
