--- a/internal/batch/crowd_bench_test.go
+++ b/internal/batch/crowd_bench_test.go
@@ -92,3 +92,29 @@
 		s.Events()
 	}
 }
+
+// BenchmarkPlanOfSuspects measures the decision that finds thousands of suspected tasks startable, as after the loss of many
+// workers together.
+func BenchmarkPlanOfSuspects(b *testing.B) {
+	for range b.N {
+		b.StopTimer()
+		s, now := suspectsState(1957, 1000)
+		b.StartTimer()
+		s.Plan(now)
+		b.StopTimer()
+	}
+}
+
+// suspectsState returns a state in which all tasks of the first steps of many jobs are suspected.
+func suspectsState(workers, jobs int) (*State, time.Time) {
+	s, now := crowdedState(workers, jobs)
+	s.Plan(now)
+	s.MarkStored(s.TakeDirty(jobs))
+	for _, j := range s.jobs {
+		st := j.occs[0].steps[0]
+		for i := range st.tasks {
+			s.addSuspicion(taskRef{st, i}, Suspicion{Run: 1, Worker: "gone"})
+		}
+	}
+	return s, now.Add(time.Second)
+}
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -29,6 +29,7 @@
 		s.reportTasksDown(now)
 	}
 	s.lastPlan = now
+	s.evaluations, s.fullSearches = 0, 0
 	s.openDue(now)
 	s.failHopeless(now)
 	s.place(now)
--- a/internal/batch/ranking.go
+++ b/internal/batch/ranking.go
@@ -42,7 +42,7 @@
 		// The task's last worker, or those with other tasks, have a lower score for it, so the common order
 		// does not apply.
 		r.built = false
-		return r.state.choose(r.step, t, r.workers, r.now)
+		return r.state.search(r.step, t, r.workers, r.now)
 	}
 	if !r.built || r.rack != r.step.rack {
 		r.build(t)
--- a/internal/batch/score.go
+++ b/internal/batch/score.go
@@ -20,9 +20,53 @@
 	return best
 }
 
+const (
+	// maxFullSearches is the number of searches in one Plan that look at all workers for a single task. When many workers
+	// are lost together, thousands of their tasks need such a search at once.
+	maxFullSearches = 64
+	// maxCandidates is the number of workers that may run the task after which a further search ends.
+	maxCandidates = 64
+)
+
+// search returns a worker for a task that may prefer others than the tasks of its step, or nil if there is none: the best
+// one or, after maxFullSearches in the same Plan, the best of maxCandidates. Steps that prefer a rack have the best one
+// always.
+func (s *State) search(st *step, t *task, workers []*worker, now time.Time) *worker {
+	if s.fullSearches < maxFullSearches || st.spec.RackLocal || st.spec.DataRack != "" {
+		s.fullSearches++
+		return s.choose(st, t, workers, now)
+	}
+	return s.chooseFromFew(st, t, workers, now)
+}
+
+// chooseFromFew returns the best of the next maxCandidates workers that may run a task, or nil if there is none. Each
+// search begins where the last one ended.
+func (s *State) chooseFromFew(st *step, t *task, workers []*worker, now time.Time) *worker {
+	var best *worker
+	var bestScore float64
+	q := s.queueOf(st.job)
+	candidates, first := 0, s.nextCandidate
+	for i := range workers {
+		s.nextCandidate = (first + i + 1) % len(workers)
+		w := workers[(first+i)%len(workers)]
+		score, ok := s.evaluate(st, &q, t, w, now)
+		if !ok {
+			continue
+		}
+		if best == nil || score > bestScore {
+			best, bestScore = w, score
+		}
+		if candidates++; candidates == maxCandidates {
+			break
+		}
+	}
+	return best
+}
+
 // evaluate returns the score of a worker for a task and whether the worker may get the task at all.
 // q is the queue of the step's job.
 func (s *State) evaluate(st *step, q *Queue, t *task, w *worker, now time.Time) (float64, bool) {
+	s.evaluations++
 	if s.rejects(st, q, t, w, now) != notRejected {
 		return 0, false
 	}
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -19,6 +19,9 @@
 	usableBuffer []*worker
 	// scoredBuffer is the reused slice for the workers of a ranking.
 	scoredBuffer scoredWorkers
+	// evaluations is the number of workers that the present Plan has rated for tasks, fullSearches that of its searches of
+	// all workers for a single task, and nextCandidate where the next search of few of them begins.
+	evaluations, fullSearches, nextCandidate int
 	// open holds the steps with waiting tasks.
 	open map[*step]bool
 	// scheduled holds occurrences that are not due yet.
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -135,6 +135,7 @@
 		throttles:     throttleCalls{},
 		formerEnds:    map[int64]time.Time{},
 		commits:       committer{rev: held.commitRev},
+		records:       recordCounts{reportedAt: time.Now()},
 	}
 	l.extendOwnership(held.granted)
 	return l
