--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -29,6 +29,7 @@
 		s.reportTasksDown(now)
 	}
 	s.lastPlan = now
+	s.evaluations, s.fullSearches = 0, 0
 	s.openDue(now)
 	s.failHopeless(now)
 	s.place(now)
@@ -158,7 +159,7 @@
 			s.holdBack(ref, r, now)
 			continue
 		}
-		w := ranking.best(t)
+		w := ranking.choose(t)
 		if w == nil && s.mayUseLastResort(st, workers, lastResorts) {
 			w = s.choose(st, t, lastResorts, now)
 		}
