--- a/internal/owner/repeated_calls.go
+++ b/internal/owner/repeated_calls.go
@@ -63,10 +63,10 @@
 
 // repeatCall makes a call that has the same effect however often it is made, and makes it again and again
 // until one takes effect or ctx ends. A refusal of one copy says nothing about the others: the outcome is a refusal only
-// if all are refused.
+// if all are refused or were not sent.
 func (l *leader) repeatCall(ctx context.Context, kind callKind, worker batch.WorkerID, call func(context.Context) batch.Answer) batch.Answer {
 	outcome := batch.AnswerNone
-	refused, refusedForGood := 0, false
+	refused, unsent, refusedForGood := 0, 0, false
 	calls := repetition[batch.Answer]{
 		try:       func(ctx context.Context, n int) batch.Answer { return l.tryCall(ctx, n, kind, call) },
 		interval:  callRepeatInterval,
@@ -77,9 +77,12 @@
 		switch answer {
 		case batch.AnswerNone:
 			return false
+		case batch.AnswerUnsent:
+			unsent++
+			return false
 		case batch.AnswerOK:
 			outcome = answer
-			if sent > 1 {
+			if sent > unsent+1 {
 				outcome = batch.AnswerOKRepeated
 			}
 			return true
@@ -89,12 +92,11 @@
 		}
 		outcome = answer
 		refused++
-		// Another copy would be refused, too, unless the worker was unhealthy or the request was not sent.
-		refusedForGood = refusedForGood || answer != batch.AnswerRefused && answer != batch.AnswerUnsent
-		return refused == sent
+		refusedForGood = refusedForGood || answer != batch.AnswerRefused // another copy would be refused, too
+		return refused+unsent == sent
 	})
 	switch {
-	case sent == 0:
+	case unsent == sent:
 		return batch.AnswerUnsent
 	case !decided:
 		return batch.AnswerNone
--- a/internal/owner/repeated_calls_test.go
+++ b/internal/owner/repeated_calls_test.go
@@ -55,7 +55,7 @@
 func TestOutcomesOfRepeatedCalls(t *testing.T) {
 	const lateRefusal, lateRefusalDelay = batch.Answer(255), firstTryTimeout - 10*time.Millisecond
 	const secondTry = firstTryTimeout + firstRepeatDelay
-	const none, ok, refused, full, fenced = batch.AnswerNone, batch.AnswerOK, batch.AnswerRefused, batch.AnswerNoCapacity, batch.AnswerFenced
+	const none, ok, refused, full, fenced, unsent = batch.AnswerNone, batch.AnswerOK, batch.AnswerRefused, batch.AnswerNoCapacity, batch.AnswerFenced, batch.AnswerUnsent
 	for _, c := range []struct {
 		name    string
 		answers []batch.Answer // of the copies in turn; the later ones get no answer
@@ -67,7 +67,9 @@
 		{"the only copy is refused", []batch.Answer{full}, full, 1, 0},
 		{"the second copy is carried out", []batch.Answer{none, ok}, batch.AnswerOKRepeated, 2, secondTry},
 		{"the second copy is refused, and the first may have been carried out", []batch.Answer{none, full}, none, 2, orderCallTimeout},
-		{"the second copy was not sent", []batch.Answer{none, refused, ok}, batch.AnswerOKRepeated, 3, secondTry + callRepeatInterval},
+		{"the first copy was not sent", []batch.Answer{unsent, ok}, ok, 2, firstRepeatDelay},
+		{"the first copy was not sent, and the second is refused", []batch.Answer{unsent, full}, full, 2, firstRepeatDelay},
+		{"the second copy is turned away", []batch.Answer{none, refused, ok}, batch.AnswerOKRepeated, 3, secondTry + callRepeatInterval},
 		{"the only copy is refused late", []batch.Answer{lateRefusal}, full, 1, lateRefusalDelay},
 		{"all copies but the first are refused late", []batch.Answer{none, lateRefusal, lateRefusal}, none, 3, orderCallTimeout},
 		{"a copy meets the next owner", []batch.Answer{none, fenced}, fenced, 2, secondTry},
