--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -84,10 +84,11 @@
 	clocks        map[batch.WorkerID]workerClock
 	renewers      map[batch.WorkerID]*renewer
 	workersRecord workersRecord
-	throttles     throttleCalls
-	ctx           context.Context
-	commits       committer
-	records       recordCounts
+	// starts and throttles are the requests whose copies are still sent.
+	starts, throttles attemptCalls
+	ctx               context.Context
+	commits           committer
+	records           recordCounts
 	// earlierLeasesEnd is when any lease of an earlier owner has ended; zero until that is known.
 	earlierLeasesEnd time.Time
 	// formerEnds holds by when former owners have ended that have certainly ended, by epoch.
@@ -135,7 +136,8 @@
 		clocks:        map[batch.WorkerID]workerClock{},
 		renewers:      map[batch.WorkerID]*renewer{},
 		workersRecord: newWorkerRecord(held.claim.Epoch),
-		throttles:     throttleCalls{},
+		starts:        attemptCalls{},
+		throttles:     attemptCalls{},
 		formerEnds:    map[int64]time.Time{},
 		commits:       committer{rev: held.commitRev},
 		records:       recordCounts{reportedAt: time.Now()},
--- a/internal/owner/worker_calls.go
+++ b/internal/owner/worker_calls.go
@@ -30,18 +30,23 @@
 		Worker: a.Worker, Address: a.Address, Epoch: l.epoch, Task: a.Task, Run: a.Run,
 		Payload: a.Payload, NotAfter: notAfter, Checkpoint: a.Checkpoint, Ticket: a.Ticket,
 	}
+	call := l.starts.begin(l.ctx, a)
 	go func() {
-		ctx, cancel := context.WithTimeout(l.ctx, startCallTimeout)
+		ctx, cancel := context.WithTimeout(call.ctx, startCallTimeout)
 		defer cancel()
 		answer := l.repeatCall(ctx, callStart, request.Worker, func(ctx context.Context) batch.Answer { return l.owner.workers.Start(ctx, request) })
 		l.post(func(l *leader, now time.Time) {
+			l.starts.end(call)
 			l.checkFenced(a, answer)
 			l.state.StartAnswered(a.Worker, a.Task, a.Run, answer, now)
 		})
 	}()
 }
 
+// stopTask sends a stop. Copies of the start of the attempt, or of the change of its CPU limit, would only follow it.
 func (l *leader) stopTask(a batch.Action) {
+	l.starts.cancel(a)
+	l.throttles.cancel(a)
 	l.callWorker(l.ctx, a, callStop, l.owner.workers.Stop, func(l *leader, answer batch.Answer, now time.Time) {
 		l.state.StopAnswered(a.Worker, a.Incarnation, a.Task, a.Run, answer, now)
 	})
