--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -55,6 +55,9 @@
 	previousCPULimit int
 	// throttleUnconfirmed is set if the worker may not have applied cpuLimit.
 	throttleUnconfirmed bool
+	throttleSent        time.Time // when cpuLimit was last sent
+	throttlePending     bool      // that request has no outcome yet
+	lateThrottles       []lateThrottle
 }
 
 func (a *attempt) id() TaskID {
--- a/internal/batch/throttle.go
+++ b/internal/batch/throttle.go
@@ -62,6 +62,7 @@
 	pessimistic := !w.targetMissedSince.IsZero() && now.Sub(w.targetMissedSince) > pessimisticAfter
 	throttleBudgets, raiseBudgets := newFactorBudgets(groups, throttleUtilisation), newFactorBudgets(groups, raiseUtilisation)
 	for _, a := range w.bestEffortWhere(func(*attempt) bool { return true }) {
+		a.forgetLateThrottles(now)
 		added := make([]float64, len(groups))
 		for i, g := range groups {
 			added[i] = s.interferenceModel.addedFactorWith(w, a.step, g.image, pessimistic)
@@ -74,7 +75,7 @@
 		}
 		throttleBudgets.spend(added, limit)
 		raiseBudgets.spend(added, limit)
-		if limit != a.cpuLimit || a.throttleUnconfirmed {
+		if limit != a.cpuLimit || a.throttleUnconfirmed || a.mayBeUndone(now) {
 			s.throttle(a, limit, now)
 		}
 	}
@@ -172,9 +173,12 @@
 	w := a.worker
 	w.bestEffortCPU -= a.limitedCPU()
 	if percent != a.cpuLimit {
+		if a.throttlePending {
+			a.noteLateThrottle() // its outcome is not reported any more
+		}
 		a.previousCPULimit, a.cpuLimit, a.cpuLimitAt = a.cpuLimit, percent, now
 	}
-	a.progressAt, a.throttleUnconfirmed = now, false
+	a.progressAt, a.throttleUnconfirmed, a.throttleSent, a.throttlePending = now, false, now, true
 	w.bestEffortCPU += a.limitedCPU()
 	w.latencyGroupsAt = time.Time{}
 	// The log calls the setting of a CPU limit task.pace.
@@ -189,10 +193,18 @@
 // could not be sent in time is sent again after the worker's next report.
 func (s *State) ThrottleAnswered(id WorkerID, task TaskID, run int64, answer Answer) {
 	w := s.workers[id]
-	if w == nil || answer != AnswerNone && answer != AnswerRefused && answer != AnswerExpired {
+	if w == nil {
+		return
+	}
+	a := w.attempts[attemptKey{task, run}]
+	if a == nil {
 		return
 	}
-	if a := w.attempts[attemptKey{task, run}]; a != nil {
+	a.throttlePending = false
+	if answer == AnswerNone || answer == AnswerOKRepeated {
+		a.noteLateThrottle()
+	}
+	if answer == AnswerNone || answer == AnswerRefused || answer == AnswerExpired {
 		a.throttleUnconfirmed = true
 	}
 }
