--- a/internal/batch/late_throttles_test.go
+++ b/internal/batch/late_throttles_test.go
@@ -70,7 +70,7 @@
 				}
 			}
 			is.Equal(repeats > 5, c.want) // one after the copy, within harm-ms, whenever it is carried out
-			now = now.Add(4 * interval) // one report passes before the time is known
+			now = now.Add(4 * interval)   // one report passes before the time is known
 			is.Equal(len(reportThrottled(s, list, 50, AnswerOK, now)), 0)
 		})
 	}
