--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -17,7 +17,7 @@
 	startWindow = 1500 * time.Millisecond
 	// startCallTimeout bounds the wait for the response to a start and its copies. It leaves the last of them time to arrive
 	// within startWindow.
-	startCallTimeout = 1300 * time.Millisecond
+	startCallTimeout = 1100 * time.Millisecond
 	// orderCallTimeout bounds the wait for the response to a stop or throttle request and its copies.
 	orderCallTimeout = 700 * time.Millisecond
 	// stopRetryDelay is the pause before a stop request without a response is repeated.
@@ -29,10 +29,11 @@
 	// urgentInterval replaces commitInterval while steps wait for their record to become durable, or enough records
 	// wait to fill a transaction.
 	urgentInterval = 8 * time.Millisecond
-	// commitTimeout bounds one attempt of a transaction.
-	commitTimeout = 1500 * time.Millisecond
-	// commitRepeatDelay is how long an attempt of a transaction may stay without an answer before the next one.
-	commitRepeatDelay = 300 * time.Millisecond
+	// firstCommitTimeout bounds the first attempt of a transaction, and commitTimeout each other one, which may overlap.
+	firstCommitTimeout = 300 * time.Millisecond
+	commitTimeout      = 1500 * time.Millisecond
+	// commitRepeatInterval is the time between two of these.
+	commitRepeatInterval = 300 * time.Millisecond
 	// watchInterval is the pause between two watches, so that changes in the store arrive in
 	// batches. New jobs do not wait for it: the instances that accept them notify the owner
 	// directly.
@@ -70,10 +71,9 @@
 	done chan struct{}
 	// firstRenewals is a semaphore that limits the concurrent first calls to workers.
 	firstRenewals chan struct{}
-	// orderSlots bounds the orders to each worker that are open at a time, and openCopies counts the copies of orders to
-	// all of them that are.
+	// orderSlots bounds the orders to each worker that are open at a time, and retries the retries of all requests.
 	orderSlots orderSlots
-	openCopies atomic.Int64
+	retries    retryBudget
 	// calls counts the requests to workers since the last report on them.
 	calls callCounts
 	// ownedUntil is the time until which the claim is confirmed, in nanoseconds on Options.BootClock.
--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
@@ -16,22 +17,22 @@
 	idleWait      = 2 * time.Second
 	busyWait      = time.Second
 	colocatedWait = 300 * time.Millisecond
-	// renewTimeout is how much longer than that wait a worker may be without an answer until it counts as unreachable, and
-	// how long a renewal keeps its connection beyond the wait.
+	// renewTimeout is how much longer than that wait a worker may be without an answer until it counts as unreachable.
 	renewTimeout = 750 * time.Millisecond
 	// lossyTimeout replaces renewTimeout, the wait included, for a worker that is known to lose answers.
 	lossyTimeout = 1500 * time.Millisecond
 	// lossyMemory is how long a worker is known for that after the last lost answer.
-	lossyMemory = 10 * time.Second
-	// lossyWait is how long a worker that has just lost an answer may wait for an attempt to end. The wait is doubled
-	// with each answer up to the usual one.
-	lossyWait = 250 * time.Millisecond
-	// renewRepeatDelay is how much longer than its wait a renewal may take before it is repeated, and renewRepeatInterval
-	// the time between two repetitions.
-	renewRepeatDelay    = 100 * time.Millisecond
-	renewRepeatInterval = 60 * time.Millisecond
-	// repeatedRenewalTimeout is how long a repetition keeps its connection.
-	repeatedRenewalTimeout = 250 * time.Millisecond
+	lossyMemory = 5 * time.Second
+	// lossyWait is how long a worker with tasks that end by themselves may wait for that if it has just lost an answer. The
+	// wait is doubled with each answer up to the usual one.
+	lossyWait = 300 * time.Millisecond
+	// renewAnswerTimeout is how much longer than its wait a renewal may take before it is repeated, and lossyAnswerTimeout
+	// replaces it for a worker that is known to lose answers. renewRepeatInterval is the time between two repetitions, and
+	// repeatedRenewalTimeout how long each may take.
+	renewAnswerTimeout     = 350 * time.Millisecond
+	lossyAnswerTimeout     = 200 * time.Millisecond
+	renewRepeatInterval    = 100 * time.Millisecond
+	repeatedRenewalTimeout = 300 * time.Millisecond
 	// renewRetryDelay is the pause after a failed renewal.
 	renewRetryDelay = 250 * time.Millisecond
 	// ackTimeout is how long a renewer waits for the changes from a report to become durable before
@@ -78,6 +79,8 @@
 	answer batch.Answer
 	// renewed is set if the request has renewed the lease, and repeated if it was a repetition.
 	renewed, repeated bool
+	// broken is set if the connection broke before an answer.
+	broken bool
 }
 
 // reconcileRenewers starts a renewer for each worker that has an address, and stops the renewers of
@@ -170,33 +173,31 @@
 	default:
 	}
 	now := time.Now()
-	request, patience := rn.nextRequest(now), renewTimeout
+	request, answerTimeout, patience := rn.nextRequest(now), renewAnswerTimeout, renewTimeout
 	if now.Before(rn.lossyUntil) {
-		patience = max(patience, lossyTimeout-request.MaxWait)
+		answerTimeout, patience = lossyAnswerTimeout, max(patience, lossyTimeout-request.MaxWait)
 	}
 	ctx, cancel := context.WithTimeout(ctx, request.MaxWait+patience)
 	defer cancel()
+	var broken atomic.Bool
 	calls := repetition[renewal]{
 		try: func(ctx context.Context, n int) renewal {
 			if n == 1 {
-				return rn.request(ctx, request, request.MaxWait+renewTimeout)
+				return rn.request(ctx, request, request.MaxWait+answerTimeout)
 			}
-			r := rn.request(ctx, request.repetition(), repeatedRenewalTimeout)
+			r := rn.request(ctx, request.repetition(broken.Load()), repeatedRenewalTimeout)
 			r.repeated = true
 			return r
 		},
-		pause: func(n int) time.Duration {
-			if n == 1 {
-				return request.MaxWait + renewRepeatDelay
-			}
-			return renewRepeatInterval
-		},
-		maxPause: renewRepeatInterval,
-		mayTry:   func(int) bool { return true },
+		interval:  renewRepeatInterval,
+		mayRepeat: func() bool { return rn.leader.retries.take(callRenewal) },
 	}
 	outcome := renewal{answer: batch.AnswerNone}
 	calls.run(ctx, func(r renewal, _ int) bool {
 		outcome = r
+		if r.broken {
+			broken.Store(true)
+		}
 		return r.answer != batch.AnswerNone
 	})
 	rn.noteLoss(outcome)
@@ -208,8 +209,8 @@
 // wrong.
 func (rn *renewer) nextRequest(now time.Time) RenewRequest {
 	r := RenewRequest{Worker: rn.info.ID, Address: rn.info.Address, Epoch: rn.leader.epoch, AckSeq: rn.params.ackSeq, MaxWait: rn.params.maxWait}
-	if rn.maxWait > 0 {
-		r.MaxWait = min(r.MaxWait, rn.maxWait)
+	if now.Before(rn.lossyUntil) {
+		r.MaxWait = min(r.MaxWait, rn.lossyMaxWait(r.MaxWait))
 	}
 	if rn.params.renew {
 		r.LeaseEnd = rn.nextLeaseEnd(now)
@@ -220,10 +221,23 @@
 	return r
 }
 
+// lossyMaxWait bounds the wait of a worker that is known to lose answers, and would wait for a time otherwise. An idle one
+// has no ends to report, so its waits need only be short enough that several renewals fit into a lease.
+func (rn *renewer) lossyMaxWait(usual time.Duration) time.Duration {
+	if usual > busyWait || rn.maxWait == 0 {
+		return busyWait
+	}
+	return rn.maxWait
+}
+
 // repetition returns the request that follows one without an answer. It has the same end of the lease, so it does nothing
-// that the first one may not still do. It acknowledges nothing, since the worker may have been restarted meanwhile.
-func (r RenewRequest) repetition() RenewRequest {
+// that the first one may not still do. It acknowledges nothing, since the worker may have been restarted meanwhile. If a
+// connection broke, that is likely, and it renews nothing either: the clock of the lease's end has begun anew.
+func (r RenewRequest) repetition(broken bool) RenewRequest {
 	r.AckSeq, r.MaxWait = 0, 0
+	if broken {
+		r.LeaseEnd = 0
+	}
 	return r
 }
 
@@ -236,9 +250,9 @@
 		kind = callRenewal
 	}
 	report, answer := rn.leader.owner.workers.RenewLease(ctx, r)
-	rn.leader.calls.add(kind, answer)
+	rn.leader.countCall(kind, answer)
 	report.RequestedAt = now
-	return renewal{report: report, answer: answer, renewed: r.LeaseEnd != 0}
+	return renewal{report: report, answer: answer, renewed: r.LeaseEnd != 0, broken: answer == batch.AnswerNone && !hasPassed(ctx)}
 }
 
 // noteLoss notes what the outcome of a renewal says of the worker: if only a repetition was answered, the worker is there,
@@ -249,7 +263,7 @@
 	case outcome.repeated:
 		rn.lossyUntil, rn.maxWait = time.Now().Add(lossyMemory), lossyWait
 	case rn.maxWait > 0:
-		if rn.maxWait *= 2; rn.maxWait >= idleWait {
+		if rn.maxWait *= 2; rn.maxWait >= busyWait {
 			rn.maxWait = 0
 		}
 	}
--- a/internal/owner/repeated_calls.go
+++ b/internal/owner/repeated_calls.go
@@ -9,33 +9,30 @@
 )
 
 const (
-	// callRepeatDelay is how long a worker may take to answer a start, stop or throttle before the identical request is
-	// sent again.
-	callRepeatDelay = 100 * time.Millisecond
-	// firstTryTimeout is how long the first tries of a request keep their connections, and laterTryTimeout the others: the
-	// answers may be slow instead of lost.
-	firstTryTimeout = 300 * time.Millisecond
-	laterTryTimeout = 600 * time.Millisecond
-	// firstTries is the number of tries that end after firstTryTimeout.
-	firstTries = 2
+	// firstTryTimeout is how long a worker may take to answer a start, stop or throttle before the identical request is
+	// sent again, and callRepeatInterval the time between two of these copies.
+	firstTryTimeout    = 150 * time.Millisecond
+	callRepeatInterval = 100 * time.Millisecond
+	// copyTimeout is how long the first copies keep their connections, and lateCopyTimeout the others: the answers may be slow
+	// instead of lost.
+	copyTimeout     = 300 * time.Millisecond
+	lateCopyTimeout = 600 * time.Millisecond
+	// firstCopies is the number of copies that end after copyTimeout.
+	firstCopies = 2
 )
 
 const (
 	// maxOpenOrders is the largest number of starts, stops and throttles to a worker that are open at a time. Others wait
 	// for one of them to end.
 	maxOpenOrders = 6
-	// maxOpenReports is the largest number of renewals to a worker that are open at a time: one without an answer, those
-	// of its repetitions that are open together, and the next one.
+	// maxOpenReports is the largest number of renewals to a worker that are open at a time: repetitions, and the next
+	// renewal and its first repetition.
 	maxOpenReports = 2 + int(repeatedRenewalTimeout/renewRepeatInterval)
 	// MaxOpenRequests is the largest number of requests to a worker that are open at a time. With as many connections,
 	// renewals never wait for orders.
 	MaxOpenRequests = maxOpenOrders + maxOpenReports
 )
 
-// maxOpenCopies is the largest number of copies of orders that are open at a time, to all workers together: each takes a
-// file descriptor.
-const maxOpenCopies = 1000
-
 // orderSlots bounds the orders to each worker that are open at a time.
 type orderSlots struct {
 	mu       sync.Mutex
@@ -64,20 +61,17 @@
 	delete(o.byWorker, id)
 }
 
-// repeatCall makes a call that has the same effect however often it is made, and makes it again each callRepeatDelay
+// repeatCall makes a call that has the same effect however often it is made, and makes it again and again
 // until one takes effect or ctx ends. A refusal of one copy says nothing about the others: the outcome is a refusal only
 // if all are refused.
 func (l *leader) repeatCall(ctx context.Context, kind callKind, worker batch.WorkerID, call func(context.Context) batch.Answer) batch.Answer {
 	outcome := batch.AnswerNone
 	refused, refusedForGood := 0, false
 	calls := repetition[batch.Answer]{
-		try:      func(ctx context.Context, n int) batch.Answer { return l.tryCall(ctx, n, kind, call) },
-		pause:    func(int) time.Duration { return callRepeatDelay },
-		maxPause: callRepeatDelay,
-		mayTry: func(n int) bool {
-			return !refusedForGood && (n == 1 || l.openCopies.Load() < maxOpenCopies)
-		},
-		slots: l.orderSlots.of(worker),
+		try:       func(ctx context.Context, n int) batch.Answer { return l.tryCall(ctx, n, kind, call) },
+		interval:  callRepeatInterval,
+		mayRepeat: func() bool { return !refusedForGood && l.retries.take(kind) },
+		slots:     l.orderSlots.of(worker),
 	}
 	sent, decided := calls.run(ctx, func(answer batch.Answer, sent int) bool {
 		switch answer {
@@ -95,12 +89,13 @@
 		}
 		outcome = answer
 		refused++
-		refusedForGood = refusedForGood || answer != batch.AnswerRefused // another copy would be refused, too
+		// Another copy would be refused, too, unless the worker was unhealthy or the request was not sent.
+		refusedForGood = refusedForGood || answer != batch.AnswerRefused && answer != batch.AnswerUnsent
 		return refused == sent
 	})
 	switch {
 	case sent == 0:
-		return batch.AnswerExpired
+		return batch.AnswerUnsent
 	case !decided:
 		return batch.AnswerNone
 	default:
@@ -111,19 +106,23 @@
 // tryCall makes the n-th try of a call, unless the owner may not act any more.
 func (l *leader) tryCall(ctx context.Context, n int, kind callKind, call func(context.Context) batch.Answer) batch.Answer {
 	if !l.mayAct() {
-		return batch.AnswerExpired
-	}
-	timeout := firstTryTimeout
-	if n > firstTries {
-		timeout = laterTryTimeout
+		return batch.AnswerUnsent
 	}
-	if n > 1 {
-		l.openCopies.Add(1)
-		defer l.openCopies.Add(-1)
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout(n))
 	defer cancel()
 	answer := call(ctx)
-	l.calls.add(kind, answer)
+	l.countCall(kind, answer)
 	return answer
 }
+
+// tryTimeout returns how long the n-th try of a call may take.
+func tryTimeout(n int) time.Duration {
+	switch {
+	case n == 1:
+		return firstTryTimeout
+	case n <= 1+firstCopies:
+		return copyTimeout
+	default:
+		return lateCopyTimeout
+	}
+}
