--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -10,14 +10,14 @@
 	"github.com/geraniumwick/geraniumwick/internal/kv"
 )
 
-// committer writes the records of the owner, one transaction at a time.
+// committer writes the records of the owner, one transaction after the other.
 type committer struct {
 	rev int64 // revision of the head
 	// number is the number of the newest transaction.
 	number int64
-	// inFlight is the transaction that has been sent and has no known outcome yet; nil if none.
+	// inFlight is the first of the transactions that are being sent and have no known outcome yet; nil if none.
 	inFlight *recordTxn
-	// lastSent is when the newest transaction was sent.
+	// lastSent is when the newest transactions were built.
 	lastSent time.Time
 	// settled is set once a transaction has said that no lease of an earlier owner lasts any more.
 	settled bool
@@ -120,11 +120,14 @@
 // lastDurable returns the number of the newest durable transaction.
 func (c *committer) lastDurable() int64 {
 	if c.inFlight != nil {
-		return c.number - 1
+		return c.inFlight.number - 1
 	}
 	return c.number
 }
 
+// headConditions is the number of conditions of a transaction, that on the head.
+const headConditions = 1
+
 // maxRecordsPerTxn is the largest number of job records in a transaction. It reserves entries for the
 // condition on the head, the head itself, the workers record and the interference weights.
 const maxRecordsPerTxn = kv.MaxTxnEntries - 5
@@ -132,8 +135,12 @@
 // interferenceInterval is the shortest time between two writes of the interference weights.
 const interferenceInterval = 2 * time.Second
 
-// commit sends the next transaction if there is something to write, none is in flight and the
-// interval since the last one has passed.
+// maxTxnsInFlight is the largest number of full transactions that are sent one after the other without a turn of the loop
+// in between. Under load a turn takes many times as long as a transaction.
+const maxTxnsInFlight = 4
+
+// commit sends the next transactions if there is something to write, none is in flight and the
+// interval since the last ones has passed.
 func (l *leader) commit(now time.Time) {
 	c := &l.commits
 	c.timer = nil
@@ -150,9 +157,38 @@
 		c.timer = time.After(wait)
 		return
 	}
-	t := l.nextTxn(now)
+	built := time.Now()
+	t := l.nextTxns(now)
+	l.records.built += time.Since(built)
 	c.inFlight, c.lastSent = t, now
-	go l.writeTxn(t)
+	go l.writeTxns(t, c.rev)
+}
+
+// nextTxns builds the next transaction and, while enough records wait to fill further ones, those that follow it.
+func (l *leader) nextTxns(now time.Time) *recordTxn {
+	first := l.nextTxn(now)
+	last := first
+	for range maxTxnsInFlight - 1 {
+		if l.state.DirtyJobs() < maxRecordsPerTxn {
+			break
+		}
+		last.next = l.nextTxn(now)
+		last = last.next
+	}
+	return first
+}
+
+// writeTxns sends transactions in their order. rev is the revision of the head before the first one.
+func (l *leader) writeTxns(t *recordTxn, rev int64) {
+	for ; t != nil; t = t.next {
+		t.txn.If = []kv.Condition{{Key: headKey, Rev: rev}}
+		var ok bool
+		if rev, ok = l.writeTxn(t); !ok {
+			return
+		}
+		stored, revision := t, rev
+		l.post(func(l *leader, _ time.Time) { l.committed(stored, revision) })
+	}
 }
 
 // mustRefreshHead reports whether the head must be written for what it says of the leases of earlier owners: once they
@@ -165,8 +201,10 @@
 func (l *leader) nextTxn(now time.Time) *recordTxn {
 	c := &l.commits
 	c.number++
-	t := &recordTxn{number: c.number, oldestChange: l.state.OldestChange(), records: l.state.TakeDirty(maxRecordsPerTxn)}
-	t.txn.If = []kv.Condition{{Key: headKey, Rev: c.rev}}
+	t := &recordTxn{number: c.number, oldestChange: l.state.OldestChange()}
+	urgent := l.state.UrgentRecords()
+	t.records = l.state.TakeDirty(maxRecordsPerTxn)
+	t.urgent = urgent - l.state.UrgentRecords()
 	head := commitHead{
 		Epoch: l.epoch, Number: c.number, Owner: l.owner.process(),
 		Settled: l.isSettled(now), EarlierLeases: max(0, l.earlierLeases(now)),
@@ -188,7 +226,7 @@
 		c.interferenceSaved = now
 		t.txn.Set = append(t.txn.Set, kv.Write{Key: interferenceKey, Value: encode(l.state.Interference())})
 	}
-	l.removePruned(t, kv.MaxTxnEntries-len(t.txn.If)-len(t.txn.Set))
+	l.removePruned(t, kv.MaxTxnEntries-headConditions-len(t.txn.Set))
 	return t
 }
 
@@ -198,9 +236,10 @@
 	err error
 }
 
-// writeTxn sends a transaction until its outcome is known, again and again if the answer may be lost. All attempts are
-// identical; their condition on the head prevents a second execution.
-func (l *leader) writeTxn(t *recordTxn) {
+// writeTxn sends a transaction until its outcome is known, again and again if the answer may be lost, and returns the
+// revision of the head. All attempts are identical; their condition on the head prevents a second execution. It returns
+// false if the leadership ends first.
+func (l *leader) writeTxn(t *recordTxn) (int64, bool) {
 	attempts := repetition[commitOutcome]{
 		try: func(ctx context.Context, n int) commitOutcome {
 			if n == 1 {
@@ -216,13 +255,10 @@
 		outcome = o
 		return o.err == nil || errors.Is(o.err, errSuperseded)
 	})
-	switch {
-	case !decided:
-	case outcome.err != nil:
+	if decided && outcome.err != nil {
 		l.stepDown("another owner has written the head")
-	default:
-		l.post(func(l *leader, _ time.Time) { l.committed(t, outcome.rev) })
 	}
+	return outcome.rev, decided && outcome.err == nil
 }
 
 // tryTxn makes one attempt of a transaction.
@@ -255,7 +291,8 @@
 // committed updates the state after a transaction has become durable.
 func (l *leader) committed(t *recordTxn, rev int64) {
 	c := &l.commits
-	c.inFlight, c.rev = nil, rev
+	c.inFlight, c.rev = t.next, rev
+	l.records.addTxn(t, time.Since(c.lastSent))
 	l.state.MarkStored(t.records)
 	for _, id := range t.workers {
 		l.workersRecord.durable[id] = true
