--- a/internal/owner/fake_workers_test.go
+++ b/internal/owner/fake_workers_test.go
@@ -19,7 +19,9 @@
 	mu           sync.Mutex
 	// durations replaces taskDuration for the tasks of some jobs.
 	durations map[string]time.Duration
-	workers   map[batch.WorkerID]*fakeWorker
+	// latency simulates a latency-sensitive task; nil for none.
+	latency *fakeLatency
+	workers map[batch.WorkerID]*fakeWorker
 	// startCounts holds the number of starts of each task, over all workers.
 	startCounts map[batch.TaskID]int
 	lastStarts  map[batch.TaskID]time.Time
@@ -59,6 +61,7 @@
 	lapses      int                    // attempts that have ended with the lease
 	lapsedAt    time.Time              // end of the last lease that was not renewed in time
 	running     map[runKey]time.Time   // when the attempt will be done
+	limits      map[runKey]int         // CPU limits in percent
 	barred      map[batch.TaskID]int64 // the highest run of each task that was stopped or has ended here
 	doneAt      map[int64]time.Time    // when the listed ends as done happened, by sequence number
 	ended       []batch.EndedAttempt
@@ -76,7 +79,7 @@
 		durations: map[string]time.Duration{}, lastEnds: map[batch.TaskID]time.Time{}, firstDone: map[batch.TaskID]time.Time{}, notedDone: map[batch.TaskID]bool{}}
 	for _, id := range ids {
 		w.workers[id] = &fakeWorker{
-			all: w, incarnation: 1, running: map[runKey]time.Time{}, barred: map[batch.TaskID]int64{}, doneAt: map[int64]time.Time{},
+			all: w, incarnation: 1, running: map[runKey]time.Time{}, limits: map[runKey]int{}, barred: map[batch.TaskID]int64{}, doneAt: map[int64]time.Time{},
 			nextSeq: 1, changed: make(chan struct{}),
 		}
 	}
@@ -259,8 +262,11 @@
 }
 
 func (w *fakeWorkers) Throttle(ctx context.Context, req TaskRequest) batch.Answer {
-	_, answer := w.lookup(ctx, req.Worker, req.Epoch)
+	n, answer := w.lookup(ctx, req.Worker, req.Epoch)
 	defer w.mu.Unlock()
+	if n != nil {
+		n.limits[runKey{req.Task, req.Run}] = req.Percent
+	}
 	return answer
 }
 
@@ -311,7 +317,7 @@
 func (n *fakeWorker) report() batch.Report {
 	r := batch.Report{Incarnation: n.incarnation, Clock: time.Now().UnixMilli(), Ended: slices.Clone(n.ended)}
 	for key := range n.running {
-		r.Running = append(r.Running, batch.RunningAttempt{Task: key.task, Run: key.run, Percent: 50})
+		r.Running = append(r.Running, n.all.latency.apply(n, batch.RunningAttempt{Task: key.task, Run: key.run, Percent: 50}))
 	}
 	slices.SortFunc(r.Running, func(a, b batch.RunningAttempt) int { return cmp.Compare(a.Task.Index, b.Task.Index) })
 	return r
--- a/internal/owner/lossy_workers_test.go
+++ b/internal/owner/lossy_workers_test.go
@@ -23,8 +23,13 @@
 	share float64 // of the requests that get no answer
 	// resets is the share of these whose connection breaks; the others are silent.
 	resets float64
+	// only is the kind of the requests that may get no answer, or allCalls.
+	only callKind
 }
 
+// allCalls stands for requests of every kind.
+const allCalls = callKind(255)
+
 // minCallDelay and maxCallDelay bound how late a request without an answer may be carried out.
 const (
 	minCallDelay = 2 * time.Second
@@ -54,27 +59,40 @@
 }
 
 // setLoss sets the share of the requests that get no answer, and the share of these whose connection breaks.
-func (l *lossyWorkers) setLoss(share, resets float64) {
+func (l *lossyWorkers) setLoss(share, resets float64) { l.setLossOf(allCalls, share, resets) }
+
+// setLossOf is setLoss for the requests of one kind. The others are answered.
+func (l *lossyWorkers) setLossOf(kind callKind, share, resets float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.share, l.resets = share, resets
+	l.only, l.share, l.resets = kind, share, resets
 }
 
-func (l *lossyWorkers) loss() (share, resets float64) {
+func (l *lossyWorkers) isLossy() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.share > 0
+}
+
+// lossOf returns the share of the requests of a kind that get no answer, and the share of these whose connection breaks.
+func (l *lossyWorkers) lossOf(kind callKind) (share, resets float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.only != allCalls && l.only != kind {
+		return 0, 0
+	}
 	return l.share, l.resets
 }
 
 // draw returns the fate of a request that is made now. It depends on the seed, the request and the time only, and not on
 // the order of requests that are made at the same moment.
-func (l *lossyWorkers) draw(request any) fate {
-	share, resets := l.loss()
+func (l *lossyWorkers) draw(kind callKind, request any) fate {
+	share, resets := l.lossOf(kind)
 	if share == 0 {
 		return fate{kind: answered}
 	}
 	hash := fnv.New64a()
-	_, _ = fmt.Fprintf(hash, "%T %v %d", request, request, time.Now().UnixNano())
+	_, _ = fmt.Fprintf(hash, "%d %v %d", kind, request, time.Now().UnixNano())
 	random := rand.New(rand.NewPCG(l.seed, hash.Sum64()))
 	if random.Float64() >= share {
 		return fate{kind: answered}
@@ -87,8 +105,8 @@
 }
 
 // call makes a request with the fate that is drawn for it.
-func (l *lossyWorkers) call(ctx context.Context, request any, send func(ctx context.Context) workerResponse) workerResponse {
-	f := l.draw(request)
+func (l *lossyWorkers) call(ctx context.Context, kind callKind, request any, send func(ctx context.Context) workerResponse) workerResponse {
+	f := l.draw(kind, request)
 	switch f.kind {
 	case answered:
 		return send(ctx)
@@ -112,31 +130,25 @@
 }
 
 func (l *lossyWorkers) Start(ctx context.Context, req StartRequest) batch.Answer {
-	return l.call(ctx, req, func(ctx context.Context) workerResponse {
+	return l.call(ctx, callStart, req, func(ctx context.Context) workerResponse {
 		return workerResponse{answer: l.workers.Start(ctx, req)}
 	}).answer
 }
 
-// stopRequest and throttleRequest tell the requests for one task apart, so that their fates differ.
-type (
-	stopRequest     TaskRequest
-	throttleRequest TaskRequest
-)
-
 func (l *lossyWorkers) Stop(ctx context.Context, req TaskRequest) batch.Answer {
-	return l.call(ctx, stopRequest(req), func(ctx context.Context) workerResponse {
+	return l.call(ctx, callStop, req, func(ctx context.Context) workerResponse {
 		return workerResponse{answer: l.workers.Stop(ctx, req)}
 	}).answer
 }
 
 func (l *lossyWorkers) Throttle(ctx context.Context, req TaskRequest) batch.Answer {
-	return l.call(ctx, throttleRequest(req), func(ctx context.Context) workerResponse {
+	return l.call(ctx, callThrottle, req, func(ctx context.Context) workerResponse {
 		return workerResponse{answer: l.workers.Throttle(ctx, req)}
 	}).answer
 }
 
 func (l *lossyWorkers) RenewLease(ctx context.Context, req RenewRequest) (batch.Report, batch.Answer) {
-	r := l.call(ctx, req, func(ctx context.Context) workerResponse {
+	r := l.call(ctx, callRenewal, req, func(ctx context.Context) workerResponse {
 		report, answer := l.workers.RenewLease(ctx, req)
 		return workerResponse{answer: answer, report: report}
 	})
--- a/internal/owner/random_owners_jobs_test.go
+++ b/internal/owner/random_owners_jobs_test.go
@@ -18,6 +18,25 @@
 // maxOpenTasks bounds the tasks of the jobs that are open together, so that less than half of the capacity is in use.
 const maxOpenTasks = 9
 
+const (
+	// workerCPU is the capacity of a stand-in worker, and taskCPU what each task of a history needs of it.
+	workerCPU = 8000
+	taskCPU   = 400
+	// burstTasks is the number of tasks of manyTasks, more than are sent to a worker at a time, and burstCPU what each needs.
+	burstTasks = 30
+	burstCPU   = 80
+)
+
+// endingTasks and lastingTasks return a step of a history, and manyTasks one with many small tasks that last.
+func endingTasks(count int) batch.Step  { return withCPU(tasks(count), taskCPU) }
+func lastingTasks(count int) batch.Step { return withCPU(longRunning(count), taskCPU) }
+func manyTasks() batch.Step             { return withCPU(longRunning(burstTasks), burstCPU) }
+
+func withCPU(step batch.Step, cpu int64) batch.Step {
+	step.Resources.CPU = cpu
+	return step
+}
+
 // submitJob submits a job whose tasks take a duration.
 func (w *ownersWorld) submitJob(id string, duration time.Duration, steps ...batch.Step) {
 	w.workers.setDuration(id, duration)
@@ -35,11 +54,11 @@
 	duration := 200*time.Millisecond + w.upTo(3*time.Second)
 	switch w.random.IntN(3) {
 	case 0:
-		w.submitJob(id, time.Hour, longRunning(count))
+		w.submitJob(id, time.Hour, lastingTasks(count))
 	case 1:
-		w.submitJob(id, duration, tasks(count))
+		w.submitJob(id, duration, endingTasks(count))
 	default:
-		w.submitJob(id, duration, tasks(count), after(tasks(count), 0))
+		w.submitJob(id, duration, endingTasks(count), after(endingTasks(count), 0))
 	}
 	w.note("%s has %d tasks a step, which take %s", id, count, w.workers.durationOf(id))
 }
@@ -63,7 +82,11 @@
 	}
 }
 
+// cancelJob cancels a job, unless it is cancelled already.
 func (w *ownersWorld) cancelJob(j *worldJob) {
+	if !j.cancelled.IsZero() {
+		return
+	}
 	w.note("%s is cancelled", j.id)
 	w.store.set(CancelKey(j.id), nil)
 	j.cancelled = time.Now()
--- a/internal/owner/random_owners_liveness_test.go
+++ b/internal/owner/random_owners_liveness_test.go
@@ -19,12 +19,11 @@
 	// checkedTime is how long the checks go on, and checkInterval the time between two of them.
 	checkedTime   = 12 * time.Second
 	checkInterval = 100 * time.Millisecond
+	// maxLoss is the largest share of requests to workers that get no answer during the checks.
+	maxLoss = 0.5
 )
 
 const (
-	// workerCPU is the capacity of a stand-in worker, and taskCPU what each task of a history needs of it.
-	workerCPU = 8000
-	taskCPU   = 1000
 	// roomFactor is how many times a task must fit on a worker that counts as having room for it.
 	roomFactor = 2
 	// maxUseOfService is the share of the capacity of which less must be in use, as 1/maxUseOfService.
@@ -62,13 +61,18 @@
 func (w *ownersWorld) checkLiveness() {
 	w.endFaults()
 	c := &livenessCheck{world: w, begun: time.Now(), roomSince: map[batch.WorkerID]time.Time{}, lapses: w.workers.lapsedEnds()}
-	w.submitJob("last", time.Hour, longRunning(2))
-	w.submitJob("chain", time.Second, tasks(2), after(tasks(2), 0))
+	w.submitJob("last", time.Hour, lastingTasks(2))
+	w.submitJob("chain", time.Second, endingTasks(2), after(endingTasks(2), 0))
+	w.submitJob("burst", time.Hour, manyTasks())
+	burst := w.jobs[len(w.jobs)-1]
 	for passed := time.Duration(0); passed < checkedTime && !c.failed; passed += checkInterval {
-		if passed == checkedTime/3 {
+		switch passed {
+		case checkedTime / 3:
 			w.cancelAny("")
-			w.submitJob("later", time.Hour, longRunning(1))
-			w.submitJob("ending", time.Second, tasks(1))
+			w.submitJob("later", time.Hour, lastingTasks(1))
+			w.submitJob("ending", time.Second, endingTasks(1))
+		case checkedTime / 2:
+			w.cancelJob(burst)
 		}
 		w.sleep(checkInterval)
 		c.check(time.Now())
@@ -104,11 +108,16 @@
 
 // noteRoom notes since when each worker has had room for any task, while little of the service is in use.
 func (c *livenessCheck) noteRoom(running map[batch.TaskID]batch.WorkerID, now time.Time) {
-	used := map[batch.WorkerID]int{}
-	for _, id := range running {
-		used[id] += taskCPU
+	used, usedByAll := map[batch.WorkerID]int64{}, int64(0)
+	for _, j := range c.world.jobs {
+		for task, id := range running {
+			if task.Job == j.id {
+				used[id] += j.steps[task.Step].Resources.CPU
+				usedByAll += j.steps[task.Step].Resources.CPU
+			}
+		}
 	}
-	isLittleUsed := len(running)*taskCPU*maxUseOfService < len(c.world.ids)*workerCPU
+	isLittleUsed := usedByAll*maxUseOfService < int64(len(c.world.ids)*workerCPU)
 	for _, id := range c.world.ids {
 		_, hadRoom := c.roomSince[id]
 		switch {
@@ -227,8 +236,7 @@
 // Guards against tasks that do not run although a worker has room, and against leases of sound workers that lapse, after any
 // history of owners and while up to half of all requests to workers get no answer (issue 42, LOST).
 func TestRandomHistoriesOfOwnersEndWithAllTasksRunning(t *testing.T) {
-	const count, events = 60, 20
-	forHistories(t, count, func(t *testing.T, seed uint64) {
-		withHistory(t, seed, events, (*ownersWorld).checkLiveness)
+	forHistories(t, startHistories, livenessHistories, func(t *testing.T, seed uint64) {
+		withHistory(t, seed, (*ownersWorld).checkLiveness)
 	})
 }
--- a/internal/owner/random_owners_test.go
+++ b/internal/owner/random_owners_test.go
@@ -12,169 +12,9 @@
 	"github.com/rs/zerolog"
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
-	"github.com/geraniumwick/geraniumwick/internal/kv"
 	"github.com/geraniumwick/geraniumwick/internal/pause"
 )
 
-// view is what one process sees of the store and of the workers.
-type view struct {
-	mu      sync.Mutex
-	cut     bool // from the store
-	refused int  // number of coming transactions that are refused
-	lost    int  // number of transactions after these that are executed but return an error
-	dead    bool // the process has ended: it reaches nothing
-	hidden  map[batch.WorkerID]bool
-}
-
-func (v *view) reachesStore() bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return !v.cut && !v.dead
-}
-
-func (v *view) reaches(id batch.WorkerID) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return !v.hidden[id] && !v.dead
-}
-
-func (v *view) isDead() bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.dead
-}
-
-func (v *view) change(f func(v *view)) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	f(v)
-}
-
-// takeFaults returns whether the next transaction is refused or loses its answer.
-func (v *view) takeFaults() (refused, lost bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	switch {
-	case v.refused > 0:
-		v.refused--
-		return true, false
-	case v.lost > 0:
-		v.lost--
-		return false, true
-	}
-	return false, false
-}
-
-// viewedStore is the store as one process sees it.
-type viewedStore struct {
-	*memoryStore
-	view *view
-}
-
-func (s viewedStore) unavailable(ctx context.Context) bool {
-	if s.view.reachesStore() {
-		return false
-	}
-	pause.For(ctx, 50*time.Millisecond)
-	return true
-}
-
-func (s viewedStore) Get(ctx context.Context, key string) (kv.Item, error) {
-	if s.unavailable(ctx) {
-		return kv.Item{}, kv.ErrUnavailable
-	}
-	return s.memoryStore.Get(ctx, key)
-}
-
-func (s viewedStore) List(ctx context.Context, prefix string) ([]kv.Item, int64, error) {
-	if s.unavailable(ctx) {
-		return nil, 0, kv.ErrUnavailable
-	}
-	return s.memoryStore.List(ctx, prefix)
-}
-
-func (s viewedStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]kv.Event, int64, error) {
-	events, rev, err := s.memoryStore.Watch(ctx, prefix, after, wait)
-	if !s.view.reachesStore() {
-		return nil, 0, kv.ErrUnavailable
-	}
-	return events, rev, err
-}
-
-func (s viewedStore) Commit(ctx context.Context, t kv.Txn) (int64, error) {
-	if s.unavailable(ctx) {
-		return 0, kv.ErrUnavailable
-	}
-	refused, lost := s.view.takeFaults()
-	if refused {
-		return 0, kv.ErrUnavailable
-	}
-	rev, err := s.memoryStore.Commit(ctx, t)
-	if lost && err == nil {
-		return 0, errAnswerLost
-	}
-	return rev, err
-}
-
-func (s viewedStore) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
-	if s.unavailable(ctx) {
-		return 0, kv.ErrUnavailable
-	}
-	return s.memoryStore.Grant(ctx, ttl)
-}
-
-func (s viewedStore) Renew(ctx context.Context, lease int64) error {
-	if s.unavailable(ctx) {
-		return kv.ErrUnavailable
-	}
-	return s.memoryStore.Renew(ctx, lease)
-}
-
-func (s viewedStore) Revoke(ctx context.Context, lease int64) error {
-	if s.unavailable(ctx) {
-		return kv.ErrUnavailable
-	}
-	return s.memoryStore.Revoke(ctx, lease)
-}
-
-// viewedWorkers are the workers as one process sees them.
-type viewedWorkers struct {
-	workers WorkerClient
-	view    *view
-}
-
-func (w viewedWorkers) RenewLease(ctx context.Context, r RenewRequest) (batch.Report, batch.Answer) {
-	if !w.view.reaches(r.Worker) {
-		<-ctx.Done()
-		return batch.Report{}, batch.AnswerNone
-	}
-	return w.workers.RenewLease(ctx, r)
-}
-
-func (w viewedWorkers) Start(ctx context.Context, r StartRequest) batch.Answer {
-	if !w.view.reaches(r.Worker) {
-		<-ctx.Done()
-		return batch.AnswerNone
-	}
-	return w.workers.Start(ctx, r)
-}
-
-func (w viewedWorkers) Stop(ctx context.Context, r TaskRequest) batch.Answer {
-	if !w.view.reaches(r.Worker) {
-		<-ctx.Done()
-		return batch.AnswerNone
-	}
-	return w.workers.Stop(ctx, r)
-}
-
-func (w viewedWorkers) Throttle(ctx context.Context, r TaskRequest) batch.Answer {
-	if !w.view.reaches(r.Worker) {
-		<-ctx.Done()
-		return batch.AnswerNone
-	}
-	return w.workers.Throttle(ctx, r)
-}
-
 // ownersWorld is a random history of three instances and three workers.
 type ownersWorld struct {
 	*harness
@@ -320,18 +160,22 @@
 	w.views[name].change(func(v *view) { v.refused, v.lost = w.random.IntN(2), w.random.IntN(2) })
 }
 
-// toggleLoss loses the answers to up to half of the requests to workers, or to none.
+// toggleLoss loses the answers to some of the requests to workers, or to none.
 func (w *ownersWorld) toggleLoss(string) {
-	if share, _ := w.lossy.loss(); share > 0 {
+	if w.lossy.isLossy() {
 		w.lossy.setLoss(0, 0)
 		return
 	}
-	w.lossy.setLoss(maxLoss*w.random.Float64(), w.random.Float64())
+	kind, name := allCalls, "request"
+	if kinds := []callKind{callStart, callStop, callRenewal}; w.random.IntN(2) == 0 {
+		kind = kinds[w.random.IntN(len(kinds))]
+		name = callKindNames[kind]
+	}
+	share, resets := w.random.Float64(), w.random.Float64()
+	w.note("%.0f %% of each %s get no answer, %.0f %% of these with a reset", 100*share, name, 100*resets)
+	w.lossy.setLossOf(kind, share, resets)
 }
 
-// maxLoss is the largest share of requests to workers that get no answer.
-const maxLoss = 0.5
-
 func (w *ownersWorld) upTo(limit time.Duration) time.Duration {
 	return time.Duration(w.random.Int64N(int64(limit)))
 }
@@ -376,7 +220,7 @@
 }
 
 // withHistory runs a random history of owners, and then test.
-func withHistory(t *testing.T, seed uint64, events int, test func(w *ownersWorld)) {
+func withHistory(t *testing.T, seed uint64, test func(w *ownersWorld)) {
 	withHarness(t, func(h *harness) {
 		w := &ownersWorld{
 			harness: h, random: rand.New(rand.NewPCG(seed, 1)), views: map[string]*view{},
@@ -388,9 +232,9 @@
 			w.start(name)
 		}
 		h.sleep(time.Second)
-		w.submitJob("j", time.Hour, longRunning(3))
+		w.submitJob("j", time.Hour, lastingTasks(3))
 		h.sleep(2 * time.Second)
-		for range events {
+		for range historyEvents {
 			e, name := w.drawEvent(), w.drawInstance()
 			w.note("%s of %s", e.name, name)
 			e.act(w, name)
@@ -421,16 +265,23 @@
 // The histories that are run, for more by hand.
 var (
 	histories    = flag.Int("histories", 0, "number of random histories of owners; 0 for that of each test")
-	firstHistory = flag.Uint64("first-history", 0, "seed of the first random history of owners")
+	firstHistory = flag.Uint64("first-history", 0, "seed of the first of them")
+)
+
+// The default histories have the seeds from 0 on. The first startHistories end with their last event, and livenessHistories
+// more with the check of what runs.
+const (
+	startHistories    = 150
+	livenessHistories = 50
+	historyEvents     = 40
 )
 
 // forHistories runs a test with the seeds of its histories.
-func forHistories(t *testing.T, count int, test func(t *testing.T, seed uint64)) {
+func forHistories(t *testing.T, first uint64, count int, test func(t *testing.T, seed uint64)) {
 	if *histories > 0 {
-		count = *histories
+		first, count = *firstHistory, *histories
 	}
-	for i := range uint64(count) {
-		seed := *firstHistory + i
+	for seed := first; seed < first+uint64(count); seed++ {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { test(t, seed) })
 	}
 }
@@ -438,8 +289,7 @@
 // Guards against a task that runs twice after any series of kills, hand-overs, cuts and claims that are removed,
 // while campaigns are refused or their answers are lost, and requests to workers get no answer.
 func TestRandomHistoriesOfOwnersStartNothingTwice(t *testing.T) {
-	const count, events = 200, 40
-	forHistories(t, count, func(t *testing.T, seed uint64) {
-		withHistory(t, seed, events, func(*ownersWorld) {})
+	forHistories(t, 0, startHistories, func(t *testing.T, seed uint64) {
+		withHistory(t, seed, func(*ownersWorld) {})
 	})
 }
