--- a/internal/owner/attempt_calls.go
+++ b/internal/owner/attempt_calls.go
@@ -41,6 +41,15 @@
 	}
 }
 
+// cancelOn ends the copies of all requests to a worker.
+func (c attemptCalls) cancelOn(id batch.WorkerID) {
+	for key, call := range c {
+		if key.worker == id {
+			call.cancel()
+		}
+	}
+}
+
 // end notes the outcome of a request, and reports whether no newer one about the attempt has replaced it.
 func (c attemptCalls) end(call *attemptCall) bool {
 	call.cancel()
--- a/internal/owner/call_counts.go
+++ b/internal/owner/call_counts.go
@@ -37,11 +37,12 @@
 	}
 }
 
-// countCall counts a request with its answer, which allows retries.
-func (l *leader) countCall(kind callKind, answer batch.Answer) {
+// countCall counts a request to a worker with its answer, which allows retries.
+func (l *leader) countCall(kind callKind, worker *workerRequests, answer batch.Answer) {
 	l.calls.add(kind, answer)
-	if answer != batch.AnswerNone {
+	if answer != batch.AnswerNone && answer != batch.AnswerUnsent {
 		l.retries.earn()
+		worker.retries.budget.earn()
 	}
 }
 
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -71,9 +71,9 @@
 	done chan struct{}
 	// firstRenewals is a semaphore that limits the concurrent first calls to workers.
 	firstRenewals chan struct{}
-	// orderSlots bounds the orders to each worker that are open at a time, and retries the retries of all requests.
-	orderSlots orderSlots
-	retries    retryBudget
+	// requests bounds the requests to each worker, and retries the retries of all of them.
+	requests requestBounds
+	retries  retryBudget
 	// calls counts the requests to workers since the last report on them.
 	calls callCounts
 	// ownedUntil is the time until which the claim is confirmed, in nanoseconds on Options.BootClock.
--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -19,13 +19,15 @@
 	colocatedWait = 300 * time.Millisecond
 	// renewTimeout is how much longer than that wait a worker may be without an answer until it counts as unreachable.
 	renewTimeout = 750 * time.Millisecond
-	// lossyTimeout replaces renewTimeout, the wait included, for a worker that is known to lose answers.
+	// lossyTimeout replaces renewTimeout for a worker that is known to lose answers.
 	lossyTimeout = 1500 * time.Millisecond
 	// lossyMemory is how long a worker is known for that after the last lost answer.
 	lossyMemory = 5 * time.Second
-	// lossyWait is how long a worker with tasks that end by themselves may wait for that if it has just lost an answer. The
-	// wait is doubled with each answer up to the usual one.
-	lossyWait = 300 * time.Millisecond
+	// lossyPause is the pause between two reports of a worker that is known to lose answers, and lossyIdlePause that of one
+	// without tasks that end by themselves. It does not wait for ends: such a call is short, so that a lost answer is
+	// noticed soon, and reports several ends at once.
+	lossyPause     = 400 * time.Millisecond
+	lossyIdlePause = time.Second
 	// renewAnswerTimeout is how much longer than its wait a renewal may take before it is repeated, and lossyAnswerTimeout
 	// replaces it for a worker that is known to lose answers. renewRepeatInterval is the time between two repetitions, and
 	// repeatedRenewalTimeout how long each may take.
@@ -33,6 +35,10 @@
 	lossyAnswerTimeout     = 200 * time.Millisecond
 	renewRepeatInterval    = 100 * time.Millisecond
 	repeatedRenewalTimeout = 300 * time.Millisecond
+	// maxSilentRepeats is the largest number of repetitions of a call after silentFailures failed ones in a row, unless the
+	// worker is known to lose answers. It is asked again soon, and others need the retries more.
+	maxSilentRepeats = 1
+	silentFailures   = 2
 	// renewRetryDelay is the pause after a failed renewal.
 	renewRetryDelay = 250 * time.Millisecond
 	// ackTimeout is how long a renewer waits for the changes from a report to become durable before
@@ -59,7 +65,11 @@
 	leader *leader
 	info   batch.WorkerInfo
 	cancel context.CancelFunc
-	params renewalParams
+	// failures is the number of calls in a row that have failed.
+	failures int
+	// requests bounds the requests to the worker.
+	requests *workerRequests
+	params   renewalParams
 	// newParams holds the newest parameters that the renewer has not applied yet.
 	newParams chan renewalParams
 	// generation is increased whenever a call fails or the worker has been restarted. Parameters of
@@ -68,9 +78,8 @@
 	incarnation int64
 	clock       workerClock
 	leaseEnd    time.Time // the lease has ended by then on any worker's clock
-	// lossyUntil is until when the worker is known to lose answers, and maxWait bounds its waits meanwhile; 0 is no bound.
+	// lossyUntil is until when the worker is known to lose answers.
 	lossyUntil time.Time
-	maxWait    time.Duration
 }
 
 // renewal is the outcome of a renewal.
@@ -105,14 +114,14 @@
 		if !wanted[id] {
 			rn.cancel()
 			delete(l.renewers, id)
-			l.orderSlots.forget(id)
+			l.requests.forget(id)
 		}
 	}
 }
 
 func (l *leader) startRenewer(info batch.WorkerInfo) {
 	ctx, cancel := context.WithCancel(l.ctx)
-	rn := &renewer{leader: l, info: info, cancel: cancel, newParams: make(chan renewalParams, 1)}
+	rn := &renewer{leader: l, info: info, cancel: cancel, requests: l.requests.of(info.ID), newParams: make(chan renewalParams, 1)}
 	l.renewers[info.ID] = rn
 	go rn.run(ctx)
 }
@@ -135,6 +144,7 @@
 				rn.failed(ctx) // no lease and no start can be given an end on a clock that is not known
 				continue
 			}
+			rn.failures = 0
 			rn.succeeded(ctx, outcome)
 		case batch.AnswerFenced:
 			rn.leader.log.Warn().Str("event", "leader.fenced").Str("worker", string(rn.info.ID)).Send()
@@ -167,6 +177,10 @@
 // call, and the first one after a failure, renew no lease and acknowledge nothing, since the worker may have been
 // restarted.
 func (rn *renewer) renewLease(ctx context.Context) renewal {
+	lossy := time.Now().Before(rn.lossyUntil)
+	if lossy {
+		pause.For(ctx, rn.lossyPause())
+	}
 	select {
 	case i := <-rn.newParams:
 		rn.applyParams(i)
@@ -174,8 +188,9 @@
 	}
 	now := time.Now()
 	request, answerTimeout, patience := rn.nextRequest(now), renewAnswerTimeout, renewTimeout
-	if now.Before(rn.lossyUntil) {
-		answerTimeout, patience = lossyAnswerTimeout, max(patience, lossyTimeout-request.MaxWait)
+	repeats := 0
+	if lossy {
+		request.MaxWait, answerTimeout, patience = 0, lossyAnswerTimeout, lossyTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, request.MaxWait+patience)
 	defer cancel()
@@ -189,8 +204,14 @@
 			r.repeated = true
 			return r
 		},
-		interval:  renewRepeatInterval,
-		mayRepeat: func() bool { return rn.leader.retries.take(callRenewal) },
+		interval: renewRepeatInterval,
+		mayRepeat: func() bool {
+			if rn.failures >= silentFailures && !lossy && repeats == maxSilentRepeats || !rn.leader.takeRetry(callRenewal, rn.requests) {
+				return false
+			}
+			repeats++
+			return true
+		},
 	}
 	outcome := renewal{answer: batch.AnswerNone}
 	calls.run(ctx, func(r renewal, _ int) bool {
@@ -209,9 +230,6 @@
 // wrong.
 func (rn *renewer) nextRequest(now time.Time) RenewRequest {
 	r := RenewRequest{Worker: rn.info.ID, Address: rn.info.Address, Epoch: rn.leader.epoch, AckSeq: rn.params.ackSeq, MaxWait: rn.params.maxWait}
-	if now.Before(rn.lossyUntil) {
-		r.MaxWait = min(r.MaxWait, rn.lossyMaxWait(r.MaxWait))
-	}
 	if rn.params.renew {
 		r.LeaseEnd = rn.nextLeaseEnd(now)
 	}
@@ -221,13 +239,16 @@
 	return r
 }
 
-// lossyMaxWait bounds the wait of a worker that is known to lose answers, and would wait for a time otherwise. An idle one
-// has no ends to report, so its waits need only be short enough that several renewals fit into a lease.
-func (rn *renewer) lossyMaxWait(usual time.Duration) time.Duration {
-	if usual > busyWait || rn.maxWait == 0 {
-		return busyWait
+// lossyPause returns the pause before the next call to a worker that is known to lose answers; 0 if it has no lease yet.
+func (rn *renewer) lossyPause() time.Duration {
+	switch {
+	case rn.params.maxWait == 0:
+		return 0
+	case rn.params.maxWait > busyWait:
+		return lossyIdlePause
+	default:
+		return lossyPause
 	}
-	return rn.maxWait
 }
 
 // repetition returns the request that follows one without an answer. It has the same end of the lease, so it does nothing
@@ -250,7 +271,7 @@
 		kind = callRenewal
 	}
 	report, answer := rn.leader.owner.workers.RenewLease(ctx, r)
-	rn.leader.countCall(kind, answer)
+	rn.leader.countCall(kind, rn.requests, answer)
 	report.RequestedAt = now
 	return renewal{report: report, answer: answer, renewed: r.LeaseEnd != 0, broken: answer == batch.AnswerNone && !hasPassed(ctx)}
 }
@@ -258,14 +279,8 @@
 // noteLoss notes what the outcome of a renewal says of the worker: if only a repetition was answered, the worker is there,
 // and answers are lost or late.
 func (rn *renewer) noteLoss(outcome renewal) {
-	switch {
-	case outcome.answer != batch.AnswerOK:
-	case outcome.repeated:
-		rn.lossyUntil, rn.maxWait = time.Now().Add(lossyMemory), lossyWait
-	case rn.maxWait > 0:
-		if rn.maxWait *= 2; rn.maxWait >= busyWait {
-			rn.maxWait = 0
-		}
+	if outcome.answer == batch.AnswerOK && outcome.repeated {
+		rn.lossyUntil = time.Now().Add(lossyMemory)
 	}
 }
 
@@ -343,6 +358,7 @@
 		return
 	}
 	rn.params = renewalParams{}
+	rn.failures++
 	rn.generation++
 	leaseEnd := rn.leaseEnd
 	rn.leader.post(func(l *leader, _ time.Time) {
--- a/internal/owner/repeated_calls.go
+++ b/internal/owner/repeated_calls.go
@@ -33,32 +33,38 @@
 	MaxOpenRequests = maxOpenOrders + maxOpenReports
 )
 
-// orderSlots bounds the orders to each worker that are open at a time.
-type orderSlots struct {
+// workerRequests bounds the requests to one worker.
+type workerRequests struct {
+	orders  chan struct{} // semaphore of the open orders
+	retries workerRetries
+}
+
+// requestBounds are the bounds of the requests to each worker.
+type requestBounds struct {
 	mu       sync.Mutex
-	byWorker map[batch.WorkerID]chan struct{}
+	byWorker map[batch.WorkerID]*workerRequests
 }
 
-// of returns the semaphore of a worker.
-func (o *orderSlots) of(id batch.WorkerID) chan struct{} {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.byWorker == nil {
-		o.byWorker = map[batch.WorkerID]chan struct{}{}
+// of returns the bounds of a worker.
+func (r *requestBounds) of(id batch.WorkerID) *workerRequests {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.byWorker == nil {
+		r.byWorker = map[batch.WorkerID]*workerRequests{}
 	}
-	slots := o.byWorker[id]
-	if slots == nil {
-		slots = make(chan struct{}, maxOpenOrders)
-		o.byWorker[id] = slots
+	requests := r.byWorker[id]
+	if requests == nil {
+		requests = &workerRequests{orders: make(chan struct{}, maxOpenOrders)}
+		r.byWorker[id] = requests
 	}
-	return slots
+	return requests
 }
 
-// forget drops the semaphore of a worker that is gone.
-func (o *orderSlots) forget(id batch.WorkerID) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	delete(o.byWorker, id)
+// forget drops the bounds of a worker that is gone.
+func (r *requestBounds) forget(id batch.WorkerID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.byWorker, id)
 }
 
 // repeatCall makes a call that has the same effect however often it is made, and makes it again and again
@@ -67,11 +73,12 @@
 func (l *leader) repeatCall(ctx context.Context, kind callKind, worker batch.WorkerID, call func(context.Context) batch.Answer) batch.Answer {
 	outcome := batch.AnswerNone
 	refused, unsent, refusedForGood := 0, 0, false
+	requests := l.requests.of(worker)
 	calls := repetition[batch.Answer]{
-		try:       func(ctx context.Context, n int) batch.Answer { return l.tryCall(ctx, n, kind, call) },
+		try:       func(ctx context.Context, n int) batch.Answer { return l.tryCall(ctx, n, kind, requests, call) },
 		interval:  callRepeatInterval,
-		mayRepeat: func() bool { return !refusedForGood && l.retries.take(kind) },
-		slots:     l.orderSlots.of(worker),
+		mayRepeat: func() bool { return !refusedForGood && l.takeRetry(kind, requests) },
+		slots:     requests.orders,
 	}
 	sent, decided := calls.run(ctx, func(answer batch.Answer, sent int) bool {
 		switch answer {
@@ -106,14 +113,14 @@
 }
 
 // tryCall makes the n-th try of a call, unless the owner may not act any more.
-func (l *leader) tryCall(ctx context.Context, n int, kind callKind, call func(context.Context) batch.Answer) batch.Answer {
+func (l *leader) tryCall(ctx context.Context, n int, kind callKind, requests *workerRequests, call func(context.Context) batch.Answer) batch.Answer {
 	if !l.mayAct() {
 		return batch.AnswerUnsent
 	}
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout(n))
 	defer cancel()
 	answer := call(ctx)
-	l.countCall(kind, answer)
+	l.countCall(kind, requests, answer)
 	return answer
 }
 
--- a/internal/owner/repeated_calls_test.go
+++ b/internal/owner/repeated_calls_test.go
@@ -147,30 +147,6 @@
 		mu.Lock()
 		defer mu.Unlock()
 		is.Equal(most, maxOpenOrders)
-		is.Equal(len(l.orderSlots.of("w")), 0)
+		is.Equal(len(l.requests.of("w").orders), 0)
 	})
 }
-
-// Guards against copies of a start that follow the stop of its attempt, so that a cancelled task or one on a worker that
-// leaves is started for as long as the start is valid.
-func TestNoCopyOfAStartFollowsTheStop(t *testing.T) {
-	withHarness(t, func(h *harness) {
-		f := &forgetfulWorkers{fakeWorkers: h.workers, ignored: 100, copies: map[runKey]int{}}
-		o := New(Options{Instance: "a", BootClock: h.bootClock, Address: "a", LeaseTTL: testLeaseTTL, MaxWorkerLease: 6 * time.Second, JobRetention: 20 * time.Second},
-			h.store, f, fakeRegistry{}, testConfig, zerolog.Nop())
-		go o.Run(h.ctx)
-		h.sleep(3 * time.Second)
-		h.submit("j", tasks(1))
-		h.sleep(storeRetryDelay + 4*callRepeatInterval)
-		h.store.set(CancelKey("j"), nil)
-		h.sleep(watchInterval + callRepeatInterval)
-		f.mu.Lock()
-		sent := f.copies[runKey{batch.TaskID{Job: "j"}, 1}]
-		f.mu.Unlock()
-		h.sleep(startCallTimeout)
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		h.is.True(sent > 1)
-		h.is.Equal(f.copies[runKey{batch.TaskID{Job: "j"}, 1}], sent)
-	}, "w0")
-}
--- a/internal/owner/watch.go
+++ b/internal/owner/watch.go
@@ -87,6 +87,9 @@
 	}
 	l.unreadableEntries.Clear(item.Key)
 	l.state.UpdateWorker(info, time.Now())
+	if info.Draining {
+		l.starts.cancelOn(info.ID)
+	}
 	if l.workersRecord.durable[info.ID] {
 		l.state.MarkRecorded(info.ID)
 	} else if !l.workersRecord.contains(info.ID) && l.state.InUse(info.ID) {
