--- a/internal/owner/lost_store_answers_test.go
+++ b/internal/owner/lost_store_answers_test.go
@@ -126,3 +126,25 @@
 		})
 	}
 }
+
+// Guards against jobs that nobody owns since a campaign waits for an answer that is lost (issue 42): with three in ten of
+// the store's writes unanswered, an owner leads within the time of LOST.
+func TestACampaignOutlastsLostAnswers(t *testing.T) {
+	const seeds, step = 30, 20 * time.Millisecond
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			withHarness(t, func(h *harness) {
+				s := &lossyStore{memoryStore: h.store, random: rand.New(rand.NewPCG(seed, 42)), share: 0.3}
+				o := New(Options{Instance: "a", BootClock: h.bootClock, Address: "a", LeaseTTL: testLeaseTTL, MaxWorkerLease: 6 * time.Second, JobRetention: 20 * time.Second},
+					s, h.workers, fakeRegistry{}, testConfig, zerolog.New(&h.log))
+				begun := time.Now()
+				go o.Run(h.ctx)
+				for o.leading.Load() == nil && time.Since(begun) < time.Minute {
+					h.sleep(step)
+				}
+				h.is.True(time.Since(begun) <= startableWithin)
+				s.setShare(0)
+			}, "w0")
+		})
+	}
+}
