--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -80,6 +80,9 @@
 	leaseEnd    time.Time // the lease has ended by then on any worker's clock
 	// lossyUntil is until when the worker is known to lose answers.
 	lossyUntil time.Time
+	// leaseIsOld is set if the last call was answered, but has renewed nothing, or has renewed the lease to an end from
+	// before a long wait.
+	leaseIsOld bool
 }
 
 // renewal is the outcome of a renewal.
@@ -178,7 +181,7 @@
 // restarted.
 func (rn *renewer) renewLease(ctx context.Context) renewal {
 	lossy := time.Now().Before(rn.lossyUntil)
-	if lossy {
+	if lossy && !rn.leaseIsOld {
 		pause.For(ctx, rn.lossyPause())
 	}
 	select {
@@ -221,7 +224,7 @@
 		}
 		return r.answer != batch.AnswerNone
 	})
-	rn.noteLoss(outcome)
+	rn.noteLoss(outcome, request.MaxWait > 0)
 	return outcome
 }
 
@@ -278,7 +281,8 @@
 
 // noteLoss notes what the outcome of a renewal says of the worker: if only a repetition was answered, the worker is there,
 // and answers are lost or late.
-func (rn *renewer) noteLoss(outcome renewal) {
+func (rn *renewer) noteLoss(outcome renewal, waited bool) {
+	rn.leaseIsOld = !outcome.renewed || outcome.repeated && waited
 	if outcome.answer == batch.AnswerOK && outcome.repeated {
 		rn.lossyUntil = time.Now().Add(lossyMemory)
 	}
--- a/internal/owner/retry_budget.go
+++ b/internal/owner/retry_budget.go
@@ -8,10 +8,10 @@
 const (
 	// retriesPerAnswer is how many retries each answer of a worker allows: with half of all requests unanswered, each
 	// answer costs one, and while workers are out of contact more.
-	retriesPerAnswer = 1.2
+	retriesPerAnswer = 1.5
 	// maxRetries is the largest number of retries that are saved up, and renewalRetries how many of them are kept for
 	// renewals.
-	maxRetries     = 160
+	maxRetries     = 250
 	renewalRetries = 50
 	// maxWorkerRetries is the largest number that is saved up for one worker, and workerRetryInterval how often it gets one
 	// without an answer, so that workers out of contact leave the retries to others.
