--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -55,6 +55,7 @@
 	previousCPULimit int
 	// throttleUnconfirmed is set if the worker may not have applied cpuLimit.
 	throttleUnconfirmed bool
+	throttles           throttleRequests
 }
 
 func (a *attempt) id() TaskID {
--- a/internal/batch/throttle.go
+++ b/internal/batch/throttle.go
@@ -74,7 +74,7 @@
 		}
 		throttleBudgets.spend(added, limit)
 		raiseBudgets.spend(added, limit)
-		if limit != a.cpuLimit || a.throttleUnconfirmed {
+		if limit != a.cpuLimit || a.throttleUnconfirmed || a.throttles.mayBeUndone(now) {
 			s.throttle(a, limit, now)
 		}
 	}
@@ -171,10 +171,14 @@
 func (s *State) throttle(a *attempt, percent int, now time.Time) {
 	w := a.worker
 	w.bestEffortCPU -= a.limitedCPU()
+	if percent != a.cpuLimit || a.throttleUnconfirmed {
+		a.progressAt = now
+	}
+	a.throttles.sent(percent != a.cpuLimit, now)
 	if percent != a.cpuLimit {
 		a.previousCPULimit, a.cpuLimit, a.cpuLimitAt = a.cpuLimit, percent, now
 	}
-	a.progressAt, a.throttleUnconfirmed = now, false
+	a.throttleUnconfirmed = false
 	w.bestEffortCPU += a.limitedCPU()
 	w.latencyGroupsAt = time.Time{}
 	// The log calls the setting of a CPU limit task.pace.
@@ -187,12 +191,17 @@
 
 // ThrottleAnswered processes the answer to a throttle request. A request that got no answer, was refused or
 // could not be sent in time is sent again after the worker's next report.
-func (s *State) ThrottleAnswered(id WorkerID, task TaskID, run int64, answer Answer) {
+func (s *State) ThrottleAnswered(id WorkerID, task TaskID, run int64, answer Answer, now time.Time) {
 	w := s.workers[id]
-	if w == nil || answer != AnswerNone && answer != AnswerRefused && answer != AnswerExpired {
+	if w == nil {
+		return
+	}
+	a := w.attempts[attemptKey{task, run}]
+	if a == nil {
 		return
 	}
-	if a := w.attempts[attemptKey{task, run}]; a != nil {
+	a.throttles.answered(answer, now)
+	if answer == AnswerNone || answer == AnswerRefused || answer == AnswerExpired {
 		a.throttleUnconfirmed = true
 	}
 }
--- a/internal/owner/worker_calls.go
+++ b/internal/owner/worker_calls.go
@@ -49,9 +49,9 @@
 
 func (l *leader) throttleTask(a batch.Action) {
 	call := l.throttles.begin(l.ctx, a)
-	l.callWorker(call.ctx, a, callThrottle, l.owner.workers.Throttle, func(l *leader, answer batch.Answer, _ time.Time) {
+	l.callWorker(call.ctx, a, callThrottle, l.owner.workers.Throttle, func(l *leader, answer batch.Answer, now time.Time) {
 		if l.throttles.end(call) {
-			l.state.ThrottleAnswered(a.Worker, a.Task, a.Run, answer)
+			l.state.ThrottleAnswered(a.Worker, a.Task, a.Run, answer, now)
 		}
 	})
 }
