--- a/internal/batch/lease.go
+++ b/internal/batch/lease.go
@@ -148,3 +148,21 @@
 func (s *State) leaseHasEnded(end, now time.Time) bool {
 	return !now.Before(end) && !s.ownedUntil.Before(end)
 }
+
+// slowAnswer is how long a worker may take to answer a start until the answer may be lost.
+const slowAnswer = 100 * time.Millisecond
+
+// HasUnansweredStart reports whether the worker was sent a start of which it is not known whether it was carried out, and
+// which it has not answered for slowAnswer.
+func (s *State) HasUnansweredStart(id WorkerID, now time.Time) bool {
+	w := s.workers[id]
+	if w == nil {
+		return false
+	}
+	for _, a := range w.attempts {
+		if !a.listed && a.acceptedAt.IsZero() && now.Sub(a.requestedAt) > slowAnswer {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -349,18 +349,18 @@
 	if l.workersRecord.contains(id) || l.state.InUse(id) {
 		l.workersRecord.setRenewed(id)
 	}
-	i := renewalParams{ackSeq: ackSeq, maxWait: l.maxReportWait(id), renew: !l.state.MustLapse(id), generation: generation}
+	i := renewalParams{ackSeq: ackSeq, maxWait: l.maxReportWait(id, now), renew: !l.state.MustLapse(id), generation: generation}
 	l.setParamsWhenDurable(i, rn)
 }
 
 // maxReportWait returns how long a worker may wait for an attempt to end before it sends its report.
-func (l *leader) maxReportWait(id batch.WorkerID) time.Duration {
+func (l *leader) maxReportWait(id batch.WorkerID, now time.Time) time.Duration {
 	switch {
 	case l.state.MustLapse(id):
 		return busyWait
 	case !l.state.HasLease(id):
 		return 0 // tasks are started on it only after it has confirmed its lease
-	case l.state.HasColocatedTasks(id):
+	case l.state.HasColocatedTasks(id), l.state.HasUnansweredStart(id, now):
 		return colocatedWait
 	case l.state.HasFiniteTasks(id):
 		return busyWait
--- a/internal/owner/repeated_calls_test.go
+++ b/internal/owner/repeated_calls_test.go
@@ -147,3 +147,45 @@
 		is.Equal(l.openCopies.Load(), int64(0))
 	})
 }
+
+// lostFirstStarts answer and carry out no start of the first run of each task.
+type lostFirstStarts struct {
+	*fakeWorkers
+	mu    sync.Mutex
+	first map[batch.TaskID]int64
+}
+
+func (f *lostFirstStarts) Start(ctx context.Context, req StartRequest) batch.Answer {
+	f.mu.Lock()
+	if _, seen := f.first[req.Task]; !seen {
+		f.first[req.Task] = req.Run
+	}
+	isFirst := f.first[req.Task] == req.Run
+	f.mu.Unlock()
+	if isFirst {
+		<-ctx.Done()
+		return batch.AnswerNone
+	}
+	return f.fakeWorkers.Start(ctx, req)
+}
+
+// Guards against a task that stands still for over 3 s although there is room (issue 42, LOST): its start was given up after
+// 1.3 s, and that it does not run was known only from a report whose request let the worker wait for 2 s, twice at worst.
+func TestAStartThatIsGivenUpIsMadeAgainInTime(t *testing.T) {
+	for offset := time.Duration(0); offset < idleWait; offset += idleWait / 20 {
+		t.Run(offset.String(), func(t *testing.T) {
+			withHarness(t, func(h *harness) {
+				f := &lostFirstStarts{fakeWorkers: h.workers, first: map[batch.TaskID]int64{}}
+				h.workers.taskDuration = time.Hour
+				o := New(Options{Instance: "a", BootClock: h.bootClock, Address: "a", LeaseTTL: testLeaseTTL, MaxWorkerLease: 6 * time.Second, JobRetention: 20 * time.Second},
+					h.store, f, fakeRegistry{}, testConfig, zerolog.Nop())
+				go o.Run(h.ctx)
+				h.sleep(5*time.Second + offset)
+				h.submit("j", longRunning(2))
+				h.sleep(startableWithin)
+				h.is.Equal(len(h.runningOn([]batch.WorkerID{"w0"})), 2)
+				h.is.Equal(h.workers.overlaps, 0)
+			}, "w0")
+		})
+	}
+}
