--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -26,9 +26,14 @@
 	series := flag.Int("series", 1, "how many times owners are killed in series after the faults")
 	losses := flag.Int("losses", 1, "how many times almost all workers are lost at once, twice in succession, after the faults")
 	lostAnswers := flag.Bool("lost-answers", true, "workers lose up to half of the answers in long stretches, also after the faults")
+	fillerTail := flag.Int64("filler-tail", soak.UsualFillerTail, "by how many percent of its target a filler raises the tail latency of the tasks beside it")
 	dir := flag.String("dir", "", "directory for binaries, settings and logs; a temporary one if empty")
 	flag.Parse()
-	if err := run(soak.Options{Seed: *seed, Instances: *instances, Workers: *workers, Callers: *callers, Duration: *duration, Series: *series, Losses: *losses, LostAnswers: *lostAnswers}, *seeds, *dir); err != nil {
+	o := soak.Options{
+		Seed: *seed, Instances: *instances, Workers: *workers, Callers: *callers, Duration: *duration,
+		Series: *series, Losses: *losses, LostAnswers: *lostAnswers, FillerTail: *fillerTail,
+	}
+	if err := run(o, *seeds, *dir); err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
 		os.Exit(1)
 	}
--- a/standin/soak/checker.go
+++ b/standin/soak/checker.go
@@ -33,6 +33,10 @@
 	After       []int `json:"after,omitempty"`
 	LongRunning bool  `json:"long-running,omitempty"`
 	Fills       bool  `json:"fills,omitempty"`
+	// MaxPerWorker is how many of the tasks may run on one worker; 0 is no bound.
+	MaxPerWorker int64 `json:"anti-affinity,omitempty"`
+	// TargetMS bounds the tail latency of a lasting task; 0 is no bound.
+	TargetMS int64 `json:"target-ms,omitempty"`
 
 	duration     time.Duration // run time of a task; 0 if it runs until it is stopped
 	failureShare float64       // share of runs that fail, whichever worker executes them
@@ -53,11 +57,9 @@
 
 // taskInfo is what a worker needs to know to execute a task.
 type taskInfo struct {
-	cpu, usedCPU int64 // reserved and used, in milliCPU
-	duration     time.Duration
-	failureShare float64
-	crashes      bool
-	crashDelay   time.Duration
+	spec     stepSpec
+	duration time.Duration
+	crashes  bool
 }
 
 // jobState is what the checker knows of a job.
@@ -284,10 +286,7 @@
 	}
 	c.runningOn[r.task][r.number] = w.ID
 	s.running++
-	info := taskInfo{
-		cpu: reservedCPU(spec), usedCPU: spec.CPU, duration: spec.duration, failureShare: spec.failureShare,
-		crashes: spec.crashesWorkers(r.task), crashDelay: spec.crashDelay,
-	}
+	info := taskInfo{spec: spec, duration: spec.duration, crashes: spec.crashesWorkers(r.task)}
 	if spec.endTogether {
 		info.duration = max(spec.duration-time.Since(s.firstStart), time.Millisecond)
 	}
--- a/standin/soak/lost_answers.go
+++ b/standin/soak/lost_answers.go
@@ -24,6 +24,10 @@
 	statePollInterval = 200 * time.Millisecond
 )
 
+// UsualFillerTail is by how many percent of its target a filler raises a tail latency, unless the options say otherwise: about
+// as much as an owner expects that has measured nothing.
+const UsualFillerTail = 3
+
 // lostAnswerShares are the shares of requests without an answer in a stretch.
 var lostAnswerShares = []float64{0.2, 0.35, maxLostAnswerShare, maxLostAnswerShare}
 
@@ -76,7 +80,8 @@
 func (tb *testbed) checkLostAnswers(ctx context.Context, c *callers) {
 	tb.setLostAnswerShare(maxLostAnswerShare)
 	defer tb.setLostAnswerShare(0)
-	c.submit(ctx, tb.newRand(300), fmt.Sprintf("%08x%08x", 1<<18, 0), lastingJob(fmt.Sprintf("%08x%08x", 1<<18, 0)))
+	id := fmt.Sprintf("%08x%08x", 1<<18, 0)
+	c.submit(ctx, tb.newRand(300), id, servingJob(id, tb.opts.Workers))
 	submitting, cancel := context.WithTimeout(ctx, lostAnswerTime)
 	defer cancel()
 	var group sync.WaitGroup
@@ -87,13 +92,14 @@
 	tb.finishJobs(ctx, c, tb.newRand(300))
 }
 
-// runSteadyCaller submits a job, waits until it has ended, and submits the next one, until ctx ends.
+// runSteadyCaller submits a job, cancels some of them, waits until it has ended, and submits the next one, until ctx ends.
 func (c *callers) runSteadyCaller(ctx context.Context, rng *rand.Rand, index int) {
 	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("%08x%08x", index, n)
 		if !c.submit(ctx, rng, id, burstJob(rng, id)) {
 			continue
 		}
+		c.pollJob(ctx, rng, id)
 		for ctx.Err() == nil && !c.checker.Ended(id) {
 			pause.For(ctx, statePollInterval)
 			c.queryState(ctx, rng, id)
@@ -101,7 +107,15 @@
 	}
 }
 
-// burstJob returns a job of one to three steps, one after the other. In some steps many tasks start at once.
+// servingJob returns a lasting job with a task on each of n workers. The tasks have a latency target, so that fillers beside
+// them are slowed down.
+func servingJob(id string, n int) jobSpec {
+	const cpu, targetMS = 400, 200
+	return jobSpec{Spec: "payload of " + id, Steps: []stepSpec{{Count: n, CPU: cpu, Memory: 10, LongRunning: true, MaxPerWorker: 1, TargetMS: targetMS}}}
+}
+
+// burstJob returns a job of one to three steps, one after the other. In some steps many tasks start at once, and some
+// steps are fillers.
 func burstJob(rng *rand.Rand, id string) jobSpec {
 	counts := []int{1, 1, 2, 8, 40}
 	job := jobSpec{Spec: "payload of " + id}
@@ -110,6 +124,7 @@
 			Count: counts[rng.IntN(len(counts))], CPU: 50, Memory: 10, Estimate: 300,
 			duration: time.Duration(40+rng.IntN(700)) * time.Millisecond,
 		}
+		s.Fills = rng.IntN(4) == 0
 		if i > 0 {
 			s.After = []int{i - 1}
 		}
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -30,6 +30,8 @@
 	// LostAnswers lets all workers lose answers in long stretches, and lets callers submit jobs after the faults while half
 	// of the answers are lost.
 	LostAnswers bool
+	// FillerTail is by how many percent of its target a filler raises the tail latency of the tasks beside it meanwhile.
+	FillerTail int64
 	// Losses is how many times almost all workers are lost at once, twice in succession, after the faults.
 	Losses int
 }
@@ -149,7 +151,7 @@
 	n := tb.workersAdded
 	worker, err := NewWorker(WorkerConfig{
 		ID: fmt.Sprintf("w%d", n), Zone: []string{"a", "b"}[n%2], Host: tb.address(100), CPU: workerCapacity,
-		MaxLease: tb.maxLease, Seed: tb.opts.Seed + uint64(n), Store: tb.store, Checker: tb.checker,
+		MaxLease: tb.maxLease, FillerTail: tb.opts.FillerTail, Seed: tb.opts.Seed + uint64(n), Store: tb.store, Checker: tb.checker,
 	})
 	if err != nil {
 		return err
--- a/standin/soak/run_test.go
+++ b/standin/soak/run_test.go
@@ -24,6 +24,7 @@
 
 // Real processes under random faults must keep the guarantees of docs/PROMISES.md.
 func TestSoak(t *testing.T) {
+	t.Parallel()
 	for _, seed := range seeds {
 		checkSoak(t, Options{Seed: seed, Instances: 3, Workers: 6, Callers: 3, Duration: faultTime, Series: 1})
 	}
@@ -37,6 +38,7 @@
 
 // Lasting tasks must be back soon after almost all workers have been lost at once, twice in succession.
 func TestSoakWithLossesOfWorkers(t *testing.T) {
+	t.Parallel()
 	for _, seed := range lossSeeds {
 		checkSoak(t, Options{Seed: seed, Instances: 3, Workers: 6, Callers: 1, Duration: 100 * time.Millisecond, Losses: 1})
 	}
@@ -49,8 +51,9 @@
 
 // Guards against jobs that do not run while orders to workers get no answer (issue 42), after other faults and alone.
 func TestSoakWithLostAnswers(t *testing.T) {
+	t.Parallel()
 	for _, seed := range lostAnswerSeeds {
-		checkSoak(t, Options{Seed: seed, Instances: 3, Workers: 6, Callers: 2, Duration: faultTime, LostAnswers: true})
+		checkSoak(t, Options{Seed: seed, Instances: 3, Workers: 6, Callers: 2, Duration: faultTime, LostAnswers: true, FillerTail: UsualFillerTail})
 	}
 }
 
--- a/standin/soak/worker.go
+++ b/standin/soak/worker.go
@@ -32,8 +32,9 @@
 
 // activeRun is a run that a worker is executing.
 type activeRun struct {
-	cpu       int64     // reserved milliCPU; 0 for a filler
-	usedCPU   int64     // milliCPU
+	cpu       int64 // reserved milliCPU; 0 for a filler
+	spec      stepSpec
+	pace      int64     // percent
 	endsAt    time.Time // when it is done; zero if it runs until it is stopped
 	fails     bool
 	startedAt time.Time
@@ -81,6 +82,9 @@
 	changed          chan struct{} // closed and replaced when a run ends
 	// taskFailureShare is the share of runs that fail because of the worker.
 	taskFailureShare float64
+	// fillerPaces holds the sum of the fillers' paces in percent at the last ticks, as a ring of which ticks%len is next.
+	fillerPaces [measurementTime / tickInterval]int64
+	ticks       int
 	// lostAnswerShare is the share of requests that get no answer, see loseAnswer.
 	lostAnswerShare float64
 }
@@ -90,6 +94,7 @@
 	ID, Zone, Host string
 	CPU            int64         // capacity in milliCPU, unless SetCapacity changes it
 	MaxLease       time.Duration // the longest lease that it grants
+	FillerTail     int64         // by how many percent of its target each filler at full pace raises a tail latency
 	Seed           uint64
 	Store          *Store // where it writes its entry
 	Checker        *Checker
@@ -189,6 +194,8 @@
 		}
 		w.mu.Lock()
 		w.advance()
+		w.fillerPaces[w.ticks%len(w.fillerPaces)] = w.fillerPace()
+		w.ticks++
 		w.mu.Unlock()
 	}
 }
--- a/standin/soak/worker_api.go
+++ b/standin/soak/worker_api.go
@@ -19,6 +19,7 @@
 	Checkpoint string `json:"last-checkpoint"`
 	LastSeen   int64  `json:"last-seen"`
 	Wait       int64  `json:"wait-ms"`
+	Percent    int64  `json:"percent"`
 
 	sentAt time.Time
 }
@@ -81,6 +82,10 @@
 			t.stopsAt = time.Now().Add(stopDelay)
 		}
 		w.refusedUpTo[b.Task] = max(w.refusedUpTo[b.Task], b.Run)
+	case "/api/pace":
+		if t := w.runs[key]; t != nil {
+			t.pace = b.Percent
+		}
 	case holdPath:
 		w.renew(b.Until)
 		w.acknowledge(b.LastSeen)
@@ -106,12 +111,15 @@
 	if !ok {
 		return http.StatusBadRequest, ""
 	}
-	t := &activeRun{cpu: task.cpu, usedCPU: task.usedCPU, startedAt: time.Now(), fails: w.rng.Float64() < w.taskFailureShare+task.failureShare}
+	t := &activeRun{
+		cpu: reservedCPU(task.spec), spec: task.spec, pace: fullPace, startedAt: time.Now(),
+		fails: w.rng.Float64() < w.taskFailureShare+task.spec.failureShare,
+	}
 	if task.duration > 0 {
 		t.endsAt = t.startedAt.Add(task.duration)
 	}
 	if task.crashes {
-		t.endsAt, t.crashesAt = time.Time{}, t.startedAt.Add(task.crashDelay)
+		t.endsAt, t.crashesAt = time.Time{}, t.startedAt.Add(task.spec.crashDelay)
 	}
 	w.runs[key] = t
 	return http.StatusOK, ""
@@ -196,7 +204,7 @@
 		if !t.endsAt.IsZero() {
 			percent = int(100 * time.Since(t.startedAt) / max(1, t.endsAt.Sub(t.startedAt)))
 		}
-		l.Running = append(l.Running, []any{r.task, r.number, "", percent, 1})
+		l.Running = append(l.Running, []any{r.task, r.number, "", percent, w.measurement(t)})
 	}
 	for _, e := range w.unacknowledged[:min(len(w.unacknowledged), maxListedEnds)] {
 		l.Ended = append(l.Ended, []any{e.seq, e.run.task, e.run.number, e.outcome, ""})
@@ -204,6 +212,46 @@
 	return l
 }
 
+const (
+	// fullPace is the pace of a run that is not slowed down, in percent.
+	fullPace = 100
+	// measurementTime is the time over which tail latencies are measured.
+	measurementTime = 500 * time.Millisecond
+	// usualTail is a tail latency without fillers, in percent of its target, and loadedTail the one in each third
+	// loadedTime, in which more is asked of the task.
+	usualTail, loadedTail = 50, 95
+	loadedTime            = 800 * time.Millisecond
+)
+
+// measurement returns the figure that is listed for a run: the tail latency in milliseconds of a task with a target, which
+// fillers raise, and about the processors in use of any other.
+func (w *Worker) measurement(t *activeRun) int64 {
+	if t.spec.TargetMS == 0 {
+		return 1
+	}
+	var pace int64
+	for _, p := range w.fillerPaces {
+		pace += p
+	}
+	pace /= int64(len(w.fillerPaces))
+	tail := int64(usualTail)
+	if time.Since(w.born)/loadedTime%3 == 0 {
+		tail = loadedTail
+	}
+	return (tail + w.FillerTail*pace/fullPace) * t.spec.TargetMS / 100
+}
+
+// fillerPace returns the sum of the fillers' paces in percent.
+func (w *Worker) fillerPace() int64 {
+	var sum int64
+	for _, t := range w.runs {
+		if t.spec.Fills {
+			sum += t.pace
+		}
+	}
+	return sum
+}
+
 // splitTask returns the job and the step of a task's name, which has the form
 // job.occurrence.step.index.
 func splitTask(name string) (job string, step int, err error) {
--- a/standin/soak/worker_faults.go
+++ b/standin/soak/worker_faults.go
@@ -97,7 +97,7 @@
 func (w *Worker) totalUsedCPU() int64 {
 	var sum int64
 	for _, t := range w.runs {
-		sum += t.usedCPU
+		sum += t.spec.CPU
 	}
 	return sum
 }
