--- a/standin/soak/lost_answers.go
+++ b/standin/soak/lost_answers.go
@@ -92,7 +92,8 @@
 	tb.finishJobs(ctx, c, tb.newRand(300))
 }
 
-// runSteadyCaller submits a job, cancels some of them, waits until it has ended, and submits the next one, until ctx ends.
+// runSteadyCaller submits a job, cancels it in one case of eight, waits until it has ended, and goes on with the next one,
+// until ctx ends.
 func (c *callers) runSteadyCaller(ctx context.Context, rng *rand.Rand, index int) {
 	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("%08x%08x", index, n)
