--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -55,6 +55,8 @@
 	crashTime = 15 * time.Second
 	// livenessCheckInterval is the time between two checks that what could run does.
 	livenessCheckInterval = 100 * time.Millisecond
+	// maxCheckDelay is how late such a check may be without a line in the report: the stand-ins are as late.
+	maxCheckDelay = 500 * time.Millisecond
 	// workerCapacity is in milliCPU.
 	workerCapacity = 4000
 	// Workers grant leases of at most shortMaxLease, and of at most longMaxLease with odd seeds.
@@ -247,13 +249,26 @@
 	}
 }
 
-// checkLiveness checks again and again whether what could run does, until ctx ends.
+// checkLiveness checks again and again whether what could run does, until ctx ends. The report tells when a check was
+// late, which excuses nothing.
 func (tb *testbed) checkLiveness(ctx context.Context) {
+	last := time.Now()
 	for ; ctx.Err() == nil; pause.For(ctx, livenessCheckInterval) {
-		tb.checker.CheckLiveness(time.Now(), tb.room())
+		if late := time.Since(last) - livenessCheckInterval; late > maxCheckDelay {
+			tb.noteFault("the soak itself was held up for %.1f s", late.Seconds())
+		}
+		last = time.Now()
+		tb.checker.CheckLiveness(last, tb.room())
 	}
 }
 
+// noteFault adds a line to the faults in the report.
+func (tb *testbed) noteFault(format string, args ...any) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	tb.faults = append(tb.faults, fmt.Sprintf("%.2f s: ", time.Since(tb.startedAt).Seconds())+fmt.Sprintf(format, args...))
+}
+
 // room returns what the workers have left.
 func (tb *testbed) room() room {
 	tb.mu.Lock()
