--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -30,6 +30,8 @@
 	// LostAnswers lets all workers lose answers in long stretches, and lets callers submit jobs after the faults while half
 	// of the answers are lost.
 	LostAnswers bool
+	// FillerTail is by how many percent of its target a filler raises the tail latency of the tasks beside it meanwhile.
+	FillerTail int64
 	// Losses is how many times almost all workers are lost at once, twice in succession, after the faults.
 	Losses int
 }
@@ -53,6 +55,8 @@
 	crashTime = 15 * time.Second
 	// livenessCheckInterval is the time between two checks that what could run does.
 	livenessCheckInterval = 100 * time.Millisecond
+	// maxCheckDelay is how late such a check may be without a line in the report: the stand-ins are as late.
+	maxCheckDelay = 500 * time.Millisecond
 	// workerCapacity is in milliCPU.
 	workerCapacity = 4000
 	// Workers grant leases of at most shortMaxLease, and of at most longMaxLease with odd seeds.
@@ -149,7 +153,7 @@
 	n := tb.workersAdded
 	worker, err := NewWorker(WorkerConfig{
 		ID: fmt.Sprintf("w%d", n), Zone: []string{"a", "b"}[n%2], Host: tb.address(100), CPU: workerCapacity,
-		MaxLease: tb.maxLease, Seed: tb.opts.Seed + uint64(n), Store: tb.store, Checker: tb.checker,
+		MaxLease: tb.maxLease, FillerTail: tb.opts.FillerTail, Seed: tb.opts.Seed + uint64(n), Store: tb.store, Checker: tb.checker,
 	})
 	if err != nil {
 		return err
@@ -245,13 +249,26 @@
 	}
 }
 
-// checkLiveness checks again and again whether what could run does, until ctx ends.
+// checkLiveness checks again and again whether what could run does, until ctx ends. The report tells when a check was
+// late, which excuses nothing.
 func (tb *testbed) checkLiveness(ctx context.Context) {
+	last := time.Now()
 	for ; ctx.Err() == nil; pause.For(ctx, livenessCheckInterval) {
-		tb.checker.CheckLiveness(time.Now(), tb.room())
+		if late := time.Since(last) - livenessCheckInterval; late > maxCheckDelay {
+			tb.noteFault("the soak itself was held up for %.1f s", late.Seconds())
+		}
+		last = time.Now()
+		tb.checker.CheckLiveness(last, tb.room())
 	}
 }
 
+// noteFault adds a line to the faults in the report.
+func (tb *testbed) noteFault(format string, args ...any) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	tb.faults = append(tb.faults, fmt.Sprintf("%.2f s: ", time.Since(tb.startedAt).Seconds())+fmt.Sprintf(format, args...))
+}
+
 // room returns what the workers have left.
 func (tb *testbed) room() room {
 	tb.mu.Lock()
