--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -169,12 +169,13 @@
 	go l.writeTxns(t, c.rev)
 }
 
-// nextTxns builds the next transaction and, while enough records wait to fill further ones, those that follow it.
+// nextTxns builds the next transaction and, while starts wait for further records and enough wait to fill a transaction,
+// those that follow it. Records that starts wait for later would not come before these.
 func (l *leader) nextTxns(now time.Time) *recordTxn {
 	first := l.nextTxn(now)
 	last := first
 	for range maxTxnsInFlight - 1 {
-		if l.state.DirtyJobs() < maxRecordsPerTxn {
+		if !l.state.HasUrgentRecords() || l.state.DirtyJobs() < maxRecordsPerTxn {
 			break
 		}
 		last.next = l.nextTxn(now)
--- a/internal/owner/commit_test.go
+++ b/internal/owner/commit_test.go
@@ -142,11 +142,8 @@
 		l.ctx = t.Context()
 		now := time.Now()
 		jobs := 3 * maxRecordsPerTxn
-		for i := range jobs {
-			id := fmt.Sprintf("j%d", i)
-			l.state.AddJob(&batch.Job{ID: id, Queue: "q", QueueConfig: batch.Queue{Service: "svc"}, Spec: batch.Spec{Steps: []batch.Step{tasks(1)}}}, nil, false, now)
-			l.state.Cancel(id, now)
-		}
+		requestStartRecords(l, jobs, now)
+		is.Equal(l.state.UrgentRecords(), jobs)
 		change := l.state.LastChange()
 		l.commit(now)
 		is.Equal(l.commits.lastDurable(), int64(0))
@@ -168,6 +165,33 @@
 	})
 }
 
+// requestStartRecords makes the starts of jobs wait for their records.
+func requestStartRecords(l *leader, jobs int, now time.Time) {
+	l.state.UpdateWorker(batch.WorkerInfo{ID: "w", Incarnation: 1, Service: "svc", Address: "w", Capacity: batch.Resources{CPU: 1 << 30, MemoryMB: 1 << 30}}, now)
+	l.state.MarkRecorded("w")
+	l.state.ApplyReport("w", batch.Report{Incarnation: 1, Clock: 1}, now)
+	l.state.LeaseRenewed("w", now, true)
+	for i := range jobs {
+		l.state.AddJob(&batch.Job{ID: fmt.Sprintf("j%d", i), Queue: "q", QueueConfig: batch.Queue{Service: "svc"}, Spec: batch.Spec{Steps: []batch.Step{tasks(1)}}}, nil, false, now)
+	}
+	l.state.Plan(now)
+}
+
+// Guards against records that starts wait for behind several transactions of records that none waits for.
+func TestTransactionsThatNoStartWaitsForLetLaterStartsGoFirst(t *testing.T) {
+	is := is.New(t)
+	o := New(Options{Instance: "a"}, newMemoryStore(), nil, fakeRegistry{}, testConfig, zerolog.Nop())
+	l := newLeader(o, heldClaim{claim: Claim{Epoch: 1}, commitRev: 1}, func(error) {})
+	now := time.Now()
+	for i := range 3 * maxRecordsPerTxn {
+		id := fmt.Sprintf("j%d", i)
+		l.state.AddJob(&batch.Job{ID: id, Queue: "q", QueueConfig: batch.Queue{Service: "svc"}, Spec: batch.Spec{Steps: []batch.Step{tasks(1)}}}, nil, false, now)
+		l.state.Cancel(id, now)
+	}
+	is.Equal(l.state.UrgentRecords(), 0)
+	is.True(l.nextTxns(now).next == nil)
+}
+
 // Guards against transactions of a superseded owner that follow one which has met the head of its successor.
 func TestNoTransactionFollowsOneThatMeetsAnotherOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -180,12 +204,9 @@
 		l := newLeader(o, heldClaim{claim: Claim{Epoch: 1}, commitRev: 1}, func(error) { ended = true })
 		l.ctx = t.Context()
 		now := time.Now()
-		for i := range 3 * maxRecordsPerTxn {
-			id := fmt.Sprintf("j%d", i)
-			l.state.AddJob(&batch.Job{ID: id, Queue: "q", QueueConfig: batch.Queue{Service: "svc"}, Spec: batch.Spec{Steps: []batch.Step{tasks(1)}}}, nil, false, now)
-			l.state.Cancel(id, now)
-		}
+		requestStartRecords(l, 3*maxRecordsPerTxn, now)
 		l.commit(now)
+		is.True(l.commits.inFlight.next != nil)
 		time.Sleep(time.Second)
 		synctest.Wait()
 		is.True(ended)
