--- a/internal/owner/lossy_workers_test.go
+++ b/internal/owner/lossy_workers_test.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
@@ -18,6 +19,8 @@
 	workers WorkerClient
 	seed    uint64
 	late    context.Context // bounds what is carried out late
+	// requests counts all requests.
+	requests atomic.Int64
 
 	mu    sync.Mutex
 	share float64 // of the requests that get no answer
@@ -106,6 +109,7 @@
 
 // call makes a request with the fate that is drawn for it.
 func (l *lossyWorkers) call(ctx context.Context, kind callKind, request any, send func(ctx context.Context) workerResponse) workerResponse {
+	l.requests.Add(1)
 	f := l.draw(kind, request)
 	switch f.kind {
 	case answered:
--- a/internal/owner/lost_answers_test.go
+++ b/internal/owner/lost_answers_test.go
@@ -102,3 +102,24 @@
 		})
 	}
 }
+
+// Guards against an owner that may not renew leases, in an outage of the store, and asks workers that lose answers for their
+// reports without a pause (issue 42).
+func TestWorkersThatLoseAnswersAreAskedAtAPaceInAnOutage(t *testing.T) {
+	const outage, window = 6 * time.Second, 2 * time.Second // longer than the owner may act
+	const perSecond = 4                                     // one call each lossyIdlePause, and repetitions
+	ids := []batch.WorkerID{"w0", "w1", "w2", "w3"}
+	withLossyWorkers(t, 1, func(h *harness, l *lossyWorkers) {
+		h.submit("j", longRunning(4*len(ids)))
+		h.sleep(2 * time.Second)
+		h.store.setDown(true)
+		l.setLoss(0.5, 0)
+		h.sleep(outage)
+		l.setLoss(0, 0) // the workers are known to lose answers for a while
+		before := l.requests.Load()
+		h.sleep(window)
+		sent := l.requests.Load() - before
+		t.Logf("%d requests in %s", sent, window)
+		h.is.True(sent <= int64(len(ids)*perSecond)*int64(window/time.Second))
+	}, ids...)
+}
--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -80,8 +80,8 @@
 	leaseEnd    time.Time // the lease has ended by then on any worker's clock
 	// lossyUntil is until when the worker is known to lose answers.
 	lossyUntil time.Time
-	// leaseIsOld is set if the last call was answered, but has renewed nothing, or has renewed the lease to an end from
-	// before a long wait.
+	// leaseIsOld is set if the last call was to renew the lease and has not, though it was answered, or has renewed it to an
+	// end from before a long wait.
 	leaseIsOld bool
 }
 
@@ -224,7 +224,7 @@
 		}
 		return r.answer != batch.AnswerNone
 	})
-	rn.noteLoss(outcome, request.MaxWait > 0)
+	rn.noteLoss(request, outcome)
 	return outcome
 }
 
@@ -242,11 +242,12 @@
 	return r
 }
 
-// lossyPause returns the pause before the next call to a worker that is known to lose answers; 0 if it has no lease yet.
+// lossyPause returns the pause before the next call to a worker that is known to lose answers. One that has no lease yet
+// is asked again soon.
 func (rn *renewer) lossyPause() time.Duration {
 	switch {
 	case rn.params.maxWait == 0:
-		return 0
+		return renewRepeatInterval
 	case rn.params.maxWait > busyWait:
 		return lossyIdlePause
 	default:
@@ -281,8 +282,8 @@
 
 // noteLoss notes what the outcome of a renewal says of the worker: if only a repetition was answered, the worker is there,
 // and answers are lost or late.
-func (rn *renewer) noteLoss(outcome renewal, waited bool) {
-	rn.leaseIsOld = !outcome.renewed || outcome.repeated && waited
+func (rn *renewer) noteLoss(request RenewRequest, outcome renewal) {
+	rn.leaseIsOld = request.LeaseEnd != 0 && (!outcome.renewed || outcome.repeated && request.MaxWait > 0)
 	if outcome.answer == batch.AnswerOK && outcome.repeated {
 		rn.lossyUntil = time.Now().Add(lossyMemory)
 	}
