--- a/internal/batch/changed.go
+++ b/internal/batch/changed.go
@@ -1,9 +1,8 @@
 package batch
 
 // changedJobs is a queue of the jobs whose records have to be written, in the order of their first
-// change since they were last taken. Each entry has a sequence number. All changes up to a number n are
-// durable once the oldest entry of the queue and of the transaction in flight both have a number above
-// n; this lets a caller wait for the changes made so far while further changes follow.
+// change since they were last taken. Each entry has a sequence number, which its job keeps as its
+// changedSeq; this lets a caller wait for the changes made so far while further changes follow.
 type changedJobs struct {
 	seqs map[*Job]uint64
 	// queue holds the jobs by rising sequence number. Entries whose number differs from that in seqs
@@ -25,7 +24,7 @@
 		return
 	}
 	c.lastSeq++
-	c.seqs[j] = c.lastSeq
+	c.seqs[j], j.changedSeq = c.lastSeq, c.lastSeq
 	c.queue = append(c.queue, changedJob{job: j, seq: c.lastSeq})
 }
 
@@ -34,7 +33,11 @@
 	return ok
 }
 
-func (c *changedJobs) remove(j *Job) { delete(c.seqs, j) }
+// take removes a job, whose changes are taken for the store.
+func (c *changedJobs) take(j *Job) {
+	j.takenSeq = j.changedSeq
+	delete(c.seqs, j)
+}
 
 func (c *changedJobs) len() int { return len(c.seqs) }
 
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -24,6 +24,9 @@
 	occs           []*occurrence
 	attempts       int // attempts that may run
 	changedAt      time.Time
+	// changedSeq, takenSeq and storedSeq are the sequence numbers of the newest change of the job, of the newest one that was
+	// taken for the store, and of the newest one that the store holds. See changedJobs.
+	changedSeq, takenSeq, storedSeq uint64
 	criticalPath   time.Duration // longest sum of estimates along dependent steps
 }
 
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -11,6 +11,8 @@
 	Status  JobStatus      `cbor:"1,keyasint,omitempty"`
 	Started bool           `cbor:"2,keyasint,omitempty"`
 	Steps   []StepProgress `cbor:"3,keyasint,omitempty"`
+	// change is the job's changedSeq at the time of the record. It is not stored.
+	change uint64
 }
 
 // StepProgress is the progress of the tasks of one step. Steps without progress are left out.
@@ -35,14 +37,6 @@
 // DirtyJobs returns the number of jobs whose records have changed since they were last taken.
 func (s *State) DirtyJobs() int { return s.dirty.len() }
 
-// LastChange returns the sequence number of the newest change of any job. A number is given to each
-// change of a job that was not dirty before.
-func (s *State) LastChange() uint64 { return s.dirty.lastSeq }
-
-// OldestChange returns the sequence number of the oldest change that has not been taken, or LastChange
-// plus 1 if there is none.
-func (s *State) OldestChange() uint64 { return s.dirty.oldestSeq() }
-
 // HasUrgentRecords reports whether the start of a step waits for a durable record.
 func (s *State) HasUrgentRecords() bool { return s.UrgentRecords() > 0 }
 
@@ -86,7 +80,7 @@
 		return
 	}
 	out[j.ID] = j.record()
-	s.dirty.remove(j)
+	s.dirty.take(j)
 	delete(s.urgentJobs, j)
 }
 
@@ -102,7 +96,7 @@
 func (s *State) MarkStored(records map[string]Record) {
 	for id, r := range records {
 		if j := s.jobs[id]; j != nil {
-			j.durableOutcome = r.Status
+			j.durableOutcome, j.storedSeq = r.Status, max(j.storedSeq, r.change)
 			r.markStartRecordsDurable(j)
 		}
 	}
@@ -126,7 +120,7 @@
 
 // record returns the record of a job. That of an ended job holds its status only.
 func (j *Job) record() Record {
-	r := Record{Status: j.outcome, Started: j.started}
+	r := Record{Status: j.outcome, Started: j.started, change: j.changedSeq}
 	if r.Status.Terminal() {
 		return r
 	}
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -5,7 +5,7 @@
 )
 
 // ApplyReport processes the report of a worker. It returns the highest Seq among the reported ends.
-// The ends up to it may be acknowledged to the worker once the records that are dirty now are durable.
+// The ends up to it may be acknowledged to the worker once the changes that follow from them, see ChangesBy, are stored.
 func (s *State) ApplyReport(id WorkerID, r Report, now time.Time) int64 {
 	w := s.workers[id]
 	if w == nil || r.Incarnation < w.info.Incarnation {
@@ -31,7 +31,7 @@
 		last = max(last, e.Seq)
 	}
 	if len(r.Ended) > 0 {
-		w.endsChange = s.LastChange()
+		w.endsChanges = s.ChangesBy(r.Ended)
 	}
 	s.reconcile(w, r, now)
 	s.endUnreadable(w, r, now)
--- a/internal/batch/simulation_ends_test.go
+++ b/internal/batch/simulation_ends_test.go
@@ -21,7 +21,7 @@
 	worker      WorkerID
 	incarnation int64
 	seq         int64
-	change      uint64 // the newest change that must be durable before
+	changes     Changes // those that the store must hold before
 }
 
 // checkMaxAttempts checks that a task has not been started after as many acknowledged failures as its queue allows,
@@ -179,7 +179,7 @@
 	}
 	w.noteListedDone(r.Ended)
 	if last := w.owner.ApplyReport(n.info.ID, r, w.now); last > 0 {
-		w.acks = append(w.acks, pendingAck{n.info.ID, n.info.Incarnation, last, w.owner.LastChange()})
+		w.acks = append(w.acks, pendingAck{n.info.ID, n.info.Incarnation, last, w.owner.ChangesBy(r.Ended)})
 	}
 }
 
--- a/internal/batch/simulation_store_test.go
+++ b/internal/batch/simulation_store_test.go
@@ -69,7 +69,7 @@
 	}
 	var waiting []pendingAck
 	for _, a := range w.acks {
-		if a.change < w.owner.OldestChange() {
+		if a.changes.AreStored() {
 			w.acknowledge(a)
 		} else {
 			waiting = append(waiting, a)
--- a/internal/batch/state_test.go
+++ b/internal/batch/state_test.go
@@ -196,8 +196,8 @@
 	for i := range 10 {
 		s.Cancel(fmt.Sprintf("j%02d", i), now)
 	}
-	newest := s.LastChange()
-	for i := 10; s.OldestChange() <= newest; i++ {
+	newest := s.dirty.lastSeq
+	for i := 10; s.dirty.oldestSeq() <= newest; i++ {
 		is.True(i < 16) // five calls of TakeDirty with two records each are enough
 		s.TakeDirty(2)
 		s.Cancel(fmt.Sprintf("j%02d", i), now)
--- a/internal/batch/unrecorded_ends_test.go
+++ b/internal/batch/unrecorded_ends_test.go
@@ -47,3 +47,36 @@
 		})
 	}
 }
+
+// Guards against ends that are acknowledged late, so that each report lists them again, since the records of other jobs wait
+// for the store (issue 45).
+func TestAnAcknowledgementWaitsForTheJobsOfItsEndsOnly(t *testing.T) {
+	is := is.New(t)
+	s, now := newTestState("a")
+	addJob(s, "j", "q", now, taskStep(2, 1000))
+	starts := startActions(planUntilIdle(s, now))
+	for _, other := range []string{"k", "l", "m"} {
+		addJob(s, other, "q", now, taskStep(1, 1000))
+		s.Cancel(other, now)
+	}
+	ended := func(a Action, seq int64) []EndedAttempt {
+		return []EndedAttempt{{Seq: seq, Task: a.Task, Run: a.Run, Reason: EndDone}}
+	}
+	first := ended(starts[0], 1)
+	reportWithLease(s, "a", Report{Incarnation: 1, Clock: 50, Ended: first, Running: []RunningAttempt{{Task: starts[1].Task, Run: starts[1].Run}}}, now)
+	changes := s.ChangesBy(first)
+	is.True(!changes.AreStored())
+	s.MarkStored(s.TakeDirty(2)) // k and l
+	is.True(!changes.AreStored())
+	records := s.TakeDirty(2) // m and j
+
+	// A change that follows needs another record, but does not put off the acknowledgement of the first end.
+	second := append(first, ended(starts[1], 2)...)
+	reportWithLease(s, "a", Report{Incarnation: 1, Clock: 60, Ended: second}, now)
+	later := s.ChangesBy(second)
+	s.MarkStored(records)
+	is.True(changes.AreStored())
+	is.True(!later.AreStored())
+	s.MarkStored(s.TakeDirty(1))
+	is.True(later.AreStored())
+}
--- a/internal/batch/urgent_records_test.go
+++ b/internal/batch/urgent_records_test.go
@@ -15,14 +15,14 @@
 	s, now := newTestState("a")
 	addJob(s, "old", "q", now, taskStep(1, 1000))
 	s.Cancel("old", now)
-	oldest := s.OldestChange()
+	oldest := s.dirty.oldestSeq()
 	for i := range 3 {
 		for k := range 2 * n {
 			addJob(s, fmt.Sprint("urgent", i, "-", k), "q", now, taskStep(1, 1))
 		}
 		s.Plan(now)
 		is.True(s.HasUrgentRecords())
-		if s.TakeDirty(n); s.OldestChange() > oldest {
+		if s.TakeDirty(n); s.dirty.oldestSeq() > oldest {
 			return
 		}
 	}
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -48,7 +48,7 @@
 	unreadableSince   time.Time  // since when its reports cannot be read in full; zero if the last one could
 	failures          []*step    // the steps of its failures in a row
 	failuresEnd       time.Time  // when these are too old to be in a row
-	endsChange        uint64     // LastChange after the last report with ends
+	endsChanges       Changes    // the changes that follow from the last report with ends
 	countedSeq        int64      // highest Seq of the ends that were counted for or against the worker
 	quarantinedUntil  time.Time
 	restsUntil        time.Time // until when it does not get long-running tasks without another worker either
@@ -139,7 +139,7 @@
 
 // hasUnrecordedEnds reports whether the changes that follow from the worker's reported ends are still to be taken for
 // the store.
-func (s *State) hasUnrecordedEnds(w *worker) bool { return w.endsChange >= s.OldestChange() }
+func (s *State) hasUnrecordedEnds(w *worker) bool { return !w.endsChanges.areTaken() }
 
 // isForgettable reports whether nothing of a worker that the registry does not have matters any more.
 func (s *State) isForgettable(w *worker) bool {
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -33,24 +33,24 @@
 // ends, and if they acknowledge ended attempts, which the worker may then discard, until the changes of jobs are durable.
 type pendingParams struct {
 	params renewalParams
-	// txnNumber is the number of the transaction that must be durable for the renewal, and change the sequence number of
-	// the newest change of a job; 0 if no end is acknowledged.
+	// txnNumber is the number of the transaction that must be durable for the renewal, and changes those that must be stored
+	// for the acknowledgement.
 	txnNumber int64
-	change    uint64
+	changes   batch.Changes
 }
 
 // due fires when the next transaction may be sent.
 func (c *committer) due() <-chan time.Time { return c.timer }
 
-// setParamsWhenDurable passes the parameters to the renewer once all changes made so far that they depend on are
-// durable. Later changes do not delay them. The lease can be renewed before the ends of the report are acknowledged.
-func (l *leader) setParamsWhenDurable(i renewalParams, rn *renewer) {
+// setParamsWhenDurable passes the parameters to the renewer once all that they depend on is durable: the changes that follow
+// from the ends that they acknowledge, and no others. The lease can be renewed before the ends are acknowledged.
+func (l *leader) setParamsWhenDurable(i renewalParams, ended []batch.EndedAttempt, rn *renewer) {
 	if i.ackSeq > 0 {
 		renewal := i
 		renewal.ackSeq, renewal.awaitsAck = 0, true
-		l.setOnceDurable(renewal, rn)
+		l.setOnceDurable(renewal, nil, rn)
 	}
-	l.setOnceDurable(i, rn)
+	l.setOnceDurable(i, l.state.ChangesBy(ended), rn)
 }
 
 // maxPendingParams is how many parameters of one kind may wait for a renewer: the oldest, which become durable first, and
@@ -59,11 +59,8 @@
 
 // setOnceDurable passes the parameters to the renewer at once if all that they depend on is durable, and otherwise lets
 // them wait.
-func (l *leader) setOnceDurable(i renewalParams, rn *renewer) {
-	p := pendingParams{params: i, txnNumber: l.workersRecord.requiredTxn(rn.info.ID, l.commits.number+1)}
-	if i.ackSeq > 0 {
-		p.change = l.state.LastChange()
-	}
+func (l *leader) setOnceDurable(i renewalParams, changes batch.Changes, rn *renewer) {
+	p := pendingParams{params: i, txnNumber: l.workersRecord.requiredTxn(rn.info.ID, l.commits.number+1), changes: changes}
 	if l.isDurable(p) {
 		rn.setParams(i)
 		return
@@ -113,8 +110,7 @@
 
 // isDurable reports whether all changes that the parameters wait for are durable.
 func (l *leader) isDurable(p pendingParams) bool {
-	c := &l.commits
-	return p.txnNumber <= c.lastDurable() && p.change < l.state.OldestChange() && (c.inFlight == nil || p.change < c.inFlight.oldestChange)
+	return p.txnNumber <= l.commits.lastDurable() && p.changes.AreStored()
 }
 
 // lastDurable returns the number of the newest durable transaction.
@@ -202,7 +198,7 @@
 func (l *leader) nextTxn(now time.Time) *recordTxn {
 	c := &l.commits
 	c.number++
-	t := &recordTxn{number: c.number, oldestChange: l.state.OldestChange()}
+	t := &recordTxn{number: c.number}
 	urgent := l.state.UrgentRecords()
 	t.records = l.state.TakeDirty(maxRecordsPerTxn)
 	t.urgent = urgent - l.state.UrgentRecords()
--- a/internal/owner/commit_test.go
+++ b/internal/owner/commit_test.go
@@ -13,6 +13,15 @@
 	"github.com/geraniumwick/geraniumwick/internal/kv"
 )
 
+// endsOf returns an end of a task of each of the jobs j0, j1 and so on.
+func endsOf(jobs int) []batch.EndedAttempt {
+	var ends []batch.EndedAttempt
+	for i := range jobs {
+		ends = append(ends, batch.EndedAttempt{Task: batch.TaskID{Job: fmt.Sprintf("j%d", i)}})
+	}
+	return ends
+}
+
 // Jobs change faster than their records can be written. Renewal parameters must wait only for the
 // changes made before them; if they also waited for later ones, no lease would ever be renewed.
 func TestInstructionsAreNotHeldUpByLaterChanges(t *testing.T) {
@@ -31,7 +40,7 @@
 	}
 	change(3 * maxRecordsPerTxn)
 	rn := &renewer{newParams: make(chan renewalParams, 1)}
-	l.setParamsWhenDurable(renewalParams{ackSeq: 7}, rn)
+	l.setParamsWhenDurable(renewalParams{ackSeq: 7}, endsOf(created), rn)
 	is.Equal(<-rn.newParams, renewalParams{awaitsAck: true}) // the renewal needs none of the changes
 	for i := range 3 {
 		is.Equal(len(rn.newParams), 0) // changes made before the parameters are not durable yet
@@ -66,7 +75,7 @@
 			l.commits.inFlight = l.nextTxn(time.Now())
 			rn := &renewer{info: batch.WorkerInfo{ID: worker}, newParams: make(chan renewalParams, 1)}
 			l.workersRecord.setRenewed(worker)
-			l.setParamsWhenDurable(renewalParams{renew: true}, rn)
+			l.setParamsWhenDurable(renewalParams{renew: true}, nil, rn)
 			is.Equal(len(rn.newParams) == 0, c.waits)
 			l.committed(l.commits.inFlight, 2)
 			is.Equal(len(rn.newParams) == 0, c.waits) // the stored record still says that it ends
@@ -106,10 +115,12 @@
 // Guards against a worker that gets no task for as long as records of jobs wait for the store: its renewals waited for
 // them, and one must be confirmed before the next start. Only the acknowledgement of ends may wait.
 func TestOnlyAcknowledgementsWaitForTheRecordsOfJobs(t *testing.T) {
+	ends := []batch.EndedAttempt{{Task: batch.TaskID{Job: "in-flight"}}, {Task: batch.TaskID{Job: "waiting"}}}
 	for _, c := range []struct {
 		name   string
 		ackSeq int64
-	}{{"no end is acknowledged", 0}, {"an end is acknowledged", 7}} {
+		ended  []batch.EndedAttempt
+	}{{"no end is acknowledged", 0, nil}, {"ends are acknowledged", 7, ends}} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			o := New(Options{Instance: "a"}, newMemoryStore(), nil, fakeRegistry{}, testConfig, zerolog.Nop())
@@ -123,7 +134,7 @@
 			l.commits.inFlight = l.nextTxn(now)
 			change("waiting")
 			rn := &renewer{newParams: make(chan renewalParams, 1)}
-			l.setParamsWhenDurable(renewalParams{ackSeq: c.ackSeq, renew: true}, rn)
+			l.setParamsWhenDurable(renewalParams{ackSeq: c.ackSeq, renew: true}, c.ended, rn)
 			is.Equal(<-rn.newParams, renewalParams{renew: true, awaitsAck: c.ackSeq > 0})
 			for rev := int64(2); l.commits.inFlight != nil; rev++ {
 				is.Equal(len(rn.newParams), 0)
@@ -183,7 +194,8 @@
 		jobs := 3 * maxRecordsPerTxn
 		requestStartRecords(l, jobs, now)
 		is.Equal(l.state.UrgentRecords(), jobs)
-		change := l.state.LastChange()
+		changes := l.state.ChangesBy(endsOf(jobs))
+		is.Equal(len(changes), jobs)
 		l.commit(now)
 		is.Equal(l.commits.lastDurable(), int64(0))
 		time.Sleep(200 * time.Millisecond) // no turn of the loop meanwhile
@@ -193,7 +205,7 @@
 		is.Equal(len(stored), jobs)
 
 		// The loop hears of them one after the other, and each says how far all changes are durable.
-		p := pendingParams{txnNumber: 3, change: change}
+		p := pendingParams{changes: changes}
 		for number := range int64(3) {
 			is.Equal(l.commits.lastDurable(), number)
 			is.True(!l.isDurable(p))
--- a/internal/owner/pending_params_test.go
+++ b/internal/owner/pending_params_test.go
@@ -13,11 +13,11 @@
 	var c committer
 	rn := &renewer{}
 	for i := range 100 {
-		c.addPending(rn, pendingParams{params: renewalParams{ackSeq: int64(i)}, change: uint64(i)})
-		c.addPending(rn, pendingParams{params: renewalParams{awaitsAck: true}, change: uint64(i)})
+		c.addPending(rn, pendingParams{params: renewalParams{ackSeq: int64(i)}, txnNumber: int64(i)})
+		c.addPending(rn, pendingParams{params: renewalParams{awaitsAck: true}, txnNumber: int64(i)})
 	}
 	is.Equal(len(c.pending[rn]), 2*maxPendingParams)
-	is.Equal(c.pending[rn][0].change, uint64(0)) // the oldest stays, as it becomes durable first
+	is.Equal(c.pending[rn][0].txnNumber, int64(0)) // the oldest stays, as it becomes durable first
 	c.addPending(rn, pendingParams{params: renewalParams{generation: 1}})
 	is.Equal(len(c.pending[rn]), 1)
 }
--- a/internal/owner/records.go
+++ b/internal/owner/records.go
@@ -184,11 +184,9 @@
 
 // recordTxn is a transaction of the owner with the records that it makes durable.
 type recordTxn struct {
-	number int64
-	// oldestChange is the sequence number of the oldest change of a job in it.
-	oldestChange uint64
-	txn          kv.Txn
-	records      map[string]batch.Record
+	number  int64
+	txn     kv.Txn
+	records map[string]batch.Record
 	// next is the transaction that is sent after this one, or nil.
 	next *recordTxn
 	// urgent is the number of records for which starts wait.
--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -42,9 +42,11 @@
 	silentFailures   = 2
 	// renewRetryDelay is the pause after a failed renewal.
 	renewRetryDelay = 250 * time.Millisecond
-	// ackTimeout is how long a renewer waits for the changes from a report to become durable before
-	// it makes the next call without acknowledging the ended attempts of the report.
-	ackTimeout = 400 * time.Millisecond
+	// minAckWait is how long a renewer waits for the changes from a report to become durable before it makes the next call
+	// without acknowledging the ended attempts of the report. A worker answers such a call at once, with the same ends, so
+	// the wait is doubled up to maxAckWait each time.
+	minAckWait = 400 * time.Millisecond
+	maxAckWait = 1600 * time.Millisecond
 )
 
 // renewalParams holds the parameters of a renewer's next call. The leader's loop sets them after
@@ -85,6 +87,8 @@
 	renewalDue time.Time
 	// runsTasks is set if the worker ran tasks by the last parameters, or has not been heard of.
 	runsTasks bool
+	// ackWait is how long the next wait for an acknowledgement lasts.
+	ackWait time.Duration
 	// lossyUntil is until when the worker is known to lose answers.
 	lossyUntil time.Time
 	// leaseIsOld is set if the last call was to renew the lease and has not, though it was answered, or has renewed it to an
@@ -351,8 +355,7 @@
 	return rn.clock.now(now) + rn.leader.owner.opts.MaxWorkerLease.Milliseconds()
 }
 
-// succeeded passes a report to the loop, and waits up to ackTimeout for the parameters of the next
-// call.
+// succeeded passes a report to the loop, and waits for the parameters of the next call.
 func (rn *renewer) succeeded(ctx context.Context, outcome renewal) {
 	now, r := time.Now(), outcome.report
 	if r.Incarnation != rn.incarnation {
@@ -378,20 +381,25 @@
 	rn.awaitParams(ctx)
 }
 
-// awaitParams waits for the parameters of the next call, and up to ackTimeout for those that acknowledge the ends of the
-// last report.
+// awaitParams waits for the parameters of the next call, and for a while for those that acknowledge the ends of the last
+// report.
 func (rn *renewer) awaitParams(ctx context.Context) {
-	timer := time.NewTimer(ackTimeout)
+	rn.ackWait = max(rn.ackWait, minAckWait)
+	timer := time.NewTimer(rn.ackWait)
 	defer timer.Stop()
-	for awaits := true; awaits; {
+	for {
 		select {
 		case i := <-rn.newParams:
 			rn.applyParams(i)
-			awaits = i.awaitsAck
+			if !i.awaitsAck {
+				rn.ackWait = minAckWait
+				return
+			}
 		case <-timer.C:
-			awaits = false
+			rn.ackWait = min(2*rn.ackWait, maxAckWait)
+			return
 		case <-ctx.Done():
-			awaits = false
+			return
 		}
 	}
 }
@@ -459,7 +467,7 @@
 		l.workersRecord.setRenewed(id)
 	}
 	i := renewalParams{ackSeq: ackSeq, maxWait: l.maxReportWait(id, now), renew: !l.state.MustLapse(id), runsTasks: l.state.HasAttempts(id), generation: generation}
-	l.setParamsWhenDurable(i, rn)
+	l.setParamsWhenDurable(i, r.Ended, rn)
 }
 
 // maxReportWait returns how long a worker may wait for an attempt to end before it sends its report.
