--- a/internal/batch/crowd_bench_test.go
+++ b/internal/batch/crowd_bench_test.go
@@ -118,3 +118,57 @@
 	}
 	return s, now.Add(time.Second)
 }
+
+// busyCrowd returns a state in which the workers run tasks, and thousands of tasks wait for the limit of starts.
+func busyCrowd(workers, jobs int) (*State, time.Time) {
+	s, now := loadedState(workers, 0)
+	addCrowd(s, jobs, now)
+	for range jobs/100 + 1 {
+		s.LimitStarts(0)
+		s.Plan(now)
+		s.MarkStored(s.TakeDirty(jobs))
+	}
+	return s, now
+}
+
+// BenchmarkTurn measures a turn of the owner's loop while more tasks wait than starts can be sent: the reports of some workers,
+// and a decision that starts some tasks.
+func BenchmarkTurn(b *testing.B) {
+	const reports, starts = 40, 40
+	for _, workers := range []int{890, 1780, 3560} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			s, now := busyCrowd(workers, 1000)
+			ids := s.sortedWorkers()
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				now = now.Add(20 * time.Millisecond)
+				for k := range reports {
+					reportAll(s, ids[(i*reports+k)%len(ids)], now)
+				}
+				s.LimitStarts(starts)
+				for _, a := range startActions(s.Plan(now)) {
+					s.StartAnswered(a.Worker, a.Task, a.Run, AnswerOK, now)
+				}
+				s.Events()
+				b.StopTimer()
+				s.MarkStored(s.TakeDirty(1 << 20))
+				b.StartTimer()
+			}
+		})
+	}
+}
+
+// reportAll passes a report of a worker in which all of its tasks that end by themselves are done.
+func reportAll(s *State, w *worker, now time.Time) {
+	r := Report{Incarnation: 1, Clock: now.UnixMilli(), RequestedAt: now}
+	for key, a := range w.attempts {
+		if a.step.spec.LongRunning || now.Sub(a.requestedAt) < time.Second {
+			r.Running = append(r.Running, RunningAttempt{Task: key.task, Run: key.run, Percent: 100, Measurement: 10})
+			continue
+		}
+		r.Ended = append(r.Ended, EndedAttempt{Seq: now.UnixNano() + int64(len(r.Ended)), Task: key.task, Run: key.run, Reason: EndDone})
+	}
+	s.LeaseRenewed(w.info.ID, now.Add(time.Hour), true)
+	s.ApplyReport(w.info.ID, r, now)
+}
--- a/internal/owner/cooldown.go
+++ b/internal/owner/cooldown.go
@@ -11,6 +11,8 @@
 	minCooldown = 4 * time.Millisecond
 	// maxCooldown limits the cooldown, so that a slow machine still decides several times a second.
 	maxCooldown = 40 * time.Millisecond
+	// shortCooldown is the cooldown while requests to workers wait for processor time. What is decided would wait, too.
+	shortCooldown = startSendTime / 2
 )
 
 // cooldown enforces a pause after each decision, in proportion to the time that the decision took.
@@ -34,7 +36,12 @@
 	return true
 }
 
-// start begins the cooldown of a decision that lasted from began to now.
-func (c *cooldown) start(began, now time.Time) {
+// start begins the cooldown of a decision that lasted from began to now. short says that the process is short of processor
+// time.
+func (c *cooldown) start(began, now time.Time, short bool) {
+	if short {
+		c.until = now.Add(shortCooldown)
+		return
+	}
 	c.until = now.Add(min(max(cooldownFactor*now.Sub(began), minCooldown), maxCooldown))
 }
--- a/internal/owner/cooldown_test.go
+++ b/internal/owner/cooldown_test.go
@@ -11,10 +11,16 @@
 // After a decision that took long, under a steady stream of events, the next decision must wait for
 // twice as long, and for minCooldown in any case, and must then be made without another event.
 func TestCooldownIsProportionalToDecisionTime(t *testing.T) {
-	for name, c := range map[string]struct{ took, cooldown time.Duration }{
-		"cheap":     {0, minCooldown},
-		"usual":     {3 * time.Millisecond, 6 * time.Millisecond},
-		"very slow": {time.Second, maxCooldown},
+	for name, c := range map[string]struct {
+		took  time.Duration
+		short bool
+		want  time.Duration
+	}{
+		"cheap":                             {0, false, minCooldown},
+		"usual":                             {3 * time.Millisecond, false, 6 * time.Millisecond},
+		"very slow":                         {time.Second, false, maxCooldown},
+		"cheap, but requests wait":          {0, true, shortCooldown},
+		"very slow, and requests wait, too": {time.Second, true, shortCooldown},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -23,11 +29,11 @@
 				began := time.Now()
 				is.True(cd.elapsed(began)) // there was no decision before
 				time.Sleep(c.took)
-				cd.start(began, time.Now())
+				cd.start(began, time.Now(), c.short)
 				is.True(!cd.elapsed(time.Now()))
 				decided := time.Now()
 				<-cd.due()
-				is.Equal(time.Since(decided), c.cooldown)
+				is.Equal(time.Since(decided), c.want)
 				is.True(cd.elapsed(time.Now()))
 			})
 		})
--- a/internal/owner/leader_test.go
+++ b/internal/owner/leader_test.go
@@ -158,7 +158,7 @@
 		l.react(time.Now())
 		is.Equal(l.commits.number, int64(1))
 		l.committed(l.commits.inFlight, 2)
-		l.cooldown.start(time.Now().Add(-time.Second), time.Now().Add(commitInterval)) // the decision took a second
+		l.cooldown.start(time.Now().Add(-time.Second), time.Now().Add(commitInterval), false) // the decision took a second
 		change("b")
 		l.react(time.Now())
 		is.Equal(l.commits.number, int64(1))
