--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -183,12 +183,6 @@
 	return w != nil && len(w.attempts) > 0
 }
 
-// HasFiniteTasks reports whether the worker runs tasks that are not long-running.
-func (s *State) HasFiniteTasks(id WorkerID) bool {
-	w := s.workers[id]
-	return w != nil && len(w.attempts) > w.longRunning
-}
-
 // rackOf returns the first label that names a rack, which begins with r and a digit, or "".
 func rackOf(labels []string) string {
 	for _, l := range labels {
--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -13,7 +13,7 @@
 
 const (
 	// idleWait is how long an idle worker may wait for an attempt to end before it responds to a
-	// renewal. busyWait applies to a worker with tasks that end by themselves, and colocatedWait to
+	// renewal. busyWait applies to a worker with tasks, whose lease must outlast several lost answers, and colocatedWait to
 	// one where best-effort tasks share the worker with tasks that have a latency target.
 	idleWait      = 2 * time.Second
 	busyWait      = time.Second
@@ -479,7 +479,7 @@
 		return 0 // tasks are started on it only after it has confirmed its lease
 	case l.state.HasColocatedTasks(id), l.state.HasUnansweredStart(id, now):
 		return colocatedWait
-	case l.state.HasFiniteTasks(id):
+	case l.state.HasAttempts(id):
 		return busyWait
 	default:
 		return idleWait
