--- a/cmd/geraniumwickd/platform.go
+++ b/cmd/geraniumwickd/platform.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -16,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/geraniumwick/geraniumwick/internal/admission"
+	"github.com/geraniumwick/geraniumwick/internal/connlimit"
 	"github.com/geraniumwick/geraniumwick/internal/entry"
 	"github.com/geraniumwick/geraniumwick/internal/kv"
 	"github.com/geraniumwick/geraniumwick/internal/logging"
@@ -113,6 +115,7 @@
 		return err
 	}
 	defer lag.Close()
+	connections := connlimit.New(s.MaxConnections())
 	options := entry.Options{
 		Name:        s.Name,
 		PeerAddress: s.PeerAddress(),
@@ -123,11 +126,12 @@
 			JobRetention:       retentionFactor * s.StatusRetention(),
 			Speed:              s.Speed(),
 			Adviser:            platform.NewAdviser(s.Advice, log),
+			OpenConnections:    connections.Open,
 			ProcessorLag:       func(ctx context.Context) time.Duration { return lag.Measure(ctx, admission.SampleInterval) },
 		},
 		Scope: scope,
 	}
-	instance := entry.New(options, kv.WithMetrics(store, scope), platform.ConfigDecoder{}, platform.NewWorkerClient(log), platform.Registry{}, log)
+	instance := entry.New(options, kv.WithMetrics(store, scope), platform.ConfigDecoder{}, platform.NewWorkerClient(connections, log), platform.Registry{}, log)
 	peers := peer.NewServer(model.InstanceID(s.Name), log)
 	instance.RegisterPeerCalls(peers)
 	peerMux := http.NewServeMux()
@@ -137,10 +141,10 @@
 	metricsMux.Handle("/metrics", metricsHandler)
 
 	failed := make(chan error, 4)
-	apiServer := serveInBackground(s.Listen.Front, platform.NewAPIHandler(instance, scope, log), failed)
-	serveInBackground(s.Listen.Ready, platform.ReadinessHandler(instance), failed)
-	serveInBackground(s.PeerAddress(), peerMux, failed)
-	serveInBackground(s.MetricsAddress(), metricsMux, failed)
+	apiServer := serveInBackground(s.Listen.Front, platform.NewAPIHandler(instance, scope, log), connections, failed)
+	serveInBackground(s.Listen.Ready, platform.ReadinessHandler(instance), connections, failed)
+	serveInBackground(s.PeerAddress(), peerMux, connections, failed)
+	serveInBackground(s.MetricsAddress(), metricsMux, connections, failed)
 	go instance.Run(ctx)
 
 	go watchSettings(ctx, path, store, log)
@@ -190,11 +194,15 @@
 	}
 }
 
-// serveInBackground starts an HTTP server on the address; its failure is sent to failed.
-func serveInBackground(address string, h http.Handler, failed chan<- error) *http.Server {
+// serveInBackground starts an HTTP server on the address, whose connections are counted; its failure is sent to failed.
+func serveInBackground(address string, h http.Handler, connections *connlimit.Limit, failed chan<- error) *http.Server {
 	s := &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: headerReadTimeout}
 	go func() {
-		if err := s.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			err = s.Serve(connections.Listener(listener))
+		}
+		if !errors.Is(err, http.ErrServerClosed) {
 			failed <- err
 		}
 	}()
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -27,7 +27,7 @@
 	// changedSeq, takenSeq and storedSeq are the sequence numbers of the newest change of the job, of the newest one that was
 	// taken for the store, and of the newest one that the store holds. See changedJobs.
 	changedSeq, takenSeq, storedSeq uint64
-	criticalPath   time.Duration // longest sum of estimates along dependent steps
+	criticalPath                    time.Duration // longest sum of estimates along dependent steps
 }
 
 // Status returns the status to show to callers. Completed and Failed are shown only once the store
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -139,6 +139,8 @@
 	// ProcessorLag waits for about admission.SampleInterval and returns by how much later than that this process ran; if it is
 	// nil, a timer tells.
 	ProcessorLag func(ctx context.Context) time.Duration
+	// OpenConnections returns the number of open connections of this process; if it is nil, they are not reported.
+	OpenConnections func() int
 	// Scope receives the metrics.
 	Scope tally.Scope
 }
@@ -187,6 +189,9 @@
 	if opts.BootClock == nil {
 		opts.BootClock = bootclock.Now
 	}
+	if opts.OpenConnections == nil {
+		opts.OpenConnections = func() int { return 0 }
+	}
 	if opts.ProcessorLag == nil {
 		opts.ProcessorLag = timerLag
 	}
--- a/internal/owner/processor_load.go
+++ b/internal/owner/processor_load.go
@@ -74,34 +74,44 @@
 	if err != nil {
 		l.log.Error().Str("event", "processor.unknown").Err(err).Send()
 	}
-	status, counts, open := l.limiter.Status(), l.limiter.Counts(), l.calls.open.Load()
-	l.updateLoadGauges(cores, status, counts, open)
-	if !counts.AnyDelayed() && status.WaitingSince.IsZero() {
+	load := processorLoad{cores: cores, speed: l.owner.opts.Speed, openRequests: l.calls.open.Load(), openConnections: l.owner.opts.OpenConnections(), Status: l.limiter.Status()}
+	counts := l.limiter.Counts()
+	l.updateLoadGauges(load, counts)
+	if !counts.AnyDelayed() && load.WaitingSince.IsZero() {
 		return
 	}
-	line := l.log.Info().Str("event", "processor.short").Str("why", describeLoad(cores, l.owner.opts.Speed, status, open)).
+	line := l.log.Info().Str("event", "processor.short").Str("why", load.String()).
 		Str("inputs", "requests to workers since the last line: "+counts.String())
-	if !status.WaitingSince.IsZero() {
-		line = line.Int64("waiting-ms", now.Sub(status.WaitingSince).Milliseconds())
+	if !load.WaitingSince.IsZero() {
+		line = line.Int64("waiting-ms", now.Sub(load.WaitingSince).Milliseconds())
 	}
 	line.Send()
 }
 
-// describeLoad describes the processor and the requests to workers for the log.
-func describeLoad(cores, speed float64, s admission.Status, open int64) string {
-	return fmt.Sprintf("%.2f of %.2f cores used; answers are read %s late; %.0f of %.0f requests to workers a second allowed; %d open; waiting: %s",
-		cores, speed, s.Lag.Round(100*time.Microsecond), s.Rate, s.MaxRate, open, s.Waiting)
+// processorLoad is what is known of the processor and of the requests to workers.
+type processorLoad struct {
+	cores, speed    float64 // used on average, and provided by the machine
+	openRequests    int64
+	openConnections int // of the process
+	admission.Status
 }
 
-func (l *leader) updateLoadGauges(cores float64, s admission.Status, c admission.Counts, open int64) {
+// String describes the load for the log.
+func (p processorLoad) String() string {
+	return fmt.Sprintf("%.2f of %.2f cores used; answers are read %s late; %.0f of %.0f requests to workers a second allowed; %d open, %d connections; waiting: %s",
+		p.cores, p.speed, p.Lag.Round(100*time.Microsecond), p.Rate, p.MaxRate, p.openRequests, p.openConnections, p.Waiting)
+}
+
+func (l *leader) updateLoadGauges(p processorLoad, c admission.Counts) {
 	scope := l.owner.opts.Scope
-	scope.Gauge("processor_cores").Update(cores)
-	scope.Gauge("processor_lag").Update(s.Lag.Seconds())
-	scope.Gauge("worker_request_rate_limit").Update(s.Rate)
-	scope.Gauge("worker_requests_open").Update(float64(open))
+	scope.Gauge("processor_cores").Update(p.cores)
+	scope.Gauge("processor_lag").Update(p.Lag.Seconds())
+	scope.Gauge("connections_open").Update(float64(p.openConnections))
+	scope.Gauge("worker_request_rate_limit").Update(p.Rate)
+	scope.Gauge("worker_requests_open").Update(float64(p.openRequests))
 	for class := range admission.Classes {
 		tagged := scope.Tagged(map[string]string{"class": class.String()})
-		tagged.Gauge("worker_requests_waiting").Update(float64(s.Waiting[class]))
+		tagged.Gauge("worker_requests_waiting").Update(float64(p.Waiting[class]))
 		tagged.Counter("worker_requests_delayed").Inc(int64(c.Delayed[class]))
 		tagged.Counter("worker_requests_given_up").Inc(int64(c.GivenUp[class]))
 	}
--- a/standin/soak/config_world_test.go
+++ b/standin/soak/config_world_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
+	"github.com/geraniumwick/geraniumwick/internal/connlimit"
 	"github.com/geraniumwick/geraniumwick/internal/entry"
 	"github.com/geraniumwick/geraniumwick/internal/owner"
 	"github.com/geraniumwick/geraniumwick/internal/pause"
@@ -157,7 +158,7 @@
 	f.newest, f.stop = -1, cancel
 	f.store = platform.NewStoreWithDialer("store", f.pipes.dial, zerolog.Nop())
 	options := entry.Options{Name: f.name, Owner: owner.Options{LeaseTTL: claimTTL, MaxWorkerLease: longMaxLease, JobRetention: time.Minute}}
-	f.instance = entry.New(options, f.store, platform.ConfigDecoder{}, platform.NewWorkerClient(zerolog.Nop()), platform.Registry{}, zerolog.Nop())
+	f.instance = entry.New(options, f.store, platform.ConfigDecoder{}, platform.NewWorkerClient(connlimit.New(0), zerolog.Nop()), platform.Registry{}, zerolog.Nop())
 	go f.instance.Run(ctx)
 }
 
