--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -252,9 +252,14 @@
 	return int(l.rate.current * within.Seconds())
 }
 
-// IsShort reports whether requests wait, so that the time that an answer takes says little of the one who owes it.
-func (l *Limiter) IsShort() bool {
+// shortAfter is how long requests must have waited without a break until the process counts as short of processor time. A
+// burst of requests waits for less.
+const shortAfter = 250 * time.Millisecond
+
+// IsShort reports whether the process is short of processor time, so that the time that an answer takes says little of the one
+// who owes it.
+func (l *Limiter) IsShort(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.isIdle()
+	return !l.isIdle() && now.Sub(l.waitingSince) >= shortAfter
 }
