--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -177,6 +177,12 @@
 	return w != nil && w.bestEffort > 0 && w.latencySensitive > 0
 }
 
+// HasFiniteTasks reports whether the worker runs tasks that are not long-running.
+func (s *State) HasFiniteTasks(id WorkerID) bool {
+	w := s.workers[id]
+	return w != nil && len(w.attempts) > w.longRunning
+}
+
 // HasAttempts reports whether tasks were started on the worker that are not known to have ended.
 func (s *State) HasAttempts(id WorkerID) bool {
 	w := s.workers[id]
--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -13,9 +13,11 @@
 
 const (
 	// idleWait is how long an idle worker may wait for an attempt to end before it responds to a
-	// renewal. busyWait applies to a worker with tasks, whose lease must outlast several lost answers, and colocatedWait to
-	// one where best-effort tasks share the worker with tasks that have a latency target.
+	// renewal. busyWait applies to a worker with tasks that end by themselves, lastingWait to one with other tasks, whose lease
+	// must outlast several lost answers, and colocatedWait to one where best-effort tasks share the worker with tasks that have
+	// a latency target.
 	idleWait      = 2 * time.Second
+	lastingWait   = 1500 * time.Millisecond
 	busyWait      = time.Second
 	colocatedWait = 300 * time.Millisecond
 	// renewTimeout is how much longer than that wait a worker may be without an answer until it counts as unreachable.
@@ -479,8 +481,10 @@
 		return 0 // tasks are started on it only after it has confirmed its lease
 	case l.state.HasColocatedTasks(id), l.state.HasUnansweredStart(id, now):
 		return colocatedWait
-	case l.state.HasAttempts(id):
+	case l.state.HasFiniteTasks(id):
 		return busyWait
+	case l.state.HasAttempts(id):
+		return lastingWait
 	default:
 		return idleWait
 	}
