--- a/internal/owner/campaign.go
+++ b/internal/owner/campaign.go
@@ -57,7 +57,7 @@
 		If:  []kv.Condition{{Key: claimKey}, {Key: headKey, Rev: head.rev}},
 		Set: []kv.Write{{Key: claimKey, Value: encode(c), Lease: granted.lease}, {Key: headKey, Value: encode(newHead)}},
 	}
-	commitCtx, cancelCommit := context.WithTimeout(ctx, o.opts.LeaseTTL)
+	commitCtx, cancelCommit := context.WithDeadline(ctx, granted.requested.steady.Add(o.opts.LeaseTTL))
 	defer cancelCommit()
 	commitRev, err := repeatUntilAnswered(commitCtx, func(ctx context.Context) (int64, error) { return o.writeClaim(ctx, txn, granted.lease) })
 	if err != nil {
--- a/internal/owner/permission_test.go
+++ b/internal/owner/permission_test.go
@@ -383,6 +383,20 @@
 			h.is.Equal(h.log.count("takeover.former-ended", ""), 0)
 		})
 	})
+	t.Run("the claim is removed before an answer", func(t *testing.T) {
+		withLateAnswers(t, longSilence, func(h *harness) {
+			h.store.mu.Lock()
+			h.store.remove(claimKey)
+			h.store.mu.Unlock()
+			h.sleep(2 * maxCampaignJitter)
+			h.is.Equal(h.leader(), "b")
+			h.sleep(300 * time.Millisecond) // the campaign still goes on
+			h.is.Equal(h.log.count("takeover.former-ended", ""), 0)
+			h.sleep(5 * time.Second)
+			h.is.Equal(h.leader(), "b")
+			h.is.Equal(h.log.count("takeover.former-ended", `"former-epoch":1`), 1)
+		})
+	})
 	t.Run("the claim lapses before an answer", func(t *testing.T) {
 		withLateAnswers(t, longSilence, func(h *harness) {
 			h.sleep(longSilence)
