--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -84,7 +84,10 @@
 func (r Request) isUnlimited() bool { return r.Class == Lease && !r.Repeated }
 
 // Acquire waits until the request may be sent. It returns false if ctx ends first.
-func (l *Limiter) Acquire(ctx context.Context, r Request) bool {
+func (l *Limiter) Acquire(ctx context.Context, r Request) bool { return l.AcquireUnless(ctx, r, nil) }
+
+// AcquireUnless waits until the request may be sent. It returns false if ctx ends or interrupt is readable first.
+func (l *Limiter) AcquireUnless(ctx context.Context, r Request, interrupt <-chan struct{}) bool {
 	w := l.request(r, time.Now())
 	if w == nil {
 		return true
@@ -92,9 +95,10 @@
 	select {
 	case <-w.granted:
 		return true
+	case <-interrupt:
 	case <-ctx.Done():
-		return !l.giveUp(w)
 	}
+	return !l.giveUp(w)
 }
 
 // request grants a request at once and returns nil, or lets it wait.
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -281,3 +281,14 @@
 	c := Counts{Granted: PerClass{Start: 5}, Delayed: PerClass{Start: 3}}
 	is.Equal(c.String(), "sent: 5 start; of these after a wait: 3 start; given up after a wait: none")
 }
+
+func TestARequestThatIsInterruptedDoesNotWaitAnyLonger(t *testing.T) {
+	inBubble(t, func(t *testing.T, is *is.I, l *Limiter) {
+		ask(t, l, testRate, Request{Class: Report})
+		interrupt, began := make(chan struct{}), time.Now()
+		time.AfterFunc(time.Millisecond, func() { close(interrupt) }) // before the first grant
+		is.True(!l.AcquireUnless(t.Context(), Request{Class: Look}, interrupt))
+		is.Equal(time.Since(began), time.Millisecond)
+		is.Equal(l.Status().Waiting[Look], 0)
+	})
+}
--- a/internal/owner/former_owner.go
+++ b/internal/owner/former_owner.go
@@ -174,8 +174,12 @@
 }
 
 // formerOwnerEnded shortens the waits for workers of which only former owners may have renewed the leases, as far as
-// those that are not known to have ended cannot have gone on for longer.
+// those that are not known to have ended cannot have gone on for longer. An end that is known already changes nothing: several
+// instances may tell it.
 func (l *leader) formerOwnerEnded(epoch int64, ended, now time.Time) {
+	if known, ok := l.formerEnds[epoch]; ok && !ended.Before(known) {
+		return
+	}
 	l.noteFormerEnd(epoch, ended)
 	l.earlierLeasesEnd = earliest(l.earlierLeasesEnd, l.latestLeaseUpTo(l.epoch-1))
 	shortened := 0
--- a/internal/owner/overload_test.go
+++ b/internal/owner/overload_test.go
@@ -130,3 +130,25 @@
 		h.is.Equal(len(h.runningOn(manyWorkers(workers))), busy)
 	})
 }
+
+// Guards against leases that lapse since their workers ran nothing when they were last asked (issue 45): more idle workers than
+// the owner can ask in time wait to be looked at, and tasks are started on some of them.
+func TestTasksStartedOnWorkersThatWaitToBeLookedAtKeepTheirLease(t *testing.T) {
+	const (
+		workers, started = 300, 60
+		cost             = 10 * time.Millisecond // 50 requests a second, a third of what idle workers ask for
+	)
+	var w *loadedWorkers
+	withOwnerOf(t, manyWorkers(workers), func(h *harness) WorkerClient {
+		h.workers.taskDuration = time.Hour
+		w = newLoadedWorkers(h.workers, cost)
+		return w
+	}, func(h *harness) {
+		h.sleep(30 * time.Second)
+		h.submit("j", longRunning(started))
+		h.sleep(30 * time.Second)
+		t.Logf("lapsed: %d; running: %d", h.workers.lapsedEnds(), len(h.runningOn(manyWorkers(workers))))
+		h.is.Equal(h.workers.lapsedEnds(), 0)
+		h.is.Equal(len(h.runningOn(manyWorkers(workers))), started)
+	})
+}
--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -59,8 +59,9 @@
 	// renew allows the renewal of the lease while the owner may act. It is set only when the stored
 	// workers record holds no end of the lease.
 	renew bool
-	// runsTasks is set if the worker runs tasks, as far as is known.
-	runsTasks bool
+	// runsTasks is set if the worker ran tasks when its report was handled, at reportedAt.
+	runsTasks  bool
+	reportedAt time.Time
 	// awaitsAck is set if the report has ends that cannot be acknowledged yet. Further parameters follow.
 	awaitsAck bool
 	// generation is the renewer's generation at the time of the report that the parameters follow.
@@ -79,6 +80,11 @@
 	params   renewalParams
 	// newParams holds the newest parameters that the renewer has not applied yet.
 	newParams chan renewalParams
+	// startSentAt is when the newest start was sent to the worker, if the renewer has not noted it yet, and started signals
+	// that. lastStart is the newest one that it has noted.
+	startSentAt atomic.Pointer[time.Time]
+	started     chan struct{}
+	lastStart   time.Time
 	// generation is increased whenever a call fails or the worker has been restarted. Parameters of
 	// earlier generations are ignored.
 	generation  int
@@ -87,7 +93,7 @@
 	leaseEnd    time.Time // the lease has ended by then on any worker's clock
 	// renewalDue is when the lease has lasted for renewalInterval, so that its renewal comes before all other requests.
 	renewalDue time.Time
-	// runsTasks is set if the worker ran tasks by the last parameters, or has not been heard of.
+	// runsTasks is set if the worker ran tasks by the last parameters, if a start was sent since, or if it has not been heard of.
 	runsTasks bool
 	// ackWait is how long the next wait for an acknowledgement lasts.
 	ackWait time.Duration
@@ -139,7 +145,7 @@
 	ctx, cancel := context.WithCancel(l.ctx)
 	rn := &renewer{
 		leader: l, info: info, cancel: cancel, requests: l.requests.of(info.ID), newParams: make(chan renewalParams, 1),
-		renewalDue: time.Now().Add(l.renewalInterval()), runsTasks: true,
+		started: make(chan struct{}, 1), renewalDue: time.Now().Add(l.renewalInterval()), runsTasks: true,
 	}
 	l.renewers[info.ID] = rn
 	go rn.run(ctx)
@@ -248,44 +254,6 @@
 	return outcome
 }
 
-// contactDeadline returns until when the worker may be without an answer until it counts as unreachable. If it is known to
-// lose answers, or repetitions wait so that few of them are sent in the usual time, it gets until its lease is urgent and a
-// while longer: out of contact it would lose the lease, although it may be sound.
-func (rn *renewer) contactDeadline(usual time.Time, lossy bool) time.Time {
-	if !rn.runsTasks || !lossy && !rn.leader.limiter.IsShort(time.Now()) {
-		return usual
-	}
-	return batch.LaterOf(usual, rn.renewalDue.Add(lossyTimeout))
-}
-
-// admit waits until the next call may be made, which no other request delays beyond renewalDue. It returns false if ctx ends
-// first.
-func (rn *renewer) admit(ctx context.Context) bool {
-	request := admission.Request{Class: rn.class(time.Now())}
-	if request.Class != admission.Report {
-		return rn.leader.limiter.Acquire(ctx, request)
-	}
-	untilDue, cancel := context.WithDeadline(ctx, rn.renewalDue)
-	defer cancel()
-	return rn.leader.limiter.Acquire(untilDue, request) ||
-		rn.leader.limiter.Acquire(ctx, admission.Request{Class: rn.class(time.Now())})
-}
-
-// mayKeepTasks reports whether tasks may run on the worker under a lease that lasts, so that a renewal may still come in time.
-func (rn *renewer) mayKeepTasks(now time.Time) bool { return rn.runsTasks && now.Before(rn.leaseEnd) }
-
-// class returns the class of the calls that are made now.
-func (rn *renewer) class(now time.Time) admission.Class {
-	switch {
-	case !rn.runsTasks:
-		return admission.Look
-	case !now.Before(rn.renewalDue) && rn.mayKeepTasks(now):
-		return admission.Lease
-	default:
-		return admission.Report
-	}
-}
-
 // nextRequest returns the request of the next call. It renews the lease if the parameters allow that: a renewal may take
 // effect even if its response is lost. An unreachable worker is sent none, since the recorded end of its lease would become
 // wrong.
@@ -418,7 +386,7 @@
 // applyParams stores the parameters for the next call, unless they belong to an earlier generation.
 func (rn *renewer) applyParams(i renewalParams) {
 	if i.generation == rn.generation {
-		rn.params, rn.runsTasks = i, i.runsTasks
+		rn.params, rn.runsTasks = i, i.runsTasks || rn.lastStart.After(i.reportedAt)
 	}
 }
 
@@ -451,10 +419,6 @@
 	pause.For(ctx, renewRetryDelay)
 }
 
-// renewalInterval is the time after which the renewal of a lease is urgent. Most of the lease is left then, since many tries
-// may be needed.
-func (l *leader) renewalInterval() time.Duration { return l.owner.opts.MaxWorkerLease / 3 }
-
 // handleReport applies a worker's report. The ended attempts in it are acknowledged once the
 // resulting changes are durable.
 func (l *leader) handleReport(rn *renewer, r batch.Report, generation int, now time.Time) {
@@ -468,7 +432,10 @@
 	if l.workersRecord.contains(id) || l.state.InUse(id) {
 		l.workersRecord.setRenewed(id)
 	}
-	i := renewalParams{ackSeq: ackSeq, maxWait: l.maxReportWait(id, now), renew: !l.state.MustLapse(id), runsTasks: l.state.HasAttempts(id), generation: generation}
+	i := renewalParams{
+		ackSeq: ackSeq, maxWait: l.maxReportWait(id, now), renew: !l.state.MustLapse(id),
+		runsTasks: l.state.HasAttempts(id), reportedAt: now, generation: generation,
+	}
 	l.setParamsWhenDurable(i, r.Ended, rn)
 }
 
--- a/internal/owner/worker_calls.go
+++ b/internal/owner/worker_calls.go
@@ -27,6 +27,9 @@
 func (l *leader) startTask(a batch.Action, now time.Time) {
 	notAfter := l.clocks[a.Worker].now(now) + startWindow.Milliseconds()
 	l.state.StartSent(a.Worker, a.Task, a.Run, notAfter)
+	if rn := l.renewers[a.Worker]; rn != nil {
+		rn.startSent(now)
+	}
 	request := StartRequest{
 		Worker: a.Worker, Address: a.Address, Epoch: l.epoch, Task: a.Task, Run: a.Run,
 		Payload: a.Payload, NotAfter: notAfter, Checkpoint: a.Checkpoint, Ticket: a.Ticket,
