--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -256,14 +256,14 @@
 	return int(l.rate.current * within.Seconds())
 }
 
-// shortAfter is how long requests must have waited without a break until the process counts as short of processor time. A
-// burst of requests waits for less.
-const shortAfter = 250 * time.Millisecond
+// overloadedAfter is how long requests must have waited without a break until the process counts as overloaded. A burst of
+// requests waits for less.
+const overloadedAfter = 250 * time.Millisecond
 
-// IsShort reports whether the process is short of processor time, so that the time that an answer takes says little of the one
+// IsOverloaded reports whether the process lacks processor time, so that the time that an answer takes says little of the one
 // who owes it.
-func (l *Limiter) IsShort(now time.Time) bool {
+func (l *Limiter) IsOverloaded(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.isIdle() && now.Sub(l.waitingSince) >= shortAfter
+	return !l.isIdle() && now.Sub(l.waitingSince) >= overloadedAfter
 }
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -173,18 +173,18 @@
 }
 
 // Guards against a burst that is sent in a moment and makes the decisions that follow wait.
-func TestABurstDoesNotCountAsShortOfProcessorTime(t *testing.T) {
+func TestABurstDoesNotCountAsAnOverload(t *testing.T) {
 	inBubble(t, func(t *testing.T, is *is.I, l *Limiter) {
 		ask(t, l, testRate/5, Request{Class: Start})
 		for range 10 {
-			is.True(!l.IsShort(time.Now()))
+			is.True(!l.IsOverloaded(time.Now()))
 			time.Sleep(25 * time.Millisecond)
 		}
 		ask(t, l, testRate, Request{Class: Start})
-		time.Sleep(shortAfter)
-		is.True(l.IsShort(time.Now()))
+		time.Sleep(overloadedAfter)
+		is.True(l.IsOverloaded(time.Now()))
 		time.Sleep(time.Second)
-		is.True(!l.IsShort(time.Now()))
+		is.True(!l.IsOverloaded(time.Now()))
 	})
 }
 
--- a/internal/batch/crash_test.go
+++ b/internal/batch/crash_test.go
@@ -475,7 +475,7 @@
 	s.Plan(now)
 	s.MarkStored(s.TakeDirty(10))
 	for i := range 2 * lossesToFail {
-		starts := startActions(planUntilIdleWithoutAnswers(s, now))
+		starts := startActions(planAll(s, now, func(Action) {}))
 		is.Equal(len(starts), 1)
 		a := starts[0]
 		s.StartSent(a.Worker, a.Task, a.Run, int64(i+1)*10_000+1500)
@@ -489,17 +489,3 @@
 	}
 	is.Equal(s.Job("j").Status(), Queued)
 }
-
-// planUntilIdleWithoutAnswers calls Plan and stores all records until nothing more follows. It returns all actions.
-func planUntilIdleWithoutAnswers(s *State, now time.Time) []Action {
-	var all []Action
-	for {
-		actions := s.Plan(now)
-		all = append(all, actions...)
-		dirty := s.DirtyJobs()
-		s.MarkStored(s.TakeDirty(1 << 20))
-		if len(actions) == 0 && dirty == 0 {
-			return all
-		}
-	}
-}
--- a/internal/batch/helpers_test.go
+++ b/internal/batch/helpers_test.go
@@ -30,14 +30,19 @@
 // planUntilIdle calls Plan, accepts all starts and stores all records until nothing more follows. It
 // returns all actions.
 func planUntilIdle(s *State, now time.Time) []Action {
+	return planAll(s, now, func(a Action) {
+		s.StartSent(a.Worker, a.Task, a.Run, 1000)
+		s.StartAnswered(a.Worker, a.Task, a.Run, AnswerOK, now)
+	})
+}
+
+// planAll calls Plan, passes each start to send and stores all records until nothing more follows. It returns all actions.
+func planAll(s *State, now time.Time, send func(start Action)) []Action {
 	var all []Action
 	for {
 		actions := s.Plan(now)
-		for _, a := range actions {
-			if a.Kind == ActionStart {
-				s.StartSent(a.Worker, a.Task, a.Run, 1000)
-				s.StartAnswered(a.Worker, a.Task, a.Run, AnswerOK, now)
-			}
+		for _, a := range startActions(actions) {
+			send(a)
 		}
 		all = append(all, actions...)
 		dirty := s.DirtyJobs()
--- a/internal/owner/cooldown.go
+++ b/internal/owner/cooldown.go
@@ -11,8 +11,8 @@
 	minCooldown = 4 * time.Millisecond
 	// maxCooldown limits the cooldown, so that a slow machine still decides several times a second.
 	maxCooldown = 40 * time.Millisecond
-	// shortCooldown is the cooldown while requests to workers wait for processor time. What is decided would wait, too.
-	shortCooldown = startSendTime / 2
+	// overloadCooldown is the cooldown while requests to workers wait for processor time. What is decided would wait, too.
+	overloadCooldown = startSendTime / 2
 )
 
 // cooldown enforces a pause after each decision, in proportion to the time that the decision took.
@@ -36,11 +36,11 @@
 	return true
 }
 
-// start begins the cooldown of a decision that lasted from began to now. short says that the process is short of processor
+// start begins the cooldown of a decision that lasted from began to now. overloaded says that requests wait for processor
 // time.
-func (c *cooldown) start(began, now time.Time, short bool) {
-	if short {
-		c.until = now.Add(shortCooldown)
+func (c *cooldown) start(began, now time.Time, overloaded bool) {
+	if overloaded {
+		c.until = now.Add(overloadCooldown)
 		return
 	}
 	c.until = now.Add(min(max(cooldownFactor*now.Sub(began), minCooldown), maxCooldown))
--- a/internal/owner/cooldown_test.go
+++ b/internal/owner/cooldown_test.go
@@ -12,15 +12,15 @@
 // twice as long, and for minCooldown in any case, and must then be made without another event.
 func TestCooldownIsProportionalToDecisionTime(t *testing.T) {
 	for name, c := range map[string]struct {
-		took  time.Duration
-		short bool
-		want  time.Duration
+		took       time.Duration
+		overloaded bool
+		want       time.Duration
 	}{
 		"cheap":                             {0, false, minCooldown},
 		"usual":                             {3 * time.Millisecond, false, 6 * time.Millisecond},
 		"very slow":                         {time.Second, false, maxCooldown},
-		"cheap, but requests wait":          {0, true, shortCooldown},
-		"very slow, and requests wait, too": {time.Second, true, shortCooldown},
+		"cheap, but requests wait":          {0, true, overloadCooldown},
+		"very slow, and requests wait, too": {time.Second, true, overloadCooldown},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -29,7 +29,7 @@
 				began := time.Now()
 				is.True(cd.elapsed(began)) // there was no decision before
 				time.Sleep(c.took)
-				cd.start(began, time.Now(), c.short)
+				cd.start(began, time.Now(), c.overloaded)
 				is.True(!cd.elapsed(time.Now()))
 				decided := time.Now()
 				<-cd.due()
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -213,7 +213,7 @@
 		return
 	}
 	l.decide(now)
-	l.cooldown.start(now, time.Now(), l.limiter.IsShort(now))
+	l.cooldown.start(now, time.Now(), l.limiter.IsOverloaded(now))
 }
 
 // drainStoreEvents executes all store events that are queued.
--- a/internal/owner/processor_load.go
+++ b/internal/owner/processor_load.go
@@ -80,7 +80,7 @@
 	if !counts.AnyDelayed() && load.WaitingSince.IsZero() {
 		return
 	}
-	line := l.log.Info().Str("event", "processor.short").Str("why", load.String()).
+	line := l.log.Info().Str("event", "processor.overloaded").Str("why", load.String()).
 		Str("inputs", "requests to workers since the last line: "+counts.String())
 	if !load.WaitingSince.IsZero() {
 		line = line.Int64("waiting-ms", now.Sub(load.WaitingSince).Milliseconds())
--- a/internal/owner/renewal_urgency.go
+++ b/internal/owner/renewal_urgency.go
@@ -65,7 +65,7 @@
 // lose answers, or repetitions wait so that few of them are sent in the usual time, it gets until its lease is urgent and a
 // while longer: out of contact it would lose the lease, although it may be sound.
 func (rn *renewer) contactDeadline(usual time.Time, lossy bool) time.Time {
-	if !rn.runsTasks || !lossy && !rn.leader.limiter.IsShort(time.Now()) {
+	if !rn.runsTasks || !lossy && !rn.leader.limiter.IsOverloaded(time.Now()) {
 		return usual
 	}
 	return batch.LaterOf(usual, rn.renewalDue.Add(lossyTimeout))
