--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -110,7 +110,7 @@
 		l.grant(r)
 		return nil
 	}
-	w := &waiter{request: r, granted: make(chan struct{})}
+	w := &waiter{request: r, since: now, granted: make(chan struct{})}
 	l.queues[r.Class].add(w)
 	if l.waitingSince.IsZero() {
 		l.waitingSince = now
@@ -181,14 +181,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.timerIsSet = false
-	l.refill(time.Now())
+	now := time.Now()
+	l.refill(now)
 	for l.tokens >= 1 {
 		w := l.next()
 		if w == nil {
 			break
 		}
 		l.grant(w.request)
-		l.counts.Delayed[w.request.Class]++
+		l.counts.addDelayed(w.request.Class, now.Sub(w.since))
 		close(w.granted)
 	}
 	l.noteIdle()
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -75,6 +75,18 @@
 	})
 }
 
+// Guards against a log that names a lack of processor time without saying what it costs: which requests wait, and for how long.
+func TestCountsTellHowLongRequestsWaited(t *testing.T) {
+	inBubble(t, func(t *testing.T, is *is.I, l *Limiter) {
+		ask(t, l, testRate, Request{Class: Start}) // the last of them waits for a second
+		time.Sleep(time.Second + minGrantInterval)
+		counts := l.Counts()
+		is.True(counts.MeanWait(Start) > 490*time.Millisecond && counts.MeanWait(Start) < 510*time.Millisecond)
+		is.Equal(counts.MeanWait(Report), time.Duration(0))
+		is.Equal(l.Counts().MeanWait(Start), time.Duration(0))
+	})
+}
+
 // Guards against requests that keep each other waiting by asking: each new one must not put off the next grant.
 func TestASteadyStreamOfRequestsIsGrantedAtTheRate(t *testing.T) {
 	inBubble(t, func(t *testing.T, is *is.I, l *Limiter) {
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -1,10 +1,14 @@
 package admission
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // waiter is a request that waits.
 type waiter struct {
 	request Request
+	since   time.Time
 	granted chan struct{} // closed when the request is granted
 	gone    bool          // its context has ended
 }
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -93,6 +93,8 @@
 	commits      committer
 	records      recordCounts
 	processor    processorUse
+	// handledCounts counts what the loop has handled since the last report on the load.
+	handledCounts handledCounts
 	// earlierLeasesEnd is when any lease of an earlier owner has ended; zero until that is known.
 	earlierLeasesEnd time.Time
 	// formerEnds holds by when former owners have ended that have certainly ended, by epoch.
@@ -253,6 +255,7 @@
 	l.plan(now)
 	l.logEvents()
 	l.records.decisions++
+	l.handledCounts.decisions++
 	l.records.decided += time.Since(now)
 	l.reportRecords(now)
 	l.runMaintenance(now)
--- a/internal/owner/processor_load.go
+++ b/internal/owner/processor_load.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"github.com/geraniumwick/geraniumwick/internal/admission"
+	"github.com/geraniumwick/geraniumwick/internal/batch"
 	"github.com/geraniumwick/geraniumwick/internal/pause"
 )
 
@@ -77,17 +78,38 @@
 	load := processorLoad{cores: cores, speed: l.owner.opts.Speed, openRequests: l.calls.open.Load(), openConnections: l.owner.opts.OpenConnections(), Status: l.limiter.Status()}
 	counts := l.limiter.Counts()
 	l.updateLoadGauges(load, counts)
+	defer func() { l.handledCounts = handledCounts{} }()
 	if !counts.AnyDelayed() && load.WaitingSince.IsZero() {
 		return
 	}
 	line := l.log.Info().Str("event", "processor.overloaded").Str("why", load.String()).
-		Str("inputs", "requests to workers since the last line: "+counts.String())
+		Str("inputs", fmt.Sprintf("requests to workers since the last line: %s; %s", counts, &l.handledCounts))
 	if !load.WaitingSince.IsZero() {
 		line = line.Int64("waiting-ms", now.Sub(load.WaitingSince).Milliseconds())
 	}
 	line.Send()
 }
 
+// handledCounts counts what the loop has handled since the last report on the load.
+type handledCounts struct {
+	// reports are the reports of workers, and withEnds those that list an ended attempt.
+	reports, withEnds int
+	decisions         int
+}
+
+// add counts a report.
+func (c *handledCounts) add(r batch.Report) {
+	c.reports++
+	if len(r.Ended) > 0 {
+		c.withEnds++
+	}
+}
+
+// String describes the counts for the log.
+func (c *handledCounts) String() string {
+	return fmt.Sprintf("%d reports read, %d of them with ends; %d decisions", c.reports, c.withEnds, c.decisions)
+}
+
 // processorLoad is what is known of the processor and of the requests to workers.
 type processorLoad struct {
 	cores, speed    float64 // used on average, and provided by the machine
@@ -114,5 +136,9 @@
 		tagged.Gauge("worker_requests_waiting").Update(float64(p.Waiting[class]))
 		tagged.Counter("worker_requests_delayed").Inc(int64(c.Delayed[class]))
 		tagged.Counter("worker_requests_given_up").Inc(int64(c.GivenUp[class]))
+		tagged.Gauge("worker_request_wait").Update(c.MeanWait(class).Seconds())
 	}
+	scope.Counter("worker_reports").Inc(int64(l.handledCounts.reports))
+	scope.Counter("worker_reports_with_ends").Inc(int64(l.handledCounts.withEnds))
+	scope.Counter("owner_decisions").Inc(int64(l.handledCounts.decisions))
 }
--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -423,6 +423,7 @@
 // resulting changes are durable.
 func (l *leader) handleReport(rn *renewer, r batch.Report, generation int, now time.Time) {
 	id := rn.info.ID
+	l.handledCounts.add(r)
 	ackSeq := l.state.ApplyReport(id, r, now)
 	for _, e := range r.Running {
 		if l.state.IsListed(id, e.Task, e.Run) {
