--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -304,3 +304,29 @@
 		is.Equal(l.Status().Waiting[Look], 0)
 	})
 }
+
+// Guards against requests that wait although the processor has time for them (issue 50, SHORT): the rate at the beginning is an
+// assumption on what requests cost.
+func TestTheRateRisesAboveTheAssumedOneWithoutALag(t *testing.T) {
+	inBubble(t, func(t *testing.T, is *is.I, l *Limiter) {
+		ask(t, l, 30*testRate, Request{Class: Start})
+		for range 5 * time.Second / SampleInterval {
+			time.Sleep(SampleInterval)
+			l.Observe(0, time.Now())
+		}
+		l.Counts()
+		time.Sleep(time.Second)
+		is.True(l.Counts().Granted[Start] > 2*testRate)
+	})
+}
+
+// Guards against a rate that rises while nothing needs it, and then lets through more at once than the processor can do.
+func TestTheRateDoesNotRiseUnused(t *testing.T) {
+	inBubble(t, func(t *testing.T, is *is.I, l *Limiter) {
+		for range time.Minute / SampleInterval {
+			time.Sleep(SampleInterval)
+			l.Observe(0, time.Now())
+		}
+		is.Equal(l.Status().Rate, float64(testRate))
+	})
+}
--- /dev/null
+++ b/internal/owner/urgent_jobs_test.go
@@ -0,0 +1,111 @@
+package owner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/batch"
+)
+
+// misjudgedProcessor is a processor on which requests cost another part of what the speed of its machine makes expect.
+type misjudgedProcessor struct {
+	*loadedWorkers
+	costShare float64
+}
+
+func (p misjudgedProcessor) speed() float64 { return p.costShare * p.loadedWorkers.speed() }
+
+// submitUnder submits jobs of long tasks at a rate for a time, and a job of two short steps each second. It returns the short
+// jobs, by the time at which they were submitted.
+func submitUnder(h *harness, duration time.Duration, longTasksPerSecond int, short batch.Step, steps int) map[string]time.Time {
+	const pause = 100 * time.Millisecond
+	submitted := map[string]time.Time{}
+	for i := range int(duration / pause) {
+		long := fmt.Sprintf("long%d", i)
+		h.workers.mu.Lock()
+		h.workers.durations[long] = 2 * time.Second
+		h.workers.mu.Unlock()
+		step := tasks(int(float64(longTasksPerSecond) * pause.Seconds()))
+		step.Estimate = 2 * time.Second
+		later := step
+		later.Count, later.Estimate, later.After = 1, 20*time.Second, []int{0}
+		h.submit(long, step, later)
+		if i%int(time.Second/pause) == 0 {
+			id := fmt.Sprintf("short%d", i)
+			chain := []batch.Step{short}
+			for n := 1; n < steps; n++ {
+				next := short
+				next.After = []int{n - 1}
+				chain = append(chain, next)
+			}
+			h.workers.mu.Lock()
+			h.workers.durations[id] = short.Estimate
+			h.workers.mu.Unlock()
+			submitted[id] = time.Now()
+			h.submit(id, chain...)
+		}
+		h.sleep(pause)
+	}
+	return submitted
+}
+
+// late returns how many of the jobs had their last end later than a time after they were submitted, and by how much at most.
+func (h *harness) late(submitted map[string]time.Time, steps, count int, within time.Duration) (late int, most time.Duration) {
+	h.workers.mu.Lock()
+	defer h.workers.mu.Unlock()
+	for id, at := range submitted {
+		var took time.Duration
+		for i := range count {
+			end, ended := h.workers.lastEnds[batch.TaskID{Job: id, Step: steps - 1, Index: i}]
+			if !ended {
+				end = time.Now()
+			}
+			took = max(took, end.Sub(at))
+		}
+		if took > within {
+			late++
+		}
+		most = max(most, took)
+	}
+	return late, most
+}
+
+// Guards against urgent jobs that are late since requests which nobody needs yet are sent before theirs, or since requests wait
+// though the processor has time (issue 50, SHORT): the machine is faster than assumed, or has less time than it needs.
+func TestUrgentJobsKeepTheirObjectiveUnderLoad(t *testing.T) {
+	const (
+		workers  = 200
+		duration = 20 * time.Second
+		steps    = 2
+		count    = 4
+	)
+	short := tasks(count)
+	short.Estimate = 600 * time.Millisecond
+	chain := steps * short.Estimate
+	objective := chain + chain/2 + 250*time.Millisecond
+	for _, c := range []struct {
+		name      string
+		cost      time.Duration // of each side of a request
+		costShare float64       // that part of what is assumed
+		longTasks int // a second
+	}{
+		{"requests cost what is assumed", 250 * time.Microsecond, 1, 300},
+		{"requests cost a quarter", 250 * time.Microsecond, 0.25, 300},
+		{"requests cost four times as much", 250 * time.Microsecond, 4, 300},
+		{"more requests than the processor carries", 600 * time.Microsecond, 1, 500},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withOwnerOf(t, manyWorkers(workers), func(h *harness) WorkerClient {
+				return misjudgedProcessor{newLoadedWorkers(h.workers, c.cost), c.costShare}
+			}, func(h *harness) {
+				submitted := submitUnder(h, duration, c.longTasks, short, steps)
+				h.sleep(objective)
+				late, most := h.late(submitted, steps, count, objective)
+				t.Logf("%d of %d urgent jobs took over %s, %s at most; lapsed: %d", late, len(submitted), objective, most, h.workers.lapsedEnds())
+				h.is.Equal(late, 0)
+				h.is.Equal(h.workers.lapsedEnds(), 0)
+			})
+		})
+	}
+}
