--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -290,8 +290,8 @@
 	is := is.New(t)
 	is.Equal(PerClass{}.String(), "none")
 	is.Equal(PerClass{Lease: 2, Look: 1}.String(), "2 lease, 1 look")
-	c := Counts{Granted: PerClass{Start: 5}, Delayed: PerClass{Start: 3}}
-	is.Equal(c.String(), "sent: 5 start; of these after a wait: 3 start; given up after a wait: none")
+	c := Counts{Granted: PerClass{Start: 5}, Delayed: PerClass{Start: 3}, Waited: [Classes]time.Duration{Start: 60 * time.Millisecond}}
+	is.Equal(c.String(), "sent: 5 start; of these after a wait: 3 start (mean 20ms); given up after a wait: none")
 }
 
 func TestARequestThatIsInterruptedDoesNotWaitAnyLonger(t *testing.T) {
