--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -1,7 +1,7 @@
 // Package admission decides when a process that is short of processor time may send its next requests.
 //
 // A Limiter grants requests at a rate. The rate falls while the process runs late, which shows that work queues up for its
-// processor, and rises while it does not. Requests above the rate wait, and those of urgent classes are granted first. So
+// processor, and rises while it does not and answers come. Requests above the rate wait, and those of urgent classes are granted first. So
 // what is late is not sent, instead of being sent, answered and thrown away. A Limiter does not use the network.
 package admission
 
@@ -65,9 +65,9 @@
 	waitingSince time.Time
 }
 
-// New returns a Limiter that grants at most maxRate requests a second.
-func New(maxRate float64) *Limiter {
-	return &Limiter{rate: newAdaptiveRate(maxRate), repeatCredit: maxRepeatCredit}
+// New returns a Limiter that grants initialRate requests a second to begin with.
+func New(initialRate float64) *Limiter {
+	return &Limiter{rate: newAdaptiveRate(initialRate), repeatCredit: maxRepeatCredit}
 }
 
 // maxRepeatCredit is the largest number of repetitions that are saved up.
@@ -242,6 +242,13 @@
 	}
 }
 
+// NoteAnswer notes that the answer to a request was read.
+func (l *Limiter) NoteAnswer() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rate.answered++
+}
+
 // Observe notes by how much later than planned the process has run. It must be called about every SampleInterval.
 func (l *Limiter) Observe(lag time.Duration, now time.Time) {
 	l.mu.Lock()
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -305,28 +305,38 @@
 	})
 }
 
+// askAnswered lets n equal requests wait that are answered at once when they are sent.
+func askAnswered(t *testing.T, l *Limiter, n int, r Request) {
+	for range n {
+		go func() {
+			if l.Acquire(t.Context(), r) {
+				l.NoteAnswer()
+			}
+		}()
+	}
+	synctest.Wait()
+}
+
 // Guards against requests that wait although the processor has time for them (issue 50, SHORT): the rate at the beginning is an
 // assumption on what requests cost.
 func TestTheRateRisesAboveTheAssumedOneWithoutALag(t *testing.T) {
 	inBubble(t, func(t *testing.T, is *is.I, l *Limiter) {
-		ask(t, l, 30*testRate, Request{Class: Start})
-		for range 5 * time.Second / SampleInterval {
-			time.Sleep(SampleInterval)
-			l.Observe(0, time.Now())
-		}
+		askAnswered(t, l, 30*testRate, Request{Class: Start})
+		lagSamples(l, 5*time.Second, 0)
 		l.Counts()
 		time.Sleep(time.Second)
 		is.True(l.Counts().Granted[Start] > 2*testRate)
 	})
 }
 
-// Guards against a rate that rises while nothing needs it, and then lets through more at once than the processor can do.
-func TestTheRateDoesNotRiseUnused(t *testing.T) {
+// Guards against a rate that rises while nothing shows that the process can do more, and then lets through more at once than it
+// can: nothing is asked for, or nothing is answered, as while workers are cut off.
+func TestTheRateDoesNotRiseWithoutAnswers(t *testing.T) {
 	inBubble(t, func(t *testing.T, is *is.I, l *Limiter) {
-		for range time.Minute / SampleInterval {
-			time.Sleep(SampleInterval)
-			l.Observe(0, time.Now())
-		}
+		lagSamples(l, time.Minute, 0)
+		is.Equal(l.Status().Rate, float64(testRate))
+		ask(t, l, 30*testRate, Request{Class: Start})
+		lagSamples(l, 10*time.Second, 0)
 		is.Equal(l.Status().Rate, float64(testRate))
 	})
 }
--- a/internal/admission/rate.go
+++ b/internal/admission/rate.go
@@ -14,11 +14,13 @@
 	// maxStandingLag is the lag that half of the samples may exceed. A single long turn of work makes some samples late; a
 	// queue that never becomes empty makes all of them late.
 	maxStandingLag = 10 * time.Millisecond
-	// rateDecrease is the factor of the rate that is left after a standing lag, and rateIncrease the part of the largest rate
-	// that is added without one.
+	// rateDecrease is the factor of the rate that is left after a standing lag, and rateIncrease the factor without one.
 	rateDecrease = 0.8
-	rateIncrease = 1.0 / 40
-	// minRateShare is the smallest rate as a part of the largest one.
+	rateIncrease = 1.05
+	// answeredShare is the part of the rate that must have been answered for it to rise above the initial one: only the work that
+	// follows from answers shows what the process can do.
+	answeredShare = 0.8
+	// minRateShare is the smallest rate as a part of the initial one.
 	minRateShare = 1.0 / 16
 )
 
@@ -28,15 +30,19 @@
 	lag time.Duration
 }
 
-// adaptiveRate is a rate of requests that falls while the process runs late (additive increase, multiplicative decrease).
+// adaptiveRate is a rate of requests that falls while the process runs late, and rises while it does not. It has no upper
+// bound: what a request costs is not known, so only the lag tells when there are too many.
 type adaptiveRate struct {
-	current, most float64 // requests a second
-	samples       []sample
-	adjustedAt    time.Time
-	granted       int // requests granted since then
+	current, initial float64 // requests a second
+	samples          []sample
+	adjustedAt       time.Time
+	// granted are the requests since then, and answered the answers.
+	granted, answered int
 }
 
-func newAdaptiveRate(most float64) adaptiveRate { return adaptiveRate{current: most, most: most} }
+func newAdaptiveRate(initial float64) adaptiveRate {
+	return adaptiveRate{current: initial, initial: initial}
+}
 
 // observe adds a sample of the lag, and adjusts the rate every adjustInterval. A process that runs late takes few samples, so
 // it is not their number that counts.
@@ -51,17 +57,20 @@
 		return
 	}
 	r.adjust(now)
-	r.granted, r.adjustedAt = 0, now
+	r.granted, r.answered, r.adjustedAt = 0, 0, now
 }
 
-// adjust changes the rate by the last samples. It falls from what was granted, which may be less than it allowed.
+// adjust changes the rate by the last samples. It rises as far as answers came, and to the initial rate in any case, and falls
+// from what was granted, which may be less than it allowed.
 func (r *adaptiveRate) adjust(now time.Time) {
+	elapsed := now.Sub(r.adjustedAt).Seconds()
 	if r.medianLag() <= maxStandingLag {
-		r.current = min(r.most, r.current+rateIncrease*r.most)
+		most := max(r.initial, float64(r.answered)/elapsed/answeredShare)
+		r.current = max(r.current, min(rateIncrease*r.current, most))
 		return
 	}
-	used := min(r.current, float64(r.granted)/now.Sub(r.adjustedAt).Seconds())
-	r.current = max(minRateShare*r.most, rateDecrease*used)
+	used := min(r.current, float64(r.granted)/elapsed)
+	r.current = max(minRateShare*r.initial, rateDecrease*used)
 	r.samples = r.samples[:0] // the next change waits for samples that show the effect of this one
 }
 
--- a/internal/admission/status.go
+++ b/internal/admission/status.go
@@ -79,8 +79,8 @@
 
 // Status describes a Limiter.
 type Status struct {
-	// Rate is the number of requests that are granted a second, and MaxRate the largest one.
-	Rate, MaxRate float64
+	// Rate is the number of requests that are granted a second, and InitialRate the one to begin with.
+	Rate, InitialRate float64
 	// Lag is the lag that half of the last samples exceeded.
 	Lag time.Duration
 	// Waiting are the requests that wait, and WaitingSince is since when some have waited without a break; zero if none
@@ -93,7 +93,7 @@
 func (l *Limiter) Status() Status {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := Status{Rate: l.rate.current, MaxRate: l.rate.most, Lag: l.rate.medianLag(), WaitingSince: l.waitingSince}
+	s := Status{Rate: l.rate.current, InitialRate: l.rate.initial, Lag: l.rate.medianLag(), WaitingSince: l.waitingSince}
 	for c := range Classes {
 		s.Waiting[c] = l.queues[c].len()
 	}
--- a/internal/owner/call_counts.go
+++ b/internal/owner/call_counts.go
@@ -47,6 +47,7 @@
 	l.calls.add(kind, answer)
 	if answer != batch.AnswerNone && answer != batch.AnswerUnsent {
 		worker.retries.earn()
+		l.limiter.NoteAnswer()
 	}
 }
 
--- a/internal/owner/processor_load.go
+++ b/internal/owner/processor_load.go
@@ -13,8 +13,8 @@
 	"github.com/geraniumwick/geraniumwick/internal/pause"
 )
 
-// requestsPerCore is the largest number of requests a second that are sent to workers for each core of the machine. With the
-// work that follows from its answer, a request takes a core about a tenth of a millisecond.
+// requestsPerCore is the number of requests a second to begin with that may be sent to workers for each core of the machine.
+// With the work that follows from its answer, a request takes a core about a tenth of a millisecond.
 const requestsPerCore = 10_000
 
 // newLimiter returns the limiter of the requests to workers on a machine of a speed in cores; 0 if that is not known.
@@ -120,8 +120,8 @@
 
 // String describes the load for the log.
 func (p processorLoad) String() string {
-	return fmt.Sprintf("%.2f of %.2f cores used; answers are read %s late; %.0f of %.0f requests to workers a second allowed; %d open, %d connections; waiting: %s",
-		p.cores, p.speed, p.Lag.Round(100*time.Microsecond), p.Rate, p.MaxRate, p.openRequests, p.openConnections, p.Waiting)
+	return fmt.Sprintf("%.2f of %.2f cores used; answers are read %s late; %.0f requests to workers a second allowed, %.0f to begin with; %d open, %d connections; waiting: %s",
+		p.cores, p.speed, p.Lag.Round(100*time.Microsecond), p.Rate, p.InitialRate, p.openRequests, p.openConnections, p.Waiting)
 }
 
 func (l *leader) updateLoadGauges(p processorLoad, c admission.Counts) {
--- a/internal/owner/urgent_jobs_test.go
+++ b/internal/owner/urgent_jobs_test.go
@@ -88,7 +88,7 @@
 		name      string
 		cost      time.Duration // of each side of a request
 		costShare float64       // that part of what is assumed
-		longTasks int // a second
+		longTasks int           // a second
 	}{
 		{"requests cost what is assumed", 250 * time.Microsecond, 1, 300},
 		{"requests cost a quarter", 250 * time.Microsecond, 0.25, 300},
