--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -58,6 +58,7 @@
 	timer      *time.Timer // calls grantWaiting
 	timerIsSet bool
 	queues     [Classes]queue
+	asked      int // requests that had to wait
 	// repeatCredit is the number of repetitions that may be granted while others wait: one for each other request.
 	repeatCredit float64
 	counts       Counts
@@ -78,6 +79,9 @@
 	Class Class
 	// Repeated is set if an identical request was sent before.
 	Repeated bool
+	// Due is by when it should be sent: of those of a class that wait, the one that is due first is granted first. If it is zero,
+	// the request is due when it is made.
+	Due time.Time
 }
 
 // isUnlimited reports whether a request is granted at once in any case.
@@ -110,7 +114,8 @@
 		l.grant(r)
 		return nil
 	}
-	w := &waiter{request: r, since: now, granted: make(chan struct{})}
+	l.asked++
+	w := &waiter{request: r, since: now, number: l.asked, granted: make(chan struct{})}
 	l.queues[r.Class].add(w)
 	if l.waitingSince.IsZero() {
 		l.waitingSince = now
@@ -183,7 +188,7 @@
 	l.timerIsSet = false
 	now := time.Now()
 	l.refill(now)
-	for l.tokens >= 1 {
+	for l.tokens >= 1 && !l.rate.isLate(now) {
 		w := l.next()
 		if w == nil {
 			break
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -169,7 +169,7 @@
 		l.Counts()
 		time.Sleep(5 * time.Second)
 		l.mu.Lock()
-		first := 10*testRate - l.queues[Start].first.waiting
+		first := 10*testRate - len(l.queues[Start].first)
 		l.mu.Unlock()
 		is.True(first >= (5*testRate-maxRepeatCredit)/2-grantSize)
 	})
@@ -233,7 +233,8 @@
 		}
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		is.True(len(l.queues[Look].first.waiters) <= 2*maxGone)
+		is.Equal(len(l.queues[Look].first), 0)
+		is.Equal(l.queues[Look].len(), 10) // the repetitions
 	})
 }
 
@@ -305,6 +306,19 @@
 	})
 }
 
+// Guards against a report that somebody waits for, and that is sent after others that nobody needs yet (issue 50, SHORT).
+func TestOfAClassTheRequestThatIsDueFirstIsGrantedFirst(t *testing.T) {
+	inBubble(t, func(t *testing.T, is *is.I, l *Limiter) {
+		ask(t, l, testRate, Request{Class: Report, Due: time.Now().Add(time.Minute)})
+		urgent := Request{Class: Report, Due: time.Now().Add(time.Second)}
+		began := time.Now()
+		is.True(l.Acquire(t.Context(), urgent))
+		is.True(time.Since(began) <= minGrantInterval)
+		is.True(l.Acquire(t.Context(), Request{Class: Report})) // due at once
+		is.True(time.Since(began) <= 2*minGrantInterval)
+	})
+}
+
 // askAnswered lets n equal requests wait that are answered at once when they are sent.
 func askAnswered(t *testing.T, l *Limiter, n int, r Request) {
 	for range n {
@@ -324,11 +338,26 @@
 		askAnswered(t, l, 30*testRate, Request{Class: Start})
 		lagSamples(l, 5*time.Second, 0)
 		l.Counts()
-		time.Sleep(time.Second)
+		lagSamples(l, time.Second, 0)
 		is.True(l.Counts().Granted[Start] > 2*testRate)
 	})
 }
 
+// Guards against requests that are sent while the process is late, and which it learns of only when it has caught up.
+func TestNothingThatWaitsIsGrantedWhileTheProcessIsLate(t *testing.T) {
+	inBubble(t, func(t *testing.T, is *is.I, l *Limiter) {
+		ask(t, l, testRate, Request{Class: Report})
+		l.Observe(0, time.Now())
+		time.Sleep(SampleInterval + maxStandingLag)
+		l.Counts()
+		time.Sleep(200 * time.Millisecond) // no sample arrives
+		is.True(l.Counts().Granted[Report] <= grantSize)
+		l.Observe(200*time.Millisecond, time.Now())
+		time.Sleep(SampleInterval)
+		is.True(l.Counts().Granted[Report] > 0)
+	})
+}
+
 // Guards against a rate that rises while nothing shows that the process can do more, and then lets through more at once than it
 // can: nothing is asked for, or nothing is answered, as while workers are cut off.
 func TestTheRateDoesNotRiseWithoutAnswers(t *testing.T) {
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -1,7 +1,8 @@
 package admission
 
 import (
-	"slices"
+	"cmp"
+	"container/heap"
 	"time"
 )
 
@@ -9,79 +10,86 @@
 type waiter struct {
 	request Request
 	since   time.Time
+	number  int           // in the order in which the requests came
+	index   int           // in its list; -1 once it is removed
 	granted chan struct{} // closed when the request is granted
-	gone    bool          // its context has ended
 }
 
-// queue holds the requests of a class that wait: first ones, and repetitions, each in the order in which they came.
+// due returns by when the request should be sent.
+func (w *waiter) due() time.Time {
+	if w.request.Due.IsZero() {
+		return w.since
+	}
+	return w.request.Due
+}
+
+// queue holds the requests of a class that wait: first ones, and repetitions, those that are due first ahead.
 type queue struct {
-	first, repeated fifo
+	first, repeated waiters
 	// served is the number of requests that were granted after a wait, divided by the weight of the class.
 	served float64
 }
 
 // of returns the list that a request belongs to.
-func (q *queue) of(r Request) *fifo {
+func (q *queue) of(r Request) *waiters {
 	if r.Repeated {
 		return &q.repeated
 	}
 	return &q.first
 }
 
-func (q *queue) add(w *waiter) { q.of(w.request).add(w) }
+func (q *queue) add(w *waiter) { heap.Push(q.of(w.request), w) }
 
-// remove notes that a request of the queue does not wait any more.
-func (q *queue) remove(w *waiter) { q.of(w.request).remove(w) }
+// remove takes a request that does not wait any more out of the queue.
+func (q *queue) remove(w *waiter) { heap.Remove(q.of(w.request), w.index) }
 
-func (q *queue) len() int { return q.first.waiting + q.repeated.waiting }
+func (q *queue) len() int { return len(q.first) + len(q.repeated) }
 
 // has reports whether there is a request, a repetition only if these count.
 func (q *queue) has(repetitions bool) bool {
-	return q.first.waiting > 0 || repetitions && q.repeated.waiting > 0
+	return len(q.first) > 0 || repetitions && len(q.repeated) > 0
 }
 
-// take removes and returns the oldest request, a repetition only if these count and no other waits; nil if there is none.
+// take removes and returns the request that is due first, a repetition only if these count and no other waits; nil if there
+// is none.
 func (q *queue) take(repetitions bool) *waiter {
-	if w := q.first.take(); w != nil || !repetitions {
-		return w
+	list := &q.first
+	if len(q.first) == 0 && repetitions {
+		list = &q.repeated
 	}
-	return q.repeated.take()
+	if len(*list) == 0 {
+		return nil
+	}
+	return heap.Pop(list).(*waiter)
 }
 
-// fifo is a list of requests. It may hold some that are gone.
-type fifo struct {
-	waiters []*waiter
-	waiting int // without those that are gone
-}
+// waiters is a heap of requests with the one that is due first ahead.
+type waiters []*waiter
 
-func (f *fifo) add(w *waiter) {
-	f.waiters = append(f.waiters, w)
-	f.waiting++
+func (h waiters) Len() int { return len(h) }
+
+func (h waiters) Less(i, j int) bool {
+	return cmp.Or(h[i].due().Compare(h[j].due()), cmp.Compare(h[i].number, h[j].number)) < 0
 }
 
-// maxGone is the number of requests that are gone beyond which the list is cleared of them, if they are the larger part.
-const maxGone = 64
+func (h waiters) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
 
-// remove notes that a request is gone.
-func (f *fifo) remove(w *waiter) {
-	w.gone = true
-	f.waiting--
-	if gone := len(f.waiters) - f.waiting; gone > max(maxGone, f.waiting) {
-		f.waiters = slices.DeleteFunc(f.waiters, func(w *waiter) bool { return w.gone })
-	}
+// Push implements heap.Interface.
+func (h *waiters) Push(x any) {
+	w := x.(*waiter)
+	w.index = len(*h)
+	*h = append(*h, w)
 }
 
-// take removes and returns the oldest request that is not gone, or nil.
-func (f *fifo) take() *waiter {
-	for len(f.waiters) > 0 {
-		w := f.waiters[0]
-		f.waiters[0] = nil
-		f.waiters = f.waiters[1:]
-		if !w.gone {
-			f.waiting--
-			return w
-		}
-	}
-	f.waiters = nil
-	return nil
+// Pop implements heap.Interface.
+func (h *waiters) Pop() any {
+	last := len(*h) - 1
+	w := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	w.index = -1
+	return w
 }
--- a/internal/admission/rate.go
+++ b/internal/admission/rate.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -11,12 +12,13 @@
 	// sampleWindow is how long a sample counts, and adjustInterval the time between two changes of the rate.
 	sampleWindow   = 400 * time.Millisecond
 	adjustInterval = 200 * time.Millisecond
-	// maxStandingLag is the lag that half of the samples may exceed. A single long turn of work makes some samples late; a
-	// queue that never becomes empty makes all of them late.
+	// maxStandingLag is the lag that all samples may reach. Long turns of work make some samples late; a queue that never becomes
+	// empty makes all of them late.
 	maxStandingLag = 10 * time.Millisecond
-	// rateDecrease is the factor of the rate that is left after a standing lag, and rateIncrease the factor without one.
-	rateDecrease = 0.8
-	rateIncrease = 1.05
+	// rateDecrease is the factor of the rate that is left after a standing lag, and rateIncrease the factor without one. They are
+	// of one size: a rate that falls faster than it returns settles where the processor is hardly used, as work comes in bursts.
+	rateDecrease = 0.9
+	rateIncrease = 1.1
 	// answeredShare is the part of the rate that must have been answered for it to rise above the initial one: only the work that
 	// follows from answers shows what the process can do.
 	answeredShare = 0.8
@@ -35,6 +37,7 @@
 type adaptiveRate struct {
 	current, initial float64 // requests a second
 	samples          []sample
+	observedAt       time.Time // when the last sample was taken
 	adjustedAt       time.Time
 	// granted are the requests since then, and answered the answers.
 	granted, answered int
@@ -47,7 +50,7 @@
 // observe adds a sample of the lag, and adjusts the rate every adjustInterval. A process that runs late takes few samples, so
 // it is not their number that counts.
 func (r *adaptiveRate) observe(lag time.Duration, now time.Time) {
-	r.samples = append(r.samples, sample{now, lag})
+	r.samples, r.observedAt = append(r.samples, sample{now, lag}), now
 	old := slices.IndexFunc(r.samples, func(s sample) bool { return now.Sub(s.at) < sampleWindow })
 	r.samples = slices.Delete(r.samples, 0, old)
 	if r.adjustedAt.IsZero() {
@@ -64,7 +67,7 @@
 // from what was granted, which may be less than it allowed.
 func (r *adaptiveRate) adjust(now time.Time) {
 	elapsed := now.Sub(r.adjustedAt).Seconds()
-	if r.medianLag() <= maxStandingLag {
+	if r.standingLag() <= maxStandingLag {
 		most := max(r.initial, float64(r.answered)/elapsed/answeredShare)
 		r.current = max(r.current, min(rateIncrease*r.current, most))
 		return
@@ -74,15 +77,15 @@
 	r.samples = r.samples[:0] // the next change waits for samples that show the effect of this one
 }
 
-// medianLag returns the lag that half of the samples exceed; 0 if there are none.
-func (r *adaptiveRate) medianLag() time.Duration {
+// standingLag returns the lag that all samples reach; 0 if there are none.
+func (r *adaptiveRate) standingLag() time.Duration {
 	if len(r.samples) == 0 {
 		return 0
 	}
-	lags := make([]time.Duration, len(r.samples))
-	for i, s := range r.samples {
-		lags[i] = s.lag
-	}
-	slices.Sort(lags)
-	return lags[len(lags)/2]
+	return slices.MinFunc(r.samples, func(a, b sample) int { return cmp.Compare(a.lag, b.lag) }).lag
+}
+
+// isLate reports whether the next sample is overdue, so that the process runs late now.
+func (r *adaptiveRate) isLate(now time.Time) bool {
+	return !r.observedAt.IsZero() && now.Sub(r.observedAt) > SampleInterval+maxStandingLag
 }
--- a/internal/admission/status.go
+++ b/internal/admission/status.go
@@ -81,7 +81,7 @@
 type Status struct {
 	// Rate is the number of requests that are granted a second, and InitialRate the one to begin with.
 	Rate, InitialRate float64
-	// Lag is the lag that half of the last samples exceeded.
+	// Lag is the lag that all of the last samples reached.
 	Lag time.Duration
 	// Waiting are the requests that wait, and WaitingSince is since when some have waited without a break; zero if none
 	// waits.
@@ -93,7 +93,7 @@
 func (l *Limiter) Status() Status {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := Status{Rate: l.rate.current, InitialRate: l.rate.initial, Lag: l.rate.medianLag(), WaitingSince: l.waitingSince}
+	s := Status{Rate: l.rate.current, InitialRate: l.rate.initial, Lag: l.rate.standingLag(), WaitingSince: l.waitingSince}
 	for c := range Classes {
 		s.Waiting[c] = l.queues[c].len()
 	}
