--- /dev/null
+++ b/internal/batch/fresh_steps.go
@@ -0,0 +1,46 @@
+package batch
+
+import (
+	"slices"
+	"time"
+)
+
+// freshSteps are the steps that have become startable since the last Plan: they were opened, or the record that tasks of theirs
+// may have been started has become durable.
+type freshSteps map[*step]bool
+
+// markFresh notes that a step has become startable, if it has waiting tasks.
+func (s *State) markFresh(st *step) {
+	if s.open[st] {
+		s.fresh[st] = true
+	}
+}
+
+// PlanFreshSteps decides on the steps that have become startable since the last Plan, and returns the actions to carry out now. It
+// costs less than a Plan, so that a step need not wait until the next one, twice: for its record and for its start. Steps
+// that others without room go before are left to Plan.
+func (s *State) PlanFreshSteps(now time.Time) []Action {
+	if len(s.fresh) == 0 {
+		return nil
+	}
+	s.startsLeft = s.maxStarts
+	steps := s.inOrder(s.fresh, now)
+	clear(s.fresh)
+	steps = slices.DeleteFunc(steps, func(e openStepEntry) bool { return !s.open[e.step] || s.leftOut.goesBefore(e) })
+	if len(steps) > 0 {
+		s.placeSteps(steps, now)
+	}
+	out := s.actions
+	s.actions = nil
+	return out
+}
+
+// leftOutSteps are the steps that the last Plan could not start in full for want of room or of starts.
+type leftOutSteps []openStepEntry
+
+// goesBefore reports whether one of the steps is ahead of another one in the order of decisions, and competes with it.
+func (l leftOutSteps) goesBefore(e openStepEntry) bool {
+	return slices.ContainsFunc(l, func(o openStepEntry) bool {
+		return o.step.spec.BestEffort == e.step.spec.BestEffort && o.compare(e) < 0
+	})
+}
--- a/internal/batch/lifecycle.go
+++ b/internal/batch/lifecycle.go
@@ -67,6 +67,7 @@
 	}
 	if !s.open[st] {
 		s.open[st] = true
+		s.markFresh(st)
 		st.ready = now
 		s.markStartable(st, now)
 	}
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -75,10 +75,16 @@
 
 // place starts as many waiting tasks as the workers have capacity for, most urgent steps first.
 func (s *State) place(now time.Time) {
+	clear(s.fresh)
+	s.leftOut = s.leftOut[:0]
 	s.noteSuspects(now)
-	if len(s.open) == 0 {
-		return
+	if len(s.open) > 0 {
+		s.placeSteps(s.inOrder(s.open, now), now)
 	}
+}
+
+// placeSteps starts as many waiting tasks of the steps, in their order, as the workers have capacity for.
+func (s *State) placeSteps(steps []openStepEntry, now time.Time) {
 	workers := s.usable(now)
 	lastResorts := s.lastResorts(now)
 	if len(workers) == 0 && len(lastResorts) == 0 {
@@ -87,9 +93,10 @@
 	}
 	littleUsed := s.littleUsedServices(workers, lastResorts)
 	var unplaced unplacedSteps
-	for _, entry := range s.openStepsInOrder(now) {
+	for _, entry := range steps {
 		if s.startsLeft <= 0 {
 			s.holdStep(entry.step, 0, heldBySendRate, now)
+			s.leftOut = append(s.leftOut, entry)
 			continue
 		}
 		resorts := s.resortsFor(entry.step, lastResorts, littleUsed)
@@ -104,6 +111,7 @@
 		} else {
 			if !s.placeStep(entry.step, workers, resorts, now) {
 				unplaced.add(entry.step)
+				s.leftOut = append(s.leftOut, entry)
 			}
 		}
 		if entry.step.waiting == 0 {
@@ -366,6 +374,7 @@
 		Payload:     a.step.job.Spec.Payload,
 		Checkpoint:  a.task().checkpoint,
 		Ticket:      a.step.advice.ticket(w),
+		Due:         s.startDue(a.step, a.requestedAt),
 	})
 	s.event(Event{Name: "task.start", Job: a.step.job.ID, Task: a.id(), Run: a.run, Worker: w.info.ID, Inputs: s.describeFailures(a.step, a.task())})
 }
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -97,16 +97,19 @@
 	for id, r := range records {
 		if j := s.jobs[id]; j != nil {
 			j.durableOutcome, j.storedSeq = r.Status, max(j.storedSeq, r.change)
-			r.markStartRecordsDurable(j)
+			s.markStartRecordsDurable(j, r)
 		}
 	}
 }
 
 // markStartRecordsDurable marks the steps whose tasks may be started, now that the record is durable.
-func (r *Record) markStartRecordsDurable(j *Job) {
+func (s *State) markStartRecordsDurable(j *Job, r Record) {
 	for _, p := range r.Steps {
 		if p.MayHaveStarted && p.Occurrence < len(j.occs) {
-			j.occs[p.Occurrence].steps[p.Step].startRecordDurable = true
+			if st := j.occs[p.Occurrence].steps[p.Step]; !st.startRecordDurable {
+				st.startRecordDurable = true
+				s.markFresh(st)
+			}
 		}
 		for _, t := range p.Tasks {
 			if p.Occurrence < len(j.occs) {
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -27,6 +27,10 @@
 	maxStarts, startsLeft int
 	// open holds the steps with waiting tasks.
 	open map[*step]bool
+	// fresh holds the open steps that no Plan has considered since they became startable, and leftOut those that the last one
+	// could not start in full.
+	fresh   freshSteps
+	leftOut leftOutSteps
 	// scheduled holds occurrences that are not due yet.
 	scheduled map[*occurrence]*Job
 	// unresolvedWorkers holds the workers that may run tasks started by a former owner and have not
@@ -99,6 +103,7 @@
 		jobs:              map[string]*Job{},
 		workers:           map[WorkerID]*worker{},
 		open:              map[*step]bool{},
+		fresh:             freshSteps{},
 		scheduled:         map[*occurrence]*Job{},
 		unresolvedWorkers: map[WorkerID]time.Time{},
 		dirty:             newChangedJobs(),
--- a/internal/batch/urgency.go
+++ b/internal/batch/urgency.go
@@ -36,6 +36,39 @@
 	return u
 }
 
+// startDue returns by when a start of a step should be sent: at once if a long-running task is down, and after all others if the
+// objective is missed already.
+func (s *State) startDue(st *step, now time.Time) time.Time {
+	switch u := s.urgency(st, now); {
+	case u.restart:
+		return time.Time{}
+	case u.missed:
+		return now.Add(s.timing.StartLeaseTTL)
+	default:
+		return u.latestStart
+	}
+}
+
+// EndNeededBy returns by when the first end on a worker must be known, so that what follows from it can still start in time for
+// the objective of its job. It is zero if no job is late for it.
+func (s *State) EndNeededBy(id WorkerID, now time.Time) time.Time {
+	w := s.workers[id]
+	if w == nil {
+		return time.Time{}
+	}
+	var first time.Time
+	for _, a := range w.attempts {
+		if a.step.spec.LongRunning {
+			continue
+		}
+		needed := s.urgency(a.step, now).latestStart.Add(a.step.spec.Estimate)
+		if needed.After(now) && (first.IsZero() || needed.Before(first)) {
+			first = needed
+		}
+	}
+	return first
+}
+
 // downSince returns since when the first of the waiting tasks that have run before is down, and whether there is
 // one. What ran under a former owner counts as down since the job was accepted.
 func (st *step) downSince() (first time.Time, ok bool) {
@@ -96,21 +129,27 @@
 	urgency
 }
 
-// openStepsInOrder returns the open steps by priority, and within a priority most urgent first.
-func (s *State) openStepsInOrder(now time.Time) []openStepEntry {
-	out := make([]openStepEntry, 0, len(s.open))
-	for st := range s.open {
+// compare orders steps by priority, and within a priority most urgent first.
+func (e openStepEntry) compare(o openStepEntry) int {
+	return cmp.Or(
+		cmp.Compare(e.priority, o.priority),
+		e.urgency.compare(o.urgency),
+		cmp.Compare(e.step.job.ID, o.step.job.ID),
+		cmp.Compare(e.step.occ.number, o.step.occ.number),
+		cmp.Compare(e.step.number, o.step.number),
+	)
+}
+
+// openStepsInOrder returns the open steps in the order of decisions.
+func (s *State) openStepsInOrder(now time.Time) []openStepEntry { return s.inOrder(s.open, now) }
+
+// inOrder returns steps in the order of decisions.
+func (s *State) inOrder(steps map[*step]bool, now time.Time) []openStepEntry {
+	out := make([]openStepEntry, 0, len(steps))
+	for st := range steps {
 		out = append(out, openStepEntry{step: st, priority: s.queueOf(st.job).Priority, urgency: s.urgency(st, now)})
 	}
-	slices.SortFunc(out, func(a, b openStepEntry) int {
-		return cmp.Or(
-			cmp.Compare(a.priority, b.priority),
-			a.urgency.compare(b.urgency),
-			cmp.Compare(a.step.job.ID, b.step.job.ID),
-			cmp.Compare(a.step.occ.number, b.step.occ.number),
-			cmp.Compare(a.step.number, b.step.number),
-		)
-	})
+	slices.SortFunc(out, openStepEntry.compare)
 	return out
 }
 
--- a/internal/owner/cooldown.go
+++ b/internal/owner/cooldown.go
@@ -11,8 +11,10 @@
 	minCooldown = 4 * time.Millisecond
 	// maxCooldown limits the cooldown, so that a slow machine still decides several times a second.
 	maxCooldown = 40 * time.Millisecond
-	// overloadCooldown is the cooldown while requests to workers wait for processor time. What is decided would wait, too.
-	overloadCooldown = startSendTime / 2
+	// overloadFactor and maxOverloadCooldown replace cooldownFactor and maxCooldown while requests to workers wait for processor
+	// time: what is decided would wait, too.
+	overloadFactor      = 4
+	maxOverloadCooldown = 125 * time.Millisecond
 )
 
 // cooldown enforces a pause after each decision, in proportion to the time that the decision took.
@@ -39,9 +41,10 @@
 // start begins the cooldown of a decision that lasted from began to now. overloaded says that requests wait for processor
 // time.
 func (c *cooldown) start(began, now time.Time, overloaded bool) {
+	factor, most := cooldownFactor, maxCooldown
 	if overloaded {
-		c.until = now.Add(overloadCooldown)
-		return
+		factor, most = overloadFactor, maxOverloadCooldown
 	}
-	c.until = now.Add(min(max(cooldownFactor*now.Sub(began), minCooldown), maxCooldown))
+	took := now.Sub(began)
+	c.until = now.Add(min(max(time.Duration(factor)*took, minCooldown), most))
 }
--- a/internal/owner/cooldown_test.go
+++ b/internal/owner/cooldown_test.go
@@ -9,7 +9,8 @@
 )
 
 // After a decision that took long, under a steady stream of events, the next decision must wait for
-// twice as long, and for minCooldown in any case, and must then be made without another event.
+// twice as long, four times while requests wait for processor time, and for minCooldown in any case, and must then be made
+// without another event.
 func TestCooldownIsProportionalToDecisionTime(t *testing.T) {
 	for name, c := range map[string]struct {
 		took       time.Duration
@@ -19,8 +20,9 @@
 		"cheap":                             {0, false, minCooldown},
 		"usual":                             {3 * time.Millisecond, false, 6 * time.Millisecond},
 		"very slow":                         {time.Second, false, maxCooldown},
-		"cheap, but requests wait":          {0, true, overloadCooldown},
-		"very slow, and requests wait, too": {time.Second, true, overloadCooldown},
+		"cheap, but requests wait":          {0, true, minCooldown},
+		"usual, but requests wait":          {3 * time.Millisecond, true, 12 * time.Millisecond},
+		"very slow, and requests wait, too": {time.Second, true, maxOverloadCooldown},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -208,9 +208,13 @@
 	}
 }
 
-// react decides after an event, or only writes changed records while the cooldown of the last decision goes on.
+// react decides after an event. While the cooldown of the last decision goes on, it only decides on steps that have become
+// startable, and writes changed records.
 func (l *leader) react(now time.Time) {
 	if !l.cooldown.elapsed(now) {
+		if !l.suspended && l.mayAct() {
+			l.carryOut(l.state.PlanFreshSteps, now)
+		}
 		l.commit(now)
 		return
 	}
@@ -272,8 +276,13 @@
 	if l.suspended {
 		return
 	}
+	l.carryOut(l.state.Plan, now)
+}
+
+// carryOut makes decisions, as many as can be carried out, and sends the requests to workers that result.
+func (l *leader) carryOut(decide func(time.Time) []batch.Action, now time.Time) {
 	l.state.LimitStarts(l.maxStarts())
-	for _, a := range l.state.Plan(now) {
+	for _, a := range decide(now) {
 		l.execute(a, now)
 	}
 }
--- a/internal/owner/processor_load.go
+++ b/internal/owner/processor_load.go
@@ -25,9 +25,9 @@
 	return admission.New(requestsPerCore * speed)
 }
 
-// startSendTime is the time within which the starts that are decided must be sent. It is well within startWindow, as some of
-// them are repeated.
-const startSendTime = 250 * time.Millisecond
+// startSendTime is the time within which the starts that are decided must be sent. It is short, as starts of jobs that are more
+// urgent may be decided meanwhile, and these wait behind them.
+const startSendTime = 100 * time.Millisecond
 
 // maxStarts returns how many starts may be decided now.
 func (l *leader) maxStarts() int {
