--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -58,7 +58,10 @@
 }
 
 func testConfig() batch.Config {
-	return batch.Config{Version: 1, Queues: map[string]batch.Queue{"q": {Service: "svc", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}}
+	return batch.Config{Version: 1, Queues: map[string]batch.Queue{
+		"q":      {Service: "svc", MaxAttempts: 3, Stretch: 2, Slack: time.Second},
+		"urgent": {Service: "svc", MaxAttempts: 3, Stretch: 1.5, Slack: 250 * time.Millisecond},
+	}}
 }
 
 // startInstance starts an instance that takes part in campaigns.
@@ -95,8 +98,11 @@
 }
 
 // submit writes a job to the store as an instance that accepts it does.
-func (h *harness) submit(id string, steps ...batch.Step) {
-	v := Submission{Queue: "q", QueueConfig: batch.Queue{Service: "svc", MaxAttempts: 3}, Accepted: time.Now(), Spec: batch.Spec{Payload: "p", Steps: steps}}
+func (h *harness) submit(id string, steps ...batch.Step) { h.submitTo("q", id, steps...) }
+
+// submitTo is submit for a queue.
+func (h *harness) submitTo(queue, id string, steps ...batch.Step) {
+	v := Submission{Queue: queue, QueueConfig: batch.Queue{Service: "svc", MaxAttempts: 3}, Accepted: time.Now(), Spec: batch.Spec{Payload: "p", Steps: steps}}
 	h.store.set(JobKey(id), EncodeSubmission(v))
 }
 
--- a/internal/owner/renewal_urgency.go
+++ b/internal/owner/renewal_urgency.go
@@ -30,10 +30,13 @@
 	limiter, request := rn.leader.limiter, admission.Request{Class: class}
 	switch class {
 	case admission.Report:
+		request.Due = rn.reportDue()
+		rn.waitsUntil.Store(request.Due.UnixNano())
+		defer rn.waitsUntil.Store(0)
 		if now := time.Now(); rn.mayKeepTasks(now) {
 			untilDue, cancel := context.WithDeadline(ctx, rn.renewalDue)
 			defer cancel()
-			return limiter.Acquire(untilDue, request)
+			return limiter.AcquireUnless(untilDue, request, rn.started)
 		}
 	case admission.Look:
 		return limiter.AcquireUnless(ctx, request, rn.started)
@@ -41,9 +44,24 @@
 	return limiter.Acquire(ctx, request)
 }
 
-// startSent tells the renewer that a start was sent to the worker.
-func (rn *renewer) startSent(now time.Time) {
-	rn.startSentAt.Store(&now)
+// reportDue returns by when the next report should be asked for: before somebody needs it, and before the lease is urgent.
+func (rn *renewer) reportDue() time.Time {
+	return earliest(rn.neededBy, rn.renewalDue)
+}
+
+// sentStarts are starts that were sent to a worker.
+type sentStarts struct {
+	lastAt   time.Time // when the newest was sent
+	neededBy time.Time // by when the next report is needed since then
+}
+
+// startSent tells the renewer that a start was sent to the worker, and by when the next report is needed since then. It is called
+// by the loop only.
+func (rn *renewer) startSent(now, neededBy time.Time) {
+	rn.newStarts.Store(&sentStarts{lastAt: now, neededBy: neededBy})
+	if until := rn.waitsUntil.Load(); until != 0 && (neededBy.IsZero() || until <= neededBy.UnixNano()) {
+		return // it waits for its report already, which is due no later
+	}
 	select {
 	case rn.started <- struct{}{}:
 	default:
@@ -53,12 +71,12 @@
 // noteStarts notes the newest start that was sent to the worker: a task may run there, under the lease that the start grants at
 // least.
 func (rn *renewer) noteStarts() {
-	at := rn.startSentAt.Swap(nil)
-	if at == nil {
+	starts := rn.newStarts.Swap(nil)
+	if starts == nil {
 		return
 	}
-	rn.lastStart, rn.runsTasks = *at, true
-	rn.leaseEnd = batch.LaterOf(rn.leaseEnd, at.Add(maxLeaseDuration(startWindow)))
+	rn.lastStart, rn.runsTasks, rn.neededBy = starts.lastAt, true, earliest(rn.neededBy, starts.neededBy)
+	rn.leaseEnd = batch.LaterOf(rn.leaseEnd, starts.lastAt.Add(maxLeaseDuration(startWindow)))
 }
 
 // contactDeadline returns until when the worker may be without an answer until it counts as unreachable. If it is known to
--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -62,6 +62,8 @@
 	// runsTasks is set if the worker ran tasks when its report was handled, at reportedAt.
 	runsTasks  bool
 	reportedAt time.Time
+	// neededBy is by when the next report is needed, see reportNeededBy.
+	neededBy time.Time
 	// awaitsAck is set if the report has ends that cannot be acknowledged yet. Further parameters follow.
 	awaitsAck bool
 	// generation is the renewer's generation at the time of the report that the parameters follow.
@@ -80,11 +82,13 @@
 	params   renewalParams
 	// newParams holds the newest parameters that the renewer has not applied yet.
 	newParams chan renewalParams
-	// startSentAt is when the newest start was sent to the worker, if the renewer has not noted it yet, and started signals
-	// that. lastStart is the newest one that it has noted.
-	startSentAt atomic.Pointer[time.Time]
-	started     chan struct{}
-	lastStart   time.Time
+	// newStarts are the starts that were sent to the worker and that the renewer has not noted yet, and started signals them.
+	// lastStart is the newest one that it has noted.
+	newStarts atomic.Pointer[sentStarts]
+	started   chan struct{}
+	lastStart time.Time
+	// waitsUntil is when the report is due for which the renewer waits to be admitted, in Unix nanoseconds; 0 if it does not.
+	waitsUntil atomic.Int64
 	// generation is increased whenever a call fails or the worker has been restarted. Parameters of
 	// earlier generations are ignored.
 	generation  int
@@ -95,6 +99,8 @@
 	renewalDue time.Time
 	// runsTasks is set if the worker ran tasks by the last parameters, if a start was sent since, or if it has not been heard of.
 	runsTasks bool
+	// neededBy is by when the next report is needed, see reportNeededBy.
+	neededBy time.Time
 	// ackWait is how long the next wait for an acknowledgement lasts.
 	ackWait time.Duration
 	// lossyUntil is until when the worker is known to lose answers.
@@ -238,7 +244,7 @@
 			return true
 		},
 		admit: func(ctx context.Context, n int) bool {
-			return n == 1 || rn.leader.limiter.Acquire(ctx, admission.Request{Class: rn.class(time.Now()), Repeated: true})
+			return n == 1 || rn.leader.limiter.Acquire(ctx, admission.Request{Class: rn.class(time.Now()), Repeated: true, Due: rn.reportDue()})
 		},
 		unsent: renewal{answer: batch.AnswerNone},
 	}
@@ -387,6 +393,7 @@
 func (rn *renewer) applyParams(i renewalParams) {
 	if i.generation == rn.generation {
 		rn.params, rn.runsTasks = i, i.runsTasks || rn.lastStart.After(i.reportedAt)
+		rn.neededBy = i.neededBy
 	}
 }
 
@@ -435,7 +442,7 @@
 	}
 	i := renewalParams{
 		ackSeq: ackSeq, maxWait: l.maxReportWait(id, now), renew: !l.state.MustLapse(id),
-		runsTasks: l.state.HasAttempts(id), reportedAt: now, generation: generation,
+		runsTasks: l.state.HasAttempts(id), reportedAt: now, neededBy: l.reportNeededBy(id, now), generation: generation,
 	}
 	l.setParamsWhenDurable(i, r.Ended, rn)
 }
@@ -447,8 +454,10 @@
 		return busyWait // its lease is not renewed
 	case !l.state.HasLease(id):
 		return 0 // tasks are started on it only after it has confirmed its lease
-	case l.state.HasColocatedTasks(id), l.state.HasUnansweredStart(id, now):
+	case l.state.HasUnansweredStart(id, now):
 		return colocatedWait
+	case l.state.HasColocatedTasks(id):
+		return l.colocatedReportWait()
 	case l.state.HasFiniteTasks(id):
 		return busyWait
 	case l.state.HasAttempts(id):
@@ -458,6 +467,27 @@
 	}
 }
 
+// colocatedReportShare is the part of all requests to workers that reports for latency figures may use.
+const colocatedReportShare = 0.25
+
+// colocatedReportWait returns how long a worker may wait where best-effort tasks share it with tasks that have a latency target.
+// Its report is asked for to see how these do; that must leave time for the reports that tell of ends, and for starts.
+func (l *leader) colocatedReportWait() time.Duration {
+	reports := l.limiter.Status().Rate * colocatedReportShare
+	wait := time.Duration(float64(len(l.renewers)) / reports * float64(time.Second))
+	return min(max(wait, colocatedWait), busyWait)
+}
+
+// reportNeededBy returns by when the next report of a worker is needed: for the objective of a job that an end there holds up, or
+// to see how tasks with a latency target do beside best-effort ones. It is zero if only the lease needs it.
+func (l *leader) reportNeededBy(id batch.WorkerID, now time.Time) time.Time {
+	needed := l.state.EndNeededBy(id, now)
+	if l.state.HasColocatedTasks(id) {
+		return earliest(needed, now.Add(l.colocatedReportWait()))
+	}
+	return needed
+}
+
 // recordLeaseEnd records when the lease of an unreachable worker ends.
 func (l *leader) recordLeaseEnd(id batch.WorkerID) {
 	if end := l.state.LeaseEnd(id); l.workersRecord.contains(id) && !end.IsZero() {
--- a/internal/owner/repeated_calls.go
+++ b/internal/owner/repeated_calls.go
@@ -74,17 +74,17 @@
 // repeatCall makes a call that has the same effect however often it is made, and makes it again and again
 // until one takes effect or ctx ends. A refusal of one copy says nothing about the others: the outcome is a refusal only
 // if all are refused or were not sent.
-func (l *leader) repeatCall(ctx context.Context, kind callKind, worker batch.WorkerID, call func(context.Context) batch.Answer) batch.Answer {
+func (l *leader) repeatCall(ctx context.Context, kind callKind, a batch.Action, call func(context.Context) batch.Answer) batch.Answer {
 	outcome := batch.AnswerNone
 	refused, unsent, refusedForGood := 0, 0, false
-	requests := l.requests.of(worker)
+	requests := l.requests.of(a.Worker)
 	calls := repetition[batch.Answer]{
 		try:       func(ctx context.Context, n int) batch.Answer { return l.tryCall(ctx, n, kind, requests, call) },
 		interval:  callRepeatInterval,
 		mayRepeat: func() bool { return !refusedForGood && requests.retries.take(time.Now()) },
 		slots:     requests.orders,
 		admit: func(ctx context.Context, n int) bool {
-			return l.limiter.Acquire(ctx, admission.Request{Class: orderClasses[kind], Repeated: n > 1})
+			return l.limiter.Acquire(ctx, admission.Request{Class: orderClasses[kind], Repeated: n > 1, Due: a.Due})
 		},
 		unsent: batch.AnswerUnsent,
 	}
--- a/internal/owner/repeated_calls_test.go
+++ b/internal/owner/repeated_calls_test.go
@@ -84,7 +84,7 @@
 				l := confirmedLeader(t)
 				var mu sync.Mutex
 				copies := 0
-				answer := l.repeatCall(ctx, callStart, "w", func(ctx context.Context) batch.Answer {
+				answer := l.repeatCall(ctx, callStart, batch.Action{Worker: "w"}, func(ctx context.Context) batch.Answer {
 					mu.Lock()
 					copies++
 					n := copies
@@ -140,7 +140,7 @@
 		defer cancel()
 		var done sync.WaitGroup
 		for range 3 * maxOpenOrders {
-			done.Go(func() { l.repeatCall(ctx, callStart, "w", silent) })
+			done.Go(func() { l.repeatCall(ctx, callStart, batch.Action{Worker: "w"}, silent) })
 		}
 		done.Wait()
 		synctest.Wait()
--- a/internal/owner/urgent_jobs_test.go
+++ b/internal/owner/urgent_jobs_test.go
@@ -43,7 +43,7 @@
 			h.workers.durations[id] = short.Estimate
 			h.workers.mu.Unlock()
 			submitted[id] = time.Now()
-			h.submit(id, chain...)
+			h.submitTo("urgent", id, chain...)
 		}
 		h.sleep(pause)
 	}
@@ -83,7 +83,7 @@
 	short := tasks(count)
 	short.Estimate = 600 * time.Millisecond
 	chain := steps * short.Estimate
-	objective := chain + chain/2 + 250*time.Millisecond
+	objective := chain + chain/2 + 250*time.Millisecond // see testConfig
 	for _, c := range []struct {
 		name      string
 		cost      time.Duration // of each side of a request
--- a/internal/owner/worker_calls.go
+++ b/internal/owner/worker_calls.go
@@ -28,7 +28,7 @@
 	notAfter := l.clocks[a.Worker].now(now) + startWindow.Milliseconds()
 	l.state.StartSent(a.Worker, a.Task, a.Run, notAfter)
 	if rn := l.renewers[a.Worker]; rn != nil {
-		rn.startSent(now)
+		rn.startSent(now, l.reportNeededBy(a.Worker, now))
 	}
 	request := StartRequest{
 		Worker: a.Worker, Address: a.Address, Epoch: l.epoch, Task: a.Task, Run: a.Run,
@@ -41,7 +41,7 @@
 		ctx, cancel := context.WithTimeout(call.ctx, startCallTimeout)
 		defer cancel()
 		defer sent()
-		answer := l.repeatCall(ctx, callStart, request.Worker, func(ctx context.Context) batch.Answer {
+		answer := l.repeatCall(ctx, callStart, a, func(ctx context.Context) batch.Answer {
 			sent()
 			return l.owner.workers.Start(ctx, request)
 		})
@@ -77,7 +77,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, orderCallTimeout)
 		defer cancel()
-		answer := l.repeatCall(ctx, kind, request.Worker, func(ctx context.Context) batch.Answer { return send(ctx, request) })
+		answer := l.repeatCall(ctx, kind, a, func(ctx context.Context) batch.Answer { return send(ctx, request) })
 		l.post(func(l *leader, now time.Time) {
 			l.checkFenced(a, answer)
 			answered(l, answer, now)
