--- /dev/null
+++ b/internal/batch/fresh_steps_test.go
@@ -0,0 +1,81 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a step that waits for two decisions, one for its record and one for its start, while these are rare (issue 50,
+// SHORT).
+func TestAStepThatBecomesStartableNeedsNoPlan(t *testing.T) {
+	is := is.New(t)
+	s, now := New(1, testLimits), time.Unix(1_000_000, 0)
+	s.SetConfig(Config{Version: 1, Queues: map[string]Queue{"q": {Service: "svc", MaxAttempts: 3, Stretch: 2}}})
+	addWorker(s, "w", Resources{CPU: 8000, MemoryMB: 10_000}, now)
+	s.Plan(now)
+	is.Equal(len(s.PlanFreshSteps(now)), 0)
+	addJob(s, "j", "q", now, Step{Count: 2, Resources: Resources{CPU: 1000}, Estimate: time.Second})
+	is.Equal(len(s.PlanFreshSteps(now)), 0) // the record is asked for
+	is.True(s.HasUrgentRecords())
+	s.MarkStored(s.TakeDirty(10))
+	is.Equal(len(s.PlanFreshSteps(now)), 2)
+	is.Equal(len(s.PlanFreshSteps(now)), 0)
+	is.Equal(len(s.Plan(now)), 0)
+}
+
+// Guards against a step that is started out of turn: another one that goes before it found no room in the last plan.
+func TestAFreshStepDoesNotOvertakeOneThatWaitsForRoom(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		urgent, waiting  int // priorities of the fresh step's queue and of that which waits
+		waitingIsAFiller bool
+		starts           int
+	}{
+		{"the other one goes before it", 1, 0, false, 0},
+		{"it goes before the other one", 0, 1, false, 1},
+		{"the other one takes no room", 1, 0, true, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s, now := New(1, testLimits), time.Unix(1_000_000, 0)
+			s.SetConfig(Config{Version: 1, Queues: map[string]Queue{
+				"fresh":   {Service: "svc", MaxAttempts: 3, Stretch: 2, Priority: c.urgent},
+				"waiting": {Service: "svc", MaxAttempts: 3, Stretch: 2, Priority: c.waiting},
+			}})
+			addWorker(s, "w", Resources{CPU: 8000, MemoryMB: 10_000}, now)
+			large := Step{Count: 1, Resources: Resources{CPU: 9000}, Estimate: time.Second, BestEffort: c.waitingIsAFiller, Image: "f"}
+			if c.waitingIsAFiller {
+				large.Resources = Resources{CPU: 1000, MemoryMB: 20_000}
+			}
+			addJob(s, "large", "waiting", now, large)
+			s.Plan(now)
+			addJob(s, "small", "fresh", now, Step{Count: 1, Resources: Resources{CPU: 1000}, Estimate: time.Second})
+			s.PlanFreshSteps(now)
+			s.MarkStored(s.TakeDirty(10))
+			is.Equal(len(s.PlanFreshSteps(now)), c.starts)
+		})
+	}
+}
+
+// Guards against reports that are asked for in an order that has nothing to do with who waits for them.
+func TestAnEndIsNeededInTimeForTheObjectiveOfItsJob(t *testing.T) {
+	is := is.New(t)
+	s, now := New(1, testLimits), time.Unix(1_000_000, 0)
+	s.SetConfig(Config{Version: 1, Queues: map[string]Queue{"q": {Service: "svc", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}})
+	addWorker(s, "w", Resources{CPU: 8000, MemoryMB: 10_000}, now)
+	is.True(s.EndNeededBy("w", now).IsZero())
+	is.True(s.EndNeededBy("unknown", now).IsZero())
+	step := Step{Count: 1, Resources: Resources{CPU: 1000}, Estimate: time.Second}
+	later := step
+	later.After = []int{0}
+	addJob(s, "j", "q", now, step, later)
+	s.Plan(now)
+	s.MarkStored(s.TakeDirty(10))
+	actions := s.Plan(now)
+	is.Equal(len(actions), 1)
+	is.Equal(actions[0].Due, now.Add(3*time.Second)) // two seconds of work within five
+	is.Equal(s.EndNeededBy("w", now), now.Add(4*time.Second))
+	is.True(s.EndNeededBy("w", now.Add(5*time.Second)).IsZero()) // missed in any case
+}
