--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -14,8 +14,10 @@
 	Queue    string
 	Accepted time.Time
 	Spec     Spec
-	// QueueConfig is the queue as it was configured when the job was accepted.
-	QueueConfig Queue
+	// QueueConfig is the queue as it was configured when the job was accepted, and ConfigVersion the version of that
+	// configuration; 0 if it is not known.
+	QueueConfig   Queue
+	ConfigVersion int64
 
 	outcome        JobStatus
 	durableOutcome JobStatus // the outcome that the store holds
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -94,6 +94,10 @@
 	littleUsed := s.littleUsedServices(workers, lastResorts)
 	var unplaced unplacedSteps
 	for _, entry := range steps {
+		if s.awaitsConfig(entry.step) {
+			s.holdStep(entry.step, 0, heldByConfig, now)
+			continue
+		}
 		if s.startsLeft <= 0 {
 			s.holdStep(entry.step, 0, heldBySendRate, now)
 			s.leftOut = append(s.leftOut, entry)
--- a/internal/batch/simulation_requests_test.go
+++ b/internal/batch/simulation_requests_test.go
@@ -23,6 +23,14 @@
 func (w *simulation) plan(t *rapid.T) {
 	actions := w.owner.Plan(w.now)
 	w.checkWaitReasons(t)
+	w.sendActions(actions)
+}
+
+// planFreshSteps calls PlanFreshSteps of the owner, as between two plans, and sends the requests.
+func (w *simulation) planFreshSteps(*rapid.T) { w.sendActions(w.owner.PlanFreshSteps(w.now)) }
+
+// sendActions sends the requests of actions.
+func (w *simulation) sendActions(actions []Action) {
 	for _, a := range actions {
 		reading := w.clocks[a.Worker]
 		notAfter := reading.clock + w.now.Sub(reading.at).Milliseconds() + simulatedStartWindow.Milliseconds()
--- a/internal/batch/simulation_run_test.go
+++ b/internal/batch/simulation_run_test.go
@@ -19,6 +19,7 @@
 			"cancel":  w.cancel,
 			"plan":    w.plan,
 			"plan2":   w.plan,
+			"fresh":   w.planFreshSteps,
 			"deliver": w.deliver, "deliver2": w.deliver, "deliver3": w.deliver,
 			"lose":   w.loseAnswer,
 			"repeat": w.repeat,
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -10,6 +10,9 @@
 	epoch  int64
 	timing Timing
 	config Config
+	// confirmedVersion is the version up to which the store holds no newer configuration than config, though jobs were accepted
+	// under one.
+	confirmedVersion int64
 
 	jobs    map[string]*Job
 	workers map[WorkerID]*worker
@@ -125,6 +128,28 @@
 	}
 }
 
+// ConfirmConfig notes that the store holds no newer configuration than the one in force, so that jobs that were accepted under one
+// up to a version do not wait for it.
+func (s *State) ConfirmConfig(version int64) { s.confirmedVersion = max(s.confirmedVersion, version) }
+
+// AwaitedConfig returns the version of the newest configuration that waiting tasks need and that is not in force; 0 if there is
+// none.
+func (s *State) AwaitedConfig() int64 {
+	var newest int64
+	for st := range s.open {
+		if s.awaitsConfig(st) {
+			newest = max(newest, st.job.ConfigVersion)
+		}
+	}
+	return newest
+}
+
+// awaitsConfig reports whether the job of a step was accepted under a newer configuration than the one in force. Its tasks must
+// not show that one while this instance still serves the older one.
+func (s *State) awaitsConfig(st *step) bool {
+	return st.job.ConfigVersion > max(s.config.Version, s.confirmedVersion)
+}
+
 // ConfigVersion returns the version of the configuration in force.
 func (s *State) ConfigVersion() int64 { return s.config.Version }
 
--- a/internal/batch/wait_reasons_test.go
+++ b/internal/batch/wait_reasons_test.go
@@ -121,6 +121,12 @@
 		f.planAndStore(next)
 		return held(next, f.now, "j", 0)
 	},
+	heldByConfig: func(*testing.T) heldTask {
+		s, now := newTestState("a")
+		addJob(s, "j", "q", now, taskStep(1, 1000)).ConfigVersion = s.ConfigVersion() + 1
+		s.Plan(now)
+		return held(s, now, "j", 0)
+	},
 	heldByOwnRecord: func(*testing.T) heldTask { return newSuspect(1) },
 	heldByNewPlan: func(*testing.T) heldTask {
 		h := newSuspect(1)
@@ -366,6 +372,8 @@
 		return fmt.Sprintf("it has %d attempts", len(t.attempts))
 	case reason == heldByStartRecord && st.startRecordDurable:
 		return "the record is durable"
+	case reason == heldByConfig && !s.awaitsConfig(st):
+		return "the configuration is in force"
 	case reason == heldByPause && !st.isPaused(t, now):
 		return "it is not paused"
 	case reason == heldByFormerOwner && (!t.unresolved || len(s.unresolvedWorkers) == 0):
--- a/internal/batch/waits.go
+++ b/internal/batch/waits.go
@@ -18,6 +18,7 @@
 	heldByFormerOwner                     // a former owner may have started it
 	heldByFailureRecord                   // the store must hold more of its failed runs
 	heldByFormerEnds                      // a worker may hold the end of a failed run under a former owner
+	heldByConfig                          // the configuration under which its job was accepted is not in force here yet
 	heldByOwnRecord                       // its start is decided, and sent once the store holds it
 	heldByNewPlan                         // its start was decided, but cannot be sent any more
 	heldBySendRate                        // as many starts are decided as can be sent while they are valid
@@ -54,6 +55,7 @@
 		heldByFormerOwner:    waitsForFormerOwner,
 		heldByFailureRecord:  "its failed runs are not recorded yet",
 		heldByFormerEnds:     "a worker that has not answered may hold the end of a failed run",
+		heldByConfig:         "the configuration under which its job was accepted is not in force here yet",
 		heldByOwnRecord:      "the record of its start is not stored yet",
 		heldByNewPlan:        "its start was decided, but could not be sent any more",
 		heldBySendRate:       "as many starts are decided as can be sent while they are valid",
@@ -72,7 +74,7 @@
 	}
 	waitReasonNames = [waitReasons]string{
 		notHeld: "new", heldByStartRecord: "start-record", heldByPause: "pause", heldByFormerOwner: "former-owner",
-		heldByFailureRecord: "failure-record", heldByFormerEnds: "former-ends", heldByOwnRecord: "own-record", heldByNewPlan: "new-plan", heldBySendRate: "send-rate",
+		heldByFailureRecord: "failure-record", heldByFormerEnds: "former-ends", heldByConfig: "config", heldByOwnRecord: "own-record", heldByNewPlan: "new-plan", heldBySendRate: "send-rate",
 		heldByWorseSuspect: "worse-suspect", heldByReserve: "reserve", heldByNoWorker: "no-worker", heldByRoom: "room",
 		heldByLikeStep: "like-step", heldByWithheldRoom: "withheld-room", heldByInterference: "interference", heldByIsolation: "isolation", heldByAdviser: "adviser", heldByQuestions: "questions",
 		heldByRefusedTickets: "refused-tickets", heldByGang: "gang",
@@ -83,7 +85,7 @@
 func (r waitReason) String() string { return waitReasonTexts[r] }
 
 // routineReasons are the reasons that tasks meet in the normal course, for a short time.
-const routineReasons = 1<<heldByStartRecord | 1<<heldByOwnRecord | 1<<heldByNewPlan | 1<<heldBySendRate | 1<<heldByFailureRecord |
+const routineReasons = 1<<heldByStartRecord | 1<<heldByConfig | 1<<heldByOwnRecord | 1<<heldByNewPlan | 1<<heldBySendRate | 1<<heldByFailureRecord |
 	1<<heldByAdviser | 1<<heldByQuestions | 1<<heldByNoWorker | 1<<heldByGang
 
 // isRoutine reports whether step.waits tells the reason only once it has held for routineWait.
--- a/internal/entry/config_watcher.go
+++ b/internal/entry/config_watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"maps"
 	"slices"
@@ -140,6 +141,16 @@
 	w.apply(content{items: listed, rev: rev, source: sourceListing})
 }
 
+// refresh lists the keys at once, beside the watch.
+func (w *configWatcher) refresh(ctx context.Context, store kv.Store) error {
+	items, rev, err := store.List(ctx, w.decoder.Prefix())
+	if err != nil {
+		return err
+	}
+	w.reset(items, rev)
+	return nil
+}
+
 // change applies changes of single keys up to a revision of the store.
 func (w *configWatcher) change(events []kv.Event, rev int64) {
 	w.mu.Lock()
--- a/internal/entry/config_watcher_test.go
+++ b/internal/entry/config_watcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"strings"
 	"testing"
@@ -43,6 +44,34 @@
 	})
 }
 
+// listedStore is a store that holds some keys.
+type listedStore struct {
+	kv.Store
+	items []kv.Item
+	rev   int64
+	err   error
+}
+
+func (s listedStore) List(context.Context, string) ([]kv.Item, int64, error) {
+	return s.items, s.rev, s.err
+}
+
+// Guards against a read beside the watch that puts an older configuration in force, or lets the watch do so later.
+func TestARefreshPutsOnlyANewerConfigurationInForce(t *testing.T) {
+	is := is.New(t)
+	w := newConfigWatcher(fakeDecoder{}, nil, zerolog.Nop())
+	w.reset([]kv.Item{put("op/config", 5, 10)}, 10)
+	is.NoErr(w.refresh(t.Context(), listedStore{items: []kv.Item{put("op/config", 7, 14)}, rev: 14}))
+	is.Equal(w.batchConfig().Version, int64(7))
+	w.change([]kv.Event{{Item: put("op/config", 6, 12)}}, 12) // the watch is behind
+	is.Equal(w.batchConfig().Version, int64(7))
+	is.NoErr(w.refresh(t.Context(), listedStore{items: []kv.Item{put("op/config", 4, 8)}, rev: 8}))
+	is.Equal(w.batchConfig().Version, int64(7))
+	is.Equal(w.refresh(t.Context(), listedStore{err: kv.ErrUnavailable}), kv.ErrUnavailable)
+	w.change([]kv.Event{{Item: put("op/config", 8, 16)}}, 16)
+	is.Equal(w.batchConfig().Version, int64(8))
+}
+
 func put(key string, value byte, rev int64) kv.Item {
 	return kv.Item{Key: key, Value: []byte{value}, Rev: rev}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -63,6 +63,7 @@
 	opts.Owner.ReportEnd = func(ctx context.Context, c owner.Claim, end owner.LeadershipEnd) error {
 		return peers.Call(ctx, c.Address, kindLeadershipEnd, leadershipEndMessage{Epoch: c.Epoch, End: end}, nil)
 	}
+	opts.Owner.RefreshConfig = func(ctx context.Context) error { return watcher.refresh(ctx, store) }
 	i := &Instance{
 		name:    opts.Name,
 		store:   store,
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -40,7 +40,7 @@
 // Submit stores a job. If a job with this id is stored already, the submission counts as a repetition
 // of it and changes nothing.
 func (i *Instance) Submit(ctx context.Context, config *Config, id, queue string, spec batch.Spec) Result {
-	submission := owner.Submission{Queue: queue, Accepted: time.Now(), Spec: spec, QueueConfig: config.Batch.Queues[queue]}
+	submission := owner.Submission{Queue: queue, Accepted: time.Now(), Spec: spec, QueueConfig: config.Batch.Queues[queue], ConfigVersion: config.Batch.Version}
 	key := owner.JobKey(id)
 	result, existed := i.create(ctx, key, owner.EncodeSubmission(submission))
 	i.log.Info().Str("event", "job.submitted").Str("job", id).Str("queue", queue).
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -109,6 +109,8 @@
 	unreadableEntries logging.Repeats
 	// suspended is set while mayAct is false.
 	suspended bool
+	// refreshesConfig is set while the configuration is read from the store.
+	refreshesConfig bool
 }
 
 // workerClock is a reading of a worker's clock.
@@ -257,6 +259,7 @@
 		l.reconcileRenewers()
 	}
 	l.plan(now)
+	l.refreshConfig()
 	l.logEvents()
 	l.records.decisions++
 	l.handledCounts.decisions++
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -141,6 +141,9 @@
 	ProcessorLag func(ctx context.Context) time.Duration
 	// OpenConnections returns the number of open connections of this process; if it is nil, they are not reported.
 	OpenConnections func() int
+	// RefreshConfig reads the configuration from the store and puts it in force if it is newer. It is called when a job was accepted
+	// under a newer configuration than the one in force; if it is nil, such jobs wait.
+	RefreshConfig func(ctx context.Context) error
 	// Scope receives the metrics.
 	Scope tally.Scope
 }
--- a/internal/owner/records.go
+++ b/internal/owner/records.go
@@ -98,6 +98,8 @@
 	// QueueConfig is the configuration of the queue when the job was accepted. It is used if the
 	// queue is removed later.
 	QueueConfig batch.Queue `cbor:"5,keyasint"`
+	// ConfigVersion is the version of that configuration; 0 in submissions of earlier versions.
+	ConfigVersion int64 `cbor:"6,keyasint,omitempty"`
 }
 
 var encMode = func() cbor.EncMode {
@@ -168,7 +170,7 @@
 
 // job returns the submitted job.
 func (s *Submission) job(id string) *batch.Job {
-	return &batch.Job{ID: id, Queue: s.Queue, Accepted: s.Accepted, Spec: s.Spec, QueueConfig: s.QueueConfig}
+	return &batch.Job{ID: id, Queue: s.Queue, Accepted: s.Accepted, Spec: s.Spec, QueueConfig: s.QueueConfig, ConfigVersion: s.ConfigVersion}
 }
 
 // parseKey splits the key of a job, cancellation or record into its prefix and the id of the job.
