--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -1,8 +1,9 @@
 // Package admission decides when a process that is short of processor time may send its next requests.
 //
 // A Limiter grants requests at a rate. The rate falls while the process runs late, which shows that work queues up for its
-// processor, and rises while it does not and answers come. Requests above the rate wait, and those of urgent classes are granted first. So
-// what is late is not sent, instead of being sent, answered and thrown away. A Limiter does not use the network.
+// processor, and rises while it does not and answers come. Requests above the rate wait. Those of urgent classes are granted
+// first, and within a class those that are due first. So what is late is not sent, instead of being sent, answered and thrown
+// away. A Limiter does not use the network.
 package admission
 
 import (
@@ -262,6 +263,13 @@
 	l.rate.observe(lag, now)
 }
 
+// Rate returns the number of requests that are granted a second.
+func (l *Limiter) Rate() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rate.current
+}
+
 // Sendable returns how many requests can be sent within a time.
 func (l *Limiter) Sendable(within time.Duration) int {
 	l.mu.Lock()
--- a/internal/batch/fresh_steps.go
+++ b/internal/batch/fresh_steps.go
@@ -38,7 +38,8 @@
 // leftOutSteps are the steps that the last Plan could not start in full for want of room or of starts.
 type leftOutSteps []openStepEntry
 
-// goesBefore reports whether one of the steps is ahead of another one in the order of decisions, and competes with it.
+// goesBefore reports whether one of the steps is ahead of another one in the order of decisions, and may take its room. Tasks that
+// use spare CPU take none from those that reserve it.
 func (l leftOutSteps) goesBefore(e openStepEntry) bool {
 	return slices.ContainsFunc(l, func(o openStepEntry) bool {
 		return o.step.spec.BestEffort == e.step.spec.BestEffort && o.compare(e) < 0
--- a/internal/owner/renewal_urgency.go
+++ b/internal/owner/renewal_urgency.go
@@ -30,10 +30,10 @@
 	limiter, request := rn.leader.limiter, admission.Request{Class: class}
 	switch class {
 	case admission.Report:
-		request.Due = rn.reportDue()
-		rn.waitsUntil.Store(request.Due.UnixNano())
-		defer rn.waitsUntil.Store(0)
 		if now := time.Now(); rn.mayKeepTasks(now) {
+			request.Due = rn.reportDue(now)
+			rn.waitsUntil.Store(request.Due.UnixNano())
+			defer rn.waitsUntil.Store(0)
 			untilDue, cancel := context.WithDeadline(ctx, rn.renewalDue)
 			defer cancel()
 			return limiter.AcquireUnless(untilDue, request, rn.started)
@@ -44,8 +44,12 @@
 	return limiter.Acquire(ctx, request)
 }
 
-// reportDue returns by when the next report should be asked for: before somebody needs it, and before the lease is urgent.
-func (rn *renewer) reportDue() time.Time {
+// reportDue returns by when the next report should be asked for: before somebody needs it, and before the lease is urgent. It is
+// zero if no lease lasts there, so that workers that are gone do not come before others.
+func (rn *renewer) reportDue(now time.Time) time.Time {
+	if !rn.mayKeepTasks(now) {
+		return time.Time{}
+	}
 	return earliest(rn.neededBy, rn.renewalDue)
 }
 
--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -244,7 +244,8 @@
 			return true
 		},
 		admit: func(ctx context.Context, n int) bool {
-			return n == 1 || rn.leader.limiter.Acquire(ctx, admission.Request{Class: rn.class(time.Now()), Repeated: true, Due: rn.reportDue()})
+			now := time.Now()
+			return n == 1 || rn.leader.limiter.Acquire(ctx, admission.Request{Class: rn.class(now), Repeated: true, Due: rn.reportDue(now)})
 		},
 		unsent: renewal{answer: batch.AnswerNone},
 	}
@@ -392,8 +393,13 @@
 // applyParams stores the parameters for the next call, unless they belong to an earlier generation.
 func (rn *renewer) applyParams(i renewalParams) {
 	if i.generation == rn.generation {
-		rn.params, rn.runsTasks = i, i.runsTasks || rn.lastStart.After(i.reportedAt)
-		rn.neededBy = i.neededBy
+		startedSince := rn.lastStart.After(i.reportedAt)
+		rn.params, rn.runsTasks = i, i.runsTasks || startedSince
+		if startedSince {
+			rn.neededBy = earliest(rn.neededBy, i.neededBy)
+		} else {
+			rn.neededBy = i.neededBy
+		}
 	}
 }
 
@@ -473,7 +479,7 @@
 // colocatedReportWait returns how long a worker may wait where best-effort tasks share it with tasks that have a latency target.
 // Its report is asked for to see how these do; that must leave time for the reports that tell of ends, and for starts.
 func (l *leader) colocatedReportWait() time.Duration {
-	reports := l.limiter.Status().Rate * colocatedReportShare
+	reports := l.limiter.Rate() * colocatedReportShare
 	wait := time.Duration(float64(len(l.renewers)) / reports * float64(time.Second))
 	return min(max(wait, colocatedWait), busyWait)
 }
