--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -64,12 +64,23 @@
 	reportedAt time.Time
 	// neededBy is by when the next report is needed, see reportNeededBy.
 	neededBy time.Time
+	// showsLatency is set if the report is asked for also to see how tasks with a latency target do beside best-effort ones.
+	showsLatency bool
 	// awaitsAck is set if the report has ends that cannot be acknowledged yet. Further parameters follow.
 	awaitsAck bool
 	// generation is the renewer's generation at the time of the report that the parameters follow.
 	generation int
 }
 
+// reportWait returns how long the worker may wait for an attempt to end before it responds to a call that is sent now. If its
+// report shows latencies, the time for which the call has waited to be sent counts.
+func (p renewalParams) reportWait(now time.Time) time.Duration {
+	if !p.showsLatency || p.maxWait <= colocatedWait {
+		return p.maxWait
+	}
+	return max(colocatedWait, p.maxWait-now.Sub(p.reportedAt))
+}
+
 // renewer renews the lease of one worker and delivers its reports to the loop.
 type renewer struct {
 	leader *leader
@@ -265,7 +276,7 @@
 // effect even if its response is lost. An unreachable worker is sent none, since the recorded end of its lease would become
 // wrong.
 func (rn *renewer) nextRequest(now time.Time) RenewRequest {
-	r := RenewRequest{Worker: rn.info.ID, Address: rn.info.Address, Epoch: rn.leader.epoch, AckSeq: rn.params.ackSeq, MaxWait: rn.params.maxWait}
+	r := RenewRequest{Worker: rn.info.ID, Address: rn.info.Address, Epoch: rn.leader.epoch, AckSeq: rn.params.ackSeq, MaxWait: rn.params.reportWait(now)}
 	if rn.params.renew {
 		r.LeaseEnd = rn.nextLeaseEnd(now)
 	}
@@ -448,7 +459,7 @@
 	}
 	i := renewalParams{
 		ackSeq: ackSeq, maxWait: l.maxReportWait(id, now), renew: !l.state.MustLapse(id),
-		runsTasks: l.state.HasAttempts(id), reportedAt: now, neededBy: l.reportNeededBy(id, now), generation: generation,
+		runsTasks: l.state.HasAttempts(id), reportedAt: now, neededBy: l.reportNeededBy(id, now), showsLatency: l.state.HasColocatedTasks(id), generation: generation,
 	}
 	l.setParamsWhenDurable(i, r.Ended, rn)
 }
