--- a/internal/batch/fresh_steps.go
+++ b/internal/batch/fresh_steps.go
@@ -9,13 +9,19 @@
 // may have been started has become durable.
 type freshSteps map[*step]bool
 
-// markFresh notes that a step has become startable, if it has waiting tasks.
+// markFresh notes that a step has become startable, if it has waiting tasks. A step with tasks that may have run before is left to
+// Plan, which decides first which of them are given up.
 func (s *State) markFresh(st *step) {
-	if s.open[st] {
+	if s.open[st] && !st.mayHaveRun() {
 		s.fresh[st] = true
 	}
 }
 
+// mayHaveRun reports whether a task of the step may have been started before, by any owner.
+func (st *step) mayHaveRun() bool {
+	return st.startedByFormerOwner || slices.ContainsFunc(st.tasks, func(t task) bool { return t.lastRun > 0 || len(t.failed) > 0 || t.suspected() })
+}
+
 // PlanFreshSteps decides on the steps that have become startable since the last Plan, and returns the actions to carry out now. It
 // costs less than a Plan, so that a step need not wait until the next one, twice: for its record and for its start. Steps
 // that others without room go before are left to Plan.
--- a/internal/batch/fresh_steps_test.go
+++ b/internal/batch/fresh_steps_test.go
@@ -25,6 +25,21 @@
 	is.Equal(len(s.Plan(now)), 0)
 }
 
+// Guards against a task that is started again before a plan has looked whether it is to be given up (BUDGET).
+func TestAStepThatMayHaveRunIsLeftToAPlan(t *testing.T) {
+	is := is.New(t)
+	s, now := New(1, testLimits), time.Unix(1_000_000, 0)
+	s.SetConfig(Config{Version: 1, Queues: map[string]Queue{"q": {Service: "svc", MaxAttempts: 3, Stretch: 2}}})
+	addWorker(s, "w", Resources{CPU: 8000, MemoryMB: 10_000}, now)
+	st := addJob(s, "j", "q", now, Step{Count: 1, Resources: Resources{CPU: 1000}, Estimate: time.Second}).occs[0].steps[0]
+	s.Plan(now)
+	s.MarkStored(s.TakeDirty(10))
+	s.addSuspicion(taskRef{st, 0}, Suspicion{Run: 1, Worker: "gone"})
+	clear(s.fresh)
+	s.markFresh(st)
+	is.Equal(len(s.fresh), 0)
+}
+
 // Guards against a step that is started out of turn: another one that goes before it found no room in the last plan.
 func TestAFreshStepDoesNotOvertakeOneThatWaitsForRoom(t *testing.T) {
 	for _, c := range []struct {
