--- /dev/null
+++ b/internal/owner/reports.go
@@ -0,0 +1,76 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/batch"
+)
+
+// handleReport applies a worker's report. The ended attempts in it are acknowledged once the
+// resulting changes are durable.
+func (l *leader) handleReport(rn *renewer, r batch.Report, generation int, now time.Time) {
+	id := rn.info.ID
+	l.handledCounts.add(r)
+	ackSeq := l.state.ApplyReport(id, r, now)
+	for _, e := range r.Running {
+		if l.state.IsListed(id, e.Task, e.Run) {
+			l.starts.cancel(attemptKey{id, e.Task, e.Run}) // the report answers for the start
+		}
+	}
+	if l.workersRecord.contains(id) || l.state.InUse(id) {
+		l.workersRecord.setRenewed(id)
+	}
+	i := renewalParams{
+		ackSeq: ackSeq, maxWait: l.maxReportWait(id, now), renew: !l.state.MustLapse(id),
+		runsTasks: l.state.HasAttempts(id), reportedAt: now, neededBy: l.reportNeededBy(id, now), showsLatency: l.state.HasColocatedTasks(id), generation: generation,
+	}
+	l.setParamsWhenDurable(i, r.Ended, rn)
+}
+
+// maxReportWait returns how long a worker may wait for an attempt to end before it sends its report.
+func (l *leader) maxReportWait(id batch.WorkerID, now time.Time) time.Duration {
+	switch {
+	case l.state.MustLapse(id), !l.mayAct():
+		return busyWait // its lease is not renewed
+	case !l.state.HasLease(id):
+		return 0 // tasks are started on it only after it has confirmed its lease
+	case l.state.HasUnansweredStart(id, now):
+		return colocatedWait
+	case l.state.HasColocatedTasks(id):
+		return l.colocatedReportWait()
+	case l.state.HasFiniteTasks(id):
+		return busyWait
+	case l.state.HasAttempts(id):
+		return lastingWait
+	default:
+		return idleWait
+	}
+}
+
+// colocatedReportShare is the part of all requests to workers that reports for latency figures may use.
+const colocatedReportShare = 0.25
+
+// colocatedReportWait returns how long a worker may wait where best-effort tasks share it with tasks that have a latency target.
+// Its report is asked for to see how these do; that must leave time for the reports that tell of ends, and for starts.
+func (l *leader) colocatedReportWait() time.Duration {
+	reports := l.limiter.Rate() * colocatedReportShare
+	wait := time.Duration(float64(len(l.renewers)) / reports * float64(time.Second))
+	return min(max(wait, colocatedWait), busyWait)
+}
+
+// reportNeededBy returns by when the next report of a worker is needed: for the objective of a job that an end there holds up, or
+// to see how tasks with a latency target do beside best-effort ones. It is zero if only the lease needs it.
+func (l *leader) reportNeededBy(id batch.WorkerID, now time.Time) time.Time {
+	needed := l.state.EndNeededBy(id, now)
+	if l.state.HasColocatedTasks(id) {
+		return earliest(needed, now.Add(l.colocatedReportWait()))
+	}
+	return needed
+}
+
+// recordLeaseEnd records when the lease of an unreachable worker ends.
+func (l *leader) recordLeaseEnd(id batch.WorkerID) {
+	if end := l.state.LeaseEnd(id); l.workersRecord.contains(id) && !end.IsZero() {
+		l.workersRecord.setLeaseEnd(id, end, l.state.MayStartLate(id))
+	}
+}
