--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -62,6 +62,7 @@
 	return batch.Config{Version: 1, Queues: map[string]batch.Queue{
 		"q":      {Service: "svc", MaxAttempts: 3, Stretch: 2, Slack: time.Second},
 		"urgent": {Service: "svc", MaxAttempts: 3, Stretch: 1.5, Slack: 250 * time.Millisecond},
+		"later":  {Service: "svc", MaxAttempts: 3, Stretch: 1.5, Slack: time.Second, Priority: 2},
 	}}
 }
 
--- a/internal/owner/urgent_jobs_test.go
+++ b/internal/owner/urgent_jobs_test.go
@@ -16,21 +16,29 @@
 
 func (p misjudgedProcessor) speed() float64 { return p.costShare * p.loadedWorkers.speed() }
 
-// submitUnder submits jobs of long tasks at a rate for a time, and a job of two short steps each second. It returns the short
-// jobs, by the time at which they were submitted.
-func submitUnder(h *harness, duration time.Duration, longTasksPerSecond int, short batch.Step, steps int) map[string]time.Time {
+// longTaskDuration is how long the long tasks of submitUnder last.
+const longTaskDuration = 2 * time.Second
+
+// submitUnder submits jobs of long tasks to a queue at a rate for a time, and a job of short steps each second. Each long job ends
+// with a task of a given estimate, if that is not 0, so that it has time until its objective. It returns the short jobs, by the
+// time at which they were submitted.
+func submitUnder(h *harness, duration time.Duration, longQueue string, longTasksPerSecond int, lastEstimate time.Duration, short batch.Step, steps int) map[string]time.Time {
 	const pause = 100 * time.Millisecond
 	submitted := map[string]time.Time{}
 	for i := range int(duration / pause) {
 		long := fmt.Sprintf("long%d", i)
 		h.workers.mu.Lock()
-		h.workers.durations[long] = 2 * time.Second
+		h.workers.durations[long] = longTaskDuration
 		h.workers.mu.Unlock()
 		step := tasks(int(float64(longTasksPerSecond) * pause.Seconds()))
-		step.Estimate = 2 * time.Second
-		later := step
-		later.Count, later.Estimate, later.After = 1, 20*time.Second, []int{0}
-		h.submit(long, step, later)
+		step.Estimate = longTaskDuration
+		longSteps := []batch.Step{step}
+		if lastEstimate > 0 {
+			last := step
+			last.Count, last.Estimate, last.After = 1, lastEstimate, []int{0}
+			longSteps = append(longSteps, last)
+		}
+		h.submitTo(longQueue, long, longSteps...)
 		if i%int(time.Second/pause) == 0 {
 			id := fmt.Sprintf("short%d", i)
 			chain := []batch.Step{short}
@@ -99,7 +107,7 @@
 			withOwnerOf(t, manyWorkers(workers), func(h *harness) WorkerClient {
 				return misjudgedProcessor{newLoadedWorkers(h.workers, c.cost), c.costShare}
 			}, func(h *harness) {
-				submitted := submitUnder(h, duration, c.longTasks, short, steps)
+				submitted := submitUnder(h, duration, "q", c.longTasks, 20*time.Second, short, steps)
 				h.sleep(objective)
 				late, most := h.late(submitted, steps, count, objective)
 				t.Logf("%d of %d urgent jobs took over %s, %s at most; lapsed: %d", late, len(submitted), objective, most, h.workers.lapsedEnds())
@@ -109,3 +117,30 @@
 		})
 	}
 }
+
+// Guards against urgent jobs whose starts and ends wait behind those of a queue of lower priority that cannot meet its objectives
+// any more (issue 50, SHORT): its requests are due earlier.
+func TestUrgentJobsDoNotWaitBehindABacklogOfLowerPriority(t *testing.T) {
+	const (
+		workers   = 200
+		duration  = 20 * time.Second
+		steps     = 2
+		count     = 4
+		cost      = 600 * time.Microsecond // of each side of a request: 830 requests a second
+		longTasks = 700                    // a second
+	)
+	short := tasks(count)
+	short.Estimate = 600 * time.Millisecond
+	chain := steps * short.Estimate
+	objective := chain + chain/2 + 250*time.Millisecond // see testConfig
+	withOwnerOf(t, manyWorkers(workers), func(h *harness) WorkerClient {
+		return misjudgedProcessor{newLoadedWorkers(h.workers, cost), 1}
+	}, func(h *harness) {
+		submitted := submitUnder(h, duration, "later", longTasks, 0, short, steps)
+		h.sleep(objective)
+		late, most := h.late(submitted, steps, count, objective)
+		t.Logf("%d of %d urgent jobs took over %s, %s at most; lapsed: %d", late, len(submitted), objective, most, h.workers.lapsedEnds())
+		h.is.Equal(late, 0)
+		h.is.Equal(h.workers.lapsedEnds(), 0)
+	})
+}
