--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -2,7 +2,7 @@
 //
 // A Limiter grants requests at a rate. The rate falls while the process runs late, which shows that work queues up for its
 // processor, and rises while it does not and answers come. Requests above the rate wait. Those of urgent classes are granted
-// first, and within a class those that are due first. So what is late is not sent, instead of being sent, answered and thrown
+// first, and within a class those of the highest priority, and of these the ones that are due first. So what is late is not sent, instead of being sent, answered and thrown
 // away. A Limiter does not use the network.
 package admission
 
@@ -80,8 +80,10 @@
 	Class Class
 	// Repeated is set if an identical request was sent before.
 	Repeated bool
-	// Due is by when it should be sent: of those of a class that wait, the one that is due first is granted first. If it is zero,
-	// the request is due when it is made.
+	// Priority is that of the work that needs it. Of those of a class that wait, the one with the lowest number is granted first.
+	Priority int
+	// Due is by when it should be sent: of those of a priority, the one that is due first is granted first. If it is zero, the
+	// request is due when it is made.
 	Due time.Time
 }
 
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -321,6 +321,19 @@
 	})
 }
 
+// Guards against requests of high priority that wait until a backlog of lower priority, which is due earlier, has been sent (issue
+// 50, SHORT).
+func TestOfAClassTheRequestOfTheHighestPriorityIsGrantedFirst(t *testing.T) {
+	inBubble(t, func(t *testing.T, is *is.I, l *Limiter) {
+		ask(t, l, testRate, Request{Class: Report, Priority: 2, Due: time.Now().Add(-time.Minute)})
+		began := time.Now()
+		is.True(l.Acquire(t.Context(), Request{Class: Report, Priority: 1, Due: time.Now().Add(time.Minute)}))
+		is.True(time.Since(began) <= minGrantInterval)
+		is.True(l.Acquire(t.Context(), Request{Class: Report})) // priority 0
+		is.True(time.Since(began) <= 2*minGrantInterval)
+	})
+}
+
 // askAnswered lets n equal requests wait that are answered at once when they are sent.
 func askAnswered(t *testing.T, l *Limiter, n int, r Request) {
 	for range n {
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -23,7 +23,7 @@
 	return w.request.Due
 }
 
-// queue holds the requests of a class that wait: first ones, and repetitions, those that are due first ahead.
+// queue holds the requests of a class that wait: first ones, and repetitions, those that are granted first ahead.
 type queue struct {
 	first, repeated waiters
 	// served is the number of requests that were granted after a wait, divided by the weight of the class.
@@ -50,7 +50,7 @@
 	return len(q.first) > 0 || repetitions && len(q.repeated) > 0
 }
 
-// take removes and returns the request that is due first, a repetition only if these count and no other waits; nil if there
+// take removes and returns the request that goes first, a repetition only if these count and no other waits; nil if there
 // is none.
 func (q *queue) take(repetitions bool) *waiter {
 	list := &q.first
@@ -63,13 +63,17 @@
 	return heap.Pop(list).(*waiter)
 }
 
-// waiters is a heap of requests with the one that is due first ahead.
+// waiters is a heap of requests with the one that is granted first ahead.
 type waiters []*waiter
 
 func (h waiters) Len() int { return len(h) }
 
 func (h waiters) Less(i, j int) bool {
-	return cmp.Or(h[i].due().Compare(h[j].due()), cmp.Compare(h[i].number, h[j].number)) < 0
+	return cmp.Or(
+		cmp.Compare(h[i].request.Priority, h[j].request.Priority),
+		h[i].due().Compare(h[j].due()),
+		cmp.Compare(h[i].number, h[j].number),
+	) < 0
 }
 
 func (h waiters) Swap(i, j int) {
--- a/internal/batch/fresh_steps_test.go
+++ b/internal/batch/fresh_steps_test.go
@@ -78,10 +78,10 @@
 func TestAnEndIsNeededInTimeForTheObjectiveOfItsJob(t *testing.T) {
 	is := is.New(t)
 	s, now := New(1, testLimits), time.Unix(1_000_000, 0)
-	s.SetConfig(Config{Version: 1, Queues: map[string]Queue{"q": {Service: "svc", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}})
+	s.SetConfig(Config{Version: 1, Queues: map[string]Queue{"q": {Service: "svc", MaxAttempts: 3, Stretch: 2, Slack: time.Second, Priority: 1}}})
 	addWorker(s, "w", Resources{CPU: 8000, MemoryMB: 10_000}, now)
-	is.True(s.EndNeededBy("w", now).IsZero())
-	is.True(s.EndNeededBy("unknown", now).IsZero())
+	is.Equal(s.EndNeed("w", now), Need{})
+	is.Equal(s.EndNeed("unknown", now), Need{})
 	step := Step{Count: 1, Resources: Resources{CPU: 1000}, Estimate: time.Second}
 	later := step
 	later.After = []int{0}
@@ -90,7 +90,8 @@
 	s.MarkStored(s.TakeDirty(10))
 	actions := s.Plan(now)
 	is.Equal(len(actions), 1)
-	is.Equal(actions[0].Due, now.Add(3*time.Second)) // two seconds of work within five
-	is.Equal(s.EndNeededBy("w", now), now.Add(4*time.Second))
-	is.True(s.EndNeededBy("w", now.Add(5*time.Second)).IsZero()) // missed in any case
+	is.Equal(actions[0].Need, Need{1, now.Add(3 * time.Second)}) // two seconds of work within five
+	is.Equal(s.EndNeed("w", now), Need{1, now.Add(4 * time.Second)})
+	late := now.Add(5 * time.Second)
+	is.Equal(s.EndNeed("w", late), Need{1, late.Add(testLimits.StartLeaseTTL)}) // missed in any case: after the others
 }
--- a/internal/batch/model.go
+++ b/internal/batch/model.go
@@ -140,12 +140,12 @@
 	Incarnation int64
 	Task        TaskID
 	Run         int64
-	// Payload, Checkpoint, Ticket and Due are set for ActionStart.
+	// Payload, Checkpoint, Ticket and Need are set for ActionStart.
 	Payload    string
 	Checkpoint string
 	Ticket     string
-	// Due is by when a start should be sent for the objective of its job; zero for at once.
-	Due time.Time
+	// Need is how soon a start should be sent for the objective of its job.
+	Need Need
 	// Workers are the workers to ask the adviser about, for ActionAdvise.
 	Workers []WorkerID
 	// Percent is the CPU limit, for ActionThrottle.
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -378,7 +378,7 @@
 		Payload:     a.step.job.Spec.Payload,
 		Checkpoint:  a.task().checkpoint,
 		Ticket:      a.step.advice.ticket(w),
-		Due:         s.startDue(a.step, a.requestedAt),
+		Need:        s.startNeed(a.step, a.requestedAt),
 	})
 	s.event(Event{Name: "task.start", Job: a.step.job.ID, Task: a.id(), Run: a.run, Worker: w.info.ID, Inputs: s.describeFailures(a.step, a.task())})
 }
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -10,6 +10,8 @@
 	epoch  int64
 	timing Timing
 	config Config
+	// leastPriority is the priority of the queues of config that go last.
+	leastPriority int
 	// confirmedVersion is the version up to which the store holds no newer configuration than config, though jobs were accepted
 	// under one.
 	confirmedVersion int64
@@ -123,9 +125,13 @@
 
 // SetConfig puts a configuration in force. An older version is ignored.
 func (s *State) SetConfig(c Config) {
-	if c.Version >= s.config.Version {
-		s.config = c
+	if c.Version < s.config.Version {
+		return
+	}
+	if c.Version > s.config.Version {
+		s.leastPriority = c.leastPriority()
 	}
+	s.config = c
 }
 
 // ConfirmConfig notes that the store holds no newer configuration than the one in force, so that jobs that were accepted under one
--- a/internal/batch/urgency.go
+++ b/internal/batch/urgency.go
@@ -36,39 +36,6 @@
 	return u
 }
 
-// startDue returns by when a start of a step should be sent: at once if a long-running task is down, and after all others if the
-// objective is missed already.
-func (s *State) startDue(st *step, now time.Time) time.Time {
-	switch u := s.urgency(st, now); {
-	case u.restart:
-		return time.Time{}
-	case u.missed:
-		return now.Add(s.timing.StartLeaseTTL)
-	default:
-		return u.latestStart
-	}
-}
-
-// EndNeededBy returns by when the first end on a worker must be known, so that what follows from it can still start in time for
-// the objective of its job. It is zero if no job is late for it.
-func (s *State) EndNeededBy(id WorkerID, now time.Time) time.Time {
-	w := s.workers[id]
-	if w == nil {
-		return time.Time{}
-	}
-	var first time.Time
-	for _, a := range w.attempts {
-		if a.step.spec.LongRunning {
-			continue
-		}
-		needed := s.urgency(a.step, now).latestStart.Add(a.step.spec.Estimate)
-		if needed.After(now) && (first.IsZero() || needed.Before(first)) {
-			first = needed
-		}
-	}
-	return first
-}
-
 // downSince returns since when the first of the waiting tasks that have run before is down, and whether there is
 // one. What ran under a former owner counts as down since the job was accepted.
 func (st *step) downSince() (first time.Time, ok bool) {
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -77,6 +77,8 @@
 	limiter  *admission.Limiter
 	// calls counts the requests to workers since the last report on them.
 	calls callCounts
+	// leastPriority is the priority of the queues that go last.
+	leastPriority atomic.Int64
 	// ownedUntil is the time until which the claim is confirmed, in nanoseconds on Options.BootClock.
 	ownedUntil atomic.Int64
 
@@ -254,6 +256,7 @@
 // changed records.
 func (l *leader) decide(now time.Time) {
 	l.state.SetConfig(l.owner.config())
+	l.leastPriority.Store(int64(l.state.LeastPriority()))
 	if l.workersChanged {
 		l.workersChanged = false
 		l.reconcileRenewers()
--- a/internal/owner/renewal_urgency.go
+++ b/internal/owner/renewal_urgency.go
@@ -30,10 +30,11 @@
 	limiter, request := rn.leader.limiter, admission.Request{Class: class}
 	switch class {
 	case admission.Report:
-		if now := time.Now(); rn.mayKeepTasks(now) {
-			request.Due = rn.reportDue(now)
-			rn.waitsUntil.Store(request.Due.UnixNano())
-			defer rn.waitsUntil.Store(0)
+		now := time.Now()
+		request = rn.reportRequest(now)
+		if rn.mayKeepTasks(now) {
+			rn.waitsFor.Store(&batch.Need{Priority: request.Priority, By: request.Due})
+			defer rn.waitsFor.Store(nil)
 			untilDue, cancel := context.WithDeadline(ctx, rn.renewalDue)
 			defer cancel()
 			return limiter.AcquireUnless(untilDue, request, rn.started)
@@ -44,27 +45,39 @@
 	return limiter.Acquire(ctx, request)
 }
 
-// reportDue returns by when the next report should be asked for: before somebody needs it, and before the lease is urgent. It is
-// zero if no lease lasts there, so that workers that are gone do not come before others.
-func (rn *renewer) reportDue(now time.Time) time.Time {
+// reportRequest returns the request to ask for the next report: before somebody needs it, and before the lease is urgent. It is
+// due when it is made if no lease lasts there, so that workers that are gone do not come before others.
+func (rn *renewer) reportRequest(now time.Time) admission.Request {
+	r := admission.Request{Class: admission.Report, Priority: int(rn.leader.leastPriority.Load())}
 	if !rn.mayKeepTasks(now) {
-		return time.Time{}
+		return r
 	}
-	return earliest(rn.neededBy, rn.renewalDue)
+	r.Due = earliest(rn.need.By, rn.renewalDue)
+	if !rn.need.By.IsZero() {
+		r.Priority = rn.need.Priority
+	}
+	return r
+}
+
+// repeatedRequest returns the request to repeat a call.
+func (rn *renewer) repeatedRequest(now time.Time) admission.Request {
+	r := rn.reportRequest(now)
+	r.Class, r.Repeated = rn.class(now), true
+	return r
 }
 
 // sentStarts are starts that were sent to a worker.
 type sentStarts struct {
-	lastAt   time.Time // when the newest was sent
-	neededBy time.Time // by when the next report is needed since then
+	lastAt time.Time  // when the newest was sent
+	need   batch.Need // how soon the next report is needed since then
 }
 
-// startSent tells the renewer that a start was sent to the worker, and by when the next report is needed since then. It is called
+// startSent tells the renewer that a start was sent to the worker, and how soon the next report is needed since then. It is called
 // by the loop only.
-func (rn *renewer) startSent(now, neededBy time.Time) {
-	rn.newStarts.Store(&sentStarts{lastAt: now, neededBy: neededBy})
-	if until := rn.waitsUntil.Load(); until != 0 && (neededBy.IsZero() || until <= neededBy.UnixNano()) {
-		return // it waits for its report already, which is due no later
+func (rn *renewer) startSent(now time.Time, need batch.Need) {
+	rn.newStarts.Store(&sentStarts{lastAt: now, need: need})
+	if waits := rn.waitsFor.Load(); waits != nil && !need.Before(*waits) {
+		return // it waits for its report already, which goes no later
 	}
 	select {
 	case rn.started <- struct{}{}:
@@ -79,7 +92,7 @@
 	if starts == nil {
 		return
 	}
-	rn.lastStart, rn.runsTasks, rn.neededBy = starts.lastAt, true, earliest(rn.neededBy, starts.neededBy)
+	rn.lastStart, rn.runsTasks, rn.need = starts.lastAt, true, batch.FirstNeed(rn.need, starts.need)
 	rn.leaseEnd = batch.LaterOf(rn.leaseEnd, starts.lastAt.Add(maxLeaseDuration(startWindow)))
 }
 
--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/geraniumwick/geraniumwick/internal/admission"
 	"github.com/geraniumwick/geraniumwick/internal/batch"
 	"github.com/geraniumwick/geraniumwick/internal/pause"
 )
@@ -62,8 +61,8 @@
 	// runsTasks is set if the worker ran tasks when its report was handled, at reportedAt.
 	runsTasks  bool
 	reportedAt time.Time
-	// neededBy is by when the next report is needed, see reportNeededBy.
-	neededBy time.Time
+	// need is how soon the next report is needed, see reportNeed.
+	need batch.Need
 	// showsLatency is set if the report is asked for also to see how tasks with a latency target do beside best-effort ones.
 	showsLatency bool
 	// awaitsAck is set if the report has ends that cannot be acknowledged yet. Further parameters follow.
@@ -98,8 +97,8 @@
 	newStarts atomic.Pointer[sentStarts]
 	started   chan struct{}
 	lastStart time.Time
-	// waitsUntil is when the report is due for which the renewer waits to be admitted, in Unix nanoseconds; 0 if it does not.
-	waitsUntil atomic.Int64
+	// waitsFor is how soon the report is needed for which the renewer waits to be admitted; nil if it does not.
+	waitsFor atomic.Pointer[batch.Need]
 	// generation is increased whenever a call fails or the worker has been restarted. Parameters of
 	// earlier generations are ignored.
 	generation  int
@@ -110,8 +109,8 @@
 	renewalDue time.Time
 	// runsTasks is set if the worker ran tasks by the last parameters, if a start was sent since, or if it has not been heard of.
 	runsTasks bool
-	// neededBy is by when the next report is needed, see reportNeededBy.
-	neededBy time.Time
+	// need is how soon the next report is needed, see reportNeed.
+	need batch.Need
 	// ackWait is how long the next wait for an acknowledgement lasts.
 	ackWait time.Duration
 	// lossyUntil is until when the worker is known to lose answers.
@@ -256,7 +255,7 @@
 		},
 		admit: func(ctx context.Context, n int) bool {
 			now := time.Now()
-			return n == 1 || rn.leader.limiter.Acquire(ctx, admission.Request{Class: rn.class(now), Repeated: true, Due: rn.reportDue(now)})
+			return n == 1 || rn.leader.limiter.Acquire(ctx, rn.repeatedRequest(now))
 		},
 		unsent: renewal{answer: batch.AnswerNone},
 	}
@@ -407,9 +406,9 @@
 		startedSince := rn.lastStart.After(i.reportedAt)
 		rn.params, rn.runsTasks = i, i.runsTasks || startedSince
 		if startedSince {
-			rn.neededBy = earliest(rn.neededBy, i.neededBy)
+			rn.need = batch.FirstNeed(rn.need, i.need)
 		} else {
-			rn.neededBy = i.neededBy
+			rn.need = i.need
 		}
 	}
 }
--- a/internal/owner/repeated_calls.go
+++ b/internal/owner/repeated_calls.go
@@ -84,7 +84,7 @@
 		mayRepeat: func() bool { return !refusedForGood && requests.retries.take(time.Now()) },
 		slots:     requests.orders,
 		admit: func(ctx context.Context, n int) bool {
-			return l.limiter.Acquire(ctx, admission.Request{Class: orderClasses[kind], Repeated: n > 1, Due: a.Due})
+			return l.limiter.Acquire(ctx, admission.Request{Class: orderClasses[kind], Repeated: n > 1, Priority: a.Need.Priority, Due: a.Need.By})
 		},
 		unsent: batch.AnswerUnsent,
 	}
--- a/internal/owner/reports.go
+++ b/internal/owner/reports.go
@@ -22,7 +22,7 @@
 	}
 	i := renewalParams{
 		ackSeq: ackSeq, maxWait: l.maxReportWait(id, now), renew: !l.state.MustLapse(id),
-		runsTasks: l.state.HasAttempts(id), reportedAt: now, neededBy: l.reportNeededBy(id, now), showsLatency: l.state.HasColocatedTasks(id), generation: generation,
+		runsTasks: l.state.HasAttempts(id), reportedAt: now, need: l.reportNeed(id, now), showsLatency: l.state.HasColocatedTasks(id), generation: generation,
 	}
 	l.setParamsWhenDurable(i, r.Ended, rn)
 }
@@ -58,14 +58,14 @@
 	return min(max(wait, colocatedWait), busyWait)
 }
 
-// reportNeededBy returns by when the next report of a worker is needed: for the objective of a job that an end there holds up, or
-// to see how tasks with a latency target do beside best-effort ones. It is zero if only the lease needs it.
-func (l *leader) reportNeededBy(id batch.WorkerID, now time.Time) time.Time {
-	needed := l.state.EndNeededBy(id, now)
+// reportNeed returns how soon the next report of a worker is needed: for the objective of a job that an end there holds up, or, with
+// the least priority, to see how tasks with a latency target do beside best-effort ones. It is zero if only the lease needs it.
+func (l *leader) reportNeed(id batch.WorkerID, now time.Time) batch.Need {
+	need := l.state.EndNeed(id, now)
 	if l.state.HasColocatedTasks(id) {
-		return earliest(needed, now.Add(l.colocatedReportWait()))
+		return batch.FirstNeed(need, batch.Need{Priority: l.state.LeastPriority(), By: now.Add(l.colocatedReportWait())})
 	}
-	return needed
+	return need
 }
 
 // recordLeaseEnd records when the lease of an unreachable worker ends.
--- a/internal/owner/worker_calls.go
+++ b/internal/owner/worker_calls.go
@@ -28,7 +28,7 @@
 	notAfter := l.clocks[a.Worker].now(now) + startWindow.Milliseconds()
 	l.state.StartSent(a.Worker, a.Task, a.Run, notAfter)
 	if rn := l.renewers[a.Worker]; rn != nil {
-		rn.startSent(now, l.reportNeededBy(a.Worker, now))
+		rn.startSent(now, l.reportNeed(a.Worker, now))
 	}
 	request := StartRequest{
 		Worker: a.Worker, Address: a.Address, Epoch: l.epoch, Task: a.Task, Run: a.Run,
