--- a/internal/owner/urgent_jobs_test.go
+++ b/internal/owner/urgent_jobs_test.go
@@ -144,3 +144,40 @@
 		h.is.Equal(h.workers.lapsedEnds(), 0)
 	})
 }
+
+// Guards against an owner that starts every job at the last moment when it cannot carry them all, so that hardly any meets its
+// objective (issue 50, SHORT): the time that requests wait is not in the objective.
+func TestSomeJobsMeetTheirObjectiveWhenNotAllCan(t *testing.T) {
+	const (
+		workers      = 200
+		duration     = 40 * time.Second
+		cost         = 600 * time.Microsecond // of each side of a request: 830 requests a second
+		count, steps = 20, 2
+		pause        = 60 * time.Millisecond // between two jobs: 670 tasks a second
+	)
+	step := tasks(count)
+	step.Estimate = longTaskDuration
+	next := step
+	next.After = []int{0}
+	chain := steps * step.Estimate
+	objective := chain + chain/2 + time.Second // see testConfig
+	withOwnerOf(t, manyWorkers(workers), func(h *harness) WorkerClient {
+		return misjudgedProcessor{newLoadedWorkers(h.workers, cost), 1}
+	}, func(h *harness) {
+		submitted := map[string]time.Time{}
+		for i := range int(duration / pause) {
+			id := fmt.Sprintf("j%d", i)
+			h.workers.mu.Lock()
+			h.workers.durations[id] = longTaskDuration
+			h.workers.mu.Unlock()
+			submitted[id] = time.Now()
+			h.submitTo("later", id, step, next)
+			h.sleep(pause)
+		}
+		h.sleep(objective)
+		late, most := h.late(submitted, steps, count, objective)
+		t.Logf("%d of %d jobs took over %s, %s at most; lapsed: %d", late, len(submitted), objective, most, h.workers.lapsedEnds())
+		h.is.True(late <= len(submitted)/2)
+		h.is.Equal(h.workers.lapsedEnds(), 0)
+	})
+}
