--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -134,7 +134,6 @@
 func (l *Limiter) grant(r Request) {
 	l.tokens = max(l.tokens-1, -l.savings())
 	l.counts.Granted[r.Class]++
-	l.rate.granted++
 	if r.Repeated {
 		l.repeatCredit = max(0, l.repeatCredit-1)
 	} else {
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -277,6 +277,18 @@
 	})
 }
 
+// Guards against an owner that leaves half of its processor idle for seconds (issue 50, SHORT): the rate fell to what was granted
+// while the limiter itself held all requests back, as samples were overdue, and returned by a tenth at a time.
+func TestTheRateFallsStepByStepAlsoWhileNothingIsGranted(t *testing.T) {
+	inBubble(t, func(t *testing.T, is *is.I, l *Limiter) {
+		for range 3 {
+			before := l.Status().Rate
+			lagSamples(l, adjustInterval, 2*maxStandingLag+SampleInterval) // no request is granted all the while
+			is.True(l.Status().Rate >= before/2)
+		}
+	})
+}
+
 // Guards against a rate that falls since the process did one long thing, such as a decision after a take-over.
 func TestASingleLongTurnDoesNotLowerTheRate(t *testing.T) {
 	inBubble(t, func(t *testing.T, is *is.I, l *Limiter) {
--- a/internal/admission/rate.go
+++ b/internal/admission/rate.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -15,8 +16,9 @@
 	// maxStandingLag is the lag that all samples may reach. Long turns of work make some samples late; a queue that never becomes
 	// empty makes all of them late.
 	maxStandingLag = 10 * time.Millisecond
-	// rateDecrease is the factor of the rate that is left after a standing lag, and rateIncrease the factor without one. They are
-	// of one size: a rate that falls faster than it returns settles where the processor is hardly used, as work comes in bursts.
+	// rateDecrease is the factor of the rate that is left of it after adjustInterval with a standing lag, and rateIncrease the factor
+	// without one. They are of one size: a rate that falls faster than it returns settles where the processor is hardly used, as
+	// work comes in bursts.
 	rateDecrease = 0.9
 	rateIncrease = 1.1
 	// answeredShare is the part of the rate that must have been answered for it to rise above the initial one: only the work that
@@ -39,8 +41,7 @@
 	samples          []sample
 	observedAt       time.Time // when the last sample was taken
 	adjustedAt       time.Time
-	// granted are the requests since then, and answered the answers.
-	granted, answered int
+	answered         int // the answers since then
 }
 
 func newAdaptiveRate(initial float64) adaptiveRate {
@@ -60,11 +61,11 @@
 		return
 	}
 	r.adjust(now)
-	r.granted, r.answered, r.adjustedAt = 0, 0, now
+	r.answered, r.adjustedAt = 0, now
 }
 
-// adjust changes the rate by the last samples. It rises as far as answers came, and to the initial rate in any case, and falls
-// from what was granted, which may be less than it allowed.
+// adjust changes the rate by the last samples. It rises as far as answers came, and to the initial rate in any case. What was granted
+// does not bound it: nothing is granted during a long turn of work, after which the processor has time for as much as before.
 func (r *adaptiveRate) adjust(now time.Time) {
 	elapsed := now.Sub(r.adjustedAt).Seconds()
 	if r.standingLag() <= maxStandingLag {
@@ -72,8 +73,7 @@
 		r.current = max(r.current, min(rateIncrease*r.current, most))
 		return
 	}
-	used := min(r.current, float64(r.granted)/elapsed)
-	r.current = max(minRateShare*r.initial, rateDecrease*used)
+	r.current = max(minRateShare*r.initial, r.current*math.Pow(rateDecrease, elapsed/adjustInterval.Seconds()))
 	r.samples = r.samples[:0] // the next change waits for samples that show the effect of this one
 }
 
