--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -5,6 +5,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
 	"github.com/geraniumwick/geraniumwick/internal/kv"
@@ -23,6 +24,9 @@
 	Routes []Route
 	// MaxBody bounds the body of a request, in bytes; 0 or less stands for the default.
 	MaxBody int64
+	// Revision is the store's revision as of which it was read, and InForceSince when it was put in force here.
+	Revision     int64
+	InForceSince time.Time
 }
 
 // Match returns the queue of the route with the longest matching prefix, and the rest of the path.
--- a/internal/entry/config_watcher.go
+++ b/internal/entry/config_watcher.go
@@ -212,7 +212,7 @@
 
 // putInForce puts a document and the evacuations that were read with it in force.
 func (w *configWatcher) putInForce(c content, config Config, evacuated map[string]bool) {
-	config.Batch.Evacuated = evacuated
+	config.Batch.Evacuated, config.Revision, config.InForceSince = evacuated, c.rev, time.Now()
 	w.inForce.Store(&config)
 	w.scope.Gauge("config_version").Update(float64(config.Batch.Version))
 	w.scope.Gauge("config_revision").Update(float64(c.rev))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -86,6 +86,10 @@
 // Config returns the configuration in force; nil if none is known yet.
 func (i *Instance) Config() *Config { return i.watcher.inForce.Load() }
 
+// Unconfirmed returns how long ago the store last answered the watch of the configuration, so how old the configuration in force may
+// be.
+func (i *Instance) Unconfirmed() time.Duration { return i.watcher.sinceContact() }
+
 // Ready reports whether the instance should get new requests: it has a configuration, has recently
 // been in contact with the store, and is not being stopped.
 func (i *Instance) Ready() bool {
