--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -65,11 +65,17 @@
 	return out
 }
 
-// urgentInOrder returns the jobs whose starts wait for a record, in the order of their changes if there are more than n.
+// urgentInOrder returns the jobs whose starts wait for a record. If there are more than n, they are in the order of the priorities
+// of their queues, and within a priority in that of their changes.
 func (s *State) urgentInOrder(n int) []*Job {
 	jobs := slices.Collect(maps.Keys(s.urgentJobs))
 	if len(jobs) > n {
-		slices.SortFunc(jobs, func(a, b *Job) int { return cmp.Compare(s.dirty.seqs[a], s.dirty.seqs[b]) })
+		slices.SortFunc(jobs, func(a, b *Job) int {
+			return cmp.Or(
+				cmp.Compare(s.queueOf(a).Priority, s.queueOf(b).Priority),
+				cmp.Compare(s.dirty.seqs[a], s.dirty.seqs[b]),
+			)
+		})
 	}
 	return jobs
 }
--- a/internal/batch/urgent_records_test.go
+++ b/internal/batch/urgent_records_test.go
@@ -67,3 +67,21 @@
 	}
 	is.Equal(taken, jobs)
 }
+
+// Guards against a job of high priority that waits for the record of its start behind those of a burst of lower priority, as more
+// wait than find a place (issue 50, SHORT: requests to workers waited like that).
+func TestUrgentRecordsGoByThePriorityOfTheirQueues(t *testing.T) {
+	is := is.New(t)
+	const n = 8
+	s, now := newTestState("a")
+	s.SetConfig(Config{Version: 2, Queues: map[string]Queue{"q": {Service: "svc", MaxAttempts: 3}, "low": {Service: "svc", MaxAttempts: 3, Priority: 2}}})
+	for i := range 4 * n {
+		addJob(s, fmt.Sprintf("low%02d", i), "low", now, taskStep(1, 1))
+	}
+	s.Plan(now)
+	addJob(s, "high", "q", now, taskStep(1, 1))
+	s.Plan(now)
+	is.True(s.UrgentRecords() > n)
+	_, taken := s.TakeDirty(n)["high"]
+	is.True(taken)
+}
