--- a/internal/owner/renewal_urgency.go
+++ b/internal/owner/renewal_urgency.go
@@ -45,9 +45,13 @@
 	return limiter.Acquire(ctx, request)
 }
 
-// reportRequest returns the request to ask for the next report: before somebody needs it, and before the lease is urgent. It is
-// due when it is made if no lease lasts there, so that workers that are gone do not come before others.
+// reportRequest returns the request to ask for the next report: before somebody needs it, and before the lease is urgent. It goes
+// first while tasks may run there under the lease of a former owner, of which it is not known how long it lasts. It is due when it
+// is made if no lease lasts there, so that workers that are gone do not come before others.
 func (rn *renewer) reportRequest(now time.Time) admission.Request {
+	if rn.mayHaveFormerLease(now) {
+		return admission.Request{Class: admission.Report}
+	}
 	r := admission.Request{Class: admission.Report, Priority: int(rn.leader.leastPriority.Load())}
 	if !rn.mayKeepTasks(now) {
 		return r
@@ -109,6 +113,11 @@
 // mayKeepTasks reports whether tasks may run on the worker under a lease that lasts, so that a renewal may still come in time.
 func (rn *renewer) mayKeepTasks(now time.Time) bool { return rn.runsTasks && now.Before(rn.leaseEnd) }
 
+// mayHaveFormerLease reports whether tasks may run on the worker under the lease of a former owner, which this owner has not renewed.
+func (rn *renewer) mayHaveFormerLease(now time.Time) bool {
+	return rn.runsTasks && rn.leaseEnd.IsZero() && now.Sub(rn.began) < rn.leader.owner.opts.MaxWorkerLease
+}
+
 // class returns the class of the calls that are made now.
 func (rn *renewer) class(now time.Time) admission.Class {
 	switch {
--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -85,6 +85,8 @@
 	leader *leader
 	info   batch.WorkerInfo
 	cancel context.CancelFunc
+	// began is when the renewer was started.
+	began time.Time
 	// failures is the number of calls in a row that have failed.
 	failures int
 	// requests bounds the requests to the worker.
@@ -159,9 +161,10 @@
 
 func (l *leader) startRenewer(info batch.WorkerInfo) {
 	ctx, cancel := context.WithCancel(l.ctx)
+	now := time.Now()
 	rn := &renewer{
-		leader: l, info: info, cancel: cancel, requests: l.requests.of(info.ID), newParams: make(chan renewalParams, 1),
-		started: make(chan struct{}, 1), renewalDue: time.Now().Add(l.renewalInterval()), runsTasks: true,
+		leader: l, info: info, cancel: cancel, began: now, requests: l.requests.of(info.ID), newParams: make(chan renewalParams, 1),
+		started: make(chan struct{}, 1), renewalDue: now.Add(l.renewalInterval()), runsTasks: true,
 	}
 	l.renewers[info.ID] = rn
 	go rn.run(ctx)
