admission, owner: the rate returns soon while the processor is idle; repeated renewals of urgent leases have one priority

Cause: the rate returns by a tenth for each 0.2 s, 3.2 s from a quarter of the initial rate, also if no sample is late, so while the processor is idle.

TestTheRateReturnsSoonWhileTheProcessorIsIdle fails with a tenth.

Found in the read-through: repetitions of renewals of urgent leases went by the priority of the report that was needed from the worker since. A lease concerns all tasks there; they go in their order again.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -289,6 +289,16 @@
 	})
 }
 
+// Guards against an owner that leaves its processor idle for seconds after a time in which it was slow (issue 50, SHORT).
+func TestTheRateReturnsSoonWhileTheProcessorIsIdle(t *testing.T) {
+	inBubble(t, func(t *testing.T, is *is.I, l *Limiter) {
+		lagSamples(l, 5*time.Second, 2*maxStandingLag+SampleInterval)
+		is.True(l.Status().Rate < testRate/4)
+		lagSamples(l, 2*time.Second, 0)
+		is.Equal(l.Status().Rate, float64(testRate))
+	})
+}
+
 // Guards against a rate that falls since the process did one long thing, such as a decision after a take-over.
 func TestASingleLongTurnDoesNotLowerTheRate(t *testing.T) {
 	inBubble(t, func(t *testing.T, is *is.I, l *Limiter) {
--- a/internal/admission/rate.go
+++ b/internal/admission/rate.go
@@ -21,6 +21,9 @@
 	// work comes in bursts.
 	rateDecrease = 0.9
 	rateIncrease = 1.1
+	// idleRateIncrease replaces rateIncrease up to the initial rate if no sample is late: the processor has time again, as after a
+	// while in which it was slow.
+	idleRateIncrease = 1.5
 	// answeredShare is the part of the rate that must have been answered for it to rise above the initial one: only the work that
 	// follows from answers shows what the process can do.
 	answeredShare = 0.8
@@ -70,13 +73,21 @@
 	elapsed := now.Sub(r.adjustedAt).Seconds()
 	if r.standingLag() <= maxStandingLag {
 		most := max(r.initial, float64(r.answered)/elapsed/answeredShare)
-		r.current = max(r.current, min(rateIncrease*r.current, most))
+		r.current = max(r.current, min(r.risen(), most))
 		return
 	}
 	r.current = max(minRateShare*r.initial, r.current*math.Pow(rateDecrease, elapsed/adjustInterval.Seconds()))
 	r.samples = r.samples[:0] // the next change waits for samples that show the effect of this one
 }
 
+// risen returns the rate after a rise.
+func (r *adaptiveRate) risen() float64 {
+	if slices.ContainsFunc(r.samples, func(s sample) bool { return s.lag > maxStandingLag }) {
+		return rateIncrease * r.current
+	}
+	return max(rateIncrease*r.current, min(idleRateIncrease*r.current, r.initial))
+}
+
 // standingLag returns the lag that all samples reach; 0 if there are none.
 func (r *adaptiveRate) standingLag() time.Duration {
 	if len(r.samples) == 0 {
--- a/internal/owner/renewal_urgency.go
+++ b/internal/owner/renewal_urgency.go
@@ -65,8 +65,11 @@
 
 // repeatedRequest returns the request to repeat a call.
 func (rn *renewer) repeatedRequest(now time.Time) admission.Request {
+	if class := rn.class(now); class != admission.Report {
+		return admission.Request{Class: class, Repeated: true} // a lease that ends soon concerns all tasks there
+	}
 	r := rn.reportRequest(now)
-	r.Class, r.Repeated = rn.class(now), true
+	r.Repeated = true
 	return r
 }
 
