owner: the tests of urgent jobs share one check

Read once more: two tests set up the same owner, jobs and objective, and differed in the load only. The load is a type with that check now; loads, bounds and both names are the same. Seen to fail still: without the priority in the admission's order, TestUrgentJobsDoNotWaitBehindABacklogOfLowerPriority fails.

--- a/internal/owner/urgent_jobs_test.go
+++ b/internal/owner/urgent_jobs_test.go
@@ -88,9 +88,18 @@
 	return last
 }
 
-// Guards against urgent jobs that are late since requests which nobody needs yet are sent before theirs, or since requests wait
-// though the processor has time (issue 50, SHORT): the machine is faster than assumed, or has less time than it needs.
-func TestUrgentJobsKeepTheirObjectiveUnderLoad(t *testing.T) {
+// urgentLoad is a load on an owner of 200 workers beside which urgent jobs of two steps must keep their objective.
+type urgentLoad struct {
+	cost      time.Duration // of each side of a request
+	costShare float64       // that part of what is assumed
+	// longQueue gets longTasks a second. Their jobs end with a task of lastEstimate, see submitUnder.
+	longQueue    string
+	longTasks    int
+	lastEstimate time.Duration
+}
+
+// check submits the load and urgent jobs beside it, none of which may be late.
+func (l urgentLoad) check(t *testing.T) {
 	const (
 		workers  = 200
 		duration = 20 * time.Second
@@ -101,53 +110,34 @@
 	short.Estimate = 600 * time.Millisecond
 	chain := steps * short.Estimate
 	objective := chain + chain/2 + 250*time.Millisecond // see testConfig
-	for _, c := range []struct {
-		name      string
-		cost      time.Duration // of each side of a request
-		costShare float64       // that part of what is assumed
-		longTasks int           // a second
-	}{
-		{"requests cost what is assumed", 250 * time.Microsecond, 1, 300},
-		{"requests cost a quarter", 250 * time.Microsecond, 0.25, 300},
-		{"requests cost four times as much", 250 * time.Microsecond, 4, 300},
-		{"more requests than the processor carries", 600 * time.Microsecond, 1, 500},
+	withOwnerOf(t, manyWorkers(workers), func(h *harness) WorkerClient {
+		return misjudgedProcessor{newLoadedWorkers(h.workers, l.cost), l.costShare}
+	}, func(h *harness) {
+		submitted := submitUnder(h, duration, l.longQueue, l.longTasks, l.lastEstimate, short, steps)
+		h.sleep(objective)
+		h.is.Equal(h.countLate(submitted, steps, count, objective), 0)
+		h.is.Equal(h.workers.lapsedEnds(), 0)
+	})
+}
+
+// Guards against urgent jobs that are late since requests which nobody needs yet are sent before theirs, or since requests wait
+// though the processor has time (issue 50, SHORT): the machine is faster than assumed, or has less time than it needs.
+func TestUrgentJobsKeepTheirObjectiveUnderLoad(t *testing.T) {
+	const lastEstimate = 20 * time.Second
+	for name, load := range map[string]urgentLoad{
+		"requests cost what is assumed":            {250 * time.Microsecond, 1, "q", 300, lastEstimate},
+		"requests cost a quarter":                  {250 * time.Microsecond, 0.25, "q", 300, lastEstimate},
+		"requests cost four times as much":         {250 * time.Microsecond, 4, "q", 300, lastEstimate},
+		"more requests than the processor carries": {600 * time.Microsecond, 1, "q", 500, lastEstimate},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			withOwnerOf(t, manyWorkers(workers), func(h *harness) WorkerClient {
-				return misjudgedProcessor{newLoadedWorkers(h.workers, c.cost), c.costShare}
-			}, func(h *harness) {
-				submitted := submitUnder(h, duration, "q", c.longTasks, 20*time.Second, short, steps)
-				h.sleep(objective)
-				h.is.Equal(h.countLate(submitted, steps, count, objective), 0)
-				h.is.Equal(h.workers.lapsedEnds(), 0)
-			})
-		})
+		t.Run(name, load.check)
 	}
 }
 
 // Guards against urgent jobs whose starts and ends wait behind those of a queue of lower priority that cannot meet its objectives
 // any more (issue 50, SHORT): its requests are due earlier.
 func TestUrgentJobsDoNotWaitBehindABacklogOfLowerPriority(t *testing.T) {
-	const (
-		workers   = 200
-		duration  = 20 * time.Second
-		steps     = 2
-		count     = 4
-		cost      = 600 * time.Microsecond // of each side of a request: 830 requests a second
-		longTasks = 700                    // a second
-	)
-	short := tasks(count)
-	short.Estimate = 600 * time.Millisecond
-	chain := steps * short.Estimate
-	objective := chain + chain/2 + 250*time.Millisecond // see testConfig
-	withOwnerOf(t, manyWorkers(workers), func(h *harness) WorkerClient {
-		return misjudgedProcessor{newLoadedWorkers(h.workers, cost), 1}
-	}, func(h *harness) {
-		submitted := submitUnder(h, duration, "later", longTasks, 0, short, steps)
-		h.sleep(objective)
-		h.is.Equal(h.countLate(submitted, steps, count, objective), 0)
-		h.is.Equal(h.workers.lapsedEnds(), 0)
-	})
+	urgentLoad{cost: 600 * time.Microsecond, costShare: 1, longQueue: "later", longTasks: 700}.check(t)
 }
 
 // Guards against an owner that starts every job at the last moment when it cannot carry them all, so that hardly any meets its
