--- a/internal/batch/answers.go
+++ b/internal/batch/answers.go
@@ -6,14 +6,12 @@
 
 // StartAnswered processes the answer to a start.
 func (s *State) StartAnswered(id WorkerID, task TaskID, run int64, answer Answer, now time.Time) {
-	w := s.workers[id]
-	if w == nil {
-		return
-	}
-	a := w.attempts[attemptKey{task, run}]
+	a := s.attemptOn(id, attemptKey{task, run})
+	s.noteStartOutcome(a, task, run, answer, now)
 	if a == nil {
 		return
 	}
+	w := a.worker
 	a.startPending = false
 	switch answer {
 	case AnswerOK, AnswerOKRepeated:
@@ -24,7 +22,7 @@
 		a.acceptedAt, w.lastContact = now, now
 		w.noteRoom(a.reserved)
 		s.markStarted(a.step.job)
-	case AnswerNone:
+	case AnswerNone, AnswerNoneToOne:
 		// It may run. It is stopped if a report shows that it does not run yet.
 		a.unansweredAt = now
 		w.noteLateCopy(a, now)
@@ -44,9 +42,17 @@
 	}
 }
 
+// attemptOn returns an attempt on a worker; nil if there is none.
+func (s *State) attemptOn(id WorkerID, key attemptKey) *attempt {
+	if w := s.workers[id]; w != nil {
+		return w.attempts[key]
+	}
+	return nil
+}
+
 // answerNames are the names of the answers in the log: unwell stands for AnswerRefused, late for
 // AnswerExpired, old for AnswerStale and no room for AnswerNoCapacity.
-var answerNames = [...]string{"no answer", "ok", "unwell", "late", "old", "no room", "fenced", "invalid", "no ticket", "ok after a repetition", "not sent"}
+var answerNames = [...]string{"no answer", "ok", "unwell", "late", "old", "no room", "fenced", "invalid", "no ticket", "ok after a repetition", "not sent", "no answer to the only copy"}
 
 // startRefused removes an attempt whose start was certainly not executed. A listed attempt stays,
 // since the worker has reported that it runs.
--- a/internal/batch/ends.go
+++ b/internal/batch/ends.go
@@ -19,8 +19,12 @@
 	if e.Checkpoint != "" && !t.done && t.noteCheckpoint(e.Checkpoint, e.Run) {
 		s.dirty.add(st.job)
 	}
+	s.lateStarts.noteListed(e.Task, e.Run)
 	if a != nil {
 		a.ended = true
+		if a.startPending && !a.unsent {
+			s.lateStarts.note(e.Task, lateStart{run: e.Run, until: now.Add(maxCallDelay), pending: true}, now)
+		}
 	}
 	switch e.Reason {
 	case EndDone:
--- /dev/null
+++ b/internal/batch/late_starts_test.go
@@ -0,0 +1,79 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// lateStartCase is a task whose end a worker reports, and what is known of its start.
+type lateStartCase struct {
+	name   string
+	answer Answer
+	// first is set if the answer is known before the end is reported, and listed if a report has listed the run before that.
+	first, listed bool
+	reason        EndReason
+	// kept is whether the end is kept once answer and end are known.
+	kept bool
+}
+
+// Guards against a task that runs again after its end was acknowledged (TWICE), and against ends that are kept without need.
+func TestAnEndIsKeptWhileACopyOfItsStartMayBeCarriedOut(t *testing.T) {
+	for _, c := range []lateStartCase{
+		{name: "accepted", answer: AnswerOK, first: true, reason: EndDone},
+		{name: "accepted after the end", answer: AnswerOK, reason: EndDone},
+		{name: "copies without an answer", answer: AnswerNone, first: true, reason: EndDone, kept: true},
+		{name: "copies without an answer, listed", answer: AnswerNone, first: true, listed: true, reason: EndDone, kept: true},
+		{name: "copies without an answer after the end", answer: AnswerNone, reason: EndDone, kept: true},
+		{name: "a copy accepted, others without an answer", answer: AnswerOKRepeated, first: true, reason: EndDone, kept: true},
+		{name: "a copy accepted after the end", answer: AnswerOKRepeated, reason: EndDone, kept: true},
+		{name: "the only copy, without an answer", answer: AnswerNoneToOne, first: true, reason: EndDone},
+		{name: "the only copy, listed before", answer: AnswerNoneToOne, first: true, listed: true, reason: EndDone},
+		{name: "the only copy, after the end", answer: AnswerNoneToOne, reason: EndDone},
+		{name: "failed", answer: AnswerNone, first: true, reason: EndFailed, kept: true},
+		{name: "stopped", answer: AnswerNone, first: true, reason: EndStopped},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s, now := newTestState("a")
+			addJob(s, "j", "q", now, taskStep(1, 1000))
+			start := startActions(planUntilIdle(s, now))[0]
+			s.attemptOn("a", attemptKey{start.Task, start.Run}).startPending = true // no answer yet
+			answered := func() {
+				s.StartAnswered("a", start.Task, start.Run, c.answer, now)
+			}
+			if c.listed {
+				s.ApplyReport("a", Report{Incarnation: 1, Clock: 50, Running: []RunningAttempt{{Task: start.Task, Run: start.Run}}}, now)
+			}
+			if c.first {
+				answered()
+			}
+			r := Report{Incarnation: 1, Clock: 60, Ended: []EndedAttempt{{Seq: 1, Task: start.Task, Run: start.Run, Reason: c.reason}}}
+			is.Equal(s.ApplyReport("a", r, now), map[bool]int64{true: 1, false: 0}[c.first && !c.kept || c.reason == EndStopped])
+			if !c.first {
+				answered()
+			}
+			is.Equal(s.ackSeq(r, now) == 0, c.kept)
+			is.Equal(s.ackSeq(r, now.Add(maxCallDelay+time.Millisecond)), int64(1))
+		})
+	}
+}
+
+// Guards against a full list of ends, which would hide those that follow.
+func TestAWorkerKeepsFewEnds(t *testing.T) {
+	is := is.New(t)
+	s, now := newTestState("a")
+	addJob(s, "j", "q", now, taskStep(1, 1000))
+	start := startActions(planUntilIdle(s, now))[0]
+	s.StartAnswered("a", start.Task, start.Run, AnswerNone, now)
+	r := Report{Incarnation: 1, Ended: []EndedAttempt{{Seq: 1, Task: start.Task, Run: start.Run, Reason: EndDone}}}
+	for seq := int64(2); seq <= maxHeldEnds; seq++ {
+		r.Ended = append(r.Ended, EndedAttempt{Seq: seq, Task: TaskID{Job: "other"}, Run: 1, Reason: EndDone})
+	}
+	is.Equal(s.ackSeq(r, now), int64(0))
+	r.Ended = append(r.Ended, EndedAttempt{Seq: maxHeldEnds + 1, Task: TaskID{Job: "other"}, Run: 2, Reason: EndDone})
+	is.Equal(s.ackSeq(r, now), int64(maxHeldEnds+1)) // those after the first are kept for no other one
+	r.Ended, r.Incomplete = r.Ended[:2], true
+	is.Equal(s.ackSeq(r, now), int64(2))
+}
--- a/internal/batch/model.go
+++ b/internal/batch/model.go
@@ -121,6 +121,8 @@
 	AnswerNoTicket                 // certainly not executed: the ticket is missing or no longer valid
 	AnswerOKRepeated               // executed, but a copy of the request got no answer and may be executed later
 	AnswerUnsent                   // certainly not executed: it was not sent, for a reason that is not the worker's
+	// AnswerNoneToOne is AnswerNone for a start of which only one copy was sent.
+	AnswerNoneToOne
 )
 
 // ActionKind is the kind of an action.
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -4,7 +4,7 @@
 	"time"
 )
 
-// ApplyReport processes the report of a worker. It returns the highest Seq among the reported ends.
+// ApplyReport processes the report of a worker. It returns the highest Seq among the reported ends that need not be kept, see ackSeq.
 // The ends up to it may be acknowledged to the worker once the changes that follow from them, see ChangesBy, are stored.
 func (s *State) ApplyReport(id WorkerID, r Report, now time.Time) int64 {
 	w := s.workers[id]
@@ -25,10 +25,8 @@
 	if !r.Incomplete {
 		delete(s.unresolvedWorkers, id)
 	}
-	var last int64
 	for _, e := range r.Ended {
 		s.attemptEnded(w, e, now)
-		last = max(last, e.Seq)
 	}
 	if len(r.Ended) > 0 {
 		w.endsChanges = s.ChangesBy(r.Ended)
@@ -37,7 +35,7 @@
 	s.endUnreadable(w, r, now)
 	s.reviewSuspicions(w, r)
 	s.enforceLatencyTargets(w, now)
-	return last
+	return s.ackSeq(r, now)
 }
 
 // IsListed reports whether the worker's present incarnation has listed an attempt as running.
@@ -59,6 +57,7 @@
 	for _, e := range r.Running {
 		key := attemptKey{e.Task, e.Run}
 		listed[key] = true
+		s.lateStarts.noteListed(e.Task, e.Run)
 		if a := w.attempts[key]; a != nil {
 			if !a.listed && !a.restartedAt.IsZero() {
 				s.followAttempt(a)
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -60,6 +60,7 @@
 	unstartedJobs map[string]int    // number of jobs without a started task, by queue
 	stops         map[*attempt]bool // attempts that are being stopped
 	barring       map[*worker]bool  // restarted workers that must not carry out late copies of starts
+	lateStarts    lateStarts
 	// suspects holds the tasks with suspicions by the worker that a suspicion names, and repeatSuspects those with
 	// at least crashesToFail suspicions.
 	suspects       map[WorkerID]map[taskRef]bool
@@ -130,6 +131,7 @@
 		unstartedJobs:      map[string]int{},
 		stops:              map[*attempt]bool{},
 		barring:            map[*worker]bool{},
+		lateStarts:         lateStarts{byTask: map[TaskID][]lateStart{}},
 		suspects:           map[WorkerID]map[taskRef]bool{},
 		repeatSuspects:     map[taskRef]bool{},
 		interferenceModel:  newInterferenceModel(),
--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -65,6 +65,8 @@
 	need batch.Need
 	// showsLatency is set if the report is asked for also to see how tasks with a latency target do beside best-effort ones.
 	showsLatency bool
+	// keepsEnds is set if the worker must keep ends that it has listed. It answers at once while it has any.
+	keepsEnds bool
 	// awaitsAck is set if the report has ends that cannot be acknowledged yet. Further parameters follow.
 	awaitsAck bool
 	// generation is the renewer's generation at the time of the report that the parameters follow.
@@ -225,7 +227,7 @@
 // restarted.
 func (rn *renewer) renewLease(ctx context.Context) renewal {
 	lossy := time.Now().Before(rn.lossyUntil)
-	if lossy && !rn.leaseIsOld {
+	if (lossy || rn.params.keepsEnds) && !rn.leaseIsOld {
 		pause.For(ctx, rn.lossyPause())
 	}
 	if !rn.admit(ctx) {
@@ -277,7 +279,7 @@
 	return outcome
 }
 
-// lossyPause returns the pause before the next call to a worker that is known to lose answers. One that has no lease yet
+// lossyPause returns the pause before the next call to a worker that is known to lose answers or keeps ends. One that has no lease yet
 // is asked again soon.
 func (rn *renewer) lossyPause() time.Duration {
 	switch {
--- a/internal/owner/reports.go
+++ b/internal/owner/reports.go
@@ -28,11 +28,22 @@
 	if l.workersRecord.contains(id) || l.state.InUse(id) {
 		l.workersRecord.setRenewed(id)
 	}
+	settled := endsUpTo(r.Ended, ackSeq)
 	i := renewalParams{
-		ackSeq: ackSeq, maxWait: l.maxReportWait(id, now), renew: !l.state.MustLapse(id),
+		ackSeq: ackSeq, keepsEnds: len(settled) < len(r.Ended), maxWait: l.maxReportWait(id, now), renew: !l.state.MustLapse(id),
 		runsTasks: l.state.HasAttempts(id), reportedAt: now, need: l.reportNeed(id, now), showsLatency: l.state.HasColocatedTasks(id), generation: generation,
 	}
-	l.setParamsWhenDurable(i, r.Ended, rn)
+	l.setParamsWhenDurable(i, settled, rn)
+}
+
+// endsUpTo returns the ends up to a sequence number.
+func endsUpTo(ends []batch.EndedAttempt, seq int64) []batch.EndedAttempt {
+	for i, e := range ends {
+		if e.Seq > seq {
+			return ends[:i]
+		}
+	}
+	return ends
 }
 
 // maxReportWait returns how long a worker may wait for an attempt to end before it sends its report.
--- a/internal/owner/worker_calls.go
+++ b/internal/owner/worker_calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
@@ -41,10 +42,15 @@
 		ctx, cancel := withTimeout(call.ctx, startCallTimeout)
 		defer cancel()
 		defer sent()
+		var copies atomic.Int32
 		answer := l.repeatCall(ctx, callStart, a, func(ctx context.Context) batch.Answer {
 			sent()
+			copies.Add(1)
 			return l.owner.workers.Start(ctx, request)
 		})
+		if answer == batch.AnswerNone && copies.Load() == 1 {
+			answer = batch.AnswerNoneToOne
+		}
 		l.post(func(l *leader, now time.Time) {
 			l.starts.end(call)
 			l.checkFenced(a, answer)
