--- a/internal/batch/incarnations.go
+++ b/internal/batch/incarnations.go
@@ -28,21 +28,22 @@
 // maxCallDelay longer.
 func (s *State) SetFormerOwnersEnd(end time.Time) { s.formerRequestsEnd = end.Add(maxCallDelay) }
 
-// ExtendDoubt prolongs the wait for a worker on which former owners may have started tasks, if the registry shows another incarnation
-// than they had fenced and this owner has not reached it: it may carry out their requests late. It returns the new end of the wait,
-// and whether that is later than before.
-func (s *State) ExtendDoubt(id WorkerID) (time.Time, bool) {
-	until, inDoubt := s.unresolvedWorkers[id]
+// IsRestartedInDoubt reports whether former owners may have started tasks on a worker of which the registry shows another incarnation
+// than they had fenced, and which this owner has not reached: it may carry out their requests late.
+func (s *State) IsRestartedInDoubt(id WorkerID) bool {
+	_, inDoubt := s.unresolvedWorkers[id]
 	w, known := s.workers[id], s.formerIncarnations[id].Number
-	if !inDoubt || w == nil || w.fenced || known == 0 || w.info.Incarnation == known {
-		return until, false
-	}
-	end := s.formerRequestsEnd.Add(s.longestLeaseTTL())
-	if !end.After(until) {
-		return until, false
+	return inDoubt && w != nil && !w.fenced && known != 0 && w.info.Incarnation != known
+}
+
+// ProlongDoubt prolongs the wait for a worker on which former owners may have started tasks. It reports whether its new end is later
+// than was known.
+func (s *State) ProlongDoubt(id WorkerID, end time.Time) bool {
+	if !end.After(s.unresolvedWorkers[id]) {
+		return false
 	}
 	s.unresolvedWorkers[id] = end
-	return end, true
+	return true
 }
 
 // mayCarryOutFormerRequests reports whether a worker that was restarted may still carry out a request of a former owner.
--- a/internal/owner/watch.go
+++ b/internal/owner/watch.go
@@ -93,11 +93,7 @@
 		l.incarnations.replace(info.ID, info.Incarnation) // the state had forgotten the worker
 	}
 	l.workersRecord.noteFenced(info.ID, l.state.FencedIncarnation(info.ID, now))
-	if until, extended := l.state.ExtendDoubt(info.ID); extended {
-		l.workersRecord.setLeaseEnd(info.ID, until, true)
-		l.log.Info().Str("event", "takeover.in-doubt").Str("worker", string(info.ID)).Int64("wait-ms", until.Sub(now).Milliseconds()).
-			Str("why", "it was restarted, and may carry out late what a former owner has sent").Send()
-	}
+	l.extendDoubt(info.ID, now)
 	if info.Draining {
 		l.starts.cancelOn(info.ID)
 	}
--- a/internal/owner/worker_calls.go
+++ b/internal/owner/worker_calls.go
@@ -45,7 +45,9 @@
 		var copies atomic.Int32
 		answer := l.repeatCall(ctx, callStart, a, func(ctx context.Context) batch.Answer {
 			sent()
-			copies.Add(1)
+			if copies.Add(1) == 2 {
+				l.post(func(l *leader, now time.Time) { l.noteLateStart(a.Worker, now) })
+			}
 			return l.owner.workers.Start(ctx, request)
 		})
 		if answer == batch.AnswerNone && copies.Load() == 1 {
@@ -53,6 +55,9 @@
 		}
 		l.post(func(l *leader, now time.Time) {
 			l.starts.end(call)
+			if answer == batch.AnswerNone || answer == batch.AnswerNoneToOne || answer == batch.AnswerOKRepeated {
+				l.noteLateStart(a.Worker, now)
+			}
 			l.checkFenced(a, answer)
 			l.state.StartAnswered(a.Worker, a.Task, a.Run, answer, now)
 		})
--- a/internal/owner/workers_record.go
+++ b/internal/owner/workers_record.go
@@ -27,6 +27,8 @@
 	lastRenewers map[batch.WorkerID]int64
 	// lateStarts holds the workers that may carry out a start late, after all leases have ended.
 	lateStarts map[batch.WorkerID]bool
+	// lateRuns holds until when what a worker's next incarnation carries out late may run, for the workers that owe answers to starts.
+	lateRuns map[batch.WorkerID]time.Time
 	// renewableAfter holds the number of the transaction that must be durable before a worker's lease may be renewed, for
 	// the workers of which a transaction has said that it ends; notWritten until there is one that says that it is renewed.
 	renewableAfter map[batch.WorkerID]int64
@@ -40,6 +42,8 @@
 	dirty bool
 	// firstEnd is the first end of a lease that the newest transaction says to last; zero if there is none.
 	firstEnd time.Time
+	// tellsLateRuns is set if the newest transaction names a worker whose next incarnation may run something late.
+	tellsLateRuns bool
 	// written is when the newest transaction with the record was built.
 	written time.Time
 	// checked is when the record was last checked for workers that are no longer in use.
@@ -71,6 +75,9 @@
 	// Fenced and Settled are a batch.FencedIncarnation.
 	Fenced  int64 `cbor:"5,keyasint,omitempty"`
 	Settled bool  `cbor:"6,keyasint,omitempty"`
+	// LateRuns is for how long what the next incarnation carries out late may run; noLateRuns for none, and 0 in records of earlier
+	// versions, which don't tell.
+	LateRuns time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 func newWorkerRecord(epoch int64, unsettledExtra time.Duration) workersRecord {
@@ -79,6 +86,7 @@
 		leaseEnds:      map[batch.WorkerID]time.Time{},
 		lastRenewers:   map[batch.WorkerID]int64{},
 		lateStarts:     map[batch.WorkerID]bool{},
+		lateRuns:       map[batch.WorkerID]time.Time{},
 		renewableAfter: map[batch.WorkerID]int64{},
 		fenced:         map[batch.WorkerID]batch.FencedIncarnation{},
 		durable:        map[batch.WorkerID]bool{},
@@ -144,6 +152,9 @@
 	if !r.firstEnd.IsZero() && (now.After(r.firstEnd) || now.Sub(r.written) >= leaseRefreshInterval) {
 		r.dirty = true
 	}
+	if r.tellsLateRuns && now.Sub(r.written) >= lateRunsRefreshInterval {
+		r.dirty = true
+	}
 }
 
 // noteUnused makes the record be written again if it contains a worker that is no longer in use. A successor
@@ -165,7 +176,7 @@
 // addTo adds the record to a transaction, after it has dropped the workers that are no longer in
 // use. It returns those.
 func (r *workersRecord) addTo(t *recordTxn, inUse map[batch.WorkerID]bool, now time.Time) (dropped []batch.WorkerID) {
-	r.firstEnd, r.written = time.Time{}, now
+	r.firstEnd, r.written, r.tellsLateRuns = time.Time{}, now, false
 	leases := make(map[batch.WorkerID]recordedLease, len(r.leaseEnds))
 	for id, end := range r.leaseEnds {
 		if !inUse[id] {
@@ -173,6 +184,7 @@
 			delete(r.durable, id)
 			delete(r.lastRenewers, id)
 			delete(r.lateStarts, id)
+			delete(r.lateRuns, id)
 			delete(r.renewableAfter, id)
 			delete(r.fenced, id)
 			dropped = append(dropped, id)
@@ -181,6 +193,7 @@
 		t.workers = append(t.workers, id)
 		leases[id] = r.lease(id, end, now)
 		r.noteWritten(id, leases[id], t.number)
+		r.tellsLateRuns = r.tellsLateRuns || leases[id].LateRuns > noLateRuns
 	}
 	t.txn.Set = append(t.txn.Set, kv.Write{Key: workersKey, Value: encode(leases)})
 	r.dirty = false
@@ -205,7 +218,7 @@
 
 // lease returns what the record says of a worker's lease with the given end.
 func (r *workersRecord) lease(id batch.WorkerID, end, now time.Time) recordedLease {
-	lease := recordedLease{Fenced: r.fenced[id].Number, Settled: r.fenced[id].Settled}
+	lease := recordedLease{Fenced: r.fenced[id].Number, Settled: r.fenced[id].Settled, LateRuns: r.remainingLateRuns(id, now)}
 	if end.IsZero() {
 		return lease
 	}
@@ -244,6 +257,7 @@
 	for id, lease := range leases {
 		r.durable[id] = true
 		r.fenced[id] = batch.FencedIncarnation{Number: lease.Fenced, Settled: lease.Settled}
+		r.restoreLateRuns(id, lease.LateRuns, now, latest.Add(r.unsettledExtra+maxLateness))
 		latest := r.latestLease(id, latest)
 		r.leaseEnds[id], until[id] = time.Time{}, latest
 		r.lastRenewers[id] = r.epoch - 1
