--- a/internal/batch/crash.go
+++ b/internal/batch/crash.go
@@ -389,7 +389,7 @@
 func (s *State) failHopeless(now time.Time) {
 	for ref := range s.repeatSuspects {
 		t, job := ref.task(), ref.step.job
-		if ref.step.spec.LongRunning || len(t.attempts) > 0 || t.unresolved && len(s.unresolvedWorkers) > 0 || !s.isHopeless(t) {
+		if ref.step.spec.LongRunning || len(t.attempts) > 0 || s.isInDoubt(ref.step, t) || !s.isHopeless(t) {
 			continue
 		}
 		s.event(Event{Name: "job.failed", Job: job.ID, Task: ref.id(), Run: t.suspicions[len(t.suspicions)-1].Run, Detail: t.lossesInSuccession()})
--- a/internal/batch/down.go
+++ b/internal/batch/down.go
@@ -72,7 +72,7 @@
 	t := r.task()
 	d.all++
 	switch {
-	case t.unresolved && len(s.unresolvedWorkers) > 0:
+	case s.isInDoubt(r.step, t):
 		d.unresolved++
 	case t.suspected():
 		d.suspected++
--- a/internal/batch/incarnations.go
+++ b/internal/batch/incarnations.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"fmt"
 	"maps"
 	"time"
 )
@@ -46,6 +47,50 @@
 	return true
 }
 
+// LateRuns are tasks of former owners that a restarted worker may still start.
+type LateRuns struct {
+	// Until is when the last of them has ended if this owner does not reach the worker.
+	Until time.Time
+	// Jobs are the jobs that they belong to; nil for any.
+	Jobs map[string]bool
+}
+
+// DoubtLateRuns lets the tasks wait that a restarted worker may still start for former owners, until this owner reaches it. It reports
+// whether that is news.
+func (s *State) DoubtLateRuns(id WorkerID, late LateRuns) bool {
+	if _, known := s.lateRuns[id]; known {
+		return false
+	}
+	s.lateRuns[id] = late
+	return true
+}
+
+// isInDoubt reports whether a task may run on a worker that a former owner has started it on, and that this one has not reached.
+func (s *State) isInDoubt(st *step, t *task) bool {
+	if !t.unresolved {
+		return false
+	}
+	if len(s.unresolvedWorkers) > 0 {
+		return true
+	}
+	for _, late := range s.lateRuns {
+		if late.Jobs == nil || late.Jobs[st.job.ID] {
+			return true
+		}
+	}
+	return false
+}
+
+// resolveLateRuns drops the late runs that have ended.
+func (s *State) resolveLateRuns(now time.Time) {
+	for id, late := range s.lateRuns {
+		if now.After(late.Until) && s.ownedUntil.After(late.Until) {
+			s.event(Event{Name: "takeover.resolved", Worker: id, Detail: "what it may have carried out late has ended", Inputs: fmt.Sprintf("jobs: %d (0: any)", len(late.Jobs))})
+			delete(s.lateRuns, id)
+		}
+	}
+}
+
 // mayCarryOutFormerRequests reports whether a worker that was restarted may still carry out a request of a former owner.
 func (s *State) mayCarryOutFormerRequests(id WorkerID, now time.Time) bool {
 	return s.formerWorkers[id] && now.Before(s.formerRequestsEnd)
--- a/internal/batch/lease.go
+++ b/internal/batch/lease.go
@@ -150,6 +150,7 @@
 			s.forget(id)
 		}
 	}
+	s.resolveLateRuns(now)
 	for id, until := range s.unresolvedWorkers {
 		if w := s.workers[id]; w != nil && w.reported {
 			// Its reports so far were incomplete, and its lease has been renewed.
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -24,6 +24,9 @@
 	w.latencyGroupsAt = time.Time{}
 	if !r.Incomplete {
 		delete(s.unresolvedWorkers, id)
+		if w.fenced {
+			delete(s.lateRuns, id)
+		}
 	}
 	for _, e := range r.Ended {
 		s.attemptEnded(w, e, now)
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -45,6 +45,8 @@
 	// unresolvedWorkers holds the workers that may run tasks started by a former owner and have not
 	// reported to this one, and until when they may if they stay unreachable.
 	unresolvedWorkers map[WorkerID]time.Time
+	// lateRuns holds what restarted workers may carry out late for former owners, by worker.
+	lateRuns map[WorkerID]LateRuns
 	// formerIncarnations holds what the former owner knew of the incarnations of workers.
 	formerIncarnations map[WorkerID]FencedIncarnation
 	// formerRequestsEnd is when the last request of a former owner has been carried out; zero if there was none.
@@ -124,6 +126,7 @@
 		lastTrials:         map[string]time.Time{},
 		scheduled:          map[*occurrence]*Job{},
 		unresolvedWorkers:  map[WorkerID]time.Time{},
+		lateRuns:           map[WorkerID]LateRuns{},
 		formerIncarnations: map[WorkerID]FencedIncarnation{},
 		formerWorkers:      map[WorkerID]bool{},
 		dirty:              newChangedJobs(),
--- a/internal/batch/waits.go
+++ b/internal/batch/waits.go
@@ -199,7 +199,7 @@
 		return heldByPause
 	case suspect != nil && len(t.suspicions) >= len(suspect.suspicions):
 		return heldByWorseSuspect
-	case t.unresolved && len(s.unresolvedWorkers) > 0:
+	case s.isInDoubt(st, t):
 		return heldByFormerOwner
 	}
 	if r := s.retryWait(st, t); r != notHeld {
@@ -221,7 +221,7 @@
 			return i, heldByGang
 		case st.isPaused(t, now):
 			return i, heldByPause
-		case t.unresolved && len(s.unresolvedWorkers) > 0:
+		case s.isInDoubt(st, t):
 			return i, heldByFormerOwner
 		}
 	}
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -138,6 +138,9 @@
 	for id := range s.unresolvedWorkers {
 		out[id] = true
 	}
+	for id := range s.lateRuns {
+		out[id] = true
+	}
 	return out
 }
 
@@ -146,6 +149,9 @@
 	if _, unresolved := s.unresolvedWorkers[id]; unresolved {
 		return true
 	}
+	if _, late := s.lateRuns[id]; late {
+		return true
+	}
 	w := s.workers[id]
 	return w != nil && s.isInUse(w)
 }
--- a/internal/owner/late_copies.go
+++ b/internal/owner/late_copies.go
@@ -1,13 +1,15 @@
 package owner
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
 )
 
 // A start that got no answer may be carried out late by the next incarnation of its worker. The workers record says until when what
-// it starts so may run, so that the next owner waits for that only where it may happen.
+// it starts so may run, and of which jobs, so that the next owner waits for that only where it may happen.
 
 const (
 	// maxLateness is the longest time after which a worker may still carry out a request that got no answer.
@@ -22,56 +24,97 @@
 	noLateRuns time.Duration = 1
 )
 
+// maxLateJobBytes bounds the ids of the jobs that the record names for a worker, so that the record stays small enough for the store.
+const maxLateJobBytes = 160
+
+// lateRuns are the tasks that the next incarnation of a worker may start late.
+type lateRuns struct {
+	// until is when the last of them has ended.
+	until time.Time
+	// jobs are the jobs that they belong to; nil if they are too many to name.
+	jobs map[string]bool
+}
+
 // noteLateStart notes that a copy of a start got no answer.
-func (l *leader) noteLateStart(id batch.WorkerID, now time.Time) {
-	l.workersRecord.noteLateRuns(id, now.Add(maxLateness+maxLeaseDuration(l.owner.opts.LongestWorkerLease)))
+func (l *leader) noteLateStart(a batch.Action, now time.Time) {
+	l.workersRecord.noteLateRun(a.Worker, a.Task.Job, now, now.Add(maxLateness+maxLeaseDuration(l.owner.opts.LongestWorkerLease)))
 }
 
-// noteLateRuns updates until when a worker's next incarnation may run what it carries out late.
-func (r *workersRecord) noteLateRuns(id batch.WorkerID, until time.Time) {
-	if r.contains(id) && r.lateRuns[id].Before(until) {
-		r.lateRuns[id], r.dirty = until.Add(lateRunsSlack), true
+// noteLateRun notes a job of which a worker's next incarnation may run a task late, until a time.
+func (r *workersRecord) noteLateRun(id batch.WorkerID, job string, now, until time.Time) {
+	if !r.contains(id) {
+		return
+	}
+	late := r.lateRuns[id]
+	if late == nil || late.until.Before(now) {
+		late = &lateRuns{jobs: map[string]bool{}}
+		r.lateRuns[id] = late
+	}
+	if late.until.Before(until) {
+		late.until, r.dirty = until.Add(lateRunsSlack), true
+	}
+	if late.jobs == nil || late.jobs[job] {
+		return
+	}
+	late.jobs[job], r.dirty = true, true
+	bytes := 0
+	for name := range late.jobs {
+		bytes += len(name)
+	}
+	if bytes > maxLateJobBytes {
+		late.jobs = nil
 	}
 }
 
 // restoreLateRuns restores what a stored record says of a worker. unknown is the time that counts if it does not tell.
-func (r *workersRecord) restoreLateRuns(id batch.WorkerID, remaining time.Duration, now, unknown time.Time) {
-	switch remaining {
-	case 0:
-		r.lateRuns[id] = unknown
-	case noLateRuns:
-	default:
-		r.lateRuns[id] = earliest(now.Add(remaining), unknown)
+func (r *workersRecord) restoreLateRuns(id batch.WorkerID, lease recordedLease, now, unknown time.Time) {
+	if lease.LateRuns == noLateRuns {
+		return
+	}
+	late := &lateRuns{until: unknown}
+	if lease.LateRuns != 0 {
+		late.until = earliest(now.Add(lease.LateRuns), unknown)
+	}
+	for _, job := range lease.LateJobs {
+		if late.jobs == nil {
+			late.jobs = map[string]bool{}
+		}
+		late.jobs[job] = true
 	}
+	r.lateRuns[id] = late
 }
 
-// remainingLateRuns returns what a stored record says of a worker.
-func (r *workersRecord) remainingLateRuns(id batch.WorkerID, now time.Time) time.Duration {
-	return max(noLateRuns, r.lateRuns[id].Sub(now))
+// addLateRuns adds to what a transaction says of a worker.
+func (r *workersRecord) addLateRuns(lease *recordedLease, id batch.WorkerID, now time.Time) {
+	lease.LateRuns = noLateRuns
+	if late := r.lateRuns[id]; late != nil && late.until.Sub(now) > noLateRuns {
+		lease.LateRuns, lease.LateJobs = late.until.Sub(now), slices.Sorted(maps.Keys(late.jobs))
+		r.tellsLateRuns = true
+	}
 }
 
-// latestLateRun returns the time by which everything has ended that the next incarnation of a worker may have started for former
-// owners, if this owner does not reach it. One that was answered, or was carried out before they had ended, has the longest lease
-// from then at most.
-func (l *leader) latestLateRun(id batch.WorkerID) time.Time {
+// extendDoubt prolongs the wait for a worker that was restarted and has not been reached since. What it had answered, or carried out
+// before the former owners had ended, has the longest lease from then at most; what it may carry out later has its own wait.
+func (l *leader) extendDoubt(id batch.WorkerID, now time.Time) {
+	if !l.state.IsRestartedInDoubt(id) {
+		return
+	}
 	last, unreached := l.workersRecord.lastRenewers[id]
 	if !unreached {
 		last = l.epoch - 1
 	}
 	end := l.latestLeaseUpTo(last).Add(l.workersRecord.unsettledExtra)
-	return batch.LaterOf(end, l.workersRecord.lateRuns[id])
-}
-
-// extendDoubt prolongs the wait for a worker that was restarted and has not been reached since.
-func (l *leader) extendDoubt(id batch.WorkerID, now time.Time) {
-	if !l.state.IsRestartedInDoubt(id) {
-		return
+	prolonged := l.state.ProlongDoubt(id, end)
+	if prolonged {
+		l.workersRecord.setLeaseEnd(id, end, false)
 	}
-	end := l.latestLateRun(id)
-	if !l.state.ProlongDoubt(id, end) {
-		return
+	late := l.workersRecord.lateRuns[id]
+	if late != nil && late.until.After(end) {
+		prolonged = l.state.DoubtLateRuns(id, batch.LateRuns{Until: late.until, Jobs: maps.Clone(late.jobs)}) || prolonged
+		end = late.until
+	}
+	if prolonged {
+		l.log.Info().Str("event", "takeover.in-doubt").Str("worker", string(id)).Int64("wait-ms", end.Sub(now).Milliseconds()).
+			Str("why", "it was restarted, and may carry out late what a former owner has sent").Send()
 	}
-	l.workersRecord.setLeaseEnd(id, end, l.workersRecord.lateRuns[id].After(now))
-	l.log.Info().Str("event", "takeover.in-doubt").Str("worker", string(id)).Int64("wait-ms", end.Sub(now).Milliseconds()).
-		Str("why", "it was restarted, and may carry out late what a former owner has sent").Send()
 }
--- a/internal/owner/restarted_and_gone_test.go
+++ b/internal/owner/restarted_and_gone_test.go
@@ -38,3 +38,41 @@
 		}, "w0", "w1")
 	}
 }
+
+// Guards against the same where the worker owes answers to starts: only tasks of the jobs that these belong to wait for what it may carry
+// out late, and they must not run twice (TWICE).
+func TestOnlyTheJobsOfUnansweredStartsWaitForARestartedWorkerThatIsGone(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		h.workers.taskDuration = time.Hour
+		c := newHeldCalls(h)
+		c.startOwner(h, "a", c)
+		h.sleep(3 * time.Second)
+		c.startOwner(h, "b", c)
+		h.submit("k", longRunning(4))
+		h.sleep(2 * time.Second)
+		ofK := len(h.runningOn([]batch.WorkerID{"w0"}))
+		h.is.True(ofK > 0)
+		c.hold(callStart, time.Now().Add(11*time.Second))
+		h.submit("j", longRunning(4))
+		h.sleep(300 * time.Millisecond)
+		h.loseWorkers([]batch.WorkerID{"w0"})
+		h.stops["a"]()
+		h.sleep(100 * time.Millisecond)
+		c.hold(allCalls, time.Time{})
+		c.restart()
+		h.store.set("w/w0", []byte("reborn"))
+		h.sleep(900 * time.Millisecond)
+		h.unlist("w0")
+		h.sleep(ownerlessLeaseLimit + longestLease - 6*time.Second - time.Second)
+		h.is.Equal(h.leader(), "b")
+		running := map[string]int{}
+		for _, task := range h.runningOn([]batch.WorkerID{"w1"}) {
+			running[task.Job]++
+		}
+		h.is.Equal(running["k"], 4)
+		h.is.True(running["j"] < 4) // the others run on w0
+		h.sleep(maxLateness)
+		h.is.Equal(len(h.runningOn([]batch.WorkerID{"w1"})), 8)
+		h.is.Equal(h.workers.overlaps, 0)
+	}, "w0", "w1")
+}
--- a/internal/owner/worker_calls.go
+++ b/internal/owner/worker_calls.go
@@ -46,7 +46,7 @@
 		answer := l.repeatCall(ctx, callStart, a, func(ctx context.Context) batch.Answer {
 			sent()
 			if copies.Add(1) == 2 {
-				l.post(func(l *leader, now time.Time) { l.noteLateStart(a.Worker, now) })
+				l.post(func(l *leader, now time.Time) { l.noteLateStart(a, now) })
 			}
 			return l.owner.workers.Start(ctx, request)
 		})
@@ -56,7 +56,7 @@
 		l.post(func(l *leader, now time.Time) {
 			l.starts.end(call)
 			if answer == batch.AnswerNone || answer == batch.AnswerNoneToOne || answer == batch.AnswerOKRepeated {
-				l.noteLateStart(a.Worker, now)
+				l.noteLateStart(a, now)
 			}
 			l.checkFenced(a, answer)
 			l.state.StartAnswered(a.Worker, a.Task, a.Run, answer, now)
--- a/internal/owner/workers_record.go
+++ b/internal/owner/workers_record.go
@@ -27,8 +27,8 @@
 	lastRenewers map[batch.WorkerID]int64
 	// lateStarts holds the workers that may carry out a start late, after all leases have ended.
 	lateStarts map[batch.WorkerID]bool
-	// lateRuns holds until when what a worker's next incarnation carries out late may run, for the workers that owe answers to starts.
-	lateRuns map[batch.WorkerID]time.Time
+	// lateRuns holds what a worker's next incarnation may run late, for the workers that owe answers to starts.
+	lateRuns map[batch.WorkerID]*lateRuns
 	// renewableAfter holds the number of the transaction that must be durable before a worker's lease may be renewed, for
 	// the workers of which a transaction has said that it ends; notWritten until there is one that says that it is renewed.
 	renewableAfter map[batch.WorkerID]int64
@@ -78,6 +78,8 @@
 	// LateRuns is for how long what the next incarnation carries out late may run; noLateRuns for none, and 0 in records of earlier
 	// versions, which don't tell.
 	LateRuns time.Duration `cbor:"7,keyasint,omitempty"`
+	// LateJobs are the jobs of these tasks; empty if they are too many to name.
+	LateJobs []string `cbor:"8,keyasint,omitempty"`
 }
 
 func newWorkerRecord(epoch int64, unsettledExtra time.Duration) workersRecord {
@@ -86,7 +88,7 @@
 		leaseEnds:      map[batch.WorkerID]time.Time{},
 		lastRenewers:   map[batch.WorkerID]int64{},
 		lateStarts:     map[batch.WorkerID]bool{},
-		lateRuns:       map[batch.WorkerID]time.Time{},
+		lateRuns:       map[batch.WorkerID]*lateRuns{},
 		renewableAfter: map[batch.WorkerID]int64{},
 		fenced:         map[batch.WorkerID]batch.FencedIncarnation{},
 		durable:        map[batch.WorkerID]bool{},
@@ -193,7 +195,6 @@
 		t.workers = append(t.workers, id)
 		leases[id] = r.lease(id, end, now)
 		r.noteWritten(id, leases[id], t.number)
-		r.tellsLateRuns = r.tellsLateRuns || leases[id].LateRuns > noLateRuns
 	}
 	t.txn.Set = append(t.txn.Set, kv.Write{Key: workersKey, Value: encode(leases)})
 	r.dirty = false
@@ -218,7 +219,8 @@
 
 // lease returns what the record says of a worker's lease with the given end.
 func (r *workersRecord) lease(id batch.WorkerID, end, now time.Time) recordedLease {
-	lease := recordedLease{Fenced: r.fenced[id].Number, Settled: r.fenced[id].Settled, LateRuns: r.remainingLateRuns(id, now)}
+	lease := recordedLease{Fenced: r.fenced[id].Number, Settled: r.fenced[id].Settled}
+	r.addLateRuns(&lease, id, now)
 	if end.IsZero() {
 		return lease
 	}
@@ -257,7 +259,7 @@
 	for id, lease := range leases {
 		r.durable[id] = true
 		r.fenced[id] = batch.FencedIncarnation{Number: lease.Fenced, Settled: lease.Settled}
-		r.restoreLateRuns(id, lease.LateRuns, now, latest.Add(r.unsettledExtra+maxLateness))
+		r.restoreLateRuns(id, lease, now, latest.Add(r.unsettledExtra+maxLateness))
 		latest := r.latestLease(id, latest)
 		r.leaseEnds[id], until[id] = time.Time{}, latest
 		r.lastRenewers[id] = r.epoch - 1
