--- a/internal/batch/late_starts.go
+++ b/internal/batch/late_starts.go
@@ -20,6 +20,9 @@
 // lateStarts are the late starts of all tasks.
 type lateStarts struct {
 	byTask map[TaskID][]lateStart
+	// formerByJob is until when starts of former owners may be carried out late, by job, and formerOfAny the same for those of any job.
+	formerByJob map[string]time.Time
+	formerOfAny time.Time
 	// prunedAt is when those that are over were last dropped.
 	prunedAt time.Time
 }
@@ -61,6 +64,9 @@
 
 // of reports whether a copy of a start of the task may still be carried out.
 func (l *lateStarts) of(id TaskID, now time.Time) bool {
+	if !now.After(l.formerOfAny) || !now.After(l.formerByJob[id.Job]) {
+		return true
+	}
 	return slices.ContainsFunc(l.byTask[id], func(s lateStart) bool { return !now.After(s.until) })
 }
 
@@ -75,6 +81,11 @@
 	}
 }
 
+// SetFormerLateStarts sets until when workers may carry out starts late that former owners have sent, by job, and for any job.
+func (s *State) SetFormerLateStarts(byJob map[string]time.Time, ofAny time.Time) {
+	s.lateStarts.formerByJob, s.lateStarts.formerOfAny = byJob, ofAny
+}
+
 // noteStartOutcome notes whether a copy of a start may still be carried out, given the outcome of the call that has requested it.
 func (s *State) noteStartOutcome(a *attempt, id TaskID, run int64, answer Answer, now time.Time) {
 	ended := s.lateStarts.hasEnded(id, run)
--- a/internal/owner/late_copies.go
+++ b/internal/owner/late_copies.go
@@ -33,6 +33,8 @@
 	until time.Time
 	// jobs are the jobs that they belong to; nil if they are too many to name.
 	jobs map[string]bool
+	// assumed is set if nothing is known of them: a record of an earlier version does not tell.
+	assumed bool
 }
 
 // noteLateStart notes that a copy of a start got no answer.
@@ -71,7 +73,7 @@
 	if lease.LateRuns == noLateRuns {
 		return
 	}
-	late := &lateRuns{until: unknown}
+	late := &lateRuns{until: unknown, assumed: lease.LateRuns == 0}
 	if lease.LateRuns != 0 {
 		late.until = earliest(now.Add(lease.LateRuns), unknown)
 	}
@@ -84,6 +86,22 @@
 	r.lateRuns[id] = late
 }
 
+// formerLateStarts returns until when workers may carry out starts late that former owners have sent, by job, of which the record tells,
+// and the same for starts of jobs that it does not name. longestLease is how long what they start so may run.
+func (r *workersRecord) formerLateStarts(longestLease time.Duration) (byJob map[string]time.Time, ofAny time.Time) {
+	byJob = map[string]time.Time{}
+	for _, late := range r.lateRuns {
+		until := late.until.Add(-longestLease)
+		if late.jobs == nil && !late.assumed {
+			ofAny = batch.LaterOf(ofAny, until)
+		}
+		for job := range late.jobs {
+			byJob[job] = batch.LaterOf(byJob[job], until)
+		}
+	}
+	return byJob, ofAny
+}
+
 // addLateRuns adds to what a transaction says of a worker.
 func (r *workersRecord) addLateRuns(lease *recordedLease, id batch.WorkerID, now time.Time) {
 	lease.LateRuns = noLateRuns
--- a/internal/owner/late_copies_test.go
+++ b/internal/owner/late_copies_test.go
@@ -57,6 +57,33 @@
 	}
 }
 
+// Guards against the same where another owner takes over before the end.
+func TestACopyOfAStartOfAFormerOwnerIsCarriedOutAfterTheEndInTheNextIncarnation(t *testing.T) {
+	for _, delay := range []time.Duration{6 * time.Second, 11 * time.Second} {
+		withHarness(t, func(h *harness) {
+			c := &lateCopies{rebornWorkers: newSilentWorkers(h), delay: delay, late: h.ctx}
+			c.startOwner(h, "a", c)
+			h.sleep(3 * time.Second)
+			c.startOwner(h, "b", c)
+			h.submit("j", tasks(4))
+			h.sleep(500 * time.Millisecond)
+			c.off.Store(true)
+			h.stops["a"]()
+			h.sleep(delay - time.Second)
+			h.is.Equal(h.leader(), "b")
+			h.is.Equal(len(h.workers.firstDone), 4) // otherwise the test shows nothing
+			h.loseWorkers([]batch.WorkerID{"w0"})
+			c.restart()
+			h.sleep(time.Second)
+			h.store.set("w/w0", []byte("reborn"))
+			h.findWorkers([]batch.WorkerID{"w0"})
+			h.sleep(20 * time.Second)
+			h.is.Equal(h.workers.overlaps, 0)
+			h.is.Equal(h.workers.repeatedEnds, 0)
+		}, "w0")
+	}
+}
+
 // Guards against ends that a worker keeps for good, which fill its list, and against ones that are known late meanwhile: it answers each
 // renewal at once.
 func TestEndsAreAcknowledgedOnceNoCopyOfAStartCanBeCarriedOut(t *testing.T) {
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -87,6 +87,7 @@
 			l.checkReadable(item.Key, err)
 			l.state.SetUnresolvedWorkers(until)
 			l.state.SetFormerIncarnations(l.workersRecord.fenced)
+			l.state.SetFormerLateStarts(l.workersRecord.formerLateStarts(maxLeaseDuration(l.owner.opts.LongestWorkerLease)))
 			inDoubt = until
 			continue
 		}
