--- a/internal/batch/late_starts_test.go
+++ b/internal/batch/late_starts_test.go
@@ -77,3 +77,34 @@
 	r.Ended, r.Incomplete = r.Ended[:2], true
 	is.Equal(s.ackSeq(r, now), int64(2))
 }
+
+// Guards against a task that runs again after its end was acknowledged (TWICE): one run of it ends while another one is being started elsewhere.
+func TestAnEndIsKeptWhileAnotherRunOfItsTaskIsBeingStarted(t *testing.T) {
+	is := is.New(t)
+	s, now := newTestState("a", "b")
+	addJob(s, "j", "q", now, taskStep(1, 1000))
+	start := startActions(planUntilIdle(s, now))[0]
+	s.attemptOn(start.Worker, attemptKey{start.Task, start.Run}).startPending = true // no answer yet
+	other := map[WorkerID]WorkerID{"a": "b", "b": "a"}[start.Worker]
+	r := Report{Incarnation: 1, Clock: 60, Ended: []EndedAttempt{{Seq: 1, Task: start.Task, Run: start.Run + 1, Reason: EndDone}}}
+	is.Equal(s.ApplyReport(other, r, now), int64(0))
+	s.StartAnswered(start.Worker, start.Task, start.Run, AnswerOK, now)
+	is.Equal(s.ApplyReport(other, r, now), int64(1))
+}
+
+// Guards against two runs of a task (TWICE): a restarted worker has reported, but without having seen a token of this owner for its
+// present incarnation, and still carries out late what a former owner has sent.
+func TestLateRunsAreInDoubtUntilAReportWithTheTokenOfTheIncarnation(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	s := New(2, tenSecondLeases)
+	s.SetFormerIncarnations(map[WorkerID]FencedIncarnation{"w1": {Number: 7}})
+	s.SetUnresolvedWorkers(map[WorkerID]time.Time{"w1": now.Add(10 * time.Second)})
+	s.UpdateWorker(WorkerInfo{ID: "w1", Address: "a:1", Incarnation: 8, Capacity: Resources{CPU: 1000, MemoryMB: 1000}}, now)
+	is.True(s.IsRestartedInDoubt("w1"))
+	is.True(s.DoubtLateRuns("w1", LateRuns{Until: now.Add(20 * time.Second)}))
+	for _, unfenced := range []bool{true, false} {
+		s.ApplyReport("w1", Report{Incarnation: 8, Clock: 1000, RequestedAt: now, Unfenced: unfenced}, now)
+		is.Equal(s.isInDoubt(&step{job: &Job{ID: "j"}}, &task{unresolved: true}), unfenced)
+	}
+}
--- a/internal/owner/late_copies_test.go
+++ b/internal/owner/late_copies_test.go
@@ -16,6 +16,13 @@
 	delay time.Duration
 	off   atomic.Bool
 	late  context.Context
+	// reports counts the requests for reports.
+	reports atomic.Int64
+}
+
+func (c *lateCopies) RenewLease(ctx context.Context, req RenewRequest) (batch.Report, batch.Answer) {
+	c.reports.Add(1)
+	return c.rebornWorkers.RenewLease(ctx, req)
 }
 
 func (c *lateCopies) Start(ctx context.Context, req StartRequest) batch.Answer {
@@ -84,8 +91,8 @@
 	}
 }
 
-// Guards against ends that a worker keeps for good, which fill its list, and against ones that are known late meanwhile: it answers each
-// renewal at once.
+// Guards against ends that a worker keeps for good, which fill its list, against ones that are known late meanwhile, and against requests
+// without a pause: the worker answers each at once.
 func TestEndsAreAcknowledgedOnceNoCopyOfAStartCanBeCarriedOut(t *testing.T) {
 	withHarness(t, func(h *harness) {
 		c := &lateCopies{rebornWorkers: newSilentWorkers(h), delay: time.Second, late: h.ctx}
@@ -99,7 +106,11 @@
 		h.is.Equal(h.storedStatus("j"), batch.Completed)
 		h.is.Equal(h.storedStatus("k"), batch.Completed)
 		h.is.True(len(h.workers.workers["w0"].ended) > 0)
-		h.sleep(maxCallDelay)
+		c.reports.Store(0)
+		h.sleep(4 * time.Second)
+		h.is.True(len(h.workers.workers["w0"].ended) > 0)
+		h.is.True(c.reports.Load() <= int64(4*time.Second/lossyPause))
+		h.sleep(maxCallDelay - 4*time.Second)
 		h.is.Equal(len(h.workers.workers["w0"].ended), 0)
 	}, "w0")
 }
