--- a/internal/batch/answers.go
+++ b/internal/batch/answers.go
@@ -7,7 +7,7 @@
 // StartAnswered processes the answer to a start.
 func (s *State) StartAnswered(id WorkerID, task TaskID, run int64, answer Answer, now time.Time) {
 	a := s.attemptOn(id, attemptKey{task, run})
-	s.noteStartOutcome(a, task, run, answer, now)
+	s.noteStartOutcome(a, lateStartKey{id, task}, run, answer, now)
 	if a == nil {
 		return
 	}
--- a/internal/batch/ends.go
+++ b/internal/batch/ends.go
@@ -19,11 +19,11 @@
 	if e.Checkpoint != "" && !t.done && t.noteCheckpoint(e.Checkpoint, e.Run) {
 		s.dirty.add(st.job)
 	}
-	s.lateStarts.noteListed(e.Task, e.Run)
+	s.lateStarts.noteListed(lateStartKey{w.info.ID, e.Task}, e.Run)
 	if a != nil {
 		a.ended = true
 		if a.startPending && !a.unsent {
-			s.lateStarts.note(e.Task, lateStart{run: e.Run, until: now.Add(maxCallDelay), pending: true}, now)
+			s.lateStarts.note(lateStartKey{w.info.ID, e.Task}, lateStart{run: e.Run, until: now.Add(maxCallDelay), pending: true}, now)
 		}
 	}
 	switch e.Reason {
--- a/internal/batch/incarnations.go
+++ b/internal/batch/incarnations.go
@@ -55,6 +55,9 @@
 	Jobs map[string]bool
 }
 
+// contains reports whether tasks of a job may be among them.
+func (l LateRuns) contains(job string) bool { return l.Jobs == nil || l.Jobs[job] }
+
 // DoubtLateRuns lets the tasks wait that a restarted worker may still start for former owners, until this owner reaches it. It reports
 // whether that is news.
 func (s *State) DoubtLateRuns(id WorkerID, late LateRuns) bool {
@@ -74,7 +77,7 @@
 		return true
 	}
 	for _, late := range s.lateRuns {
-		if late.Jobs == nil || late.Jobs[st.job.ID] {
+		if late.contains(st.job.ID) {
 			return true
 		}
 	}
--- a/internal/batch/late_starts.go
+++ b/internal/batch/late_starts.go
@@ -17,35 +17,40 @@
 	pending bool
 }
 
-// lateStarts are the late starts of all tasks.
+// lateStartKey names the worker and the task of a late start.
+type lateStartKey struct {
+	worker WorkerID
+	task   TaskID
+}
+
+// lateStarts are the late starts of all workers.
 type lateStarts struct {
-	byTask map[TaskID][]lateStart
-	// formerByJob is until when starts of former owners may be carried out late, by job, and formerOfAny the same for those of any job.
-	formerByJob map[string]time.Time
-	formerOfAny time.Time
+	byTask map[lateStartKey][]lateStart
+	// former are those that former owners have sent, by worker.
+	former map[WorkerID]LateRuns
 	// prunedAt is when those that are over were last dropped.
 	prunedAt time.Time
 }
 
 // note adds a late start, or replaces what is known of it.
-func (l *lateStarts) note(id TaskID, start lateStart, now time.Time) {
+func (l *lateStarts) note(id lateStartKey, start lateStart, now time.Time) {
 	l.prune(now)
 	l.drop(id, start.run)
 	l.byTask[id] = append(l.byTask[id], start)
 }
 
 // drop removes the late start of a run.
-func (l *lateStarts) drop(id TaskID, run int64) {
+func (l *lateStarts) drop(id lateStartKey, run int64) {
 	l.remove(id, func(s lateStart) bool { return s.run == run })
 }
 
 // noteListed notes that a worker has listed a run, as running or as ended.
-func (l *lateStarts) noteListed(id TaskID, run int64) {
+func (l *lateStarts) noteListed(id lateStartKey, run int64) {
 	l.remove(id, func(s lateStart) bool { return s.run == run && s.single })
 }
 
 // remove removes those of a task's late starts that match.
-func (l *lateStarts) remove(id TaskID, matches func(lateStart) bool) {
+func (l *lateStarts) remove(id lateStartKey, matches func(lateStart) bool) {
 	starts, ok := l.byTask[id]
 	if !ok {
 		return
@@ -58,13 +63,13 @@
 }
 
 // hasEnded reports whether a run has ended before the outcome of its start is known.
-func (l *lateStarts) hasEnded(id TaskID, run int64) bool {
+func (l *lateStarts) hasEnded(id lateStartKey, run int64) bool {
 	return slices.ContainsFunc(l.byTask[id], func(s lateStart) bool { return s.run == run && s.pending })
 }
 
-// of reports whether a copy of a start of the task may still be carried out.
-func (l *lateStarts) of(id TaskID, now time.Time) bool {
-	if !now.After(l.formerOfAny) || !now.After(l.formerByJob[id.Job]) {
+// of reports whether the worker may still carry out a copy of a start of the task.
+func (l *lateStarts) of(id lateStartKey, now time.Time) bool {
+	if former, ok := l.former[id.worker]; ok && former.contains(id.task.Job) && !now.After(former.Until) {
 		return true
 	}
 	return slices.ContainsFunc(l.byTask[id], func(s lateStart) bool { return !now.After(s.until) })
@@ -81,13 +86,11 @@
 	}
 }
 
-// SetFormerLateStarts sets until when workers may carry out starts late that former owners have sent, by job, and for any job.
-func (s *State) SetFormerLateStarts(byJob map[string]time.Time, ofAny time.Time) {
-	s.lateStarts.formerByJob, s.lateStarts.formerOfAny = byJob, ofAny
-}
+// SetFormerLateStarts sets which jobs' starts workers may carry out late that former owners have sent, and until when.
+func (s *State) SetFormerLateStarts(starts map[WorkerID]LateRuns) { s.lateStarts.former = starts }
 
-// noteStartOutcome notes whether a copy of a start may still be carried out, given the outcome of the call that has requested it.
-func (s *State) noteStartOutcome(a *attempt, id TaskID, run int64, answer Answer, now time.Time) {
+// noteStartOutcome notes whether a worker may still carry out a copy of a start, given the outcome of the call that has requested it.
+func (s *State) noteStartOutcome(a *attempt, id lateStartKey, run int64, answer Answer, now time.Time) {
 	ended := s.lateStarts.hasEnded(id, run)
 	switch answer {
 	case AnswerNone, AnswerOKRepeated:
@@ -108,12 +111,12 @@
 const maxHeldEnds = 250
 
 // ackSeq returns the sequence number up to which the ends of a report may be acknowledged, once their changes are stored; 0 if none
-// may be. An end that settles its task is kept while a start of the task may be carried out late: that one would run the task again
-// after an end that counts, while an end that its worker has forgotten by then, or still lists, is no settled one.
-func (s *State) ackSeq(r Report, now time.Time) int64 {
+// may be. An end that settles its task is kept while the next incarnation of the worker may start the task again: it knows nothing of
+// the end, which counts only if it was acknowledged.
+func (s *State) ackSeq(w *worker, r Report, now time.Time) int64 {
 	var last int64
 	for i, e := range r.Ended {
-		if !r.Incomplete && len(r.Ended)-i <= maxHeldEnds && s.mustKeepEnd(e, now) {
+		if !r.Incomplete && len(r.Ended)-i <= maxHeldEnds && s.mustKeepEnd(w, e, now) {
 			break
 		}
 		last = max(last, e.Seq)
@@ -122,7 +125,7 @@
 }
 
 // mustKeepEnd reports whether an end must not be acknowledged yet.
-func (s *State) mustKeepEnd(e EndedAttempt, now time.Time) bool {
+func (s *State) mustKeepEnd(w *worker, e EndedAttempt, now time.Time) bool {
 	if e.Reason != EndDone && e.Reason != EndFailed {
 		return false
 	}
@@ -130,10 +133,10 @@
 	if st != nil && (st.spec.LongRunning || st.spec.Speculative) {
 		return false
 	}
-	return s.lateStarts.of(e.Task, now) || st != nil && st.tasks[e.Task.Index].isBeingStarted()
+	return s.lateStarts.of(lateStartKey{w.info.ID, e.Task}, now) || st != nil && st.tasks[e.Task.Index].isBeingStartedOn(w)
 }
 
-// isBeingStarted reports whether the outcome of the start of an attempt is not known yet.
-func (t *task) isBeingStarted() bool {
-	return slices.ContainsFunc(t.attempts, func(a *attempt) bool { return a.startPending && !a.unsent })
+// isBeingStartedOn reports whether the outcome of the start of an attempt on a worker is not known yet.
+func (t *task) isBeingStartedOn(w *worker) bool {
+	return slices.ContainsFunc(t.attempts, func(a *attempt) bool { return a.worker == w && a.startPending && !a.unsent })
 }
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -38,7 +38,7 @@
 	s.endUnreadable(w, r, now)
 	s.reviewSuspicions(w, r)
 	s.enforceLatencyTargets(w, now)
-	return s.ackSeq(r, now)
+	return s.ackSeq(w, r, now)
 }
 
 // IsListed reports whether the worker's present incarnation has listed an attempt as running.
@@ -60,7 +60,7 @@
 	for _, e := range r.Running {
 		key := attemptKey{e.Task, e.Run}
 		listed[key] = true
-		s.lateStarts.noteListed(e.Task, e.Run)
+		s.lateStarts.noteListed(lateStartKey{w.info.ID, e.Task}, e.Run)
 		if a := w.attempts[key]; a != nil {
 			if !a.listed && !a.restartedAt.IsZero() {
 				s.followAttempt(a)
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -134,7 +134,7 @@
 		unstartedJobs:      map[string]int{},
 		stops:              map[*attempt]bool{},
 		barring:            map[*worker]bool{},
-		lateStarts:         lateStarts{byTask: map[TaskID][]lateStart{}},
+		lateStarts:         lateStarts{byTask: map[lateStartKey][]lateStart{}},
 		suspects:           map[WorkerID]map[taskRef]bool{},
 		repeatSuspects:     map[taskRef]bool{},
 		interferenceModel:  newInterferenceModel(),
--- a/internal/owner/late_copies.go
+++ b/internal/owner/late_copies.go
@@ -86,20 +86,16 @@
 	r.lateRuns[id] = late
 }
 
-// formerLateStarts returns until when workers may carry out starts late that former owners have sent, by job, of which the record tells,
-// and the same for starts of jobs that it does not name. longestLease is how long what they start so may run.
-func (r *workersRecord) formerLateStarts(longestLease time.Duration) (byJob map[string]time.Time, ofAny time.Time) {
-	byJob = map[string]time.Time{}
-	for _, late := range r.lateRuns {
-		until := late.until.Add(-longestLease)
-		if late.jobs == nil && !late.assumed {
-			ofAny = batch.LaterOf(ofAny, until)
-		}
-		for job := range late.jobs {
-			byJob[job] = batch.LaterOf(byJob[job], until)
+// formerLateStarts returns which jobs' starts workers may carry out late, and until when, as far as the record of the former owner tells.
+// longestLease is how long what they start so may run.
+func (r *workersRecord) formerLateStarts(longestLease time.Duration) map[batch.WorkerID]batch.LateRuns {
+	starts := map[batch.WorkerID]batch.LateRuns{}
+	for id, late := range r.lateRuns {
+		if !late.assumed {
+			starts[id] = batch.LateRuns{Until: late.until.Add(-longestLease), Jobs: maps.Clone(late.jobs)}
 		}
 	}
-	return byJob, ofAny
+	return starts
 }
 
 // addLateRuns adds to what a transaction says of a worker.
