--- a/internal/owner/late_copies_test.go
+++ b/internal/owner/late_copies_test.go
@@ -25,6 +25,13 @@
 	return c.rebornWorkers.RenewLease(ctx, req)
 }
 
+// keptEnds returns how many ends w0 keeps.
+func (c *lateCopies) keptEnds() int {
+	c.fakeWorkers.mu.Lock()
+	defer c.fakeWorkers.mu.Unlock()
+	return len(c.workers["w0"].ended)
+}
+
 func (c *lateCopies) Start(ctx context.Context, req StartRequest) batch.Answer {
 	if req.Worker != "w0" || c.off.Load() {
 		return c.rebornWorkers.Start(ctx, req)
@@ -105,12 +112,12 @@
 		h.sleep(2 * time.Second)
 		h.is.Equal(h.storedStatus("j"), batch.Completed)
 		h.is.Equal(h.storedStatus("k"), batch.Completed)
-		h.is.True(len(h.workers.workers["w0"].ended) > 0)
+		h.is.True(c.keptEnds() > 0)
 		c.reports.Store(0)
 		h.sleep(4 * time.Second)
-		h.is.True(len(h.workers.workers["w0"].ended) > 0)
+		h.is.True(c.keptEnds() > 0)
 		h.is.True(c.reports.Load() <= int64(4*time.Second/lossyPause))
 		h.sleep(maxCallDelay - 4*time.Second)
-		h.is.Equal(len(h.workers.workers["w0"].ended), 0)
+		h.is.Equal(c.keptEnds(), 0)
 	}, "w0")
 }
