--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -30,6 +30,9 @@
 	// noticed soon, and reports several ends at once.
 	lossyPause     = 400 * time.Millisecond
 	lossyIdlePause = time.Second
+	// keptEndsPause is the pause between two reports of a worker that keeps ends and runs tasks that end by themselves; it is lossyPause
+	// for others that keep ends.
+	keptEndsPause = 150 * time.Millisecond
 	// renewAnswerTimeout is how much longer than its wait a renewal may take before it is repeated, and lossyAnswerTimeout
 	// replaces it for a worker that is known to lose answers. renewRepeatInterval is the time between two repetitions, and
 	// repeatedRenewalTimeout how long each may take.
@@ -227,8 +230,8 @@
 // restarted.
 func (rn *renewer) renewLease(ctx context.Context) renewal {
 	lossy := time.Now().Before(rn.lossyUntil)
-	if (lossy || rn.params.keepsEnds) && !rn.leaseIsOld {
-		pause.For(ctx, rn.lossyPause())
+	if !rn.leaseIsOld {
+		pause.For(ctx, rn.pauseBefore(lossy))
 	}
 	if !rn.admit(ctx) {
 		return renewal{answer: batch.AnswerNone}
@@ -279,7 +282,21 @@
 	return outcome
 }
 
-// lossyPause returns the pause before the next call to a worker that is known to lose answers or keeps ends. One that has no lease yet
+// pauseBefore returns the pause before the next call. A worker that keeps ends answers at once.
+func (rn *renewer) pauseBefore(lossy bool) time.Duration {
+	switch {
+	case lossy:
+		return rn.lossyPause()
+	case rn.params.keepsEnds && rn.params.maxWait > busyWait:
+		return lossyPause
+	case rn.params.keepsEnds:
+		return keptEndsPause
+	default:
+		return 0
+	}
+}
+
+// lossyPause returns the pause before the next call to a worker that is known to lose answers. One that has no lease yet
 // is asked again soon.
 func (rn *renewer) lossyPause() time.Duration {
 	switch {
