--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -10,8 +10,10 @@
 
 // Job is an accepted job.
 type Job struct {
-	ID       string
-	Queue    string
+	ID    string
+	Queue string
+	// Tenant is the tenant that submitted the job; empty for a job that was submitted without an API key.
+	Tenant   string
 	Accepted time.Time
 	Spec     Spec
 	// QueueConfig is the queue as it was configured when the job was accepted, and ConfigVersion the version of that
--- a/internal/batch/model.go
+++ b/internal/batch/model.go
@@ -28,10 +28,21 @@
 	RequiresTicket bool `cbor:"6,keyasint,omitempty"`
 }
 
+// Tenant is the configuration of a tenant, whose jobs share the workers with those of the others.
+type Tenant struct {
+	// Weight is the tenant's share of the workers, relative to the other weights, while all are full. Weights of 0 or
+	// less count as 1.
+	Weight float64
+	// Cap bounds the resources of the tenant's tasks on all workers together. A resource whose cap is 0 is not bounded.
+	Cap Resources
+}
+
 // Config is one version of the operators' configuration.
 type Config struct {
 	Version int64
 	Queues  map[string]Queue
+	// Tenants are the tenants by name; empty if the deployment has none.
+	Tenants map[string]Tenant
 	// Evacuated data centres get no new tasks.
 	Evacuated map[string]bool
 }
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/geraniumwick/geraniumwick/internal/apikey"
 	"github.com/geraniumwick/geraniumwick/internal/batch"
 	"github.com/geraniumwick/geraniumwick/internal/kv"
 )
@@ -16,12 +17,16 @@
 	Queue  string
 	Host   string
 	Prefix string
+	// Public routes serve callers without an API key.
+	Public bool
 }
 
 // Config is one version of the operators' configuration.
 type Config struct {
 	Batch  batch.Config
 	Routes []Route
+	// Keys are the API keys of the tenants; nil if the deployment has no tenants, which then needs no key on any route.
+	Keys *apikey.Ring
 	// MaxBody bounds the body of a request, in bytes; 0 or less stands for the default.
 	MaxBody int64
 	// Revision is the store's revision as of which it was read, and InForceSince when it was put in force here.
--- a/internal/owner/records.go
+++ b/internal/owner/records.go
@@ -100,6 +100,8 @@
 	QueueConfig batch.Queue `cbor:"5,keyasint"`
 	// ConfigVersion is the version of that configuration; 0 in submissions of earlier versions.
 	ConfigVersion int64 `cbor:"6,keyasint,omitempty"`
+	// Tenant is the tenant that submitted the job; empty if it was submitted without an API key.
+	Tenant string `cbor:"7,keyasint,omitempty"`
 }
 
 var encMode = func() cbor.EncMode {
@@ -170,7 +172,7 @@
 
 // job returns the submitted job.
 func (s *Submission) job(id string) *batch.Job {
-	return &batch.Job{ID: id, Queue: s.Queue, Accepted: s.Accepted, Spec: s.Spec, QueueConfig: s.QueueConfig, ConfigVersion: s.ConfigVersion}
+	return &batch.Job{ID: id, Queue: s.Queue, Tenant: s.Tenant, Accepted: s.Accepted, Spec: s.Spec, QueueConfig: s.QueueConfig, ConfigVersion: s.ConfigVersion}
 }
 
 // parseKey splits the key of a job, cancellation or record into its prefix and the id of the job.
