--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -34,8 +34,8 @@
 	InForceSince time.Time
 }
 
-// Match returns the queue of the route with the longest matching prefix, and the rest of the path.
-func (c *Config) Match(host, path string) (queue, rest string, ok bool) {
+// Match returns the route with the longest matching prefix, and the rest of the path.
+func (c *Config) Match(host, path string) (route Route, rest string, ok bool) {
 	best := -1
 	for i, r := range c.Routes {
 		if r.Host == host && strings.HasPrefix(path, r.Prefix) && (best < 0 || len(r.Prefix) > len(c.Routes[best].Prefix)) {
@@ -43,9 +43,9 @@
 		}
 	}
 	if best < 0 {
-		return "", "", false
+		return Route{}, "", false
 	}
-	return c.Routes[best].Queue, path[len(c.Routes[best].Prefix):], true
+	return c.Routes[best], path[len(c.Routes[best].Prefix):], true
 }
 
 // ConfigDecoder decodes the configuration that the operators write to the store.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -82,7 +82,7 @@
 		defer cancel()
 		startTime := time.Now()
 		config := &Config{Batch: batch.Config{Queues: map[string]batch.Queue{"q": {Service: "s"}}}}
-		result = newInstance(s).Submit(ctx, config, "id", "q", batch.Spec{})
+		result = newInstance(s).Submit(ctx, config, SubmittedJob{ID: "id", Queue: "q"})
 		took = time.Since(startTime)
 	})
 	return result, took
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -37,16 +37,31 @@
 	notifyTimeout = time.Second
 )
 
+// SubmittedJob is a job that a caller submits.
+type SubmittedJob struct {
+	ID    string
+	Queue string
+	// Tenant is the caller's tenant; empty if the route requires no API key.
+	Tenant string
+	Spec   batch.Spec
+}
+
 // Submit stores a job. If a job with this id is stored already, the submission counts as a repetition
 // of it and changes nothing.
-func (i *Instance) Submit(ctx context.Context, config *Config, id, queue string, spec batch.Spec) Result {
-	submission := owner.Submission{Queue: queue, Accepted: time.Now(), Spec: spec, QueueConfig: config.Batch.Queues[queue], ConfigVersion: config.Batch.Version}
-	key := owner.JobKey(id)
+func (i *Instance) Submit(ctx context.Context, config *Config, job SubmittedJob) Result {
+	submission := owner.Submission{
+		Queue: job.Queue, Tenant: job.Tenant, Accepted: time.Now(), Spec: job.Spec,
+		QueueConfig: config.Batch.Queues[job.Queue], ConfigVersion: config.Batch.Version,
+	}
+	key := owner.JobKey(job.ID)
 	result, existed := i.create(ctx, key, owner.EncodeSubmission(submission))
-	i.log.Info().Str("event", "job.submitted").Str("job", id).Str("queue", queue).
-		Int64("version", config.Batch.Version).Bool("existed", existed).Str("result", result.String()).Send()
+	event := i.log.Info().Str("event", "job.submitted").Str("job", job.ID).Str("queue", job.Queue)
+	if job.Tenant != "" {
+		event = event.Str("tenant", job.Tenant)
+	}
+	event.Int64("version", config.Batch.Version).Bool("existed", existed).Str("result", result.String()).Send()
 	if result == Done && !existed {
-		i.notifySubmitted(id, submission)
+		i.notifySubmitted(job.ID, submission)
 	}
 	return result
 }
