--- a/cmd/geraniumwickd/platform.go
+++ b/cmd/geraniumwickd/platform.go
@@ -129,7 +129,8 @@
 			OpenConnections:    connections.Open,
 			ProcessorLag:       func(ctx context.Context) time.Duration { return lag.Measure(ctx, admission.SampleInterval) },
 		},
-		Scope: scope,
+		Scope:           scope,
+		RevocationBound: s.RevocationBound(),
 	}
 	instance := entry.New(options, kv.WithMetrics(store, scope), platform.ConfigDecoder{}, platform.NewWorkerClient(connections, log), platform.Registry{}, log)
 	peers := peer.NewServer(model.InstanceID(s.Name), log)
--- a/internal/entry/config_watcher.go
+++ b/internal/entry/config_watcher.go
@@ -14,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
+	"github.com/geraniumwick/geraniumwick/internal/bootclock"
 	"github.com/geraniumwick/geraniumwick/internal/kv"
 	"github.com/geraniumwick/geraniumwick/internal/logging"
 )
@@ -23,10 +24,18 @@
 	decoder ConfigDecoder
 	log     zerolog.Logger
 	scope   tally.Scope
+	// clock returns the time since the machine was booted.
+	clock func() time.Duration
+	// revocation bounds the age of the keys by which callers are authenticated.
+	revocation revocationLimit
+	// freshness tells how old the configuration in force may be.
+	freshness freshness
 
-	mu sync.Mutex // guards known, readable, unconfirmed and updates of inForce
+	mu sync.Mutex // guards known, outdated, readable, unconfirmed and updates of inForce and freshness
 	// known are all keys as of the newest revision that was read.
 	known content
+	// outdated is set if known holds another document than the one in force.
+	outdated bool
 	// readable holds the items that the last configuration was decoded from.
 	readable   map[string]kv.Item
 	unreadable logging.Repeats
@@ -46,7 +55,7 @@
 	if scope == nil {
 		scope = tally.NoopScope
 	}
-	return &configWatcher{decoder: decoder, scope: scope, log: log}
+	return &configWatcher{decoder: decoder, scope: scope, log: log, clock: bootclock.Now}
 }
 
 // configRetryDelay is the pause after a call that the store refused or that broke off.
@@ -65,6 +74,7 @@
 	return &kv.Watcher{
 		Store: store, Prefix: w.decoder.Prefix(), RetryDelay: configRetryDelay,
 		OnReset: w.reset, OnChange: w.change, OnResult: w.noteResult,
+		OnConfirm: w.confirm, MaxUnconfirmed: w.revocation.maxUnconfirmed(), Clock: w.clock,
 	}
 }
 
@@ -143,14 +153,26 @@
 
 // refresh lists the keys at once, beside the watch.
 func (w *configWatcher) refresh(ctx context.Context, store kv.Store) error {
+	sent := w.clock()
 	items, rev, err := store.List(ctx, w.decoder.Prefix())
 	if err != nil {
 		return err
 	}
 	w.reset(items, rev)
+	w.confirm(kv.Confirmation{Sent: sent, Rev: rev})
 	return nil
 }
 
+// confirm notes that the configuration in force was the newest at some time after a call was sent, unless its content is older than
+// what is known or was not put in force.
+func (w *configWatcher) confirm(c kv.Confirmation) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if c.Rev >= w.known.rev && !w.outdated {
+		w.freshness.confirm(c.Sent)
+	}
+}
+
 // change applies changes of single keys up to a revision of the store.
 func (w *configWatcher) change(events []kv.Event, rev int64) {
 	w.mu.Lock()
@@ -186,7 +208,7 @@
 	}
 	d, err := w.decode(c.items)
 	if err != nil {
-		w.known = c
+		w.known, w.outdated = c, true
 		w.log.Error().Str("event", "config.unreadable").Err(err).Send()
 		return
 	}
@@ -195,10 +217,10 @@
 		w.logOlder(c, d.config)
 		return
 	}
-	w.known, w.readable = c, d.readable
+	w.known, w.readable, w.outdated = c, d.readable, !sameItems(c.items, d.readable)
 	if inForce != nil && (d.config == nil || d.config.Batch.Version < version) {
 		w.logOlder(c, d.config)
-		d.config = inForce
+		d.config, w.outdated = inForce, true
 	}
 	if d.config != nil {
 		w.putInForce(c, *d.config, d.evacuated)
@@ -213,6 +235,9 @@
 // putInForce puts a document and the evacuations that were read with it in force.
 func (w *configWatcher) putInForce(c content, config Config, evacuated map[string]bool) {
 	config.Batch.Evacuated, config.Revision, config.InForceSince = evacuated, c.rev, time.Now()
+	if former := w.inForce.Load(); former != nil && config.Keys != nil {
+		config.Keys.Replace(former.Keys)
+	}
 	w.inForce.Store(&config)
 	w.scope.Gauge("config_version").Update(float64(config.Batch.Version))
 	w.scope.Gauge("config_revision").Update(float64(c.rev))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -28,6 +28,7 @@
 	claim   func() *owner.Claim
 	peers   peerCaller
 	watcher *configWatcher
+	denials *denials
 	log     zerolog.Logger
 
 	// draining is set once a planned stop has begun.
@@ -50,11 +51,18 @@
 	Owner owner.Options
 	// Scope receives the metrics.
 	Scope tally.Scope
+	// RevocationBound is the time after which no call with a revoked API key may be served any more, whether the store can be
+	// reached or not; 0 if there is no such bound.
+	RevocationBound time.Duration
 }
 
 // New returns an instance that does nothing until Run.
 func New(opts Options, store kv.Store, decoder ConfigDecoder, workers owner.WorkerClient, registry owner.Registry, log zerolog.Logger) *Instance {
 	watcher := newConfigWatcher(decoder, opts.Scope, log)
+	watcher.revocation = newRevocationLimit(opts.RevocationBound)
+	if opts.Owner.BootClock != nil {
+		watcher.clock = opts.Owner.BootClock
+	}
 	opts.Owner.Instance, opts.Owner.Address, opts.Owner.Scope = opts.Name, opts.PeerAddress, opts.Scope
 	peers := peer.NewPool(model.InstanceID(opts.Name))
 	opts.Owner.AskToYield = func(ctx context.Context, c owner.Claim) error {
@@ -70,6 +78,7 @@
 		owner:   owner.New(opts.Owner, store, workers, registry, watcher.batchConfig, log),
 		peers:   peers,
 		watcher: watcher,
+		denials: newDenials(opts.Scope, log),
 		log:     log,
 	}
 	i.claim = i.owner.Claim
@@ -91,9 +100,10 @@
 func (i *Instance) Unconfirmed() time.Duration { return i.watcher.sinceContact() }
 
 // Ready reports whether the instance should get new requests: it has a configuration, has recently
-// been in contact with the store, and is not being stopped.
+// been in contact with the store, may accept API keys if there are any, and is not being stopped.
 func (i *Instance) Ready() bool {
-	if i.draining.Load() || i.Config() == nil {
+	config := i.Config()
+	if i.draining.Load() || config == nil || config.Keys != nil && !i.watcher.acceptsKeys() {
 		return false
 	}
 	return i.watcher.sinceContact() < maxContactAge
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -156,7 +156,7 @@
 		defer cancel()
 		_, result := newInstance(&fakeStore{getErr: kv.ErrUnavailable}).JobStatus(ctx, "id")
 		is.Equal(result, NotRun)
-		is.Equal(newInstance(&fakeStore{getErr: kv.ErrUnavailable}).Cancel(ctx, "id"), NotRun)
+		is.Equal(newInstance(&fakeStore{getErr: kv.ErrUnavailable}).Cancel(ctx, "id", ""), NotRun)
 	})
 }
 
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -24,6 +24,8 @@
 	NotRun
 	// Unknown says that the request may have taken effect, or may still do so.
 	Unknown
+	// Forbidden says that the request took no effect and never will, since the job belongs to another tenant.
+	Forbidden
 )
 
 const (
@@ -68,17 +70,21 @@
 
 // String returns the name used in logs.
 func (r Result) String() string {
-	return [...]string{"done", "missing", "not-run", "unknown"}[r]
+	return [...]string{"done", "missing", "not-run", "unknown", "forbidden"}[r]
 }
 
-// Cancel stores a request to cancel a job; the owner carries it out.
-func (i *Instance) Cancel(ctx context.Context, id string) Result {
-	found, err := i.exists(ctx, owner.JobKey(id))
+// Cancel stores a request of a tenant, which is empty for a caller without an API key, to cancel a job; the owner carries it out.
+func (i *Instance) Cancel(ctx context.Context, id, tenant string) Result {
+	submission, err := i.get(ctx, owner.JobKey(id))
+	if errors.Is(err, kv.ErrNotFound) {
+		return NotFound
+	}
 	if err != nil {
 		return NotRun
 	}
-	if !found {
-		return NotFound
+	if !i.mayCancel(submission.Value, tenant) {
+		i.log.Info().Str("event", "job.cancel").Str("job", id).Str("tenant", tenant).Str("result", Forbidden.String()).Send()
+		return Forbidden
 	}
 	key := owner.CancelKey(id)
 	result, _ := i.create(ctx, key, []byte{})
@@ -89,6 +95,17 @@
 	return result
 }
 
+// mayCancel reports whether a tenant may cancel the job of an encoded submission: if it submitted the job, if nobody did by an API
+// key, or if the tenant that did is gone, as after a tenant was renamed.
+func (i *Instance) mayCancel(submission []byte, tenant string) bool {
+	submitter, err := owner.SubmittedTenant(submission)
+	if err != nil || submitter == "" || submitter == tenant {
+		return true
+	}
+	_, exists := i.watcher.batchConfig().Tenants[submitter]
+	return !exists
+}
+
 // exists reports whether the store has a key. It retries until ctx ends.
 func (i *Instance) exists(ctx context.Context, key string) (bool, error) {
 	_, err := i.get(ctx, key)
--- a/internal/kv/watcher.go
+++ b/internal/kv/watcher.go
@@ -30,6 +30,23 @@
 	OnChange func(events []Event, rev int64)
 	// OnResult, if set, receives the outcome of each call, before OnReset or OnChange receives its content.
 	OnResult func(WatcherResult)
+	// OnConfirm, if set, is called after each call that shows that all changes have been delivered.
+	OnConfirm func(Confirmation)
+	// MaxUnconfirmed is the time without a Confirmation after which the keys are listed in place of the next watch; 0 for no
+	// limit. Clock must be set with it.
+	MaxUnconfirmed time.Duration
+	// Clock returns the time at which calls are sent. It is read only if OnConfirm is set.
+	Clock func() time.Duration
+
+	confirmedAt time.Duration
+}
+
+// Confirmation says that OnReset and OnChange have received all changes that the store had executed at some time after Sent.
+type Confirmation struct {
+	// Sent is when the call that shows it was sent. When the store executed the call is not known.
+	Sent time.Duration
+	// Rev is the store's revision then.
+	Rev int64
 }
 
 // WatcherResult is the outcome of a call of a Watcher.
@@ -44,7 +61,7 @@
 // has; if after is 0, it lists the keys itself first.
 func (w *Watcher) Run(ctx context.Context, after int64) {
 	for ctx.Err() == nil {
-		if after == 0 {
+		if after == 0 || w.unconfirmedTooLong() {
 			after = w.list(ctx)
 			continue
 		}
@@ -53,6 +70,7 @@
 }
 
 func (w *Watcher) list(ctx context.Context) int64 {
+	sent := w.now()
 	items, rev, err := w.Store.List(ctx, w.Prefix)
 	w.reportResult(ctx, WatcherResult{Listing: true, Err: err})
 	if err != nil {
@@ -60,12 +78,14 @@
 		return 0
 	}
 	w.OnReset(items, rev)
+	w.confirm(Confirmation{Sent: sent, Rev: rev})
 	return rev
 }
 
 // watch returns the revision to continue from; 0 requires a new listing. A failed watch is not repeated: a store that
 // answers reads may leave watches without an answer, or refuse the revision only when the next one ends.
 func (w *Watcher) watch(ctx context.Context, after int64) int64 {
+	sent := w.now()
 	events, rev, err := w.Store.Watch(ctx, w.Prefix, after, WatchTimeout)
 	w.reportResult(ctx, WatcherResult{After: after, Err: err})
 	if err != nil {
@@ -73,8 +93,12 @@
 		return 0
 	}
 	if len(events) == 0 {
+		if rev >= after {
+			w.confirm(Confirmation{Sent: sent, Rev: rev})
+		}
 		return max(after, rev)
 	}
+	// Changes don't confirm: the response may hold only the first of many.
 	w.OnChange(events, rev)
 	if len(events) < largeBatch {
 		pause.For(ctx, w.WatchInterval)
@@ -95,3 +119,24 @@
 		w.OnResult(r)
 	}
 }
+
+// now returns the time; 0 if nobody needs it.
+func (w *Watcher) now() time.Duration {
+	if w.OnConfirm == nil {
+		return 0
+	}
+	return w.Clock()
+}
+
+func (w *Watcher) confirm(c Confirmation) {
+	if w.OnConfirm == nil {
+		return
+	}
+	w.confirmedAt = c.Sent
+	w.OnConfirm(c)
+}
+
+// unconfirmedTooLong reports whether the last Confirmation is older than MaxUnconfirmed.
+func (w *Watcher) unconfirmedTooLong() bool {
+	return w.MaxUnconfirmed > 0 && w.now()-w.confirmedAt > w.MaxUnconfirmed
+}
--- a/internal/kv/watcher_test.go
+++ b/internal/kv/watcher_test.go
@@ -107,6 +107,49 @@
 	})
 }
 
+// slowStore answers each call of a scriptedStore after a time.
+type slowStore struct {
+	*scriptedStore
+	latency time.Duration
+}
+
+func (s slowStore) List(ctx context.Context, prefix string) ([]Item, int64, error) {
+	defer time.Sleep(s.latency)
+	return s.scriptedStore.List(ctx, prefix)
+}
+
+func (s slowStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Event, int64, error) {
+	defer time.Sleep(s.latency)
+	return s.scriptedStore.Watch(ctx, prefix, after, wait)
+}
+
+// Guards against content that is taken as newer than it is: a call proves what the store held after it was sent, not when it is
+// answered. Changes prove nothing, as more of them may wait, nor does an answer of an earlier revision.
+func TestWhatConfirmsTheContent(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		const latency = 3 * time.Second
+		store := &scriptedStore{watches: []watchResult{
+			{rev: 10}, // sent after 3 s
+			{events: []Event{{Item: Item{Key: "p/b", Rev: 12}}}, rev: 12},
+			{rev: 11},
+			{rev: 15}, // sent after 12 s
+			{err: ErrUnavailable},
+		}}
+		var got []Confirmation
+		startTime := time.Now()
+		w := &Watcher{
+			Store: slowStore{store, latency}, Prefix: "p/", OnReset: func([]Item, int64) {}, OnChange: func([]Event, int64) {},
+			OnConfirm: func(c Confirmation) { got = append(got, c) },
+			Clock:     func() time.Duration { return time.Since(startTime) },
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		w.Run(ctx, 0)
+		is.Equal(got, []Confirmation{{0, 10}, {latency, 10}, {4 * latency, 15}, {6 * latency, 20}})
+	})
+}
+
 func TestMeteredCountsByResult(t *testing.T) {
 	is := is.New(t)
 	scope := tally.NewTestScope("", nil)
--- a/internal/owner/records.go
+++ b/internal/owner/records.go
@@ -147,6 +147,15 @@
 // EncodeSubmission returns the value to store under a job's key.
 func EncodeSubmission(s Submission) []byte { return encode(s) }
 
+// SubmittedTenant returns the tenant that submitted the job of an encoded Submission.
+func SubmittedTenant(b []byte) (string, error) {
+	var s struct {
+		Tenant string `cbor:"7,keyasint"`
+	}
+	err := cbor.Unmarshal(b, &s)
+	return s.Tenant, errors.Annotate(err, "tenant of a submission")
+}
+
 // DecodeRecord decodes the progress record of a job.
 func DecodeRecord(b []byte) (batch.Record, error) {
 	var r batch.Record
