--- a/internal/entry/access_test.go
+++ b/internal/entry/access_test.go
@@ -7,6 +7,9 @@
 	"github.com/matryer/is"
 
 	"github.com/geraniumwick/geraniumwick/internal/apikey"
+	"github.com/geraniumwick/geraniumwick/internal/batch"
+	"github.com/geraniumwick/geraniumwick/internal/kv"
+	"github.com/geraniumwick/geraniumwick/internal/owner"
 )
 
 // keysOf returns a ring with the keys of one tenant.
@@ -78,3 +81,29 @@
 	f.confirm(9 * time.Second) // a read that was sent before and answered after
 	is.Equal(f.age(12*time.Second), 2*time.Second)
 }
+
+// Guards against a job that another tenant cancels, also by a public route, and against one that nobody can cancel any more since
+// its tenant was renamed.
+func TestOnlyTheTenantOfAJobCancelsIt(t *testing.T) {
+	for name, c := range map[string]struct {
+		submitter, caller string
+		want              Result
+	}{
+		"the same tenant":            {"acme", "acme", Done},
+		"another tenant":             {"acme", "other", Forbidden},
+		"a public route":             {"acme", "", Forbidden},
+		"a job of a public route":    {"", "", Done},
+		"a job from before the keys": {"", "acme", Done},
+		"a tenant that is gone":      {"gone", "acme", Done},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			stored := owner.EncodeSubmission(owner.Submission{Queue: "q", Tenant: c.submitter})
+			s := &fakeStore{items: map[string]kv.Item{owner.JobKey("id"): {Value: stored}}}
+			i := newInstance(s)
+			i.watcher.inForce.Store(&Config{Batch: batch.Config{Tenants: map[string]batch.Tenant{"acme": {}, "other": {}}}})
+			is.Equal(i.Cancel(t.Context(), "id", c.caller), c.want)
+			is.Equal(s.calls > 0, c.want == Done)
+		})
+	}
+}
