--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -24,6 +24,8 @@
 	NotRun
 	// Unknown says that the request may have taken effect, or may still do so.
 	Unknown
+	// Forbidden says that the request took no effect and never will, since the job belongs to another tenant.
+	Forbidden
 )
 
 const (
@@ -37,33 +39,52 @@
 	notifyTimeout = time.Second
 )
 
+// SubmittedJob is a job that a caller submits.
+type SubmittedJob struct {
+	ID    string
+	Queue string
+	// Tenant is the caller's tenant; empty if the route requires no API key.
+	Tenant string
+	Spec   batch.Spec
+}
+
 // Submit stores a job. If a job with this id is stored already, the submission counts as a repetition
 // of it and changes nothing.
-func (i *Instance) Submit(ctx context.Context, config *Config, id, queue string, spec batch.Spec) Result {
-	submission := owner.Submission{Queue: queue, Accepted: time.Now(), Spec: spec, QueueConfig: config.Batch.Queues[queue], ConfigVersion: config.Batch.Version}
-	key := owner.JobKey(id)
+func (i *Instance) Submit(ctx context.Context, config *Config, job SubmittedJob) Result {
+	submission := owner.Submission{
+		Queue: job.Queue, Tenant: job.Tenant, Accepted: time.Now(), Spec: job.Spec,
+		QueueConfig: config.Batch.Queues[job.Queue], ConfigVersion: config.Batch.Version,
+	}
+	key := owner.JobKey(job.ID)
 	result, existed := i.create(ctx, key, owner.EncodeSubmission(submission))
-	i.log.Info().Str("event", "job.submitted").Str("job", id).Str("queue", queue).
-		Int64("version", config.Batch.Version).Bool("existed", existed).Str("result", result.String()).Send()
+	event := i.log.Info().Str("event", "job.submitted").Str("job", job.ID).Str("queue", job.Queue)
+	if job.Tenant != "" {
+		event = event.Str("tenant", job.Tenant)
+	}
+	event.Int64("version", config.Batch.Version).Bool("existed", existed).Str("result", result.String()).Send()
 	if result == Done && !existed {
-		i.notifySubmitted(id, submission)
+		i.notifySubmitted(job.ID, submission)
 	}
 	return result
 }
 
 // String returns the name used in logs.
 func (r Result) String() string {
-	return [...]string{"done", "missing", "not-run", "unknown"}[r]
+	return [...]string{"done", "missing", "not-run", "unknown", "forbidden"}[r]
 }
 
-// Cancel stores a request to cancel a job; the owner carries it out.
-func (i *Instance) Cancel(ctx context.Context, id string) Result {
-	found, err := i.exists(ctx, owner.JobKey(id))
+// Cancel stores a request of a tenant, which is empty for a caller without an API key, to cancel a job; the owner carries it out.
+func (i *Instance) Cancel(ctx context.Context, id, tenant string) Result {
+	submission, err := i.get(ctx, owner.JobKey(id))
+	if errors.Is(err, kv.ErrNotFound) {
+		return NotFound
+	}
 	if err != nil {
 		return NotRun
 	}
-	if !found {
-		return NotFound
+	if !i.mayCancel(submission.Value, tenant) {
+		i.log.Info().Str("event", "job.cancel").Str("job", id).Str("tenant", tenant).Str("result", Forbidden.String()).Send()
+		return Forbidden
 	}
 	key := owner.CancelKey(id)
 	result, _ := i.create(ctx, key, []byte{})
@@ -74,6 +95,17 @@
 	return result
 }
 
+// mayCancel reports whether a tenant may cancel the job of an encoded submission: if it submitted the job, if nobody did by an API
+// key, or if the tenant that did is gone, as after a tenant was renamed.
+func (i *Instance) mayCancel(submission []byte, tenant string) bool {
+	submitter, err := owner.SubmittedTenant(submission)
+	if err != nil || submitter == "" || submitter == tenant {
+		return true
+	}
+	_, exists := i.watcher.batchConfig().Tenants[submitter]
+	return !exists
+}
+
 // exists reports whether the store has a key. It retries until ctx ends.
 func (i *Instance) exists(ctx context.Context, key string) (bool, error) {
 	_, err := i.get(ctx, key)
