--- a/internal/batch/ends.go
+++ b/internal/batch/ends.go
@@ -67,6 +67,7 @@
 		st.waiting--
 	}
 	t.done = true
+	st.settleTask(t)
 	s.clearTask(r)
 	st.remainingTasks--
 	s.dirty.add(st.job)
@@ -116,6 +117,7 @@
 func (s *State) remove(a *attempt, now time.Time) {
 	t := a.task()
 	a.worker.detach(a)
+	a.removeUse()
 	if a.step.spec.BestEffort && a.cpuLimit > 0 {
 		a.worker.bestEffortEndedAt = now
 	}
--- a/internal/batch/fresh_steps.go
+++ b/internal/batch/fresh_steps.go
@@ -30,6 +30,7 @@
 		return nil
 	}
 	s.startsLeft = s.maxStarts
+	s.noteDoubtfulCapacity()
 	steps := s.freshInOrder(now)
 	clear(s.fresh)
 	steps = slices.DeleteFunc(steps, func(e openStepEntry) bool { return !e.step.isOpen || s.leftOut.goesBefore(e) })
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/quota"
 )
 
 // runsPerEpoch is the distance between the first run numbers of two successive epochs. It lets each
@@ -21,6 +23,7 @@
 	QueueConfig   Queue
 	ConfigVersion int64
 
+	account        *quota.Account // of its tenant; nil if it has none
 	outcome        JobStatus
 	durableOutcome JobStatus // the outcome that the store holds
 	started        bool      // a worker has started a task, under any owner
@@ -99,8 +102,10 @@
 	// unresolved is set if a former owner may have started the task on one of the unresolvedWorkers.
 	// The task waits until none of these is left, or until a worker reports it.
 	unresolved bool
-	attempts   []*attempt
-	failed     []int64 // runs that ended failed; empty for a long-running task
+	// doubted is set while the task counts among what its tenant may be using under a former owner.
+	doubted  bool
+	attempts []*attempt
+	failed   []int64 // runs that ended failed; empty for a long-running task
 	// recordedFailures is how many of failed, from the first on, the store holds.
 	recordedFailures int
 	// startableSince is since when the task could run but for the owner's reasons, and heldSince when heldBy last
--- a/internal/batch/lifecycle.go
+++ b/internal/batch/lifecycle.go
@@ -12,8 +12,10 @@
 	}
 	s.jobs[j.ID] = j
 	j.changedAt = now
+	s.openAccount(j)
 	if r != nil && r.Status.Terminal() {
 		j.outcome, j.durableOutcome, j.started = r.Status, r.Status, true
+		j.doubtEndedJob()
 		return
 	}
 	j.expand()
@@ -55,6 +57,7 @@
 		for i := range st.tasks {
 			if !st.tasks[i].done {
 				st.tasks[i].unresolved = true
+				st.doubtTask(&st.tasks[i])
 			}
 		}
 	}
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -31,6 +31,7 @@
 	}
 	s.lastPlan = now
 	s.evaluations, s.fullSearches = 0, 0
+	s.noteDoubtfulCapacity()
 	s.openDue(now)
 	s.failHopeless(now)
 	s.place(now)
@@ -116,6 +117,10 @@
 			s.leftOut = append(s.leftOut, entry)
 			continue
 		}
+		if r := s.quotaWait(entry.step, entry.step.placedTogether()); r != notHeld {
+			s.holdStep(entry.step, 0, r, now)
+			continue
+		}
 		resorts := s.resortsFor(entry.step, lastResorts, littleUsed)
 		hasLastResort := len(resorts) > 0
 		maySuitGang := entry.step.spec.Gang && runSuspects(workers)
@@ -222,6 +227,10 @@
 			s.holdStep(st, i, heldBySendRate, now)
 			return true
 		}
+		if r := s.quotaWait(st, 1); r != notHeld {
+			s.holdStep(st, i, r, now)
+			return true
+		}
 		w := ranking.choose(t)
 		if w == nil && s.mayUseLastResort(st, workers, lastResorts) {
 			w = s.choose(st, t, lastResorts, now)
@@ -329,6 +338,10 @@
 		s.holdBackGang(st, member, r, now)
 		return
 	}
+	if r := s.quotaWait(st, len(st.tasks)); r != notHeld {
+		s.holdStep(st, 0, r, now)
+		return
+	}
 	if !st.startRecordDurable {
 		s.requestStartRecord(st)
 		s.holdStep(st, 0, heldByStartRecord, now)
@@ -376,6 +389,7 @@
 	for _, a := range placed {
 		t := a.task()
 		a.worker.detach(a)
+		a.removeUse()
 		st.job.attempts--
 		t.attempts = nil
 		st.waiting++
--- a/internal/batch/recorded_start.go
+++ b/internal/batch/recorded_start.go
@@ -78,6 +78,9 @@
 	if s.queueOf(a.step.job).RequiresTicket && !a.step.advice.hasTicket(w, now) {
 		return false
 	}
+	if !s.keepsQuota(a.step) {
+		return false // the cap has been lowered meanwhile
+	}
 	if !slices.Contains(a.task().suspicions, a.recorded) {
 		return false // the task has proven itself meanwhile
 	}
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -166,6 +166,7 @@
 	t := &st.tasks[e.Task.Index]
 	t.lastRun = max(t.lastRun, e.Run)
 	t.unresolved = false
+	st.settleTask(t)
 	needed := len(t.attempts) == 0 && !t.done
 	a := &attempt{step: st, index: e.Task.Index, run: e.Run, worker: w, reserved: st.reserved, requestedAt: now, cpuLimit: fullPercent}
 	if st.spec.BestEffort {
@@ -220,6 +221,7 @@
 	}
 	t.attempts = append(t.attempts, a)
 	a.worker.attach(a)
+	a.addUse()
 	a.step.job.attempts++
 }
 
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/quota"
 )
 
 // State is what the owner of the batch jobs knows of jobs and workers, with all decisions on them.
@@ -52,6 +54,10 @@
 	// formerWorkers holds the workers that a former owner may have known, and those that this one has forgotten.
 	formerWorkers map[WorkerID]bool
 
+	// tenants holds what each tenant uses, and doubtfulCapacity how much the unresolvedWorkers can hold.
+	tenants          *quota.Book
+	doubtfulCapacity quota.Amount
+
 	dirty changedJobs
 	// urgentJobs holds the jobs with steps whose start waits for a durable record.
 	urgentJobs    map[*Job]bool
@@ -125,6 +131,7 @@
 		unresolvedWorkers:  map[WorkerID]time.Time{},
 		formerIncarnations: map[WorkerID]FencedIncarnation{},
 		formerWorkers:      map[WorkerID]bool{},
+		tenants:            quota.NewBook(),
 		dirty:              newChangedJobs(),
 		urgentJobs:         map[*Job]bool{},
 		unstartedJobs:      map[string]int{},
--- a/internal/batch/state_test.go
+++ b/internal/batch/state_test.go
@@ -67,7 +67,7 @@
 	next.SetUnresolvedWorkers(until)
 	for id, j := range s.jobs {
 		r := records[id]
-		next.AddJob(&Job{ID: id, Queue: j.Queue, QueueConfig: j.QueueConfig, Accepted: j.Accepted, Spec: j.Spec}, &r, true, now)
+		next.AddJob(&Job{ID: id, Queue: j.Queue, Tenant: j.Tenant, QueueConfig: j.QueueConfig, Accepted: j.Accepted, Spec: j.Spec}, &r, true, now)
 	}
 	for _, w := range s.workers {
 		next.NoteFormerWorker(w.info.ID)
--- a/internal/batch/wait_reasons_test.go
+++ b/internal/batch/wait_reasons_test.go
@@ -219,6 +219,18 @@
 		s.Plan(now)
 		return held(s, now, "j", 2)
 	},
+	heldByCap: func(*testing.T) heldTask {
+		s, now := newTenantState(Resources{CPU: 1500}, "a")
+		addTenantJob(s, "j", now, taskStep(1, 2000))
+		planUntilIdle(s, now)
+		return held(s, now, "j", 0)
+	},
+	heldByQuota: func(*testing.T) heldTask {
+		s, now := newTenantState(Resources{CPU: 1500}, "a")
+		addTenantJob(s, "j", now, taskStep(2, 1000))
+		planUntilIdle(s, now)
+		return held(s, now, "j", 1)
+	},
 	heldByGang: func(*testing.T) heldTask {
 		s, now := newTestState("a")
 		gang := taskStep(2, 3000)
@@ -382,6 +394,8 @@
 		return "its failed runs do not hold it back"
 	case (reason == heldByIsolation || reason == heldByWorseSuspect) && !t.suspected():
 		return "it is not suspected"
+	case (reason == heldByQuota || reason == heldByCap) && s.quotaWait(st, st.placedTogether()) != reason:
+		return "the quota of its tenant does not hold it back"
 	case reason == heldByReserve && (!st.spec.LongRunning || t.lastRun > 0):
 		return "it is not new and long-running"
 	default:
--- a/internal/batch/waits.go
+++ b/internal/batch/waits.go
@@ -23,6 +23,9 @@
 	heldByNewPlan                         // its start was decided, but cannot be sent any more
 	heldBySendRate                        // as many starts are decided as can be sent while they are valid
 
+	heldByCap   // it, or its gang, needs more than the cap of its tenant
+	heldByQuota // its tenant's attempts leave too little of the cap
+
 	heldByWorseSuspect   // a task of the step that is suspected no more often has found no worker
 	heldByReserve        // new long-running tasks leave room to short ones
 	heldByNoWorker       // no worker of its service may get tasks
@@ -59,6 +62,8 @@
 		heldByOwnRecord:      "the record of its start is not stored yet",
 		heldByNewPlan:        "its start was decided, but could not be sent any more",
 		heldBySendRate:       "as many starts are decided as can be sent while they are valid",
+		heldByCap:            "it, or its gang, needs more than its tenant's cap",
+		heldByQuota:          "its tenant has too little left of its cap",
 		heldByWorseSuspect:   "a task of its step that is suspected no more often found no worker",
 		heldByReserve:        waitsForReserve,
 		heldByNoWorker:       "no worker of its service may get tasks",
@@ -75,6 +80,7 @@
 	waitReasonNames = [waitReasons]string{
 		notHeld: "new", heldByStartRecord: "start-record", heldByPause: "pause", heldByFormerOwner: "former-owner",
 		heldByFailureRecord: "failure-record", heldByFormerEnds: "former-ends", heldByConfig: "config", heldByOwnRecord: "own-record", heldByNewPlan: "new-plan", heldBySendRate: "send-rate",
+		heldByCap: "cap", heldByQuota: "quota",
 		heldByWorseSuspect: "worse-suspect", heldByReserve: "reserve", heldByNoWorker: "no-worker", heldByRoom: "room",
 		heldByLikeStep: "like-step", heldByWithheldRoom: "withheld-room", heldByInterference: "interference", heldByIsolation: "isolation", heldByAdviser: "adviser", heldByQuestions: "questions",
 		heldByRefusedTickets: "refused-tickets", heldByGang: "gang",
@@ -326,6 +332,9 @@
 	if reason.describesRoom() {
 		e.Inputs = s.describeWorkers(s.queueOf(st.job).Service) + "; " + s.describeRoom(st, r.task(), now)
 	}
+	if reason == heldByCap || reason == heldByQuota {
+		e.Inputs = s.describeQuota(st, st.placedTogether())
+	}
 	s.event(e)
 	return true
 }
--- /dev/null
+++ b/internal/quota/account.go
@@ -0,0 +1,53 @@
+package quota
+
+// Account holds what one tenant uses of all workers together. The zero value is an account without use.
+type Account struct {
+	// Used is the sum of its attempts that run or may run.
+	Used Amount
+	// doubtful is the sum of its tasks that a former owner may have started, and of which nothing is known yet.
+	doubtful Amount
+}
+
+// Add adds an attempt that may run from now on.
+func (a *Account) Add(need Amount) { a.Used = a.Used.Plus(need) }
+
+// Remove removes an attempt that certainly does not run any more.
+func (a *Account) Remove(need Amount) { a.Used = a.Used.Minus(need) }
+
+// AddDoubt adds tasks that a former owner may have started.
+func (a *Account) AddDoubt(need Amount) { a.doubtful = a.doubtful.Plus(need) }
+
+// RemoveDoubt removes tasks of which it is known now whether they run.
+func (a *Account) RemoveDoubt(need Amount) { a.doubtful = a.doubtful.Minus(need) }
+
+// Bound returns the most that the tenant may use now: its attempts, and of its doubtful tasks no more than fits on the
+// workers on which these may run.
+func (a *Account) Bound(doubtfulCapacity Amount) Amount {
+	return a.Used.Plus(a.doubtful.Min(doubtfulCapacity))
+}
+
+// Book holds the accounts of all tenants.
+type Book struct {
+	accounts map[string]*Account
+}
+
+// NewBook returns a book without accounts.
+func NewBook() *Book { return &Book{accounts: map[string]*Account{}} }
+
+// Account returns the account of a tenant, which it opens if there is none.
+func (b *Book) Account(tenant string) *Account {
+	a := b.accounts[tenant]
+	if a == nil {
+		a = &Account{}
+		b.accounts[tenant] = a
+	}
+	return a
+}
+
+// Used returns what a tenant uses, without what is in doubt.
+func (b *Book) Used(tenant string) Amount {
+	if a := b.accounts[tenant]; a != nil {
+		return a.Used
+	}
+	return Amount{}
+}
--- a/internal/schedule/fair.go
+++ b/internal/schedule/fair.go
@@ -4,6 +4,7 @@
 	"container/heap"
 
 	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/quota"
 )
 
 // teamQueue holds the waiting jobs of one team with one priority in order of submission.
@@ -64,20 +65,15 @@
 	return teams
 }
 
-// dominantShare returns the largest share of the schedulable capacity that the team uses in any
-// dimension, divided by the weight of the team (dominant resource fairness).
+// dominantShare returns the weighted dominant share of the schedulable capacity that the team uses.
 func (r *round) dominantShare(team model.Team) float64 {
-	use := r.teamUse[team]
-	share := max(
-		ratio(use.MilliCPU, r.capacity.MilliCPU),
-		ratio(use.MemoryMB, r.capacity.MemoryMB),
-		ratio(use.Accelerators, r.capacity.Accelerators),
-	)
 	weight := r.snapshot.Document.Teams[team].Quota.Share
-	if weight <= 0 {
-		weight = 1
-	}
-	return share / weight
+	return quota.DominantShare(quotaAmount(r.teamUse[team]), quotaAmount(r.capacity), weight)
+}
+
+// quotaAmount returns resources as an amount of package quota.
+func quotaAmount(r model.Resources) quota.Amount {
+	return quota.Amount{CPU: r.MilliCPU, MemoryMB: r.MemoryMB, GPU: r.Accelerators}
 }
 
 // ratio returns part / whole, and 0 if the whole is 0.
