--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -28,11 +28,12 @@
 	losses := flag.Int("losses", 1, "how many times almost all workers are lost at once, twice in succession, after the faults")
 	lostAnswers := flag.Bool("lost-answers", true, "workers lose up to half of the answers in long stretches, also after the faults")
 	fillerTail := flag.Int64("filler-tail", 0, "by how many percent of its target a filler raises the tail latency of the tasks beside it")
+	keys := flag.Bool("keys", false, "callers need API keys, which are added and revoked all the time")
 	dir := flag.String("dir", "", "directory for binaries, settings and logs; a temporary one if empty")
 	flag.Parse()
 	o := soak.Options{
 		Seed: *seed, Instances: *instances, Workers: *workers, Callers: *callers, Duration: *duration,
-		Series: *series, Restarts: *restarts, Losses: *losses, LostAnswers: *lostAnswers, FillerTail: *fillerTail,
+		Series: *series, Restarts: *restarts, Losses: *losses, LostAnswers: *lostAnswers, FillerTail: *fillerTail, Keys: *keys,
 	}
 	if err := run(o, *seeds, *dir); err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
@@ -65,6 +66,9 @@
 			return err
 		}
 		fmt.Printf("seed %d: %d jobs, %d starts, %d faults, %d violations\n", r.Seed, r.Accepted, r.Starts, len(r.Faults), len(r.Violations))
+		if o.Keys {
+			fmt.Printf("   API keys: %d calls accepted, %d refused\n", r.KeysAccepted, r.KeysRefused)
+		}
 		if len(r.Violations) > 0 {
 			failedSeeds++
 			printRun(r, o.Dir)
--- a/standin/soak/callers.go
+++ b/standin/soak/callers.go
@@ -31,11 +31,12 @@
 type callers struct {
 	checker   *Checker
 	addresses func() []string // callers' addresses of the running instances
+	key       func() string   // the API key of all calls; empty for none
 	client    *http.Client
 }
 
-func newCallers(checker *Checker, addresses func() []string) *callers {
-	return &callers{checker: checker, addresses: addresses, client: &http.Client{Timeout: callTimeout + time.Second}}
+func newCallers(checker *Checker, addresses func() []string, key func() string) *callers {
+	return &callers{checker: checker, addresses: addresses, key: key, client: &http.Client{Timeout: callTimeout + time.Second}}
 }
 
 // runCaller acts as one caller until ctx ends: it submits one job after the other and queries each. faultRNG
@@ -112,7 +113,7 @@
 	for range maxSubmitTries {
 		status, _, err := c.call(ctx, rng, http.MethodPost, id, body)
 		accepted := err == nil && status/100 == 2
-		refused := err == nil && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusNotFound)
+		refused := err == nil && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusNotFound || status == http.StatusUnauthorized)
 		c.checker.RecordSubmissionAnswer(id, accepted, refused)
 		if accepted {
 			return true
@@ -167,6 +168,9 @@
 	}
 	req.Host = routeHost
 	req.Header.Set("X-Deadline", strconv.FormatInt(callTimeout.Milliseconds(), 10))
+	if key := c.key(); key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
 	resp, err := c.client.Do(req)
 	if err != nil {
 		return 0, nil, err
--- a/standin/soak/checker.go
+++ b/standin/soak/checker.go
@@ -105,6 +105,8 @@
 	lastFault            time.Time // when a fault began or ended last
 	violations           []string
 	starts               int
+	keysAccepted         int // answers that accepted an API key
+	keysRefused          int // answers that said that there is no such key
 }
 
 // NewChecker returns a checker that has recorded nothing.
@@ -146,12 +148,32 @@
 //   - MIXED: a job is shown as completed before all of its tasks are done
 //   - CONFIG: a change of the routes is not in force in time, or an instance goes back to an older one, see
 //     checkConfigSeries
+//   - KEY: an instance accepts an API key too long after its revocation, or says that a valid one does not exist, see checkKey
 //   - START, STOP, EXIT, READY: a process does not start, does not stop cleanly in time, exits
 //     without a signal from the soak, or does not serve once all faults are over
 func (c *Checker) addViolation(rule, format string, args ...any) {
 	c.violations = append(c.violations, fmt.Sprintf("%s at %.2f s: ", rule, time.Since(c.startedAt).Seconds())+fmt.Sprintf(format, args...))
 }
 
+// RecordKeyAnswer counts an answer to a call with an API key.
+func (c *Checker) RecordKeyAnswer(accepted, refused bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if accepted {
+		c.keysAccepted++
+	}
+	if refused {
+		c.keysRefused++
+	}
+}
+
+// KeyAnswers returns how many answers to calls with an API key accepted it, and how many said that there is no such key.
+func (c *Checker) KeyAnswers() (accepted, refused int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.keysAccepted, c.keysRefused
+}
+
 // RecordSubmission records that a job is about to be submitted.
 func (c *Checker) RecordSubmission(id string, spec jobSpec) {
 	c.mu.Lock()
--- a/standin/soak/config.go
+++ b/standin/soak/config.go
@@ -25,6 +25,8 @@
 type configBody struct {
 	Version int64       `json:"version"`
 	Routes  []routeBody `json:"routes"`
+	// Tenants is empty if callers need no key.
+	Tenants []tenantBody `json:"tenants,omitempty"`
 }
 
 // config returns the configuration of the last of some versions. Beside the route of all jobs it has one that was added
@@ -50,6 +52,7 @@
 	mu       sync.Mutex
 	versions []int64     // of the routes in the configuration, the newest last
 	ackedAt  []time.Time // when each was acknowledged
+	keys     []*apiKey   // in the order in which they were added; none if callers need no key
 }
 
 // maxAddedRoutes is the number of versions whose routes the configuration keeps.
@@ -67,7 +70,9 @@
 	if n := len(o.versions) - maxAddedRoutes; n > 0 {
 		o.versions, o.ackedAt = o.versions[n:], o.ackedAt[n:]
 	}
-	o.store.Put("op/config", config(o.versions...))
+	body := config(o.versions...)
+	body.Tenants = o.tenants()
+	o.store.Put("op/config", body)
 	o.ackedAt = append(o.ackedAt, time.Now())
 }
 
--- a/standin/soak/instance.go
+++ b/standin/soak/instance.go
@@ -47,19 +47,19 @@
 listen: {front: "%s:%d", ready: "%s:%d"}
 internal-ports: [%d, %d]
 limits: {cpu-share: 1, cores: 1, memory-mb: 512}
-bounds: {hold-max-ms: %d, grace-s: %d, status_s: 120}
+bounds: {hold-max-ms: %d, grace-s: %d, status_s: 120, strict-revoke: %t, revoke-ms: %d}
 orders: "invoke"
 platform: {address: %q, ttl-min-ms: 1000}
 `
 
-func newInstance(name, ip, dir, binary, storeAddress string, maxLease time.Duration) (*instance, error) {
+func newInstance(name, ip, dir, binary, storeAddress string, maxLease, revocationBound time.Duration) (*instance, error) {
 	proxy, err := NewProxy(ip+":0", storeAddress)
 	if err != nil {
 		return nil, err
 	}
 	i := &instance{name: name, ip: ip, dir: dir, binary: binary, storeProxy: proxy}
 	text := fmt.Sprintf(settingsText, name, ip, ip, callerPort, ip, readyPort, peerPort, peerPort+15,
-		maxLease.Milliseconds(), int(graceTime.Seconds()), proxy.Address())
+		maxLease.Milliseconds(), int(graceTime.Seconds()), revocationBound > 0, revocationBound.Milliseconds(), proxy.Address())
 	if err := os.WriteFile(i.settingsFile(), []byte(text), 0o600); err != nil {
 		return nil, err
 	}
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -35,17 +35,21 @@
 	// Restarts is how many times half of the workers start again and are cut off soon after, as the owner is killed. Workers
 	// then grant longestLease.
 	Restarts int
+	// Keys lets callers need API keys, which change all the time while they submit jobs.
+	Keys bool
 	// Losses is how many times almost all workers are lost at once, twice in succession, after the faults.
 	Losses int
 }
 
 // Report is the result of one soak.
 type Report struct {
-	Seed       uint64
-	Accepted   int
-	Starts     int
-	Faults     []string
-	Violations []string
+	Seed     uint64
+	Accepted int
+	Starts   int
+	// KeysAccepted and KeysRefused count calls whose API key was accepted, and those whose key was said not to exist.
+	KeysAccepted, KeysRefused int
+	Faults                    []string
+	Violations                []string
 }
 
 const (
@@ -103,7 +107,7 @@
 	go tb.checkLiveness(checks)
 	stopLosingAnswers := tb.startLosingAnswers(ctx, tb.newRand(12))
 	tb.runCallersAndFaults(ctx)
-	c, rng := newCallers(tb.checker, tb.runningAddresses), tb.newRand(8)
+	c, rng := newCallers(tb.checker, tb.runningAddresses, tb.operators.callerKey), tb.newRand(8)
 	tb.finishJobs(ctx, c, rng)
 	stopLosingAnswers()
 	if tb.opts.LostAnswers {
@@ -115,7 +119,8 @@
 	stopLosingAnswers()
 	tb.checkEnd(ctx)
 	accepted, starts := tb.checker.Counts()
-	return Report{Seed: o.Seed, Accepted: accepted, Starts: starts, Faults: tb.faults, Violations: tb.checker.Violations()}, nil
+	keysAccepted, keysRefused := tb.checker.KeyAnswers()
+	return Report{Seed: o.Seed, Accepted: accepted, Starts: starts, KeysAccepted: keysAccepted, KeysRefused: keysRefused, Faults: tb.faults, Violations: tb.checker.Violations()}, nil
 }
 
 // loopbackAddresses returns a function that gives the n-th loopback address of this soak. The range
@@ -133,6 +138,11 @@
 	}
 	tb.server = &http.Server{Handler: tb.store}
 	go func() { _ = tb.server.Serve(l) }()
+	bound := time.Duration(0)
+	if tb.opts.Keys {
+		bound = revocationBound
+		tb.operators.rotateKeys()
+	}
 	tb.operators.changeVersion()
 	for range tb.opts.Workers {
 		if err := tb.addWorker(); err != nil {
@@ -140,7 +150,7 @@
 		}
 	}
 	for n := range tb.opts.Instances {
-		i, err := newInstance(fmt.Sprintf("i%d", n), tb.address(10+n), tb.opts.Dir, tb.opts.Binary, l.Addr().String(), tb.maxLease)
+		i, err := newInstance(fmt.Sprintf("i%d", n), tb.address(10+n), tb.opts.Dir, tb.opts.Binary, l.Addr().String(), tb.maxLease, bound)
 		if err != nil {
 			return err
 		}
@@ -201,11 +211,14 @@
 func (tb *testbed) runCallersAndFaults(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, tb.opts.Duration)
 	defer cancel()
-	c := newCallers(tb.checker, tb.runningAddresses)
+	c := newCallers(tb.checker, tb.runningAddresses, tb.operators.callerKey)
 	var group sync.WaitGroup
 	for n := range tb.opts.Callers {
 		group.Go(func() { c.runCaller(ctx, tb.newRand(100+uint64(n)), tb.newRand(200+uint64(n)), n) })
 	}
+	if tb.opts.Keys {
+		group.Go(func() { tb.checkKeys(ctx) })
+	}
 	group.Go(func() { tb.injectFaults(ctx, tb.newRand(7), faultKinds) })
 	group.Go(func() { tb.injectFaults(ctx, tb.newRand(9), workerChanges) })
 	group.Go(func() { tb.injectFaults(ctx, tb.newRand(10), connectionFaults) })
--- a/standin/soak/run_test.go
+++ b/standin/soak/run_test.go
@@ -70,8 +70,23 @@
 	}
 }
 
-// checkSoak runs one soak, which must violate no guarantee.
-func checkSoak(t *testing.T, o Options) {
+// keySeeds are the seeds that CI runs with API keys.
+var keySeeds = []uint64{5601}
+
+// Guards against revoked keys that are accepted, and valid ones that are said not to exist, while instances are cut off from the
+// store, suspended or restarted (issue 56).
+func TestSoakWithKeys(t *testing.T) {
+	t.Parallel()
+	for _, seed := range keySeeds {
+		r := checkSoak(t, Options{Seed: seed, Instances: 3, Workers: 6, Callers: 3, Duration: 2 * faultTime, Keys: true})
+		is := is.New(t)
+		is.True(r.KeysAccepted > 0)
+		is.True(r.KeysRefused > 0)
+	}
+}
+
+// checkSoak runs one soak, which must violate no guarantee, and returns its report.
+func checkSoak(t *testing.T, o Options) Report {
 	is := is.New(t)
 	var err error
 	o.Binary, err = process.Build(t.Context(), t.TempDir(), "github.com/geraniumwick/geraniumwick/cmd/geraniumwickd", "geraniumwickd")
@@ -83,4 +98,5 @@
 	t.Logf("%d jobs, %d starts, faults: %v", r.Accepted, r.Starts, r.Faults)
 	is.Equal(r.Violations, []string{}) // no guarantee is violated
 	is.True(r.Accepted > 0)
+	return r
 }
