--- a/internal/entry/freshness_test.go
+++ b/internal/entry/freshness_test.go
@@ -132,6 +132,19 @@
 	})
 }
 
+// Guards against a slow read beside the watch that makes the configuration look newer than when it was sent.
+func TestARefreshConfirmsAsOfItsSending(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		clock := &bootTime{start: time.Now()}
+		w := newConfigWatcher(fakeDecoder{}, nil, zerolog.Nop())
+		w.clock = clock.now
+		const latency = 3 * time.Second
+		is.NoErr(w.refresh(t.Context(), &watchedStore{items: someConfig(), rev: 10, latency: latency}))
+		is.Equal(w.age(), latency)
+	})
+}
+
 // Guards against a read that confirms a configuration that it does not show to be the newest.
 func TestWhatConfirmsAConfiguration(t *testing.T) {
 	listing := func(w *configWatcher, rev int64, items ...kv.Item) {
