--- a/internal/entry/access.go
+++ b/internal/entry/access.go
@@ -76,3 +76,12 @@
 
 // acceptsKeys reports whether the configuration in force is new enough to accept API keys.
 func (w *configWatcher) acceptsKeys() bool { return w.revocation.allows(w.age()) }
+
+// maxUnconfirmed returns the age of the configuration from which on it is listed anew instead of watched; 0 for none, as no
+// decision depends on it without API keys.
+func (w *configWatcher) maxUnconfirmed() time.Duration {
+	if config := w.inForce.Load(); config == nil || config.Keys == nil {
+		return 0
+	}
+	return w.revocation.maxUnconfirmed()
+}
--- a/internal/entry/config_watcher.go
+++ b/internal/entry/config_watcher.go
@@ -74,7 +74,7 @@
 	return &kv.Watcher{
 		Store: store, Prefix: w.decoder.Prefix(), RetryDelay: configRetryDelay,
 		OnReset: w.reset, OnChange: w.change, OnResult: w.noteResult,
-		OnConfirm: w.confirm, MaxUnconfirmed: w.revocation.maxUnconfirmed(), Clock: w.clock,
+		OnConfirm: w.confirm, MaxUnconfirmed: w.maxUnconfirmed, Clock: w.clock,
 	}
 }
 
--- a/internal/entry/freshness.go
+++ b/internal/entry/freshness.go
@@ -61,10 +61,11 @@
 // allows reports whether keys may be accepted by a configuration of an age.
 func (l revocationLimit) allows(age time.Duration) bool { return !l.bounded || age < l.maxAge }
 
-// maxUnconfirmed returns the age of the configuration from which on it is listed anew instead of watched; 0 for none.
+// maxUnconfirmed returns the age of the configuration from which on it is listed anew instead of watched. It is low enough for the
+// configuration to accept keys, and to take others as unknown, as long as the store answers.
 func (l revocationLimit) maxUnconfirmed() time.Duration {
 	if !l.bounded {
-		return 0
+		return maxDenialAge
 	}
-	return max(l.maxAge/2, time.Millisecond)
+	return min(maxDenialAge, max(l.maxAge/2, time.Millisecond))
 }
--- a/internal/kv/watcher.go
+++ b/internal/kv/watcher.go
@@ -32,10 +32,10 @@
 	OnResult func(WatcherResult)
 	// OnConfirm, if set, is called after each call that shows that all changes have been delivered.
 	OnConfirm func(Confirmation)
-	// MaxUnconfirmed is the time without a Confirmation after which the keys are listed in place of the next watch; 0 for no
-	// limit. Clock must be set with it.
-	MaxUnconfirmed time.Duration
-	// Clock returns the time at which calls are sent. It is read only if OnConfirm is set.
+	// MaxUnconfirmed, if set, returns the time without a Confirmation after which the keys are listed in place of the next watch;
+	// 0 for no limit.
+	MaxUnconfirmed func() time.Duration
+	// Clock returns the time at which calls are sent. It must be set with OnConfirm and is not read without it.
 	Clock func() time.Duration
 
 	confirmedAt time.Duration
@@ -138,5 +138,9 @@
 
 // unconfirmedTooLong reports whether the last Confirmation is older than MaxUnconfirmed.
 func (w *Watcher) unconfirmedTooLong() bool {
-	return w.MaxUnconfirmed > 0 && w.now()-w.confirmedAt > w.MaxUnconfirmed
+	if w.MaxUnconfirmed == nil {
+		return false
+	}
+	limit := w.MaxUnconfirmed()
+	return limit > 0 && w.now()-w.confirmedAt > limit
 }
