--- a/internal/entry/freshness_test.go
+++ b/internal/entry/freshness_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,10 +17,12 @@
 // bootTime is a boot clock under synthetic time, which a test can let go on as in a suspension.
 type bootTime struct {
 	start     time.Time
-	suspended time.Duration
+	suspended atomic.Int64 // nanoseconds
 }
 
-func (b *bootTime) now() time.Duration { return time.Since(b.start) + b.suspended + time.Minute }
+func (b *bootTime) now() time.Duration {
+	return time.Since(b.start) + time.Duration(b.suspended.Load()) + time.Minute
+}
 
 // watchedStore answers listings and watches after a time. Its answers are those of the moment at which a call begins.
 type watchedStore struct {
@@ -29,13 +32,13 @@
 	latency time.Duration
 	// interval is the time between two changes of another key; 0 for none.
 	interval time.Duration
-	down     bool
-	lists    int
+	down     atomic.Bool
+	lists    atomic.Int32
 }
 
 func (s *watchedStore) List(ctx context.Context, _ string) ([]kv.Item, int64, error) {
-	s.lists++
-	if s.down {
+	s.lists.Add(1)
+	if s.down.Load() {
 		return nil, 0, kv.ErrUnavailable
 	}
 	items, rev := s.items, s.rev
@@ -44,7 +47,7 @@
 }
 
 func (s *watchedStore) Watch(ctx context.Context, _ string, after int64, wait time.Duration) ([]kv.Event, int64, error) {
-	if s.down {
+	if s.down.Load() {
 		return nil, 0, errors.New("cut")
 	}
 	if s.interval > 0 {
@@ -106,7 +109,7 @@
 func TestAStormOfChangesDoesNotLeaveKeysUnconfirmed(t *testing.T) {
 	for name, c := range map[string]struct {
 		decoder  ConfigDecoder
-		min, max int // listings among 340 calls
+		min, max int32 // listings among 340 calls
 	}{
 		"with keys":    {keyedDecoder{}, 5, 15},
 		"without keys": {fakeDecoder{}, 1, 1},
@@ -118,7 +121,7 @@
 					is.True(w.inForce.Load().Keys == nil || w.age() <= maxDenialAge+s.interval)
 					time.Sleep(7 * time.Millisecond)
 				}
-				is.True(c.min <= s.lists && s.lists <= c.max)
+				is.True(c.min <= s.lists.Load() && s.lists.Load() <= c.max)
 			})
 		})
 	}
@@ -129,7 +132,7 @@
 func TestKeysAreAcceptedExactlyWhileTheConfigurationIsFresh(t *testing.T) {
 	s := &watchedStore{items: someConfig(), rev: 10}
 	watching(t, s, func(is *is.I, w *configWatcher, _ *bootTime) {
-		s.down = true
+		s.down.Store(true)
 		time.Sleep(kv.WatchTimeout) // the watch in flight is still answered
 		time.Sleep(3 * time.Second)
 		is.True(w.acceptsKeys())
@@ -137,7 +140,7 @@
 		is.True(!w.acceptsKeys())
 		time.Sleep(time.Minute)
 		is.True(!w.acceptsKeys())
-		s.down = false
+		s.down.Store(false)
 		time.Sleep(configRetryDelay)
 		is.True(w.acceptsKeys())
 	})
@@ -150,7 +153,7 @@
 	s := &watchedStore{items: someConfig(), rev: 10, latency: latency}
 	watching(t, s, func(is *is.I, w *configWatcher, clock *bootTime) {
 		time.Sleep(100 * time.Millisecond)
-		clock.suspended = 6 * time.Second
+		clock.suspended.Store(int64(6 * time.Second))
 		is.True(!w.acceptsKeys())
 		time.Sleep(latency) // the answer of the watch has come
 		is.True(!w.acceptsKeys())
