--- a/internal/batch/simulation_losses_test.go
+++ b/internal/batch/simulation_losses_test.go
@@ -146,7 +146,8 @@
 	w.configVersion++
 	w.owner.SetConfig(Config{
 		Version: w.configVersion, Evacuated: map[string]bool{w.evacuated: true},
-		Queues: map[string]Queue{"q": {Service: "svc", MaxAttempts: w.maxAttempts, Stretch: 2}},
+		Queues:  map[string]Queue{"q": {Service: "svc", MaxAttempts: w.maxAttempts, Stretch: 2}},
+		Tenants: w.tenantConfig(),
 	})
 }
 
@@ -248,6 +249,7 @@
 func (w *simulation) endFaults() {
 	w.noteFault()
 	w.storeDown, w.evacuated = false, ""
+	w.endCaps()
 	w.configure()
 	for _, n := range w.workers {
 		n.disconnected, n.refuses, n.unreadable, n.info.Draining = false, false, false, false
--- a/internal/batch/simulation_run_test.go
+++ b/internal/batch/simulation_run_test.go
@@ -29,6 +29,7 @@
 			"commit": w.commit, "commit2": w.commit,
 			"cut":        w.toggleConnection,
 			"resize":     w.resize,
+			"cap":        w.changeCap,
 			"crash":      w.crash,
 			"losses":     w.loseSome,
 			"refuse":     w.toggleRefusal,
--- a/internal/batch/spec.go
+++ b/internal/batch/spec.go
@@ -41,7 +41,8 @@
 	return r.CPU <= available.CPU && r.MemoryMB <= available.MemoryMB && r.GPU <= available.GPU
 }
 
-func (r Resources) plus(o Resources) Resources {
+// Plus returns r + o.
+func (r Resources) Plus(o Resources) Resources {
 	return Resources{r.CPU + o.CPU, r.MemoryMB + o.MemoryMB, r.GPU + o.GPU}
 }
 
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -275,7 +275,7 @@
 // attach adds an attempt to the worker and reserves its resources.
 func (w *worker) attach(a *attempt) {
 	w.attempts[attemptKey{a.id(), a.run}] = a
-	w.used = w.used.plus(a.reserved)
+	w.used = w.used.Plus(a.reserved)
 	w.count(a, 1)
 	a.countSuspected()
 }
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -43,11 +43,3 @@
 	}
 	return a
 }
-
-// Used returns what a tenant uses, without what is in doubt.
-func (b *Book) Used(tenant string) Amount {
-	if a := b.accounts[tenant]; a != nil {
-		return a.Used
-	}
-	return Amount{}
-}
