--- a/internal/batch/covers_test.go
+++ b/internal/batch/covers_test.go
@@ -102,7 +102,7 @@
 			}
 			if st.spec.Gang {
 				s.placeGang(st, workers, resorts, now)
-			} else if !s.placeStep(st, workers, resorts, now) {
+			} else if !s.placeTasks(st, len(st.tasks), workers, resorts, now) {
 				unplaced.add(st)
 			}
 		}
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -21,6 +21,7 @@
 		s.excusePause(now)
 		s.lastCheck = now
 		s.updateMeanShortCPU()
+		s.noteCapacity()
 		s.interferenceModel.growVariances(checkInterval)
 		s.expireLeases(now)
 		s.stopStalled(now)
@@ -32,6 +33,7 @@
 	s.lastPlan = now
 	s.evaluations, s.fullSearches = 0, 0
 	s.noteDoubtfulCapacity()
+	s.noteFairShare()
 	s.openDue(now)
 	s.failHopeless(now)
 	s.place(now)
@@ -101,7 +103,12 @@
 	littleUsed := s.littleUsedServices(workers, lastResorts)
 	var unplaced unplacedSteps
 	var starved unplacedSteps
-	for i, entry := range steps {
+	for i := 0; i < len(steps); i++ {
+		if s.yieldStep(steps[i:]) {
+			i--
+			continue
+		}
+		entry := steps[i]
 		if entry.step.spec.BestEffort && (i == 0 || !steps[i-1].step.spec.BestEffort) {
 			starved = append(starved, s.placeStarved(firstBestEffort(steps[i:]), workers, now)...)
 		}
@@ -135,12 +142,15 @@
 		if entry.step.spec.Gang {
 			s.placeGang(entry.step, workers, resorts, now)
 		} else {
-			if !s.placeStep(entry.step, workers, resorts, now) {
+			if !s.placeTasks(entry.step, s.tasksWithin(entry.level, entry.step), workers, resorts, now) {
 				unplaced.add(entry.step)
 				s.leftOut = append(s.leftOut, entry)
+				continue
 			}
 		}
-		s.closeIfStarted(entry.step, now)
+		if !s.closeIfStarted(entry.step, now) && entry.step.waits.reason == notHeld && s.yieldStep(steps[i:]) {
+			i-- // its other tasks come after those of tenants with lower shares
+		}
 	}
 }
 
@@ -189,15 +199,10 @@
 	return out
 }
 
-// placeStep starts the waiting tasks of a step until one finds no worker. Tasks that find none among the workers get
-// one of the last resorts, see mayUseLastResort. It returns false if no
+// placeTasks starts at most maxStarts of the waiting tasks of a step, until one finds no worker. Tasks that find none among the
+// workers get one of the last resorts, see mayUseLastResort. It returns false if no
 // worker has capacity, so that the search can be skipped for steps with the same or larger demands. It
 // returns true if the tasks wait for another reason.
-func (s *State) placeStep(st *step, workers, lastResorts []*worker, now time.Time) bool {
-	return s.placeTasks(st, len(st.tasks), workers, lastResorts, now)
-}
-
-// placeTasks is placeStep with a bound on the number of starts.
 func (s *State) placeTasks(st *step, maxStarts int, workers, lastResorts []*worker, now time.Time) bool {
 	if st.awaitsStartRecord() {
 		s.holdStep(st, 0, heldByStartRecord, now)
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -66,13 +66,14 @@
 }
 
 // urgentInOrder returns the jobs whose starts wait for a record. If there are more than n, they are in the order of the priorities
-// of their queues, and within a priority in that of their changes.
+// of their queues, of the levels of their tenants' shares, and of their changes.
 func (s *State) urgentInOrder(n int) []*Job {
 	jobs := slices.Collect(maps.Keys(s.urgentJobs))
 	if len(jobs) > n {
 		slices.SortFunc(jobs, func(a, b *Job) int {
 			return cmp.Or(
 				cmp.Compare(s.queueOf(a).Priority, s.queueOf(b).Priority),
+				cmp.Compare(s.jobLevel(a), s.jobLevel(b)),
 				cmp.Compare(s.dirty.seqs[a], s.dirty.seqs[b]),
 			)
 		})
--- /dev/null
+++ b/internal/batch/shares.go
@@ -0,0 +1,85 @@
+package batch
+
+import (
+	"slices"
+	"sort"
+
+	"github.com/geraniumwick/geraniumwick/internal/quota"
+)
+
+// shares holds what decides on the turns of tenants in one Plan.
+type shares struct {
+	// capacity is that of the workers that may get tasks.
+	capacity quota.Amount
+	// fair is the weighted dominant share that each tenant has if those who want resources share them by their weights.
+	fair float64
+}
+
+// noteCapacity notes the capacity that the tenants share.
+func (s *State) noteCapacity() {
+	s.shares.capacity = quota.Amount{}
+	if len(s.config.Tenants) == 0 {
+		return
+	}
+	for _, w := range s.workers {
+		if w.usableButForQuarantine(s) {
+			s.shares.capacity = s.shares.capacity.Plus(quota.Amount(w.info.Capacity))
+		}
+	}
+}
+
+// noteFairShare notes the fair share among the tenants that use workers or have waiting tasks.
+func (s *State) noteFairShare() {
+	s.shares.fair = 0
+	if len(s.config.Tenants) == 0 {
+		return
+	}
+	waiting := map[string]bool{}
+	for st := range s.open.all() {
+		waiting[st.job.Tenant] = true
+	}
+	var weights []float64
+	for name, tenant := range s.config.Tenants {
+		if waiting[name] || s.tenants.Account(name).Used != (quota.Amount{}) {
+			weights = append(weights, tenant.Weight)
+		}
+	}
+	s.shares.fair = quota.FairShare(weights)
+}
+
+// jobLevel returns the level of the share that a job's tenant has now; 0 for a job without a tenant.
+func (s *State) jobLevel(j *Job) int { return s.levelWith(j, quota.Amount{}) }
+
+// shareLevel returns the level of the share that a step's tenant would have with its next task, or with its gang. Of two steps
+// with the same priority, that of the lower level goes first.
+func (s *State) shareLevel(st *step) int { return s.levelWith(st.job, st.demand(st.placedTogether())) }
+
+// levelWith returns the level of the share that a job's tenant would have if it used so much more.
+func (s *State) levelWith(j *Job, more quota.Amount) int {
+	if j.account == nil || s.shares.fair == 0 {
+		return 0
+	}
+	used := j.account.Used.Plus(more)
+	return quota.Level(quota.DominantShare(used, s.shares.capacity, s.config.Tenants[j.Tenant].Weight), s.shares.fair)
+}
+
+// tasksWithin returns how many tasks of a step, one at least, may start until the share of its tenant leaves a level.
+func (s *State) tasksWithin(level int, st *step) int {
+	if st.job.account == nil || s.shares.fair == 0 {
+		return len(st.tasks)
+	}
+	return 1 + sort.Search(len(st.tasks)-1, func(i int) bool { return s.levelWith(st.job, st.demand(i+2)) > level })
+}
+
+// yieldStep moves the first of some steps in order back to its place if the share of its tenant has risen to a higher level
+// since, by starts of the same Plan. It reports whether it did.
+func (s *State) yieldStep(steps []openStepEntry) bool {
+	entry := steps[0]
+	if entry.level = s.shareLevel(entry.step); entry.level <= steps[0].level {
+		return false
+	}
+	place, _ := slices.BinarySearchFunc(steps[1:], entry, openStepEntry.compare)
+	copy(steps, steps[1:1+place])
+	steps[place] = entry
+	return true
+}
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -57,6 +57,7 @@
 	// tenants holds what each tenant uses, and doubtfulCapacity how much the unresolvedWorkers can hold.
 	tenants          *quota.Book
 	doubtfulCapacity quota.Amount
+	shares           shares
 
 	dirty changedJobs
 	// urgentJobs holds the jobs with steps whose start waits for a durable record.
--- a/internal/batch/tenants_test.go
+++ b/internal/batch/tenants_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -20,11 +21,16 @@
 	return s, now
 }
 
-// setCap puts a configuration in force in which the tenant has another cap.
-func setCap(s *State, limit Resources) {
+// setCap puts a configuration in force in which the tenant of addTenantJob has another cap.
+func setCap(s *State, limit Resources) { setCapOf(s, testTenant, limit) }
+
+// setCapOf puts a configuration in force in which a tenant has another cap.
+func setCapOf(s *State, tenant string, limit Resources) {
 	c := s.config
 	c.Version++
-	c.Tenants = map[string]Tenant{testTenant: {Weight: 1, Cap: limit}, "small": {Weight: 1}}
+	c.Tenants = map[string]Tenant{"small": {Weight: 1}}
+	maps.Copy(c.Tenants, s.config.Tenants)
+	c.Tenants[tenant] = Tenant{Weight: 1, Cap: limit}
 	s.SetConfig(c)
 }
 
@@ -210,6 +216,32 @@
 	is.Equal(len(startActions(planUntilIdle(next, now))), 3-running)
 }
 
+// What a cancelled job may still have running on a worker that has not answered its new owner counts, too.
+func TestWhatAnEndedJobMayHaveRunningCountsAfterATakeOver(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		reason EndReason // of the task under the former owner; 0 if it is being stopped
+		starts int       // before the worker has answered
+	}{{"it is being stopped", 0, 0}, {"it is done", EndDone, 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s, now := newTenantState(Resources{CPU: 1000}, "a")
+			addTenantJob(s, "old", now, taskStep(1, 1000))
+			start := startActions(planUntilIdle(s, now))[0]
+			if c.reason != 0 {
+				end(s, start, c.reason, now)
+			}
+			s.Cancel("old", now)
+			next := takeOver(s, now, "a")
+			addTenantJob(next, "new", now, taskStep(1, 1000))
+			addWorker(next, "b", Resources{CPU: 4000, MemoryMB: 4000}, now)
+			is.Equal(len(startActions(planUntilIdle(next, now))), c.starts)
+			reportWithLease(next, "a", Report{Incarnation: 1, Clock: 50}, now)
+			is.Equal(len(startActions(planUntilIdle(next, now))), 1-c.starts)
+		})
+	}
+}
+
 // Guards against a tenant that stands still after a take-over for a worker that is out of contact: its many waiting tasks
 // are in doubt, but that worker can hold few of them.
 func TestDoubtIsBoundedByTheWorkersInDoubt(t *testing.T) {
--- a/internal/batch/urgency.go
+++ b/internal/batch/urgency.go
@@ -92,13 +92,17 @@
 type openStepEntry struct {
 	step     *step
 	priority int
+	level    int // of its tenant's share
 	urgency
 }
 
-// compare orders steps by priority, and within a priority most urgent first.
+// compare orders steps by priority. Within a priority come restarts, which restore what has run, then the tenants with lower
+// shares, and within a level of these the most urgent step.
 func (e openStepEntry) compare(o openStepEntry) int {
 	return cmp.Or(
 		cmp.Compare(e.priority, o.priority),
+		compareBool(!e.restart, !o.restart),
+		cmp.Compare(e.level, o.level),
 		e.urgency.compare(o.urgency),
 		cmp.Compare(e.step.job.ID, o.step.job.ID),
 		cmp.Compare(e.step.occ.number, o.step.occ.number),
@@ -108,7 +112,7 @@
 
 // openStepEntry returns the entry of a step.
 func (s *State) openStepEntry(st *step, now time.Time) openStepEntry {
-	return openStepEntry{step: st, priority: s.queueOf(st.job).Priority, urgency: s.urgency(st, now)}
+	return openStepEntry{step: st, priority: s.queueOf(st.job).Priority, level: s.shareLevel(st), urgency: s.urgency(st, now)}
 }
 
 // openStepsInOrder returns the open steps in the order of decisions. The slice is valid until the next call.
--- a/internal/batch/wait_reasons_test.go
+++ b/internal/batch/wait_reasons_test.go
@@ -162,6 +162,13 @@
 		planUntilIdle(s, now)
 		return held(s, now, "j", 4)
 	},
+	heldByShare: func(*testing.T) heldTask {
+		s, now := newSharesState(1, 1, "a")
+		addJobOf(s, "hot", "j", "q", now, taskStep(5, 1000))
+		addJobOf(s, "small", "k", "q", now, taskStep(1, 5000))
+		planUntilIdle(s, now)
+		return held(s, now, "j", 4)
+	},
 	heldByLikeStep: func(*testing.T) heldTask {
 		s, now := newTestState("a")
 		addJob(s, "i", "q", now, taskStep(1, 5000))
@@ -414,6 +421,8 @@
 		return "it is not suspected"
 	case (reason == heldByQuota || reason == heldByCap) && s.quotaWait(st, st.placedTogether()) != reason && !hasGivenUpStart(s, st.job.Tenant, now):
 		return "the quota of its tenant does not hold it back"
+	case reason == heldByShare && st.job.account == nil:
+		return "it has no tenant"
 	case reason == heldByReserve && (!st.spec.LongRunning || t.lastRun > 0):
 		return "it is not new and long-running"
 	default:
--- a/internal/batch/waits.go
+++ b/internal/batch/waits.go
@@ -30,6 +30,7 @@
 	heldByReserve        // new long-running tasks leave room to short ones
 	heldByNoWorker       // no worker of its service may get tasks
 	heldByRoom           // none of the workers that may get tasks has room for it
+	heldByShare          // the same, and its tenant has more than its fair share of the workers, so that others go first
 	heldByLikeStep       // another step that needs no more than its own has found no worker
 	heldByWithheldRoom   // workers have room, but run suspected tasks that it must not join
 	heldByInterference   // workers have room, but leave a best-effort task no CPU, or it would disturb tasks with targets
@@ -68,6 +69,7 @@
 		heldByReserve:        waitsForReserve,
 		heldByNoWorker:       "no worker of its service may get tasks",
 		heldByRoom:           waitsForRoom,
+		heldByShare:          "no worker that may run it has room, and its tenant has more than its share, so others go first",
 		heldByLikeStep:       "a step before it that needs no more found no worker",
 		heldByWithheldRoom:   "workers that may run it have room, but run suspected tasks that it must not join",
 		heldByInterference:   "workers that may run it have room, but no CPU is left there, or it would disturb tasks with targets",
@@ -81,7 +83,7 @@
 		notHeld: "new", heldByStartRecord: "start-record", heldByPause: "pause", heldByFormerOwner: "former-owner",
 		heldByFailureRecord: "failure-record", heldByFormerEnds: "former-ends", heldByConfig: "config", heldByOwnRecord: "own-record", heldByNewPlan: "new-plan", heldBySendRate: "send-rate",
 		heldByCap: "cap", heldByQuota: "quota",
-		heldByWorseSuspect: "worse-suspect", heldByReserve: "reserve", heldByNoWorker: "no-worker", heldByRoom: "room",
+		heldByWorseSuspect: "worse-suspect", heldByReserve: "reserve", heldByNoWorker: "no-worker", heldByRoom: "room", heldByShare: "share",
 		heldByLikeStep: "like-step", heldByWithheldRoom: "withheld-room", heldByInterference: "interference", heldByIsolation: "isolation", heldByAdviser: "adviser", heldByQuestions: "questions",
 		heldByRefusedTickets: "refused-tickets", heldByGang: "gang",
 	}
@@ -100,7 +102,7 @@
 // describesRoom reports whether step.waits says for the reason what the workers lack.
 func (r waitReason) describesRoom() bool {
 	switch r {
-	case heldByRoom, heldByLikeStep, heldByWithheldRoom, heldByInterference, heldByIsolation, heldByRefusedTickets:
+	case heldByRoom, heldByShare, heldByLikeStep, heldByWithheldRoom, heldByInterference, heldByIsolation, heldByRefusedTickets:
 		return true
 	default:
 		return false
@@ -254,6 +256,9 @@
 			reason = heldByRoom
 		}
 	}
+	if reason == heldByRoom && s.shareLevel(st) > 0 {
+		return heldByShare
+	}
 	return reason
 }
 
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -46,10 +46,8 @@
 // DominantShare returns the largest share of the capacity that is used of any resource, divided by a weight (dominant
 // resource fairness). Weights of 0 or less count as 1.
 func DominantShare(used, capacity Amount, weight float64) float64 {
-	if weight <= 0 {
-		weight = 1
-	}
-	return max(ratio(used.CPU, capacity.CPU), ratio(used.MemoryMB, capacity.MemoryMB), ratio(used.GPU, capacity.GPU)) / weight
+	share := max(ratio(used.CPU, capacity.CPU), ratio(used.MemoryMB, capacity.MemoryMB), ratio(used.GPU, capacity.GPU))
+	return share / effectiveWeight(weight)
 }
 
 // ratio returns part / whole, and 0 if the whole is 0.
