--- a/internal/batch/shares_test.go
+++ b/internal/batch/shares_test.go
@@ -129,22 +129,30 @@
 	is.Equal(startActions(s.PlanFreshSteps(now))[0].Task.Job, "s")
 }
 
-// BenchmarkPlanOfAHotTenant measures the decision that meets a thousand jobs of one tenant and a hundred of others.
+// BenchmarkPlanOfAHotTenant measures the decision that meets a thousand jobs of one tenant, which idle workers can run, and a
+// hundred of others, and the same without tenants.
 func BenchmarkPlanOfAHotTenant(b *testing.B) {
 	for _, workers := range []int{490, 1200} {
-		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
-			for range b.N {
-				b.StopTimer()
-				s, now := crowdOfTenants(workers, 100)
-				for i := range 1000 {
-					addJobOf(s, "t1", fmt.Sprintf("h%d", i), "calc", now, Step{Count: 40, Resources: Resources{CPU: 3000, MemoryMB: 6000}, Estimate: 2 * time.Second})
+		for _, tenants := range []int{0, benchTenants} {
+			b.Run(fmt.Sprintf("workers=%d/tenants=%d", workers, tenants), func(b *testing.B) {
+				for range b.N {
+					b.StopTimer()
+					s, now := hotTenantState(workers, tenants)
+					b.StartTimer()
+					s.Plan(now)
 				}
-				setCapOf(s, "t1", Resources{})
-				s.Plan(now)
-				s.MarkStored(s.TakeDirty(1 << 20))
-				b.StartTimer()
-				s.Plan(now)
-			}
-		})
+			})
+		}
 	}
 }
+
+// hotTenantState returns a state in which a thousand jobs of one tenant and a hundred of all may start.
+func hotTenantState(workers, tenants int) (*State, time.Time) {
+	s, now := crowdOfTenants(workers, tenants, 100)
+	for i := range 1000 {
+		addJobOf(s, "t0", fmt.Sprintf("h%d", i), "calc", now, Step{Count: 40, Resources: Resources{CPU: 3000, MemoryMB: 6000}, Estimate: 2 * time.Second})
+	}
+	s.Plan(now)
+	s.MarkStored(s.TakeDirty(1 << 20))
+	return s, now
+}
--- a/internal/batch/tenants_test.go
+++ b/internal/batch/tenants_test.go
@@ -266,7 +266,7 @@
 func BenchmarkPlanOfManyTenants(b *testing.B) {
 	for _, workers := range []int{490, 1200} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
-			s, now := crowdOfTenants(workers, 1000)
+			s, now := crowdOfTenants(workers, benchTenants, 1000)
 			s.Plan(now)
 			s.MarkStored(s.TakeDirty(1 << 20))
 			planUntilIdle(s, now)
@@ -280,13 +280,13 @@
 	}
 }
 
-// crowdOfTenants returns a state in which jobs of many tenants have been accepted.
-func crowdOfTenants(workers, jobs int) (*State, time.Time) {
+// crowdOfTenants returns a state in which jobs of many tenants have been accepted. Each second tenant has a cap.
+func crowdOfTenants(workers, tenants, jobs int) (*State, time.Time) {
 	s, now := crowdedState(workers, 0)
 	c := s.config
 	c.Version++
 	c.Tenants = map[string]Tenant{}
-	for i := range benchTenants {
+	for i := range tenants {
 		c.Tenants[fmt.Sprintf("t%d", i)] = Tenant{Weight: float64(1 + i%20), Cap: Resources{CPU: int64(i%2) * 20_000}}
 	}
 	s.SetConfig(c)
