--- a/cmd/geraniumwickd/platform.go
+++ b/cmd/geraniumwickd/platform.go
@@ -3,10 +3,8 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -26,6 +24,7 @@
 	"github.com/geraniumwick/geraniumwick/internal/owner"
 	"github.com/geraniumwick/geraniumwick/internal/peer"
 	"github.com/geraniumwick/geraniumwick/internal/readlag"
+	"github.com/geraniumwick/geraniumwick/internal/refusals"
 	"github.com/geraniumwick/geraniumwick/platform"
 )
 
@@ -54,8 +53,6 @@
 	logFlushTimeout = 300 * time.Millisecond
 	// settingsPollInterval is the interval at which the settings file is checked for changes.
 	settingsPollInterval = 500 * time.Millisecond
-	// headerReadTimeout bounds the reading of the headers of a request.
-	headerReadTimeout = 5 * time.Second
 	// memoryLimitShare is the share of the process's memory limit that the Go runtime is given as its
 	// soft limit; near it, garbage is collected more often.
 	memoryLimitShare = 0.75
@@ -138,13 +135,26 @@
 	peerMux.Handle("/peer", peers)
 
 	metricsMux := http.NewServeMux()
-	metricsMux.Handle("/metrics", metricsHandler)
-
-	failed := make(chan error, 4)
-	apiServer := serveInBackground(s.Listen.Front, platform.NewAPIHandler(instance, scope, log), connections, failed)
-	serveInBackground(s.Listen.Ready, platform.ReadinessHandler(instance), connections, failed)
-	serveInBackground(s.PeerAddress(), peerMux, connections, failed)
-	serveInBackground(s.MetricsAddress(), metricsMux, connections, failed)
+	metricsMux.Handle("/metrics", metrics.Limit(metricsHandler, maxScrapes))
+
+	l := newListeners(s, connections, scope, log)
+	peers.SetBudget(l.peerBudget, refusals.New("peer-messages", scope, log))
+	apiServer := l.serve(listener{
+		name: "callers", address: s.Listen.Front, handler: platform.NewAPIHandler(instance, scope, log),
+		maxConns: l.maxCallerConns(), budget: l.callerBudget, writeTimeout: callWriteTimeout,
+	})
+	l.serve(listener{
+		name: "ready", address: s.Listen.Ready, handler: platform.ReadinessHandler(instance),
+		maxConns: l.maxConns(otherConnections), budget: l.callerBudget, writeTimeout: writeTimeout,
+	})
+	l.serve(listener{
+		name: "peers", address: s.PeerAddress(), handler: peerMux,
+		maxConns: l.maxConns(peerConnections), budget: l.peerBudget, writeTimeout: writeTimeout,
+	})
+	l.serve(listener{
+		name: "metrics", address: s.MetricsAddress(), handler: metricsMux,
+		maxConns: l.maxConns(otherConnections), budget: l.callerBudget, writeTimeout: writeTimeout,
+	})
 	go instance.Run(ctx)
 
 	go watchSettings(ctx, path, store, log)
@@ -153,7 +163,7 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	for {
 		select {
-		case err := <-failed:
+		case err := <-l.failed:
 			return err
 		case sig := <-signals:
 			log.Info().Str("event", "signal.received").Str("signal", sig.String()).Send()
@@ -194,21 +204,6 @@
 	}
 }
 
-// serveInBackground starts an HTTP server on the address, whose connections are counted; its failure is sent to failed.
-func serveInBackground(address string, h http.Handler, connections *connlimit.Limit, failed chan<- error) *http.Server {
-	s := &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: headerReadTimeout}
-	go func() {
-		listener, err := net.Listen("tcp", address)
-		if err == nil {
-			err = s.Serve(connections.Listener(listener))
-		}
-		if !errors.Is(err, http.ErrServerClosed) {
-			failed <- err
-		}
-	}()
-	return s
-}
-
 // stopPlatform carries out a planned stop: it resigns as the owner, keeps accepting requests for
 // drainDelay, and returns once the requests in progress are answered or the grace period is almost over.
 func stopPlatform(instance *entry.Instance, apiServer *http.Server, s platform.Settings, log zerolog.Logger) error {
--- /dev/null
+++ b/internal/connguard/guard_test.go
@@ -0,0 +1,208 @@
+package connguard
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/geraniumwick/geraniumwick/internal/bodybudget"
+	"github.com/geraniumwick/geraniumwick/internal/bubbletest"
+	"github.com/geraniumwick/geraniumwick/internal/refusals"
+)
+
+func TestChoiceOfTheConnectionToClose(t *testing.T) {
+	now := time.Unix(1000, 0)
+	in := func(p phase, ago time.Duration) state { return state{phase: p, since: now.Add(-ago)} }
+	writing := func(ago time.Duration) state {
+		return state{phase: handling, since: now.Add(-time.Hour), writingSince: now.Add(-ago)}
+	}
+	cases := []struct {
+		name   string
+		states []state
+		want   int
+		reason refusals.Reason
+	}{
+		{"the longest idle", []state{in(idle, 2*time.Second), in(idle, 3*time.Second)}, 1, refusals.IdleClosed},
+		{"idle before slow", []state{in(body, time.Hour), in(idle, idleTime)}, 1, refusals.IdleClosed},
+		{"slow before one that has just connected", []state{in(idle, 0), in(body, slowTime)}, 1, refusals.SlowClosed},
+		{"the slowest", []state{in(headers, 3*time.Second), in(body, 4*time.Second), in(ending, 2*time.Second)}, 1, refusals.SlowClosed},
+		{"one that does not read its response", []state{in(headers, 2*time.Second), writing(3 * time.Second)}, 1, refusals.SlowClosed},
+		{"none that has just connected", []state{in(idle, 0), in(idle, idleTime-1)}, -1, ""},
+		{"none that sends for less than a second", []state{in(headers, slowTime-1), in(body, 0), writing(0)}, -1, ""},
+		{"none in use", []state{in(handling, time.Hour), in(hijacked, time.Hour)}, -1, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			n, reason := chooseVictim(c.states, now)
+			is.Equal(n, c.want)
+			is.Equal(reason, c.reason)
+		})
+	}
+}
+
+// pipeListener is a listener of connections within a process.
+type pipeListener struct {
+	conns chan net.Conn
+	done  chan struct{}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	close(l.done)
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.UnixAddr{} }
+
+// dial connects a client.
+func (l *pipeListener) dial() net.Conn {
+	client, server := net.Pipe()
+	l.conns <- server
+	synctest.Wait()
+	return client
+}
+
+// serve runs a guarded server in the bubble of a test, which echoes bodies and answers each request.
+func serve(t *testing.T, maxConns int, budgetBytes int64) (*pipeListener, *bodybudget.Budget) {
+	budget := bodybudget.New(budgetBytes, tally.NoopScope)
+	g := New(Options{
+		MaxConns: maxConns, MaxHeaderBytes: 64 << 10, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute,
+		Budget: budget, Recorder: refusals.New("test", tally.NoopScope, zerolog.Nop()),
+	})
+	server := g.Server(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		data, err := io.ReadAll(r.Body)
+		if string(data) == "wait" {
+			time.Sleep(time.Minute)
+		}
+		if err == nil {
+			_, _ = w.Write(data)
+		}
+	}))
+	l := &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		_ = server.Serve(g.Listener(l))
+	}()
+	t.Cleanup(func() {
+		_ = server.Close()
+		<-stopped
+		time.Sleep(time.Second) // net/http keeps a connection for 0.5 s after its last response
+	})
+	return l, budget
+}
+
+// isClosed reports whether the server has closed a connection on which it has nothing to send.
+func isClosed(c net.Conn) bool {
+	_ = c.SetReadDeadline(time.Now().Add(time.Millisecond))
+	_, err := c.Read(make([]byte, 1))
+	return err == io.EOF
+}
+
+// call sends a request and returns the status of its response, 0 if there is none.
+func call(c net.Conn, body string) int {
+	go func() {
+		_, _ = fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}()
+	_ = c.SetReadDeadline(time.Now().Add(time.Hour))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+// Guards against a server whose connections are all taken by clients that send nothing.
+func TestIdleConnectionsMakePlaceForNewOnes(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		l, _ := serve(t, 3, 1<<20)
+		first := l.dial()
+		time.Sleep(2 * time.Second)
+		second, third := l.dial(), l.dial()
+		is.Equal(call(third, "x"), http.StatusOK)
+		time.Sleep(2 * time.Second)
+		fourth := l.dial()
+		is.True(isClosed(first))
+		is.True(!isClosed(second))
+		is.Equal(call(fourth, "x"), http.StatusOK)
+		is.Equal(call(third, "x"), http.StatusOK) // it is still open
+	})
+}
+
+// Guards against a server whose connections are all taken by bodies that stop short.
+func TestSlowBodiesMakePlaceForNewConnections(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		l, _ := serve(t, 2, 1<<20)
+		for range 2 {
+			_, err := fmt.Fprint(l.dial(), "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n123456789")
+			is.NoErr(err)
+			time.Sleep(2 * time.Second)
+		}
+		is.Equal(call(l.dial(), "x"), http.StatusOK)
+	})
+}
+
+// Guards against requests that are broken off in favour of new connections, and against more connections than allowed.
+func TestConnectionsWaitWhileAllOthersAreInUse(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		l, _ := serve(t, 2, 1<<20)
+		startedAt := time.Now()
+		statuses := make(chan int, 2)
+		for range 2 {
+			c := l.dial()
+			go func() { statuses <- call(c, "wait") }()
+		}
+		time.Sleep(10 * time.Second)
+		is.Equal(call(l.dial(), "x"), http.StatusOK)
+		is.True(time.Since(startedAt) >= time.Minute)
+		is.Equal(<-statuses, http.StatusOK)
+		is.Equal(<-statuses, http.StatusOK)
+	})
+}
+
+// Guards against headers that no budget bounds, and against a charge that outlives its request.
+func TestHeadersAreChargedWhileTheyAreRead(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		l, budget := serve(t, 10, 1<<20)
+		other := budget.Open(nil)
+		is.NoErr(other.Set(bodybudget.SmallBytes + 1))
+		held := budget.Held()
+		c := l.dial()
+		_, err := fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: a\r\n")
+		is.NoErr(err)
+		synctest.Wait()
+		is.Equal(budget.Held()-held, int64(headerCost*len("GET / HTTP/1.1\r\nHost: a\r\n")))
+		go func() { _, _ = fmt.Fprint(c, strings.Repeat("X: \r\n", 1<<14)) }()
+		synctest.Wait()
+		is.Equal(budget.Held(), held) // the connection is closed
+		is.True(isClosed(c))
+		served := l.dial()
+		is.Equal(call(served, "x"), http.StatusOK)
+		synctest.Wait()
+		is.Equal(budget.Held(), held)
+	})
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -49,3 +49,19 @@
 	}, reportPeriod)
 	return scope, reporter.HTTPHandler(), closer
 }
+
+// Limit returns a handler that passes at most n requests at a time to h and refuses the others with 503. Each scrape holds
+// all metrics in memory until its client has read them.
+func Limit(h http.Handler, n int) http.Handler {
+	slots := make(chan struct{}, n)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case slots <- struct{}{}:
+			defer func() { <-slots }()
+			h.ServeHTTP(w, r)
+		default:
+			w.Header().Set("Retry-After", "1")
+			http.Error(w, "too many scrapes at a time", http.StatusServiceUnavailable)
+		}
+	})
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -28,6 +28,11 @@
 	// MaxMessageBytes is the largest size of one message, in bytes. It leaves room for a
 	// store value of 1 MB.
 	MaxMessageBytes = 2 << 20
+	// maxHelloBytes is the largest size of the handshake message, in bytes.
+	maxHelloBytes = 4 << 10
+	// defaultBudgetBytes is what the messages that a server receives at a time may hold unless SetBudget is called, in
+	// bytes.
+	defaultBudgetBytes = 64 << 20
 	// MaxInFlight bounds the calls of one connection that wait for a response.
 	MaxInFlight = 1024
 	// MaxCallsPerKind bounds the calls of one kind that a server executes at once, so that
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -7,16 +7,22 @@
 	"time"
 
 	"github.com/coder/websocket"
+	"github.com/juju/errors"
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
+	"github.com/geraniumwick/geraniumwick/internal/bodybudget"
 	"github.com/geraniumwick/geraniumwick/internal/model"
+	"github.com/geraniumwick/geraniumwick/internal/refusals"
 	"github.com/geraniumwick/geraniumwick/internal/verdict"
 )
 
 // Server serves the calls of peers. It is the http.Handler for the path /peer.
 type Server struct {
-	self model.InstanceID
-	log  zerolog.Logger
+	self     model.InstanceID
+	log      zerolog.Logger
+	budget   *bodybudget.Budget
+	recorder *refusals.Recorder
 
 	mu       sync.Mutex
 	handlers map[Kind]*limitedHandler
@@ -37,11 +43,17 @@
 	return &Server{
 		self:     self,
 		log:      log,
+		budget:   bodybudget.New(defaultBudgetBytes, tally.NoopScope),
+		recorder: refusals.New("peer-messages", tally.NoopScope, log),
 		handlers: map[Kind]*limitedHandler{},
 		conns:    map[*websocket.Conn]bool{},
 	}
 }
 
+// SetBudget sets what messages are charged to while they are received, and what records those for which there was no
+// room. It must be called before the first connection.
+func (s *Server) SetBudget(b *bodybudget.Budget, r *refusals.Recorder) { s.budget, s.recorder = b, r }
+
 // Handle registers the handler of a kind.
 func (s *Server) Handle(k Kind, h Handler) {
 	s.mu.Lock()
@@ -56,7 +68,7 @@
 		return
 	}
 	defer func() { _ = ws.CloseNow() }()
-	ws.SetReadLimit(MaxMessageBytes)
+	ws.SetReadLimit(maxHelloBytes)
 	if !s.track(ws) {
 		_ = ws.Close(websocket.StatusGoingAway, "shutting down")
 		return
@@ -67,6 +79,7 @@
 		s.log.Warn().Err(err).Str("remote", r.RemoteAddr).Msg("handshake with a peer failed")
 		return
 	}
+	ws.SetReadLimit(MaxMessageBytes)
 	s.serve(ws, from)
 }
 
@@ -103,23 +116,40 @@
 		_ = ws.CloseNow()
 	}()
 	for {
-		_, message, err := ws.Read(context.Background())
+		message, err := s.readMessage(ws)
 		if err != nil {
 			return
 		}
 		var r request
-		if err := decMode.Unmarshal(message, &r); err != nil {
+		if err := decMode.Unmarshal(message.Bytes, &r); err != nil {
+			message.Release()
 			s.log.Error().Err(err).Str("peer", string(from)).Msg("cannot decode a message of a peer")
 			return
 		}
-		s.dispatch(ws, from, r)
+		s.dispatch(ws, from, r, message.Release)
+	}
+}
+
+// readMessage reads the next message, whose bytes are charged to the budget as they arrive. If that is full, the
+// connection is closed, as for any other error: a message can only be read as a whole.
+func (s *Server) readMessage(ws *websocket.Conn) (*bodybudget.Body, error) {
+	_, reader, err := ws.Reader(context.Background())
+	if err != nil {
+		return nil, err
+	}
+	message, err := s.budget.ReadAll(bodybudget.Source{Body: reader, Length: -1, Limit: MaxMessageBytes})
+	if errors.Is(err, bodybudget.ErrFull) {
+		s.recorder.Record(refusals.BytesHeld)
 	}
+	return message, err
 }
 
-// dispatch executes a call in a new goroutine, or refuses it.
-func (s *Server) dispatch(ws *websocket.Conn, from model.InstanceID, r request) {
+// dispatch executes a call in a new goroutine, or refuses it. It calls release when the message of the call is no longer
+// needed.
+func (s *Server) dispatch(ws *websocket.Conn, from model.InstanceID, r request, release func()) {
 	h, refusal := s.acquireSlot(r.Kind)
 	if refusal != nil {
+		release()
 		s.send(ws, response{ID: r.ID, Err: refusal})
 		return
 	}
@@ -128,7 +158,9 @@
 			<-h.slots
 			s.running.Done()
 		}()
-		s.send(ws, s.execute(h, from, r))
+		result := s.execute(h, from, r)
+		release()
+		s.send(ws, result)
 	}()
 }
 
--- a/internal/reply/reply.go
+++ b/internal/reply/reply.go
@@ -4,20 +4,16 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
-	"time"
 
+	"github.com/juju/errors"
+
+	"github.com/geraniumwick/geraniumwick/internal/bodybudget"
 	"github.com/geraniumwick/geraniumwick/internal/verdict"
 )
 
-const (
-	// VerdictHeader is the response header with the verdict.
-	VerdictHeader = "Geraniumwick-Verdict"
-	// bodyTimeout bounds the time in which a request body must arrive.
-	bodyTimeout = 10 * time.Second
-)
+// VerdictHeader is the response header with the verdict.
+const VerdictHeader = "Geraniumwick-Verdict"
 
 // JSON writes v as the response of a call that was executed.
 func JSON(w http.ResponseWriter, status int, v any) {
@@ -90,21 +86,20 @@
 	}
 }
 
-// ReadBody reads the whole request body, at most limit bytes, within bodyTimeout.
+// ReadBody reads the whole request body, of at most limit bytes. It is charged to the listener's budget until the
+// request has been handled.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	controller := http.NewResponseController(w)
-	// Not every writer supports deadlines: a recorder in a test, for example, has no connection.
-	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
-	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if err == nil {
-		return body, nil
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	body, err := bodybudget.ReadRequest(w, r, limit)
+	switch {
+	case err == nil:
+		return body.Bytes, nil
+	case errors.Is(err, bodybudget.ErrTooLarge):
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonTooLarge, "the body has more than %d bytes", limit)
+	case bodybudget.IsRefusal(err):
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonOverload, "%v", err)
+	default:
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonInvalid, "the body could not be read completely: %v", err)
 	}
-	return nil, verdict.New(verdict.NotRun, verdict.ReasonInvalid, "the body could not be read completely: %v", err)
 }
 
 // Decode reads a JSON request body of at most limit bytes into v. It refuses unknown fields and
--- a/internal/route/http.go
+++ b/internal/route/http.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -27,7 +26,7 @@
 // Handler returns the handler of RequestsPattern.
 func Handler(d *Dispatcher) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		r, err := decodeRequest(req, d.Document(), d.clock.Now())
+		r, err := decodeRequest(w, req, d.Document(), d.clock.Now())
 		if err != nil {
 			reply.Error(w, err)
 			return
@@ -42,7 +41,7 @@
 }
 
 // decodeRequest decodes the request of a caller. Its errors have the verdict NotRun.
-func decodeRequest(req *http.Request, doc *config.Document, now time.Time) (Request, error) {
+func decodeRequest(w http.ResponseWriter, req *http.Request, doc *config.Document, now time.Time) (Request, error) {
 	r := Request{
 		Service:     model.Service(req.PathValue("service")),
 		Path:        req.PathValue("path"),
@@ -68,7 +67,7 @@
 		return r, err
 	}
 	r.Deadline = now.Add(timeout)
-	r.Body, err = readBody(req)
+	r.Body, err = reply.ReadBody(w, req, MaxRequestBodyBytes)
 	return r, err
 }
 
@@ -124,24 +123,6 @@
 	return min(time.Duration(ms)*time.Millisecond, longest), nil
 }
 
-// errTooLarge is the error for a body of more than MaxRequestBodyBytes.
-var errTooLarge = verdict.New(verdict.NotRun, verdict.ReasonTooLarge, "body is larger than %d bytes", MaxRequestBodyBytes)
-
-// readBody reads the whole body of the request.
-func readBody(req *http.Request) ([]byte, error) {
-	if req.ContentLength > MaxRequestBodyBytes {
-		return nil, errTooLarge
-	}
-	body, err := io.ReadAll(io.LimitReader(req.Body, MaxRequestBodyBytes+1))
-	if err != nil {
-		return nil, invalidRequest("reading the body: %v", err)
-	}
-	if len(body) > MaxRequestBodyBytes {
-		return nil, errTooLarge
-	}
-	return body, nil
-}
-
 func invalidRequest(format string, args ...any) error {
 	return verdict.New(verdict.NotRun, verdict.ReasonInvalid, format, args...)
 }
--- a/internal/server/harness_test.go
+++ b/internal/server/harness_test.go
@@ -100,6 +100,7 @@
 		Limits: settings.Limits{
 			HeaderBytes:       2048,
 			Connections:       3,
+			BodyMemoryMB:      24,
 			ReadHeaderTimeout: 5 * time.Second,
 			IdleTimeout:       time.Minute,
 		},
--- a/internal/server/listen.go
+++ b/internal/server/listen.go
@@ -8,9 +8,11 @@
 	"github.com/juju/errors"
 
 	"github.com/geraniumwick/geraniumwick/internal/access"
+	"github.com/geraniumwick/geraniumwick/internal/bodybudget"
 	"github.com/geraniumwick/geraniumwick/internal/cluster"
 	"github.com/geraniumwick/geraniumwick/internal/command"
 	"github.com/geraniumwick/geraniumwick/internal/query"
+	"github.com/geraniumwick/geraniumwick/internal/refusals"
 	"github.com/geraniumwick/geraniumwick/internal/route"
 )
 
@@ -23,16 +25,18 @@
 // listen opens the three listeners.
 func (v *Server) listen() error {
 	l := v.settings.Limits
-	v.listeners = &listeners{log: v.log, listenFunc: v.listenFunc, limits: listenerLimits{
+	v.listeners = &listeners{log: v.log, scope: v.scope, listenFunc: v.listenFunc, limits: listenerLimits{
 		headerBytes:       l.HeaderBytes,
 		connections:       l.Connections,
 		readHeaderTimeout: l.ReadHeaderTimeout,
 		idleTimeout:       l.IdleTimeout,
 	}}
+	budgets := v.newBudgets()
+	v.peers.SetBudget(budgets.peers, refusals.New("peer-messages", v.scope, v.log))
 	all := []listener{
-		{name: "peers", setting: "--peer-listen", addr: v.settings.PeerListen, handler: v.peerMux()},
-		{name: "operators", setting: "--operator-listen", addr: v.settings.OperatorListen, handler: v.operatorMux(), tls: v.settings.TLS},
-		{name: "callers", setting: "--caller-listen", addr: v.settings.CallerListen, handler: v.callerMux(), tls: v.settings.TLS},
+		{name: "peers", setting: "--peer-listen", addr: v.settings.PeerListen, handler: v.peerMux(), budget: budgets.peers},
+		{name: "operators", setting: "--operator-listen", addr: v.settings.OperatorListen, handler: v.operatorMux(), tls: v.settings.TLS, budget: budgets.operators},
+		{name: "callers", setting: "--caller-listen", addr: v.settings.CallerListen, handler: v.callerMux(), tls: v.settings.TLS, budget: budgets.callers},
 	}
 	for _, each := range all {
 		if err := v.listeners.start(each); err != nil {
@@ -42,6 +46,27 @@
 	return nil
 }
 
+// budgets are what the listeners may hold of requests that are being received.
+type budgets struct {
+	callers, operators, peers *bodybudget.Budget
+}
+
+// internalShare is the part of the setting for callers that the operators' and the peers' listeners have each.
+const internalShare = 0.25
+
+// newBudgets returns the budgets that the settings give.
+func (v *Server) newBudgets() budgets {
+	newBudget := func(name string, share float64) *bodybudget.Budget {
+		bytes := share * float64(v.settings.Limits.BodyMemoryMB) * (1 << 20)
+		return bodybudget.New(int64(bytes), v.scope.Tagged(map[string]string{"budget": name}))
+	}
+	return budgets{
+		callers:   newBudget("callers", 1),
+		operators: newBudget("operators", internalShare),
+		peers:     newBudget("peers", internalShare),
+	}
+}
+
 // peerMux returns the handler of calls by other instances.
 func (v *Server) peerMux() *http.ServeMux {
 	mux := http.NewServeMux()
--- a/internal/server/listeners.go
+++ b/internal/server/listeners.go
@@ -11,8 +11,12 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
+	"github.com/geraniumwick/geraniumwick/internal/bodybudget"
 	"github.com/geraniumwick/geraniumwick/internal/config"
+	"github.com/geraniumwick/geraniumwick/internal/connguard"
+	"github.com/geraniumwick/geraniumwick/internal/refusals"
 )
 
 // writeTimeout bounds the time from the headers of a request to the end of its response, for calls
@@ -28,11 +32,14 @@
 	addr    string
 	handler http.Handler
 	tls     *tls.Config
+	// budget is what the listener's requests are charged to while they are received.
+	budget *bodybudget.Budget
 }
 
 // listeners runs the HTTP servers of an instance.
 type listeners struct {
 	log        zerolog.Logger
+	scope      tally.Scope
 	listenFunc func(addr string) (net.Listener, error)
 	limits     listenerLimits
 	servers    []*runningServer
@@ -69,18 +76,21 @@
 	if err != nil {
 		return err
 	}
-	ln = limitConnections(ln, s.limits.connections)
-	if l.tls != nil {
-		ln = tls.NewListener(ln, l.tls)
-	}
-	server := &runningServer{name: l.name}
-	server.Server = &http.Server{
-		Handler:           server.trackInFlight(l.handler),
+	guard := connguard.New(connguard.Options{
+		MaxConns:          s.limits.connections,
 		MaxHeaderBytes:    s.limits.headerBytes,
 		ReadHeaderTimeout: s.limits.readHeaderTimeout,
 		IdleTimeout:       s.limits.idleTimeout,
 		WriteTimeout:      writeTimeout,
+		Budget:            l.budget,
+		Recorder:          refusals.New(l.name, s.scope, s.log),
+	})
+	ln = guard.Listener(ln)
+	if l.tls != nil {
+		ln = tls.NewListener(ln, l.tls)
 	}
+	server := &runningServer{name: l.name}
+	server.Server = guard.Server(server.trackInFlight(l.handler))
 	s.servers = append(s.servers, server)
 	s.wg.Go(func() {
 		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
@@ -110,51 +120,3 @@
 	}
 	s.wg.Wait()
 }
-
-// limitedListener bounds the number of open connections; further connections wait to be accepted.
-type limitedListener struct {
-	net.Listener
-	slots chan struct{}
-	done  chan struct{}
-	once  sync.Once
-}
-
-// limitConnections returns a listener that has at most n connections open.
-func limitConnections(l net.Listener, n int) net.Listener {
-	return &limitedListener{Listener: l, slots: make(chan struct{}, n), done: make(chan struct{})}
-}
-
-// Accept waits for a free slot and a connection.
-func (l *limitedListener) Accept() (net.Conn, error) {
-	select {
-	case l.slots <- struct{}{}:
-	case <-l.done:
-		return nil, net.ErrClosed
-	}
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		<-l.slots
-		return nil, err
-	}
-	return &limitedConn{Conn: conn, release: func() { <-l.slots }}, nil
-}
-
-// Close closes the listener and ends a waiting Accept.
-func (l *limitedListener) Close() error {
-	l.once.Do(func() { close(l.done) })
-	return l.Listener.Close()
-}
-
-// limitedConn frees its slot when it is closed.
-type limitedConn struct {
-	net.Conn
-	once    sync.Once
-	release func()
-}
-
-// Close closes the connection.
-func (c *limitedConn) Close() error {
-	err := c.Conn.Close()
-	c.once.Do(c.release)
-	return err
-}
--- a/internal/settings/definitions.go
+++ b/internal/settings/definitions.go
@@ -72,7 +72,8 @@
 	l := &s.Limits
 	return []definition{
 		{"max-header-bytes", "16384", "Largest headers of a request.", setInt(&l.HeaderBytes, 1<<10, 1<<20)},
-		{"max-connections", "4096", "Connections of a listener; more wait.", setInt(&l.Connections, 1, 1_000_000)},
+		{"max-connections", "4096", "Connections of a listener; beyond them, idle and slow ones are closed in favour of new ones, which wait while all are in use.", setInt(&l.Connections, 1, 1_000_000)},
+		{"body-memory-mb", "64", "Megabytes of the requests that callers are sending, headers and bodies; the operators' and the peers' listeners have a quarter of it each. Requests beyond it are refused.", setInt(&l.BodyMemoryMB, 24, 1<<16)},
 		{"read-header-timeout", "5s", "Time within which the headers of a request must arrive.", setDuration(&l.ReadHeaderTimeout, 100*time.Millisecond, time.Minute)},
 		{"idle-timeout", "1m", "Time after which an idle connection is closed.", setDuration(&l.IdleTimeout, time.Second, time.Hour)},
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -70,6 +70,8 @@
 	Connections       int
 	ReadHeaderTimeout time.Duration
 	IdleTimeout       time.Duration
+	// BodyMemoryMB is the memory for requests that callers are sending, in megabytes of 1,048,576 bytes.
+	BodyMemoryMB int
 }
 
 // Error lists all problems of the settings.
--- a/standin/crowd/check_test.go
+++ b/standin/crowd/check_test.go
@@ -107,8 +107,8 @@
 	before, err := ReadUsage(s.PID())
 	is.NoErr(err)
 	crowd, err := Open(t.Context(), s.addresses[c.listener], c.shape)
-	defer crowd.Close()
 	is.NoErr(err)
+	defer crowd.Close()
 	settle(t, s)
 	after, err := ReadUsage(s.PID())
 	is.NoErr(err) // the process lives
