--- a/standin/soak/run_test.go
+++ b/standin/soak/run_test.go
@@ -71,7 +71,7 @@
 }
 
 // keySeeds are the seeds that CI runs with API keys.
-var keySeeds = []uint64{5601}
+var keySeeds = []uint64{5601, 5603}
 
 // Guards against revoked keys that are accepted, and valid ones that are said not to exist, while instances are cut off from the
 // store, suspended or restarted (issue 56).
