--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -21,6 +21,7 @@
 		s.excusePause(now)
 		s.lastCheck = now
 		s.updateMeanShortCPU()
+		s.noteCapacity()
 		s.interferenceModel.growVariances(checkInterval)
 		s.expireLeases(now)
 		s.stopStalled(now)
@@ -31,6 +32,8 @@
 	}
 	s.lastPlan = now
 	s.evaluations, s.fullSearches = 0, 0
+	s.noteDoubtfulCapacity()
+	s.noteFairShare()
 	s.openDue(now)
 	s.failHopeless(now)
 	s.place(now)
@@ -100,7 +103,12 @@
 	littleUsed := s.littleUsedServices(workers, lastResorts)
 	var unplaced unplacedSteps
 	var starved unplacedSteps
-	for i, entry := range steps {
+	for i := 0; i < len(steps); i++ {
+		if s.yieldStep(steps[i:]) {
+			i--
+			continue
+		}
+		entry := steps[i]
 		if entry.step.spec.BestEffort && (i == 0 || !steps[i-1].step.spec.BestEffort) {
 			starved = append(starved, s.placeStarved(firstBestEffort(steps[i:]), workers, now)...)
 		}
@@ -116,6 +124,10 @@
 			s.leftOut = append(s.leftOut, entry)
 			continue
 		}
+		if r := s.quotaWait(entry.step, entry.step.placedTogether()); r != notHeld {
+			s.holdStep(entry.step, 0, r, now)
+			continue
+		}
 		resorts := s.resortsFor(entry.step, lastResorts, littleUsed)
 		hasLastResort := len(resorts) > 0
 		maySuitGang := entry.step.spec.Gang && runSuspects(workers)
@@ -130,12 +142,15 @@
 		if entry.step.spec.Gang {
 			s.placeGang(entry.step, workers, resorts, now)
 		} else {
-			if !s.placeStep(entry.step, workers, resorts, now) {
+			if !s.placeTasks(entry.step, s.tasksWithin(entry.level, entry.step), workers, resorts, now) {
 				unplaced.add(entry.step)
 				s.leftOut = append(s.leftOut, entry)
+				continue
 			}
 		}
-		s.closeIfStarted(entry.step, now)
+		if !s.closeIfStarted(entry.step, now) && entry.step.waits.reason == notHeld && s.yieldStep(steps[i:]) {
+			i-- // its other tasks come after those of tenants with lower shares
+		}
 	}
 }
 
@@ -184,15 +199,10 @@
 	return out
 }
 
-// placeStep starts the waiting tasks of a step until one finds no worker. Tasks that find none among the workers get
-// one of the last resorts, see mayUseLastResort. It returns false if no
+// placeTasks starts at most maxStarts of the waiting tasks of a step, until one finds no worker. Tasks that find none among the
+// workers get one of the last resorts, see mayUseLastResort. It returns false if no
 // worker has capacity, so that the search can be skipped for steps with the same or larger demands. It
 // returns true if the tasks wait for another reason.
-func (s *State) placeStep(st *step, workers, lastResorts []*worker, now time.Time) bool {
-	return s.placeTasks(st, len(st.tasks), workers, lastResorts, now)
-}
-
-// placeTasks is placeStep with a bound on the number of starts.
 func (s *State) placeTasks(st *step, maxStarts int, workers, lastResorts []*worker, now time.Time) bool {
 	if st.awaitsStartRecord() {
 		s.holdStep(st, 0, heldByStartRecord, now)
@@ -222,6 +232,10 @@
 			s.holdStep(st, i, heldBySendRate, now)
 			return true
 		}
+		if r := s.quotaWait(st, 1); r != notHeld {
+			s.holdStep(st, i, r, now)
+			return true
+		}
 		w := ranking.choose(t)
 		if w == nil && s.mayUseLastResort(st, workers, lastResorts) {
 			w = s.choose(st, t, lastResorts, now)
@@ -329,6 +343,10 @@
 		s.holdBackGang(st, member, r, now)
 		return
 	}
+	if r := s.quotaWait(st, len(st.tasks)); r != notHeld {
+		s.holdStep(st, 0, r, now)
+		return
+	}
 	if !st.startRecordDurable {
 		s.requestStartRecord(st)
 		s.holdStep(st, 0, heldByStartRecord, now)
@@ -376,6 +394,7 @@
 	for _, a := range placed {
 		t := a.task()
 		a.worker.detach(a)
+		a.removeUse()
 		st.job.attempts--
 		t.attempts = nil
 		st.waiting++
--- a/internal/batch/waits.go
+++ b/internal/batch/waits.go
@@ -23,10 +23,14 @@
 	heldByNewPlan                         // its start was decided, but cannot be sent any more
 	heldBySendRate                        // as many starts are decided as can be sent while they are valid
 
+	heldByCap   // it, or its gang, needs more than the cap of its tenant
+	heldByQuota // its tenant's attempts leave too little of the cap
+
 	heldByWorseSuspect   // a task of the step that is suspected no more often has found no worker
 	heldByReserve        // new long-running tasks leave room to short ones
 	heldByNoWorker       // no worker of its service may get tasks
 	heldByRoom           // none of the workers that may get tasks has room for it
+	heldByShare          // the same, and its tenant has more than its fair share of the workers, so that others go first
 	heldByLikeStep       // another step that needs no more than its own has found no worker
 	heldByWithheldRoom   // workers have room, but run suspected tasks that it must not join
 	heldByInterference   // workers have room, but leave a best-effort task no CPU, or it would disturb tasks with targets
@@ -59,10 +63,13 @@
 		heldByOwnRecord:      "the record of its start is not stored yet",
 		heldByNewPlan:        "its start was decided, but could not be sent any more",
 		heldBySendRate:       "as many starts are decided as can be sent while they are valid",
+		heldByCap:            "it, or its gang, needs more than its tenant's cap",
+		heldByQuota:          "its tenant has too little left of its cap",
 		heldByWorseSuspect:   "a task of its step that is suspected no more often found no worker",
 		heldByReserve:        waitsForReserve,
 		heldByNoWorker:       "no worker of its service may get tasks",
 		heldByRoom:           waitsForRoom,
+		heldByShare:          "no worker that may run it has room, and its tenant has more than its share, so others go first",
 		heldByLikeStep:       "a step before it that needs no more found no worker",
 		heldByWithheldRoom:   "workers that may run it have room, but run suspected tasks that it must not join",
 		heldByInterference:   "workers that may run it have room, but no CPU is left there, or it would disturb tasks with targets",
@@ -75,7 +82,8 @@
 	waitReasonNames = [waitReasons]string{
 		notHeld: "new", heldByStartRecord: "start-record", heldByPause: "pause", heldByFormerOwner: "former-owner",
 		heldByFailureRecord: "failure-record", heldByFormerEnds: "former-ends", heldByConfig: "config", heldByOwnRecord: "own-record", heldByNewPlan: "new-plan", heldBySendRate: "send-rate",
-		heldByWorseSuspect: "worse-suspect", heldByReserve: "reserve", heldByNoWorker: "no-worker", heldByRoom: "room",
+		heldByCap: "cap", heldByQuota: "quota",
+		heldByWorseSuspect: "worse-suspect", heldByReserve: "reserve", heldByNoWorker: "no-worker", heldByRoom: "room", heldByShare: "share",
 		heldByLikeStep: "like-step", heldByWithheldRoom: "withheld-room", heldByInterference: "interference", heldByIsolation: "isolation", heldByAdviser: "adviser", heldByQuestions: "questions",
 		heldByRefusedTickets: "refused-tickets", heldByGang: "gang",
 	}
@@ -94,7 +102,7 @@
 // describesRoom reports whether step.waits says for the reason what the workers lack.
 func (r waitReason) describesRoom() bool {
 	switch r {
-	case heldByRoom, heldByLikeStep, heldByWithheldRoom, heldByInterference, heldByIsolation, heldByRefusedTickets:
+	case heldByRoom, heldByShare, heldByLikeStep, heldByWithheldRoom, heldByInterference, heldByIsolation, heldByRefusedTickets:
 		return true
 	default:
 		return false
@@ -248,6 +256,9 @@
 			reason = heldByRoom
 		}
 	}
+	if reason == heldByRoom && s.shareLevel(st) > 0 {
+		return heldByShare
+	}
 	return reason
 }
 
@@ -326,6 +337,9 @@
 	if reason.describesRoom() {
 		e.Inputs = s.describeWorkers(s.queueOf(st.job).Service) + "; " + s.describeRoom(st, r.task(), now)
 	}
+	if reason == heldByCap || reason == heldByQuota {
+		e.Inputs = s.describeQuota(st, st.placedTogether())
+	}
 	s.event(e)
 	return true
 }
