--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -343,10 +343,6 @@
 		s.holdBackGang(st, member, r, now)
 		return
 	}
-	if r := s.quotaWait(st, len(st.tasks)); r != notHeld {
-		s.holdStep(st, 0, r, now)
-		return
-	}
 	if !st.startRecordDurable {
 		s.requestStartRecord(st)
 		s.holdStep(st, 0, heldByStartRecord, now)
--- a/internal/batch/tenants_test.go
+++ b/internal/batch/tenants_test.go
@@ -242,6 +242,21 @@
 	}
 }
 
+// A task in doubt counts on if its job is cancelled under the new owner.
+func TestDoubtOutlastsACancellation(t *testing.T) {
+	is := is.New(t)
+	s, now := newTenantState(Resources{CPU: 1000}, "a")
+	addTenantJob(s, "old", now, taskStep(1, 1000))
+	planUntilIdle(s, now)
+	next := takeOver(s, now, "a")
+	next.Cancel("old", now)
+	addTenantJob(next, "new", now, taskStep(1, 1000))
+	addWorker(next, "b", Resources{CPU: 4000, MemoryMB: 4000}, now)
+	is.Equal(len(startActions(planUntilIdle(next, now))), 0)
+	reportWithLease(next, "a", Report{Incarnation: 1, Clock: 50}, now)
+	is.Equal(len(startActions(planUntilIdle(next, now))), 1)
+}
+
 // Guards against a tenant that stands still after a take-over for a worker that is out of contact: its many waiting tasks
 // are in doubt, but that worker can hold few of them.
 func TestDoubtIsBoundedByTheWorkersInDoubt(t *testing.T) {
