--- a/internal/batch/fresh_steps.go
+++ b/internal/batch/fresh_steps.go
@@ -31,6 +31,7 @@
 	}
 	s.startsLeft = s.maxStarts
 	s.noteDoubtfulCapacity()
+	s.rateJobs()
 	steps := s.freshInOrder(now)
 	clear(s.fresh)
 	steps = slices.DeleteFunc(steps, func(e openStepEntry) bool { return !e.step.isOpen || s.leftOut.goesBefore(e) })
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -24,6 +24,7 @@
 	ConfigVersion int64
 
 	account        *quota.Account // of its tenant; nil if it has none
+	excess         bool           // its tenant has submitted it beyond its rate
 	outcome        JobStatus
 	durableOutcome JobStatus // the outcome that the store holds
 	started        bool      // a worker has started a task, under any owner
--- a/internal/batch/model.go
+++ b/internal/batch/model.go
@@ -30,8 +30,8 @@
 
 // Tenant is the configuration of a tenant, whose jobs share the workers with those of the others.
 type Tenant struct {
-	// Weight is the tenant's share of the workers, relative to the other weights, while all are full. Weights of 0 or
-	// less count as 1.
+	// Weight is the tenant's share of the workers, relative to the other weights, while all are full, and the number of
+	// jobs a second that are not put behind those of others then. Weights of 0 or less count as 1.
 	Weight float64
 	// Cap bounds the resources of the tenant's tasks on all workers together. A resource whose cap is 0 is not bounded.
 	Cap Resources
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/quota"
 )
 
 const (
@@ -34,6 +36,7 @@
 	s.evaluations, s.fullSearches = 0, 0
 	s.noteDoubtfulCapacity()
 	s.noteFairShare()
+	s.rateJobs()
 	s.openDue(now)
 	s.failHopeless(now)
 	s.place(now)
@@ -103,6 +106,7 @@
 	littleUsed := s.littleUsedServices(workers, lastResorts)
 	var unplaced unplacedSteps
 	var starved unplacedSteps
+	recordedAhead := map[*quota.Account]bool{}
 	for i := 0; i < len(steps); i++ {
 		if s.yieldStep(steps[i:]) {
 			i--
@@ -126,6 +130,7 @@
 		}
 		if r := s.quotaWait(entry.step, entry.step.placedTogether()); r != notHeld {
 			s.holdStep(entry.step, 0, r, now)
+			s.recordAhead(entry.step, r, recordedAhead)
 			continue
 		}
 		resorts := s.resortsFor(entry.step, lastResorts, littleUsed)
--- a/internal/batch/shares.go
+++ b/internal/batch/shares.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 
@@ -47,6 +48,18 @@
 	s.shares.fair = quota.FairShare(weights)
 }
 
+// rateJobs decides which of the jobs that were added since are beyond the rates of their tenants, in the order in which they were
+// accepted. A new owner has all that are kept, and so decides as the former one did, but for jobs that are no longer kept.
+func (s *State) rateJobs() {
+	slices.SortFunc(s.unrated, func(a, b *Job) int { return cmp.Or(a.Accepted.Compare(b.Accepted), cmp.Compare(a.ID, b.ID)) })
+	for _, j := range s.unrated {
+		tenant, known := s.config.Tenants[j.Tenant]
+		j.excess = known && !j.account.Rate.Admit(tenant.Weight, j.Accepted)
+	}
+	clear(s.unrated)
+	s.unrated = s.unrated[:0]
+}
+
 // jobLevel returns the level of the share that a job's tenant has now; 0 for a job without a tenant.
 func (s *State) jobLevel(j *Job) int { return s.levelWith(j, quota.Amount{}) }
 
--- a/internal/batch/shares_test.go
+++ b/internal/batch/shares_test.go
@@ -79,6 +79,42 @@
 	}
 }
 
+// A hot tenant is held up by its own cap: what it sends within its rate goes before what it has sent beyond that, also under a
+// new owner, so that the excess does not delay the rest.
+func TestJobsWithinTheRateGoBeforeTheExcess(t *testing.T) {
+	for _, takesOver := range []bool{false, true} {
+		t.Run(fmt.Sprintf("take-over %t", takesOver), func(t *testing.T) {
+			is := is.New(t)
+			s, now := newTenantState(Resources{CPU: 1000}, "a")
+			for i := range 6 {
+				addTenantJob(s, fmt.Sprintf("j%d", i), now, taskStep(1, 1000))
+			}
+			start := startActions(planUntilIdle(s, now))[0]
+			is.Equal(start.Task.Job, "j0") // the others are beyond a rate of one a second
+			now = now.Add(2 * time.Second)
+			addTenantJob(s, "next", now, taskStep(1, 1000))
+			planUntilIdle(s, now) // the record of its step is stored
+			if takesOver {
+				s = takeOver(s, now, "a")
+				reportWithLease(s, "a", Report{Incarnation: 1, Clock: 2000, Running: []RunningAttempt{{Task: start.Task, Run: start.Run}}}, now)
+				s.Plan(now)
+			}
+			end(s, start, EndDone, now)
+			is.Equal(startActions(planUntilIdle(s, now))[0].Task.Job, "next")
+		})
+	}
+}
+
+// What a tenant sends beyond its rate uses room that nobody else wants, at once.
+func TestTheExcessUsesIdleRoom(t *testing.T) {
+	is := is.New(t)
+	s, now := newSharesState(1, 1, "a")
+	for i := range 4 {
+		addJobOf(s, "hot", fmt.Sprintf("h%d", i), "q", now, taskStep(1, 1000))
+	}
+	is.Equal(len(startActions(planUntilIdle(s, now))), 4)
+}
+
 // Room that no other tenant wants is used by whoever has work, also beyond its share and beside tenants at their shares.
 func TestIdleRoomIsUsedBeyondTheShare(t *testing.T) {
 	is := is.New(t)
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -58,6 +58,8 @@
 	tenants          *quota.Book
 	doubtfulCapacity quota.Amount
 	shares           shares
+	// unrated holds the jobs of tenants that were added since the last Plan.
+	unrated []*Job
 
 	dirty changedJobs
 	// urgentJobs holds the jobs with steps whose start waits for a durable record.
--- a/internal/batch/tenants.go
+++ b/internal/batch/tenants.go
@@ -24,6 +24,7 @@
 func (s *State) openAccount(j *Job) {
 	if j.Tenant != "" {
 		j.account = s.tenants.Account(j.Tenant)
+		s.unrated = append(s.unrated, j)
 	}
 }
 
@@ -58,6 +59,18 @@
 	}
 }
 
+// recordAhead requests the start record of the first step of each tenant that its quota holds up, which done notes, so that what
+// becomes free does not go to a later step whose record is durable already.
+func (s *State) recordAhead(st *step, reason waitReason, done map[*quota.Account]bool) {
+	if reason != heldByQuota || done[st.job.account] {
+		return
+	}
+	done[st.job.account] = true
+	if !st.startRecordRequested {
+		s.requestStartRecord(st)
+	}
+}
+
 // keepsQuota reports whether the use of a job's tenant, which an attempt of the step is part of, is within its cap.
 func (s *State) keepsQuota(st *step) bool {
 	account := st.job.account
--- a/internal/batch/urgency.go
+++ b/internal/batch/urgency.go
@@ -92,16 +92,18 @@
 type openStepEntry struct {
 	step     *step
 	priority int
-	level    int // of its tenant's share
+	excess   bool // its tenant has submitted its job beyond its rate
+	level    int  // of its tenant's share
 	urgency
 }
 
-// compare orders steps by priority. Within a priority come restarts, which restore what has run, then the tenants with lower
-// shares, and within a level of these the most urgent step.
+// compare orders steps by priority. Within a priority come restarts, which restore what has run, then jobs within the rates of
+// their tenants, then tenants with lower shares, and within a level of these the most urgent step.
 func (e openStepEntry) compare(o openStepEntry) int {
 	return cmp.Or(
 		cmp.Compare(e.priority, o.priority),
 		compareBool(!e.restart, !o.restart),
+		compareBool(e.excess, o.excess),
 		cmp.Compare(e.level, o.level),
 		e.urgency.compare(o.urgency),
 		cmp.Compare(e.step.job.ID, o.step.job.ID),
@@ -112,7 +114,7 @@
 
 // openStepEntry returns the entry of a step.
 func (s *State) openStepEntry(st *step, now time.Time) openStepEntry {
-	return openStepEntry{step: st, priority: s.queueOf(st.job).Priority, level: s.shareLevel(st), urgency: s.urgency(st, now)}
+	return openStepEntry{step: st, priority: s.queueOf(st.job).Priority, excess: st.job.excess, level: s.shareLevel(st), urgency: s.urgency(st, now)}
 }
 
 // openStepsInOrder returns the open steps in the order of decisions. The slice is valid until the next call.
--- a/internal/batch/waits.go
+++ b/internal/batch/waits.go
@@ -30,7 +30,7 @@
 	heldByReserve        // new long-running tasks leave room to short ones
 	heldByNoWorker       // no worker of its service may get tasks
 	heldByRoom           // none of the workers that may get tasks has room for it
-	heldByShare          // the same, and its tenant has more than its fair share of the workers, so that others go first
+	heldByShare          // the same, and its tenant has more than its fair share of the workers or has sent it beyond its rate, so that others go first
 	heldByLikeStep       // another step that needs no more than its own has found no worker
 	heldByWithheldRoom   // workers have room, but run suspected tasks that it must not join
 	heldByInterference   // workers have room, but leave a best-effort task no CPU, or it would disturb tasks with targets
@@ -69,7 +69,7 @@
 		heldByReserve:        waitsForReserve,
 		heldByNoWorker:       "no worker of its service may get tasks",
 		heldByRoom:           waitsForRoom,
-		heldByShare:          "no worker that may run it has room, and its tenant has more than its share, so others go first",
+		heldByShare:          "no worker that may run it has room, and its tenant has or sends more than its share, so others go first",
 		heldByLikeStep:       "a step before it that needs no more found no worker",
 		heldByWithheldRoom:   "workers that may run it have room, but run suspected tasks that it must not join",
 		heldByInterference:   "workers that may run it have room, but no CPU is left there, or it would disturb tasks with targets",
@@ -256,7 +256,7 @@
 			reason = heldByRoom
 		}
 	}
-	if reason == heldByRoom && s.shareLevel(st) > 0 {
+	if reason == heldByRoom && (st.job.excess || s.shareLevel(st) > 0) {
 		return heldByShare
 	}
 	return reason
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -6,6 +6,8 @@
 	Used Amount
 	// doubtful is the sum of its tasks that a former owner may have started, and of which nothing is known yet.
 	doubtful Amount
+	// Rate is that of the tenant's jobs.
+	Rate Rate
 }
 
 // Add adds an attempt that may run from now on.
