--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -73,7 +73,6 @@
 		slices.SortFunc(jobs, func(a, b *Job) int {
 			return cmp.Or(
 				cmp.Compare(s.queueOf(a).Priority, s.queueOf(b).Priority),
-				compareBool(a.excess, b.excess),
 				cmp.Compare(s.jobLevel(a), s.jobLevel(b)),
 				cmp.Compare(s.dirty.seqs[a], s.dirty.seqs[b]),
 			)
--- a/internal/batch/shares.go
+++ b/internal/batch/shares.go
@@ -67,13 +67,18 @@
 // with the same priority, that of the lower level goes first.
 func (s *State) shareLevel(st *step) int { return s.levelWith(st.job, st.demand(st.placedTogether())) }
 
-// levelWith returns the level of the share that a job's tenant would have if it used so much more.
+// levelWith returns the level of the share that a job's tenant would have if it used so much more. Jobs beyond the rates of their
+// tenants have levels of their own, above all others.
 func (s *State) levelWith(j *Job, more quota.Amount) int {
 	if j.account == nil || s.shares.fair == 0 {
 		return 0
 	}
 	used := j.account.Used.Plus(more)
-	return quota.Level(quota.DominantShare(used, s.shares.capacity, s.config.Tenants[j.Tenant].Weight), s.shares.fair)
+	level := quota.Level(quota.DominantShare(used, s.shares.capacity, s.config.Tenants[j.Tenant].Weight), s.shares.fair)
+	if j.excess {
+		level += quota.MaxLevel + 1
+	}
+	return level
 }
 
 // tasksWithin returns how many tasks of a step, one at least, may start until the share of its tenant leaves a level.
--- a/internal/batch/urgency.go
+++ b/internal/batch/urgency.go
@@ -92,8 +92,7 @@
 type openStepEntry struct {
 	step     *step
 	priority int
-	excess   bool // its tenant has submitted its job beyond its rate
-	level    int  // of its tenant's share
+	level    int // of its tenant's share, see State.shareLevel
 	urgency
 }
 
@@ -103,7 +102,6 @@
 	return cmp.Or(
 		cmp.Compare(e.priority, o.priority),
 		compareBool(!e.restart, !o.restart),
-		compareBool(e.excess, o.excess),
 		cmp.Compare(e.level, o.level),
 		e.urgency.compare(o.urgency),
 		cmp.Compare(e.step.job.ID, o.step.job.ID),
@@ -114,7 +112,7 @@
 
 // openStepEntry returns the entry of a step.
 func (s *State) openStepEntry(st *step, now time.Time) openStepEntry {
-	return openStepEntry{step: st, priority: s.queueOf(st.job).Priority, excess: st.job.excess, level: s.shareLevel(st), urgency: s.urgency(st, now)}
+	return openStepEntry{step: st, priority: s.queueOf(st.job).Priority, level: s.shareLevel(st), urgency: s.urgency(st, now)}
 }
 
 // openStepsInOrder returns the open steps in the order of decisions. The slice is valid until the next call.
--- a/internal/batch/waits.go
+++ b/internal/batch/waits.go
@@ -256,7 +256,7 @@
 			reason = heldByRoom
 		}
 	}
-	if reason == heldByRoom && (st.job.excess || s.shareLevel(st) > 0) {
+	if reason == heldByRoom && s.shareLevel(st) > 0 {
 		return heldByShare
 	}
 	return reason
