--- a/internal/batch/shares.go
+++ b/internal/batch/shares.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 
@@ -47,6 +48,18 @@
 	s.shares.fair = quota.FairShare(weights)
 }
 
+// rateJobs decides which of the jobs that were added since are beyond the rates of their tenants, in the order in which they were
+// accepted. A new owner has all that are kept, and so decides as the former one did, but for jobs that are no longer kept.
+func (s *State) rateJobs() {
+	slices.SortFunc(s.unrated, func(a, b *Job) int { return cmp.Or(a.Accepted.Compare(b.Accepted), cmp.Compare(a.ID, b.ID)) })
+	for _, j := range s.unrated {
+		tenant, known := s.config.Tenants[j.Tenant]
+		j.excess = known && !j.account.Rate.Admit(tenant.Weight, j.Accepted)
+	}
+	clear(s.unrated)
+	s.unrated = s.unrated[:0]
+}
+
 // jobLevel returns the level of the share that a job's tenant has now; 0 for a job without a tenant.
 func (s *State) jobLevel(j *Job) int { return s.levelWith(j, quota.Amount{}) }
 
@@ -54,13 +67,18 @@
 // with the same priority, that of the lower level goes first.
 func (s *State) shareLevel(st *step) int { return s.levelWith(st.job, st.demand(st.placedTogether())) }
 
-// levelWith returns the level of the share that a job's tenant would have if it used so much more.
+// levelWith returns the level of the share that a job's tenant would have if it used so much more. Jobs beyond the rates of their
+// tenants have levels of their own, above all others.
 func (s *State) levelWith(j *Job, more quota.Amount) int {
 	if j.account == nil || s.shares.fair == 0 {
 		return 0
 	}
 	used := j.account.Used.Plus(more)
-	return quota.Level(quota.DominantShare(used, s.shares.capacity, s.config.Tenants[j.Tenant].Weight), s.shares.fair)
+	level := quota.Level(quota.DominantShare(used, s.shares.capacity, s.config.Tenants[j.Tenant].Weight), s.shares.fair)
+	if j.excess {
+		level += quota.MaxLevel + 1
+	}
+	return level
 }
 
 // tasksWithin returns how many tasks of a step, one at least, may start until the share of its tenant leaves a level.
--- a/internal/batch/urgency.go
+++ b/internal/batch/urgency.go
@@ -92,12 +92,12 @@
 type openStepEntry struct {
 	step     *step
 	priority int
-	level    int // of its tenant's share
+	level    int // of its tenant's share, see State.shareLevel
 	urgency
 }
 
-// compare orders steps by priority. Within a priority come restarts, which restore what has run, then the tenants with lower
-// shares, and within a level of these the most urgent step.
+// compare orders steps by priority. Within a priority come restarts, which restore what has run, then jobs within the rates of
+// their tenants, then tenants with lower shares, and within a level of these the most urgent step.
 func (e openStepEntry) compare(o openStepEntry) int {
 	return cmp.Or(
 		cmp.Compare(e.priority, o.priority),
