--- a/cmd/geraniumwickd/main.go
+++ b/cmd/geraniumwickd/main.go
@@ -1,6 +1,5 @@
-// Command geraniumwickd runs an instance of geraniumwick: by default with the settings of its flags, or
-// on the users' platform with the argument platform. With check-settings FILE it only validates a
-// settings file of the platform.
+// Command geraniumwickd runs an instance of geraniumwick: with the settings of its flags (serve, the default), or on the
+// users' platform (platform). With check-settings FILE it only validates a settings file of the platform.
 package main
 
 import (
@@ -38,17 +37,25 @@
 // a signal requests a planned stop.
 func execute(args []string, signals <-chan os.Signal, stdout, stderr io.Writer) int {
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
-	if len(args) == 1 && args[0] == platformCommand {
-		return executePlatform(stdout, stderr)
-	}
-	if len(args) == 2 && args[0] == checkSettingsCommand {
-		return checkSettings(args[1], stdout, stderr)
-	}
-	s, err := settings.Parse(args)
+	line, err := parseCommandLine(args, stdout)
 	if err != nil {
 		fmt.Fprintln(stderr, "geraniumwickd:", err)
 		return exitUsage
 	}
+	switch line.command {
+	case helpShown:
+		return exitDone
+	case platformCommand:
+		return executePlatform(stdout, stderr)
+	case checkSettingsCommand:
+		return checkSettings(line.file, stdout, stderr)
+	default:
+		return serve(line.settings, signals, stdout, stderr)
+	}
+}
+
+// serve runs an instance with the settings of its flags and returns the exit code of the process.
+func serve(s settings.Settings, signals <-chan os.Signal, stdout, stderr io.Writer) int {
 	log := zerolog.New(stdout).Level(s.LogLevel).With().Timestamp().Logger()
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
--- a/cmd/geraniumwickd/platform.go
+++ b/cmd/geraniumwickd/platform.go
@@ -28,12 +28,6 @@
 	"github.com/geraniumwick/geraniumwick/platform"
 )
 
-// platformCommand is the argument that runs an instance on the users' platform.
-const platformCommand = "platform"
-
-// checkSettingsCommand is the argument that validates a settings file of the platform.
-const checkSettingsCommand = "check-settings"
-
 const (
 	// minClaimTTL is how long the store keeps the owner's claim without a renewal, unless its shortest
 	// lease is longer.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,8 +4,6 @@
 
 import (
 	"crypto/tls"
-	"io"
-	"os"
 	"strings"
 	"time"
 
@@ -82,40 +80,44 @@
 // Error implements error in one line.
 func (e *Error) Error() string { return strings.Join(e.Problems, "; ") }
 
-// Parse reads the settings from the arguments, which exclude the program's name, and from the
-// environment. Flags take precedence over the environment. The error is an *Error, or a kingpin
-// error for arguments that kingpin cannot parse. For --help it prints the flags and ends the
-// process.
-func Parse(args []string) (Settings, error) {
-	return parse(args, os.Stdout, os.Exit)
+// FlagGroup is what flags are added to: a kingpin application or one of its commands.
+type FlagGroup interface {
+	Flag(name, help string) *kingpin.FlagClause
 }
 
-// parse is Parse with the output and the exit function as parameters.
-func parse(args []string, out io.Writer, exit func(int)) (Settings, error) {
-	app := kingpin.New("geraniumwickd", "Entry instance of geraniumwick, a scheduler for latency-critical and batch work.")
-	app.UsageWriter(out).ErrorWriter(out).Terminate(exit)
-	var s Settings
-	table := definitions(&s)
-	values := make([]*string, len(table))
-	for i, d := range table {
-		values[i] = app.Flag(d.name, d.help).Envar(d.environment()).PlaceHolder(d.placeholder()).Default(d.value).String()
-	}
-	if _, err := app.Parse(args); err != nil {
-		return Settings{}, err
+// Flags are the flags of all settings and their environment variables.
+type Flags struct {
+	settings Settings
+	table    []definition
+	values   []*string // of the flags, in the order of the table
+}
+
+// AddFlags adds the flags of all settings to a group. Flags take precedence over the environment.
+func AddFlags(g FlagGroup) *Flags {
+	f := &Flags{}
+	f.table = definitions(&f.settings)
+	for _, d := range f.table {
+		value := g.Flag(d.name, d.help).Envar(d.environment()).PlaceHolder(d.placeholder()).Default(d.value).String()
+		f.values = append(f.values, value)
 	}
+	return f
+}
+
+// Settings returns the settings once the arguments have been parsed. The error is an *Error.
+func (f *Flags) Settings() (Settings, error) {
 	var problems []string
-	for i, d := range table {
-		if err := d.set(*values[i]); err != nil {
+	for i, d := range f.table {
+		if err := d.set(*f.values[i]); err != nil {
 			problems = append(problems, "--"+d.name+" ("+d.environment()+"): "+err.Error())
 		}
 	}
 	if len(problems) == 0 {
-		problems = s.checkCombined(*values[index(table, tlsCert)], *values[index(table, tlsKey)])
+		problems = f.settings.checkCombined(*f.values[index(f.table, tlsCert)], *f.values[index(f.table, tlsKey)])
 	}
 	if len(problems) > 0 {
 		return Settings{}, &Error{Problems: problems}
 	}
-	return s, nil
+	return f.settings, nil
 }
 
 // index returns the index of the definition with the name.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"github.com/alecthomas/kingpin/v2"
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 )
@@ -15,9 +16,14 @@
 // required holds the required arguments.
 var required = []string{"--data-centre=a", "--store=http://127.0.0.1:1", "--inventory=http://127.0.0.1:2"}
 
-// parseQuietly parses without printing or ending the process.
+// parseQuietly parses arguments without printing or ending the process.
 func parseQuietly(args ...string) (Settings, error) {
-	return parse(args, &bytes.Buffer{}, func(int) {})
+	app := kingpin.New("test", "").UsageWriter(&bytes.Buffer{}).ErrorWriter(&bytes.Buffer{}).Terminate(func(int) {})
+	flags := AddFlags(app)
+	if _, err := app.Parse(args); err != nil {
+		return Settings{}, err
+	}
+	return flags.Settings()
 }
 
 func TestDefaults(t *testing.T) {
