--- a/internal/batch/lifecycle.go
+++ b/internal/batch/lifecycle.go
@@ -67,6 +67,7 @@
 	}
 	if !st.isOpen {
 		s.open.add(st)
+		s.noteShortSize(st)
 		s.markFresh(st)
 		st.ready = now
 		s.markStartable(st, now)
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -20,7 +20,7 @@
 	if now.Sub(s.lastCheck) >= checkInterval {
 		s.excusePause(now)
 		s.lastCheck = now
-		s.updateMeanShortCPU()
+		s.updateShortDemand()
 		s.interferenceModel.growVariances(checkInterval)
 		s.expireLeases(now)
 		s.stopStalled(now)
@@ -91,6 +91,7 @@
 
 // placeSteps starts as many waiting tasks of the steps, in their order, as the workers have capacity for.
 func (s *State) placeSteps(steps []openStepEntry, now time.Time) {
+	clear(s.headrooms)
 	workers := s.usable(now)
 	lastResorts := s.lastResorts(now)
 	if len(workers) == 0 && len(lastResorts) == 0 {
@@ -270,54 +271,6 @@
 	})
 }
 
-const (
-	// meanShortCPUGain is the weight of a new value in the moving average of the CPU that short tasks
-	// of a service reserve, which is updated every checkInterval. A short task is one that is not long-running.
-	meanShortCPUGain = 0.05
-	// shortReserveFactor times that average is kept free of new long-running tasks, but at most
-	// maxReserve of the CPU of the service's workers.
-	shortReserveFactor = 6.0
-	maxReserve         = 0.25
-	// reserveWait is the age of a job from which its long-running tasks start regardless of the
-	// reserve.
-	reserveWait = 60 * time.Second
-)
-
-// keepsShortTaskReserve reports whether a new long-running task leaves enough CPU to short tasks on the workers of
-// its service, which could otherwise wait until a long-running job is cancelled. The CPU that short tasks use counts
-// as available to them. The reserve shrinks linearly to 0 as the job's age reaches reserveWait.
-func (s *State) keepsShortTaskReserve(st *step, workers []*worker, now time.Time) bool {
-	service := s.queueOf(st.job).Service
-	var available, capacity int64
-	for _, w := range workers {
-		if w.info.Service != service {
-			continue
-		}
-		// A worker whose capacity has shrunk may run more than it has room for.
-		available += max(0, w.free().CPU+w.shortCPU)
-		capacity += w.info.Capacity.CPU
-	}
-	reserve := min(shortReserveFactor*s.meanShortCPU[service], maxReserve*float64(capacity))
-	reserve *= max(0, 1-now.Sub(st.job.Accepted).Seconds()/reserveWait.Seconds())
-	return float64(available-st.reserved.CPU) >= reserve
-}
-
-// updateMeanShortCPU updates the moving averages of the CPU that short tasks reserve.
-func (s *State) updateMeanShortCPU() {
-	reserved := map[string]int64{}
-	for _, w := range s.workers {
-		reserved[w.info.Service] += w.shortCPU
-	}
-	for service := range s.meanShortCPU {
-		if _, known := reserved[service]; !known {
-			delete(s.meanShortCPU, service)
-		}
-	}
-	for service, cpu := range reserved {
-		s.meanShortCPU[service] += meanShortCPUGain * (float64(cpu) - s.meanShortCPU[service])
-	}
-}
-
 // placeGang starts either all tasks of a gang, with one run number and one checkpoint, or none. A gang that finds no room
 // on the workers may get last resorts besides, see mayUseLastResort.
 func (s *State) placeGang(st *step, workers, lastResorts []*worker, now time.Time) {
@@ -397,6 +350,7 @@
 	a := &attempt{step: st, index: index, run: run, worker: w, reserved: st.reserved, requestedAt: now, progressAt: now, cpuLimit: fullPercent}
 	a.notAfter = notAfterUnset
 	a.startPending = true
+	s.takeHeadroom(st, w)
 	s.register(a)
 	return a
 }
--- a/internal/batch/policy_test.go
+++ b/internal/batch/policy_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/geraniumwick/geraniumwick/internal/placement"
 )
 
 // latencySensitiveStep returns a long-running step with a latency target of 50 ms.
@@ -187,12 +189,12 @@
 	}
 }
 
-// New long-running tasks leave a reserve of CPU to short tasks, and start after reserveWait at the
+// New long-running tasks leave a reserve of CPU to short tasks, and start after HeadroomPatience at the
 // latest.
 func TestNewLongRunningTasksLeaveRoomToShortOnes(t *testing.T) {
 	is := is.New(t)
 	s, now := newTestState("a", "b")
-	s.meanShortCPU["svc"] = 2000
+	s.shortDemandOf("svc").cpu.Observe(2000)
 	addJob(s, "lasts", "q", now, latencySensitiveStep("web", 8))
 	is.Equal(len(startActions(planUntilIdle(s, now))), 6) // a quarter of 8 cores stays free
 	reasons := 0
@@ -214,7 +216,7 @@
 			}
 		}
 	}
-	is.Equal(len(startActions(planUntilIdle(s, now.Add(reserveWait)))), 2)
+	is.Equal(len(startActions(planUntilIdle(s, now.Add(placement.HeadroomPatience)))), 2)
 }
 
 // An owner is lost together with the workers that run its long-running tasks. The next owner restarts
@@ -225,7 +227,7 @@
 	addJob(s, "lasts", "q", now, latencySensitiveStep("web", 8))
 	is.Equal(len(startActions(planUntilIdle(s, now))), 8)
 	next := takeOver(s, now)
-	next.meanShortCPU["svc"] = 2000
+	next.shortDemandOf("svc").cpu.Observe(2000)
 	for _, id := range []WorkerID{"a", "b"} {
 		reportWithLease(next, id, Report{Incarnation: 2, Clock: 5}, now)
 		next.UpdateWorker(restartedAs(next, id, 2), now)
--- a/internal/batch/rejection.go
+++ b/internal/batch/rejection.go
@@ -60,7 +60,7 @@
 	if w.info.Service != q.Service {
 		return rejectedService
 	}
-	if r := st.reserved.lacking(w.free()); r != notRejected {
+	if r := lacking(st.reserved, w.free()); r != notRejected {
 		return r
 	}
 	if !w.mayHaveRoom(st.reserved, now) {
@@ -70,7 +70,7 @@
 }
 
 // lacking returns the first resource of which less is available than r, or notRejected.
-func (r Resources) lacking(available Resources) rejection {
+func lacking(r, available Resources) rejection {
 	switch {
 	case r.CPU > available.CPU:
 		return rejectedCPU
--- a/internal/batch/reserve_bound_test.go
+++ b/internal/batch/reserve_bound_test.go
@@ -15,7 +15,7 @@
 		s, now := newTestState()
 		need := int64(rapid.IntRange(1, 4000).Draw(t, "need"))
 		j := addJob(s, "j", "q", now, longRunningStep(1, need, 0))
-		s.meanShortCPU["svc"] = float64(rapid.IntRange(0, 40_000).Draw(t, "CPU of short tasks"))
+		s.shortDemandOf("svc").cpu.Observe(int64(rapid.IntRange(0, 40_000).Draw(t, "CPU of short tasks")))
 		var capacity, used int64
 		room := 0
 		for i := range rapid.IntRange(1, 8).Draw(t, "workers") {
@@ -30,7 +30,7 @@
 		if 2*used >= capacity || room < 2 {
 			t.Skip("no such room")
 		}
-		if !s.keepsShortTaskReserve(j.occs[0].steps[0], s.usable(now), now.Add(time.Second)) {
+		if !s.keepsHeadroom(j.occs[0].steps[0], s.usable(now), now.Add(time.Second)) {
 			t.Fatalf("withheld: %d of %d in use, %d needed, room for %d", used, capacity, need, room)
 		}
 	})
--- a/internal/batch/reserve_test.go
+++ b/internal/batch/reserve_test.go
@@ -38,7 +38,7 @@
 	info.Capacity = Resources{}
 	s.UpdateWorker(info, now)
 	addWorker(s, "b", Resources{CPU: 4000, MemoryMB: 4000}, now)
-	s.meanShortCPU["svc"] = 2000
+	s.shortDemandOf("svc").cpu.Observe(2000)
 	addJob(s, "new", "q", now, longRunningStep(4, 1000, 0))
 	is.Equal(len(startActions(planUntilIdle(s, now))), 3) // a quarter of what is left stays free
 }
@@ -53,7 +53,7 @@
 	info.Capacity.CPU = 1000
 	s.UpdateWorker(info, now)
 	addWorker(s, "b", Resources{CPU: 4000, MemoryMB: 4000}, now)
-	s.meanShortCPU["svc"] = 4000
+	s.shortDemandOf("svc").cpu.Observe(4000)
 	addJob(s, "new", "q", now, longRunningStep(5, 1000, 0))
 	is.Equal(len(startActions(planUntilIdle(s, now))), 3) // 5,000 in all, of which a quarter stays available
 }
--- a/internal/batch/simulation_lasting_test.go
+++ b/internal/batch/simulation_lasting_test.go
@@ -96,14 +96,14 @@
 	}
 	free, same := n.info.Capacity, 0
 	for key := range n.running {
-		free = free.minus(w.jobs[key.task.Job].Spec.Steps[key.task.Step].Resources)
+		free = free.Minus(w.jobs[key.task.Job].Spec.Steps[key.task.Step].Resources)
 		if key.task.Job == id.Job && key.task.Step == id.Step {
 			same++
 		}
 	}
 	need := Resources{}
 	for range lastingRoom {
-		need = need.plus(step.Resources)
+		need = need.Plus(step.Resources)
 	}
 	return need.Fits(free) && (step.MaxPerWorker == 0 || same+lastingRoom <= step.MaxPerWorker)
 }
--- a/internal/batch/simulation_liveness_test.go
+++ b/internal/batch/simulation_liveness_test.go
@@ -185,9 +185,9 @@
 func (w *simulation) isLittleUsed() bool {
 	var used, capacity Resources
 	for _, n := range w.workers {
-		capacity = capacity.plus(n.info.Capacity)
+		capacity = capacity.Plus(n.info.Capacity)
 		for key := range n.running {
-			used = used.plus(w.jobs[key.task.Job].Spec.Steps[key.task.Step].reserved())
+			used = used.Plus(w.jobs[key.task.Job].Spec.Steps[key.task.Step].reserved())
 		}
 	}
 	return maxUseOfService*used.CPU < capacity.CPU && maxUseOfService*used.MemoryMB < capacity.MemoryMB
--- a/internal/batch/simulation_requests_test.go
+++ b/internal/batch/simulation_requests_test.go
@@ -220,7 +220,7 @@
 	w.begun[a.Task.Job] = true
 	var used Resources
 	for key := range n.running {
-		used = used.plus(w.jobs[key.task.Job].Spec.Steps[key.task.Step].reserved())
+		used = used.Plus(w.jobs[key.task.Job].Spec.Steps[key.task.Step].reserved())
 	}
 	capacity := n.info.Capacity
 	if a.Incarnation < n.info.Incarnation {
@@ -228,7 +228,7 @@
 	}
 	for _, f := range n.formerCapacities {
 		if r.sentAt.Before(f.until) {
-			capacity = capacity.max(f.capacity)
+			capacity = maxResources(capacity, f.capacity)
 		}
 	}
 	if !used.Fits(capacity) {
@@ -247,7 +247,7 @@
 	}
 }
 
-// max returns the larger amount of each kind of resource.
-func (r Resources) max(o Resources) Resources {
-	return Resources{max(r.CPU, o.CPU), max(r.MemoryMB, o.MemoryMB), max(r.GPU, o.GPU)}
+// maxResources returns the larger amount of each kind of resource.
+func maxResources(r, o Resources) Resources {
+	return Resources{CPU: max(r.CPU, o.CPU), MemoryMB: max(r.MemoryMB, o.MemoryMB), GPU: max(r.GPU, o.GPU)}
 }
--- a/internal/batch/spec.go
+++ b/internal/batch/spec.go
@@ -14,6 +14,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/placement"
 )
 
 // The limits of a specification. They bound the memory that one job takes of an instance.
@@ -30,24 +32,7 @@
 )
 
 // Resources is an amount of each kind of resource.
-type Resources struct {
-	CPU      int64 `cbor:"1,keyasint,omitempty"` // thousandths of a core
-	MemoryMB int64 `cbor:"2,keyasint,omitempty"`
-	GPU      int64 `cbor:"3,keyasint,omitempty"`
-}
-
-// Fits reports whether r is at most available in each kind of resource.
-func (r Resources) Fits(available Resources) bool {
-	return r.CPU <= available.CPU && r.MemoryMB <= available.MemoryMB && r.GPU <= available.GPU
-}
-
-func (r Resources) plus(o Resources) Resources {
-	return Resources{r.CPU + o.CPU, r.MemoryMB + o.MemoryMB, r.GPU + o.GPU}
-}
-
-func (r Resources) minus(o Resources) Resources {
-	return Resources{r.CPU - o.CPU, r.MemoryMB - o.MemoryMB, r.GPU - o.GPU}
-}
+type Resources = placement.Resources
 
 // Step is a set of identical tasks.
 type Step struct {
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/placement"
 )
 
 // State is what the owner of the batch jobs knows of jobs and workers, with all decisions on them.
@@ -74,9 +76,9 @@
 	began                 time.Time // where clock counts from; zero before its first call
 	startsSinceReport     startCounts
 	interferenceModel     *interferenceModel
-	// meanShortCPU is the moving average of the CPU reserved by the attempts of short tasks, by service,
-	// in thousandths of a core.
-	meanShortCPU  map[string]float64
+	// shortDemands is what was learned of short tasks, and headrooms what the present decision leaves to them, by service.
+	shortDemands  map[string]*shortDemand
+	headrooms     map[headroomKey]*placement.Headroom
 	openQuestions int // questions to the adviser without an answer
 	// ownedUntil is the time until which no other owner can have taken over.
 	ownedUntil time.Time
@@ -133,7 +135,8 @@
 		suspects:           map[WorkerID]map[taskRef]bool{},
 		repeatSuspects:     map[taskRef]bool{},
 		interferenceModel:  newInterferenceModel(),
-		meanShortCPU:       map[string]float64{},
+		shortDemands:       map[string]*shortDemand{},
+		headrooms:          map[headroomKey]*placement.Headroom{},
 	}
 }
 
--- a/internal/batch/vacancies.go
+++ b/internal/batch/vacancies.go
@@ -56,7 +56,7 @@
 	q := v.state.queueOf(st.job)
 	for i, w := range v.workers {
 		if w.info.Service == q.Service && st.reserved.Fits(v.free[i]) && w.mayHaveRoom(st.reserved, v.now) && st.violates(w) == notRejected {
-			v.free[i] = v.free[i].minus(st.reserved)
+			v.free[i] = v.free[i].Minus(st.reserved)
 			return true
 		}
 	}
--- a/internal/batch/wait_reasons_test.go
+++ b/internal/batch/wait_reasons_test.go
@@ -145,7 +145,7 @@
 	},
 	heldByReserve: func(*testing.T) heldTask {
 		s, now := newTestState("a", "b")
-		s.meanShortCPU["svc"] = 2000
+		s.shortDemandOf("svc").cpu.Observe(2000)
 		addJob(s, "j", "q", now, latencySensitiveStep("web", 8))
 		planUntilIdle(s, now)
 		return held(s, now, "j", 7)
--- a/internal/batch/waits.go
+++ b/internal/batch/waits.go
@@ -205,7 +205,7 @@
 	if r := s.retryWait(st, t); r != notHeld {
 		return r
 	}
-	if st.spec.LongRunning && t.lastRun == 0 && !st.startedByFormerOwner && !s.keepsShortTaskReserve(st, workers, now) {
+	if st.spec.LongRunning && t.lastRun == 0 && !st.startedByFormerOwner && !s.keepsHeadroom(st, workers, now) {
 		return heldByReserve
 	}
 	return notHeld
@@ -366,12 +366,3 @@
 	}
 	return taskRef{st, from}
 }
-
-// String describes resources for the log.
-func (r Resources) String() string {
-	text := fmt.Sprintf("%d/1000 CPU, %d MB", r.CPU, r.MemoryMB)
-	if r.GPU > 0 {
-		text += fmt.Sprintf(", %d GPU", r.GPU)
-	}
-	return text
-}
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -270,12 +270,12 @@
 }
 
 // free returns the resources that no attempt reserves.
-func (w *worker) free() Resources { return w.info.Capacity.minus(w.used) }
+func (w *worker) free() Resources { return w.info.Capacity.Minus(w.used) }
 
 // attach adds an attempt to the worker and reserves its resources.
 func (w *worker) attach(a *attempt) {
 	w.attempts[attemptKey{a.id(), a.run}] = a
-	w.used = w.used.plus(a.reserved)
+	w.used = w.used.Plus(a.reserved)
 	w.count(a, 1)
 	a.countSuspected()
 }
@@ -283,7 +283,7 @@
 // detach removes an attempt from the worker and frees its resources.
 func (w *worker) detach(a *attempt) {
 	delete(w.attempts, attemptKey{a.id(), a.run})
-	w.used = w.used.minus(a.reserved)
+	w.used = w.used.Minus(a.reserved)
 	w.count(a, -1)
 	a.uncountSuspected()
 }
