--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -48,6 +48,8 @@
 	// missingSince is since when the reports that may lack attempts do not list it; zero if the last one did.
 	missingSince time.Time
 	percent      int
+	// firstPercent is percent when the attempt was first listed.
+	firstPercent int
 	// progressAt is when percent last rose, the attempt was first listed or its CPU limit was set.
 	progressAt time.Time
 	// lastMeasurement is RunningAttempt.Measurement of the last report.
--- a/internal/batch/ends.go
+++ b/internal/batch/ends.go
@@ -24,6 +24,7 @@
 	}
 	switch e.Reason {
 	case EndDone:
+		s.learnDuration(st, a, now)
 		s.countDone(w, st, e.Seq, now)
 		s.attemptDone(st, e.Task.Index, now)
 	case EndFailed:
--- a/internal/batch/headroom_test.go
+++ b/internal/batch/headroom_test.go
@@ -48,3 +48,25 @@
 		})
 	}
 }
+
+// Short urgent jobs come in bursts on a fleet that a stream of long-running tasks would fill between two bursts. Each burst after the
+// first finds room at once, in pieces that its tasks fit into.
+func TestBurstsOfShortTasksFindRoomBesideAStreamOfLongRunningOnes(t *testing.T) {
+	is := is.New(t)
+	var ids []WorkerID
+	for _, name := range workerNames(10) {
+		ids = append(ids, WorkerID(name))
+	}
+	s, now := newTestState(ids...)
+	f := newFleet(s, now)
+	for burst := range 4 {
+		name := fmt.Sprint("burst", burst)
+		came := f.now
+		f.add(name, "q", time.Second, taskStep(4, 2000))
+		f.run(3*fleetTick, nil)
+		is.Equal(f.waited(name, came), time.Duration(0))
+		is.Equal(s.jobs[name].occs[0].steps[0].waiting, 0) // all of its tasks were started
+		f.add(fmt.Sprint("lasting", burst), "q", 0, longRunningStep(16, 1000, 0))
+		f.run(2*time.Second, nil)
+	}
+}
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/forecast"
 )
 
 // runsPerEpoch is the distance between the first run numbers of two successive epochs. It lets each
@@ -85,6 +87,8 @@
 	// suspect is set if tasks of the step have failed on several workers and nothing shows that it works.
 	suspect bool
 	waits   stepWaits
+	// durations is what was learned of how long such tasks run; nil until it is needed.
+	durations *forecast.History
 	// isOpen and isListed are set if the step is among State.open, and if that holds an entry for it.
 	isOpen, isListed bool
 }
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -21,6 +21,7 @@
 		s.excusePause(now)
 		s.lastCheck = now
 		s.updateShortDemand()
+		s.reviewReservations(now)
 		s.interferenceModel.growVariances(checkInterval)
 		s.expireLeases(now)
 		s.stopStalled(now)
@@ -92,6 +93,8 @@
 // placeSteps starts as many waiting tasks of the steps, in their order, as the workers have capacity for.
 func (s *State) placeSteps(steps []openStepEntry, now time.Time) {
 	clear(s.headrooms)
+	s.noteHolders(now)
+	defer s.endPlacing()
 	workers := s.usable(now)
 	lastResorts := s.lastResorts(now)
 	if len(workers) == 0 && len(lastResorts) == 0 {
@@ -102,6 +105,7 @@
 	var unplaced unplacedSteps
 	var starved unplacedSteps
 	for i, entry := range steps {
+		s.beginPlacing(entry, now)
 		if entry.step.spec.BestEffort && (i == 0 || !steps[i-1].step.spec.BestEffort) {
 			starved = append(starved, s.placeStarved(firstBestEffort(steps[i:]), workers, now)...)
 		}
@@ -234,8 +238,10 @@
 		}
 		if w == nil {
 			mayFindLater := s.askAdviser(st, allWorkers, now)
-			s.holdStep(st, i, s.missing(st, t, allWorkers, now), now)
-			return mayFindLater
+			reason := s.missing(st, t, allWorkers, now)
+			s.holdStep(st, i, reason, now)
+			s.seekRoom(st, t, reason, workers, now)
+			return mayFindLater || reason == heldByReservation
 		}
 		if !st.startRecordDurable {
 			s.requestStartRecord(st)
@@ -351,6 +357,7 @@
 	a.notAfter = notAfterUnset
 	a.startPending = true
 	s.takeHeadroom(st, w)
+	s.noteReservedStart(st, w, now)
 	s.register(a)
 	return a
 }
--- a/internal/batch/rejection.go
+++ b/internal/batch/rejection.go
@@ -18,6 +18,7 @@
 	rejectedRefusal                // it has just refused as much for want of room
 	rejectedLabel                  // it lacks the label that the step requires
 	rejectedSpread                 // it runs as many tasks of the step as may share a worker
+	rejectedReservation            // it has room, but that is reserved for a step before
 	rejectedIsolation              // it has room, but runs suspected tasks, which the task must not join
 	rejectedTicket                 // the adviser has granted no ticket for it
 	rejectedInterference           // latency-sensitive tasks there leave no CPU, or would miss their targets
@@ -26,7 +27,7 @@
 
 // rejectionNames say in the log what the workers lack that do not get a task.
 var rejectionNames = [rejections]string{"have room", "belong to another service", "lack CPU", "lack memory", "lack GPUs",
-	"have refused as much", "lack the label", "run enough tasks of the step", "have room but run suspected tasks", "have no ticket", "serve tasks that it would disturb"}
+	"have refused as much", "lack the label", "run enough tasks of the step", "have room that is reserved for steps before", "have room but run suspected tasks", "have no ticket", "serve tasks that it would disturb"}
 
 // rejects returns the reason for which a usable worker does not get a task, or notRejected. q is the queue of the step's
 // job.
@@ -34,6 +35,9 @@
 	if r := st.unsuited(w, q, now); r != notRejected {
 		return r
 	}
+	if s.reservesFrom(st, w, now) {
+		return rejectedReservation
+	}
 	if t.mustAvoid(st, w, now) {
 		return rejectedIsolation
 	}
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -99,7 +99,7 @@
 		a.worker.worksSince = now
 	}
 	if !a.listed {
-		a.listed, a.listedSince, a.listedClock = true, now, clock
+		a.listed, a.listedSince, a.listedClock, a.firstPercent = true, now, clock, e.Percent
 	}
 	if t := a.task(); e.Checkpoint != "" && a.run == t.lastRun {
 		// If the worker is lost, the task resumes from this checkpoint.
--- a/internal/batch/score.go
+++ b/internal/batch/score.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/placement"
 )
 
 // choose returns the best worker for a task, or nil.
@@ -111,6 +113,7 @@
 	weightWarmUp       = 2.0 // penalty while the worker is slow after its start
 	weightImageMix     = 3.0 // bonus for each level of imageMix
 	weightBestEffort   = 1.0 // penalty for the CPU share of best-effort tasks
+	weightLargeWait    = 1.0 // penalty for each task of the largest waiting size that would find no room any more
 	weightInterference = 5.0 // penalty for the utilisation added to latency-sensitive tasks
 	// assumedCPUUse is the part of their reserved CPU that latency-sensitive tasks are expected to
 	// use while no reliable estimate of their load exists.
@@ -134,6 +137,9 @@
 		score -= weightWarmUp
 	}
 	cpu := float64(max(1, w.info.Capacity.CPU))
+	if !st.spec.BestEffort {
+		score -= weightLargeWait * float64(placement.SlotsLost(w.free(), st.reserved, s.largeWait))
+	}
 	if st.spec.LatencyTarget > 0 {
 		// Among equally mixed workers, latency-sensitive tasks are packed on few, so that the others
 		// can run best-effort tasks without limits.
--- a/internal/batch/wait_reasons_test.go
+++ b/internal/batch/wait_reasons_test.go
@@ -150,6 +150,17 @@
 		planUntilIdle(s, now)
 		return held(s, now, "j", 7)
 	},
+	heldByReservation: func(*testing.T) heldTask {
+		s, now := newTestState("a")
+		f := newFleet(s, now)
+		f.add("small", "q", time.Hour, taskStep(3, 1000))
+		f.run(fleetTick, nil)
+		f.add("large", "q", time.Hour, taskStep(1, 4000))
+		f.run(5*fleetTick, nil)
+		f.add("j", "q", time.Hour, longRunningStep(1, 1000, 0))
+		f.run(fleetTick, nil)
+		return held(s, f.now, "j", 0)
+	},
 	heldByNoWorker: func(*testing.T) heldTask {
 		s, now := newTestState()
 		addJob(s, "j", "q", now, taskStep(1, 1000))
--- a/internal/batch/waits.go
+++ b/internal/batch/waits.go
@@ -25,6 +25,7 @@
 
 	heldByWorseSuspect   // a task of the step that is suspected no more often has found no worker
 	heldByReserve        // new long-running tasks leave room to short ones
+	heldByReservation    // workers have room, but it is reserved for steps before
 	heldByNoWorker       // no worker of its service may get tasks
 	heldByRoom           // none of the workers that may get tasks has room for it
 	heldByLikeStep       // another step that needs no more than its own has found no worker
@@ -43,6 +44,7 @@
 	waitsForRoom        = "no worker that may run it has room"
 	waitsForIsolation   = "no worker without other suspected tasks has room"
 	waitsForReserve     = "room is kept for short tasks"
+	waitsForReservation = "workers that may run it have room, but it is reserved for steps before it"
 	waitsForFormerOwner = "a former owner may have started it on a worker that has not answered"
 )
 
@@ -61,6 +63,7 @@
 		heldBySendRate:       "as many starts are decided as can be sent while they are valid",
 		heldByWorseSuspect:   "a task of its step that is suspected no more often found no worker",
 		heldByReserve:        waitsForReserve,
+		heldByReservation:    waitsForReservation,
 		heldByNoWorker:       "no worker of its service may get tasks",
 		heldByRoom:           waitsForRoom,
 		heldByLikeStep:       "a step before it that needs no more found no worker",
@@ -75,7 +78,7 @@
 	waitReasonNames = [waitReasons]string{
 		notHeld: "new", heldByStartRecord: "start-record", heldByPause: "pause", heldByFormerOwner: "former-owner",
 		heldByFailureRecord: "failure-record", heldByFormerEnds: "former-ends", heldByConfig: "config", heldByOwnRecord: "own-record", heldByNewPlan: "new-plan", heldBySendRate: "send-rate",
-		heldByWorseSuspect: "worse-suspect", heldByReserve: "reserve", heldByNoWorker: "no-worker", heldByRoom: "room",
+		heldByWorseSuspect: "worse-suspect", heldByReserve: "reserve", heldByReservation: "reservation", heldByNoWorker: "no-worker", heldByRoom: "room",
 		heldByLikeStep: "like-step", heldByWithheldRoom: "withheld-room", heldByInterference: "interference", heldByIsolation: "isolation", heldByAdviser: "adviser", heldByQuestions: "questions",
 		heldByRefusedTickets: "refused-tickets", heldByGang: "gang",
 	}
@@ -94,7 +97,7 @@
 // describesRoom reports whether step.waits says for the reason what the workers lack.
 func (r waitReason) describesRoom() bool {
 	switch r {
-	case heldByRoom, heldByLikeStep, heldByWithheldRoom, heldByInterference, heldByIsolation, heldByRefusedTickets:
+	case heldByRoom, heldByLikeStep, heldByReservation, heldByWithheldRoom, heldByInterference, heldByIsolation, heldByRefusedTickets:
 		return true
 	default:
 		return false
@@ -128,6 +131,8 @@
 	logged     uint32
 	lastOfStep waitReason
 	loggedAt   time.Duration
+	// withheldSince is when reservations first kept a task from room that it fits into; zero if none has.
+	withheldSince time.Time
 }
 
 // clock returns the time since its first call, plus 1 ns: it is never 0.
@@ -239,6 +244,9 @@
 		if w.info.Service != q.Service {
 			continue
 		}
+		if s.reservesFrom(st, w, now) && st.suits(w, &q, now) {
+			return heldByReservation
+		}
 		if w.suspected > 0 && st.suits(w, &q, now) && t.mustAvoid(st, w, now) {
 			return heldByWithheldRoom
 		}
@@ -307,7 +315,7 @@
 // endWaits notes that all tasks of a step have been started.
 func (s *State) endWaits(st *step, now time.Time) {
 	w := &st.waits
-	w.reason = notHeld
+	w.reason, w.withheldSince = notHeld, time.Time{}
 	if w.logged != 0 && s.clock(now)-w.loggedAt >= waitLogPause {
 		w.logged, w.lastOfStep = 0, notHeld
 	}
@@ -326,6 +334,9 @@
 	if reason.describesRoom() {
 		e.Inputs = s.describeWorkers(s.queueOf(st.job).Service) + "; " + s.describeRoom(st, r.task(), now)
 	}
+	if reason == heldByReservation {
+		e.Inputs += "; " + s.describeReservation(st, now)
+	}
 	s.event(e)
 	return true
 }
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -45,16 +45,17 @@
 	// bestEffortEndedAt is when a best-effort attempt with a CPU limit above 0 last ended there.
 	bestEffortEndedAt time.Time
 	attempts          map[attemptKey]*attempt
-	lateCopies        []lateCopy // starts and copies of starts without an answer, of the last maxCallDelay
-	suspected         int        // attempts of suspected tasks
-	suspectsSince     time.Time  // since when it has run such attempts, one after the other, as of suspectsSeen
-	suspectsSeen      time.Time  // when it last ran such an attempt
-	lastContact       time.Time  // when it last reported or accepted a start
-	unreadableSince   time.Time  // since when its reports cannot be read in full; zero if the last one could
-	failures          []*step    // the steps of its failures in a row
-	failuresEnd       time.Time  // when these are too old to be in a row
-	endsChanges       Changes    // the changes that follow from the last report with ends
-	countedSeq        int64      // highest Seq of the ends that were counted for or against the worker
+	reservation       *reservation // room that is kept for a step; nil if none is
+	lateCopies        []lateCopy   // starts and copies of starts without an answer, of the last maxCallDelay
+	suspected         int          // attempts of suspected tasks
+	suspectsSince     time.Time    // since when it has run such attempts, one after the other, as of suspectsSeen
+	suspectsSeen      time.Time    // when it last ran such an attempt
+	lastContact       time.Time    // when it last reported or accepted a start
+	unreadableSince   time.Time    // since when its reports cannot be read in full; zero if the last one could
+	failures          []*step      // the steps of its failures in a row
+	failuresEnd       time.Time    // when these are too old to be in a row
+	endsChanges       Changes      // the changes that follow from the last report with ends
+	countedSeq        int64        // highest Seq of the ends that were counted for or against the worker
 	quarantinedUntil  time.Time
 	restsUntil        time.Time // until when it does not get long-running tasks without another worker either
 	// worksSince is when a task there first made progress after the quarantine had begun; zero if none has.
--- a/internal/forecast/durations.go
+++ b/internal/forecast/durations.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"slices"
 	"time"
 )
 
@@ -31,30 +32,54 @@
 
 // Durations learns how long tasks of each kind run.
 type Durations struct {
-	kinds map[Kind]*ring[time.Duration]
+	kinds map[Kind]*History
 }
 
 // NewDurations returns durations that have seen nothing.
-func NewDurations() *Durations { return &Durations{kinds: map[Kind]*ring[time.Duration]{}} }
-
-// Observe adds the duration of a task that has run from its beginning to its end. New kinds beyond maxKinds are ignored.
-func (d *Durations) Observe(k Kind, duration time.Duration) {
-	r := d.kinds[k]
-	if r == nil {
-		if len(d.kinds) >= maxKinds {
-			return
-		}
-		r = &ring[time.Duration]{}
-		d.kinds[k] = r
+func NewDurations() *Durations { return &Durations{kinds: map[Kind]*History{}} }
+
+// Of returns the history of a kind, which the caller may keep. Kinds beyond maxKinds share one that learns nothing.
+func (d *Durations) Of(k Kind) *History {
+	if h := d.kinds[k]; h != nil {
+		return h
+	}
+	if len(d.kinds) >= maxKinds {
+		return unlearned
 	}
-	r.add(duration, durationSamples)
+	h := &History{}
+	d.kinds[k] = h
+	return h
+}
+
+// unlearned is the history of kinds that are not kept.
+var unlearned = &History{closed: true}
+
+// History holds the last durations of one kind of task.
+type History struct {
+	samples ring[time.Duration]
+	// sorted holds the samples in order; it is empty if they have changed since.
+	sorted []time.Duration
+	// closed is set if the history takes no durations.
+	closed bool
 }
 
-// Quantile returns the duration that a share of the tasks of a kind do not exceed. It returns false if too few were seen.
-func (d *Durations) Quantile(k Kind, share float64) (time.Duration, bool) {
-	r := d.kinds[k]
-	if r == nil || len(r.values) < minDurations {
+// Observe adds the duration of a task that has run from its beginning to its end.
+func (h *History) Observe(duration time.Duration) {
+	if h.closed {
+		return
+	}
+	h.samples.add(duration, durationSamples)
+	h.sorted = h.sorted[:0]
+}
+
+// Quantile returns the duration that a share of the tasks do not exceed. It returns false if too few were seen.
+func (h *History) Quantile(share float64) (time.Duration, bool) {
+	if len(h.samples.values) < minDurations {
 		return 0, false
 	}
-	return quantile(r.values, share), true
+	if len(h.sorted) == 0 {
+		h.sorted = append(h.sorted, h.samples.values...)
+		slices.Sort(h.sorted)
+	}
+	return quantileOfSorted(h.sorted, share), true
 }
--- a/internal/forecast/forecast_test.go
+++ b/internal/forecast/forecast_test.go
@@ -36,14 +36,14 @@
 	d := NewDurations()
 	k := Kind{Queue: "q", Image: "i", Size: SizeClass(2000, time.Second)}
 	for i := range minDurations {
-		_, known := d.Quantile(k, 0.5)
+		_, known := d.Of(k).Quantile(0.5)
 		is.True(!known) // too few
-		d.Observe(k, time.Duration(i+1)*time.Second)
+		d.Of(k).Observe(time.Duration(i+1) * time.Second)
 	}
-	median, known := d.Quantile(k, 0.5)
+	median, known := d.Of(k).Quantile(0.5)
 	is.True(known)
 	is.Equal(median, 3*time.Second)
-	_, known = d.Quantile(Kind{Queue: "q", Image: "other", Size: k.Size}, 0.5)
+	_, known = d.Of(Kind{Queue: "q", Image: "other", Size: k.Size}).Quantile(0.5)
 	is.True(!known) // another kind
 }
 
@@ -51,9 +51,14 @@
 	is := is.New(t)
 	d := NewDurations()
 	for i := range maxKinds + 100 {
-		d.Observe(Kind{Size: i}, time.Second)
+		h := d.Of(Kind{Size: i})
+		for range minDurations {
+			h.Observe(time.Second)
+		}
 	}
 	is.Equal(len(d.kinds), maxKinds)
+	_, known := d.Of(Kind{Size: maxKinds}).Quantile(0.5)
+	is.True(!known) // it is not kept
 }
 
 func TestEndsFollowProgressThenDurations(t *testing.T) {
--- a/internal/forecast/ring.go
+++ b/internal/forecast/ring.go
@@ -24,11 +24,15 @@
 
 // quantile returns the least of the values that at least a share of them do not exceed; the zero value if there is none.
 func quantile[T cmp.Ordered](values []T, share float64) T {
-	if len(values) == 0 {
+	return quantileOfSorted(slices.Sorted(slices.Values(values)), share)
+}
+
+// quantileOfSorted is quantile for values that are in order.
+func quantileOfSorted[T cmp.Ordered](sorted []T, share float64) T {
+	if len(sorted) == 0 {
 		var zero T
 		return zero
 	}
-	sorted := slices.Sorted(slices.Values(values))
 	rank := int(math.Ceil(share*float64(len(sorted)))) - 1
 	return sorted[min(max(rank, 0), len(sorted)-1)]
 }
--- a/internal/owner/maintenance.go
+++ b/internal/owner/maintenance.go
@@ -29,6 +29,7 @@
 	scope.Gauge("workers").Update(float64(len(l.renewers)))
 	scope.Gauge("epoch").Update(float64(l.epoch))
 	updateWaitGauges(scope, l.state.WaitingTasks(now))
+	updateReservationGauges(scope, l.state.Reservations())
 	updateUnconfirmedGauges(scope, l.state.UnconfirmedTasks(now))
 	l.reportCalls()
 }
--- a/internal/placement/reservations.go
+++ b/internal/placement/reservations.go
@@ -11,7 +11,7 @@
 	MaxHold = 2 * time.Second
 	// retryPause is how long a holder waits after a reservation of it was given up until it gets another.
 	retryPause = 2 * time.Second
-	// maxReservedShare is the part of a service's CPU that is reserved at most.
+	// maxReservedShare is the part of a service's CPU that is reserved at most, but for a single reservation.
 	maxReservedShare = 0.125
 	// maxReservations is the number of reservations of a service.
 	maxReservations = 16
@@ -50,25 +50,21 @@
 // Update replaces the forecast.
 func (r *Reservation[H, W]) Update(o Outlook) { r.Ready, r.Spare = o.Ready, o.Spare }
 
-// Reservations are those of one service: at most one for each holder and one on each worker.
+// Reservations are those of one service, at most one for each holder.
 type Reservations[H, W comparable] struct {
 	byHolder    map[H]*Reservation[H, W]
-	byWorker    map[W]*Reservation[H, W]
 	pausedUntil map[H]time.Time
 	reservedCPU int64
 }
 
 // NewReservations returns an empty set of reservations.
 func NewReservations[H, W comparable]() *Reservations[H, W] {
-	return &Reservations[H, W]{byHolder: map[H]*Reservation[H, W]{}, byWorker: map[W]*Reservation[H, W]{}, pausedUntil: map[H]time.Time{}}
+	return &Reservations[H, W]{byHolder: map[H]*Reservation[H, W]{}, pausedUntil: map[H]time.Time{}}
 }
 
 // OfHolder returns the reservation of a holder, or nil.
 func (b *Reservations[H, W]) OfHolder(h H) *Reservation[H, W] { return b.byHolder[h] }
 
-// OnWorker returns the reservation on a worker, or nil.
-func (b *Reservations[H, W]) OnWorker(w W) *Reservation[H, W] { return b.byWorker[w] }
-
 // All returns the reservations, in any order. The caller may release them meanwhile.
 func (b *Reservations[H, W]) All() iter.Seq[*Reservation[H, W]] {
 	return func(yield func(*Reservation[H, W]) bool) {
@@ -91,15 +87,17 @@
 	switch {
 	case b.byHolder[h] != nil, len(b.byHolder) >= maxReservations, now.Before(b.pausedUntil[h]):
 		return false
+	case len(b.byHolder) == 0:
+		return true
 	default:
 		return float64(b.reservedCPU+need.CPU) <= maxReservedShare*float64(serviceCPU)
 	}
 }
 
-// Reserve reserves room on a worker without a reservation, for a holder that MayReserve allows.
+// Reserve reserves room on a worker for a holder that MayReserve allows.
 func (b *Reservations[H, W]) Reserve(h H, w W, need Resources, o Outlook, now time.Time) *Reservation[H, W] {
 	r := &Reservation[H, W]{Holder: h, Worker: w, Need: need, Made: now, Until: now.Add(MaxHold), Ready: o.Ready, Spare: o.Spare}
-	b.byHolder[h], b.byWorker[w] = r, r
+	b.byHolder[h] = r
 	b.reservedCPU += need.CPU
 	return r
 }
@@ -107,7 +105,6 @@
 // Release ends a reservation that has served its purpose, or whose worker can't keep it.
 func (b *Reservations[H, W]) Release(r *Reservation[H, W]) {
 	delete(b.byHolder, r.Holder)
-	delete(b.byWorker, r.Worker)
 	b.reservedCPU -= r.Need.CPU
 }
 
