--- a/internal/batch/headroom.go
+++ b/internal/batch/headroom.go
@@ -78,7 +78,7 @@
 		return h
 	}
 	d := s.shortDemandOf(service)
-	h := placement.NewHeadroom(d.cpu.Peak(), d.sizes.Ample())
+	h := placement.NewHeadroom(d.cpu.High(), d.sizes.Typical())
 	for _, w := range workers {
 		if w.info.Service == service {
 			h.AddWorker(w.info.Capacity.CPU, w.free().CPU, w.shortCPU)
--- a/internal/batch/reservations.go
+++ b/internal/batch/reservations.go
@@ -220,8 +220,8 @@
 type Reservations struct {
 	Service string
 	Held    int
-	// CPU is reserved, and ShortPeak what short tasks have needed at once lately, in thousandths of a core.
-	CPU, ShortPeak int64
+	// CPU is reserved, and ShortDemand what sufficed for short tasks most of the time lately, in thousandths of a core.
+	CPU, ShortDemand int64
 }
 
 // Reservations returns what is reserved in each service that has had short tasks or reservations.
@@ -229,7 +229,7 @@
 	var out []Reservations
 	for service, d := range s.shortDemands {
 		rs := s.reservationsOf(service)
-		out = append(out, Reservations{Service: service, Held: rs.Len(), CPU: rs.ReservedCPU(), ShortPeak: d.cpu.Peak()})
+		out = append(out, Reservations{Service: service, Held: rs.Len(), CPU: rs.ReservedCPU(), ShortDemand: d.cpu.High()})
 	}
 	return out
 }
--- a/internal/owner/placement_gauges.go
+++ b/internal/owner/placement_gauges.go
@@ -10,12 +10,12 @@
 const coreUnits = 1000
 
 // updateReservationGauges sets for each service how many reservations of room are held, how many cores they reserve, and how many
-// cores short tasks have needed at once lately, which new long-running tasks leave to them.
+// cores sufficed for short tasks most of the time lately, which new long-running tasks leave to them.
 func updateReservationGauges(scope tally.Scope, services []batch.Reservations) {
 	for _, r := range services {
 		tagged := scope.Tagged(map[string]string{"service": r.Service})
 		tagged.Gauge("reservations_held").Update(float64(r.Held))
 		tagged.Gauge("reserved_cores").Update(float64(r.CPU) / coreUnits)
-		tagged.Gauge("short_task_peak_cores").Update(float64(r.ShortPeak) / coreUnits)
+		tagged.Gauge("short_task_demand_cores").Update(float64(r.ShortDemand) / coreUnits)
 	}
 }
--- a/internal/placement/headroom.go
+++ b/internal/placement/headroom.go
@@ -9,20 +9,20 @@
 	HeadroomPatience = 60 * time.Second
 )
 
-// Headroom is the CPU that new long-running tasks of a service leave to short ones, in thousandths of a core: as much as short
-// tasks have needed at once, counted in pieces that are large enough for one of them. Without it, a stream of long-running tasks
+// Headroom is the CPU that new long-running tasks of a service leave to short ones, in thousandths of a core: as much as has
+// sufficed for short tasks most of the time, counted in pieces that are large enough for one of them. Without it, a stream of long-running tasks
 // would take each piece of room that short tasks give back, until a long-running job is cancelled.
 type Headroom struct {
-	peak int64 // what short tasks need at once
-	slot int64 // what one of them needs
+	demand int64 // what short tasks need at once
+	slot   int64 // what one of them needs
 
 	capacity  int64
 	available int64 // what is free or used by short tasks
 	usable    int64 // the part of it that consists of whole slots
 }
 
-// NewHeadroom returns the headroom of a service without workers whose short tasks need peak at once, and slot each.
-func NewHeadroom(peak, slot int64) *Headroom { return &Headroom{peak: peak, slot: max(1, slot)} }
+// NewHeadroom returns the headroom of a service without workers whose short tasks need demand at once, and slot each.
+func NewHeadroom(demand, slot int64) *Headroom { return &Headroom{demand: demand, slot: max(1, slot)} }
 
 // AddWorker adds a worker. free may be negative if its capacity has shrunk.
 func (h *Headroom) AddWorker(capacity, free, usedByShort int64) {
@@ -44,7 +44,7 @@
 // Wanted returns what has to stay usable as far as a job of the given age is concerned.
 func (h *Headroom) Wanted(age time.Duration) float64 {
 	most := maxHeadroomShare * float64(h.capacity)
-	return min(float64(h.peak), most) * max(0, 1-age.Seconds()/HeadroomPatience.Seconds())
+	return min(float64(h.demand), most) * max(0, 1-age.Seconds()/HeadroomPatience.Seconds())
 }
 
 // Usable returns what short tasks use or can use.
