--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -3,9 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"github.com/geraniumwick/geraniumwick/internal/forecast"
-	"github.com/geraniumwick/geraniumwick/internal/placement"
 )
 
 // State is what the owner of the batch jobs knows of jobs and workers, with all decisions on them.
@@ -77,22 +74,8 @@
 	began                 time.Time // where clock counts from; zero before its first call
 	startsSinceReport     startCounts
 	interferenceModel     *interferenceModel
-	// shortDemands is what was learned of short tasks, and headrooms what the present decision leaves to them, by service.
-	shortDemands map[string]*shortDemand
-	headrooms    map[headroomKey]*placement.Headroom
-	durations    *forecast.Durations
-	// reservations are those of each service, and holders their holders with their places in the order of the present decision.
-	reservations map[string]*reservations
-	holders      map[*step]openStepEntry
-	// roomSearches is how many more searches for room to reserve may be made until the next check, and endsBuffer is reused by them.
-	roomSearches int
-	endsBuffer   []placement.End
-	// largeWaits holds the largest need that has found no room, by service. placing is the step that is placed, without a
-	// step between decisions, and largeWait the need whose room its tasks should leave.
-	largeWaits    map[string]largeWait
-	placing       openStepEntry
-	largeWait     Resources
-	openQuestions int // questions to the adviser without an answer
+	lookAhead                 // what placement expects of tasks and workers
+	openQuestions         int // questions to the adviser without an answer
 	// ownedUntil is the time until which no other owner can have taken over.
 	ownedUntil time.Time
 	events     []Event
@@ -148,12 +131,7 @@
 		suspects:           map[WorkerID]map[taskRef]bool{},
 		repeatSuspects:     map[taskRef]bool{},
 		interferenceModel:  newInterferenceModel(),
-		durations:          forecast.NewDurations(),
-		reservations:       map[string]*reservations{},
-		holders:            map[*step]openStepEntry{},
-		largeWaits:         map[string]largeWait{},
-		shortDemands:       map[string]*shortDemand{},
-		headrooms:          map[headroomKey]*placement.Headroom{},
+		lookAhead:          newLookAhead(),
 	}
 }
 
