--- a/internal/batch/simulation_lasting_test.go
+++ b/internal/batch/simulation_lasting_test.go
@@ -96,7 +96,7 @@
 	}
 	free, same := n.info.Capacity, 0
 	for key := range n.running {
-		free = free.minus(w.jobs[key.task.Job].Spec.Steps[key.task.Step].Resources)
+		free = free.Minus(w.jobs[key.task.Job].Spec.Steps[key.task.Step].Resources)
 		if key.task.Job == id.Job && key.task.Step == id.Step {
 			same++
 		}
--- a/internal/batch/simulation_requests_test.go
+++ b/internal/batch/simulation_requests_test.go
@@ -228,7 +228,7 @@
 	}
 	for _, f := range n.formerCapacities {
 		if r.sentAt.Before(f.until) {
-			capacity = capacity.max(f.capacity)
+			capacity = maxResources(capacity, f.capacity)
 		}
 	}
 	w.checkQuota(r)
@@ -248,7 +248,7 @@
 	}
 }
 
-// max returns the larger amount of each kind of resource.
-func (r Resources) max(o Resources) Resources {
-	return Resources{max(r.CPU, o.CPU), max(r.MemoryMB, o.MemoryMB), max(r.GPU, o.GPU)}
+// maxResources returns the larger amount of each kind of resource.
+func maxResources(r, o Resources) Resources {
+	return Resources{CPU: max(r.CPU, o.CPU), MemoryMB: max(r.MemoryMB, o.MemoryMB), GPU: max(r.GPU, o.GPU)}
 }
--- a/internal/batch/simulation_tenants_test.go
+++ b/internal/batch/simulation_tenants_test.go
@@ -70,7 +70,7 @@
 	limit := unlimited(w.caps[tenant])
 	for _, f := range w.formerCaps[tenant] {
 		if r.sentAt.Before(f.until) {
-			limit = limit.max(unlimited(f.limit))
+			limit = maxResources(limit, unlimited(f.limit))
 		}
 	}
 	if used := w.tenantUse(tenant); !used.Fits(limit) {
--- a/internal/owner/maintenance.go
+++ b/internal/owner/maintenance.go
@@ -30,6 +30,7 @@
 	scope.Gauge("epoch").Update(float64(l.epoch))
 	updateWaitGauges(scope, l.state.WaitingTasks(now))
 	updateTenantGauges(scope, l.state.TenantUses())
+	updateReservationGauges(scope, l.state.Reservations())
 	updateUnconfirmedGauges(scope, l.state.UnconfirmedTasks(now))
 	l.reportCalls()
 }
