batch: tasks.down is written after the plan has placed tasks

Cause: the line was written between the end of the leases and the restarts of the same plan, and counts from the last contact. The line now follows the placement, says for how long the first task could have been started, and how many run on silent workers whose leases last.

--- a/internal/batch/down.go
+++ b/internal/batch/down.go
@@ -46,8 +46,8 @@
 		Name: "tasks.down",
 		Job:  st.job.ID,
 		Task: d.first.id(),
-		Detail: fmt.Sprintf("%d long-running tasks are down, %d of them in doubt and %d suspected; the first for %s, since %s",
-			d.all, d.unresolved, d.suspected, now.Sub(d.since).Round(time.Millisecond), d.first.heldBy()),
+		Detail: fmt.Sprintf("%d long-running tasks are down, %d of them in doubt and %d suspected; the first for %s and startable for %s, since %s; %d more run on silent workers until their leases have ended",
+			d.all, d.unresolved, d.suspected, now.Sub(d.since).Round(time.Millisecond), s.age(d.first.task().startableSince, now), d.first.heldBy(), s.countOnSilentWorkers()),
 		Inputs: fmt.Sprintf("started meanwhile: %d long-running, %d best-effort, %d other tasks; %s",
 			starts.longRunning, starts.bestEffort, starts.other, s.describeRoom(st, d.first.task(), now)),
 	})
@@ -68,6 +68,17 @@
 	return d
 }
 
+// countOnSilentWorkers counts the attempts of long-running tasks on unreachable workers.
+func (s *State) countOnSilentWorkers() int {
+	n := 0
+	for _, w := range s.workers {
+		if w.unreachable {
+			n += w.longRunning
+		}
+	}
+	return n
+}
+
 func (s *State) countDown(d *downTasks, r taskRef) {
 	t := r.task()
 	d.all++
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -27,7 +27,6 @@
 		s.forgetOldFailures(now)
 		s.stopOnDrainingWorkers(now)
 		s.stopThrottled(now)
-		s.reportTasksDown(now)
 	}
 	s.lastPlan = now
 	s.evaluations, s.fullSearches = 0, 0
@@ -37,6 +36,7 @@
 	s.sendRecordedStarts(now)
 	s.sendStops(now)
 	s.sendBars(now)
+	s.reportTasksDown(now)
 	s.reportTasksWaiting(now)
 	s.reportUnconfirmedTasks(now)
 	return s.takeActions()
