batch: slow and hanging workers are told by their tasks' peers, avoided, and left where it pays

Change to a test: the fake workers of starved_test.go reported 50 percent for every task at all times, which no worker does and which now looks as if all tasks hung; they report the share that is done. Its checks are the same. Broken on purpose: each of five parts fails its test (penalty on probation, max-disrupted, disturbed services, CPU limits, one late service among several). internal/batch and internal/workerspeed pass.

--- a/internal/batch/answers.go
+++ b/internal/batch/answers.go
@@ -22,6 +22,7 @@
 			w.noteLateCopy(a, now)
 		}
 		a.acceptedAt, w.lastContact = now, now
+		a.noteStart(now)
 		w.noteRoom(a.reserved)
 		s.markStarted(a.step.job)
 	case AnswerNone:
--- a/internal/batch/attempt.go
+++ b/internal/batch/attempt.go
@@ -5,6 +5,8 @@
 	"iter"
 	"slices"
 	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/workerspeed"
 )
 
 // attempt is one start of a task on a worker that is not known to have ended.
@@ -50,6 +52,8 @@
 	percent      int
 	// progressAt is when percent last rose, the attempt was first listed or its CPU limit was set.
 	progressAt time.Time
+	// progress is the recent progress of an attempt that ends by itself, while its CPU is not limited.
+	progress workerspeed.Progress
 	// lastMeasurement is RunningAttempt.Measurement of the last report.
 	lastMeasurement int64
 	// cpuLimit is the part of its CPU that a best-effort attempt may use, in percent.
--- a/internal/batch/ends.go
+++ b/internal/batch/ends.go
@@ -25,6 +25,7 @@
 	switch e.Reason {
 	case EndDone:
 		s.countDone(w, st, e.Seq, now)
+		a.noteFinish(now)
 		s.attemptDone(st, e.Task.Index, now)
 	case EndFailed:
 		s.attemptFailed(w, st, t, e, now)
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/workerspeed"
 )
 
 // runsPerEpoch is the distance between the first run numbers of two successive epochs. It lets each
@@ -85,6 +87,8 @@
 	// suspect is set if tasks of the step have failed on several workers and nothing shows that it works.
 	suspect bool
 	waits   stepWaits
+	// peers holds the rates of progress of its attempts.
+	peers workerspeed.Peers
 	// isOpen and isListed are set if the step is among State.open, and if that holds an entry for it.
 	isOpen, isListed bool
 }
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -24,6 +24,7 @@
 		s.interferenceModel.growVariances(checkInterval)
 		s.expireLeases(now)
 		s.stopStalled(now)
+		s.judgeWorkerSpeeds(now)
 		s.forgetOldFailures(now)
 		s.stopOnDrainingWorkers(now)
 		s.stopThrottled(now)
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -105,6 +105,7 @@
 		// If the worker is lost, the task resumes from this checkpoint.
 		t.noteCheckpoint(e.Checkpoint, a.run)
 	}
+	a.noteProgress(e.Percent, now)
 	a.percent = e.Percent
 	a.lastMeasurement = e.Measurement
 }
--- a/internal/batch/score.go
+++ b/internal/batch/score.go
@@ -109,6 +109,7 @@
 	weightRack         = 8.0 // bonus for the rack of the data or of the step's other tasks
 	weightFailures     = 4.0 // penalty for each recent failure, and for a retry on the same worker
 	weightWarmUp       = 2.0 // penalty while the worker is slow after its start
+	weightSlowness     = 2.0 // penalty for a worker where tasks stood still lately
 	weightImageMix     = 3.0 // bonus for each level of imageMix
 	weightBestEffort   = 1.0 // penalty for the CPU share of best-effort tasks
 	weightInterference = 5.0 // penalty for the utilisation added to latency-sensitive tasks
@@ -133,6 +134,7 @@
 	if w.info.WarmUp > 0 {
 		score -= weightWarmUp
 	}
+	score -= weightSlowness * w.slowness
 	cpu := float64(max(1, w.info.Capacity.CPU))
 	if st.spec.LatencyTarget > 0 {
 		// Among equally mixed workers, latency-sensitive tasks are packed on few, so that the others
--- a/internal/batch/stall.go
+++ b/internal/batch/stall.go
@@ -25,6 +25,7 @@
 func (w *worker) excuseSilence(now time.Time) {
 	for _, a := range w.attempts {
 		a.progressAt = now
+		a.progress.Reset()
 	}
 }
 
--- a/internal/batch/starved_test.go
+++ b/internal/batch/starved_test.go
@@ -45,6 +45,7 @@
 }
 
 type swingingRun struct {
+	began time.Time
 	job   string
 	limit int
 	ends  time.Time // zero if it lasts
@@ -150,9 +151,9 @@
 func (c *swingingWorkers) report(w *swingingWorker, latency int64) {
 	r := Report{Incarnation: 1, Clock: 5, Ended: w.ended}
 	for _, key := range slices.SortedFunc(maps.Keys(w.running), attemptKey.compare) {
-		a := RunningAttempt{Task: key.task, Run: key.run, Percent: 50}
+		a := RunningAttempt{Task: key.task, Run: key.run, Percent: w.running[key].percent(c.now)}
 		if w.running[key].ends.IsZero() {
-			a.Percent, a.Measurement = fullPercent, latency
+			a.Measurement = latency
 		}
 		r.Running = append(r.Running, a)
 	}
@@ -160,6 +161,14 @@
 	w.ended = nil
 }
 
+// percent returns the progress of a run; a long-running one is ready.
+func (r *swingingRun) percent(now time.Time) int {
+	if r.ends.IsZero() {
+		return fullPercent
+	}
+	return int(fullPercent * now.Sub(r.began) / r.ends.Sub(r.began))
+}
+
 // carryOut carries out a request to a worker.
 func (c *swingingWorkers) carryOut(a Action) {
 	i := slices.IndexFunc(c.workers, func(w *swingingWorker) bool { return w.id == a.Worker })
@@ -169,7 +178,7 @@
 	w, key := c.workers[i], attemptKey{a.Task, a.Run}
 	switch a.Kind {
 	case ActionStart:
-		r := &swingingRun{job: a.Task.Job, limit: fullPercent}
+		r := &swingingRun{job: a.Task.Job, limit: fullPercent, began: c.now}
 		for _, caller := range c.callers {
 			if caller.job == a.Task.Job {
 				r.ends = c.now.Add(caller.duration)
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"iter"
 	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/workerspeed"
 )
 
 // worker is what the owner knows of one incarnation of a worker.
@@ -59,6 +61,12 @@
 	restsUntil        time.Time // until when it does not get long-running tasks without another worker either
 	// worksSince is when a task there first made progress after the quarantine had begun; zero if none has.
 	worksSince time.Time
+	// avoidance is for how long it is avoided since it is slow, and slowness by how much slower than others it counts as now: 0
+	// for one that is as fast as others, 1 for one where tasks stand still.
+	avoidance workerspeed.Avoidance
+	slowness  float64
+	// slowSince is when its present or last avoidance began.
+	slowSince time.Time
 }
 
 // UpdateWorker adds a worker from the registry, or updates it.
@@ -262,6 +270,7 @@
 	w.reported, w.fenced, w.described, w.leaseConfirmed, w.failures, w.quarantinedUntil = false, false, false, false, nil, time.Time{}
 	w.countedSeq, w.restsUntil, w.worksSince = 0, time.Time{}, time.Time{}
 	w.highestCPU, w.roomRefusals = 0, nil
+	w.avoidance, w.slowness = workerspeed.Avoidance{}, 0
 	w.suspectsSince, w.suspectsSeen = time.Time{}, time.Time{}
 }
 
--- a/internal/owner/maintenance.go
+++ b/internal/owner/maintenance.go
@@ -27,6 +27,7 @@
 	scope.Gauge("jobs_live").Update(float64(live))
 	scope.Gauge("jobs_known").Update(float64(total))
 	scope.Gauge("workers").Update(float64(len(l.renewers)))
+	scope.Gauge("workers_slow").Update(float64(l.state.SlowWorkers(now)))
 	scope.Gauge("epoch").Update(float64(l.epoch))
 	updateWaitGauges(scope, l.state.WaitingTasks(now))
 	updateUnconfirmedGauges(scope, l.state.UnconfirmedTasks(now))
