batch: slow workers teach the interference model nothing

Cause: the latencies of a slow worker, fifty times its target, were put down to the best-effort tasks there, and weights and loads hold for all workers. A measurement of four times its target is now deferred while most peers meet theirs; the best-effort tasks on that worker stop at once, so that it shows within a second whether they were the cause, and it is learned then, or dropped with the verdict that the worker is slow.

--- a/internal/batch/interference.go
+++ b/internal/batch/interference.go
@@ -157,6 +157,9 @@
 		}
 	}
 	for _, m := range w.measurements() {
+		if w.defers(m, shares, now) {
+			continue
+		}
 		im.applyMeasurement(m, shares, now.Add(-measurementLag))
 	}
 }
@@ -167,6 +170,8 @@
 	image       string
 	utilisation float64 // mean over the tasks
 	tasks       int
+	// peersMeetTarget is set if the median latency of the tasks of the same step meets the target.
+	peersMeetTarget bool
 }
 
 // measurements returns the measurements from the worker's last report. They are ordered by job and
@@ -180,7 +185,7 @@
 		i := slices.IndexFunc(out, func(m measurement) bool { return m.job == a.step.job && m.image == a.step.spec.Image })
 		if i < 0 {
 			i = len(out)
-			out = append(out, measurement{job: a.step.job, image: a.step.spec.Image})
+			out = append(out, measurement{job: a.step.job, image: a.step.spec.Image, peersMeetTarget: a.step.meetsTarget()})
 		}
 		out[i].utilisation += a.utilisation()
 		out[i].tasks++
--- a/internal/batch/throttle.go
+++ b/internal/batch/throttle.go
@@ -68,7 +68,9 @@
 			added[i] = s.interferenceModel.addedFactorWith(w, a.step, g.image, pessimistic)
 		}
 		limit := a.cpuLimit
-		if lowered := throttleBudgets.maxCPULimit(added); lowered < limit {
+		if len(w.deferred) > 0 {
+			limit = 0 // it shows soon whether the latencies are due to the best-effort tasks
+		} else if lowered := throttleBudgets.maxCPULimit(added); lowered < limit {
 			limit = lowered
 		} else if raised := raiseBudgets.maxCPULimit(added); raised >= limit+cpuLimitStep && now.Sub(a.cpuLimitAt) >= stabilisationTime {
 			limit = raised
--- a/internal/batch/uneven.go
+++ b/internal/batch/uneven.go
@@ -57,7 +57,10 @@
 	s.comparePeers(now)
 	moves := maxMovesFromSlow
 	for _, w := range s.sortedWorkers() {
-		if e := w.speedEvidence(now); e.Probability() >= workerspeed.ConfirmedSlow {
+		e := w.speedEvidence(now)
+		isSlow := e.Probability() >= workerspeed.ConfirmedSlow
+		s.settleDeferred(w, isSlow, now)
+		if isSlow {
 			s.avoidSlow(w, e, now)
 			s.moveFromSlow(w, &moves, now)
 		}
@@ -99,6 +102,12 @@
 	return time.Duration(a.lastMeasurement) * time.Millisecond, true
 }
 
+// meetsTarget reports whether the median latency of the step's tasks is known and meets their target.
+func (st *step) meetsTarget() bool {
+	typical, ok := st.peers.Typical()
+	return ok && typical*st.spec.LatencyTarget.Seconds() >= 1
+}
+
 // speedEvidence returns what the progress and the latencies of the attempts on a worker say of its speed.
 func (w *worker) speedEvidence(now time.Time) workerspeed.Evidence {
 	var e workerspeed.Evidence
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -67,6 +67,7 @@
 	slowness  float64
 	// slowSince is when its present or last avoidance began.
 	slowSince time.Time
+	deferred  []deferredMeasurement
 }
 
 // UpdateWorker adds a worker from the registry, or updates it.
@@ -270,7 +271,7 @@
 	w.reported, w.fenced, w.described, w.leaseConfirmed, w.failures, w.quarantinedUntil = false, false, false, false, nil, time.Time{}
 	w.countedSeq, w.restsUntil, w.worksSince = 0, time.Time{}, time.Time{}
 	w.highestCPU, w.roomRefusals = 0, nil
-	w.avoidance, w.slowness = workerspeed.Avoidance{}, 0
+	w.avoidance, w.slowness, w.deferred = workerspeed.Avoidance{}, 0, nil
 	w.suspectsSince, w.suspectsSeen = time.Time{}, time.Time{}
 }
 
