--- a/internal/workerspeed/progress.go
+++ b/internal/workerspeed/progress.go
@@ -88,11 +88,14 @@
 
 // Peers holds the rates of the runs of one step. The zero value holds none.
 type Peers struct {
-	running, finished []float64
-	typical           float64 // of both; 0 if it is not known
+	finished []float64
+	// rates are those of the runs that are not done and, once merged is set, the finished ones.
+	rates   []float64
+	merged  bool
+	typical float64 // the median; 0 if it is not known
 }
 
-// Finish adds the rate of a run that is done.
+// Finish adds the rate of a run that is done, from the next Begin on.
 func (p *Peers) Finish(rate float64) {
 	if len(p.finished) < maxFinished {
 		p.finished = append(p.finished, rate)
@@ -100,21 +103,23 @@
 }
 
 // Begin forgets the rates of runs that were not done.
-func (p *Peers) Begin() { p.running, p.typical = p.running[:0], 0 }
+func (p *Peers) Begin() { p.rates, p.merged, p.typical = p.rates[:0], false, 0 }
 
 // Add adds the rate of a run that is not done.
-func (p *Peers) Add(rate float64) { p.running, p.typical = append(p.running, rate), 0 }
+func (p *Peers) Add(rate float64) { p.rates, p.typical = append(p.rates, rate), 0 }
 
 // Typical returns the median rate; ok is false if too few are known. The median is that of the sound workers as long as they are
 // the majority.
 func (p *Peers) Typical() (rate float64, ok bool) {
-	if len(p.running)+len(p.finished) < minPeers {
+	if !p.merged {
+		p.rates, p.merged = append(p.rates, p.finished...), true
+	}
+	if len(p.rates) < minPeers {
 		return 0, false
 	}
 	if p.typical == 0 {
-		all := append(slices.Clone(p.running), p.finished...)
-		slices.Sort(all)
-		p.typical = all[len(all)/2]
+		slices.Sort(p.rates)
+		p.typical = p.rates[len(p.rates)/2]
 	}
 	return p.typical, p.typical > 0
 }
