--- a/internal/workerspeed/slow.go
+++ b/internal/workerspeed/slow.go
@@ -12,7 +12,7 @@
 	// minExpected is the progress in percent that a task must have been expected to make to be judged.
 	minExpected = 25
 	// longTaskShare is the share of tasks that are slow for a reason of their own.
-	longTaskShare = 0.03
+	longTaskShare = 0.04
 	// stillTaskShare is the share of tasks that stand still for a reason of their own.
 	stillTaskShare = 0.002
 	// lateTaskShare is the share of tasks with a latency far beyond their target and their peers' for a reason of their own, while
@@ -66,8 +66,8 @@
 }
 
 // Probability returns the probability that the worker is slow. Tasks are long by their own nature independently of each other, so
-// two slow tasks without a normal one point to the worker, and a single one does not. One that
-// stands still or is late does; but what makes one task late may make others there late, so that only one counts.
+// two slow tasks without a normal one point to the worker, and a single one does not. One that stands still or is late does; but
+// what makes one task late may make others there late, so that only one counts.
 func (e Evidence) Probability() float64 {
 	odds := slowWorkerShare / (1 - slowWorkerShare)
 	odds *= math.Pow((1-normalOnSlow)/longTaskShare, float64(e.Slow))
