--- a/internal/batch/ends.go
+++ b/internal/batch/ends.go
@@ -26,6 +26,7 @@
 	case EndDone:
 		s.learnDuration(st, a, now)
 		s.countDone(w, st, e.Seq, now)
+		a.noteFinish(now)
 		s.attemptDone(st, e.Task.Index, now)
 	case EndFailed:
 		s.attemptFailed(w, st, t, e, now)
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -5,6 +5,7 @@
 
 	"github.com/geraniumwick/geraniumwick/internal/forecast"
 	"github.com/geraniumwick/geraniumwick/internal/quota"
+	"github.com/geraniumwick/geraniumwick/internal/workerspeed"
 )
 
 // runsPerEpoch is the distance between the first run numbers of two successive epochs. It lets each
@@ -94,6 +95,8 @@
 	waits   stepWaits
 	// durations is what was learned of how long such tasks run; nil until it is needed.
 	durations *forecast.History
+	// peers holds the rates of progress of its attempts.
+	peers workerspeed.Peers
 	// isOpen and isListed are set if the step is among State.open, and if that holds an entry for it.
 	isOpen, isListed bool
 }
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -28,10 +28,10 @@
 		s.interferenceModel.growVariances(checkInterval)
 		s.expireLeases(now)
 		s.stopStalled(now)
+		s.judgeWorkerSpeeds(now)
 		s.forgetOldFailures(now)
 		s.stopOnDrainingWorkers(now)
 		s.stopThrottled(now)
-		s.reportTasksDown(now)
 	}
 	s.lastPlan = now
 	s.evaluations, s.fullSearches = 0, 0
@@ -44,6 +44,7 @@
 	s.sendRecordedStarts(now)
 	s.sendStops(now)
 	s.sendBars(now)
+	s.reportTasksDown(now)
 	s.reportTasksWaiting(now)
 	s.reportUnconfirmedTasks(now)
 	return s.takeActions()
--- a/internal/batch/score.go
+++ b/internal/batch/score.go
@@ -111,6 +111,7 @@
 	weightRack         = 8.0 // bonus for the rack of the data or of the step's other tasks
 	weightFailures     = 4.0 // penalty for each recent failure, and for a retry on the same worker
 	weightWarmUp       = 2.0 // penalty while the worker is slow after its start
+	weightSlowness     = 2.0 // penalty for a worker where tasks stood still lately
 	weightImageMix     = 3.0 // bonus for each level of imageMix
 	weightBestEffort   = 1.0 // penalty for the CPU share of best-effort tasks
 	weightLargeWait    = 1.0 // penalty for each task of the largest waiting size that would find no room any more
@@ -136,6 +137,7 @@
 	if w.info.WarmUp > 0 {
 		score -= weightWarmUp
 	}
+	score -= weightSlowness * w.slowness
 	cpu := float64(max(1, w.info.Capacity.CPU))
 	if !st.spec.BestEffort {
 		score -= weightLargeWait * float64(placement.SlotsLost(w.free(), st.reserved, s.largeWait))
--- a/internal/batch/simulation_tenants_test.go
+++ b/internal/batch/simulation_tenants_test.go
@@ -111,9 +111,9 @@
 	if step.Gang {
 		together *= step.Count
 	}
-	left := limit.minus(used)
+	left := limit.Minus(used)
 	for range together {
-		left = left.minus(step.Resources)
+		left = left.Minus(step.Resources)
 	}
 	return used.Plus(used).Fits(limit) && Resources{}.Fits(left)
 }
