--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -47,6 +47,8 @@
 	// unresolvedWorkers holds the workers that may run tasks started by a former owner and have not
 	// reported to this one, and until when they may if they stay unreachable.
 	unresolvedWorkers map[WorkerID]time.Time
+	// lateRuns holds what restarted workers may carry out late for former owners, by worker.
+	lateRuns map[WorkerID]LateRuns
 	// formerIncarnations holds what the former owner knew of the incarnations of workers.
 	formerIncarnations map[WorkerID]FencedIncarnation
 	// formerRequestsEnd is when the last request of a former owner has been carried out; zero if there was none.
@@ -69,6 +71,7 @@
 	unstartedJobs map[string]int    // number of jobs without a started task, by queue
 	stops         map[*attempt]bool // attempts that are being stopped
 	barring       map[*worker]bool  // restarted workers that must not carry out late copies of starts
+	lateStarts    lateStarts
 	// suspects holds the tasks with suspicions by the worker that a suspicion names, and repeatSuspects those with
 	// at least crashesToFail suspicions.
 	suspects       map[WorkerID]map[taskRef]bool
@@ -130,6 +133,7 @@
 		lastTrials:         map[string]time.Time{},
 		scheduled:          map[*occurrence]*Job{},
 		unresolvedWorkers:  map[WorkerID]time.Time{},
+		lateRuns:           map[WorkerID]LateRuns{},
 		formerIncarnations: map[WorkerID]FencedIncarnation{},
 		formerWorkers:      map[WorkerID]bool{},
 		tenants:            quota.NewBook(),
@@ -138,6 +142,7 @@
 		unstartedJobs:      map[string]int{},
 		stops:              map[*attempt]bool{},
 		barring:            map[*worker]bool{},
+		lateStarts:         lateStarts{byTask: map[lateStartKey][]lateStart{}},
 		suspects:           map[WorkerID]map[taskRef]bool{},
 		repeatSuspects:     map[taskRef]bool{},
 		interferenceModel:  newInterferenceModel(),
--- a/internal/owner/worker_calls.go
+++ b/internal/owner/worker_calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
@@ -41,12 +42,22 @@
 		ctx, cancel := withTimeout(call.ctx, startCallTimeout)
 		defer cancel()
 		defer sent()
+		var copies atomic.Int32
 		answer := l.repeatCall(ctx, callStart, a, func(ctx context.Context) batch.Answer {
 			sent()
+			if copies.Add(1) == 2 {
+				l.post(func(l *leader, now time.Time) { l.noteLateStart(a, now) })
+			}
 			return l.owner.workers.Start(ctx, request)
 		})
+		if answer == batch.AnswerNone && copies.Load() == 1 {
+			answer = batch.AnswerNoneToOne
+		}
 		l.post(func(l *leader, now time.Time) {
 			l.starts.end(call)
+			if answer == batch.AnswerNone || answer == batch.AnswerNoneToOne || answer == batch.AnswerOKRepeated {
+				l.noteLateStart(a, now)
+			}
 			l.checkFenced(a, answer)
 			l.state.StartAnswered(a.Worker, a.Task, a.Run, answer, now)
 		})
