--- a/internal/batch/ends.go
+++ b/internal/batch/ends.go
@@ -28,7 +28,9 @@
 	}
 	switch e.Reason {
 	case EndDone:
+		s.learnDuration(st, a, now)
 		s.countDone(w, st, e.Seq, now)
+		a.noteFinish(now)
 		s.attemptDone(st, e.Task.Index, now)
 	case EndFailed:
 		s.attemptFailed(w, st, t, e, now)
@@ -71,6 +73,7 @@
 		st.waiting--
 	}
 	t.done = true
+	st.settleTask(t)
 	s.clearTask(r)
 	st.remainingTasks--
 	s.dirty.add(st.job)
@@ -120,6 +123,7 @@
 func (s *State) remove(a *attempt, now time.Time) {
 	t := a.task()
 	a.worker.detach(a)
+	a.removeUse()
 	if a.step.spec.BestEffort && a.cpuLimit > 0 {
 		a.worker.bestEffortEndedAt = now
 	}
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -2,6 +2,10 @@
 
 import (
 	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/forecast"
+	"github.com/geraniumwick/geraniumwick/internal/quota"
+	"github.com/geraniumwick/geraniumwick/internal/workerspeed"
 )
 
 // runsPerEpoch is the distance between the first run numbers of two successive epochs. It lets each
@@ -10,8 +14,10 @@
 
 // Job is an accepted job.
 type Job struct {
-	ID       string
-	Queue    string
+	ID    string
+	Queue string
+	// Tenant is the tenant that submitted the job; empty for a job that was submitted without an API key.
+	Tenant   string
 	Accepted time.Time
 	Spec     Spec
 	// QueueConfig is the queue as it was configured when the job was accepted, and ConfigVersion the version of that
@@ -19,6 +25,8 @@
 	QueueConfig   Queue
 	ConfigVersion int64
 
+	account        *quota.Account // of its tenant; nil if it has none
+	excess         bool           // its tenant has submitted it beyond its rate
 	outcome        JobStatus
 	durableOutcome JobStatus // the outcome that the store holds
 	started        bool      // a worker has started a task, under any owner
@@ -85,6 +93,10 @@
 	// suspect is set if tasks of the step have failed on several workers and nothing shows that it works.
 	suspect bool
 	waits   stepWaits
+	// durations is what was learned of how long such tasks run; nil until it is needed.
+	durations *forecast.History
+	// peers holds the rates of progress of its attempts.
+	peers workerspeed.Peers
 	// isOpen and isListed are set if the step is among State.open, and if that holds an entry for it.
 	isOpen, isListed bool
 }
@@ -97,8 +109,10 @@
 	// unresolved is set if a former owner may have started the task on one of the unresolvedWorkers.
 	// The task waits until none of these is left, or until a worker reports it.
 	unresolved bool
-	attempts   []*attempt
-	failed     []int64 // runs that ended failed; empty for a long-running task
+	// doubted is set while the task counts among what its tenant may be using under a former owner.
+	doubted  bool
+	attempts []*attempt
+	failed   []int64 // runs that ended failed; empty for a long-running task
 	// recordedFailures is how many of failed, from the first on, the store holds.
 	recordedFailures int
 	// startableSince is since when the task could run but for the owner's reasons, and heldSince when heldBy last
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -101,12 +101,13 @@
 		a.worker.worksSince = now
 	}
 	if !a.listed {
-		a.listed, a.listedSince, a.listedClock = true, now, clock
+		a.listed, a.listedSince, a.listedClock, a.firstPercent = true, now, clock, e.Percent
 	}
 	if t := a.task(); e.Checkpoint != "" && a.run == t.lastRun {
 		// If the worker is lost, the task resumes from this checkpoint.
 		t.noteCheckpoint(e.Checkpoint, a.run)
 	}
+	a.noteProgress(e.Percent, now)
 	a.percent = e.Percent
 	a.lastMeasurement = e.Measurement
 }
@@ -168,6 +169,7 @@
 	t := &st.tasks[e.Task.Index]
 	t.lastRun = max(t.lastRun, e.Run)
 	t.unresolved = false
+	st.settleTask(t)
 	needed := len(t.attempts) == 0 && !t.done
 	a := &attempt{step: st, index: e.Task.Index, run: e.Run, worker: w, reserved: st.reserved, requestedAt: now, cpuLimit: fullPercent}
 	if st.spec.BestEffort {
@@ -222,6 +224,7 @@
 	}
 	t.attempts = append(t.attempts, a)
 	a.worker.attach(a)
+	a.addUse()
 	a.step.job.attempts++
 }
 
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/quota"
 )
 
 // State is what the owner of the batch jobs knows of jobs and workers, with all decisions on them.
@@ -54,6 +56,13 @@
 	// formerWorkers holds the workers that a former owner may have known, and those that this one has forgotten.
 	formerWorkers map[WorkerID]bool
 
+	// tenants holds what each tenant uses, and doubtfulCapacity how much the unresolvedWorkers can hold.
+	tenants          *quota.Book
+	doubtfulCapacity quota.Amount
+	shares           shares
+	// unrated holds the jobs of tenants that were added since the last Plan.
+	unrated []*Job
+
 	dirty changedJobs
 	// urgentJobs holds the jobs with steps whose start waits for a durable record.
 	urgentJobs    map[*Job]bool
@@ -77,10 +86,8 @@
 	began                 time.Time // where clock counts from; zero before its first call
 	startsSinceReport     startCounts
 	interferenceModel     *interferenceModel
-	// meanShortCPU is the moving average of the CPU reserved by the attempts of short tasks, by service,
-	// in thousandths of a core.
-	meanShortCPU  map[string]float64
-	openQuestions int // questions to the adviser without an answer
+	lookAhead                 // what placement expects of tasks and workers
+	openQuestions         int // questions to the adviser without an answer
 	// ownedUntil is the time until which no other owner can have taken over.
 	ownedUntil time.Time
 	events     []Event
@@ -129,6 +136,7 @@
 		lateRuns:           map[WorkerID]LateRuns{},
 		formerIncarnations: map[WorkerID]FencedIncarnation{},
 		formerWorkers:      map[WorkerID]bool{},
+		tenants:            quota.NewBook(),
 		dirty:              newChangedJobs(),
 		urgentJobs:         map[*Job]bool{},
 		unstartedJobs:      map[string]int{},
@@ -138,7 +146,7 @@
 		suspects:           map[WorkerID]map[taskRef]bool{},
 		repeatSuspects:     map[taskRef]bool{},
 		interferenceModel:  newInterferenceModel(),
-		meanShortCPU:       map[string]float64{},
+		lookAhead:          newLookAhead(),
 	}
 }
 
--- a/internal/batch/waits.go
+++ b/internal/batch/waits.go
@@ -23,10 +23,15 @@
 	heldByNewPlan                         // its start was decided, but cannot be sent any more
 	heldBySendRate                        // as many starts are decided as can be sent while they are valid
 
+	heldByCap   // it, or its gang, needs more than the cap of its tenant
+	heldByQuota // its tenant's attempts leave too little of the cap
+
 	heldByWorseSuspect   // a task of the step that is suspected no more often has found no worker
 	heldByReserve        // new long-running tasks leave room to short ones
+	heldByReservation    // workers have room, but it is reserved for steps before
 	heldByNoWorker       // no worker of its service may get tasks
 	heldByRoom           // none of the workers that may get tasks has room for it
+	heldByShare          // the same, and its tenant has more than its fair share of the workers or has sent it beyond its rate, so that others go first
 	heldByLikeStep       // another step that needs no more than its own has found no worker
 	heldByWithheldRoom   // workers have room, but run suspected tasks that it must not join
 	heldByInterference   // workers have room, but leave a best-effort task no CPU, or it would disturb tasks with targets
@@ -43,6 +48,7 @@
 	waitsForRoom        = "no worker that may run it has room"
 	waitsForIsolation   = "no worker without other suspected tasks has room"
 	waitsForReserve     = "room is kept for short tasks"
+	waitsForReservation = "workers that may run it have room, but it is reserved for steps before it"
 	waitsForFormerOwner = "a former owner may have started it on a worker that has not answered"
 )
 
@@ -59,10 +65,14 @@
 		heldByOwnRecord:      "the record of its start is not stored yet",
 		heldByNewPlan:        "its start was decided, but could not be sent any more",
 		heldBySendRate:       "as many starts are decided as can be sent while they are valid",
+		heldByCap:            "it, or its gang, needs more than its tenant's cap",
+		heldByQuota:          "its tenant has too little left of its cap",
 		heldByWorseSuspect:   "a task of its step that is suspected no more often found no worker",
 		heldByReserve:        waitsForReserve,
+		heldByReservation:    waitsForReservation,
 		heldByNoWorker:       "no worker of its service may get tasks",
 		heldByRoom:           waitsForRoom,
+		heldByShare:          "no worker that may run it has room, and its tenant has or sends more than its share, so others go first",
 		heldByLikeStep:       "a step before it that needs no more found no worker",
 		heldByWithheldRoom:   "workers that may run it have room, but run suspected tasks that it must not join",
 		heldByInterference:   "workers that may run it have room, but no CPU is left there, or it would disturb tasks with targets",
@@ -75,7 +85,8 @@
 	waitReasonNames = [waitReasons]string{
 		notHeld: "new", heldByStartRecord: "start-record", heldByPause: "pause", heldByFormerOwner: "former-owner",
 		heldByFailureRecord: "failure-record", heldByFormerEnds: "former-ends", heldByConfig: "config", heldByOwnRecord: "own-record", heldByNewPlan: "new-plan", heldBySendRate: "send-rate",
-		heldByWorseSuspect: "worse-suspect", heldByReserve: "reserve", heldByNoWorker: "no-worker", heldByRoom: "room",
+		heldByCap: "cap", heldByQuota: "quota",
+		heldByWorseSuspect: "worse-suspect", heldByReserve: "reserve", heldByReservation: "reservation", heldByNoWorker: "no-worker", heldByRoom: "room", heldByShare: "share",
 		heldByLikeStep: "like-step", heldByWithheldRoom: "withheld-room", heldByInterference: "interference", heldByIsolation: "isolation", heldByAdviser: "adviser", heldByQuestions: "questions",
 		heldByRefusedTickets: "refused-tickets", heldByGang: "gang",
 	}
@@ -94,7 +105,7 @@
 // describesRoom reports whether step.waits says for the reason what the workers lack.
 func (r waitReason) describesRoom() bool {
 	switch r {
-	case heldByRoom, heldByLikeStep, heldByWithheldRoom, heldByInterference, heldByIsolation, heldByRefusedTickets:
+	case heldByRoom, heldByShare, heldByLikeStep, heldByReservation, heldByWithheldRoom, heldByInterference, heldByIsolation, heldByRefusedTickets:
 		return true
 	default:
 		return false
@@ -128,6 +139,8 @@
 	logged     uint32
 	lastOfStep waitReason
 	loggedAt   time.Duration
+	// withheldSince is when reservations first kept a task from room that it fits into; zero if none has.
+	withheldSince time.Time
 }
 
 // clock returns the time since its first call, plus 1 ns: it is never 0.
@@ -205,7 +218,7 @@
 	if r := s.retryWait(st, t); r != notHeld {
 		return r
 	}
-	if st.spec.LongRunning && t.lastRun == 0 && !st.startedByFormerOwner && !s.keepsShortTaskReserve(st, workers, now) {
+	if st.spec.LongRunning && t.lastRun == 0 && !st.startedByFormerOwner && !s.keepsHeadroom(st, workers, now) {
 		return heldByReserve
 	}
 	return notHeld
@@ -239,6 +252,9 @@
 		if w.info.Service != q.Service {
 			continue
 		}
+		if s.reservesFrom(st, w, now) && st.suits(w, &q, now) {
+			return heldByReservation
+		}
 		if w.suspected > 0 && st.suits(w, &q, now) && t.mustAvoid(st, w, now) {
 			return heldByWithheldRoom
 		}
@@ -248,6 +264,9 @@
 			reason = heldByRoom
 		}
 	}
+	if reason == heldByRoom && s.shareLevel(st) > 0 {
+		return heldByShare
+	}
 	return reason
 }
 
@@ -307,7 +326,7 @@
 // endWaits notes that all tasks of a step have been started.
 func (s *State) endWaits(st *step, now time.Time) {
 	w := &st.waits
-	w.reason = notHeld
+	w.reason, w.withheldSince = notHeld, time.Time{}
 	if w.logged != 0 && s.clock(now)-w.loggedAt >= waitLogPause {
 		w.logged, w.lastOfStep = 0, notHeld
 	}
@@ -326,6 +345,12 @@
 	if reason.describesRoom() {
 		e.Inputs = s.describeWorkers(s.queueOf(st.job).Service) + "; " + s.describeRoom(st, r.task(), now)
 	}
+	if reason == heldByCap || reason == heldByQuota {
+		e.Inputs = s.describeQuota(st, st.placedTogether())
+	}
+	if reason == heldByReservation {
+		e.Inputs += "; " + s.describeReservation(st, now)
+	}
 	s.event(e)
 	return true
 }
@@ -366,12 +391,3 @@
 	}
 	return taskRef{st, from}
 }
-
-// String describes resources for the log.
-func (r Resources) String() string {
-	text := fmt.Sprintf("%d/1000 CPU, %d MB", r.CPU, r.MemoryMB)
-	if r.GPU > 0 {
-		text += fmt.Sprintf(", %d GPU", r.GPU)
-	}
-	return text
-}
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/geraniumwick/geraniumwick/internal/apikey"
 	"github.com/geraniumwick/geraniumwick/internal/batch"
 	"github.com/geraniumwick/geraniumwick/internal/kv"
 )
@@ -16,12 +17,16 @@
 	Queue  string
 	Host   string
 	Prefix string
+	// Public routes serve callers without an API key.
+	Public bool
 }
 
 // Config is one version of the operators' configuration.
 type Config struct {
 	Batch  batch.Config
 	Routes []Route
+	// Keys are the API keys of the tenants; nil if the deployment has no tenants, which then needs no key on any route.
+	Keys *apikey.Ring
 	// MaxBody bounds the body of a request, in bytes; 0 or less stands for the default.
 	MaxBody int64
 	// Revision is the store's revision as of which it was read, and InForceSince when it was put in force here.
@@ -29,8 +34,8 @@
 	InForceSince time.Time
 }
 
-// Match returns the queue of the route with the longest matching prefix, and the rest of the path.
-func (c *Config) Match(host, path string) (queue, rest string, ok bool) {
+// Match returns the route with the longest matching prefix, and the rest of the path.
+func (c *Config) Match(host, path string) (route Route, rest string, ok bool) {
 	best := -1
 	for i, r := range c.Routes {
 		if r.Host == host && strings.HasPrefix(path, r.Prefix) && (best < 0 || len(r.Prefix) > len(c.Routes[best].Prefix)) {
@@ -38,9 +43,9 @@
 		}
 	}
 	if best < 0 {
-		return "", "", false
+		return Route{}, "", false
 	}
-	return c.Routes[best].Queue, path[len(c.Routes[best].Prefix):], true
+	return c.Routes[best], path[len(c.Routes[best].Prefix):], true
 }
 
 // ConfigDecoder decodes the configuration that the operators write to the store.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -82,7 +82,7 @@
 		defer cancel()
 		startTime := time.Now()
 		config := &Config{Batch: batch.Config{Queues: map[string]batch.Queue{"q": {Service: "s"}}}}
-		result = newInstance(s).Submit(ctx, config, "id", "q", batch.Spec{})
+		result = newInstance(s).Submit(ctx, config, SubmittedJob{ID: "id", Queue: "q"})
 		took = time.Since(startTime)
 	})
 	return result, took
@@ -156,7 +156,7 @@
 		defer cancel()
 		_, result := newInstance(&fakeStore{getErr: kv.ErrUnavailable}).JobStatus(ctx, "id")
 		is.Equal(result, NotRun)
-		is.Equal(newInstance(&fakeStore{getErr: kv.ErrUnavailable}).Cancel(ctx, "id"), NotRun)
+		is.Equal(newInstance(&fakeStore{getErr: kv.ErrUnavailable}).Cancel(ctx, "id", ""), NotRun)
 	})
 }
 
