--- a/internal/batch/late_starts.go
+++ b/internal/batch/late_starts.go
@@ -108,7 +108,7 @@
 
 // maxHeldEnds is the largest number of ends that a worker keeps for late starts. It lists 500 at most, and those that follow
 // would not be known.
-const maxHeldEnds = 250
+const maxHeldEnds = 400
 
 // ackSeq returns the sequence number up to which the ends of a report may be acknowledged, once their changes are stored; 0 if none
 // may be. An end that settles its task is kept while the next incarnation of the worker may start the task again: it knows nothing of
