--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"github.com/geraniumwick/geraniumwick/internal/forecast"
 	"github.com/geraniumwick/geraniumwick/internal/quota"
+	"github.com/geraniumwick/geraniumwick/internal/workerspeed"
 )
 
 // runsPerEpoch is the distance between the first run numbers of two successive epochs. It lets each
@@ -91,6 +93,10 @@
 	// suspect is set if tasks of the step have failed on several workers and nothing shows that it works.
 	suspect bool
 	waits   stepWaits
+	// durations is what was learned of how long such tasks run; nil until it is needed.
+	durations *forecast.History
+	// peers holds the rates of progress of its attempts.
+	peers workerspeed.Peers
 	// isOpen and isListed are set if the step is among State.open, and if that holds an entry for it.
 	isOpen, isListed bool
 }
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -99,12 +99,13 @@
 		a.worker.worksSince = now
 	}
 	if !a.listed {
-		a.listed, a.listedSince, a.listedClock = true, now, clock
+		a.listed, a.listedSince, a.listedClock, a.firstPercent = true, now, clock, e.Percent
 	}
 	if t := a.task(); e.Checkpoint != "" && a.run == t.lastRun {
 		// If the worker is lost, the task resumes from this checkpoint.
 		t.noteCheckpoint(e.Checkpoint, a.run)
 	}
+	a.noteProgress(e.Percent, now)
 	a.percent = e.Percent
 	a.lastMeasurement = e.Measurement
 }
--- a/internal/batch/simulation_tenants_test.go
+++ b/internal/batch/simulation_tenants_test.go
@@ -70,7 +70,7 @@
 	limit := unlimited(w.caps[tenant])
 	for _, f := range w.formerCaps[tenant] {
 		if r.sentAt.Before(f.until) {
-			limit = limit.max(unlimited(f.limit))
+			limit = maxResources(limit, unlimited(f.limit))
 		}
 	}
 	if used := w.tenantUse(tenant); !used.Fits(limit) {
@@ -111,9 +111,9 @@
 	if step.Gang {
 		together *= step.Count
 	}
-	left := limit.minus(used)
+	left := limit.Minus(used)
 	for range together {
-		left = left.minus(step.Resources)
+		left = left.Minus(step.Resources)
 	}
 	return used.Plus(used).Fits(limit) && Resources{}.Fits(left)
 }
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -83,10 +83,8 @@
 	began                 time.Time // where clock counts from; zero before its first call
 	startsSinceReport     startCounts
 	interferenceModel     *interferenceModel
-	// meanShortCPU is the moving average of the CPU reserved by the attempts of short tasks, by service,
-	// in thousandths of a core.
-	meanShortCPU  map[string]float64
-	openQuestions int // questions to the adviser without an answer
+	lookAhead                 // what placement expects of tasks and workers
+	openQuestions         int // questions to the adviser without an answer
 	// ownedUntil is the time until which no other owner can have taken over.
 	ownedUntil time.Time
 	events     []Event
@@ -143,7 +141,7 @@
 		suspects:           map[WorkerID]map[taskRef]bool{},
 		repeatSuspects:     map[taskRef]bool{},
 		interferenceModel:  newInterferenceModel(),
-		meanShortCPU:       map[string]float64{},
+		lookAhead:          newLookAhead(),
 	}
 }
 
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"iter"
 	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/workerspeed"
 )
 
 // worker is what the owner knows of one incarnation of a worker.
@@ -45,20 +47,28 @@
 	// bestEffortEndedAt is when a best-effort attempt with a CPU limit above 0 last ended there.
 	bestEffortEndedAt time.Time
 	attempts          map[attemptKey]*attempt
-	lateCopies        []lateCopy // starts and copies of starts without an answer, of the last maxCallDelay
-	suspected         int        // attempts of suspected tasks
-	suspectsSince     time.Time  // since when it has run such attempts, one after the other, as of suspectsSeen
-	suspectsSeen      time.Time  // when it last ran such an attempt
-	lastContact       time.Time  // when it last reported or accepted a start
-	unreadableSince   time.Time  // since when its reports cannot be read in full; zero if the last one could
-	failures          []*step    // the steps of its failures in a row
-	failuresEnd       time.Time  // when these are too old to be in a row
-	endsChanges       Changes    // the changes that follow from the last report with ends
-	countedSeq        int64      // highest Seq of the ends that were counted for or against the worker
+	reservation       *reservation // room that is kept for a step; nil if none is
+	lateCopies        []lateCopy   // starts and copies of starts without an answer, of the last maxCallDelay
+	suspected         int          // attempts of suspected tasks
+	suspectsSince     time.Time    // since when it has run such attempts, one after the other, as of suspectsSeen
+	suspectsSeen      time.Time    // when it last ran such an attempt
+	lastContact       time.Time    // when it last reported or accepted a start
+	unreadableSince   time.Time    // since when its reports cannot be read in full; zero if the last one could
+	failures          []*step      // the steps of its failures in a row
+	failuresEnd       time.Time    // when these are too old to be in a row
+	endsChanges       Changes      // the changes that follow from the last report with ends
+	countedSeq        int64        // highest Seq of the ends that were counted for or against the worker
 	quarantinedUntil  time.Time
 	restsUntil        time.Time // until when it does not get long-running tasks without another worker either
 	// worksSince is when a task there first made progress after the quarantine had begun; zero if none has.
 	worksSince time.Time
+	// avoidance is for how long it is avoided since it is slow, and slowness by how much slower than others it counts as now: 0
+	// for one that is as fast as others, 1 for one where tasks stand still.
+	avoidance workerspeed.Avoidance
+	slowness  float64
+	// slowSince is when its present or last avoidance began.
+	slowSince time.Time
+	deferred  []deferredMeasurement
 }
 
 // UpdateWorker adds a worker from the registry, or updates it.
@@ -210,6 +220,12 @@
 	return w != nil && len(w.attempts) > w.longRunning
 }
 
+// HasLongRunningTasks reports whether the worker runs long-running tasks.
+func (s *State) HasLongRunningTasks(id WorkerID) bool {
+	w := s.workers[id]
+	return w != nil && w.longRunning > 0
+}
+
 // HasAttempts reports whether tasks were started on the worker that are not known to have ended.
 func (s *State) HasAttempts(id WorkerID) bool {
 	w := s.workers[id]
@@ -256,6 +272,7 @@
 	w.reported, w.fenced, w.described, w.leaseConfirmed, w.failures, w.quarantinedUntil = false, false, false, false, nil, time.Time{}
 	w.countedSeq, w.restsUntil, w.worksSince = 0, time.Time{}, time.Time{}
 	w.highestCPU, w.roomRefusals = 0, nil
+	w.avoidance, w.slowness, w.deferred = workerspeed.Avoidance{}, 0, nil
 	w.suspectsSince, w.suspectsSeen = time.Time{}, time.Time{}
 }
 
@@ -270,7 +287,7 @@
 }
 
 // free returns the resources that no attempt reserves.
-func (w *worker) free() Resources { return w.info.Capacity.minus(w.used) }
+func (w *worker) free() Resources { return w.info.Capacity.Minus(w.used) }
 
 // attach adds an attempt to the worker and reserves its resources.
 func (w *worker) attach(a *attempt) {
@@ -283,7 +300,7 @@
 // detach removes an attempt from the worker and frees its resources.
 func (w *worker) detach(a *attempt) {
 	delete(w.attempts, attemptKey{a.id(), a.run})
-	w.used = w.used.minus(a.reserved)
+	w.used = w.used.Minus(a.reserved)
 	w.count(a, -1)
 	a.uncountSuspected()
 }
