quota: what is in doubt does not overflow

Ended jobs count after a take-over with all that they asked for, which the specification bounds for each job only: 512 cancelled jobs of the largest amounts made the sum negative, and so admitted more than the cap (found by reading; TestDoubtDoesNotOverflow fails without it).

--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -16,8 +16,13 @@
 // Remove removes an attempt that certainly does not run any more.
 func (a *Account) Remove(need Amount) { a.Used = a.Used.Minus(need) }
 
+// maxDoubt bounds the sum of what is in doubt: jobs that could never run may have asked for any amount.
+const maxDoubt = 1 << 61
+
 // AddDoubt adds tasks that a former owner may have started.
-func (a *Account) AddDoubt(need Amount) { a.doubtful = a.doubtful.Plus(need) }
+func (a *Account) AddDoubt(need Amount) {
+	a.doubtful = a.doubtful.Plus(need).Min(Amount{maxDoubt, maxDoubt, maxDoubt})
+}
 
 // RemoveDoubt removes tasks of which it is known now whether they run.
 func (a *Account) RemoveDoubt(need Amount) { a.doubtful = a.doubtful.Minus(need) }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -35,6 +35,16 @@
 	is.Equal(DominantShare(Amount{}, Amount{}, 1), 0.0)
 }
 
+// Jobs that ask for more than any worker has do not make the sum of what is in doubt overflow.
+func TestDoubtDoesNotOverflow(t *testing.T) {
+	is := is.New(t)
+	var a Account
+	for range 2000 {
+		a.AddDoubt(Amount{CPU: 1 << 40}.Times(20_000))
+	}
+	is.Equal(a.Bound(Amount{CPU: 7}), Amount{CPU: 7})
+}
+
 // What is in doubt counts, but for no more than the workers can hold that may run it.
 func TestTheBoundOfAnAccount(t *testing.T) {
 	is := is.New(t)
