--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -219,12 +219,6 @@
 	return w != nil && len(w.attempts) > w.longRunning
 }
 
-// HasLongRunningTasks reports whether the worker runs long-running tasks.
-func (s *State) HasLongRunningTasks(id WorkerID) bool {
-	w := s.workers[id]
-	return w != nil && w.longRunning > 0
-}
-
 // HasAttempts reports whether tasks were started on the worker that are not known to have ended.
 func (s *State) HasAttempts(id WorkerID) bool {
 	w := s.workers[id]
--- a/internal/owner/call_counts.go
+++ b/internal/owner/call_counts.go
@@ -28,8 +28,6 @@
 type callCounts struct {
 	open             atomic.Int64
 	sent, unanswered [callKinds]atomic.Int64
-	// shortLeases counts the renewals that asked for less than the longest lease.
-	shortLeases atomic.Int64
 }
 
 // add counts a request with its answer.
@@ -55,7 +53,6 @@
 
 // reportCalls adds the requests since the last report to the metrics, and logs them if one got no answer.
 func (l *leader) reportCalls() {
-	l.owner.opts.Scope.Counter("worker_short_leases").Inc(l.calls.shortLeases.Swap(0))
 	var b strings.Builder
 	for kind, name := range callKindNames {
 		sent, unanswered := l.calls.sent[kind].Swap(0), l.calls.unanswered[kind].Swap(0)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -82,8 +82,6 @@
 	// LeaseEnd is the end of the lease on the worker's clock, in milliseconds; 0 asks for the
 	// report without renewing the lease.
 	LeaseEnd int64
-	// LeaseLength is the length of that lease when the request is sent.
-	LeaseLength time.Duration
 	// AckSeq acknowledges all ended attempts up to this sequence number.
 	AckSeq int64
 	// MaxWait is how long the worker may wait for an attempt to end before it responds.
--- a/internal/owner/renewal_request.go
+++ b/internal/owner/renewal_request.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
-	"github.com/geraniumwick/geraniumwick/internal/workerlease"
 )
 
 // nextRequest returns the request of the next call. It renews the lease if the parameters allow that: a renewal may take
@@ -18,11 +17,11 @@
 		return r // the parameters are for a former one
 	}
 	r.AckSeq, r.MaxWait = rn.params.ackSeq, rn.params.reportWait(now)
-	if rn.params.renew && rn.leader.mayAct() {
-		r.LeaseLength = workerlease.Length(rn.leaseConditions(r.MaxWait, now))
-		r.LeaseEnd = rn.clock.now(now) + r.LeaseLength.Milliseconds()
-		// A former renewal may have requested a lease that ends later.
-		rn.leaseEnd = batch.LaterOf(rn.leaseEnd, now.Add(maxLeaseDuration(r.LeaseLength)))
+	if rn.params.renew {
+		r.LeaseEnd = rn.nextLeaseEnd(now)
+	}
+	if r.LeaseEnd != 0 {
+		rn.leaseEnd = now.Add(rn.leader.workerLeaseExpiry())
 	}
 	if r.LeaseEnd != 0 || r.AckSeq != 0 {
 		r.Incarnation = incarnation
@@ -30,19 +29,13 @@
 	return r
 }
 
-// leaseConditions returns the conditions under which a renewal is sent.
-func (rn *renewer) leaseConditions(reportWait time.Duration, now time.Time) workerlease.Conditions {
-	l := rn.leader
-	return workerlease.Conditions{
-		Longest:        l.owner.opts.MaxWorkerLease,
-		ClaimTTL:       l.owner.opts.LeaseTTL,
-		ReportWait:     reportWait,
-		LongRunning:    rn.params.longRunning,
-		SinceTakeOver:  now.Sub(l.held.acquired),
-		SinceConfirmed: l.unconfirmedFor() + l.owner.opts.LeaseTTL,
-		Overloaded:     l.limiter.IsOverloaded(now),
-		LosesAnswers:   now.Before(rn.lossyUntil),
+// nextLeaseEnd returns the end of the lease to request, on the worker's clock in milliseconds; 0 while the
+// owner may not act.
+func (rn *renewer) nextLeaseEnd(now time.Time) int64 {
+	if !rn.leader.mayAct() {
+		return 0
 	}
+	return rn.clock.now(now) + rn.leader.owner.opts.MaxWorkerLease.Milliseconds()
 }
 
 // repetition returns the request that follows one without an answer. It has the same end of the lease, so it does nothing
@@ -63,9 +56,6 @@
 	now, kind := time.Now(), callLook
 	if r.LeaseEnd != 0 {
 		kind = callRenewal
-		if r.LeaseLength < rn.leader.owner.opts.MaxWorkerLease {
-			rn.leader.calls.shortLeases.Add(1)
-		}
 	}
 	rn.leader.beginCall()
 	report, answer := rn.leader.owner.workers.RenewLease(ctx, r)
--- a/internal/owner/renewal_urgency.go
+++ b/internal/owner/renewal_urgency.go
@@ -8,6 +8,10 @@
 	"github.com/geraniumwick/geraniumwick/internal/batch"
 )
 
+// renewalInterval is the time after which the renewal of a lease is urgent. Most of the lease is left then, since many tries
+// may be needed.
+func (l *leader) renewalInterval() time.Duration { return l.owner.opts.MaxWorkerLease / 3 }
+
 // admit waits until the next call may be made. The call of a worker with tasks is delayed up to renewalDue at most, and the wait
 // of a worker without tasks ends when one is started there. It returns false if ctx ends first.
 func (rn *renewer) admit(ctx context.Context) bool {
--- a/internal/owner/renewer.go
+++ b/internal/owner/renewer.go
@@ -8,7 +8,6 @@
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
 	"github.com/geraniumwick/geraniumwick/internal/pause"
-	"github.com/geraniumwick/geraniumwick/internal/workerlease"
 )
 
 const (
@@ -62,8 +61,6 @@
 	// runsTasks is set if the worker ran tasks when its report was handled, at reportedAt.
 	runsTasks  bool
 	reportedAt time.Time
-	// longRunning is set if the worker ran long-running tasks then.
-	longRunning bool
 	// need is how soon the next report is needed, see reportNeed.
 	need batch.Need
 	// showsLatency is set if the report is asked for also to see how tasks with a latency target do beside best-effort ones.
@@ -110,7 +107,7 @@
 	incarnation int64
 	clock       workerClock
 	leaseEnd    time.Time // the lease has ended by then on any worker's clock
-	// renewalDue is when the lease has lasted for its RenewalInterval, so that its renewal comes before all other requests.
+	// renewalDue is when the lease has lasted for renewalInterval, so that its renewal comes before all other requests.
 	renewalDue time.Time
 	// runsTasks is set if the worker ran tasks by the last parameters, if a start was sent since, or if it has not been heard of.
 	runsTasks bool
@@ -166,7 +163,7 @@
 	now := time.Now()
 	rn := &renewer{
 		leader: l, info: info, cancel: cancel, began: now, requests: l.requests.of(info.ID), newParams: make(chan renewalParams, 1),
-		started: make(chan struct{}, 1), renewalDue: now.Add(workerlease.RenewalInterval(l.owner.opts.MaxWorkerLease)), runsTasks: true,
+		started: make(chan struct{}, 1), renewalDue: now.Add(l.renewalInterval()), runsTasks: true,
 	}
 	l.renewers[info.ID] = rn
 	go rn.run(ctx)
@@ -306,7 +303,7 @@
 func (rn *renewer) succeeded(ctx context.Context, outcome renewal) {
 	now, r := time.Now(), outcome.report
 	if outcome.renewed {
-		rn.renewalDue = r.RequestedAt.Add(workerlease.RenewalInterval(outcome.request.LeaseLength))
+		rn.renewalDue = r.RequestedAt.Add(rn.leader.renewalInterval())
 	}
 	if r.Clock > 0 {
 		rn.clock = workerClock{clock: r.Clock, at: now}
--- a/internal/owner/reports.go
+++ b/internal/owner/reports.go
@@ -30,7 +30,7 @@
 	}
 	i := renewalParams{
 		ackSeq: ackSeq, maxWait: l.maxReportWait(id, now), renew: !l.state.MustLapse(id),
-		runsTasks: l.state.HasAttempts(id), longRunning: l.state.HasLongRunningTasks(id), reportedAt: now, need: l.reportNeed(id, now), showsLatency: l.state.HasColocatedTasks(id), generation: generation,
+		runsTasks: l.state.HasAttempts(id), reportedAt: now, need: l.reportNeed(id, now), showsLatency: l.state.HasColocatedTasks(id), generation: generation,
 	}
 	l.setParamsWhenDurable(i, r.Ended, rn)
 }
