--- a/internal/connguard/guard.go
+++ b/internal/connguard/guard.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"iter"
 	"net"
 	"net/http"
 	"sync"
@@ -170,17 +171,20 @@
 	if g.options.MaxConns == 0 || len(g.conns) < g.options.MaxConns {
 		return nil, ""
 	}
-	var states []state
-	var all []*conn
-	for c := range g.conns {
-		states, all = append(states, c.state), append(all, c)
-	}
-	n, reason := chooseVictim(states, now)
-	if n < 0 {
-		return nil, ""
+	victim, reason := chooseVictim(g.states(), now)
+	delete(g.conns, victim)
+	return victim, reason
+}
+
+// states returns the connections with their states.
+func (g *Guard) states() iter.Seq2[*conn, state] {
+	return func(yield func(*conn, state) bool) {
+		for c := range g.conns {
+			if !yield(c, c.state) {
+				return
+			}
+		}
 	}
-	delete(g.conns, all[n])
-	return all[n], reason
 }
 
 // remove forgets a connection that is being closed.
--- a/internal/connguard/victim.go
+++ b/internal/connguard/victim.go
@@ -1,6 +1,7 @@
 package connguard
 
 import (
+	"iter"
 	"time"
 
 	"github.com/geraniumwick/geraniumwick/internal/refusals"
@@ -46,24 +47,22 @@
 	}
 }
 
-// chooseVictim returns the number of the connection that is to be closed in favour of a new one: the one that has been
-// idle for longest, else the slowest one. It returns -1 if none has been idle for idleTime or slow for slowTime.
-func chooseVictim(states []state, now time.Time) (int, refusals.Reason) {
-	oldestIdle, oldestSlow := -1, -1
+// chooseVictim returns the connection that is to be closed in favour of a new one, and why: the one that has been idle for
+// longest, else the slowest one. The reason is empty if none has been idle for idleTime or slow for slowTime.
+func chooseVictim[C any](conns iter.Seq2[C, state], now time.Time) (C, refusals.Reason) {
+	var oldestIdle, oldestSlow C
+	var idleReason, slowReason refusals.Reason
 	idleSince, slowSince := now.Add(-idleTime), now.Add(-slowTime)
-	for n, s := range states {
+	for c, s := range conns {
 		if s.phase == idle && !s.since.After(idleSince) {
-			oldestIdle, idleSince = n, s.since
+			oldestIdle, idleSince, idleReason = c, s.since, refusals.IdleClosed
 		}
 		if since, slow := s.slowSince(); slow && !since.After(slowSince) {
-			oldestSlow, slowSince = n, since
+			oldestSlow, slowSince, slowReason = c, since, refusals.SlowClosed
 		}
 	}
-	if oldestIdle >= 0 {
-		return oldestIdle, refusals.IdleClosed
+	if idleReason != "" {
+		return oldestIdle, idleReason
 	}
-	if oldestSlow >= 0 {
-		return oldestSlow, refusals.SlowClosed
-	}
-	return -1, ""
+	return oldestSlow, slowReason
 }
