--- a/internal/batch/ends.go
+++ b/internal/batch/ends.go
@@ -19,12 +19,18 @@
 	if e.Checkpoint != "" && !t.done && t.noteCheckpoint(e.Checkpoint, e.Run) {
 		s.dirty.add(st.job)
 	}
+	s.lateStarts.noteListed(lateStartKey{w.info.ID, e.Task}, e.Run)
 	if a != nil {
 		a.ended = true
+		if a.startPending && !a.unsent {
+			s.lateStarts.note(lateStartKey{w.info.ID, e.Task}, lateStart{run: e.Run, until: now.Add(maxCallDelay), pending: true}, now)
+		}
 	}
 	switch e.Reason {
 	case EndDone:
+		s.learnDuration(st, a, now)
 		s.countDone(w, st, e.Seq, now)
+		a.noteFinish(now)
 		s.attemptDone(st, e.Task.Index, now)
 	case EndFailed:
 		s.attemptFailed(w, st, t, e, now)
@@ -67,6 +73,7 @@
 		st.waiting--
 	}
 	t.done = true
+	st.settleTask(t)
 	s.clearTask(r)
 	st.remainingTasks--
 	s.dirty.add(st.job)
@@ -116,6 +123,7 @@
 func (s *State) remove(a *attempt, now time.Time) {
 	t := a.task()
 	a.worker.detach(a)
+	a.removeUse()
 	if a.step.spec.BestEffort && a.cpuLimit > 0 {
 		a.worker.bestEffortEndedAt = now
 	}
--- a/internal/batch/incarnations.go
+++ b/internal/batch/incarnations.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"fmt"
 	"maps"
 	"time"
 )
@@ -28,21 +29,69 @@
 // maxCallDelay longer.
 func (s *State) SetFormerOwnersEnd(end time.Time) { s.formerRequestsEnd = end.Add(maxCallDelay) }
 
-// ExtendDoubt prolongs the wait for a worker on which former owners may have started tasks, if the registry shows another incarnation
-// than they had fenced and this owner has not reached it: it may carry out their requests late. It returns the new end of the wait,
-// and whether that is later than before.
-func (s *State) ExtendDoubt(id WorkerID) (time.Time, bool) {
-	until, inDoubt := s.unresolvedWorkers[id]
+// IsRestartedInDoubt reports whether former owners may have started tasks on a worker of which the registry shows another incarnation
+// than they had fenced, and which this owner has not reached: it may carry out their requests late.
+func (s *State) IsRestartedInDoubt(id WorkerID) bool {
+	_, inDoubt := s.unresolvedWorkers[id]
 	w, known := s.workers[id], s.formerIncarnations[id].Number
-	if !inDoubt || w == nil || w.fenced || known == 0 || w.info.Incarnation == known {
-		return until, false
-	}
-	end := s.formerRequestsEnd.Add(s.longestLeaseTTL())
-	if !end.After(until) {
-		return until, false
+	return inDoubt && w != nil && !w.fenced && known != 0 && w.info.Incarnation != known
+}
+
+// ProlongDoubt prolongs the wait for a worker on which former owners may have started tasks. It reports whether its new end is later
+// than was known.
+func (s *State) ProlongDoubt(id WorkerID, end time.Time) bool {
+	if !end.After(s.unresolvedWorkers[id]) {
+		return false
 	}
 	s.unresolvedWorkers[id] = end
-	return end, true
+	return true
+}
+
+// LateRuns are tasks of former owners that a restarted worker may still start.
+type LateRuns struct {
+	// Until is when the last of them has ended if this owner does not reach the worker.
+	Until time.Time
+	// Jobs are the jobs that they belong to; nil for any.
+	Jobs map[string]bool
+}
+
+// contains reports whether tasks of a job may be among them.
+func (l LateRuns) contains(job string) bool { return l.Jobs == nil || l.Jobs[job] }
+
+// DoubtLateRuns lets the tasks wait that a restarted worker may still start for former owners, until this owner reaches it. It reports
+// whether that is news.
+func (s *State) DoubtLateRuns(id WorkerID, late LateRuns) bool {
+	if _, known := s.lateRuns[id]; known {
+		return false
+	}
+	s.lateRuns[id] = late
+	return true
+}
+
+// isInDoubt reports whether a task may run on a worker that a former owner has started it on, and that this one has not reached.
+func (s *State) isInDoubt(st *step, t *task) bool {
+	if !t.unresolved {
+		return false
+	}
+	if len(s.unresolvedWorkers) > 0 {
+		return true
+	}
+	for _, late := range s.lateRuns {
+		if late.contains(st.job.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+// resolveLateRuns drops the late runs that have ended.
+func (s *State) resolveLateRuns(now time.Time) {
+	for id, late := range s.lateRuns {
+		if now.After(late.Until) && s.ownedUntil.After(late.Until) {
+			s.event(Event{Name: "takeover.resolved", Worker: id, Detail: "what it may have carried out late has ended", Inputs: fmt.Sprintf("jobs: %d (0: any)", len(late.Jobs))})
+			delete(s.lateRuns, id)
+		}
+	}
 }
 
 // mayCarryOutFormerRequests reports whether a worker that was restarted may still carry out a request of a former owner.
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/quota"
 )
 
 const (
@@ -20,23 +22,29 @@
 	if now.Sub(s.lastCheck) >= checkInterval {
 		s.excusePause(now)
 		s.lastCheck = now
-		s.updateMeanShortCPU()
+		s.updateShortDemand()
+		s.reviewReservations(now)
+		s.noteCapacity()
 		s.interferenceModel.growVariances(checkInterval)
 		s.expireLeases(now)
 		s.stopStalled(now)
+		s.judgeWorkerSpeeds(now)
 		s.forgetOldFailures(now)
 		s.stopOnDrainingWorkers(now)
 		s.stopThrottled(now)
-		s.reportTasksDown(now)
 	}
 	s.lastPlan = now
 	s.evaluations, s.fullSearches = 0, 0
+	s.noteDoubtfulCapacity()
+	s.noteFairShare()
+	s.rateJobs()
 	s.openDue(now)
 	s.failHopeless(now)
 	s.place(now)
 	s.sendRecordedStarts(now)
 	s.sendStops(now)
 	s.sendBars(now)
+	s.reportTasksDown(now)
 	s.reportTasksWaiting(now)
 	s.reportUnconfirmedTasks(now)
 	return s.takeActions()
@@ -91,6 +99,9 @@
 
 // placeSteps starts as many waiting tasks of the steps, in their order, as the workers have capacity for.
 func (s *State) placeSteps(steps []openStepEntry, now time.Time) {
+	clear(s.headrooms)
+	s.noteHolders(now)
+	defer s.endPlacing()
 	workers := s.usable(now)
 	lastResorts := s.lastResorts(now)
 	if len(workers) == 0 && len(lastResorts) == 0 {
@@ -100,7 +111,14 @@
 	littleUsed := s.littleUsedServices(workers, lastResorts)
 	var unplaced unplacedSteps
 	var starved unplacedSteps
-	for i, entry := range steps {
+	recordedAhead := map[*quota.Account]bool{}
+	for i := 0; i < len(steps); i++ {
+		if s.yieldStep(steps[i:]) {
+			i--
+			continue
+		}
+		entry := steps[i]
+		s.beginPlacing(entry, now)
 		if entry.step.spec.BestEffort && (i == 0 || !steps[i-1].step.spec.BestEffort) {
 			starved = append(starved, s.placeStarved(firstBestEffort(steps[i:]), workers, now)...)
 		}
@@ -116,6 +134,11 @@
 			s.leftOut = append(s.leftOut, entry)
 			continue
 		}
+		if r := s.quotaWait(entry.step, entry.step.placedTogether()); r != notHeld {
+			s.holdStep(entry.step, 0, r, now)
+			s.recordAhead(entry.step, r, recordedAhead)
+			continue
+		}
 		resorts := s.resortsFor(entry.step, lastResorts, littleUsed)
 		hasLastResort := len(resorts) > 0
 		maySuitGang := entry.step.spec.Gang && runSuspects(workers)
@@ -130,12 +153,15 @@
 		if entry.step.spec.Gang {
 			s.placeGang(entry.step, workers, resorts, now)
 		} else {
-			if !s.placeStep(entry.step, workers, resorts, now) {
+			if !s.placeTasks(entry.step, s.tasksWithin(entry.level, entry.step), workers, resorts, now) {
 				unplaced.add(entry.step)
 				s.leftOut = append(s.leftOut, entry)
+				continue
 			}
 		}
-		s.closeIfStarted(entry.step, now)
+		if !s.closeIfStarted(entry.step, now) && entry.step.waits.reason == notHeld && s.yieldStep(steps[i:]) {
+			i-- // its other tasks come after those of tenants with lower shares
+		}
 	}
 }
 
@@ -184,15 +210,10 @@
 	return out
 }
 
-// placeStep starts the waiting tasks of a step until one finds no worker. Tasks that find none among the workers get
-// one of the last resorts, see mayUseLastResort. It returns false if no
+// placeTasks starts at most maxStarts of the waiting tasks of a step, until one finds no worker. Tasks that find none among the
+// workers get one of the last resorts, see mayUseLastResort. It returns false if no
 // worker has capacity, so that the search can be skipped for steps with the same or larger demands. It
 // returns true if the tasks wait for another reason.
-func (s *State) placeStep(st *step, workers, lastResorts []*worker, now time.Time) bool {
-	return s.placeTasks(st, len(st.tasks), workers, lastResorts, now)
-}
-
-// placeTasks is placeStep with a bound on the number of starts.
 func (s *State) placeTasks(st *step, maxStarts int, workers, lastResorts []*worker, now time.Time) bool {
 	if st.awaitsStartRecord() {
 		s.holdStep(st, 0, heldByStartRecord, now)
@@ -222,6 +243,10 @@
 			s.holdStep(st, i, heldBySendRate, now)
 			return true
 		}
+		if r := s.quotaWait(st, 1); r != notHeld {
+			s.holdStep(st, i, r, now)
+			return true
+		}
 		w := ranking.choose(t)
 		if w == nil && s.mayUseLastResort(st, workers, lastResorts) {
 			w = s.choose(st, t, lastResorts, now)
@@ -233,8 +258,10 @@
 		}
 		if w == nil {
 			mayFindLater := s.askAdviser(st, allWorkers, now)
-			s.holdStep(st, i, s.missing(st, t, allWorkers, now), now)
-			return mayFindLater
+			reason := s.missing(st, t, allWorkers, now)
+			s.holdStep(st, i, reason, now)
+			s.seekRoom(st, t, reason, workers, now)
+			return mayFindLater || reason == heldByReservation
 		}
 		if !st.startRecordDurable {
 			s.requestStartRecord(st)
@@ -270,54 +297,6 @@
 	})
 }
 
-const (
-	// meanShortCPUGain is the weight of a new value in the moving average of the CPU that short tasks
-	// of a service reserve, which is updated every checkInterval. A short task is one that is not long-running.
-	meanShortCPUGain = 0.05
-	// shortReserveFactor times that average is kept free of new long-running tasks, but at most
-	// maxReserve of the CPU of the service's workers.
-	shortReserveFactor = 6.0
-	maxReserve         = 0.25
-	// reserveWait is the age of a job from which its long-running tasks start regardless of the
-	// reserve.
-	reserveWait = 60 * time.Second
-)
-
-// keepsShortTaskReserve reports whether a new long-running task leaves enough CPU to short tasks on the workers of
-// its service, which could otherwise wait until a long-running job is cancelled. The CPU that short tasks use counts
-// as available to them. The reserve shrinks linearly to 0 as the job's age reaches reserveWait.
-func (s *State) keepsShortTaskReserve(st *step, workers []*worker, now time.Time) bool {
-	service := s.queueOf(st.job).Service
-	var available, capacity int64
-	for _, w := range workers {
-		if w.info.Service != service {
-			continue
-		}
-		// A worker whose capacity has shrunk may run more than it has room for.
-		available += max(0, w.free().CPU+w.shortCPU)
-		capacity += w.info.Capacity.CPU
-	}
-	reserve := min(shortReserveFactor*s.meanShortCPU[service], maxReserve*float64(capacity))
-	reserve *= max(0, 1-now.Sub(st.job.Accepted).Seconds()/reserveWait.Seconds())
-	return float64(available-st.reserved.CPU) >= reserve
-}
-
-// updateMeanShortCPU updates the moving averages of the CPU that short tasks reserve.
-func (s *State) updateMeanShortCPU() {
-	reserved := map[string]int64{}
-	for _, w := range s.workers {
-		reserved[w.info.Service] += w.shortCPU
-	}
-	for service := range s.meanShortCPU {
-		if _, known := reserved[service]; !known {
-			delete(s.meanShortCPU, service)
-		}
-	}
-	for service, cpu := range reserved {
-		s.meanShortCPU[service] += meanShortCPUGain * (float64(cpu) - s.meanShortCPU[service])
-	}
-}
-
 // placeGang starts either all tasks of a gang, with one run number and one checkpoint, or none. A gang that finds no room
 // on the workers may get last resorts besides, see mayUseLastResort.
 func (s *State) placeGang(st *step, workers, lastResorts []*worker, now time.Time) {
@@ -376,6 +355,7 @@
 	for _, a := range placed {
 		t := a.task()
 		a.worker.detach(a)
+		a.removeUse()
 		st.job.attempts--
 		t.attempts = nil
 		st.waiting++
@@ -397,6 +377,8 @@
 	a := &attempt{step: st, index: index, run: run, worker: w, reserved: st.reserved, requestedAt: now, progressAt: now, cpuLimit: fullPercent}
 	a.notAfter = notAfterUnset
 	a.startPending = true
+	s.takeHeadroom(st, w)
+	s.noteReservedStart(st, w, now)
 	s.register(a)
 	return a
 }
--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -4,7 +4,7 @@
 	"time"
 )
 
-// ApplyReport processes the report of a worker. It returns the highest Seq among the reported ends.
+// ApplyReport processes the report of a worker. It returns the highest Seq among the reported ends that need not be kept, see ackSeq.
 // The ends up to it may be acknowledged to the worker once the changes that follow from them, see ChangesBy, are stored.
 func (s *State) ApplyReport(id WorkerID, r Report, now time.Time) int64 {
 	w := s.workers[id]
@@ -24,11 +24,12 @@
 	w.latencyGroupsAt = time.Time{}
 	if !r.Incomplete {
 		delete(s.unresolvedWorkers, id)
+		if w.fenced {
+			delete(s.lateRuns, id)
+		}
 	}
-	var last int64
 	for _, e := range r.Ended {
 		s.attemptEnded(w, e, now)
-		last = max(last, e.Seq)
 	}
 	if len(r.Ended) > 0 {
 		w.endsChanges = s.ChangesBy(r.Ended)
@@ -37,7 +38,7 @@
 	s.endUnreadable(w, r, now)
 	s.reviewSuspicions(w, r)
 	s.enforceLatencyTargets(w, now)
-	return last
+	return s.ackSeq(w, r, now)
 }
 
 // IsListed reports whether the worker's present incarnation has listed an attempt as running.
@@ -59,6 +60,7 @@
 	for _, e := range r.Running {
 		key := attemptKey{e.Task, e.Run}
 		listed[key] = true
+		s.lateStarts.noteListed(lateStartKey{w.info.ID, e.Task}, e.Run)
 		if a := w.attempts[key]; a != nil {
 			if !a.listed && !a.restartedAt.IsZero() {
 				s.followAttempt(a)
@@ -99,12 +101,13 @@
 		a.worker.worksSince = now
 	}
 	if !a.listed {
-		a.listed, a.listedSince, a.listedClock = true, now, clock
+		a.listed, a.listedSince, a.listedClock, a.firstPercent = true, now, clock, e.Percent
 	}
 	if t := a.task(); e.Checkpoint != "" && a.run == t.lastRun {
 		// If the worker is lost, the task resumes from this checkpoint.
 		t.noteCheckpoint(e.Checkpoint, a.run)
 	}
+	a.noteProgress(e.Percent, now)
 	a.percent = e.Percent
 	a.lastMeasurement = e.Measurement
 }
@@ -166,6 +169,7 @@
 	t := &st.tasks[e.Task.Index]
 	t.lastRun = max(t.lastRun, e.Run)
 	t.unresolved = false
+	st.settleTask(t)
 	needed := len(t.attempts) == 0 && !t.done
 	a := &attempt{step: st, index: e.Task.Index, run: e.Run, worker: w, reserved: st.reserved, requestedAt: now, cpuLimit: fullPercent}
 	if st.spec.BestEffort {
@@ -220,6 +224,7 @@
 	}
 	t.attempts = append(t.attempts, a)
 	a.worker.attach(a)
+	a.addUse()
 	a.step.job.attempts++
 }
 
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/quota"
 )
 
 // State is what the owner of the batch jobs knows of jobs and workers, with all decisions on them.
@@ -45,6 +47,8 @@
 	// unresolvedWorkers holds the workers that may run tasks started by a former owner and have not
 	// reported to this one, and until when they may if they stay unreachable.
 	unresolvedWorkers map[WorkerID]time.Time
+	// lateRuns holds what restarted workers may carry out late for former owners, by worker.
+	lateRuns map[WorkerID]LateRuns
 	// formerIncarnations holds what the former owner knew of the incarnations of workers.
 	formerIncarnations map[WorkerID]FencedIncarnation
 	// formerRequestsEnd is when the last request of a former owner has been carried out; zero if there was none.
@@ -52,6 +56,13 @@
 	// formerWorkers holds the workers that a former owner may have known, and those that this one has forgotten.
 	formerWorkers map[WorkerID]bool
 
+	// tenants holds what each tenant uses, and doubtfulCapacity how much the unresolvedWorkers can hold.
+	tenants          *quota.Book
+	doubtfulCapacity quota.Amount
+	shares           shares
+	// unrated holds the jobs of tenants that were added since the last Plan.
+	unrated []*Job
+
 	dirty changedJobs
 	// urgentJobs holds the jobs with steps whose start waits for a durable record.
 	urgentJobs    map[*Job]bool
@@ -60,6 +71,7 @@
 	unstartedJobs map[string]int    // number of jobs without a started task, by queue
 	stops         map[*attempt]bool // attempts that are being stopped
 	barring       map[*worker]bool  // restarted workers that must not carry out late copies of starts
+	lateStarts    lateStarts
 	// suspects holds the tasks with suspicions by the worker that a suspicion names, and repeatSuspects those with
 	// at least crashesToFail suspicions.
 	suspects       map[WorkerID]map[taskRef]bool
@@ -74,10 +86,8 @@
 	began                 time.Time // where clock counts from; zero before its first call
 	startsSinceReport     startCounts
 	interferenceModel     *interferenceModel
-	// meanShortCPU is the moving average of the CPU reserved by the attempts of short tasks, by service,
-	// in thousandths of a core.
-	meanShortCPU  map[string]float64
-	openQuestions int // questions to the adviser without an answer
+	lookAhead                 // what placement expects of tasks and workers
+	openQuestions         int // questions to the adviser without an answer
 	// ownedUntil is the time until which no other owner can have taken over.
 	ownedUntil time.Time
 	events     []Event
@@ -123,17 +133,20 @@
 		lastTrials:         map[string]time.Time{},
 		scheduled:          map[*occurrence]*Job{},
 		unresolvedWorkers:  map[WorkerID]time.Time{},
+		lateRuns:           map[WorkerID]LateRuns{},
 		formerIncarnations: map[WorkerID]FencedIncarnation{},
 		formerWorkers:      map[WorkerID]bool{},
+		tenants:            quota.NewBook(),
 		dirty:              newChangedJobs(),
 		urgentJobs:         map[*Job]bool{},
 		unstartedJobs:      map[string]int{},
 		stops:              map[*attempt]bool{},
 		barring:            map[*worker]bool{},
+		lateStarts:         lateStarts{byTask: map[lateStartKey][]lateStart{}},
 		suspects:           map[WorkerID]map[taskRef]bool{},
 		repeatSuspects:     map[taskRef]bool{},
 		interferenceModel:  newInterferenceModel(),
-		meanShortCPU:       map[string]float64{},
+		lookAhead:          newLookAhead(),
 	}
 }
 
--- a/internal/batch/wait_reasons_test.go
+++ b/internal/batch/wait_reasons_test.go
@@ -145,11 +145,22 @@
 	},
 	heldByReserve: func(*testing.T) heldTask {
 		s, now := newTestState("a", "b")
-		s.meanShortCPU["svc"] = 2000
+		s.shortDemandOf("svc").cpu.Observe(2000)
 		addJob(s, "j", "q", now, latencySensitiveStep("web", 8))
 		planUntilIdle(s, now)
 		return held(s, now, "j", 7)
 	},
+	heldByReservation: func(*testing.T) heldTask {
+		s, now := newTestState("a")
+		f := newFleet(s, now)
+		f.add("small", "q", time.Hour, taskStep(3, 1000))
+		f.run(fleetTick, nil)
+		f.add("large", "q", time.Hour, taskStep(1, 4000))
+		f.run(5*fleetTick, nil)
+		f.add("j", "q", time.Hour, longRunningStep(1, 1000, 0))
+		f.run(fleetTick, nil)
+		return held(s, f.now, "j", 0)
+	},
 	heldByNoWorker: func(*testing.T) heldTask {
 		s, now := newTestState()
 		addJob(s, "j", "q", now, taskStep(1, 1000))
@@ -162,6 +173,13 @@
 		planUntilIdle(s, now)
 		return held(s, now, "j", 4)
 	},
+	heldByShare: func(*testing.T) heldTask {
+		s, now := newSharesState(1, 1, "a")
+		addJobOf(s, "hot", "j", "q", now, taskStep(5, 1000))
+		addJobOf(s, "small", "k", "q", now, taskStep(1, 5000))
+		planUntilIdle(s, now)
+		return held(s, now, "j", 4)
+	},
 	heldByLikeStep: func(*testing.T) heldTask {
 		s, now := newTestState("a")
 		addJob(s, "i", "q", now, taskStep(1, 5000))
@@ -219,6 +237,18 @@
 		s.Plan(now)
 		return held(s, now, "j", 2)
 	},
+	heldByCap: func(*testing.T) heldTask {
+		s, now := newTenantState(Resources{CPU: 1500}, "a")
+		addTenantJob(s, "j", now, taskStep(1, 2000))
+		planUntilIdle(s, now)
+		return held(s, now, "j", 0)
+	},
+	heldByQuota: func(*testing.T) heldTask {
+		s, now := newTenantState(Resources{CPU: 1500}, "a")
+		addTenantJob(s, "j", now, taskStep(2, 1000))
+		planUntilIdle(s, now)
+		return held(s, now, "j", 1)
+	},
 	heldByGang: func(*testing.T) heldTask {
 		s, now := newTestState("a")
 		gang := taskStep(2, 3000)
@@ -359,6 +389,24 @@
 	return !r.task().done
 }
 
+// hasGivenUpStart reports whether the last plan has given up a start of the tenant, which freed a part of its quota after
+// that had held up others.
+func hasGivenUpStart(s *State, tenant string, now time.Time) bool {
+	for _, j := range s.jobs {
+		if j.Tenant != tenant || len(j.occs) == 0 {
+			continue
+		}
+		for _, st := range j.occs[0].steps {
+			for i := range st.tasks {
+				if r := (taskRef{st, i}); r.task().heldBy == heldByNewPlan && r.task().heldSince == s.clock(now) {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 // contradiction returns what shows that the reason of a waiting task does not hold; "" if nothing does.
 func contradiction(s *State, r taskRef, now time.Time) string {
 	st, t := r.step, r.task()
@@ -382,6 +430,10 @@
 		return "its failed runs do not hold it back"
 	case (reason == heldByIsolation || reason == heldByWorseSuspect) && !t.suspected():
 		return "it is not suspected"
+	case (reason == heldByQuota || reason == heldByCap) && s.quotaWait(st, st.placedTogether()) != reason && !hasGivenUpStart(s, st.job.Tenant, now):
+		return "the quota of its tenant does not hold it back"
+	case reason == heldByShare && st.job.account == nil:
+		return "it has no tenant"
 	case reason == heldByReserve && (!st.spec.LongRunning || t.lastRun > 0):
 		return "it is not new and long-running"
 	default:
