--- a/internal/connguard/conn.go
+++ b/internal/connguard/conn.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -132,16 +133,30 @@
 	c.headers.Reset()
 }
 
+// discardTimeout bounds the time in which a server reads what a handler has left of a body, in order to discard it.
+const discardTimeout = 5 * time.Second
+
 // trackedBody tells the connection when a handler waits for the body of a request.
 type trackedBody struct {
 	io.ReadCloser
-	conn *conn
+	conn  *conn
+	ended atomic.Bool
 }
 
 // Read implements io.Reader.
 func (b *trackedBody) Read(p []byte) (int, error) {
 	b.conn.awaitBody()
 	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.ended.Store(true)
+	}
 	b.conn.setPhase(handling, time.Now())
 	return n, err
 }
+
+// limitDiscard is called when the handler has returned. The server replaces the deadline when it waits for the next request.
+func (b *trackedBody) limitDiscard() {
+	if !b.ended.Load() {
+		_ = b.conn.SetReadDeadline(time.Now().Add(discardTimeout)) // fails only on a closed connection
+	}
+}
--- a/internal/connguard/guard.go
+++ b/internal/connguard/guard.go
@@ -71,9 +71,13 @@
 		}
 		c.beginRequest(r)
 		defer c.endRequest()
-		if r.Body != nil && r.Body != http.NoBody {
-			r.Body = &trackedBody{ReadCloser: r.Body, conn: c}
+		if r.Body == nil || r.Body == http.NoBody {
+			h.ServeHTTP(w, r)
+			return
 		}
+		tracked := &trackedBody{ReadCloser: r.Body, conn: c}
+		defer tracked.limitDiscard()
+		r.Body = tracked
 		h.ServeHTTP(w, r)
 	})
 }
--- a/internal/connguard/guard_test.go
+++ b/internal/connguard/guard_test.go
@@ -90,6 +90,9 @@
 		Budget: budget, Recorder: refusals.New("test", tally.NoopScope, zerolog.Nop()),
 	})
 	server := g.Server(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/unread" {
+			return
+		}
 		data, err := io.ReadAll(r.Body)
 		if string(data) == "wait" {
 			time.Sleep(time.Minute)
@@ -184,6 +187,28 @@
 	})
 }
 
+// Guards against connections that a server keeps for what is left of a body that no handler reads.
+func TestBodiesThatNobodyReadsAreNotAwaited(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		l, _ := serve(t, 0, 1<<20)
+		c := l.dial()
+		_, err := fmt.Fprint(c, "POST /unread HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n123456789")
+		is.NoErr(err)
+		startedAt := time.Now()
+		_, err = io.ReadAll(c)
+		is.NoErr(err)
+		is.True(time.Since(startedAt) <= discardTimeout+time.Second)
+		whole := l.dial()
+		go func() { _, _ = fmt.Fprint(whole, "POST /unread HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\n1") }()
+		resp, err := http.ReadResponse(bufio.NewReader(whole), nil)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusOK)
+		time.Sleep(2 * discardTimeout)
+		is.Equal(call(whole, "x"), http.StatusOK) // the connection goes on
+	})
+}
+
 // Guards against headers that no budget bounds, and against a charge that outlives its request.
 func TestHeadersAreChargedWhileTheyAreRead(t *testing.T) {
 	bubbletest.Run(t, func(t *testing.T) {
