--- a/internal/connguard/guard.go
+++ b/internal/connguard/guard.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"iter"
 	"net"
 	"net/http"
 	"sync"
@@ -70,9 +71,13 @@
 		}
 		c.beginRequest(r)
 		defer c.endRequest()
-		if r.Body != nil && r.Body != http.NoBody {
-			r.Body = &trackedBody{ReadCloser: r.Body, conn: c}
+		if r.Body == nil || r.Body == http.NoBody {
+			h.ServeHTTP(w, r)
+			return
 		}
+		tracked := &trackedBody{ReadCloser: r.Body, conn: c}
+		defer tracked.limitDiscard()
+		r.Body = tracked
 		h.ServeHTTP(w, r)
 	})
 }
@@ -170,17 +175,20 @@
 	if g.options.MaxConns == 0 || len(g.conns) < g.options.MaxConns {
 		return nil, ""
 	}
-	var states []state
-	var all []*conn
-	for c := range g.conns {
-		states, all = append(states, c.state), append(all, c)
-	}
-	n, reason := chooseVictim(states, now)
-	if n < 0 {
-		return nil, ""
+	victim, reason := chooseVictim(g.states(), now)
+	delete(g.conns, victim)
+	return victim, reason
+}
+
+// states returns the connections with their states.
+func (g *Guard) states() iter.Seq2[*conn, state] {
+	return func(yield func(*conn, state) bool) {
+		for c := range g.conns {
+			if !yield(c, c.state) {
+				return
+			}
+		}
 	}
-	delete(g.conns, all[n])
-	return all[n], reason
 }
 
 // remove forgets a connection that is being closed.
