--- a/internal/bodybudget/budget.go
+++ b/internal/bodybudget/budget.go
@@ -67,6 +67,7 @@
 	// The budget's lock guards the fields below.
 	bytes      int64
 	progressAt time.Time
+	received   bool // completely, so that it is never ended
 	ended      bool // in favour of others
 	closed     bool
 }
@@ -103,8 +104,21 @@
 	return a.bytes
 }
 
-// Reset releases all that the account holds. The account can be used again.
-func (a *Account) Reset() { _ = a.Set(0) } // to hold less always succeeds
+// SetReceived says that the request has been received and is being handled, so that it is not ended in favour of others
+// any more.
+func (a *Account) SetReceived() { a.setReceived(true) }
+
+func (a *Account) setReceived(received bool) {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	a.received = received
+}
+
+// Reset releases all that the account holds. The account can be used again, for another request.
+func (a *Account) Reset() {
+	_ = a.Set(0) // to hold less always succeeds
+	a.setReceived(false)
+}
 
 // Close releases all that the account holds. It can hold nothing any more.
 func (a *Account) Close() {
@@ -148,7 +162,7 @@
 func (b *Budget) takeStalled(asking *Account) *Account {
 	var oldest *Account
 	for a := range b.accounts {
-		if a == asking || a.ended || a.end == nil || time.Since(a.progressAt) < stalledAfter {
+		if a == asking || a.received || a.ended || a.end == nil || time.Since(a.progressAt) < stalledAfter {
 			continue
 		}
 		if oldest == nil || a.progressAt.Before(oldest.progressAt) {
--- a/internal/bodybudget/budget_test.go
+++ b/internal/bodybudget/budget_test.go
@@ -1,6 +1,7 @@
 package bodybudget
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -117,3 +118,22 @@
 		is.NoErr(b.Open(nil).Set(1000))
 	})
 }
+
+// Guards against a request that is cut off while it is being handled, since others need the bytes of its body.
+func TestABodyThatHasBeenReadIsNotEndedInFavourOfOthers(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBudget()
+		var deadline time.Time
+		body, err := b.ReadAll(Source{
+			Body: strings.NewReader("read"), Length: 4, Limit: 10,
+			SetDeadline: func(t time.Time) error { deadline = t; return nil },
+		})
+		is.NoErr(err)
+		defer body.Release()
+		time.Sleep(2 * stalledAfter)
+		is.NoErr(b.Open(nil).Set(testLimit))
+		is.True(errors.Is(b.Open(nil).Set(testLimit), ErrFull))
+		is.True(deadline.IsZero())
+	})
+}
--- a/internal/bodybudget/read.go
+++ b/internal/bodybudget/read.go
@@ -81,6 +81,10 @@
 	if err := r.readSegments(); err != nil {
 		return nil, err
 	}
+	r.account.SetReceived()
+	if r.account.isEnded() {
+		return nil, errors.Trace(ErrFull)
+	}
 	if err := r.setDeadline(time.Time{}); err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/internal/connguard/conn.go
+++ b/internal/connguard/conn.go
@@ -101,6 +101,7 @@
 		}
 	}
 	_ = c.headers.Set(min(size, c.headers.Bytes())) // to hold less always succeeds
+	c.headers.SetReceived()
 }
 
 // endRequest is called when the handler of a request has returned.
--- a/internal/connguard/guard_test.go
+++ b/internal/connguard/guard_test.go
@@ -206,3 +206,20 @@
 		is.Equal(budget.Held(), held)
 	})
 }
+
+// Guards against a request that is cut off while it is being handled, since others need the bytes of its headers.
+func TestARequestThatIsHandledIsNotEndedInFavourOfOthers(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		l, budget := serve(t, 10, 1<<20)
+		c := l.dial()
+		status := make(chan int, 1)
+		go func() { status <- call(c, "wait") }()
+		time.Sleep(10 * time.Second)
+		is.NoErr(budget.Open(nil).Set(1 << 20))
+		for range 5 {
+			is.True(budget.Open(nil).Set(1<<20) != nil)
+		}
+		is.Equal(<-status, http.StatusOK)
+	})
+}
