--- a/cmd/geraniumwickd/listeners.go
+++ b/cmd/geraniumwickd/listeners.go
@@ -19,7 +19,7 @@
 const (
 	// headerReadTimeout bounds the reading of the headers of a request.
 	headerReadTimeout = 5 * time.Second
-	// idleTimeout is how long a connection without a request stays open.
+	// idleTimeout is how long a connection without a request stays open, except those of callers.
 	idleTimeout = time.Minute
 	// callWriteTimeout bounds the time from the headers of a caller's request to the end of its response. No caller waits
 	// longer than 10 minutes. writeTimeout is the same for probes and scrapers.
@@ -95,19 +95,33 @@
 	name, address string
 	handler       http.Handler
 	maxConns      int
+	// crowded, if set, reports whether another connection needs the place of one that is open.
+	crowded func() bool
 	// budget is what requests are charged to while they are received.
 	budget *bodybudget.Budget
+	// idleTimeout is how long a connection without a request stays open; 0 for no limit.
+	idleTimeout time.Duration
 	// writeTimeout bounds the time from the headers of a request to the end of its response.
 	writeTimeout time.Duration
 }
 
+// callers describes the server of callers. They may leave connections idle as long as no others need the place.
+func (l *listeners) callers(h http.Handler) listener {
+	return listener{
+		name: "callers", address: l.settings.Listen.Front, handler: h, maxConns: l.maxCallerConns(), crowded: l.isCrowded,
+		budget: l.callerBudget, writeTimeout: callWriteTimeout,
+	}
+}
+
+// isCrowded reports whether the process has so many connections that it accepts another one only in place of one.
+func (l *listeners) isCrowded() bool {
+	limit := l.settings.MaxConnectionsWithCallers()
+	return limit > 0 && l.connections.Open() > limit
+}
+
 // serve starts an HTTP server in the background, whose connections are counted. Its failure is sent to l.failed.
 func (l *listeners) serve(o listener) *http.Server {
-	guard := connguard.New(connguard.Options{
-		MaxConns: o.maxConns, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerReadTimeout,
-		IdleTimeout: idleTimeout, WriteTimeout: o.writeTimeout,
-		Budget: o.budget, Recorder: refusals.New(o.name, l.scope, l.log),
-	})
+	guard := l.guard(o)
 	s := guard.Server(o.handler)
 	go func() {
 		listener, err := net.Listen("tcp", o.address)
@@ -120,3 +134,11 @@
 	}()
 	return s
 }
+
+func (l *listeners) guard(o listener) *connguard.Guard {
+	return connguard.New(connguard.Options{
+		MaxConns: o.maxConns, Crowded: o.crowded, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerReadTimeout,
+		IdleTimeout: o.idleTimeout, WriteTimeout: o.writeTimeout,
+		Budget: o.budget, Recorder: refusals.New(o.name, l.scope, l.log),
+	})
+}
--- a/cmd/geraniumwickd/listeners_test.go
+++ b/cmd/geraniumwickd/listeners_test.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"net"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
@@ -34,3 +36,28 @@
 		})
 	}
 }
+
+// Guards against a connection of a caller that is closed although nobody needs its place.
+func TestConnectionsOfCallersHaveNoIdleTimeout(t *testing.T) {
+	is := is.New(t)
+	var s platform.Settings
+	s.Limits.MemoryMB = 160
+	l := newListeners(s, connlimit.New(0), tally.NoopScope, zerolog.Nop())
+	is.Equal(l.guard(l.callers(nil)).Server(nil).IdleTimeout, time.Duration(0))
+}
+
+// Guards against a process that accepts callers until it has no descriptor left for the store, since it has established many
+// connections itself.
+func TestCallersNeedAPlaceWhenTheProcessHasManyConnections(t *testing.T) {
+	is := is.New(t)
+	var s platform.Settings
+	s.Limits.MemoryMB, s.Limits.MaxFDs = 160, 10
+	connections := connlimit.New(0)
+	l := newListeners(s, connections, tally.NoopScope, zerolog.Nop())
+	dial := func() (net.Conn, error) { c, _ := net.Pipe(); return c, nil }
+	for open := range 12 {
+		is.Equal(l.callers(nil).crowded(), open > 9)
+		_, err := connections.Dial(dial)
+		is.NoErr(err)
+	}
+}
--- a/cmd/geraniumwickd/platform.go
+++ b/cmd/geraniumwickd/platform.go
@@ -134,21 +134,18 @@
 
 	l := newListeners(s, connections, scope, log)
 	peers.SetBudget(l.peerBudget, refusals.New("peer-messages", scope, log))
-	apiServer := l.serve(listener{
-		name: "callers", address: s.Listen.Front, handler: platform.NewAPIHandler(instance, scope, log),
-		maxConns: l.maxCallerConns(), budget: l.callerBudget, writeTimeout: callWriteTimeout,
-	})
+	apiServer := l.serve(l.callers(platform.NewAPIHandler(instance, scope, log)))
 	l.serve(listener{
 		name: "ready", address: s.Listen.Ready, handler: platform.ReadinessHandler(instance),
-		maxConns: l.maxConns(otherConnections), budget: l.callerBudget, writeTimeout: writeTimeout,
+		maxConns: l.maxConns(otherConnections), budget: l.callerBudget, idleTimeout: idleTimeout, writeTimeout: writeTimeout,
 	})
 	l.serve(listener{
 		name: "peers", address: s.PeerAddress(), handler: peerMux,
-		maxConns: l.maxConns(peerConnections), budget: l.peerBudget, writeTimeout: writeTimeout,
+		maxConns: l.maxConns(peerConnections), budget: l.peerBudget, idleTimeout: idleTimeout, writeTimeout: writeTimeout,
 	})
 	l.serve(listener{
 		name: "metrics", address: s.MetricsAddress(), handler: metricsMux,
-		maxConns: l.maxConns(otherConnections), budget: l.callerBudget, writeTimeout: writeTimeout,
+		maxConns: l.maxConns(otherConnections), budget: l.callerBudget, idleTimeout: idleTimeout, writeTimeout: writeTimeout,
 	})
 	go instance.Run(ctx)
 
--- a/internal/connguard/guard.go
+++ b/internal/connguard/guard.go
@@ -18,6 +18,9 @@
 type Options struct {
 	// MaxConns is the number of connections that may be open.
 	MaxConns int
+	// Crowded, if set, reports whether the process has so many connections, also those of other servers and those that it
+	// has established, that another one needs the place of one that is open.
+	Crowded func() bool
 	// MaxHeaderBytes bounds the headers of a request, in bytes.
 	MaxHeaderBytes int
 	// ReadHeaderTimeout is the time within which the headers of a request must arrive, IdleTimeout that after which an
@@ -36,6 +39,9 @@
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
+	// candidates and states are reused by takeVictim.
+	candidates []*conn
+	states     []state
 }
 
 // New returns a guard.
@@ -151,7 +157,7 @@
 func (g *Guard) admit(c *conn) bool {
 	g.mu.Lock()
 	victim, reason := g.takeVictim(time.Now())
-	admitted := g.options.MaxConns == 0 || len(g.conns) < g.options.MaxConns
+	admitted := !g.isFull()
 	if admitted {
 		c.state.since = time.Now()
 		g.conns[c] = struct{}{}
@@ -164,23 +170,32 @@
 	return admitted
 }
 
+// isFull reports whether there is no place for another connection.
+func (g *Guard) isFull() bool {
+	if g.options.MaxConns > 0 && len(g.conns) >= g.options.MaxConns {
+		return true
+	}
+	return g.options.Crowded != nil && g.options.Crowded()
+}
+
 // takeVictim removes and returns the connection to be closed before another one is admitted, and says why. It returns nil
 // if there is a place, or if no connection may be closed.
 func (g *Guard) takeVictim(now time.Time) (*conn, refusals.Reason) {
-	if g.options.MaxConns == 0 || len(g.conns) < g.options.MaxConns {
+	if !g.isFull() {
 		return nil, ""
 	}
-	var states []state
-	var all []*conn
+	defer func() { clear(g.candidates) }() // so that closed connections are not kept
+	g.candidates, g.states = g.candidates[:0], g.states[:0]
 	for c := range g.conns {
-		states, all = append(states, c.state), append(all, c)
+		g.candidates, g.states = append(g.candidates, c), append(g.states, c.state)
 	}
-	n, reason := chooseVictim(states, now)
+	n, reason := chooseVictim(g.states, now)
 	if n < 0 {
 		return nil, ""
 	}
-	delete(g.conns, all[n])
-	return all[n], reason
+	victim := g.candidates[n]
+	delete(g.conns, victim)
+	return victim, reason
 }
 
 // remove forgets a connection that is being closed.
--- a/internal/connguard/guard_test.go
+++ b/internal/connguard/guard_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/geraniumwick/geraniumwick/internal/bodybudget"
 	"github.com/geraniumwick/geraniumwick/internal/bubbletest"
+	"github.com/geraniumwick/geraniumwick/internal/connlimit"
 	"github.com/geraniumwick/geraniumwick/internal/refusals"
 )
 
@@ -83,11 +84,15 @@
 
 // serve runs a guarded server in the bubble of a test, which echoes bodies and answers each request.
 func serve(t *testing.T, maxConns int, budgetBytes int64) (*pipeListener, *bodybudget.Budget) {
+	return serveWith(t, Options{MaxConns: maxConns}, connlimit.New(0), budgetBytes)
+}
+
+// serveWith is serve with options, to which it adds the limits that all tests have. Connections are counted by connections.
+func serveWith(t *testing.T, o Options, connections *connlimit.Limit, budgetBytes int64) (*pipeListener, *bodybudget.Budget) {
 	budget := bodybudget.New(budgetBytes, tally.NoopScope)
-	g := New(Options{
-		MaxConns: maxConns, MaxHeaderBytes: 64 << 10, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute,
-		Budget: budget, Recorder: refusals.New("test", tally.NoopScope, zerolog.Nop()),
-	})
+	o.MaxHeaderBytes, o.ReadHeaderTimeout, o.IdleTimeout = 64<<10, 5*time.Second, time.Minute
+	o.Budget, o.Recorder = budget, refusals.New("test", tally.NoopScope, zerolog.Nop())
+	g := New(o)
 	server := g.Server(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		data, err := io.ReadAll(r.Body)
 		if string(data) == "wait" {
@@ -101,7 +106,7 @@
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
-		_ = server.Serve(g.Listener(l))
+		_ = server.Serve(g.Listener(connections.Listener(l)))
 	}()
 	t.Cleanup(func() {
 		_ = server.Close()
@@ -223,3 +228,35 @@
 		is.Equal(<-status, http.StatusOK)
 	})
 }
+
+// Guards against a process that runs out of descriptors since connections that it has established are not counted.
+func TestIdleConnectionsMakePlaceWhenTheProcessHasTooMany(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		connections := connlimit.New(0)
+		l, _ := serveWith(t, Options{MaxConns: 10, Crowded: func() bool { return connections.Open() > 3 }}, connections, 1<<20)
+		first := l.dial()
+		time.Sleep(2 * time.Second)
+		second := l.dial()
+		is.Equal(call(second, "x"), http.StatusOK)
+		_, err := connections.Dial(func() (net.Conn, error) { c, _ := net.Pipe(); return c, nil })
+		is.NoErr(err)
+		time.Sleep(2 * time.Second)
+		is.True(!isClosed(first))
+		third := l.dial()
+		is.True(isClosed(first))
+		is.Equal(call(third, "x"), http.StatusOK)
+		is.Equal(call(second, "x"), http.StatusOK) // it is still open
+	})
+}
+
+// Guards against memory that is allocated for each of many connections whenever another one comes.
+func TestTheSearchForAConnectionToCloseAllocatesNothing(t *testing.T) {
+	is := is.New(t)
+	g := New(Options{MaxConns: 1000, Budget: bodybudget.New(1<<20, tally.NoopScope)})
+	for range 1000 {
+		g.conns[newConn(g, nil)] = struct{}{}
+	}
+	now := time.Now()
+	is.Equal(testing.AllocsPerRun(10, func() { g.takeVictim(now) }), 0.0)
+}
