--- a/cmd/geraniumwick/app.go
+++ b/cmd/geraniumwick/app.go
@@ -60,6 +60,7 @@
 	addConfigCommands(app, all)
 	addDataCentreCommands(app, all)
 	addJobCommands(app, all)
+	addPlatformCommands(app, all)
 	addReadCommands(app, all)
 	return app, all
 }
