--- a/cmd/geraniumwick/platform_check.go
+++ b/cmd/geraniumwick/platform_check.go
@@ -74,7 +74,7 @@
 	case inForcePath != "":
 		inForce, err = readPlatformConfig(inForcePath)
 	case store != "":
-		inForce, err = c.readPlatformStore(ctx, store)
+		inForce, err = c.readPlatformStore(ctx, platform.NewStore(store, zerolog.Nop()))
 	}
 	if err != nil {
 		return err
@@ -107,15 +107,15 @@
 }
 
 // readPlatformStore reads the configuration in force from the platform's store.
-func (c *cli) readPlatformStore(ctx context.Context, address string) ([]byte, error) {
+func (c *cli) readPlatformStore(ctx context.Context, store kv.Store) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.timeout)
 	defer cancel()
-	data, err := platform.ReadConfig(ctx, platform.NewStore(address, zerolog.Nop()))
+	data, err := platform.ReadConfig(ctx, store)
 	switch {
 	case errors.Is(err, kv.ErrNotFound):
 		return nil, &failure{code: exitNotFound, Verdict: verdict.NotRun, Reason: verdict.ReasonUnknownID, Message: "the store has no configuration"}
 	case err != nil:
-		return nil, &failure{code: exitUnreachable, Verdict: verdict.NotRun, Reason: verdict.ReasonStoreUnavailable, Message: fmt.Sprintf("the store at %s: %v", address, err)}
+		return nil, &failure{code: exitUnreachable, Verdict: verdict.NotRun, Reason: verdict.ReasonStoreUnavailable, Message: fmt.Sprintf("the configuration in force cannot be read from the store: %v", err)}
 	}
 	return data, nil
 }
@@ -135,9 +135,9 @@
 	former, findings := platform.DecodeDocument(inForce)
 	switch {
 	case !readable:
-		report.add([]configcheck.Finding{{Severity: configcheck.Warning, Message: "not compared with the version in force, since it cannot be read"}})
+		report.add([]configcheck.Finding{{Severity: configcheck.Warning, Message: "the file cannot be read, so it is not compared with the version in force"}})
 	case configcheck.HasErrors(findings):
-		report.add([]configcheck.Finding{{Severity: configcheck.Warning, Message: "not compared with the version in force, which cannot be read"}})
+		report.add([]configcheck.Finding{{Severity: configcheck.Error, Message: "the version in force cannot be read, so nothing is compared with it"}})
 	default:
 		report.Compared = true
 		changes, findings := configcheck.Compare(document, former)
--- a/internal/configcheck/compare.go
+++ b/internal/configcheck/compare.go
@@ -39,7 +39,7 @@
 		c.findings.errorf("", FieldVersion, "is %d and must be higher than %d, which is in force", next.Version, inForce.Version)
 	}
 	if next.Version != inForce.Version {
-		c.changes = slices.Insert(c.changes, 0, Change{Changed, "version", []string{fmt.Sprintf("%d -> %d", inForce.Version, next.Version)}})
+		c.changes = slices.Insert(c.changes, 0, Change{Changed, "version", []string{fmt.Sprintf("from %d to %d", inForce.Version, next.Version)}})
 	}
 	return c.changes, c.findings
 }
@@ -134,7 +134,7 @@
 		case i < 0:
 			details = append(details, v.Name+" added: "+v.shown())
 		case inForce[i].Text != v.Text:
-			details = append(details, v.Name+": "+inForce[i].shown()+" -> "+v.shown())
+			details = append(details, v.Name+": from "+inForce[i].shown()+" to "+v.shown())
 		}
 	}
 	for _, old := range inForce {
--- a/internal/configcheck/compare_test.go
+++ b/internal/configcheck/compare_test.go
@@ -28,9 +28,9 @@
 		{"an older version is set aside by instances", func(d *Document) { d.Version = 6 }, "", "error||version|is 6 and must be higher than 7, which is in force"},
 		{"a changed document needs a new version", func(d *Document) { d.Version, d.Services = 7, append(d.Services, Service{Name: "x"}) }, `service "x" added: `, "error||version|is 7 and must be higher than 7, which is in force"},
 		{"the same document needs none", func(d *Document) { d.Version = 7 }, "", ""},
-		{"a field of a route changes", func(d *Document) { d.Routes[0].Values = []Value{{Name: "f", Text: "2"}} }, `route "r1" changed: f: 1 -> 2`, ""},
+		{"a field of a route changes", func(d *Document) { d.Routes[0].Values = []Value{{Name: "f", Text: "2"}} }, `route "r1" changed: f: from 1 to 2`, ""},
 		{"a field of a route comes and one goes", func(d *Document) { d.Routes[0].Values = []Value{{Name: "g", Text: "2"}} }, `route "r1" changed: g added: 2; f removed: 1`, ""},
-		{"a hidden value is not shown", func(d *Document) { d.Routes[0].Values = []Value{{Name: "f", Text: "secret", Hidden: true}} }, `route "r1" changed: f: 1 -> (hidden)`, ""},
+		{"a hidden value is not shown", func(d *Document) { d.Routes[0].Values = []Value{{Name: "f", Text: "secret", Hidden: true}} }, `route "r1" changed: f: from 1 to (hidden)`, ""},
 		{"a route is removed", func(d *Document) { d.Routes = d.Routes[:1] }, `route "r2" removed: `, `warning|route "r2"||is removed: calls to it will be answered 404, unless a shorter prefix matches`},
 		{"a route is renamed", func(d *Document) { d.Routes[1].Name = "r3" }, "route \"r3\" added: \nroute \"r2\" removed: ", `warning|route "r2"||is removed: calls to it will go to route "r3"`},
 		{"a limit changes", func(d *Document) { d.Limits.Values = []Value{{Name: "l", Text: "2"}} }, "limits changed: l added: 2", ""},
@@ -56,7 +56,7 @@
 			c.modify(&next)
 			changes, findings := Compare(next, inForce)
 			if next.Version != inForce.Version {
-				is.Equal(changesText(changes[:1]), fmt.Sprintf("version changed: 7 -> %d", next.Version))
+				is.Equal(changesText(changes[:1]), fmt.Sprintf("version changed: from 7 to %d", next.Version))
 				changes = changes[1:]
 			}
 			is.Equal(changesText(changes), c.changes)
--- a/internal/configcheck/finding.go
+++ b/internal/configcheck/finding.go
@@ -29,7 +29,6 @@
 	FieldStretch        Field = "stretch"
 	FieldSlack          Field = "slack"
 	FieldCallTimeout    Field = "call timeout"
-	FieldPublic         Field = "public"
 	FieldAdvice         Field = "advice"
 	FieldMaxConns       Field = "max connections"
 	FieldMaxBody        Field = "max body"
