--- a/internal/connguard/guard.go
+++ b/internal/connguard/guard.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"iter"
 	"net"
 	"net/http"
 	"sync"
@@ -186,22 +185,15 @@
 	if !g.isFull() {
 		return nil, ""
 	}
-	victim, reason := chooseVictim(g.states(), now)
+	search := newVictimSearch[*conn](now)
+	for c := range g.conns {
+		search.consider(c, c.state)
+	}
+	victim, reason := search.victim()
 	delete(g.conns, victim)
 	return victim, reason
 }
 
-// states returns the connections with their states.
-func (g *Guard) states() iter.Seq2[*conn, state] {
-	return func(yield func(*conn, state) bool) {
-		for c := range g.conns {
-			if !yield(c, c.state) {
-				return
-			}
-		}
-	}
-}
-
 // remove forgets a connection that is being closed.
 func (g *Guard) remove(c *conn) {
 	g.mu.Lock()
--- a/internal/connguard/guard_test.go
+++ b/internal/connguard/guard_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -46,7 +45,11 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			n, reason := chooseVictim(slices.All(c.states), now)
+			search := newVictimSearch[int](now)
+			for n, s := range c.states {
+				search.consider(n, s)
+			}
+			n, reason := search.victim()
 			is.Equal(reason, c.reason)
 			is.True(reason == "" || n == c.want)
 		})
--- a/internal/connguard/victim.go
+++ b/internal/connguard/victim.go
@@ -1,7 +1,6 @@
 package connguard
 
 import (
-	"iter"
 	"time"
 
 	"github.com/geraniumwick/geraniumwick/internal/refusals"
@@ -47,22 +46,33 @@
 	}
 }
 
-// chooseVictim returns the connection that is to be closed in favour of a new one, and why: the one that has been idle for
-// longest, else the slowest one. The reason is empty if none has been idle for idleTime or slow for slowTime.
-func chooseVictim[C any](conns iter.Seq2[C, state], now time.Time) (C, refusals.Reason) {
-	var oldestIdle, oldestSlow C
-	var idleReason, slowReason refusals.Reason
-	idleSince, slowSince := now.Add(-idleTime), now.Add(-slowTime)
-	for c, s := range conns {
-		if s.phase == idle && !s.since.After(idleSince) {
-			oldestIdle, idleSince, idleReason = c, s.since, refusals.IdleClosed
-		}
-		if since, slow := s.slowSince(); slow && !since.After(slowSince) {
-			oldestSlow, slowSince, slowReason = c, since, refusals.SlowClosed
-		}
+// victimSearch finds the connection that is to be closed in favour of a new one: the one that has been idle for longest,
+// else the slowest one. Its value allocates nothing.
+type victimSearch[C any] struct {
+	oldestIdle, oldestSlow C
+	// idleReason and slowReason are empty if no connection has been idle for idleTime or slow for slowTime.
+	idleReason, slowReason refusals.Reason
+	idleSince, slowSince   time.Time
+}
+
+func newVictimSearch[C any](now time.Time) victimSearch[C] {
+	return victimSearch[C]{idleSince: now.Add(-idleTime), slowSince: now.Add(-slowTime)}
+}
+
+// consider looks at one connection.
+func (v *victimSearch[C]) consider(c C, s state) {
+	if s.phase == idle && !s.since.After(v.idleSince) {
+		v.oldestIdle, v.idleSince, v.idleReason = c, s.since, refusals.IdleClosed
 	}
-	if idleReason != "" {
-		return oldestIdle, idleReason
+	if since, slow := s.slowSince(); slow && !since.After(v.slowSince) {
+		v.oldestSlow, v.slowSince, v.slowReason = c, since, refusals.SlowClosed
+	}
+}
+
+// victim returns the connection that was found, and why it is to be closed. The reason is empty if none was found.
+func (v *victimSearch[C]) victim() (C, refusals.Reason) {
+	if v.idleReason != "" {
+		return v.oldestIdle, v.idleReason
 	}
-	return oldestSlow, slowReason
+	return v.oldestSlow, v.slowReason
 }
