--- a/internal/bodybudget/read_test.go
+++ b/internal/bodybudget/read_test.go
@@ -1,7 +1,9 @@
 package bodybudget
 
 import (
+	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -205,3 +207,85 @@
 	send(1000) // small ones still have room
 	is.NoErr(readErr)
 }
+
+// Guards against a refusal that does not reach its caller, since the connection is reset while the caller still sends.
+func TestARefusedBodyIsReceivedBeforeTheConnectionCloses(t *testing.T) {
+	for _, header := range []string{"", "Connection: close\r\n"} {
+		t.Run(header, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newBudget()
+				is.NoErr(b.Open(nil).Set(testLimit))
+				client := serveConn(t, b)
+				sent := make(chan error, 1)
+				go func() {
+					_, err := fmt.Fprintf(client, "POST / HTTP/1.1\r\nHost: a\r\n%sContent-Length: %d\r\n\r\n%s", header, testLimit,
+						make([]byte, testLimit))
+					sent <- err
+				}()
+				resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+				is.NoErr(err)
+				is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+				is.NoErr(<-sent)
+			})
+		})
+	}
+}
+
+// Guards against a refused request that keeps its connection by never ending.
+func TestARefusedBodyIsNotAwaitedForLong(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBudget()
+		is.NoErr(b.Open(nil).Set(testLimit))
+		client := serveConn(t, b)
+		_, err := fmt.Fprintf(client, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", testLimit)
+		is.NoErr(err)
+		startedAt := time.Now()
+		_, err = io.Copy(io.Discard, client)
+		is.NoErr(err)
+		is.True(time.Since(startedAt) <= startTime+2*refusedTime)
+	})
+}
+
+// serveConn serves requests on a connection within the bubble, whose client's end it returns. They are read through a
+// budget and answered with 503 if that refuses them.
+func serveConn(t *testing.T, b *Budget) net.Conn {
+	client, server := net.Pipe()
+	l := &oneConnListener{conn: server, closed: make(chan struct{})}
+	read := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := ReadRequest(w, r, testLimit); err != nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	s := &http.Server{Handler: b.Handler(read, refusals.New("test", tally.NoopScope, zerolog.Nop()))}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() {
+		_ = s.Close()
+		_ = client.Close()
+		time.Sleep(time.Second) // net/http keeps a connection for 0.5 s after its last response
+	})
+	return client
+}
+
+// oneConnListener is a listener with one connection.
+type oneConnListener struct {
+	conn   net.Conn
+	closed chan struct{}
+}
+
+func (l *oneConnListener) Accept() (net.Conn, error) {
+	if c := l.conn; c != nil {
+		l.conn = nil
+		return c, nil
+	}
+	<-l.closed
+	return nil, net.ErrClosed
+}
+
+func (l *oneConnListener) Close() error {
+	close(l.closed)
+	return nil
+}
+
+func (l *oneConnListener) Addr() net.Addr { return &net.UnixAddr{} }
