--- a/internal/batch/shares.go
+++ b/internal/batch/shares.go
@@ -11,20 +11,20 @@
 // shares holds what decides on the turns of tenants in one Plan.
 type shares struct {
 	// capacity is that of the workers that may get tasks.
-	capacity quota.Amount
+	capacity Resources
 	// fair is the weighted dominant share that each tenant has if those who want resources share them by their weights.
 	fair float64
 }
 
 // noteCapacity notes the capacity that the tenants share.
 func (s *State) noteCapacity() {
-	s.shares.capacity = quota.Amount{}
+	s.shares.capacity = Resources{}
 	if len(s.config.Tenants) == 0 {
 		return
 	}
 	for _, w := range s.workers {
 		if w.usableButForQuarantine(s) {
-			s.shares.capacity = s.shares.capacity.Plus(quota.Amount(w.info.Capacity))
+			s.shares.capacity = s.shares.capacity.Plus(w.info.Capacity)
 		}
 	}
 }
@@ -41,7 +41,7 @@
 	}
 	var weights []float64
 	for name, tenant := range s.config.Tenants {
-		if waiting[name] || s.tenants.Account(name).Used != (quota.Amount{}) {
+		if waiting[name] || s.tenants.Account(name).Used != (Resources{}) {
 			weights = append(weights, tenant.Weight)
 		}
 	}
@@ -61,7 +61,7 @@
 }
 
 // jobLevel returns the level of the share that a job's tenant has now; 0 for a job without a tenant.
-func (s *State) jobLevel(j *Job) int { return s.levelWith(j, quota.Amount{}) }
+func (s *State) jobLevel(j *Job) int { return s.levelWith(j, Resources{}) }
 
 // shareLevel returns the level of the share that a step's tenant would have with its next task, or with its gang. Of two steps
 // with the same priority, that of the lower level goes first.
@@ -69,7 +69,7 @@
 
 // levelWith returns the level of the share that a job's tenant would have if it used so much more. Jobs beyond the rates of their
 // tenants have levels of their own, above all others.
-func (s *State) levelWith(j *Job, more quota.Amount) int {
+func (s *State) levelWith(j *Job, more Resources) int {
 	if j.account == nil || s.shares.fair == 0 {
 		return 0
 	}
--- a/internal/batch/spec.go
+++ b/internal/batch/spec.go
@@ -15,7 +15,7 @@
 	"fmt"
 	"time"
 
-	"github.com/geraniumwick/geraniumwick/internal/placement"
+	"github.com/geraniumwick/geraniumwick/internal/resources"
 )
 
 // The limits of a specification. They bound the memory that one job takes of an instance.
@@ -32,7 +32,7 @@
 )
 
 // Resources is an amount of each kind of resource.
-type Resources = placement.Resources
+type Resources = resources.Amount
 
 // Step is a set of identical tasks.
 type Step struct {
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -58,7 +58,7 @@
 
 	// tenants holds what each tenant uses, and doubtfulCapacity how much the unresolvedWorkers can hold.
 	tenants          *quota.Book
-	doubtfulCapacity quota.Amount
+	doubtfulCapacity Resources
 	shares           shares
 	// unrated holds the jobs of tenants that were added since the last Plan.
 	unrated []*Job
--- a/internal/batch/tenants.go
+++ b/internal/batch/tenants.go
@@ -10,7 +10,7 @@
 
 // demand returns what so many tasks of the step count under their tenant's cap: all that they ask for. Best-effort tasks
 // reserve no CPU on their worker, but use what is left there, up to what they ask for.
-func (st *step) demand(tasks int) quota.Amount { return quota.Amount(st.spec.Resources).Times(tasks) }
+func (st *step) demand(tasks int) Resources { return st.spec.Resources.Times(tasks) }
 
 // placedTogether returns how many tasks of the step start together.
 func (st *step) placedTogether() int {
@@ -48,11 +48,11 @@
 	if account == nil {
 		return notHeld
 	}
-	limit, need := quota.Amount(s.config.Tenants[st.job.Tenant].Cap), st.demand(tasks)
+	limit, need := s.config.Tenants[st.job.Tenant].Cap, st.demand(tasks)
 	switch {
-	case need.Fits(account.Bound(s.doubtfulCapacity), limit):
+	case quota.Admits(need, account.Bound(s.doubtfulCapacity), limit):
 		return notHeld
-	case !need.Fits(quota.Amount{}, limit):
+	case !quota.Admits(need, Resources{}, limit):
 		return heldByCap
 	default:
 		return heldByQuota
@@ -78,7 +78,7 @@
 		return true
 	}
 	own := st.demand(1)
-	return own.Fits(account.Bound(s.doubtfulCapacity).Minus(own), quota.Amount(s.config.Tenants[st.job.Tenant].Cap))
+	return quota.Admits(own, account.Bound(s.doubtfulCapacity).Minus(own), s.config.Tenants[st.job.Tenant].Cap)
 }
 
 // describeQuota describes for the log what so many tasks of a step need, and what their tenant uses of its cap.
@@ -113,20 +113,20 @@
 	}
 	for i := range j.Spec.Steps {
 		step := &j.Spec.Steps[i]
-		j.account.AddDoubt(quota.Amount(step.Resources).Times(step.Count * j.Spec.Occurrences()))
+		j.account.AddDoubt(step.Resources.Times(step.Count * j.Spec.Occurrences()))
 	}
 }
 
 // noteDoubtfulCapacity notes how much the workers can hold that may run tasks of a former owner. Capacities may have changed
 // since, and those of workers that the registry does not have are not known, so each counts as the largest one.
 func (s *State) noteDoubtfulCapacity() {
-	s.doubtfulCapacity = quota.Amount{}
+	s.doubtfulCapacity = Resources{}
 	if len(s.unresolvedWorkers) == 0 {
 		return
 	}
-	var largest quota.Amount
+	var largest Resources
 	for _, w := range s.workers {
-		largest = largest.Max(quota.Amount(w.info.Capacity))
+		largest = largest.Max(w.info.Capacity)
 	}
 	largest.CPU += int64((1 + bestEffortOvercommit) * float64(largest.CPU)) // what best-effort tasks may ask for beside the others
 	s.doubtfulCapacity = largest.Times(len(s.unresolvedWorkers))
--- a/internal/batch/tenants_test.go
+++ b/internal/batch/tenants_test.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"github.com/matryer/is"
-
-	"github.com/geraniumwick/geraniumwick/internal/quota"
 )
 
 // testTenant is the tenant of the jobs of addTenantJob.
@@ -112,12 +110,12 @@
 		s.StartSent(a.Worker, a.Task, a.Run, 1000)
 		s.StartAnswered(a.Worker, a.Task, a.Run, AnswerNone, now)
 	})
-	is.Equal(s.tenants.Account(testTenant).Used, quota.Amount{CPU: 1000, MemoryMB: 100})
+	is.Equal(s.tenants.Account(testTenant).Used, Resources{CPU: 1000, MemoryMB: 100})
 	now = now.Add(time.Second)
 	for _, id := range []WorkerID{"a", "b"} {
 		reportWithLease(s, id, Report{Incarnation: 1, Clock: 2000}, now) // it is too late for the start
 	}
-	is.Equal(s.tenants.Account(testTenant).Used, quota.Amount{})
+	is.Equal(s.tenants.Account(testTenant).Used, Resources{})
 }
 
 // A tenant at its cap takes no room from the others and holds up none that needs as much.
--- a/internal/placement/headroom.go
+++ b/internal/placement/headroom.go
@@ -1,3 +1,5 @@
+// Package placement decides on room: how much of it new long-running tasks leave to short ones, on which worker room is reserved
+// for a task that does not fit yet, and which tasks may run there until then. It is pure: it has no clock and no I/O.
 package placement
 
 import "time"
--- a/internal/placement/outlook.go
+++ b/internal/placement/outlook.go
@@ -4,12 +4,14 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/resources"
 )
 
 // End is the room that a running task is expected to give back.
 type End struct {
 	At   time.Time
-	Room Resources
+	Room resources.Amount
 }
 
 // SortEnds orders ends by time.
@@ -20,12 +22,12 @@
 // Outlook is when a worker is expected to have room for a task, and what it will have besides it then.
 type Outlook struct {
 	Ready time.Time
-	Spare Resources
+	Spare resources.Amount
 }
 
 // Forecast returns the outlook of a worker with free resources and running tasks, whose ends are in order. It returns false if the
 // task is not expected to fit before the horizon.
-func Forecast(free Resources, ends []End, need Resources, now, horizon time.Time) (Outlook, bool) {
+func Forecast(free resources.Amount, ends []End, need resources.Amount, now, horizon time.Time) (Outlook, bool) {
 	if need.Fits(free) {
 		return Outlook{Ready: now, Spare: free.Minus(need)}, true
 	}
@@ -47,7 +49,7 @@
 
 // SlotsLost returns for how many tasks of a large size fewer a worker with free resources has room after it has got another task.
 // A task that needs as much as a large one itself loses none.
-func SlotsLost(free, need, large Resources) int64 {
+func SlotsLost(free, need, large resources.Amount) int64 {
 	if large.CPU <= 0 || large.Fits(need) {
 		return 0
 	}
@@ -55,7 +57,7 @@
 }
 
 // slots returns how many tasks of a size fit.
-func slots(free, size Resources) int64 {
+func slots(free, size resources.Amount) int64 {
 	if !size.Fits(free) {
 		return 0
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/geraniumwick/geraniumwick/internal/resources"
 )
 
 var began = time.Unix(1_000_000, 0)
@@ -15,22 +17,22 @@
 func after(ms int) time.Time { return began.Add(time.Duration(ms) * time.Millisecond) }
 
 // cpu returns so many cores.
-func cpu(cores int64) Resources { return Resources{CPU: 1000 * cores} }
+func cpu(cores int64) resources.Amount { return resources.Amount{CPU: 1000 * cores} }
 
 func TestTheOutlookFollowsTheEndsInOrder(t *testing.T) {
 	ends := []End{{after(300), cpu(1)}, {after(100), cpu(2)}, {after(900), cpu(4)}}
 	SortEnds(ends)
 	for _, c := range []struct {
 		name  string
-		need  Resources
+		need  resources.Amount
 		ready time.Time
-		spare Resources
+		spare resources.Amount
 		ok    bool
 	}{
 		{"fits now", cpu(1), began, cpu(0), true},
 		{"fits after the first end", cpu(2), after(100), cpu(1), true},
 		{"fits after two ends", cpu(4), after(300), cpu(0), true},
-		{"fits after the horizon only", cpu(5), time.Time{}, Resources{}, false},
+		{"fits after the horizon only", cpu(5), time.Time{}, resources.Amount{}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -45,7 +47,7 @@
 func TestReservedRoomAdmitsWhatEndsBeforeOrFitsBesides(t *testing.T) {
 	for _, c := range []struct {
 		name string
-		need Resources
+		need resources.Amount
 		end  time.Time
 		fits bool
 	}{
@@ -82,7 +84,7 @@
 	is.True(!rs.MayReserve("second", cpu(1), 100_000, began)) // an eighth is reserved
 	is.True(rs.MayReserve("second", cpu(1), 200_000, began))
 	for i := range maxReservations - 1 {
-		rs.Reserve(fmt.Sprint(i), fmt.Sprint(i), Resources{}, Outlook{}, began)
+		rs.Reserve(fmt.Sprint(i), fmt.Sprint(i), resources.Amount{}, Outlook{}, began)
 	}
 	is.True(!rs.MayReserve("second", cpu(1), 200_000, began)) // too many
 }
@@ -104,7 +106,7 @@
 func TestSmallTasksCostPlacesForLargeOnes(t *testing.T) {
 	for _, c := range []struct {
 		name              string
-		free, need, large Resources
+		free, need, large resources.Amount
 		lost              int64
 	}{
 		{"takes the only place", cpu(4), cpu(1), cpu(4), 1},
@@ -112,8 +114,8 @@
 		{"there is no place", cpu(3), cpu(1), cpu(4), 0},
 		{"is larger itself", cpu(8), cpu(5), cpu(4), 0},
 		{"is as large itself", cpu(4), cpu(4), cpu(4), 0},
-		{"no large task waits", cpu(4), cpu(1), Resources{}, 0},
-		{"memory is what lacks", Resources{CPU: 9000, MemoryMB: 100}, Resources{CPU: 100, MemoryMB: 60}, Resources{CPU: 1000, MemoryMB: 50}, 2},
+		{"no large task waits", cpu(4), cpu(1), resources.Amount{}, 0},
+		{"memory is what lacks", resources.Amount{CPU: 9000, MemoryMB: 100}, resources.Amount{CPU: 100, MemoryMB: 60}, resources.Amount{CPU: 1000, MemoryMB: 50}, 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/placement/reservations.go
+++ b/internal/placement/reservations.go
@@ -3,6 +3,8 @@
 import (
 	"iter"
 	"time"
+
+	"github.com/geraniumwick/geraniumwick/internal/resources"
 )
 
 const (
@@ -23,21 +25,21 @@
 type Reservation[H, W comparable] struct {
 	Holder H
 	Worker W
-	Need   Resources
+	Need   resources.Amount
 	// Made is when the room was reserved, Until when it is given up, and Ready when the holder is expected to fit.
 	Made, Until, Ready time.Time
 	// Spare is what is expected to be free besides at Ready.
-	Spare Resources
+	Spare resources.Amount
 }
 
 // Admits reports whether another task may start on the worker: it ends before the room is ready, or needs no more than what is
 // free besides then. An end that is not known is the zero time.
-func (r *Reservation[H, W]) Admits(need Resources, end time.Time) bool {
+func (r *Reservation[H, W]) Admits(need resources.Amount, end time.Time) bool {
 	return r.endsBefore(end) || need.Fits(r.Spare)
 }
 
 // NoteStart notes that another task starts on the worker.
-func (r *Reservation[H, W]) NoteStart(need Resources, end time.Time) {
+func (r *Reservation[H, W]) NoteStart(need resources.Amount, end time.Time) {
 	if !r.endsBefore(end) {
 		r.Spare = r.Spare.Minus(need)
 	}
@@ -83,7 +85,7 @@
 func (b *Reservations[H, W]) ReservedCPU() int64 { return b.reservedCPU }
 
 // MayReserve reports whether a holder may get a reservation in a service with the given CPU.
-func (b *Reservations[H, W]) MayReserve(h H, need Resources, serviceCPU int64, now time.Time) bool {
+func (b *Reservations[H, W]) MayReserve(h H, need resources.Amount, serviceCPU int64, now time.Time) bool {
 	switch {
 	case b.byHolder[h] != nil, len(b.byHolder) >= maxReservations, now.Before(b.pausedUntil[h]):
 		return false
@@ -95,7 +97,7 @@
 }
 
 // Reserve reserves room on a worker for a holder that MayReserve allows.
-func (b *Reservations[H, W]) Reserve(h H, w W, need Resources, o Outlook, now time.Time) *Reservation[H, W] {
+func (b *Reservations[H, W]) Reserve(h H, w W, need resources.Amount, o Outlook, now time.Time) *Reservation[H, W] {
 	r := &Reservation[H, W]{Holder: h, Worker: w, Need: need, Made: now, Until: now.Add(MaxHold), Ready: o.Ready, Spare: o.Spare}
 	b.byHolder[h] = r
 	b.reservedCPU += need.CPU
--- a/internal/schedule/fair.go
+++ b/internal/schedule/fair.go
@@ -5,6 +5,7 @@
 
 	"github.com/geraniumwick/geraniumwick/internal/model"
 	"github.com/geraniumwick/geraniumwick/internal/quota"
+	"github.com/geraniumwick/geraniumwick/internal/resources"
 )
 
 // teamQueue holds the waiting jobs of one team with one priority in order of submission.
@@ -72,8 +73,8 @@
 }
 
 // quotaAmount returns resources as an amount of package quota.
-func quotaAmount(r model.Resources) quota.Amount {
-	return quota.Amount{CPU: r.MilliCPU, MemoryMB: r.MemoryMB, GPU: r.Accelerators}
+func quotaAmount(r model.Resources) resources.Amount {
+	return resources.Amount{CPU: r.MilliCPU, MemoryMB: r.MemoryMB, GPU: r.Accelerators}
 }
 
 // ratio returns part / whole, and 0 if the whole is 0.
