--- a/cmd/geraniumwickd/listeners.go
+++ b/cmd/geraniumwickd/listeners.go
@@ -21,6 +21,9 @@
 	headerReadTimeout = 5 * time.Second
 	// idleTimeout is how long a connection without a request stays open, except those of callers.
 	idleTimeout = time.Minute
+	// reclaimIdleTime is the time without a request after which a caller's connection makes place for one that the process
+	// establishes while it has too many.
+	reclaimIdleTime = 10 * time.Second
 	// callWriteTimeout bounds the time from the headers of a caller's request to the end of its response. No caller waits
 	// longer than 10 minutes. writeTimeout is the same for probes and scrapers.
 	callWriteTimeout = 11 * time.Minute
@@ -97,6 +100,8 @@
 	maxConns      int
 	// crowded, if set, reports whether another connection needs the place of one that is open.
 	crowded func() bool
+	// reclaimed says that idle connections make place for those that the process establishes. One server may have it.
+	reclaimed bool
 	// budget is what requests are charged to while they are received.
 	budget *bodybudget.Budget
 	// idleTimeout is how long a connection without a request stays open; 0 for no limit.
@@ -108,7 +113,8 @@
 // callers describes the server of callers. They may leave connections idle as long as no others need the place.
 func (l *listeners) callers(h http.Handler) listener {
 	return listener{
-		name: "callers", address: l.settings.Listen.Front, handler: h, maxConns: l.maxCallerConns(), crowded: l.isCrowded,
+		name: "callers", address: l.settings.Listen.Front, handler: h, maxConns: l.maxCallerConns(),
+		crowded: l.isCrowded, reclaimed: true,
 		budget: l.callerBudget, writeTimeout: callWriteTimeout,
 	}
 }
@@ -122,6 +128,9 @@
 // serve starts an HTTP server in the background, whose connections are counted. Its failure is sent to l.failed.
 func (l *listeners) serve(o listener) *http.Server {
 	guard := l.guard(o)
+	if o.reclaimed {
+		l.connections.SetReclaim(func() bool { return guard.CloseIdle(reclaimIdleTime) })
+	}
 	s := guard.Server(o.handler)
 	go func() {
 		listener, err := net.Listen("tcp", o.address)
--- a/internal/connguard/guard.go
+++ b/internal/connguard/guard.go
@@ -198,6 +198,31 @@
 	return victim, reason
 }
 
+// CloseIdle closes the connection that has been idle for longest, if that is at least a time, and reports whether it did.
+func (g *Guard) CloseIdle(atLeast time.Duration) bool {
+	c := g.takeIdle(time.Now().Add(-atLeast))
+	if c == nil {
+		return false
+	}
+	g.options.Recorder.Record(refusals.IdleClosed)
+	_ = c.Close() // there is nothing to be done about a failure
+	return true
+}
+
+// takeIdle removes and returns the connection that has been idle for longest, or nil if none has been since a time.
+func (g *Guard) takeIdle(since time.Time) *conn {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var longest *conn
+	for c := range g.conns {
+		if c.state.phase == idle && !c.state.since.After(since) {
+			longest, since = c, c.state.since
+		}
+	}
+	delete(g.conns, longest)
+	return longest
+}
+
 // remove forgets a connection that is being closed.
 func (g *Guard) remove(c *conn) {
 	g.mu.Lock()
--- a/internal/connguard/guard_test.go
+++ b/internal/connguard/guard_test.go
@@ -250,6 +250,24 @@
 	})
 }
 
+// Guards against idle clients that keep the process from establishing connections, and against one that is closed in use.
+func TestOnlyConnectionsThatAreIdleForLongAreClosedOnRequest(t *testing.T) {
+	is := is.New(t)
+	g := New(Options{
+		MaxConns: 10, Budget: bodybudget.New(1<<20, tally.NoopScope), Recorder: refusals.New("test", tally.NoopScope, zerolog.Nop()),
+	})
+	for p, ago := range map[phase]time.Duration{idle: time.Minute, handling: time.Hour, body: time.Hour} {
+		c, _ := net.Pipe()
+		guarded := newConn(g, c)
+		guarded.state = state{phase: p, since: time.Now().Add(-ago)}
+		g.conns[guarded] = struct{}{}
+	}
+	is.True(!g.CloseIdle(2 * time.Minute))
+	is.True(g.CloseIdle(time.Second))
+	is.True(!g.CloseIdle(time.Second))
+	is.Equal(len(g.conns), 2)
+}
+
 // Guards against memory that is allocated for each of many connections whenever another one comes.
 func TestTheSearchForAConnectionToCloseAllocatesNothing(t *testing.T) {
 	is := is.New(t)
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -17,19 +17,27 @@
 type Limit struct {
 	max  int64
 	open atomic.Int64
+	// reclaim closes a connection that is not needed, and reports whether it did; nil if there is none.
+	reclaim func() bool
 }
 
 // New returns a Limit under which connections are established while less than limit are open; 0 for no limit.
 func New(limit int) *Limit { return &Limit{max: int64(limit)} }
 
+// SetReclaim sets a function that closes a connection that is not needed, and reports whether it did. It is called when
+// another connection is to be established and too many are open. It must be set before the first one is.
+func (l *Limit) SetReclaim(reclaim func() bool) { l.reclaim = reclaim }
+
 // Open returns the number of open connections.
 func (l *Limit) Open() int { return int(l.open.Load()) }
 
-// Dial establishes a connection with dial, or returns ErrLimit if too many are open.
+// Dial establishes a connection with dial, or returns ErrLimit if too many are open and none can be closed.
 func (l *Limit) Dial(dial func() (net.Conn, error)) (net.Conn, error) {
-	if n := l.open.Add(1); l.max > 0 && n > l.max {
-		l.open.Add(-1)
-		return nil, errors.Trace(ErrLimit)
+	for n := l.open.Add(1); l.max > 0 && n > l.max; n = l.open.Load() {
+		if l.reclaim == nil || !l.reclaim() {
+			l.open.Add(-1)
+			return nil, errors.Trace(ErrLimit)
+		}
 	}
 	c, err := dial()
 	if err != nil {
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -77,3 +77,25 @@
 	}
 	is.Equal(l.Open(), 0)
 }
+
+// Guards against a process that cannot establish connections any more since others hold idle ones.
+func TestIdleConnectionsMakePlaceForEstablishedOnes(t *testing.T) {
+	is := is.New(t)
+	l := New(2)
+	idle, err := l.Dial(pipe)
+	is.NoErr(err)
+	_, err = l.Dial(pipe)
+	is.NoErr(err)
+	reclaimed := 0
+	l.SetReclaim(func() bool {
+		reclaimed++
+		_ = idle.Close()
+		return reclaimed == 1
+	})
+	_, err = l.Dial(pipe)
+	is.NoErr(err)
+	is.Equal(reclaimed, 1)
+	_, err = l.Dial(pipe)
+	is.True(errors.Is(err, ErrLimit))
+	is.Equal(l.Open(), 2)
+}
