--- a/internal/reply/reply.go
+++ b/internal/reply/reply.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 
 	"github.com/juju/errors"
 
@@ -55,9 +56,11 @@
 func write(w http.ResponseWriter, status int, v verdict.Verdict, body []byte) {
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(VerdictHeader, v.String())
+	body = append(body, '\n')
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
 	// If this fails, the client has disconnected and cannot receive an error either.
-	_, _ = w.Write(append(body, '\n'))
+	_, _ = w.Write(body)
 }
 
 // StatusCode returns the HTTP status of a reason.
--- a/internal/reply/reply_test.go
+++ b/internal/reply/reply_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -168,3 +169,11 @@
 		})
 	}
 }
+
+// Guards against a response whose end the client cannot see while the rest of its refused body is still received.
+func TestResponsesHaveALength(t *testing.T) {
+	is := is.New(t)
+	w := httptest.NewRecorder()
+	Error(w, verdict.New(verdict.NotRun, verdict.ReasonOverload, "full"))
+	is.Equal(w.Header().Get("Content-Length"), strconv.Itoa(w.Body.Len()))
+}
