--- a/internal/connguard/guard.go
+++ b/internal/connguard/guard.go
@@ -18,6 +18,9 @@
 type Options struct {
 	// MaxConns is the number of connections that may be open.
 	MaxConns int
+	// Crowded, if set, reports whether the process has so many connections, also those of other servers and those that it
+	// has established, that another one needs the place of one that is open.
+	Crowded func() bool
 	// MaxHeaderBytes bounds the headers of a request, in bytes.
 	MaxHeaderBytes int
 	// ReadHeaderTimeout is the time within which the headers of a request must arrive, IdleTimeout that after which an
@@ -70,9 +73,13 @@
 		}
 		c.beginRequest(r)
 		defer c.endRequest()
-		if r.Body != nil && r.Body != http.NoBody {
-			r.Body = &trackedBody{ReadCloser: r.Body, conn: c}
+		if r.Body == nil || r.Body == http.NoBody {
+			h.ServeHTTP(w, r)
+			return
 		}
+		tracked := &trackedBody{ReadCloser: r.Body, conn: c}
+		defer tracked.limitDiscard()
+		r.Body = tracked
 		h.ServeHTTP(w, r)
 	})
 }
@@ -151,7 +158,7 @@
 func (g *Guard) admit(c *conn) bool {
 	g.mu.Lock()
 	victim, reason := g.takeVictim(time.Now())
-	admitted := g.options.MaxConns == 0 || len(g.conns) < g.options.MaxConns
+	admitted := !g.isFull()
 	if admitted {
 		c.state.since = time.Now()
 		g.conns[c] = struct{}{}
@@ -164,23 +171,52 @@
 	return admitted
 }
 
+// isFull reports whether there is no place for another connection.
+func (g *Guard) isFull() bool {
+	if g.options.MaxConns > 0 && len(g.conns) >= g.options.MaxConns {
+		return true
+	}
+	return g.options.Crowded != nil && g.options.Crowded()
+}
+
 // takeVictim removes and returns the connection to be closed before another one is admitted, and says why. It returns nil
 // if there is a place, or if no connection may be closed.
 func (g *Guard) takeVictim(now time.Time) (*conn, refusals.Reason) {
-	if g.options.MaxConns == 0 || len(g.conns) < g.options.MaxConns {
+	if !g.isFull() {
 		return nil, ""
 	}
-	var states []state
-	var all []*conn
+	search := newVictimSearch[*conn](now)
 	for c := range g.conns {
-		states, all = append(states, c.state), append(all, c)
+		search.consider(c, c.state)
 	}
-	n, reason := chooseVictim(states, now)
-	if n < 0 {
-		return nil, ""
+	victim, reason := search.victim()
+	delete(g.conns, victim)
+	return victim, reason
+}
+
+// CloseIdle closes the connection that has been idle for longest, if that is at least a time, and reports whether it did.
+func (g *Guard) CloseIdle(atLeast time.Duration) bool {
+	c := g.takeIdle(time.Now().Add(-atLeast))
+	if c == nil {
+		return false
+	}
+	g.options.Recorder.Record(refusals.IdleClosed)
+	_ = c.Close() // there is nothing to be done about a failure
+	return true
+}
+
+// takeIdle removes and returns the connection that has been idle for longest, or nil if none has been since a time.
+func (g *Guard) takeIdle(since time.Time) *conn {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var longest *conn
+	for c := range g.conns {
+		if c.state.phase == idle && !c.state.since.After(since) {
+			longest, since = c, c.state.since
+		}
 	}
-	delete(g.conns, all[n])
-	return all[n], reason
+	delete(g.conns, longest)
+	return longest
 }
 
 // remove forgets a connection that is being closed.
