--- a/internal/bodybudget/read.go
+++ b/internal/bodybudget/read.go
@@ -58,6 +58,7 @@
 	r := &bodyReader{source: s, startedAt: time.Now()}
 	r.account = b.Open(func() { _ = r.setDeadline(past) }) // the account says that it was ended, too
 	body, err := r.readAll()
+	recycle(r.segments)
 	if err != nil {
 		r.account.Close()
 		return nil, err
@@ -95,10 +96,11 @@
 		if r.source.Length >= 0 {
 			left = r.source.Length - r.size + 1
 		}
-		segment := make([]byte, 0, min(int64(next), left))
-		if err := r.account.Grow(int64(cap(segment))); err != nil {
+		size := min(int64(next), left)
+		if err := r.account.Grow(size); err != nil {
 			return err
 		}
+		segment := newSegment(int(size))
 		ended, err := r.fill(&segment)
 		r.segments = append(r.segments, segment)
 		if ended || err != nil {
@@ -163,9 +165,8 @@
 		return nil, err
 	}
 	body := make([]byte, 0, r.size)
-	for i, segment := range r.segments {
+	for _, segment := range r.segments {
 		body = append(body, segment...)
-		r.segments[i] = nil
 	}
 	return body, r.account.Set(min(2*r.size, r.account.Bytes()))
 }
