batch: a step that must not start keeps no room reserved

What callers saw: tasks that fit waited up to MaxWithheld, and long-running ones and later ones up to MaxHold, for room that was reserved for a step which could not use it.

Cause: a reservation was reviewed only for whether its step waits and its worker is usable. Where the cap of the tenant (lowered, or used up by other steps), a configuration that is not in force, a pause after lost workers or the headroom held the step up, it kept the room. placeSteps now ends the reservation when it has just considered the step and something else than room holds it up.

--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -127,6 +127,7 @@
 		}
 		if s.awaitsConfig(entry.step) {
 			s.holdStep(entry.step, 0, heldByConfig, now)
+			s.releaseIfHeldUp(entry.step)
 			continue
 		}
 		if s.startsLeft <= 0 {
@@ -136,6 +137,7 @@
 		}
 		if r := s.quotaWait(entry.step, entry.step.placedTogether()); r != notHeld {
 			s.holdStep(entry.step, 0, r, now)
+			s.releaseIfHeldUp(entry.step)
 			s.recordAhead(entry.step, r, recordedAhead)
 			continue
 		}
@@ -158,6 +160,7 @@
 				s.leftOut = append(s.leftOut, entry)
 				continue
 			}
+			s.releaseIfHeldUp(entry.step)
 		}
 		if !s.closeIfStarted(entry.step, now) && entry.step.waits.reason == notHeld && s.yieldStep(steps[i:]) {
 			i-- // its other tasks come after those of tenants with lower shares
--- a/internal/batch/reservations.go
+++ b/internal/batch/reservations.go
@@ -184,6 +184,28 @@
 	r.Update(o)
 }
 
+// releaseIfHeldUp ends the reservation of a step that has just been considered, if something else than room keeps its tasks from
+// being started, such as the cap of its tenant.
+func (s *State) releaseIfHeldUp(st *step) {
+	if _, holds := s.holders[st]; !holds || st.waits.reason.lacksRoom() {
+		return
+	}
+	if r := s.reservationsOf(s.queueOf(st.job).Service).OfHolder(st); r != nil {
+		s.releaseRoom(r, "the step waits for something else: "+st.waits.reason.String())
+	}
+}
+
+// lacksRoom reports whether a step that waits for this reason starts once it has room, or once the start that it has room for is
+// recorded or may be sent.
+func (r waitReason) lacksRoom() bool {
+	switch r {
+	case heldByRoom, heldByShare, heldByLikeStep, heldByReservation, heldByWithheldRoom, heldByStartRecord, heldBySendRate:
+		return true
+	default:
+		return false
+	}
+}
+
 // releaseRoom ends a reservation.
 func (s *State) releaseRoom(r *reservation, reason string) {
 	s.reservationsOf(r.Worker.info.Service).Release(r)
