batch: tenants that rise above their shares cost no quadratic time

What callers saw: with many thousand waiting jobs of tenants, the decision in which tenants rise above their fair shares held up all others.

Cause: yieldStep moved each step to its new place in the list of all steps, so that each of n steps copied up to n entries. Steps that are put back are now in a heap beside the list (turns), which stays as it is. The search for starved best-effort steps runs once where a step yields within a run of best-effort ones, not again for the rest of the run.

--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -112,16 +112,17 @@
 	var unplaced unplacedSteps
 	var starved unplacedSteps
 	recordedAhead := map[*quota.Account]bool{}
-	for i := 0; i < len(steps); i++ {
-		if s.yieldStep(steps[i:]) {
-			i--
+	coming := turns{rest: steps}
+	afterBestEffort := false
+	for entry, ok := coming.next(); ok; entry, ok = coming.next() {
+		if s.yieldStep(&coming, entry) {
 			continue
 		}
-		entry := steps[i]
 		s.beginPlacing(entry, now)
-		if entry.step.spec.BestEffort && (i == 0 || !steps[i-1].step.spec.BestEffort) {
-			starved = append(starved, s.placeStarved(firstBestEffort(steps[i:]), workers, now)...)
+		if entry.step.spec.BestEffort && !afterBestEffort {
+			starved = append(starved, s.placeStarved(coming.bestEffortFrom(entry), workers, now)...)
 		}
+		afterBestEffort = entry.step.spec.BestEffort
 		if s.closeIfStarted(entry.step, now) {
 			continue
 		}
@@ -162,22 +163,12 @@
 			}
 			s.releaseIfHeldUp(entry.step)
 		}
-		if !s.closeIfStarted(entry.step, now) && entry.step.waits.reason == notHeld && s.yieldStep(steps[i:]) {
-			i-- // its other tasks come after those of tenants with lower shares
+		if !s.closeIfStarted(entry.step, now) && entry.step.waits.reason == notHeld {
+			s.yieldStep(&coming, entry) // its other tasks come after those of tenants with lower shares
 		}
 	}
 }
 
-// firstBestEffort returns the best-effort steps at the beginning of the list, up to one that is not.
-func firstBestEffort(steps []openStepEntry) []openStepEntry {
-	for i, e := range steps {
-		if !e.step.spec.BestEffort {
-			return steps[:i]
-		}
-	}
-	return steps
-}
-
 // closeIfStarted closes a step for placement if none of its tasks waits, and reports whether it did.
 func (s *State) closeIfStarted(st *step, now time.Time) bool {
 	if st.waiting > 0 {
--- a/internal/batch/shares.go
+++ b/internal/batch/shares.go
@@ -89,15 +89,13 @@
 	return 1 + sort.Search(len(st.tasks)-1, func(i int) bool { return s.levelWith(st.job, st.demand(i+2)) > level })
 }
 
-// yieldStep moves the first of some steps in order back to its place if the share of its tenant has risen to a higher level
-// since, by starts of the same Plan. It reports whether it did.
-func (s *State) yieldStep(steps []openStepEntry) bool {
-	entry := steps[0]
-	if entry.level = s.shareLevel(entry.step); entry.level <= steps[0].level {
+// yieldStep puts a step back whose turn has come if the share of its tenant has risen to a higher level since, by starts of the same
+// Plan. It reports whether it did.
+func (s *State) yieldStep(coming *turns, entry openStepEntry) bool {
+	before := entry.level
+	if entry.level = s.shareLevel(entry.step); entry.level <= before {
 		return false
 	}
-	place, _ := slices.BinarySearchFunc(steps[1:], entry, openStepEntry.compare)
-	copy(steps, steps[1:1+place])
-	steps[place] = entry
+	coming.yield(entry)
 	return true
 }
