batch: a reservation ends when its worker changes its service

What callers saw: one that outlived the change was released again at each check, under the new service: its reserved CPU fell without bound, so that the bound on reservations no longer held there, the worker lost each later reservation, and the log got a room.released every 250 ms. The old service kept one of its 16 places for good.

Cause: releaseRoom finds the reservations by the present service of the worker.

Evidence: TestAReservationEndsWhenItsWorkerChangesItsService failed before and passes.

--- a/internal/batch/idle_reservations_test.go
+++ b/internal/batch/idle_reservations_test.go
@@ -50,3 +50,27 @@
 	task.lostAt = f.now
 	expectRoomIsFree(is, f)
 }
+
+// A worker moves to another service while room is reserved on it. The reservation ends once and is counted in neither service.
+func TestAReservationEndsWhenItsWorkerChangesItsService(t *testing.T) {
+	is := is.New(t)
+	s, now := newTestState("a")
+	f := newFleet(s, now)
+	reserveForLarge(is, f, "", taskStep(1, 4000))
+	s.Events()
+	info := s.workers["a"].info
+	info.Service = "other"
+	s.UpdateWorker(info, f.now)
+	f.run(time.Second, nil)
+	released := 0
+	for _, e := range s.Events() {
+		if e.Name == "room.released" {
+			released++
+		}
+	}
+	is.Equal(released, 1)
+	for _, service := range []string{"svc", "other"} {
+		is.Equal(s.reservationsOf(service).Len(), 0)
+		is.Equal(s.reservationsOf(service).ReservedCPU(), int64(0))
+	}
+}
--- a/internal/batch/worker.go
+++ b/internal/batch/worker.go
@@ -90,6 +90,9 @@
 	if info.Capacity != w.info.Capacity {
 		w.roomRefusals = nil
 	}
+	if w.reservation != nil && info.Service != w.info.Service {
+		s.releaseRoom(w.reservation, "its worker changes its service")
+	}
 	startsDraining := info.Draining && !w.info.Draining
 	w.info, w.listed, w.described = info, true, true
 	w.highestCPU = max(w.highestCPU, info.Capacity.CPU)
