batch: the failure of a long-running task that is listed again is logged once

Callers saw nothing; the log got one task.ended line for each report, up to 80 for an end that stands behind one that is kept for 12 s. Cause: a long-running task remembers no failed runs. Evidence: TestAFailureOfALongRunningTaskThatIsListedAgainIsLoggedOnce (3 lines for 3 reports before).

--- a/internal/batch/ends.go
+++ b/internal/batch/ends.go
@@ -103,7 +103,8 @@
 		s.clearTask(taskRef{st, e.Task.Index}) // it has ended without a crash of its worker
 	}
 	t.failed = append(t.failed, e.Run)
-	if w.attempts[attemptKey{e.Task, e.Run}] == nil {
+	isListedAgain := st.spec.LongRunning && e.Seq <= w.countedSeq // failed does not tell, see below
+	if w.attempts[attemptKey{e.Task, e.Run}] == nil && !isListedAgain {
 		s.event(Event{Name: "task.ended", Job: e.Task.Job, Task: e.Task, Run: e.Run, Worker: w.info.ID, Detail: endReasonNames[EndFailed], Inputs: "this owner has not seen the run"})
 	}
 	s.countFailure(w, st, t, e.Seq, now)
