batch: tasks don't leave a slow worker for room that is reserved

What callers saw: a task on a slow worker was stopped, its work thrown away, and then waited for up to a second (MaxWithheld), since the room it was to move to was reserved for a step before it.

Cause: the search for a move looked at no reservations, as no step is being placed then.

Evidence: TestTasksDoNotLeaveASlowWorkerForReservedRoom failed before and passes (tasks still move where the room is not reserved). go test -race -p 2 of batch and TestWorld with -rapid.checks=1000 pass.

--- a/internal/batch/slow_worker_moves.go
+++ b/internal/batch/slow_worker_moves.go
@@ -30,7 +30,7 @@
 			continue
 		}
 		*moves--
-		to := s.choose(a.step, a.task(), workers, now)
+		to := s.chooseForMove(a, workers, now)
 		if to == nil {
 			continue
 		}
@@ -41,6 +41,16 @@
 	}
 }
 
+// chooseForMove returns the best worker for the task of an attempt that is to be stopped, without the room that would be reserved from
+// the task then; nil if there is none.
+func (s *State) chooseForMove(a *attempt, workers []*worker, now time.Time) *worker {
+	entry := s.openStepEntry(a.step, now)
+	entry.restart = a.step.spec.LongRunning
+	s.beginPlacing(entry, now)
+	defer s.endPlacing()
+	return s.choose(a.step, a.task(), workers, now)
+}
+
 // isServedBetterElsewhere reports whether a move of the attempt pays.
 func (a *attempt) isServedBetterElsewhere(now time.Time) bool {
 	if a.step.spec.LatencyTarget > 0 {
