--- a/internal/owner/late_copies.go
+++ b/internal/owner/late_copies.go
@@ -107,6 +107,24 @@
 	}
 }
 
+// addUnused adds the workers that are no longer in use, of which the next incarnation may still carry out a start late, to a transaction.
+// They run nothing, so that their leases count as ended. It forgets the others.
+func (r *workersRecord) addUnused(leases map[batch.WorkerID]recordedLease, now time.Time) {
+	for id, late := range r.lateRuns {
+		if r.contains(id) {
+			continue
+		}
+		if !late.until.After(now) {
+			delete(r.lateRuns, id)
+			continue
+		}
+		leases[id] = r.lease(id, now, now)
+	}
+	maps.DeleteFunc(r.fenced, func(id batch.WorkerID, _ batch.FencedIncarnation) bool {
+		return !r.contains(id) && r.lateRuns[id] == nil
+	})
+}
+
 // extendDoubt prolongs the wait for a worker that was restarted and has not been reached since. What it had answered, or carried out
 // before the former owners had ended, has the longest lease from then at most; what it may carry out later has its own wait.
 func (l *leader) extendDoubt(id batch.WorkerID, now time.Time) {
--- a/internal/owner/workers_record.go
+++ b/internal/owner/workers_record.go
@@ -186,9 +186,7 @@
 			delete(r.durable, id)
 			delete(r.lastRenewers, id)
 			delete(r.lateStarts, id)
-			delete(r.lateRuns, id)
 			delete(r.renewableAfter, id)
-			delete(r.fenced, id)
 			dropped = append(dropped, id)
 			continue
 		}
@@ -196,6 +194,7 @@
 		leases[id] = r.lease(id, end, now)
 		r.noteWritten(id, leases[id], t.number)
 	}
+	r.addUnused(leases, now)
 	t.txn.Set = append(t.txn.Set, kv.Write{Key: workersKey, Value: encode(leases)})
 	r.dirty = false
 	return dropped
