--- a/internal/batch/late_starts.go
+++ b/internal/batch/late_starts.go
@@ -86,6 +86,12 @@
 	}
 }
 
+// MayRepeatStart reports whether the next incarnation of a worker may carry out a copy of a start, by the outcome of the call that has
+// requested it.
+func (s *State) MayRepeatStart(id WorkerID, task TaskID, run int64) bool {
+	return slices.ContainsFunc(s.lateStarts.byTask[lateStartKey{id, task}], func(start lateStart) bool { return start.run == run })
+}
+
 // SetFormerLateStarts sets which jobs' starts workers may carry out late that former owners have sent, and until when.
 func (s *State) SetFormerLateStarts(starts map[WorkerID]LateRuns) { s.lateStarts.former = starts }
 
--- a/internal/owner/worker_calls.go
+++ b/internal/owner/worker_calls.go
@@ -55,11 +55,11 @@
 		}
 		l.post(func(l *leader, now time.Time) {
 			l.starts.end(call)
-			if answer == batch.AnswerNone || answer == batch.AnswerNoneToOne || answer == batch.AnswerOKRepeated {
-				l.noteLateStart(a, now)
-			}
 			l.checkFenced(a, answer)
 			l.state.StartAnswered(a.Worker, a.Task, a.Run, answer, now)
+			if l.state.MayRepeatStart(a.Worker, a.Task, a.Run) {
+				l.noteLateStart(a, now)
+			}
 		})
 	}()
 }
