--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -33,14 +33,11 @@
 	Standins string
 }
 
-// Build compiles the binaries into dir. If race is set, the daemon has the race detector; the
-// stand-ins never have it.
+// Build compiles the binaries into dir. The daemon has the race detector if race is set, and the stand-ins if GOFLAGS
+// turns it on.
 func Build(ctx context.Context, dir string, race bool) (Binaries, error) {
-	var flags []string
-	if race {
-		flags = append(flags, "-race")
-	}
-	daemon, err := process.Build(ctx, dir, daemonPackage, "geraniumwickd", flags...)
+	// The flag is always given, since GOFLAGS may turn the detector on.
+	daemon, err := process.Build(ctx, dir, daemonPackage, "geraniumwickd", fmt.Sprintf("-race=%t", race))
 	if err != nil {
 		return Binaries{}, err
 	}
