--- a/internal/placement/headroom.go
+++ b/internal/placement/headroom.go
@@ -7,13 +7,17 @@
 const (
 	// maxHeadroomShare is the part of a service's CPU that new long-running tasks leave at most.
 	maxHeadroomShare = 0.25
+	// restartShare is the part of it that they leave at least beside short tasks, which would compete for each piece of room with the
+	// long-running tasks of lost workers.
+	restartShare = 1.0 / 8
 	// HeadroomPatience is the age of a job from which its long-running tasks start regardless of the headroom.
 	HeadroomPatience = 60 * time.Second
 )
 
-// Headroom is the CPU that new long-running tasks of a service leave to short ones, in thousandths of a core: as much as has
-// sufficed for short tasks most of the time, counted in pieces that are large enough for one of them. Without it, a stream of long-running tasks
-// would take each piece of room that short tasks give back, until a long-running job is cancelled.
+// Headroom is the CPU that new long-running tasks of a service leave to short ones, and to those that have run before and are down, in
+// thousandths of a core: as much as has sufficed for short tasks most of the time, counted in pieces that are large enough for one of
+// them, and restartShare at least if there are any. Without it, a stream of long-running tasks would take each piece of room that others give back, until
+// a long-running job is cancelled.
 type Headroom struct {
 	demand int64 // what short tasks need at once
 	slot   int64 // what one of them needs
@@ -45,8 +49,11 @@
 
 // Wanted returns what has to stay usable as far as a job of the given age is concerned.
 func (h *Headroom) Wanted(age time.Duration) float64 {
-	most := maxHeadroomShare * float64(h.capacity)
-	return min(float64(h.demand), most) * max(0, 1-age.Seconds()/HeadroomPatience.Seconds())
+	if h.demand == 0 {
+		return 0
+	}
+	least, most := restartShare*float64(h.capacity), maxHeadroomShare*float64(h.capacity)
+	return min(max(float64(h.demand), least), most) * max(0, 1-age.Seconds()/HeadroomPatience.Seconds())
 }
 
 // Usable returns what short tasks use or can use.
