Review case 8: an entry of another writer makes a runner's tasks run twice

Case 6 drops the history twelve times, 1.3 s apart, so that it does not depend on when the owner forgets jobs.

--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -30,6 +30,7 @@
 	"withdrawn": playWithdrawn,
 	"advice":    playAdvice,
 	"images":    playImages,
+	"entry":     playEntry,
 }
 
 func play(name, dir, binary string, keepLogs bool) int {
--- a/review/standins-2/retention.go
+++ b/review/standins-2/retention.go
@@ -15,8 +15,8 @@
 	usualTime    = 6 * time.Second // before and after the burst
 	burstTime    = 4 * time.Second
 	// drops is how often the history is dropped, and dropInterval the time between.
-	drops        = 7
-	dropInterval = 1800 * time.Millisecond
+	drops        = 12
+	dropInterval = 1300 * time.Millisecond
 )
 
 // playRetention submits short jobs, waits until the time for which ended jobs are kept is over, and lets the store forget its
