--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -19,6 +19,9 @@
 	// Tenant is the tenant that submitted the job; empty for a job that was submitted without an API key.
 	Tenant   string
 	Accepted time.Time
+	// Revision is the revision of the store at which the job was accepted. If the same id is submitted again after the job was
+	// removed, the other job has a higher one.
+	Revision int64
 	Spec     Spec
 	// QueueConfig is the queue as it was configured when the job was accepted, and ConfigVersion the version of that
 	// configuration; 0 if it is not known.
--- a/internal/batch/lifecycle.go
+++ b/internal/batch/lifecycle.go
@@ -133,15 +133,22 @@
 	s.end(j, Completed, now)
 }
 
-// PruneJobs deletes the jobs that ended more than keep ago, and returns their ids. Jobs whose attempts
+// PrunedJob is a job that the state knows no longer.
+type PrunedJob struct {
+	ID string
+	// Revision is the revision of the store at which the job was accepted.
+	Revision int64
+}
+
+// PruneJobs deletes the jobs that ended more than keep ago, and returns them. Jobs whose attempts
 // may still run or whose records are not written yet are kept.
-func (s *State) PruneJobs(now time.Time, keep time.Duration) []string {
-	var ids []string
+func (s *State) PruneJobs(now time.Time, keep time.Duration) []PrunedJob {
+	var pruned []PrunedJob
 	for id, j := range s.jobs {
 		if j.outcome.Terminal() && j.attempts == 0 && !s.dirty.has(j) && now.Sub(j.changedAt) > keep {
-			ids = append(ids, id)
+			pruned = append(pruned, PrunedJob{ID: id, Revision: j.Revision})
 			delete(s.jobs, id)
 		}
 	}
-	return ids
+	return pruned
 }
--- a/internal/entry/create.go
+++ b/internal/entry/create.go
@@ -34,44 +34,53 @@
 	creationRefused                 // this attempt created nothing and never will
 )
 
+// createAttempt is an attempt to create a key, or several attempts at the same key.
+type createAttempt struct {
+	outcome creation
+	// revision is the revision of the store at which it created the key; 0 if it is not known to have done so.
+	revision int64
+}
+
 // stored reports whether the key is known to exist.
-func (c creation) stored() bool { return c == creationDone || c == creationExisted }
+func (a createAttempt) stored() bool {
+	return a.outcome == creationDone || a.outcome == creationExisted
+}
 
-// or returns the outcome of two attempts at the same key together.
-func (c creation) or(other creation) creation {
+// or returns two attempts at the same key together.
+func (a createAttempt) or(other createAttempt) createAttempt {
 	switch {
-	case c.stored():
-		return c
+	case a.stored():
+		return a
 	case other.stored():
 		return other
-	case c == creationRefused && other == creationRefused:
-		return creationRefused
+	case a.outcome == creationRefused && other.outcome == creationRefused:
+		return createAttempt{outcome: creationRefused}
 	default:
-		return creationUnknown
+		return createAttempt{outcome: creationUnknown}
 	}
 }
 
 // create creates a key with a value unless it exists. It retries until the outcome is known or ctx
-// ends, and reports whether the key existed already. Once the outcome of one attempt is unknown, the
+// ends, and returns all attempts together. Once the outcome of one attempt is unknown, the
 // refusal of a later attempt does not prove that the key was not created, so the result can no longer be
 // NotRun.
-func (i *Instance) create(ctx context.Context, key string, value []byte) (result Result, existed bool) {
+func (i *Instance) create(ctx context.Context, key string, value []byte) (Result, createAttempt) {
 	startTime := time.Now()
-	outcome := creationRefused
+	all := createAttempt{outcome: creationRefused}
 	for ctx.Err() == nil {
-		outcome = outcome.or(i.attemptCreate(ctx, key, value))
-		if outcome.stored() {
-			return Done, outcome == creationExisted
+		all = all.or(i.attemptCreate(ctx, key, value))
+		if all.stored() {
+			return Done, all
 		}
-		if outcome == creationRefused && time.Since(startTime) > refusalTime(ctx, startTime) {
+		if all.outcome == creationRefused && time.Since(startTime) > refusalTime(ctx, startTime) {
 			break
 		}
 		pause.For(ctx, retryInterval)
 	}
-	if outcome == creationRefused {
-		return NotRun, false
+	if all.outcome == creationRefused {
+		return NotRun, all
 	}
-	return Unknown, false
+	return Unknown, all
 }
 
 // refusalTime returns how long refused attempts are repeated: unavailableTimeout, or a quarter of the
@@ -85,40 +94,40 @@
 
 // attemptCreate makes one attempt. If the store does not answer this instance, the owner is asked too: the
 // store may be cut off from some instances only.
-func (i *Instance) attemptCreate(ctx context.Context, key string, value []byte) creation {
-	own := make(chan creation, 1)
+func (i *Instance) attemptCreate(ctx context.Context, key string, value []byte) createAttempt {
+	own := make(chan createAttempt, 1)
 	go func() { own <- i.createHere(ctx, key, value) }()
 	timer := time.NewTimer(relayDelay)
 	defer timer.Stop()
 	select {
-	case outcome := <-own:
-		if outcome == creationRefused && i.watcher.disconnected.Load() {
+	case a := <-own:
+		if a.outcome == creationRefused && i.watcher.disconnected.Load() {
 			return i.relayCreate(ctx, key, value)
 		}
-		return outcome
+		return a
 	case <-timer.C:
 	}
-	relayed := make(chan creation, 1)
+	relayed := make(chan createAttempt, 1)
 	go func() { relayed <- i.relayCreate(ctx, key, value) }()
 	select {
-	case outcome := <-own:
-		if outcome.stored() {
-			return outcome
+	case a := <-own:
+		if a.stored() {
+			return a
 		}
-		return outcome.or(<-relayed)
-	case outcome := <-relayed:
-		if outcome.stored() {
-			return outcome
+		return a.or(<-relayed)
+	case a := <-relayed:
+		if a.stored() {
+			return a
 		}
-		return outcome.or(<-own)
+		return a.or(<-own)
 	}
 }
 
 // createHere makes one attempt at the store. If the store did not answer before, it is asked by a read
 // first, which has no effect if it is carried out late, so that a refusal stays certain.
-func (i *Instance) createHere(ctx context.Context, key string, value []byte) creation {
+func (i *Instance) createHere(ctx context.Context, key string, value []byte) createAttempt {
 	if i.watcher.disconnected.Load() && !i.storeAnswers(ctx, key) {
-		return creationRefused
+		return createAttempt{outcome: creationRefused}
 	}
 	return i.createInStore(ctx, key, value)
 }
@@ -136,49 +145,49 @@
 }
 
 // createInStore makes one attempt at the store.
-func (i *Instance) createInStore(ctx context.Context, key string, value []byte) creation {
+func (i *Instance) createInStore(ctx context.Context, key string, value []byte) createAttempt {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
-	_, err := i.store.Commit(ctx, kv.Txn{If: []kv.Condition{{Key: key}}, Set: []kv.Write{{Key: key, Value: value}}})
+	revision, err := i.store.Commit(ctx, kv.Txn{If: []kv.Condition{{Key: key}}, Set: []kv.Write{{Key: key, Value: value}}})
 	switch {
 	case err == nil:
-		return creationDone
+		return createAttempt{outcome: creationDone, revision: revision}
 	case errors.Is(err, kv.ErrConflict):
-		return creationExisted
+		return createAttempt{outcome: creationExisted}
 	case errors.Is(err, kv.ErrUnavailable):
-		return creationRefused
+		return createAttempt{outcome: creationRefused}
 	default:
-		return creationUnknown
+		return createAttempt{outcome: creationUnknown}
 	}
 }
 
 // relayCreate asks the owner to create the key. The outcome is creationRefused if another instance is not
 // known to be the owner.
-func (i *Instance) relayCreate(ctx context.Context, key string, value []byte) creation {
+func (i *Instance) relayCreate(ctx context.Context, key string, value []byte) createAttempt {
 	claim := i.claim()
 	if claim == nil || claim.Instance == i.name {
-		return creationRefused
+		return createAttempt{outcome: creationRefused}
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	var reply createReply
 	err := i.peers.Call(ctx, claim.Address, kindCreate, createMessage{Key: key, Value: value}, &reply)
-	outcome := reply.outcome(err)
+	a := reply.attempt(err)
 	i.log.Info().Str("event", "create.relayed").Str("key", key).Str("owner", claim.Instance).
-		Str("outcome", outcome.String()).AnErr("cause", err).Send()
-	return outcome
+		Str("outcome", a.outcome.String()).AnErr("cause", err).Send()
+	return a
 }
 
-// outcome returns the outcome of a call that returned the reply and err. A value that is not defined here,
+// attempt returns the attempt of a call that returned the reply and err. An outcome that is not defined here,
 // which another version may send, counts as unknown.
-func (r createReply) outcome(err error) creation {
+func (r createReply) attempt(err error) createAttempt {
 	switch {
 	case err == nil && r.Outcome <= creationRefused:
-		return r.Outcome
+		return createAttempt{outcome: r.Outcome, revision: r.Revision}
 	case err != nil && verdict.Of(err) == verdict.NotRun:
-		return creationRefused
+		return createAttempt{outcome: creationRefused}
 	default:
-		return creationUnknown
+		return createAttempt{outcome: creationUnknown}
 	}
 }
 
--- a/internal/entry/create_test.go
+++ b/internal/entry/create_test.go
@@ -94,12 +94,12 @@
 		return verdict.New(verdict.NotRun, verdict.ReasonPeerUnreachable, "refused")
 	}
 	msg := in.(createMessage)
-	outcome := p.instance.createHere(ctx, msg.Key, msg.Value)
+	a := p.instance.createHere(ctx, msg.Key, msg.Value)
 	if p.lost {
 		<-ctx.Done()
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonDeadline, "no answer")
 	}
-	out.(*createReply).Outcome = outcome
+	*out.(*createReply) = createReply{Outcome: a.outcome, Revision: a.revision}
 	return nil
 }
 
@@ -222,16 +222,16 @@
 		err   error
 		want  creation
 	}{
-		"created":         {createReply{creationDone}, nil, creationDone},
-		"existed":         {createReply{creationExisted}, nil, creationExisted},
-		"refused":         {createReply{creationRefused}, nil, creationRefused},
-		"another version": {createReply{250}, nil, creationUnknown},
+		"created":         {createReply{Outcome: creationDone}, nil, creationDone},
+		"existed":         {createReply{Outcome: creationExisted}, nil, creationExisted},
+		"refused":         {createReply{Outcome: creationRefused}, nil, creationRefused},
+		"another version": {createReply{Outcome: 250}, nil, creationUnknown},
 		"not sent":        {createReply{}, verdict.New(verdict.NotRun, verdict.ReasonPeerUnreachable, "refused"), creationRefused},
 		"answer lost":     {createReply{}, verdict.New(verdict.MayHaveRun, verdict.ReasonDeadline, "no answer"), creationUnknown},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			got := c.reply.outcome(c.err)
+			got := c.reply.attempt(c.err).outcome
 			is.Equal(got, c.want)
 			is.True(got.String() != "")
 		})
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -56,14 +56,15 @@
 		QueueConfig: config.Batch.Queues[job.Queue], ConfigVersion: config.Batch.Version,
 	}
 	key := owner.JobKey(job.ID)
-	result, existed := i.create(ctx, key, owner.EncodeSubmission(submission))
+	result, stored := i.create(ctx, key, owner.EncodeSubmission(submission))
+	existed := stored.outcome == creationExisted
 	event := i.log.Info().Str("event", "job.submitted").Str("job", job.ID).Str("queue", job.Queue)
 	if job.Tenant != "" {
 		event = event.Str("tenant", job.Tenant)
 	}
 	event.Int64("version", config.Batch.Version).Bool("existed", existed).Str("result", result.String()).Send()
 	if result == Done && !existed {
-		i.notifySubmitted(job.ID, submission)
+		i.notifySubmitted(job.ID, stored.revision, submission)
 	}
 	return result
 }
--- a/internal/entry/peer_calls.go
+++ b/internal/entry/peer_calls.go
@@ -24,6 +24,8 @@
 type submittedMessage struct {
 	ID         string           `cbor:"1,keyasint"`
 	Submission owner.Submission `cbor:"2,keyasint"`
+	// Revision is the revision of the store at which the job was stored; 0 in messages of earlier versions.
+	Revision int64 `cbor:"3,keyasint,omitempty"`
 }
 
 type jobIDMessage struct {
@@ -50,6 +52,8 @@
 
 type createReply struct {
 	Outcome creation `cbor:"1,keyasint"`
+	// Revision is the revision of the store at which the key was created, if Outcome is creationDone; 0 in replies of earlier versions.
+	Revision int64 `cbor:"2,keyasint,omitempty"`
 }
 
 type queueMessage struct {
@@ -81,7 +85,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return nil, notOwnerError(i.owner.NotifySubmitted(msg.ID, msg.Submission))
+		return nil, notOwnerError(i.owner.NotifySubmitted(msg.ID, msg.Revision, msg.Submission))
 	})
 	server.Handle(kindCancelled, func(_ context.Context, _ model.InstanceID, body []byte) (any, error) {
 		var msg jobIDMessage
@@ -106,7 +110,8 @@
 		if !owner.IsSubmissionKey(msg.Key) {
 			return nil, verdict.New(verdict.NotRun, verdict.ReasonInvalid, "key %q is not one of a submission or a cancellation", msg.Key)
 		}
-		return createReply{Outcome: i.createHere(ctx, msg.Key, msg.Value)}, nil
+		a := i.createHere(ctx, msg.Key, msg.Value)
+		return createReply{Outcome: a.outcome, Revision: a.revision}, nil
 	})
 	server.Handle(kindQueuedJobs, func(_ context.Context, _ model.InstanceID, body []byte) (any, error) {
 		var msg queueMessage
@@ -139,13 +144,13 @@
 	return verdict.New(verdict.NotRun, verdict.ReasonNotOwner, "this instance is not the owner")
 }
 
-// notifySubmitted tells the owner about a new job so that it starts without delay. If the message is
+// notifySubmitted tells the owner about a job that was stored at a revision so that it starts without delay. If the message is
 // lost, the owner finds the job in the store.
-func (i *Instance) notifySubmitted(id string, submission owner.Submission) {
-	if i.owner.NotifySubmitted(id, submission) {
+func (i *Instance) notifySubmitted(id string, revision int64, submission owner.Submission) {
+	if i.owner.NotifySubmitted(id, revision, submission) {
 		return
 	}
-	i.notifyOwner(kindSubmitted, submittedMessage{ID: id, Submission: submission}, id)
+	i.notifyOwner(kindSubmitted, submittedMessage{ID: id, Submission: submission, Revision: revision}, id)
 }
 
 // notifyCancelled tells the owner about a cancellation so that it is carried out without delay. If the
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -142,7 +142,7 @@
 	c.timer = nil
 	l.workersRecord.noteEndedLeases(now)
 	l.workersRecord.noteUnused(l.state.WorkersInUse, now)
-	if c.inFlight != nil || l.state.DirtyJobs() == 0 && !l.workersRecord.dirty && len(l.prunedJobs) == 0 && !l.mustRefreshHead(now) {
+	if c.inFlight != nil || l.state.DirtyJobs() == 0 && !l.workersRecord.dirty && len(l.forgotten.unremoved) == 0 && !l.mustRefreshHead(now) {
 		return
 	}
 	interval := commitInterval
@@ -225,7 +225,7 @@
 		c.interferenceSaved = now
 		t.txn.Set = append(t.txn.Set, kv.Write{Key: interferenceKey, Value: encode(l.state.Interference())})
 	}
-	l.removePruned(t, kv.MaxTxnEntries-headConditions-len(t.txn.Set))
+	l.removeForgotten(t, kv.MaxTxnEntries-headConditions-len(t.txn.Set))
 	return t
 }
 
@@ -293,6 +293,7 @@
 	c.inFlight, c.rev = t.next, rev
 	l.records.addTxn(t, time.Since(c.lastSent))
 	l.state.MarkStored(t.records)
+	l.forgotten.noteRemoved(t.forgotten, rev)
 	for _, id := range t.workers {
 		l.workersRecord.durable[id] = true
 		l.state.MarkRecorded(id)
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -31,6 +31,10 @@
 	silent  bool
 	changed chan struct{}
 	commits int
+	// drops is how often the history was dropped, which ends the watches that wait, and compacted the revision up to which
+	// changes are no longer available.
+	drops     int
+	compacted int64
 }
 
 func newMemoryStore() *memoryStore {
@@ -109,6 +113,43 @@
 	s.down, s.silent = silent, silent
 }
 
+// dropHistory makes all changes so far unavailable to watches, and ends those that wait.
+func (s *memoryStore) dropHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drops++
+	s.history, s.compacted = nil, s.rev
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// revision returns the revision of the last change.
+func (s *memoryStore) revision() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rev
+}
+
+// item returns a key, without latency or faults.
+func (s *memoryStore) item(key string) kv.Item {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key]
+}
+
+// count returns the number of keys with a prefix.
+func (s *memoryStore) count(prefix string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for key := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			n++
+		}
+	}
+	return n
+}
+
 // set writes a key on behalf of another program, without latency or faults.
 func (s *memoryStore) set(key string, value []byte) {
 	s.mu.Lock()
@@ -144,9 +185,16 @@
 func (s *memoryStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]kv.Event, int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	s.mu.Lock()
+	drops := s.drops
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		s.expireLeases()
+		if s.drops > drops || after < s.compacted {
+			s.mu.Unlock()
+			return nil, 0, kv.ErrCompacted
+		}
 		if s.silent && ctx.Err() == nil {
 			s.mu.Unlock()
 			pause.For(ctx, wait)
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -109,8 +109,10 @@
 	// formerEnds holds by when former owners have ended that have certainly ended, by epoch.
 	formerEnds      map[int64]time.Time
 	lastMaintenance time.Time // time of the last maintenance run
-	prunedJobs      []string  // pruned jobs whose keys are still in the store
-	cooldown        cooldown
+	forgotten       forgottenJobs
+	// jobsRevision is the revision up to which all changes of submissions have been applied.
+	jobsRevision int64
+	cooldown     cooldown
 	// workersChanged is set when workers may have come or gone since the renewers were last
 	// reconciled.
 	workersChanged bool
@@ -158,6 +160,7 @@
 		starts:        attemptCalls{},
 		throttles:     attemptCalls{},
 		formerEnds:    map[int64]time.Time{},
+		forgotten:     newForgottenJobs(),
 		commits:       committer{rev: held.commitRev},
 		records:       recordCounts{reportedAt: time.Now()},
 
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -44,6 +44,7 @@
 	now := time.Now()
 	l.state.SetConfig(l.owner.config())
 	inDoubt := l.restore(owned, accepted, now)
+	l.noteSubmissionsApplied(acceptedRev)
 	l.noteFormerWorkers(workers, inDoubt)
 	l.resetWorkers(workers)
 	l.recordInDoubt(inDoubt, now)
@@ -199,15 +200,20 @@
 }
 
 // applySubmissions adds the submitted jobs, and then applies the cancellations. loaded is set for
-// entries that were accepted under a former owner.
-func (l *leader) applySubmissions(items []kv.Item, records map[string]*batch.Record, loaded bool, now time.Time) {
+// entries that were accepted under a former owner. It returns how many jobs were added, and how many were not since they are forgotten.
+func (l *leader) applySubmissions(items []kv.Item, records map[string]*batch.Record, loaded bool, now time.Time) (added, forgotten int) {
 	for _, item := range items {
 		prefix, id := parseKey(item.Key)
 		if prefix != jobPrefix || l.state.Job(id) != nil {
 			continue
 		}
-		if j, err := decodeJob(id, item.Value); l.checkReadable(item.Key, err) {
+		if l.forgotten.has(id, item.Rev) {
+			forgotten++
+			continue
+		}
+		if j, err := decodeJob(id, item); l.checkReadable(item.Key, err) {
 			l.state.AddJob(j, records[id], loaded, now)
+			added++
 		}
 	}
 	for _, item := range items {
@@ -215,4 +221,5 @@
 			l.state.Cancel(id, now)
 		}
 	}
+	return added, forgotten
 }
--- a/internal/owner/maintenance.go
+++ b/internal/owner/maintenance.go
@@ -15,13 +15,13 @@
 	keysPerJob = 3
 )
 
-// runMaintenance drops jobs that ended more than JobRetention ago, and updates the gauges.
+// runMaintenance forgets jobs that ended more than JobRetention ago, and updates the gauges.
 func (l *leader) runMaintenance(now time.Time) {
 	if now.Sub(l.lastMaintenance) < maintenanceInterval {
 		return
 	}
 	l.lastMaintenance = now
-	l.prunedJobs = append(l.prunedJobs, l.state.PruneJobs(now, l.owner.opts.JobRetention)...)
+	l.forgetJobs(now)
 	live, total := l.state.Counts()
 	scope := l.owner.opts.Scope
 	scope.Gauge("jobs_live").Update(float64(live))
@@ -36,16 +36,6 @@
 	l.reportCalls()
 }
 
-// removePruned adds the removal of pruned jobs' keys to a transaction, at most maxEntries of
-// them.
-func (l *leader) removePruned(t *recordTxn, maxEntries int) {
-	n := min(len(l.prunedJobs), maxEntries/keysPerJob)
-	for _, id := range l.prunedJobs[:n] {
-		t.txn.Remove = append(t.txn.Remove, JobKey(id), CancelKey(id), RecordKey(id))
-	}
-	l.prunedJobs = l.prunedJobs[n:]
-}
-
 // logEvents logs and counts each event of the scheduler's state.
 func (l *leader) logEvents() {
 	for _, e := range l.state.Events() {
--- a/internal/owner/odd_values_test.go
+++ b/internal/owner/odd_values_test.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
+	"github.com/geraniumwick/geraniumwick/internal/kv"
 )
 
 // logBuffer collects log lines of several goroutines.
@@ -100,12 +101,12 @@
 		{Count: -1}, {Count: 0}, {Count: math.MaxInt}, {Count: 1, After: []int{5}}, {Count: 1, After: []int{-1}},
 		{Count: 1, Resources: batch.Resources{CPU: math.MaxInt64}}, {Count: 1, Estimate: math.MaxInt64},
 	} {
-		_, err := decodeJob("j", EncodeSubmission(Submission{Queue: "q", Spec: batch.Spec{Steps: []batch.Step{step}}}))
+		_, err := decodeJob("j", kv.Item{Value: EncodeSubmission(Submission{Queue: "q", Spec: batch.Spec{Steps: []batch.Step{step}}})})
 		is.True(err != nil)
 	}
 	deep := bytes.Repeat([]byte{0x81}, 100_000) // lists in lists
 	for _, value := range [][]byte{nil, {0xff}, {0x1b, 0xff}, []byte("text"), deep} {
-		_, err := decodeJob("j", value)
+		_, err := decodeJob("j", kv.Item{Value: value})
 		is.True(err != nil)
 		_, err = DecodeRecord(value)
 		is.True(err != nil)
--- a/internal/owner/random_owners_jobs_test.go
+++ b/internal/owner/random_owners_jobs_test.go
@@ -50,7 +50,7 @@
 	if w.openTasks()+count > maxOpenTasks {
 		return
 	}
-	id := fmt.Sprintf("j%d", len(w.jobs))
+	id := w.nextJob()
 	duration := 200*time.Millisecond + w.upTo(3*time.Second)
 	switch w.random.IntN(3) {
 	case 0:
@@ -63,6 +63,9 @@
 	w.note("%s has %d tasks a step, which take %s", id, count, w.workers.durationOf(id))
 }
 
+// nextJob returns the id of the next job.
+func (w *ownersWorld) nextJob() string { return fmt.Sprintf("j%d", len(w.jobs)) }
+
 // after returns a step that follows another one of its job.
 func after(step batch.Step, before int) batch.Step {
 	step.After = []int{before}
--- a/internal/owner/random_owners_test.go
+++ b/internal/owner/random_owners_test.go
@@ -25,6 +25,7 @@
 	lossy     *lossyWorkers
 	jobs      []*worldJob
 	history   string
+	events    []worldEvent
 	// muted holds the instances whose calls of other instances are lost, and calls of which are.
 	muted sync.Map
 }
@@ -207,11 +208,11 @@
 
 func (w *ownersWorld) drawEvent() worldEvent {
 	total := 0
-	for _, e := range worldEvents {
+	for _, e := range w.events {
 		total += e.weight
 	}
 	n := w.random.IntN(total)
-	for _, e := range worldEvents {
+	for _, e := range w.events {
 		if n -= e.weight; n < 0 {
 			return e
 		}
@@ -221,8 +222,14 @@
 
 // withHistory runs a random history of owners, and then test.
 func withHistory(t *testing.T, seed uint64, test func(w *ownersWorld)) {
+	withHistoryOf(t, worldEvents, seed, test)
+}
+
+// withHistoryOf is withHistory with other events.
+func withHistoryOf(t *testing.T, events []worldEvent, seed uint64, test func(w *ownersWorld)) {
 	withHarness(t, func(h *harness) {
 		w := &ownersWorld{
+			events:  events,
 			harness: h, random: rand.New(rand.NewPCG(seed, 1)), views: map[string]*view{},
 			lossy:     &lossyWorkers{workers: h.workers, seed: seed, late: h.ctx},
 			instances: []string{"a", "b", "c"}, ids: []batch.WorkerID{"w1", "w2", "w3"},
--- a/internal/owner/records.go
+++ b/internal/owner/records.go
@@ -168,20 +168,21 @@
 	return r, nil
 }
 
-func decodeJob(id string, b []byte) (*batch.Job, error) {
+// decodeJob returns the job of a stored submission.
+func decodeJob(id string, item kv.Item) (*batch.Job, error) {
 	var s Submission
-	if err := cbor.Unmarshal(b, &s); err != nil {
+	if err := cbor.Unmarshal(item.Value, &s); err != nil {
 		return nil, errors.Annotatef(err, "job %s", id)
 	}
 	if err := s.Spec.Validate(); err != nil {
 		return nil, errors.Annotatef(err, "job %s", id)
 	}
-	return s.job(id), nil
+	return s.job(id, item.Rev), nil
 }
 
-// job returns the submitted job.
-func (s *Submission) job(id string) *batch.Job {
-	return &batch.Job{ID: id, Queue: s.Queue, Tenant: s.Tenant, Accepted: s.Accepted, Spec: s.Spec, QueueConfig: s.QueueConfig, ConfigVersion: s.ConfigVersion}
+// job returns the job that was submitted at a revision of the store.
+func (s *Submission) job(id string, revision int64) *batch.Job {
+	return &batch.Job{ID: id, Revision: revision, Queue: s.Queue, Tenant: s.Tenant, Accepted: s.Accepted, Spec: s.Spec, QueueConfig: s.QueueConfig, ConfigVersion: s.ConfigVersion}
 }
 
 // parseKey splits the key of a job, cancellation or record into its prefix and the id of the job.
@@ -206,4 +207,6 @@
 	urgent int
 	// workers are the workers that the workers record in it contains.
 	workers []batch.WorkerID
+	// forgotten are the jobs whose keys it removes.
+	forgotten []string
 }
--- a/internal/owner/refresh_config_test.go
+++ b/internal/owner/refresh_config_test.go
@@ -31,7 +31,7 @@
 		h.sleep(5 * time.Second)
 		s := Submission{Queue: "new", QueueConfig: batch.Queue{Service: "svc", MaxAttempts: 3}, ConfigVersion: 2, Accepted: time.Now(), Spec: batch.Spec{Payload: "p", Steps: []batch.Step{tasks(1)}}}
 		h.store.set(JobKey("j"), EncodeSubmission(s))
-		h.is.True(o.NotifySubmitted("j", s))
+		h.is.True(o.NotifySubmitted("j", h.store.revision(), s))
 		test(h, &version)
 	}, "w")
 }
--- a/internal/owner/serve.go
+++ b/internal/owner/serve.go
@@ -28,14 +28,28 @@
 	}
 }
 
-// NotifySubmitted notifies the leader of a job that is already in the store. It returns false if
+// NotifySubmitted notifies the leader of a job that has been in the store since a revision. It returns false if
 // this instance does not lead.
-func (o *Owner) NotifySubmitted(id string, s Submission) bool {
+func (o *Owner) NotifySubmitted(id string, revision int64, s Submission) bool {
 	l := o.leading.Load()
 	if l == nil {
 		return false
 	}
-	return l.post(func(l *leader, now time.Time) { l.state.AddJob(s.job(id), nil, false, now) })
+	return l.post(func(l *leader, now time.Time) { l.addNotified(id, revision, s, now) })
+}
+
+// addNotified adds a job of which an instance tells. The instance may have stood still since it stored the job, so that the job is
+// forgotten by now: what the watch has told of is known or forgotten. A revision of 0, which earlier versions send, leaves the job to
+// the watch.
+func (l *leader) addNotified(id string, revision int64, s Submission, now time.Time) {
+	if l.state.Job(id) != nil {
+		return
+	}
+	if revision <= l.jobsRevision || l.forgotten.has(id, revision) {
+		l.log.Info().Str("event", "job.notified-late").Str("job", id).Int64("revision", revision).Int64("applied", l.jobsRevision).Send()
+		return
+	}
+	l.state.AddJob(s.job(id, revision), nil, false, now)
 }
 
 // NotifyCancelled notifies the leader of a cancellation that is already in the store. It returns
--- a/internal/owner/watch.go
+++ b/internal/owner/watch.go
@@ -12,17 +12,36 @@
 func (l *leader) watchJobs(ctx context.Context, rev int64) {
 	w := &kv.Watcher{
 		Store: l.owner.store, Prefix: acceptedPrefix, WatchInterval: jobWatchInterval, RetryDelay: storeRetryDelay,
-		OnReset: func(items []kv.Item, _ int64) {
-			l.postStoreEvent(func(l *leader, now time.Time) { l.applySubmissions(items, nil, false, now) })
+		OnReset: func(items []kv.Item, rev int64) {
+			l.postStoreEvent(func(l *leader, now time.Time) { l.resetSubmissions(items, rev, now) })
 		},
-		OnChange: func(events []kv.Event, _ int64) {
+		OnChange: func(events []kv.Event, rev int64) {
 			items := existingItems(events)
-			l.postStoreEvent(func(l *leader, now time.Time) { l.applySubmissions(items, nil, false, now) })
+			l.postStoreEvent(func(l *leader, now time.Time) { l.changeSubmissions(items, rev, now) })
 		},
 	}
 	w.Run(ctx, rev)
 }
 
+// resetSubmissions applies a complete listing of submissions and cancellations that began at a revision.
+func (l *leader) resetSubmissions(items []kv.Item, rev int64, now time.Time) {
+	added, forgotten := l.applySubmissions(items, nil, false, now)
+	l.log.Info().Str("event", "jobs.listed").Int64("revision", rev).Int("keys", len(items)).Int("added", added).Int("forgotten", forgotten).Send()
+	l.noteSubmissionsApplied(rev)
+}
+
+// changeSubmissions applies changes of submissions and cancellations up to a revision.
+func (l *leader) changeSubmissions(items []kv.Item, rev int64, now time.Time) {
+	l.applySubmissions(items, nil, false, now)
+	l.noteSubmissionsApplied(rev)
+}
+
+// noteSubmissionsApplied notes that all changes of submissions up to a revision have been applied.
+func (l *leader) noteSubmissionsApplied(rev int64) {
+	l.jobsRevision = max(l.jobsRevision, rev)
+	l.forgotten.dropRemoved(rev)
+}
+
 // existingItems returns the items of all events that are not deletions.
 func existingItems(events []kv.Event) []kv.Item {
 	var items []kv.Item
