--- a/internal/entry/create.go
+++ b/internal/entry/create.go
@@ -23,6 +23,16 @@
 	relayTimeout = time.Second
 )
 
+// newKey is a key to create. All attempts at it are identical.
+type newKey struct {
+	key   string
+	value []byte
+	// conditions must hold for the creation. One of them says that the key does not exist, unless it may be overwritten.
+	conditions []kv.Condition
+	// sendUntil is when the last attempt may be sent, on the clock of the instance; 0 for no such time.
+	sendUntil time.Duration
+}
+
 // creation is the outcome of an attempt to create a key.
 type creation uint8
 
@@ -32,6 +42,8 @@
 	creationDone                    // this attempt created the key
 	creationExisted                 // the key existed
 	creationRefused                 // this attempt created nothing and never will
+	// creationExcluded says that a condition on another key does not hold, so this attempt created nothing and never will.
+	creationExcluded
 )
 
 // createAttempt is an attempt to create a key, or several attempts at the same key.
@@ -39,6 +51,8 @@
 	outcome creation
 	// revision is the revision of the store at which it created the key; 0 if it is not known to have done so.
 	revision int64
+	// mayFollow is set if the outcome of one of several attempts is unknown, so that it may yet create the key.
+	mayFollow bool
 }
 
 // stored reports whether the key is known to exist.
@@ -48,39 +62,55 @@
 
 // or returns two attempts at the same key together.
 func (a createAttempt) or(other createAttempt) createAttempt {
+	mayFollow := a.mayFollow || other.mayFollow || a.outcome == creationUnknown || other.outcome == creationUnknown
 	switch {
 	case a.stored():
 		return a
 	case other.stored():
 		return other
-	case a.outcome == creationRefused && other.outcome == creationRefused:
+	case a.outcome == creationExcluded || other.outcome == creationExcluded:
+		return createAttempt{outcome: creationExcluded, mayFollow: mayFollow}
+	case mayFollow:
+		return createAttempt{outcome: creationUnknown, mayFollow: true}
+	default:
 		return createAttempt{outcome: creationRefused}
+	}
+}
+
+// result returns what a caller is told of an attempt that is not excluded.
+func (a createAttempt) result() Result {
+	switch {
+	case a.stored():
+		return Done
+	case a.outcome == creationRefused:
+		return NotRun
 	default:
-		return createAttempt{outcome: creationUnknown}
+		return Unknown
 	}
 }
 
-// create creates a key with a value unless it exists. It retries until the outcome is known or ctx
+// create creates a key. It retries until the outcome is known or ctx
 // ends, and returns all attempts together. Once the outcome of one attempt is unknown, the
-// refusal of a later attempt does not prove that the key was not created, so the result can no longer be
-// NotRun.
-func (i *Instance) create(ctx context.Context, key string, value []byte) (Result, createAttempt) {
+// refusal of a later attempt does not prove that the key was not created.
+func (i *Instance) create(ctx context.Context, key newKey) createAttempt {
 	startTime := time.Now()
 	all := createAttempt{outcome: creationRefused}
-	for ctx.Err() == nil {
-		all = all.or(i.attemptCreate(ctx, key, value))
-		if all.stored() {
-			return Done, all
+	for ctx.Err() == nil && i.maySend(key) {
+		all = all.or(i.attemptCreate(ctx, key))
+		if all.stored() || all.outcome == creationExcluded {
+			break
 		}
 		if all.outcome == creationRefused && time.Since(startTime) > refusalTime(ctx, startTime) {
 			break
 		}
 		pause.For(ctx, retryInterval)
 	}
-	if all.outcome == creationRefused {
-		return NotRun, all
-	}
-	return Unknown, all
+	return all
+}
+
+// maySend reports whether an attempt at the key may still be sent. The clock goes on while the process or its machine stands still.
+func (i *Instance) maySend(key newKey) bool {
+	return key.sendUntil == 0 || i.watcher.clock() < key.sendUntil
 }
 
 // refusalTime returns how long refused attempts are repeated: unavailableTimeout, or a quarter of the
@@ -94,21 +124,21 @@
 
 // attemptCreate makes one attempt. If the store does not answer this instance, the owner is asked too: the
 // store may be cut off from some instances only.
-func (i *Instance) attemptCreate(ctx context.Context, key string, value []byte) createAttempt {
+func (i *Instance) attemptCreate(ctx context.Context, key newKey) createAttempt {
 	own := make(chan createAttempt, 1)
-	go func() { own <- i.createHere(ctx, key, value) }()
+	go func() { own <- i.createHere(ctx, key) }()
 	timer := time.NewTimer(relayDelay)
 	defer timer.Stop()
 	select {
 	case a := <-own:
 		if a.outcome == creationRefused && i.watcher.disconnected.Load() {
-			return i.relayCreate(ctx, key, value)
+			return i.relayCreate(ctx, key)
 		}
 		return a
 	case <-timer.C:
 	}
 	relayed := make(chan createAttempt, 1)
-	go func() { relayed <- i.relayCreate(ctx, key, value) }()
+	go func() { relayed <- i.relayCreate(ctx, key) }()
 	select {
 	case a := <-own:
 		if a.stored() {
@@ -125,11 +155,11 @@
 
 // createHere makes one attempt at the store. If the store did not answer before, it is asked by a read
 // first, which has no effect if it is carried out late, so that a refusal stays certain.
-func (i *Instance) createHere(ctx context.Context, key string, value []byte) createAttempt {
-	if i.watcher.disconnected.Load() && !i.storeAnswers(ctx, key) {
+func (i *Instance) createHere(ctx context.Context, key newKey) createAttempt {
+	if i.watcher.disconnected.Load() && !i.storeAnswers(ctx, key.key) {
 		return createAttempt{outcome: creationRefused}
 	}
-	return i.createInStore(ctx, key, value)
+	return i.createInStore(ctx, key)
 }
 
 // storeAnswers reports whether the store answers a read within probeTimeout.
@@ -145,15 +175,16 @@
 }
 
 // createInStore makes one attempt at the store.
-func (i *Instance) createInStore(ctx context.Context, key string, value []byte) createAttempt {
+func (i *Instance) createInStore(ctx context.Context, key newKey) createAttempt {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
-	revision, err := i.store.Commit(ctx, kv.Txn{If: []kv.Condition{{Key: key}}, Set: []kv.Write{{Key: key, Value: value}}})
+	revision, err := i.store.Commit(ctx, kv.Txn{If: key.conditions, Set: []kv.Write{{Key: key.key, Value: key.value}}})
+	var conflict *kv.ConflictError
 	switch {
 	case err == nil:
 		return createAttempt{outcome: creationDone, revision: revision}
-	case errors.Is(err, kv.ErrConflict):
-		return createAttempt{outcome: creationExisted}
+	case errors.As(err, &conflict):
+		return createAttempt{outcome: key.conflictOutcome(conflict)}
 	case errors.Is(err, kv.ErrUnavailable):
 		return createAttempt{outcome: creationRefused}
 	default:
@@ -161,9 +192,25 @@
 	}
 }
 
+// conflictOutcome returns the outcome of an attempt that met a conflict. It is unknown if the conflict does not tell which condition
+// does not hold.
+func (k newKey) conflictOutcome(conflict *kv.ConflictError) creation {
+	outcome := creationUnknown
+	for _, c := range k.conditions {
+		switch {
+		case conflict.Revision(c.Key) == c.Rev:
+		case c.Key == k.key:
+			return creationExisted
+		default:
+			outcome = creationExcluded
+		}
+	}
+	return outcome
+}
+
 // relayCreate asks the owner to create the key. The outcome is creationRefused if another instance is not
 // known to be the owner.
-func (i *Instance) relayCreate(ctx context.Context, key string, value []byte) createAttempt {
+func (i *Instance) relayCreate(ctx context.Context, key newKey) createAttempt {
 	claim := i.claim()
 	if claim == nil || claim.Instance == i.name {
 		return createAttempt{outcome: creationRefused}
@@ -171,9 +218,9 @@
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	var reply createReply
-	err := i.peers.Call(ctx, claim.Address, kindCreate, createMessage{Key: key, Value: value}, &reply)
+	err := i.peers.Call(ctx, claim.Address, kindCreate, newCreateMessage(key), &reply)
 	a := reply.attempt(err)
-	i.log.Info().Str("event", "create.relayed").Str("key", key).Str("owner", claim.Instance).
+	i.log.Info().Str("event", "create.relayed").Str("key", key.key).Str("owner", claim.Instance).
 		Str("outcome", a.outcome.String()).AnErr("cause", err).Send()
 	return a
 }
@@ -182,7 +229,7 @@
 // which another version may send, counts as unknown.
 func (r createReply) attempt(err error) createAttempt {
 	switch {
-	case err == nil && r.Outcome <= creationRefused:
+	case err == nil && r.Outcome <= creationExcluded:
 		return createAttempt{outcome: r.Outcome, revision: r.Revision}
 	case err != nil && verdict.Of(err) == verdict.NotRun:
 		return createAttempt{outcome: creationRefused}
@@ -193,5 +240,5 @@
 
 // String returns the name used in logs.
 func (c creation) String() string {
-	return [...]string{"unknown", "created", "existed", "refused"}[c]
+	return [...]string{"unknown", "created", "existed", "refused", "excluded"}[c]
 }
--- a/internal/entry/create_test.go
+++ b/internal/entry/create_test.go
@@ -23,14 +23,19 @@
 	values map[string][]byte
 }
 
-// create sets a key unless it exists, and reports whether it existed.
-func (k *storedKeys) create(key string, value []byte) (existed bool) {
+// create executes a transaction whose conditions require that keys do not exist, and returns those of them that do.
+func (k *storedKeys) create(t kv.Txn) (existing []kv.Item) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if _, existed = k.values[key]; !existed {
-		k.values[key] = value
+	for _, c := range t.If {
+		if value, ok := k.values[c.Key]; ok {
+			existing = append(existing, kv.Item{Key: c.Key, Value: value, Rev: 1})
+		}
+	}
+	if existing == nil {
+		k.values[t.Set[0].Key] = t.Set[0].Value
 	}
-	return existed
+	return existing
 }
 
 func (k *storedKeys) get(key string) (value []byte, ok bool) {
@@ -57,13 +62,13 @@
 		<-ctx.Done()
 		return 0, ctx.Err()
 	}
-	existed := s.keys.create(t.Set[0].Key, t.Set[0].Value)
+	existing := s.keys.create(t)
 	if silent {
 		<-ctx.Done()
 		return 0, ctx.Err()
 	}
-	if existed {
-		return 0, kv.ErrConflict
+	if existing != nil {
+		return 0, &kv.ConflictError{Items: existing}
 	}
 	return 1, nil
 }
@@ -94,7 +99,7 @@
 		return verdict.New(verdict.NotRun, verdict.ReasonPeerUnreachable, "refused")
 	}
 	msg := in.(createMessage)
-	a := p.instance.createHere(ctx, msg.Key, msg.Value)
+	a := p.instance.createHere(ctx, msg.newKey())
 	if p.lost {
 		<-ctx.Done()
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonDeadline, "no answer")
@@ -103,6 +108,11 @@
 	return nil
 }
 
+// absentKey is a key that is created unless it exists.
+func absentKey(key, value string) newKey {
+	return newKey{key: key, value: []byte(value), conditions: []kv.Condition{{Key: key}}}
+}
+
 // createCase is a creation by an instance whose store is silent for a while.
 type createCase struct {
 	// known is set if the instance knows that the store does not answer it.
@@ -133,7 +143,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 		defer cancel()
 		startTime := time.Now()
-		result, _ = i.create(ctx, owner.JobKey("id"), []byte("job"))
+		result = i.create(ctx, absentKey(owner.JobKey("id"), "job")).result()
 		took = time.Since(startTime)
 		cancel()
 		synctest.Wait()
@@ -210,7 +220,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 150*time.Millisecond)
 		defer cancel()
 		s := &fakeStore{commitErrs: []error{kv.ErrUnavailable}}
-		result, _ := newInstance(s).create(ctx, owner.JobKey("id"), nil)
+		result := newInstance(s).create(ctx, absentKey(owner.JobKey("id"), "")).result()
 		is.Equal(result, NotRun)
 	})
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -29,7 +29,9 @@
 	peers   peerCaller
 	watcher *configWatcher
 	denials *denials
-	log     zerolog.Logger
+	// tombstones bounds the rate of tombstones.
+	tombstones tombstoneLimit
+	log        zerolog.Logger
 
 	// draining is set once a planned stop has begun.
 	draining atomic.Bool
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -19,7 +19,10 @@
 	"github.com/geraniumwick/geraniumwick/internal/owner"
 )
 
-var errAnswerLost = errors.New("answer lost")
+var (
+	errAnswerLost = errors.New("answer lost")
+	errJobExists  = &kv.ConflictError{Items: []kv.Item{{Key: owner.JobKey("id"), Rev: 3}}}
+)
 
 // fakeStore is a store whose transactions return the errors in commitErrs one after the other; the last
 // error repeats. Without any errors they succeed.
@@ -94,9 +97,9 @@
 		want       Result
 	}{
 		"stored at once":            {nil, Done},
-		"known id":                  {[]error{kv.ErrConflict}, Done},
-		"refused for a while":       {[]error{kv.ErrUnavailable, kv.ErrUnavailable, kv.ErrConflict}, Done},
-		"answer lost, then found":   {[]error{errAnswerLost, kv.ErrConflict}, Done},
+		"known id":                  {[]error{errJobExists}, Done},
+		"refused for a while":       {[]error{kv.ErrUnavailable, kv.ErrUnavailable, errJobExists}, Done},
+		"answer lost, then found":   {[]error{errAnswerLost, errJobExists}, Done},
 		"answer lost, then refused": {[]error{errAnswerLost, kv.ErrUnavailable}, Unknown},
 		"no answer at all":          {[]error{errAnswerLost}, Unknown},
 		"refused all the time":      {[]error{kv.ErrUnavailable}, NotRun},
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -26,6 +26,8 @@
 	Unknown
 	// Forbidden says that the request took no effect and never will, since the job belongs to another tenant.
 	Forbidden
+	// Withdrawn says that a submission took no effect and never will, since the job was cancelled before it was stored.
+	Withdrawn
 )
 
 const (
@@ -48,16 +50,26 @@
 	Spec   batch.Spec
 }
 
+// maxSubmissionTime is how long an instance tries to store a submission. A tombstone outlasts all writes that are sent in that time.
+const maxSubmissionTime = 20 * time.Second
+
 // Submit stores a job. If a job with this id is stored already, the submission counts as a repetition
-// of it and changes nothing.
+// of it and changes nothing. A job that its tenant has cancelled before it was stored is not stored; see owner.TombstoneKey.
 func (i *Instance) Submit(ctx context.Context, config *Config, job SubmittedJob) Result {
 	submission := owner.Submission{
 		Queue: job.Queue, Tenant: job.Tenant, Accepted: time.Now(), Spec: job.Spec,
 		QueueConfig: config.Batch.Queues[job.Queue], ConfigVersion: config.Batch.Version,
 	}
 	key := owner.JobKey(job.ID)
-	result, stored := i.create(ctx, key, owner.EncodeSubmission(submission))
-	existed := stored.outcome == creationExisted
+	stored := i.create(ctx, newKey{
+		key: key, value: owner.EncodeSubmission(submission),
+		conditions: []kv.Condition{{Key: key}, {Key: owner.TombstoneKey(job.Tenant, job.ID)}},
+		sendUntil:  i.watcher.clock() + maxSubmissionTime,
+	})
+	existed, result := stored.outcome == creationExisted, stored.result()
+	if stored.outcome == creationExcluded && !stored.mayFollow {
+		result = Withdrawn
+	}
 	event := i.log.Info().Str("event", "job.submitted").Str("job", job.ID).Str("queue", job.Queue)
 	if job.Tenant != "" {
 		event = event.Str("tenant", job.Tenant)
@@ -71,14 +83,19 @@
 
 // String returns the name used in logs.
 func (r Result) String() string {
-	return [...]string{"done", "missing", "not-run", "unknown", "forbidden"}[r]
+	return [...]string{"done", "missing", "not-run", "unknown", "forbidden", "withdrawn"}[r]
 }
 
-// Cancel stores a request of a tenant, which is empty for a caller without an API key, to cancel a job; the owner carries it out.
+// Cancel stores a request of a tenant, which is empty for a caller without an API key, to cancel a job; the owner carries it out. If
+// there is no such job, none that the tenant has submitted under this id can be stored any more.
 func (i *Instance) Cancel(ctx context.Context, id, tenant string) Result {
 	submission, err := i.get(ctx, owner.JobKey(id))
 	if errors.Is(err, kv.ErrNotFound) {
-		return NotFound
+		result, isStored := i.cancelUnstored(ctx, id, tenant)
+		if !isStored {
+			return result
+		}
+		submission, err = i.get(ctx, owner.JobKey(id))
 	}
 	if err != nil {
 		return NotRun
@@ -88,7 +105,7 @@
 		return Forbidden
 	}
 	key := owner.CancelKey(id)
-	result, _ := i.create(ctx, key, []byte{})
+	result := i.create(ctx, newKey{key: key, value: []byte{}, conditions: []kv.Condition{{Key: key}}}).result()
 	i.log.Info().Str("event", "job.cancel").Str("job", id).Str("result", result.String()).Send()
 	if result == Done {
 		i.notifyCancelled(id)
--- a/internal/entry/peer_calls.go
+++ b/internal/entry/peer_calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/geraniumwick/geraniumwick/internal/kv"
 	"github.com/geraniumwick/geraniumwick/internal/model"
 	"github.com/geraniumwick/geraniumwick/internal/owner"
 	"github.com/geraniumwick/geraniumwick/internal/pause"
@@ -44,10 +45,38 @@
 	End   owner.LeadershipEnd `cbor:"2,keyasint"`
 }
 
-// createMessage asks the owner to create a key unless it exists.
+// createMessage asks the owner to create a key.
 type createMessage struct {
 	Key   string `cbor:"1,keyasint"`
 	Value []byte `cbor:"2,keyasint"`
+	// Conditions must hold for the creation. Messages of earlier versions have none: they ask for a key that does not exist.
+	Conditions []conditionMessage `cbor:"3,keyasint,omitempty"`
+}
+
+// conditionMessage is a kv.Condition.
+type conditionMessage struct {
+	Key string `cbor:"1,keyasint"`
+	Rev int64  `cbor:"2,keyasint,omitempty"`
+}
+
+func newCreateMessage(key newKey) createMessage {
+	msg := createMessage{Key: key.key, Value: key.value}
+	for _, c := range key.conditions {
+		msg.Conditions = append(msg.Conditions, conditionMessage(c))
+	}
+	return msg
+}
+
+// newKey returns the key to create.
+func (m createMessage) newKey() newKey {
+	key := newKey{key: m.Key, value: m.Value}
+	for _, c := range m.Conditions {
+		key.conditions = append(key.conditions, kv.Condition(c))
+	}
+	if len(key.conditions) == 0 {
+		key.conditions = []kv.Condition{{Key: m.Key}}
+	}
+	return key
 }
 
 type createReply struct {
@@ -107,10 +136,10 @@
 		if err := peer.Decode(body, &msg); err != nil {
 			return nil, err
 		}
-		if !owner.IsSubmissionKey(msg.Key) {
-			return nil, verdict.New(verdict.NotRun, verdict.ReasonInvalid, "key %q is not one of a submission or a cancellation", msg.Key)
+		if !owner.IsCallerKey(msg.Key) {
+			return nil, verdict.New(verdict.NotRun, verdict.ReasonInvalid, "key %q is not one that calls of callers create", msg.Key)
 		}
-		a := i.createHere(ctx, msg.Key, msg.Value)
+		a := i.createHere(ctx, msg.newKey())
 		return createReply{Outcome: a.outcome, Revision: a.revision}, nil
 	})
 	server.Handle(kindQueuedJobs, func(_ context.Context, _ model.InstanceID, body []byte) (any, error) {
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -24,6 +24,27 @@
 	ErrCompacted = errors.New("revision has been compacted")
 )
 
+// ConflictError is an ErrConflict that tells why: Items are the keys of the conditions that existed then.
+type ConflictError struct {
+	Items []Item
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string { return ErrConflict.Error() }
+
+// Is reports whether target is ErrConflict.
+func (e *ConflictError) Is(target error) bool { return target == ErrConflict }
+
+// Revision returns the revision of the last change of a key of the conditions; 0 if it did not exist.
+func (e *ConflictError) Revision(key string) int64 {
+	for _, i := range e.Items {
+		if i.Key == key {
+			return i.Rev
+		}
+	}
+	return 0
+}
+
 // Item is a key with its value.
 type Item struct {
 	Key   string
@@ -73,7 +94,8 @@
 	// Watch waits, at most for the given time, for changes after the revision, and returns them
 	// with the revision to continue from; ErrCompacted if the store no longer keeps them.
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Event, int64, error)
-	// Commit executes a transaction and returns its revision.
+	// Commit executes a transaction and returns its revision. If a condition does not hold, the error is a ConflictError, or
+	// ErrConflict if the state of the keys could not be read.
 	Commit(ctx context.Context, t Txn) (int64, error)
 	// Grant creates a lease that ends unless it is renewed within ttl.
 	Grant(ctx context.Context, ttl time.Duration) (int64, error)
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -202,6 +202,7 @@
 	if !l.load(ctx) {
 		return
 	}
+	go l.sweepTombstones(ctx)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/owner/records.go
+++ b/internal/owner/records.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"strings"
 	"time"
 
@@ -19,6 +21,8 @@
 	acceptedPrefix = "gw/in/"
 	jobPrefix      = acceptedPrefix + "job/"
 	cancelPrefix   = acceptedPrefix + "cancel/"
+	// Instances write tombstones below tombstonePrefix.
+	tombstonePrefix = "gw/tombstone/"
 	// Only the owner writes below ownerPrefix, but for endedClaimKey.
 	ownerPrefix     = "gw/out/"
 	recordPrefix    = ownerPrefix + "job/"
@@ -137,11 +141,21 @@
 func CancelKey(id string) string { return cancelPrefix + id }
 func RecordKey(id string) string { return recordPrefix + id }
 
-// IsSubmissionKey reports whether a key is that of a submission or of a cancellation, which any instance
-// may create.
-func IsSubmissionKey(key string) bool {
+// TombstoneKey returns the key of the tombstone of a job: its tenant has cancelled it before it was stored, so its submission, which may
+// still be on its way, must not be stored any more. A tombstone does not concern a job that another tenant submits under the same
+// id. The tenant is empty for a job without an API key.
+func TombstoneKey(tenant, id string) string {
+	sum := sha256.Sum256([]byte(tenant)) // the name may be longer than a key
+	return tombstonePrefix + hex.EncodeToString(sum[:tenantHashBytes]) + "/" + id
+}
+
+// tenantHashBytes is the number of bytes of the hash of a tenant's name in a key.
+const tenantHashBytes = 8
+
+// IsCallerKey reports whether a key is that of a submission, of a cancellation or of a tombstone, which any instance may create.
+func IsCallerKey(key string) bool {
 	prefix, id := parseKey(key)
-	return id != "" && (prefix == jobPrefix || prefix == cancelPrefix)
+	return id != "" && (prefix == jobPrefix || prefix == cancelPrefix) || strings.HasPrefix(key, tombstonePrefix)
 }
 
 // EncodeSubmission returns the value to store under a job's key.
