--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -104,8 +104,7 @@
 		i.log.Info().Str("event", "job.cancel").Str("job", id).Str("tenant", tenant).Str("result", Forbidden.String()).Send()
 		return Forbidden
 	}
-	key := owner.CancelKey(id)
-	result := i.create(ctx, newKey{key: key, value: []byte{}, conditions: []kv.Condition{{Key: key}}}).result()
+	result := i.cancelStored(ctx, id, submission.Rev)
 	i.log.Info().Str("event", "job.cancel").Str("job", id).Str("result", result.String()).Send()
 	if result == Done {
 		i.notifyCancelled(id)
@@ -113,6 +112,17 @@
 	return result
 }
 
+// cancelStored stores the cancellation of a job whose submission has a revision. It returns NotFound if the job is gone, as the owner has
+// removed its keys since.
+func (i *Instance) cancelStored(ctx context.Context, id string, revision int64) Result {
+	key := owner.CancelKey(id)
+	a := i.create(ctx, newKey{key: key, value: []byte{}, conditions: []kv.Condition{{Key: key}, {Key: owner.JobKey(id), Rev: revision}}})
+	if a.outcome == creationExcluded {
+		return NotFound
+	}
+	return a.result()
+}
+
 // mayCancel reports whether a tenant may cancel the job of an encoded submission: if it submitted the job, if nobody did by an API
 // key, or if the tenant that did is gone, as after a tenant was renamed.
 func (i *Instance) mayCancel(submission []byte, tenant string) bool {
--- a/internal/entry/tombstones_test.go
+++ b/internal/entry/tombstones_test.go
@@ -222,15 +222,15 @@
 	}
 }
 
-// storingStore stores a job just before the first transaction.
-type storingStore struct {
+// overtakenStore calls overtake just before the first transaction.
+type overtakenStore struct {
 	*revisionedStore
-	submitter *Instance
-	once      sync.Once
+	overtake func()
+	once     sync.Once
 }
 
-func (s *storingStore) Commit(ctx context.Context, t kv.Txn) (int64, error) {
-	s.once.Do(func() { submitAs(s.submitter, "", time.Second) })
+func (s *overtakenStore) Commit(ctx context.Context, t kv.Txn) (int64, error) {
+	s.once.Do(s.overtake)
 	return s.revisionedStore.Commit(ctx, t)
 }
 
@@ -239,13 +239,39 @@
 	bubbletest.Run(t, func(t *testing.T) {
 		is := is.New(t)
 		store := newRevisionedStore()
-		i := newInstance(&storingStore{revisionedStore: store, submitter: newInstance(store)})
+		i := newInstance(&overtakenStore{revisionedStore: store, overtake: func() { submitAs(newInstance(store), "", time.Second) }})
 		is.Equal(cancelAs(i, ""), Done)
 		is.Equal(store.keys(owner.CancelKey("")), []string{owner.CancelKey(cancelledID)})
 		is.Equal(store.keys(owner.TombstoneKey("", "")), nil)
 	})
 }
 
+// Guards against the cancellation of a job that stays in the store for good, and cancels a later job of the same id: the owner removes
+// the keys of the job, whose retention is over, between the look for it and the cancellation.
+func TestACancellationDoesNotOutliveItsJob(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		followed bool // by another job of the id
+	}{{"the job is gone", false}, {"the id is used again", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
+				is := is.New(t)
+				store := newRevisionedStore()
+				is.Equal(submitAs(newInstance(store), "", time.Second), Done)
+				i := newInstance(&overtakenStore{revisionedStore: store, overtake: func() {
+					_, err := store.Commit(context.Background(), kv.Txn{Remove: []string{owner.JobKey(cancelledID)}})
+					is.NoErr(err)
+					if c.followed {
+						is.Equal(submitAs(newInstance(store), "", time.Second), Done)
+					}
+				}})
+				is.Equal(cancelAs(i, ""), NotFound)
+				is.Equal(store.keys(owner.CancelKey("")), nil)
+			})
+		})
+	}
+}
+
 // Guards against callers that fill the store by cancelling jobs that do not exist.
 func TestTombstonesAreBounded(t *testing.T) {
 	bubbletest.Run(t, func(t *testing.T) {
