--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -107,7 +107,7 @@
 	result := i.cancelStored(ctx, id, submission.Rev)
 	i.log.Info().Str("event", "job.cancel").Str("job", id).Str("result", result.String()).Send()
 	if result == Done {
-		i.notifyCancelled(id)
+		i.notifyCancelled(id, submission.Rev)
 	}
 	return result
 }
--- a/internal/entry/peer_calls.go
+++ b/internal/entry/peer_calls.go
@@ -33,6 +33,12 @@
 	ID string `cbor:"1,keyasint"`
 }
 
+type cancelledMessage struct {
+	ID string `cbor:"1,keyasint"`
+	// Revision is the revision of the store at which the job was stored; 0 in messages of earlier versions.
+	Revision int64 `cbor:"2,keyasint,omitempty"`
+}
+
 type yieldMessage struct {
 	Epoch int64 `cbor:"1,keyasint"`
 	// Speed is the processor time that the requesting instance gets, in cores.
@@ -117,11 +123,11 @@
 		return nil, notOwnerError(i.owner.NotifySubmitted(msg.ID, msg.Revision, msg.Submission))
 	})
 	server.Handle(kindCancelled, func(_ context.Context, _ model.InstanceID, body []byte) (any, error) {
-		var msg jobIDMessage
+		var msg cancelledMessage
 		if err := peer.Decode(body, &msg); err != nil {
 			return nil, err
 		}
-		return nil, notOwnerError(i.owner.NotifyCancelled(msg.ID))
+		return nil, notOwnerError(i.owner.NotifyCancelled(msg.ID, msg.Revision))
 	})
 	server.Handle(kindJobStatus, func(_ context.Context, _ model.InstanceID, body []byte) (any, error) {
 		var msg jobIDMessage
@@ -182,13 +188,13 @@
 	i.notifyOwner(kindSubmitted, submittedMessage{ID: id, Submission: submission, Revision: revision}, id)
 }
 
-// notifyCancelled tells the owner about a cancellation so that it is carried out without delay. If the
-// message is lost, the owner finds the cancellation in the store.
-func (i *Instance) notifyCancelled(id string) {
-	if i.owner.NotifyCancelled(id) {
+// notifyCancelled tells the owner about the cancellation of a job that was stored at a revision, so that it is carried out without
+// delay. If the message is lost, the owner finds the cancellation in the store.
+func (i *Instance) notifyCancelled(id string, revision int64) {
+	if i.owner.NotifyCancelled(id, revision) {
 		return
 	}
-	i.notifyOwner(kindCancelled, jobIDMessage{id}, id)
+	i.notifyOwner(kindCancelled, cancelledMessage{ID: id, Revision: revision}, id)
 }
 
 // notifyOwner sends a message about a job to the owner in the background. A failure is only logged.
--- a/internal/owner/forgotten_jobs_test.go
+++ b/internal/owner/forgotten_jobs_test.go
@@ -167,9 +167,7 @@
 // accepted it, and has forgotten it by then.
 func TestALateChangeDoesNotBringBackAForgottenJob(t *testing.T) {
 	is := is.New(t)
-	o := New(Options{Instance: "a", JobRetention: retention}, newMemoryStore(), nil, fakeRegistry{}, testConfig, zerolog.Nop())
-	l := newLeader(o, heldClaim{claim: Claim{Epoch: 1}, commitRev: 1}, func(error) {})
-	now := time.Now()
+	l, now := newTestLeader(), time.Now()
 	item := kv.Item{Key: JobKey("j"), Value: EncodeSubmission(submission()), Rev: 5}
 	l.addNotified("j", item.Rev, submission(), now)
 	l.state.Cancel("j", now)
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -111,8 +111,9 @@
 	lastMaintenance time.Time // time of the last maintenance run
 	forgotten       forgottenJobs
 	// jobsRevision is the revision up to which all changes of submissions have been applied.
-	jobsRevision int64
-	cooldown     cooldown
+	jobsRevision       int64
+	earlyCancellations earlyCancellations
+	cooldown           cooldown
 	// workersChanged is set when workers may have come or gone since the renewers were last
 	// reconciled.
 	workersChanged bool
@@ -161,8 +162,10 @@
 		throttles:     attemptCalls{},
 		formerEnds:    map[int64]time.Time{},
 		forgotten:     newForgottenJobs(),
-		commits:       committer{rev: held.commitRev},
-		records:       recordCounts{reportedAt: time.Now()},
+
+		earlyCancellations: earlyCancellations{},
+		commits:            committer{rev: held.commitRev},
+		records:            recordCounts{reportedAt: time.Now()},
 
 		decisionCounters: map[string]tally.Counter{},
 	}
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -212,7 +212,7 @@
 			continue
 		}
 		if j, err := decodeJob(id, item); l.checkReadable(item.Key, err) {
-			l.state.AddJob(j, records[id], loaded, now)
+			l.addJob(j, records[id], loaded, now)
 			added++
 		}
 	}
--- a/internal/owner/serve.go
+++ b/internal/owner/serve.go
@@ -49,17 +49,17 @@
 		l.log.Info().Str("event", "job.notified-late").Str("job", id).Int64("revision", revision).Int64("applied", l.jobsRevision).Send()
 		return
 	}
-	l.state.AddJob(s.job(id, revision), nil, false, now)
+	l.addJob(s.job(id, revision), nil, false, now)
 }
 
-// NotifyCancelled notifies the leader of a cancellation that is already in the store. It returns
-// false if this instance does not lead.
-func (o *Owner) NotifyCancelled(id string) bool {
+// NotifyCancelled notifies the leader of a cancellation, which is already in the store, of the job that has been there since a
+// revision. It returns false if this instance does not lead.
+func (o *Owner) NotifyCancelled(id string, revision int64) bool {
 	l := o.leading.Load()
 	if l == nil {
 		return false
 	}
-	return l.post(func(l *leader, now time.Time) { l.state.Cancel(id, now) })
+	return l.post(func(l *leader, now time.Time) { l.cancelNotified(id, revision, now) })
 }
 
 // JobStatus returns the owner's view of a job. It returns false if this instance does not lead or
--- a/internal/owner/watch.go
+++ b/internal/owner/watch.go
@@ -40,6 +40,7 @@
 func (l *leader) noteSubmissionsApplied(rev int64) {
 	l.jobsRevision = max(l.jobsRevision, rev)
 	l.forgotten.dropRemoved(rev)
+	l.earlyCancellations.dropUpTo(rev)
 }
 
 // existingItems returns the items of all events that are not deletions.
