--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -51,7 +51,7 @@
 }
 
 // maxSubmissionTime is how long an instance tries to store a submission. A tombstone outlasts all writes that are sent in that time.
-const maxSubmissionTime = 20 * time.Second
+const maxSubmissionTime = 10 * time.Second
 
 // Submit stores a job. If a job with this id is stored already, the submission counts as a repetition
 // of it and changes nothing. A job that its tenant has cancelled before it was stored is not stored; see owner.TombstoneKey.
--- a/internal/owner/forgotten_jobs.go
+++ b/internal/owner/forgotten_jobs.go
@@ -7,6 +7,10 @@
 	"github.com/geraniumwick/geraniumwick/internal/batch"
 )
 
+// minJobRetention is how long an ended job is kept at least. A try of its submission that is sent or carried out late must find that the job
+// exists: an instance tries for 10 s, and the store carries out a write up to 6 s late.
+const minJobRetention = 20 * time.Second
+
 // forgottenJobs are the jobs that the state has dropped since they ended long ago, until no listing can show them any more. Their
 // keys are removed later, and a listing that was read before the removal may be told after it.
 type forgottenJobs struct {
--- a/internal/owner/forgotten_jobs_test.go
+++ b/internal/owner/forgotten_jobs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -182,6 +183,30 @@
 	is.Equal(len(l.forgotten.byID), 0)
 }
 
+// Guards against a job that is run again where ended jobs need not be known for long: a write of its submission that the store carries
+// out late, or that an instance repeats, comes after its keys were removed.
+func TestAShortRetentionOutlastsLateSubmissions(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		o := New(Options{Instance: "a", BootClock: h.bootClock, Address: "a", LeaseTTL: testLeaseTTL, MaxWorkerLease: 6 * time.Second, JobRetention: time.Second},
+			h.store, h.workers, fakeRegistry{}, testConfig, zerolog.New(&h.log))
+		go o.Run(h.ctx)
+		h.sleep(time.Second)
+		h.startShortJobs(1)
+		submitted := time.Now()
+		const (
+			sentLast  = 10 * time.Second // the last try of a submission
+			lateWrite = 6 * time.Second  // a write without an answer is carried out
+		)
+		for time.Since(submitted) < sentLast+lateWrite {
+			h.sleep(500 * time.Millisecond)
+			_, err := h.store.Commit(h.ctx, kv.Txn{If: []kv.Condition{{Key: JobKey("j0")}}, Set: []kv.Write{{Key: JobKey("j0"), Value: EncodeSubmission(submission())}}})
+			h.is.True(errors.Is(err, kv.ErrConflict))
+		}
+		h.requireStartedOnce("j0", 1, 1)
+		h.forgetJobs()
+	}, "w1", "w2")
+}
+
 // Guards against jobs that are remembered for ever after they were forgotten.
 func TestForgottenJobsAreDroppedOnceNothingCanShowThem(t *testing.T) {
 	withHarness(t, func(h *harness) {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -126,7 +126,7 @@
 	// LongestWorkerLease is the longest lease that workers grant, if that is more: a worker that has started again may grant it
 	// to a request that was meant for its former incarnation.
 	LongestWorkerLease time.Duration
-	// JobRetention is how long an ended job is kept, in memory and in the store.
+	// JobRetention is how long an ended job is kept, in memory and in the store; at least minJobRetention.
 	JobRetention time.Duration
 	// Speed is the processor time that this machine provides, in cores; 0 if unknown.
 	Speed float64
@@ -191,6 +191,7 @@
 
 // New returns an owner that takes no part in campaigns until Run is called.
 func New(opts Options, store kv.Store, workers WorkerClient, registry Registry, config func() batch.Config, log zerolog.Logger) *Owner {
+	opts.JobRetention = max(opts.JobRetention, minJobRetention)
 	if opts.Scope == nil {
 		opts.Scope = tally.NoopScope
 	}
