--- a/internal/batch/durations.go
+++ b/internal/batch/durations.go
@@ -26,7 +26,7 @@
 
 // kind returns the kind of the tasks of a step, by which durations are learned.
 func (st *step) kind() forecast.Kind {
-	return forecast.Kind{Queue: st.job.Queue, Image: st.spec.Image, Size: forecast.SizeClass(st.spec.Resources.CPU, st.spec.Estimate)}
+	return forecast.Kind{Queue: st.job.Queue, Image: st.image, Size: forecast.SizeClass(st.spec.Resources.CPU, st.spec.Estimate)}
 }
 
 // learnDuration learns from an attempt that is done. One that resumed from a checkpoint tells nothing.
--- a/internal/batch/interference.go
+++ b/internal/batch/interference.go
@@ -2,6 +2,9 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -28,7 +31,7 @@
 }
 
 // ImagePair is the image of a best-effort task and that of a latency-sensitive task on the same
-// worker.
+// worker; see imageKey.
 type ImagePair struct {
 	BestEffort       string `cbor:"1,keyasint"`
 	LatencySensitive string `cbor:"2,keyasint"`
@@ -38,6 +41,8 @@
 type weightEstimate struct {
 	mean     float64
 	variance float64
+	// idle is how long the pair has not been measured.
+	idle time.Duration
 }
 
 // InterferenceWeight is the estimated weight of a pair of images, in the form that is handed to the
@@ -48,10 +53,14 @@
 	Variance float64   `cbor:"3,keyasint"`
 }
 
-// Interference returns the weights of all pairs that were measured.
+// Interference returns the weights to hand to the next owner: those of the pairs that were measured last, at most maxStoredWeights.
 func (s *State) Interference() []InterferenceWeight {
-	out := make([]InterferenceWeight, 0, len(s.interferenceModel.weights))
-	for pair, e := range s.interferenceModel.weights {
+	im := s.interferenceModel
+	pairs := im.pairsByUse()
+	pairs = pairs[:min(len(pairs), maxStoredWeights)]
+	out := make([]InterferenceWeight, 0, len(pairs))
+	for _, pair := range pairs {
+		e := im.weights[pair]
 		out = append(out, InterferenceWeight{Pair: pair, Mean: e.mean, Variance: e.variance})
 	}
 	return out
@@ -79,6 +88,13 @@
 	negligibleWeight = 0.9
 	// maxWeight bounds the effect of outlying measurements.
 	maxWeight = 12.0
+	// maxWeights is the largest number of weights that are kept, and maxStoredWeights the largest number that is handed to the next owner,
+	// about 60 bytes each with names of 20 bytes and 290 at most. The pairs that have not been measured for longest go first.
+	maxWeights, maxStoredWeights = 4096, 512
+	// maxWeightIdle is how long the weight of a pair that is not measured any more is kept.
+	maxWeightIdle = 10 * time.Minute
+	// maxImageBytes is the length up to which an image is kept by its name.
+	maxImageBytes = 128
 	// idleLatencyShare is the assumed latency of an idle task, as a part of its latency target.
 	idleLatencyShare = 0.2
 	// minBaseLoad is the lowest base load used to compute factor budgets.
@@ -109,7 +125,7 @@
 // addedFactorWith is addedFactor with an option: if pessimistic is set, it adds one standard
 // deviation to the weight and includes negligible weights.
 func (im *interferenceModel) addedFactorWith(w *worker, st *step, target string, pessimistic bool) float64 {
-	e := im.weight(ImagePair{st.spec.Image, target})
+	e := im.weight(ImagePair{st.image, target})
 	switch {
 	case pessimistic:
 		return (e.mean + math.Sqrt(e.variance)) * cpuShare(w, st)
@@ -153,7 +169,7 @@
 			continue
 		}
 		if limit := a.recentCPULimit(now); limit > 0 {
-			shares[a.step.spec.Image] += cpuShare(w, a.step) * limit / fullPercent
+			shares[a.step.image] += cpuShare(w, a.step) * limit / fullPercent
 		}
 	}
 	for _, m := range w.measurements() {
@@ -182,10 +198,10 @@
 		if a.step.spec.LatencyTarget == 0 || !a.listed || a.stopping || a.lastMeasurement <= 0 || a.percent < fullPercent {
 			continue
 		}
-		i := slices.IndexFunc(out, func(m measurement) bool { return m.job == a.step.job && m.image == a.step.spec.Image })
+		i := slices.IndexFunc(out, func(m measurement) bool { return m.job == a.step.job && m.image == a.step.image })
 		if i < 0 {
 			i = len(out)
-			out = append(out, measurement{job: a.step.job, image: a.step.spec.Image, peersMeetTarget: a.step.meetsTarget()})
+			out = append(out, measurement{job: a.step.job, image: a.step.image, peersMeetTarget: a.step.meetsTarget()})
 		}
 		out[i].utilisation += a.utilisation()
 		out[i].tasks++
@@ -231,18 +247,48 @@
 		gain := e.variance * x * level / (loadVar + noise)
 		e.mean = min(max(e.mean+gain*innovation, 0), maxWeight)
 		e.variance = max(e.variance*(1-gain*x*level), minVariance)
+		e.idle = 0
 		im.weights[pair] = e
 	}
 	l.correct(innovation, factor, noise)
 }
 
-// growVariances raises the variances of the weights for the time that has passed, up to
-// priorVariance.
-func (im *interferenceModel) growVariances(elapsed time.Duration) {
+// age raises the variances of the weights for the time that has passed, up to
+// priorVariance, and forgets pairs that have not been measured for long.
+func (im *interferenceModel) age(elapsed time.Duration) {
 	for pair, e := range im.weights {
 		e.variance = min(e.variance+weightVarianceGrowth*elapsed.Seconds(), priorVariance)
+		e.idle += elapsed
 		im.weights[pair] = e
+		if e.idle > maxWeightIdle {
+			delete(im.weights, pair)
+		}
+	}
+	if len(im.weights) > maxWeights {
+		for _, pair := range im.pairsByUse()[maxWeights:] {
+			delete(im.weights, pair)
+		}
+	}
+}
+
+// pairsByUse returns all pairs with a weight: those that were measured last come first, and of these the most certain.
+func (im *interferenceModel) pairsByUse() []ImagePair {
+	return slices.SortedFunc(maps.Keys(im.weights), func(a, b ImagePair) int {
+		x, y := im.weights[a], im.weights[b]
+		return cmp.Or(
+			cmp.Compare(x.idle, y.idle), cmp.Compare(x.variance, y.variance),
+			cmp.Compare(a.BestEffort, b.BestEffort), cmp.Compare(a.LatencySensitive, b.LatencySensitive),
+		)
+	})
+}
+
+// imageKey returns the key by which an image is learned: its name, or a hash of a name that is longer than maxImageBytes.
+func imageKey(image string) string {
+	if len(image) <= maxImageBytes {
+		return image
 	}
+	sum := sha256.Sum256([]byte(image))
+	return "sha256:" + hex.EncodeToString(sum[:])
 }
 
 // removeJob deletes the base load of a job.
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -72,6 +72,7 @@
 	occ                 *occurrence
 	number              int
 	spec                *Step
+	image               string // imageKey of the spec's image
 	reserved            Resources
 	tasks               []task
 	remainingTasks      int           // tasks that are not done
@@ -154,6 +155,7 @@
 			occ:                 o,
 			number:              i,
 			spec:                spec,
+			image:               imageKey(spec.Image),
 			reserved:            spec.reserved(),
 			tasks:               make([]task, spec.Count),
 			remainingTasks:      spec.Count,
--- a/internal/batch/latency.go
+++ b/internal/batch/latency.go
@@ -49,10 +49,10 @@
 		if a.step.spec.LatencyTarget == 0 || a.stopping {
 			continue
 		}
-		i := slices.IndexFunc(out, func(g latencyGroup) bool { return g.job == a.step.job && g.image == a.step.spec.Image })
+		i := slices.IndexFunc(out, func(g latencyGroup) bool { return g.job == a.step.job && g.image == a.step.image })
 		if i < 0 {
 			i = len(out)
-			out = append(out, latencyGroup{job: a.step.job, image: a.step.spec.Image, measuredFactor: 1, currentFactor: 1})
+			out = append(out, latencyGroup{job: a.step.job, image: a.step.image, measuredFactor: 1, currentFactor: 1})
 		}
 		out[i].reservedCPU += a.reserved.CPU
 		out[i].utilisation = max(out[i].utilisation, a.utilisation())
--- a/internal/batch/place.go
+++ b/internal/batch/place.go
@@ -25,7 +25,7 @@
 		s.updateShortDemand()
 		s.reviewReservations(now)
 		s.noteCapacity()
-		s.interferenceModel.growVariances(checkInterval)
+		s.interferenceModel.age(checkInterval)
 		s.expireLeases(now)
 		s.stopStalled(now)
 		s.judgeWorkerSpeeds(now)
