--- a/cmd/geraniumwickd/platform.go
+++ b/cmd/geraniumwickd/platform.go
@@ -110,6 +110,8 @@
 	options := entry.Options{
 		Name:        s.Name,
 		PeerAddress: s.PeerAddress(),
+
+		MaxValueBytes: s.MaxValueBytes(),
 		Owner: owner.Options{
 			LeaseTTL:           max(minClaimTTL, s.MinLease()),
 			MaxWorkerLease:     min(workerLeaseLimit, s.MaxWorkerLease()),
--- a/internal/batch/record.go
+++ b/internal/batch/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"slices"
 )
@@ -162,6 +163,32 @@
 	return p, p.MayHaveStarted || p.Done != nil || p.Tasks != nil
 }
 
+// Reductions returns smaller forms of the record, for a store that does not take it whole, each smaller than the one before: without
+// checkpoints, so that tasks of a lost worker start anew after a take-over, then also without suspicions, so that the next owner knows
+// less of the workers that tasks have crashed.
+func (r Record) Reductions() iter.Seq[Record] {
+	return func(yield func(Record) bool) {
+		withoutCheckpoints := r.reduced(func(t *TaskProgress) { t.Checkpoint = "" })
+		_ = yield(withoutCheckpoints) && yield(withoutCheckpoints.reduced(func(t *TaskProgress) { t.Suspicions = nil }))
+	}
+}
+
+// reduced returns a copy of the record with changed progress of its tasks, of which those without any are left out.
+func (r Record) reduced(change func(t *TaskProgress)) Record {
+	r.Steps = slices.Clone(r.Steps)
+	for i := range r.Steps {
+		var tasks []TaskProgress
+		for _, t := range r.Steps[i].Tasks {
+			change(&t)
+			if len(t.Failed) > 0 || t.Checkpoint != "" || len(t.Suspicions) > 0 {
+				tasks = append(tasks, t)
+			}
+		}
+		r.Steps[i].Tasks = tasks
+	}
+	return r
+}
+
 // restore applies the recorded progress to a new job.
 func (r *Record) restore(j *Job) {
 	j.started = r.Started
--- a/internal/entry/create.go
+++ b/internal/entry/create.go
@@ -185,7 +185,7 @@
 		return createAttempt{outcome: creationDone, revision: revision}
 	case errors.As(err, &conflict):
 		return createAttempt{outcome: key.conflictOutcome(conflict)}
-	case errors.Is(err, kv.ErrUnavailable):
+	case errors.Is(err, kv.ErrUnavailable), errors.Is(err, kv.ErrInvalid):
 		return createAttempt{outcome: creationRefused}
 	default:
 		return createAttempt{outcome: creationUnknown}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -23,7 +24,9 @@
 type Instance struct {
 	name  string
 	store kv.Store
-	owner *owner.Owner
+	// maxValueBytes is the largest value that the store takes.
+	maxValueBytes int
+	owner         *owner.Owner
 	// claim returns the current claim as far as this instance knows; nil if nobody owns the jobs.
 	claim   func() *owner.Claim
 	peers   peerCaller
@@ -48,6 +51,8 @@
 	Name string
 	// PeerAddress is the address on which the instance serves other instances.
 	PeerAddress string
+	// MaxValueBytes is the largest value that the store takes; 0 for kv.MaxValueBytes.
+	MaxValueBytes int
 	// Owner configures the instance as a candidate for the owner; New fills in its names, address
 	// and metrics.
 	Owner owner.Options
@@ -65,6 +70,7 @@
 	if opts.Owner.BootClock != nil {
 		watcher.clock = opts.Owner.BootClock
 	}
+	opts.Owner.MaxValueBytes = opts.MaxValueBytes
 	opts.Owner.Instance, opts.Owner.Address, opts.Owner.Scope = opts.Name, opts.PeerAddress, opts.Scope
 	peers := peer.NewPool(model.InstanceID(opts.Name))
 	opts.Owner.AskToYield = func(ctx context.Context, c owner.Claim) error {
@@ -75,6 +81,8 @@
 	}
 	opts.Owner.RefreshConfig = func(ctx context.Context) error { return watcher.refresh(ctx, store) }
 	i := &Instance{
+		maxValueBytes: cmp.Or(opts.MaxValueBytes, kv.MaxValueBytes),
+
 		name:    opts.Name,
 		store:   store,
 		owner:   owner.New(opts.Owner, store, workers, registry, watcher.batchConfig, log),
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -103,6 +103,7 @@
 		"answer lost, then refused": {[]error{errAnswerLost, kv.ErrUnavailable}, Unknown},
 		"no answer at all":          {[]error{errAnswerLost}, Unknown},
 		"refused all the time":      {[]error{kv.ErrUnavailable}, NotRun},
+		"refused for its content":   {[]error{kv.ErrInvalid}, NotRun},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -245,3 +246,16 @@
 		is.True(!i.Ready())
 	})
 }
+
+// Guards against a job that is tried to be stored until its caller gives up, although the store does not take a value of its size.
+func TestAJobThatIsTooLargeToStoreIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := &fakeStore{}
+	i := New(Options{Name: "i", MaxValueBytes: 1000}, s, fakeDecoder{}, nil, nil, zerolog.Nop())
+	config := &Config{Batch: batch.Config{Queues: map[string]batch.Queue{"q": {Service: "s"}}}}
+	job := SubmittedJob{ID: "id", Queue: "q", Spec: batch.Spec{Payload: strings.Repeat("x", 900)}}
+	is.Equal(i.Submit(context.Background(), config, job), Done)
+	job.Spec.Steps = []batch.Step{{Image: strings.Repeat("x", 200)}}
+	is.Equal(i.Submit(context.Background(), config, job), TooLarge)
+	is.Equal(s.calls, 1)
+}
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -26,6 +26,8 @@
 	Unknown
 	// Forbidden says that the request took no effect and never will, since the job belongs to another tenant.
 	Forbidden
+	// TooLarge says that a submission took no effect and never will, since the store does not take a job of that size.
+	TooLarge
 	// Withdrawn says that a submission took no effect and never will, since the job was cancelled before it was stored.
 	Withdrawn
 )
@@ -60,9 +62,14 @@
 		Queue: job.Queue, Tenant: job.Tenant, Accepted: time.Now(), Spec: job.Spec,
 		QueueConfig: config.Batch.Queues[job.Queue], ConfigVersion: config.Batch.Version,
 	}
-	key := owner.JobKey(job.ID)
+	key, value := owner.JobKey(job.ID), owner.EncodeSubmission(submission)
+	if len(value) > i.maxValueBytes {
+		i.log.Info().Str("event", "job.submitted").Str("job", job.ID).Str("queue", job.Queue).Int("bytes", len(value)).Int("limit", i.maxValueBytes).
+			Str("result", TooLarge.String()).Send()
+		return TooLarge
+	}
 	stored := i.create(ctx, newKey{
-		key: key, value: owner.EncodeSubmission(submission),
+		key: key, value: value,
 		conditions: []kv.Condition{{Key: key}, {Key: owner.TombstoneKey(job.Tenant, job.ID)}},
 		sendUntil:  i.watcher.clock() + maxSubmissionTime,
 	})
@@ -83,7 +90,7 @@
 
 // String returns the name used in logs.
 func (r Result) String() string {
-	return [...]string{"done", "missing", "not-run", "unknown", "forbidden", "withdrawn"}[r]
+	return [...]string{"done", "missing", "not-run", "unknown", "forbidden", "too-large", "withdrawn"}[r]
 }
 
 // Cancel stores a request of a tenant, which is empty for a caller without an API key, to cancel a job; the owner carries it out. If
--- a/internal/kv/kv.go
+++ b/internal/kv/kv.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// MaxValueBytes is the largest value that a store takes, unless it says otherwise.
+const MaxValueBytes = 1 << 20
+
 // Errors of calls. All but ErrSilent have a known outcome. A call that returns ErrSilent or any other error has
 // an unknown outcome: a transaction may have been executed, or may still be executed later.
 var (
@@ -15,6 +18,9 @@
 	ErrConflict = errors.New("condition does not hold")
 	// ErrUnavailable means that the store refused the call; nothing was changed.
 	ErrUnavailable = errors.New("store unavailable")
+	// ErrInvalid means that the store refused the call for its content, such as a value that is too large; nothing was changed. The same
+	// call would be refused again.
+	ErrInvalid = errors.New("refused by the store for its content")
 	// ErrNotFound means that there is no such key or lease.
 	ErrNotFound = errors.New("not found")
 	// ErrSilent means that nothing came in answer to the call for so long that it was given up. Its outcome
--- a/internal/kv/metered.go
+++ b/internal/kv/metered.go
@@ -30,6 +30,8 @@
 		return "ok"
 	case errors.Is(err, ErrConflict):
 		return "conflict"
+	case errors.Is(err, ErrInvalid):
+		return "invalid"
 	case errors.Is(err, ErrUnavailable):
 		return "unavailable"
 	case errors.Is(err, ErrNotFound):
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/geraniumwick/geraniumwick/internal/batch"
@@ -214,7 +215,7 @@
 	c.settled = head.Settled
 	t.txn.Set = []kv.Write{{Key: headKey, Value: encode(head)}}
 	for id, r := range t.records {
-		t.txn.Set = append(t.txn.Set, kv.Write{Key: RecordKey(id), Value: encode(r)})
+		t.txn.Set = append(t.txn.Set, kv.Write{Key: RecordKey(id), Value: l.encodeRecord(id, r)})
 	}
 	if l.workersRecord.dirty {
 		for _, id := range l.workersRecord.addTo(t, l.state.WorkersInUse(), now) {
@@ -223,12 +224,37 @@
 	}
 	if now.Sub(c.interferenceSaved) > interferenceInterval {
 		c.interferenceSaved = now
-		t.txn.Set = append(t.txn.Set, kv.Write{Key: interferenceKey, Value: encode(l.state.Interference())})
+		t.txn.Set = append(t.txn.Set, kv.Write{Key: interferenceKey, Value: l.encodeInterference()})
 	}
 	l.removeForgotten(t, kv.MaxTxnEntries-headConditions-len(t.txn.Set))
 	return t
 }
 
+// encodeInterference encodes the interference weights, as many of those that were measured last as the store takes.
+func (l *leader) encodeInterference() []byte {
+	weights := l.state.Interference()
+	value := encode(weights)
+	for len(value) > l.owner.opts.MaxValueBytes && len(weights) > 0 {
+		weights = weights[:len(weights)/2]
+		value = encode(weights)
+	}
+	return value
+}
+
+// encodeRecord encodes the record of a job, without what can be spared if it is larger than the store takes.
+func (l *leader) encodeRecord(id string, r batch.Record) []byte {
+	value := encode(r)
+	limit := l.owner.opts.MaxValueBytes
+	for reduced := range r.Reductions() {
+		if len(value) <= limit {
+			break
+		}
+		l.logOversized("record.reduced", RecordKey(id), len(value))
+		value = encode(reduced)
+	}
+	return value
+}
+
 // commitOutcome is the outcome of one attempt of a transaction.
 type commitOutcome struct {
 	rev int64
@@ -250,16 +276,49 @@
 		mayRepeat: func() bool { return true },
 	}
 	var outcome commitOutcome
-	_, decided := attempts.run(l.ctx, func(o commitOutcome, _ int) bool {
+	decide := func(o commitOutcome, _ int) bool {
 		outcome = o
-		return o.err == nil || errors.Is(o.err, errSuperseded)
-	})
+		return o.err == nil || errors.Is(o.err, errSuperseded) || errors.Is(o.err, kv.ErrInvalid)
+	}
+	_, decided := attempts.run(l.ctx, decide)
+	for decided && errors.Is(outcome.err, kv.ErrInvalid) && l.setAsideLargest(t) {
+		_, decided = attempts.run(l.ctx, decide)
+	}
 	if decided && outcome.err != nil {
-		l.stepDown("another owner has written the head")
+		l.stepDown(outcome.err.Error())
 	}
 	return outcome.rev, decided && outcome.err == nil
 }
 
+// setAsideLargest takes the largest value out of a transaction that the store refuses for its content, so that it does not keep the
+// others from being stored. It returns false if only the head is left.
+func (l *leader) setAsideLargest(t *recordTxn) bool {
+	largest := -1
+	for i, w := range t.txn.Set {
+		if w.Key != headKey && (largest < 0 || len(w.Value) > len(t.txn.Set[largest].Value)) {
+			largest = i
+		}
+	}
+	if largest < 0 {
+		return false
+	}
+	w := t.txn.Set[largest]
+	t.txn.Set = slices.Delete(t.txn.Set, largest, largest+1)
+	if w.Key == workersKey {
+		t.workers = nil
+	}
+	l.logOversized("value.set-aside", w.Key, len(w.Value))
+	return true
+}
+
+// logOversized logs and counts a value that the store does not take, once for each key and size.
+func (l *leader) logOversized(event, key string, size int) {
+	l.owner.opts.Scope.Tagged(map[string]string{"event": event}).Counter("oversized_values").Inc(1)
+	if l.oversized.New(key, event+strconv.Itoa(size)) {
+		l.log.Error().Str("event", event).Str("key", key).Int("bytes", size).Int("limit", l.owner.opts.MaxValueBytes).Send()
+	}
+}
+
 // tryTxn makes one attempt of a transaction.
 func (l *leader) tryTxn(ctx context.Context, t *recordTxn, timeout time.Duration) commitOutcome {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
--- a/internal/owner/fake_test.go
+++ b/internal/owner/fake_test.go
@@ -35,6 +35,8 @@
 	// changes are no longer available.
 	drops     int
 	compacted int64
+	// maxValueBytes is the largest value that the store takes; 0 for any.
+	maxValueBytes int
 }
 
 func newMemoryStore() *memoryStore {
@@ -235,6 +237,11 @@
 	if n := len(t.If) + len(t.Set) + len(t.Remove); n > kv.MaxTxnEntries {
 		return 0, fmt.Errorf("%d entries", n)
 	}
+	for _, w := range t.Set {
+		if s.maxValueBytes > 0 && len(w.Value) > s.maxValueBytes {
+			return 0, kv.ErrInvalid
+		}
+	}
 	for _, c := range t.If {
 		if s.items[c.Key].Rev != c.Rev {
 			return 0, kv.ErrConflict
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -119,6 +119,8 @@
 	workersChanged bool
 	// unreadableEntries holds the entries of the registry that cannot be decoded.
 	unreadableEntries logging.Repeats
+	// oversized holds the values that the store does not take.
+	oversized logging.Repeats
 	// suspended is set while mayAct is false.
 	suspended bool
 	// refreshesConfig is set while the configuration is read from the store.
@@ -169,6 +171,7 @@
 
 		decisionCounters: map[string]tally.Counter{},
 	}
+	l.workersRecord.maxBytes = o.opts.MaxValueBytes
 	l.extendOwnership(held.granted)
 	return l
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -9,6 +9,7 @@
 package owner
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -128,6 +129,8 @@
 	LongestWorkerLease time.Duration
 	// JobRetention is how long an ended job is kept, in memory and in the store; at least minJobRetention.
 	JobRetention time.Duration
+	// MaxValueBytes is the largest value that the store takes; 0 for kv.MaxValueBytes.
+	MaxValueBytes int
 	// Speed is the processor time that this machine provides, in cores; 0 if unknown.
 	Speed float64
 	// Adviser is asked about steps of queues with a policy; if it is nil, no such step is allowed
@@ -192,6 +195,7 @@
 // New returns an owner that takes no part in campaigns until Run is called.
 func New(opts Options, store kv.Store, workers WorkerClient, registry Registry, config func() batch.Config, log zerolog.Logger) *Owner {
 	opts.JobRetention = max(opts.JobRetention, minJobRetention)
+	opts.MaxValueBytes = cmp.Or(opts.MaxValueBytes, kv.MaxValueBytes)
 	if opts.Scope == nil {
 		opts.Scope = tally.NoopScope
 	}
--- a/internal/owner/workers_record.go
+++ b/internal/owner/workers_record.go
@@ -19,6 +19,8 @@
 type workersRecord struct {
 	// epoch is that of the owner that writes the record.
 	epoch int64
+	// maxBytes is the largest value that the store takes.
+	maxBytes int
 	// leaseEnds holds the end of each worker's lease on this instance's monotonic clock; it is zero while
 	// the lease is being renewed.
 	leaseEnds map[batch.WorkerID]time.Time
@@ -84,7 +86,7 @@
 
 func newWorkerRecord(epoch int64, unsettledExtra time.Duration) workersRecord {
 	return workersRecord{
-		epoch: epoch, unsettledExtra: unsettledExtra,
+		epoch: epoch, unsettledExtra: unsettledExtra, maxBytes: kv.MaxValueBytes,
 		leaseEnds:      map[batch.WorkerID]time.Time{},
 		lastRenewers:   map[batch.WorkerID]int64{},
 		lateStarts:     map[batch.WorkerID]bool{},
@@ -176,7 +178,7 @@
 }
 
 // addTo adds the record to a transaction, after it has dropped the workers that are no longer in
-// use. It returns those.
+// use. It returns those. If the record is larger than the store takes, it names no jobs, which stands for any.
 func (r *workersRecord) addTo(t *recordTxn, inUse map[batch.WorkerID]bool, now time.Time) (dropped []batch.WorkerID) {
 	r.firstEnd, r.written, r.tellsLateRuns = time.Time{}, now, false
 	leases := make(map[batch.WorkerID]recordedLease, len(r.leaseEnds))
@@ -195,11 +197,25 @@
 		r.noteWritten(id, leases[id], t.number)
 	}
 	r.addUnused(leases, now)
-	t.txn.Set = append(t.txn.Set, kv.Write{Key: workersKey, Value: encode(leases)})
+	value := encode(leases)
+	if len(value) > r.maxBytes {
+		value = encode(withoutLateJobs(leases))
+	}
+	t.txn.Set = append(t.txn.Set, kv.Write{Key: workersKey, Value: value})
 	r.dirty = false
 	return dropped
 }
 
+// withoutLateJobs returns the leases without the names of jobs.
+func withoutLateJobs(leases map[batch.WorkerID]recordedLease) map[batch.WorkerID]recordedLease {
+	out := make(map[batch.WorkerID]recordedLease, len(leases))
+	for id, lease := range leases {
+		lease.LateJobs = nil
+		out[id] = lease
+	}
+	return out
+}
+
 // noteWritten notes what a transaction says of a worker's lease.
 func (r *workersRecord) noteWritten(id batch.WorkerID, lease recordedLease, number int64) {
 	switch {
