--- a/cmd/geraniumwickd/platform.go
+++ b/cmd/geraniumwickd/platform.go
@@ -45,8 +45,6 @@
 	retentionFactor = 2
 	// logFlushTimeout bounds the time for writing the remaining log lines at exit.
 	logFlushTimeout = 300 * time.Millisecond
-	// settingsPollInterval is the interval at which the settings file is checked for changes.
-	settingsPollInterval = 500 * time.Millisecond
 	// memoryLimitShare is the share of the process's memory limit that the Go runtime is given as its
 	// soft limit; near it, garbage is collected more often.
 	memoryLimitShare = 0.75
@@ -84,7 +82,7 @@
 	if err != nil {
 		return err
 	}
-	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.Limits.MemoryMB) * (1 << 20)))
+	debug.SetMemoryLimit(memoryLimit(s))
 	log = log.With().Str("instance", s.Name).Logger()
 	log.Info().Str("event", "instance.start").Str("data-centre", s.Zone).Send()
 	if odd != nil {
@@ -93,6 +91,19 @@
 	return servePlatform(path, s, log)
 }
 
+// memoryLimit returns the soft limit of the Go runtime, in bytes.
+func memoryLimit(s platform.Settings) int64 {
+	return int64(memoryLimitShare * float64(s.Limits.MemoryMB) * (1 << 20))
+}
+
+// instanceLimits returns the limits of an instance by the settings.
+func instanceLimits(s platform.Settings) entry.Limits {
+	return entry.Limits{
+		Limits:          owner.Limits{JobRetention: retentionFactor * s.StatusRetention(), MaxValueBytes: s.MaxValueBytes()},
+		RevocationBound: s.RevocationBound(),
+	}
+}
+
 // servePlatform starts the listeners and the instance and serves until SIGTERM or SIGINT, or until a
 // listener fails.
 func servePlatform(path string, s platform.Settings, log zerolog.Logger) error {
@@ -107,23 +118,25 @@
 	}
 	defer lag.Close()
 	connections := connlimit.New(s.MaxConnections())
+	adviser := platform.NewAdviser(s.Advice, log)
+	limits := instanceLimits(s)
 	options := entry.Options{
 		Name:        s.Name,
 		PeerAddress: s.PeerAddress(),
 
-		MaxValueBytes: s.MaxValueBytes(),
+		MaxValueBytes: limits.MaxValueBytes,
 		Owner: owner.Options{
 			LeaseTTL:           max(minClaimTTL, s.MinLease()),
 			MaxWorkerLease:     min(workerLeaseLimit, s.MaxWorkerLease()),
 			LongestWorkerLease: s.MaxWorkerLease(),
-			JobRetention:       retentionFactor * s.StatusRetention(),
+			JobRetention:       limits.JobRetention,
 			Speed:              s.Speed(),
-			Adviser:            platform.NewAdviser(s.Advice, log),
+			Adviser:            adviser,
 			OpenConnections:    connections.Open,
 			ProcessorLag:       func(ctx context.Context) time.Duration { return lag.Measure(ctx, admission.SampleInterval) },
 		},
 		Scope:           scope,
-		RevocationBound: s.RevocationBound(),
+		RevocationBound: limits.RevocationBound,
 	}
 	instance := entry.New(options, kv.WithMetrics(store, scope), platform.ConfigDecoder{}, platform.NewWorkerClient(connections, log), platform.Registry{}, log)
 	peers := peer.NewServer(model.InstanceID(s.Name), log)
@@ -151,7 +164,13 @@
 	})
 	go instance.Run(ctx)
 
-	go watchSettings(ctx, path, store, log)
+	watcher := newSettingsWatcher(path, s, log, func(s platform.Settings) {
+		store.SetAddress(s.Platform.Address)
+		adviser.SetAddress(s.Advice)
+		instance.SetLimits(instanceLimits(s))
+		debug.SetMemoryLimit(memoryLimit(s))
+	})
+	go watcher.run(ctx)
 
 	signals := make(chan os.Signal, signalBuffer)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
@@ -163,48 +182,19 @@
 			log.Info().Str("event", "signal.received").Str("signal", sig.String()).Send()
 			// SIGHUP needs no action: watchSettings reads the settings file again whenever it changes.
 			if sig != syscall.SIGHUP {
-				return stopPlatform(instance, apiServer, s, log)
+				return stopPlatform(instance, apiServer, watcher.settings().GracePeriod(), log)
 			}
 		}
 	}
 }
 
-// watchSettings polls the settings file for changes. Only a change of the store's address takes effect
-// while an instance runs. What cannot be read or is invalid is logged and otherwise ignored.
-func watchSettings(ctx context.Context, path string, store *platform.Store, log zerolog.Logger) {
-	ticker := time.NewTicker(settingsPollInterval)
-	defer ticker.Stop()
-	var lastInfo os.FileInfo
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-		info, err := os.Stat(path)
-		if err != nil || lastInfo != nil && info.ModTime().Equal(lastInfo.ModTime()) && info.Size() == lastInfo.Size() {
-			continue
-		}
-		lastInfo = info
-		updated, odd, err := platform.ReadSettings(path)
-		if err := cmp.Or(err, odd); err != nil {
-			log.Error().Str("event", "settings.unreadable").Err(err).Send()
-		}
-		if !updated.HasStore() {
-			continue
-		}
-		store.SetAddress(updated.Platform.Address)
-		log.Info().Str("event", "settings.read").Str("store", updated.Platform.Address).Send()
-	}
-}
-
 // stopPlatform carries out a planned stop: it resigns as the owner, keeps accepting requests for
 // drainDelay, and returns once the requests in progress are answered or the grace period is almost over.
-func stopPlatform(instance *entry.Instance, apiServer *http.Server, s platform.Settings, log zerolog.Logger) error {
+func stopPlatform(instance *entry.Instance, apiServer *http.Server, grace time.Duration, log zerolog.Logger) error {
 	instance.Drain()
 	time.Sleep(drainDelay)
 	apiServer.SetKeepAlivesEnabled(false)
-	ctx, cancel := context.WithTimeout(context.Background(), s.GracePeriod()-drainDelay-stopMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), grace-drainDelay-stopMargin)
 	defer cancel()
 	if err := apiServer.Shutdown(ctx); err != nil {
 		log.Warn().Str("event", "instance.stopped").Err(err).Send()
--- a/internal/entry/access.go
+++ b/internal/entry/access.go
@@ -63,10 +63,10 @@
 	// The age is read before the keys: a process that stands still in between decides by keys that are newer than that, never older.
 	age := i.watcher.age()
 	config := i.Config()
-	access := config.access(route, key, age, i.watcher.revocation)
+	access := config.access(route, key, age, *i.watcher.revocation.Load())
 	i.denials.note(access, route, config)
 	if !route.Public && config.Keys != nil {
-		i.denials.noteSuspended(!i.watcher.revocation.allows(age), access, config)
+		i.denials.noteSuspended(!i.watcher.revocation.Load().allows(age), access, config)
 	}
 	return access
 }
@@ -75,7 +75,7 @@
 func (w *configWatcher) age() time.Duration { return w.freshness.age(w.clock()) }
 
 // acceptsKeys reports whether the configuration in force is new enough to accept API keys.
-func (w *configWatcher) acceptsKeys() bool { return w.revocation.allows(w.age()) }
+func (w *configWatcher) acceptsKeys() bool { return w.revocation.Load().allows(w.age()) }
 
 // maxUnconfirmed returns the age of the configuration from which on it is listed anew instead of watched; 0 for none, as no
 // decision depends on it without API keys.
@@ -83,5 +83,5 @@
 	if config := w.inForce.Load(); config == nil || config.Keys == nil {
 		return 0
 	}
-	return w.revocation.maxUnconfirmed()
+	return w.revocation.Load().maxUnconfirmed()
 }
--- a/internal/entry/config_watcher.go
+++ b/internal/entry/config_watcher.go
@@ -27,7 +27,7 @@
 	// clock returns the time since the machine was booted.
 	clock func() time.Duration
 	// revocation bounds the age of the keys by which callers are authenticated.
-	revocation revocationLimit
+	revocation atomic.Pointer[revocationLimit]
 	// freshness tells how old the configuration in force may be.
 	freshness freshness
 
@@ -55,7 +55,15 @@
 	if scope == nil {
 		scope = tally.NoopScope
 	}
-	return &configWatcher{decoder: decoder, scope: scope, log: log, clock: bootclock.Now}
+	w := &configWatcher{decoder: decoder, scope: scope, log: log, clock: bootclock.Now}
+	w.setRevocationBound(0)
+	return w
+}
+
+// setRevocationBound sets the time after which no call with a revoked API key may be served any more; 0 if there is no such bound.
+func (w *configWatcher) setRevocationBound(bound time.Duration) {
+	limit := newRevocationLimit(bound)
+	w.revocation.Store(&limit)
 }
 
 // configRetryDelay is the pause after a call that the store refused or that broke off.
--- a/internal/entry/denials_test.go
+++ b/internal/entry/denials_test.go
@@ -52,7 +52,7 @@
 	i := newInstance(&fakeStore{})
 	i.denials = newDenials(nil, zerolog.New(&log))
 	i.watcher.clock = func() time.Duration { return now }
-	i.watcher.revocation = newRevocationLimit(5 * time.Second)
+	i.watcher.setRevocationBound(5 * time.Second)
 	i.watcher.inForce.Store(&Config{Keys: keysOf("acme", "valid")})
 	for _, age := range []time.Duration{0, 3 * time.Second, 5 * time.Second, 6 * time.Second, time.Second} {
 		i.watcher.freshness = freshness{}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -25,7 +25,7 @@
 	name  string
 	store kv.Store
 	// maxValueBytes is the largest value that the store takes.
-	maxValueBytes int
+	maxValueBytes atomic.Int64
 	owner         *owner.Owner
 	// claim returns the current claim as far as this instance knows; nil if nobody owns the jobs.
 	claim   func() *owner.Claim
@@ -66,7 +66,7 @@
 // New returns an instance that does nothing until Run.
 func New(opts Options, store kv.Store, decoder ConfigDecoder, workers owner.WorkerClient, registry owner.Registry, log zerolog.Logger) *Instance {
 	watcher := newConfigWatcher(decoder, opts.Scope, log)
-	watcher.revocation = newRevocationLimit(opts.RevocationBound)
+	watcher.setRevocationBound(opts.RevocationBound)
 	if opts.Owner.BootClock != nil {
 		watcher.clock = opts.Owner.BootClock
 	}
@@ -81,8 +81,6 @@
 	}
 	opts.Owner.RefreshConfig = func(ctx context.Context) error { return watcher.refresh(ctx, store) }
 	i := &Instance{
-		maxValueBytes: cmp.Or(opts.MaxValueBytes, kv.MaxValueBytes),
-
 		name:    opts.Name,
 		store:   store,
 		owner:   owner.New(opts.Owner, store, workers, registry, watcher.batchConfig, log),
@@ -92,10 +90,24 @@
 		log:     log,
 	}
 	i.claim = i.owner.Claim
+	i.maxValueBytes.Store(int64(cmp.Or(opts.MaxValueBytes, kv.MaxValueBytes)))
 	peers.OnDisconnect = i.peerDisconnected
 	return i
 }
 
+// Limits are the options of an instance and of its owner that may change while it runs; see Options and owner.Limits.
+type Limits struct {
+	owner.Limits
+	RevocationBound time.Duration
+}
+
+// SetLimits changes limits from now on.
+func (i *Instance) SetLimits(limits Limits) {
+	i.maxValueBytes.Store(int64(cmp.Or(limits.MaxValueBytes, kv.MaxValueBytes)))
+	i.owner.SetLimits(limits.Limits)
+	i.watcher.setRevocationBound(limits.RevocationBound)
+}
+
 // Run watches the configuration and campaigns for the ownership until ctx ends.
 func (i *Instance) Run(ctx context.Context) {
 	go i.watcher.storeWatcher(i.store).Run(ctx, 0)
--- a/internal/entry/freshness_test.go
+++ b/internal/entry/freshness_test.go
@@ -81,7 +81,8 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		clock := &bootTime{start: time.Now()}
 		w := newConfigWatcher(decoder, nil, zerolog.Nop())
-		w.clock, w.revocation = clock.now, newRevocationLimit(5*time.Second)
+		w.clock = clock.now
+		w.setRevocationBound(5 * time.Second)
 		defer time.Sleep(time.Minute) // let the watch end
 		defer cancel()
 		go w.storeWatcher(s).Run(ctx, 0)
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -63,8 +63,8 @@
 		QueueConfig: config.Batch.Queues[job.Queue], ConfigVersion: config.Batch.Version,
 	}
 	key, value := owner.JobKey(job.ID), owner.EncodeSubmission(submission)
-	if len(value) > i.maxValueBytes {
-		i.log.Info().Str("event", "job.submitted").Str("job", job.ID).Str("queue", job.Queue).Int("bytes", len(value)).Int("limit", i.maxValueBytes).
+	if limit := i.maxValueBytes.Load(); int64(len(value)) > limit {
+		i.log.Info().Str("event", "job.submitted").Str("job", job.ID).Str("queue", job.Queue).Int("bytes", len(value)).Int64("limit", limit).
 			Str("result", TooLarge.String()).Send()
 		return TooLarge
 	}
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -218,6 +218,7 @@
 		t.txn.Set = append(t.txn.Set, kv.Write{Key: RecordKey(id), Value: l.encodeRecord(id, r)})
 	}
 	if l.workersRecord.dirty {
+		l.workersRecord.maxBytes = l.owner.limits.Load().MaxValueBytes
 		for _, id := range l.workersRecord.addTo(t, l.state.WorkersInUse(), now) {
 			l.state.MarkUnrecorded(id)
 		}
@@ -234,7 +235,7 @@
 func (l *leader) encodeInterference() []byte {
 	weights := l.state.Interference()
 	value := encode(weights)
-	for len(value) > l.owner.opts.MaxValueBytes && len(weights) > 0 {
+	for len(value) > l.owner.limits.Load().MaxValueBytes && len(weights) > 0 {
 		weights = weights[:len(weights)/2]
 		value = encode(weights)
 	}
@@ -244,7 +245,7 @@
 // encodeRecord encodes the record of a job, without what can be spared if it is larger than the store takes.
 func (l *leader) encodeRecord(id string, r batch.Record) []byte {
 	value := encode(r)
-	limit := l.owner.opts.MaxValueBytes
+	limit := l.owner.limits.Load().MaxValueBytes
 	for reduced := range r.Reductions() {
 		if len(value) <= limit {
 			break
@@ -315,7 +316,7 @@
 func (l *leader) logOversized(event, key string, size int) {
 	l.owner.opts.Scope.Tagged(map[string]string{"event": event}).Counter("oversized_values").Inc(1)
 	if l.oversized.New(key, event+strconv.Itoa(size)) {
-		l.log.Error().Str("event", event).Str("key", key).Int("bytes", size).Int("limit", l.owner.opts.MaxValueBytes).Send()
+		l.log.Error().Str("event", event).Str("key", key).Int("bytes", size).Int("limit", l.owner.limits.Load().MaxValueBytes).Send()
 	}
 }
 
--- a/internal/owner/forgotten_jobs.go
+++ b/internal/owner/forgotten_jobs.go
@@ -68,7 +68,7 @@
 
 // forgetJobs drops the jobs that ended more than JobRetention ago.
 func (l *leader) forgetJobs(now time.Time) {
-	pruned := l.state.PruneJobs(now, l.owner.opts.JobRetention)
+	pruned := l.state.PruneJobs(now, l.owner.limits.Load().JobRetention)
 	if len(pruned) == 0 {
 		return
 	}
--- a/internal/owner/leader.go
+++ b/internal/owner/leader.go
@@ -173,7 +173,6 @@
 
 		decisionCounters: map[string]tally.Counter{},
 	}
-	l.workersRecord.maxBytes = o.opts.MaxValueBytes
 	l.extendOwnership(held.granted)
 	return l
 }
--- a/internal/owner/oversized_values_test.go
+++ b/internal/owner/oversized_values_test.go
@@ -85,7 +85,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			l := newTestLeader()
-			l.owner.opts.MaxValueBytes = c.limit
+			l.owner.SetLimits(Limits{MaxValueBytes: c.limit})
 			got, err := DecodeRecord(l.encodeRecord("j", record))
 			is.NoErr(err)
 			is.Equal(len(got.Steps[0].Tasks), 1000)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -159,6 +159,7 @@
 // Owner campaigns for the claim and leads while it holds it.
 type Owner struct {
 	opts     Options
+	limits   atomic.Pointer[Limits]
 	store    kv.Store
 	workers  WorkerClient
 	registry Registry
@@ -194,8 +195,6 @@
 
 // New returns an owner that takes no part in campaigns until Run is called.
 func New(opts Options, store kv.Store, workers WorkerClient, registry Registry, config func() batch.Config, log zerolog.Logger) *Owner {
-	opts.JobRetention = max(opts.JobRetention, minJobRetention)
-	opts.MaxValueBytes = cmp.Or(opts.MaxValueBytes, kv.MaxValueBytes)
 	if opts.Scope == nil {
 		opts.Scope = tally.NoopScope
 	}
@@ -208,7 +207,7 @@
 	if opts.ProcessorLag == nil {
 		opts.ProcessorLag = timerLag
 	}
-	return &Owner{
+	o := &Owner{
 		opts:        opts,
 		store:       store,
 		workers:     workers,
@@ -219,6 +218,21 @@
 		incarnation: rand.Uint64(),
 		started:     time.Now(),
 	}
+	o.SetLimits(Limits{JobRetention: opts.JobRetention, MaxValueBytes: opts.MaxValueBytes})
+	return o
+}
+
+// Limits are the options of an owner that may change while it runs; see Options.
+type Limits struct {
+	JobRetention  time.Duration
+	MaxValueBytes int
+}
+
+// SetLimits changes limits from now on.
+func (o *Owner) SetLimits(limits Limits) {
+	limits.JobRetention = max(limits.JobRetention, minJobRetention)
+	limits.MaxValueBytes = cmp.Or(limits.MaxValueBytes, kv.MaxValueBytes)
+	o.limits.Store(&limits)
 }
 
 const (
