--- a/internal/owner/new_workers_test.go
+++ b/internal/owner/new_workers_test.go
@@ -61,6 +61,8 @@
 		o := New(Options{Instance: "a"}, newMemoryStore(), newFakeWorkers("new"), fakeRegistry{}, testConfig, zerolog.Nop())
 		l := newLeader(o, heldClaim{claim: Claim{Epoch: 1}, commitRev: 1}, func(error) {})
 		l.ctx = t.Context()
+		l.state.SetConfig(testConfig())
+		l.noteServices(time.Now())
 		l.cooldown.start(time.Now().Add(-time.Second), time.Now(), false) // the decision took a second
 		l.applyWorkerEvents([]kv.Event{{Item: kv.Item{Key: "w/new", Value: []byte("ok")}}})
 		l.react(time.Now())
