--- a/internal/batch/report.go
+++ b/internal/batch/report.go
@@ -173,9 +173,9 @@
 	needed := len(t.attempts) == 0 && !t.done
 	a := &attempt{step: st, index: e.Task.Index, run: e.Run, worker: w, reserved: st.reserved, requestedAt: now, cpuLimit: fullPercent}
 	if st.spec.BestEffort {
-		// The limit that the former owner set is not known. The lowest is assumed, and it is raised
-		// as far as the latency targets allow.
-		a.cpuLimit = 0
+		// The limit that the former owner set is not known. The lowest one is sent, unless the latency targets allow a higher one at
+		// once.
+		a.cpuLimit, a.throttleUnconfirmed = 0, true
 	}
 	s.register(a)
 	s.noteRun(a)
