--- a/internal/batch/late_starts.go
+++ b/internal/batch/late_starts.go
@@ -67,8 +67,8 @@
 	return slices.ContainsFunc(l.byTask[id], func(s lateStart) bool { return s.run == run && s.pending })
 }
 
-// of reports whether the worker may still carry out a copy of a start of the task.
-func (l *lateStarts) of(id lateStartKey, now time.Time) bool {
+// has reports whether the worker may still carry out a copy of a start of the task.
+func (l *lateStarts) has(id lateStartKey, now time.Time) bool {
 	if former, ok := l.former[id.worker]; ok && former.contains(id.task.Job) && !now.After(former.Until) {
 		return true
 	}
@@ -139,7 +139,7 @@
 	if st != nil && (st.spec.LongRunning || st.spec.Speculative) {
 		return false
 	}
-	return s.lateStarts.of(lateStartKey{w.info.ID, e.Task}, now) || st != nil && st.tasks[e.Task.Index].isBeingStartedOn(w)
+	return s.lateStarts.has(lateStartKey{w.info.ID, e.Task}, now) || st != nil && st.tasks[e.Task.Index].isBeingStartedOn(w)
 }
 
 // isBeingStartedOn reports whether the outcome of the start of an attempt on a worker is not known yet.
