--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -28,12 +28,13 @@
 	losses := flag.Int("losses", 1, "how many times almost all workers are lost at once, twice in succession, after the faults")
 	lostAnswers := flag.Bool("lost-answers", true, "workers lose up to half of the answers in long stretches, also after the faults")
 	fillerTail := flag.Int64("filler-tail", 0, "by how many percent of its target a filler raises the tail latency of the tasks beside it")
+	wide := flag.Bool("wide", true, "callers that leave, writes that are executed late, entries of other programs, images by the hundred, an advice service that moves, and a retention that ends within the soak")
 	keys := flag.Bool("keys", false, "callers need API keys, which are added and revoked all the time")
 	dir := flag.String("dir", "", "directory for binaries, settings and logs; a temporary one if empty")
 	flag.Parse()
 	o := soak.Options{
 		Seed: *seed, Instances: *instances, Workers: *workers, Callers: *callers, Duration: *duration,
-		Series: *series, Restarts: *restarts, Losses: *losses, LostAnswers: *lostAnswers, FillerTail: *fillerTail, Keys: *keys,
+		Series: *series, Restarts: *restarts, Losses: *losses, LostAnswers: *lostAnswers, FillerTail: *fillerTail, Keys: *keys, Wide: *wide,
 	}
 	if err := run(o, *seeds, *dir); err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
--- a/standin/soak/callers.go
+++ b/standin/soak/callers.go
@@ -32,11 +32,12 @@
 	checker   *Checker
 	addresses func() []string // callers' addresses of the running instances
 	key       func() string   // the API key of all calls; empty for none
+	prefix    string          // of the route
 	client    *http.Client
 }
 
 func newCallers(checker *Checker, addresses func() []string, key func() string) *callers {
-	return &callers{checker: checker, addresses: addresses, key: key, client: &http.Client{Timeout: callTimeout + time.Second}}
+	return &callers{checker: checker, addresses: addresses, key: key, prefix: routePrefix, client: &http.Client{Timeout: callTimeout + time.Second}}
 }
 
 // runCaller acts as one caller until ctx ends: it submits one job after the other and queries each. faultRNG
@@ -162,7 +163,7 @@
 // call sends a request to a random running instance.
 func (c *callers) call(ctx context.Context, rng *rand.Rand, method, id string, body []byte) (int, []byte, error) {
 	addresses := c.addresses()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+addresses[rng.IntN(len(addresses))]+routePrefix+id, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addresses[rng.IntN(len(addresses))]+c.prefix+id, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, err
 	}
--- a/standin/soak/checker.go
+++ b/standin/soak/checker.go
@@ -34,7 +34,8 @@
 	LongRunning bool  `json:"long-running,omitempty"`
 	Fills       bool  `json:"fills,omitempty"`
 	// MaxPerWorker is how many of the tasks may run on one worker; 0 is no bound.
-	MaxPerWorker int64 `json:"anti-affinity,omitempty"`
+	MaxPerWorker int64  `json:"anti-affinity,omitempty"`
+	Image        string `json:"image,omitempty"`
 	// TargetMS bounds the tail latency of a lasting task; 0 is no bound.
 	TargetMS int64 `json:"target-ms,omitempty"`
 
@@ -74,10 +75,12 @@
 	reportedMissing bool
 	cancelRequested bool
 	cancelledAt     time.Time // time of the first acknowledged cancellation
-	started         bool
-	firstStart      time.Time
-	lastState       string // last state that a caller was told
-	running         int    // runs on workers
+	// withdrawn is set once a cancellation was answered with 410, no such job. Nothing of the job may start from then on.
+	withdrawn  bool
+	started    bool
+	firstStart time.Time
+	lastState  string // last state that a caller was told
+	running    int    // runs on workers
 }
 
 // hasEnded reports whether a caller was told that the job has ended.
@@ -141,7 +144,7 @@
 //   - LIMIT: the tasks on a worker reserve more than its capacity, where a capacity that has shrunk counts
 //     maxCapacityDelay later
 //   - UNASKED: a run was not submitted by any caller, starts more than maxCancelDelay after the
-//     cancellation of its job, or is still running at the end
+//     cancellation of its job, or at all after that was answered with "no such job", or is still running at the end
 //   - REFUSED: a task of a job starts although each submission of the job was refused
 //   - LOST: an accepted job is unknown, has not ended, or has failed without enough failed runs or crashes,
 //     or a job or a lasting task does not run although it could, see CheckLiveness
@@ -209,6 +212,17 @@
 	}
 }
 
+// RecordWithdrawal records that the cancellation of a job was answered with 410, no such job.
+func (c *Checker) RecordWithdrawal(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.jobs[id]
+	if s.accepted {
+		c.addViolation("LOST", "job %s was accepted, but its cancellation was answered with 410", id)
+	}
+	s.withdrawn, s.lastState = true, "cancelled"
+}
+
 // RecordState records the state of a job that a caller was told; status is the HTTP status.
 func (c *Checker) RecordState(id string, status int, state string) {
 	c.mu.Lock()
@@ -346,6 +360,9 @@
 			c.addViolation("BUDGET", "%s starts after %d crashes of workers under it, %d times after the first %d", r.task, c.crashes[r.task], n, crashesToStop)
 		}
 	}
+	if s.withdrawn {
+		c.addViolation("UNASKED", "%s starts after its cancellation was answered with 410", r.task)
+	}
 	if !s.cancelledAt.IsZero() && time.Since(s.cancelledAt) > maxCancelDelay {
 		c.addViolation("UNASKED", "%s starts %.1f s after its cancellation", r.task, time.Since(s.cancelledAt).Seconds())
 	}
--- a/standin/soak/config.go
+++ b/standin/soak/config.go
@@ -20,6 +20,7 @@
 	Priority    int     `json:"priority"`
 	MaxAttempts int     `json:"max-attempts"`
 	Stretch     float64 `json:"stretch"`
+	Advice      any     `json:"advice,omitempty"`
 }
 
 type configBody struct {
@@ -33,7 +34,9 @@
 // with each of them.
 func config(versions ...int64) configBody {
 	route := routeBody{Name: "q", Host: routeHost, Prefix: routePrefix, Service: service, TargetMS: 1000, MaxAttempts: maxAttempts, Stretch: 2}
-	body := configBody{Routes: []routeBody{route}}
+	advised := route
+	advised.Name, advised.Prefix, advised.Advice = "advised", advisedPrefix, map[string]int{"decide-ms": 5, "each-ms": 1, "valid-ms": int(ticketTime.Milliseconds())}
+	body := configBody{Routes: []routeBody{route, advised}}
 	for _, version := range versions {
 		added := route
 		added.Name, added.Prefix = fmt.Sprintf("q%d", version), addedPrefix(version)
--- a/standin/soak/instance.go
+++ b/standin/soak/instance.go
@@ -47,25 +47,37 @@
 listen: {front: "%s:%d", ready: "%s:%d"}
 internal-ports: [%d, %d]
 limits: {cpu-share: 1, cores: 1, memory-mb: 512}
-bounds: {hold-max-ms: %d, grace-s: %d, status_s: 120, strict-revoke: %t, revoke-ms: %d}
+bounds: {hold-max-ms: %d, grace-s: %d, status_s: %d, strict-revoke: %t, revoke-ms: %d}
 orders: "invoke"
+advice: %q
 platform: {address: %q, ttl-min-ms: 1000}
 `
 
-func newInstance(name, ip, dir, binary, storeAddress string, maxLease, revocationBound time.Duration) (*instance, error) {
+// instanceSettings are what the settings files of all instances say.
+type instanceSettings struct {
+	maxLease, revocationBound, statusTime time.Duration
+	advice                                string // address of the advice service
+}
+
+func newInstance(name, ip, dir, binary, storeAddress string, s instanceSettings) (*instance, error) {
 	proxy, err := NewProxy(ip+":0", storeAddress)
 	if err != nil {
 		return nil, err
 	}
 	i := &instance{name: name, ip: ip, dir: dir, binary: binary, storeProxy: proxy}
-	text := fmt.Sprintf(settingsText, name, ip, ip, callerPort, ip, readyPort, peerPort, peerPort+15,
-		maxLease.Milliseconds(), int(graceTime.Seconds()), revocationBound > 0, revocationBound.Milliseconds(), proxy.Address())
-	if err := os.WriteFile(i.settingsFile(), []byte(text), 0o600); err != nil {
+	if err := i.writeSettings(s); err != nil {
 		return nil, err
 	}
 	return i, i.start()
 }
 
+// writeSettings writes the settings file.
+func (i *instance) writeSettings(s instanceSettings) error {
+	text := fmt.Sprintf(settingsText, i.name, i.ip, i.ip, callerPort, i.ip, readyPort, peerPort, peerPort+15, s.maxLease.Milliseconds(), int(graceTime.Seconds()),
+		int(s.statusTime.Seconds()), s.revocationBound > 0, s.revocationBound.Milliseconds(), s.advice, i.storeProxy.Address())
+	return os.WriteFile(i.settingsFile(), []byte(text), 0o600)
+}
+
 func (i *instance) settingsFile() string { return filepath.Join(i.dir, i.name+".yaml") }
 
 func (i *instance) start() error {
--- a/standin/soak/run.go
+++ b/standin/soak/run.go
@@ -37,6 +37,8 @@
 	Restarts int
 	// Keys lets callers need API keys, which change all the time while they submit jobs.
 	Keys bool
+	// Wide widens the range of what happens: see runWide.
+	Wide bool
 	// Losses is how many times almost all workers are lost at once, twice in succession, after the faults.
 	Losses int
 }
@@ -78,7 +80,8 @@
 	server    *http.Server
 	startedAt time.Time
 	address   func(n int) string // n-th loopback address
-	maxLease  time.Duration      // that workers grant
+	settings  instanceSettings
+	adviser   *adviser
 
 	mu              sync.Mutex
 	instances       []*instance
@@ -94,9 +97,12 @@
 func Run(ctx context.Context, o Options) (Report, error) {
 	tb := &testbed{opts: o, checker: NewChecker(), store: NewStore(o.Seed), startedAt: time.Now(), address: loopbackAddresses(o.Seed)}
 	tb.operators.store = tb.store
-	tb.maxLease = []time.Duration{shortMaxLease, longMaxLease}[o.Seed%2]
+	tb.settings = instanceSettings{maxLease: []time.Duration{shortMaxLease, longMaxLease}[o.Seed%2], statusTime: usualStatusTime}
 	if o.Restarts > 0 {
-		tb.maxLease = longestLease
+		tb.settings.maxLease = longestLease
+	}
+	if o.Wide {
+		tb.settings.statusTime = max(shortStatusTime, o.Duration)
 	}
 	defer tb.close()
 	if err := tb.setUp(); err != nil {
@@ -117,6 +123,9 @@
 	tb.runSeries(ctx, c, rng)
 	tb.finishJobs(ctx, c, rng)
 	stopLosingAnswers()
+	if tb.opts.Wide {
+		tb.runWide(ctx, c, tb.newRand(15))
+	}
 	tb.checkEnd(ctx)
 	accepted, starts := tb.checker.Counts()
 	keysAccepted, keysRefused := tb.checker.KeyAnswers()
@@ -138,9 +147,12 @@
 	}
 	tb.server = &http.Server{Handler: tb.store}
 	go func() { _ = tb.server.Serve(l) }()
-	bound := time.Duration(0)
+	if tb.adviser, err = newAdviser(tb.address(120)); err != nil {
+		return err
+	}
+	tb.settings.advice = tb.adviser.address
 	if tb.opts.Keys {
-		bound = revocationBound
+		tb.settings.revocationBound = revocationBound
 		tb.operators.rotateKeys()
 	}
 	tb.operators.changeVersion()
@@ -150,7 +162,7 @@
 		}
 	}
 	for n := range tb.opts.Instances {
-		i, err := newInstance(fmt.Sprintf("i%d", n), tb.address(10+n), tb.opts.Dir, tb.opts.Binary, l.Addr().String(), tb.maxLease, bound)
+		i, err := newInstance(fmt.Sprintf("i%d", n), tb.address(10+n), tb.opts.Dir, tb.opts.Binary, l.Addr().String(), tb.settings)
 		if err != nil {
 			return err
 		}
@@ -169,7 +181,7 @@
 	n := tb.workersAdded
 	worker, err := NewWorker(WorkerConfig{
 		ID: fmt.Sprintf("w%d", n), Zone: []string{"a", "b"}[n%2], Host: tb.address(100), CPU: workerCapacity,
-		MaxLease: tb.maxLease, FillerTail: tb.opts.FillerTail, Seed: tb.opts.Seed + uint64(n), Store: tb.store, Checker: tb.checker,
+		MaxLease: tb.settings.maxLease, FillerTail: tb.opts.FillerTail, Seed: tb.opts.Seed + uint64(n), Store: tb.store, Adviser: tb.adviser, Checker: tb.checker,
 	})
 	if err != nil {
 		return err
@@ -222,6 +234,10 @@
 	group.Go(func() { tb.injectFaults(ctx, tb.newRand(7), faultKinds) })
 	group.Go(func() { tb.injectFaults(ctx, tb.newRand(9), workerChanges) })
 	group.Go(func() { tb.injectFaults(ctx, tb.newRand(10), connectionFaults) })
+	if tb.opts.Wide {
+		group.Go(func() { tb.injectFaults(ctx, tb.newRand(14), wideFaults) })
+		group.Go(func() { c.runLeavingCaller(ctx, tb.newRand(300)) })
+	}
 	group.Wait()
 	tb.pendingReverts.Wait()
 }
@@ -374,4 +390,7 @@
 	if tb.server != nil {
 		_ = tb.server.Close()
 	}
+	if tb.adviser != nil {
+		tb.adviser.close()
+	}
 }
--- a/standin/soak/run_test.go
+++ b/standin/soak/run_test.go
@@ -85,6 +85,21 @@
 	}
 }
 
+// wideSeeds are the seeds that CI runs with a wider range of what happens.
+//
+// Seed 6401: jobs of which the owner had forgotten the end ran again (TWICE); one value that the store refused held all others up, and a new
+// address of the advice service was never used (LOST). Seed 6403: jobs ran although their cancelling had been answered with "no such
+// job" (UNASKED).
+var wideSeeds = []uint64{6401, 6403}
+
+// Guards against what the review of issues 64 and 65 found, under ordinary faults and in calm.
+func TestSoakWithAWiderRange(t *testing.T) {
+	t.Parallel()
+	for _, seed := range wideSeeds {
+		checkSoak(t, Options{Seed: seed, Instances: 3, Workers: 8, Callers: 4, Duration: 5 * time.Second, Wide: true})
+	}
+}
+
 // checkSoak runs one soak, which must violate no guarantee, and returns its report.
 func checkSoak(t *testing.T, o Options) Report {
 	is := is.New(t)
--- a/standin/soak/store.go
+++ b/standin/soak/store.go
@@ -49,13 +49,21 @@
 	// watch. lostAnswerShare is the share of transactions that are executed without an answer.
 	down, silent, muted bool
 	lostAnswerShare     float64
+	// lateWriteShare is the share of transactions that get no answer and are executed late, which lateRNG decides.
+	lateWriteShare float64
+	lateRNG        *rand.Rand
+	// maxValueBytes is the largest value that the store takes.
+	maxValueBytes int
 }
 
+// defaultValueBytes is maxValueBytes of a new store.
+const defaultValueBytes = 1 << 20
+
 // NewStore returns an empty store. The seed decides which answers are lost.
 func NewStore(seed uint64) *Store {
 	return &Store{
 		rev: 1, items: map[string]item{}, leases: map[int64]*lease{}, changed: make(chan struct{}),
-		rng: rand.New(rand.NewPCG(seed, 1)),
+		rng: rand.New(rand.NewPCG(seed, 1)), lateRNG: rand.New(rand.NewPCG(seed, 3)), maxValueBytes: defaultValueBytes,
 	}
 }
 
@@ -90,6 +98,33 @@
 	s.lostAnswerShare = share
 }
 
+// SetLateWriteShare sets the share of transactions that get no answer and are executed late.
+func (s *Store) SetLateWriteShare(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lateWriteShare = share
+}
+
+// SetMaxValueBytes sets the largest value that the store takes.
+func (s *Store) SetMaxValueBytes(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.maxValueBytes = n
+}
+
+// Count returns the number of keys with a prefix.
+func (s *Store) Count(prefix string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for key := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			n++
+		}
+	}
+	return n
+}
+
 // Compact makes all changes so far unavailable to watches.
 func (s *Store) Compact() {
 	s.mu.Lock()
@@ -221,8 +256,7 @@
 	case path == "/api/kv-range":
 		return http.StatusOK, s.list(r.URL.Query().Get("prefix"), r.URL.Query().Get("after")), false
 	case path == "/api/kv-txn":
-		status, body = s.commit(r)
-		return status, body, s.rng.Float64() < s.lostAnswerShare
+		return s.transact(r)
 	case path == "/api/kv-lease":
 		return s.grantLease(r)
 	case strings.HasPrefix(path, "/api/kv-keep/"):
@@ -279,12 +313,14 @@
 		Key string `json:"key"`
 		Rev int64  `json:"rev"`
 	} `json:"expected"`
-	Set []struct {
-		Key   string `json:"key"`
-		Value []byte `json:"value"`
-		Lease int64  `json:"lease"`
-	} `json:"set-keys"`
-	Remove []string `json:"remove"`
+	Set    []writeBody `json:"set-keys"`
+	Remove []string    `json:"remove"`
+}
+
+type writeBody struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+	Lease int64  `json:"lease"`
 }
 
 type revBody struct {
@@ -298,11 +334,32 @@
 // maxEntries bounds the conditions, writes and removals of a transaction together.
 const maxEntries = 32
 
-func (s *Store) commit(r *http.Request) (int, any) {
+// minLateness and maxLateness bound by how much a transaction is executed late.
+const minLateness, maxLateness = time.Second, 6 * time.Second
+
+// transact executes a transaction, now or late.
+func (s *Store) transact(r *http.Request) (status int, body any, lost bool) {
 	var t txnBody
 	if err := json.NewDecoder(r.Body).Decode(&t); err != nil || len(t.Expected)+len(t.Set)+len(t.Remove) > maxEntries {
-		return http.StatusBadRequest, struct{}{}
+		return http.StatusBadRequest, struct{}{}, false
+	}
+	if slices.ContainsFunc(t.Set, func(w writeBody) bool { return len(w.Value) > s.maxValueBytes }) {
+		return http.StatusBadRequest, struct{}{}, false
 	}
+	if s.lateWriteShare > 0 && s.lateRNG.Float64() < s.lateWriteShare {
+		time.AfterFunc(minLateness+time.Duration(s.lateRNG.Int64N(int64(maxLateness-minLateness))), func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.expireLeases(time.Now())
+			s.commit(t)
+		})
+		return 0, nil, true
+	}
+	status, body = s.commit(t)
+	return status, body, s.rng.Float64() < s.lostAnswerShare
+}
+
+func (s *Store) commit(t txnBody) (int, any) {
 	matches := true
 	current := conflictBody{Items: []item{}}
 	for _, e := range t.Expected {
--- a/standin/soak/worker.go
+++ b/standin/soak/worker.go
@@ -97,6 +97,7 @@
 	FillerTail     int64         // by how many percent of its target each filler at full pace raises a tail latency
 	Seed           uint64
 	Store          *Store // where it writes its entry
+	Adviser        *adviser
 	Checker        *Checker
 }
 
--- a/standin/soak/worker_api.go
+++ b/standin/soak/worker_api.go
@@ -20,6 +20,7 @@
 	LastSeen   int64  `json:"last-seen"`
 	Wait       int64  `json:"wait-ms"`
 	Percent    int64  `json:"percent"`
+	Ticket     string `json:"ticket"`
 
 	sentAt time.Time
 }
@@ -107,6 +108,9 @@
 	if w.refusesStarts {
 		return http.StatusServiceUnavailable, ""
 	}
+	if strings.HasPrefix(b.Spec, advisedPayload) && !w.Adviser.accepts(b.Task, w.ID, b.Ticket) {
+		return http.StatusConflict, "ticket"
+	}
 	task, ok := w.Checker.RecordStart(w, key, b.Spec, b.sentAt)
 	if !ok {
 		return http.StatusBadRequest, ""
