--- a/standin/soak/checker.go
+++ b/standin/soak/checker.go
@@ -108,8 +108,10 @@
 	lastFault            time.Time // when a fault began or ended last
 	violations           []string
 	starts               int
-	keysAccepted         int // answers that accepted an API key
-	keysRefused          int // answers that said that there is no such key
+	quota                int64 // milliCPU that all runs may reserve together; 0 for no quota
+	reserved             int64 // milliCPU that they reserve
+	keysAccepted         int   // answers that accepted an API key
+	keysRefused          int   // answers that said that there is no such key
 }
 
 // NewChecker returns a checker that has recorded nothing.
@@ -143,6 +145,7 @@
 //     crashesToStop workers have crashed under it
 //   - LIMIT: the tasks on a worker reserve more than its capacity, where a capacity that has shrunk counts
 //     maxCapacityDelay later
+//   - QUOTA: the runs of the only tenant reserve more than its quota and one task more
 //   - UNASKED: a run was not submitted by any caller, starts more than maxCancelDelay after the
 //     cancellation of its job, or at all after that was answered with "no such job", or is still running at the end
 //   - REFUSED: a task of a job starts although each submission of the job was refused
@@ -158,6 +161,13 @@
 	c.violations = append(c.violations, fmt.Sprintf("%s at %.2f s: ", rule, time.Since(c.startedAt).Seconds())+fmt.Sprintf(format, args...))
 }
 
+// SetQuota sets how many milliCPU all runs may reserve together; 0 for no quota.
+func (c *Checker) SetQuota(milliCPU int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.quota = milliCPU
+}
+
 // RecordKeyAnswer counts an answer to a call with an API key.
 func (c *Checker) RecordKeyAnswer(accepted, refused bool) {
 	c.mu.Lock()
@@ -317,6 +327,10 @@
 	if used, counted := w.totalReservedCPU()+reserved, w.countedCapacity(sentAt); reserved > 0 && used > counted {
 		c.addViolation("LIMIT", "%s has reserved %d of %d milliCPU after the start of %s", w.ID, used, counted, r.task)
 	}
+	c.reserved += reserved
+	if c.quota > 0 && c.reserved > c.quota+reserved {
+		c.addViolation("QUOTA", "%d milliCPU are reserved after the start of %s, of %d", c.reserved, r.task, c.quota)
+	}
 	if c.runningOn[r.task] == nil {
 		c.runningOn[r.task] = map[int64]string{}
 	}
@@ -374,7 +388,11 @@
 	defer c.mu.Unlock()
 	if _, ok := c.runningOn[r.task][r.number]; ok {
 		delete(c.runningOn[r.task], r.number)
-		c.jobOf(r.task).running--
+		s := c.jobOf(r.task)
+		s.running--
+		if _, step, err := splitTask(r.task); err == nil {
+			c.reserved -= reservedCPU(s.spec.Steps[step])
+		}
 	}
 	c.lastEnd[r.task] = time.Now()
 	switch outcome {
--- a/standin/soak/checker_test.go
+++ b/standin/soak/checker_test.go
@@ -141,8 +141,19 @@
 			c.RecordState("a", 200, "cancelled")
 			c.CheckFinalState()
 		},
-		"LOST job": func(c *Checker, w *Worker) { c.RecordState("a", 410, "") },
-		"LOST end": func(c *Checker, w *Worker) { c.CheckFinalState() },
+		"UNASKED after a withdrawal": func(c *Checker, w *Worker) {
+			c.RecordSubmission("r", jobSpec{Spec: "p", Steps: []stepSpec{{Count: 1}}})
+			c.RecordWithdrawal("r")
+			c.RecordStart(w, run{taskName("r", 0, 0), 1}, "p", time.Now())
+		},
+		"QUOTA": func(c *Checker, w *Worker) {
+			c.SetQuota(500)
+			c.RecordStart(w, run{first, 1}, "p", time.Now())
+			c.RecordStart(w, run{taskName("a", 0, 1), 1}, "p", time.Now())
+		},
+		"LOST job":            func(c *Checker, w *Worker) { c.RecordState("a", 410, "") },
+		"LOST before its end": func(c *Checker, w *Worker) { c.RecordWithdrawal("a") },
+		"LOST end":            func(c *Checker, w *Worker) { c.CheckFinalState() },
 		"LOST after a crash": func(c *Checker, w *Worker) {
 			crashUnder(c, w, crashTask, crashesToFail-1)
 			c.RecordState("crash", 200, "failed")
--- a/standin/soak/config.go
+++ b/standin/soak/config.go
@@ -56,6 +56,7 @@
 	versions []int64     // of the routes in the configuration, the newest last
 	ackedAt  []time.Time // when each was acknowledged
 	keys     []*apiKey   // in the order in which they were added; none if callers need no key
+	quota    int64       // of the only tenant, in milliCPU; 0 for none
 }
 
 // maxAddedRoutes is the number of versions whose routes the configuration keeps.
--- a/standin/soak/keys.go
+++ b/standin/soak/keys.go
@@ -35,6 +35,7 @@
 	Name   string   `json:"name"`
 	Keys   []string `json:"api-keys"`
 	Weight float64  `json:"weight"`
+	Cap    capacity `json:"cap"`
 }
 
 // tenants returns the tenants of the configuration; none if the soak has no keys. The caller must hold o.mu.
@@ -42,7 +43,7 @@
 	if len(o.keys) == 0 {
 		return nil
 	}
-	t := tenantBody{Name: "t", Weight: 1}
+	t := tenantBody{Name: "t", Weight: 1, Cap: capacity{CPU: o.quota}}
 	for _, k := range o.keys {
 		if !k.removing {
 			t.Keys = append(t.Keys, k.text)
--- a/standin/soak/run_test.go
+++ b/standin/soak/run_test.go
@@ -87,7 +87,8 @@
 
 // wideSeeds are the seeds that CI runs with a wider range of what happens.
 //
-// Seed 6401: jobs of which the owner had forgotten the end ran again (TWICE); one value that the store refused held all others up, and a new
+// Seed 6401: jobs of which the owner had forgotten the end ran again, and so did tasks under whose worker's key another program had
+// written (TWICE); one value that the store refused held all others up, and a new
 // address of the advice service was never used (LOST). Seed 6403: jobs ran although their cancelling had been answered with "no such
 // job" (UNASKED).
 var wideSeeds = []uint64{6401, 6403}
