--- a/internal/entry/tombstones.go
+++ b/internal/entry/tombstones.go
@@ -12,7 +12,7 @@
 
 // maxTombstonesPerSecond bounds the tombstones that an instance writes, on average and at once. Anyone may cancel jobs that do not
 // exist.
-const maxTombstonesPerSecond = 10
+const maxTombstonesPerSecond = 25
 
 // tombstoneLimit bounds the rate of tombstones.
 type tombstoneLimit struct {
