--- a/internal/owner/foreign_entries_test.go
+++ b/internal/owner/foreign_entries_test.go
@@ -32,15 +32,15 @@
 	return fmt.Appendf(nil, "%s %d", service, incarnation)
 }
 
-// withServices runs a test with an owner and workers w1, w2 and w3 of the service svc in incarnation 1. The configuration has the
-// service extra from version 2 on.
+// withServices runs a test with an owner and workers w1, w2 and w3 of the service svc in incarnation 1. Even versions of the
+// configuration name the service extra, too.
 func withServices(t *testing.T, test func(h *harness, version *atomic.Int64)) {
 	withHarness(t, func(h *harness) {
 		var version atomic.Int64
 		version.Store(1)
 		config := func() batch.Config {
 			c := testConfig()
-			if c.Version = version.Load(); c.Version > 1 {
+			if c.Version = version.Load(); c.Version%2 == 0 {
 				c.Services = []string{"extra"}
 				c.Queues["extra"] = batch.Queue{Service: "extra", MaxAttempts: 3}
 			}
@@ -113,8 +113,8 @@
 	})
 }
 
-// Guards against a worker that keeps getting tasks, or whose tasks are lost, after a configuration has dropped its service: its entries count
-// on, and what was accepted for it is done.
+// Guards against a worker whose restart is not seen after a configuration has dropped its service, and against one that is not used again
+// once the service is back: entries for a service that was named before count on.
 func TestAServiceThatWasDroppedIsStillKnown(t *testing.T) {
 	withServices(t, func(h *harness, version *atomic.Int64) {
 		version.Store(2)
@@ -124,10 +124,19 @@
 		h.submitTo("extra", "j", tasks(2))
 		h.sleep(5 * time.Second)
 		h.is.Equal(h.storedStatus("j"), batch.Completed)
+		version.Store(3)
+		h.sleep(time.Second)
 		h.store.set("w/w1", serviceEntry("archive", 1))
 		h.sleep(time.Second)
+		h.workers.mu.Lock()
+		h.workers.workers["w1"] = newFakeWorker(h.workers, 2)
+		h.workers.mu.Unlock()
 		h.store.set("w/w1", serviceEntry("extra", 2)) // started again
 		h.sleep(time.Second)
 		h.is.Equal(h.log.count("worker.reborn", `"w1"`), 1)
+		version.Store(4)
+		h.submitTo("extra", "k", tasks(2))
+		h.sleep(15 * time.Second)
+		h.is.Equal(h.storedStatus("k"), batch.Completed)
 	})
 }
