--- a/cmd/geraniumwickd/platform.go
+++ b/cmd/geraniumwickd/platform.go
@@ -180,7 +180,7 @@
 			return err
 		case sig := <-signals:
 			log.Info().Str("event", "signal.received").Str("signal", sig.String()).Send()
-			// SIGHUP needs no action: watchSettings reads the settings file again whenever it changes.
+			// SIGHUP needs no action: the watcher reads the settings file again whenever it changes.
 			if sig != syscall.SIGHUP {
 				return stopPlatform(instance, apiServer, watcher.settings().GracePeriod(), log)
 			}
