--- a/standin/soak/checker.go
+++ b/standin/soak/checker.go
@@ -11,9 +11,12 @@
 const (
 	// maxAttempts is the configured bound on failed runs of a task.
 	maxAttempts = 4
-	// maxCancelDelay is the time after an acknowledged cancellation in which tasks may still start:
+	// maxCancelDelay is the time after an acknowledged cancellation in which starts may still be sent:
 	// the guaranteed 3 s, plus the time for another owner to take over meanwhile.
 	maxCancelDelay = 8 * time.Second
+	// maxCancelledRun is how long a run may work that a worker starts after the cancellation of its job was acknowledged, beyond the longest
+	// lease: a worker may carry out a start late that was sent before.
+	maxCancelledRun = contactTime + maxCancelDelay
 	// contactTime is the time after an impairment within which the instances are in touch again.
 	contactTime = 3 * time.Second
 	// maxCapacityDelay is the time after a worker's capacity has shrunk in which the former one still counts.
@@ -88,22 +91,38 @@
 	return s.lastState == "completed" || s.lastState == "failed" || s.lastState == "cancelled"
 }
 
+// runningRun is a run on a worker.
+type runningRun struct {
+	worker string
+	// endBy is when the run must have ended at the latest; zero unless its job was cancelled before it started.
+	endBy time.Time
+}
+
+// newRunningRun returns a run of a job that starts on a worker.
+func newRunningRun(w *Worker, s *jobState) runningRun {
+	r := runningRun{worker: w.ID}
+	if !s.cancelledAt.IsZero() {
+		r.endBy = time.Now().Add(w.MaxLease + maxCancelledRun)
+	}
+	return r
+}
+
 // Checker receives reports from callers, workers and fault injection, and records each violation
 // of a guarantee.
 type Checker struct {
 	mu                   sync.Mutex // held by the callers of all unexported methods
 	startedAt            time.Time
 	jobs                 map[string]*jobState
-	runningOn            map[string]map[int64]string // worker by task and run number
-	done                 map[string]bool             // tasks with a run that ended as done
-	acknowledgedDone     map[string]bool             // tasks whose done end the owner has acknowledged
-	pendingDone          map[string]map[int64]bool   // runs that ended as done without an acknowledgement; true if the task started again
-	acknowledgedFailures map[string]int              // failed ends that the owner has acknowledged
-	failures             map[string]int              // failed ends, acknowledged or not
-	crashes              map[string]int              // crashes of workers by task that ran there
-	startsAfterCrashes   map[string]int              // starts of a task after crashesToStop crashes
-	lastEnd              map[string]time.Time        // by task: end of the last run
-	idleSince            map[string]time.Time        // jobs and lasting tasks that could run but do not, see CheckLiveness
+	runningOn            map[string]map[int64]runningRun // by task and run number
+	done                 map[string]bool                 // tasks with a run that ended as done
+	acknowledgedDone     map[string]bool                 // tasks whose done end the owner has acknowledged
+	pendingDone          map[string]map[int64]bool       // runs that ended as done without an acknowledgement; true if the task started again
+	acknowledgedFailures map[string]int                  // failed ends that the owner has acknowledged
+	failures             map[string]int                  // failed ends, acknowledged or not
+	crashes              map[string]int                  // crashes of workers by task that ran there
+	startsAfterCrashes   map[string]int                  // starts of a task after crashesToStop crashes
+	lastEnd              map[string]time.Time            // by task: end of the last run
+	idleSince            map[string]time.Time            // jobs and lasting tasks that could run but do not, see CheckLiveness
 	activeFaults         int
 	lastFault            time.Time // when a fault began or ended last
 	violations           []string
@@ -117,7 +136,7 @@
 // NewChecker returns a checker that has recorded nothing.
 func NewChecker() *Checker {
 	return &Checker{
-		startedAt: time.Now(), jobs: map[string]*jobState{}, runningOn: map[string]map[int64]string{},
+		startedAt: time.Now(), jobs: map[string]*jobState{}, runningOn: map[string]map[int64]runningRun{},
 		done: map[string]bool{}, acknowledgedDone: map[string]bool{}, pendingDone: map[string]map[int64]bool{}, acknowledgedFailures: map[string]int{}, failures: map[string]int{},
 		crashes: map[string]int{}, startsAfterCrashes: map[string]int{}, lastEnd: map[string]time.Time{}, idleSince: map[string]time.Time{},
 	}
@@ -146,8 +165,9 @@
 //   - LIMIT: the tasks on a worker reserve more than its capacity, where a capacity that has shrunk counts
 //     maxCapacityDelay later
 //   - QUOTA: the runs of the only tenant reserve more than its quota and one task more
-//   - UNASKED: a run was not submitted by any caller, starts more than maxCancelDelay after the
-//     cancellation of its job, or at all after that was answered with "no such job", or is still running at the end
+//   - UNASKED: a run was not submitted by any caller, starts by a request that was sent more than maxCancelDelay after the
+//     cancellation of its job, or at all after that was answered with "no such job", or is still running at the end, or too long after
+//     it has started late
 //   - REFUSED: a task of a job starts although each submission of the job was refused
 //   - LOST: an accepted job is unknown, has not ended, or has failed without enough failed runs or crashes,
 //     or a job or a lasting task does not run although it could, see CheckLiveness
@@ -322,7 +342,7 @@
 		s.started, s.firstStart = true, time.Now()
 	}
 	spec := s.spec.Steps[step]
-	c.checkStart(w, r, s, spec)
+	c.checkStart(w, r, s, spec, sentAt)
 	reserved := reservedCPU(spec)
 	if used, counted := w.totalReservedCPU()+reserved, w.countedCapacity(sentAt); reserved > 0 && used > counted {
 		c.addViolation("LIMIT", "%s has reserved %d of %d milliCPU after the start of %s", w.ID, used, counted, r.task)
@@ -332,9 +352,9 @@
 		c.addViolation("QUOTA", "%d milliCPU are reserved after the start of %s, of %d", c.reserved, r.task, c.quota)
 	}
 	if c.runningOn[r.task] == nil {
-		c.runningOn[r.task] = map[int64]string{}
+		c.runningOn[r.task] = map[int64]runningRun{}
 	}
-	c.runningOn[r.task][r.number] = w.ID
+	c.runningOn[r.task][r.number] = newRunningRun(w, s)
 	s.running++
 	info := taskInfo{spec: spec, duration: spec.duration, crashes: spec.crashesWorkers(r.task)}
 	if spec.endTogether {
@@ -352,9 +372,10 @@
 	return s.CPU
 }
 
-func (c *Checker) checkStart(w *Worker, r run, s *jobState, spec stepSpec) {
-	for otherRun, worker := range c.runningOn[r.task] {
-		c.addViolation("TWICE", "%s run %d starts on %s while run %d is on %s", r.task, r.number, w.ID, otherRun, worker)
+// checkStart checks the start of a run, which was requested at sentAt.
+func (c *Checker) checkStart(w *Worker, r run, s *jobState, spec stepSpec, sentAt time.Time) {
+	for otherRun, other := range c.runningOn[r.task] {
+		c.addViolation("TWICE", "%s run %d starts on %s while run %d is on %s", r.task, r.number, w.ID, otherRun, other.worker)
 	}
 	if c.acknowledgedDone[r.task] {
 		c.addViolation("TWICE", "%s run %d starts on %s after its end was acknowledged", r.task, r.number, w.ID)
@@ -377,8 +398,8 @@
 	if s.withdrawn {
 		c.addViolation("UNASKED", "%s starts after its cancellation was answered with 410", r.task)
 	}
-	if !s.cancelledAt.IsZero() && time.Since(s.cancelledAt) > maxCancelDelay {
-		c.addViolation("UNASKED", "%s starts %.1f s after its cancellation", r.task, time.Since(s.cancelledAt).Seconds())
+	if !s.cancelledAt.IsZero() && sentAt.Sub(s.cancelledAt) > maxCancelDelay {
+		c.addViolation("UNASKED", "%s starts by a request sent %.1f s after its cancellation", r.task, sentAt.Sub(s.cancelledAt).Seconds())
 	}
 }
 
@@ -386,7 +407,11 @@
 func (c *Checker) RecordEnd(worker string, r run, outcome string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, ok := c.runningOn[r.task][r.number]; ok {
+	if running, ok := c.runningOn[r.task][r.number]; ok {
+		if !running.endBy.IsZero() && time.Now().After(running.endBy) {
+			c.addViolation("UNASKED", "%s run %d on %s, started after the cancellation of its job, ends %.1f s too late", r.task, r.number, worker,
+				time.Since(running.endBy).Seconds())
+		}
 		delete(c.runningOn[r.task], r.number)
 		s := c.jobOf(r.task)
 		s.running--
@@ -440,8 +465,8 @@
 		}
 	}
 	for task, runs := range c.runningOn {
-		for n, worker := range runs {
-			c.addViolation("UNASKED", "%s run %d still runs on %s", task, n, worker)
+		for n, r := range runs {
+			c.addViolation("UNASKED", "%s run %d still runs on %s", task, n, r.worker)
 		}
 	}
 }
--- a/standin/soak/checker_test.go
+++ b/standin/soak/checker_test.go
@@ -32,6 +32,13 @@
 	w.capacity = 500
 }
 
+// cancelBefore records that the cancellation of job a was acknowledged some time ago.
+func cancelBefore(c *Checker, ago time.Duration) {
+	c.RecordCancelRequest("a")
+	c.RecordCancellation("a")
+	c.jobs["a"].cancelledAt = time.Now().Add(-ago)
+}
+
 // submitJobs submits the jobs of crashTask and lastingTask.
 func submitJobs(c *Checker) {
 	for id, step := range map[string]stepSpec{
@@ -141,6 +148,16 @@
 			c.RecordState("a", 200, "cancelled")
 			c.CheckFinalState()
 		},
+		"UNASKED after a cancellation": func(c *Checker, w *Worker) {
+			cancelBefore(c, maxCancelDelay+time.Second)
+			c.RecordStart(w, run{first, 1}, "p", time.Now())
+		},
+		"UNASKED start that is late and goes on": func(c *Checker, w *Worker) {
+			cancelBefore(c, time.Minute)
+			w.MaxLease = -maxCancelledRun // instead of a wait
+			c.RecordStart(w, run{first, 1}, "p", time.Now().Add(-time.Minute))
+			c.RecordEnd("w", run{first, 1}, "stopped")
+		},
 		"UNASKED after a withdrawal": func(c *Checker, w *Worker) {
 			c.RecordSubmission("r", jobSpec{Spec: "p", Steps: []stepSpec{{Count: 1}}})
 			c.RecordWithdrawal("r")
@@ -254,6 +271,11 @@
 			c.RecordFaultBegin()
 			checkFor(c, time.Minute, 2000)
 		},
+		"a start that was sent before its job was cancelled": func(c *Checker, w *Worker) {
+			cancelBefore(c, maxCancelDelay+time.Second)
+			c.RecordStart(w, run{taskName("a", 0, 0), 1}, "p", time.Now().Add(-2*maxCancelDelay))
+			c.RecordEnd("w", run{taskName("a", 0, 0), 1}, "stopped")
+		},
 		"an idle job that is to be cancelled": func(c *Checker, w *Worker) {
 			c.RecordCancelRequest("a")
 			checkFor(c, time.Minute, 2000)
